--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# What one can do here. CONTRIBUTING.md says more.
+
+GO ?= go
+TOOL = $(GO) tool -modfile=tools/go.mod
+BIN = bin/citronstream
+SETTINGS ?= examples/magnolia.json
+SEED ?= 1
+DURATION ?= 30s
+BENCH ?= .
+
+.PHONY: all build run demo test lint fmt bench soak clean
+
+all: lint test build
+
+build: ## build the binary into bin/
+	$(GO) build -o $(BIN) ./cmd/citronstream
+
+run: build ## start a whole local fleet on loopback
+	$(BIN) local --settings $(SETTINGS)
+
+demo: build ## put a load on a local fleet and print the outcome
+	$(BIN) demo --settings $(SETTINGS) --seed $(SEED) --duration 10s
+
+test: ## all tests
+	$(GO) test ./...
+
+lint: ## formatter, vet, linters
+	@test -z "$$($(TOOL) gofumpt -l . | tee /dev/stderr)"
+	$(GO) vet ./...
+	$(TOOL) staticcheck ./...
+	$(TOOL) forbidigo -set_exit_status '^(fmt\.Print.*)$$' '^time\.(Now|Sleep|After|Tick|NewTimer|NewTicker|AfterFunc|Since|Until)$$' -- ./...
+
+fmt: ## format the sources
+	$(TOOL) gofumpt -w .
+
+bench: ## benchmarks with their bounds
+	./bench.sh "$(BENCH)"
+
+soak: build ## randomised run with faults: make soak SEED=n DURATION=30s
+	$(BIN) soak --seed $(SEED) --duration $(DURATION)
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/internal/standin/memtable/memtable.go
@@ -0,0 +1,211 @@
+// Package memtable is a stand-in for the platform's table service in memory,
+// with fault switches. It implements citronstream.Table.
+package memtable
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"golang.org/x/time/rate"
+)
+
+// opMemory is how long a repeat of an operation identifier is recognised,
+// as in DynamoDB's ClientRequestToken.
+const opMemory = 10 * time.Minute
+
+type opRecord struct {
+	at  time.Time
+	err error
+}
+
+// Table is the stand-in. Its zero value is not ready for use.
+type Table struct {
+	clk    citronstream.Clock
+	reads  atomic.Uint64
+	writes atomic.Uint64
+	reject atomic.Uint64
+
+	down      atomic.Bool
+	slow      atomic.Int64 // nanoseconds added to each call
+	loseEvery atomic.Int64 // each n-th write's answer is lost; 0 is off
+	lost      atomic.Uint64
+
+	readLimit  *rate.Limiter
+	writeLimit *rate.Limiter
+
+	mu   sync.Mutex
+	rows map[string]citronstream.Row
+	ops  map[string]opRecord
+}
+
+// Option changes a Table.
+type Option func(*Table)
+
+// WithRates limits reads and writes a second. Calls above are throttled.
+func WithRates(reads, writes float64) Option {
+	return func(ta *Table) {
+		ta.readLimit = rate.NewLimiter(rate.Limit(reads), int(reads))
+		ta.writeLimit = rate.NewLimiter(rate.Limit(writes), int(writes))
+	}
+}
+
+// New returns an empty table.
+func New(clk citronstream.Clock, opts ...Option) *Table {
+	ta := &Table{clk: clk, rows: make(map[string]citronstream.Row), ops: make(map[string]opRecord)}
+	for _, opt := range opts {
+		opt(ta)
+	}
+	return ta
+}
+
+// SetDown makes every call fail with ErrUnavailable.
+func (ta *Table) SetDown(down bool) { ta.down.Store(down) }
+
+// SetSlow adds a delay to each call.
+func (ta *Table) SetSlow(delay time.Duration) { ta.slow.Store(int64(delay)) }
+
+// SetLoseAnswers makes each n-th write take effect and then fail with
+// ErrUnknownOutcome. Zero switches the fault off.
+func (ta *Table) SetLoseAnswers(every int) { ta.loseEvery.Store(int64(every)) }
+
+// Counts returns the reads, writes and throttled calls so far.
+func (ta *Table) Counts() (reads, writes, throttled uint64) {
+	return ta.reads.Load(), ta.writes.Load(), ta.reject.Load()
+}
+
+func (ta *Table) enter(ctx context.Context, limiter *rate.Limiter) error {
+	if delay := time.Duration(ta.slow.Load()); delay > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ta.clk.After(delay):
+		}
+	}
+	if ta.down.Load() {
+		return citronstream.ErrUnavailable
+	}
+	if limiter != nil && !limiter.AllowN(ta.clk.Now(), 1) {
+		ta.reject.Add(1)
+		return citronstream.ErrThrottled
+	}
+	return ctx.Err()
+}
+
+// Get implements citronstream.Table.
+func (ta *Table) Get(ctx context.Context, key string) (citronstream.Row, error) {
+	if err := ta.enter(ctx, ta.readLimit); err != nil {
+		return citronstream.Row{}, err
+	}
+	ta.reads.Add(1)
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	row, ok := ta.live(key)
+	if !ok {
+		return citronstream.Row{}, citronstream.ErrNotFound
+	}
+	return clone(row), nil
+}
+
+// List implements citronstream.Table.
+func (ta *Table) List(ctx context.Context, prefix string, limit int) ([]citronstream.Row, error) {
+	if err := ta.enter(ctx, ta.readLimit); err != nil {
+		return nil, err
+	}
+	ta.reads.Add(1)
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	var found []citronstream.Row
+	for key := range ta.rows {
+		if row, ok := ta.live(key); ok && strings.HasPrefix(key, prefix) {
+			found = append(found, clone(row))
+		}
+	}
+	slices.SortFunc(found, func(a, b citronstream.Row) int { return strings.Compare(a.Key, b.Key) })
+	return found[:min(limit, len(found))], nil
+}
+
+// Write implements citronstream.Table.
+func (ta *Table) Write(ctx context.Context, opID string, ops ...citronstream.Op) error {
+	if err := ta.enter(ctx, ta.writeLimit); err != nil {
+		return err
+	}
+	err := ta.apply(opID, ops)
+	if every := ta.loseEvery.Load(); every > 0 && ta.writes.Load()%uint64(every) == 0 {
+		ta.lost.Add(1)
+		return citronstream.ErrUnknownOutcome
+	}
+	return err
+}
+
+func (ta *Table) apply(opID string, ops []citronstream.Op) error {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ta.writes.Add(1)
+	now := ta.clk.Now()
+	if rec, ok := ta.ops[opID]; ok && opID != "" && now.Sub(rec.at) < opMemory && rec.err == nil {
+		return nil
+	}
+	var failed []string
+	for _, op := range ops {
+		row, _ := ta.live(op.Key)
+		if op.IfVersion != citronstream.AnyVersion && row.Version != op.IfVersion {
+			failed = append(failed, op.Key)
+		}
+	}
+	if failed != nil {
+		return &citronstream.ConflictError{Keys: failed}
+	}
+	for _, op := range ops {
+		ta.put(op)
+	}
+	if opID != "" {
+		ta.ops[opID] = opRecord{at: now}
+		ta.forget(now)
+	}
+	return nil
+}
+
+func (ta *Table) put(op citronstream.Op) {
+	if op.CheckOnly {
+		return
+	}
+	if op.Delete {
+		delete(ta.rows, op.Key)
+		return
+	}
+	row, _ := ta.live(op.Key)
+	ta.rows[op.Key] = citronstream.Row{Key: op.Key, Version: row.Version + 1, Value: slices.Clone(op.Value), Expires: op.Expires}
+}
+
+// forget drops old operation identifiers once the map has grown.
+func (ta *Table) forget(now time.Time) {
+	if len(ta.ops)%4096 != 0 {
+		return
+	}
+	for id, rec := range ta.ops {
+		if now.Sub(rec.at) >= opMemory {
+			delete(ta.ops, id)
+		}
+	}
+}
+
+func (ta *Table) live(key string) (citronstream.Row, bool) {
+	row, ok := ta.rows[key]
+	if ok && !row.Expires.IsZero() && !ta.clk.Now().Before(row.Expires) {
+		delete(ta.rows, key)
+		return citronstream.Row{}, false
+	}
+	return row, ok
+}
+
+func clone(row citronstream.Row) citronstream.Row {
+	row.Value = slices.Clone(row.Value)
+	return row
+}
+
+var _ citronstream.Table = (*Table)(nil)
--- /dev/null
+++ b/platform.go
@@ -0,0 +1,98 @@
+package citronstream
+
+import (
+	"context"
+	"time"
+)
+
+// Row is a row of the table service. Key is a path such as "Grant/desk-1".
+// Version grows with each write and is 0 for a row that does not exist.
+type Row struct {
+	Key     string
+	Version uint64
+	Value   []byte
+	Expires time.Time // zero means never
+}
+
+// Op is one write of a transaction.
+type Op struct {
+	Key   string
+	Value []byte
+	// IfVersion is the version that the row must have: 0 means that the row
+	// must not exist; AnyVersion writes unconditionally.
+	IfVersion uint64
+	// CheckOnly only tests IfVersion and writes nothing.
+	CheckOnly bool
+	Delete    bool
+	Expires   time.Time
+}
+
+// AnyVersion lets an Op write whatever version the row has.
+const AnyVersion = ^uint64(0)
+
+// MaxOps is the most writes that one transaction holds.
+const MaxOps = 100
+
+// ConflictError names the operations whose condition failed. It matches ErrConflict.
+type ConflictError struct {
+	Keys []string
+}
+
+// Error implements error.
+func (ce *ConflictError) Error() string { return "condition failed on " + joinKeys(ce.Keys) }
+
+// Is makes errors.Is(err, ErrConflict) true.
+func (ce *ConflictError) Is(target error) bool { return target == ErrConflict }
+
+func joinKeys(keys []string) string {
+	text := ""
+	for i, key := range keys {
+		if i > 0 {
+			text += ", "
+		}
+		text += key
+	}
+	return text
+}
+
+// Table is the platform's transactional table service.
+type Table interface {
+	// Get reads one row. Errors: ErrNotFound, ErrUnavailable, ErrThrottled.
+	Get(ctx context.Context, key string) (Row, error)
+	// List reads the rows whose key starts with prefix, in key order, at most limit.
+	// The prefix ends with "/".
+	List(ctx context.Context, prefix string, limit int) ([]Row, error)
+	// Write applies all operations or none. opID makes a repeat of the same
+	// transaction harmless for ten minutes. Errors: *ConflictError,
+	// ErrUnavailable (not applied), ErrThrottled (not applied),
+	// ErrUnknownOutcome (the answer was lost).
+	Write(ctx context.Context, opID string, ops ...Op) error
+}
+
+// Objects is the platform's object store.
+type Objects interface {
+	// Put stores an object. Objects are named by their content or by an
+	// operation identifier, so a repeat is harmless.
+	Put(ctx context.Context, key string, body []byte) error
+	// Get reads an object. Errors: ErrNotFound, ErrUnavailable.
+	Get(ctx context.Context, key string) ([]byte, error)
+}
+
+// Weights is the rate-limited weight store.
+type Weights interface {
+	// Fetch reads the weights of a model and returns their size in bytes.
+	// Errors: ErrThrottled, ErrNotFound, ErrUnavailable.
+	Fetch(ctx context.Context, model string) (int64, error)
+}
+
+// InstanceState is one line of the platform's list.
+type InstanceState struct {
+	Instance string
+	Zone     string
+	Leaving  bool
+}
+
+// Liveness is the platform's lagging list of live and leaving instances.
+type Liveness interface {
+	List(ctx context.Context) ([]InstanceState, error)
+}
--- /dev/null
+++ b/policy.go
@@ -0,0 +1,69 @@
+package citronstream
+
+import (
+	"context"
+	"time"
+)
+
+// PickRequest is what a routing policy may look at.
+type PickRequest struct {
+	Service string
+	Zone    string // zone of the entry
+	Model   string
+	Cost    float64
+	// Blocks are hashes of the prompt's leading blocks, for prefix affinity.
+	Blocks []uint64
+	// Exclude lists upstreams that this request must not use again.
+	Exclude []string
+	// Suspect says that the content has been on an upstream that died.
+	Suspect bool
+}
+
+// Picker is a routing policy. It is a plug-in and is called concurrently.
+type Picker interface {
+	// Pick returns the name of the upstream for a call and false if none can take it.
+	Pick(pr PickRequest) (string, bool)
+	// Sent and Ended tell the policy what became of the pick.
+	Sent(upstream string, cost float64)
+	Ended(upstream string, cost float64, took time.Duration, err error)
+}
+
+// Item is a call that waits in a queue.
+type Item struct {
+	ID        string
+	Rank      int
+	Workspace string
+	Cost      float64 // estimated cost units
+	Deadline  time.Time
+	Suspect   bool
+	Value     any
+}
+
+// Discipline is a queue discipline of an agent. It is a plug-in and needs
+// no locking by the caller.
+type Discipline interface {
+	// Push adds an item. It returns the items that it displaced, and a
+	// NotRun Fault if it refused this one.
+	Push(it Item) ([]Item, error)
+	// Pop removes the next item to run, and the items that can no longer meet their deadline.
+	// The bool is false when nothing can run.
+	Pop() (Item, []Item, bool)
+	// Remove withdraws a waiting item by its ID.
+	Remove(id string) bool
+	// Done corrects the account of an item that has run.
+	Done(it Item, cost float64, took time.Duration)
+	// Len returns the number of waiting items, Cost their cost units.
+	Len() int
+	Cost() float64
+	// Wait estimates the wait of a new item of this rank and workspace.
+	Wait(rank int, workspace string, cost float64) time.Duration
+}
+
+// Witness asks the entries of the accepted configuration about calls that
+// ran on a dead agent's grant.
+type Witness interface {
+	// Settle asks every configured entry to write the rows that it keeps for
+	// this upstream and epoch. It returns the latest start time among the entries
+	// and true if all of them confirmed.
+	Settle(ctx context.Context, upstream string, epoch uint64) (time.Time, bool)
+}
