--- /dev/null
+++ b/internal/peer/dialer/dialer.go
@@ -0,0 +1,140 @@
+// Package dialer keeps one link to a peer open and replaces it when it ends.
+package dialer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/peer/link"
+	"github.com/citronstream/citronstream/internal/peer/nbconn"
+)
+
+// Times of connecting. The wait between attempts doubles from the first to
+// the last and is jittered, so that a returning peer isn't met by all at once.
+const (
+	firstWait   = 50 * time.Millisecond
+	lastWait    = 2 * time.Second
+	dialTimeout = time.Second
+)
+
+// Dialer keeps a link to one address.
+type Dialer struct {
+	clk     citronstream.Clock
+	eng     *nbconn.Engine
+	address string
+	handler link.Handler
+	onUp    func(ctx context.Context, li *link.Link) error
+	onDown  func(err error)
+	linkOpt []link.Option
+
+	current atomic.Pointer[link.Link]
+	changed atomic.Pointer[chan struct{}]
+	done    chan struct{}
+}
+
+// Option changes a Dialer.
+type Option func(*Dialer)
+
+// WithUp sets what runs on each new link before it is used, such as the
+// exchange of names. An error closes the link.
+func WithUp(up func(ctx context.Context, li *link.Link) error) Option {
+	return func(di *Dialer) { di.onUp = up }
+}
+
+// WithDown sets what runs when a link ended or could not be opened.
+func WithDown(down func(err error)) Option { return func(di *Dialer) { di.onDown = down } }
+
+// WithLinkOptions passes options on to each link.
+func WithLinkOptions(opts ...link.Option) Option { return func(di *Dialer) { di.linkOpt = opts } }
+
+// New starts to connect. The dialer ends with ctx.
+func New(ctx context.Context, clk citronstream.Clock, eng *nbconn.Engine, address string, handler link.Handler, opts ...Option) *Dialer {
+	di := &Dialer{
+		clk: clk, eng: eng, address: address, handler: handler, done: make(chan struct{}),
+		onUp:   func(context.Context, *link.Link) error { return nil },
+		onDown: func(error) {},
+	}
+	for _, opt := range opts {
+		opt(di)
+	}
+	ready := make(chan struct{})
+	di.changed.Store(&ready)
+	go di.run(ctx)
+	return di
+}
+
+// Address returns the peer's address.
+func (di *Dialer) Address() string { return di.address }
+
+// Done is closed when the dialer has ended.
+func (di *Dialer) Done() <-chan struct{} { return di.done }
+
+// Link returns the open link, or nil.
+func (di *Dialer) Link() *link.Link { return di.current.Load() }
+
+// Wait returns the open link, waiting for one until ctx ends.
+func (di *Dialer) Wait(ctx context.Context) (*link.Link, error) {
+	for {
+		changed := *di.changed.Load()
+		if li := di.current.Load(); li != nil {
+			return li, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-di.done:
+			return nil, link.ErrLost
+		case <-changed:
+		}
+	}
+}
+
+func (di *Dialer) run(ctx context.Context) {
+	defer close(di.done)
+	wait := firstWait
+	for ctx.Err() == nil {
+		li, err := di.open(ctx)
+		if err == nil {
+			wait = firstWait
+			di.publish(li)
+			<-li.Done()
+			di.publish(nil)
+			err = li.Err()
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		di.onDown(err)
+		select {
+		case <-ctx.Done():
+		case <-di.clk.After(wait/2 + rand.N(wait)):
+		}
+		wait = min(2*wait, lastWait)
+	}
+}
+
+func (di *Dialer) open(ctx context.Context) (*link.Link, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	stream, err := di.eng.Dial(dialCtx, di.address)
+	if err != nil {
+		return nil, err
+	}
+	li := link.New(ctx, di.clk, stream, di.handler, di.linkOpt...)
+	if err := di.onUp(dialCtx, li); err != nil {
+		li.Close()
+		<-li.Done()
+		return nil, err
+	}
+	return li, nil
+}
+
+// publish replaces the link and wakes those who wait for one.
+func (di *Dialer) publish(li *link.Link) {
+	di.current.Store(li)
+	next := make(chan struct{})
+	close(*di.changed.Swap(&next))
+}
--- /dev/null
+++ b/internal/peer/nbconn/nbconn.go
@@ -0,0 +1,172 @@
+// Package nbconn turns nbio connections into byte streams for jsonrpc2.
+package nbconn
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+)
+
+// Limits of one connection. A peer that passes one of them is disconnected.
+const (
+	// MaxInbound is the most bytes that wait for the reader of a connection.
+	MaxInbound = 16 << 20
+	// MaxOutbound is the most bytes that wait for a slow peer.
+	MaxOutbound = 16 << 20
+)
+
+// errOverrun ends a connection whose reader can't keep up.
+var errOverrun = merry.Sentinel("inbound limit of the connection passed")
+
+// Engine runs the pollers that read and write the connections of a process.
+type Engine struct {
+	eng *nbio.Engine
+	// streams maps each *nbio.Conn to its Stream. nbio's own session field
+	// gives the race detector no order between Attach and the first data.
+	streams sync.Map
+}
+
+// Option changes the nbio configuration.
+type Option func(*nbio.Config)
+
+// WithPollers sets the number of poller threads.
+func WithPollers(count int) Option {
+	return func(co *nbio.Config) { co.NPoller = count }
+}
+
+// New starts an engine. Stop ends it.
+func New(opts ...Option) (*Engine, error) {
+	logging.SetLevel(logging.LevelNone)
+	co := nbio.Config{Name: "peer", NPoller: 1, MaxWriteBufferSize: MaxOutbound, ReadBufferSize: 32 << 10}
+	for _, opt := range opts {
+		opt(&co)
+	}
+	en := &Engine{eng: nbio.NewEngine(co)}
+	en.eng.OnData(func(nc *nbio.Conn, data []byte) {
+		if st, ok := en.streams.Load(nc); ok {
+			st.(*Stream).deliver(data)
+		}
+	})
+	en.eng.OnClose(func(nc *nbio.Conn, err error) {
+		if st, ok := en.streams.LoadAndDelete(nc); ok {
+			st.(*Stream).end(err)
+		}
+	})
+	if err := en.eng.Start(); err != nil {
+		return nil, merry.Prepend(err, "start of the connection engine")
+	}
+	return en, nil
+}
+
+// Stop closes all connections and ends the pollers.
+func (en *Engine) Stop() { en.eng.Stop() }
+
+// Attach hands a connection to the engine.
+func (en *Engine) Attach(nc net.Conn) (*Stream, error) {
+	wrapped, err := nbio.NBConn(nc)
+	if err != nil {
+		return nil, merry.Prepend(err, "attach connection")
+	}
+	st := &Stream{conn: wrapped, remote: nc.RemoteAddr().String()}
+	st.cond.L = &st.mu
+	en.streams.Store(wrapped, st)
+	if _, err := en.eng.AddConn(wrapped); err != nil {
+		en.streams.Delete(wrapped)
+		return nil, merry.Prepend(err, "attach connection")
+	}
+	return st, nil
+}
+
+// Dial connects to address over TCP.
+func (en *Engine) Dial(ctx context.Context, address string) (*Stream, error) {
+	var dl net.Dialer
+	nc, err := dl.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return en.Attach(nc)
+}
+
+// Stream is one connection. Read and Close may be called concurrently.
+type Stream struct {
+	conn     *nbio.Conn
+	remote   string
+	received atomic.Uint64
+
+	mu    sync.Mutex
+	cond  sync.Cond
+	buf   []byte
+	start int
+	err   error
+}
+
+// Received returns the number of bytes received so far.
+func (st *Stream) Received() uint64 { return st.received.Load() }
+
+// Remote returns the peer's address.
+func (st *Stream) Remote() string { return st.remote }
+
+// Read implements io.Reader. It blocks until data arrives.
+func (st *Stream) Read(to []byte) (int, error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for st.start == len(st.buf) && st.err == nil {
+		st.cond.Wait()
+	}
+	if st.start == len(st.buf) {
+		return 0, st.err
+	}
+	count := copy(to, st.buf[st.start:])
+	st.start += count
+	if st.start == len(st.buf) {
+		st.buf, st.start = st.buf[:0], 0
+	}
+	return count, nil
+}
+
+// Write implements io.Writer. It does not wait for the peer.
+func (st *Stream) Write(data []byte) (int, error) { return st.conn.Write(data) }
+
+// Close implements io.Closer.
+func (st *Stream) Close() error {
+	err := st.conn.Close()
+	st.end(io.EOF)
+	return err
+}
+
+func (st *Stream) deliver(data []byte) {
+	st.received.Add(uint64(len(data)))
+	st.mu.Lock()
+	over := len(st.buf)-st.start+len(data) > MaxInbound
+	if !over && st.err == nil {
+		if st.start > 0 && len(st.buf)+len(data) > cap(st.buf) {
+			st.buf = st.buf[:copy(st.buf, st.buf[st.start:])]
+			st.start = 0
+		}
+		st.buf = append(st.buf, data...)
+	}
+	st.cond.Signal()
+	st.mu.Unlock()
+	if over {
+		st.end(errOverrun)
+		_ = st.conn.CloseWithError(errOverrun)
+	}
+}
+
+func (st *Stream) end(err error) {
+	if err == nil {
+		err = io.EOF
+	}
+	st.mu.Lock()
+	if st.err == nil {
+		st.err = err
+	}
+	st.cond.Broadcast()
+	st.mu.Unlock()
+}
