--- /dev/null
+++ b/internal/route/table/node.go
@@ -0,0 +1,170 @@
+package table
+
+import (
+	"math"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronstream/citronstream"
+)
+
+const (
+	// slotRate is the assumed throughput of one slot, in cost units a second,
+	// until a report of a saturated upstream gives a measured rate.
+	slotRate = 10
+	// rateRecovery moves a low rate towards the assumed one with each report of
+	// an unsaturated upstream. Without it, an upstream that was slow once gets
+	// little work, shows little throughput and stays rated as slow.
+	rateRecovery = 0.05
+	// ring is the number of buckets that remember work by time.
+	ring = 32
+)
+
+// Node is an upstream of a snapshot with its live state. The exported fields
+// don't change. The methods are safe for concurrent use and don't allocate.
+type Node struct {
+	Name     string
+	Service  string
+	Zone     string
+	Region   string
+	Instance string
+	Agent    string
+	Capacity int
+	Allowed  []string // models that the inventory allows; empty allows all
+	live     *live
+}
+
+// live survives a change of the fleet.
+type live struct {
+	verdicts atomic.Pointer[verdicts]
+	report   atomic.Pointer[report]
+	weight   atomic.Uint64 // float64 bits
+	pending  atomic.Int64  // own work not covered by the report, in milli cost units
+	flying   atomic.Int64  // own work in flight, in milli cost units
+	buckets  [ring]bucket
+}
+
+// bucket holds the net work of one interval. Epoch is the interval's number.
+type bucket struct {
+	epoch atomic.Int64
+	net   atomic.Int64
+}
+
+// report is the last accepted Load with what is derived from it.
+type report struct {
+	load  citronstream.Load
+	rate  float64
+	slots uint64
+}
+
+func newLive(now time.Time) *live {
+	li := &live{}
+	li.verdicts.Store(&verdicts{Status: Status{At: now}})
+	li.weight.Store(math.Float64bits(1))
+	return li
+}
+
+// Status returns the membership state.
+func (no *Node) Status() Status { return no.live.verdicts.Load().Status }
+
+// State returns the membership state without its cause.
+func (no *Node) State() State { return no.live.verdicts.Load().State }
+
+// Weight returns the share of its ordinary work that the upstream should get, 0 to 1.
+func (no *Node) Weight() float64 { return math.Float64frombits(no.live.weight.Load()) }
+
+// SetWeight is called by the outlier detection.
+func (no *Node) SetWeight(we float64) { no.live.weight.Store(math.Float64bits(we)) }
+
+// Reported returns the last accepted report and false if there is none.
+func (no *Node) Reported() (citronstream.Load, bool) {
+	if re := no.live.report.Load(); re != nil {
+		return re.load, true
+	}
+	return citronstream.Load{}, false
+}
+
+// Load returns the corrected load in cost units: the last report plus work
+// sent since it was taken, less work seen to end since.
+func (no *Node) Load() float64 {
+	own := float64(no.live.pending.Load()) / 1000
+	re := no.live.report.Load()
+	if re == nil {
+		return max(0, float64(no.live.flying.Load())/1000)
+	}
+	return max(0, re.load.Cost+own)
+}
+
+// ReportedLoad returns the load of the last report without correction.
+func (no *Node) ReportedLoad() float64 {
+	if re := no.live.report.Load(); re != nil {
+		return re.load.Cost
+	}
+	return 0
+}
+
+// Wait returns the corrected load as time, in seconds.
+func (no *Node) Wait() float64 { return no.Load() / no.rate() }
+
+func (no *Node) rate() float64 {
+	if re := no.live.report.Load(); re != nil {
+		return re.rate
+	}
+	return no.assumedRate()
+}
+
+func (no *Node) assumedRate() float64 { return float64(max(1, no.Capacity)) * slotRate }
+
+// Holds reports whether the upstream can serve the model. The models of the
+// report count, and before the first report those of the inventory.
+func (no *Node) Holds(model string) bool {
+	if model == "" {
+		return true
+	}
+	if re := no.live.report.Load(); re != nil && re.load.Models != nil {
+		return slices.Contains(re.load.Models, model)
+	}
+	return len(no.Allowed) == 0 || slices.Contains(no.Allowed, model)
+}
+
+// accept derives the next report. Rate counts only if the upstream was
+// saturated, because an idle upstream has little throughput too.
+func (no *Node) accept(lo citronstream.Load) *report {
+	rate := no.rate()
+	switch assumed := no.assumedRate(); {
+	case lo.Rate > 0 && (lo.Rate > rate || lo.Waiting > 0 || lo.Running >= max(1, lo.Capacity)):
+		rate = lo.Rate
+	case rate < assumed:
+		rate += (assumed - rate) * rateRecovery
+	}
+	re := &report{load: lo, rate: rate}
+	for _, slot := range lo.Slots {
+		if slot >= 0 && slot < Slots {
+			re.slots |= 1 << slot
+		}
+	}
+	return re
+}
+
+// add notes work sent (positive) or ended (negative) in the interval.
+func (li *live) add(epoch int64, milli int64) {
+	bu := &li.buckets[epoch%ring]
+	if old := bu.epoch.Load(); old != epoch && bu.epoch.CompareAndSwap(old, epoch) {
+		bu.net.Store(0)
+	}
+	bu.net.Add(milli)
+	li.pending.Add(milli)
+	li.flying.Add(milli)
+}
+
+// since sums the work of the intervals from epoch first to last.
+func (li *live) since(first, last int64) int64 {
+	var sum int64
+	for epoch := max(first, last-ring+1); epoch <= last; epoch++ {
+		if bu := &li.buckets[epoch%ring]; bu.epoch.Load() == epoch {
+			sum += bu.net.Load()
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/route/table/table.go
@@ -0,0 +1,208 @@
+// Package table holds the routing table: a read-copy-update snapshot of the
+// services and upstreams of the accepted configuration, with live state.
+// Its size is that of the inventory.
+package table
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronstream/citronstream"
+)
+
+// Slots is the number of idempotency slots of a service (design, section 6).
+const Slots = 64
+
+// Table is the routing table of one entry.
+type Table struct {
+	clk     citronstream.Clock
+	lag     time.Duration
+	current atomic.Pointer[Snapshot]
+	mu      sync.Mutex // serialises Replace, Report and Connected
+	listed  map[string]bool
+}
+
+// Option changes a Table.
+type Option func(*Table)
+
+// WithLag sets how old a report's figures are when it arrives. Work sent
+// within that time is added to the reported load. The default is 400 ms, the
+// lag of the engines' reports; at most 1.5 s is remembered.
+func WithLag(lag time.Duration) Option { return func(ta *Table) { ta.lag = lag } }
+
+// New returns an empty table.
+func New(clk citronstream.Clock, opts ...Option) *Table {
+	ta := &Table{clk: clk, lag: 400 * time.Millisecond, listed: make(map[string]bool)}
+	for _, opt := range opts {
+		opt(ta)
+	}
+	ta.current.Store(build(&citronstream.Fleet{}, nil))
+	return ta
+}
+
+// Snapshot returns the current snapshot. It never returns nil.
+func (ta *Table) Snapshot() *Snapshot { return ta.current.Load() }
+
+// Len returns the number of upstreams.
+func (ta *Table) Len() int { return ta.Snapshot().Len() }
+
+// Replace installs another fleet. An upstream that stays on its instance and
+// agent address keeps its live state. A fleet with a lower version than the
+// current one is ignored and false is returned.
+func (ta *Table) Replace(fl *citronstream.Fleet) bool {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	old := ta.Snapshot()
+	if fl.Version < old.Version {
+		return false
+	}
+	now := ta.clk.Now()
+	ta.current.Store(build(fl, func(no *Node) *live {
+		if was := old.Node(no.Name); was != nil && was.Instance == no.Instance && was.Agent == no.Agent && was.Service == no.Service {
+			return was.live
+		}
+		return newLive(now)
+	}))
+	instances := make(map[string]bool, len(fl.Instances))
+	for _, in := range fl.Instances {
+		instances[in.Name] = true
+	}
+	for name := range ta.listed {
+		if !instances[name] {
+			delete(ta.listed, name)
+		}
+	}
+	return true
+}
+
+// Report takes a load report. It returns false if the upstream is unknown or
+// the report is not newer than the last one by epoch and sequence number.
+func (ta *Table) Report(lo citronstream.Load) bool {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	no := ta.Snapshot().Node(lo.Upstream)
+	if no == nil {
+		return false
+	}
+	old := no.live.report.Load()
+	if old != nil && (lo.Epoch < old.load.Epoch || lo.Epoch == old.load.Epoch && lo.Seq <= old.load.Seq) {
+		return false
+	}
+	if old != nil && lo.Epoch > old.load.Epoch {
+		ta.set(no, FromAnnouncement, Live)
+	}
+	epoch := ta.epoch()
+	kept := no.live.since(epoch-int64(ta.lag/bucketFor), epoch)
+	no.live.report.Store(no.accept(lo))
+	no.live.pending.Store(kept)
+	if lo.Leaving {
+		ta.set(no, FromAnnouncement, Leaving)
+	}
+	ta.set(no, FromHeartbeat, Live)
+	if lo.Down {
+		ta.set(no, FromReport, Gone)
+	} else {
+		ta.set(no, FromReport, Live)
+	}
+	return true
+}
+
+// Connected notes a new link to the upstream's agent. Reports of an agent
+// with another epoch, or without one, start from their first sequence number.
+func (ta *Table) Connected(upstream string, epoch uint64) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	no := ta.Snapshot().Node(upstream)
+	if no == nil {
+		return
+	}
+	ta.set(no, FromLink, Live)
+	ta.set(no, FromHeartbeat, Live)
+	if old := no.live.report.Load(); old != nil && (epoch == 0 || epoch > old.load.Epoch) {
+		next := *old
+		next.load.Epoch, next.load.Seq, next.load.Slots, next.slots = epoch, 0, nil, 0
+		no.live.report.Store(&next)
+		ta.set(no, FromAnnouncement, Live)
+	}
+}
+
+// Mark records the opinion of a source. An announcement lasts until the agent
+// returns with a higher epoch or Mark withdraws it with Live.
+func (ta *Table) Mark(upstream string, so Source, st State) {
+	if no := ta.Snapshot().Node(upstream); no != nil {
+		ta.set(no, so, st)
+	}
+}
+
+// Listed takes the platform's list. An instance that the list has named
+// before and no longer names is gone; one that it has never named is not
+// judged, because the list lags.
+func (ta *Table) Listed(list []citronstream.InstanceState) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	named := make(map[string]State, len(list))
+	for _, in := range list {
+		named[in.Instance] = Live
+		if in.Leaving {
+			named[in.Instance] = Leaving
+		}
+	}
+	for _, no := range ta.Snapshot().nodes {
+		if st, ok := named[no.Instance]; ok {
+			ta.listed[no.Instance] = true
+			ta.set(no, FromList, st)
+		} else if ta.listed[no.Instance] {
+			ta.set(no, FromList, Gone)
+		}
+	}
+}
+
+func (ta *Table) set(no *Node, so Source, st State) {
+	for {
+		old := no.live.verdicts.Load()
+		if old.by[so] == st || no.live.verdicts.CompareAndSwap(old, old.with(so, st, ta.clk.Now())) {
+			return
+		}
+	}
+}
+
+// Owner returns the upstream whose agent owns an idempotency slot. Of several
+// that report the slot, the highest epoch counts. It returns false if no
+// upstream that can take work reports the slot.
+func (ta *Table) Owner(service string, slot int) (string, bool) {
+	se := ta.Snapshot().Service(service)
+	if se == nil || slot < 0 || slot >= Slots {
+		return "", false
+	}
+	var best *Node
+	var epoch uint64
+	for _, no := range se.Nodes {
+		re := no.live.report.Load()
+		if re == nil || re.slots&(1<<slot) == 0 || best != nil && re.load.Epoch <= epoch {
+			continue
+		}
+		best, epoch = no, re.load.Epoch
+	}
+	// The owner by epoch counts even if it leaves: a lower epoch is stale.
+	if best == nil || best.State() >= Leaving {
+		return "", false
+	}
+	return best.Name, true
+}
+
+// bucketFor is the resolution of the memory of work sent.
+const bucketFor = 50 * time.Millisecond
+
+func (ta *Table) epoch() int64 { return ta.clk.Now().UnixNano() / int64(bucketFor) }
+
+// Sent notes work sent to an upstream, in cost units.
+func (ta *Table) Sent(upstream string, cost float64) {
+	if no := ta.Snapshot().Node(upstream); no != nil {
+		no.live.add(ta.epoch(), int64(math.Round(cost*1000)))
+	}
+}
+
+// Ended notes that work sent to an upstream has ended. Cost is the same as at Sent.
+func (ta *Table) Ended(upstream string, cost float64) { ta.Sent(upstream, -cost) }
