Routing policies: nearest, roundrobin, leastreport

Cause: entries need a pick by zone, corrected load and prefix, and baselines to compare with. Change: kernel/policy as the registry of constructors over the table, the default policy nearest and two baselines. Randomness is math/rand/v2 over a lock-free SplitMix64 source. nearest takes the better of two random nodes of the own zone, and weighs another zone when the own zone's mean wait (or, for a model, the wait of the node drawn) exceeds its mean plus distance. Seen to fail: with the state check off, zone precedence off, the model's wait ignored, the weight ignored, load ignored, and the prefix credit off.

--- /dev/null
+++ b/internal/route/nearest/nearest_test.go
@@ -0,0 +1,201 @@
+package nearest_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/kernel/policy"
+	_ "github.com/citronstream/citronstream/internal/route/leastreport"
+	_ "github.com/citronstream/citronstream/internal/route/nearest"
+	_ "github.com/citronstream/citronstream/internal/route/roundrobin"
+	"github.com/citronstream/citronstream/internal/route/table"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func fleet(count, zones int) *citronstream.Fleet {
+	fl := &citronstream.Fleet{Version: 1, Services: []citronstream.Service{{Name: "gen"}}, Workspaces: make([]citronstream.Workspace, 1700)}
+	fl.Regions = []citronstream.Region{{Name: "r"}}
+	for i := range zones {
+		fl.Regions[0].Zones = append(fl.Regions[0].Zones, citronstream.Zone{Name: fmt.Sprintf("z%d", i), Distance: citronstream.Duration(time.Millisecond)})
+	}
+	for i := range count {
+		name := fmt.Sprintf("u%d", i)
+		fl.Instances = append(fl.Instances, citronstream.Instance{Name: name, Zone: fmt.Sprintf("z%d", i%zones)})
+		fl.Upstreams = append(fl.Upstreams, citronstream.Upstream{Name: name, Service: "gen", Instance: name, Capacity: 4})
+	}
+	return fl
+}
+
+type fixedHints []policy.Holder
+
+func (fi fixedHints) Holders([]uint64) (out [policy.MaxHolders]policy.Holder, count int) {
+	count = copy(out[:], fi)
+	return out, count
+}
+
+func setup(tb testing.TB, name string, count, zones int, hints policy.Hints) (*table.Table, citronstream.Picker) {
+	tb.Helper()
+	clk := citronstream.Clock(clockwork.NewFakeClock())
+	if _, ok := tb.(*testing.B); ok {
+		clk = clockwork.NewRealClock() // includes the renewal of the zones' means
+	}
+	ta := table.New(clk)
+	require.True(tb, ta.Replace(fleet(count, zones)))
+	pi, err := policy.New(name, policy.Deps{Table: ta, Clock: clk, Seed: 7, Hints: hints})
+	require.NoError(tb, err)
+	return ta, pi
+}
+
+// shares returns how often each upstream is picked in 1,000 picks.
+func shares(pi citronstream.Picker, pr citronstream.PickRequest) map[string]int {
+	got := map[string]int{}
+	for range 1000 {
+		name, _ := pi.Pick(pr)
+		got[name]++
+	}
+	return got
+}
+
+var request = citronstream.PickRequest{Service: "gen", Zone: "z0"}
+
+// A policy that returns a leaving or excluded upstream breaks the promise
+// that a leaving upstream receives no new work.
+func TestEveryPolicy(t *testing.T) {
+	for _, name := range policy.Names() {
+		t.Run(name, func(t *testing.T) {
+			ta, pi := setup(t, name, 6, 2, nil)
+			ta.Mark("u0", table.FromAnnouncement, table.Leaving)
+			ta.Mark("u1", table.FromList, table.Gone)
+			ta.Mark("u2", table.FromLink, table.Suspect)
+			pr := request
+			pr.Exclude = []string{"u3"}
+			got := shares(pi, pr)
+			for _, bad := range []string{"", "u0", "u1", "u2", "u3"} {
+				assert.Zero(t, got[bad], bad)
+			}
+			ta.Mark("u4", table.FromList, table.Gone)
+			ta.Mark("u5", table.FromList, table.Gone)
+			assert.Equal(t, map[string]int{"u2": 1000}, shares(pi, pr), "suspect as the last resort")
+			pr.Exclude = append(pr.Exclude, "u2")
+			assert.Equal(t, map[string]int{"": 1000}, shares(pi, pr))
+			_, ok := pi.Pick(citronstream.PickRequest{Service: "none"})
+			assert.False(t, ok)
+		})
+	}
+}
+
+func TestNearest(t *testing.T) {
+	report := func(ta *table.Table, name string, cost float64, models ...string) {
+		ta.Report(citronstream.Load{Upstream: name, Seq: uint64(cost) + 1, Cost: cost, Models: models})
+	}
+	// Without the zone's precedence, each call would pay the distance.
+	t.Run("own zone while it is idle", func(t *testing.T) {
+		_, pi := setup(t, "", 6, 3, nil)
+		got := shares(pi, request)
+		assert.Equal(t, 1000, got["u0"]+got["u3"])
+		assert.Greater(t, min(got["u0"], got["u3"]), 300)
+	})
+	t.Run("spills when the own zone is loaded", func(t *testing.T) {
+		ta, pi := setup(t, "", 6, 3, nil)
+		report(ta, "u0", 9)
+		report(ta, "u3", 9)
+		got := shares(pi, request)
+		assert.Zero(t, got["u0"]+got["u3"])
+	})
+	// The mean of a zone must not hide that the only upstream of a model is overloaded.
+	t.Run("spills when one model is loaded", func(t *testing.T) {
+		ta, pi := setup(t, "", 6, 3, nil)
+		for name, cost := range map[string]float64{"u0": 12, "u1": 0, "u2": 0} {
+			report(ta, name, cost, "m")
+		}
+		for name, cost := range map[string]float64{"u3": 0, "u4": 20, "u5": 20} {
+			report(ta, name, cost, "other")
+		}
+		pr := request
+		pr.Model = "m"
+		assert.Zero(t, shares(pi, pr)["u0"])
+	})
+	// A reduced weight of 0.1 must leave about a tenth of the ordinary work, for probing.
+	t.Run("reduced weight", func(t *testing.T) {
+		ta, pi := setup(t, "", 2, 1, nil)
+		ta.Snapshot().Node("u1").SetWeight(0.1)
+		assert.InDelta(t, 90, shares(pi, request)["u1"], 60)
+	})
+	t.Run("only upstreams with the model", func(t *testing.T) {
+		ta, pi := setup(t, "", 100, 1, nil)
+		for i := range 100 {
+			report(ta, fmt.Sprintf("u%d", i), 0, "other")
+		}
+		report(ta, "u7", 3, "m")
+		pr := request
+		pr.Model = "m"
+		assert.Equal(t, map[string]int{"u7": 1000}, shares(pi, pr))
+	})
+	// A popular prefix must not overload the engine that holds it.
+	t.Run("prefix credit is weighed against load", func(t *testing.T) {
+		ta, pi := setup(t, "", 50, 1, fixedHints{{Upstream: "u9", Blocks: 10}})
+		pr := request
+		pr.Blocks = []uint64{1}
+		assert.Equal(t, map[string]int{"u9": 1000}, shares(pi, pr))
+		report(ta, "u9", 4) // 100 ms of wait at the assumed rate against 60 ms of credit
+		assert.Less(t, shares(pi, pr)["u9"], 100)
+	})
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, name := range policy.Names() {
+		for _, count := range []int{10, 100, 1000, 1700} {
+			ta, pi := setup(b, name, count, 3, fixedHints{{Upstream: "u9", Blocks: 1}})
+			for i := range count {
+				ta.Report(citronstream.Load{Upstream: fmt.Sprintf("u%d", i), Seq: 1, Cost: float64(i % 7), Models: []string{"a", "b", "m"}})
+			}
+			pr := citronstream.PickRequest{Service: "gen", Zone: "z0", Model: "m", Blocks: []uint64{1, 2}, Exclude: []string{"u1"}}
+			b.Run(fmt.Sprintf("%s/%d/serial", name, count), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					up, _ := pi.Pick(pr)
+					pi.Sent(up, 0)
+				}
+			})
+			b.Run(fmt.Sprintf("%s/%d/parallel", name, count), func(b *testing.B) {
+				b.ReportAllocs()
+				b.RunParallel(func(pb *testing.PB) {
+					for pb.Next() {
+						up, _ := pi.Pick(pr)
+						pi.Sent(up, 0)
+					}
+				})
+			})
+		}
+	}
+}
+
+// BenchmarkPickScarce is the worst case: one usable upstream, in another zone.
+func BenchmarkPickScarce(b *testing.B) {
+	for _, name := range policy.Names() {
+		ta, pi := setup(b, name, 1700, 3, nil)
+		for i := range 1699 {
+			ta.Mark(fmt.Sprintf("u%d", i), table.FromList, table.Gone)
+		}
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				pi.Pick(request)
+			}
+		})
+	}
+}
+
+// An allocation on each pick would cost garbage collection at 5,300 requests/s.
+func TestPickDoesNotAllocate(t *testing.T) {
+	for _, name := range policy.Names() {
+		_, pi := setup(t, name, 1700, 3, fixedHints{{Upstream: "u9", Blocks: 1}})
+		pr := request
+		pr.Blocks = []uint64{1}
+		assert.Zero(t, testing.AllocsPerRun(200, func() { pi.Pick(pr) }), name)
+	}
+}
