Fair queue of an agent with floors, fair shares and deadline admission

Cause: the agent needs one queue that protects urgent work and small workspaces under a flood. Change: kernel/discipline holds the registry of queue disciplines; limit/fairqueue is the plug-in "fair". Ranks are urgent first with floors over a decaying account, workspaces share a rank by start-time fair queueing on cost, corrected by Done, and each workspace runs earliest deadline first. Push refuses by an estimate that knows rank and share; an idle upstream is probed, because an estimate raised by a slow spell otherwise refuses all work and is never corrected. At the count cap the longest queue by weight loses the newest item of its least urgent rank. One suspect runs at a time. Each of these switched off fails its test: floors, idle clamp, order among ranks below their floor, cost correction, weighted tags, probe, rank-aware and share-aware wait, throughput measurement, refusal, drop at dequeue, weighted cap, least urgent victim, EDF, weight change, suspect exclusion, release of parked workspaces.

--- /dev/null
+++ b/internal/kernel/discipline/discipline.go
@@ -0,0 +1,25 @@
+// Package discipline holds the registry of queue disciplines, the plug-ins
+// that order the calls waiting at an agent.
+package discipline
+
+import (
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/kernel/registry"
+)
+
+// Settings is what a discipline is built from.
+type Settings struct {
+	Clock citronstream.Clock
+	// Fleet gives ranks, workspaces and Limits.MaxQueued.
+	Fleet citronstream.Fleet
+	// Capacity is the number of calls that the upstream runs side by side.
+	Capacity int
+	// Rate is the first guess of the upstream's throughput, in cost units a second.
+	Rate float64
+}
+
+// Factory builds a discipline.
+type Factory func(se Settings) citronstream.Discipline
+
+// Registry has the known disciplines by name.
+var Registry = registry.New[Factory]("queue discipline")
