--- a/call.go
+++ b/call.go
@@ -1,7 +1,6 @@
 package citronstream
 
 import (
-	"encoding/json"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,9 +39,9 @@
 	Cost   float64       `json:"Cost"` // estimated cost units
 	Digest uint64        `json:"Digest"`
 	// Suspect says that the content has been on an upstream that died.
-	Suspect bool            `json:"Suspect,omitempty"`
-	Trace   string          `json:"Trace,omitempty"` // traceparent header
-	Body    json.RawMessage `json:"Body,omitempty"`
+	Suspect bool   `json:"Suspect,omitempty"`
+	Trace   string `json:"Trace,omitempty"` // traceparent header
+	Body    []byte `json:"Body,omitempty"`
 	// ResumeFrom is the number of bytes of output that the caller already has.
 	ResumeFrom int    `json:"ResumeFrom,omitempty"`
 	Prefix     string `json:"Prefix,omitempty"` // output so far, for a resumed generation
@@ -68,15 +67,15 @@
 // Result ends an attempt. Body is the whole answer, or empty when it was
 // streamed; Length and Checksum cover the whole answer in both cases.
 type Result struct {
-	AttemptID string          `json:"AttemptID"`
-	Upstream  string          `json:"Upstream"`
-	Status    int             `json:"Status"` // HTTP status of the upstream; 0 when it gave none
-	Body      json.RawMessage `json:"Body,omitempty"`
-	Length    int             `json:"Length"`
-	Checksum  uint64          `json:"Checksum"`
-	Chunks    int             `json:"Chunks,omitempty"`
-	Usage     Usage           `json:"Usage"`
-	Queued    time.Duration   `json:"Queued,omitempty"`
+	AttemptID string        `json:"AttemptID"`
+	Upstream  string        `json:"Upstream"`
+	Status    int           `json:"Status"` // HTTP status of the upstream; 0 when it gave none
+	Body      []byte        `json:"Body,omitempty"`
+	Length    int           `json:"Length"`
+	Checksum  uint64        `json:"Checksum"`
+	Chunks    int           `json:"Chunks,omitempty"`
+	Usage     Usage         `json:"Usage"`
+	Queued    time.Duration `json:"Queued,omitempty"`
 	// Replayed says that the answer is that of an earlier attempt with the same key.
 	Replayed bool `json:"Replayed,omitempty"`
 	// Unflushed says that the call ran on the agent's grant and is not in the table yet.
--- /dev/null
+++ b/internal/agent/server/death.go
@@ -0,0 +1,119 @@
+package server
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/agent/attempts"
+)
+
+// Times of looking after an upstream that doesn't answer.
+const (
+	probeTimeout = 250 * time.Millisecond
+	probeEvery   = 200 * time.Millisecond
+)
+
+// deathOf says whether the upstream is dead after a call that it did not
+// answer. The first call that finds a death reports the contents that ran.
+// Ran says that this call may have been running.
+func (se *Server) deathOf(inc uint64, ran bool) bool {
+	if se.reachable() {
+		se.mu.Lock()
+		defer se.mu.Unlock()
+		return se.inc != inc && ran
+	}
+	se.mu.Lock()
+	if se.inc != inc || se.down {
+		se.mu.Unlock()
+		return true
+	}
+	se.inc++
+	se.down = true
+	digests := make([]uint64, 0, len(se.running))
+	for _, at := range se.running {
+		digests = append(digests, at.Call.Digest)
+	}
+	se.mu.Unlock()
+	se.died(digests)
+	return true
+}
+
+func (se *Server) died(digests []uint64) {
+	se.counts.Deaths.Add(1)
+	se.log.Info("upstream died", "upstream", se.up.Name, "running", len(digests))
+	se.event(citronstream.Event{Kind: "UpstreamDied", Upstream: se.up.Name})
+	if se.holds != nil && len(digests) > 0 {
+		se.broadcast(citronstream.MethodPoison, se.holds.Died(se.up.Name, digests))
+	}
+	se.broadcast(citronstream.MethodLoad, se.Load())
+	se.runs.Add(1)
+	go se.await()
+}
+
+// await probes until the upstream is back. Server.runs counts it.
+func (se *Server) await() {
+	defer se.runs.Done()
+	for {
+		select {
+		case <-se.ctx.Done():
+			return
+		case <-se.clk.After(probeEvery):
+		}
+		if se.reachable() {
+			break
+		}
+	}
+	se.mu.Lock()
+	se.down = false
+	se.mu.Unlock()
+	se.log.Info("upstream is back", "upstream", se.up.Name)
+	se.event(citronstream.Event{Kind: "UpstreamBack", Upstream: se.up.Name})
+	se.broadcast(citronstream.MethodLoad, se.Load())
+	se.kick()
+}
+
+func (se *Server) reachable() bool {
+	ctx, cancel := context.WithTimeout(se.ctx, probeTimeout)
+	defer cancel()
+	var dl net.Dialer
+	nc, err := dl.DialContext(ctx, "tcp", se.up.Address)
+	if err != nil {
+		return false
+	}
+	_ = nc.Close()
+	return true
+}
+
+// sweep cancels calls whose entry did not come back, and refuses what waits
+// at an upstream that is down.
+func (se *Server) sweep() {
+	now := se.clk.Now()
+	se.mu.Lock()
+	down := se.down
+	se.mu.Unlock()
+	for _, at := range se.attempts.Live() {
+		waiting := at.Phase() == attempts.Waiting
+		switch {
+		case at.Orphaned(now) && (at.Call.Idempotent || waiting):
+			se.counts.Orphaned.Add(1)
+			se.withdraw(at.Call.AttemptID)
+		case waiting && down && se.queue.Remove(at.Call.AttemptID):
+			se.refuse(at, citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "upstream %s is down", se.up.Name))
+		}
+	}
+}
+
+func (se *Server) clockNow() uint64 {
+	if se.rec == nil {
+		return 0
+	}
+	return se.rec.Now()
+}
+
+func (se *Server) clockSeen(at uint64) {
+	if se.rec != nil && at != 0 {
+		se.rec.Observe(at)
+	}
+}
--- /dev/null
+++ b/internal/agent/server/peer.go
@@ -0,0 +1,149 @@
+package server
+
+import (
+	"crypto/subtle"
+	"sync/atomic"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/agent/attempts"
+	"github.com/citronstream/citronstream/internal/peer/link"
+)
+
+// peer is an entry at the other end of a link.
+type peer struct {
+	se    *Server
+	li    *link.Link
+	name  string
+	known atomic.Bool // the hello was accepted
+	gone  chan struct{}
+}
+
+// watch detaches the peer's attempts when the link ends.
+func (pe *peer) watch() {
+	defer close(pe.gone)
+	<-pe.li.Done()
+	se := pe.se
+	se.mu.Lock()
+	delete(se.links, pe.li)
+	se.mu.Unlock()
+	now := se.clk.Now()
+	for _, at := range se.attempts.Live() {
+		if to, ok := at.Peer().(*reply); ok && to.pe == pe {
+			at.Detach(to, now)
+		}
+	}
+}
+
+// handle takes one message. It runs on the link's reader and does not block.
+func (pe *peer) handle(li *link.Link, re *link.Request) {
+	if re.Method == citronstream.MethodHello {
+		pe.hello(re)
+		return
+	}
+	if !pe.known.Load() {
+		re.ReplyError(citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnauthorized, "no hello on this link"))
+		return
+	}
+	switch re.Method {
+	case citronstream.MethodStart:
+		pe.start(re)
+	case citronstream.MethodQuery:
+		pe.query(re)
+	case citronstream.MethodCancel:
+		pe.cancel(re)
+	case citronstream.MethodPoison:
+		if pe.se.holds != nil {
+			if err := pe.se.holds.Merge(re.Params); err != nil {
+				pe.se.log.V(1).Info("poison report refused", "error", err.Error())
+			}
+		}
+	default:
+		if !pe.se.extra(li, re) {
+			re.ReplyError(citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "unknown method %q", re.Method))
+		}
+	}
+}
+
+func (pe *peer) hello(re *link.Request) {
+	var he citronstream.Hello
+	if err := re.Decode(&he); err != nil {
+		re.ReplyError(err)
+		return
+	}
+	se := pe.se
+	if se.token != "" && subtle.ConstantTimeCompare([]byte(se.token), []byte(he.Token)) != 1 {
+		re.ReplyError(citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnauthorized, "peer token does not match"))
+		return
+	}
+	pe.name = he.Name
+	pe.li.SetSession(he)
+	pe.known.Store(true)
+	se.clockSeen(he.Clock)
+	se.observe(pe.li, he.Version)
+	load := se.Load()
+	re.Reply(citronstream.Hello{
+		Name: se.up.Name, Role: "agent", Boot: se.boot, Epoch: se.epoch(), Version: se.version(), Load: &load, Clock: se.clockNow(),
+	})
+}
+
+func (pe *peer) start(re *link.Request) {
+	var ca citronstream.Call
+	if err := re.Decode(&ca); err != nil {
+		re.ReplyError(err)
+		return
+	}
+	pe.se.clockSeen(ca.Clock)
+	if ca.Version > pe.se.version() {
+		pe.se.observe(pe.li, ca.Version)
+	}
+	pe.se.admit(ca, &reply{pe: pe, re: re})
+}
+
+func (pe *peer) query(re *link.Request) {
+	var qu citronstream.Query
+	if err := re.Decode(&qu); err != nil {
+		re.ReplyError(err)
+		return
+	}
+	se := pe.se
+	se.counts.Queried.Add(1)
+	to := &reply{pe: pe, re: re}
+	at, ok := se.attempts.Get(qu.AttemptID)
+	if !ok {
+		se.counts.Buried.Add(1)
+		to.Reply(se.seal(citronstream.Result{
+			AttemptID: qu.AttemptID,
+			Fault:     citronstream.NewFault(citronstream.NotRun, citronstream.CodeLinkLost, "the call never arrived"),
+		}))
+		return
+	}
+	if !at.Attach(to, qu.Have, qu.NextSeq) {
+		to.Reply(se.seal(citronstream.Result{
+			AttemptID: qu.AttemptID,
+			Fault:     citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeLinkLost, "the output is no longer kept"),
+		}))
+	}
+}
+
+func (pe *peer) cancel(re *link.Request) {
+	var ca citronstream.Cancel
+	if err := re.Decode(&ca); err != nil {
+		re.ReplyError(err)
+		return
+	}
+	re.Reply(citronstream.CancelReply{Verdict: pe.se.withdraw(ca.AttemptID)})
+}
+
+// reply is where the answer to one start or query goes.
+type reply struct {
+	pe *peer
+	re *link.Request
+}
+
+var _ attempts.Peer = (*reply)(nil)
+
+// Chunk implements attempts.Peer.
+func (to *reply) Chunk(ch citronstream.Chunk) { _ = to.pe.li.Notify(citronstream.MethodChunk, ch) }
+
+// Reply implements attempts.Peer.
+func (to *reply) Reply(re citronstream.Result) { to.re.Reply(re) }
--- /dev/null
+++ b/internal/agent/server/server.go
@@ -0,0 +1,266 @@
+// Package server is the agent: the process beside an upstream that queues
+// the calls of all entries and runs them at its upstream.
+package server
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/agent/attempts"
+	"github.com/citronstream/citronstream/internal/peer/link"
+	"github.com/citronstream/citronstream/internal/peer/nbconn"
+	"github.com/go-logr/logr"
+)
+
+// sweepEvery is how often waiting calls past their deadline and calls
+// without an entry are looked for.
+const sweepEvery = 100 * time.Millisecond
+
+// Once runs keyed calls at most once.
+type Once interface {
+	// Do runs the call unless its key has run before, and returns the output
+	// and the result of the first run.
+	Do(ctx context.Context, ca citronstream.Call, run func(ctx context.Context) ([]byte, citronstream.Result)) ([]byte, citronstream.Result)
+}
+
+// Holds knows the contents that killed upstreams.
+type Holds interface {
+	Held(digest uint64) (time.Time, bool)
+	Suspect(digest uint64) bool
+	// Died notes the contents that ran when the upstream died and returns the report for other processes.
+	Died(upstream string, running []uint64) any
+	Finished(digest uint64)
+	// Merge takes the report of another process.
+	Merge(report []byte) error
+}
+
+// Meter counts what calls consumed.
+type Meter interface {
+	Count(ca *citronstream.Call, re *citronstream.Result)
+}
+
+// Server is the agent of one upstream.
+type Server struct {
+	clk      citronstream.Clock
+	log      logr.Logger
+	eng      *nbconn.Engine
+	up       citronstream.Upstream
+	protocol citronstream.Protocol
+	queue    citronstream.Discipline
+	once     Once
+	holds    Holds
+	meter    Meter
+	rec      citronstream.Recorder
+	token    string
+	boot     string // names this run of the process
+	epoch    func() uint64
+	version  func() uint64
+	observe  func(li *link.Link, version uint64)
+	extra    func(li *link.Link, re *link.Request) bool
+	slots    func() []int
+
+	attempts *attempts.Table
+	counts   Counts
+
+	mu      sync.Mutex
+	links   map[*link.Link]*peer
+	running map[string]*attempts.Attempt
+	inc     uint64 // incarnation of the upstream, grows with each death
+	down    bool
+	leaving bool
+	cost    float64 // estimated cost units running
+	loadSeq uint64
+	rate    float64 // cost units a second at full use, decayed
+
+	wake    chan struct{}
+	runs    sync.WaitGroup
+	ln      net.Listener
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    chan struct{}
+	stopped atomic.Bool
+}
+
+// Counts are the counters of an agent.
+type Counts struct {
+	Taken, Ran, Refused, Expired, Canceled, Orphaned, Buried, Deaths, Queried atomic.Uint64
+}
+
+// New returns an agent for one upstream. Start opens it.
+func New(clk citronstream.Clock, eng *nbconn.Engine, up citronstream.Upstream, protocol citronstream.Protocol,
+	queue citronstream.Discipline, opts ...Option,
+) *Server {
+	se := &Server{
+		clk: clk, eng: eng, up: up, protocol: protocol, queue: queue, log: logr.Discard(),
+		epoch: func() uint64 { return 1 }, version: func() uint64 { return 0 },
+		observe: func(*link.Link, uint64) {}, slots: func() []int { return nil },
+		extra:    func(*link.Link, *link.Request) bool { return false },
+		attempts: attempts.New(clk), links: make(map[*link.Link]*peer), running: make(map[string]*attempts.Attempt),
+		wake: make(chan struct{}, 1), done: make(chan struct{}), boot: citronstream.NewID(),
+	}
+	for _, opt := range opts {
+		opt(se)
+	}
+	return se
+}
+
+// Start listens for entries. The agent ends with ctx, or by Stop.
+func (se *Server) Start(ctx context.Context) error {
+	ln, err := net.Listen("tcp", se.up.Agent)
+	if err != nil {
+		return merry.Prepend(err, "agent "+se.up.Name)
+	}
+	se.ln = ln
+	se.ctx, se.cancel = context.WithCancel(ctx)
+	accepted := make(chan struct{})
+	go se.accept(accepted)
+	go se.loop(accepted)
+	return nil
+}
+
+// Done is closed when the agent has ended.
+func (se *Server) Done() <-chan struct{} { return se.done }
+
+// Counts returns the agent's counters.
+func (se *Server) Counts() *Counts { return &se.counts }
+
+// Drain announces that the upstream is leaving. Calls that were taken still run.
+func (se *Server) Drain() {
+	se.mu.Lock()
+	se.leaving = true
+	se.mu.Unlock()
+	se.event(citronstream.Event{Kind: "AgentLeaving", Upstream: se.up.Name})
+	se.broadcast(citronstream.MethodDrain, se.Load())
+}
+
+// Shutdown drains, waits until no call waits or runs or ctx ends, and closes.
+func (se *Server) Shutdown(ctx context.Context) error {
+	se.Drain()
+	for len(se.attempts.Live()) > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-se.clk.After(10 * time.Millisecond):
+		}
+	}
+	se.Stop()
+	return ctx.Err()
+}
+
+// Stop closes the agent at once, as a crash would.
+func (se *Server) Stop() {
+	if se.stopped.CompareAndSwap(false, true) {
+		_ = se.ln.Close()
+		se.cancel()
+	}
+	<-se.done
+}
+
+// Load returns the present load report.
+func (se *Server) Load() citronstream.Load {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	se.loadSeq++
+	return citronstream.Load{
+		Upstream: se.up.Name, Seq: se.loadSeq, Running: len(se.running), Waiting: se.queue.Len(),
+		Cost: se.cost + se.queue.Cost(), Rate: se.rate, Capacity: se.up.Capacity,
+		Leaving: se.leaving, Down: se.down, Slots: se.slots(), Epoch: se.epoch(), Version: se.version(),
+	}
+}
+
+func (se *Server) accept(accepted chan<- struct{}) {
+	defer close(accepted)
+	for {
+		nc, err := se.ln.Accept()
+		if err != nil {
+			return
+		}
+		stream, err := se.eng.Attach(nc)
+		if err != nil {
+			_ = nc.Close()
+			continue
+		}
+		se.take(stream)
+	}
+}
+
+func (se *Server) take(stream link.Stream) {
+	pe := &peer{se: se, gone: make(chan struct{})}
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	li := link.New(se.ctx, se.clk, stream, pe.handle, link.WithIdleCheck(se.idleCheck))
+	pe.li = li
+	se.links[li] = pe
+	go pe.watch()
+}
+
+// loop dispatches waiting calls and sweeps, until the agent ends.
+func (se *Server) loop(accepted <-chan struct{}) {
+	defer close(se.done)
+	ticker := se.clk.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for se.ctx.Err() == nil {
+		select {
+		case <-se.ctx.Done():
+		case <-se.wake:
+			se.dispatch()
+		case <-ticker.Chan():
+			se.sweep()
+			se.dispatch()
+		}
+	}
+	_ = se.ln.Close()
+	<-accepted
+	se.runs.Wait()
+	for _, pe := range se.peers() {
+		<-pe.gone
+	}
+}
+
+func (se *Server) peers() []*peer {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	all := make([]*peer, 0, len(se.links))
+	for _, pe := range se.links {
+		all = append(all, pe)
+	}
+	return all
+}
+
+func (se *Server) kick() {
+	select {
+	case se.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (se *Server) broadcast(method string, params any) {
+	for _, pe := range se.peers() {
+		_ = pe.li.Notify(method, params)
+	}
+}
+
+func (se *Server) event(ev citronstream.Event) {
+	if se.rec != nil {
+		ev.Process = se.up.Name
+		se.rec.Record(ev)
+	}
+}
+
+// idleBytes is the budget for heartbeats on idle links, in bytes a second, and
+// pingBytes what one costs in both directions with its TCP headers.
+const (
+	idleBytes = 3000
+	pingBytes = 300
+)
+
+// idleCheck paces the heartbeats of idle links by the byte budget.
+func (se *Server) idleCheck() time.Duration {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	return max(time.Second, time.Duration(len(se.links))*pingBytes*time.Second/idleBytes)
+}
--- /dev/null
+++ b/internal/entry/agents/agents.go
@@ -0,0 +1,225 @@
+// Package agents keeps an entry's links to the agents and runs attempts over
+// them. It settles attempts whose link broke by asking the agent.
+package agents
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/peer/dialer"
+	"github.com/citronstream/citronstream/internal/peer/link"
+	"github.com/citronstream/citronstream/internal/peer/nbconn"
+	"github.com/citronstream/citronstream/internal/route/table"
+)
+
+// Times of settling an attempt.
+const (
+	// reconnectWait is how long an attempt waits for a new link to its agent.
+	reconnectWait = 1500 * time.Millisecond
+	// cancelWait is how long the answer to a cancel is waited for.
+	cancelWait = 150 * time.Millisecond
+)
+
+// Budget of the heartbeats on idle links: bytes a second, and bytes of one
+// heartbeat in both directions with its TCP headers.
+const (
+	idleBytes = 3000
+	pingBytes = 300
+)
+
+// Counts are the counters of the pool.
+type Counts struct {
+	Attempts, Links, LinksLost, LinksSilent, Queried, Settled, Unsettled, Late, Corrupt, Canceled atomic.Uint64
+}
+
+// Pool holds the links of one entry.
+type Pool struct {
+	clk     citronstream.Clock
+	eng     *nbconn.Engine
+	routes  *table.Table
+	hello   func() citronstream.Hello
+	handler func(li *link.Link, re *link.Request)
+	observe func(li *link.Link, version uint64)
+	rec     citronstream.Recorder
+	counts  Counts
+
+	ctx     context.Context
+	mu      sync.Mutex
+	byName  atomic.Pointer[map[string]*agent]
+	flights sync.Map // AttemptID to *flight
+}
+
+type agent struct {
+	up     citronstream.Upstream
+	dial   *dialer.Dialer
+	cancel context.CancelFunc
+}
+
+// Option changes a Pool.
+type Option func(*Pool)
+
+// WithHandler sets what takes the messages that the pool itself does not know.
+func WithHandler(handler func(li *link.Link, re *link.Request)) Option {
+	return func(po *Pool) { po.handler = handler }
+}
+
+// WithObserve sets what takes note of a peer's configuration version.
+func WithObserve(observe func(li *link.Link, version uint64)) Option {
+	return func(po *Pool) { po.observe = observe }
+}
+
+// WithRecorder sets the timeline.
+func WithRecorder(rec citronstream.Recorder) Option { return func(po *Pool) { po.rec = rec } }
+
+// New returns a pool without links. Hello is what the entry says of itself.
+func New(ctx context.Context, clk citronstream.Clock, eng *nbconn.Engine, routes *table.Table,
+	hello func() citronstream.Hello, opts ...Option,
+) *Pool {
+	po := &Pool{
+		clk: clk, eng: eng, routes: routes, hello: hello, ctx: ctx,
+		handler: func(_ *link.Link, re *link.Request) {
+			re.ReplyError(citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "unknown method %q", re.Method))
+		},
+		observe: func(*link.Link, uint64) {},
+	}
+	for _, opt := range opts {
+		opt(po)
+	}
+	po.byName.Store(&map[string]*agent{})
+	return po
+}
+
+// Counts returns the pool's counters.
+func (po *Pool) Counts() *Counts { return &po.counts }
+
+// Replace opens links to the given upstreams and closes those to others.
+func (po *Pool) Replace(upstreams []citronstream.Upstream) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	old := *po.byName.Load()
+	next := make(map[string]*agent, len(upstreams))
+	for _, up := range upstreams {
+		if ag, ok := old[up.Name]; ok && ag.up.Agent == up.Agent {
+			next[up.Name] = ag
+			continue
+		}
+		next[up.Name] = po.open(up)
+	}
+	po.byName.Store(&next)
+	for name, ag := range old {
+		if next[name] != ag {
+			ag.cancel()
+		}
+	}
+}
+
+func (po *Pool) open(up citronstream.Upstream) *agent {
+	ctx, cancel := context.WithCancel(po.ctx)
+	ag := &agent{up: up, cancel: cancel}
+	po.routes.Mark(up.Name, table.FromLink, table.Gone)
+	ag.dial = dialer.New(ctx, po.clk, po.eng, up.Agent, po.handle,
+		dialer.WithUp(func(ctx context.Context, li *link.Link) error { return po.greet(ctx, up.Name, li) }),
+		dialer.WithDown(func(err error) { po.lost(up.Name, err) }),
+		dialer.WithLinkOptions(link.WithIdleCheck(po.idleCheck)))
+	return ag
+}
+
+// Close ends all links and waits for them.
+func (po *Pool) Close() {
+	old := *po.byName.Load()
+	po.Replace(nil)
+	for _, ag := range old {
+		<-ag.dial.Done()
+	}
+}
+
+func (po *Pool) greet(ctx context.Context, name string, li *link.Link) error {
+	var he citronstream.Hello
+	if err := li.Call(ctx, citronstream.MethodHello, po.hello(), &he); err != nil {
+		return err
+	}
+	if he.Name != name {
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeStale, "agent is %q, not %q", he.Name, name)
+	}
+	li.SetSession(he)
+	po.counts.Links.Add(1)
+	po.routes.Connected(name, he.Epoch)
+	if he.Load != nil {
+		po.routes.Report(*he.Load)
+	}
+	po.clockSeen(he.Clock)
+	po.observe(li, he.Version)
+	return nil
+}
+
+func (po *Pool) lost(name string, err error) {
+	po.routes.Mark(name, table.FromLink, table.Gone)
+	if errors.Is(err, link.ErrSilent) {
+		po.counts.LinksSilent.Add(1)
+		po.event(citronstream.Event{Kind: "LinkSilent", Upstream: name})
+	} else if errors.Is(err, link.ErrLost) {
+		po.counts.LinksLost.Add(1)
+		po.event(citronstream.Event{Kind: "LinkLost", Upstream: name})
+	}
+}
+
+// handle takes a message from an agent. It runs on the link's reader.
+func (po *Pool) handle(li *link.Link, re *link.Request) {
+	switch re.Method {
+	case citronstream.MethodChunk:
+		var ch citronstream.Chunk
+		if re.Decode(&ch) != nil {
+			return
+		}
+		fl, ok := po.flights.Load(ch.AttemptID)
+		if !ok || !fl.(*flight).chunk(ch) {
+			po.counts.Late.Add(1)
+		}
+	case citronstream.MethodLoad, citronstream.MethodDrain:
+		var lo citronstream.Load
+		if re.Decode(&lo) == nil {
+			po.routes.Report(lo)
+			po.observe(li, lo.Version)
+		}
+	default:
+		po.handler(li, re)
+	}
+}
+
+func (po *Pool) idleCheck() time.Duration {
+	return max(time.Second, time.Duration(len(*po.byName.Load()))*pingBytes*time.Second/idleBytes)
+}
+
+// Links calls visit with each open link.
+func (po *Pool) Links(visit func(upstream string, li *link.Link)) {
+	for name, ag := range *po.byName.Load() {
+		if li := ag.dial.Link(); li != nil {
+			visit(name, li)
+		}
+	}
+}
+
+// Link returns the open link to an upstream's agent, or nil.
+func (po *Pool) Link(upstream string) *link.Link {
+	ag, ok := (*po.byName.Load())[upstream]
+	if !ok {
+		return nil
+	}
+	return ag.dial.Link()
+}
+
+func (po *Pool) event(ev citronstream.Event) {
+	if po.rec != nil {
+		po.rec.Record(ev)
+	}
+}
+
+func (po *Pool) clockSeen(at uint64) {
+	if po.rec != nil && at != 0 {
+		po.rec.Observe(at)
+	}
+}
--- /dev/null
+++ b/internal/entry/pipeline/attempts.go
@@ -0,0 +1,172 @@
+package pipeline
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/limit/retrybudget"
+)
+
+// attempts runs one call, with retries within the request's budget.
+type attempts struct {
+	ru      *Runner
+	budget  *retrybudget.Request
+	end     time.Time // the deadline of this call
+	exclude []string
+	output  []byte // output that the caller already has
+}
+
+// run makes attempts until one succeeds, the failure is final, or the budget is spent.
+func (at *attempts) run(ctx context.Context, ca citronstream.Call, sink func([]byte)) Outcome {
+	if at.ru.holds != nil {
+		if until, held := at.ru.holds.Held(ca.Digest); held {
+			at.ru.counts.Held.Add(1)
+			out := refused(citronstream.NotRun, citronstream.CodeQuarantined, "this content killed upstreams and is held")
+			out.Fault.RetryAfter = until.Sub(at.ru.clk.Now())
+			return out
+		}
+		ca.Suspect = at.ru.holds.Suspect(ca.Digest)
+	}
+	ca.Version = at.ru.version()
+	ran := false // an attempt before the last may have run
+	for try := 1; ; try++ {
+		re := at.once(ctx, &ca, sink)
+		if re.Fault == nil {
+			return at.success(&ca, re)
+		}
+		ran = ran || re.Fault.Verdict != citronstream.NotRun
+		if !retryable(&ca, &re) || !at.again(ctx, re, try) {
+			return at.failure(&ca, re, ran)
+		}
+		if ca.Service != "" && re.Upstream != "" && ca.Idempotent {
+			at.exclude = append(at.exclude, re.Upstream)
+		}
+		if len(at.output) > 0 {
+			at.ru.counts.Resumed.Add(1)
+			ca.Prefix, ca.ResumeFrom = string(at.output), len(at.output)
+		}
+	}
+}
+
+// once makes one attempt.
+func (at *attempts) once(ctx context.Context, ca *citronstream.Call, sink func([]byte)) citronstream.Result {
+	ru := at.ru
+	picker := ru.pickers(ca.Service)
+	if picker == nil {
+		return noRoute(ca)
+	}
+	upstream, ok := at.pick(picker, ca)
+	if !ok {
+		ru.counts.NoRoute.Add(1)
+		return noRoute(ca)
+	}
+	ca.AttemptID = citronstream.NewID()
+	ca.Left = at.end.Sub(ru.clk.Now())
+	if ca.Left <= 0 {
+		return citronstream.Result{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeDeadline, "no time is left for %s", ca.Service)}
+	}
+	ru.event(ca, "AttemptSent", upstream, nil)
+	picker.Sent(upstream, ca.Cost)
+	start := ru.clk.Now()
+	re := ru.agents.Run(ctx, upstream, *ca, func(data []byte) {
+		at.output = append(at.output, data...)
+		if sink != nil {
+			sink(data)
+		}
+	})
+	took := ru.clk.Now().Sub(start)
+	picker.Ended(upstream, ca.Cost, took, faultError(re.Fault))
+	ru.event(ca, "AttemptEnded", upstream, &re)
+	if re.Fault == nil && ru.times != nil && !re.Replayed {
+		ru.times.Observe(ca.Service, ca.Cost, took)
+	}
+	if ru.meter != nil && !re.Replayed {
+		ru.meter.Count(ca, &re)
+	}
+	return re
+}
+
+// pick asks the policy, or the owner of the key for a call that must not be repeated.
+func (at *attempts) pick(picker citronstream.Picker, ca *citronstream.Call) (string, bool) {
+	if !ca.Idempotent && at.ru.owners != nil {
+		return at.ru.owners.Owner(ca.Service, ca.Workspace, ca.Key)
+	}
+	return picker.Pick(citronstream.PickRequest{
+		Service: ca.Service, Zone: at.ru.zone, Model: ca.Model, Cost: ca.Cost, Exclude: at.exclude, Suspect: ca.Suspect,
+	})
+}
+
+// again spends the budget and waits before the next attempt.
+func (at *attempts) again(ctx context.Context, re citronstream.Result, try int) bool {
+	wait := at.ru.budget.Backoff(try)
+	if at.ru.clk.Now().Add(wait).After(at.end) || ctx.Err() != nil || !at.budget.Extra() {
+		return false
+	}
+	at.ru.counts.Retries.Add(1)
+	select {
+	case <-ctx.Done():
+		return false
+	case <-at.ru.clk.After(wait):
+		return true
+	}
+}
+
+// retryable says whether another attempt is safe and may help. A call that
+// is not idempotent is sent again after MayHaveRun only under its key, to the
+// owner of the key's slot, which knows whether it ran.
+func retryable(ca *citronstream.Call, re *citronstream.Result) bool {
+	fa := re.Fault
+	if re.Status >= 400 && re.Status < 500 && re.Status != http.StatusTooManyRequests {
+		return false
+	}
+	switch fa.Code {
+	case citronstream.CodeBadRequest, citronstream.CodeQuarantined, citronstream.CodeDeadline, citronstream.CodeCanceled,
+		citronstream.CodeKeyReuse, citronstream.CodeInDoubt, citronstream.CodeNotFound, citronstream.CodeTooLarge, citronstream.CodeUnauthorized:
+		return false
+	}
+	if fa.Verdict == citronstream.NotRun || ca.Idempotent {
+		return true
+	}
+	return fa.Verdict == citronstream.MayHaveRun && ca.Key != "" && fa.Code == citronstream.CodeLinkLost
+}
+
+func (at *attempts) success(ca *citronstream.Call, re citronstream.Result) Outcome {
+	body := re.Body
+	if ca.Streams {
+		body = at.output
+	}
+	return Outcome{Status: re.Status, Body: body, Usage: re.Usage, Upstream: re.Upstream, Replayed: re.Replayed}
+}
+
+// failure gives the verdict over all attempts.
+func (at *attempts) failure(ca *citronstream.Call, re citronstream.Result, ran bool) Outcome {
+	fa := *re.Fault
+	if ran && fa.Verdict == citronstream.NotRun {
+		fa.Verdict = citronstream.MayHaveRun
+	}
+	return Outcome{Status: re.Status, Body: re.Body, Upstream: re.Upstream, Usage: re.Usage, Fault: &fa}
+}
+
+func noRoute(ca *citronstream.Call) citronstream.Result {
+	if !ca.Idempotent && ca.KeyGiven {
+		// An earlier request with this key may have run at the owner that can't be reached.
+		return citronstream.Result{Fault: citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeUnavailable, "the owner of the key can't be reached")}
+	}
+	return citronstream.Result{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "no upstream of %s can take the call", ca.Service)}
+}
+
+func (ru *Runner) event(ca *citronstream.Call, kind, upstream string, re *citronstream.Result) {
+	if ru.rec == nil {
+		return
+	}
+	ev := citronstream.Event{Kind: kind, RequestID: ca.RequestID, AttemptID: ca.AttemptID, Upstream: upstream, Cost: ca.Cost}
+	if re != nil {
+		ev.Verdict = citronstream.VerdictOf(faultError(re.Fault)).String()
+		if re.Fault != nil {
+			ev.Detail = string(re.Fault.Code)
+		}
+	}
+	ru.rec.Record(ev)
+}
--- /dev/null
+++ b/internal/entry/pipeline/pipeline.go
@@ -0,0 +1,192 @@
+// Package pipeline runs a caller's request: it passes the stages one after
+// another, picks an upstream for each, and retries within the budget.
+package pipeline
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/entry/catalog"
+	"github.com/citronstream/citronstream/internal/entry/stagebody"
+	"github.com/citronstream/citronstream/internal/limit/retrybudget"
+)
+
+// Agents runs one attempt at an upstream.
+type Agents interface {
+	Run(ctx context.Context, upstream string, ca citronstream.Call, sink func([]byte)) citronstream.Result
+}
+
+// Owners names the upstream that owns the slot of an idempotency key.
+type Owners interface {
+	Owner(service, workspace, key string) (string, bool)
+}
+
+// Holds knows the contents that killed upstreams.
+type Holds interface {
+	Held(digest uint64) (time.Time, bool)
+	Suspect(digest uint64) bool
+}
+
+// Times estimates how long stages take.
+type Times interface {
+	// Estimate returns the expected time of a call.
+	Estimate(service string, cost float64) time.Duration
+	Observe(service string, cost float64, took time.Duration)
+}
+
+// Meter counts what a stage consumed.
+type Meter interface {
+	Count(ca *citronstream.Call, re *citronstream.Result)
+}
+
+// Request is what a caller asks for.
+type Request struct {
+	ID        string
+	Workspace *citronstream.Workspace
+	Rank      int
+	Deadline  time.Duration // from now
+	Body      []byte
+	Key       string
+	KeyGiven  bool
+	Trace     string
+}
+
+// Outcome is the end of a request.
+type Outcome struct {
+	Status   int
+	Body     []byte
+	Usage    citronstream.Usage
+	Upstream string
+	Replayed bool
+	Fault    *citronstream.Fault
+}
+
+// Counts are the counters of a Runner.
+type Counts struct {
+	Requests, Retries, Resumed, Refused, NoRoute, Held atomic.Uint64
+}
+
+// Runner runs requests.
+type Runner struct {
+	clk     citronstream.Clock
+	agents  Agents
+	pickers func(service string) citronstream.Picker
+	owners  Owners
+	holds   Holds
+	times   Times
+	meter   Meter
+	budget  *retrybudget.Budget
+	rec     citronstream.Recorder
+	zone    string
+	version func() uint64
+	counts  Counts
+}
+
+// Option changes a Runner.
+type Option func(*Runner)
+
+// WithOwners sets where the owners of keys come from.
+func WithOwners(ow Owners) Option { return func(ru *Runner) { ru.owners = ow } }
+
+// WithHolds sets the table of contents that killed upstreams.
+func WithHolds(ho Holds) Option { return func(ru *Runner) { ru.holds = ho } }
+
+// WithTimes sets the estimator of stage times.
+func WithTimes(ti Times) Option { return func(ru *Runner) { ru.times = ti } }
+
+// WithMeter sets what counts consumption.
+func WithMeter(me Meter) Option { return func(ru *Runner) { ru.meter = me } }
+
+// WithRecorder sets the timeline.
+func WithRecorder(rec citronstream.Recorder) Option { return func(ru *Runner) { ru.rec = rec } }
+
+// WithVersion sets where the configuration version comes from.
+func WithVersion(version func() uint64) Option { return func(ru *Runner) { ru.version = version } }
+
+// New returns a Runner for an entry in the zone.
+func New(clk citronstream.Clock, zone string, agents Agents, pickers func(service string) citronstream.Picker,
+	budget *retrybudget.Budget, opts ...Option,
+) *Runner {
+	ru := &Runner{
+		clk: clk, zone: zone, agents: agents, pickers: pickers, budget: budget,
+		version: func() uint64 { return 0 },
+	}
+	for _, opt := range opts {
+		opt(ru)
+	}
+	return ru
+}
+
+// Counts returns the counters.
+func (ru *Runner) Counts() *Counts { return &ru.counts }
+
+// Pipeline runs all stages. Sink takes the parts of the last stage's answer
+// if that stage streams; it must not block.
+func (ru *Runner) Pipeline(ctx context.Context, ca *catalog.Catalog, name string, rq Request, bu *stagebody.Builder, sink func([]byte)) Outcome {
+	pi, after := ca.Pipeline(name)
+	if pi == nil {
+		return refused(citronstream.NotRun, citronstream.CodeNotFound, "no pipeline %q", name)
+	}
+	ru.counts.Requests.Add(1)
+	ctx, cancel := ru.deadline(ctx, rq.Deadline)
+	defer cancel()
+	ex := &execution{
+		ru: ru, ca: ca, pi: pi, rq: rq, bu: bu, sink: sink, budget: ru.budget.Request(),
+		end: ru.clk.Now().Add(rq.Deadline), results: make([]Outcome, len(pi.Stages)), done: make([]chan struct{}, len(pi.Stages)),
+	}
+	ex.estimate()
+	if ex.rest[0] > rq.Deadline {
+		ru.counts.Refused.Add(1)
+		return refused(citronstream.NotRun, citronstream.CodeOverloaded, "the stages take longer than the deadline")
+	}
+	for i := range ex.done {
+		ex.done[i] = make(chan struct{})
+	}
+	var wg sync.WaitGroup
+	for i := range pi.Stages {
+		wg.Go(func() { ex.stage(ctx, cancel, i, after[i]) })
+	}
+	wg.Wait()
+	return ex.outcome()
+}
+
+// Service runs one call of a service.
+func (ru *Runner) Service(ctx context.Context, ca *catalog.Catalog, service, call string, rq Request) Outcome {
+	sc := ca.Call(service, call)
+	if sc == nil {
+		return refused(citronstream.NotRun, citronstream.CodeNotFound, "no call %q of service %q", call, service)
+	}
+	ru.counts.Requests.Add(1)
+	ctx, cancel := ru.deadline(ctx, rq.Deadline)
+	defer cancel()
+	at := &attempts{ru: ru, budget: ru.budget.Request(), end: ru.clk.Now().Add(rq.Deadline)}
+	return at.run(ctx, citronstream.Call{
+		RequestID: rq.ID, Workspace: rq.Workspace.Name, Owner: rq.Workspace.Owner, Rank: rq.Rank, Service: service, Call: call,
+		Path: sc.Path, Idempotent: sc.Idempotent, Key: rq.Key, KeyGiven: rq.KeyGiven, Cost: cost(sc), Body: rq.Body,
+		Digest: citronstream.Digest(rq.Body), Trace: rq.Trace,
+	}, nil)
+}
+
+func (ru *Runner) deadline(ctx context.Context, limit time.Duration) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := ru.clk.AfterFunc(limit, func() { cancel(context.DeadlineExceeded) })
+	return ctx, func() {
+		timer.Stop()
+		cancel(context.Canceled)
+	}
+}
+
+func refused(ve citronstream.Verdict, code citronstream.Code, format string, args ...any) Outcome {
+	return Outcome{Fault: citronstream.NewFault(ve, code, format, args...)}
+}
+
+// cost returns the estimated cost units of a call; a call without a figure counts as 1.
+func cost(sc *citronstream.ServiceCall) float64 {
+	if sc.Cost > 0 {
+		return sc.Cost
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/entry/pipeline/stages.go
@@ -0,0 +1,115 @@
+package pipeline
+
+import (
+	"context"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/entry/catalog"
+	"github.com/citronstream/citronstream/internal/entry/stagebody"
+	"github.com/citronstream/citronstream/internal/limit/retrybudget"
+)
+
+// execution is one run of a pipeline.
+type execution struct {
+	ru      *Runner
+	ca      *catalog.Catalog
+	pi      *citronstream.Pipeline
+	rq      Request
+	bu      *stagebody.Builder
+	sink    func([]byte)
+	budget  *retrybudget.Request
+	end     time.Time
+	rest    []time.Duration // estimated time from each stage on, the stage included
+	results []Outcome
+	done    []chan struct{}
+}
+
+// estimate adds up the expected times of the stages from the last to the first.
+func (ex *execution) estimate() {
+	ex.rest = make([]time.Duration, len(ex.pi.Stages)+1)
+	for i := len(ex.pi.Stages) - 1; i >= 0; i-- {
+		st := &ex.pi.Stages[i]
+		ex.rest[i] = ex.rest[i+1]
+		if ex.ru.times != nil {
+			ex.rest[i] += ex.ru.times.Estimate(st.Service, cost(ex.ca.Call(st.Service, st.Call)))
+		}
+	}
+}
+
+// stage waits for the stages that it follows and runs. A stage that fails
+// ends the request, which cancels the others.
+func (ex *execution) stage(ctx context.Context, cancel func(), at int, after []int) {
+	defer close(ex.done[at])
+	var earlier []stagebody.Result
+	for _, from := range after {
+		<-ex.done[from]
+		if ex.results[from].Fault != nil {
+			ex.results[at] = refused(citronstream.NotRun, citronstream.CodeCanceled, "stage %s failed", ex.pi.Stages[from].Name)
+			return
+		}
+		earlier = append(earlier, stagebody.Result{Stage: ex.pi.Stages[from].Name, Body: ex.results[from].Body})
+	}
+	ex.results[at] = ex.call(ctx, at, earlier)
+	if ex.results[at].Fault != nil {
+		cancel()
+	}
+}
+
+func (ex *execution) call(ctx context.Context, at int, earlier []stagebody.Result) Outcome {
+	st := &ex.pi.Stages[at]
+	sc := ex.ca.Call(st.Service, st.Call)
+	body, err := ex.bu.Build(ex.ca.Service(st.Service).Kind, st.Model, earlier)
+	if err != nil {
+		return Outcome{Fault: citronstream.FaultOf(err)}
+	}
+	last := at == len(ex.pi.Stages)-1
+	ca := citronstream.Call{
+		RequestID: ex.rq.ID, Workspace: ex.rq.Workspace.Name, Owner: ex.rq.Workspace.Owner, Rank: ex.rq.Rank,
+		Pipeline: ex.pi.Name, Stage: st.Name, Service: st.Service, Call: st.Call, Path: sc.Path, Model: st.Model,
+		Idempotent: sc.Idempotent, Streams: sc.Streams && last && ex.sink != nil, Cost: cost(sc),
+		After: ex.rest[at+1], Body: body, Digest: citronstream.Digest(body), Trace: ex.rq.Trace,
+	}
+	if !sc.Idempotent {
+		ca.Key, ca.KeyGiven = ex.rq.Key+"/"+st.Name, ex.rq.KeyGiven
+	}
+	at2 := &attempts{ru: ex.ru, budget: ex.budget, end: ex.end.Add(-ex.rest[at+1])}
+	var sink func([]byte)
+	if ca.Streams {
+		sink = ex.sink
+	}
+	return at2.run(ctx, ca, sink)
+}
+
+// outcome joins the stages' results: the last stage's answer and the sum of the usage.
+func (ex *execution) outcome() Outcome {
+	out := ex.results[len(ex.results)-1]
+	var usage citronstream.Usage
+	ran := false
+	for i := range ex.results {
+		re := &ex.results[i]
+		usage.TokensIn += re.Usage.TokensIn
+		usage.TokensOut += re.Usage.TokensOut
+		usage.Busy += re.Usage.Busy
+		usage.Cost += re.Usage.Cost
+		ran = ran || citronstream.VerdictOf(faultError(re.Fault)) != citronstream.NotRun
+		if re.Fault != nil && re.Fault.Code != citronstream.CodeCanceled && (out.Fault == nil || out.Fault.Code == citronstream.CodeCanceled) {
+			out.Fault = re.Fault
+		}
+	}
+	out.Usage = usage
+	if out.Fault != nil && out.Fault.Verdict == citronstream.NotRun && ran {
+		// An earlier stage ran, so the request as a whole did run in part.
+		fa := *out.Fault
+		fa.Verdict = citronstream.MayHaveRun
+		out.Fault = &fa
+	}
+	return out
+}
+
+func faultError(fa *citronstream.Fault) error {
+	if fa == nil {
+		return nil
+	}
+	return fa
+}
