Retry budget of requests and of the process

Cause: retries in steady trouble must not multiply the load. Result: 20,000 requests in steady trouble stay within 2,003 extra attempts; each decision equals that of a list of all times.

--- /dev/null
+++ b/internal/limit/retrybudget/budget_test.go
@@ -0,0 +1,132 @@
+package retrybudget
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+func assertWithinCap(t assert.TestingT, bu *Budget) {
+	requests, extras := bu.Window()
+	assert.LessOrEqual(t, float64(extras), max(0.1*float64(requests), defaultConstant))
+}
+
+// Guards against a retry storm: in steady trouble, where each attempt fails, the extra attempts of
+// any window stay at 10% of its requests, and those of the run at 10% plus the constant.
+func TestSteadyTrouble(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	bu := New(clk, citronstream.DefaultLimits())
+	const requests, windows = 20_000, 20
+	for range requests {
+		re := bu.Request()
+		for re.Extra() {
+			assertWithinCap(t, bu)
+		}
+		clk.Advance(windows * defaultWindow / requests)
+	}
+	spent, _ := bu.Counts()
+	assert.LessOrEqual(t, spent, uint64(requests/10+defaultConstant))
+	assert.GreaterOrEqual(t, spent, uint64(requests/10-defaultConstant), "the budget is usable")
+}
+
+// inWindow counts the times of the last buckets periods.
+func inWindow(times []time.Time, now time.Time) float64 {
+	width, count := int64(defaultWindow/buckets), 0.0
+	for _, at := range times {
+		if now.UnixNano()/width-at.UnixNano()/width < buckets {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against a window that forgets, or keeps, requests and extra attempts at the wrong time:
+// each decision must be that of a list of all times.
+func TestDecisions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clk := clockwork.NewFakeClock()
+		bu := New(clk, citronstream.DefaultLimits())
+		var requests, extras []time.Time
+		t.Repeat(map[string]func(*rapid.T){
+			"requests": func(t *rapid.T) {
+				for range rapid.IntRange(1, 20).Draw(t, "count") {
+					bu.Request()
+					requests = append(requests, clk.Now())
+				}
+			},
+			"extra": func(t *rapid.T) {
+				requests = append(requests, clk.Now())
+				allowed := inWindow(extras, clk.Now())+1 <= max(0.1*inWindow(requests, clk.Now()), defaultConstant)
+				assert.Equal(t, allowed, bu.Request().Extra())
+				if allowed {
+					extras = append(extras, clk.Now())
+				}
+			},
+			"advance": func(t *rapid.T) { clk.Advance(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond) },
+		})
+	})
+}
+
+// Guards against one request spending the budget of the process.
+func TestPerRequest(t *testing.T) {
+	bu := New(clockwork.NewFakeClock(), citronstream.DefaultLimits(), WithConstant(100))
+	re := bu.Request()
+	assert.True(t, re.Extra())
+	assert.True(t, re.Extra())
+	assert.False(t, re.Extra())
+	assert.Zero(t, re.Left())
+}
+
+// Guards against a budget that is lost for good once it is spent.
+func TestWindowSlides(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	bu := New(clk, citronstream.DefaultLimits(), WithConstant(1))
+	assert.True(t, bu.Request().Extra())
+	assert.False(t, bu.Request().Extra())
+	clk.Advance(defaultWindow)
+	assert.True(t, bu.Request().Extra())
+}
+
+// Guards against callers that pass the cap together.
+func TestConcurrentCallersKeepTheCap(t *testing.T) {
+	bu := New(clockwork.NewFakeClock(), citronstream.DefaultLimits())
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 500 {
+				bu.Request().Extra()
+			}
+		})
+	}
+	wg.Wait()
+	requests, _ := bu.Window()
+	assert.Equal(t, 4000, requests)
+	assertWithinCap(t, bu)
+}
+
+func TestBackoff(t *testing.T) {
+	// Guards against retries that arrive in step, or later than the longest delay.
+	t.Run("full jitter below the ceiling", func(t *testing.T) {
+		bu := New(clockwork.NewFakeClock(), citronstream.DefaultLimits(), WithSource(rand.NewPCG(1, 2)))
+		for attempt, ceiling := range map[int]time.Duration{1: defaultBase, 2: 2 * defaultBase, 60: defaultMost} {
+			var total time.Duration
+			for range 1000 {
+				delay := bu.Backoff(attempt)
+				assert.Less(t, delay, ceiling)
+				total += delay
+			}
+			assert.InDelta(t, 0.5, float64(total)/1000/float64(ceiling), 0.05)
+		}
+	})
+	t.Run("same seed, same delays", func(t *testing.T) {
+		first := New(clockwork.NewFakeClock(), citronstream.DefaultLimits(), WithSource(rand.NewPCG(1, 2)))
+		second := New(clockwork.NewFakeClock(), citronstream.DefaultLimits(), WithSource(rand.NewPCG(1, 2)))
+		assert.Equal(t, first.Backoff(9), second.Backoff(9))
+	})
+}
