Prefix-cache hints from late and gapped events

Cause: a prompt is cheaper on an engine that has its prefix cached, but events on caches lag and get lost. Seen to fail: with the gap rule, the sequence check, the TTL, the cap, the use mark and the chaining of blocks off, one at a time.

--- /dev/null
+++ b/internal/route/prefix/shard.go
@@ -0,0 +1,144 @@
+package prefix
+
+import (
+	"container/list"
+	"sync"
+	"sync/atomic"
+
+	"github.com/citronstream/citronstream/internal/kernel/policy"
+)
+
+// source is an upstream that reports cache events.
+type source struct {
+	name  string
+	gen   atomic.Uint64 // a hint of an older generation is void
+	epoch uint64
+	seq   uint64
+	known bool // seq is valid
+}
+
+// holder is one upstream's hint on one block.
+type holder struct {
+	from  *source
+	gen   uint64
+	until int64 // nanoseconds since 1970
+}
+
+func (ho *holder) valid(now int64) bool {
+	return ho.from != nil && now < ho.until && ho.gen == ho.from.gen.Load()
+}
+
+type entry struct {
+	hash    uint64
+	used    atomic.Bool // read since the eviction last passed it
+	holders [policy.MaxHolders]holder
+}
+
+// shard is a part of the table. Readers mark an entry as used and leave the
+// order alone, so that they need the read lock only; the eviction gives a used
+// entry another round, which approximates least-recently-used.
+type shard struct {
+	mu    sync.RWMutex
+	byID  map[uint64]*list.Element
+	order *list.List // front is the newest
+}
+
+// read adds the valid holders of a block to out and returns their new number.
+func (sh *shard) read(hash uint64, depth int, now int64, out *[policy.MaxHolders]policy.Holder, count int) int {
+	sh.mu.RLock()
+	defer sh.mu.RUnlock()
+	el, ok := sh.byID[hash]
+	if !ok {
+		return count
+	}
+	en := el.Value.(*entry)
+	if !en.used.Load() {
+		en.used.Store(true)
+	}
+	for i := range en.holders {
+		if count == len(out) {
+			break
+		}
+		if ho := &en.holders[i]; ho.valid(now) && !named(out[:count], ho.from.name) {
+			out[count] = policy.Holder{Upstream: ho.from.name, Blocks: depth}
+			count++
+		}
+	}
+	return count
+}
+
+func named(holders []policy.Holder, name string) bool {
+	for i := range holders {
+		if holders[i].Upstream == name {
+			return true
+		}
+	}
+	return false
+}
+
+// add stores a hint, in place of the same upstream's, a void or the oldest one.
+func (sh *shard) add(hash uint64, from *source, now, until int64, limit int) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	el, ok := sh.byID[hash]
+	if ok {
+		sh.order.MoveToFront(el)
+	} else {
+		for len(sh.byID) >= limit {
+			sh.evict()
+		}
+		el = sh.order.PushFront(&entry{hash: hash})
+		sh.byID[hash] = el
+	}
+	en := el.Value.(*entry)
+	at := &en.holders[0]
+	for i := range en.holders {
+		ho := &en.holders[i]
+		if ho.from == from {
+			at = ho
+			break
+		}
+		if at.valid(now) && (!ho.valid(now) || ho.until < at.until) {
+			at = ho
+		}
+	}
+	*at = holder{from: from, gen: from.gen.Load(), until: until}
+}
+
+func (sh *shard) evict() {
+	for el := sh.order.Back(); el != nil; el = sh.order.Back() {
+		if en := el.Value.(*entry); !en.used.CompareAndSwap(true, false) {
+			sh.order.Remove(el)
+			delete(sh.byID, en.hash)
+			return
+		}
+		sh.order.MoveToFront(el)
+	}
+}
+
+// drop removes an upstream's hint on a block.
+func (sh *shard) drop(hash uint64, from *source, now int64) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	el, ok := sh.byID[hash]
+	if !ok {
+		return
+	}
+	en, left := el.Value.(*entry), false
+	for i := range en.holders {
+		if en.holders[i].from == from {
+			en.holders[i] = holder{}
+		}
+		left = left || en.holders[i].valid(now)
+	}
+	if !left {
+		sh.order.Remove(el)
+		delete(sh.byID, hash)
+	}
+}
+
+func (sh *shard) len() int {
+	sh.mu.RLock()
+	defer sh.mu.RUnlock()
+	return len(sh.byID)
+}
