--- a/internal/route/table/node.go
+++ b/internal/route/table/node.go
@@ -71,6 +71,10 @@
 // State returns the membership state without its cause.
 func (no *Node) State() State { return no.live.verdicts.Load().State }
 
+// Same reports whether both nodes share their live state, as they do across
+// a change of the fleet that leaves the upstream in place.
+func (no *Node) Same(other *Node) bool { return no.live == other.live }
+
 // Weight returns the share of its ordinary work that the upstream should get, 0 to 1.
 func (no *Node) Weight() float64 { return math.Float64frombits(no.live.weight.Load()) }
 
