--- /dev/null
+++ b/internal/config/settings/settings_test.go
@@ -0,0 +1,75 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"io/fs"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/citronstream/citronstream"
+)
+
+func TestDecode(t *testing.T) {
+	// Guards against a Fleet that loses the documented default limits because
+	// its document names only some of them.
+	t.Run("defaults under a partial document", func(t *testing.T) {
+		se, faults, ok := Decode([]byte(`{"Fleet":{"Site":"x","Limits":{"MaxQueued":7}},"Platform":{"Table":{"Name":"t"}}}`))
+		require.True(t, ok)
+		assert.Empty(t, faults)
+		want := citronstream.DefaultLimits()
+		want.MaxQueued = 7
+		assert.Equal(t, want, se.Fleet.Limits)
+		assert.Equal(t, Table{Protocol: ProtocolMemory, Region: "us-east-1", Name: "t"}, se.Platform.Table)
+		assert.Equal(t, "127.0.0.1:8700", se.Process.Listen)
+	})
+	// Guards against a daemon that takes an absent Fleet for an empty one.
+	t.Run("no Fleet", func(t *testing.T) {
+		se, faults, _ := Decode([]byte(`{}`))
+		assert.Empty(t, faults)
+		assert.Nil(t, se.Fleet)
+	})
+	// Guards against a written document that differs from the one read.
+	t.Run("encode and decode", func(t *testing.T) {
+		se := New()
+		se.Fleet = &citronstream.Fleet{Site: "x", Owners: []citronstream.Owner{{Name: "a"}}, Limits: citronstream.DefaultLimits()}
+		se.Process.Peers = []string{"127.0.0.1:1"}
+		raw, err := se.Encode()
+		require.NoError(t, err)
+		again, faults, _ := Decode(raw)
+		assert.Empty(t, faults)
+		assert.Equal(t, se, again)
+	})
+}
+
+func TestPeerToken(t *testing.T) {
+	read := func(name string) ([]byte, error) {
+		switch name {
+		case "good":
+			return []byte("s3cret\n"), nil
+		case "empty":
+			return []byte(" \n"), nil
+		case "long":
+			return []byte(strings.Repeat("x", maxSecretBytes+1)), nil
+		}
+		return nil, fs.ErrNotExist
+	}
+	env := func(name string) string { return map[string]string{"TOKEN": "s3cret"}[name] }
+	for _, to := range []Tokens{{PeerTokenFile: "good"}, {PeerTokenEnv: "TOKEN"}} {
+		se, err := to.PeerToken(read, env)
+		require.NoError(t, err)
+		assert.Equal(t, "s3cret", se.Reveal())
+		// Guards against a secret in a log line or a status page.
+		raw, err := json.Marshal(se)
+		require.NoError(t, err)
+		assert.NotContains(t, fmt.Sprintf("%v %+v %#v %s %q %x %s", se, se, se, se, se, se, raw), "s3cret")
+	}
+	// Guards against a fleet that runs without the peer token it was told to use.
+	for _, to := range []Tokens{{PeerTokenFile: "empty"}, {PeerTokenFile: "long"}, {PeerTokenFile: "none"}, {PeerTokenEnv: "NONE"}} {
+		_, err := to.PeerToken(read, env)
+		assert.ErrorContains(t, err, "Process.Tokens.PeerToken")
+	}
+}
