Upstream protocols and stand-ins, first version

Cause: the agent needs protocols that speak to upstreams with an exact verdict, and something to speak to.

--- /dev/null
+++ b/internal/standin/engine/command.go
@@ -0,0 +1,121 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+)
+
+// maxCommands bounds the commands kept; the oldest are dropped.
+const maxCommands = 4096
+
+// Loaded is what the engine knows of a loaded model.
+type Loaded struct {
+	Version  string
+	Adapters []string
+}
+
+// Command is a command as the engine received it.
+type Command struct {
+	Path     string   `json:"-"`
+	Model    string   `json:"model"`
+	Adapters []string `json:"adapters"`
+	Version  string   `json:"version"`
+	Role     string   `json:"role"`
+	Token    uint64   `json:"-"`
+	Refused  bool     `json:"-"` // its fencing token was stale
+}
+
+// Commands returns the commands received, in order.
+func (se *Server) Commands() []Command {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	return append([]Command(nil), se.commands...)
+}
+
+// Role returns the role that the engine was given last.
+func (se *Server) Role() string {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	return se.role
+}
+
+func (se *Server) listModels(w http.ResponseWriter, _ *http.Request) {
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	list := []model{}
+	for _, name := range se.Models() {
+		list = append(list, model{ID: name, Object: "model"})
+	}
+	reply(w, http.StatusOK, map[string]any{"object": "list", "data": list})
+}
+
+// command serves the commands. The fencing token stands in the header Fencing-Token.
+func (se *Server) command(w http.ResponseWriter, r *http.Request) {
+	cmd := Command{Path: r.URL.Path}
+	if err := json.NewDecoder(r.Body).Decode(&cmd); err != nil {
+		refuse(w, http.StatusBadRequest, "malformed command: "+err.Error())
+		return
+	}
+	token, err := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
+	if err != nil && se.fencing {
+		refuse(w, http.StatusBadRequest, "header Fencing-Token is missing or malformed")
+		return
+	}
+	cmd.Token = token
+	if !se.accept(cmd) {
+		refuse(w, http.StatusPreconditionFailed, "stale fencing token")
+		return
+	}
+	if cmd.Path == "/v1/load_model" && !se.holds(cmd) && se.Sleep(r.Context(), se.loadTime) != nil {
+		return
+	}
+	if !se.apply(cmd) {
+		refuse(w, http.StatusPreconditionFailed, "overtaken by a newer fencing token")
+		return
+	}
+	reply(w, http.StatusOK, map[string]bool{"ok": true})
+}
+
+// accept checks the token and keeps the command for the record.
+func (se *Server) accept(cmd Command) bool {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	cmd.Refused = se.fencing && cmd.Token < se.token
+	if len(se.commands) >= maxCommands {
+		se.commands = se.commands[1:]
+	}
+	se.commands = append(se.commands, cmd)
+	if !cmd.Refused {
+		se.token = max(se.token, cmd.Token)
+	}
+	return !cmd.Refused
+}
+
+// holds reports whether the model is loaded in this version.
+func (se *Server) holds(cmd Command) bool {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	held, ok := se.loaded[cmd.Model]
+	return ok && held.Version == cmd.Version
+}
+
+// apply carries a command out, unless a newer one came while it was loading.
+func (se *Server) apply(cmd Command) bool {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	if se.fencing && cmd.Token < se.token {
+		return false
+	}
+	switch cmd.Path {
+	case "/v1/load_model":
+		se.loaded[cmd.Model] = Loaded{Version: cmd.Version, Adapters: cmd.Adapters}
+	case "/v1/unload_model":
+		delete(se.loaded, cmd.Model)
+	case "/v1/role":
+		se.role = cmd.Role
+	}
+	return true
+}
--- /dev/null
+++ b/internal/upstream/jsonpost/jsonpost.go
@@ -0,0 +1,49 @@
+// Package jsonpost is the upstream protocol "jsonpost": a POST of the call's
+// JSON body to its path, answered by one JSON document of bounded size.
+package jsonpost
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/kernel/protocol"
+	"github.com/citronstream/citronstream/internal/upstream/exchange"
+)
+
+func init() { protocol.Register("jsonpost", New()) }
+
+// Protocol implements citronstream.Protocol.
+type Protocol struct {
+	cl *exchange.Client
+}
+
+// New returns the protocol with its own pool of connections.
+func New(opts ...exchange.Option) *Protocol { return &Protocol{cl: exchange.New(opts...)} }
+
+// Run implements citronstream.Protocol. It emits the whole document at once,
+// after it was found complete and valid. A document that is not valid JSON
+// gives a Fault with CodeUpstreamFailed and MayHaveRun.
+func (pr *Protocol) Run(ctx context.Context, address string, ca citronstream.Call, emit func([]byte) error) (citronstream.Result, error) {
+	rs := citronstream.Result{AttemptID: ca.AttemptID}
+	an, err := pr.cl.Send(ctx, exchange.Request{
+		Method: http.MethodPost, Address: address, Path: ca.Path, Body: ca.Body, Call: ca,
+		Header: http.Header{"Content-Type": {"application/json"}, "Accept": {"application/json"}},
+	})
+	if err != nil {
+		rs.Died = exchange.Died(err)
+		return rs, err
+	}
+	defer an.Close()
+	body, err := an.Whole(ctx)
+	rs.Status, rs.Usage.Busy = an.Status(), an.Busy()
+	if err != nil {
+		rs.Died = exchange.Died(err)
+		return rs, err
+	}
+	if !json.Valid(body) {
+		return rs, citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeUpstreamFailed, "answer is not a complete JSON document")
+	}
+	return rs, emit(body)
+}
--- /dev/null
+++ b/internal/upstream/plain/plain.go
@@ -0,0 +1,62 @@
+// Package plain is the upstream protocol "plain": one HTTP request with the
+// headers Idempotency-Key, Deadline and traceparent, answered by one body of
+// bounded size.
+package plain
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/kernel/protocol"
+	"github.com/citronstream/citronstream/internal/upstream/exchange"
+)
+
+func init() { protocol.Register("plain", New()) }
+
+// Protocol implements citronstream.Protocol.
+type Protocol struct {
+	cl *exchange.Client
+}
+
+// New returns the protocol with its own pool of connections.
+func New(opts ...exchange.Option) *Protocol { return &Protocol{cl: exchange.New(opts...)} }
+
+// Run implements citronstream.Protocol. The method is POST unless Call.Path
+// starts with another one, as in "GET /status". The Deadline header is the
+// remaining time in milliseconds. The whole answer is emitted at once, after
+// it was found complete; an answer without Content-Length and chunked
+// encoding can't be found complete and gives MayHaveRun.
+func (pr *Protocol) Run(ctx context.Context, address string, ca citronstream.Call, emit func([]byte) error) (citronstream.Result, error) {
+	rs := citronstream.Result{AttemptID: ca.AttemptID}
+	rq := exchange.Request{
+		Method: http.MethodPost, Address: address, Path: ca.Path, Body: ca.Body, Call: ca,
+		Header: http.Header{"Deadline": {exchange.Milliseconds(pr.cl.Left(ctx, ca))}},
+	}
+	if method, path, ok := strings.Cut(ca.Path, " "); ok {
+		rq.Method, rq.Path = method, path
+	}
+	if len(ca.Body) > 0 {
+		rq.Header.Set("Content-Type", "application/json")
+	}
+	if ca.Key != "" {
+		rq.Header.Set("Idempotency-Key", ca.Key)
+	}
+	an, err := pr.cl.Send(ctx, rq)
+	if err != nil {
+		rs.Died = exchange.Died(err)
+		return rs, err
+	}
+	defer an.Close()
+	body, err := an.Whole(ctx)
+	rs.Status, rs.Usage.Busy = an.Status(), an.Busy()
+	if err != nil {
+		rs.Died = exchange.Died(err)
+		return rs, err
+	}
+	if !an.Framed() {
+		return rs, citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeUpstreamFailed, "answer has neither a length nor chunked encoding")
+	}
+	return rs, emit(body)
+}
