--- a/internal/upstream/exchange/attempt.go
+++ b/internal/upstream/exchange/attempt.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http/httptrace"
 	"sync"
-	"sync/atomic"
 )
 
-var errRefused = errors.New("write refused: the attempt has ended or was sent before")
-
 // attempt follows one request through net/http and decides whether any byte
 // of it can have reached the upstream. net/http writes from a goroutine of
 // its own, which may still be about to write when RoundTrip has returned, and
@@ -27,6 +22,7 @@
 	replayed  bool // net/http tried to send the request again
 	reused    bool
 	answered  bool // the first byte of the answer came
+	ended     bool // the upstream's side ended the connection
 }
 
 // trace returns the hooks that tie the attempt to its connection.
@@ -58,12 +54,16 @@
 	at.conn = co
 }
 
+// beginWrite reports whether the attempt may write on co.
 func (at *attempt) beginWrite(co *conn) bool {
 	at.mu.Lock()
 	defer at.mu.Unlock()
 	if at.abandoned || at.conn != co {
 		return false
 	}
+	if at.reused && !at.wrote && peerClosed(co.Conn) {
+		return false
+	}
 	at.writing = true
 	return true
 }
@@ -84,25 +84,18 @@
 	return !at.wrote && !at.writing
 }
 
-func (at *attempt) state() (replayed, reused, answered bool) {
+// noteEnd notes that the upstream ended connection co.
+func (at *attempt) noteEnd(co *conn) {
 	at.mu.Lock()
 	defer at.mu.Unlock()
-	return at.replayed, at.reused, at.answered
+	at.ended = at.ended || at.conn == co
 }
 
-// conn reports its writes to the attempt that uses it.
-type conn struct {
-	net.Conn
-	attempt atomic.Pointer[attempt]
-}
+// marks are what is known of an attempt besides its verdict.
+type marks struct{ reused, answered, ended bool }
 
-// Write implements net.Conn.
-func (co *conn) Write(data []byte) (int, error) {
-	at := co.attempt.Load()
-	if at == nil || !at.beginWrite(co) {
-		return 0, errRefused
-	}
-	n, err := co.Conn.Write(data)
-	at.endWrite(n)
-	return n, err
+func (at *attempt) marks() marks {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	return marks{reused: at.reused, answered: at.answered, ended: at.ended || at.replayed}
 }
--- a/internal/upstream/exchange/client.go
+++ b/internal/upstream/exchange/client.go
@@ -105,8 +105,7 @@
 			return an, nil
 		}
 		fa := cl.fault(ctx, at, err)
-		_, reused, _ := at.state()
-		if fa.Verdict == citronstream.NotRun && reused && ctx.Err() == nil && sends < maxSends {
+		if fa.Verdict == citronstream.NotRun && at.marks().reused && ctx.Err() == nil && sends < maxSends {
 			cl.tr.CloseIdleConnections() // the others are probably closed as well
 			continue
 		}
@@ -154,10 +153,10 @@
 	if at.abandon() {
 		verdict = citronstream.NotRun
 	}
-	replayed, _, answered := at.state()
+	ma := at.marks()
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		if !answered {
+		if !ma.answered {
 			// The connection may have gone silent, and the idle ones with it.
 			cl.tr.CloseIdleConnections()
 		}
@@ -166,7 +165,7 @@
 		return citronstream.NewFault(verdict, citronstream.CodeCanceled, "call cancelled")
 	case verdict == citronstream.NotRun:
 		return citronstream.NewFault(verdict, citronstream.CodeUnavailable, "upstream not reached: %v", err)
-	case replayed || broken(err):
+	case ma.ended || broken(err):
 		return citronstream.NewFault(verdict, citronstream.CodeUpstreamDied, "connection broke before the answer was complete: %v", err)
 	}
 	return citronstream.NewFault(verdict, citronstream.CodeUpstreamFailed, "unusable answer: %v", err)
