--- a/internal/agent/server/death.go
+++ b/internal/agent/server/death.go
@@ -7,6 +7,7 @@
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/agent/attempts"
+	"github.com/citronstream/citronstream/internal/limit/poison"
 )
 
 // Times of looking after an upstream that doesn't answer.
@@ -30,22 +31,27 @@
 		return true
 	}
 	se.inc++
+	nth := se.inc
 	se.down = true
 	digests := make([]uint64, 0, len(se.running))
 	for _, at := range se.running {
 		digests = append(digests, at.Call.Digest)
 	}
 	se.mu.Unlock()
-	se.died(digests)
+	se.died(nth, digests)
 	return true
 }
 
-func (se *Server) died(digests []uint64) {
+func (se *Server) died(nth uint64, digests []uint64) {
 	se.counts.Deaths.Add(1)
 	se.log.Info("upstream died", "upstream", se.up.Name, "running", len(digests))
 	se.event(citronstream.Event{Kind: "UpstreamDied", Upstream: se.up.Name})
 	if se.holds != nil && len(digests) > 0 {
-		se.broadcast(citronstream.MethodPoison, se.holds.Died(se.up.Name, digests))
+		report := poison.Report{
+			ID: poison.DeathID(se.up.Name, se.epoch(), nth), Upstream: se.up.Name, At: se.clk.Now(), Running: digests,
+		}
+		report.Held = se.holds.Merge(report)
+		se.broadcast(citronstream.MethodPoison, report)
 	}
 	se.broadcast(citronstream.MethodLoad, se.Load())
 	se.runs.Add(1)
--- a/internal/agent/server/options.go
+++ b/internal/agent/server/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/go-logr/logr"
 )
@@ -13,7 +14,7 @@
 func WithOnce(on Once) Option { return func(se *Server) { se.once = on } }
 
 // WithHolds sets the table of contents that killed upstreams.
-func WithHolds(ho Holds) Option { return func(se *Server) { se.holds = ho } }
+func WithHolds(ho *poison.Holds) Option { return func(se *Server) { se.holds = ho } }
 
 // WithMeter sets what counts consumption.
 func WithMeter(me Meter) Option { return func(se *Server) { se.meter = me } }
--- a/internal/agent/server/peer.go
+++ b/internal/agent/server/peer.go
@@ -6,6 +6,7 @@
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/agent/attempts"
+	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/peer/link"
 )
 
@@ -52,10 +53,9 @@
 	case citronstream.MethodCancel:
 		pe.cancel(re)
 	case citronstream.MethodPoison:
-		if pe.se.holds != nil {
-			if err := pe.se.holds.Merge(re.Params); err != nil {
-				pe.se.log.V(1).Info("poison report refused", "error", err.Error())
-			}
+		var report poison.Report
+		if pe.se.holds != nil && re.Decode(&report) == nil {
+			pe.se.holds.Merge(report)
 		}
 	default:
 		if !pe.se.extra(li, re) {
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/agent/attempts"
+	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
 	"github.com/go-logr/logr"
@@ -28,17 +29,6 @@
 	Do(ctx context.Context, ca citronstream.Call, run func(ctx context.Context) ([]byte, citronstream.Result)) ([]byte, citronstream.Result)
 }
 
-// Holds knows the contents that killed upstreams.
-type Holds interface {
-	Held(digest uint64) (time.Time, bool)
-	Suspect(digest uint64) bool
-	// Died notes the contents that ran when the upstream died and returns the report for other processes.
-	Died(upstream string, running []uint64) any
-	Finished(digest uint64)
-	// Merge takes the report of another process.
-	Merge(report []byte) error
-}
-
 // Meter counts what calls consumed.
 type Meter interface {
 	Count(ca *citronstream.Call, re *citronstream.Result)
@@ -53,7 +43,7 @@
 	protocol citronstream.Protocol
 	queue    citronstream.Discipline
 	once     Once
-	holds    Holds
+	holds    *poison.Holds
 	meter    Meter
 	rec      citronstream.Recorder
 	token    string
--- a/internal/entry/agents/agents.go
+++ b/internal/entry/agents/agents.go
@@ -203,6 +203,17 @@
 	}
 }
 
+// Missing returns the number of agents without an open link.
+func (po *Pool) Missing() int {
+	missing := 0
+	for _, ag := range *po.byName.Load() {
+		if ag.dial.Link() == nil {
+			missing++
+		}
+	}
+	return missing
+}
+
 // Link returns the open link to an upstream's agent, or nil.
 func (po *Pool) Link(upstream string) *link.Link {
 	ag, ok := (*po.byName.Load())[upstream]
--- a/internal/entry/pipeline/pipeline.go
+++ b/internal/entry/pipeline/pipeline.go
@@ -32,8 +32,8 @@
 
 // Times estimates how long stages take.
 type Times interface {
-	// Estimate returns the expected time of a call.
-	Estimate(service string, cost float64) time.Duration
+	// P50 returns the median time of a call.
+	P50(service string, cost float64) time.Duration
 	Observe(service string, cost float64, took time.Duration)
 }
 
--- a/internal/entry/pipeline/stages.go
+++ b/internal/entry/pipeline/stages.go
@@ -32,7 +32,7 @@
 		st := &ex.pi.Stages[i]
 		ex.rest[i] = ex.rest[i+1]
 		if ex.ru.times != nil {
-			ex.rest[i] += ex.ru.times.Estimate(st.Service, cost(ex.ca.Call(st.Service, st.Call)))
+			ex.rest[i] += ex.ru.times.P50(st.Service, cost(ex.ca.Call(st.Service, st.Call)))
 		}
 	}
 }
--- /dev/null
+++ b/internal/entry/server/server.go
@@ -0,0 +1,144 @@
+// Package server is the entry: the HTTP/1.1 server for callers.
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/entry/catalog"
+	"github.com/citronstream/citronstream/internal/entry/pipeline"
+	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// Limits that don't depend on the configuration.
+const (
+	// maxUnsent is the most bytes that wait for a slow caller.
+	maxUnsent = 1 << 20
+	// maxIdentifier is the longest idempotency key or name that a caller may send, in bytes.
+	maxIdentifier = 255
+	drainPoll     = 10 * time.Millisecond
+)
+
+// Counts are the counters of a Server.
+type Counts struct {
+	Accepted, Completed, NotRun, MayHaveRun, Ran, Disconnected, SlowReaders, Limited atomic.Uint64
+}
+
+// Server serves callers.
+type Server struct {
+	clk     citronstream.Clock
+	address string
+	runner  *pipeline.Runner
+	current func() *catalog.Catalog
+	ready   func() error
+	done    func(rq *pipeline.Request, took time.Duration, out *pipeline.Outcome)
+	limits  citronstream.Limits
+	counts  Counts
+
+	eng      *nbhttp.Engine
+	ctx      context.Context
+	cancel   context.CancelFunc
+	inFlight atomic.Int64
+	leaving  atomic.Bool
+	callers  sync.Map // remote address to context.CancelFunc
+	shares   shares
+}
+
+// Option changes a Server.
+type Option func(*Server)
+
+// WithReady sets what says why the entry can't serve yet.
+func WithReady(ready func() error) Option { return func(se *Server) { se.ready = ready } }
+
+// WithDone sets what is told of each request's end.
+func WithDone(done func(rq *pipeline.Request, took time.Duration, out *pipeline.Outcome)) Option {
+	return func(se *Server) { se.done = done }
+}
+
+// New returns a server on an address. Current gives the configuration in force, nil before there is one.
+func New(clk citronstream.Clock, address string, runner *pipeline.Runner, current func() *catalog.Catalog,
+	limits citronstream.Limits, opts ...Option,
+) *Server {
+	logging.SetLevel(logging.LevelNone)
+	se := &Server{
+		clk: clk, address: address, runner: runner, current: current, limits: limits,
+		ready: func() error { return nil },
+		done:  func(*pipeline.Request, time.Duration, *pipeline.Outcome) {},
+	}
+	for _, opt := range opts {
+		opt(se)
+	}
+	return se
+}
+
+// Start listens for callers.
+func (se *Server) Start(ctx context.Context) error {
+	se.ctx, se.cancel = context.WithCancel(ctx)
+	se.eng = nbhttp.NewEngine(nbhttp.Config{
+		Network: "tcp", Addrs: []string{se.address}, NPoller: 2, NListener: 1,
+		MaxLoad:         se.limits.MaxConnections,
+		ReadLimit:       se.limits.MaxHeaderBytes + se.limits.MaxBodyBytes,
+		MaxHTTPBodySize: se.limits.MaxBodyBytes, MaxWriteBufferSize: maxUnsent,
+		MessageHandlerPoolSize: se.limits.MaxConcurrent + 64,
+		KeepaliveTime:          se.limits.IdleTimeout.Std(),
+		Handler:                se.routes(),
+	})
+	se.eng.OnClose(func(nc net.Conn, _ error) {
+		if cancel, ok := se.callers.Load(nc.RemoteAddr().String()); ok {
+			cancel.(context.CancelFunc)()
+		}
+	})
+	if err := se.eng.Start(); err != nil {
+		se.cancel()
+		return merry.Prependf(err, "entry at %s", se.address)
+	}
+	return nil
+}
+
+// Drain refuses new requests and waits until the ones in flight have ended or ctx ends.
+func (se *Server) Drain(ctx context.Context) error {
+	se.leaving.Store(true)
+	for se.inFlight.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-se.clk.After(drainPoll):
+		}
+	}
+	return nil
+}
+
+// Stop closes the server at once, as a crash would.
+func (se *Server) Stop() {
+	se.leaving.Store(true)
+	se.cancel()
+	se.eng.Stop()
+}
+
+// Counts returns the counters.
+func (se *Server) Counts() *Counts { return &se.counts }
+
+// InFlight returns the number of requests in flight.
+func (se *Server) InFlight() int { return int(se.inFlight.Load()) }
+
+func (se *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/pipelines/{name}", func(wr http.ResponseWriter, rq *http.Request) {
+		se.serve(wr, rq, se.pipeline)
+	})
+	mux.HandleFunc("POST /v1/services/{service}/{call}", func(wr http.ResponseWriter, rq *http.Request) {
+		se.serve(wr, rq, se.service)
+	})
+	mux.HandleFunc("GET /healthz", func(wr http.ResponseWriter, _ *http.Request) { wr.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("/", func(wr http.ResponseWriter, rq *http.Request) {
+		problem(wr, "", citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "no resource %s %s", rq.Method, clip(rq.URL.Path)))
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/entry/server/stream.go
@@ -0,0 +1,141 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/entry/pipeline"
+	"github.com/citronstream/citronstream/internal/entry/stagebody"
+)
+
+const objectName = "text_completion"
+
+// completion is an answer, or a part of a streamed one, in the shape that
+// model servers commonly speak.
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index  int    `json:"index"`
+	Text   string `json:"text"`
+	Finish string `json:"finish_reason,omitempty"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+func usageOf(us citronstream.Usage) *usage {
+	return &usage{PromptTokens: us.TokensIn, CompletionTokens: us.TokensOut, TotalTokens: us.TokensIn + us.TokensOut}
+}
+
+// stream runs a pipeline and passes the last stage's answer on as
+// server-sent events. A caller that reads too slowly is cut off.
+func (se *Server) stream(ctx context.Context, wr http.ResponseWriter, cl *caller, name string, bu *stagebody.Builder) pipeline.Outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	parts := make(chan []byte, unsentChunks)
+	ended := make(chan pipeline.Outcome, 1)
+	go func() {
+		ended <- se.runner.Pipeline(ctx, cl.ca, name, cl.Request, bu, func(part []byte) {
+			select {
+			case parts <- part:
+			default:
+				se.counts.SlowReaders.Add(1)
+				cancel()
+			}
+		})
+	}()
+	sw := &eventWriter{wr: wr, id: cl.ID}
+	for {
+		select {
+		case part := <-parts:
+			sw.text(part, parts)
+		case out := <-ended:
+			sw.rest(parts)
+			sw.end(out)
+			return out
+		}
+	}
+}
+
+// eventWriter writes server-sent events. The status goes out with the first event.
+type eventWriter struct {
+	wr      http.ResponseWriter
+	id      string
+	started bool
+	buf     []byte
+}
+
+func (ew *eventWriter) begin() {
+	if ew.started {
+		return
+	}
+	ew.started = true
+	ew.wr.Header().Set("Content-Type", "text/event-stream")
+	ew.wr.Header().Set("Cache-Control", "no-store")
+	ew.wr.WriteHeader(http.StatusOK)
+}
+
+// text writes a part and whatever else is waiting, and flushes once.
+func (ew *eventWriter) text(part []byte, more <-chan []byte) {
+	ew.begin()
+	ew.add(part)
+	for range len(more) {
+		ew.add(<-more)
+	}
+	ew.flush()
+}
+
+func (ew *eventWriter) rest(more <-chan []byte) {
+	if len(more) > 0 {
+		ew.text(<-more, more)
+	}
+}
+
+func (ew *eventWriter) add(part []byte) {
+	ew.event("", completion{ID: ew.id, Object: objectName, Choices: []choice{{Text: string(part)}}})
+}
+
+func (ew *eventWriter) event(name string, value any) {
+	data, _ := json.Marshal(value) // plain fields always marshal
+	if name != "" {
+		ew.buf = append(append(append(ew.buf, "event: "...), name...), '\n')
+	}
+	ew.buf = append(append(append(ew.buf, "data: "...), data...), "\n\n"...)
+}
+
+func (ew *eventWriter) flush() {
+	_, _ = ew.wr.Write(ew.buf)
+	ew.buf = ew.buf[:0]
+	if fl, ok := ew.wr.(http.Flusher); ok {
+		fl.Flush()
+	}
+}
+
+// end writes the last events. A request that failed before its first part is
+// answered with a problem document; one that failed later with an error
+// event, and without the mark of a complete answer.
+func (ew *eventWriter) end(out pipeline.Outcome) {
+	if out.Fault != nil && !ew.started {
+		problem(ew.wr, ew.id, out.Fault)
+		return
+	}
+	ew.begin()
+	if out.Fault != nil {
+		ew.event("error", describe(ew.id, out.Fault))
+		ew.flush()
+		return
+	}
+	ew.event("", completion{ID: ew.id, Object: objectName, Choices: []choice{{Finish: "stop"}}, Usage: usageOf(out.Usage)})
+	ew.buf = append(ew.buf, "data: [DONE]\n\n"...)
+	ew.flush()
+}
--- /dev/null
+++ b/internal/process/entry/entry.go
@@ -0,0 +1,226 @@
+// Package entry puts the parts of an entry process together.
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/entry/agents"
+	"github.com/citronstream/citronstream/internal/entry/catalog"
+	"github.com/citronstream/citronstream/internal/entry/pipeline"
+	"github.com/citronstream/citronstream/internal/entry/server"
+	"github.com/citronstream/citronstream/internal/kernel/policy"
+	"github.com/citronstream/citronstream/internal/limit/poison"
+	"github.com/citronstream/citronstream/internal/limit/retrybudget"
+	"github.com/citronstream/citronstream/internal/limit/stagetime"
+	"github.com/citronstream/citronstream/internal/observe/timeline"
+	"github.com/citronstream/citronstream/internal/peer/link"
+	"github.com/citronstream/citronstream/internal/peer/nbconn"
+	"github.com/citronstream/citronstream/internal/route/outlier"
+	"github.com/citronstream/citronstream/internal/route/table"
+	"github.com/go-logr/logr"
+
+	// The routing policies that settings can name.
+	_ "github.com/citronstream/citronstream/internal/route/leastreport"
+	_ "github.com/citronstream/citronstream/internal/route/nearest"
+	_ "github.com/citronstream/citronstream/internal/route/roundrobin"
+)
+
+// judgeEvery is how often outliers are looked for.
+const judgeEvery = 500 * time.Millisecond
+
+// Settings is what an entry is told at its start.
+type Settings struct {
+	Name  string
+	Zone  string
+	Seed  uint64
+	Token string // shared secret of the peers
+}
+
+// Entry is one entry process.
+type Entry struct {
+	Agents   *agents.Pool
+	Server   *server.Server
+	Runner   *pipeline.Runner
+	Routes   *table.Table
+	Holds    *poison.Holds
+	Timeline *timeline.Ring
+
+	set      Settings
+	clk      citronstream.Clock
+	log      logr.Logger
+	boot     string
+	started  time.Time
+	outliers *outlier.Detector
+	current  atomic.Pointer[state]
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+// state is what changes with the configuration.
+type state struct {
+	catalog *catalog.Catalog
+	pickers map[string]citronstream.Picker
+}
+
+// New returns an entry with its first configuration.
+func New(ctx context.Context, clk citronstream.Clock, eng *nbconn.Engine, set Settings, address string, fl *citronstream.Fleet, log logr.Logger) (*Entry, error) {
+	en := &Entry{
+		set: set, clk: clk, log: log, boot: citronstream.NewID(), started: clk.Now(), done: make(chan struct{}),
+		Routes: table.New(clk), Holds: poison.New(clk, fl.Limits), Timeline: timeline.New(clk, timeline.WithProcess(set.Name)),
+	}
+	en.ctx, en.cancel = context.WithCancel(ctx)
+	en.outliers = outlier.New(clk, en.Routes)
+	budget := retrybudget.New(clk, fl.Limits)
+	en.Agents = agents.New(en.ctx, clk, eng, en.Routes, en.hello,
+		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline))
+	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, budget,
+		pipeline.WithTimes(stagetime.New(clk)), pipeline.WithHolds(en.Holds),
+		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version))
+	en.Server = server.New(clk, address, en.Runner, en.Catalog, fl.Limits)
+	return en, en.Apply(fl)
+}
+
+// Apply puts a configuration in force. An older one than that in force is ignored.
+func (en *Entry) Apply(fl *citronstream.Fleet) error {
+	if !en.Routes.Replace(fl) {
+		return nil
+	}
+	next := &state{catalog: catalog.New(fl), pickers: make(map[string]citronstream.Picker, len(fl.Services))}
+	for i := range fl.Services {
+		se := &fl.Services[i]
+		picker, err := policy.New(se.Policy, policy.Deps{Table: en.Routes, Clock: en.clk, Seed: en.set.Seed, Outliers: en.outliers})
+		if err != nil {
+			return err
+		}
+		next.pickers[se.Name] = picker
+	}
+	en.current.Store(next)
+	en.Agents.Replace(en.near(fl))
+	return nil
+}
+
+// near returns the upstreams that this entry connects to: those of its own
+// region, and those of services that its region lacks.
+func (en *Entry) near(fl *citronstream.Fleet) []citronstream.Upstream {
+	region := make(map[string]string)
+	for _, re := range fl.Regions {
+		for _, zo := range re.Zones {
+			region[zo.Name] = re.Name
+		}
+	}
+	zone := make(map[string]string, len(fl.Instances))
+	for _, in := range fl.Instances {
+		zone[in.Name] = in.Zone
+	}
+	home := region[en.set.Zone]
+	served := make(map[string]bool)
+	for _, up := range fl.Upstreams {
+		if region[zone[up.Instance]] == home {
+			served[up.Service] = true
+		}
+	}
+	var near []citronstream.Upstream
+	for _, up := range fl.Upstreams {
+		if region[zone[up.Instance]] == home || !served[up.Service] {
+			near = append(near, up)
+		}
+	}
+	return near
+}
+
+// Start serves callers.
+func (en *Entry) Start() error {
+	if err := en.Server.Start(en.ctx); err != nil {
+		return err
+	}
+	go en.judge()
+	return nil
+}
+
+// Shutdown refuses new requests, ends those in flight, and stops.
+func (en *Entry) Shutdown(ctx context.Context) error {
+	err := en.Server.Drain(ctx)
+	en.Stop()
+	return err
+}
+
+// Stop ends the entry at once, as a crash would.
+func (en *Entry) Stop() {
+	en.Server.Stop()
+	en.cancel()
+	en.Agents.Close()
+	<-en.done
+}
+
+// Catalog returns the configuration in force.
+func (en *Entry) Catalog() *catalog.Catalog {
+	if st := en.current.Load(); st != nil {
+		return st.catalog
+	}
+	return nil
+}
+
+// Version returns the version in force.
+func (en *Entry) Version() uint64 {
+	if ca := en.Catalog(); ca != nil {
+		return ca.Fleet.Version
+	}
+	return 0
+}
+
+func (en *Entry) picker(service string) citronstream.Picker {
+	if st := en.current.Load(); st != nil {
+		return st.pickers[service]
+	}
+	return nil
+}
+
+func (en *Entry) hello() citronstream.Hello {
+	return citronstream.Hello{
+		Name: en.set.Name, Role: "entry", Zone: en.set.Zone, Boot: en.boot, Started: en.started,
+		Token: en.set.Token, Version: en.Version(), Clock: en.Timeline.Now(),
+	}
+}
+
+// handle takes the messages of agents that the pool does not know.
+func (en *Entry) handle(li *link.Link, re *link.Request) {
+	switch re.Method {
+	case citronstream.MethodPoison:
+		en.poison(li, re)
+	default:
+		re.ReplyError(citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "unknown method %q", re.Method))
+	}
+}
+
+// poison takes an agent's report and passes it on to the other agents.
+func (en *Entry) poison(from *link.Link, re *link.Request) {
+	var report poison.Report
+	if re.Decode(&report) != nil {
+		return
+	}
+	en.Holds.Merge(report)
+	en.Agents.Links(func(_ string, li *link.Link) {
+		if li != from {
+			_ = li.Notify(citronstream.MethodPoison, report)
+		}
+	})
+}
+
+// judge looks for outliers until the entry ends.
+func (en *Entry) judge() {
+	defer close(en.done)
+	ticker := en.clk.NewTicker(judgeEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-en.ctx.Done():
+			return
+		case <-ticker.Chan():
+			en.outliers.Judge()
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/local/local.go
@@ -0,0 +1,245 @@
+// Package local runs a whole fleet in one process: stand-ins for the platform
+// and the upstreams, an agent for each upstream, and the entries. They talk
+// over real loopback sockets.
+package local
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/peer/nbconn"
+	"github.com/citronstream/citronstream/internal/process/agent"
+	"github.com/citronstream/citronstream/internal/process/entry"
+	"github.com/citronstream/citronstream/internal/standin/engine"
+	"github.com/citronstream/citronstream/internal/standin/pool"
+	"github.com/citronstream/citronstream/internal/standin/record"
+	"github.com/citronstream/citronstream/internal/standin/service"
+	"github.com/go-logr/logr"
+)
+
+// readyPoll is how often the links are counted at the start.
+const readyPoll = 10 * time.Millisecond
+
+// Upstream is the stand-in for one upstream, with its fault switches.
+type Upstream interface {
+	Start(ctx context.Context, address string) error
+	Done() <-chan struct{}
+	Kill()
+	Restart() error
+	Running() bool
+	Pause(on bool)
+	Slow(factor float64)
+	Fail(rate float64)
+	Silent()
+}
+
+// Fleet is the running fleet.
+type Fleet struct {
+	Config *citronstream.Fleet
+	Record *record.Log
+
+	clk   citronstream.Clock
+	log   logr.Logger
+	scale float64
+	seed  uint64
+	token string
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	eng    *nbconn.Engine
+
+	mu        sync.Mutex
+	upstreams map[string]Upstream
+	agents    map[string]*agent.Agent
+	entries   map[string]*entry.Entry
+}
+
+// Option changes a Fleet.
+type Option func(*Fleet)
+
+// WithScale divides the stand-ins' service times.
+func WithScale(scale float64) Option { return func(fl *Fleet) { fl.scale = scale } }
+
+// WithSeed seeds the random choices of the fleet.
+func WithSeed(seed uint64) Option { return func(fl *Fleet) { fl.seed = seed } }
+
+// WithLog sets the logger of all processes.
+func WithLog(log logr.Logger) Option { return func(fl *Fleet) { fl.log = log } }
+
+// New starts the fleet of a configuration. Stop ends it.
+func New(ctx context.Context, clk citronstream.Clock, config *citronstream.Fleet, opts ...Option) (*Fleet, error) {
+	fl := &Fleet{
+		Config: config, Record: record.New(clk), clk: clk, log: logr.Discard(), scale: 1, seed: 1,
+		upstreams: make(map[string]Upstream), agents: make(map[string]*agent.Agent), entries: make(map[string]*entry.Entry),
+	}
+	for _, opt := range opts {
+		opt(fl)
+	}
+	fl.ctx, fl.cancel = context.WithCancel(ctx)
+	var err error
+	if fl.eng, err = nbconn.New(nbconn.WithPollers(2)); err != nil {
+		return nil, err
+	}
+	if err := fl.start(); err != nil {
+		fl.Stop()
+		return nil, err
+	}
+	return fl, nil
+}
+
+func (fl *Fleet) start() error {
+	for _, up := range fl.Config.Upstreams {
+		if err := fl.startUpstream(up); err != nil {
+			return fmt.Errorf("stand-in %s: %w", up.Name, err)
+		}
+		if err := fl.StartAgent(up.Name); err != nil {
+			return err
+		}
+	}
+	for _, en := range fl.Config.Entries {
+		if err := fl.StartEntry(en.Name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startUpstream starts the stand-in that fits the kind of the service.
+func (fl *Fleet) startUpstream(up citronstream.Upstream) error {
+	var se *citronstream.Service
+	for i := range fl.Config.Services {
+		if fl.Config.Services[i].Name == up.Service {
+			se = &fl.Config.Services[i]
+		}
+	}
+	if se == nil {
+		return fmt.Errorf("no service %q", up.Service)
+	}
+	var st Upstream
+	switch se.Kind {
+	case citronstream.KindEngine:
+		opts := []engine.Option{engine.WithCapacity(up.Capacity), engine.WithScale(fl.scale), engine.WithSeed(fl.seed), engine.WithModels(up.Models...)}
+		if se.ChecksFencing {
+			opts = append(opts, engine.WithFencing())
+		}
+		st = engine.New(fl.clk, up.Name, fl.Record, opts...)
+	case citronstream.KindPlain:
+		opts := []service.Option{service.WithCapacity(up.Capacity), service.WithScale(fl.scale), service.WithSeed(fl.seed)}
+		if se.ReportsLoad {
+			opts = append(opts, service.WithLoadReport())
+		}
+		st = service.New(fl.clk, up.Name, fl.Record, opts...)
+	default:
+		st = pool.New(fl.clk, up.Name, se.Kind, fl.Record,
+			pool.WithCapacity(up.Capacity), pool.WithScale(fl.scale), pool.WithSeed(fl.seed))
+	}
+	if err := st.Start(fl.ctx, up.Address); err != nil {
+		return err
+	}
+	fl.upstreams[up.Name] = st
+	return nil
+}
+
+// StartAgent starts the agent of an upstream, also after it was stopped.
+func (fl *Fleet) StartAgent(name string) error {
+	ag, err := agent.New(fl.clk, fl.eng, agent.Settings{Upstream: name, Token: fl.token}, fl.Config, fl.log)
+	if err != nil {
+		return err
+	}
+	if err := ag.Start(fl.ctx); err != nil {
+		return err
+	}
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.agents[name] = ag
+	return nil
+}
+
+// StartEntry starts an entry, also after it was stopped.
+func (fl *Fleet) StartEntry(name string) error {
+	for _, en := range fl.Config.Entries {
+		if en.Name != name {
+			continue
+		}
+		pr, err := entry.New(fl.ctx, fl.clk, fl.eng,
+			entry.Settings{Name: name, Zone: fl.zone(en.Instance), Seed: fl.seed, Token: fl.token}, en.Address, fl.Config, fl.log)
+		if err != nil {
+			return err
+		}
+		if err := pr.Start(); err != nil {
+			return err
+		}
+		fl.mu.Lock()
+		fl.entries[name] = pr
+		fl.mu.Unlock()
+		return nil
+	}
+	return fmt.Errorf("no entry %q", name)
+}
+
+func (fl *Fleet) zone(instance string) string {
+	for _, in := range fl.Config.Instances {
+		if in.Name == instance {
+			return in.Zone
+		}
+	}
+	return ""
+}
+
+// Upstream returns the stand-in of an upstream.
+func (fl *Fleet) Upstream(name string) Upstream { return fl.upstreams[name] }
+
+// Agent returns the agent of an upstream.
+func (fl *Fleet) Agent(name string) *agent.Agent {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.agents[name]
+}
+
+// Entry returns an entry.
+func (fl *Fleet) Entry(name string) *entry.Entry {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.entries[name]
+}
+
+// Stop ends the fleet: entries first, so that no call is cut.
+func (fl *Fleet) Stop() {
+	fl.mu.Lock()
+	entries, agents := fl.entries, fl.agents
+	fl.entries, fl.agents = map[string]*entry.Entry{}, map[string]*agent.Agent{}
+	fl.mu.Unlock()
+	for _, en := range entries {
+		en.Stop()
+	}
+	for _, ag := range agents {
+		ag.Server.Stop()
+	}
+	fl.cancel()
+	for _, up := range fl.upstreams {
+		<-up.Done()
+	}
+	fl.eng.Stop()
+}
+
+// Ready waits until every entry has a link to each upstream it connects to.
+func (fl *Fleet) Ready(ctx context.Context) error {
+	for {
+		missing := 0
+		for _, en := range fl.entries {
+			missing += en.Agents.Missing()
+		}
+		if missing == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.New("the fleet did not become ready")
+		case <-fl.clk.After(readyPoll):
+		}
+	}
+}
