Simulation of queueing, retry and routing policies

Cause: policy changes need figures under flood, burst, slow stage and lost zone before they reach a fleet. Change: proof/policy drives the real fairqueue, retrybudget, stagetime and Picker plug-ins against fake upstreams on a fake clock, beside two baselines, at both sites' sizes.

--- /dev/null
+++ b/internal/proof/policy/agent.go
@@ -0,0 +1,153 @@
+package policy
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/kernel/discipline"
+)
+
+// call is an attempt of a request at one stage.
+type call struct {
+	re     *request
+	en     *entry
+	to     *agent
+	number int
+	tier   Tier
+	cost   float64 // true cost
+	it     citronstream.Item
+	sent   time.Time
+	pushed time.Time
+	began  time.Time // zero until it runs
+	ended  bool      // at the agent
+	over   bool      // at the entry
+}
+
+// agent is an upstream with its queue.
+type agent struct {
+	sim     *run
+	name    string
+	zone    int
+	tier    Tier
+	queue   citronstream.Discipline
+	running int
+	cost    float64        // estimated, of what runs
+	open    map[*call]bool // sent by entries and not answered
+	silent  bool
+	random  *rand.Rand
+	seq     int
+}
+
+func (ru *run) newAgent(ti Tier, index int) *agent {
+	name := ti.Service + "-" + strconv.Itoa(index)
+	return &agent{
+		sim: ru, name: name, zone: index % ru.site.Zones, tier: ti, open: make(map[*call]bool),
+		queue:  ru.newQueue(ti),
+		random: ru.random("agent " + name),
+	}
+}
+
+func (ru *run) newQueue(ti Tier) citronstream.Discipline {
+	return ru.policy.Discipline(discipline.Settings{Clock: ru.clk, Fleet: ru.fleet, Capacity: ti.Capacity, Rate: ti.rate()})
+}
+
+func (ag *agent) receive(ca *call) {
+	if ag.silent || ca.over {
+		return
+	}
+	ag.seq++
+	ca.it.ID = strconv.Itoa(ag.seq)
+	ca.it.Value = ca
+	ca.pushed = ag.sim.clk.Now()
+	displaced, err := ag.queue.Push(ca.it)
+	if err != nil {
+		ag.answer(ca, err)
+	}
+	ag.reject(displaced, citronstream.CodeOverloaded)
+	ag.sim.out.LongestQueue = max(ag.sim.out.LongestQueue, ag.queue.Len())
+	ag.dispatch()
+}
+
+func (ag *agent) reject(items []citronstream.Item, code citronstream.Code) {
+	for _, it := range items {
+		ag.answer(it.Value.(*call), citronstream.NewFault(citronstream.NotRun, code, "dropped from the queue"))
+	}
+}
+
+func (ag *agent) dispatch() {
+	for ag.running < ag.tier.Capacity && !ag.silent {
+		it, dropped, ok := ag.queue.Pop()
+		ag.reject(dropped, citronstream.CodeDeadline)
+		if !ok {
+			return
+		}
+		ca := it.Value.(*call)
+		ca.began = ag.sim.clk.Now()
+		ag.running++
+		ag.cost += it.Cost
+		took := duration(ca.cost * ag.tier.Unit.Seconds() * (0.8 + 0.4*ag.random.Float64()) * ag.sim.slowness(ag.tier.Service))
+		ag.sim.after(took, func() {
+			if !ca.ended && !ag.silent {
+				ag.finish(ca, ca.cost)
+				ag.answer(ca, nil)
+				ag.dispatch()
+			}
+		})
+	}
+}
+
+// finish frees the place of a call that ran for the given cost.
+func (ag *agent) finish(ca *call, cost float64) {
+	ca.ended = true
+	ag.running--
+	ag.cost -= ca.it.Cost
+	ag.queue.Done(ca.it, cost, ag.sim.clk.Now().Sub(ca.began))
+	ag.sim.served(ca, cost)
+}
+
+// withdraw ends a call that its entry no longer wants. Running calls that
+// are not idempotent go on to their end.
+func (ag *agent) withdraw(ca *call) {
+	if ca.ended || ag.silent || ca.pushed.IsZero() {
+		return
+	}
+	if ca.began.IsZero() {
+		ag.queue.Remove(ca.it.ID)
+		ca.ended = true
+		return
+	}
+	if ag.tier.Idempotent {
+		ran := ag.sim.clk.Now().Sub(ca.began).Seconds()
+		ag.finish(ca, min(ca.cost, ran/ag.tier.Unit.Seconds()))
+		ag.dispatch()
+	}
+}
+
+func (ag *agent) answer(ca *call, err error) {
+	ca.ended = true
+	ag.sim.after(ag.sim.delay(ca.en.zone, ag.zone), func() { ca.en.answered(ca, err) })
+}
+
+// lose makes the upstream silent, and returns the calls that are lost with it
+// in the order of their sending.
+func (ag *agent) lose() []*call {
+	ag.silent = true
+	ag.running, ag.cost = 0, 0
+	ag.queue = ag.sim.newQueue(ag.tier)
+	lost := slices.SortedFunc(maps.Keys(ag.open), func(a, b *call) int { return cmp.Compare(a.number, b.number) })
+	for _, ca := range lost {
+		ca.ended = true
+	}
+	return lost
+}
+
+func (ag *agent) load() citronstream.Load {
+	return citronstream.Load{
+		Upstream: ag.name, Running: ag.running, Waiting: ag.queue.Len(), Cost: ag.queue.Cost() + ag.cost, Capacity: ag.tier.Capacity,
+	}
+}
