--- a/internal/config/check/report.go
+++ b/internal/config/check/report.go
@@ -65,6 +65,9 @@
 // validName keeps names usable as parts of table row keys such as "Grant/<upstream>".
 var validName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
 
+// ValidName is true for a name that the checker accepts.
+func ValidName(name string) bool { return validName.MatchString(name) }
+
 // names checks the names of a list and returns their positions.
 func (ru *run) names(count int, at func(i int) place, name func(i int) string) map[string]int {
 	index := make(map[string]int, count)
--- a/internal/config/settings/encode.go
+++ b/internal/config/settings/encode.go
@@ -9,7 +9,8 @@
 )
 
 // Encode writes the document with one line for each element of the Fleet's
-// lists, so that text tools show a change of the inventory by element.
+// lists, so that text tools show a change of the inventory by element. A
+// Process or Platform that holds only the defaults is left out.
 func (se *Settings) Encode() ([]byte, error) {
 	var bb bytes.Buffer
 	bb.WriteString("{")
@@ -20,15 +21,16 @@
 		}
 		bb.WriteString("\n  }")
 	}
+	start := New()
 	for _, part := range []struct {
-		key   string
-		value any
-	}{{"Process", se.Process}, {"Platform", se.Platform}} {
+		key          string
+		value, start any
+	}{{"Process", se.Process, start.Process}, {"Platform", se.Platform, start.Platform}} {
 		raw, err := json.MarshalIndent(part.value, "  ", "  ")
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", part.key, err)
 		}
-		if reflect.ValueOf(part.value).IsZero() {
+		if reflect.ValueOf(part.value).IsZero() || reflect.DeepEqual(part.value, part.start) {
 			continue
 		}
 		separate(&bb)
