--- /dev/null
+++ b/internal/once/claim/row.go
@@ -0,0 +1,72 @@
+package claim
+
+import (
+	"net/url"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/google/uuid"
+)
+
+// States of a Row.
+const (
+	Claimed  = "Claimed"  // the call may run or have run
+	Done     = "Done"     // the call ran; the answer is recorded
+	Released = "Released" // the call is proved not to have run; the key is free
+)
+
+// Row is the row Once/<service>/<workspace>/<key>.
+type Row struct {
+	State    string    `json:"State"`
+	Upstream string    `json:"Upstream"`
+	Epoch    uint64    `json:"Epoch"`
+	OpID     string    `json:"OpID"`
+	Digest   uint64    `json:"Digest"`
+	At       time.Time `json:"At"`
+	Answer   *Answer   `json:"Answer,omitempty"`
+	Object   string    `json:"Object,omitempty"` // key of the answer in the object store
+}
+
+// Answer is what a call gave. Fault is set for a call that ran and failed.
+type Answer struct {
+	Status int                 `json:"Status"`
+	Body   []byte              `json:"Body,omitempty"`
+	Fault  *citronstream.Fault `json:"Fault,omitempty"`
+	// Replayed says that the answer is that of an earlier attempt.
+	Replayed bool `json:"Replayed,omitempty"`
+	// Unflushed says that the key has no row in the table yet.
+	Unflushed bool `json:"Unflushed,omitempty"`
+}
+
+// Request names a keyed call and its content.
+type Request struct {
+	Workspace string
+	Key       string
+	KeyGiven  bool // the caller chose the key and may have sent it before
+	Digest    uint64
+}
+
+// Flushed names a key that now has a row in the table.
+type Flushed struct {
+	Workspace string
+	Key       string
+	Epoch     uint64
+}
+
+// RowKey names the row of a key.
+func RowKey(service, workspace, key string) string {
+	return "Once/" + url.PathEscape(service) + "/" + url.PathEscape(workspace) + "/" + url.PathEscape(key)
+}
+
+// bornAfter reports whether a key is a UUIDv7 that was generated after t.
+func bornAfter(key string, t time.Time) bool {
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 {
+		return false
+	}
+	ms := int64(0)
+	for _, b := range id[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return time.UnixMilli(ms).After(t)
+}
--- /dev/null
+++ b/internal/once/grant/rows.go
@@ -0,0 +1,122 @@
+package grant
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// SlotCount is the number of slots into which a service's keys are hashed.
+const SlotCount = 64
+
+// States of a Record.
+const (
+	Open   = "Open"
+	Closed = "Closed"
+)
+
+// Record is the row Grant/<upstream>.
+type Record struct {
+	Epoch        uint64    `json:"Epoch"`
+	Service      string    `json:"Service"`
+	Address      string    `json:"Address"`
+	Instance     string    `json:"Instance"`
+	Until        time.Time `json:"Until"`
+	State        string    `json:"State"`
+	CheckpointAt time.Time `json:"CheckpointAt"` // last renewal at which nothing was unflushed
+	Token        uint64    `json:"Token"`        // highest fencing token sent to the engine
+	OpID         string    `json:"OpID"`
+}
+
+// EpochRow is the row Epoch/<upstream>. It changes only when the epoch does,
+// so that a condition on its version survives renewals of the grant.
+type EpochRow struct {
+	Epoch uint64 `json:"Epoch"`
+	OpID  string `json:"OpID"`
+}
+
+// Doubt is an interval in which a dead owner may have run keys that have no row.
+type Doubt struct {
+	Upstream string    `json:"Upstream"`
+	Epoch    uint64    `json:"Epoch"`
+	From     time.Time `json:"From"`
+	To       time.Time `json:"To"`
+}
+
+// Slot is one slot of a service. Used says that it has had an owner.
+type Slot struct {
+	Owner  string  `json:"Owner,omitempty"`
+	Epoch  uint64  `json:"Epoch,omitempty"`
+	Used   bool    `json:"Used,omitempty"`
+	Doubts []Doubt `json:"Doubts,omitempty"`
+}
+
+// Member is an upstream that takes part in the sharing of slots.
+type Member struct {
+	Epoch    uint64 `json:"Epoch"`
+	Address  string `json:"Address"`
+	Instance string `json:"Instance"`
+}
+
+// Slots is the row Slots/<service>.
+type Slots struct {
+	Slots   [SlotCount]Slot   `json:"Slots"`
+	Members map[string]Member `json:"Members"`
+	OpID    string            `json:"OpID"`
+}
+
+// SlotOf returns the slot of a key.
+func SlotOf(workspace, key string) int {
+	return int(xxhash.Sum64String(workspace+"\x00"+key) % SlotCount)
+}
+
+// GrantKey names the row of an upstream's grant.
+func GrantKey(upstream string) string { return "Grant/" + upstream }
+
+// EpochKey names the row of an upstream's epoch.
+func EpochKey(upstream string) string { return "Epoch/" + upstream }
+
+// SlotsKey names the row of a service's slots.
+func SlotsKey(service string) string { return "Slots/" + service }
+
+// pass moves all slots of an owner's epoch away from it. The first keep slots
+// go to the new owner, the others become unowned. All carry the doubt.
+func (sl *Slots) pass(from string, doubt Doubt, to string, epoch uint64, keep int) {
+	for i := range sl.Slots {
+		slot := &sl.Slots[i]
+		if slot.Owner != from || slot.Epoch > doubt.Epoch {
+			continue
+		}
+		slot.Doubts = append(slices.Clone(slot.Doubts), doubt)
+		slot.Owner, slot.Epoch = "", 0
+		if keep > 0 {
+			slot.Owner, slot.Epoch = to, epoch
+			keep--
+		}
+	}
+}
+
+func (sl *Slots) owned(owner string, epoch uint64) (mine []int) {
+	for i, slot := range sl.Slots {
+		if slot.Owner == owner && slot.Epoch == epoch {
+			mine = append(mine, i)
+		}
+	}
+	return mine
+}
+
+// share is the fair share of a member, in slots.
+func (sl *Slots) share() int {
+	live := max(1, len(sl.Members))
+	return (SlotCount + live - 1) / live
+}
+
+// prune drops doubts that are older than the retention of keys.
+func (sl *Slots) prune(now time.Time, retention time.Duration) {
+	for i := range sl.Slots {
+		sl.Slots[i].Doubts = slices.DeleteFunc(slices.Clone(sl.Slots[i].Doubts), func(do Doubt) bool {
+			return now.Sub(do.To) > retention
+		})
+	}
+}
