At-most-once calls in the running fleet

Change: agents of services with non-idempotent calls run a grant and claims, entries keep unflushed keys and answer Once.Settle, keys go to the owner of their slot.

--- a/internal/agent/server/death.go
+++ b/internal/agent/server/death.go
@@ -51,9 +51,9 @@
 			ID: poison.DeathID(se.up.Name, se.epoch(), nth), Upstream: se.up.Name, At: se.clk.Now(), Running: digests,
 		}
 		report.Held = se.holds.Merge(report)
-		se.broadcast(citronstream.MethodPoison, report)
+		se.Broadcast(citronstream.MethodPoison, report)
 	}
-	se.broadcast(citronstream.MethodLoad, se.Load())
+	se.Broadcast(citronstream.MethodLoad, se.Load())
 	se.runs.Add(1)
 	go se.await()
 }
@@ -76,7 +76,7 @@
 	se.mu.Unlock()
 	se.log.Info("upstream is back", "upstream", se.up.Name)
 	se.event(citronstream.Event{Kind: "UpstreamBack", Upstream: se.up.Name})
-	se.broadcast(citronstream.MethodLoad, se.Load())
+	se.Broadcast(citronstream.MethodLoad, se.Load())
 	se.kick()
 }
 
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,6 +69,7 @@
 	loadSeq uint64
 	rate    float64 // cost units a second at full use, decayed
 
+	told    []int // slots last announced; used by the loop only
 	wake    chan struct{}
 	runs    sync.WaitGroup
 	ln      net.Listener
@@ -127,19 +129,17 @@
 	se.leaving = true
 	se.mu.Unlock()
 	se.event(citronstream.Event{Kind: "AgentLeaving", Upstream: se.up.Name})
-	se.broadcast(citronstream.MethodDrain, se.Load())
+	se.Broadcast(citronstream.MethodDrain, se.Load())
 }
 
-// Shutdown drains, waits until no call waits or runs or ctx ends, and closes.
-func (se *Server) Shutdown(ctx context.Context) error {
-	se.Drain()
+// Idle waits until no call waits or runs, or ctx ends.
+func (se *Server) Idle(ctx context.Context) error {
 	for len(se.attempts.Live()) > 0 && ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-se.clk.After(10 * time.Millisecond):
 		}
 	}
-	se.Stop()
 	return ctx.Err()
 }
 
@@ -203,6 +203,7 @@
 			se.dispatch()
 		case <-ticker.Chan():
 			se.sweep()
+			se.announce()
 			se.dispatch()
 		}
 	}
@@ -224,6 +225,15 @@
 	return all
 }
 
+// announce tells the entries when the agent's slots have changed.
+func (se *Server) announce() {
+	slots := se.slots()
+	if !slices.Equal(slots, se.told) {
+		se.told = slots
+		se.Broadcast(citronstream.MethodLoad, se.Load())
+	}
+}
+
 func (se *Server) kick() {
 	select {
 	case se.wake <- struct{}{}:
@@ -231,7 +241,17 @@
 	}
 }
 
-func (se *Server) broadcast(method string, params any) {
+// Links calls visit with the link of each entry that has said its name.
+func (se *Server) Links(visit func(name string, li *link.Link)) {
+	for _, pe := range se.peers() {
+		if he, ok := pe.li.Session().(citronstream.Hello); ok {
+			visit(he.Name, pe.li)
+		}
+	}
+}
+
+// Broadcast notifies all entries.
+func (se *Server) Broadcast(method string, params any) {
 	for _, pe := range se.peers() {
 		_ = pe.li.Notify(method, params)
 	}
--- a/internal/entry/agents/agents.go
+++ b/internal/entry/agents/agents.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/once/claim"
+	"github.com/citronstream/citronstream/internal/once/witness"
 	"github.com/citronstream/citronstream/internal/peer/dialer"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
@@ -45,6 +47,7 @@
 	handler func(li *link.Link, re *link.Request)
 	observe func(li *link.Link, version uint64)
 	rec     citronstream.Recorder
+	keeper  Keeper
 	counts  Counts
 
 	ctx     context.Context
@@ -59,6 +62,13 @@
 	cancel context.CancelFunc
 }
 
+// Keeper keeps keyed calls that may have run on an agent's grant alone.
+type Keeper interface {
+	Begin(upstream string, epoch uint64, ca witness.Call) error
+	End(upstream string, ca witness.Call, ans claim.Answer, err error)
+	Lost(upstream string, ca witness.Call)
+}
+
 // Option changes a Pool.
 type Option func(*Pool)
 
@@ -72,6 +82,9 @@
 	return func(po *Pool) { po.observe = observe }
 }
 
+// WithKeeper sets what keeps keyed calls until their agent has recorded them.
+func WithKeeper(ke Keeper) Option { return func(po *Pool) { po.keeper = ke } }
+
 // WithRecorder sets the timeline.
 func WithRecorder(rec citronstream.Recorder) Option { return func(po *Pool) { po.rec = rec } }
 
--- a/internal/entry/agents/run.go
+++ b/internal/entry/agents/run.go
@@ -5,6 +5,8 @@
 	"errors"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/once/claim"
+	"github.com/citronstream/citronstream/internal/once/witness"
 	"github.com/citronstream/citronstream/internal/peer/link"
 )
 
@@ -21,6 +23,48 @@
 	if li == nil {
 		return failed(upstream, citronstream.NotRun, citronstream.CodeUnavailable, "no link to the agent of "+upstream)
 	}
+	if ca.Idempotent || po.keeper == nil {
+		return po.exchange(ctx, ag, li, ca, sink)
+	}
+	return po.keyed(ctx, ag, li, ca)
+}
+
+// keyed makes an attempt at a call that must not be repeated. The keeper
+// knows of it before the agent does.
+func (po *Pool) keyed(ctx context.Context, ag *agent, li *link.Link, ca citronstream.Call) citronstream.Result {
+	name := ag.up.Name
+	key := witness.Call{Service: ca.Service, Request: claim.Request{Workspace: ca.Workspace, Key: ca.Key, KeyGiven: ca.KeyGiven, Digest: ca.Digest}}
+	if err := po.keeper.Begin(name, po.epoch(name), key); err != nil {
+		return citronstream.Result{AttemptID: ca.AttemptID, Upstream: name, Fault: citronstream.FaultOf(err)}
+	}
+	re := po.exchange(ctx, ag, li, ca, nil)
+	if re.Fault != nil && re.Fault.Verdict == citronstream.MayHaveRun && !re.Unflushed {
+		switch re.Fault.Code {
+		case citronstream.CodeLinkLost, citronstream.CodeDeadline, citronstream.CodeCanceled, citronstream.CodeInternal:
+			po.keeper.Lost(name, key)
+			return re
+		}
+	}
+	ans := claim.Answer{Status: re.Status, Body: re.Body, Replayed: re.Replayed, Unflushed: re.Unflushed}
+	if re.Fault != nil {
+		po.keeper.End(name, key, ans, re.Fault)
+	} else {
+		po.keeper.End(name, key, ans, nil)
+	}
+	return re
+}
+
+func (po *Pool) epoch(upstream string) uint64 {
+	if no := po.routes.Snapshot().Node(upstream); no != nil {
+		if lo, ok := no.Reported(); ok {
+			return lo.Epoch
+		}
+	}
+	return 0
+}
+
+// exchange sends a call over the link and waits for its result.
+func (po *Pool) exchange(ctx context.Context, ag *agent, li *link.Link, ca citronstream.Call, sink func([]byte)) citronstream.Result {
 	po.counts.Attempts.Add(1)
 	fl := newFlight(sink)
 	po.flights.Store(ca.AttemptID, fl)
@@ -39,7 +83,7 @@
 	if err != nil {
 		return po.ended(ctx, ag, &ca, err)
 	}
-	return po.accept(fl, &ca, re, upstream)
+	return po.accept(fl, &ca, re, ag.up.Name)
 }
 
 // accept checks that a result is that of this attempt and whole.
--- a/internal/entry/pipeline/attempts.go
+++ b/internal/entry/pipeline/attempts.go
@@ -40,7 +40,7 @@
 		if !retryable(&ca, &re) || !at.again(ctx, re, try) {
 			return at.failure(&ca, re, ran)
 		}
-		if ca.Service != "" && re.Upstream != "" && ca.Idempotent {
+		if re.Upstream != "" && (ca.Idempotent || re.Fault.Code == citronstream.CodeNotOwner) {
 			at.exclude = append(at.exclude, re.Upstream)
 		}
 		if len(at.output) > 0 {
@@ -91,7 +91,7 @@
 // pick asks the policy, or the owner of the key for a call that must not be repeated.
 func (at *attempts) pick(picker citronstream.Picker, ca *citronstream.Call) (string, bool) {
 	if !ca.Idempotent && at.ru.owners != nil {
-		return at.ru.owners.Owner(ca.Service, ca.Workspace, ca.Key)
+		return at.ru.owners.Owner(ca.Service, ca.Workspace, ca.Key, at.exclude)
 	}
 	return picker.Pick(citronstream.PickRequest{
 		Service: ca.Service, Zone: at.ru.zone, Model: ca.Model, Cost: ca.Cost, Exclude: at.exclude, Suspect: ca.Suspect,
@@ -129,7 +129,7 @@
 	if fa.Verdict == citronstream.NotRun || ca.Idempotent {
 		return true
 	}
-	return fa.Verdict == citronstream.MayHaveRun && ca.Key != "" && fa.Code == citronstream.CodeLinkLost
+	return fa.Verdict == citronstream.MayHaveRun && ca.Key != "" && (fa.Code == citronstream.CodeLinkLost || fa.Code == citronstream.CodeNotOwner)
 }
 
 func (at *attempts) success(ca *citronstream.Call, re citronstream.Result) Outcome {
--- a/internal/entry/pipeline/pipeline.go
+++ b/internal/entry/pipeline/pipeline.go
@@ -19,9 +19,10 @@
 	Run(ctx context.Context, upstream string, ca citronstream.Call, sink func([]byte)) citronstream.Result
 }
 
-// Owners names the upstream that owns the slot of an idempotency key.
+// Owners names the upstream that owns the slot of an idempotency key. Those
+// of exclude have said that they do not.
 type Owners interface {
-	Owner(service, workspace, key string) (string, bool)
+	Owner(service, workspace, key string, exclude []string) (string, bool)
 }
 
 // Holds knows the contents that killed upstreams.
--- a/internal/once/claim/row.go
+++ b/internal/once/claim/row.go
@@ -70,3 +70,10 @@
 	}
 	return time.UnixMilli(ms).After(t)
 }
+
+// Notice tells entries which keys that ran on an agent's grant now stand in the table.
+type Notice struct {
+	Upstream string    `json:"Upstream"`
+	Service  string    `json:"Service"`
+	Keys     []Flushed `json:"Keys"`
+}
--- /dev/null
+++ b/internal/process/agent/witness.go
@@ -0,0 +1,48 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/agent/server"
+	"github.com/citronstream/citronstream/internal/peer/link"
+)
+
+// witness asks the entries of the configuration over their links.
+type witness struct {
+	server  func() *server.Server
+	entries func() []citronstream.Entry
+}
+
+// Settle implements citronstream.Witness.
+func (wi witness) Settle(ctx context.Context, upstream string, epoch uint64) (time.Time, bool) {
+	links := make(map[string]*link.Link)
+	wi.server().Links(func(name string, li *link.Link) { links[name] = li })
+	entries := wi.entries()
+	replies := make([]citronstream.SettleReply, len(entries))
+	failed := make([]bool, len(entries))
+	var wg sync.WaitGroup
+	for i, en := range entries {
+		li := links[en.Name]
+		if li == nil {
+			return time.Time{}, false
+		}
+		wg.Go(func() {
+			rq := citronstream.SettleRequest{Upstream: upstream, Epoch: epoch}
+			failed[i] = li.Call(ctx, citronstream.MethodSettle, rq, &replies[i]) != nil
+		})
+	}
+	wg.Wait()
+	var latest time.Time
+	for i := range entries {
+		if failed[i] {
+			return time.Time{}, false
+		}
+		if replies[i].Started.After(latest) {
+			latest = replies[i].Started
+		}
+	}
+	return latest, true
+}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,9 @@
 	"github.com/citronstream/citronstream/internal/limit/retrybudget"
 	"github.com/citronstream/citronstream/internal/limit/stagetime"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
+	"github.com/citronstream/citronstream/internal/once/claim"
+	"github.com/citronstream/citronstream/internal/once/grant"
+	"github.com/citronstream/citronstream/internal/once/witness"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
 	"github.com/citronstream/citronstream/internal/route/outlier"
@@ -37,6 +41,8 @@
 	Zone  string
 	Seed  uint64
 	Token string // shared secret of the peers
+	// Platform is the platform's services.
+	Platform citronstream.Platform
 }
 
 // Entry is one entry process.
@@ -47,6 +53,7 @@
 	Routes   *table.Table
 	Holds    *poison.Holds
 	Timeline *timeline.Ring
+	Keeper   *witness.Keeper
 
 	set      Settings
 	clk      citronstream.Clock
@@ -58,6 +65,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	done     chan struct{}
+	settles  sync.WaitGroup // answers to Once.Settle under way
 }
 
 // state is what changes with the configuration.
@@ -72,14 +80,15 @@
 		set: set, clk: clk, log: log, boot: citronstream.NewID(), started: clk.Now(), done: make(chan struct{}),
 		Routes: table.New(clk), Holds: poison.New(clk, fl.Limits), Timeline: timeline.New(clk, timeline.WithProcess(set.Name)),
 	}
+	en.Keeper = witness.New(set.Platform.Table, set.Platform.Objects, clk, witness.WithRetention(fl.Limits.KeyRetention.Std()))
 	en.ctx, en.cancel = context.WithCancel(ctx)
 	en.outliers = outlier.New(clk, en.Routes)
 	budget := retrybudget.New(clk, fl.Limits)
 	en.Agents = agents.New(en.ctx, clk, eng, en.Routes, en.hello,
-		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline))
+		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper))
 	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, budget,
 		pipeline.WithTimes(stagetime.New(clk)), pipeline.WithHolds(en.Holds),
-		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version))
+		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}))
 	en.Server = server.New(clk, address, en.Runner, en.Catalog, fl.Limits)
 	return en, en.Apply(fl)
 }
@@ -153,6 +162,7 @@
 	en.Server.Stop()
 	en.cancel()
 	en.Agents.Close()
+	en.settles.Wait()
 	<-en.done
 }
 
@@ -191,11 +201,41 @@
 	switch re.Method {
 	case citronstream.MethodPoison:
 		en.poison(li, re)
+	case citronstream.MethodFlushed:
+		var fl claim.Notice
+		if re.Decode(&fl) == nil {
+			en.Keeper.Flushed(fl.Upstream, fl.Service, fl.Keys)
+		}
+	case citronstream.MethodSettle:
+		en.settles.Go(func() { en.settle(re) })
 	default:
 		re.ReplyError(citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "unknown method %q", re.Method))
 	}
 }
 
+// settle writes what this entry keeps for a dead agent's epoch.
+func (en *Entry) settle(re *link.Request) {
+	var rq citronstream.SettleRequest
+	if err := re.Decode(&rq); err != nil {
+		re.ReplyError(err)
+		return
+	}
+	started, err := en.Keeper.Settle(en.ctx, rq.Upstream, rq.Epoch)
+	if err != nil {
+		re.ReplyError(err)
+		return
+	}
+	re.Reply(citronstream.SettleReply{Started: started})
+}
+
+// owners finds the owner of a key's slot in the routing table.
+type owners struct{ routes *table.Table }
+
+// Owner implements pipeline.Owners.
+func (ow owners) Owner(service, workspace, key string, exclude []string) (string, bool) {
+	return ow.routes.Owner(service, grant.SlotOf(workspace, key), exclude...)
+}
+
 // poison takes an agent's report and passes it on to the other agents.
 func (en *Entry) poison(from *link.Link, re *link.Request) {
 	var report poison.Report
--- a/internal/process/local/local.go
+++ b/internal/process/local/local.go
@@ -11,16 +11,24 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/once/grant"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
 	"github.com/citronstream/citronstream/internal/process/agent"
 	"github.com/citronstream/citronstream/internal/process/entry"
 	"github.com/citronstream/citronstream/internal/standin/engine"
+	"github.com/citronstream/citronstream/internal/standin/gate"
+	"github.com/citronstream/citronstream/internal/standin/memlist"
+	"github.com/citronstream/citronstream/internal/standin/memobjects"
+	"github.com/citronstream/citronstream/internal/standin/memtable"
 	"github.com/citronstream/citronstream/internal/standin/pool"
 	"github.com/citronstream/citronstream/internal/standin/record"
 	"github.com/citronstream/citronstream/internal/standin/service"
 	"github.com/go-logr/logr"
 )
 
+// listLag is how late the platform's list is.
+const listLag = time.Second
+
 // readyPoll is how often the links are counted at the start.
 const readyPoll = 10 * time.Millisecond
 
@@ -39,8 +47,11 @@
 
 // Fleet is the running fleet.
 type Fleet struct {
-	Config *citronstream.Fleet
-	Record *record.Log
+	Config  *citronstream.Fleet
+	Record  *record.Log
+	Table   *memtable.Table
+	Objects *memobjects.Store
+	List    *memlist.List
 
 	clk   citronstream.Clock
 	log   logr.Logger
@@ -56,6 +67,7 @@
 	upstreams map[string]Upstream
 	agents    map[string]*agent.Agent
 	entries   map[string]*entry.Entry
+	gates     map[string]*gate.Gate
 	killed    map[string]time.Time // by the entry's address
 }
 
@@ -76,7 +88,8 @@
 	fl := &Fleet{
 		Config: config, Record: record.New(clk), clk: clk, log: logr.Discard(), scale: 1, seed: 1,
 		upstreams: make(map[string]Upstream), agents: make(map[string]*agent.Agent), entries: make(map[string]*entry.Entry),
-		killed: make(map[string]time.Time),
+		killed: make(map[string]time.Time), gates: make(map[string]*gate.Gate),
+		Table: memtable.New(clk), Objects: memobjects.New(), List: memlist.New(clk, listLag),
 	}
 	for _, opt := range opts {
 		opt(fl)
@@ -94,6 +107,9 @@
 }
 
 func (fl *Fleet) start() error {
+	for _, in := range fl.Config.Instances {
+		fl.List.Set(citronstream.InstanceState{Instance: in.Name, Zone: in.Zone})
+	}
 	for _, up := range fl.Config.Upstreams {
 		if err := fl.startUpstream(up); err != nil {
 			return fmt.Errorf("stand-in %s: %w", up.Name, err)
@@ -146,9 +162,25 @@
 	return nil
 }
 
+// platform is the stand-ins as a process sees them.
+func (fl *Fleet) platform() citronstream.Platform {
+	return citronstream.Platform{Table: fl.Table, Objects: fl.Objects, Liveness: fl.List}
+}
+
+// agentSettings puts the agent behind a gate of its own.
+func (fl *Fleet) agentSettings(name string) agent.Settings {
+	ga := gate.New()
+	fl.mu.Lock()
+	fl.gates[name] = ga
+	fl.mu.Unlock()
+	pl := fl.platform()
+	pl.Table = ga.Table(pl.Table)
+	return agent.Settings{Upstream: name, Token: fl.token, Platform: pl, Wrap: ga.Protocol, Stream: ga.Stream}
+}
+
 // StartAgent starts the agent of an upstream, also after it was stopped.
 func (fl *Fleet) StartAgent(name string) error {
-	ag, err := agent.New(fl.clk, fl.eng, agent.Settings{Upstream: name, Token: fl.token}, fl.Config, fl.log)
+	ag, err := agent.New(fl.clk, fl.eng, fl.agentSettings(name), fl.Config, fl.log)
 	if err != nil {
 		return err
 	}
@@ -168,7 +200,7 @@
 			continue
 		}
 		pr, err := entry.New(fl.ctx, fl.clk, fl.eng,
-			entry.Settings{Name: name, Zone: fl.zone(en.Instance), Seed: fl.seed, Token: fl.token}, en.Address, fl.Config, fl.log)
+			entry.Settings{Name: name, Zone: fl.zone(en.Instance), Seed: fl.seed, Token: fl.token, Platform: fl.platform()}, en.Address, fl.Config, fl.log)
 		if err != nil {
 			return err
 		}
@@ -227,7 +259,7 @@
 		en.Stop()
 	}
 	for _, ag := range agents {
-		ag.Server.Stop()
+		ag.Stop()
 	}
 	fl.cancel()
 	for _, up := range fl.upstreams {
@@ -236,13 +268,30 @@
 	fl.eng.Stop()
 }
 
-// Ready waits until every entry has a link to each upstream it connects to.
+// owned counts the owned idempotency slots by service.
+func (fl *Fleet) owned() map[string]int {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	owned := make(map[string]int)
+	for _, ag := range fl.agents {
+		if ag.Grant != nil {
+			owned[ag.Up.Service] += len(ag.Grant.Owned())
+		}
+	}
+	return owned
+}
+
+// Ready waits until every entry has a link to each upstream that it connects
+// to, and every idempotency slot has an owner.
 func (fl *Fleet) Ready(ctx context.Context) error {
 	for {
 		missing := 0
 		for _, en := range fl.entries {
 			missing += en.Agents.Missing()
 		}
+		for _, slots := range fl.owned() {
+			missing += grant.SlotCount - slots
+		}
 		if missing == 0 {
 			return nil
 		}
--- a/internal/route/table/table.go
+++ b/internal/route/table/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -174,7 +175,7 @@
 // Owner returns the upstream whose agent owns an idempotency slot. Of several
 // that report the slot, the highest epoch counts. It returns false if no
 // upstream that can take work reports the slot.
-func (ta *Table) Owner(service string, slot int) (string, bool) {
+func (ta *Table) Owner(service string, slot int, exclude ...string) (string, bool) {
 	se := ta.Snapshot().Service(service)
 	if se == nil || slot < 0 || slot >= Slots {
 		return "", false
@@ -183,7 +184,7 @@
 	var epoch uint64
 	for _, no := range se.Nodes {
 		re := no.live.report.Load()
-		if re == nil || re.slots&(1<<slot) == 0 || best != nil && re.load.Epoch <= epoch {
+		if re == nil || re.slots&(1<<slot) == 0 || slices.Contains(exclude, no.Name) || best != nil && re.load.Epoch <= epoch {
 			continue
 		}
 		best, epoch = no, re.load.Epoch
--- a/message.go
+++ b/message.go
@@ -68,13 +68,6 @@
 	Document []byte `json:"Document"`
 }
 
-// Flushed says which keys that ran on a grant now stand in the table.
-type Flushed struct {
-	Upstream string   `json:"Upstream"`
-	Epoch    uint64   `json:"Epoch"`
-	Keys     []string `json:"Keys"`
-}
-
 // SettleRequest asks an entry to write what it keeps for a dead agent's epoch.
 type SettleRequest struct {
 	Upstream string `json:"Upstream"`
--- a/platform.go
+++ b/platform.go
@@ -96,3 +96,11 @@
 type Liveness interface {
 	List(ctx context.Context) ([]InstanceState, error)
 }
+
+// Platform is what a process uses of the platform.
+type Platform struct {
+	Table    Table
+	Objects  Objects
+	Weights  Weights
+	Liveness Liveness
+}
