Check open workspaces, listen addresses and shared tokens; differential fuzzing

Cause: an open workspace behind a public address, an agent on another address than its instance and two operators with one token passed the check in silence. Change: warnings for the first two, a fault for the third; FuzzDecode compares the strict decoder with encoding/json on documents without faults.

--- a/internal/config/check/fleet.go
+++ b/internal/config/check/fleet.go
@@ -1,6 +1,7 @@
 package check
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -98,6 +99,10 @@
 	ru.workspaces = ru.names(len(workspaces), func(i int) place { return item("Workspaces", i) },
 		func(i int) string { return workspaces[i].Name })
 	digests := make(map[string]int)
+	outside := slices.IndexFunc(ru.fl.Entries, func(en citronstream.Entry) bool {
+		ap, err := netip.ParseAddrPort(en.Address)
+		return err == nil && !ap.Addr().IsLoopback()
+	})
 	for i, wo := range workspaces {
 		pl := item("Workspaces", i)
 		ru.refer(pl, "Owner", "Owners", "owner", wo.Owner, ru.owners)
@@ -112,6 +117,10 @@
 			}
 		}
 		if wo.TokenSHA256 == "" {
+			if outside >= 0 {
+				ru.warn(pl, "TokenSHA256", "missing, so only callers on loopback are served, but entry %q listens on %s",
+					ru.fl.Entries[outside].Name, ru.fl.Entries[outside].Address)
+			}
 			continue
 		}
 		ru.digest(pl, "TokenSHA256", wo.TokenSHA256)
--- a/internal/config/check/process.go
+++ b/internal/config/check/process.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"net/url"
 	"regexp"
+	"strings"
 
 	"github.com/citronstream/citronstream/internal/config/settings"
 )
@@ -52,7 +53,7 @@
 
 // tokens never puts a value into a fault, because it may be a secret under the wrong key.
 func (ru *run) tokens(to *settings.Tokens) {
-	names := make(map[string]int)
+	names, digests := make(map[string]int), make(map[string]int)
 	for i, op := range to.Operators {
 		path := indexed("Process.Tokens.Operators", i)
 		if !validName.MatchString(op.Name) {
@@ -62,8 +63,13 @@
 		} else {
 			names[op.Name] = i
 		}
-		if !hexDigest.MatchString(op.TokenSHA256) {
+		key := strings.ToLower(op.TokenSHA256)
+		if !hexDigest.MatchString(key) {
 			ru.own(path+".TokenSHA256", "not a SHA-256 digest of 64 hex digits")
+		} else if first, ok := digests[key]; ok {
+			ru.own(path+".TokenSHA256", "same token as %s, so operators can't be told apart", indexed("Process.Tokens.Operators", first))
+		} else {
+			digests[key] = i
 		}
 	}
 	if to.PeerTokenFile != "" && to.PeerTokenEnv != "" {
--- a/internal/config/check/services.go
+++ b/internal/config/check/services.go
@@ -85,8 +85,11 @@
 		func(i int) string { return fl.Entries[i].Name })
 	for i, en := range fl.Entries {
 		pl := item("Entries", i)
-		ru.refer(pl, "Instance", "Instances", "instance", en.Instance, ru.instances)
+		in, known := ru.refer(pl, "Instance", "Instances", "instance", en.Instance, ru.instances)
 		ru.listen(pl, "Address", en.Address)
+		if known {
+			ru.sameIP(pl, "Address", en.Address, in)
+		}
 		ru.listen(pl, "Admin", en.Admin)
 	}
 	for i, count := range ru.hosted {
@@ -101,12 +104,26 @@
 	if known {
 		ru.hosted[sv]++
 	}
-	ru.refer(pl, "Instance", "Instances", "instance", up.Instance, ru.instances)
+	in, onInstance := ru.refer(pl, "Instance", "Instances", "instance", up.Instance, ru.instances)
 	ru.listen(pl, "Address", up.Address)
 	ru.listen(pl, "Agent", up.Agent)
+	if onInstance {
+		ru.sameIP(pl, "Agent", up.Agent, in)
+	}
 	within(ru, pl, "Capacity", up.Capacity, 1, maxCapacity)
 	within(ru, pl, "Accelerators", up.Accelerators, 0, 1024)
 	for j, name := range up.Models {
 		ru.refer(pl.in("Models", j), "", "Models", "model", name, ru.models)
 	}
 }
+
+// sameIP warns of a process that listens on another address than that of its
+// instance. An instance with several network interfaces may do so rightly.
+func (ru *run) sameIP(pl place, field, address string, instance int) {
+	in := ru.fl.Instances[instance]
+	ap, err := netip.ParseAddrPort(address)
+	ip, inErr := netip.ParseAddr(in.Address)
+	if err == nil && inErr == nil && ap.Addr() != ip {
+		ru.warn(pl, field, "%s is not on the address %s of instance %q", address, ip, in.Name)
+	}
+}
--- a/internal/config/check/variants_test.go
+++ b/internal/config/check/variants_test.go
@@ -101,4 +101,19 @@
 		`Platform.Table.Protocol: unknown protocol "dynamo", known: dynamodb, memory`, "Platform.Objects.Endpoint: not an http or https URL",
 		`warning: Platform.Liveness.URL: "list.internal" is a host name`,
 	}, true},
+	{"open workspace beyond loopback", []edit{{`"Address":"127.0.0.1:21200"`, `"Address":"10.0.0.1:21200"`}, {`"Owner":"nullagine","Weight":1`, `"Owner":"nullagine","Weight":1,"TokenSHA256":"` + digest + `"`}}, []string{
+		`warning: Fleet.Workspaces[0].TokenSHA256: missing, so only callers on loopback are served, but entry "entry-1" listens on 10.0.0.1:21200`,
+		"Fleet.Workspaces[1].TokenSHA256", "Fleet.Workspaces[2].TokenSHA256", "Fleet.Workspaces[3].TokenSHA256",
+		`warning: Fleet.Entries[0].Address: 10.0.0.1:21200 is not on the address 127.0.0.1 of instance "host-entry-1"`,
+	}, false},
+	{"agent on another address", []edit{{`"Agent":"127.0.0.1:21105"`, `"Agent":"127.0.0.9:21105"`}}, []string{"warning: Fleet.Upstreams[5].Agent: 127.0.0.9:21105 is not on the address"}, true},
+	{"shared tokens", []edit{
+		{`"Owner":"magnolia","Weight":30`, `"Owner":"magnolia","Weight":30,"TokenSHA256":"` + digest + `"`},
+		{`"Owner":"magnolia","Weight":4}`, `"Owner":"magnolia","Weight":4,"TokenSHA256":"` + strings.ToUpper(digest) + `"}`},
+		{`"Fleet": {`, `"Process": {"Tokens":{"Operators":[{"Name":"kim","TokenSHA256":"` + digest + `"},{"Name":"lee","TokenSHA256":"` + digest + `"}]}}, "Fleet": {`},
+	}, []string{
+		"Fleet.Workspaces[3].TokenSHA256: same token as Fleet.Workspaces[1]", "Process.Tokens.Operators[1].TokenSHA256: same token as Process.Tokens.Operators[0]",
+	}, false},
 }
+
+const digest = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
--- a/internal/config/settings/settings_test.go
+++ b/internal/config/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io/fs"
+	"os"
 	"strings"
 	"testing"
 
@@ -73,3 +74,31 @@
 		assert.ErrorContains(t, err, "Process.Tokens.PeerToken")
 	}
 }
+
+// Guards against a decoder that reads a faultless document differently from encoding/json.
+func FuzzDecode(f *testing.F) {
+	for _, name := range []string{"magnolia", "nullagine"} {
+		raw, err := os.ReadFile("../../../examples/" + name + ".json")
+		require.NoError(f, err)
+		f.Add(raw)
+	}
+	f.Add([]byte(`{"Process":{"Name":"\u00e9\ud800","Peers":["a","b"],"Peers":["c"]},"Fleet":{"Version":18446744073709551615}}`))
+	f.Add([]byte(`{"Fleet":{"Ranks":[{"Floor":1e-3,"Deadline":"1h"}],"Limits":{"RetryRatio":-0}}} `))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		got, faults, ok := Decode(data)
+		require.Equal(t, json.Valid(data), ok)
+		if len(faults) > 0 {
+			return
+		}
+		want := New()
+		if got.Fleet != nil {
+			want.Fleet = &citronstream.Fleet{Limits: citronstream.DefaultLimits()}
+		}
+		require.NoError(t, json.Unmarshal(data, want))
+		wantText, err := json.Marshal(want)
+		require.NoError(t, err)
+		gotText, err := json.Marshal(got)
+		require.NoError(t, err)
+		require.Equal(t, string(wantText), string(gotText))
+	})
+}
