--- a/internal/proof/policy/outcome.go
+++ b/internal/proof/policy/outcome.go
@@ -33,7 +33,8 @@
 	// Cost is the cost units served by service, Wasted those of requests that missed.
 	Cost   map[string]float64
 	Wasted float64
-	// Served is the cost units served during the trouble by service and rank.
+	// Served is the cost units served during the trouble by service and rank. A
+	// call that ran only partly during the trouble counts by that part.
 	Served map[string][]float64
 	// Attempts counts the calls sent, Retries the extra ones among them.
 	Attempts, Retries int
--- a/internal/proof/policy/scenario.go
+++ b/internal/proof/policy/scenario.go
@@ -53,3 +53,12 @@
 }
 
 func (sc Scenario) on(since time.Duration) bool { return since >= sc.From && since < sc.Until }
+
+// overlap returns how much of the time between two points lies in the trouble, 0 to 1.
+func (sc Scenario) overlap(began, ended time.Duration) float64 {
+	inside := min(ended, sc.Until) - max(began, sc.From)
+	if ended <= began || inside <= 0 {
+		return 0
+	}
+	return inside.Seconds() / (ended - began).Seconds()
+}
--- a/internal/proof/policy/sim.go
+++ b/internal/proof/policy/sim.go
@@ -110,9 +110,7 @@
 
 func (ru *run) served(ca *call, cost float64) {
 	ru.out.Cost[ca.tier.Service] += cost
-	if ru.scenario.on(ru.since()) {
-		ru.out.Served[ca.tier.Service][ca.re.rank] += cost
-	}
+	ru.out.Served[ca.tier.Service][ca.re.rank] += cost * ru.scenario.overlap(ca.began.Sub(ru.start), ru.since())
 	ca.re.cost += cost
 	if ca.re.ended {
 		ru.out.Wasted += cost
