An idle rank keeps credit for one call

Change: credit for the last call's cost is kept over an empty queue. Without the credit, "idle rank keeps credit for one call" fails.

--- a/internal/limit/fairqueue/queue.go
+++ b/internal/limit/fairqueue/queue.go
@@ -169,9 +169,10 @@
 	ws := qu.workspace(no.it.Workspace)
 	fl := ra.flow(ws)
 	if ra.count == 0 {
-		// A rank that had nothing to run gets no credit for its unused floor.
-		// Otherwise a late burst would shut out the other ranks for a while.
-		ra.owed = min(ra.owed, 0)
+		// A rank that had nothing to run keeps credit for one call. With more, a
+		// late burst would shut out the other ranks for a while; with none, a rank
+		// whose queue runs empty now and then falls short of its floor.
+		ra.owed = min(ra.owed, ra.last)
 	}
 	ra.count++
 	ra.cost += no.cost
@@ -279,6 +280,7 @@
 	}
 	ra.owed = max(ra.owed-cost, -whole)
 	ra.used = max(ra.used+cost, 0)
+	ra.last = whole
 }
 
 // decay ages the accounts.
--- a/internal/limit/fairqueue/queue_test.go
+++ b/internal/limit/fairqueue/queue_test.go
@@ -128,6 +128,15 @@
 		fi.fill(2000, 0, "a")
 		assert.InDelta(t, 0.2, fi.share(100, func(it Item) bool { return it.Rank == 1 }), 0.02)
 	})
+	// Guards against a rank that falls short of its floor because its queue runs empty now and then.
+	t.Run("idle rank keeps credit for one call", func(t *testing.T) {
+		fi := newFixture(t, fleet(0, 0.2))
+		fi.fill(100, 0, "a")
+		fi.fill(1, 1, "a")
+		fi.share(50, func(Item) bool { return true })
+		fi.fill(2, 1, "a")
+		assert.Equal(t, 2.0/3, fi.share(3, func(it Item) bool { return it.Rank == 1 }))
+	})
 	// Guards against credit that a rank gathers while its suspects wait for another to end.
 	t.Run("credit decays", func(t *testing.T) {
 		fi := newFixture(t, fleet(0, 0.2))
--- a/internal/limit/fairqueue/rank.go
+++ b/internal/limit/fairqueue/rank.go
@@ -94,6 +94,7 @@
 	floor  float64
 	used   float64 // cost served, decayed over Queue.window
 	owed   float64 // floor x cost served in all ranks, less the cost served in this one; decayed
+	last   float64 // cost of the call that ran last
 	cost   float64 // cost waiting
 	count  int
 	weight float64 // sum of the weights of flows that wait
