--- a/internal/standin/host/host.go
+++ b/internal/standin/host/host.go
@@ -28,7 +28,7 @@
 	address  string
 	running  bool
 	life     context.Context // ends with Kill
-	die      context.CancelFunc
+	die      context.CancelCauseFunc
 	srv      *http.Server
 	conns    connSet
 	ended    chan error // end of the current serve loop
@@ -90,7 +90,7 @@
 	for _, co := range open {
 		co.silence()
 	}
-	ho.die()
+	ho.die(ErrKilled)
 	_ = ho.srv.Close()
 	for _, co := range open {
 		_ = co.Close()
@@ -134,7 +134,7 @@
 	if err != nil {
 		return err
 	}
-	life, die := context.WithCancel(context.WithoutCancel(ho.ctx))
+	life, die := context.WithCancelCause(context.WithoutCancel(ho.ctx))
 	ho.address, ho.life, ho.die, ho.running = ln.Addr().String(), life, die, true
 	var started <-chan struct{}
 	if ho.onStart != nil {
@@ -175,9 +175,11 @@
 	ho.handlers.Add(1)
 	ho.mu.Unlock()
 	defer ho.handlers.Done()
-	ctx, cancel := context.WithCancelCause(r.Context())
-	defer cancel(nil)
-	stop := context.AfterFunc(life, func() { cancel(ErrKilled) })
+	// Derived from life, so that Kill sets the cause before the end of the
+	// connection can.
+	ctx, cancel := context.WithCancel(life)
+	defer cancel()
+	stop := context.AfterFunc(r.Context(), cancel)
 	defer stop()
 	if err := ho.gate(ctx); err != nil {
 		return
