--- /dev/null
+++ b/internal/observe/ledger/counts.go
@@ -0,0 +1,107 @@
+package ledger
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+)
+
+// Units is an amount of cost in millionths of a cost unit. Whole numbers sum
+// to the same total in any order, so that both owners get the same split.
+type Units int64
+
+const unitScale = 1_000_000
+
+// UnitsOf converts cost units, rounded to the nearest millionth. It returns 0
+// for a value that is negative, not a number or out of range.
+func UnitsOf(cost float64) Units {
+	if scaled := math.Round(cost * unitScale); scaled > 0 && scaled < math.MaxInt64 {
+		return Units(scaled)
+	}
+	return 0
+}
+
+// Float returns the amount in cost units.
+func (un Units) Float() float64 { return float64(un) / unitScale }
+
+// Key says what a row of usage is about.
+type Key struct {
+	Side      string `json:"Side"` // SideEntry or SideAgent
+	Owner     string `json:"Owner,omitempty"`
+	Workspace string `json:"Workspace,omitempty"`
+	Service   string `json:"Service,omitempty"`
+	Stage     string `json:"Stage,omitempty"`
+	Rank      int    `json:"Rank"`
+}
+
+// The sides that count usage independently of each other.
+const (
+	SideEntry = "entry"
+	SideAgent = "agent"
+)
+
+// Other names the rows that take the usage above the cap on rows.
+const Other = "other"
+
+// Counts is an amount of usage.
+type Counts struct {
+	Calls     int64         `json:"Calls"`
+	Cost      Units         `json:"Cost"` // millionths of a cost unit
+	TokensIn  int64         `json:"TokensIn,omitempty"`
+	TokensOut int64         `json:"TokensOut,omitempty"`
+	Busy      time.Duration `json:"Busy,omitempty"`     // nanoseconds at the upstream
+	Queued    time.Duration `json:"Queued,omitempty"`   // nanoseconds in the agent's queue
+	Attained  int64         `json:"Attained,omitempty"` // calls that met their deadline
+}
+
+func (co *Counts) add(other Counts) {
+	co.Calls += other.Calls
+	co.Cost += other.Cost
+	co.TokensIn += other.TokensIn
+	co.TokensOut += other.TokensOut
+	co.Busy += other.Busy
+	co.Queued += other.Queued
+	co.Attained += other.Attained
+}
+
+// bound is the most that one row of a record may count in each field. Records
+// above it are refused, so that sums over a day's records can't overflow.
+const bound = math.MaxInt64 / (1 << 20)
+
+func (co Counts) check() error {
+	fields := []int64{co.Calls, int64(co.Cost), co.TokensIn, co.TokensOut, int64(co.Busy), int64(co.Queued), co.Attained}
+	for _, field := range fields {
+		if field < 0 || field > bound {
+			return fmt.Errorf("count %s is out of range", strconv.FormatInt(field, 10))
+		}
+	}
+	return nil
+}
+
+// Row is a line of a Delta.
+type Row struct {
+	Key
+	Counts
+}
+
+// Delta is the usage that one process counted in one interval. Process, Epoch
+// and Seq identify it; a Delta that was written once never changes.
+type Delta struct {
+	Process string `json:"Process"`
+	Epoch   uint64 `json:"Epoch"`
+	Seq     uint64 `json:"Seq"`
+	// OpID tells a repeat of this Delta from that of another process that
+	// runs under the same name and epoch.
+	OpID string    `json:"OpID"`
+	At   time.Time `json:"At"`
+	Rows []Row     `json:"Rows"`
+}
+
+// Path returns the Delta's key in the table.
+func (de Delta) Path() string {
+	return fmt.Sprintf("%s%s/%d/%012d", DayPrefix(de.At), de.Process, de.Epoch, de.Seq)
+}
+
+// DayPrefix returns the prefix of the keys of a day's records, in UTC.
+func DayPrefix(day time.Time) string { return "Cost/" + day.UTC().Format(time.DateOnly) + "/" }
