dynamodb: client of the table service and its stand-in

Cause: durable state is kept in the platform's table service, which speaks DynamoDB's JSON protocol.

Change: platform/dynamodb implements citronstream.Table through aws-sdk-go-v2 (GetItem, Query, TransactWriteItems) without SDK retries. A write is reported as not applied only for a refusal by the service or when no connection was made; 5xx answers, timeouts and broken connections are ErrUnknownOutcome, because DynamoDB gives no promise for them. Expired items count as absent. standin/dynamodb serves the protocol over memtable; it knows exactly the expressions that a version check takes and refuses others.

--- /dev/null
+++ b/internal/platform/dynamodb/table.go
@@ -0,0 +1,151 @@
+// Package dynamodb is a client of the platform's table service, which speaks
+// DynamoDB's JSON protocol.
+package dynamodb
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/credentials"
+	sdk "github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/citronstream/citronstream"
+)
+
+// The attributes of an item. Expires is in seconds since 1970, as DynamoDB's
+// time to live requires.
+const (
+	attrPart    = "Part"
+	attrSort    = "Sort"
+	attrVersion = "Version"
+	attrBody    = "Body"
+	attrExpires = "Expires"
+)
+
+// noSort is the sort key of a key without "/".
+const noSort = "-"
+
+// Table implements citronstream.Table.
+type Table struct {
+	api     *sdk.Client
+	clk     citronstream.Clock
+	name    string
+	timeout time.Duration
+}
+
+type options struct {
+	name, region, keyID, secret string
+	timeout                     time.Duration
+}
+
+// Option changes a Table.
+type Option func(*options)
+
+// WithName sets the name of the table at the service.
+func WithName(name string) Option { return func(op *options) { op.name = name } }
+
+// WithRegion sets the region for request signatures.
+func WithRegion(region string) Option { return func(op *options) { op.region = region } }
+
+// WithCredentials sets the static credentials.
+func WithCredentials(keyID, secret string) Option {
+	return func(op *options) { op.keyID, op.secret = keyID, secret }
+}
+
+// WithTimeout bounds each call; the default is 2 s.
+func WithTimeout(timeout time.Duration) Option { return func(op *options) { op.timeout = timeout } }
+
+// New returns a client of the table service at an endpoint such as
+// "http://10.0.0.1:8000". The client makes no retries: callers know whether a
+// repeat is harmless and how much time is left.
+func New(clk citronstream.Clock, endpoint string, opts ...Option) *Table {
+	op := options{name: "citronstream", region: "local", keyID: "none", secret: "none", timeout: 2 * time.Second}
+	for _, opt := range opts {
+		opt(&op)
+	}
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: op.timeout}).DialContext,
+		MaxIdleConnsPerHost: 16, MaxConnsPerHost: 64, IdleConnTimeout: time.Minute,
+	}
+	api := sdk.New(sdk.Options{
+		BaseEndpoint: &endpoint,
+		Region:       op.region,
+		Credentials:  credentials.NewStaticCredentialsProvider(op.keyID, op.secret, ""),
+		HTTPClient:   &http.Client{Transport: transport},
+		Retryer:      aws.NopRetryer{},
+	})
+	return &Table{api: api, clk: clk, name: op.name, timeout: op.timeout}
+}
+
+// bound limits a call to the timeout of the Table.
+func (ta *Table) bound(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := ta.clk.AfterFunc(ta.timeout, cancel)
+	return ctx, func() { timer.Stop(); cancel() }
+}
+
+// split returns the partition key, the text before the first "/", and the
+// sort key, the rest.
+func split(key string) (string, string, error) {
+	part, rest, found := strings.Cut(key, "/")
+	if !found {
+		rest = noSort
+	}
+	if part == "" || rest == "" || found && rest == noSort {
+		return "", "", fmt.Errorf("table key %q has an empty or reserved part", key)
+	}
+	return part, rest, nil
+}
+
+func join(part, rest string) string {
+	if rest == noSort {
+		return part
+	}
+	return part + "/" + rest
+}
+
+func text(value string) types.AttributeValue { return &types.AttributeValueMemberS{Value: value} }
+
+func number(value uint64) types.AttributeValue {
+	return &types.AttributeValueMemberN{Value: strconv.FormatUint(value, 10)}
+}
+
+func itemKey(key string) (map[string]types.AttributeValue, error) {
+	part, rest, err := split(key)
+	return map[string]types.AttributeValue{attrPart: text(part), attrSort: text(rest)}, err
+}
+
+// rowOf converts an item. The bool is false for an item that has expired:
+// the service removes such items late.
+func (ta *Table) rowOf(item map[string]types.AttributeValue) (citronstream.Row, bool, error) {
+	part, _ := item[attrPart].(*types.AttributeValueMemberS)
+	rest, _ := item[attrSort].(*types.AttributeValueMemberS)
+	version, _ := item[attrVersion].(*types.AttributeValueMemberN)
+	if part == nil || rest == nil || version == nil {
+		return citronstream.Row{}, false, fmt.Errorf("table item lacks %s, %s or %s", attrPart, attrSort, attrVersion)
+	}
+	row := citronstream.Row{Key: join(part.Value, rest.Value)}
+	var err error
+	if row.Version, err = strconv.ParseUint(version.Value, 10, 64); err != nil {
+		return row, false, fmt.Errorf("table item %s: attribute %s: %w", row.Key, attrVersion, err)
+	}
+	if body, ok := item[attrBody].(*types.AttributeValueMemberB); ok {
+		row.Value = body.Value
+	}
+	if expires, ok := item[attrExpires].(*types.AttributeValueMemberN); ok {
+		seconds, err := strconv.ParseInt(expires.Value, 10, 64)
+		if err != nil {
+			return row, false, fmt.Errorf("table item %s: attribute %s: %w", row.Key, attrExpires, err)
+		}
+		row.Expires = time.Unix(seconds, 0).UTC()
+	}
+	return row, row.Expires.IsZero() || ta.clk.Now().Before(row.Expires), nil
+}
+
+var _ citronstream.Table = (*Table)(nil)
--- /dev/null
+++ b/internal/platform/dynamodb/table_test.go
@@ -0,0 +1,156 @@
+package dynamodb
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/citronstream/citronstream"
+	standin "github.com/citronstream/citronstream/internal/standin/dynamodb"
+	"github.com/citronstream/citronstream/internal/standin/memtable"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func start(tb testing.TB, clk citronstream.Clock, opts ...memtable.Option) (*Table, *memtable.Table, *httptest.Server) {
+	mem := memtable.New(clk, opts...)
+	server := httptest.NewServer(standin.New(mem, standin.WithPage(2)))
+	tb.Cleanup(server.Close)
+	return New(clk, server.URL), mem, server
+}
+
+func put(key, value string, version uint64) citronstream.Op {
+	return citronstream.Op{Key: key, Value: []byte(value), IfVersion: version}
+}
+
+func TestTable(t *testing.T) {
+	clk := clockwork.NewFakeClockAt(time.Unix(1e9, 0))
+	ta, _, _ := start(t, clk)
+	ctx := t.Context()
+	holds := func(t *testing.T, key, value string, version uint64) {
+		row, err := ta.Get(ctx, key)
+		require.NoError(t, err)
+		assert.Equal(t, value, string(row.Value))
+		assert.Equal(t, version, row.Version)
+		assert.Equal(t, key, row.Key)
+	}
+
+	// Guards against a write that ignores its condition or is applied in part.
+	t.Run("conditions", func(t *testing.T) {
+		require.NoError(t, ta.Write(ctx, "a", put("Grant/desk-1", "x", 0), put("Config", "y", 0)))
+		holds(t, "Grant/desk-1", "x", 1)
+		holds(t, "Config", "y", 1)
+		err := ta.Write(ctx, "b", put("Config", "z", 1), put("Grant/desk-1", "z", 0))
+		var conflict *citronstream.ConflictError
+		require.ErrorAs(t, err, &conflict)
+		assert.Equal(t, []string{"Grant/desk-1"}, conflict.Keys)
+		holds(t, "Config", "y", 1)
+		check := citronstream.Op{Key: "Grant/desk-1", IfVersion: 1, CheckOnly: true}
+		require.NoError(t, ta.Write(ctx, "c", put("Config", "z", 1), check))
+		require.NoError(t, ta.Write(ctx, "d", put("Config", "", citronstream.AnyVersion)))
+		holds(t, "Config", "", 3)
+		require.NoError(t, ta.Write(ctx, "e", citronstream.Op{Key: "Config", IfVersion: 3, Delete: true}))
+		_, err = ta.Get(ctx, "Config")
+		assert.ErrorIs(t, err, citronstream.ErrNotFound)
+	})
+	// Guards against a repeat that counts twice, also under a long identifier.
+	t.Run("repeat", func(t *testing.T) {
+		id := citronstream.NewID() + citronstream.NewID()
+		require.NoError(t, ta.Write(ctx, id, put("R/1", "x", 0)))
+		require.NoError(t, ta.Write(ctx, id, put("R/1", "x", 0)))
+		holds(t, "R/1", "x", 1)
+	})
+	// Guards against rows lost between pages and rows of other prefixes.
+	t.Run("list over pages", func(t *testing.T) {
+		for _, key := range []string{"L", "L/a/1", "L/a/2", "L/a/3", "L/b/1"} {
+			require.NoError(t, ta.Write(ctx, key, put(key, "", 0)))
+		}
+		listed := func(prefix string, limit int) (keys []string) {
+			rows, err := ta.List(ctx, prefix, limit)
+			require.NoError(t, err)
+			for _, row := range rows {
+				keys = append(keys, row.Key)
+			}
+			return keys
+		}
+		assert.Equal(t, []string{"L/a/1", "L/a/2", "L/a/3", "L/b/1"}, listed("L/", 9))
+		assert.Equal(t, []string{"L/a/1", "L/a/2", "L/a/3"}, listed("L/a/", 9))
+		assert.Equal(t, []string{"L/a/1"}, listed("L/a/", 1))
+	})
+	// Guards against rows that outlive their end or end early.
+	t.Run("expiry", func(t *testing.T) {
+		op := put("E/1", "x", 0)
+		op.Expires = clk.Now().Add(1500 * time.Millisecond)
+		require.NoError(t, ta.Write(ctx, "x1", op))
+		clk.Advance(1900 * time.Millisecond)
+		holds(t, "E/1", "x", 1)
+		clk.Advance(100 * time.Millisecond)
+		require.NoError(t, ta.Write(ctx, "x2", put("E/1", "y", 0)))
+		holds(t, "E/1", "y", 1)
+	})
+	// Guards against an expired item that the service has not yet removed.
+	t.Run("late removal", func(t *testing.T) {
+		_, live, err := ta.rowOf(map[string]types.AttributeValue{
+			attrPart: text("E"), attrSort: text("2"), attrVersion: number(1), attrExpires: expires(clk.Now()),
+		})
+		require.NoError(t, err)
+		assert.False(t, live)
+	})
+	// Guards against two keys that share one item.
+	t.Run("reserved keys", func(t *testing.T) {
+		for _, key := range []string{"", "/a", "a/", "a/-"} {
+			assert.ErrorContains(t, ta.Write(ctx, "k", put(key, "", 0)), "reserved", key)
+		}
+	})
+}
+
+// Guards against a write that is reported as not applied although it may have
+// taken effect, which would break P3 and P4.
+func TestFaults(t *testing.T) {
+	clk := clockwork.NewFakeClockAt(time.Unix(1e9, 0))
+	expect := func(name string, read, write error, fault func(*memtable.Table, *httptest.Server), opts ...memtable.Option) {
+		t.Run(name, func(t *testing.T) {
+			ta, mem, server := start(t, clk, opts...)
+			fault(mem, server)
+			assert.ErrorIs(t, ta.Write(t.Context(), "a", put("A/1", "", 0)), write)
+			_, err := ta.Get(t.Context(), "A/1")
+			assert.ErrorIs(t, err, read)
+		})
+	}
+	expect("lost answer", nil, citronstream.ErrUnknownOutcome, func(mem *memtable.Table, _ *httptest.Server) { mem.SetLoseAnswers(1) })
+	expect("service unavailable", citronstream.ErrUnavailable, citronstream.ErrUnknownOutcome, func(mem *memtable.Table, _ *httptest.Server) { mem.SetDown(true) })
+	expect("connection refused", citronstream.ErrUnavailable, citronstream.ErrUnavailable, func(_ *memtable.Table, server *httptest.Server) { server.Close() })
+	expect("throttled", citronstream.ErrThrottled, citronstream.ErrThrottled, func(*memtable.Table, *httptest.Server) {}, memtable.WithRates(0, 0))
+
+	t.Run("silent service", func(t *testing.T) {
+		ta, mem, _ := start(t, clk)
+		mem.SetSlow(time.Hour)
+		done := make(chan error, 1)
+		go func() { done <- ta.Write(t.Context(), "a", put("A/1", "", 0)) }()
+		// Waiters are the client's timeout and the service's delay.
+		require.NoError(t, clk.BlockUntilContext(t.Context(), 2))
+		clk.Advance(2 * time.Second)
+		assert.ErrorIs(t, <-done, citronstream.ErrUnknownOutcome)
+	})
+}
+
+func BenchmarkTable(b *testing.B) {
+	ta, _, _ := start(b, clockwork.NewRealClock())
+	require.NoError(b, ta.Write(b.Context(), "", put("A/1", string(make([]byte, 1024)), 0)))
+	run := func(name string, step func() error) {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := step(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+	run("Get", func() error { _, err := ta.Get(b.Context(), "A/1"); return err })
+	run("Write", func() error {
+		return ta.Write(b.Context(), "", put("A/2", string(make([]byte, 1024)), citronstream.AnyVersion))
+	})
+}
