Configuration in force through the table, from peers and by heartbeats

Cause: entries and agents ran on a configuration given at their start. Change: each process follows config/version, learns versions from every message and heartbeat, fetches documents from peers, and waits for a recent version at its start; the race of two operators is a fault of the demo. Silence of a link with calls in flight is noticed after 1.2 s.

--- a/internal/agent/server/options.go
+++ b/internal/agent/server/options.go
@@ -30,7 +30,7 @@
 
 // WithVersion sets where the configuration version comes from, and what
 // takes note of a peer's version.
-func WithVersion(current func() uint64, observe func(li *link.Link, version uint64)) Option {
+func WithVersion(current func() uint64, observe func(entry string, version uint64)) Option {
 	return func(se *Server) { se.version, se.observe = current, observe }
 }
 
--- a/internal/agent/server/peer.go
+++ b/internal/agent/server/peer.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// heard takes the version of a heartbeat.
+func (pe *peer) heard(_ *link.Link, version uint64) {
+	if pe.known.Load() {
+		pe.se.observe(pe.name, version)
+	}
+}
+
 func (pe *peer) hello(re *link.Request) {
 	var he citronstream.Hello
 	if err := re.Decode(&he); err != nil {
@@ -81,7 +88,7 @@
 	pe.li.SetSession(he)
 	pe.known.Store(true)
 	se.clockSeen(he.Clock)
-	se.observe(pe.li, he.Version)
+	se.observe(he.Name, he.Version)
 	load := se.Load()
 	re.Reply(citronstream.Hello{
 		Name: se.up.Name, Role: "agent", Boot: se.boot, Epoch: se.epoch(), Version: se.version(), Load: &load, Clock: se.clockNow(),
@@ -96,7 +103,7 @@
 	}
 	pe.se.clockSeen(ca.Clock)
 	if ca.Version > pe.se.version() {
-		pe.se.observe(pe.li, ca.Version)
+		pe.se.observe(pe.name, ca.Version)
 	}
 	pe.se.admit(ca, &reply{pe: pe, re: re})
 }
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -51,7 +51,7 @@
 	boot     string // names this run of the process
 	epoch    func() uint64
 	version  func() uint64
-	observe  func(li *link.Link, version uint64)
+	observe  func(entry string, version uint64)
 	extra    func(li *link.Link, re *link.Request) bool
 	slots    func() []int
 	wrap     func(link.Stream) link.Stream
@@ -91,7 +91,7 @@
 	se := &Server{
 		clk: clk, eng: eng, up: up, protocol: protocol, queue: queue, log: logr.Discard(),
 		epoch: func() uint64 { return 1 }, version: func() uint64 { return 0 },
-		observe: func(*link.Link, uint64) {}, slots: func() []int { return nil },
+		observe: func(string, uint64) {}, slots: func() []int { return nil },
 		extra:    func(*link.Link, *link.Request) bool { return false },
 		wrap:     func(stream link.Stream) link.Stream { return stream },
 		attempts: attempts.New(clk), links: make(map[*link.Link]*peer), running: make(map[string]*attempts.Attempt),
@@ -184,7 +184,7 @@
 	pe := &peer{se: se, ready: make(chan struct{}), gone: make(chan struct{})}
 	se.mu.Lock()
 	defer se.mu.Unlock()
-	li := link.New(se.ctx, se.clk, stream, pe.handle, link.WithIdleCheck(se.idleCheck))
+	li := link.New(se.ctx, se.clk, stream, pe.handle, link.WithIdleCheck(se.idleCheck), link.WithVersion(se.version, pe.heard))
 	pe.li = li
 	close(pe.ready)
 	se.links[li] = pe
--- a/internal/config/version/store.go
+++ b/internal/config/version/store.go
@@ -73,14 +73,22 @@
 // Agents use 10 s; with the default of 0 each poll is made.
 func WithQuiet(quiet time.Duration) Option { return func(st *Store) { st.quiet = quiet } }
 
+// WithFirst gives the store a version that the process has found already.
+func WithFirst(first *Snapshot) Option {
+	return func(st *Store) {
+		st.current.Store(first)
+		st.ready.Store(true)
+	}
+}
+
 // New returns a store without a version.
 func New(clk citronstream.Clock, ta citronstream.Table, ob citronstream.Objects, opts ...Option) *Store {
 	st := &Store{clk: clk, table: ta, objects: ob, poll: 2 * time.Second, wake: make(chan struct{}, 1)}
+	st.current.Store(&Snapshot{Fleet: &citronstream.Fleet{}})
+	st.wanted.Store(&hint{})
 	for _, opt := range opts {
 		opt(st)
 	}
-	st.current.Store(&Snapshot{Fleet: &citronstream.Fleet{}})
-	st.wanted.Store(&hint{})
 	return st
 }
 
--- a/internal/entry/agents/agents.go
+++ b/internal/entry/agents/agents.go
@@ -45,7 +45,7 @@
 	routes  *table.Table
 	hello   func() citronstream.Hello
 	handler func(li *link.Link, re *link.Request)
-	observe func(li *link.Link, version uint64)
+	observe func(upstream string, version uint64)
 	rec     citronstream.Recorder
 	keeper  Keeper
 	counts  Counts
@@ -78,7 +78,7 @@
 }
 
 // WithObserve sets what takes note of a peer's configuration version.
-func WithObserve(observe func(li *link.Link, version uint64)) Option {
+func WithObserve(observe func(upstream string, version uint64)) Option {
 	return func(po *Pool) { po.observe = observe }
 }
 
@@ -97,7 +97,7 @@
 		handler: func(_ *link.Link, re *link.Request) {
 			re.ReplyError(citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "unknown method %q", re.Method))
 		},
-		observe: func(*link.Link, uint64) {},
+		observe: func(string, uint64) {},
 	}
 	for _, opt := range opts {
 		opt(po)
@@ -137,7 +137,8 @@
 	ag.dial = dialer.New(ctx, po.clk, po.eng, up.Agent, po.handle,
 		dialer.WithUp(func(ctx context.Context, li *link.Link) error { return po.greet(ctx, up.Name, li) }),
 		dialer.WithDown(func(err error) { po.lost(up.Name, err) }),
-		dialer.WithLinkOptions(link.WithIdleCheck(po.idleCheck)))
+		dialer.WithLinkOptions(link.WithIdleCheck(po.idleCheck),
+			link.WithVersion(func() uint64 { return po.hello().Version }, func(_ *link.Link, version uint64) { po.observe(up.Name, version) })))
 	return ag
 }
 
@@ -165,7 +166,7 @@
 		po.routes.Report(*he.Load)
 	}
 	po.clockSeen(he.Clock)
-	po.observe(li, he.Version)
+	po.observe(name, he.Version)
 	return nil
 }
 
@@ -196,7 +197,7 @@
 		var lo citronstream.Load
 		if re.Decode(&lo) == nil {
 			po.routes.Report(lo)
-			po.observe(li, lo.Version)
+			po.observe(lo.Upstream, lo.Version)
 		}
 	default:
 		po.handler(li, re)
--- a/internal/entry/agents/run.go
+++ b/internal/entry/agents/run.go
@@ -92,6 +92,7 @@
 	if re.Load != nil {
 		po.routes.Report(*re.Load)
 	}
+	po.observe(upstream, re.Version)
 	if re.AttemptID != ca.AttemptID || (re.Fault == nil && !fl.whole(ca, &re)) {
 		po.counts.Corrupt.Add(1)
 		po.event(citronstream.Event{Kind: "ResultCorrupt", RequestID: ca.RequestID, AttemptID: ca.AttemptID, Upstream: upstream})
--- a/internal/once/grant/grant.go
+++ b/internal/once/grant/grant.go
@@ -23,6 +23,8 @@
 	tableWait = 5 * time.Second
 	// settleWait bounds the question to the entries.
 	settleWait = 10 * time.Second
+	// pokeEvery bounds the steps that entries ask for, each of which reads the Slots row.
+	pokeEvery = 500 * time.Millisecond
 	// quickTick is the delay to the next step while slots are being released.
 	quickTick = 100 * time.Millisecond
 )
@@ -90,6 +92,8 @@
 	listed  map[string]bool // last list; nil when it can't be used
 	until   map[string]time.Time
 
+	poked atomic.Int64 // nanoseconds since 1970 of the last Poke
+
 	starts, renewals, acquired, released, takeovers, settled, lost atomic.Uint64
 }
 
@@ -168,6 +172,15 @@
 	gr.poke()
 }
 
+// Poke asks for the next step soon. Requests within pokeEvery of a step count as one.
+func (gr *Grant) Poke() {
+	now := gr.clk.Now().UnixNano()
+	last := gr.poked.Load()
+	if now-last >= int64(pokeEvery) && gr.poked.CompareAndSwap(last, now) {
+		gr.poke()
+	}
+}
+
 func (gr *Grant) poke() {
 	select {
 	case gr.wake <- struct{}{}:
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -17,11 +17,14 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
-// Times of the silence check. A silent connection is noticed within 3 s.
+// Times of the silence check. The bound on notice is 3 s; with calls in flight
+// the link is quicker, so that an urgent call of 2 s can still be settled.
 const (
-	checkEvery  = 250 * time.Millisecond
-	pingAfter   = time.Second
-	silentAfter = 2500 * time.Millisecond
+	checkEvery  = 100 * time.Millisecond
+	pingAfter   = 300 * time.Millisecond // with calls in flight
+	idleAfter   = time.Second            // without
+	silentAfter = 1200 * time.Millisecond
+	answerAfter = 800 * time.Millisecond // least wait for the answer to a ping
 )
 
 // MethodPing is answered by every link itself.
@@ -85,6 +88,8 @@
 	conn     *jsonrpc2.Conn
 	handler  Handler
 	idle     func() time.Duration
+	version  func() uint64
+	observe  func(li *Link, version uint64)
 	inFlight atomic.Int64
 	done     chan struct{}
 	mu       sync.Mutex
@@ -98,10 +103,17 @@
 // WithIdleCheck sets how often a link without calls in flight is checked.
 func WithIdleCheck(idle func() time.Duration) Option { return func(li *Link) { li.idle = idle } }
 
+// WithVersion sets the configuration version that heartbeats carry, and what
+// takes note of the peer's.
+func WithVersion(version func() uint64, observe func(li *Link, version uint64)) Option {
+	return func(li *Link) { li.version, li.observe = version, observe }
+}
+
 // New starts a link over the stream. It ends with ctx, with the stream, or when the peer is silent.
 func New(ctx context.Context, clk citronstream.Clock, stream Stream, handler Handler, opts ...Option) *Link {
 	li := &Link{clk: clk, stream: stream, handler: handler, done: make(chan struct{})}
-	li.idle = func() time.Duration { return pingAfter }
+	li.idle = func() time.Duration { return idleAfter }
+	li.version, li.observe = func() uint64 { return 0 }, func(*Link, uint64) {}
 	for _, opt := range opts {
 		opt(li)
 	}
@@ -127,7 +139,11 @@
 		re.Params = *req.Params
 	}
 	if req.Method == MethodPing {
-		re.Reply(struct{}{})
+		var no citronstream.VersionNotice
+		if re.Decode(&no) == nil {
+			di.li.observe(di.li, no.Version)
+		}
+		re.Reply(citronstream.VersionNotice{Version: di.li.version()})
 		return
 	}
 	di.li.handler(di.li, re)
@@ -217,7 +233,7 @@
 			last, heard = count, now
 			continue
 		}
-		if now.Sub(heard) >= silentAfter && pinged.After(heard) && now.Sub(pinged) >= pingAfter {
+		if now.Sub(heard) >= silentAfter && pinged.After(heard) && now.Sub(pinged) >= answerAfter {
 			li.closeWith(ErrSilent)
 			return
 		}
@@ -234,7 +250,8 @@
 
 // ping asks for a sign of life. The answer counts as received bytes.
 func (li *Link) ping() {
-	if _, err := li.conn.DispatchCall(context.Background(), MethodPing, struct{}{}); err != nil {
+	notice := citronstream.VersionNotice{Version: li.version()}
+	if _, err := li.conn.DispatchCall(context.Background(), MethodPing, notice); err != nil {
 		li.closeWith(ErrLost)
 	}
 }
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -3,16 +3,20 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"math/rand/v2"
+	"strconv"
+	"time"
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/agent/server"
+	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/kernel/discipline"
 	"github.com/citronstream/citronstream/internal/kernel/protocol"
 	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
 	"github.com/citronstream/citronstream/internal/once/claim"
 	"github.com/citronstream/citronstream/internal/once/grant"
+	"github.com/citronstream/citronstream/internal/peer/asker"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
 	"github.com/go-logr/logr"
@@ -27,11 +31,20 @@
 // queueName is the queue discipline of all agents.
 const queueName = "fair"
 
+const (
+	// quiet is how long an agent goes without reading the version row after an entry has spoken.
+	quiet = 10 * time.Second
+	// bootstrapPause is the mean wait between attempts to find a first configuration.
+	bootstrapPause = 250 * time.Millisecond
+)
+
 // Settings is what an agent is told at its start.
 type Settings struct {
 	Upstream string // name in the Fleet
 	Token    string // shared secret of the peers
 	Platform citronstream.Platform
+	// Peers are addresses of other agents that are asked for the configuration while the table is down.
+	Peers []string
 	// Wrap changes the way to the upstream and Stream the connections of
 	// entries; tests put faults there. Nil changes nothing.
 	Wrap   func(citronstream.Protocol) citronstream.Protocol
@@ -47,13 +60,41 @@
 	Grant    *grant.Grant // nil for a service without non-idempotent calls
 	Claim    *claim.Claim
 
-	fleet  atomic.Pointer[citronstream.Fleet]
+	Config *version.Store
+	Queue  citronstream.Discipline
+
+	set    Settings
+	clk    citronstream.Clock
+	eng    *nbconn.Engine
+	ctx    context.Context
 	cancel context.CancelFunc
 	ended  []<-chan struct{}
 }
 
+// Find returns an agent once it knows a configuration that names its
+// upstream, from the table or from peers. It waits until ctx ends.
+func Find(ctx context.Context, clk citronstream.Clock, eng *nbconn.Engine, set Settings, log logr.Logger) (*Agent, error) {
+	hello := func() citronstream.Hello {
+		return citronstream.Hello{Name: set.Upstream, Role: "agent", Token: set.Token}
+	}
+	ask := asker.New(clk, eng, hello)
+	config := version.New(clk, set.Platform.Table, set.Platform.Objects, version.WithFetcher(ask))
+	for {
+		err := config.Bootstrap(ctx, set.Peers, ask)
+		if err == nil {
+			return New(clk, eng, set, config.Current(), log)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-clk.After(bootstrapPause/2 + rand.N(bootstrapPause)):
+		}
+	}
+}
+
 // New returns an agent with its first configuration.
-func New(clk citronstream.Clock, eng *nbconn.Engine, set Settings, fl *citronstream.Fleet, log logr.Logger) (*Agent, error) {
+func New(clk citronstream.Clock, eng *nbconn.Engine, set Settings, first *version.Snapshot, log logr.Logger) (*Agent, error) {
+	fl := first.Fleet
 	up, se, err := find(fl, set.Upstream)
 	if err != nil {
 		return nil, err
@@ -66,15 +107,17 @@
 	if err != nil {
 		return nil, err
 	}
-	ag := &Agent{Up: up, Holds: poison.New(clk, fl.Limits), Timeline: timeline.New(clk, timeline.WithProcess(up.Name))}
-	ag.fleet.Store(fl)
+	ag := &Agent{set: set, clk: clk, eng: eng, Up: up, Holds: poison.New(clk, fl.Limits), Timeline: timeline.New(clk, timeline.WithProcess(up.Name))}
+	ag.Config = version.New(clk, set.Platform.Table, set.Platform.Objects,
+		version.WithFetcher(ag), version.WithQuiet(quiet), version.WithFirst(first))
 	if set.Wrap != nil {
 		pr = set.Wrap(pr)
 	}
-	queue := factory(discipline.Settings{Clock: clk, Fleet: *fl, Capacity: up.Capacity, Rate: firstRate(se, up.Capacity)})
+	ag.Queue = factory(discipline.Settings{Clock: clk, Fleet: *fl, Capacity: up.Capacity, Rate: firstRate(se, up.Capacity)})
 	opts := []server.Option{
 		server.WithHolds(ag.Holds), server.WithRecorder(ag.Timeline), server.WithLog(log), server.WithToken(set.Token),
-		server.WithVersion(func() uint64 { return ag.fleet.Load().Version }, func(*link.Link, uint64) {}),
+		server.WithVersion(ag.Config.Version, func(entry string, version uint64) { ag.Config.Observe(version, entry) }),
+		server.WithExtra(ag.handle),
 	}
 	if set.Stream != nil {
 		opts = append(opts, server.WithStream(set.Stream))
@@ -82,7 +125,7 @@
 	if once := ag.ownership(clk, set, fl, se); once != nil {
 		opts = append(opts, server.WithOnce(once), server.WithGrant(ag.epoch, ag.Grant.Owned))
 	}
-	ag.Server = server.New(clk, eng, up, pr, queue, opts...)
+	ag.Server = server.New(clk, eng, up, pr, ag.Queue, opts...)
 	return ag, nil
 }
 
@@ -95,7 +138,7 @@
 	if repeatable {
 		return nil
 	}
-	wi := witness{server: func() *server.Server { return ag.Server }, entries: func() []citronstream.Entry { return ag.fleet.Load().Entries }}
+	wi := witness{server: func() *server.Server { return ag.Server }, entries: func() []citronstream.Entry { return ag.Config.Current().Fleet.Entries }}
 	ag.Grant = grant.New(grant.Settings{Upstream: ag.Up.Name, Service: se.Name, Instance: ag.Up.Instance, Address: ag.Up.Agent},
 		set.Platform.Table, set.Platform.Liveness, clk, grant.WithLimits(fl.Limits), grant.WithWitness(wi))
 	ag.Claim = claim.New(ag.Grant, set.Platform.Table, set.Platform.Objects, clk,
@@ -120,6 +163,13 @@
 		return err
 	}
 	ctx, ag.cancel = context.WithCancel(ctx)
+	ag.Config.Subscribe(ag.apply)
+	followed := make(chan struct{})
+	go func() {
+		defer close(followed)
+		ag.Config.Run(ctx)
+	}()
+	ag.ended = append(ag.ended, followed)
 	if ag.Grant != nil {
 		ag.ended = append(ag.ended, ag.Grant.Run(ctx), ag.Claim.Run(ctx))
 	}
@@ -147,6 +197,52 @@
 	}
 }
 
+// apply puts a configuration in force and tells the entries.
+func (ag *Agent) apply(sn *version.Snapshot) {
+	if qu, ok := ag.Queue.(interface{ Configure(citronstream.Fleet) }); ok {
+		qu.Configure(*sn.Fleet)
+	}
+	ag.Holds.Configure(sn.Fleet.Limits)
+	ag.Server.Broadcast(citronstream.MethodVersion, citronstream.VersionNotice{Version: sn.Fleet.Version})
+	ag.Timeline.Record(citronstream.Event{Kind: "ConfigInForce", Detail: strconv.FormatUint(sn.Fleet.Version, 10)})
+}
+
+// handle takes the messages of entries that the server does not know.
+func (ag *Agent) handle(li *link.Link, re *link.Request) bool {
+	switch re.Method {
+	case citronstream.MethodConfig:
+		re.Reply(ag.Config.Current().Document)
+	case citronstream.MethodVersion:
+		var no citronstream.VersionNotice
+		if he, ok := li.Session().(citronstream.Hello); ok && re.Decode(&no) == nil {
+			ag.Config.Observe(no.Version, he.Name)
+		}
+	case citronstream.MethodPoke:
+		if ag.Grant != nil {
+			ag.Grant.Poke()
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+// Fetch implements version.Fetcher: from an entry by name, or from an address.
+func (ag *Agent) Fetch(ctx context.Context, peer string, atLeast uint64) (version.Document, error) {
+	var from *link.Link
+	ag.Server.Links(func(name string, li *link.Link) {
+		if name == peer {
+			from = li
+		}
+	})
+	if from == nil {
+		return version.Document{}, citronstream.ErrUnavailable
+	}
+	var do version.Document
+	err := from.Call(ctx, citronstream.MethodConfig, citronstream.ConfigRequest{Version: atLeast}, &do)
+	return do, err
+}
+
 // firstRate guesses the throughput in cost units a second before any call was
 // measured: one mean call a second for each place.
 func firstRate(se *citronstream.Service, capacity int) float64 {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -3,11 +3,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/entry/agents"
 	"github.com/citronstream/citronstream/internal/entry/catalog"
 	"github.com/citronstream/citronstream/internal/entry/pipeline"
@@ -20,6 +23,7 @@
 	"github.com/citronstream/citronstream/internal/once/claim"
 	"github.com/citronstream/citronstream/internal/once/grant"
 	"github.com/citronstream/citronstream/internal/once/witness"
+	"github.com/citronstream/citronstream/internal/peer/asker"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
 	"github.com/citronstream/citronstream/internal/route/outlier"
@@ -32,8 +36,12 @@
 	_ "github.com/citronstream/citronstream/internal/route/roundrobin"
 )
 
-// judgeEvery is how often outliers are looked for.
-const judgeEvery = 500 * time.Millisecond
+const (
+	// judgeEvery is how often outliers are looked for.
+	judgeEvery = 500 * time.Millisecond
+	// bootstrapPause is the mean wait between attempts to find a first configuration.
+	bootstrapPause = 250 * time.Millisecond
+)
 
 // Settings is what an entry is told at its start.
 type Settings struct {
@@ -41,8 +49,12 @@
 	Zone  string
 	Seed  uint64
 	Token string // shared secret of the peers
+	// Peers are addresses of agents that are asked for the configuration while the table is down.
+	Peers []string
 	// Platform is the platform's services.
 	Platform citronstream.Platform
+	// Limits are in force before the first configuration.
+	Limits citronstream.Limits
 }
 
 // Entry is one entry process.
@@ -54,9 +66,12 @@
 	Holds    *poison.Holds
 	Timeline *timeline.Ring
 	Keeper   *witness.Keeper
+	Config   *version.Store
+	Budget   *retrybudget.Budget
 
 	set      Settings
 	clk      citronstream.Clock
+	eng      *nbconn.Engine
 	log      logr.Logger
 	boot     string
 	started  time.Time
@@ -64,7 +79,7 @@
 	current  atomic.Pointer[state]
 	ctx      context.Context
 	cancel   context.CancelFunc
-	done     chan struct{}
+	done     []chan struct{}
 	settles  sync.WaitGroup // answers to Once.Settle under way
 }
 
@@ -74,30 +89,34 @@
 	pickers map[string]citronstream.Picker
 }
 
-// New returns an entry with its first configuration.
-func New(ctx context.Context, clk citronstream.Clock, eng *nbconn.Engine, set Settings, address string, fl *citronstream.Fleet, log logr.Logger) (*Entry, error) {
+// New returns an entry without a configuration.
+func New(ctx context.Context, clk citronstream.Clock, eng *nbconn.Engine, set Settings, address string, log logr.Logger) *Entry {
 	en := &Entry{
-		set: set, clk: clk, log: log, boot: citronstream.NewID(), started: clk.Now(), done: make(chan struct{}),
-		Routes: table.New(clk), Holds: poison.New(clk, fl.Limits), Timeline: timeline.New(clk, timeline.WithProcess(set.Name)),
+		set: set, clk: clk, eng: eng, log: log, boot: citronstream.NewID(), started: clk.Now(),
+		Routes: table.New(clk), Holds: poison.New(clk, set.Limits), Budget: retrybudget.New(clk, set.Limits), Timeline: timeline.New(clk, timeline.WithProcess(set.Name)),
 	}
-	en.Keeper = witness.New(set.Platform.Table, set.Platform.Objects, clk, witness.WithRetention(fl.Limits.KeyRetention.Std()))
+	en.Keeper = witness.New(set.Platform.Table, set.Platform.Objects, clk, witness.WithRetention(set.Limits.KeyRetention.Std()))
+	en.Config = version.New(clk, set.Platform.Table, set.Platform.Objects,
+		version.WithPoll(set.Limits.ConfigPoll.Std()), version.WithFetcher(en))
 	en.ctx, en.cancel = context.WithCancel(ctx)
 	en.outliers = outlier.New(clk, en.Routes)
-	budget := retrybudget.New(clk, fl.Limits)
 	en.Agents = agents.New(en.ctx, clk, eng, en.Routes, en.hello,
-		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper))
-	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, budget,
+		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper),
+		agents.WithObserve(func(upstream string, version uint64) { en.Config.Observe(version, upstream) }))
+	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, en.Budget,
 		pipeline.WithTimes(stagetime.New(clk)), pipeline.WithHolds(en.Holds),
 		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}))
-	en.Server = server.New(clk, address, en.Runner, en.Catalog, fl.Limits)
-	return en, en.Apply(fl)
+	en.Server = server.New(clk, address, en.Runner, en.Catalog, set.Limits, server.WithReady(en.ready))
+	return en
 }
 
-// Apply puts a configuration in force. An older one than that in force is ignored.
-func (en *Entry) Apply(fl *citronstream.Fleet) error {
+// apply puts a configuration in force. An older one than that in force is ignored.
+func (en *Entry) apply(fl *citronstream.Fleet) error {
 	if !en.Routes.Replace(fl) {
 		return nil
 	}
+	en.Budget.Configure(fl.Limits)
+	en.Holds.Configure(fl.Limits)
 	next := &state{catalog: catalog.New(fl), pickers: make(map[string]citronstream.Picker, len(fl.Services))}
 	for i := range fl.Services {
 		se := &fl.Services[i]
@@ -109,6 +128,10 @@
 	}
 	en.current.Store(next)
 	en.Agents.Replace(en.near(fl))
+	en.Agents.Links(func(_ string, li *link.Link) {
+		_ = li.Notify(citronstream.MethodVersion, citronstream.VersionNotice{Version: fl.Version})
+	})
+	en.Timeline.Record(citronstream.Event{Kind: "ConfigInForce", Detail: strconv.FormatUint(fl.Version, 10)})
 	return nil
 }
 
@@ -141,12 +164,58 @@
 	return near
 }
 
-// Start serves callers.
+// Start serves callers, and looks for a configuration. Until there is one the
+// entry says that it is not ready.
 func (en *Entry) Start() error {
 	if err := en.Server.Start(en.ctx); err != nil {
 		return err
 	}
-	go en.judge()
+	en.Config.Subscribe(func(sn *version.Snapshot) {
+		if err := en.apply(sn.Fleet); err != nil {
+			en.log.Error(err, "configuration not in force", "version", sn.Fleet.Version)
+		}
+	})
+	en.own(en.judge)
+	en.own(en.follow)
+	return nil
+}
+
+// own runs a part of the entry until its end.
+func (en *Entry) own(part func(ctx context.Context)) {
+	done := make(chan struct{})
+	en.done = append(en.done, done)
+	go func() {
+		defer close(done)
+		part(en.ctx)
+	}()
+}
+
+// follow finds a first configuration and then follows the accepted one.
+func (en *Entry) follow(ctx context.Context) {
+	ask := asker.New(en.clk, en.eng, en.hello)
+	for ctx.Err() == nil && en.Config.Bootstrap(ctx, en.set.Peers, ask) != nil {
+		select {
+		case <-ctx.Done():
+		case <-en.clk.After(bootstrapPause/2 + rand.N(bootstrapPause)):
+		}
+	}
+	en.Config.Run(ctx)
+}
+
+// Fetch implements version.Fetcher: from an agent by name, or from an address.
+func (en *Entry) Fetch(ctx context.Context, peer string, atLeast uint64) (version.Document, error) {
+	var do version.Document
+	if li := en.Agents.Link(peer); li != nil {
+		err := li.Call(ctx, citronstream.MethodConfig, citronstream.ConfigRequest{Version: atLeast}, &do)
+		return do, err
+	}
+	return asker.New(en.clk, en.eng, en.hello).Fetch(ctx, peer, atLeast)
+}
+
+func (en *Entry) ready() error {
+	if !en.Config.Ready() || en.Catalog() == nil {
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotReady, "no recent configuration is known")
+	}
 	return nil
 }
 
@@ -163,7 +232,9 @@
 	en.cancel()
 	en.Agents.Close()
 	en.settles.Wait()
-	<-en.done
+	for _, done := range en.done {
+		<-done
+	}
 }
 
 // Catalog returns the configuration in force.
@@ -201,6 +272,13 @@
 	switch re.Method {
 	case citronstream.MethodPoison:
 		en.poison(li, re)
+	case citronstream.MethodConfig:
+		re.Reply(en.Config.Current().Document)
+	case citronstream.MethodVersion:
+		var no citronstream.VersionNotice
+		if he, ok := li.Session().(citronstream.Hello); ok && re.Decode(&no) == nil {
+			en.Config.Observe(no.Version, he.Name)
+		}
 	case citronstream.MethodFlushed:
 		var fl claim.Notice
 		if re.Decode(&fl) == nil {
@@ -251,13 +329,12 @@
 }
 
 // judge looks for outliers until the entry ends.
-func (en *Entry) judge() {
-	defer close(en.done)
+func (en *Entry) judge(ctx context.Context) {
 	ticker := en.clk.NewTicker(judgeEvery)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-en.ctx.Done():
+		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
 			en.outliers.Judge()
--- a/internal/process/local/control.go
+++ b/internal/process/local/control.go
@@ -2,8 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/config/version"
+	"github.com/citronstream/citronstream/internal/observe/invariant"
 	"github.com/citronstream/citronstream/internal/standin/gate"
 )
 
@@ -64,5 +70,61 @@
 	}
 }
 
-// Race lets two operators change the same version at once and returns who won.
-func (fl *Fleet) Race(context.Context) (string, error) { return "not yet", nil }
+// inForceWithin is the target for a configuration to be in force everywhere on
+// the sites of today.
+const inForceWithin = 5 * time.Second
+
+// Race lets two operators change the same version at once, and waits until
+// the winner's version is in force everywhere. It returns what happened.
+func (fl *Fleet) Race(ctx context.Context) (string, error) {
+	base := version.New(fl.clk, fl.Table, fl.Objects)
+	if err := base.Refresh(ctx); err != nil {
+		return "the table does not answer", nil //nolint:nilerr // an outage is a fault of its own
+	}
+	from := base.Current().Fleet
+	names := [2]string{"first", "second"}
+	var versions [2]uint64
+	var errs [2]error
+	var wg sync.WaitGroup
+	for i := range names {
+		wg.Go(func() {
+			next := *from
+			next.Workspaces = slices.Clone(from.Workspaces)
+			next.Workspaces[0].Weight += 0.001 * float64(i+1)
+			versions[i], errs[i] = version.New(fl.clk, fl.Table, fl.Objects).Accept(ctx, from.Version, &next, names[i])
+		})
+	}
+	wg.Wait()
+	invariant.Check(errs[0] != nil || errs[1] != nil, "two operators both changed version %d", from.Version)
+	for i := range names {
+		if errs[i] != nil {
+			continue
+		}
+		start := fl.clk.Now()
+		for !fl.inForce(versions[i]) {
+			if took := fl.clk.Now().Sub(start); took > inForceWithin || ctx.Err() != nil {
+				return fmt.Sprintf("%s operator won version %d, not in force everywhere after %s", names[i], versions[i], took.Round(time.Millisecond)), nil
+			}
+			<-fl.clk.After(readyPoll)
+		}
+		return fmt.Sprintf("%s operator won version %d, in force everywhere after %s; the other: %v",
+			names[i], versions[i], fl.clk.Now().Sub(start).Round(time.Millisecond), errs[1-i]), nil
+	}
+	return fmt.Sprintf("no operator won: %v; %v", errs[0], errs[1]), nil
+}
+
+func (fl *Fleet) inForce(version uint64) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for _, en := range fl.entries {
+		if en.Version() < version {
+			return false
+		}
+	}
+	for _, ag := range fl.agents {
+		if ag.Config.Version() < version {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/process/local/local.go
+++ b/internal/process/local/local.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
 	"github.com/citronstream/citronstream/internal/once/grant"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
@@ -27,6 +28,9 @@
 	"github.com/go-logr/logr"
 )
 
+// peerCount is the number of peers that a process is told of.
+const peerCount = 5
+
 // listLag is how late the platform's list is.
 const listLag = time.Second
 
@@ -53,6 +57,8 @@
 	Table   *memtable.Table
 	Objects *memobjects.Store
 	List    *memlist.List
+	// Operator submits changes of the configuration.
+	Operator *version.Store
 
 	clk   citronstream.Clock
 	log   logr.Logger
@@ -111,6 +117,10 @@
 	for _, in := range fl.Config.Instances {
 		fl.List.Set(citronstream.InstanceState{Instance: in.Name, Zone: in.Zone})
 	}
+	fl.Operator = version.New(fl.clk, fl.Table, fl.Objects)
+	if _, err := fl.Operator.Accept(fl.ctx, 0, fl.Config, "local"); err != nil {
+		return err
+	}
 	for _, up := range fl.Config.Upstreams {
 		if err := fl.startUpstream(up); err != nil {
 			return fmt.Errorf("stand-in %s: %w", up.Name, err)
@@ -168,6 +178,17 @@
 	return citronstream.Platform{Table: fl.Table, Objects: fl.Objects, Liveness: fl.List}
 }
 
+// peers returns the addresses of some agents other than that of an upstream.
+func (fl *Fleet) peers(except string) []string {
+	var some []string
+	for _, up := range fl.Config.Upstreams {
+		if up.Name != except && len(some) < peerCount {
+			some = append(some, up.Agent)
+		}
+	}
+	return some
+}
+
 // agentSettings puts the agent behind a gate of its own.
 func (fl *Fleet) agentSettings(name string) agent.Settings {
 	ga := gate.New()
@@ -176,12 +197,12 @@
 	fl.mu.Unlock()
 	pl := fl.platform()
 	pl.Table = ga.Table(pl.Table)
-	return agent.Settings{Upstream: name, Token: fl.token, Platform: pl, Wrap: ga.Protocol, Stream: ga.Stream}
+	return agent.Settings{Upstream: name, Token: fl.token, Platform: pl, Peers: fl.peers(name), Wrap: ga.Protocol, Stream: ga.Stream}
 }
 
 // StartAgent starts the agent of an upstream, also after it was stopped.
 func (fl *Fleet) StartAgent(name string) error {
-	ag, err := agent.New(fl.clk, fl.eng, fl.agentSettings(name), fl.Config, fl.log)
+	ag, err := agent.Find(fl.ctx, fl.clk, fl.eng, fl.agentSettings(name), fl.log)
 	if err != nil {
 		return err
 	}
@@ -200,11 +221,10 @@
 		if en.Name != name {
 			continue
 		}
-		pr, err := entry.New(fl.ctx, fl.clk, fl.eng,
-			entry.Settings{Name: name, Zone: fl.zone(en.Instance), Seed: fl.seed, Token: fl.token, Platform: fl.platform()}, en.Address, fl.Config, fl.log)
-		if err != nil {
-			return err
-		}
+		pr := entry.New(fl.ctx, fl.clk, fl.eng, entry.Settings{
+			Name: name, Zone: fl.zone(en.Instance), Seed: fl.seed, Token: fl.token,
+			Platform: fl.platform(), Peers: fl.peers(""), Limits: fl.Config.Limits,
+		}, en.Address, fl.log)
 		if err := pr.Start(); err != nil {
 			return err
 		}
@@ -303,6 +323,9 @@
 		missing := 0
 		for _, en := range fl.entries {
 			missing += en.Agents.Missing()
+			if en.Version() == 0 {
+				missing++
+			}
 		}
 		for _, slots := range fl.owned() {
 			missing += grant.SlotCount - slots
--- a/message.go
+++ b/message.go
@@ -8,13 +8,15 @@
 	MethodLoad        = "Peer.Load"  // agent to entry, notification, Load
 	MethodDrain       = "Peer.Drain" // agent to entry, notification, Load with Leaving
 	MethodStart       = "Call.Start"
-	MethodChunk       = "Call.Chunk"  // agent to entry, notification, Chunk
-	MethodCancel      = "Call.Cancel" // answered by CancelReply
-	MethodQuery       = "Call.Query"  // answered by Result, as Call.Start
-	MethodConfig      = "Config.Get"
-	MethodPoison      = "Poison.Report" // both ways, notification
-	MethodFlushed     = "Once.Flushed"  // agent to entry, notification, Flushed
-	MethodSettle      = "Once.Settle"   // agent to entry
+	MethodChunk       = "Call.Chunk"     // agent to entry, notification, Chunk
+	MethodCancel      = "Call.Cancel"    // answered by CancelReply
+	MethodQuery       = "Call.Query"     // answered by Result, as Call.Start
+	MethodConfig      = "Config.Get"     // both ways, answered by a document
+	MethodVersion     = "Config.Version" // both ways, notification, VersionNotice
+	MethodPoke        = "Once.Poke"      // entry to agent, notification: a slot has no owner
+	MethodPoison      = "Poison.Report"  // both ways, notification
+	MethodFlushed     = "Once.Flushed"   // agent to entry, notification, Flushed
+	MethodSettle      = "Once.Settle"    // agent to entry
 	MethodAdminStatus = "Admin.Status"
 	MethodTimeline    = "Admin.Timeline"
 	MethodAdminDrain  = "Admin.Drain"
@@ -62,10 +64,9 @@
 	Version uint64 `json:"Version"`
 }
 
-// ConfigReply carries a document, gzip-compressed.
-type ConfigReply struct {
-	Version  uint64 `json:"Version"`
-	Document []byte `json:"Document"`
+// VersionNotice names the highest configuration version that the sender holds.
+type VersionNotice struct {
+	Version uint64 `json:"Version"`
 }
 
 // SettleRequest asks an entry to write what it keeps for a dead agent's epoch.
