--- a/internal/upstream/completions/completions.go
+++ b/internal/upstream/completions/completions.go
@@ -85,8 +85,15 @@
 	return rs, err
 }
 
+// stream is the part of an exchange.Answer that relay uses.
+type stream interface {
+	io.Reader
+	Fault(ctx context.Context, err error) *citronstream.Fault
+	Drain()
+}
+
 // relay passes the events of a stream on until its end.
-func relay(ctx context.Context, an *exchange.Answer, us *citronstream.Usage, emit func([]byte) error) error {
+func relay(ctx context.Context, an stream, us *citronstream.Usage, emit func([]byte) error) error {
 	pieces := 0
 	for ev, err := range sse.Read(an, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
