s3: client of the object and weight store and its stand-in

Cause: configuration documents and large answers are kept in the platform's object store, and engines load from its rate-limited weight store.

Change: platform/s3 implements citronstream.Objects and citronstream.Weights through aws-sdk-go-v2 with path-style addressing, checksums when required and no SDK retries; Get reads at most 64 MiB, Get and Put end after 5 s. SlowDown is ErrThrottled. standin/s3 keeps objects in at most 1 GiB, serves weights without memory at a byte rate, and can be down, slow or lose answers of puts.

--- /dev/null
+++ b/internal/platform/s3/store_test.go
@@ -0,0 +1,118 @@
+package s3
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	standin "github.com/citronstream/citronstream/internal/standin/s3"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func start(tb testing.TB, clk citronstream.Clock, opts ...Option) (*Store, *standin.Server, *httptest.Server) {
+	se := standin.New(clk, standin.WithWeightRate("weights/", 1000))
+	server := httptest.NewServer(se)
+	tb.Cleanup(server.Close)
+	return New(clk, server.URL, opts...), se, server
+}
+
+func TestObjects(t *testing.T) {
+	ctx := t.Context()
+	st, se, server := start(t, clockwork.NewFakeClock(), WithMaxBytes(8))
+	fails := func(t *testing.T, want error) {
+		_, err := st.Get(ctx, "a/b")
+		assert.ErrorIs(t, err, want)
+		assert.ErrorIs(t, st.Put(ctx, "a/b", nil), want)
+	}
+
+	// Guards against content that changes on its way.
+	t.Run("round trip", func(t *testing.T) {
+		require.NoError(t, st.Put(ctx, "a/b c", []byte("12345678")))
+		body, err := st.Get(ctx, "a/b c")
+		require.NoError(t, err)
+		assert.Equal(t, "12345678", string(body))
+		_, err = st.Get(ctx, "none")
+		assert.ErrorIs(t, err, citronstream.ErrNotFound)
+	})
+	// Guards against unbounded memory and against a silently shortened object.
+	t.Run("too large", func(t *testing.T) {
+		require.NoError(t, st.Put(ctx, "big", make([]byte, 9)))
+		_, err := st.Get(ctx, "big")
+		assert.ErrorContains(t, err, "larger than 8 bytes")
+	})
+	// Guards against a lost answer that is taken for success or for a final refusal.
+	t.Run("lost answer", func(t *testing.T) {
+		se.SetLoseAnswers(1)
+		defer se.SetLoseAnswers(0)
+		assert.ErrorIs(t, st.Put(ctx, "lost", []byte("x")), citronstream.ErrUnavailable)
+		body, err := st.Get(ctx, "lost")
+		require.NoError(t, err)
+		assert.Equal(t, "x", string(body))
+	})
+	t.Run("down", func(t *testing.T) {
+		se.SetDown(true)
+		defer se.SetDown(false)
+		fails(t, citronstream.ErrUnavailable)
+	})
+	t.Run("connection refused", func(t *testing.T) {
+		server.Close()
+		fails(t, citronstream.ErrUnavailable)
+	})
+}
+
+// Guards against a call that waits for a silent store for ever.
+func TestTimeout(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	st, se, _ := start(t, clk)
+	se.SetSlow(time.Hour)
+	done := make(chan error, 1)
+	go func() { _, err := st.Get(t.Context(), "a"); done <- err }()
+	// Waiters are the client's timeout and the store's delay.
+	require.NoError(t, clk.BlockUntilContext(t.Context(), 2))
+	clk.Advance(5 * time.Second)
+	assert.ErrorIs(t, <-done, citronstream.ErrUnavailable)
+}
+
+// Guards against loads above the weight store's rate that look like failures.
+func TestWeights(t *testing.T) {
+	ctx := t.Context()
+	clk := clockwork.NewFakeClock()
+	st, se, _ := start(t, clk)
+	se.SetWeights("citronstream", "weights/m", 2000)
+	size, err := st.Fetch(ctx, "m")
+	require.NoError(t, err)
+	assert.Equal(t, int64(2000), size)
+	clk.Advance(1999 * time.Millisecond)
+	_, err = st.Fetch(ctx, "m")
+	require.ErrorIs(t, err, citronstream.ErrThrottled)
+	assert.Equal(t, int64(1), se.SlowDowns())
+	clk.Advance(time.Millisecond)
+	_, err = st.Fetch(ctx, "m")
+	require.NoError(t, err)
+	_, err = st.Fetch(ctx, "none")
+	assert.ErrorIs(t, err, citronstream.ErrNotFound)
+}
+
+func BenchmarkObjects(b *testing.B) {
+	st, _, _ := start(b, clockwork.NewRealClock())
+	body := make([]byte, 32<<10)
+	b.Run("Put32K", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if err := st.Put(b.Context(), "a", body); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("Get32K", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := st.Get(b.Context(), "a"); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
