--- /dev/null
+++ b/internal/platform/httpsd/list.go
@@ -0,0 +1,155 @@
+// Package httpsd is a client of the platform's list of live and leaving
+// instances, which is served as Prometheus HTTP service discovery JSON.
+package httpsd
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/prometheus/common/model"
+)
+
+// defaultMaxBytes bounds an answer. The 2,060 processes of full size take
+// about 300 KB.
+const defaultMaxBytes = 4 << 20
+
+// List implements citronstream.Liveness.
+type List struct {
+	clk      citronstream.Clock
+	url      string
+	http     *http.Client
+	timeout  time.Duration
+	maxBytes int64
+}
+
+// Option changes a List.
+type Option func(*List)
+
+// WithTimeout bounds a call; the default is 2 s.
+func WithTimeout(timeout time.Duration) Option { return func(li *List) { li.timeout = timeout } }
+
+// WithMaxBytes bounds an answer; the default is 4 MiB.
+func WithMaxBytes(size int64) Option { return func(li *List) { li.maxBytes = size } }
+
+// New returns a client of the list at a URL.
+func New(clk citronstream.Clock, url string, opts ...Option) *List {
+	li := &List{clk: clk, url: url, timeout: 2 * time.Second, maxBytes: defaultMaxBytes}
+	for _, opt := range opts {
+		opt(li)
+	}
+	li.http = &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: li.timeout}).DialContext, IdleConnTimeout: time.Minute,
+	}}
+	return li
+}
+
+// List implements citronstream.Liveness. The instances are in the order of
+// their names. An answer with a fault in any part is an error as a whole: an
+// instance that is missing from the list counts as gone, and others then take
+// over what it owns.
+func (li *List) List(ctx context.Context) ([]citronstream.InstanceState, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer li.clk.AfterFunc(li.timeout, cancel).Stop()
+	body, err := li.fetch(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("%w: instance list: %w", citronstream.ErrUnavailable, err)
+	}
+	states, err := parse(body)
+	if err != nil {
+		return nil, fmt.Errorf("%w: instance list: %w", citronstream.ErrUnavailable, err)
+	}
+	return states, nil
+}
+
+func (li *List) fetch(ctx context.Context) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, li.url, nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Accept", "application/json")
+	answer, err := li.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", answer.StatusCode)
+	}
+	if kind, _, err := mime.ParseMediaType(answer.Header.Get("Content-Type")); err != nil || kind != "application/json" {
+		return nil, fmt.Errorf("content type %q is not application/json", answer.Header.Get("Content-Type"))
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, li.maxBytes+1))
+	if err == nil && int64(len(body)) > li.maxBytes {
+		err = fmt.Errorf("answer is larger than %d bytes", li.maxBytes)
+	}
+	return body, err
+}
+
+type group struct {
+	Targets []string       `json:"targets"`
+	Labels  model.LabelSet `json:"labels"`
+}
+
+// parse reads the groups. An instance that is in several groups is leaving
+// if any of them says so.
+func parse(body []byte) ([]citronstream.InstanceState, error) {
+	var groups []group
+	if err := json.Unmarshal(body, &groups); err != nil {
+		return nil, err
+	}
+	if len(groups) == 0 {
+		// The caller's own instance is always on the list, so that an empty
+		// one is a fault of the platform.
+		return nil, errors.New("the list is empty")
+	}
+	byName := make(map[string]citronstream.InstanceState, len(groups))
+	for i, gr := range groups {
+		is, err := gr.state()
+		if err != nil {
+			return nil, fmt.Errorf("group %d: %w", i, err)
+		}
+		if old, ok := byName[is.Instance]; ok {
+			if old.Zone != is.Zone {
+				return nil, fmt.Errorf("group %d: instance %q is in the zones %q and %q", i, is.Instance, old.Zone, is.Zone)
+			}
+			is.Leaving = is.Leaving || old.Leaving
+		}
+		byName[is.Instance] = is
+	}
+	states := make([]citronstream.InstanceState, 0, len(byName))
+	for _, is := range byName {
+		states = append(states, is)
+	}
+	slices.SortFunc(states, func(is, other citronstream.InstanceState) int {
+		return strings.Compare(is.Instance, other.Instance)
+	})
+	return states, nil
+}
+
+func (gr group) state() (citronstream.InstanceState, error) {
+	is := citronstream.InstanceState{Instance: string(gr.Labels["instance"]), Zone: string(gr.Labels["zone"])}
+	if is.Instance == "" || is.Zone == "" {
+		return is, errors.New("label instance or zone is missing")
+	}
+	switch gr.Labels["state"] {
+	case "live":
+	case "leaving":
+		is.Leaving = true
+	default:
+		return is, fmt.Errorf("label state of instance %q is %q, known: live, leaving", is.Instance, gr.Labels["state"])
+	}
+	return is, nil
+}
+
+var _ citronstream.Liveness = (*List)(nil)
--- /dev/null
+++ b/internal/platform/httpsd/list_test.go
@@ -0,0 +1,105 @@
+package httpsd
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	standin "github.com/citronstream/citronstream/internal/standin/httpsd"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestList(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	se := standin.New(clk, 10*time.Second)
+	server := httptest.NewServer(se)
+	defer server.Close()
+	li := New(clk, server.URL)
+	lists := func(t *testing.T, want []citronstream.InstanceState) {
+		got, err := li.List(t.Context())
+		require.NoError(t, err)
+		assert.Equal(t, want, got)
+	}
+	first := []citronstream.InstanceState{{Instance: "i1", Zone: "z1"}, {Instance: "i2", Zone: "z2", Leaving: true}}
+	second := first[1:]
+
+	// Guards against an empty list that makes every instance look gone.
+	t.Run("empty", func(t *testing.T) {
+		_, err := li.List(t.Context())
+		assert.ErrorIs(t, err, citronstream.ErrUnavailable)
+	})
+	// Guards against a stand-in that shows changes at once, which hides faults
+	// of readers that trust the list.
+	t.Run("lag", func(t *testing.T) {
+		se.Set(first)
+		clk.Advance(10 * time.Second)
+		lists(t, first)
+		se.Set(second)
+		clk.Advance(9 * time.Second)
+		lists(t, first)
+		clk.Advance(time.Second)
+		lists(t, second)
+		assert.Equal(t, 1, se.History())
+	})
+	t.Run("down", func(t *testing.T) {
+		se.SetDown(true)
+		_, err := li.List(t.Context())
+		assert.ErrorIs(t, err, citronstream.ErrUnavailable)
+	})
+}
+
+// Guards against answers that lack instances being taken for complete lists.
+func TestFaultyAnswers(t *testing.T) {
+	good := `{"targets":["t"],"labels":{"instance":"i1","zone":"z1","state":"live"}}`
+	refused := func(name, kind, body, text string, opts ...Option) {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", kind)
+				_, _ = w.Write([]byte(body))
+			}))
+			defer server.Close()
+			_, err := New(clockwork.NewFakeClock(), server.URL, opts...).List(t.Context())
+			require.ErrorIs(t, err, citronstream.ErrUnavailable)
+			assert.ErrorContains(t, err, text)
+		})
+	}
+	refused("too large", "application/json", "["+good+"]", "larger than 20 bytes", WithMaxBytes(20))
+	refused("cut off", "application/json", "["+good, "unexpected end")
+	refused("web page", "text/html", "["+good+"]", "content type")
+	refused("unknown state", "application/json", `[`+good+`,{"labels":{"instance":"i2","zone":"z1","state":"?"}}]`, "group 1: label state")
+	refused("no instance", "application/json", `[`+good+`,{"labels":{"zone":"z1","state":"live"}}]`, "group 1: label instance")
+	refused("two zones", "application/json", `[`+good+`,{"labels":{"instance":"i1","zone":"z2","state":"live"}}]`, "in the zones")
+}
+
+// Guards against a call that waits for a silent list for ever.
+func TestTimeout(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer server.Close()
+	done := make(chan error, 1)
+	go func() { _, err := New(clk, server.URL).List(t.Context()); done <- err }()
+	require.NoError(t, clk.BlockUntilContext(t.Context(), 1))
+	clk.Advance(2 * time.Second)
+	assert.ErrorIs(t, <-done, citronstream.ErrUnavailable)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`[{"targets":["t"],"labels":{"instance":"i","zone":"z","state":"leaving"}}]`))
+	f.Add([]byte(`[{"labels":null},{}]`))
+	f.Add([]byte(`null`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		states, err := parse(body)
+		if err == nil && len(states) == 0 {
+			t.Fatal("empty list without an error")
+		}
+		for i, is := range states {
+			if is.Instance == "" || is.Zone == "" || i > 0 && is.Instance <= states[i-1].Instance {
+				t.Fatalf("states are not complete, distinct and in order: %v", states)
+			}
+		}
+	})
+}
