--- /dev/null
+++ b/internal/config/version/document.go
@@ -0,0 +1,91 @@
+package version
+
+import (
+	"bytes"
+	"compress/gzip"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/citronstream/citronstream"
+)
+
+const (
+	// maxDocument bounds the unpacked document. The full size takes about 1 MB.
+	maxDocument = 64 << 20
+	// historyKept is the number of accepted versions that the row names, so
+	// that an operator whose answer was lost finds the change even after others.
+	historyKept = 32
+)
+
+// Mark names an accepted version in the row's history.
+type Mark struct {
+	Version uint64 `json:"Version"`
+	OpID    string `json:"OpID"`
+	Author  string `json:"Author"`
+}
+
+// Record is the value of the table row Config.
+type Record struct {
+	Version  uint64    `json:"Version"`
+	Document string    `json:"Document"` // key in the object store
+	Digest   string    `json:"Digest"`   // hex SHA-256 of the unpacked document
+	OpID     string    `json:"OpID"`
+	Author   string    `json:"Author"`
+	At       time.Time `json:"At"`
+	History  []Mark    `json:"History,omitempty"` // newest first, this version included
+}
+
+// Document is a version with its text, as peers pass it on.
+type Document struct {
+	Record Record `json:"Record"`
+	Body   []byte `json:"Body"` // gzip
+}
+
+// Encode packs a fleet. The digest is that of the unpacked text.
+func Encode(fl *citronstream.Fleet) (body []byte, digest string, err error) {
+	text, err := json.Marshal(fl)
+	if err != nil {
+		return nil, "", err
+	}
+	var packed bytes.Buffer
+	zip := gzip.NewWriter(&packed)
+	if _, err = zip.Write(text); err == nil {
+		err = zip.Close()
+	}
+	return packed.Bytes(), digestOf(text), err
+}
+
+// Decode unpacks a document and checks it against its record.
+func Decode(do Document) (*citronstream.Fleet, error) {
+	zip, err := gzip.NewReader(bytes.NewReader(do.Body))
+	if err != nil {
+		return nil, fmt.Errorf("configuration document: %w", err)
+	}
+	text, err := io.ReadAll(io.LimitReader(zip, maxDocument+1))
+	if err != nil {
+		return nil, fmt.Errorf("configuration document: %w", err)
+	}
+	if len(text) > maxDocument {
+		return nil, fmt.Errorf("configuration document is larger than %d bytes", maxDocument)
+	}
+	if got := digestOf(text); got != do.Record.Digest {
+		return nil, fmt.Errorf("configuration document has digest %.12s, its record says %.12s", got, do.Record.Digest)
+	}
+	fl := &citronstream.Fleet{}
+	if err := json.Unmarshal(text, fl); err != nil {
+		return nil, fmt.Errorf("configuration document: %w", err)
+	}
+	if fl.Version != do.Record.Version {
+		return nil, fmt.Errorf("configuration document has version %d, its record says %d", fl.Version, do.Record.Version)
+	}
+	return fl, nil
+}
+
+func digestOf(text []byte) string {
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/config/version/store.go
@@ -0,0 +1,156 @@
+// Package version keeps the accepted configuration (design, section 12): the
+// operators' compare-and-set on the table row, and the snapshot that each
+// process holds and that only grows.
+package version
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"golang.org/x/sync/singleflight"
+)
+
+// RowKey is the table row of the accepted version.
+const RowKey = "Config"
+
+// objectPrefix precedes the digest in the object store's keys.
+const objectPrefix = "config/"
+
+// Fetcher reads a document from a peer.
+type Fetcher interface {
+	// Fetch returns the peer's current document, of at least that version.
+	Fetch(ctx context.Context, peer string, atLeast uint64) (Document, error)
+}
+
+// Snapshot is a version that a process holds.
+type Snapshot struct {
+	Document Document
+	Fleet    *citronstream.Fleet // not to be changed
+}
+
+// Store holds the accepted configuration of one process.
+type Store struct {
+	clk     citronstream.Clock
+	table   citronstream.Table
+	objects citronstream.Objects
+	fetcher Fetcher
+	poll    time.Duration
+	quiet   time.Duration
+
+	current atomic.Pointer[Snapshot]
+	ready   atomic.Bool
+	wanted  atomic.Pointer[hint]
+	heard   atomic.Int64 // nanoseconds since 1970 of the last Observe
+	wake    chan struct{}
+	flight  singleflight.Group
+
+	mu          sync.Mutex // serialises adopt and Subscribe
+	subscribers []func(*Snapshot)
+}
+
+// hint is the highest version that a peer has named.
+type hint struct {
+	version uint64
+	peer    string
+}
+
+// Option changes a Store.
+type Option func(*Store)
+
+// WithFetcher lets the store read documents from peers.
+func WithFetcher(fe Fetcher) Option { return func(st *Store) { st.fetcher = fe } }
+
+// WithPoll sets the interval of reads of the version row. The default is 2 s.
+func WithPoll(every time.Duration) Option { return func(st *Store) { st.poll = every } }
+
+// WithQuiet skips polls while a peer has named a version within that time.
+// Agents use 10 s; with the default of 0 each poll is made.
+func WithQuiet(quiet time.Duration) Option { return func(st *Store) { st.quiet = quiet } }
+
+// New returns a store without a version.
+func New(clk citronstream.Clock, ta citronstream.Table, ob citronstream.Objects, opts ...Option) *Store {
+	st := &Store{clk: clk, table: ta, objects: ob, poll: 2 * time.Second, wake: make(chan struct{}, 1)}
+	for _, opt := range opts {
+		opt(st)
+	}
+	st.current.Store(&Snapshot{Fleet: &citronstream.Fleet{}})
+	st.wanted.Store(&hint{})
+	return st
+}
+
+// Current returns the snapshot held. Its version is 0 before the first one.
+// Versions never decrease.
+func (st *Store) Current() *Snapshot { return st.current.Load() }
+
+// Version returns the version held.
+func (st *Store) Version() uint64 { return st.Current().Fleet.Version }
+
+// Ready reports whether the process holds a version that is known to be
+// recent: read from the table, or the highest that a majority of peers named.
+func (st *Store) Ready() bool { return st.ready.Load() }
+
+// Subscribe calls notify with each new version, in order, and at once with
+// the current one if there is one. Notify must not call the store's Subscribe,
+// Accept or Refresh.
+func (st *Store) Subscribe(notify func(*Snapshot)) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.subscribers = append(st.subscribers, notify)
+	if sn := st.Current(); sn.Fleet.Version > 0 {
+		notify(sn)
+	}
+}
+
+// adopt installs a document if its version is higher than the one held.
+func (st *Store) adopt(do Document) error {
+	if do.Record.Version <= st.Version() {
+		return nil
+	}
+	fl, err := Decode(do)
+	if err != nil {
+		return err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if fl.Version <= st.Version() {
+		return nil
+	}
+	sn := &Snapshot{Document: do, Fleet: fl}
+	st.current.Store(sn)
+	for _, notify := range st.subscribers {
+		notify(sn)
+	}
+	return nil
+}
+
+// read returns the row's record, and a zero record with row version 0 if
+// there is none.
+func (st *Store) read(ctx context.Context) (Record, uint64, error) {
+	row, err := st.table.Get(ctx, RowKey)
+	if errors.Is(err, citronstream.ErrNotFound) {
+		return Record{}, 0, nil
+	}
+	if err != nil {
+		return Record{}, 0, err
+	}
+	var rec Record
+	if err := json.Unmarshal(row.Value, &rec); err != nil {
+		return Record{}, 0, fmt.Errorf("table row %s: %w", RowKey, err)
+	}
+	return rec, row.Version, nil
+}
+
+// document reads the text of a record from the object store.
+func (st *Store) document(ctx context.Context, rec Record) (Document, error) {
+	body, err := st.objects.Get(ctx, rec.Document)
+	if err != nil {
+		return Document{}, fmt.Errorf("configuration version %d: %w", rec.Version, err)
+	}
+	return Document{Record: rec, Body: body}, nil
+}
