Placement of models by rendezvous hashing with capacity

Cause: each agent must know which models its engine holds without a leader. Change: route/placement computes the plan from the fleet: rendezvous hashing of engine and model among the allowed engines, with a limit on the models of an engine (a power of two of at least 1.25 times the even share, so that it rarely changes), adapters and role. The plan is equal under 20 random orders of the document. Seen to fail: without the capacity, without the fixed order of models, with a ranking by name, and with the allowed models ignored.

--- /dev/null
+++ b/internal/route/placement/placement.go
@@ -0,0 +1,177 @@
+// Package placement computes which models an engine holds and which role it
+// plays, from the accepted configuration alone. Each agent computes its own
+// part; the same fleet gives the same answer in every process.
+package placement
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/citronstream/citronstream"
+)
+
+// spread is how far the number of models on an engine may exceed the even
+// share. Rendezvous hashing alone leaves some engines with far more models than
+// others; a limit moves those that exceed it to their next choice.
+const spread = 1.25
+
+// RoleServe is the role of an engine that holds at least one model, RoleSpare
+// that of one without.
+const (
+	RoleServe = "serve"
+	RoleSpare = "spare"
+)
+
+// Engine is the part of one engine.
+type Engine struct {
+	Models   []string // in order
+	Adapters []string // of these models, in order
+	Role     string
+}
+
+// Plan is the placement of a fleet.
+type Plan struct {
+	Version uint64
+	engines map[string]Engine
+	short   map[string]int
+}
+
+// Engine returns the part of an upstream, and false if it is no engine.
+func (pl *Plan) Engine(upstream string) (Engine, bool) {
+	en, ok := pl.engines[upstream]
+	return en, ok
+}
+
+// Len returns the number of engines.
+func (pl *Plan) Len() int { return len(pl.engines) }
+
+// Short returns the number of replicas by model that no engine is allowed to
+// hold. It is empty when every model has its replicas.
+func (pl *Plan) Short() map[string]int { return pl.short }
+
+// candidate is an engine with its rank for one model.
+type candidate struct {
+	name  string
+	score uint64
+}
+
+// New computes the placement. A model with Replicas 0 goes to all engines
+// that allow it. Other models take the engines with the highest hash of engine
+// and model, skipping those at their capacity; if too few are left below
+// it, the capacity is exceeded rather than the model left short.
+func New(fl *citronstream.Fleet) *Plan {
+	pl := &Plan{Version: fl.Version, engines: make(map[string]Engine), short: make(map[string]int)}
+	allowed := engines(fl)
+	limit := limit(fl.Models, len(allowed))
+	held := make(map[string][]string, len(allowed))
+	load := make(map[string]int, len(allowed))
+	models := slices.Clone(fl.Models)
+	// A fixed order, so that the order of the document doesn't count.
+	slices.SortFunc(models, func(a, b citronstream.Model) int { return cmp.Compare(a.Name, b.Name) })
+	for _, mo := range models {
+		ranked := rank(mo.Name, allowed)
+		if mo.Replicas == 0 {
+			for _, ca := range ranked {
+				held[ca.name] = append(held[ca.name], mo.Name)
+			}
+			continue
+		}
+		chosen := choose(ranked, mo.Replicas, func(name string) bool { return load[name] < limit })
+		for _, name := range chosen {
+			held[name] = append(held[name], mo.Name)
+			load[name]++
+		}
+		if missing := mo.Replicas - len(chosen); missing > 0 {
+			pl.short[mo.Name] = missing
+		}
+	}
+	adapters := make(map[string][]string, len(models))
+	for _, mo := range models {
+		adapters[mo.Name] = mo.Adapters
+	}
+	for name := range allowed {
+		en := Engine{Models: held[name], Role: RoleServe}
+		if len(en.Models) == 0 {
+			en.Role = RoleSpare
+		}
+		for _, model := range en.Models {
+			en.Adapters = append(en.Adapters, adapters[model]...)
+		}
+		slices.Sort(en.Adapters)
+		en.Adapters = slices.Compact(en.Adapters)
+		pl.engines[name] = en
+	}
+	return pl
+}
+
+// engines returns the allowed models of each engine; an empty list allows all.
+func engines(fl *citronstream.Fleet) map[string][]string {
+	isEngine := make(map[string]bool)
+	for _, se := range fl.Services {
+		isEngine[se.Name] = se.Kind == citronstream.KindEngine
+	}
+	allowed := make(map[string][]string)
+	for _, up := range fl.Upstreams {
+		if isEngine[up.Service] {
+			allowed[up.Name] = up.Models
+		}
+	}
+	return allowed
+}
+
+// limit is the most counted models on an engine. It is rounded up to a power
+// of two, so that adding or removing an engine rarely changes it: a change
+// of the limit moves models on every engine.
+func limit(models []citronstream.Model, count int) int {
+	if count == 0 {
+		return 0
+	}
+	replicas := 0
+	for _, mo := range models {
+		replicas += min(mo.Replicas, count)
+	}
+	most := 1
+	for float64(most) < spread*float64(replicas)/float64(count) {
+		most *= 2
+	}
+	return most
+}
+
+// rank orders the engines that allow a model by rendezvous hashing, best first.
+func rank(model string, allowed map[string][]string) []candidate {
+	var ranked []candidate
+	for name, models := range allowed {
+		if len(models) == 0 || slices.Contains(models, model) {
+			ranked = append(ranked, candidate{name, score(name, model)})
+		}
+	}
+	slices.SortFunc(ranked, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
+	})
+	return ranked
+}
+
+func score(engine, model string) uint64 {
+	var sums [16]byte
+	binary.LittleEndian.PutUint64(sums[:8], xxhash.Sum64String(engine))
+	binary.LittleEndian.PutUint64(sums[8:], xxhash.Sum64String(model))
+	return xxhash.Sum64(sums[:])
+}
+
+// choose takes the first candidates below their capacity, then the first others.
+func choose(ranked []candidate, count int, free func(string) bool) []string {
+	var chosen, full []string
+	for _, ca := range ranked {
+		if len(chosen) == count {
+			return chosen
+		}
+		if free(ca.name) {
+			chosen = append(chosen, ca.name)
+		} else {
+			full = append(full, ca.name)
+		}
+	}
+	return append(chosen, full[:min(len(full), count-len(chosen))]...)
+}
