--- a/internal/config/version/machine_test.go
+++ b/internal/config/version/machine_test.go
@@ -196,7 +196,7 @@
 	if rapid.Bool().Draw(t, "accepts meanwhile") {
 		wo.during = func() { wo.accept(t, t.Context(), to, wo.highest(), citronstream.NewID()) }
 	}
-	_ = wo.procs[to].Refresh(context.Background())
+	_ = wo.procs[to].fetch(context.Background())
 	wo.during = nil
 }
 
