--- a/internal/once/claim/lead.go
+++ b/internal/once/claim/lead.go
@@ -156,6 +156,8 @@
 		return cl.doubtful(en.rq, "the table does not answer")
 	case ctx.Err() != nil:
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeCanceled, "call ended before it ran")
+	case cl.clk.Now().Sub(en.rq.Sent) > grant.MaxAge:
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeDeadline, "the table does not answer and the call is too old for the grant")
 	case !cl.clk.Now().Before(le.Until.Add(-grant.Margin)):
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "the table does not answer and the grant ends")
 	}
--- a/internal/once/claim/machine_test.go
+++ b/internal/once/claim/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,7 +38,7 @@
 				ma.start(id, "")
 			}
 			ma.clk.Sleep(time.Minute)
-			rt.Repeat(ma.actions())
+			rt.Repeat(ma.traced(ma.actions()))
 			ma.settleDown(rt)
 		})
 	})
@@ -49,6 +50,19 @@
 	keys []string
 }
 
+// traced notes each action with its time for the report of a failure.
+func (ma *machine) traced(actions map[string]func(*rapid.T)) map[string]func(*rapid.T) {
+	for name, fn := range actions {
+		if name != "" {
+			actions[name] = func(rt *rapid.T) {
+				ma.note("%s", name)
+				fn(rt)
+			}
+		}
+	}
+	return actions
+}
+
 func (ma *machine) pick(rt *rapid.T) *agent {
 	return ma.agents[rapid.SampledFrom(ma.ids).Draw(rt, "agent")]
 }
@@ -165,7 +179,7 @@
 	ma.mu.Lock()
 	defer ma.mu.Unlock()
 	if len(ma.faults) > 0 {
-		rt.Fatalf("%v", ma.faults)
+		rt.Fatalf("%s\n%s", strings.Join(ma.faults, "\n"), strings.Join(ma.trace, "\n"))
 	}
 }
 
--- a/internal/once/claim/record.go
+++ b/internal/once/claim/record.go
@@ -160,6 +160,9 @@
 			return false
 		}
 		if cl.superseded(en, row, version) {
+			if row.OpID != en.opID {
+				version = 0 // a later attempt must not overwrite a row that it has not read
+			}
 			cl.setVersion(en, version-1)
 			settled = append(settled, en)
 			continue
--- a/internal/once/claim/row.go
+++ b/internal/once/claim/row.go
@@ -44,6 +44,9 @@
 	Key       string
 	KeyGiven  bool // the caller chose the key and may have sent it before
 	Digest    uint64
+	// Sent is when the entry sent the call, by the entry's clock. Without it
+	// the call does not run on the grant.
+	Sent time.Time
 }
 
 // Flushed names a key that now has a row in the table.
--- a/internal/once/claim/world_test.go
+++ b/internal/once/claim/world_test.go
@@ -45,7 +45,7 @@
 func (ga *gate) pause() {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	if ga.closed == nil {
+	if ga.closed == nil && !ga.dead.Load() {
 		ga.closed = make(chan struct{})
 	}
 }
@@ -121,6 +121,7 @@
 }
 
 func (ag *agent) kill() {
+	ag.wo.note("kill %s", ag.set.Instance)
 	ag.dead.Store(true)
 	ag.cancel()
 	ag.resume()
@@ -146,6 +147,7 @@
 	runs     map[string]string // key to first answer
 	attempts map[string]int    // attempts in flight
 	faults   []string
+	trace    []string
 	served   int
 	// failNext lists verdicts of the next runs, Ran when empty.
 	outcomes map[string]citronstream.Verdict
@@ -203,6 +205,7 @@
 	var latest time.Time
 	for _, ke := range keepers {
 		at, err := ke.Settle(ctx, upstream, epoch)
+		wo.note("settle %s %d: %s %v", upstream, epoch, at, err)
 		if err != nil {
 			return at, false
 		}
@@ -237,6 +240,7 @@
 	ag.grantEnd, ag.claimEnd = ag.gr.Run(ctx), ag.cl.Run(ctx)
 	wo.mu.Lock()
 	wo.agents[upstream] = ag
+	wo.trace = append(wo.trace, fmt.Sprintf("start %+v", set))
 	wo.mu.Unlock()
 	return ag
 }
@@ -252,6 +256,12 @@
 	return nil
 }
 
+func (wo *world) note(format string, args ...any) {
+	wo.mu.Lock()
+	defer wo.mu.Unlock()
+	wo.trace = append(wo.trace, wo.clk.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
 func (wo *world) fault(format string, args ...any) {
 	wo.mu.Lock()
 	defer wo.mu.Unlock()
@@ -289,7 +299,7 @@
 // call sends a keyed call through an entry to an agent and checks the answer
 // against what the upstream recorded.
 func (wo *world) call(ctx context.Context, entry int, ag *agent, key string) (claim.Answer, error) {
-	rq := claim.Request{Workspace: "w", Key: key, KeyGiven: true, Digest: 1}
+	rq := claim.Request{Workspace: "w", Key: key, KeyGiven: true, Digest: 1, Sent: wo.clk.Now()}
 	wo.mu.Lock()
 	ke := wo.keepers[entry]
 	wo.attempts[key]++
@@ -319,6 +329,7 @@
 		wo.served++
 	}
 	wo.mu.Unlock()
+	wo.note("call %s at %s %s by entry %d: unflushed %v, error %v", key, ag.set.Upstream, ag.set.Instance, entry, ans.Unflushed, err)
 	switch {
 	case err == nil && string(ans.Body) != first:
 		wo.fault("answer %q differs from the first answer %q", ans.Body, first)
--- a/internal/once/grant/grant.go
+++ b/internal/once/grant/grant.go
@@ -19,6 +19,10 @@
 	Margin = time.Minute
 	// Skew is the margin for differences between clocks of callers, entries and agents.
 	Skew = 10 * time.Second
+	// MaxAge is the greatest age of a call that starts on the grant. An entry
+	// that started MaxAge before a checkpoint has sent each call that ran on
+	// the grant after it: a call of its predecessor is too old by then.
+	MaxAge = 30 * time.Second
 	// tableWait bounds one table call of the grant's own loop.
 	tableWait = 5 * time.Second
 	// settleWait bounds the question to the entries.
--- a/internal/once/grant/takeover.go
+++ b/internal/once/grant/takeover.go
@@ -90,7 +90,7 @@
 	ctx, cancel := clockwork.WithTimeout(ctx, gr.clk, settleWait)
 	defer cancel()
 	started, all := gr.witness.Settle(ctx, do.Upstream, do.Epoch)
-	return all && started.Add(Skew).Before(do.From)
+	return all && started.Add(MaxAge+Skew).Before(do.From)
 }
 
 // adjust acquires unowned slots up to the share and releases the excess. A
