--- a/internal/once/claim/commit.go
+++ b/internal/once/claim/commit.go
@@ -7,7 +7,6 @@
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/once/grant"
-	"github.com/jonboulle/clockwork"
 )
 
 // commitRounds bounds the transactions of one group: each conflict takes the
@@ -37,7 +36,7 @@
 
 // commitGroup claims the rows of a group and answers each of its entries.
 func (cl *Claim) commitGroup(ctx context.Context, group []*entry) {
-	ctx, cancel := clockwork.WithTimeout(ctx, cl.clk, claimWait)
+	ctx, cancel := grant.WithTimeout(ctx, cl.clk, claimWait)
 	defer cancel()
 	lost := false
 	for range commitRounds {
--- a/internal/once/claim/lead.go
+++ b/internal/once/claim/lead.go
@@ -8,7 +8,6 @@
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/once/grant"
-	"github.com/jonboulle/clockwork"
 )
 
 // Results of a claim.
@@ -220,7 +219,7 @@
 // lookUp answers a key that falls into an interval of uncertainty: only a
 // recorded answer helps.
 func (cl *Claim) lookUp(ctx context.Context, en *entry) (Answer, error) {
-	rctx, cancel := clockwork.WithTimeout(ctx, cl.clk, claimWait)
+	rctx, cancel := grant.WithTimeout(ctx, cl.clk, claimWait)
 	row, _, err := cl.readRow(rctx, en)
 	cancel()
 	if err == nil && row.State == Done {
--- a/internal/once/claim/record.go
+++ b/internal/once/claim/record.go
@@ -8,7 +8,6 @@
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/once/grant"
-	"github.com/jonboulle/clockwork"
 )
 
 // recordWait bounds one write of records. It is longer than claimWait, so
@@ -44,7 +43,7 @@
 // probe closes the breaker if the table answers within the time of a claim.
 func (cl *Claim) probe(ctx context.Context) {
 	start := cl.clk.Now()
-	pctx, cancel := clockwork.WithTimeout(ctx, cl.clk, recordWait)
+	pctx, cancel := grant.WithTimeout(ctx, cl.clk, recordWait)
 	defer cancel()
 	_, err := cl.table.Get(pctx, grant.EpochKey(cl.grant.Settings().Upstream))
 	if err != nil && !errors.Is(err, citronstream.ErrNotFound) {
@@ -62,7 +61,7 @@
 // recordGroup writes what ended attempts leave in the table. It returns false
 // if the table did not answer.
 func (cl *Claim) recordGroup(ctx context.Context, group []*entry) bool {
-	rctx, cancel := clockwork.WithTimeout(ctx, cl.clk, recordWait)
+	rctx, cancel := grant.WithTimeout(ctx, cl.clk, recordWait)
 	defer cancel()
 	var (
 		ops  []citronstream.Op
--- a/internal/once/grant/grant.go
+++ b/internal/once/grant/grant.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
-	"github.com/jonboulle/clockwork"
 )
 
 const (
@@ -237,7 +236,7 @@
 }
 
 func (gr *Grant) refreshList(ctx context.Context) {
-	ctx, cancel := clockwork.WithTimeout(ctx, gr.clk, tableWait)
+	ctx, cancel := WithTimeout(ctx, gr.clk, tableWait)
 	defer cancel()
 	gr.listed = nil
 	states, err := gr.list.List(ctx)
--- /dev/null
+++ b/internal/once/grant/grant_test.go
@@ -0,0 +1,119 @@
+package grant
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/standin/memtable"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+type fixture struct {
+	clk  *clockwork.FakeClock
+	ta   *memtable.Table
+	list []citronstream.InstanceState
+}
+
+func newFixture() *fixture {
+	clk := clockwork.NewFakeClock()
+	return &fixture{clk: clk, ta: memtable.New(clk)}
+}
+
+func (fi *fixture) List(context.Context) ([]citronstream.InstanceState, error) { return fi.list, nil }
+
+func (fi *fixture) agent(upstream, address string) *Grant {
+	fi.list = append(fi.list, citronstream.InstanceState{Instance: "i-" + address})
+	return New(Settings{upstream, "desk", "i-" + address, address}, fi.ta, fi, fi.clk)
+}
+
+func steps(n int, grants ...*Grant) {
+	for range n {
+		for _, gr := range grants {
+			gr.Step(context.Background())
+		}
+	}
+}
+
+// TestShare guards against slots with two owners, and against an uneven share.
+func TestShare(t *testing.T) {
+	fi := newFixture()
+	a, b, c := fi.agent("a", "1"), fi.agent("b", "2"), fi.agent("c", "3")
+	steps(1, a)
+	assert.Len(t, a.Owned(), SlotCount)
+	fi.ta.SetLoseAnswers(3)
+	steps(8, a, b, c)
+	owners := make(map[int]int)
+	for _, gr := range []*Grant{a, b, c} {
+		assert.LessOrEqual(t, len(gr.Owned()), 22)
+		for _, slot := range gr.Owned() {
+			owners[slot]++
+		}
+	}
+	assert.Len(t, owners, SlotCount)
+	for slot, n := range owners {
+		assert.Equal(t, 1, n, "slot %d", slot)
+	}
+}
+
+// TestConditions guards against a takeover from an owner that may be alive.
+func TestConditions(t *testing.T) {
+	for name, tc := range map[string]struct {
+		prove func(fi *fixture, b *Grant)
+		taken bool
+	}{
+		"no proof":      {func(*fixture, *Grant) {}, false},
+		"vanished":      {func(fi *fixture, _ *Grant) { fi.list = fi.list[1:] }, true},
+		"empty list":    {func(fi *fixture, _ *Grant) { fi.list = nil }, false},
+		"never listed":  {func(fi *fixture, b *Grant) { fi.list = fi.list[1:]; clear(b.seen) }, false},
+		"until not due": {func(fi *fixture, _ *Grant) { fi.clk.Advance(90*time.Minute + 59*time.Second) }, false},
+		"until passed":  {func(fi *fixture, _ *Grant) { fi.clk.Advance(91*time.Minute + time.Second) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fi := newFixture()
+			a, b := fi.agent("a", "1"), fi.agent("b", "2")
+			steps(1, a)
+			steps(2, b)
+			tc.prove(fi, b)
+			steps(2, b)
+			assert.Equal(t, tc.taken, b.Counts().Takeovers == 1)
+			a.Step(context.Background())
+			assert.Equal(t, tc.taken, a.Counts().Lost == 1, "the old owner must find its epoch moved")
+			for _, slot := range b.Owned() {
+				assert.False(t, b.Held(slot).DoubtTo.IsZero(), "slots pass with an interval of uncertainty")
+			}
+		})
+	}
+	t.Run("same address", func(t *testing.T) {
+		fi := newFixture()
+		steps(1, fi.agent("a", "1"))
+		other, same := fi.agent("a", "2"), fi.agent("a", "1")
+		steps(1, other)
+		assert.Nil(t, other.Lease(), "another address proves nothing")
+		steps(1, same)
+		require.NotNil(t, same.Lease())
+		assert.Equal(t, uint64(2), same.Lease().Epoch)
+	})
+}
+
+// TestDrain guards against a release that leaves slots behind or in doubt.
+func TestDrain(t *testing.T) {
+	fi := newFixture()
+	a, b := fi.agent("a", "1"), fi.agent("b", "2")
+	steps(1, a)
+	a.draining.Store(true)
+	steps(1, a)
+	require.NoError(t, a.Drain(t.Context()))
+	steps(2, b)
+	assert.Len(t, b.Owned(), SlotCount)
+	assert.True(t, b.Held(0).DoubtTo.IsZero())
+	token, ok := b.Token()
+	assert.True(t, ok)
+	assert.Zero(t, token)
+	require.NoError(t, b.RaiseToken(t.Context(), 9))
+	token, _ = b.Token()
+	assert.Equal(t, uint64(9), token)
+}
--- a/internal/once/grant/lease.go
+++ b/internal/once/grant/lease.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
-	"github.com/jonboulle/clockwork"
 )
 
 var (
@@ -17,7 +16,7 @@
 
 // read decodes a row. A missing row leaves value unchanged and gives version 0.
 func (gr *Grant) read(ctx context.Context, key string, value any) (uint64, error) {
-	ctx, cancel := clockwork.WithTimeout(ctx, gr.clk, tableWait)
+	ctx, cancel := WithTimeout(ctx, gr.clk, tableWait)
 	defer cancel()
 	row, err := gr.table.Get(ctx, key)
 	if errors.Is(err, citronstream.ErrNotFound) {
@@ -34,7 +33,7 @@
 // the transaction may then still take effect later.
 func (gr *Grant) commit(ctx context.Context, wr write) error {
 	for range 3 {
-		wctx, cancel := clockwork.WithTimeout(ctx, gr.clk, tableWait)
+		wctx, cancel := WithTimeout(ctx, gr.clk, tableWait)
 		err := gr.table.Write(wctx, wr.opID, wr.ops...)
 		cancel()
 		if err == nil || errors.Is(err, citronstream.ErrConflict) {
--- a/internal/once/grant/takeover.go
+++ b/internal/once/grant/takeover.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
-	"github.com/jonboulle/clockwork"
 )
 
 // takeOver passes on the slots of one owner that is gone. The transaction
@@ -87,7 +86,7 @@
 }
 
 func (gr *Grant) settled1(ctx context.Context, do Doubt) bool {
-	ctx, cancel := clockwork.WithTimeout(ctx, gr.clk, settleWait)
+	ctx, cancel := WithTimeout(ctx, gr.clk, settleWait)
 	defer cancel()
 	started, all := gr.witness.Settle(ctx, do.Upstream, do.Epoch)
 	return all && started.Add(MaxAge+Skew).Before(do.From)
