--- a/internal/once/claim/lead.go
+++ b/internal/once/claim/lead.go
@@ -8,7 +8,6 @@
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/once/grant"
-	"github.com/jonboulle/clockwork"
 )
 
 // Results of a claim.
@@ -156,6 +155,8 @@
 		return cl.doubtful(en.rq, "the table does not answer")
 	case ctx.Err() != nil:
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeCanceled, "call ended before it ran")
+	case cl.clk.Now().Sub(en.rq.Sent) > grant.MaxAge:
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeDeadline, "the table does not answer and the call is too old for the grant")
 	case !cl.clk.Now().Before(le.Until.Add(-grant.Margin)):
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "the table does not answer and the grant ends")
 	}
@@ -218,7 +219,7 @@
 // lookUp answers a key that falls into an interval of uncertainty: only a
 // recorded answer helps.
 func (cl *Claim) lookUp(ctx context.Context, en *entry) (Answer, error) {
-	rctx, cancel := clockwork.WithTimeout(ctx, cl.clk, claimWait)
+	rctx, cancel := grant.WithTimeout(ctx, cl.clk, claimWait)
 	row, _, err := cl.readRow(rctx, en)
 	cancel()
 	if err == nil && row.State == Done {
