Verdicts on keyed calls, waiting for a route

Change: refusals of keyed calls are looked up by the owner before they say NotRun; an entry that has not asked the owner says MayHaveRun; a call without an upstream waits for one while its deadline allows, and a slot without an owner makes the agents step at once.

--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -24,6 +24,9 @@
 	}
 	at.Attach(to, 0, 0)
 	se.counts.Taken.Add(1)
+	if se.recall(at) {
+		return
+	}
 	if err := se.enqueue(at); err != nil {
 		se.counts.Refused.Add(1)
 		se.refuse(at, err)
@@ -69,8 +72,49 @@
 	return err
 }
 
+// recall answers a resend of a key that has run, without a place in the queue.
+func (se *Server) recall(at *attempts.Attempt) bool {
+	if at.Call.Idempotent || se.once == nil {
+		return false
+	}
+	output, re, ok := se.once.Recall(&at.Call)
+	if ok {
+		_ = at.Emit(output)
+		se.finish(at, re)
+	}
+	return ok
+}
+
+// refuse ends an attempt that did not run. For a key that the caller chose
+// the verdict speaks of the key, so it is looked up first.
 func (se *Server) refuse(at *attempts.Attempt, err error) {
 	fa := citronstream.FaultOf(err)
+	if at.Call.Idempotent || !at.Call.KeyGiven || se.once == nil || fa.Verdict != citronstream.NotRun {
+		se.refused(at, fa)
+		return
+	}
+	se.runs.Add(1)
+	go func() {
+		defer se.runs.Done()
+		of := *fa
+		if of.Verdict = se.once.Verdict(se.ctx, &at.Call); se.twin(at) {
+			of.Verdict = citronstream.MayHaveRun
+		}
+		se.refused(at, &of)
+	}()
+}
+
+// twin says whether another attempt at the same key waits or runs here.
+func (se *Server) twin(at *attempts.Attempt) bool {
+	for _, other := range se.attempts.Live() {
+		if other != at && other.Call.Key == at.Call.Key && other.Call.Workspace == at.Call.Workspace {
+			return true
+		}
+	}
+	return false
+}
+
+func (se *Server) refused(at *attempts.Attempt, fa *citronstream.Fault) {
 	se.event(citronstream.Event{
 		Kind: "CallRefused", RequestID: at.Call.RequestID, AttemptID: at.Call.AttemptID,
 		Upstream: se.up.Name, Verdict: fa.Verdict.String(), Detail: string(fa.Code),
@@ -106,6 +150,9 @@
 	se.counts.Canceled.Add(1)
 	if se.queue.Remove(id) {
 		se.refuse(at, citronstream.NewFault(citronstream.NotRun, citronstream.CodeCanceled, "cancelled while it waited"))
+		if at.Call.KeyGiven && !at.Call.Idempotent {
+			return citronstream.MayHaveRun // the key is not looked up for a caller that is gone
+		}
 		return citronstream.NotRun
 	}
 	return citronstream.MayHaveRun
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -28,6 +28,10 @@
 	// Do runs the call unless its key has run before, and returns the output
 	// and the result of the first run.
 	Do(ctx context.Context, ca citronstream.Call, run func(ctx context.Context) ([]byte, citronstream.Result)) ([]byte, citronstream.Result)
+	// Recall returns the first answer of a key that has run, if it is in memory.
+	Recall(ca *citronstream.Call) ([]byte, citronstream.Result, bool)
+	// Verdict says whether a key that this attempt did not run may have run before.
+	Verdict(ctx context.Context, ca *citronstream.Call) citronstream.Verdict
 }
 
 // Meter counts what calls consumed.
--- a/internal/entry/pipeline/attempts.go
+++ b/internal/entry/pipeline/attempts.go
@@ -57,7 +57,7 @@
 	if picker == nil {
 		return noRoute(ca)
 	}
-	upstream, ok := at.pick(picker, ca)
+	upstream, ok := at.route(ctx, picker, ca)
 	if !ok {
 		ru.counts.NoRoute.Add(1)
 		return noRoute(ca)
@@ -65,7 +65,7 @@
 	ca.AttemptID = citronstream.NewID()
 	ca.Left = at.end.Sub(ru.clk.Now())
 	if ca.Left <= 0 {
-		return citronstream.Result{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeDeadline, "no time is left for %s", ca.Service)}
+		return unasked(ca, citronstream.CodeDeadline, "no time is left for "+ca.Service)
 	}
 	ru.event(ca, "AttemptSent", upstream, nil)
 	picker.Sent(upstream, ca.Cost)
@@ -88,6 +88,35 @@
 	return re
 }
 
+// routePoll is how often a call without an upstream looks for one.
+const routePoll = 20 * time.Millisecond
+
+// routeReserve is the time before the deadline at which a call gives up waiting.
+const routeReserve = 200 * time.Millisecond
+
+// route picks an upstream, and waits for one while the deadline allows: a
+// restarted upstream or a slot that passes on is back within a second or two.
+// Waiting sends nothing, so it takes none of the retry budget.
+func (at *attempts) route(ctx context.Context, picker citronstream.Picker, ca *citronstream.Call) (string, bool) {
+	ru := at.ru
+	for {
+		if upstream, ok := at.pick(picker, ca); ok {
+			return upstream, true
+		}
+		if at.end.Sub(ru.clk.Now()) < routeReserve || (len(at.exclude) > 0 && ca.Idempotent) {
+			return "", false
+		}
+		if !ca.Idempotent && ru.poke != nil {
+			ru.poke(ca.Service)
+		}
+		select {
+		case <-ctx.Done():
+			return "", false
+		case <-ru.clk.After(routePoll):
+		}
+	}
+}
+
 // pick asks the policy, or the owner of the key for a call that must not be repeated.
 func (at *attempts) pick(picker citronstream.Picker, ca *citronstream.Call) (string, bool) {
 	if !ca.Idempotent && at.ru.owners != nil {
@@ -150,11 +179,18 @@
 }
 
 func noRoute(ca *citronstream.Call) citronstream.Result {
+	return unasked(ca, citronstream.CodeUnavailable, "no upstream of "+ca.Service+" can take the call")
+}
+
+// unasked is the failure of a call that was sent to no agent. An earlier
+// request with a key that the caller chose may have run.
+func unasked(ca *citronstream.Call, code citronstream.Code, text string) citronstream.Result {
+	verdict := citronstream.NotRun
 	if !ca.Idempotent && ca.KeyGiven {
-		// An earlier request with this key may have run at the owner that can't be reached.
-		return citronstream.Result{Fault: citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeUnavailable, "the owner of the key can't be reached")}
+		verdict = citronstream.MayHaveRun
+		text += "; the owner of the key was not asked"
 	}
-	return citronstream.Result{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "no upstream of %s can take the call", ca.Service)}
+	return citronstream.Result{Fault: citronstream.NewFault(verdict, code, "%s", text)}
 }
 
 func (ru *Runner) event(ca *citronstream.Call, kind, upstream string, re *citronstream.Result) {
--- a/internal/entry/pipeline/pipeline.go
+++ b/internal/entry/pipeline/pipeline.go
@@ -83,6 +83,7 @@
 	rec     citronstream.Recorder
 	zone    string
 	version func() uint64
+	poke    func(service string)
 	counts  Counts
 }
 
@@ -104,6 +105,9 @@
 // WithRecorder sets the timeline.
 func WithRecorder(rec citronstream.Recorder) Option { return func(ru *Runner) { ru.rec = rec } }
 
+// WithPoke sets what tells a service's agents that a slot has no owner.
+func WithPoke(poke func(service string)) Option { return func(ru *Runner) { ru.poke = poke } }
+
 // WithVersion sets where the configuration version comes from.
 func WithVersion(version func() uint64) Option { return func(ru *Runner) { ru.version = version } }
 
--- a/internal/entry/server/serve.go
+++ b/internal/entry/server/serve.go
@@ -21,7 +21,8 @@
 func (se *Server) serve(wr http.ResponseWriter, rq *http.Request, run handler) {
 	cl, release, fa := se.admit(rq)
 	if fa != nil {
-		se.counts.NotRun.Add(1)
+		fa = se.ofKey(rq, fa)
+		se.count(se.ctx, fa)
 		problem(wr, "", fa)
 		return
 	}
@@ -39,6 +40,29 @@
 	se.done(&cl.Request, se.clk.Now().Sub(cl.start), &out)
 }
 
+// ofKey makes a refusal speak of the caller's key. An entry that refuses
+// before it has asked the owner of the key does not know whether an earlier
+// request with it has run.
+func (se *Server) ofKey(rq *http.Request, fa *citronstream.Fault) *citronstream.Fault {
+	if rq.Header.Get(headerKey) == "" {
+		return fa
+	}
+	switch fa.Code {
+	case citronstream.CodeNotReady, citronstream.CodeLeaving, citronstream.CodeLimit:
+	default:
+		return fa
+	}
+	if ca := se.current(); ca != nil {
+		if sc := ca.Call(rq.PathValue("service"), rq.PathValue("call")); sc != nil && sc.Idempotent {
+			return fa
+		}
+	}
+	of := *fa
+	of.Verdict = citronstream.MayHaveRun
+	of.Text += "; an earlier request with this key may have run"
+	return &of
+}
+
 func (se *Server) count(ctx context.Context, fa *citronstream.Fault) {
 	switch {
 	case fa == nil:
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -66,7 +66,6 @@
 	set    Settings
 	clk    citronstream.Clock
 	eng    *nbconn.Engine
-	ctx    context.Context
 	cancel context.CancelFunc
 	ended  []<-chan struct{}
 }
--- a/internal/process/agent/once.go
+++ b/internal/process/agent/once.go
@@ -13,8 +13,7 @@
 // Do implements server.Once.
 func (on once) Do(ctx context.Context, ca citronstream.Call, run func(ctx context.Context) ([]byte, citronstream.Result)) ([]byte, citronstream.Result) {
 	var own citronstream.Result
-	rq := claim.Request{Workspace: ca.Workspace, Key: ca.Key, KeyGiven: ca.KeyGiven, Digest: ca.Digest}
-	ans, err := on.cl.Do(ctx, rq, func(ctx context.Context) (claim.Answer, error) {
+	ans, err := on.cl.Do(ctx, request(&ca), func(ctx context.Context) (claim.Answer, error) {
 		body, re := run(ctx)
 		own = re
 		if re.Fault != nil {
@@ -22,9 +21,28 @@
 		}
 		return claim.Answer{Status: re.Status, Body: body}, nil
 	})
-	re := citronstream.Result{Status: ans.Status, Replayed: ans.Replayed, Unflushed: ans.Unflushed, Died: own.Died, Fault: citronstream.FaultOf(err)}
+	re := result(ans, err)
 	if !ans.Replayed {
-		re.Usage = own.Usage
+		re.Usage, re.Died = own.Usage, own.Died
 	}
 	return ans.Body, re
 }
+
+// Recall implements server.Once.
+func (on once) Recall(ca *citronstream.Call) ([]byte, citronstream.Result, bool) {
+	ans, err, ok := on.cl.Recall(request(ca))
+	return ans.Body, result(ans, err), ok
+}
+
+// Verdict implements server.Once.
+func (on once) Verdict(ctx context.Context, ca *citronstream.Call) citronstream.Verdict {
+	return on.cl.Verdict(ctx, request(ca))
+}
+
+func request(ca *citronstream.Call) claim.Request {
+	return claim.Request{Workspace: ca.Workspace, Key: ca.Key, KeyGiven: ca.KeyGiven, Digest: ca.Digest}
+}
+
+func result(ans claim.Answer, err error) citronstream.Result {
+	return citronstream.Result{Status: ans.Status, Replayed: ans.Replayed, Unflushed: ans.Unflushed, Fault: citronstream.FaultOf(err)}
+}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -105,7 +105,7 @@
 		agents.WithObserve(func(upstream string, version uint64) { en.Config.Observe(version, upstream) }))
 	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, en.Budget,
 		pipeline.WithTimes(stagetime.New(clk)), pipeline.WithHolds(en.Holds),
-		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}))
+		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}), pipeline.WithPoke(en.poke))
 	en.Server = server.New(clk, address, en.Runner, en.Catalog, set.Limits, server.WithReady(en.ready))
 	return en
 }
@@ -306,6 +306,20 @@
 	re.Reply(citronstream.SettleReply{Started: started})
 }
 
+// poke tells the agents of a service that a slot has no owner. The agents
+// bound how often they act on it.
+func (en *Entry) poke(service string) {
+	se := en.Routes.Snapshot().Service(service)
+	if se == nil {
+		return
+	}
+	for _, no := range se.Nodes {
+		if li := en.Agents.Link(no.Name); li != nil {
+			_ = li.Notify(citronstream.MethodPoke, struct{}{})
+		}
+	}
+}
+
 // owners finds the owner of a key's slot in the routing table.
 type owners struct{ routes *table.Table }
 
