ledger: test the flush through the table client

Cause: put-if-absent was tested on the in-memory table only, without the protocol of the table service.

Change: TestThroughClient loses every answer of two flushes and repeats once more after the service forgot the operation identifier.

Result: passes under -race; fails with a count of 2 when a conflict is always taken for another process's record.

--- a/internal/observe/ledger/ledger_test.go
+++ b/internal/observe/ledger/ledger_test.go
@@ -4,11 +4,14 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/platform/dynamodb"
+	standin "github.com/citronstream/citronstream/internal/standin/dynamodb"
 	"github.com/citronstream/citronstream/internal/standin/memtable"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
@@ -136,6 +139,28 @@
 	assert.False(t, ce.add(Counts{Calls: 1}))
 }
 
+// Guards against records that the protocol of the table service doesn't
+// repeat harmlessly: every answer is lost, and the second repeat comes after
+// the service forgot the operation.
+func TestThroughClient(t *testing.T) {
+	clk := clockwork.NewFakeClockAt(time.Date(2026, 1, 2, 0, 0, 0, 0, time.UTC))
+	mem := memtable.New(clk)
+	server := httptest.NewServer(standin.New(mem))
+	defer server.Close()
+	table := dynamodb.New(clk, server.URL)
+	le := New(table, clk, "desk-1", 1)
+	le.Add(Key{Side: SideAgent}, Counts{Calls: 1})
+	mem.SetLoseAnswers(1)
+	require.ErrorIs(t, le.Flush(t.Context()), citronstream.ErrUnknownOutcome)
+	require.ErrorIs(t, le.Flush(t.Context()), citronstream.ErrUnknownOutcome)
+	assert.Equal(t, 1, le.Pending())
+	mem.SetLoseAnswers(0)
+	clk.Advance(11 * time.Minute)
+	require.NoError(t, le.Flush(t.Context()))
+	assert.Equal(t, 0, le.Pending())
+	assert.Equal(t, int64(1), callsIn(t, table, clk).Calls)
+}
+
 func TestRun(t *testing.T) {
 	clk := clockwork.NewFakeClock()
 	table := &lossy{Table: memtable.New(clk), wrote: make(chan struct{}, 2)}
