Simulate each run once for all tests that look at it

Cause: the race detector made the tests of proof/policy take 74 s. Change: the runs of the project's policy are kept by site, scenario and seed within a test run.

--- a/internal/proof/policy/sim_test.go
+++ b/internal/proof/policy/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -20,6 +21,17 @@
 	}
 }
 
+// outcomes keeps runs by their name and seed, since several tests look at the same run.
+var outcomes sync.Map
+
+// fairRun returns the run of the project's policy, which takes place once.
+func fairRun(si Site, sc Scenario, seed uint64) Outcome {
+	once, _ := outcomes.LoadOrStore(fmt.Sprint(si.Name, sc.Name, seed), sync.OnceValue(func() Outcome {
+		return runOnce(si, Fair(nil), sc, seed)
+	}))
+	return once.(func() Outcome)()
+}
+
 func runOnce(si Site, po Policy, sc Scenario, seed uint64) Outcome {
 	return New(WithSite(si), WithPolicy(po)).Run(sc, seed)
 }
@@ -36,8 +48,8 @@
 // Guards against a flood of the least urgent work that takes service from urgent work or from small workspaces.
 func TestFloodOfTheLeastUrgent(t *testing.T) {
 	forEachRun(t, func(t *testing.T, si Site, seed uint64) {
-		before := runOnce(si, Fair(nil), Steady(), seed)
-		during := runOnce(si, Fair(nil), FloodLeast(), seed)
+		before := fairRun(si, Steady(), seed)
+		during := fairRun(si, FloodLeast(), seed)
 		assert.GreaterOrEqual(t, during.Ranks[0].Attainment(), 0.99, "urgent rank")
 		for ws, share := range si.Shares {
 			if share < smallShare {
@@ -50,8 +62,8 @@
 // Guards against a flood of urgent work by one workspace that takes service from the others.
 func TestFloodOfTheMostUrgent(t *testing.T) {
 	forEachRun(t, func(t *testing.T, si Site, seed uint64) {
-		before := runOnce(si, Fair(nil), Steady(), seed)
-		during := runOnce(si, Fair(nil), FloodMost(), seed)
+		before := fairRun(si, Steady(), seed)
+		during := fairRun(si, FloodMost(), seed)
 		for ws := 1; ws < len(si.Shares); ws++ {
 			assertKeeps(t, 0.95, before.Cells[ws][0], during.Cells[ws][0], workspaceName(ws))
 		}
@@ -67,7 +79,7 @@
 // Guards against ranks that fall below their floor of the whole service in a flood of urgent work.
 func TestFloorsOfTheService(t *testing.T) {
 	forEachRun(t, func(t *testing.T, si Site, seed uint64) {
-		ou := runOnce(si, Fair(nil), FloodMost(), seed)
+		ou := fairRun(si, FloodMost(), seed)
 		for rank := 1; rank < len(si.Ranks); rank++ {
 			// A rank whose requests are all met has had what it asked for.
 			if ou.Ranks[rank].Met < ou.Ranks[rank].Offered {
@@ -82,7 +94,7 @@
 	for _, sc := range Scenarios() {
 		t.Run(sc.Name, func(t *testing.T) {
 			t.Parallel()
-			ou := runOnce(Magnolia(), Fair(nil), sc, 1)
+			ou := fairRun(Magnolia(), sc, 1)
 			constant := 3 * Magnolia().Zones // of each entry
 			assert.LessOrEqual(t, ou.Retries, ou.Requests/10+constant)
 		})
