nearest: bound the share that a popular prefix turns to its holders

Change: an entry turns to a holder at most the holder's even share of its picks; a fifth holder of a block waits until half the life of the oldest is over.

--- a/internal/route/nearest/nearest.go
+++ b/internal/route/nearest/nearest.go
@@ -59,6 +59,7 @@
 type attempt struct {
 	pr    *citronstream.PickRequest
 	now   time.Time
+	turn  uint64
 	worst table.State
 	best  *table.Node
 	score float64 // seconds; lower is better
@@ -72,7 +73,7 @@
 	if se == nil || len(se.Nodes) == 0 {
 		return "", false
 	}
-	at := attempt{pr: &pr, now: pi.clk.Now()}
+	at := attempt{pr: &pr, now: pi.clk.Now(), turn: se.Turn.Add(1)}
 	for at.worst = table.Live; at.worst <= table.Suspect; at.worst++ {
 		pi.region(&at, se)
 		if at.best != nil {
@@ -129,7 +130,9 @@
 
 // holders weighs the upstreams that hold the prompt's prefix. One that is no
 // more loaded than the best so far is taken; the chance falls to 0 as the
-// difference in wait reaches the credit.
+// difference in wait reaches the credit. An entry turns to a holder at most
+// the holder's even share of the picks, because the reports show the load of
+// a prefix that all entries follow only after their lag.
 func (pi *Picker) holders(at *attempt, sn *table.Snapshot, se *table.Service) {
 	if pi.hints == nil || len(at.pr.Blocks) == 0 {
 		return
@@ -151,7 +154,8 @@
 			continue
 		}
 		// A holder that was taken before sets what another one must add.
-		if gain := credit - most; gain > 0 && pi.rnd.Float64() < 1-(score-at.score)/gain {
+		gain := credit - most
+		if gain > 0 && pi.rnd.Float64() < 1-(score-at.score)/gain && no.Divert(at.turn, uint64(len(se.Nodes))) {
 			at.best, at.score, most = no, score, credit
 		}
 	}
--- a/internal/route/prefix/prefix_test.go
+++ b/internal/route/prefix/prefix_test.go
@@ -62,6 +62,19 @@
 		hi.Drop("a")
 		assertHolders(t, hi)
 	})
+	// Holders that change with each call would spread a popular prefix over all caches.
+	t.Run("fifth holder waits for half the life of the oldest", func(t *testing.T) {
+		hi, clk := setup(t)
+		for _, name := range []string{"b", "c", "d", "e"} {
+			hi.Note(name, chain)
+		}
+		four := []policy.Holder{all, {Upstream: "b", Blocks: 3}, {Upstream: "c", Blocks: 3}, {Upstream: "d", Blocks: 3}}
+		assertHolders(t, hi, four...)
+		clk.Advance(time.Minute)
+		hi.Note("e", chain)
+		four[0].Upstream = "e"
+		assertHolders(t, hi, four...)
+	})
 	t.Run("hint expires", func(t *testing.T) {
 		hi, clk := setup(t)
 		clk.Advance(2 * time.Minute)
--- a/internal/route/prefix/shard.go
+++ b/internal/route/prefix/shard.go
@@ -76,7 +76,9 @@
 	return false
 }
 
-// add stores a hint, in place of the same upstream's, a void or the oldest one.
+// add stores a hint in place of the same upstream's or a void one, else of
+// the oldest if more than half its life is over. A popular prefix would
+// otherwise change its holders with each call, which defeats the affinity.
 func (sh *shard) add(hash uint64, from *source, now, until int64, limit int) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -102,6 +104,9 @@
 			at = ho
 		}
 	}
+	if at.from != from && at.valid(now) && at.until-now > (until-now)/2 {
+		return
+	}
 	*at = holder{from: from, gen: from.gen.Load(), until: until}
 }
 
--- a/internal/route/table/node.go
+++ b/internal/route/table/node.go
@@ -43,6 +43,7 @@
 	pending  atomic.Int64  // own work not covered by the report, in milli cost units
 	flying   atomic.Int64  // own work in flight, in milli cost units
 	buckets  [ring]bucket
+	budget   atomic.Uint64 // pick count at which the next diversion is due
 }
 
 // bucket holds the net work of one interval. Epoch is the interval's number.
@@ -112,6 +113,21 @@
 // Wait returns the corrected load as time, in seconds.
 func (no *Node) Wait() float64 { return no.Load() / no.rate() }
 
+// Divert asks whether another pick may be turned to this node for a reason
+// other than load. At most one in interval picks of the service may be; turn
+// is the service's count of picks.
+func (no *Node) Divert(turn, interval uint64) bool {
+	for {
+		due := no.live.budget.Load()
+		if due > turn {
+			return false
+		}
+		if no.live.budget.CompareAndSwap(due, turn+interval) {
+			return true
+		}
+	}
+}
+
 // Since returns the time since the last report arrived, 0 if there is none.
 func (no *Node) Since(now time.Time) time.Duration {
 	if re := no.live.report.Load(); re != nil {
--- a/internal/route/table/snapshot.go
+++ b/internal/route/table/snapshot.go
@@ -30,7 +30,8 @@
 	Zones map[string]*Group // by zone name
 	// Near lists, by zone name, the groups of the other zones in the same region.
 	Near map[string][]*Group
-	// Turn counts the picks of policies that take the nodes in order.
+	// Turn counts picks, for policies that take the nodes in order or bound
+	// the share of a node.
 	Turn atomic.Uint64
 }
 
