Routing table: keep the count of picks when the fleet is replaced

Change: Replace carries the count of each service over; the nearest test is split in two. Result: go test -race passes on route/table. The new subtest fails with the count not carried over.

--- a/internal/route/nearest/nearest_test.go
+++ b/internal/route/nearest/nearest_test.go
@@ -88,10 +88,11 @@
 	}
 }
 
+func report(ta *table.Table, name string, cost float64, models ...string) {
+	ta.Report(citronstream.Load{Upstream: name, Seq: uint64(cost) + 1, Cost: cost, Models: models})
+}
+
 func TestNearest(t *testing.T) {
-	report := func(ta *table.Table, name string, cost float64, models ...string) {
-		ta.Report(citronstream.Load{Upstream: name, Seq: uint64(cost) + 1, Cost: cost, Models: models})
-	}
 	// Without the zone's precedence, each call would pay the distance.
 	t.Run("own zone while it is idle", func(t *testing.T) {
 		_, pi := setup(t, "", 6, 3, nil)
@@ -135,6 +136,9 @@
 		pr.Model = "m"
 		assert.Equal(t, map[string]int{"u7": 1000}, shares(pi, pr))
 	})
+}
+
+func TestPrefixCredit(t *testing.T) {
 	t.Run("prefix credit is weighed against load", func(t *testing.T) {
 		ta, pi := setup(t, "", 50, 1, fixedHints{{Upstream: "u9", Blocks: 10}})
 		pr := request
--- a/internal/route/table/table.go
+++ b/internal/route/table/table.go
@@ -62,12 +62,19 @@
 		return false
 	}
 	now := ta.clk.Now()
-	ta.current.Store(build(fl, func(no *Node) *live {
+	sn := build(fl, func(no *Node) *live {
 		if was := old.Node(no.Name); was != nil && was.Instance == no.Instance && was.Agent == no.Agent && was.Service == no.Service {
 			return was.live
 		}
 		return newLive(now)
-	}))
+	})
+	sn.Each(func(se *Service) {
+		if was := old.Service(se.Spec.Name); was != nil {
+			// The nodes' diversion budgets are relative to this count.
+			se.Turn.Store(was.Turn.Load())
+		}
+	})
+	ta.current.Store(sn)
 	instances := make(map[string]bool, len(fl.Instances))
 	for _, in := range fl.Instances {
 		instances[in.Name] = true
--- a/internal/route/table/table_test.go
+++ b/internal/route/table/table_test.go
@@ -83,6 +83,15 @@
 		assert.Equal(t, 2, ta.Len())
 		assert.False(t, ta.Replace(fleet(1, 3)))
 	})
+	// A count of picks that restarts would refuse diversions until it catches up.
+	t.Run("replaced fleet keeps the diversion budget valid", func(t *testing.T) {
+		ta, _ := setup(t)
+		turn := func() uint64 { return ta.Snapshot().Service("desk").Turn.Add(100) }
+		require.True(t, ta.Snapshot().Node("u0").Divert(turn(), 10))
+		assert.False(t, ta.Snapshot().Node("u0").Divert(105, 10))
+		require.True(t, ta.Replace(fleet(2, 3)))
+		assert.True(t, ta.Snapshot().Node("u0").Divert(turn(), 10))
+	})
 }
 
 func TestState(t *testing.T) {
