--- a/call.go
+++ b/call.go
@@ -34,6 +34,9 @@
 	// Left is the time to this stage's deadline when the call was sent. It is
 	// relative, so that the processes' clocks need not agree.
 	Left time.Duration `json:"Left"`
+	// SentAt is when the entry sent the call, by the entry's clock. A call that
+	// is too old does not run on an agent's grant.
+	SentAt time.Time `json:"SentAt,omitzero"`
 	// After is the estimated time of the later stages, already taken off Left.
 	After  time.Duration `json:"After,omitempty"`
 	Cost   float64       `json:"Cost"` // estimated cost units
--- a/internal/agent/attempts/attempt.go
+++ b/internal/agent/attempts/attempt.go
@@ -34,6 +34,7 @@
 	mu        sync.Mutex
 	phase     Phase
 	canceled  bool
+	withdrawn bool
 	tombstone bool
 	peer      Peer
 	orphaned  time.Time
@@ -121,6 +122,21 @@
 	return at.phase
 }
 
+// Withdraw cancels an attempt that is to be made again elsewhere.
+func (at *Attempt) Withdraw() {
+	at.mu.Lock()
+	at.withdrawn = true
+	at.mu.Unlock()
+	at.Cancel()
+}
+
+// Withdrawn says whether Withdraw was called.
+func (at *Attempt) Withdrawn() bool {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	return at.withdrawn
+}
+
 // Emit adds a part of the output and sends it on.
 func (at *Attempt) Emit(data []byte) error {
 	at.mu.Lock()
--- a/internal/agent/server/death.go
+++ b/internal/agent/server/death.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/citronstream/citronstream"
@@ -58,6 +59,25 @@
 	go se.await()
 }
 
+// withdrawSurplus cancels suspects that run beside another one, so that the
+// next death names its cause. Their entries send them elsewhere.
+func (se *Server) withdrawSurplus() {
+	se.mu.Lock()
+	running := make([]*attempts.Attempt, 0, len(se.running))
+	digests := make([]uint64, 0, len(se.running))
+	for _, at := range se.running {
+		running = append(running, at)
+		digests = append(digests, at.Call.Digest)
+	}
+	se.mu.Unlock()
+	surplus := se.holds.Surplus(digests)
+	for _, at := range running {
+		if at.Call.Idempotent && slices.Contains(surplus, at.Call.Digest) {
+			at.Withdraw()
+		}
+	}
+}
+
 // await probes until the upstream is back. Server.runs counts it.
 func (se *Server) await() {
 	defer se.runs.Done()
--- a/internal/agent/server/peer.go
+++ b/internal/agent/server/peer.go
@@ -58,6 +58,7 @@
 		var report poison.Report
 		if pe.se.holds != nil && re.Decode(&report) == nil {
 			pe.se.holds.Merge(report)
+			pe.se.withdrawSurplus()
 		}
 	default:
 		if !pe.se.extra(li, re) {
--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -282,7 +282,10 @@
 	}
 	re.Fault = citronstream.FaultOf(err)
 	if ctx.Err() != nil {
-		if re.Fault.Verdict != citronstream.NotRun {
+		switch {
+		case at.Withdrawn():
+			re.Fault = citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeUnavailable, "withdrawn: another suspect runs at %s", se.up.Name)
+		case re.Fault.Verdict != citronstream.NotRun:
 			re.Fault = citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeDeadline, "cut at the deadline or cancelled")
 		}
 		return re
--- a/internal/cli/demo/demo.go
+++ b/internal/cli/demo/demo.go
@@ -25,7 +25,7 @@
 	Duration time.Duration  `help:"How long requests are sent." default:"10s"`
 	Rate     float64        `help:"Requests a second; 0 takes half of what the engines can do."`
 	Fault    []faults.Fault `help:"Fault to bring about, as KIND@TIME; repeatable. Kinds: ${faults}." placeholder:"KIND@TIME"`
-	Timeline string         `help:"Write the timeline of this request to standard error: an identifier, or slowest."`
+	Timeline string         `help:"Write the timeline of this request to standard error: an identifier, a code such as deadline, or slowest."`
 	JSON     bool           `help:"Print the outcome as one JSON object on the last line." name:"json"`
 }
 
@@ -80,6 +80,9 @@
 	if id == "slowest" {
 		id = re.Slowest
 	}
+	if example, ok := re.Examples[id]; ok {
+		id = example
+	}
 	if id == "" && len(re.Violations) > 0 {
 		id = re.Violations[0].RequestID
 	}
--- a/internal/entry/pipeline/attempts.go
+++ b/internal/entry/pipeline/attempts.go
@@ -63,7 +63,8 @@
 		return noRoute(ca)
 	}
 	ca.AttemptID = citronstream.NewID()
-	ca.Left = at.end.Sub(ru.clk.Now())
+	ca.SentAt = ru.clk.Now()
+	ca.Left = at.end.Sub(ca.SentAt)
 	if ca.Left <= 0 {
 		return unasked(ca, citronstream.CodeDeadline, "no time is left for "+ca.Service)
 	}
@@ -80,7 +81,8 @@
 	picker.Ended(upstream, ca.Cost, took, faultError(re.Fault))
 	ru.event(ca, "AttemptEnded", upstream, &re)
 	if re.Fault == nil && ru.times != nil && !re.Replayed {
-		ru.times.Observe(ca.Service, ca.Cost, took)
+		// Without the time in the queue: a flood of one rank must not raise the estimates of the others.
+		ru.times.Observe(ca.Service, ca.Cost, took-re.Queued)
 	}
 	if ru.meter != nil && !re.Replayed {
 		ru.meter.Count(ca, &re)
--- a/internal/once/claim/lookup.go
+++ b/internal/once/claim/lookup.go
@@ -5,7 +5,6 @@
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/once/grant"
-	"github.com/jonboulle/clockwork"
 )
 
 // Recall returns the answer of a key that has run and is still in memory.
@@ -54,7 +53,7 @@
 	case cl.inInterval(probe, held):
 		return citronstream.MayHaveRun
 	}
-	ctx, cancel := clockwork.WithTimeout(ctx, cl.clk, claimWait)
+	ctx, cancel := grant.WithTimeout(ctx, cl.clk, claimWait)
 	defer cancel()
 	_, version, err := cl.readRow(ctx, probe)
 	if err != nil || version != 0 {
--- a/internal/process/agent/once.go
+++ b/internal/process/agent/once.go
@@ -40,7 +40,7 @@
 }
 
 func request(ca *citronstream.Call) claim.Request {
-	return claim.Request{Workspace: ca.Workspace, Key: ca.Key, KeyGiven: ca.KeyGiven, Digest: ca.Digest}
+	return claim.Request{Workspace: ca.Workspace, Key: ca.Key, KeyGiven: ca.KeyGiven, Digest: ca.Digest, Sent: ca.SentAt}
 }
 
 func result(ans claim.Answer, err error) citronstream.Result {
--- a/internal/proof/load/report.go
+++ b/internal/proof/load/report.go
@@ -38,8 +38,11 @@
 
 	Faults []string `json:"Faults,omitempty"` // what was brought about
 
-	Codes      map[string]int `json:"Codes,omitempty"` // refusals and failures by code
-	Violations []Violation    `json:"Violations,omitempty"`
+	Codes map[string]int `json:"Codes,omitempty"` // refusals and failures by code
+	// Examples has the identifier of one request by code, for the timeline.
+	Examples map[string]string `json:"Examples,omitempty"`
+
+	Violations []Violation `json:"Violations,omitempty"`
 }
 
 // maxViolations bounds the listed violations; the counts are complete.
@@ -78,7 +81,7 @@
 	lo.mu.Lock()
 	trials := lo.trials
 	lo.mu.Unlock()
-	re := Report{Codes: map[string]int{}}
+	re := Report{Codes: map[string]int{}, Examples: map[string]string{}}
 	ranks, spaces, both := shareMap{}, shareMap{}, shareMap{}
 	var flooded share
 	var slowest time.Duration
@@ -142,6 +145,7 @@
 	}
 	if an.code != "" {
 		re.Codes[string(an.code)]++
+		re.Examples[string(an.code)] = an.requestID
 	}
 }
 
