--- a/internal/once/claim/shard.go
+++ b/internal/once/claim/shard.go
@@ -18,6 +18,9 @@
 	free     // proved not to have run under this attempt
 )
 
+// shardBytes bounds the recorded answers in memory of one slot, 64 MiB in all.
+const shardBytes = 1 << 20
+
 // entry is one attempt at a key in memory. The shard's mutex guards the
 // fields below it until ended is closed; opID and rq never change.
 type entry struct {
@@ -45,6 +48,7 @@
 
 	mu   sync.Mutex
 	keys map[string]*entry
+	size int        // bytes of the answers in lru
 	lru  *list.List // finished and recorded entries, oldest use first
 }
 
@@ -77,8 +81,7 @@
 	if old != nil {
 		en.version = old.version
 		if old.element != nil {
-			sh.lru.Remove(old.element)
-			old.element = nil
+			sh.unlink(old)
 		}
 	} else {
 		cl.keys.Add(1)
@@ -139,7 +142,8 @@
 		return
 	}
 	en.element = sh.lru.PushBack(en)
-	for sh.lru.Len() > max(1, int(cl.cap)/grant.SlotCount) {
+	sh.size += len(en.answer.Body)
+	for sh.lru.Len() > max(1, int(cl.cap)/grant.SlotCount) || sh.size > shardBytes && sh.lru.Len() > 1 {
 		old := sh.lru.Front().Value.(*entry)
 		sh.evicted.Store(max(sh.evicted.Load(), old.at.UnixMilli()))
 		cl.drop(sh, old)
@@ -147,11 +151,16 @@
 	}
 }
 
+func (sh *shard) unlink(en *entry) {
+	sh.lru.Remove(en.element)
+	sh.size -= len(en.answer.Body)
+	en.element = nil
+}
+
 // drop forgets an entry. The shard's mutex is held.
 func (cl *Claim) drop(sh *shard, en *entry) {
 	if en.element != nil {
-		sh.lru.Remove(en.element)
-		en.element = nil
+		sh.unlink(en)
 	}
 	if sh.keys[mapKey(en.rq)] == en {
 		delete(sh.keys, mapKey(en.rq))
