--- /dev/null
+++ b/internal/entry/agents/sizes.go
@@ -0,0 +1,19 @@
+package agents
+
+// Sizes are the numbers of elements that a pool keeps.
+type Sizes struct {
+	Agents  int // agents that the entry connects to
+	Links   int // open links
+	Flights int // attempts in flight
+}
+
+// Sizes returns the present sizes. It walks the attempts in flight.
+func (po *Pool) Sizes() Sizes {
+	si := Sizes{Agents: len(*po.byName.Load())}
+	si.Links = si.Agents - po.Missing()
+	po.flights.Range(func(any, any) bool {
+		si.Flights++
+		return true
+	})
+	return si
+}
--- /dev/null
+++ b/internal/observe/metrics/entry.go
@@ -0,0 +1,111 @@
+package metrics
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/citronstream/citronstream/internal/process/entry"
+	"github.com/citronstream/citronstream/internal/route/table"
+)
+
+// states are all membership states, so that each has a value also at 0.
+var states = []table.State{table.Live, table.Suspect, table.Leaving, table.Gone}
+
+// AddEntry adds the metrics of an entry.
+func (se *Set) AddEntry(en *entry.Entry) {
+	se.gauge("citronstream_requests_in_flight", "Callers' requests that have not ended.", func() float64 { return float64(en.Server.InFlight()) })
+	se.events("citronstream_requests_total", "Callers' requests, by event.", "event", func(put func(uint64, string)) {
+		co := en.Server.Counts()
+		put(co.Accepted.Load(), "accepted")
+		put(co.Completed.Load(), "completed")
+		put(co.NotRun.Load(), "not_run")
+		put(co.MayHaveRun.Load(), "may_have_run")
+		put(co.Ran.Load(), "ran_failed")
+		put(co.Disconnected.Load(), "disconnected")
+		put(co.SlowReaders.Load(), "slow_reader")
+		put(co.Limited.Load(), "limited")
+	})
+	se.events("citronstream_stages_total", "Stages and services run for requests, by event.", "event", func(put func(uint64, string)) {
+		co := en.Runner.Counts()
+		put(co.Requests.Load(), "request")
+		put(co.Retries.Load(), "retry")
+		put(co.Resumed.Load(), "resumed")
+		put(co.Refused.Load(), "refused")
+		put(co.NoRoute.Load(), "no_route")
+		put(co.Held.Load(), "held")
+	})
+	se.events("citronstream_attempts_total", "Attempts at agents, by event.", "event", func(put func(uint64, string)) {
+		co := en.Agents.Counts()
+		put(co.Attempts.Load(), "sent")
+		put(co.Queried.Load(), "queried")
+		put(co.Settled.Load(), "settled")
+		put(co.Unsettled.Load(), "unsettled")
+		put(co.Late.Load(), "late_chunk")
+		put(co.Corrupt.Load(), "corrupt")
+		put(co.Canceled.Load(), "canceled")
+	})
+	se.events("citronstream_links_total", "Links to agents, by event.", "event", func(put func(uint64, string)) {
+		co := en.Agents.Counts()
+		put(co.Links.Load(), "opened")
+		put(co.LinksLost.Load(), "lost")
+		put(co.LinksSilent.Load(), "silent")
+	})
+	se.addRoutes(en)
+	se.addBudget(en)
+	se.addWitness(en)
+	se.addTimeline(en.Timeline)
+	se.sizes(func(put func(int, string)) {
+		si := en.Agents.Sizes()
+		put(si.Links, "links")
+		put(si.Flights, "attempts_in_flight")
+		put(en.Routes.Snapshot().Len(), "routes")
+		put(en.Outliers().Len(), "outlier_records")
+		put(en.Times().Len(), "stage_times")
+		digests, deaths := en.Holds.Len()
+		put(digests, "suspects")
+		put(deaths, "deaths")
+		put(en.Keeper.Counts().Keys, "witness_keys")
+		put(en.Timeline.Len(), "timeline")
+	})
+}
+
+func (se *Set) addRoutes(en *entry.Entry) {
+	se.add(prometheus.GaugeValue, "citronstream_upstreams", "Upstreams by service and membership state, as this entry sees them.", []string{"service", "state"}, func(put emit) {
+		en.Routes.Snapshot().Each(func(sv *table.Service) {
+			count := make(map[table.State]int, len(states))
+			for _, no := range sv.Nodes {
+				count[no.State()]++
+			}
+			for _, st := range states {
+				put(float64(count[st]), sv.Spec.Name, st.String())
+			}
+		})
+	})
+	se.gauge("citronstream_outliers", "Upstreams with reduced weight.", func() float64 { return float64(len(en.Outliers().Outliers())) })
+}
+
+func (se *Set) addBudget(en *entry.Entry) {
+	se.events("citronstream_retry_budget_total", "Extra attempts asked of the retry budget, by outcome.", "outcome", func(put func(uint64, string)) {
+		spent, refused := en.Budget().Counts()
+		put(spent, "granted")
+		put(refused, "refused")
+	})
+	se.gauge("citronstream_retry_window_extras", "Extra attempts in the sliding window of the retry budget.", func() float64 {
+		_, extras := en.Budget().Window()
+		return float64(extras)
+	})
+	se.gauge("citronstream_retry_window_requests", "Requests in the sliding window of the retry budget.", func() float64 {
+		requests, _ := en.Budget().Window()
+		return float64(requests)
+	})
+}
+
+func (se *Set) addWitness(en *entry.Entry) {
+	se.events("citronstream_witness_total", "Keyed calls that this entry keeps for agents, by event.", "event", func(put func(uint64, string)) {
+		co := en.Keeper.Counts()
+		put(co.Refused, "refused")
+		put(co.Flushed, "flushed")
+		put(co.Settles, "settle")
+		put(co.Written, "row_written")
+	})
+	se.gauge("citronstream_witness_bytes", "Bytes of answers kept for agents.", func() float64 { return float64(en.Keeper.Counts().Bytes) })
+}
--- /dev/null
+++ b/internal/observe/metrics/metrics.go
@@ -0,0 +1,163 @@
+// Package metrics gives the counters of a process as Prometheus metrics.
+package metrics
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/observe/invariant"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// maxLabels bounds the distinct values of a histogram's label. The names come
+// from the configuration; a process that outlives many versions puts further
+// ones under "other".
+const maxLabels = 256
+
+const other = "other"
+
+// Buckets of the histograms, in seconds. A first token is due within 0.97 s
+// and a pipeline within 6 s (design page, section 1.4).
+var (
+	requestBuckets = []float64{0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 0.97, 2, 4, 6, 15, 60}
+	stageBuckets   = []float64{0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 6, 30}
+)
+
+// emit takes one value of a family with its label values.
+type emit func(value float64, labels ...string)
+
+// family is a metric that is read at scrape time.
+type family struct {
+	desc *prometheus.Desc
+	kind prometheus.ValueType
+	read func(put emit)
+}
+
+// Set holds the metrics of one process. It is a prometheus.Collector that
+// reads the existing counters when it is scraped, so that the request path
+// only pays for the two histograms.
+type Set struct {
+	reg      *prometheus.Registry
+	requests *histogram
+	stages   *histogram
+
+	mu       sync.Mutex
+	families []family
+}
+
+// New returns a set with the metrics that every process has. Version gives
+// the configuration version in force.
+func New(version func() uint64) *Set {
+	se := &Set{
+		reg:      prometheus.NewRegistry(),
+		requests: newHistogram("citronstream_request_duration_seconds", "Time from the arrival of a request to its end, by rank.", "rank", requestBuckets),
+		stages:   newHistogram("citronstream_stage_duration_seconds", "Time of a stage in the queue and at the upstream, by service.", "service", stageBuckets),
+	}
+	se.gauge("citronstream_config_version", "Configuration version in force.", func() float64 { return float64(version()) })
+	se.counter("citronstream_invariant_violations_total", "Conditions that must always hold and did not.", invariant.Default.Count)
+	se.reg.MustRegister(se, se.requests.vec, se.stages.vec, collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return se
+}
+
+// Request records the end of a request.
+func (se *Set) Request(rank string, took time.Duration) { se.requests.observe(rank, took) }
+
+// Stage records the end of a stage.
+func (se *Set) Stage(service string, took time.Duration) { se.stages.observe(service, took) }
+
+// Count implements the meters of entry and agent.
+func (se *Set) Count(ca *citronstream.Call, re *citronstream.Result) {
+	se.Stage(ca.Service, re.Queued+re.Usage.Busy)
+}
+
+// Handler serves the metrics in Prometheus' text formats.
+func (se *Set) Handler() http.Handler {
+	return promhttp.HandlerFor(se.reg, promhttp.HandlerOpts{Registry: se.reg, MaxRequestsInFlight: 4})
+}
+
+// Describe implements prometheus.Collector. The set is unchecked, because an
+// entry or agent adds its families once it holds a configuration.
+func (se *Set) Describe(chan<- *prometheus.Desc) {}
+
+// Collect implements prometheus.Collector.
+func (se *Set) Collect(to chan<- prometheus.Metric) {
+	se.mu.Lock()
+	families := se.families
+	se.mu.Unlock()
+	for _, fa := range families {
+		fa.read(func(value float64, labels ...string) {
+			to <- prometheus.MustNewConstMetric(fa.desc, fa.kind, value, labels...)
+		})
+	}
+}
+
+func (se *Set) add(kind prometheus.ValueType, name, help string, labels []string, read func(put emit)) {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	se.families = append(se.families, family{desc: prometheus.NewDesc(name, help, labels, nil), kind: kind, read: read})
+}
+
+func (se *Set) gauge(name, help string, read func() float64) {
+	se.add(prometheus.GaugeValue, name, help, nil, func(put emit) { put(read()) })
+}
+
+func (se *Set) counter(name, help string, read func() uint64) {
+	se.add(prometheus.CounterValue, name, help, nil, func(put emit) { put(float64(read())) })
+}
+
+// events adds a counter with one label that tells events of a kind apart.
+func (se *Set) events(name, help, label string, read func(put func(value uint64, event string))) {
+	se.add(prometheus.CounterValue, name, help, []string{label}, func(put emit) {
+		read(func(value uint64, event string) { put(float64(value), event) })
+	})
+}
+
+// sizes adds the gauge of the bounded tables of a process.
+func (se *Set) sizes(read func(put func(size int, table string))) {
+	se.add(prometheus.GaugeValue, "citronstream_table_size", "Elements in a bounded table of the process.", []string{"table"}, func(put emit) {
+		read(func(size int, table string) { put(float64(size), table) })
+	})
+}
+
+// histogram is a histogram with one label of bounded values.
+type histogram struct {
+	vec  *prometheus.HistogramVec
+	mu   sync.RWMutex
+	byID map[string]prometheus.Observer
+}
+
+func newHistogram(name, help, label string, buckets []float64) *histogram {
+	return &histogram{
+		vec:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: buckets}, []string{label}),
+		byID: make(map[string]prometheus.Observer),
+	}
+}
+
+func (hi *histogram) observe(label string, took time.Duration) {
+	hi.mu.RLock()
+	ob, ok := hi.byID[label]
+	hi.mu.RUnlock()
+	if !ok {
+		ob = hi.open(label)
+	}
+	ob.Observe(took.Seconds())
+}
+
+func (hi *histogram) open(label string) prometheus.Observer {
+	hi.mu.Lock()
+	defer hi.mu.Unlock()
+	if ob, ok := hi.byID[label]; ok {
+		return ob
+	}
+	if len(hi.byID) >= maxLabels-1 {
+		return hi.vec.WithLabelValues(other)
+	}
+	ob := hi.vec.WithLabelValues(label)
+	hi.byID[label] = ob
+	return ob
+}
--- /dev/null
+++ b/internal/operator/report/report.go
@@ -0,0 +1,93 @@
+// Package report has the documents that the operators' HTTP gives out.
+package report
+
+import (
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/config/version"
+)
+
+// Roles of a process.
+const (
+	RoleEntry = "entry"
+	RoleAgent = "agent"
+)
+
+// Status is the state of one process.
+type Status struct {
+	Process  string    `json:"Process"`
+	Role     string    `json:"Role"`
+	Started  time.Time `json:"Started"`
+	Version  uint64    `json:"Version"`          // configuration in force, 0 for none
+	NotReady string    `json:"NotReady,omitzero"` // reason; empty for a process that serves
+	Leaving  bool      `json:"Leaving,omitempty"`
+	InFlight int       `json:"InFlight"` // requests of an entry, calls of an agent
+	// Load is that of an agent.
+	Load *citronstream.Load `json:"Load,omitempty"`
+	// Upstreams is the routing table of an entry.
+	Upstreams []Upstream `json:"Upstreams,omitempty"`
+	// Agents are the answers of the agents that an entry is linked to.
+	Agents []Status `json:"Agents,omitempty"`
+}
+
+// Upstream is an upstream as an entry sees it.
+type Upstream struct {
+	Name    string    `json:"Name"`
+	Service string    `json:"Service"`
+	Zone    string    `json:"Zone"`
+	State   string    `json:"State"`
+	Cause   string    `json:"Cause,omitempty"` // source that reported a state other than live
+	Since   time.Time `json:"Since,omitzero"`
+	Linked  bool      `json:"Linked"`
+	Load    float64   `json:"Load"`   // corrected load in cost units
+	Weight  float64   `json:"Weight"` // 1 unless the upstream is an outlier
+}
+
+// Timeline is a list of events in causal order.
+type Timeline struct {
+	Events []citronstream.Event `json:"Events"`
+}
+
+// Config is the accepted configuration that a process holds.
+type Config struct {
+	Record version.Record      `json:"Record"`
+	Fleet  *citronstream.Fleet `json:"Fleet"`
+}
+
+// Apply offers a fleet as the successor of version Base.
+type Apply struct {
+	Base  uint64              `json:"Base"`
+	Fleet *citronstream.Fleet `json:"Fleet"`
+}
+
+// Applied says that a configuration was accepted.
+type Applied struct {
+	Version uint64 `json:"Version"`
+}
+
+// Conflict says that another change was accepted first. Changes lead from
+// the winner's document to the refused one.
+type Conflict struct {
+	Base    uint64         `json:"Base"`
+	Winner  version.Record `json:"Winner"`
+	Changes []string       `json:"Changes,omitempty"`
+}
+
+// Lift ends the hold of a content.
+type Lift struct {
+	Digest uint64 `json:"Digest"`
+}
+
+// Lifted says at how many processes the content was held.
+type Lifted struct {
+	Processes int `json:"Processes"`
+}
+
+// Drain takes a process out of service. An empty name means the one that is asked.
+type Drain struct {
+	Name string `json:"Name,omitempty"`
+}
+
+// MethodLift is sent from an entry to its agents, with a Lift.
+const MethodLift = "Admin.Lift"
--- /dev/null
+++ b/internal/operator/server/admin.go
@@ -0,0 +1,165 @@
+package server
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/config/version"
+	"github.com/citronstream/citronstream/internal/observe/ledger"
+	"github.com/citronstream/citronstream/internal/observe/timeline"
+	"github.com/citronstream/citronstream/internal/operator/report"
+)
+
+// Bounds of listings: events of one answer, and cost records of one process
+// and day, which are 2,880 at an interval of 30 s.
+const (
+	maxEvents  = 100000
+	maxRecords = 100000
+)
+
+func (se *Server) status(wr http.ResponseWriter, _ *http.Request, _ string) {
+	answer(wr, se.process.Status(se.ctx))
+}
+
+// timeline answers with the events that match the query: request, upstream,
+// kind, process, since, limit and own.
+func (se *Server) timeline(wr http.ResponseWriter, rq *http.Request, _ string) {
+	qu := rq.URL.Query()
+	fi := timeline.Filter{RequestID: qu.Get("request"), Upstream: qu.Get("upstream"), Kind: qu.Get("kind"), Processes: qu["process"], Limit: maxEvents}
+	if since := qu.Get("since"); since != "" {
+		at, err := se.since(since)
+		if err != nil {
+			problem(wr, http.StatusBadRequest, "since: want a duration such as 5m or a time such as 2026-01-02T15:04:05Z")
+			return
+		}
+		fi.Since = timeline.At(at)
+	}
+	if limit := qu.Get("limit"); limit != "" {
+		number, err := strconv.Atoi(limit)
+		if err != nil || number < 1 || number > maxEvents {
+			problem(wr, http.StatusBadRequest, "limit: want 1 to %d", maxEvents)
+			return
+		}
+		fi.Limit = number
+	}
+	events := se.process.Timeline(se.ctx, fi, qu.Get("own") == "1")
+	if events == nil {
+		events = []citronstream.Event{}
+	}
+	answer(wr, report.Timeline{Events: events})
+}
+
+func (se *Server) since(text string) (time.Time, error) {
+	if ago, err := time.ParseDuration(text); err == nil {
+		return se.clk.Now().Add(-ago), nil
+	}
+	return time.Parse(time.RFC3339, text)
+}
+
+// cost answers with the cost records of a day (UTC) as JSON lines. Without a
+// day it is today. Each process of the configuration is read on its own.
+func (se *Server) cost(wr http.ResponseWriter, rq *http.Request, _ string) {
+	if se.table == nil {
+		problem(wr, http.StatusNotFound, "this process reads no cost records")
+		return
+	}
+	day := se.clk.Now()
+	if text := rq.URL.Query().Get("day"); text != "" {
+		var err error
+		if day, err = time.Parse(time.DateOnly, text); err != nil {
+			problem(wr, http.StatusBadRequest, "day: want a date such as 2026-01-02")
+			return
+		}
+	}
+	deltas, err := ledger.Read(se.ctx, se.table, day, maxRecords)
+	if err != nil {
+		problem(wr, http.StatusServiceUnavailable, "cost records: %s", err)
+		return
+	}
+	var body bytes.Buffer
+	if err := ledger.Export(&body, deltas); err != nil {
+		problem(wr, http.StatusInternalServerError, "%s", err)
+		return
+	}
+	send(wr, http.StatusOK, "application/jsonl", body.Bytes())
+}
+
+func (se *Server) holds(wr http.ResponseWriter, _ *http.Request, _ string) {
+	body, err := se.process.Holds()
+	if err != nil {
+		refuse(wr, err)
+		return
+	}
+	send(wr, http.StatusOK, "application/json", body)
+}
+
+func (se *Server) lift(wr http.ResponseWriter, rq *http.Request, _ string) {
+	var li report.Lift
+	if read(wr, rq, &li) {
+		answer(wr, report.Lifted{Processes: se.process.Lift(se.ctx, li.Digest)})
+	}
+}
+
+func (se *Server) drain(wr http.ResponseWriter, rq *http.Request, _ string) {
+	var dr report.Drain
+	if !read(wr, rq, &dr) {
+		return
+	}
+	if err := se.process.Drain(se.ctx, dr.Name); err != nil {
+		refuse(wr, err)
+		return
+	}
+	answer(wr, dr)
+}
+
+func (se *Server) config(wr http.ResponseWriter, _ *http.Request, _ string) {
+	if se.store == nil {
+		problem(wr, http.StatusNotFound, "this process holds no accepted configuration")
+		return
+	}
+	sn := se.store.Current()
+	answer(wr, report.Config{Record: sn.Document.Record, Fleet: sn.Fleet})
+}
+
+// apply offers a fleet as the next version, in the name of the operator.
+func (se *Server) apply(wr http.ResponseWriter, rq *http.Request, operator string) {
+	if se.store == nil {
+		problem(wr, http.StatusNotFound, "this process takes no configuration")
+		return
+	}
+	var ap report.Apply
+	if !read(wr, rq, &ap) {
+		return
+	}
+	if ap.Fleet == nil {
+		problem(wr, http.StatusBadRequest, "Fleet: missing")
+		return
+	}
+	if faults := se.check(ap.Fleet); len(faults) > 0 {
+		problem(wr, http.StatusUnprocessableEntity, "%s", strings.Join(faults, "; "))
+		return
+	}
+	accepted, err := se.store.Accept(se.ctx, ap.Base, ap.Fleet, operator)
+	var conflict *version.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		se.conflict(wr, conflict)
+	case err != nil:
+		problem(wr, http.StatusServiceUnavailable, "apply: %s", err)
+	default:
+		answer(wr, report.Applied{Version: accepted})
+	}
+}
+
+func (se *Server) conflict(wr http.ResponseWriter, ce *version.ConflictError) {
+	co := report.Conflict{Base: ce.Base, Winner: ce.Winner}
+	for _, ch := range ce.Changes {
+		co.Changes = append(co.Changes, ch.String())
+	}
+	respond(wr, http.StatusConflict, co)
+}
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -36,6 +36,8 @@
 	// entries; tests put faults there. Nil changes nothing.
 	Wrap   func(citronstream.Protocol) citronstream.Protocol
 	Stream func(link.Stream) link.Stream
+	// ServerOptions are applied last.
+	ServerOptions []server.Option
 }
 
 // Agent is one agent process.
@@ -47,6 +49,7 @@
 	Grant    *grant.Grant // nil for a service without non-idempotent calls
 	Claim    *claim.Claim
 
+	queue  citronstream.Discipline
 	fleet  atomic.Pointer[citronstream.Fleet]
 	cancel context.CancelFunc
 	ended  []<-chan struct{}
@@ -71,7 +74,7 @@
 	if set.Wrap != nil {
 		pr = set.Wrap(pr)
 	}
-	queue := factory(discipline.Settings{Clock: clk, Fleet: *fl, Capacity: up.Capacity, Rate: firstRate(se, up.Capacity)})
+	ag.queue = factory(discipline.Settings{Clock: clk, Fleet: *fl, Capacity: up.Capacity, Rate: firstRate(se, up.Capacity)})
 	opts := []server.Option{
 		server.WithHolds(ag.Holds), server.WithRecorder(ag.Timeline), server.WithLog(log), server.WithToken(set.Token),
 		server.WithVersion(func() uint64 { return ag.fleet.Load().Version }, func(*link.Link, uint64) {}),
@@ -82,7 +85,7 @@
 	if once := ag.ownership(clk, set, fl, se); once != nil {
 		opts = append(opts, server.WithOnce(once), server.WithGrant(ag.epoch, ag.Grant.Owned))
 	}
-	ag.Server = server.New(clk, eng, up, pr, queue, opts...)
+	ag.Server = server.New(clk, eng, up, pr, ag.queue, append(opts, set.ServerOptions...)...)
 	return ag, nil
 }
 
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -43,6 +43,9 @@
 	Token string // shared secret of the peers
 	// Platform is the platform's services.
 	Platform citronstream.Platform
+	// ServerOptions and RunnerOptions are applied last.
+	ServerOptions []server.Option
+	RunnerOptions []pipeline.Option
 }
 
 // Entry is one entry process.
@@ -61,6 +64,8 @@
 	boot     string
 	started  time.Time
 	outliers *outlier.Detector
+	budget   *retrybudget.Budget
+	times    *stagetime.Estimator
 	current  atomic.Pointer[state]
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -83,13 +88,14 @@
 	en.Keeper = witness.New(set.Platform.Table, set.Platform.Objects, clk, witness.WithRetention(fl.Limits.KeyRetention.Std()))
 	en.ctx, en.cancel = context.WithCancel(ctx)
 	en.outliers = outlier.New(clk, en.Routes)
-	budget := retrybudget.New(clk, fl.Limits)
+	en.budget, en.times = retrybudget.New(clk, fl.Limits), stagetime.New(clk)
 	en.Agents = agents.New(en.ctx, clk, eng, en.Routes, en.hello,
 		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper))
-	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, budget,
-		pipeline.WithTimes(stagetime.New(clk)), pipeline.WithHolds(en.Holds),
-		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}))
-	en.Server = server.New(clk, address, en.Runner, en.Catalog, fl.Limits)
+	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, en.budget, append([]pipeline.Option{
+		pipeline.WithTimes(en.times), pipeline.WithHolds(en.Holds), pipeline.WithRecorder(en.Timeline),
+		pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}),
+	}, set.RunnerOptions...)...)
+	en.Server = server.New(clk, address, en.Runner, en.Catalog, fl.Limits, set.ServerOptions...)
 	return en, en.Apply(fl)
 }
 
