--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -13,8 +13,10 @@
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/entry/catalog"
 	"github.com/citronstream/citronstream/internal/entry/pipeline"
+	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
+	"github.com/lesismal/nbio/taskpool"
 )
 
 // Limits that don't depend on the configuration.
@@ -24,6 +26,8 @@
 	// maxIdentifier is the longest idempotency key or name that a caller may send, in bytes.
 	maxIdentifier = 255
 	drainPoll     = 10 * time.Millisecond
+	// maxJobs is the most requests that wait for a free handler.
+	maxJobs = 1 << 16
 )
 
 // Counts are the counters of a Server.
@@ -40,12 +44,15 @@
 	ready   func() error
 	done    func(rq *pipeline.Request, took time.Duration, out *pipeline.Outcome)
 	limits  citronstream.Limits
+	tls     *tls.Config
 	counts  Counts
 
 	eng      *nbhttp.Engine
 	ctx      context.Context
 	cancel   context.CancelFunc
 	inFlight atomic.Int64
+	pool     *taskpool.TaskPool
+	jobs     atomic.Int64 // handlers whose answer may not be written out yet
 	leaving  atomic.Bool
 	callers  sync.Map // remote address to context.CancelFunc
 	shares   shares
@@ -62,6 +69,9 @@
 	return func(se *Server) { se.done = done }
 }
 
+// WithTLS serves HTTPS.
+func WithTLS(config *tls.Config) Option { return func(se *Server) { se.tls = config } }
+
 // New returns a server on an address. Current gives the configuration in force, nil before there is one.
 func New(clk citronstream.Clock, address string, runner *pipeline.Runner, current func() *catalog.Catalog,
 	limits citronstream.Limits, opts ...Option,
@@ -81,15 +91,22 @@
 // Start listens for callers.
 func (se *Server) Start(ctx context.Context) error {
 	se.ctx, se.cancel = context.WithCancel(ctx)
-	se.eng = nbhttp.NewEngine(nbhttp.Config{
-		Network: "tcp", Addrs: []string{se.address}, NPoller: 2, NListener: 1,
+	se.pool = taskpool.New(se.limits.MaxConcurrent+64, maxJobs)
+	config := nbhttp.Config{
+		Network: "tcp", NPoller: 2, NListener: 1,
 		MaxLoad:         se.limits.MaxConnections,
 		ReadLimit:       se.limits.MaxHeaderBytes + se.limits.MaxBodyBytes,
 		MaxHTTPBodySize: se.limits.MaxBodyBytes, MaxWriteBufferSize: maxUnsent,
-		MessageHandlerPoolSize: se.limits.MaxConcurrent + 64,
-		KeepaliveTime:          se.limits.IdleTimeout.Std(),
-		Handler:                se.routes(),
-	})
+		ServerExecutor: se.execute,
+		KeepaliveTime:  se.limits.IdleTimeout.Std(),
+		Handler:        se.routes(),
+	}
+	if se.tls != nil {
+		config.AddrsTLS, config.TLSConfig = []string{se.address}, se.tls
+	} else {
+		config.Addrs = []string{se.address}
+	}
+	se.eng = nbhttp.NewEngine(config)
 	se.eng.OnClose(func(nc net.Conn, _ error) {
 		if cancel, ok := se.callers.Load(nc.RemoteAddr().String()); ok {
 			cancel.(context.CancelFunc)()
@@ -102,10 +119,28 @@
 	return nil
 }
 
-// Drain refuses new requests and waits until the ones in flight have ended or ctx ends.
+// execute runs a handler. A job ends once nbhttp has written the answer out,
+// which is after the end of the request in flight. Jobs that start while the
+// server is leaving only refuse requests and are not waited for; the order of
+// the count and the check leaves no gap to Drain.
+func (se *Server) execute(job func()) {
+	se.jobs.Add(1)
+	if se.leaving.Load() {
+		se.jobs.Add(-1)
+		se.pool.Go(job)
+		return
+	}
+	se.pool.Go(func() {
+		defer se.jobs.Add(-1)
+		job()
+	})
+}
+
+// Drain refuses new requests and waits until the ones in flight have ended
+// and their answers are written, or ctx ends.
 func (se *Server) Drain(ctx context.Context) error {
 	se.leaving.Store(true)
-	for se.inFlight.Load() > 0 {
+	for se.inFlight.Load() > 0 || se.jobs.Load() > 0 {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -120,6 +155,7 @@
 	se.leaving.Store(true)
 	se.cancel()
 	se.eng.Stop()
+	se.pool.Stop()
 }
 
 // Counts returns the counters.
--- a/internal/operator/report/report.go
+++ b/internal/operator/report/report.go
@@ -19,7 +19,7 @@
 	Process  string    `json:"Process"`
 	Role     string    `json:"Role"`
 	Started  time.Time `json:"Started"`
-	Version  uint64    `json:"Version"`          // configuration in force, 0 for none
+	Version  uint64    `json:"Version"`           // configuration in force, 0 for none
 	NotReady string    `json:"NotReady,omitzero"` // reason; empty for a process that serves
 	Leaving  bool      `json:"Leaving,omitempty"`
 	InFlight int       `json:"InFlight"` // requests of an entry, calls of an agent
--- /dev/null
+++ b/internal/process/daemon/agent.go
@@ -0,0 +1,164 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/agent/server"
+	"github.com/citronstream/citronstream/internal/config/settings"
+	"github.com/citronstream/citronstream/internal/observe/ledger"
+	"github.com/citronstream/citronstream/internal/observe/timeline"
+	"github.com/citronstream/citronstream/internal/operator/report"
+	"github.com/citronstream/citronstream/internal/peer/link"
+	"github.com/citronstream/citronstream/internal/process/agent"
+)
+
+// agentRole is a daemon as an agent.
+type agentRole struct {
+	da      *Daemon
+	ag      atomic.Pointer[agent.Agent] // nil before the first configuration
+	answers sync.WaitGroup              // of Admin messages under way
+}
+
+func newAgent(da *Daemon) *agentRole { return &agentRole{da: da} }
+
+func (ro *agentRole) open(ctx context.Context, fl *citronstream.Fleet) error {
+	da := ro.da
+	set := agent.Settings{
+		Upstream: da.set.Process.Name, Token: da.token, Platform: da.plat,
+		ServerOptions: []server.Option{
+			server.WithMeter(meter{side: ledger.SideAgent, ledger: da.ledger, set: da.metrics}), server.WithExtra(ro.extra),
+			server.WithVersion(da.version, func(li *link.Link, version uint64) { da.store.Observe(version, li.Remote()) }),
+		},
+	}
+	ag, err := agent.New(da.clk, da.eng, set, placed(fl, &da.set.Process), da.log)
+	if err != nil {
+		return err
+	}
+	da.metrics.AddAgent(ag)
+	if err := ag.Start(ctx); err != nil {
+		return err
+	}
+	ro.ag.Store(ag)
+	return nil
+}
+
+// placed returns the fleet with the addresses that the settings give to this agent.
+func placed(fl *citronstream.Fleet, pr *settings.Process) *citronstream.Fleet {
+	next := *fl
+	next.Upstreams = append([]citronstream.Upstream(nil), fl.Upstreams...)
+	for i := range next.Upstreams {
+		if up := &next.Upstreams[i]; up.Name == pr.Name {
+			up.Agent = own(pr.PeerListen, settings.New().Process.PeerListen, up.Agent)
+			up.Address = own(pr.Upstream, "", up.Address)
+		}
+	}
+	return &next
+}
+
+func (ro *agentRole) apply(fl *citronstream.Fleet) error {
+	ro.ag.Load().Apply(placed(fl, &ro.da.set.Process))
+	return nil
+}
+
+func (ro *agentRole) shutdown(ctx context.Context) error {
+	err := ro.ag.Load().Shutdown(ctx)
+	ro.answers.Wait()
+	return err
+}
+
+// extra answers the messages of operators that an entry passes on.
+func (ro *agentRole) extra(_ *link.Link, re *link.Request) bool {
+	switch re.Method {
+	case citronstream.MethodAdminStatus, citronstream.MethodTimeline, citronstream.MethodAdminDrain, report.MethodLift:
+		ro.answers.Go(func() { ro.answer(re) }) // off the link's reader
+		return true
+	}
+	return false
+}
+
+func (ro *agentRole) answer(re *link.Request) {
+	ctx := context.Background()
+	var err error
+	switch re.Method {
+	case citronstream.MethodAdminStatus:
+		re.Reply(ro.Status(ctx))
+	case citronstream.MethodTimeline:
+		var fi timeline.Filter
+		if err = re.Decode(&fi); err == nil {
+			re.Reply(report.Timeline{Events: ro.Timeline(ctx, fi, true)})
+		}
+	case citronstream.MethodAdminDrain:
+		ro.da.drain()
+		re.Reply(report.Drain{Name: ro.da.set.Process.Name})
+	case report.MethodLift:
+		var li report.Lift
+		if err = re.Decode(&li); err == nil {
+			re.Reply(report.Lifted{Processes: ro.Lift(ctx, li.Digest)})
+		}
+	}
+	if err != nil {
+		re.ReplyError(err)
+	}
+}
+
+// Ready implements server.Process.
+func (ro *agentRole) Ready() error {
+	if err := ro.da.notReady(); err != nil {
+		return err
+	}
+	ag := ro.ag.Load()
+	if ag.Grant != nil && ag.Grant.Lease() == nil {
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotReady, "no grant from the table, so keyed calls are refused")
+	}
+	if ag.Server.Load().Down {
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotReady, "the upstream does not answer")
+	}
+	return nil
+}
+
+// Status implements server.Process.
+func (ro *agentRole) Status(context.Context) report.Status {
+	st := ro.da.status(report.RoleAgent, ro.Ready())
+	if ag := ro.ag.Load(); ag != nil {
+		lo := ag.Server.Load()
+		st.Load, st.InFlight = &lo, lo.Running+lo.Waiting
+	}
+	return st
+}
+
+// Timeline implements server.Process.
+func (ro *agentRole) Timeline(_ context.Context, fi timeline.Filter, _ bool) []citronstream.Event {
+	if ag := ro.ag.Load(); ag != nil {
+		return ag.Timeline.Snapshot(fi)
+	}
+	return nil
+}
+
+// Holds implements server.Process.
+func (ro *agentRole) Holds() ([]byte, error) {
+	if ag := ro.ag.Load(); ag != nil {
+		return ag.Holds.Export()
+	}
+	return json.Marshal([]struct{}{})
+}
+
+// Lift implements server.Process.
+func (ro *agentRole) Lift(_ context.Context, digest uint64) int {
+	if ag := ro.ag.Load(); ag != nil && ag.Holds.Lift(digest) {
+		return 1
+	}
+	return 0
+}
+
+// Drain implements server.Process.
+func (ro *agentRole) Drain(_ context.Context, name string) error {
+	if name != "" && name != ro.da.set.Process.Name {
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "this is %q, not %q", ro.da.set.Process.Name, name)
+	}
+	ro.da.drain()
+	return nil
+}
--- /dev/null
+++ b/internal/process/daemon/entry.go
@@ -0,0 +1,210 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/config/settings"
+	"github.com/citronstream/citronstream/internal/entry/pipeline"
+	"github.com/citronstream/citronstream/internal/entry/server"
+	"github.com/citronstream/citronstream/internal/observe/ledger"
+	"github.com/citronstream/citronstream/internal/observe/timeline"
+	"github.com/citronstream/citronstream/internal/operator/report"
+	"github.com/citronstream/citronstream/internal/peer/link"
+	"github.com/citronstream/citronstream/internal/process/entry"
+	"github.com/citronstream/citronstream/internal/route/table"
+	"golang.org/x/sync/errgroup"
+)
+
+// An entry asks its agents side by side and gives up on those that are late.
+const (
+	askWait = 2 * time.Second
+	askers  = 32
+)
+
+// entryRole is a daemon as an entry.
+type entryRole struct {
+	da *Daemon
+	en atomic.Pointer[entry.Entry] // nil before the first configuration
+}
+
+func newEntry(da *Daemon) *entryRole { return &entryRole{da: da} }
+
+func (ro *entryRole) open(ctx context.Context, fl *citronstream.Fleet) error {
+	da := ro.da
+	self, err := entryOf(fl, da.set.Process.Name)
+	if err != nil {
+		return err
+	}
+	zone := da.set.Process.Zone
+	for _, in := range fl.Instances {
+		if zone == "" && in.Name == self.Instance {
+			zone = in.Zone
+		}
+	}
+	set := entry.Settings{
+		Name: self.Name, Zone: zone, Seed: uint64(da.started.UnixNano()), Token: da.token, Platform: da.plat,
+		ServerOptions: []server.Option{server.WithDone(ro.done), server.WithTLS(da.tls)},
+		RunnerOptions: []pipeline.Option{pipeline.WithMeter(meter{side: ledger.SideEntry, ledger: da.ledger, set: da.metrics})},
+	}
+	en, err := entry.New(ctx, da.clk, da.eng, set, own(da.set.Process.Listen, settings.New().Process.Listen, self.Address), fl, da.log)
+	if err != nil {
+		return err
+	}
+	da.metrics.AddEntry(en)
+	if err := en.Start(); err != nil {
+		return err
+	}
+	ro.en.Store(en)
+	return nil
+}
+
+func entryOf(fl *citronstream.Fleet, name string) (citronstream.Entry, error) {
+	for _, en := range fl.Entries {
+		if en.Name == name {
+			return en, nil
+		}
+	}
+	return citronstream.Entry{}, citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "settings key Process.Name: no entry %q in the configuration", name)
+}
+
+// done counts a request under the name of its rank.
+func (ro *entryRole) done(rq *pipeline.Request, took time.Duration, _ *pipeline.Outcome) {
+	name := "unknown"
+	if fl := ro.da.fleet.Load(); fl != nil && rq.Rank < len(fl.Ranks) {
+		name = fl.Ranks[rq.Rank].Name
+	}
+	ro.da.metrics.Request(name, took)
+}
+
+func (ro *entryRole) apply(fl *citronstream.Fleet) error { return ro.en.Load().Apply(fl) }
+
+func (ro *entryRole) shutdown(ctx context.Context) error { return ro.en.Load().Shutdown(ctx) }
+
+// Ready implements server.Process.
+func (ro *entryRole) Ready() error {
+	if err := ro.da.notReady(); err != nil {
+		return err
+	}
+	if si := ro.en.Load().Agents.Sizes(); si.Agents > 0 && si.Links == 0 {
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotReady, "none of %d agents is linked", si.Agents)
+	}
+	return nil
+}
+
+// Status implements server.Process.
+func (ro *entryRole) Status(ctx context.Context) report.Status {
+	st := ro.da.status(report.RoleEntry, ro.Ready())
+	en := ro.en.Load()
+	if en == nil {
+		return st
+	}
+	st.InFlight = en.Server.InFlight()
+	en.Routes.Snapshot().Each(func(sv *table.Service) {
+		for _, no := range sv.Nodes {
+			st.Upstreams = append(st.Upstreams, ro.upstream(en, no))
+		}
+	})
+	slices.SortFunc(st.Upstreams, func(up, other report.Upstream) int { return cmp.Compare(up.Name, other.Name) })
+	st.Agents = ask[report.Status](ctx, ro, en, citronstream.MethodAdminStatus, struct{}{})
+	slices.SortFunc(st.Agents, func(ag, other report.Status) int { return cmp.Compare(ag.Process, other.Process) })
+	return st
+}
+
+func (ro *entryRole) upstream(en *entry.Entry, no *table.Node) report.Upstream {
+	now := no.Status()
+	up := report.Upstream{
+		Name: no.Name, Service: no.Service, Zone: no.Zone, State: now.State.String(),
+		Linked: en.Agents.Link(no.Name) != nil, Load: no.Load(), Weight: no.Weight(),
+	}
+	if now.State != table.Live {
+		up.Cause, up.Since = now.Source.String(), now.At
+	}
+	return up
+}
+
+// Timeline implements server.Process.
+func (ro *entryRole) Timeline(ctx context.Context, fi timeline.Filter, alone bool) []citronstream.Event {
+	en := ro.en.Load()
+	if en == nil {
+		return nil
+	}
+	lists := [][]citronstream.Event{en.Timeline.Snapshot(fi)}
+	if !alone {
+		for _, li := range ask[report.Timeline](ctx, ro, en, citronstream.MethodTimeline, fi) {
+			lists = append(lists, li.Events)
+		}
+	}
+	return timeline.Filter{Limit: fi.Limit}.Apply(timeline.Merge(lists...))
+}
+
+// Holds implements server.Process.
+func (ro *entryRole) Holds() ([]byte, error) {
+	if en := ro.en.Load(); en != nil {
+		return en.Holds.Export()
+	}
+	return json.Marshal([]struct{}{})
+}
+
+// Lift implements server.Process.
+func (ro *entryRole) Lift(ctx context.Context, digest uint64) int {
+	en := ro.en.Load()
+	if en == nil {
+		return 0
+	}
+	lifted := 0
+	if en.Holds.Lift(digest) {
+		lifted++
+	}
+	for _, li := range ask[report.Lifted](ctx, ro, en, report.MethodLift, report.Lift{Digest: digest}) {
+		lifted += li.Processes
+	}
+	return lifted
+}
+
+// Drain implements server.Process.
+func (ro *entryRole) Drain(ctx context.Context, name string) error {
+	if name == "" || name == ro.da.set.Process.Name {
+		ro.da.drain()
+		return nil
+	}
+	if en := ro.en.Load(); en != nil {
+		if li := en.Agents.Link(name); li != nil {
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
+			defer ro.da.clk.AfterFunc(askWait, cancel).Stop()
+			return li.Call(ctx, citronstream.MethodAdminDrain, report.Drain{Name: name}, &report.Drain{})
+		}
+	}
+	return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "no process %q is linked to this entry", name)
+}
+
+// ask sends a message to all linked agents and returns the answers that came in time.
+func ask[T any](ctx context.Context, ro *entryRole, en *entry.Entry, method string, params any) []T {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer ro.da.clk.AfterFunc(askWait, cancel).Stop()
+	var mu sync.Mutex
+	var answers []T
+	var eg errgroup.Group
+	eg.SetLimit(askers)
+	en.Agents.Links(func(_ string, li *link.Link) {
+		eg.Go(func() error {
+			var one T
+			if li.Call(ctx, method, params, &one) == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				answers = append(answers, one)
+			}
+			return nil
+		})
+	})
+	_ = eg.Wait() // agents that don't answer are left out
+	return answers
+}
