--- a/internal/config/version/follow.go
+++ b/internal/config/version/follow.go
@@ -49,7 +49,7 @@
 			if !st.pause(ctx, rand.N(fetchJitter)) {
 				return
 			}
-			_ = st.Refresh(ctx) // the next poll or message tries again
+			_ = st.fetch(ctx) // the next poll or message tries again
 		case <-poll.Chan():
 			if st.due() {
 				_ = st.Refresh(ctx)
@@ -73,20 +73,41 @@
 	}
 }
 
-// Refresh fetches the version that a peer has named, from that peer, or the
-// accepted one from the table. Calls at the same time share one fetch.
+// Refresh reads the accepted version from the table, and while that is down
+// from the peer that named the highest one. Calls at the same time share one
+// read.
 func (st *Store) Refresh(ctx context.Context) error {
-	_, err, _ := st.flight.Do("", func() (any, error) {
-		if want := st.wanted.Load(); st.fetcher != nil && want.version > st.Version() {
-			if err := st.fromPeer(ctx, want.peer, want.version); err == nil {
-				return nil, nil
-			}
+	_, err, _ := st.flight.Do("table", func() (any, error) {
+		err := st.fromTable(ctx)
+		if err != nil && st.fromNamer(ctx) == nil {
+			return nil, nil
+		}
+		return nil, err
+	})
+	return err
+}
+
+// fetch reads the version that a peer has named from that peer, which costs
+// the table nothing, and otherwise from the table.
+func (st *Store) fetch(ctx context.Context) error {
+	_, err, _ := st.flight.Do("peer", func() (any, error) {
+		if st.fromNamer(ctx) == nil {
+			return nil, nil
 		}
 		return nil, st.fromTable(ctx)
 	})
 	return err
 }
 
+// fromNamer reads from the peer that named the highest version.
+func (st *Store) fromNamer(ctx context.Context) error {
+	want := st.wanted.Load()
+	if st.fetcher == nil || want.version <= st.Version() {
+		return citronstream.ErrNotFound
+	}
+	return st.fromPeer(ctx, want.peer, want.version)
+}
+
 func (st *Store) fromPeer(ctx context.Context, peer string, atLeast uint64) error {
 	do, err := st.fetcher.Fetch(ctx, peer, atLeast)
 	if err != nil {
--- a/internal/observe/metrics/entry.go
+++ b/internal/observe/metrics/entry.go
@@ -59,7 +59,7 @@
 		put(si.Flights, "attempts_in_flight")
 		put(en.Routes.Snapshot().Len(), "routes")
 		put(en.Outliers().Len(), "outlier_records")
-		put(en.Times().Len(), "stage_times")
+		put(en.Times.Len(), "stage_times")
 		digests, deaths := en.Holds.Len()
 		put(digests, "suspects")
 		put(deaths, "deaths")
@@ -85,16 +85,16 @@
 
 func (se *Set) addBudget(en *entry.Entry) {
 	se.events("citronstream_retry_budget_total", "Extra attempts asked of the retry budget, by outcome.", "outcome", func(put func(uint64, string)) {
-		spent, refused := en.Budget().Counts()
+		spent, refused := en.Budget.Counts()
 		put(spent, "granted")
 		put(refused, "refused")
 	})
 	se.gauge("citronstream_retry_window_extras", "Extra attempts in the sliding window of the retry budget.", func() float64 {
-		_, extras := en.Budget().Window()
+		_, extras := en.Budget.Window()
 		return float64(extras)
 	})
 	se.gauge("citronstream_retry_window_requests", "Requests in the sliding window of the retry budget.", func() float64 {
-		requests, _ := en.Budget().Window()
+		requests, _ := en.Budget.Window()
 		return float64(requests)
 	})
 }
--- a/internal/once/grant/grant.go
+++ b/internal/once/grant/grant.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
-	"github.com/jonboulle/clockwork"
 )
 
 const (
@@ -19,10 +18,16 @@
 	Margin = time.Minute
 	// Skew is the margin for differences between clocks of callers, entries and agents.
 	Skew = 10 * time.Second
+	// MaxAge is the greatest age of a call that starts on the grant. An entry
+	// that started MaxAge before a checkpoint has sent each call that ran on
+	// the grant after it: a call of its predecessor is too old by then.
+	MaxAge = 30 * time.Second
 	// tableWait bounds one table call of the grant's own loop.
 	tableWait = 5 * time.Second
 	// settleWait bounds the question to the entries.
 	settleWait = 10 * time.Second
+	// pokeEvery bounds the steps that entries ask for, each of which reads the Slots row.
+	pokeEvery = 500 * time.Millisecond
 	// quickTick is the delay to the next step while slots are being released.
 	quickTick = 100 * time.Millisecond
 )
@@ -90,6 +95,8 @@
 	listed  map[string]bool // last list; nil when it can't be used
 	until   map[string]time.Time
 
+	poked atomic.Int64 // nanoseconds since 1970 of the last Poke
+
 	starts, renewals, acquired, released, takeovers, settled, lost atomic.Uint64
 }
 
@@ -168,6 +175,15 @@
 	gr.poke()
 }
 
+// Poke asks for the next step soon. Requests within pokeEvery of a step count as one.
+func (gr *Grant) Poke() {
+	now := gr.clk.Now().UnixNano()
+	last := gr.poked.Load()
+	if now-last >= int64(pokeEvery) && gr.poked.CompareAndSwap(last, now) {
+		gr.poke()
+	}
+}
+
 func (gr *Grant) poke() {
 	select {
 	case gr.wake <- struct{}{}:
@@ -233,7 +249,7 @@
 }
 
 func (gr *Grant) refreshList(ctx context.Context) {
-	ctx, cancel := clockwork.WithTimeout(ctx, gr.clk, tableWait)
+	ctx, cancel := WithTimeout(ctx, gr.clk, tableWait)
 	defer cancel()
 	gr.listed = nil
 	states, err := gr.list.List(ctx)
--- a/internal/operator/server/admin.go
+++ b/internal/operator/server/admin.go
@@ -118,18 +118,20 @@
 }
 
 func (se *Server) config(wr http.ResponseWriter, _ *http.Request, _ string) {
-	if se.store == nil {
-		problem(wr, http.StatusNotFound, "this process holds no accepted configuration")
+	store := se.store()
+	if store == nil {
+		problem(wr, http.StatusServiceUnavailable, "this process holds no configuration yet")
 		return
 	}
-	sn := se.store.Current()
+	sn := store.Current()
 	answer(wr, report.Config{Record: sn.Document.Record, Fleet: sn.Fleet})
 }
 
 // apply offers a fleet as the next version, in the name of the operator.
 func (se *Server) apply(wr http.ResponseWriter, rq *http.Request, operator string) {
-	if se.store == nil {
-		problem(wr, http.StatusNotFound, "this process takes no configuration")
+	store := se.store()
+	if store == nil {
+		problem(wr, http.StatusServiceUnavailable, "this process holds no configuration yet")
 		return
 	}
 	var ap report.Apply
@@ -144,7 +146,7 @@
 		problem(wr, http.StatusUnprocessableEntity, "%s", strings.Join(faults, "; "))
 		return
 	}
-	accepted, err := se.store.Accept(se.ctx, ap.Base, ap.Fleet, operator)
+	accepted, err := store.Accept(se.ctx, ap.Base, ap.Fleet, operator)
 	var conflict *version.ConflictError
 	switch {
 	case errors.As(err, &conflict):
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -49,7 +49,7 @@
 	process   Process
 	operators []operator
 	metrics   http.Handler
-	store     *version.Store
+	store     func() *version.Store
 	table     citronstream.Table
 	tls       *tls.Config
 	check     func(fl *citronstream.Fleet) []string
@@ -72,9 +72,10 @@
 func WithMetrics(ha http.Handler) Option { return func(se *Server) { se.metrics = ha } }
 
 // WithConfig serves the accepted configuration and takes changes to it.
-// Check returns the faults of an offered fleet.
-func WithConfig(st *version.Store, check func(fl *citronstream.Fleet) []string) Option {
-	return func(se *Server) { se.store, se.check = st, check }
+// Store returns nil while the process has none; check returns the faults of
+// an offered fleet.
+func WithConfig(store func() *version.Store, check func(fl *citronstream.Fleet) []string) Option {
+	return func(se *Server) { se.store, se.check = store, check }
 }
 
 // WithTable serves the cost records of the table.
@@ -86,7 +87,7 @@
 // New returns a server on an address. Start opens it.
 func New(clk citronstream.Clock, address string, process Process, opts ...Option) *Server {
 	logging.SetLevel(logging.LevelNone)
-	se := &Server{clk: clk, address: address, process: process, metrics: http.NotFoundHandler()}
+	se := &Server{clk: clk, address: address, process: process, metrics: http.NotFoundHandler(), store: func() *version.Store { return nil }}
 	for _, opt := range opts {
 		opt(se)
 	}
--- a/internal/process/daemon/agent.go
+++ b/internal/process/daemon/agent.go
@@ -9,6 +9,7 @@
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/agent/server"
 	"github.com/citronstream/citronstream/internal/config/settings"
+	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/observe/ledger"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
 	"github.com/citronstream/citronstream/internal/operator/report"
@@ -25,42 +26,29 @@
 
 func newAgent(da *Daemon) *agentRole { return &agentRole{da: da} }
 
-func (ro *agentRole) open(ctx context.Context, fl *citronstream.Fleet) error {
+func (ro *agentRole) open(ctx context.Context) error {
 	da := ro.da
-	set := agent.Settings{
-		Upstream: da.set.Process.Name, Token: da.token, Platform: da.plat,
-		ServerOptions: []server.Option{
-			server.WithMeter(meter{side: ledger.SideAgent, ledger: da.ledger, set: da.metrics}), server.WithExtra(ro.extra),
-			server.WithVersion(da.version, func(li *link.Link, version uint64) { da.store.Observe(version, li.Remote()) }),
-		},
-	}
-	ag, err := agent.New(da.clk, da.eng, set, placed(fl, &da.set.Process), da.log)
+	pr := &da.set.Process
+	ag, err := agent.Find(ctx, da.clk, da.eng, agent.Settings{
+		Upstream: pr.Name, Token: da.token, Platform: da.plat, Peers: pr.Peers,
+		Listen: own(pr.PeerListen, settings.New().Process.PeerListen), Address: pr.Upstream, Extra: ro.extra,
+		ServerOptions: []server.Option{server.WithMeter(meter{side: ledger.SideAgent, ledger: da.ledger, set: da.metrics})},
+	}, da.log)
 	if err != nil {
 		return err
 	}
-	da.metrics.AddAgent(ag)
 	if err := ag.Start(ctx); err != nil {
 		return err
 	}
 	ro.ag.Store(ag)
+	da.metrics.AddAgent(ag)
 	return nil
 }
 
-// placed returns the fleet with the addresses that the settings give to this agent.
-func placed(fl *citronstream.Fleet, pr *settings.Process) *citronstream.Fleet {
-	next := *fl
-	next.Upstreams = append([]citronstream.Upstream(nil), fl.Upstreams...)
-	for i := range next.Upstreams {
-		if up := &next.Upstreams[i]; up.Name == pr.Name {
-			up.Agent = own(pr.PeerListen, settings.New().Process.PeerListen, up.Agent)
-			up.Address = own(pr.Upstream, "", up.Address)
-		}
+func (ro *agentRole) config() *version.Store {
+	if ag := ro.ag.Load(); ag != nil {
+		return ag.Config
 	}
-	return &next
-}
-
-func (ro *agentRole) apply(fl *citronstream.Fleet) error {
-	ro.ag.Load().Apply(placed(fl, &ro.da.set.Process))
 	return nil
 }
 
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -21,22 +21,18 @@
 	"github.com/go-logr/logr"
 )
 
-const (
-	// bootPause is the wait between attempts to get a configuration.
-	bootPause = 500 * time.Millisecond
-	// drainMargin is added to the longest deadline: within both, each request
-	// in flight has ended and each keyed call is recorded.
-	drainMargin = 15 * time.Second
-	// agentQuiet is how long an agent that hears from entries leaves the table alone.
-	agentQuiet = 10 * time.Second
-)
+// drainMargin is added to the longest deadline: within both, each request in
+// flight has ended and each keyed call is recorded.
+const drainMargin = 15 * time.Second
 
 // role is what an entry and an agent do differently.
 type role interface {
 	server.Process
-	// open puts the first configuration in force and starts to serve.
-	open(ctx context.Context, fl *citronstream.Fleet) error
-	apply(fl *citronstream.Fleet) error
+	// open starts to serve. It returns once the process listens, or with
+	// ctx's error.
+	open(ctx context.Context) error
+	// config returns the store of the configuration, nil before open.
+	config() *version.Store
 	// shutdown ends what is in flight and stops.
 	shutdown(ctx context.Context) error
 }
@@ -49,14 +45,13 @@
 	check   *check.Checker
 	token   string
 	plat    citronstream.Platform
-	store   *version.Store
 	metrics *metrics.Set
 	ledger  *ledger.Ledger
 	eng     *nbconn.Engine
 	started time.Time
 	tls     *tlsConfig
 
-	fleet   atomic.Pointer[citronstream.Fleet]
+	role    role
 	leaving atomic.Bool
 	drained chan struct{}
 }
@@ -79,39 +74,51 @@
 		return nil, err
 	}
 	da.metrics = metrics.New(da.version)
+	da.ledger = ledger.New(da.plat.Table, clk, set.Process.Name, uint64(da.started.UnixMilli()), ledger.WithInterval(da.limits().CostFlush.Std()))
+	da.metrics.AddLedger(da.ledger)
 	return da, nil
 }
 
-func (da *Daemon) version() uint64 {
-	if fl := da.fleet.Load(); fl != nil {
-		return fl.Version
+// Entry serves callers until ctx ends or an operator drains it.
+func (da *Daemon) Entry(ctx context.Context) error { return da.run(ctx, newEntry(da)) }
+
+// Agent serves entries until ctx ends or an operator drains it.
+func (da *Daemon) Agent(ctx context.Context) error { return da.run(ctx, newAgent(da)) }
+
+// limits are in force before the first configuration.
+func (da *Daemon) limits() citronstream.Limits {
+	if da.set.Fleet != nil {
+		return da.set.Fleet.Limits
 	}
-	return 0
+	return citronstream.DefaultLimits()
 }
 
-// Entry serves callers until ctx ends or an operator drains it.
-func (da *Daemon) Entry(ctx context.Context) error {
-	da.store = version.New(da.clk, da.plat.Table, da.plat.Objects, version.WithPoll(da.poll()))
-	return da.run(ctx, newEntry(da))
+// fleet returns the configuration in force, nil before the first one.
+func (da *Daemon) fleet() *citronstream.Fleet {
+	if st := da.store(); st != nil && st.Version() > 0 {
+		return st.Current().Fleet
+	}
+	return nil
 }
 
-// Agent serves entries until ctx ends or an operator drains it.
-func (da *Daemon) Agent(ctx context.Context) error {
-	da.store = version.New(da.clk, da.plat.Table, da.plat.Objects, version.WithPoll(da.poll()), version.WithQuiet(agentQuiet))
-	return da.run(ctx, newAgent(da))
+func (da *Daemon) store() *version.Store {
+	if da.role == nil {
+		return nil
+	}
+	return da.role.config()
 }
 
-// poll is the interval of the settings' own fleet, or the default.
-func (da *Daemon) poll() time.Duration {
-	if da.set.Fleet != nil {
-		return da.set.Fleet.Limits.ConfigPoll.Std()
+func (da *Daemon) version() uint64 {
+	if fl := da.fleet(); fl != nil {
+		return fl.Version
 	}
-	return citronstream.DefaultLimits().ConfigPoll.Std()
+	return 0
 }
 
 // run is the life of a process. Signal ends when it is to drain; what the
 // process does then goes on under a context of its own.
 func (da *Daemon) run(signal context.Context, ro role) error {
+	da.role = ro
 	ctx, cancel := context.WithCancel(context.WithoutCancel(signal))
 	defer cancel()
 	var err error
@@ -119,37 +126,42 @@
 		return err
 	}
 	defer da.eng.Stop()
-	da.ledger = ledger.New(da.plat.Table, da.clk, da.set.Process.Name, uint64(da.started.UnixMilli()), da.flushEvery())
-	da.metrics.AddLedger(da.ledger)
 	op := server.New(da.clk, da.set.Process.Admin, ro, server.WithOperators(da.set.Process.Tokens.Operators),
 		server.WithMetrics(da.metrics.Handler()), server.WithConfig(da.store, da.faults), server.WithTable(da.plat.Table), server.WithTLS(da.tls))
 	if err := op.Start(ctx); err != nil {
 		return err
 	}
 	defer op.Stop()
-	first, err := da.boot(signal)
-	if err != nil || first == nil {
+	if opened, err := da.open(ctx, signal); err != nil || !opened {
 		return err
 	}
-	if err := ro.open(ctx, first); err != nil {
-		return err
+	return da.serve(ctx, signal)
+}
+
+// open starts the role under ctx. It gives up when the process is to end
+// before that, which is no error.
+func (da *Daemon) open(ctx, signal context.Context) (bool, error) {
+	failed := make(chan error, 1)
+	opening, cancel := context.WithCancel(ctx)
+	go func() { failed <- da.role.open(opening) }()
+	select {
+	case err := <-failed:
+		context.AfterFunc(ctx, cancel)
+		return err == nil, err
+	case <-signal.Done():
+	case <-da.drained:
 	}
-	da.fleet.Store(first)
-	return da.serve(ctx, signal, ro)
+	cancel()
+	<-failed
+	return false, nil
 }
 
-// serve follows the configuration until the process is to end, and drains it.
-func (da *Daemon) serve(ctx, signal context.Context, ro role) error {
-	follow, stop := context.WithCancel(ctx)
+// serve runs until the process is to end, and drains it.
+func (da *Daemon) serve(ctx, signal context.Context) error {
+	counting, stop := context.WithCancel(ctx)
 	defer stop()
-	flushed := da.ledger.Run(follow)
-	da.store.Subscribe(func(sn *version.Snapshot) { da.follow(ro, sn.Fleet) })
-	followed := make(chan struct{})
-	go func() {
-		defer close(followed)
-		da.store.Run(follow)
-	}()
-	da.log.Info("serving", "version", da.version(), "admin", da.set.Process.Admin)
+	flushed := da.ledger.Run(counting)
+	da.log.Info("serving", "admin", da.set.Process.Admin)
 	select {
 	case <-signal.Done():
 	case <-da.drained:
@@ -159,9 +171,8 @@
 	limit, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer da.clk.AfterFunc(da.drainLimit(), cancel).Stop()
-	err := ro.shutdown(limit)
+	err := da.role.shutdown(limit)
 	stop()
-	<-followed
 	if lost := <-flushed; lost != nil {
 		da.log.Error(lost, "cost records of the last interval are lost")
 	}
@@ -174,52 +185,12 @@
 
 func (da *Daemon) drainLimit() time.Duration {
 	longest := time.Duration(0)
-	for _, ra := range da.fleet.Load().Ranks {
-		longest = max(longest, ra.Deadline.Std())
-	}
-	return longest + drainMargin
-}
-
-// boot waits for a configuration: the accepted one, or that of the settings
-// while the table says that none has been accepted. It returns nil when ctx ends.
-func (da *Daemon) boot(ctx context.Context) (*citronstream.Fleet, error) {
-	for told := false; ; {
-		err := da.store.Bootstrap(ctx, nil, nil)
-		if err == nil {
-			return da.store.Current().Fleet, nil
-		}
-		if ctx.Err() == nil && da.set.Fleet != nil && da.noneAccepted(ctx) {
-			return da.set.Fleet, nil
-		}
-		if !told {
-			da.log.Info("waiting for a configuration", "reason", err.Error())
-			told = true
-		}
-		select {
-		case <-ctx.Done():
-			return nil, nil
-		case <-da.drained:
-			return nil, nil
-		case <-da.clk.After(bootPause):
+	if fl := da.fleet(); fl != nil {
+		for _, ra := range fl.Ranks {
+			longest = max(longest, ra.Deadline.Std())
 		}
 	}
-}
-
-func (da *Daemon) noneAccepted(ctx context.Context) bool {
-	_, err := da.plat.Table.Get(ctx, version.RowKey)
-	return errors.Is(err, citronstream.ErrNotFound)
-}
-
-func (da *Daemon) follow(ro role, fl *citronstream.Fleet) {
-	if fl.Version <= da.version() {
-		return
-	}
-	if err := ro.apply(fl); err != nil {
-		da.log.Error(err, "configuration not applied", "version", fl.Version)
-		return
-	}
-	da.fleet.Store(fl)
-	da.log.Info("configuration in force", "version", fl.Version)
+	return longest + drainMargin
 }
 
 // drain starts the end of this process.
@@ -239,29 +210,22 @@
 	return texts
 }
 
-func (da *Daemon) flushEvery() ledger.Option {
-	if da.set.Fleet != nil {
-		return ledger.WithInterval(da.set.Fleet.Limits.CostFlush.Std())
-	}
-	return ledger.WithInterval(citronstream.DefaultLimits().CostFlush.Std())
-}
-
 // notReady returns why the process as such can't serve.
 func (da *Daemon) notReady() error {
 	switch {
 	case da.leaving.Load():
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeLeaving, "leaving")
-	case da.fleet.Load() == nil:
-		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotReady, "no configuration is in force")
+	case da.fleet() == nil || !da.store().Ready():
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotReady, "no recent configuration is known")
 	}
 	return nil
 }
 
-// own returns an address of the settings, or that of the fleet if the
-// settings keep the default.
-func own(set, byDefault, fleet string) string {
-	if set == byDefault && fleet != "" {
-		return fleet
+// own returns an address of the settings, or an empty one if the settings
+// keep the default.
+func own(set, byDefault string) string {
+	if set == byDefault {
+		return ""
 	}
 	return set
 }
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/config/settings"
+	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/entry/pipeline"
 	"github.com/citronstream/citronstream/internal/entry/server"
 	"github.com/citronstream/citronstream/internal/observe/ledger"
@@ -31,59 +33,70 @@
 // entryRole is a daemon as an entry.
 type entryRole struct {
 	da *Daemon
-	en atomic.Pointer[entry.Entry] // nil before the first configuration
+	en atomic.Pointer[entry.Entry]
 }
 
 func newEntry(da *Daemon) *entryRole { return &entryRole{da: da} }
 
-func (ro *entryRole) open(ctx context.Context, fl *citronstream.Fleet) error {
+func (ro *entryRole) open(ctx context.Context) error {
 	da := ro.da
-	self, err := entryOf(fl, da.set.Process.Name)
+	zone, address, err := ro.place()
 	if err != nil {
 		return err
 	}
-	zone := da.set.Process.Zone
-	for _, in := range fl.Instances {
-		if zone == "" && in.Name == self.Instance {
-			zone = in.Zone
-		}
-	}
-	set := entry.Settings{
-		Name: self.Name, Zone: zone, Seed: uint64(da.started.UnixNano()), Token: da.token, Platform: da.plat,
+	en := entry.New(ctx, da.clk, da.eng, entry.Settings{
+		Name: da.set.Process.Name, Zone: zone, Seed: uint64(da.started.UnixNano()), Token: da.token,
+		Peers: da.set.Process.Peers, Platform: da.plat, Limits: da.limits(),
 		ServerOptions: []server.Option{server.WithDone(ro.done), server.WithTLS(da.tls)},
 		RunnerOptions: []pipeline.Option{pipeline.WithMeter(meter{side: ledger.SideEntry, ledger: da.ledger, set: da.metrics})},
-	}
-	en, err := entry.New(ctx, da.clk, da.eng, set, own(da.set.Process.Listen, settings.New().Process.Listen, self.Address), fl, da.log)
-	if err != nil {
-		return err
-	}
-	da.metrics.AddEntry(en)
+	}, address, da.log)
 	if err := en.Start(); err != nil {
 		return err
 	}
 	ro.en.Store(en)
+	da.metrics.AddEntry(en)
 	return nil
 }
 
-func entryOf(fl *citronstream.Fleet, name string) (citronstream.Entry, error) {
-	for _, en := range fl.Entries {
-		if en.Name == name {
-			return en, nil
+// place returns the zone and the callers' address: those of the settings'
+// process, or else those that the settings' fleet gives to the entry.
+func (ro *entryRole) place() (zone, address string, err error) {
+	pr := &ro.da.set.Process
+	zone, address = pr.Zone, pr.Listen
+	if fl := ro.da.set.Fleet; fl != nil {
+		for _, self := range fl.Entries {
+			if self.Name != pr.Name {
+				continue
+			}
+			address = cmp.Or(own(pr.Listen, settings.New().Process.Listen), self.Address)
+			for _, in := range fl.Instances {
+				if in.Name == self.Instance {
+					zone = cmp.Or(zone, in.Zone)
+				}
+			}
 		}
 	}
-	return citronstream.Entry{}, citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "settings key Process.Name: no entry %q in the configuration", name)
+	if zone == "" {
+		return "", "", errors.New("settings key Process.Zone: missing")
+	}
+	return zone, address, nil
 }
 
 // done counts a request under the name of its rank.
 func (ro *entryRole) done(rq *pipeline.Request, took time.Duration, _ *pipeline.Outcome) {
 	name := "unknown"
-	if fl := ro.da.fleet.Load(); fl != nil && rq.Rank < len(fl.Ranks) {
+	if fl := ro.da.fleet(); fl != nil && rq.Rank < len(fl.Ranks) {
 		name = fl.Ranks[rq.Rank].Name
 	}
 	ro.da.metrics.Request(name, took)
 }
 
-func (ro *entryRole) apply(fl *citronstream.Fleet) error { return ro.en.Load().Apply(fl) }
+func (ro *entryRole) config() *version.Store {
+	if en := ro.en.Load(); en != nil {
+		return en.Config
+	}
+	return nil
+}
 
 func (ro *entryRole) shutdown(ctx context.Context) error { return ro.en.Load().Shutdown(ctx) }
 
