--- /dev/null
+++ b/internal/process/daemon/daemon_test.go
@@ -0,0 +1,190 @@
+package daemon_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/citronstream/citronstream/internal/operator/report"
+	"github.com/citronstream/citronstream/internal/standin/service"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// summary is what `status --json` prints.
+type summary struct {
+	Entries []struct{ Status *report.Status }
+	Agents  []report.Status
+}
+
+// whole says whether all processes serve one version, every link stands and
+// every idempotency slot has an owner.
+func (fl *fleet) whole(version uint64) bool {
+	out, err := fl.attempt("status", "--json", "--settings", fl.file("fleet"))
+	var su summary
+	if err != nil || json.Unmarshal([]byte(out), &su) != nil || len(su.Agents) != len(fl.set.Fleet.Upstreams) {
+		return false
+	}
+	for _, en := range su.Entries {
+		if en.Status == nil || en.Status.NotReady != "" || en.Status.Version != version {
+			return false
+		}
+		for _, up := range en.Status.Upstreams {
+			if !up.Linked || up.State != "live" {
+				return false
+			}
+		}
+	}
+	slots := 0
+	for _, ag := range su.Agents {
+		if ag.NotReady != "" || ag.Version != version {
+			return false
+		}
+		slots += len(ag.Load.Slots)
+	}
+	return slots == 64
+}
+
+type order struct {
+	status   int
+	replayed bool
+	body     string
+	service.Answer
+}
+
+func (fl *fleet) order(entry int, key string) order {
+	rs, err := fl.post(entry, "/v1/services/order-desk/place-order", key, `{"item":"gasket"}`)
+	require.NoError(fl.t, err)
+	defer rs.Body.Close()
+	body, err := io.ReadAll(rs.Body)
+	require.NoError(fl.t, err)
+	or := order{status: rs.StatusCode, replayed: rs.Header.Get("Idempotency-Replayed") != "", body: string(body)}
+	if or.status == http.StatusOK {
+		require.NoError(fl.t, json.Unmarshal(body, &or.Answer))
+	}
+	return or
+}
+
+// stream is a streamed pipeline on its way.
+type stream struct {
+	rs    *http.Response
+	lines *bufio.Reader
+	first string
+}
+
+// open sends a request and returns when the first event has come.
+func (fl *fleet) open(entry int) *stream {
+	rs, err := fl.post(entry, "/v1/pipelines/answer", "", `{"prompt":"which gasket fits?","max_tokens":100,"stream":true}`)
+	require.NoError(fl.t, err)
+	require.Equal(fl.t, http.StatusOK, rs.StatusCode)
+	st := &stream{rs: rs, lines: bufio.NewReader(rs.Body)}
+	st.first, err = st.lines.ReadString('\n')
+	require.NoError(fl.t, err)
+	return st
+}
+
+// rest reads a stream to its end and asserts that the answer is complete.
+func (st *stream) rest(t *testing.T) {
+	t.Helper()
+	defer st.rs.Body.Close()
+	body, err := io.ReadAll(st.lines)
+	require.NoError(t, err)
+	assert.True(t, strings.HasSuffix(string(body), "data: [DONE]\n\n"), "the answer is not complete: %.200s", body[max(0, len(body)-200):])
+	assert.NotContains(t, string(body), "event: error")
+}
+
+// Guards against parts that only work together inside one process: the
+// daemons as separate processes with the platform's protocols between them.
+func TestSeparateProcesses(t *testing.T) {
+	fl := newFleet(t)
+	fl.start("fleet", "standin")
+	for _, up := range fl.set.Fleet.Upstreams {
+		fl.start(up.Name, "agent")
+	}
+	for _, en := range fl.set.Fleet.Entries {
+		fl.start(en.Name, "entry")
+		fl.until("operators' address of "+en.Name, func() bool { code, _ := status(en.Admin, "/healthz"); return code == http.StatusOK })
+	}
+	code, reason := status(fl.set.Fleet.Entries[0].Admin, "/readyz")
+	assert.Equal(t, http.StatusServiceUnavailable, code)
+	assert.Contains(t, reason, "no recent configuration is known")
+	assert.Contains(t, fl.run("apply", "--yes", "--settings", fl.file("fleet")), "version 1 accepted")
+	fl.until("version 1 in force", func() bool { return fl.whole(1) })
+
+	t.Run("one execution through both entries", fl.once)
+	t.Run("operators", fl.operate)
+	t.Run("agent killed and restarted", fl.restart)
+	t.Run("graceful end", fl.end)
+}
+
+func (fl *fleet) once(t *testing.T) {
+	answers := make(chan order, 2)
+	for entry := range 2 {
+		go func() { answers <- fl.order(entry, "order-1") }()
+	}
+	one, other := <-answers, <-answers
+	assert.Equal(t, http.StatusOK, one.status, one.body)
+	assert.Equal(t, one.body, other.body)
+	assert.NotEqual(t, one.replayed, other.replayed, "one of the two is the replay")
+	// Executions are counted over all stand-ins, so the next one has the next number.
+	assert.Equal(t, one.Execution+1, fl.order(0, "order-2").Execution)
+	fl.open(0).rest(t)
+}
+
+func (fl *fleet) operate(t *testing.T) {
+	set := "--settings=" + fl.file("fleet")
+	assert.Contains(t, fl.run("status", set), "desk-2")
+	events := fl.run("timeline", "--kind=CallEnded", "--upstream=encoder-1", set)
+	assert.Contains(t, events, "CallEnded")
+	assert.NotContains(t, events, "CallStarted")
+	fl.until("cost records", func() bool { return strings.Contains(fl.run("cost", set), "order-desk/place-order") })
+	_, err := fl.attempt("apply", "--yes", "--base=7", set)
+	assert.Error(t, err)
+	out, _ := fl.attempt("apply", "--yes", "--base=7", set)
+	assert.Contains(t, out, "version 1 of")
+	assert.Contains(t, out, "by loopback")
+	assert.Contains(t, fl.run("apply", "--yes", set), "version 1 stays in force")
+	out, err = fl.attempt("drain", "desk-9", set)
+	assert.Error(t, err)
+	assert.Contains(t, out, `no process "desk-9"`)
+	_, metrics := status(fl.set.Fleet.Entries[0].Admin, "/metrics")
+	assert.Contains(t, metrics, `citronstream_config_version 1`)
+	assert.Contains(t, metrics, `citronstream_request_duration_seconds_count{rank="urgent"}`)
+}
+
+func (fl *fleet) restart(t *testing.T) {
+	before := fl.order(0, "order-1")
+	owner := before.Upstream
+	fl.signal(owner, syscall.SIGKILL)
+	require.Error(t, fl.ended(owner))
+	fl.start(owner, "agent")
+	fl.until("fleet whole after the restart", func() bool { return fl.whole(1) })
+	for entry := range 2 {
+		again := fl.order(entry, "order-1")
+		assert.True(t, again.replayed)
+		assert.Equal(t, before.body, again.body)
+	}
+}
+
+func (fl *fleet) end(t *testing.T) {
+	streams := []*stream{fl.open(0), fl.open(1)}
+	var names []string
+	for name := range fl.running {
+		if name != "fleet" { // the stand-ins outlive the daemons
+			names = append(names, name)
+			fl.signal(name, syscall.SIGTERM)
+		}
+	}
+	for _, st := range streams {
+		st.rest(t)
+	}
+	for _, name := range names {
+		assert.NoError(t, fl.ended(name), "exit of %s", name)
+	}
+	fl.signal("fleet", syscall.SIGTERM)
+	assert.NoError(t, fl.ended("fleet"))
+}
