--- /dev/null
+++ b/internal/operator/server/server_test.go
@@ -0,0 +1,177 @@
+package server
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/config/settings"
+	"github.com/citronstream/citronstream/internal/config/version"
+	"github.com/citronstream/citronstream/internal/observe/timeline"
+	"github.com/citronstream/citronstream/internal/operator/report"
+	"github.com/citronstream/citronstream/internal/standin/memobjects"
+	"github.com/citronstream/citronstream/internal/standin/memtable"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// process is a Process that notes what it is told.
+type process struct {
+	ready   error
+	drained string
+	filter  timeline.Filter
+}
+
+func (pr *process) Ready() error { return pr.ready }
+
+func (pr *process) Status(context.Context) report.Status { return report.Status{Process: "entry-1"} }
+
+func (pr *process) Timeline(_ context.Context, fi timeline.Filter, _ bool) []citronstream.Event {
+	pr.filter = fi
+	return nil
+}
+
+func (pr *process) Holds() ([]byte, error) { return []byte("[]"), nil }
+
+func (pr *process) Lift(_ context.Context, digest uint64) int { return int(digest) }
+
+func (pr *process) Drain(_ context.Context, name string) error {
+	if name == "unknown" {
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "no process")
+	}
+	pr.drained = name
+	return nil
+}
+
+func newServer(opts ...Option) (*Server, *process) {
+	pr := &process{}
+	se := New(clockwork.NewFakeClock(), "127.0.0.1:0", pr, opts...)
+	se.ctx = context.Background()
+	return se, pr
+}
+
+func request(method, path, body string) *http.Request {
+	rq := httptest.NewRequest(method, path, strings.NewReader(body))
+	rq.RemoteAddr = "127.0.0.1:9"
+	rq.Header.Set("Content-Type", "application/json")
+	return rq
+}
+
+func assertStatus(t *testing.T, se *Server, rq *http.Request, want int) string {
+	t.Helper()
+	wr := httptest.NewRecorder()
+	se.routes().ServeHTTP(wr, rq)
+	body, err := io.ReadAll(wr.Body)
+	require.NoError(t, err)
+	assert.Equal(t, want, wr.Code, "%s %s: %s", rq.Method, rq.URL, body)
+	return string(body)
+}
+
+// Guards against operators' actions by strangers.
+func TestAdmission(t *testing.T) {
+	sum := sha256.Sum256([]byte("secret"))
+	paths := []string{"/metrics", "/v1/admin/status", "/v1/admin/timeline", "/v1/admin/cost", "/v1/admin/holds", "/v1/admin/config"}
+	t.Run("tokens", func(t *testing.T) {
+		se, _ := newServer(WithOperators([]settings.Operator{{Name: "ann", TokenSHA256: hex.EncodeToString(sum[:])}}))
+		for _, path := range paths {
+			for _, header := range []string{"", "secret", "Bearer ", "Bearer secreT", "Bearer " + hex.EncodeToString(sum[:])} {
+				rq := request(http.MethodGet, path, "")
+				rq.Header.Set("Authorization", header)
+				assertStatus(t, se, rq, http.StatusUnauthorized)
+			}
+		}
+		rq := request(http.MethodGet, "/v1/admin/status", "")
+		rq.RemoteAddr = "10.1.2.3:9"
+		rq.Header.Set("Authorization", "Bearer secret")
+		assertStatus(t, se, rq, http.StatusOK)
+	})
+	t.Run("loopback only without tokens", func(t *testing.T) {
+		se, _ := newServer()
+		assertStatus(t, se, request(http.MethodGet, "/v1/admin/status", ""), http.StatusOK)
+		for _, path := range paths {
+			rq := request(http.MethodGet, path, "")
+			rq.RemoteAddr = "10.1.2.3:9"
+			assertStatus(t, se, rq, http.StatusUnauthorized)
+			rq = request(http.MethodGet, path, "")
+			rq.Header.Set("Origin", "http://pages.example")
+			assertStatus(t, se, rq, http.StatusUnauthorized)
+		}
+	})
+	t.Run("form posts from a browser", func(t *testing.T) {
+		se, pr := newServer()
+		rq := request(http.MethodPost, "/v1/admin/drain", `{}`)
+		rq.Header.Set("Content-Type", "text/plain")
+		assertStatus(t, se, rq, http.StatusUnsupportedMediaType)
+		assert.Empty(t, pr.drained)
+	})
+	t.Run("large header", func(t *testing.T) {
+		se, _ := newServer()
+		rq := request(http.MethodGet, "/healthz", "")
+		rq.Header.Set("X-Padding", strings.Repeat("x", maxHeaderBytes))
+		assertStatus(t, se, rq, http.StatusRequestHeaderFieldsTooLarge)
+	})
+}
+
+// Guards against a balancer that sends callers to a process that can't serve.
+func TestReadiness(t *testing.T) {
+	se, pr := newServer()
+	assertStatus(t, se, request(http.MethodGet, "/readyz", ""), http.StatusOK)
+	pr.ready = citronstream.NewFault(citronstream.NotRun, citronstream.CodeLeaving, "leaving")
+	assert.Equal(t, "leaving\n", assertStatus(t, se, request(http.MethodGet, "/readyz", ""), http.StatusServiceUnavailable))
+	assertStatus(t, se, request(http.MethodGet, "/healthz", ""), http.StatusOK)
+}
+
+func TestAdmin(t *testing.T) {
+	se, pr := newServer()
+	t.Run("drain", func(t *testing.T) {
+		assertStatus(t, se, request(http.MethodPost, "/v1/admin/drain", `{"Name":"desk-1"}`), http.StatusOK)
+		assert.Equal(t, "desk-1", pr.drained)
+		assertStatus(t, se, request(http.MethodPost, "/v1/admin/drain", `{"Name":"unknown"}`), http.StatusNotFound)
+		assertStatus(t, se, request(http.MethodPost, "/v1/admin/drain", `{`), http.StatusBadRequest)
+	})
+	// Guards against a filter that shows the events of other requests or times.
+	t.Run("timeline filters", func(t *testing.T) {
+		assertStatus(t, se, request(http.MethodGet, "/v1/admin/timeline?request=r&upstream=u&kind=k&process=p&since=5m&limit=7", ""), http.StatusOK)
+		want := timeline.Filter{RequestID: "r", Upstream: "u", Kind: "k", Processes: []string{"p"}, Limit: 7, Since: timeline.At(se.clk.Now().Add(-5 * 60e9))}
+		assert.Equal(t, want, pr.filter)
+		for _, query := range []string{"since=yesterday", "limit=0", "limit=1000000"} {
+			assertStatus(t, se, request(http.MethodGet, "/v1/admin/timeline?"+query, ""), http.StatusBadRequest)
+		}
+	})
+	t.Run("lift", func(t *testing.T) {
+		assert.JSONEq(t, `{"Processes":2}`, assertStatus(t, se, request(http.MethodPost, "/v1/admin/holds/lift", `{"Digest":2}`), http.StatusOK))
+	})
+	t.Run("cost without a table", func(t *testing.T) {
+		assertStatus(t, se, request(http.MethodGet, "/v1/admin/cost", ""), http.StatusNotFound)
+	})
+}
+
+// Guards against two operators' changes that overwrite each other, and
+// against faulty documents in force.
+func TestConfig(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	store := version.New(clk, memtable.New(clk), memobjects.New())
+	var faults []string
+	se, _ := newServer(WithConfig(func() *version.Store { return store }, func(*citronstream.Fleet) []string { return faults }))
+	post := func(body string, want int) string {
+		return assertStatus(t, se, request(http.MethodPost, "/v1/admin/config", body), want)
+	}
+	assert.JSONEq(t, `{"Version":1}`, post(`{"Base":0,"Fleet":{"Site":"one"}}`, http.StatusOK))
+	conflict := post(`{"Base":0,"Fleet":{"Site":"two"}}`, http.StatusConflict)
+	assert.Contains(t, conflict, `"Author":"loopback"`)
+	assert.Contains(t, conflict, "Site")
+	faults = []string{"Fleet.Site: missing"}
+	assert.Contains(t, post(`{"Base":1,"Fleet":{}}`, http.StatusUnprocessableEntity), "Fleet.Site: missing")
+	post(`{"Base":1}`, http.StatusBadRequest)
+	assert.Equal(t, uint64(1), store.Version())
+	assert.Contains(t, assertStatus(t, se, request(http.MethodGet, "/v1/admin/config", ""), http.StatusOK), `"Site":"one"`)
+	empty, _ := newServer(WithConfig(func() *version.Store { return nil }, nil))
+	assertStatus(t, empty, request(http.MethodGet, "/v1/admin/config", ""), http.StatusServiceUnavailable)
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,9 @@
 // flight has ended and each keyed call is recorded.
 const drainMargin = 15 * time.Second
 
+// lastFlush bounds the last write of cost records.
+const lastFlush = 5 * time.Second
+
 // role is what an entry and an agent do differently.
 type role interface {
 	server.Process
@@ -74,7 +78,7 @@
 		return nil, err
 	}
 	da.metrics = metrics.New(da.version)
-	da.ledger = ledger.New(da.plat.Table, clk, set.Process.Name, uint64(da.started.UnixMilli()), ledger.WithInterval(da.limits().CostFlush.Std()))
+	da.ledger = ledger.New(da.plat.Table, clk, set.Process.Name, uint64(da.started.UnixMilli()))
 	da.metrics.AddLedger(da.ledger)
 	return da, nil
 }
@@ -85,8 +89,12 @@
 // Agent serves entries until ctx ends or an operator drains it.
 func (da *Daemon) Agent(ctx context.Context) error { return da.run(ctx, newAgent(da)) }
 
-// limits are in force before the first configuration.
+// limits are those in force: the accepted ones, and before the first
+// configuration those of the settings' fleet or the defaults.
 func (da *Daemon) limits() citronstream.Limits {
+	if fl := da.fleet(); fl != nil {
+		return fl.Limits
+	}
 	if da.set.Fleet != nil {
 		return da.set.Fleet.Limits
 	}
@@ -160,7 +168,8 @@
 func (da *Daemon) serve(ctx, signal context.Context) error {
 	counting, stop := context.WithCancel(ctx)
 	defer stop()
-	flushed := da.ledger.Run(counting)
+	flushed := make(chan error, 1)
+	go func() { flushed <- da.flush(counting) }()
 	da.log.Info("serving", "admin", da.set.Process.Admin)
 	select {
 	case <-signal.Done():
@@ -183,6 +192,24 @@
 	return nil
 }
 
+// flush writes the cost records at the interval of the configuration, with a
+// jitter of a quarter so that processes that start together spread out. When
+// ctx ends it flushes a last time and returns that error.
+func (da *Daemon) flush(ctx context.Context) error {
+	for {
+		every := da.limits().CostFlush.Std()
+		select {
+		case <-ctx.Done():
+			last, cancel := context.WithCancel(context.WithoutCancel(ctx))
+			defer cancel()
+			defer da.clk.AfterFunc(lastFlush, cancel).Stop()
+			return da.ledger.Flush(last)
+		case <-da.clk.After(every*3/4 + rand.N(every/2)):
+			_ = da.ledger.Flush(ctx) // what the table did not confirm is written next time
+		}
+	}
+}
+
 func (da *Daemon) drainLimit() time.Duration {
 	longest := time.Duration(0)
 	if fl := da.fleet(); fl != nil {
