--- a/internal/observe/metrics/metrics_test.go
+++ b/internal/observe/metrics/metrics_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"regexp"
 	"strings"
 	"testing"
@@ -76,6 +77,24 @@
 	assert.Greater(t, own, 25)
 }
 
+// Guards against a page that names a metric that no process has, and against
+// a metric that the page leaves out.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/operations.md")
+	require.NoError(t, err)
+	listed := make(map[string]bool)
+	for _, match := range regexp.MustCompile("(?m)^\\| `(citronstream_[a-z_]+)` \\|").FindAllStringSubmatch(string(page), -1) {
+		listed[match[1]] = true
+	}
+	found := names(t)
+	for name := range found {
+		assert.True(t, listed[name] || !strings.HasPrefix(name, "citronstream_"), "%s is not on the page", name)
+	}
+	for _, name := range regexp.MustCompile("citronstream_[a-z_]+").FindAllString(string(page), -1) {
+		assert.Contains(t, found, name)
+	}
+}
+
 // Guards against a label whose values grow without a bound.
 func TestLabelsAreBounded(t *testing.T) {
 	se := New(func() uint64 { return 0 })
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -121,7 +121,7 @@
 	se.eng.Stop()
 }
 
-func (se *Server) routes() http.Handler {
+func (se *Server) mux() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(wr http.ResponseWriter, _ *http.Request) { text(wr, http.StatusOK, "ok") })
 	mux.HandleFunc("GET /readyz", se.ready)
@@ -134,6 +134,12 @@
 	mux.Handle("POST /v1/admin/drain", se.admit(se.drain))
 	mux.Handle("GET /v1/admin/config", se.admit(se.config))
 	mux.Handle("POST /v1/admin/config", se.admit(se.apply))
+	return mux
+}
+
+// routes puts the limit on headers before the endpoints.
+func (se *Server) routes() http.Handler {
+	mux := se.mux()
 	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
 		if headerBytes(rq) > maxHeaderBytes {
 			problem(wr, http.StatusRequestHeaderFieldsTooLarge, "the header has more than %d bytes", maxHeaderBytes)
--- a/internal/operator/server/server_test.go
+++ b/internal/operator/server/server_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -175,3 +177,16 @@
 	empty, _ := newServer(WithConfig(func() *version.Store { return nil }, nil))
 	assertStatus(t, empty, request(http.MethodGet, "/v1/admin/config", ""), http.StatusServiceUnavailable)
 }
+
+// Guards against a page that names an endpoint that no process serves.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/operations.md")
+	require.NoError(t, err)
+	rows := regexp.MustCompile("(?m)^\\| `(GET|POST) (/[a-z0-9/]+)` \\|").FindAllStringSubmatch(string(page), -1)
+	require.Len(t, rows, 11)
+	se, _ := newServer(WithMetrics(http.NotFoundHandler()), WithTable(memtable.New(clockwork.NewFakeClock())))
+	for _, row := range rows {
+		_, pattern := se.mux().Handler(request(row[1], row[2], ""))
+		assert.Equal(t, row[1]+" "+row[2], pattern)
+	}
+}
--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -172,10 +173,17 @@
 
 func (fl *fleet) end(t *testing.T) {
 	streams := []*stream{fl.open(0), fl.open(1)}
+	byOperator := []string{"writer-1", "entry-2"}
+	for _, name := range byOperator {
+		assert.Contains(t, fl.run("drain", name, "--settings", fl.file("fleet")), name+" drains")
+	}
 	var names []string
 	for name := range fl.running {
-		if name != "fleet" { // the stand-ins outlive the daemons
-			names = append(names, name)
+		if name == "fleet" { // the stand-ins outlive the daemons
+			continue
+		}
+		names = append(names, name)
+		if !slices.Contains(byOperator, name) {
 			fl.signal(name, syscall.SIGTERM)
 		}
 	}
