Answers to a drain get out before the process ends; tests of the commands

An idle process could end before its answer to the drain was written: the agent answered after it had started to drain, and the operators' HTTP closed with answers under way. The agent now answers first, and the server waits up to 2 s for answers under way.

--- /dev/null
+++ b/internal/operator/client/client_test.go
@@ -0,0 +1,80 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/citronstream/citronstream"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// entries serves each handler as the operators' address of an entry. A nil
+// handler is an entry that does not answer.
+func entries(t *testing.T, handlers ...http.HandlerFunc) *citronstream.Fleet {
+	t.Helper()
+	fl := &citronstream.Fleet{}
+	for i, ha := range handlers {
+		srv := httptest.NewServer(ha)
+		if ha == nil {
+			srv.Close()
+		} else {
+			t.Cleanup(srv.Close)
+		}
+		fl.Entries = append(fl.Entries, citronstream.Entry{Name: "entry-" + string(rune('1'+i)), Admin: strings.TrimPrefix(srv.URL, "http://")})
+	}
+	return fl
+}
+
+func answers(status int, body string) http.HandlerFunc {
+	return func(wr http.ResponseWriter, _ *http.Request) {
+		wr.WriteHeader(status)
+		_, _ = io.WriteString(wr, body)
+	}
+}
+
+// Guards against a command that fails because one entry is down, and against
+// a change that is offered again to the next entry after a refusal.
+func TestFirst(t *testing.T) {
+	t.Run("passes entries that can't answer", func(t *testing.T) {
+		cl := New(entries(t, nil, answers(503, "{}"), answers(404, "{}"), answers(200, "yes"), answers(200, "no")))
+		got, err := cl.First(context.Background(), http.MethodGet, "/", nil)
+		require.NoError(t, err)
+		assert.Equal(t, "yes", string(got))
+	})
+	t.Run("ends at a refusal", func(t *testing.T) {
+		cl := New(entries(t, answers(409, `{"detail":"lost"}`), answers(200, "yes")))
+		_, err := cl.First(context.Background(), http.MethodPost, "/", "body")
+		var se *StatusError
+		require.True(t, errors.As(err, &se))
+		assert.Equal(t, 409, se.Status)
+		assert.EqualError(t, err, "lost")
+	})
+	t.Run("names all entries without an answer", func(t *testing.T) {
+		_, err := New(entries(t, nil, answers(503, `{"detail":"leaving"}`))).First(context.Background(), http.MethodGet, "/", nil)
+		assert.ErrorContains(t, err, "entry-1: ")
+		assert.ErrorContains(t, err, "entry-2: leaving")
+	})
+}
+
+// Guards against answers under the name of another entry, and a lost token.
+func TestEach(t *testing.T) {
+	echo := func(wr http.ResponseWriter, rq *http.Request) {
+		_, _ = io.WriteString(wr, rq.Header.Get("Authorization"))
+	}
+	done := 0
+	got := New(entries(t, echo, nil, echo), WithToken("secret")).Each(context.Background(), http.MethodGet, "/", nil, func(now, all int) {
+		done = now
+		assert.Equal(t, 3, all)
+	})
+	assert.Equal(t, 3, done)
+	require.Len(t, got, 3)
+	assert.Equal(t, []string{"entry-1", "entry-2", "entry-3"}, []string{got[0].Entry, got[1].Entry, got[2].Entry})
+	assert.Equal(t, "Bearer secret", string(got[2].Body))
+	assert.Error(t, got[1].Err)
+}
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/citronstream/citronstream"
@@ -14,6 +16,7 @@
 	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
+	"github.com/lesismal/nbio/taskpool"
 )
 
 // Limits of the operators' HTTP. A configuration document has at most 16 MiB.
@@ -23,6 +26,13 @@
 	maxUnsent      = 64 << 20
 	maxConnections = 256
 	handlers       = 32
+	maxJobs        = 1024 // requests that wait for a free handler
+)
+
+// Stop waits for answers under way, such as that to a drain of this process.
+const (
+	stopWait = 2 * time.Second
+	stopPoll = 10 * time.Millisecond
 )
 
 // Process is the entry or agent that is operated.
@@ -55,6 +65,8 @@
 	check     func(fl *citronstream.Fleet) []string
 
 	eng    *nbhttp.Engine
+	pool   *taskpool.TaskPool
+	jobs   atomic.Int64 // handlers whose answer may not be written out yet
 	ctx    context.Context
 	cancel context.CancelFunc
 }
@@ -97,10 +109,11 @@
 // Start listens for operators until ctx ends or Stop is called.
 func (se *Server) Start(ctx context.Context) error {
 	se.ctx, se.cancel = context.WithCancel(ctx)
+	se.pool = taskpool.New(handlers, maxJobs)
 	config := nbhttp.Config{
 		Network: "tcp", NPoller: 1, NListener: 1, MaxLoad: maxConnections,
 		ReadLimit: maxHeaderBytes + maxBodyBytes, MaxHTTPBodySize: maxBodyBytes,
-		MaxWriteBufferSize: maxUnsent, MessageHandlerPoolSize: handlers, Handler: se.routes(),
+		MaxWriteBufferSize: maxUnsent, ServerExecutor: se.execute, Handler: se.routes(),
 	}
 	if se.tls != nil {
 		config.AddrsTLS, config.TLSConfig = []string{se.address}, se.tls
@@ -115,10 +128,27 @@
 	return nil
 }
 
-// Stop closes the server.
+func (se *Server) execute(job func()) {
+	se.jobs.Add(1)
+	se.pool.Go(func() {
+		defer se.jobs.Add(-1)
+		job()
+	})
+}
+
+// Stop closes the server after the answers under way, which it gives 2 s.
 func (se *Server) Stop() {
+	late := se.clk.After(stopWait)
+	for waiting := true; waiting && se.jobs.Load() > 0; {
+		select {
+		case <-late:
+			waiting = false
+		case <-se.clk.After(stopPoll):
+		}
+	}
 	se.cancel()
 	se.eng.Stop()
+	se.pool.Stop()
 }
 
 func (se *Server) mux() *http.ServeMux {
--- a/internal/process/daemon/agent.go
+++ b/internal/process/daemon/agent.go
@@ -80,8 +80,8 @@
 			re.Reply(report.Timeline{Events: ro.Timeline(ctx, fi, true)})
 		}
 	case citronstream.MethodAdminDrain:
+		re.Reply(report.Drain{Name: ro.da.set.Process.Name}) // before the drain can close the link
 		ro.da.drain()
-		re.Reply(report.Drain{Name: ro.da.set.Process.Name})
 	case report.MethodLift:
 		var li report.Lift
 		if err = re.Decode(&li); err == nil {
