--- a/internal/cli/local/local.go
+++ b/internal/cli/local/local.go
@@ -36,7 +36,15 @@
 	if err := fl.Ready(ctx); err != nil {
 		return err
 	}
+	stop, err := operate(ctx, clk, fl)
+	if err != nil {
+		return err
+	}
+	defer stop()
 	greet(out, set.Fleet)
+	if _, err := fmt.Fprintf(out, "try: citronstream status --settings %s\n", co.Settings); err != nil {
+		return err
+	}
 	<-ctx.Done()
 	return nil
 }
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -119,18 +119,25 @@
 		return st
 	}
 	st.InFlight = en.Server.InFlight()
+	st.Upstreams = Upstreams(en)
+	st.Agents = ask[report.Status](ctx, ro, en, citronstream.MethodAdminStatus, struct{}{})
+	slices.SortFunc(st.Agents, func(ag, other report.Status) int { return cmp.Compare(ag.Process, other.Process) })
+	return st
+}
+
+// Upstreams returns the routing table of an entry in the order of the names.
+func Upstreams(en *entry.Entry) []report.Upstream {
+	var list []report.Upstream
 	en.Routes.Snapshot().Each(func(sv *table.Service) {
 		for _, no := range sv.Nodes {
-			st.Upstreams = append(st.Upstreams, ro.upstream(en, no))
+			list = append(list, upstream(en, no))
 		}
 	})
-	slices.SortFunc(st.Upstreams, func(up, other report.Upstream) int { return cmp.Compare(up.Name, other.Name) })
-	st.Agents = ask[report.Status](ctx, ro, en, citronstream.MethodAdminStatus, struct{}{})
-	slices.SortFunc(st.Agents, func(ag, other report.Status) int { return cmp.Compare(ag.Process, other.Process) })
-	return st
+	slices.SortFunc(list, func(up, other report.Upstream) int { return cmp.Compare(up.Name, other.Name) })
+	return list
 }
 
-func (ro *entryRole) upstream(en *entry.Entry, no *table.Node) report.Upstream {
+func upstream(en *entry.Entry, no *table.Node) report.Upstream {
 	now := no.Status()
 	up := report.Upstream{
 		Name: no.Name, Service: no.Service, Zone: no.Zone, State: now.State.String(),
