--- a/internal/operator/server/admin.go
+++ b/internal/operator/server/admin.go
@@ -98,14 +98,15 @@
 	send(wr, http.StatusOK, "application/json", body)
 }
 
-func (se *Server) lift(wr http.ResponseWriter, rq *http.Request, _ string) {
+func (se *Server) lift(wr http.ResponseWriter, rq *http.Request, operator string) {
 	var li report.Lift
 	if read(wr, rq, &li) {
+		se.log.Info("hold lifted", "operator", operator, "digest", li.Digest)
 		answer(wr, report.Lifted{Processes: se.process.Lift(se.ctx, li.Digest)})
 	}
 }
 
-func (se *Server) drain(wr http.ResponseWriter, rq *http.Request, _ string) {
+func (se *Server) drain(wr http.ResponseWriter, rq *http.Request, operator string) {
 	var dr report.Drain
 	if !read(wr, rq, &dr) {
 		return
@@ -114,6 +115,7 @@
 		refuse(wr, err)
 		return
 	}
+	se.log.Info("drain asked for", "operator", operator, "name", dr.Name)
 	answer(wr, dr)
 }
 
@@ -154,6 +156,7 @@
 	case err != nil:
 		problem(wr, http.StatusServiceUnavailable, "apply: %s", err)
 	default:
+		se.log.Info("configuration accepted", "operator", operator, "version", accepted)
 		answer(wr, report.Applied{Version: accepted})
 	}
 }
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -13,6 +13,7 @@
 	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
 	"github.com/citronstream/citronstream/internal/operator/report"
+	"github.com/go-logr/logr"
 	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
@@ -55,6 +56,7 @@
 // Server serves operators.
 type Server struct {
 	clk       citronstream.Clock
+	log       logr.Logger
 	address   string
 	process   Process
 	operators []operator
@@ -93,13 +95,16 @@
 // WithTable serves the cost records of the table.
 func WithTable(ta citronstream.Table) Option { return func(se *Server) { se.table = ta } }
 
+// WithLog sets the logger. Each act of an operator is a line in it.
+func WithLog(log logr.Logger) Option { return func(se *Server) { se.log = log } }
+
 // WithTLS serves HTTPS.
 func WithTLS(config *tls.Config) Option { return func(se *Server) { se.tls = config } }
 
 // New returns a server on an address. Start opens it.
 func New(clk citronstream.Clock, address string, process Process, opts ...Option) *Server {
 	logging.SetLevel(logging.LevelNone)
-	se := &Server{clk: clk, address: address, process: process, metrics: http.NotFoundHandler(), store: func() *version.Store { return nil }}
+	se := &Server{clk: clk, log: logr.Discard(), address: address, process: process, metrics: http.NotFoundHandler(), store: func() *version.Store { return nil }}
 	for _, opt := range opts {
 		opt(se)
 	}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -134,7 +134,7 @@
 		return err
 	}
 	defer da.eng.Stop()
-	op := server.New(da.clk, da.set.Process.Admin, ro, server.WithOperators(da.set.Process.Tokens.Operators),
+	op := server.New(da.clk, da.set.Process.Admin, ro, server.WithLog(da.log), server.WithOperators(da.set.Process.Tokens.Operators),
 		server.WithMetrics(da.metrics.Handler()), server.WithConfig(da.store, da.faults), server.WithTable(da.plat.Table), server.WithTLS(da.tls))
 	if err := op.Start(ctx); err != nil {
 		return err
--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -1,4 +1,4 @@
-package daemon_test
+package daemon
 
 import (
 	"bufio"
@@ -101,16 +101,20 @@
 // Guards against parts that only work together inside one process: the
 // daemons as separate processes with the platform's protocols between them.
 func TestSeparateProcesses(t *testing.T) {
-	fl := newFleet(t)
+	t.Run("open", func(t *testing.T) { life(t, newFleet(t, false)) })
+	t.Run("with tokens and certificates", func(t *testing.T) { life(t, newFleet(t, true)) })
+}
+
+func life(t *testing.T, fl *fleet) {
 	fl.start("fleet", "standin")
 	for _, up := range fl.set.Fleet.Upstreams {
 		fl.start(up.Name, "agent")
 	}
 	for _, en := range fl.set.Fleet.Entries {
 		fl.start(en.Name, "entry")
-		fl.until("operators' address of "+en.Name, func() bool { code, _ := status(en.Admin, "/healthz"); return code == http.StatusOK })
+		fl.until("operators' address of "+en.Name, func() bool { code, _ := fl.status(en.Admin, "/healthz"); return code == http.StatusOK })
 	}
-	code, reason := status(fl.set.Fleet.Entries[0].Admin, "/readyz")
+	code, reason := fl.status(fl.set.Fleet.Entries[0].Admin, "/readyz")
 	assert.Equal(t, http.StatusServiceUnavailable, code)
 	assert.Contains(t, reason, "no recent configuration is known")
 	assert.Contains(t, fl.run("apply", "--yes", "--settings", fl.file("fleet")), "version 1 accepted")
@@ -147,12 +151,12 @@
 	assert.Error(t, err)
 	out, _ := fl.attempt("apply", "--yes", "--base=7", set)
 	assert.Contains(t, out, "version 1 of")
-	assert.Contains(t, out, "by loopback")
+	assert.Contains(t, out, map[bool]string{false: "by loopback", true: "by ann"}[fl.secured])
 	assert.Contains(t, fl.run("apply", "--yes", set), "version 1 stays in force")
 	out, err = fl.attempt("drain", "desk-9", set)
 	assert.Error(t, err)
 	assert.Contains(t, out, `no process "desk-9"`)
-	_, metrics := status(fl.set.Fleet.Entries[0].Admin, "/metrics")
+	_, metrics := fl.status(fl.set.Fleet.Entries[0].Admin, "/metrics")
 	assert.Contains(t, metrics, `citronstream_config_version 1`)
 	assert.Contains(t, metrics, `citronstream_request_duration_seconds_count{rank="urgent"}`)
 }
--- a/internal/process/daemon/fleet_test.go
+++ b/internal/process/daemon/fleet_test.go
@@ -1,9 +1,12 @@
-package daemon_test
+package daemon
 
 import (
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"crypto/tls"
+	"encoding/hex"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -42,8 +45,18 @@
 	running map[string]*exec.Cmd
 	logs    map[string]*bytes.Buffer
 	exited  map[string]chan error
+	// secured says that tokens and certificates are in use.
+	secured bool
+	client  *http.Client
+	tls     settings.TLS
 }
 
+// The tokens of a secured fleet.
+const (
+	operatorToken = "trial-operator"
+	peerToken     = "trial-peers"
+)
+
 // addresses picks loopback ports below the range of outgoing connections, so
 // that none of them takes a port before its process binds it.
 func addresses(t *testing.T, count int) []string {
@@ -61,9 +74,15 @@
 	return list
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t *testing.T, secured bool) *fleet {
 	t.Helper()
-	fl := &fleet{t: t, dir: t.TempDir(), running: map[string]*exec.Cmd{}, logs: map[string]*bytes.Buffer{}, exited: map[string]chan error{}}
+	fl := &fleet{
+		t: t, dir: t.TempDir(), secured: secured, client: &http.Client{Transport: &http.Transport{}}, running: map[string]*exec.Cmd{}, logs: map[string]*bytes.Buffer{}, exited: map[string]chan error{},
+	}
+	if secured {
+		fl.tls.CertFile, fl.tls.KeyFile = certificate(t, "fleet")
+		fl.client.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool(t, fl.tls.CertFile), MinVersion: tls.VersionTLS12}}
+	}
 	fl.binary = filepath.Join(fl.dir, "citronstream")
 	out, err := exec.Command("go", "build", "-o", fl.binary, "../../../cmd/citronstream").CombinedOutput()
 	require.NoError(t, err, string(out))
@@ -136,12 +155,20 @@
 }
 
 func (fl *fleet) writeProcess(pr settings.Process) {
+	if fl.secured {
+		sum := sha256.Sum256([]byte(operatorToken))
+		pr.TLS = fl.tls
+		pr.Tokens = settings.Tokens{PeerTokenEnv: "TRIAL_PEERS", Operators: []settings.Operator{{Name: "ann", TokenSHA256: hex.EncodeToString(sum[:])}}}
+	}
 	fl.write(pr.Name, settings.Settings{Process: pr, Platform: fl.set.Platform})
 }
 
 func (fl *fleet) command(args ...string) *exec.Cmd {
 	cmd := exec.Command(fl.binary, args...)
-	cmd.Env = append(os.Environ(), "AWS_ACCESS_KEY_ID=trial", "AWS_SECRET_ACCESS_KEY=trial")
+	cmd.Env = append(os.Environ(), "AWS_ACCESS_KEY_ID=trial", "AWS_SECRET_ACCESS_KEY=trial", "TRIAL_PEERS="+peerToken)
+	if fl.secured {
+		cmd.Env = append(cmd.Env, "CITRONSTREAM_TOKEN="+operatorToken)
+	}
 	return cmd
 }
 
@@ -199,6 +226,9 @@
 }
 
 func (fl *fleet) attempt(args ...string) (string, error) {
+	if fl.secured {
+		args = append(args, "--ca="+fl.tls.CertFile)
+	}
 	out, err := fl.command(args...).CombinedOutput()
 	return string(out), err
 }
@@ -216,11 +246,18 @@
 	}
 }
 
+func (fl *fleet) scheme() string {
+	if fl.secured {
+		return "https://"
+	}
+	return "http://"
+}
+
 // post sends a caller's request and returns status, headers and body.
 func (fl *fleet) post(entry int, path, key, body string) (*http.Response, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	fl.t.Cleanup(cancel)
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+fl.set.Fleet.Entries[entry].Address+path, strings.NewReader(body))
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, fl.scheme()+fl.set.Fleet.Entries[entry].Address+path, strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -228,12 +265,17 @@
 	if key != "" {
 		rq.Header.Set("Idempotency-Key", key)
 	}
-	return http.DefaultClient.Do(rq)
+	return fl.client.Do(rq)
 }
 
 // status returns the HTTP status and the body of an operators' address.
-func status(address, path string) (int, string) {
-	rs, err := http.Get("http://" + address + path)
+func (fl *fleet) status(address, path string) (int, string) {
+	rq, err := http.NewRequest(http.MethodGet, fl.scheme()+address+path, nil)
+	require.NoError(fl.t, err)
+	if fl.secured {
+		rq.Header.Set("Authorization", "Bearer "+operatorToken)
+	}
+	rs, err := fl.client.Do(rq)
 	if err != nil {
 		return 0, err.Error()
 	}
