--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/config/settings"
 	"github.com/citronstream/citronstream/internal/operator/report"
 	"github.com/citronstream/citronstream/internal/standin/service"
 	"github.com/stretchr/testify/assert"
@@ -122,6 +124,7 @@
 
 	t.Run("one execution through both entries", fl.once)
 	t.Run("operators", fl.operate)
+	t.Run("entry that the configuration does not name", fl.stray)
 	t.Run("agent killed and restarted", fl.restart)
 	t.Run("graceful end", fl.end)
 }
@@ -161,6 +164,30 @@
 	assert.Contains(t, metrics, `citronstream_request_duration_seconds_count{rank="urgent"}`)
 }
 
+// stray guards against keyed calls through an entry that is not asked for
+// them when an agent dies.
+func (fl *fleet) stray(t *testing.T) {
+	free := addresses(t, 2)
+	fl.writeProcess(settings.Process{Name: "stray", Zone: "zone-a", Listen: free[0], Admin: free[1]})
+	fl.start("stray", "entry")
+	fl.until("reason of the stray entry", func() bool {
+		code, reason := fl.status(free[1], "/readyz")
+		return code == http.StatusServiceUnavailable && reason == "the configuration has no entry \"stray\"\n"
+	})
+	fl.set.Fleet.Entries = append(fl.set.Fleet.Entries, citronstream.Entry{Name: "stray", Address: free[0]})
+	before := fl.order(0, "").Execution
+	// The verdict is on the key: that of the caller may have run through another entry.
+	for key, verdict := range map[string]string{"": "NotRun", "order-9": "MayHaveRun"} {
+		or := fl.order(len(fl.set.Fleet.Entries)-1, key)
+		assert.Equal(t, http.StatusServiceUnavailable, or.status)
+		assert.Contains(t, or.body, `"Verdict":"`+verdict+`","Code":"not-ready"`)
+	}
+	assert.Equal(t, before+1, fl.order(0, "").Execution, "the stray entry ran nothing")
+	fl.set.Fleet.Entries = fl.set.Fleet.Entries[:len(fl.set.Fleet.Entries)-1]
+	fl.signal("stray", syscall.SIGTERM)
+	assert.NoError(t, fl.ended("stray"))
+}
+
 func (fl *fleet) restart(t *testing.T) {
 	before := fl.order(0, "order-1")
 	owner := before.Upstream
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -34,6 +34,8 @@
 type entryRole struct {
 	da *Daemon
 	en atomic.Pointer[entry.Entry]
+	// named says that the configuration in force names this entry.
+	named atomic.Bool
 }
 
 func newEntry(da *Daemon) *entryRole { return &entryRole{da: da} }
@@ -47,12 +49,15 @@
 	en := entry.New(ctx, da.clk, da.eng, entry.Settings{
 		Name: da.set.Process.Name, Zone: zone, Seed: uint64(da.started.UnixNano()), Token: da.token,
 		Peers: da.set.Process.Peers, Platform: da.plat, Limits: da.limits(),
-		ServerOptions: []server.Option{server.WithDone(ro.done), server.WithTLS(da.tls)},
+		ServerOptions: []server.Option{server.WithReady(ro.serves), server.WithDone(ro.done), server.WithTLS(da.tls)},
 		RunnerOptions: []pipeline.Option{pipeline.WithMeter(meter{side: ledger.SideEntry, ledger: da.ledger, set: da.metrics})},
 	}, address, da.log)
 	if err := en.Start(); err != nil {
 		return err
 	}
+	en.Config.Subscribe(func(sn *version.Snapshot) {
+		ro.named.Store(slices.ContainsFunc(sn.Fleet.Entries, func(one citronstream.Entry) bool { return one.Name == da.set.Process.Name }))
+	})
 	ro.en.Store(en)
 	da.metrics.AddEntry(en)
 	return nil
@@ -100,9 +105,22 @@
 
 func (ro *entryRole) shutdown(ctx context.Context) error { return ro.en.Load().Shutdown(ctx) }
 
+// serves returns why callers can't be served. An entry that the configuration
+// doesn't name must not carry keyed calls: the successor of a dead agent asks
+// only the configured entries for calls that have no row in the table.
+func (ro *entryRole) serves() error {
+	if err := ro.da.notReady(); err != nil {
+		return err
+	}
+	if !ro.named.Load() {
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotReady, "the configuration has no entry %q", ro.da.set.Process.Name)
+	}
+	return nil
+}
+
 // Ready implements server.Process.
 func (ro *entryRole) Ready() error {
-	if err := ro.da.notReady(); err != nil {
+	if err := ro.serves(); err != nil {
 		return err
 	}
 	if si := ro.en.Load().Agents.Sizes(); si.Agents > 0 && si.Links == 0 {
