--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -2,6 +2,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"strconv"
@@ -51,6 +52,13 @@
 	// entries; tests put faults there. Nil changes nothing.
 	Wrap   func(citronstream.Protocol) citronstream.Protocol
 	Stream func(link.Stream) link.Stream
+	// Listen and Address replace the addresses of the agent and of the upstream
+	// in the Fleet, unless they are empty.
+	Listen, Address string
+	// ServerOptions are applied last. Extra takes the messages of entries that
+	// the agent doesn't know, and returns false for those it doesn't know either.
+	ServerOptions []server.Option
+	Extra         func(li *link.Link, re *link.Request) bool
 }
 
 // Agent is one agent process.
@@ -101,6 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
+	up.Agent, up.Address = cmp.Or(set.Listen, up.Agent), cmp.Or(set.Address, up.Address)
 	pr, err := protocol.Get(se.Protocol)
 	if err != nil {
 		return nil, err
@@ -129,7 +138,7 @@
 	if once := ag.ownership(clk, set, fl, se); once != nil {
 		opts = append(opts, server.WithOnce(once), server.WithGrant(ag.epoch, ag.Grant.Owned))
 	}
-	ag.Server = server.New(clk, eng, up, pr, ag.Queue, opts...)
+	ag.Server = server.New(clk, eng, up, pr, ag.Queue, append(opts, set.ServerOptions...)...)
 	return ag, nil
 }
 
@@ -231,7 +240,7 @@
 			ag.Grant.Poke()
 		}
 	default:
-		return false
+		return ag.set.Extra != nil && ag.set.Extra(li, re)
 	}
 	return true
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -57,6 +57,9 @@
 	Platform citronstream.Platform
 	// Limits are in force before the first configuration.
 	Limits citronstream.Limits
+	// ServerOptions and RunnerOptions are applied last.
+	ServerOptions []server.Option
+	RunnerOptions []pipeline.Option
 }
 
 // Entry is one entry process.
@@ -71,6 +74,7 @@
 	Config   *version.Store
 	Budget   *retrybudget.Budget
 	Ledger   *ledger.Ledger
+	Times    *stagetime.Estimator
 
 	set      Settings
 	clk      citronstream.Clock
@@ -96,7 +100,8 @@
 func New(ctx context.Context, clk citronstream.Clock, eng *nbconn.Engine, set Settings, address string, log logr.Logger) *Entry {
 	en := &Entry{
 		set: set, clk: clk, eng: eng, log: log, boot: citronstream.NewID(), started: clk.Now(),
-		Routes: table.New(clk), Holds: poison.New(clk, set.Limits), Budget: retrybudget.New(clk, set.Limits), Timeline: timeline.New(clk, timeline.WithProcess(set.Name)),
+		Routes: table.New(clk), Holds: poison.New(clk, set.Limits), Budget: retrybudget.New(clk, set.Limits),
+		Times: stagetime.New(clk), Timeline: timeline.New(clk, timeline.WithProcess(set.Name)),
 	}
 	en.Keeper = witness.New(set.Platform.Table, set.Platform.Objects, clk, witness.WithRetention(set.Limits.KeyRetention.Std()))
 	en.Ledger = ledger.New(set.Platform.Table, clk, set.Name, uint64(en.started.UnixNano()), ledger.WithInterval(set.Limits.CostFlush.Std()))
@@ -107,11 +112,12 @@
 	en.Agents = agents.New(en.ctx, clk, eng, en.Routes, en.hello,
 		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper),
 		agents.WithObserve(func(upstream string, version uint64) { en.Config.Observe(version, upstream) }))
-	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, en.Budget,
-		pipeline.WithTimes(stagetime.New(clk)), pipeline.WithHolds(en.Holds),
+	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, en.Budget, append([]pipeline.Option{
+		pipeline.WithTimes(en.Times), pipeline.WithHolds(en.Holds),
 		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}), pipeline.WithPoke(en.poke),
-		pipeline.WithMeter(meter.New(en.Ledger, ledger.SideEntry)))
-	en.Server = server.New(clk, address, en.Runner, en.Catalog, set.Limits, server.WithReady(en.ready))
+		pipeline.WithMeter(meter.New(en.Ledger, ledger.SideEntry)),
+	}, set.RunnerOptions...)...)
+	en.Server = server.New(clk, address, en.Runner, en.Catalog, set.Limits, append([]server.Option{server.WithReady(en.ready)}, set.ServerOptions...)...)
 	return en
 }
 
