Commands to engines from their agents

Change: agent/orders computes the engine's part with placement.Plan, fetches weights under a token bucket and commands one model at a time through once/guard. grant.WithoutSlots gives the epoch. The guard confirms the token in the table before each command, also a repeated one, so that a paused and replaced agent is fenced. Load.Models tells an empty engine from an unknown one; an agent refuses calls of a model that its engine has not loaded, and waits for the calls of a model that is to be unloaded. EngineOrder has Load and Keep, because models differ in version and adapters.

--- a/call.go
+++ b/call.go
@@ -103,8 +103,9 @@
 	Capacity int     `json:"Capacity"`
 	Leaving  bool    `json:"Leaving,omitempty"`
 	Down     bool    `json:"Down,omitempty"`
-	// Models lists the models that are loaded, for engines.
-	Models []string `json:"Models,omitempty"`
+	// Models lists the models that are loaded, for engines. Nil means that
+	// nothing is known, empty that none is loaded.
+	Models []string `json:"Models,omitzero"`
 	// Slots lists the idempotency slots that the agent owns.
 	Slots   []int  `json:"Slots,omitempty"`
 	Epoch   uint64 `json:"Epoch,omitempty"`
--- /dev/null
+++ b/internal/agent/orders/orders_test.go
@@ -0,0 +1,294 @@
+package orders
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/once/grant"
+	"github.com/citronstream/citronstream/internal/standin/engine"
+	"github.com/citronstream/citronstream/internal/standin/memtable"
+	"github.com/citronstream/citronstream/internal/standin/record"
+	"github.com/citronstream/citronstream/internal/upstream/completions"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// bound ends a test whose event never comes; no outcome depends on its length.
+const bound = 20 * time.Second
+
+// world is the platform as the agents of a test see it.
+type world struct {
+	clk  *clockwork.FakeClock
+	ta   *memtable.Table
+	mu   sync.Mutex
+	list []citronstream.InstanceState
+	// fetched is called at each fetch of weights.
+	fetched func(model string)
+}
+
+func newWorld() *world {
+	clk := clockwork.NewFakeClock()
+	return &world{clk: clk, ta: memtable.New(clk), fetched: func(string) {}}
+}
+
+func (wo *world) List(context.Context) ([]citronstream.InstanceState, error) { return wo.list, nil }
+
+func (wo *world) Fetch(_ context.Context, model string) (int64, error) {
+	wo.mu.Lock()
+	defer wo.mu.Unlock()
+	wo.fetched(model)
+	return 1000, nil
+}
+
+// agent is one agent process beside an engine.
+type agent struct {
+	gr *grant.Grant
+	or *Orders
+}
+
+// agent starts an agent on an instance of its own, which becomes the only
+// listed one: the platform has dropped those before it.
+func (wo *world) agent(upstream, instance string, en Engine, address string) *agent {
+	wo.list = []citronstream.InstanceState{{Instance: instance}}
+	set := grant.Settings{Upstream: upstream, Service: "writer", Instance: instance, Address: instance + ":1"}
+	gr := grant.New(set, wo.ta, wo, wo.clk, grant.WithoutSlots())
+	return &agent{gr, New(wo.clk, Settings{upstream, address}, en, gr, WithWeights(wo))}
+}
+
+// see lets the agent's grant learn that an instance was listed once.
+func (ag *agent) see(wo *world, instance string) {
+	wo.list = append(wo.list, citronstream.InstanceState{Instance: instance})
+	ag.gr.Step(context.Background())
+	wo.list = wo.list[:1]
+}
+
+func standIn(t *testing.T, opts ...engine.Option) (*engine.Server, string) {
+	clk := clockwork.NewRealClock()
+	se := engine.New(clk, "eng-1", record.New(clk), append([]engine.Option{engine.WithScale(0)}, opts...)...)
+	ctx, cancel := context.WithCancel(context.Background())
+	require.NoError(t, se.Start(ctx, "127.0.0.1:0"))
+	t.Cleanup(func() { cancel(); <-se.Done() })
+	return se, se.Address()
+}
+
+func fleet(version uint64, models ...string) *citronstream.Fleet {
+	fl := &citronstream.Fleet{Version: version, Services: []citronstream.Service{{Name: "writer", Kind: citronstream.KindEngine}}}
+	fl.Upstreams = []citronstream.Upstream{{Name: "eng-1", Service: "writer"}}
+	for _, name := range models {
+		fl.Models = append(fl.Models, citronstream.Model{Name: name, Version: "1"})
+	}
+	return fl
+}
+
+func assertCode(t require.TestingT, want citronstream.Code, err error) {
+	require.Error(t, err)
+	assert.Equal(t, want, citronstream.FaultOf(err).Code, "%v", err)
+}
+
+// TestFencing guards against a command of a replaced agent that takes effect
+// after one of its successor.
+func TestFencing(t *testing.T) {
+	for name, opts := range map[string][]engine.Option{"engine checks tokens": {engine.WithFencing()}, "engine ignores tokens": nil} {
+		t.Run(name, func(t *testing.T) {
+			wo, ctx := newWorld(), t.Context()
+			se, address := standIn(t, opts...)
+			pr := completions.New()
+			old := wo.agent("eng-1", "i1", pr, address)
+			old.gr.Step(ctx)
+			old.or.Configure(fleet(1, "m1", "m2", "m3"))
+			var next *agent
+			// The old agent is paused while it fetches its third model, and replaced meanwhile.
+			wo.fetched = func(model string) {
+				if model != "m3" || next != nil {
+					return
+				}
+				next = wo.agent("eng-1", "i2", pr, address)
+				next.see(wo, "i1")
+				next.gr.Step(ctx)
+				next.or.weights = nil
+				next.or.Configure(fleet(1, "m2"))
+				require.NoError(t, next.or.step(ctx))
+			}
+			require.Error(t, old.or.step(ctx), "the old agent's command went through")
+			require.Error(t, old.or.step(ctx), "also when it is repeated")
+			assert.Equal(t, []string{"m2"}, se.Models())
+			assert.Equal(t, []string{"m2"}, next.or.Models())
+			direct := pr.Order(ctx, address, citronstream.EngineOrder{Models: []string{"m1"}, Token: 1<<16 | 1})
+			if opts != nil {
+				assertCode(t, citronstream.CodeStale, direct)
+			}
+		})
+	}
+	t.Run("after a restart, and without the table", func(t *testing.T) {
+		wo, ctx := newWorld(), t.Context()
+		se, address := standIn(t)
+		ag := wo.agent("eng-1", "i1", completions.New(), address)
+		ag.or.Configure(fleet(2, "m1"))
+		assertCode(t, citronstream.CodeNotReady, ag.or.step(ctx))
+		ag.gr.Step(ctx)
+		require.NoError(t, ag.or.step(ctx))
+		given := len(se.Commands())
+		again := wo.agent("eng-1", "i1", completions.New(), address)
+		wo.ta.SetDown(true)
+		again.gr.Step(ctx)
+		for _, each := range []*agent{ag, again} {
+			each.or.Configure(fleet(3, "m2"))
+			assertCode(t, citronstream.CodeNotReady, each.or.step(ctx))
+		}
+		assert.Len(t, se.Commands(), given, "a command went out while the table was down")
+		wo.ta.SetDown(false)
+		again.gr.Step(ctx)
+		again.or.Configure(fleet(1, "m3"))
+		again.or.job.Store(newJob(fleet(1, "m3"), "eng-1", nil)) // an agent that starts on an old document
+		assertCode(t, citronstream.CodeStale, again.or.step(ctx))
+		assert.Len(t, se.Commands(), given, "a command of an old version went out")
+	})
+}
+
+// memory is an engine that ignores tokens.
+type memory struct {
+	models []string
+	tokens []uint64
+}
+
+func (me *memory) Models(context.Context, string) ([]string, error) {
+	return slices.Clone(me.models), nil
+}
+
+func (me *memory) Order(_ context.Context, _ string, eo citronstream.EngineOrder) error {
+	me.tokens = append(me.tokens, eo.Token)
+	me.models = slices.DeleteFunc(me.models, func(model string) bool { return !slices.Contains(eo.Models, model) })
+	me.models = append(me.models, eo.Load...)
+	slices.Sort(me.models)
+	me.models = slices.Compact(me.models)
+	return nil
+}
+
+// TestTwoAgents guards against any order of replacements, pauses, versions
+// and outages in which an older command follows a newer one.
+func TestTwoAgents(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		wo, me, ctx := newWorld(), &memory{}, context.Background()
+		agents := []*agent{wo.agent("eng-1", "i0", me, ""), wo.agent("eng-1", "i1", me, "")}
+		pick := func(rt *rapid.T) *agent { return rapid.SampledFrom(agents).Draw(rt, "agent") }
+		version := rapid.Uint64Range(1, 5)
+		rt.Repeat(map[string]func(*rapid.T){
+			"replace": func(rt *rapid.T) { // the platform drops one instance and lists the other
+				keep := rapid.IntRange(0, 1).Draw(rt, "instance")
+				both := []citronstream.InstanceState{{Instance: "i0"}, {Instance: "i1"}}
+				wo.list = both
+				agents[keep].gr.Step(ctx)
+				wo.list = both[keep : keep+1]
+			},
+			"grant":     func(rt *rapid.T) { pick(rt).gr.Step(ctx) },
+			"configure": func(rt *rapid.T) { pick(rt).or.Configure(fleet(version.Draw(rt, "version"), "m1", "m2")) },
+			"step":      func(rt *rapid.T) { _ = pick(rt).or.step(ctx) },
+			"restart":   func(*rapid.T) { me.models = nil },
+			"outage":    func(rt *rapid.T) { wo.ta.SetDown(rapid.Bool().Draw(rt, "down")) },
+			"lost":      func(rt *rapid.T) { wo.ta.SetLoseAnswers(rapid.IntRange(0, 3).Draw(rt, "every")) },
+			"": func(rt *rapid.T) {
+				require.True(rt, slices.IsSorted(me.tokens), "an older command followed a newer one: %v", me.tokens)
+			},
+		})
+	})
+}
+
+// timers is a clock that tells how long its timers are.
+type timers struct {
+	*clockwork.FakeClock
+	waits chan<- time.Duration
+}
+
+func (ti timers) NewTimer(d time.Duration) clockwork.Timer {
+	ti.waits <- d
+	return ti.FakeClock.NewTimer(d)
+}
+
+// TestMove guards against a model that moves faster than the weight store
+// allows, and against calls to a model that the engine has not loaded.
+func TestMove(t *testing.T) {
+	wo := newWorld()
+	ctx, cancel := context.WithTimeout(t.Context(), bound)
+	defer cancel()
+	fetched := 0
+	wo.fetched = func(string) { fetched++ }
+	place := func(version uint64, models ...[]string) *citronstream.Fleet {
+		fl := fleet(version, "m1", "m2")
+		fl.Upstreams = nil
+		for i, allowed := range models {
+			fl.Upstreams = append(fl.Upstreams, citronstream.Upstream{Name: string(rune('a' + i)), Service: "writer", Models: allowed})
+		}
+		for i := range fl.Models {
+			fl.Models[i].Bytes = 1000
+		}
+		fl.Limits.WeightBytesPerSec = 100
+		return fl
+	}
+	m1, m2 := []string{"m1"}, []string{"m2"}
+	var agents []*agent
+	for i := range 3 {
+		name := string(rune('a' + i))
+		me := &memory{models: [][]string{m1, m2, m2}[i]}
+		ag := wo.agent(name, "i"+name, me, "")
+		ag.gr.Step(ctx)
+		ag.or.Configure(place(1, m1, m2, m2))
+		require.NoError(t, ag.or.step(ctx))
+		agents = append(agents, ag)
+	}
+	require.Zero(t, fetched, "models that were loaded were fetched again")
+	// Version 2 moves m1 to b and m2 to a: two engines load, one model each.
+	errs := make(chan error, 2)
+	waits := make(chan time.Duration, 2)
+	for _, ag := range agents[:2] {
+		ag.or.clk = timers{wo.clk, waits}
+		ag.or.Configure(place(2, m2, m1, m2))
+		go func() { errs <- ag.or.step(ctx) }()
+	}
+	require.NoError(t, wo.clk.BlockUntilContext(ctx, 2))
+	for _, ag := range agents[:2] {
+		assert.Equal(t, []string{}, ag.or.Models(), "the model that is unloaded is still offered, or the other one already")
+	}
+	// 2,000 bytes at 100 bytes a second.
+	assert.Equal(t, []time.Duration{20 * time.Second, 20 * time.Second}, []time.Duration{<-waits, <-waits})
+	wo.clk.Advance(20 * time.Second)
+	require.NoError(t, <-errs)
+	require.NoError(t, <-errs)
+	assert.Equal(t, 2, fetched)
+	assert.Equal(t, m2, agents[0].or.Models())
+	assert.Equal(t, m1, agents[1].or.Models())
+	agents[2].or.Configure(place(2, m2, m1, m2))
+	require.NoError(t, agents[2].or.step(ctx))
+	assert.Equal(t, 2, fetched, "an engine that keeps its model fetched it")
+}
+
+// TestOvertaken guards against an old version that goes on loading after a
+// newer one was accepted, and against calls that are cut by an unload.
+func TestOvertaken(t *testing.T) {
+	wo, me := newWorld(), &memory{models: []string{"m0"}}
+	ctx, cancel := context.WithTimeout(t.Context(), bound)
+	defer cancel()
+	ag := wo.agent("eng-1", "i1", me, "")
+	ag.gr.Step(ctx)
+	WithBusy(func(string) int { return 1 })(ag.or)
+	ag.or.Configure(fleet(1, "m1"))
+	ended := ag.or.Run(ctx)
+	require.NoError(t, wo.clk.BlockUntilContext(ctx, 1))
+	assert.Equal(t, []string{"m0"}, me.models, "unloaded under a call")
+	ag.or.Configure(fleet(2, "m0"))
+	for ag.or.Counts().Version != 2 && ctx.Err() == nil {
+		require.NoError(t, wo.clk.BlockUntilContext(ctx, 1))
+		wo.clk.Advance(lastRetry)
+	}
+	cancel()
+	<-ended
+	assert.Equal(t, []string{"m0"}, me.models)
+	for _, token := range me.tokens {
+		assert.EqualValues(t, 2, token>>16)
+	}
+}
--- a/internal/agent/server/options.go
+++ b/internal/agent/server/options.go
@@ -45,6 +45,16 @@
 	return func(se *Server) { se.extra = extra }
 }
 
+// WithFold sets what adds to each load report what is known from elsewhere:
+// the upstream's own report and its models. It must not block.
+func WithFold(fold func(lo *citronstream.Load)) Option {
+	return func(se *Server) { se.fold = fold }
+}
+
+// WithModels sets where the loaded models come from. A call of another model
+// is refused; nil means that nothing is known.
+func WithModels(models func() []string) Option { return func(se *Server) { se.models = models } }
+
 // WithStream sets what each connection of an entry passes through. Tests put
 // faults there.
 func WithStream(wrap func(link.Stream) link.Stream) Option {
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -58,6 +58,8 @@
 	observe  func(entry string, version uint64)
 	extra    func(li *link.Link, re *link.Request) bool
 	slots    func() []int
+	fold     func(lo *citronstream.Load)
+	models   func() []string
 	wrap     func(link.Stream) link.Stream
 
 	attempts *attempts.Table
@@ -96,6 +98,7 @@
 		clk: clk, eng: eng, up: up, protocol: protocol, queue: queue, log: logr.Discard(),
 		epoch: func() uint64 { return 1 }, version: func() uint64 { return 0 },
 		observe: func(string, uint64) {}, slots: func() []int { return nil },
+		fold: func(*citronstream.Load) {}, models: func() []string { return nil },
 		extra:    func(*link.Link, *link.Request) bool { return false },
 		wrap:     func(stream link.Stream) link.Stream { return stream },
 		attempts: attempts.New(clk), links: make(map[*link.Link]*peer), running: make(map[string]*attempts.Attempt),
@@ -161,11 +164,31 @@
 	se.mu.Lock()
 	defer se.mu.Unlock()
 	se.loadSeq++
-	return citronstream.Load{
+	lo := citronstream.Load{
 		Upstream: se.up.Name, Seq: se.loadSeq, Running: len(se.running), Waiting: se.queue.Len(),
 		Cost: se.cost + se.queue.Cost(), Rate: se.rate, Capacity: se.up.Capacity,
 		Leaving: se.leaving, Down: se.down, Slots: se.slots(), Epoch: se.epoch(), Version: se.version(),
+		Models: se.models(),
 	}
+	se.fold(&lo)
+	return lo
+}
+
+// Busy returns the number of calls of a model that wait or run.
+func (se *Server) Busy(model string) int {
+	count := 0
+	for _, at := range se.attempts.Live() {
+		if at.Call.Model == model {
+			count++
+		}
+	}
+	return count
+}
+
+// unloaded says that the upstream is known not to have the model.
+func (se *Server) unloaded(model string) bool {
+	models := se.models()
+	return model != "" && models != nil && !slices.Contains(models, model)
 }
 
 func (se *Server) accept(accepted chan<- struct{}) {
--- a/internal/once/grant/balance.go
+++ b/internal/once/grant/balance.go
@@ -15,6 +15,9 @@
 	if le == nil {
 		return errHeld
 	}
+	if gr.bare {
+		return gr.close(ctx)
+	}
 	if err := gr.resolve(ctx); err != nil {
 		return err
 	}
--- a/internal/once/grant/grant.go
+++ b/internal/once/grant/grant.go
@@ -78,6 +78,7 @@
 	clk     citronstream.Clock
 	work    Work
 	lim     citronstream.Limits
+	bare    bool // takes part in no sharing of slots
 
 	lease    atomic.Pointer[Lease]
 	held     [SlotCount]atomic.Pointer[Held]
@@ -116,6 +117,10 @@
 // WithLimits sets GrantFor, GrantRenew and KeyRetention.
 func WithLimits(lim citronstream.Limits) Option { return func(gr *Grant) { gr.lim = lim } }
 
+// WithoutSlots keeps the epoch and the lease only. An engine's agent needs
+// them for its fencing tokens.
+func WithoutSlots() Option { return func(gr *Grant) { gr.bare = true } }
+
 // New returns a grant that owns nothing until Run or Step has started it.
 func New(set Settings, ta citronstream.Table, li citronstream.Liveness, clk citronstream.Clock, opts ...Option) *Grant {
 	gr := &Grant{
--- a/internal/once/grant/lease.go
+++ b/internal/once/grant/lease.go
@@ -74,9 +74,11 @@
 	if err != nil {
 		return err
 	}
-	slVer, err := gr.read(ctx, SlotsKey(gr.set.Service), &sl)
-	if err != nil {
-		return err
+	var slVer uint64
+	if !gr.bare {
+		if slVer, err = gr.read(ctx, SlotsKey(gr.set.Service), &sl); err != nil {
+			return err
+		}
 	}
 	doubt := Doubt{Upstream: gr.set.Upstream, Epoch: ep.Epoch, From: rec.CheckpointAt, To: now}
 	opID, epoch := citronstream.NewID(), ep.Epoch+1
@@ -85,13 +87,16 @@
 		Until: now.Add(gr.lim.GrantFor.Std()), State: Open, CheckpointAt: gr.checkpoint(now, rec.CheckpointAt),
 		Token: rec.Token, OpID: opID,
 	}
-	sl.pass(gr.set.Upstream, doubt, gr.set.Upstream, epoch, SlotCount)
-	gr.join(&sl, epoch, opID)
-	err = gr.commit(ctx, write{opID, []citronstream.Op{
+	ops := []citronstream.Op{
 		put(GrantKey(gr.set.Upstream), recVer, next),
 		put(EpochKey(gr.set.Upstream), epVer, EpochRow{epoch, opID}),
-		put(SlotsKey(gr.set.Service), slVer, sl),
-	}, slVer})
+	}
+	if !gr.bare {
+		sl.pass(gr.set.Upstream, doubt, gr.set.Upstream, epoch, SlotCount)
+		gr.join(&sl, epoch, opID)
+		ops = append(ops, put(SlotsKey(gr.set.Service), slVer, sl))
+	}
+	err = gr.commit(ctx, write{opID, ops, slVer})
 	if err != nil && !errors.Is(err, errUnknown) && !errors.Is(err, citronstream.ErrConflict) {
 		return err
 	}
--- a/internal/once/grant/takeover.go
+++ b/internal/once/grant/takeover.go
@@ -168,6 +168,18 @@
 	return err
 }
 
+// close ends a grant without slots when it drains.
+func (gr *Grant) close(ctx context.Context) error {
+	if !gr.draining.Load() {
+		return nil
+	}
+	err := gr.update(ctx, func(rec *Record) { rec.State, rec.CheckpointAt = Closed, gr.clk.Now() })
+	if err == nil && gr.lease.CompareAndSwap(gr.lease.Load(), nil) {
+		close(gr.drained)
+	}
+	return err
+}
+
 // nextStep chooses the pause after a step that went through.
 func (gr *Grant) nextStep(pause time.Duration) time.Duration {
 	if len(gr.closing) > 0 || gr.draining.Load() {
--- a/internal/once/guard/guard.go
+++ b/internal/once/guard/guard.go
@@ -58,11 +58,12 @@
 		gu.stale.Add(1)
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeStale, "fencing token %d is below %d", or.Token, highest)
 	}
-	if or.Token > stored {
-		if err := gu.store.RaiseToken(ctx, or.Token); err != nil {
-			gu.notReady.Add(1)
-			return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotReady, "fencing token %d can't be stored: %s", or.Token, err)
-		}
+	// A token that is stored already is written again: the write is
+	// conditional on the epoch, so that an agent that was paused and replaced
+	// learns it before it repeats a command.
+	if err := gu.store.RaiseToken(ctx, or.Token); err != nil {
+		gu.notReady.Add(1)
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotReady, "fencing token %d can't be stored: %s", or.Token, err)
 	}
 	gu.highest.Store(max(highest, or.Token))
 	gu.sent.Add(1)
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/agent/orders"
 	"github.com/citronstream/citronstream/internal/agent/server"
 	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/kernel/discipline"
@@ -59,6 +60,10 @@
 	Up       citronstream.Upstream
 	Grant    *grant.Grant // nil for a service without non-idempotent calls
 	Claim    *claim.Claim
+	// Orders commands the engine, Fence has the epoch for it; both are nil
+	// for other kinds of upstream.
+	Orders *orders.Orders
+	Fence  *grant.Grant
 
 	Config *version.Store
 	Queue  citronstream.Discipline
@@ -109,6 +114,7 @@
 	ag := &Agent{set: set, clk: clk, eng: eng, Up: up, Holds: poison.New(clk, fl.Limits), Timeline: timeline.New(clk, timeline.WithProcess(up.Name))}
 	ag.Config = version.New(clk, set.Platform.Table, set.Platform.Objects,
 		version.WithFetcher(ag), version.WithQuiet(quiet), version.WithFirst(first))
+	engine, _ := pr.(orders.Engine)
 	if set.Wrap != nil {
 		pr = set.Wrap(pr)
 	}
@@ -124,6 +130,9 @@
 	if once := ag.ownership(clk, set, fl, se); once != nil {
 		opts = append(opts, server.WithOnce(once), server.WithGrant(ag.epoch, ag.Grant.Owned))
 	}
+	if engine != nil && se.Kind == citronstream.KindEngine {
+		opts = append(opts, ag.commands(engine, fl, se)...)
+	}
 	ag.Server = server.New(clk, eng, up, pr, ag.Queue, opts...)
 	return ag, nil
 }
@@ -149,7 +158,11 @@
 }
 
 func (ag *Agent) epoch() uint64 {
-	if le := ag.Grant.Lease(); le != nil {
+	gr := ag.Grant
+	if gr == nil {
+		gr = ag.Fence
+	}
+	if le := gr.Lease(); le != nil {
 		return le.Epoch
 	}
 	return 0
@@ -172,6 +185,12 @@
 	if ag.Grant != nil {
 		ag.ended = append(ag.ended, ag.Grant.Run(ctx), ag.Claim.Run(ctx))
 	}
+	if ag.Orders != nil {
+		ag.ended = append(ag.ended, ag.Orders.Run(ctx))
+		if ag.Fence != ag.Grant {
+			ag.ended = append(ag.ended, ag.Fence.Run(ctx))
+		}
+	}
 	return nil
 }
 
@@ -183,6 +202,9 @@
 	if ag.Grant != nil && err == nil {
 		err = ag.Grant.Drain(ctx)
 	}
+	if ag.Fence != nil && ag.Fence != ag.Grant && err == nil {
+		err = ag.Fence.Drain(ctx)
+	}
 	ag.Stop()
 	return err
 }
@@ -202,6 +224,9 @@
 		qu.Configure(*sn.Fleet)
 	}
 	ag.Holds.Configure(sn.Fleet.Limits)
+	if ag.Orders != nil {
+		ag.Orders.Configure(sn.Fleet)
+	}
 	ag.Server.Broadcast(citronstream.MethodVersion, citronstream.VersionNotice{Version: sn.Fleet.Version})
 	ag.Timeline.Record(citronstream.Event{Kind: "ConfigInForce", Detail: strconv.FormatUint(sn.Fleet.Version, 10)})
 }
--- a/internal/upstream/completions/order.go
+++ b/internal/upstream/completions/order.go
@@ -28,11 +28,11 @@
 }
 
 // Order implements citronstream.Orderer. It reads the loaded models from GET
-// /v1/models, unloads those that are not wanted, loads the others and sets
-// the role last. An engine that refuses the token answers 412, which gives
+// /v1/models, unloads those that are not wanted, loads the others (of Load, if
+// it names any) and sets the role last. An engine that refuses the token answers 412, which gives
 // CodeStale with the verdict NotRun.
 func (pr *Protocol) Order(ctx context.Context, address string, or citronstream.EngineOrder) error {
-	loaded, err := pr.models(ctx, address)
+	loaded, err := pr.Models(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -43,7 +43,11 @@
 			}
 		}
 	}
-	for _, model := range or.Models {
+	load := or.Load
+	if len(load) == 0 && !or.Keep {
+		load = or.Models
+	}
+	for _, model := range load {
 		// A model that is loaded is named again too: its version or adapters may differ.
 		cmd := command{Model: model, Adapters: or.Adapters, Version: or.Version}
 		if err := pr.command(ctx, address, "/v1/load_model", cmd, or.Token); err != nil {
@@ -56,7 +60,8 @@
 	return pr.command(ctx, address, "/v1/role", command{Role: or.Role}, or.Token)
 }
 
-func (pr *Protocol) models(ctx context.Context, address string) ([]string, error) {
+// Models returns the models that the engine at address has loaded.
+func (pr *Protocol) Models(ctx context.Context, address string) ([]string, error) {
 	an, err := pr.cl.Send(ctx, exchange.Request{Method: http.MethodGet, Address: address, Path: "/v1/models"})
 	if err != nil {
 		return nil, err
--- a/upstream.go
+++ b/upstream.go
@@ -15,7 +15,13 @@
 
 // EngineOrder tells an engine what to hold and which role to play.
 type EngineOrder struct {
-	Models   []string `json:"Models"`
+	// Models are those that the engine may hold; it unloads all others.
+	Models []string `json:"Models"`
+	// Load are those of Models to be loaded with these adapters in this
+	// version; empty means all.
+	Load []string `json:"Load,omitempty"`
+	// Keep loads nothing.
+	Keep     bool     `json:"Keep,omitempty"`
 	Adapters []string `json:"Adapters,omitempty"`
 	Role     string   `json:"Role,omitempty"`
 	Version  string   `json:"Version,omitempty"`
