Cache events, upstreams' own load, prefix affinity at the entries

Cause: prefix hints existed without a source, and nothing read the load that upstreams report. Change: the agent polls its engine's cache events every 250 ms while calls run (agent/cachefeed) and offers the net change in groups of at most 128 blocks as Peer.Cache to entries that sent it a call within 10 s; a slow link drops a group, a gap or a restart voids the hints. Entries note what they send, drop the hints of an upstream that died or whose link ended, and give the blocks to the policy. agent/ownload folds GET /load and the engines' GET /metrics into the load report: the maximum of own and reported figures, read at most once a second, valid for 3 s. An idle entry gets no cache event. Seen to fail with the mechanism off: blocks not passed to the policy, events not applied, events to idle entries, hints kept after a death, gap and restart detection, idle polls, reads without calls, figures without expiry.

--- /dev/null
+++ b/internal/agent/ownload/ownload_test.go
@@ -0,0 +1,66 @@
+package ownload
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/upstream/report"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestFold guards against work of others that the entries don't see, against
+// calls that count twice, and against figures that outlast a silent upstream.
+func TestFold(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	fails := false
+	wa := New(clk, "", func(context.Context, string) (report.Load, error) {
+		if fails {
+			return report.Load{}, errors.New("down")
+		}
+		return report.Load{Running: 6, Waiting: 2}, nil
+	}, 10, func() bool { return true })
+	folded := func() citronstream.Load {
+		lo := citronstream.Load{Running: 4, Waiting: 3, Cost: 50}
+		wa.Fold(&lo)
+		return lo
+	}
+	own := citronstream.Load{Running: 4, Waiting: 3, Cost: 50}
+	assert.Equal(t, own, folded())
+	wa.step(t.Context())
+	assert.Equal(t, citronstream.Load{Running: 6, Waiting: 3, Cost: 80}, folded())
+	fails = true
+	clk.Advance(validFor)
+	wa.step(t.Context())
+	assert.Equal(t, citronstream.Load{Running: 6, Waiting: 3, Cost: 80}, folded())
+	clk.Advance(1)
+	assert.Equal(t, own, folded())
+}
+
+// TestRun guards against reads while no call runs, and more than once a second.
+func TestRun(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	busy := false
+	wa := New(clk, "", func(context.Context, string) (report.Load, error) { return report.Load{}, nil }, 1, func() bool { return busy })
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	ended := wa.Run(ctx)
+	advance := func(steps int) {
+		for range steps {
+			require.NoError(t, clk.BlockUntilContext(ctx, 1))
+			clk.Advance(every / 4)
+		}
+		require.NoError(t, clk.BlockUntilContext(ctx, 1))
+	}
+	advance(40)
+	assert.Zero(t, wa.Counts().Reads)
+	busy = true
+	advance(40)
+	assert.LessOrEqual(t, wa.Counts().Reads, uint64(10))
+	assert.Positive(t, wa.Counts().Reads)
+	cancel()
+	<-ended
+}
--- a/internal/agent/server/peer.go
+++ b/internal/agent/server/peer.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/subtle"
 	"sync/atomic"
+	"time"
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/agent/attempts"
@@ -18,11 +19,52 @@
 	known atomic.Bool   // the hello was accepted
 	ready chan struct{} // closed when li is set
 	gone  chan struct{}
+
+	called atomic.Int64 // time of the last Call.Start, nanoseconds since 1970
+	offers chan offer   // holds one; further ones are dropped while the link is slow
+}
+
+// offer is a notification that may be dropped.
+type offer struct {
+	method string
+	params any
+}
+
+// deliver sends offers until the link ends.
+func (pe *peer) deliver(ended chan<- struct{}) {
+	defer close(ended)
+	for {
+		select {
+		case <-pe.li.Done():
+			return
+		case of := <-pe.offers:
+			_ = pe.li.Notify(of.method, of.params)
+		}
+	}
+}
+
+// Offer notifies the entries that have sent a call within the time. It never
+// blocks: where the link is slow, the notification is dropped.
+func (se *Server) Offer(method string, params any, within time.Duration) {
+	since := se.clk.Now().Add(-within).UnixNano()
+	for _, pe := range se.peers() {
+		if pe.called.Load() < since {
+			continue
+		}
+		select {
+		case pe.offers <- offer{method, params}:
+			se.counts.Offered.Add(1)
+		default:
+			se.counts.OffersDropped.Add(1)
+		}
+	}
 }
 
 // watch detaches the peer's attempts when the link ends.
 func (pe *peer) watch() {
 	defer close(pe.gone)
+	delivered := make(chan struct{})
+	go pe.deliver(delivered)
 	<-pe.li.Done()
 	se := pe.se
 	se.mu.Lock()
@@ -34,6 +76,7 @@
 			at.Detach(to, now)
 		}
 	}
+	<-delivered
 }
 
 // handle takes one message. It runs on the link's reader and does not block.
@@ -102,6 +145,7 @@
 		re.ReplyError(err)
 		return
 	}
+	pe.called.Store(pe.se.clk.Now().UnixNano())
 	pe.se.clockSeen(ca.Clock)
 	if ca.Version > pe.se.version() {
 		pe.se.observe(pe.name, ca.Version)
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -87,7 +87,7 @@
 
 // Counts are the counters of an agent.
 type Counts struct {
-	Taken, Ran, Refused, Expired, Canceled, Orphaned, Buried, Deaths, Queried atomic.Uint64
+	Taken, Ran, Refused, Expired, Canceled, Orphaned, Buried, Deaths, Queried, Offered, OffersDropped atomic.Uint64
 }
 
 // New returns an agent for one upstream. Start opens it.
@@ -174,6 +174,13 @@
 	return lo
 }
 
+// Running returns the number of calls that run.
+func (se *Server) Running() int {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	return len(se.running)
+}
+
 // Busy returns the number of calls of a model that wait or run.
 func (se *Server) Busy(model string) int {
 	count := 0
@@ -208,7 +215,7 @@
 }
 
 func (se *Server) take(stream link.Stream) {
-	pe := &peer{se: se, ready: make(chan struct{}), gone: make(chan struct{})}
+	pe := &peer{se: se, ready: make(chan struct{}), gone: make(chan struct{}), offers: make(chan offer, 1)}
 	se.mu.Lock()
 	defer se.mu.Unlock()
 	li := link.New(se.ctx, se.clk, stream, pe.handle, link.WithIdleCheck(se.idleCheck), link.WithVersion(se.version, pe.heard))
--- a/internal/entry/agents/agents.go
+++ b/internal/entry/agents/agents.go
@@ -46,6 +46,8 @@
 	hello   func() citronstream.Hello
 	handler func(li *link.Link, re *link.Request)
 	observe func(upstream string, version uint64)
+	gone    func(upstream string)
+	greeted func(upstream string, li *link.Link)
 	rec     citronstream.Recorder
 	keeper  Keeper
 	counts  Counts
@@ -82,6 +84,15 @@
 	return func(po *Pool) { po.observe = observe }
 }
 
+// WithGone sets what is told that an upstream died or that its agent's link
+// ended: what is known of its memory may be void.
+func WithGone(gone func(upstream string)) Option { return func(po *Pool) { po.gone = gone } }
+
+// WithGreeted sets what is told of each new link after its hello.
+func WithGreeted(greeted func(upstream string, li *link.Link)) Option {
+	return func(po *Pool) { po.greeted = greeted }
+}
+
 // WithKeeper sets what keeps keyed calls until their agent has recorded them.
 func WithKeeper(ke Keeper) Option { return func(po *Pool) { po.keeper = ke } }
 
@@ -98,6 +109,8 @@
 			re.ReplyError(citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "unknown method %q", re.Method))
 		},
 		observe: func(string, uint64) {},
+		gone:    func(string) {},
+		greeted: func(string, *link.Link) {},
 	}
 	for _, opt := range opts {
 		opt(po)
@@ -167,10 +180,12 @@
 	}
 	po.clockSeen(he.Clock)
 	po.observe(name, he.Version)
+	po.greeted(name, li)
 	return nil
 }
 
 func (po *Pool) lost(name string, err error) {
+	po.gone(name)
 	po.routes.Mark(name, table.FromLink, table.Gone)
 	if errors.Is(err, link.ErrSilent) {
 		po.counts.LinksSilent.Add(1)
@@ -197,6 +212,9 @@
 		var lo citronstream.Load
 		if re.Decode(&lo) == nil {
 			po.routes.Report(lo)
+			if lo.Down {
+				po.gone(lo.Upstream)
+			}
 			po.observe(lo.Upstream, lo.Version)
 		}
 	default:
--- a/internal/entry/pipeline/attempts.go
+++ b/internal/entry/pipeline/attempts.go
@@ -16,6 +16,7 @@
 	end     time.Time // the deadline of this call
 	exclude []string
 	output  []byte // output that the caller already has
+	blocks  []uint64
 }
 
 // run makes attempts until one succeeds, the failure is final, or the budget is spent.
@@ -29,6 +30,9 @@
 		}
 		ca.Suspect = at.ru.holds.Suspect(ca.Digest)
 	}
+	if at.ru.prefix != nil {
+		at.blocks = at.ru.prefix.Blocks(ca.Service, ca.Body)
+	}
 	ca.Version = at.ru.version()
 	ran := false // an attempt before the last may have run
 	for try := 1; ; try++ {
@@ -70,6 +74,9 @@
 	}
 	ru.event(ca, "AttemptSent", upstream, nil)
 	picker.Sent(upstream, ca.Cost)
+	if len(at.blocks) > 0 {
+		ru.prefix.Note(upstream, at.blocks)
+	}
 	start := ru.clk.Now()
 	re := ru.agents.Run(ctx, upstream, *ca, func(data []byte) {
 		at.output = append(at.output, data...)
@@ -126,6 +133,7 @@
 	}
 	return picker.Pick(citronstream.PickRequest{
 		Service: ca.Service, Zone: at.ru.zone, Model: ca.Model, Cost: ca.Cost, Exclude: at.exclude, Suspect: ca.Suspect,
+		Blocks: at.blocks,
 	})
 }
 
--- a/internal/entry/pipeline/pipeline.go
+++ b/internal/entry/pipeline/pipeline.go
@@ -38,6 +38,15 @@
 	Observe(service string, cost float64, took time.Duration)
 }
 
+// Prefixes keeps hints on which upstream has which prompt prefix cached.
+type Prefixes interface {
+	// Blocks returns the hashes of the prompt's leading blocks, nil for a
+	// service without prefix caches.
+	Blocks(service string, body []byte) []uint64
+	// Note records that an upstream was sent a prompt.
+	Note(upstream string, blocks []uint64)
+}
+
 // Meter counts what a stage consumed.
 type Meter interface {
 	Count(ca *citronstream.Call, re *citronstream.Result)
@@ -84,6 +93,7 @@
 	zone    string
 	version func() uint64
 	poke    func(service string)
+	prefix  Prefixes
 	counts  Counts
 }
 
@@ -108,6 +118,9 @@
 // WithPoke sets what tells a service's agents that a slot has no owner.
 func WithPoke(poke func(service string)) Option { return func(ru *Runner) { ru.poke = poke } }
 
+// WithPrefixes sets the prefix-cache hints.
+func WithPrefixes(pr Prefixes) Option { return func(ru *Runner) { ru.prefix = pr } }
+
 // WithVersion sets where the configuration version comes from.
 func WithVersion(version func() uint64) Option { return func(ru *Runner) { ru.version = version } }
 
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/agent/cachefeed"
 	"github.com/citronstream/citronstream/internal/agent/orders"
+	"github.com/citronstream/citronstream/internal/agent/ownload"
 	"github.com/citronstream/citronstream/internal/agent/server"
 	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/kernel/discipline"
@@ -20,6 +22,7 @@
 	"github.com/citronstream/citronstream/internal/peer/asker"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
+	"github.com/citronstream/citronstream/internal/upstream/report"
 	"github.com/go-logr/logr"
 
 	// The plug-ins that settings can name.
@@ -64,6 +67,10 @@
 	// for other kinds of upstream.
 	Orders *orders.Orders
 	Fence  *grant.Grant
+	// Cache follows the engine's prefix cache, and Own the upstream's report of
+	// its load; nil where there is none.
+	Cache *cachefeed.Feed
+	Own   *ownload.Watch
 
 	Config *version.Store
 	Queue  citronstream.Discipline
@@ -73,6 +80,7 @@
 	eng    *nbconn.Engine
 	cancel context.CancelFunc
 	ended  []<-chan struct{}
+	reader *report.Reader
 }
 
 // Find returns an agent once it knows a configuration that names its
@@ -133,6 +141,8 @@
 	if engine != nil && se.Kind == citronstream.KindEngine {
 		opts = append(opts, ag.commands(engine, fl, se)...)
 	}
+	ag.reports(se)
+	opts = append(opts, server.WithFold(ag.fold))
 	ag.Server = server.New(clk, eng, up, pr, ag.Queue, opts...)
 	return ag, nil
 }
@@ -185,6 +195,12 @@
 	if ag.Grant != nil {
 		ag.ended = append(ag.ended, ag.Grant.Run(ctx), ag.Claim.Run(ctx))
 	}
+	if ag.Cache != nil {
+		ag.ended = append(ag.ended, ag.Cache.Run(ctx))
+	}
+	if ag.Own != nil {
+		ag.ended = append(ag.ended, ag.Own.Run(ctx))
+	}
 	if ag.Orders != nil {
 		ag.ended = append(ag.ended, ag.Orders.Run(ctx))
 		if ag.Fence != ag.Grant {
@@ -216,6 +232,9 @@
 	for _, ended := range ag.ended {
 		<-ended
 	}
+	if ag.reader != nil {
+		ag.reader.Close()
+	}
 }
 
 // apply puts a configuration in force and tells the entries.
--- a/internal/process/agent/engine.go
+++ b/internal/process/agent/engine.go
@@ -1,10 +1,16 @@
 package agent
 
 import (
+	"time"
+
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/agent/cachefeed"
 	"github.com/citronstream/citronstream/internal/agent/orders"
+	"github.com/citronstream/citronstream/internal/agent/ownload"
 	"github.com/citronstream/citronstream/internal/agent/server"
 	"github.com/citronstream/citronstream/internal/once/grant"
+	"github.com/citronstream/citronstream/internal/route/prefix"
+	"github.com/citronstream/citronstream/internal/upstream/report"
 )
 
 // commands sets up the commands to an engine. Their epoch is that of the
@@ -20,12 +26,48 @@
 		orders.WithWeights(ag.set.Platform.Weights), orders.WithRecorder(ag.Timeline),
 		orders.WithChanged(func() { ag.Server.Broadcast(citronstream.MethodLoad, ag.Server.Load()) }),
 		orders.WithBusy(func(model string) int { return ag.Server.Busy(model) }))
-	return append(opts, server.WithModels(ag.Orders.Models), server.WithFold(ag.fold))
+	return append(opts, server.WithModels(ag.Orders.Models))
+}
+
+// cacheWithin is how recently an entry must have sent a call to be told of
+// cache events. An idle entry has no use for them and gets none.
+const cacheWithin = 10 * time.Second
+
+// reports sets up what is read from the upstream itself.
+func (ag *Agent) reports(se *citronstream.Service) {
+	mean := firstRate(se, 1)
+	switch {
+	case se.Kind == citronstream.KindEngine:
+		ag.reader = report.New()
+		ag.Cache = cachefeed.New(ag.clk, ag.reader, ag.Up.Name, ag.Up.Address, ag.busy(), func(ev prefix.Event) {
+			ag.Server.Offer(citronstream.MethodCache, ev, cacheWithin)
+		})
+		ag.Own = ownload.New(ag.clk, ag.Up.Address, ag.reader.Engine, mean, ag.busy())
+	case se.Kind == citronstream.KindPlain && se.ReportsLoad:
+		ag.reader = report.New()
+		ag.Own = ownload.New(ag.clk, ag.Up.Address, ag.reader.Plain, mean, ag.busy())
+	}
 }
 
-// fold takes note of a death of the engine, which loses its models.
+// fold adds the upstream's own report, and takes note of a death of the
+// engine, which loses its models.
 func (ag *Agent) fold(lo *citronstream.Load) {
+	if ag.Own != nil {
+		ag.Own.Fold(lo)
+	}
 	if lo.Down && ag.Orders != nil {
 		ag.Orders.Down()
 	}
 }
+
+// busy returns a function that says whether calls run or have run since it was
+// last called: a call can be shorter than the interval of its callers.
+func (ag *Agent) busy() func() bool {
+	seen := uint64(0)
+	return func() bool {
+		ran := ag.Server.Counts().Ran.Load()
+		was := seen
+		seen = ran
+		return ran != was || ag.Server.Running() > 0
+	}
+}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -27,6 +27,7 @@
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
 	"github.com/citronstream/citronstream/internal/route/outlier"
+	"github.com/citronstream/citronstream/internal/route/prefix"
 	"github.com/citronstream/citronstream/internal/route/table"
 	"github.com/go-logr/logr"
 
@@ -68,6 +69,7 @@
 	Keeper   *witness.Keeper
 	Config   *version.Store
 	Budget   *retrybudget.Budget
+	Hints    *prefix.Hints
 
 	set      Settings
 	clk      citronstream.Clock
@@ -95,17 +97,19 @@
 		set: set, clk: clk, eng: eng, log: log, boot: citronstream.NewID(), started: clk.Now(),
 		Routes: table.New(clk), Holds: poison.New(clk, set.Limits), Budget: retrybudget.New(clk, set.Limits), Timeline: timeline.New(clk, timeline.WithProcess(set.Name)),
 	}
+	en.Hints = prefix.New(clk)
 	en.Keeper = witness.New(set.Platform.Table, set.Platform.Objects, clk, witness.WithRetention(set.Limits.KeyRetention.Std()))
 	en.Config = version.New(clk, set.Platform.Table, set.Platform.Objects,
 		version.WithPoll(set.Limits.ConfigPoll.Std()), version.WithFetcher(en))
 	en.ctx, en.cancel = context.WithCancel(ctx)
 	en.outliers = outlier.New(clk, en.Routes)
 	en.Agents = agents.New(en.ctx, clk, eng, en.Routes, en.hello,
-		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper),
+		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper), agents.WithGone(en.Hints.Drop),
 		agents.WithObserve(func(upstream string, version uint64) { en.Config.Observe(version, upstream) }))
 	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, en.Budget,
 		pipeline.WithTimes(stagetime.New(clk)), pipeline.WithHolds(en.Holds),
-		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}), pipeline.WithPoke(en.poke))
+		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}), pipeline.WithPoke(en.poke),
+		pipeline.WithPrefixes(prefixes{en}))
 	en.Server = server.New(clk, address, en.Runner, en.Catalog, set.Limits, server.WithReady(en.ready))
 	return en
 }
@@ -120,7 +124,7 @@
 	next := &state{catalog: catalog.New(fl), pickers: make(map[string]citronstream.Picker, len(fl.Services))}
 	for i := range fl.Services {
 		se := &fl.Services[i]
-		picker, err := policy.New(se.Policy, policy.Deps{Table: en.Routes, Clock: en.clk, Seed: en.set.Seed, Outliers: en.outliers})
+		picker, err := policy.New(se.Policy, policy.Deps{Table: en.Routes, Clock: en.clk, Seed: en.set.Seed, Outliers: en.outliers, Hints: en.Hints})
 		if err != nil {
 			return err
 		}
@@ -279,6 +283,11 @@
 		if he, ok := li.Session().(citronstream.Hello); ok && re.Decode(&no) == nil {
 			en.Config.Observe(no.Version, he.Name)
 		}
+	case citronstream.MethodCache:
+		var ev prefix.Event
+		if re.Decode(&ev) == nil {
+			en.Hints.Apply(ev)
+		}
 	case citronstream.MethodFlushed:
 		var fl claim.Notice
 		if re.Decode(&fl) == nil {
--- /dev/null
+++ b/internal/process/local/engines_test.go
@@ -0,0 +1,236 @@
+package local
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/entry/pipeline"
+	"github.com/citronstream/citronstream/internal/entry/stagebody"
+	"github.com/citronstream/citronstream/internal/kernel/policy"
+	"github.com/citronstream/citronstream/internal/process/entry"
+	"github.com/citronstream/citronstream/internal/route/nearest"
+	"github.com/citronstream/citronstream/internal/route/prefix"
+	"github.com/citronstream/citronstream/internal/standin/engine"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// bound ends a test whose event never comes; no outcome depends on its length.
+const bound = 30 * time.Second
+
+// withoutHints is the default policy without prefix affinity, for comparison.
+const withoutHints = "nearest-without-hints"
+
+func init() {
+	policy.Register(withoutHints, func(de policy.Deps) citronstream.Picker {
+		de.Hints = nil
+		return nearest.New(de)
+	})
+}
+
+// address returns a free address on a loopback network of this process.
+func address(t *testing.T) string {
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:0", 64+os.Getpid()%64))
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+// writers is a fleet of engines and entries in one zone, with one model.
+func writers(t *testing.T, engines, entries int, policy string) *citronstream.Fleet {
+	fl := &citronstream.Fleet{
+		Site: "test", Owners: []citronstream.Owner{{Name: "o"}}, Limits: citronstream.DefaultLimits(),
+		Regions:    []citronstream.Region{{Name: "r", Zones: []citronstream.Zone{{Name: "z"}}}},
+		Ranks:      []citronstream.Rank{{Name: "standard", Deadline: citronstream.Duration(bound), Worth: 1}},
+		Workspaces: []citronstream.Workspace{{Name: "w", Owner: "o", Weight: 1}},
+		Models:     []citronstream.Model{{Name: "m", Version: "1", Bytes: 1}},
+		Services: []citronstream.Service{{
+			Name: "writer", Kind: citronstream.KindEngine, Protocol: "completions", Owner: "o", Policy: policy,
+			Calls: []citronstream.ServiceCall{{Name: "generate", Path: "/v1/completions", Idempotent: true, Streams: true}},
+		}},
+		Pipelines: []citronstream.Pipeline{{Name: "p", Rank: "standard", Stages: []citronstream.Stage{
+			{Name: "generate", Service: "writer", Call: "generate", Model: "m"},
+		}}},
+	}
+	for i := range engines + entries {
+		fl.Instances = append(fl.Instances, citronstream.Instance{Name: fmt.Sprintf("i%d", i), Zone: "z"})
+	}
+	for i := range engines {
+		fl.Upstreams = append(fl.Upstreams, citronstream.Upstream{
+			Name: fmt.Sprintf("e%d", i), Service: "writer", Instance: fmt.Sprintf("i%d", i),
+			Address: address(t), Agent: address(t), Capacity: 8, Models: []string{"m"},
+		})
+	}
+	for i := range entries {
+		fl.Entries = append(fl.Entries, citronstream.Entry{
+			Name: fmt.Sprintf("n%d", i), Instance: fmt.Sprintf("i%d", engines+i), Address: address(t), Admin: address(t),
+		})
+	}
+	return fl
+}
+
+func begin(t *testing.T, config *citronstream.Fleet, opts ...Option) *Fleet {
+	fl, err := New(context.Background(), clockwork.NewRealClock(), config, opts...)
+	require.NoError(t, err)
+	t.Cleanup(fl.Stop)
+	ctx, cancel := context.WithTimeout(t.Context(), bound)
+	defer cancel()
+	require.NoError(t, fl.Ready(ctx))
+	return fl
+}
+
+// eventually waits for a state that nothing announces.
+func eventually(t *testing.T, done func() bool, text string) {
+	t.Helper()
+	require.Eventually(t, done, bound, 10*time.Millisecond, text)
+}
+
+// generate runs one request and returns the time to its first token.
+func generate(ctx context.Context, en *entry.Entry, prompt string) (time.Duration, *citronstream.Fault) {
+	clk := clockwork.NewRealClock()
+	body := fmt.Appendf(nil, `{"prompt":%q,"max_tokens":4,"stream":true}`, prompt)
+	bu, err := stagebody.New(body)
+	if err != nil {
+		return 0, citronstream.FaultOf(err)
+	}
+	ca, start, first := en.Catalog(), clk.Now(), time.Duration(0)
+	out := en.Runner.Pipeline(ctx, ca, "p", pipeline.Request{
+		ID: citronstream.NewID(), Workspace: &ca.Fleet.Workspaces[0], Deadline: bound, Body: body,
+	}, bu, func([]byte) {
+		if first == 0 {
+			first = clk.Now().Sub(start)
+		}
+	})
+	return first, out.Fault
+}
+
+// use returns the prompt tokens by engine and the share that was cached.
+func (fl *Fleet) use() (byEngine []uint64, share float64) {
+	var all, hit uint64
+	for _, up := range fl.Config.Upstreams {
+		prompt, cached := fl.Upstream(up.Name).(*engine.Server).CacheUse()
+		byEngine, all, hit = append(byEngine, prompt), all+prompt, hit+cached
+	}
+	return byEngine, float64(hit) / float64(max(all, 1))
+}
+
+// work sends requests with the given prefixes.
+func work(t *testing.T, fl *Fleet, requests, prefixes, callers int) []time.Duration {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var firsts []time.Duration
+	jobs := make(chan string, requests)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for i := range requests {
+		jobs <- strings.Repeat(fmt.Sprintf("prefix %6d, ", rnd.IntN(prefixes)), 2048/15+1)[:2048] + fmt.Sprintf(" question %d", i)
+	}
+	close(jobs)
+	for range callers {
+		wg.Go(func() {
+			for prompt := range jobs {
+				first, fa := generate(t.Context(), fl.Entry("n0"), prompt)
+				assert.Nil(t, fa)
+				mu.Lock()
+				firsts = append(firsts, first)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	slices.Sort(firsts)
+	return firsts
+}
+
+// TestAffinity guards against hints that don't reach the routing: 20 prefixes
+// of 2 KB repeat over 6 engines, each of which has memory for 7 of them.
+func TestAffinity(t *testing.T) {
+	measure := func(policy string) float64 {
+		fl := begin(t, writers(t, 6, 1, policy), WithEngines(engine.WithCacheBlocks(60)))
+		firsts := work(t, fl, 600, 20, 12)
+		_, share := fl.use()
+		t.Logf("%q: %.1f%% of the prompt tokens cached, first token p50 %v p95 %v",
+			policy, 100*share, firsts[len(firsts)/2].Round(time.Millisecond), firsts[len(firsts)*95/100].Round(time.Millisecond))
+		return share
+	}
+	without := measure(withoutHints)
+	assert.Greater(t, measure(""), without+0.1)
+}
+
+// TestPopularPrefix guards against an engine that gets all the work of one
+// prefix, at three quarters of the capacity of 6 engines.
+func TestPopularPrefix(t *testing.T) {
+	fl := begin(t, writers(t, 6, 1, ""))
+	work(t, fl, 1200, 1, 36)
+	byEngine, share := fl.use()
+	t.Logf("prompt tokens by engine %v, %.1f%% cached", byEngine, 100*share)
+	sum := uint64(0)
+	for _, tokens := range byEngine {
+		sum += tokens
+	}
+	assert.LessOrEqual(t, float64(slices.Max(byEngine)), 2*float64(sum)/6, "one engine got more than twice its even share")
+}
+
+// TestCacheEvents guards against cache events that don't reach the entries,
+// outlast the engine, or cost an idle entry.
+func TestCacheEvents(t *testing.T) {
+	fl := begin(t, writers(t, 1, 2, ""))
+	busy, idle := fl.Entry("n0"), fl.Entry("n1")
+	// The last block is full only with the output, which the entry can't note itself.
+	prompt := strings.Repeat("x", 2040)
+	blocks := prefix.Blocks([]byte(prompt + engine.Generate(prompt, 4)))
+	_, fa := generate(t.Context(), busy, prompt)
+	require.Nil(t, fa)
+	known := func() bool { _, count := busy.Hints.Holders(blocks[7:]); return count == 1 }
+	eventually(t, known, "no hint from the engine's events")
+	assert.Zero(t, idle.Hints.Len(), "an idle entry was sent cache events")
+	assert.Zero(t, fl.Agent("e0").Server.Counts().OffersDropped.Load())
+	own := fl.Agent("e0").Own
+	eventually(t, func() bool { return own.Counts().Reads > own.Counts().Failed }, "the engine's own load was not read")
+	fl.Upstream("e0").Kill()
+	_, _ = generate(t.Context(), busy, "notices the death")
+	eventually(t, func() bool { return !known() }, "hints outlast the engine")
+}
+
+// TestModelMoves guards against requests that fail while a model moves, and
+// against an entry that routes to an engine which has not loaded it.
+func TestModelMoves(t *testing.T) {
+	config := writers(t, 2, 1, "")
+	config.Models[0].Replicas = 1
+	config.Upstreams[1].Models = []string{"none"}
+	fl := begin(t, config, WithEngines(engine.WithModels()))
+	models := func(name string) []string { return fl.Upstream(name).(*engine.Server).Models() }
+	holds := func(name string) bool { return fl.Entry("n0").Routes.Snapshot().Node(name).Holds("m") }
+	eventually(t, func() bool { return holds("e0") && !holds("e1") }, "e0 did not load its model")
+	next := *config
+	next.Upstreams = slices.Clone(config.Upstreams)
+	next.Upstreams[0].Models, next.Upstreams[1].Models = []string{"none"}, []string{"m"}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan *citronstream.Fault, 1)
+	go func() {
+		for ctx.Err() == nil {
+			if _, fa := generate(t.Context(), fl.Entry("n0"), "while the model moves"); fa != nil {
+				ended <- fa
+				return
+			}
+		}
+		ended <- nil
+	}()
+	_, err := fl.Operator.Accept(ctx, 1, &next, "test")
+	require.NoError(t, err)
+	eventually(t, func() bool { return holds("e1") && !holds("e0") && len(models("e0")) == 0 }, "the model did not move")
+	cancel()
+	assert.Nil(t, <-ended)
+	assert.Equal(t, []string{"m"}, models("e1"))
+	assert.Equal(t, "spare", fl.Upstream("e0").(*engine.Server).Role())
+}
--- a/internal/process/local/local.go
+++ b/internal/process/local/local.go
@@ -66,6 +66,8 @@
 	seed  uint64
 	token string
 
+	engines []engine.Option
+
 	ctx    context.Context
 	cancel context.CancelFunc
 	eng    *nbconn.Engine
@@ -90,6 +92,9 @@
 // WithLog sets the logger of all processes.
 func WithLog(log logr.Logger) Option { return func(fl *Fleet) { fl.log = log } }
 
+// WithEngines adds options to the engines' stand-ins.
+func WithEngines(opts ...engine.Option) Option { return func(fl *Fleet) { fl.engines = opts } }
+
 // New starts the fleet of a configuration. Stop ends it.
 func New(ctx context.Context, clk citronstream.Clock, config *citronstream.Fleet, opts ...Option) (*Fleet, error) {
 	fl := &Fleet{
@@ -155,6 +160,7 @@
 		if se.ChecksFencing {
 			opts = append(opts, engine.WithFencing())
 		}
+		opts = append(opts, fl.engines...)
 		st = engine.New(fl.clk, up.Name, fl.Record, opts...)
 	case citronstream.KindPlain:
 		opts := []service.Option{service.WithCapacity(up.Capacity), service.WithScale(fl.scale), service.WithSeed(fl.seed)}
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -85,7 +85,10 @@
 		sq := se.waiting[0]
 		se.waiting = slices.Delete(se.waiting, 0, 1)
 		blocks := Blocks(sq.prompt)
-		uncached := len(sq.prompt) - se.ca.match(blocks)*BlockBytes
+		cached := se.ca.match(blocks) * BlockBytes
+		uncached := len(sq.prompt) - cached
+		se.prompted.Add(uint64(len(sq.prompt) / bytesPerToken))
+		se.reused.Add(uint64(cached / bytesPerToken))
 		se.ca.add(blocks)
 		prefill += time.Duration(uncached/bytesPerToken) * se.prefill
 		sq.id, sq.gen = se.log.Begin(sq.execution), newGenerator(sq.prompt)
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -100,6 +100,10 @@
 	return found
 }
 
+// CacheUse returns the prompt tokens of all sequences so far, and how many of
+// them were in the prefix cache.
+func (se *Server) CacheUse() (prompt, cached uint64) { return se.prompted.Load(), se.reused.Load() }
+
 // usage returns the share of the memory in use, 0 to 1.
 func (ca *cache) usage() float64 {
 	ca.mu.Lock()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/citronstream/citronstream"
@@ -44,6 +45,8 @@
 
 	wake chan struct{} // of capacity 1: a sequence waits
 
+	prompted, reused atomic.Uint64
+
 	mu       sync.Mutex
 	waiting  []*sequence // by priority, then arrival
 	running  []*sequence
--- a/message.go
+++ b/message.go
@@ -15,6 +15,7 @@
 	MethodVersion     = "Config.Version" // both ways, notification, VersionNotice
 	MethodPoke        = "Once.Poke"      // entry to agent, notification: a slot has no owner
 	MethodPoison      = "Poison.Report"  // both ways, notification
+	MethodCache       = "Peer.Cache"     // agent to entry, notification, changes of an engine's prefix cache
 	MethodFlushed     = "Once.Flushed"   // agent to entry, notification, Flushed
 	MethodSettle      = "Once.Settle"    // agent to entry
 	MethodAdminStatus = "Admin.Status"
