--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/agent/cachefeed"
+	"github.com/citronstream/citronstream/internal/agent/orders"
+	"github.com/citronstream/citronstream/internal/agent/ownload"
 	"github.com/citronstream/citronstream/internal/agent/server"
 	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/kernel/discipline"
@@ -22,6 +25,7 @@
 	"github.com/citronstream/citronstream/internal/peer/asker"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
+	"github.com/citronstream/citronstream/internal/upstream/report"
 	"github.com/go-logr/logr"
 
 	// The plug-ins that settings can name.
@@ -69,6 +73,14 @@
 	Up       citronstream.Upstream
 	Grant    *grant.Grant // nil for a service without non-idempotent calls
 	Claim    *claim.Claim
+	// Orders commands the engine, Fence has the epoch for it; both are nil
+	// for other kinds of upstream.
+	Orders *orders.Orders
+	Fence  *grant.Grant
+	// Cache follows the engine's prefix cache, and Own the upstream's report of
+	// its load; nil where there is none.
+	Cache *cachefeed.Feed
+	Own   *ownload.Watch
 
 	Config *version.Store
 	Queue  citronstream.Discipline
@@ -79,6 +91,7 @@
 	eng    *nbconn.Engine
 	cancel context.CancelFunc
 	ended  []<-chan struct{}
+	reader *report.Reader
 }
 
 // Find returns an agent once it knows a configuration that names its
@@ -121,6 +134,7 @@
 	ag := &Agent{set: set, clk: clk, eng: eng, Up: up, Holds: poison.New(clk, fl.Limits), Timeline: timeline.New(clk, timeline.WithProcess(up.Name))}
 	ag.Config = version.New(clk, set.Platform.Table, set.Platform.Objects,
 		version.WithFetcher(ag), version.WithQuiet(quiet), version.WithFirst(first))
+	engine, _ := pr.(orders.Engine)
 	if set.Wrap != nil {
 		pr = set.Wrap(pr)
 	}
@@ -138,6 +152,11 @@
 	if once := ag.ownership(clk, set, fl, se); once != nil {
 		opts = append(opts, server.WithOnce(once), server.WithGrant(ag.epoch, ag.Grant.Owned))
 	}
+	if engine != nil && se.Kind == citronstream.KindEngine {
+		opts = append(opts, ag.commands(engine, fl, se)...)
+	}
+	ag.reports(se)
+	opts = append(opts, server.WithFold(ag.fold))
 	ag.Server = server.New(clk, eng, up, pr, ag.Queue, append(opts, set.ServerOptions...)...)
 	return ag, nil
 }
@@ -163,7 +182,11 @@
 }
 
 func (ag *Agent) epoch() uint64 {
-	if le := ag.Grant.Lease(); le != nil {
+	gr := ag.Grant
+	if gr == nil {
+		gr = ag.Fence
+	}
+	if le := gr.Lease(); le != nil {
 		return le.Epoch
 	}
 	return 0
@@ -191,6 +214,18 @@
 	if ag.Grant != nil {
 		ag.ended = append(ag.ended, ag.Grant.Run(ctx), ag.Claim.Run(ctx))
 	}
+	if ag.Cache != nil {
+		ag.ended = append(ag.ended, ag.Cache.Run(ctx))
+	}
+	if ag.Own != nil {
+		ag.ended = append(ag.ended, ag.Own.Run(ctx))
+	}
+	if ag.Orders != nil {
+		ag.ended = append(ag.ended, ag.Orders.Run(ctx))
+		if ag.Fence != ag.Grant {
+			ag.ended = append(ag.ended, ag.Fence.Run(ctx))
+		}
+	}
 	return nil
 }
 
@@ -202,6 +237,9 @@
 	if ag.Grant != nil && err == nil {
 		err = ag.Grant.Drain(ctx)
 	}
+	if ag.Fence != nil && ag.Fence != ag.Grant && err == nil {
+		err = ag.Fence.Drain(ctx)
+	}
 	ag.Stop()
 	return err
 }
@@ -213,6 +251,9 @@
 	for _, ended := range ag.ended {
 		<-ended
 	}
+	if ag.reader != nil {
+		ag.reader.Close()
+	}
 }
 
 // apply puts a configuration in force and tells the entries.
@@ -221,6 +262,9 @@
 		qu.Configure(*sn.Fleet)
 	}
 	ag.Holds.Configure(sn.Fleet.Limits)
+	if ag.Orders != nil {
+		ag.Orders.Configure(sn.Fleet)
+	}
 	ag.Server.Broadcast(citronstream.MethodVersion, citronstream.VersionNotice{Version: sn.Fleet.Version})
 	ag.Timeline.Record(citronstream.Event{Kind: "ConfigInForce", Detail: strconv.FormatUint(sn.Fleet.Version, 10)})
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -29,6 +29,7 @@
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
 	"github.com/citronstream/citronstream/internal/route/outlier"
+	"github.com/citronstream/citronstream/internal/route/prefix"
 	"github.com/citronstream/citronstream/internal/route/table"
 	"github.com/go-logr/logr"
 
@@ -75,6 +76,7 @@
 	Budget   *retrybudget.Budget
 	Ledger   *ledger.Ledger
 	Times    *stagetime.Estimator
+	Hints    *prefix.Hints
 
 	set      Settings
 	clk      citronstream.Clock
@@ -103,6 +105,7 @@
 		Routes: table.New(clk), Holds: poison.New(clk, set.Limits), Budget: retrybudget.New(clk, set.Limits),
 		Times: stagetime.New(clk), Timeline: timeline.New(clk, timeline.WithProcess(set.Name)),
 	}
+	en.Hints = prefix.New(clk)
 	en.Keeper = witness.New(set.Platform.Table, set.Platform.Objects, clk, witness.WithRetention(set.Limits.KeyRetention.Std()))
 	en.Ledger = ledger.New(set.Platform.Table, clk, set.Name, uint64(en.started.UnixNano()), ledger.WithInterval(set.Limits.CostFlush.Std()))
 	en.Config = version.New(clk, set.Platform.Table, set.Platform.Objects,
@@ -110,12 +113,12 @@
 	en.ctx, en.cancel = context.WithCancel(ctx)
 	en.outliers = outlier.New(clk, en.Routes)
 	en.Agents = agents.New(en.ctx, clk, eng, en.Routes, en.hello,
-		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper),
+		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper), agents.WithGone(en.Hints.Drop),
 		agents.WithObserve(func(upstream string, version uint64) { en.Config.Observe(version, upstream) }))
 	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, en.Budget, append([]pipeline.Option{
 		pipeline.WithTimes(en.Times), pipeline.WithHolds(en.Holds),
 		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}), pipeline.WithPoke(en.poke),
-		pipeline.WithMeter(meter.New(en.Ledger, ledger.SideEntry)),
+		pipeline.WithMeter(meter.New(en.Ledger, ledger.SideEntry)), pipeline.WithPrefixes(prefixes{en}),
 	}, set.RunnerOptions...)...)
 	en.Server = server.New(clk, address, en.Runner, en.Catalog, set.Limits, append([]server.Option{server.WithReady(en.ready)}, set.ServerOptions...)...)
 	return en
@@ -131,7 +134,7 @@
 	next := &state{catalog: catalog.New(fl), pickers: make(map[string]citronstream.Picker, len(fl.Services))}
 	for i := range fl.Services {
 		se := &fl.Services[i]
-		picker, err := policy.New(se.Policy, policy.Deps{Table: en.Routes, Clock: en.clk, Seed: en.set.Seed, Outliers: en.outliers})
+		picker, err := policy.New(se.Policy, policy.Deps{Table: en.Routes, Clock: en.clk, Seed: en.set.Seed, Outliers: en.outliers, Hints: en.Hints})
 		if err != nil {
 			return err
 		}
@@ -291,6 +294,11 @@
 		if he, ok := li.Session().(citronstream.Hello); ok && re.Decode(&no) == nil {
 			en.Config.Observe(no.Version, he.Name)
 		}
+	case citronstream.MethodCache:
+		var ev prefix.Event
+		if re.Decode(&ev) == nil {
+			en.Hints.Apply(ev)
+		}
 	case citronstream.MethodFlushed:
 		var fl claim.Notice
 		if re.Decode(&fl) == nil {
