Keep the verdict of an attempt whose agent is gone

Cause: settle built its result without the attempt's identifier, so that accept took it for the result of another attempt: the caller got code internal instead of link-lost, Counts.Corrupt was raised, and a keyed call was not asked for again at the next owner of its slot. Change: the result carries the identifier. Measured: TestVerdictAtEachBreak fails without it ('link lost for good while the call runs': code internal) and passes with it.

--- a/internal/entry/agents/run.go
+++ b/internal/entry/agents/run.go
@@ -114,7 +114,9 @@
 		cancel()
 		if err != nil || bootOf(li) != boot {
 			po.counts.Unsettled.Add(1)
-			return failed(ag.up.Name, citronstream.MayHaveRun, citronstream.CodeLinkLost, "the agent that had the call is gone"), ctx.Err()
+			re := failed(ag.up.Name, citronstream.MayHaveRun, citronstream.CodeLinkLost, "the agent that had the call is gone")
+			re.AttemptID = ca.AttemptID // accept drops a result of another attempt
+			return re, ctx.Err()
 		}
 		have, next := fl.position()
 		left := ca.Left
