Slots: a lost owner's last report does not hide the new owner

Cause: Owner compared the epochs of two different agents, which count the starts of each, and kept the first at a tie. After a takeover from an agent that is gone, its last report, never withdrawn, kept its slots unroutable at every entry: all orders of those slots were refused as unavailable. Change: a node whose state is Gone owns nothing. Measured: TestHolderPausedPastItsGrant, orders sent after the takeover: 12 of 30 unavailable before, none after.

--- a/internal/route/table/table.go
+++ b/internal/route/table/table.go
@@ -194,6 +194,9 @@
 		if re == nil || re.slots&(1<<slot) == 0 || slices.Contains(exclude, no.Name) || best != nil && re.load.Epoch <= epoch {
 			continue
 		}
+		if no.State() == Gone { // its last report outlives it, and epochs of two agents don't compare
+			continue
+		}
 		best, epoch = no, re.load.Epoch
 	}
 	// The owner by epoch counts even if it leaves: a lower epoch is stale.
