agent: leave the pace of idle links to the entry

Cause: the quicker end of a link sets the pace of its heartbeats. An agent paced by its own 45 links checked each after 4.5 s, so that an entry with 212 links exchanged 47 heartbeats a second, not the 10 of the byte budget.

Change: the agent checks an idle link after 30 s, more than the 21 s of an entry with 212 links, and after 1 s while calls or queries of that entry are open.

--- a/internal/agent/server/peer.go
+++ b/internal/agent/server/peer.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/subtle"
 	"sync/atomic"
+	"time"
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/agent/attempts"
@@ -16,6 +17,7 @@
 	li    *link.Link
 	name  string
 	known atomic.Bool   // the hello was accepted
+	open  atomic.Int64  // calls and queries of this entry without an answer
 	ready chan struct{} // closed when li is set
 	gone  chan struct{}
 }
@@ -106,7 +108,7 @@
 	if ca.Version > pe.se.version() {
 		pe.se.observe(pe.name, ca.Version)
 	}
-	pe.se.admit(ca, &reply{pe: pe, re: re})
+	pe.se.admit(ca, pe.newReply(re))
 }
 
 func (pe *peer) query(re *link.Request) {
@@ -117,7 +119,7 @@
 	}
 	se := pe.se
 	se.counts.Queried.Add(1)
-	to := &reply{pe: pe, re: re}
+	to := pe.newReply(re)
 	at, ok := se.attempts.Get(qu.AttemptID)
 	if !ok {
 		se.counts.Buried.Add(1)
@@ -146,8 +148,22 @@
 
 // reply is where the answer to one start or query goes.
 type reply struct {
-	pe *peer
-	re *link.Request
+	pe       *peer
+	re       *link.Request
+	answered atomic.Bool
+}
+
+// newReply counts a call or query of the entry as open until it is answered.
+func (pe *peer) newReply(re *link.Request) *reply {
+	pe.open.Add(1)
+	return &reply{pe: pe, re: re}
+}
+
+// close takes the call or query off the open ones.
+func (to *reply) close() {
+	if to.answered.CompareAndSwap(false, true) {
+		to.pe.open.Add(-1)
+	}
 }
 
 var _ attempts.Peer = (*reply)(nil)
@@ -156,4 +172,24 @@
 func (to *reply) Chunk(ch citronstream.Chunk) { _ = to.pe.li.Notify(citronstream.MethodChunk, ch) }
 
 // Reply implements attempts.Peer.
-func (to *reply) Reply(re citronstream.Result) { to.re.Reply(re) }
+func (to *reply) Reply(re citronstream.Result) {
+	to.close()
+	to.re.Reply(re)
+}
+
+// Times after which the agent checks a quiet link. The quicker end of a link
+// sets the pace of its heartbeats, and the entry has the larger number of
+// links to pace (design, section 3): 212 links are checked each 21 s. The agent
+// waits longer than that, or 47 of its heartbeats a second would reach each entry.
+const (
+	openCheck = time.Second // with calls or queries open
+	idleCheck = 30 * time.Second
+)
+
+// idleCheck is how long this entry may be quiet before the link is checked.
+func (pe *peer) idleCheck() time.Duration {
+	if pe.open.Load() > 0 {
+		return openCheck
+	}
+	return idleCheck
+}
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -188,7 +188,7 @@
 	pe := &peer{se: se, ready: make(chan struct{}), gone: make(chan struct{})}
 	se.mu.Lock()
 	defer se.mu.Unlock()
-	li := link.New(se.ctx, se.clk, stream, pe.handle, link.WithIdleCheck(se.idleCheck), link.WithVersion(se.version, pe.heard))
+	li := link.New(se.ctx, se.clk, stream, pe.handle, link.WithIdleCheck(pe.idleCheck), link.WithVersion(se.version, pe.heard))
 	pe.li = li
 	close(pe.ready)
 	se.links[li] = pe
@@ -267,17 +267,3 @@
 		se.rec.Record(ev)
 	}
 }
-
-// idleBytes is the budget for heartbeats on idle links, in bytes a second, and
-// pingBytes what one costs in both directions with its TCP headers.
-const (
-	idleBytes = 3000
-	pingBytes = 300
-)
-
-// idleCheck paces the heartbeats of idle links by the byte budget.
-func (se *Server) idleCheck() time.Duration {
-	se.mu.Lock()
-	defer se.mu.Unlock()
-	return max(time.Second, time.Duration(len(se.links))*pingBytes*time.Second/idleBytes)
-}
