--- a/internal/proof/bench/control_test.go
+++ b/internal/proof/bench/control_test.go
@@ -66,7 +66,7 @@
 	sizes(b, func(fl *citronstream.Fleet, home Region, size string) {
 		st := newStage(b)
 		fl.Version = st.accept(fl)
-		as, err := NewAgents(st.ctx, st.clk, st.eng, fl, home.Upstreams, len(home.Entries))
+		as, err := NewAgents(st.ctx, st.clk, st.eng, fl, home.Upstreams)
 		require.NoError(b, err)
 		en := home.Entries[0]
 		ch := st.spawn(Child{Role: "entry", Name: en.Name, Zone: home.Zone, Address: en.Address})
--- a/internal/proof/bench/peers.go
+++ b/internal/proof/bench/peers.go
@@ -33,8 +33,11 @@
 	return links
 }
 
+// agentPace is how long an agent lets an idle link be quiet.
+const agentPace = 30 * time.Second
+
 // Agents are minimal agents with their upstreams: they answer each call at
-// once, and check idle links at the pace of a full-size agent.
+// once, and check idle links as agents do.
 type Agents struct {
 	Meter   *Meter
 	Version atomic.Uint64
@@ -42,13 +45,12 @@
 	ctx  context.Context
 	clk  citronstream.Clock
 	eng  *nbconn.Engine
-	pace time.Duration
 	kind map[string]string // of services
 }
 
 // NewAgents listens for a fleet's upstreams until ctx ends.
-func NewAgents(ctx context.Context, clk citronstream.Clock, eng *nbconn.Engine, fl *citronstream.Fleet, ups []citronstream.Upstream, entries int) (*Agents, error) {
-	as := &Agents{Meter: &Meter{}, ctx: ctx, clk: clk, eng: eng, pace: Pace(entries), kind: make(map[string]string)}
+func NewAgents(ctx context.Context, clk citronstream.Clock, eng *nbconn.Engine, fl *citronstream.Fleet, ups []citronstream.Upstream) (*Agents, error) {
+	as := &Agents{Meter: &Meter{}, ctx: ctx, clk: clk, eng: eng, kind: make(map[string]string)}
 	as.Version.Store(fl.Version)
 	for _, se := range fl.Services {
 		as.kind[se.Name] = se.Kind
@@ -76,7 +78,7 @@
 			continue
 		}
 		link.New(as.ctx, as.clk, as.Meter.Wrap(st), func(li *link.Link, re *link.Request) { as.handle(li, re, up) },
-			link.WithIdleCheck(func() time.Duration { return as.pace }), link.WithVersion(as.Version.Load, func(*link.Link, uint64) {}))
+			link.WithIdleCheck(func() time.Duration { return agentPace }), link.WithVersion(as.Version.Load, func(*link.Link, uint64) {}))
 	}
 }
 
--- a/internal/proof/bench/rate_test.go
+++ b/internal/proof/bench/rate_test.go
@@ -1,7 +1,6 @@
 package bench
 
 import (
-	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -21,7 +20,7 @@
 	home := Home(fl)
 	st := newStage(b)
 	fl.Version = st.accept(fl)
-	_, err = NewAgents(st.ctx, st.clk, st.eng, fl, home.Upstreams, len(home.Entries))
+	_, err = NewAgents(st.ctx, st.clk, st.eng, fl, home.Upstreams)
 	require.NoError(b, err)
 	en := home.Entries[0]
 	ch := st.spawn(Child{Role: "entry", Name: en.Name, Zone: home.Zone, Address: en.Address, Threads: 2})
@@ -88,7 +87,7 @@
 		sum += done[i]
 		if failed[i] != nil {
 			dr.failed++
-			st.tb.Log(fmt.Sprintf("caller %d: %v", i, failed[i]))
+			st.tb.Logf("caller %d: %v", i, failed[i])
 		}
 	}
 	return float64(sum), dr
