--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -2,23 +2,30 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"strconv"
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/agent/cachefeed"
+	"github.com/citronstream/citronstream/internal/agent/orders"
+	"github.com/citronstream/citronstream/internal/agent/ownload"
 	"github.com/citronstream/citronstream/internal/agent/server"
 	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/kernel/discipline"
 	"github.com/citronstream/citronstream/internal/kernel/protocol"
 	"github.com/citronstream/citronstream/internal/limit/poison"
+	"github.com/citronstream/citronstream/internal/observe/ledger"
+	"github.com/citronstream/citronstream/internal/observe/meter"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
 	"github.com/citronstream/citronstream/internal/once/claim"
 	"github.com/citronstream/citronstream/internal/once/grant"
 	"github.com/citronstream/citronstream/internal/peer/asker"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
+	"github.com/citronstream/citronstream/internal/upstream/report"
 	"github.com/go-logr/logr"
 
 	// The plug-ins that settings can name.
@@ -49,6 +56,13 @@
 	// entries; tests put faults there. Nil changes nothing.
 	Wrap   func(citronstream.Protocol) citronstream.Protocol
 	Stream func(link.Stream) link.Stream
+	// Listen and Address replace the addresses of the agent and of the upstream
+	// in the Fleet, unless they are empty.
+	Listen, Address string
+	// ServerOptions are applied last. Extra takes the messages of entries that
+	// the agent doesn't know, and returns false for those it doesn't know either.
+	ServerOptions []server.Option
+	Extra         func(li *link.Link, re *link.Request) bool
 }
 
 // Agent is one agent process.
@@ -59,15 +73,25 @@
 	Up       citronstream.Upstream
 	Grant    *grant.Grant // nil for a service without non-idempotent calls
 	Claim    *claim.Claim
+	// Orders commands the engine, Fence has the epoch for it; both are nil
+	// for other kinds of upstream.
+	Orders *orders.Orders
+	Fence  *grant.Grant
+	// Cache follows the engine's prefix cache, and Own the upstream's report of
+	// its load; nil where there is none.
+	Cache *cachefeed.Feed
+	Own   *ownload.Watch
 
 	Config *version.Store
 	Queue  citronstream.Discipline
+	Ledger *ledger.Ledger
 
 	set    Settings
 	clk    citronstream.Clock
 	eng    *nbconn.Engine
 	cancel context.CancelFunc
 	ended  []<-chan struct{}
+	reader *report.Reader
 }
 
 // Find returns an agent once it knows a configuration that names its
@@ -98,6 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
+	up.Agent, up.Address = cmp.Or(set.Listen, up.Agent), cmp.Or(set.Address, up.Address)
 	pr, err := protocol.Get(se.Protocol)
 	if err != nil {
 		return nil, err
@@ -109,11 +134,14 @@
 	ag := &Agent{set: set, clk: clk, eng: eng, Up: up, Holds: poison.New(clk, fl.Limits), Timeline: timeline.New(clk, timeline.WithProcess(up.Name))}
 	ag.Config = version.New(clk, set.Platform.Table, set.Platform.Objects,
 		version.WithFetcher(ag), version.WithQuiet(quiet), version.WithFirst(first))
+	engine, _ := pr.(orders.Engine)
 	if set.Wrap != nil {
 		pr = set.Wrap(pr)
 	}
 	ag.Queue = factory(discipline.Settings{Clock: clk, Fleet: *fl, Capacity: up.Capacity, Rate: firstRate(se, up.Capacity)})
+	ag.Ledger = ledger.New(set.Platform.Table, clk, up.Name, uint64(clk.Now().UnixNano()), ledger.WithInterval(fl.Limits.CostFlush.Std()))
 	opts := []server.Option{
+		server.WithMeter(meter.New(ag.Ledger, ledger.SideAgent)),
 		server.WithHolds(ag.Holds), server.WithRecorder(ag.Timeline), server.WithLog(log), server.WithToken(set.Token),
 		server.WithVersion(ag.Config.Version, func(entry string, version uint64) { ag.Config.Observe(version, entry) }),
 		server.WithExtra(ag.handle),
@@ -124,7 +152,12 @@
 	if once := ag.ownership(clk, set, fl, se); once != nil {
 		opts = append(opts, server.WithOnce(once), server.WithGrant(ag.epoch, ag.Grant.Owned))
 	}
-	ag.Server = server.New(clk, eng, up, pr, ag.Queue, opts...)
+	if engine != nil && se.Kind == citronstream.KindEngine {
+		opts = append(opts, ag.commands(engine, fl, se)...)
+	}
+	ag.reports(se)
+	opts = append(opts, server.WithFold(ag.fold))
+	ag.Server = server.New(clk, eng, up, pr, ag.Queue, append(opts, set.ServerOptions...)...)
 	return ag, nil
 }
 
@@ -149,7 +182,11 @@
 }
 
 func (ag *Agent) epoch() uint64 {
-	if le := ag.Grant.Lease(); le != nil {
+	gr := ag.Grant
+	if gr == nil {
+		gr = ag.Fence
+	}
+	if le := gr.Lease(); le != nil {
 		return le.Epoch
 	}
 	return 0
@@ -168,10 +205,27 @@
 		defer close(followed)
 		ag.Config.Run(ctx)
 	}()
-	ag.ended = append(ag.ended, followed)
+	flushed := make(chan struct{})
+	go func() {
+		defer close(flushed)
+		<-ag.Ledger.Run(ctx)
+	}()
+	ag.ended = append(ag.ended, followed, flushed)
 	if ag.Grant != nil {
 		ag.ended = append(ag.ended, ag.Grant.Run(ctx), ag.Claim.Run(ctx))
 	}
+	if ag.Cache != nil {
+		ag.ended = append(ag.ended, ag.Cache.Run(ctx))
+	}
+	if ag.Own != nil {
+		ag.ended = append(ag.ended, ag.Own.Run(ctx))
+	}
+	if ag.Orders != nil {
+		ag.ended = append(ag.ended, ag.Orders.Run(ctx))
+		if ag.Fence != ag.Grant {
+			ag.ended = append(ag.ended, ag.Fence.Run(ctx))
+		}
+	}
 	return nil
 }
 
@@ -183,6 +237,9 @@
 	if ag.Grant != nil && err == nil {
 		err = ag.Grant.Drain(ctx)
 	}
+	if ag.Fence != nil && ag.Fence != ag.Grant && err == nil {
+		err = ag.Fence.Drain(ctx)
+	}
 	ag.Stop()
 	return err
 }
@@ -194,6 +251,9 @@
 	for _, ended := range ag.ended {
 		<-ended
 	}
+	if ag.reader != nil {
+		ag.reader.Close()
+	}
 }
 
 // apply puts a configuration in force and tells the entries.
@@ -202,6 +262,9 @@
 		qu.Configure(*sn.Fleet)
 	}
 	ag.Holds.Configure(sn.Fleet.Limits)
+	if ag.Orders != nil {
+		ag.Orders.Configure(sn.Fleet)
+	}
 	ag.Server.Broadcast(citronstream.MethodVersion, citronstream.VersionNotice{Version: sn.Fleet.Version})
 	ag.Timeline.Record(citronstream.Event{Kind: "ConfigInForce", Detail: strconv.FormatUint(sn.Fleet.Version, 10)})
 }
@@ -221,7 +284,7 @@
 			ag.Grant.Poke()
 		}
 	default:
-		return false
+		return ag.set.Extra != nil && ag.set.Extra(li, re)
 	}
 	return true
 }
--- /dev/null
+++ b/internal/process/daemon/entry.go
@@ -0,0 +1,248 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/config/settings"
+	"github.com/citronstream/citronstream/internal/config/version"
+	"github.com/citronstream/citronstream/internal/entry/pipeline"
+	"github.com/citronstream/citronstream/internal/entry/server"
+	"github.com/citronstream/citronstream/internal/observe/ledger"
+	"github.com/citronstream/citronstream/internal/observe/timeline"
+	"github.com/citronstream/citronstream/internal/operator/report"
+	"github.com/citronstream/citronstream/internal/peer/link"
+	"github.com/citronstream/citronstream/internal/process/entry"
+	"github.com/citronstream/citronstream/internal/route/table"
+	"golang.org/x/sync/errgroup"
+)
+
+// An entry asks its agents side by side and gives up on those that are late.
+const (
+	askWait = 2 * time.Second
+	askers  = 32
+)
+
+// entryRole is a daemon as an entry.
+type entryRole struct {
+	da *Daemon
+	en atomic.Pointer[entry.Entry]
+	// named says that the configuration in force names this entry.
+	named atomic.Bool
+}
+
+func newEntry(da *Daemon) *entryRole { return &entryRole{da: da} }
+
+func (ro *entryRole) open(ctx context.Context) error {
+	da := ro.da
+	zone, address, err := ro.place()
+	if err != nil {
+		return err
+	}
+	en := entry.New(ctx, da.clk, da.eng, entry.Settings{
+		Name: da.set.Process.Name, Zone: zone, Seed: uint64(da.started.UnixNano()), Token: da.token,
+		Peers: da.set.Process.Peers, Platform: da.plat, Limits: da.limits(),
+		ServerOptions: []server.Option{server.WithReady(ro.serves), server.WithDone(ro.done), server.WithTLS(da.tls)},
+		RunnerOptions: []pipeline.Option{pipeline.WithMeter(meter{side: ledger.SideEntry, ledger: da.ledger, set: da.metrics})},
+	}, address, da.log)
+	if err := en.Start(); err != nil {
+		return err
+	}
+	en.Config.Subscribe(func(sn *version.Snapshot) {
+		ro.named.Store(slices.ContainsFunc(sn.Fleet.Entries, func(one citronstream.Entry) bool { return one.Name == da.set.Process.Name }))
+	})
+	ro.en.Store(en)
+	da.metrics.AddEntry(en)
+	return nil
+}
+
+// place returns the zone and the callers' address: those of the settings'
+// process, or else those that the settings' fleet gives to the entry.
+func (ro *entryRole) place() (zone, address string, err error) {
+	pr := &ro.da.set.Process
+	zone, address = pr.Zone, pr.Listen
+	if fl := ro.da.set.Fleet; fl != nil {
+		for _, self := range fl.Entries {
+			if self.Name != pr.Name {
+				continue
+			}
+			address = cmp.Or(own(pr.Listen, settings.New().Process.Listen), self.Address)
+			for _, in := range fl.Instances {
+				if in.Name == self.Instance {
+					zone = cmp.Or(zone, in.Zone)
+				}
+			}
+		}
+	}
+	if zone == "" {
+		return "", "", errors.New("settings key Process.Zone: missing")
+	}
+	return zone, address, nil
+}
+
+// done counts a request under the name of its rank.
+func (ro *entryRole) done(rq *pipeline.Request, took time.Duration, _ *pipeline.Outcome) {
+	name := "unknown"
+	if fl := ro.da.fleet(); fl != nil && rq.Rank < len(fl.Ranks) {
+		name = fl.Ranks[rq.Rank].Name
+	}
+	ro.da.metrics.Request(name, took)
+}
+
+func (ro *entryRole) config() *version.Store {
+	if en := ro.en.Load(); en != nil {
+		return en.Config
+	}
+	return nil
+}
+
+func (ro *entryRole) shutdown(ctx context.Context) error { return ro.en.Load().Shutdown(ctx) }
+
+// serves returns why callers can't be served. An entry that the configuration
+// doesn't name must not carry keyed calls: the successor of a dead agent asks
+// only the configured entries for calls that have no row in the table.
+func (ro *entryRole) serves() error {
+	if err := ro.da.notReady(); err != nil {
+		return err
+	}
+	if !ro.named.Load() {
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotReady, "the configuration has no entry %q", ro.da.set.Process.Name)
+	}
+	return nil
+}
+
+// Ready implements server.Process.
+func (ro *entryRole) Ready() error {
+	if err := ro.serves(); err != nil {
+		return err
+	}
+	if si := ro.en.Load().Agents.Sizes(); si.Agents > 0 && si.Links == 0 {
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotReady, "none of %d agents is linked", si.Agents)
+	}
+	return nil
+}
+
+// Status implements server.Process.
+func (ro *entryRole) Status(ctx context.Context) report.Status {
+	st := ro.da.status(report.RoleEntry, ro.Ready())
+	en := ro.en.Load()
+	if en == nil {
+		return st
+	}
+	st.InFlight = en.Server.InFlight()
+	st.Upstreams = Upstreams(en)
+	st.Agents = ask[report.Status](ctx, ro, en, citronstream.MethodAdminStatus, struct{}{})
+	slices.SortFunc(st.Agents, func(ag, other report.Status) int { return cmp.Compare(ag.Process, other.Process) })
+	return st
+}
+
+// Upstreams returns the routing table of an entry in the order of the names.
+func Upstreams(en *entry.Entry) []report.Upstream {
+	var list []report.Upstream
+	en.Routes.Snapshot().Each(func(sv *table.Service) {
+		for _, no := range sv.Nodes {
+			list = append(list, upstream(en, no))
+		}
+	})
+	slices.SortFunc(list, func(up, other report.Upstream) int { return cmp.Compare(up.Name, other.Name) })
+	return list
+}
+
+func upstream(en *entry.Entry, no *table.Node) report.Upstream {
+	now := no.Status()
+	up := report.Upstream{
+		Name: no.Name, Service: no.Service, Zone: no.Zone, State: now.State.String(),
+		Linked: en.Agents.Link(no.Name) != nil, Load: no.Load(), Weight: no.Weight(),
+	}
+	if now.State != table.Live {
+		up.Cause, up.Since = now.Source.String(), now.At
+	}
+	return up
+}
+
+// Timeline implements server.Process.
+func (ro *entryRole) Timeline(ctx context.Context, fi timeline.Filter, alone bool) []citronstream.Event {
+	en := ro.en.Load()
+	if en == nil {
+		return nil
+	}
+	lists := [][]citronstream.Event{en.Timeline.Snapshot(fi)}
+	if !alone {
+		for _, li := range ask[report.Timeline](ctx, ro, en, citronstream.MethodTimeline, fi) {
+			lists = append(lists, li.Events)
+		}
+	}
+	return timeline.Filter{Limit: fi.Limit}.Apply(timeline.Merge(lists...))
+}
+
+// Holds implements server.Process.
+func (ro *entryRole) Holds() ([]byte, error) {
+	if en := ro.en.Load(); en != nil {
+		return en.Holds.Export()
+	}
+	return json.Marshal([]struct{}{})
+}
+
+// Lift implements server.Process.
+func (ro *entryRole) Lift(ctx context.Context, digest uint64) int {
+	en := ro.en.Load()
+	if en == nil {
+		return 0
+	}
+	lifted := 0
+	if en.Holds.Lift(digest) {
+		lifted++
+	}
+	for _, li := range ask[report.Lifted](ctx, ro, en, report.MethodLift, report.Lift{Digest: digest}) {
+		lifted += li.Processes
+	}
+	return lifted
+}
+
+// Drain implements server.Process.
+func (ro *entryRole) Drain(ctx context.Context, name string) error {
+	if name == "" || name == ro.da.set.Process.Name {
+		ro.da.drain()
+		return nil
+	}
+	if en := ro.en.Load(); en != nil {
+		if li := en.Agents.Link(name); li != nil {
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
+			defer ro.da.clk.AfterFunc(askWait, cancel).Stop()
+			return li.Call(ctx, citronstream.MethodAdminDrain, report.Drain{Name: name}, &report.Drain{})
+		}
+	}
+	return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "no process %q is linked to this entry", name)
+}
+
+// ask sends a message to all linked agents and returns the answers that came in time.
+func ask[T any](ctx context.Context, ro *entryRole, en *entry.Entry, method string, params any) []T {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer ro.da.clk.AfterFunc(askWait, cancel).Stop()
+	var mu sync.Mutex
+	var answers []T
+	var eg errgroup.Group
+	eg.SetLimit(askers)
+	en.Agents.Links(func(_ string, li *link.Link) {
+		eg.Go(func() error {
+			var one T
+			if li.Call(ctx, method, params, &one) == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				answers = append(answers, one)
+			}
+			return nil
+		})
+	})
+	_ = eg.Wait() // agents that don't answer are left out
+	return answers
+}
