A refusal as not run stands: delayed requests with its key are barred

Also: probes that timed out counted as deaths, and entries had no links to the owners of keys in other regions. Change: the owner sets a fence for the key before it looks it up; only a refused connection is a death; entries connect to all upstreams of services with non-idempotent calls.

--- a/call.go
+++ b/call.go
@@ -34,6 +34,8 @@
 	// Left is the time to this stage's deadline when the call was sent. It is
 	// relative, so that the processes' clocks need not agree.
 	Left time.Duration `json:"Left"`
+	// RequestAt is when the caller's request reached its entry, by the entry's clock.
+	RequestAt time.Time `json:"RequestAt,omitzero"`
 	// SentAt is when the entry sent the call, by the entry's clock. A call that
 	// is too old does not run on an agent's grant.
 	SentAt time.Time `json:"SentAt,omitzero"`
--- a/internal/agent/server/death.go
+++ b/internal/agent/server/death.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/citronstream/citronstream"
@@ -106,7 +108,9 @@
 	var dl net.Dialer
 	nc, err := dl.DialContext(ctx, "tcp", se.up.Address)
 	if err != nil {
-		return false
+		// A time-out shows a busy or paused upstream. Only a refused connection
+		// shows that its process has ended.
+		return !errors.Is(err, syscall.ECONNREFUSED)
 	}
 	_ = nc.Close()
 	return true
--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -27,6 +27,10 @@
 	if se.recall(at) {
 		return
 	}
+	if ca.KeyGiven && !ca.Idempotent && se.fences.bars(&ca) {
+		se.refused(at, citronstream.NewFault(citronstream.NotRun, citronstream.CodeStale, "a later request with this key was refused as not run"))
+		return
+	}
 	if err := se.enqueue(at); err != nil {
 		se.counts.Refused.Add(1)
 		se.refuse(at, err)
@@ -98,10 +102,15 @@
 	se.runs.Add(1)
 	go func() {
 		defer se.runs.Done()
+		// The fence stands before the look: what comes later is barred, what came before is seen.
+		undo := se.fences.put(&at.Call, se.clk.Now())
 		of := *fa
 		if of.Verdict = se.once.Verdict(se.ctx, &at.Call); se.twin(at) {
 			of.Verdict = citronstream.MayHaveRun
 		}
+		if of.Verdict != citronstream.NotRun {
+			undo()
+		}
 		se.refused(at, &of)
 	}()
 }
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -63,6 +63,7 @@
 	wrap     func(link.Stream) link.Stream
 
 	attempts *attempts.Table
+	fences   fences
 	counts   Counts
 
 	mu      sync.Mutex
--- a/internal/entry/pipeline/pipeline.go
+++ b/internal/entry/pipeline/pipeline.go
@@ -62,6 +62,7 @@
 	Key       string
 	KeyGiven  bool
 	Trace     string
+	At        time.Time // arrival at this entry
 }
 
 // Outcome is the end of a request.
@@ -184,7 +185,7 @@
 	one := citronstream.Call{
 		RequestID: rq.ID, Workspace: rq.Workspace.Name, Owner: rq.Workspace.Owner, Rank: rq.Rank, Service: service, Call: call,
 		Path: sc.Path, Idempotent: sc.Idempotent, Key: rq.Key, KeyGiven: rq.KeyGiven, Body: rq.Body,
-		Digest: citronstream.Digest(rq.Body), Trace: rq.Trace,
+		Digest: citronstream.Digest(rq.Body), Trace: rq.Trace, RequestAt: rq.At,
 	}
 	price(&one, sc, 0)
 	return at.run(ctx, one, nil)
--- a/internal/entry/pipeline/stages.go
+++ b/internal/entry/pipeline/stages.go
@@ -68,7 +68,7 @@
 		RequestID: ex.rq.ID, Workspace: ex.rq.Workspace.Name, Owner: ex.rq.Workspace.Owner, Rank: ex.rq.Rank,
 		Pipeline: ex.pi.Name, Stage: st.Name, Service: st.Service, Call: st.Call, Path: sc.Path, Model: st.Model,
 		Idempotent: sc.Idempotent, Streams: sc.Streams && last && ex.sink != nil,
-		After: ex.rest[at+1], Body: body, Digest: citronstream.Digest(body), Trace: ex.rq.Trace,
+		After: ex.rest[at+1], Body: body, Digest: citronstream.Digest(body), Trace: ex.rq.Trace, RequestAt: ex.rq.At,
 	}
 	price(&ca, sc, ex.bu.MaxTokens())
 	if !sc.Idempotent {
--- a/internal/entry/server/request.go
+++ b/internal/entry/server/request.go
@@ -54,6 +54,7 @@
 		release()
 		return nil, nil, fa
 	}
+	cl.At = cl.start
 	var err error
 	if cl.Body, err = io.ReadAll(io.LimitReader(rq.Body, int64(ca.Fleet.Limits.MaxBodyBytes)+1)); err != nil {
 		release()
--- a/internal/entry/server/serve.go
+++ b/internal/entry/server/serve.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/entry/pipeline"
@@ -15,6 +16,9 @@
 // caller counts as too slow.
 const unsentChunks = 1024
 
+// lateAfter is how long after its deadline an answer counts as late.
+const lateAfter = 500 * time.Millisecond
+
 type handler func(ctx context.Context, wr http.ResponseWriter, rq *http.Request, cl *caller) pipeline.Outcome
 
 // serve admits a request, runs it, and counts its end.
@@ -37,7 +41,11 @@
 	wr.Header().Set(headerRequest, cl.ID)
 	out := run(ctx, wr, rq, cl)
 	se.count(ctx, out.Fault)
-	se.done(&cl.Request, se.clk.Now().Sub(cl.start), &out)
+	took := se.clk.Now().Sub(cl.start)
+	if took > cl.Deadline+lateAfter {
+		se.counts.Late.Add(1)
+	}
+	se.done(&cl.Request, took, &out)
 }
 
 // ofKey makes a refusal speak of the caller's key. An entry that refuses
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -33,7 +33,7 @@
 
 // Counts are the counters of a Server.
 type Counts struct {
-	Accepted, Completed, NotRun, MayHaveRun, Ran, Disconnected, SlowReaders, Limited atomic.Uint64
+	Accepted, Completed, NotRun, MayHaveRun, Ran, Disconnected, SlowReaders, Limited, Late atomic.Uint64
 }
 
 // Server serves callers.
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -150,7 +150,8 @@
 }
 
 // near returns the upstreams that this entry connects to: those of its own
-// region, and those of services that its region lacks.
+// region, those of services that its region lacks, and those of services with
+// non-idempotent calls, as a key has one owner in the whole fleet.
 func (en *Entry) near(fl *citronstream.Fleet) []citronstream.Upstream {
 	region := make(map[string]string)
 	for _, re := range fl.Regions {
@@ -162,6 +163,12 @@
 	for _, in := range fl.Instances {
 		zone[in.Name] = in.Zone
 	}
+	keyed := make(map[string]bool)
+	for i := range fl.Services {
+		for _, sc := range fl.Services[i].Calls {
+			keyed[fl.Services[i].Name] = keyed[fl.Services[i].Name] || !sc.Idempotent
+		}
+	}
 	home := region[en.set.Zone]
 	served := make(map[string]bool)
 	for _, up := range fl.Upstreams {
@@ -171,7 +178,7 @@
 	}
 	var near []citronstream.Upstream
 	for _, up := range fl.Upstreams {
-		if region[zone[up.Instance]] == home || !served[up.Service] {
+		if region[zone[up.Instance]] == home || !served[up.Service] || keyed[up.Service] {
 			near = append(near, up)
 		}
 	}
