Verdicts on keys after a lost link; file descriptors

Change: a NotRun that the owner of the key did not look up becomes MayHaveRun; entries killed during a request count until they are gone; a flood has at most 3,000 requests in flight; nbio's tables follow the limit on open files.

--- a/call.go
+++ b/call.go
@@ -88,12 +88,15 @@
 	// Replayed says that the answer is that of an earlier attempt with the same key.
 	Replayed bool `json:"Replayed,omitempty"`
 	// Unflushed says that the call ran on the agent's grant and is not in the table yet.
-	Unflushed bool   `json:"Unflushed,omitempty"`
-	Died      bool   `json:"Died,omitempty"` // the upstream died while it ran the call
-	Fault     *Fault `json:"Fault,omitempty"`
-	Load      *Load  `json:"Load,omitempty"`
-	Version   uint64 `json:"Version"`
-	Clock     uint64 `json:"Clock,omitempty"`
+	Unflushed bool `json:"Unflushed,omitempty"`
+	// KeyChecked says that the verdict speaks of the call's key, not only of
+	// this attempt: the owner of the key has looked it up.
+	KeyChecked bool   `json:"KeyChecked,omitempty"`
+	Died       bool   `json:"Died,omitempty"` // the upstream died while it ran the call
+	Fault      *Fault `json:"Fault,omitempty"`
+	Load       *Load  `json:"Load,omitempty"`
+	Version    uint64 `json:"Version"`
+	Clock      uint64 `json:"Clock,omitempty"`
 }
 
 // Load is an agent's report on its upstream.
--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -130,7 +130,7 @@
 		Kind: "CallRefused", RequestID: at.Call.RequestID, AttemptID: at.Call.AttemptID,
 		Upstream: se.up.Name, Verdict: fa.Verdict.String(), Detail: string(fa.Code),
 	})
-	se.finish(at, citronstream.Result{Fault: fa})
+	se.finish(at, citronstream.Result{Fault: fa, KeyChecked: !at.Call.Idempotent})
 }
 
 // finish ends an attempt and sends its result.
@@ -283,6 +283,7 @@
 		return output, re
 	})
 	_ = at.Emit(output)
+	re.KeyChecked = true
 	return re
 }
 
--- a/internal/entry/agents/run.go
+++ b/internal/entry/agents/run.go
@@ -21,12 +21,25 @@
 	}
 	li := ag.dial.Link()
 	if li == nil {
-		return failed(upstream, citronstream.NotRun, citronstream.CodeUnavailable, "no link to the agent of "+upstream)
+		return ofKey(&ca, failed(upstream, citronstream.NotRun, citronstream.CodeUnavailable, "no link to the agent of "+upstream))
 	}
 	if ca.Idempotent || po.keeper == nil {
 		return po.exchange(ctx, ag, li, ca, sink)
 	}
-	return po.keyed(ctx, ag, li, ca)
+	return ofKey(&ca, po.keyed(ctx, ag, li, ca))
+}
+
+// ofKey makes a verdict speak of the caller's key. That this attempt did not
+// run says nothing of an earlier request with the key, unless the owner of the
+// key has looked it up.
+func ofKey(ca *citronstream.Call, re citronstream.Result) citronstream.Result {
+	if ca.Idempotent || !ca.KeyGiven || re.KeyChecked || re.Fault == nil || re.Fault.Verdict != citronstream.NotRun {
+		return re
+	}
+	fa := *re.Fault
+	fa.Verdict = citronstream.MayHaveRun
+	re.Fault = &fa
+	return re
 }
 
 // keyed makes an attempt at a call that must not be repeated. The keeper
--- a/internal/entry/pipeline/attempts.go
+++ b/internal/entry/pipeline/attempts.go
@@ -168,7 +168,11 @@
 	if fa.Verdict == citronstream.NotRun || ca.Idempotent {
 		return true
 	}
-	return fa.Verdict == citronstream.MayHaveRun && ca.Key != "" && (fa.Code == citronstream.CodeLinkLost || fa.Code == citronstream.CodeNotOwner)
+	switch fa.Code {
+	case citronstream.CodeLinkLost, citronstream.CodeNotOwner, citronstream.CodeUnavailable:
+		return fa.Verdict == citronstream.MayHaveRun && ca.Key != ""
+	}
+	return false
 }
 
 func (at *attempts) success(ca *citronstream.Call, re citronstream.Result) Outcome {
--- a/internal/peer/nbconn/nbconn.go
+++ b/internal/peer/nbconn/nbconn.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/lesismal/nbio"
@@ -21,6 +22,16 @@
 	MaxOutbound = 16 << 20
 )
 
+// nbio keeps a table of all file descriptors for each engine, 16 MB by
+// default, which the garbage collector scans. The process's limit on open
+// files is enough.
+func init() {
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil && limit.Cur < uint64(nbio.MaxOpenFiles) {
+		nbio.MaxOpenFiles = int(limit.Cur) + 1
+	}
+}
+
 // errOverrun ends a connection whose reader can't keep up.
 var errOverrun = merry.Sentinel("inbound limit of the connection passed")
 
--- a/internal/process/local/control.go
+++ b/internal/process/local/control.go
@@ -60,15 +60,22 @@
 	fl.mu.Lock()
 	en, ok := fl.entries[name]
 	delete(fl.entries, name)
+	address := ""
 	for _, co := range fl.Config.Entries {
 		if co.Name == name {
-			fl.killed[co.Address] = fl.clk.Now()
+			address = co.Address
+			fl.killed[address] = fl.clk.Now()
 		}
 	}
 	fl.mu.Unlock()
-	if ok {
-		en.Stop()
+	if !ok {
+		return
 	}
+	en.Stop()
+	// Requests that came between the start and the end of the stop broke too.
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.killed[address] = fl.clk.Now()
 }
 
 // Costs flushes what all processes have counted and reads the report.
--- a/internal/proof/load/load.go
+++ b/internal/proof/load/load.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/citronstream/citronstream"
@@ -21,6 +22,10 @@
 	// answerGrace is how long after its deadline an answer is still waited
 	// for before the request counts as lost.
 	answerGrace = 3 * time.Second
+	// maxFlooding bounds the requests of a flood in flight. Callers, entries and
+	// stand-ins share one process and its limit on open files: three floods at
+	// once ran out of 20,000, which the callers saw as resets.
+	maxFlooding = 3000
 	maxSends    = 4
 	resendAfter = 100 * time.Millisecond
 	// twiceShare is the share of orders that are sent through two entries at once.
@@ -51,6 +56,9 @@
 	classes []class
 	total   float64 // weight of all classes
 
+	flooding atomic.Int64 // requests of a flood in flight
+	skipped  atomic.Int64
+
 	mu     sync.Mutex
 	flood  *flood
 	trials []*trial
@@ -203,7 +211,12 @@
 			case <-lo.clk.After(wait):
 			}
 		}
-		lo.start(life, lo.newTrial(lo.draw(flood)))
+		cl := lo.draw(flood)
+		if cl.flood && lo.flooding.Load() >= maxFlooding {
+			lo.skipped.Add(1)
+			continue
+		}
+		lo.start(life, lo.newTrial(cl))
 	}
 	lo.wg.Wait()
 	lo.client.CloseIdleConnections()
@@ -213,7 +226,15 @@
 	lo.mu.Lock()
 	lo.trials = append(lo.trials, tr)
 	lo.mu.Unlock()
-	lo.wg.Go(func() { lo.run(ctx, tr) })
+	if tr.flood {
+		lo.flooding.Add(1)
+	}
+	lo.wg.Go(func() {
+		lo.run(ctx, tr)
+		if tr.flood {
+			lo.flooding.Add(-1)
+		}
+	})
 }
 
 func (lo *Load) draw(flood *flood) class {
--- a/internal/proof/load/report.go
+++ b/internal/proof/load/report.go
@@ -23,7 +23,8 @@
 	FalseNotRun int `json:"FalseNotRun"`
 	Invariants  int `json:"Invariants"` // violated conditions inside the program
 
-	Flood                    int                `json:"Flood"` // requests of a flood, part of Sent, not of the attainments
+	Flood                    int                `json:"Flood"`        // requests of a flood, part of Sent, not of the attainments
+	FloodSkipped             int                `json:"FloodSkipped"` // not sent, as too many were in flight
 	AttainmentByRank         map[string]float64 `json:"AttainmentByRank"`
 	AttainmentByWorkspace    map[string]float64 `json:"AttainmentByWorkspace"`
 	AttainmentByRankAndSpace map[string]float64 `json:"AttainmentByRankAndWorkspace"`
@@ -130,6 +131,7 @@
 		}
 	}
 	re.AttainmentByRank, re.AttainmentByWorkspace, re.AttainmentByRankAndSpace = ranks.values(), spaces.values(), both.values()
+	re.FloodSkipped = int(lo.skipped.Load())
 	re.FloodAttainment = flooded.value()
 	re.AddedLatencyP50Micros, re.AddedLatencyP99Micros = added.ValueAtQuantile(50), added.ValueAtQuantile(99)
 	return re
