--- a/internal/operator/server/server_test.go
+++ b/internal/operator/server/server_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -190,3 +191,13 @@
 		assert.Equal(t, row[1]+" "+row[2], pattern)
 	}
 }
+
+// Guards against a process that hangs in its start when another one has its
+// operators' address.
+func TestOccupiedAddress(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	se := New(clockwork.NewFakeClock(), ln.Addr().String(), &process{})
+	assert.ErrorContains(t, se.Start(context.Background()), "operators' address "+ln.Addr().String())
+}
--- a/internal/process/daemon/fleet_test.go
+++ b/internal/process/daemon/fleet_test.go
@@ -84,7 +84,7 @@
 		fl.client.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool(t, fl.tls.CertFile), MinVersion: tls.VersionTLS12}}
 	}
 	fl.binary = filepath.Join(fl.dir, "citronstream")
-	out, err := exec.Command("go", "build", "-o", fl.binary, "../../../cmd/citronstream").CombinedOutput()
+	out, err := exec.Command("go", append(append([]string{"build"}, buildFlags...), "-o", fl.binary, "../../../cmd/citronstream")...).CombinedOutput()
 	require.NoError(t, err, string(out))
 	upstreams := []struct{ name, service string }{
 		{"encoder-1", "encoder"}, {"writer-1", "writer"}, {"writer-2", "writer"}, {"desk-1", "order-desk"}, {"desk-2", "order-desk"},
