Entries follow the platform's list and missed heartbeats

Cause: an upstream that only the platform's list names as leaving went on getting work; FromList and FromHeartbeat had no source.

--- a/internal/entry/agents/agents.go
+++ b/internal/entry/agents/agents.go
@@ -188,6 +188,7 @@
 	po.gone(name)
 	po.routes.Mark(name, table.FromLink, table.Gone)
 	if errors.Is(err, link.ErrSilent) {
+		po.routes.Mark(name, table.FromHeartbeat, table.Suspect)
 		po.counts.LinksSilent.Add(1)
 		po.event(citronstream.Event{Kind: "LinkSilent", Upstream: name})
 	} else if errors.Is(err, link.ErrLost) {
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -24,6 +24,7 @@
 	pingAfter   = 300 * time.Millisecond // with calls in flight
 	idleAfter   = time.Second            // without
 	silentAfter = 1200 * time.Millisecond
+	lateAfter   = 400 * time.Millisecond // an unanswered ping makes the peer suspect
 	answerAfter = 800 * time.Millisecond // least wait for the answer to a ping
 )
 
@@ -91,6 +92,7 @@
 	version  func() uint64
 	observe  func(li *Link, version uint64)
 	inFlight atomic.Int64
+	late     atomic.Bool
 	done     chan struct{}
 	mu       sync.Mutex
 	err      error
@@ -161,6 +163,9 @@
 // Done is closed when the link has ended.
 func (li *Link) Done() <-chan struct{} { return li.done }
 
+// Late says that the peer owes the answer to a ping and has sent nothing since.
+func (li *Link) Late() bool { return li.late.Load() }
+
 // Err returns why the link ended, nil while it lives.
 func (li *Link) Err() error {
 	li.mu.Lock()
@@ -231,12 +236,16 @@
 		now := li.clk.Now()
 		if count := li.stream.Received(); count != last {
 			last, heard = count, now
+			li.late.Store(false)
 			continue
 		}
 		if now.Sub(heard) >= silentAfter && pinged.After(heard) && now.Sub(pinged) >= answerAfter {
 			li.closeWith(ErrSilent)
 			return
 		}
+		if pinged.After(heard) && now.Sub(pinged) >= lateAfter {
+			li.late.Store(true)
+		}
 		due := pingAfter
 		if li.inFlight.Load() == 0 {
 			due = li.idle()
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/entry/agents"
 	"github.com/citronstream/citronstream/internal/entry/catalog"
+	"github.com/citronstream/citronstream/internal/entry/membership"
 	"github.com/citronstream/citronstream/internal/entry/pipeline"
 	"github.com/citronstream/citronstream/internal/entry/server"
 	"github.com/citronstream/citronstream/internal/kernel/policy"
@@ -70,6 +71,7 @@
 	Config   *version.Store
 	Budget   *retrybudget.Budget
 	Hints    *prefix.Hints
+	Members  *membership.Watch
 
 	set      Settings
 	clk      citronstream.Clock
@@ -106,6 +108,7 @@
 	en.Agents = agents.New(en.ctx, clk, eng, en.Routes, en.hello,
 		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper), agents.WithGone(en.Hints.Drop),
 		agents.WithObserve(func(upstream string, version uint64) { en.Config.Observe(version, upstream) }))
+	en.Members = membership.New(clk, set.Platform.Liveness, en.Routes, en.Agents.Links)
 	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, en.Budget,
 		pipeline.WithTimes(stagetime.New(clk)), pipeline.WithHolds(en.Holds),
 		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}), pipeline.WithPoke(en.poke),
@@ -180,6 +183,10 @@
 		}
 	})
 	en.own(en.judge)
+	en.own(en.Members.Beat)
+	if en.set.Platform.Liveness != nil {
+		en.own(en.Members.List)
+	}
 	en.own(en.follow)
 	return nil
 }
--- a/internal/process/local/engines_test.go
+++ b/internal/process/local/engines_test.go
@@ -19,6 +19,7 @@
 	"github.com/citronstream/citronstream/internal/process/entry"
 	"github.com/citronstream/citronstream/internal/route/nearest"
 	"github.com/citronstream/citronstream/internal/route/prefix"
+	"github.com/citronstream/citronstream/internal/route/table"
 	"github.com/citronstream/citronstream/internal/standin/engine"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
@@ -234,3 +235,28 @@
 	assert.Equal(t, []string{"m"}, models("e1"))
 	assert.Equal(t, "spare", fl.Upstream("e0").(*engine.Server).Role())
 }
+
+// TestLeaving guards against work for an upstream that the platform lists as
+// leaving while its agent announces nothing, also after the agent was paused.
+func TestLeaving(t *testing.T) {
+	for name, pause := range map[string]bool{"silent agent": false, "paused agent": true} {
+		t.Run(name, func(t *testing.T) {
+			fl := begin(t, writers(t, 2, 1, ""))
+			en, no := fl.Entry("n0"), fl.Entry("n0").Routes.Snapshot().Node("e0")
+			fl.Gate("e0").Pause(pause)
+			if pause {
+				eventually(t, func() bool { return no.Status().Source == table.FromHeartbeat }, "no heartbeat was missed")
+			}
+			fl.List.Set(citronstream.InstanceState{Instance: "i0", Zone: "z", Leaving: true})
+			eventually(t, func() bool { return no.State() == table.Leaving || pause && no.State() == table.Gone }, "the list was not followed")
+			fl.Gate("e0").Pause(false)
+			eventually(t, func() bool { return en.Agents.Missing() == 0 && no.State() == table.Leaving }, "the agent is not back")
+			taken := fl.Agent("e0").Server.Counts().Taken.Load()
+			for range 50 {
+				_, fa := generate(t.Context(), en, "a prompt")
+				require.Nil(t, fa)
+			}
+			assert.Equal(t, taken, fl.Agent("e0").Server.Counts().Taken.Load())
+		})
+	}
+}
