Holds outlive the processes that found them

Change: limit/holdrow merges the table row Holds into the entry's holds every 2 s with a fifth of jitter and writes it by compare-and-set when a hold or a lift of this process is missing. Entries tell agents after the hello, and when the row adds a hold. Result: a content that killed two engines is refused as quarantined after the entry and all agents were replaced; go test -race passes on limit, process and entry. Seen to fail with the mechanism off: row not written, not read, agents not told after the hello, hold not tried again after a failure, unconditional write, repeated reports, lifted holds passed on, needless writes.

--- /dev/null
+++ b/internal/limit/holdrow/holdrow_test.go
@@ -0,0 +1,159 @@
+package holdrow
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/limit/poison"
+	"github.com/citronstream/citronstream/internal/standin/memtable"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+type entry struct {
+	ho      *poison.Holds
+	sy      *Sync
+	learned []uint64
+}
+
+func newEntry(clk citronstream.Clock, ta citronstream.Table) *entry {
+	en := &entry{ho: poison.New(clk, citronstream.DefaultLimits())}
+	en.sy = New(clk, ta, en.ho, func(reports []poison.Report) {
+		for _, report := range reports {
+			en.learned = append(en.learned, report.Held...)
+		}
+	})
+	return en
+}
+
+func (en *entry) hold(clk citronstream.Clock, digest uint64) {
+	if len(en.ho.Merge(poison.Report{ID: citronstream.NewID(), Upstream: "u", At: clk.Now(), Held: []uint64{digest}})) > 0 {
+		en.sy.Held()
+	}
+}
+
+func assertHeld(t *testing.T, en *entry, digests ...uint64) {
+	t.Helper()
+	for _, digest := range digests {
+		_, held := en.ho.Held(digest)
+		assert.True(t, held, "digest %d", digest)
+	}
+}
+
+// racing writes the row between another entry's read and write.
+type racing struct {
+	*memtable.Table
+	before func()
+}
+
+func (ra *racing) Write(ctx context.Context, opID string, ops ...citronstream.Op) error {
+	if before := ra.before; before != nil {
+		ra.before = nil
+		before()
+	}
+	return ra.Table.Write(ctx, opID, ops...)
+}
+
+// TestSync guards against holds that are lost with their process, in a race
+// of two entries, in an outage of the table or with a lost answer.
+func TestSync(t *testing.T) {
+	ctx := context.Background()
+	setup := func() (*clockwork.FakeClock, *memtable.Table, *entry) {
+		clk := clockwork.NewFakeClock()
+		ta := memtable.New(clk)
+		return clk, ta, newEntry(clk, ta)
+	}
+	t.Run("race of two entries", func(t *testing.T) {
+		clk, ta, a := setup()
+		b := newEntry(clk, &racing{ta, func() { a.hold(clk, 1); require.NoError(t, a.sy.Step(ctx)) }})
+		b.hold(clk, 2)
+		require.NoError(t, b.sy.Step(ctx))
+		c := newEntry(clk, ta)
+		require.NoError(t, c.sy.Step(ctx))
+		assertHeld(t, c, 1, 2)
+		assert.ElementsMatch(t, []uint64{1, 2}, c.learned)
+		require.NoError(t, c.sy.Step(ctx))
+		assert.Len(t, c.learned, 2, "the agents are told again with each read")
+		assert.Zero(t, c.sy.Counts().Writes)
+		assert.EqualValues(t, 1, b.sy.Counts().Conflicts)
+	})
+	t.Run("outage and lost answer", func(t *testing.T) {
+		clk, ta, a := setup()
+		ta.SetDown(true)
+		a.hold(clk, 1)
+		require.Error(t, a.sy.Step(ctx))
+		ta.SetDown(false)
+		ta.SetLoseAnswers(1)
+		assert.ErrorIs(t, a.sy.Step(ctx), citronstream.ErrUnknownOutcome)
+		require.NoError(t, a.sy.Step(ctx))
+		assert.EqualValues(t, 1, a.sy.Counts().Writes, "a row that holds it is written again")
+		b := newEntry(clk, ta)
+		require.NoError(t, b.sy.Step(ctx))
+		assertHeld(t, b, 1)
+	})
+	t.Run("known holds cost no write", func(t *testing.T) {
+		clk, ta, a := setup()
+		a.hold(clk, 1)
+		require.NoError(t, a.sy.Step(ctx))
+		b := newEntry(clk, ta)
+		b.hold(clk, 1)
+		require.NoError(t, b.sy.Step(ctx))
+		assert.Zero(t, b.sy.Counts().Writes)
+	})
+	t.Run("lift and end", func(t *testing.T) {
+		clk, ta, a := setup()
+		a.hold(clk, 1)
+		a.hold(clk, 2)
+		clk.Advance(time.Second)
+		require.True(t, a.ho.Lift(1))
+		require.NoError(t, a.sy.Step(ctx))
+		b := newEntry(clk, ta)
+		require.NoError(t, b.sy.Step(ctx))
+		assert.Equal(t, []uint64{2}, b.learned)
+		clk.Advance(citronstream.DefaultLimits().HoldFor.Std())
+		c := newEntry(clk, ta)
+		require.NoError(t, c.sy.Step(ctx))
+		assert.Empty(t, c.learned)
+	})
+	t.Run("malformed row", func(t *testing.T) {
+		clk, ta, a := setup()
+		require.NoError(t, ta.Write(ctx, "x", citronstream.Op{Key: Key, Value: []byte("no holds")}))
+		a.hold(clk, 1)
+		require.NoError(t, a.sy.Step(ctx))
+		b := newEntry(clk, ta)
+		require.NoError(t, b.sy.Step(ctx))
+		assertHeld(t, b, 1)
+	})
+}
+
+// TestRun guards against a loop that reads more often than the version poll
+// or does not write after a hold.
+func TestRun(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	ta := memtable.New(clk)
+	a := newEntry(clk, ta)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	ended := make(chan struct{})
+	go func() { defer close(ended); a.sy.Run(ctx) }()
+	for range 100 {
+		require.NoError(t, clk.BlockUntilContext(ctx, 1))
+		clk.Advance(200 * time.Millisecond)
+	}
+	require.NoError(t, clk.BlockUntilContext(ctx, 1))
+	assert.LessOrEqual(t, a.sy.Counts().Reads, uint64(13))
+	a.hold(clk, 1)
+	for {
+		if _, err := ta.Get(ctx, Key); !errors.Is(err, citronstream.ErrNotFound) {
+			break
+		}
+		require.NoError(t, ctx.Err())
+		require.NoError(t, clk.BlockUntilContext(ctx, 1))
+		clk.Advance(time.Millisecond)
+	}
+	cancel()
+	<-ended
+}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/citronstream/citronstream/internal/entry/pipeline"
 	"github.com/citronstream/citronstream/internal/entry/server"
 	"github.com/citronstream/citronstream/internal/kernel/policy"
+	"github.com/citronstream/citronstream/internal/limit/holdrow"
 	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/limit/retrybudget"
 	"github.com/citronstream/citronstream/internal/limit/stagetime"
@@ -72,6 +73,7 @@
 	Budget   *retrybudget.Budget
 	Hints    *prefix.Hints
 	Members  *membership.Watch
+	HoldRow  *holdrow.Sync
 
 	set      Settings
 	clk      citronstream.Clock
@@ -100,13 +102,14 @@
 		Routes: table.New(clk), Holds: poison.New(clk, set.Limits), Budget: retrybudget.New(clk, set.Limits), Timeline: timeline.New(clk, timeline.WithProcess(set.Name)),
 	}
 	en.Hints = prefix.New(clk)
+	en.HoldRow = holdrow.New(clk, set.Platform.Table, en.Holds, en.tellHolds)
 	en.Keeper = witness.New(set.Platform.Table, set.Platform.Objects, clk, witness.WithRetention(set.Limits.KeyRetention.Std()))
 	en.Config = version.New(clk, set.Platform.Table, set.Platform.Objects,
 		version.WithPoll(set.Limits.ConfigPoll.Std()), version.WithFetcher(en))
 	en.ctx, en.cancel = context.WithCancel(ctx)
 	en.outliers = outlier.New(clk, en.Routes)
 	en.Agents = agents.New(en.ctx, clk, eng, en.Routes, en.hello,
-		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper), agents.WithGone(en.Hints.Drop),
+		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper), agents.WithGone(en.Hints.Drop), agents.WithGreeted(en.greeted),
 		agents.WithObserve(func(upstream string, version uint64) { en.Config.Observe(version, upstream) }))
 	en.Members = membership.New(clk, set.Platform.Liveness, en.Routes, en.Agents.Links)
 	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, en.Budget,
@@ -184,6 +187,7 @@
 	})
 	en.own(en.judge)
 	en.own(en.Members.Beat)
+	en.own(en.HoldRow.Run)
 	if en.set.Platform.Liveness != nil {
 		en.own(en.Members.List)
 	}
@@ -344,20 +348,6 @@
 	return ow.routes.Owner(service, grant.SlotOf(workspace, key), exclude...)
 }
 
-// poison takes an agent's report and passes it on to the other agents.
-func (en *Entry) poison(from *link.Link, re *link.Request) {
-	var report poison.Report
-	if re.Decode(&report) != nil {
-		return
-	}
-	en.Holds.Merge(report)
-	en.Agents.Links(func(_ string, li *link.Link) {
-		if li != from {
-			_ = li.Notify(citronstream.MethodPoison, report)
-		}
-	})
-}
-
 // judge looks for outliers until the entry ends.
 func (en *Entry) judge(ctx context.Context) {
 	ticker := en.clk.NewTicker(judgeEvery)
--- /dev/null
+++ b/internal/process/entry/holds.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/limit/holdrow"
+	"github.com/citronstream/citronstream/internal/limit/poison"
+	"github.com/citronstream/citronstream/internal/peer/link"
+)
+
+// poison takes an agent's report and passes it on to the other agents.
+func (en *Entry) poison(from *link.Link, re *link.Request) {
+	var report poison.Report
+	if re.Decode(&report) != nil {
+		return
+	}
+	if held := en.Holds.Merge(report); len(held) > 0 {
+		en.HoldRow.Held()
+	}
+	en.Agents.Links(func(_ string, li *link.Link) {
+		if li != from {
+			_ = li.Notify(citronstream.MethodPoison, report)
+		}
+	})
+}
+
+// tellHolds passes holds from the table on to the agents.
+func (en *Entry) tellHolds(reports []poison.Report) {
+	en.Agents.Links(func(_ string, li *link.Link) { tell(li, reports) })
+}
+
+// greeted tells a new agent of the holds: it may know none.
+func (en *Entry) greeted(_ string, li *link.Link) {
+	tell(li, holdrow.Reports(holdrow.Holds(en.Holds), en.clk.Now()))
+}
+
+func tell(li *link.Link, reports []poison.Report) {
+	for _, report := range reports {
+		_ = li.Notify(citronstream.MethodPoison, report)
+	}
+}
--- a/internal/process/local/engines_test.go
+++ b/internal/process/local/engines_test.go
@@ -16,11 +16,14 @@
 	"github.com/citronstream/citronstream/internal/entry/pipeline"
 	"github.com/citronstream/citronstream/internal/entry/stagebody"
 	"github.com/citronstream/citronstream/internal/kernel/policy"
+	"github.com/citronstream/citronstream/internal/limit/holdrow"
+	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/process/entry"
 	"github.com/citronstream/citronstream/internal/route/nearest"
 	"github.com/citronstream/citronstream/internal/route/prefix"
 	"github.com/citronstream/citronstream/internal/route/table"
 	"github.com/citronstream/citronstream/internal/standin/engine"
+	"github.com/citronstream/citronstream/internal/standin/host"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -260,3 +263,46 @@
 		})
 	}
 }
+
+// TestHoldSurvives guards against a poison content that is free again once
+// the entry and the agents that saw its deaths are replaced.
+func TestHoldSurvives(t *testing.T) {
+	fl := begin(t, writers(t, 2, 1, ""))
+	ctx, cancel := context.WithTimeout(t.Context(), bound)
+	defer cancel()
+	prompt := "write " + host.PoisonMarker
+	for ctx.Err() == nil {
+		_, fa := generate(ctx, fl.Entry("n0"), prompt)
+		require.NotNil(t, fa)
+		for _, up := range fl.Config.Upstreams {
+			if !fl.Upstream(up.Name).Running() {
+				require.NoError(t, fl.Upstream(up.Name).Restart())
+			}
+		}
+		if fa.Code == citronstream.CodeQuarantined {
+			break
+		}
+	}
+	written := func() bool { _, err := fl.Table.Get(ctx, holdrow.Key); return err == nil }
+	eventually(t, written, "the hold was not written")
+	fl.StopEntry("n0")
+	for _, up := range fl.Config.Upstreams {
+		fl.StopAgent(up.Name)
+	}
+	for _, up := range fl.Config.Upstreams {
+		require.NoError(t, fl.StartAgent(up.Name))
+	}
+	require.NoError(t, fl.StartEntry("n0"))
+	require.NoError(t, fl.Ready(ctx))
+	var digest []poison.Hold
+	eventually(t, func() bool { digest = holdrow.Holds(fl.Entry("n0").Holds); return len(digest) == 1 }, "the new entry knows no hold")
+	for _, up := range fl.Config.Upstreams {
+		eventually(t, func() bool {
+			_, held := fl.Agent(up.Name).Holds.Held(digest[0].Digest)
+			return held
+		}, "the new agent knows no hold")
+	}
+	_, fa := generate(ctx, fl.Entry("n0"), prompt)
+	require.NotNil(t, fa)
+	assert.Equal(t, citronstream.CodeQuarantined, fa.Code)
+}
