--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -2,6 +2,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"strconv"
@@ -16,6 +17,8 @@
 	"github.com/citronstream/citronstream/internal/kernel/discipline"
 	"github.com/citronstream/citronstream/internal/kernel/protocol"
 	"github.com/citronstream/citronstream/internal/limit/poison"
+	"github.com/citronstream/citronstream/internal/observe/ledger"
+	"github.com/citronstream/citronstream/internal/observe/meter"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
 	"github.com/citronstream/citronstream/internal/once/claim"
 	"github.com/citronstream/citronstream/internal/once/grant"
@@ -53,6 +56,13 @@
 	// entries; tests put faults there. Nil changes nothing.
 	Wrap   func(citronstream.Protocol) citronstream.Protocol
 	Stream func(link.Stream) link.Stream
+	// Listen and Address replace the addresses of the agent and of the upstream
+	// in the Fleet, unless they are empty.
+	Listen, Address string
+	// ServerOptions are applied last. Extra takes the messages of entries that
+	// the agent doesn't know, and returns false for those it doesn't know either.
+	ServerOptions []server.Option
+	Extra         func(li *link.Link, re *link.Request) bool
 }
 
 // Agent is one agent process.
@@ -74,6 +84,7 @@
 
 	Config *version.Store
 	Queue  citronstream.Discipline
+	Ledger *ledger.Ledger
 
 	set    Settings
 	clk    citronstream.Clock
@@ -111,6 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
+	up.Agent, up.Address = cmp.Or(set.Listen, up.Agent), cmp.Or(set.Address, up.Address)
 	pr, err := protocol.Get(se.Protocol)
 	if err != nil {
 		return nil, err
@@ -127,7 +139,9 @@
 		pr = set.Wrap(pr)
 	}
 	ag.Queue = factory(discipline.Settings{Clock: clk, Fleet: *fl, Capacity: up.Capacity, Rate: firstRate(se, up.Capacity)})
+	ag.Ledger = ledger.New(set.Platform.Table, clk, up.Name, uint64(clk.Now().UnixNano()), ledger.WithInterval(fl.Limits.CostFlush.Std()))
 	opts := []server.Option{
+		server.WithMeter(meter.New(ag.Ledger, ledger.SideAgent)),
 		server.WithHolds(ag.Holds), server.WithRecorder(ag.Timeline), server.WithLog(log), server.WithToken(set.Token),
 		server.WithVersion(ag.Config.Version, func(entry string, version uint64) { ag.Config.Observe(version, entry) }),
 		server.WithExtra(ag.handle),
@@ -143,7 +157,7 @@
 	}
 	ag.reports(se)
 	opts = append(opts, server.WithFold(ag.fold))
-	ag.Server = server.New(clk, eng, up, pr, ag.Queue, opts...)
+	ag.Server = server.New(clk, eng, up, pr, ag.Queue, append(opts, set.ServerOptions...)...)
 	return ag, nil
 }
 
@@ -191,7 +205,12 @@
 		defer close(followed)
 		ag.Config.Run(ctx)
 	}()
-	ag.ended = append(ag.ended, followed)
+	flushed := make(chan struct{})
+	go func() {
+		defer close(flushed)
+		<-ag.Ledger.Run(ctx)
+	}()
+	ag.ended = append(ag.ended, followed, flushed)
 	if ag.Grant != nil {
 		ag.ended = append(ag.ended, ag.Grant.Run(ctx), ag.Claim.Run(ctx))
 	}
@@ -265,7 +284,7 @@
 			ag.Grant.Poke()
 		}
 	default:
-		return false
+		return ag.set.Extra != nil && ag.set.Extra(li, re)
 	}
 	return true
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -21,6 +21,8 @@
 	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/limit/retrybudget"
 	"github.com/citronstream/citronstream/internal/limit/stagetime"
+	"github.com/citronstream/citronstream/internal/observe/ledger"
+	"github.com/citronstream/citronstream/internal/observe/meter"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
 	"github.com/citronstream/citronstream/internal/once/claim"
 	"github.com/citronstream/citronstream/internal/once/grant"
@@ -58,6 +60,9 @@
 	Platform citronstream.Platform
 	// Limits are in force before the first configuration.
 	Limits citronstream.Limits
+	// ServerOptions and RunnerOptions are applied last.
+	ServerOptions []server.Option
+	RunnerOptions []pipeline.Option
 }
 
 // Entry is one entry process.
@@ -71,6 +76,8 @@
 	Keeper   *witness.Keeper
 	Config   *version.Store
 	Budget   *retrybudget.Budget
+	Ledger   *ledger.Ledger
+	Times    *stagetime.Estimator
 	Hints    *prefix.Hints
 	Members  *membership.Watch
 	HoldRow  *holdrow.Sync
@@ -99,11 +106,13 @@
 func New(ctx context.Context, clk citronstream.Clock, eng *nbconn.Engine, set Settings, address string, log logr.Logger) *Entry {
 	en := &Entry{
 		set: set, clk: clk, eng: eng, log: log, boot: citronstream.NewID(), started: clk.Now(),
-		Routes: table.New(clk), Holds: poison.New(clk, set.Limits), Budget: retrybudget.New(clk, set.Limits), Timeline: timeline.New(clk, timeline.WithProcess(set.Name)),
+		Routes: table.New(clk), Holds: poison.New(clk, set.Limits), Budget: retrybudget.New(clk, set.Limits),
+		Times: stagetime.New(clk), Timeline: timeline.New(clk, timeline.WithProcess(set.Name)),
 	}
 	en.Hints = prefix.New(clk)
 	en.HoldRow = holdrow.New(clk, set.Platform.Table, en.Holds, en.tellHolds)
 	en.Keeper = witness.New(set.Platform.Table, set.Platform.Objects, clk, witness.WithRetention(set.Limits.KeyRetention.Std()))
+	en.Ledger = ledger.New(set.Platform.Table, clk, set.Name, uint64(en.started.UnixNano()), ledger.WithInterval(set.Limits.CostFlush.Std()))
 	en.Config = version.New(clk, set.Platform.Table, set.Platform.Objects,
 		version.WithPoll(set.Limits.ConfigPoll.Std()), version.WithFetcher(en))
 	en.ctx, en.cancel = context.WithCancel(ctx)
@@ -112,11 +121,12 @@
 		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper), agents.WithGone(en.Hints.Drop), agents.WithGreeted(en.greeted),
 		agents.WithObserve(func(upstream string, version uint64) { en.Config.Observe(version, upstream) }))
 	en.Members = membership.New(clk, set.Platform.Liveness, en.Routes, en.Agents.Links)
-	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, en.Budget,
-		pipeline.WithTimes(stagetime.New(clk)), pipeline.WithHolds(en.Holds),
+	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, en.Budget, append([]pipeline.Option{
+		pipeline.WithTimes(en.Times), pipeline.WithHolds(en.Holds),
 		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}), pipeline.WithPoke(en.poke),
-		pipeline.WithPrefixes(prefixes{en}))
-	en.Server = server.New(clk, address, en.Runner, en.Catalog, set.Limits, server.WithReady(en.ready))
+		pipeline.WithMeter(meter.New(en.Ledger, ledger.SideEntry)), pipeline.WithPrefixes(prefixes{en}),
+	}, set.RunnerOptions...)...)
+	en.Server = server.New(clk, address, en.Runner, en.Catalog, set.Limits, append([]server.Option{server.WithReady(en.ready)}, set.ServerOptions...)...)
 	return en
 }
 
@@ -185,6 +195,7 @@
 			en.log.Error(err, "configuration not in force", "version", sn.Fleet.Version)
 		}
 	})
+	en.own(func(ctx context.Context) { <-en.Ledger.Run(ctx) })
 	en.own(en.judge)
 	en.own(en.Members.Beat)
 	en.own(en.HoldRow.Run)
