Agents without a grant are told apart after a restart; calls wait for a moving model

Cause: an agent of a service without a grant always reported epoch 1. After a drain and a restart the routing table kept it as leaving and dropped its reports, and its deaths had the names of those of its predecessor. A call that was refused because its model moves excluded the only upstream and spent its retries within a few milliseconds. Change: such agents report epoch 0, with which the table starts anew on each link, and name deaths by their start time. The refusal for a model that is not loaded is CodeNotReady, which excludes no upstream; its load report does.

--- a/internal/agent/server/death.go
+++ b/internal/agent/server/death.go
@@ -49,7 +49,7 @@
 	se.event(citronstream.Event{Kind: "UpstreamDied", Upstream: se.up.Name})
 	if se.holds != nil && len(digests) > 0 {
 		report := poison.Report{
-			ID: poison.DeathID(se.up.Name, se.epoch(), nth), Upstream: se.up.Name, At: se.clk.Now(), Running: digests,
+			ID: poison.DeathID(se.up.Name, se.life(), nth), Upstream: se.up.Name, At: se.clk.Now(), Running: digests,
 		}
 		report.Held = se.holds.Merge(report)
 		se.Broadcast(citronstream.MethodPoison, report)
@@ -59,6 +59,15 @@
 	go se.await()
 }
 
+// life tells the deaths that this process counts from those that an earlier
+// one counted.
+func (se *Server) life() uint64 {
+	if epoch := se.epoch(); epoch != 0 {
+		return epoch
+	}
+	return se.began
+}
+
 // withdrawSurplus cancels suspects that run beside another one, so that the
 // next death names its cause. Their entries send them elsewhere.
 func (se *Server) withdrawSurplus() {
--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -46,7 +46,7 @@
 	case down:
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "upstream %s is down", se.up.Name)
 	case se.unloaded(ca.Model):
-		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "upstream %s has not loaded %s", se.up.Name, ca.Model)
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotReady, "upstream %s has not loaded %s", se.up.Name, ca.Model)
 	case ca.Service != se.up.Service:
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeStale, "upstream %s serves %s, not %s", se.up.Name, se.up.Service, ca.Service)
 	}
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -52,8 +52,9 @@
 	meter    Meter
 	rec      citronstream.Recorder
 	token    string
-	boot     string // names this run of the process
-	epoch    func() uint64
+	boot     string        // names this run of the process
+	began    uint64        // nanoseconds since 1970
+	epoch    func() uint64 // 0 without a grant: entries then tell restarts by the link
 	version  func() uint64
 	observe  func(entry string, version uint64)
 	extra    func(li *link.Link, re *link.Request) bool
@@ -96,7 +97,7 @@
 ) *Server {
 	se := &Server{
 		clk: clk, eng: eng, up: up, protocol: protocol, queue: queue, log: logr.Discard(),
-		epoch: func() uint64 { return 1 }, version: func() uint64 { return 0 },
+		began: uint64(clk.Now().UnixNano()), epoch: func() uint64 { return 0 }, version: func() uint64 { return 0 },
 		observe: func(string, uint64) {}, slots: func() []int { return nil },
 		fold: func(*citronstream.Load) {}, models: func() []string { return nil },
 		extra:    func(*link.Link, *link.Request) bool { return false },
--- a/internal/entry/pipeline/attempts.go
+++ b/internal/entry/pipeline/attempts.go
@@ -44,7 +44,9 @@
 		if !retryable(&ca, &re) || !at.again(ctx, re, try) {
 			return at.failure(&ca, re, ran)
 		}
-		if re.Upstream != "" && (ca.Idempotent || re.Fault.Code == citronstream.CodeNotOwner) {
+		// An upstream that has not loaded the model says so in its load report,
+		// which keeps it from being picked; it may be the only one soon.
+		if re.Upstream != "" && re.Fault.Code != citronstream.CodeNotReady && (ca.Idempotent || re.Fault.Code == citronstream.CodeNotOwner) {
 			at.exclude = append(at.exclude, re.Upstream)
 		}
 		if len(at.output) > 0 {
--- a/internal/process/local/engines_test.go
+++ b/internal/process/local/engines_test.go
@@ -306,3 +306,21 @@
 	require.NotNil(t, fa)
 	assert.Equal(t, citronstream.CodeQuarantined, fa.Code)
 }
+
+// TestAgentRestarts guards against an upstream without an epoch that stays
+// leaving for good once its agent has drained and returned.
+func TestAgentRestarts(t *testing.T) {
+	config := writers(t, 2, 1, "")
+	config.Services[0].Kind, config.Services[0].Protocol, config.Models = citronstream.KindPlain, "plain", nil
+	fl := begin(t, config)
+	no := fl.Entry("n0").Routes.Snapshot().Node("e0")
+	ctx, cancel := context.WithTimeout(t.Context(), bound)
+	defer cancel()
+	require.NoError(t, fl.DrainAgent(ctx, "e0"))
+	eventually(t, func() bool { return no.State() >= table.Leaving }, "the drain was not noticed")
+	require.NoError(t, fl.StartAgent("e0"))
+	eventually(t, func() bool { return no.State() == table.Live }, "the agent's return was not noticed")
+	before, _ := no.Reported()
+	fl.Agent("e0").Server.Broadcast(citronstream.MethodLoad, fl.Agent("e0").Server.Load())
+	eventually(t, func() bool { after, _ := no.Reported(); return after.Seq > before.Seq }, "reports of the new agent are dropped")
+}
