--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -13,9 +13,11 @@
 	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/entry/agents"
 	"github.com/citronstream/citronstream/internal/entry/catalog"
+	"github.com/citronstream/citronstream/internal/entry/membership"
 	"github.com/citronstream/citronstream/internal/entry/pipeline"
 	"github.com/citronstream/citronstream/internal/entry/server"
 	"github.com/citronstream/citronstream/internal/kernel/policy"
+	"github.com/citronstream/citronstream/internal/limit/holdrow"
 	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/limit/retrybudget"
 	"github.com/citronstream/citronstream/internal/limit/stagetime"
@@ -77,6 +79,8 @@
 	Ledger   *ledger.Ledger
 	Times    *stagetime.Estimator
 	Hints    *prefix.Hints
+	Members  *membership.Watch
+	HoldRow  *holdrow.Sync
 
 	set      Settings
 	clk      citronstream.Clock
@@ -106,6 +110,7 @@
 		Times: stagetime.New(clk), Timeline: timeline.New(clk, timeline.WithProcess(set.Name)),
 	}
 	en.Hints = prefix.New(clk)
+	en.HoldRow = holdrow.New(clk, set.Platform.Table, en.Holds, en.tellHolds)
 	en.Keeper = witness.New(set.Platform.Table, set.Platform.Objects, clk, witness.WithRetention(set.Limits.KeyRetention.Std()))
 	en.Ledger = ledger.New(set.Platform.Table, clk, set.Name, uint64(en.started.UnixNano()), ledger.WithInterval(set.Limits.CostFlush.Std()))
 	en.Config = version.New(clk, set.Platform.Table, set.Platform.Objects,
@@ -113,8 +118,9 @@
 	en.ctx, en.cancel = context.WithCancel(ctx)
 	en.outliers = outlier.New(clk, en.Routes)
 	en.Agents = agents.New(en.ctx, clk, eng, en.Routes, en.hello,
-		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper), agents.WithGone(en.Hints.Drop),
+		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper), agents.WithGone(en.Hints.Drop), agents.WithGreeted(en.greeted),
 		agents.WithObserve(func(upstream string, version uint64) { en.Config.Observe(version, upstream) }))
+	en.Members = membership.New(clk, set.Platform.Liveness, en.Routes, en.Agents.Links)
 	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, en.Budget, append([]pipeline.Option{
 		pipeline.WithTimes(en.Times), pipeline.WithHolds(en.Holds),
 		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}), pipeline.WithPoke(en.poke),
@@ -198,6 +204,11 @@
 	})
 	en.own(func(ctx context.Context) { <-en.Ledger.Run(ctx) })
 	en.own(en.judge)
+	en.own(en.Members.Beat)
+	en.own(en.HoldRow.Run)
+	if en.set.Platform.Liveness != nil {
+		en.own(en.Members.List)
+	}
 	en.own(en.follow)
 	return nil
 }
@@ -355,20 +366,6 @@
 	return ow.routes.Owner(service, grant.SlotOf(workspace, key), exclude...)
 }
 
-// poison takes an agent's report and passes it on to the other agents.
-func (en *Entry) poison(from *link.Link, re *link.Request) {
-	var report poison.Report
-	if re.Decode(&report) != nil {
-		return
-	}
-	en.Holds.Merge(report)
-	en.Agents.Links(func(_ string, li *link.Link) {
-		if li != from {
-			_ = li.Notify(citronstream.MethodPoison, report)
-		}
-	})
-}
-
 // judge looks for outliers until the entry ends.
 func (en *Entry) judge(ctx context.Context) {
 	ticker := en.clk.NewTicker(judgeEvery)
