--- /dev/null
+++ b/internal/proof/promises/config_test.go
@@ -0,0 +1,124 @@
+package promises
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/config/version"
+	"github.com/citronstream/citronstream/internal/observe/timeline"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against two operators who both change the same version, a loser who
+// does not learn who won, and a change that is late in force (P7).
+func TestOperatorsRace(t *testing.T) {
+	const inForceWithin = 5 * time.Second
+	fl := start(t, shape{desks: []string{"desk"}, each: 3, entries: 2})
+	slowest := time.Duration(0)
+	for round := range 5 {
+		base := fl.Operator
+		require.NoError(t, base.Refresh(context.Background()))
+		from := base.Current().Fleet
+		names := []string{"ada", "bob"}
+		errs, versions := make([]error, 2), make([]uint64, 2)
+		var wg sync.WaitGroup
+		for i, name := range names {
+			wg.Go(func() {
+				next := *from
+				next.Workspaces = append([]citronstream.Workspace(nil), from.Workspaces...)
+				next.Workspaces[i].Weight += float64(round + 1)
+				versions[i], errs[i] = version.New(clk, fl.Table, fl.Objects).Accept(context.Background(), from.Version, &next, name)
+			})
+		}
+		wg.Wait()
+		won := 0
+		if errs[0] != nil {
+			won = 1
+		}
+		require.NoError(t, errs[won])
+		var conflict *version.ConflictError
+		require.True(t, errors.As(errs[1-won], &conflict), "%v", errs[1-won])
+		require.ErrorIs(t, errs[1-won], citronstream.ErrConflict)
+		require.ErrorContains(t, errs[1-won], names[won])
+		at := clk.Now()
+		until(t, "in force", func() bool { return fl.inForce(versions[won]) })
+		slowest = max(slowest, clk.Now().Sub(at))
+	}
+	t.Logf("slowest of 5 changes in force on 2 entries and 3 agents after %s", slowest.Round(time.Millisecond))
+	require.LessOrEqual(t, slowest, inForceWithin)
+}
+
+// Guards against a process that goes back to an older configuration after a
+// restart, a pause or an outage of the table (P7).
+func TestConfigurationNeverReverts(t *testing.T) {
+	fl := start(t, shape{desks: []string{"desk"}, each: 3, entries: 2})
+	var lives [][]uint64 // versions in force, by life of a process
+	var atLeast []uint64 // accepted and in force everywhere when that life began
+	collect := func(ri *timeline.Ring, since uint64) {
+		var seen []uint64
+		for _, ev := range ri.Snapshot(timeline.Filter{}) {
+			if ev.Kind == "ConfigInForce" {
+				version, err := strconv.ParseUint(ev.Detail, 10, 64)
+				require.NoError(t, err)
+				seen = append(seen, version)
+			}
+		}
+		lives, atLeast = append(lives, seen), append(atLeast, since)
+	}
+	change := func() uint64 {
+		return fl.accept(func(next *citronstream.Fleet) { next.Workspaces[0].Weight++ })
+	}
+	since := change()
+	down := func(on bool) {
+		fl.Table.SetDown(on)
+		fl.Objects.SetDown(on)
+	}
+	began := map[string]uint64{}
+	for round := range 2 {
+		for _, outage := range []bool{false, true} {
+			down(outage)
+			entry, agent := fl.Config.Entries[round].Name, fl.Config.Upstreams[round].Name
+			collect(fl.Entry(entry).Timeline, began[entry])
+			fl.StopEntry(entry)
+			collect(fl.Agent(agent).Timeline, began[agent])
+			fl.StopAgent(agent)
+			require.NoError(t, fl.StartAgent(agent))
+			require.NoError(t, fl.StartEntry(entry))
+			began[entry], began[agent] = since, since
+			until(t, "restarted processes are up to date", func() bool { return fl.inForce(since) })
+			down(false)
+			fl.Gate("desk-3").Pause(true)
+			next, err := fl.Operator.Current(), fl.Operator.Refresh(context.Background())
+			require.NoError(t, err)
+			edited := *next.Fleet
+			edited.Workspaces = append([]citronstream.Workspace(nil), edited.Workspaces...)
+			edited.Workspaces[1].Weight++
+			since, err = fl.Operator.Accept(context.Background(), next.Fleet.Version, &edited, "during a pause")
+			require.NoError(t, err)
+			fl.Gate("desk-3").Pause(false)
+			until(t, "in force after the pause", func() bool { return fl.inForce(since) })
+		}
+	}
+	for _, en := range fl.Config.Entries {
+		collect(fl.Entry(en.Name).Timeline, began[en.Name])
+	}
+	for _, up := range fl.Config.Upstreams {
+		collect(fl.Agent(up.Name).Timeline, began[up.Name])
+	}
+	changes := 0
+	for i, seen := range lives {
+		last := uint64(0)
+		for _, version := range seen {
+			require.Greater(t, version, last, "versions of one life: %v", seen)
+			require.GreaterOrEqual(t, version, atLeast[i], "first version after a restart: %v", seen)
+			last = version
+			changes++
+		}
+	}
+	t.Logf("%d lives of processes, %d versions put in force, none older than the one before", len(lives), changes)
+}
--- a/internal/proof/promises/fleet_test.go
+++ b/internal/proof/promises/fleet_test.go
@@ -174,10 +174,10 @@
 }
 
 // done says that the caller has a whole answer.
-func (an *answer) done() bool { return an.fault == nil && an.status == http.StatusOK }
+func (an answer) done() bool { return an.fault == nil && an.status == http.StatusOK }
 
 // notRun says that the caller was told that its work did not run.
-func (an *answer) notRun() bool { return an.fault != nil && an.fault.Verdict == citronstream.NotRun }
+func (an answer) notRun() bool { return an.fault != nil && an.fault.Verdict == citronstream.NotRun }
 
 // call is one request of a caller.
 type call struct {
--- /dev/null
+++ b/internal/proof/promises/leaving_test.go
@@ -0,0 +1,154 @@
+package promises
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/standin/record"
+	"github.com/stretchr/testify/require"
+)
+
+// traffic sends calls from a few callers until it is stopped.
+type traffic struct {
+	stop    atomic.Bool
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	answers []answer
+}
+
+func (fl *fleet) traffic(callers int, ca func(i int) call) *traffic {
+	tr := &traffic{}
+	for i := range callers {
+		tr.wg.Go(func() {
+			for !tr.stop.Load() {
+				an := fl.post(ca(i))
+				tr.mu.Lock()
+				tr.answers = append(tr.answers, an)
+				tr.mu.Unlock()
+			}
+		})
+	}
+	return tr
+}
+
+func (tr *traffic) end() []answer {
+	tr.stop.Store(true)
+	tr.wg.Wait()
+	return tr.answers
+}
+
+// Guards against new work for an upstream that leaves (P5) and requests in
+// flight that its end cuts (P6).
+func TestLeavingUpstream(t *testing.T) {
+	const noNewAfter = 3 * time.Second
+	fl := start(t, shape{desks: []string{"desk"}, each: 3, deadline: 20 * time.Second})
+	fl.Upstream("desk-1").Slow(1000) // 5 s, so that the agent stays longer than the bound
+	tr := fl.traffic(24, look)
+	until(t, "calls run at the upstream that will leave", func() bool {
+		return fl.count(func(ex record.Execution) bool { return ex.Upstream == "desk-1" && ex.Outcome == record.Running }) > 0
+	})
+	left := clk.Now()
+	require.NoError(t, fl.DrainAgent(context.Background(), "desk-1"))
+	answers := tr.end()
+	for _, an := range answers {
+		require.True(t, an.done(), "%+v", an)
+	}
+	last, elsewhere := time.Duration(0), 0
+	for _, ex := range fl.Record.All() {
+		if ex.Upstream != "desk-1" && ex.StartedAt.After(left.Add(noNewAfter)) {
+			elsewhere++
+		}
+		if ex.Upstream == "desk-1" {
+			last = max(last, ex.StartedAt.Sub(left))
+			require.Equal(t, record.Done, ex.Outcome)
+		}
+	}
+	t.Logf("%d requests, none cut; last work taken %s after the announcement", len(answers), last)
+	require.LessOrEqual(t, last, noNewAfter)
+	require.NotZero(t, elsewhere, "work goes on at the other upstreams")
+}
+
+// Guards against requests that the graceful end of an entry cuts (P6).
+func TestLeavingEntry(t *testing.T) {
+	fl := start(t, shape{desks: []string{"desk"}, each: 2, capacity: 16, deadline: 10 * time.Second})
+	for _, up := range fl.Config.Upstreams {
+		fl.Upstream(up.Name).Slow(200) // 1 s
+	}
+	var callers []<-chan answer
+	for i := range 10 {
+		path := [2]string{"look", "place"}[i%2]
+		callers = append(callers, fl.later(call{path: "services/desk/" + path}))
+	}
+	until(t, "calls run", func() bool { return fl.running("/look") == 5 && fl.running("/place") == 5 })
+	require.NoError(t, fl.Entry("entry-1").Shutdown(context.Background()))
+	for _, got := range callers {
+		an := <-got
+		require.True(t, an.done(), "%+v", an)
+	}
+	fl.StopEntry("entry-1")
+}
+
+// Guards against a killed agent that costs more than the calls that it held.
+func TestKilledAgent(t *testing.T) {
+	fl := start(t, shape{desks: []string{"desk"}, each: 3, deadline: 5 * time.Second})
+	for _, up := range fl.Config.Upstreams {
+		fl.Upstream(up.Name).Slow(100) // 500 ms
+	}
+	tr := fl.traffic(12, look)
+	until(t, "calls run at the agent", func() bool {
+		return fl.count(func(ex record.Execution) bool { return ex.Upstream == "desk-1" && ex.Outcome == record.Running }) > 2
+	})
+	fl.StopAgent("desk-1")
+	require.NoError(t, fl.StartAgent("desk-1"))
+	until(t, "links", func() bool { return fl.Entry("entry-1").Agents.Missing() == 0 })
+	answers := tr.end()
+	held := map[string]bool{} // requests of which the killed agent had an attempt
+	for _, ev := range fl.Timeline() {
+		if ev.Kind == "AttemptEnded" && ev.Upstream == "desk-1" && ev.Verdict != citronstream.Ran.String() {
+			held[ev.RequestID] = true
+		}
+	}
+	failed := 0
+	for _, an := range answers {
+		if !an.done() {
+			failed++
+			require.True(t, held[an.id], "%+v", an)
+		}
+	}
+	t.Logf("%d requests, the killed agent held %d, %d of these failed", len(answers), len(held), failed)
+	require.NotEmpty(t, held)
+}
+
+// Guards against a process that starts while the table is down and serves an
+// older configuration than one of its peers has (P7).
+func TestStartWhileTableIsDown(t *testing.T) {
+	fl := start(t, shape{desks: []string{"desk"}, each: 3, entries: 2, edit: func(co *citronstream.Fleet) {
+		co.Limits.GrantRenew = citronstream.Duration(200 * time.Millisecond)
+	}})
+	newest := fl.accept(func(next *citronstream.Fleet) { next.Workspaces[0].Weight++ })
+	fl.Table.SetDown(true)
+	fl.Objects.SetDown(true)
+	fl.StopEntry("entry-1")
+	fl.StopAgent("desk-1")
+	require.NoError(t, fl.StartAgent("desk-1"))
+	require.Equal(t, newest, fl.Agent("desk-1").Config.Version())
+	require.NoError(t, fl.StartEntry("entry-1"))
+	refused := 0
+	until(t, "entry serves", func() bool {
+		an := fl.post(look(0))
+		switch version := fl.Entry("entry-1").Version(); {
+		case an.done():
+			require.Equal(t, newest, version)
+		case version == 0:
+			refused++
+			require.NotNil(t, an.fault, "%+v", an)
+			require.Equal(t, citronstream.CodeNotReady, an.fault.Code)
+		}
+		return an.done()
+	})
+	t.Logf("%d requests were told not ready", refused)
+}
