--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -45,6 +45,8 @@
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeLeaving, "upstream %s is leaving", se.up.Name)
 	case down:
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "upstream %s is down", se.up.Name)
+	case se.unloaded(ca.Model):
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "upstream %s has not loaded %s", se.up.Name, ca.Model)
 	case ca.Service != se.up.Service:
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeStale, "upstream %s serves %s, not %s", se.up.Name, se.up.Service, ca.Service)
 	}
@@ -204,8 +206,8 @@
 	took := se.clk.Now().Sub(started)
 	re.Queued = started.Sub(at.Arrived)
 	re.Usage.Busy = took
-	if re.Usage.Cost == 0 && re.Fault == nil {
-		re.Usage.Cost = ca.Cost
+	if re.Usage.Cost == 0 && (re.Fault == nil || re.Usage.TokensOut > 0) {
+		re.Usage.Cost = corrected(ca, re.Usage)
 	}
 	if re.Fault == nil && se.holds != nil {
 		se.holds.Finished(ca.Digest)
@@ -297,6 +299,14 @@
 	return re
 }
 
+// corrected is the cost of a call by the tokens that it used.
+func corrected(ca *citronstream.Call, us citronstream.Usage) float64 {
+	if us.TokensIn+us.TokensOut == 0 {
+		return ca.Cost
+	}
+	return ca.Cost + ca.CostPerToken*float64(us.TokensIn+us.TokensOut-ca.TokensExpected)
+}
+
 // throughput keeps a decayed figure of the cost units a second that the
 // upstream does when all its capacity is used. The caller holds mu.
 func (se *Server) throughput(cost float64, took time.Duration) {
--- /dev/null
+++ b/internal/process/daemon/daemon.go
@@ -0,0 +1,269 @@
+// Package daemon runs one entry or one agent as a process of its own.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/config/check"
+	"github.com/citronstream/citronstream/internal/config/settings"
+	"github.com/citronstream/citronstream/internal/config/version"
+	"github.com/citronstream/citronstream/internal/observe/ledger"
+	"github.com/citronstream/citronstream/internal/observe/metrics"
+	"github.com/citronstream/citronstream/internal/operator/report"
+	"github.com/citronstream/citronstream/internal/operator/server"
+	"github.com/citronstream/citronstream/internal/peer/nbconn"
+	"github.com/go-logr/logr"
+)
+
+// drainMargin is added to the longest deadline: within both, each request in
+// flight has ended and each keyed call is recorded.
+const drainMargin = 15 * time.Second
+
+// lastFlush bounds the last write of cost records.
+const lastFlush = 5 * time.Second
+
+// role is what an entry and an agent do differently.
+type role interface {
+	server.Process
+	// open starts to serve. It returns once the process listens, or with
+	// ctx's error.
+	open(ctx context.Context) error
+	// config returns the store of the configuration, nil before open.
+	config() *version.Store
+	// shutdown ends what is in flight and stops.
+	shutdown(ctx context.Context) error
+}
+
+// Daemon is one process of the system.
+type Daemon struct {
+	clk     citronstream.Clock
+	log     logr.Logger
+	set     *settings.Settings
+	check   *check.Checker
+	token   string
+	plat    citronstream.Platform
+	metrics *metrics.Set
+	ledger  *ledger.Ledger
+	eng     *nbconn.Engine
+	started time.Time
+	tls     *tlsConfig
+
+	role    role
+	leaving atomic.Bool
+	drained chan struct{}
+}
+
+// New returns a daemon of these settings. Errors name the settings key at fault.
+func New(clk citronstream.Clock, set *settings.Settings, ch *check.Checker, log logr.Logger) (*Daemon, error) {
+	if set.Process.Name == "" {
+		return nil, errors.New("settings key Process.Name: missing")
+	}
+	da := &Daemon{clk: clk, log: log.WithName(set.Process.Name), set: set, check: ch, started: clk.Now(), drained: make(chan struct{})}
+	secret, err := set.Process.Tokens.PeerToken(os.ReadFile, os.Getenv)
+	if err != nil {
+		return nil, err
+	}
+	da.token = secret.Reveal()
+	if da.plat, err = Open(clk, set.Platform); err != nil {
+		return nil, err
+	}
+	if da.tls, err = loadTLS(set.Process.TLS); err != nil {
+		return nil, err
+	}
+	da.metrics = metrics.New(da.version)
+	da.ledger = ledger.New(da.plat.Table, clk, set.Process.Name, uint64(da.started.UnixMilli()))
+	da.metrics.AddLedger(da.ledger)
+	return da, nil
+}
+
+// Entry serves callers until ctx ends or an operator drains it.
+func (da *Daemon) Entry(ctx context.Context) error { return da.run(ctx, newEntry(da)) }
+
+// Agent serves entries until ctx ends or an operator drains it.
+func (da *Daemon) Agent(ctx context.Context) error { return da.run(ctx, newAgent(da)) }
+
+// limits are those in force: the accepted ones, and before the first
+// configuration those of the settings' fleet or the defaults.
+func (da *Daemon) limits() citronstream.Limits {
+	if fl := da.fleet(); fl != nil {
+		return fl.Limits
+	}
+	if da.set.Fleet != nil {
+		return da.set.Fleet.Limits
+	}
+	return citronstream.DefaultLimits()
+}
+
+// fleet returns the configuration in force, nil before the first one.
+func (da *Daemon) fleet() *citronstream.Fleet {
+	if st := da.store(); st != nil && st.Version() > 0 {
+		return st.Current().Fleet
+	}
+	return nil
+}
+
+func (da *Daemon) store() *version.Store {
+	if da.role == nil {
+		return nil
+	}
+	return da.role.config()
+}
+
+func (da *Daemon) version() uint64 {
+	if fl := da.fleet(); fl != nil {
+		return fl.Version
+	}
+	return 0
+}
+
+// run is the life of a process. Signal ends when it is to drain; what the
+// process does then goes on under a context of its own.
+func (da *Daemon) run(signal context.Context, ro role) error {
+	da.role = ro
+	ctx, cancel := context.WithCancel(context.WithoutCancel(signal))
+	defer cancel()
+	var err error
+	if da.eng, err = nbconn.New(nbconn.WithPollers(2)); err != nil {
+		return err
+	}
+	defer da.eng.Stop()
+	op := server.New(da.clk, da.set.Process.Admin, ro, server.WithLog(da.log), server.WithOperators(da.set.Process.Tokens.Operators),
+		server.WithMetrics(da.metrics.Handler()), server.WithConfig(da.store, da.faults), server.WithTable(da.plat.Table), server.WithTLS(da.tls))
+	if err := op.Start(ctx); err != nil {
+		return err
+	}
+	defer op.Stop()
+	if opened, err := da.open(ctx, signal); err != nil || !opened {
+		return err
+	}
+	return da.serve(ctx, signal)
+}
+
+// open starts the role under ctx. It gives up when the process is to end
+// before that, which is no error.
+func (da *Daemon) open(ctx, signal context.Context) (bool, error) {
+	failed := make(chan error, 1)
+	opening, cancel := context.WithCancel(ctx)
+	go func() { failed <- da.role.open(opening) }()
+	select {
+	case err := <-failed:
+		context.AfterFunc(ctx, cancel)
+		return err == nil, err
+	case <-signal.Done():
+	case <-da.drained:
+	}
+	cancel()
+	<-failed
+	return false, nil
+}
+
+// serve runs until the process is to end, and drains it.
+func (da *Daemon) serve(ctx, signal context.Context) error {
+	counting, stop := context.WithCancel(ctx)
+	defer stop()
+	flushed := make(chan error, 1)
+	go func() { flushed <- da.flush(counting) }()
+	da.log.Info("serving", "admin", da.set.Process.Admin)
+	select {
+	case <-signal.Done():
+	case <-da.drained:
+	}
+	da.leaving.Store(true)
+	da.log.Info("draining")
+	limit, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer da.clk.AfterFunc(da.drainLimit(), cancel).Stop()
+	err := da.role.shutdown(limit)
+	stop()
+	if lost := <-flushed; lost != nil {
+		da.log.Error(lost, "cost records of the last interval are lost")
+	}
+	if err != nil {
+		return fmt.Errorf("drain: %w", err)
+	}
+	da.log.Info("drained")
+	return nil
+}
+
+// flush writes the cost records at the interval of the configuration, with a
+// jitter of a quarter so that processes that start together spread out. When
+// ctx ends it flushes a last time and returns that error.
+func (da *Daemon) flush(ctx context.Context) error {
+	for {
+		every := da.limits().CostFlush.Std()
+		select {
+		case <-ctx.Done():
+			last, cancel := context.WithCancel(context.WithoutCancel(ctx))
+			defer cancel()
+			defer da.clk.AfterFunc(lastFlush, cancel).Stop()
+			return da.ledger.Flush(last)
+		case <-da.clk.After(every*3/4 + rand.N(every/2)):
+			_ = da.ledger.Flush(ctx) // what the table did not confirm is written next time
+		}
+	}
+}
+
+func (da *Daemon) drainLimit() time.Duration {
+	longest := time.Duration(0)
+	if fl := da.fleet(); fl != nil {
+		for _, ra := range fl.Ranks {
+			longest = max(longest, ra.Deadline.Std())
+		}
+	}
+	return longest + drainMargin
+}
+
+// drain starts the end of this process.
+func (da *Daemon) drain() {
+	if da.leaving.CompareAndSwap(false, true) {
+		close(da.drained)
+	}
+}
+
+func (da *Daemon) faults(fl *citronstream.Fleet) []string {
+	var texts []string
+	for _, fa := range da.check.Inventory(fl) {
+		if !fa.Warning {
+			texts = append(texts, fa.String())
+		}
+	}
+	return texts
+}
+
+// notReady returns why the process as such can't serve.
+func (da *Daemon) notReady() error {
+	switch {
+	case da.leaving.Load():
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeLeaving, "leaving")
+	case da.fleet() == nil || !da.store().Ready():
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotReady, "no recent configuration is known")
+	}
+	return nil
+}
+
+// own returns an address of the settings, or an empty one if the settings
+// keep the default.
+func own(set, byDefault string) string {
+	if set == byDefault {
+		return ""
+	}
+	return set
+}
+
+// status is what entries and agents report alike.
+func (da *Daemon) status(role string, ready error) report.Status {
+	st := report.Status{
+		Process: da.set.Process.Name, Role: role, Started: da.started.UTC(), Version: da.version(), Leaving: da.leaving.Load(),
+	}
+	if ready != nil {
+		st.NotReady = citronstream.FaultOf(ready).Text
+	}
+	return st
+}
