Entry: a second Stop does nothing

Cause: Stop after Shutdown, which ends with a Stop, panicked in nbio (negative WaitGroup counter). Measured: TestLeavingEntry shuts an entry down and stops its fleet; it panicked before.

--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -57,6 +57,7 @@
 	leaving  atomic.Bool
 	callers  sync.Map // remote address to context.CancelFunc
 	shares   shares
+	stop     sync.Once
 }
 
 // Option changes a Server.
@@ -158,12 +159,14 @@
 	return nil
 }
 
-// Stop closes the server at once, as a crash would.
+// Stop closes the server at once, as a crash would. A second call does nothing.
 func (se *Server) Stop() {
-	se.leaving.Store(true)
-	se.cancel()
-	se.eng.Stop()
-	se.pool.Stop()
+	se.stop.Do(func() {
+		se.leaving.Store(true)
+		se.cancel()
+		se.eng.Stop()
+		se.pool.Stop()
+	})
 }
 
 // Counts returns the counters.
