Resend a call that a leaving upstream refused, free of the retry budget

Cause: calls on their way when an agent announces its end are refused as NotRun; with the retry budget spent, a graceful drain failed requests. Change: this refusal takes nothing of the budget, as it adds no load at an upstream. Measured: TestLeavingUpstream, 24 callers: failed with 503 'leaving' before; 3,965 requests answered, none refused, after.

--- a/internal/entry/pipeline/attempts.go
+++ b/internal/entry/pipeline/attempts.go
@@ -137,8 +137,13 @@
 	})
 }
 
-// again spends the budget and waits before the next attempt.
+// again spends the budget and waits before the next attempt. A refusal by an
+// upstream that leaves is free: it adds no load, and a drain must not fail a
+// request because others have spent the budget.
 func (at *attempts) again(ctx context.Context, re citronstream.Result, try int) bool {
+	if re.Fault.Code == citronstream.CodeLeaving && re.Fault.Verdict == citronstream.NotRun {
+		return ctx.Err() == nil
+	}
 	wait := at.ru.budget.Backoff(try)
 	if at.ru.clk.Now().Add(wait).After(at.end) || ctx.Err() != nil || !at.budget.Extra() {
 		return false
