--- a/internal/process/entry/holds.go
+++ b/internal/process/entry/holds.go
@@ -21,6 +21,7 @@
 			_ = li.Notify(citronstream.MethodPoison, report)
 		}
 	})
+	re.Reply(struct{}{}) // after the agents are told, so that a later call finds them informed
 }
 
 // tellHolds passes holds from the table on to the agents.
