--- a/internal/proof/bench/config_test.go
+++ b/internal/proof/bench/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"runtime"
 	"testing"
 
@@ -10,6 +11,8 @@
 	"github.com/citronstream/citronstream/internal/config/check"
 	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/entry/catalog"
+	"github.com/citronstream/citronstream/internal/peer/asker"
+	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/route/table"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
@@ -28,11 +31,12 @@
 	return &next
 }
 
-func heap() uint64 {
+func heap() int64 {
 	var ms runtime.MemStats
 	runtime.GC()
+	runtime.GC() // empties what pools kept over the first
 	runtime.ReadMemStats(&ms)
-	return ms.HeapAlloc
+	return int64(ms.HeapAlloc)
 }
 
 // BenchmarkInForce is what a change of the configuration costs an entry at
@@ -68,3 +72,43 @@
 		})
 	}
 }
+
+// BenchmarkFetch is the transfer of the full-size configuration from a peer,
+// with the bytes on the link.
+func BenchmarkFetch(b *testing.B) {
+	fl, err := Example(root, "full", 0)
+	require.NoError(b, err)
+	fl.Version = 2
+	packed, digest, err := version.Encode(fl)
+	require.NoError(b, err)
+	do := version.Document{Record: version.Record{Version: 2, Digest: digest}, Body: packed}
+	st := newStage(b)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	defer func() { _ = ln.Close() }()
+	me := &Meter{}
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if stream, err := st.eng.Attach(nc); err == nil {
+				link.New(st.ctx, st.clk, me.Wrap(stream), func(_ *link.Link, re *link.Request) {
+					if re.Method == citronstream.MethodHello {
+						re.Reply(citronstream.Hello{Name: "peer", Version: 2})
+						return
+					}
+					re.Reply(do)
+				})
+			}
+		}
+	}()
+	ask := asker.New(st.clk, st.eng, func() citronstream.Hello { return citronstream.Hello{Name: "asker"} })
+	for b.Loop() {
+		got, err := ask.Fetch(st.ctx, ln.Addr().String(), 2)
+		require.NoError(b, err)
+		require.Len(b, got.Body, len(packed))
+	}
+	b.ReportMetric(float64(me.Wire().Upper())/float64(b.N), "wire-bytes")
+}
--- a/internal/proof/bench/control_test.go
+++ b/internal/proof/bench/control_test.go
@@ -69,7 +69,7 @@
 		as, err := NewAgents(st.ctx, st.clk, st.eng, fl, home.Upstreams)
 		require.NoError(b, err)
 		en := home.Entries[0]
-		ch := st.spawn(Child{Role: "entry", Name: en.Name, Zone: home.Zone, Address: en.Address})
+		ch := st.spawn(Child{Role: "entry", Name: en.Name, Zone: home.Zone, Address: en.Address, Threads: 2})
 		ch.ready(len(home.Upstreams), fl.Version)
 		<-st.clk.After(settle)
 		me.set(float64(len(home.Upstreams)), "links", size)
@@ -138,7 +138,7 @@
 				up = other
 			}
 		}
-		ch := st.spawn(Child{Role: "agent", Name: up.Name, Zone: home.Zone})
+		ch := st.spawn(Child{Role: "agent", Name: up.Name, Zone: home.Zone, Threads: 2})
 		NewEntries(st.ctx, st.clk, st.eng, home.Entries, up.Agent, fl.Version, len(home.Upstreams))
 		ch.ready(len(home.Entries), fl.Version)
 		<-st.clk.After(settle)
--- a/internal/proof/bench/peers.go
+++ b/internal/proof/bench/peers.go
@@ -41,6 +41,9 @@
 type Agents struct {
 	Meter   *Meter
 	Version atomic.Uint64
+	// Other, if set before the first link, hears the methods that are neither
+	// greetings nor calls.
+	Other func(method string)
 
 	ctx  context.Context
 	clk  citronstream.Clock
@@ -105,6 +108,9 @@
 			Checksum: citronstream.Digest(body), Usage: citronstream.Usage{Cost: ca.Cost}, Load: &lo, Version: lo.Version,
 		})
 	default:
+		if as.Other != nil {
+			as.Other(re.Method)
+		}
 		re.Reply(json.RawMessage(`{}`))
 	}
 }
