--- a/bench.sh
+++ b/bench.sh
@@ -12,7 +12,7 @@
 run -bench "$match" -benchtime 1x ./internal/proof/policy
 if [ "$match" = . ]; then
 	run -bench 'Added|Stream|InForce|Fetch' -benchtime 4s ./internal/proof/bench
-	run -bench 'EntryRate|Control' -benchtime 1x ./internal/proof/bench
+	run -bench 'EntryRate|EntryLoad|AgentLoad|Keys|Control' -benchtime 1x ./internal/proof/bench
 else
 	run -bench "$match" -benchtime 1x ./internal/proof/bench
 fi
--- a/internal/proof/bench/bounds_test.go
+++ b/internal/proof/bench/bounds_test.go
@@ -111,6 +111,7 @@
 // changeMessages counts what the agents of a site hear from an entry of which
 // one change was put in force.
 func changeMessages(t *testing.T) float64 {
+	const barrier = "Test.Barrier"
 	fl, err := Example(root, "magnolia", 7)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -126,14 +127,16 @@
 	as, err := NewAgents(ctx, clk, eng, fl, fl.Upstreams)
 	require.NoError(t, err)
 	var told, other atomic.Int64
-	heard := make(chan struct{}, len(fl.Upstreams)+1)
+	heard := make(chan struct{}, 10*len(fl.Upstreams))
 	as.Other = func(method string) {
-		if method != citronstream.MethodVersion {
+		switch method {
+		case barrier:
+		case citronstream.MethodVersion:
+			told.Add(1)
+			heard <- struct{}{}
+		default:
 			other.Add(1)
-			return
 		}
-		told.Add(1)
-		heard <- struct{}{}
 	}
 	en := entry.New(ctx, clk, eng, entry.Settings{Name: fl.Entries[0].Name, Zone: Home(fl).Zone, Platform: pl, Limits: fl.Limits}, fl.Entries[0].Address, logr.Discard())
 	require.NoError(t, en.Start())
@@ -146,6 +149,10 @@
 		<-heard
 	}
 	require.Equal(t, number, en.Version())
+	// A call on each link comes after everything that the change has sent.
+	en.Agents.Links(func(_ string, li *link.Link) {
+		require.NoError(t, li.Call(ctx, barrier, struct{}{}, nil))
+	})
 	return float64(told.Load()+other.Load()) / float64(len(fl.Upstreams))
 }
 
--- a/internal/proof/bench/control_test.go
+++ b/internal/proof/bench/control_test.go
@@ -71,6 +71,7 @@
 		en := home.Entries[0]
 		ch := st.spawn(Child{Role: "entry", Name: en.Name, Zone: home.Zone, Address: en.Address, Threads: 2})
 		ch.ready(len(home.Upstreams), fl.Version)
+		me.set(float64(as.Meter.Wire().Upper())/float64(len(home.Upstreams)), "connect-B/link", size)
 		<-st.clk.After(settle)
 		me.set(float64(len(home.Upstreams)), "links", size)
 		me.process(ch.over(idleEntry, as.Meter.Wire), "idle", size)
