Adaptive throttling at the entry; a stopping entry counts as killed

Cause: in a flood of the most urgent rank 2,371 of 2,831 flood requests were refused at their last stage and could not say NotRun. Change: limit/throttle refuses kinds that the agents refuse (rule of Beyer et al., cited); an entry counts as killed until its stop has ended.

--- a/internal/entry/pipeline/pipeline.go
+++ b/internal/entry/pipeline/pipeline.go
@@ -12,6 +12,7 @@
 	"github.com/citronstream/citronstream/internal/entry/catalog"
 	"github.com/citronstream/citronstream/internal/entry/stagebody"
 	"github.com/citronstream/citronstream/internal/limit/retrybudget"
+	"github.com/citronstream/citronstream/internal/limit/throttle"
 )
 
 // Agents runs one attempt at an upstream.
@@ -82,20 +83,21 @@
 
 // Runner runs requests.
 type Runner struct {
-	clk     citronstream.Clock
-	agents  Agents
-	pickers func(service string) citronstream.Picker
-	owners  Owners
-	holds   Holds
-	times   Times
-	meter   Meter
-	budget  *retrybudget.Budget
-	rec     citronstream.Recorder
-	zone    string
-	version func() uint64
-	poke    func(service string)
-	prefix  Prefixes
-	counts  Counts
+	clk      citronstream.Clock
+	agents   Agents
+	pickers  func(service string) citronstream.Picker
+	owners   Owners
+	holds    Holds
+	times    Times
+	meter    Meter
+	budget   *retrybudget.Budget
+	rec      citronstream.Recorder
+	zone     string
+	version  func() uint64
+	poke     func(service string)
+	prefix   Prefixes
+	throttle *throttle.Throttle
+	counts   Counts
 }
 
 // Option changes a Runner.
@@ -116,6 +118,9 @@
 // WithRecorder sets the timeline.
 func WithRecorder(rec citronstream.Recorder) Option { return func(ru *Runner) { ru.rec = rec } }
 
+// WithThrottle sets what refuses requests while their kind is being refused.
+func WithThrottle(th *throttle.Throttle) Option { return func(ru *Runner) { ru.throttle = th } }
+
 // WithPoke sets what tells a service's agents that a slot has no owner.
 func WithPoke(poke func(service string)) Option { return func(ru *Runner) { ru.poke = poke } }
 
@@ -158,8 +163,11 @@
 	}
 	ex.estimate()
 	if ex.rest[0] > rq.Deadline {
-		ru.counts.Refused.Add(1)
-		return refused(citronstream.NotRun, citronstream.CodeOverloaded, "the stages take longer than the deadline")
+		return ru.refuse(ca, pi, &rq, "the stages take longer than the deadline")
+	}
+	kind := throttle.Kind{Workspace: rq.Workspace.Name, Rank: rq.Rank, Target: name}
+	if ru.throttle != nil && !ru.throttle.Admit(kind) {
+		return ru.refuse(ca, pi, &rq, "requests of this kind are being refused")
 	}
 	for i := range ex.done {
 		ex.done[i] = make(chan struct{})
@@ -169,7 +177,28 @@
 		wg.Go(func() { ex.stage(ctx, cancel, i, after[i]) })
 	}
 	wg.Wait()
-	return ex.outcome()
+	out := ex.outcome()
+	if ru.throttle != nil {
+		ru.throttle.Ended(kind, out.Fault != nil && (out.Fault.Code == citronstream.CodeOverloaded || out.Fault.Code == citronstream.CodeDeadline))
+	}
+	return out
+}
+
+// refuseFor is the time after which a refused caller is asked to try again.
+const refuseFor = time.Second
+
+// refuse answers a request before any stage has run. An earlier request with
+// the caller's key may have run a stage that must not be repeated.
+func (ru *Runner) refuse(ca *catalog.Catalog, pi *citronstream.Pipeline, rq *Request, text string) Outcome {
+	ru.counts.Refused.Add(1)
+	out := refused(citronstream.NotRun, citronstream.CodeOverloaded, "%s", text)
+	out.Fault.RetryAfter = refuseFor
+	for _, st := range pi.Stages {
+		if rq.KeyGiven && !ca.Call(st.Service, st.Call).Idempotent {
+			out.Fault.Verdict = citronstream.MayHaveRun
+		}
+	}
+	return out
 }
 
 // Service runs one call of a service.
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/limit/retrybudget"
 	"github.com/citronstream/citronstream/internal/limit/stagetime"
+	"github.com/citronstream/citronstream/internal/limit/throttle"
 	"github.com/citronstream/citronstream/internal/observe/ledger"
 	"github.com/citronstream/citronstream/internal/observe/meter"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
@@ -125,6 +126,7 @@
 		pipeline.WithTimes(en.Times), pipeline.WithHolds(en.Holds),
 		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}), pipeline.WithPoke(en.poke),
 		pipeline.WithMeter(meter.New(en.Ledger, ledger.SideEntry)), pipeline.WithPrefixes(prefixes{en}),
+		pipeline.WithThrottle(throttle.New(clk, set.Seed)),
 	}, set.RunnerOptions...)...)
 	en.Server = server.New(clk, address, en.Runner, en.Catalog, set.Limits, append([]server.Option{server.WithReady(en.ready)}, set.ServerOptions...)...)
 	return en
--- a/internal/process/local/control.go
+++ b/internal/process/local/control.go
@@ -55,6 +55,10 @@
 	return ag
 }
 
+// stopWithin is longer than the stop of an entry takes. Until it has ended,
+// requests that come in break too.
+const stopWithin = time.Hour
+
 // StopEntry stops an entry as a crash would.
 func (fl *Fleet) StopEntry(name string) {
 	fl.mu.Lock()
@@ -64,7 +68,7 @@
 	for _, co := range fl.Config.Entries {
 		if co.Name == name {
 			address = co.Address
-			fl.killed[address] = fl.clk.Now()
+			fl.killed[address] = fl.clk.Now().Add(stopWithin)
 		}
 	}
 	fl.mu.Unlock()
@@ -72,7 +76,6 @@
 		return
 	}
 	en.Stop()
-	// Requests that came between the start and the end of the stop broke too.
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	fl.killed[address] = fl.clk.Now()
