--- a/internal/process/local/control.go
+++ b/internal/process/local/control.go
@@ -21,6 +21,17 @@
 	return fl.gates[name]
 }
 
+// Unlist drops the instance of an upstream from the platform's list, or adds it again.
+func (fl *Fleet) Unlist(name string, drop bool) {
+	for _, up := range fl.Config.Upstreams {
+		if up.Name == name && drop {
+			fl.List.Remove(up.Instance)
+		} else if up.Name == name {
+			fl.List.Set(citronstream.InstanceState{Instance: up.Instance, Zone: fl.zone(up.Instance)})
+		}
+	}
+}
+
 // StopAgent stops an agent as a crash would.
 func (fl *Fleet) StopAgent(name string) {
 	if ag := fl.takeAgent(name); ag != nil {
--- a/internal/proof/faults/faults.go
+++ b/internal/proof/faults/faults.go
@@ -193,7 +193,7 @@
 		up := in.fl.Upstream(name)
 		up.Kill()
 		in.sleep(ctx, restart)
-		in.failed(up.Restart())
+		in.restart(up)
 		return "upstream " + name
 	case 1:
 		name := in.either()
@@ -211,6 +211,13 @@
 	}
 }
 
+// restart brings a stand-in back, unless another fault's end has done so.
+func (in *Injector) restart(up local.Upstream) {
+	if err := up.Restart(); err != nil && !up.Running() {
+		in.failed(err)
+	}
+}
+
 func (in *Injector) pause(ctx context.Context) string {
 	name := in.either()
 	if in.intn(2) == 0 {
@@ -222,6 +229,16 @@
 	}
 	ga := in.fl.Gate(name)
 	ga.Pause(true)
+	if in.intn(2) == 0 {
+		// The platform gives the instance up, so that others take the agent's
+		// slots; the agent wakes up and still believes that they are its own.
+		in.fl.Unlist(name, true)
+		in.sleep(ctx, outage+restart)
+		ga.Pause(false)
+		in.sleep(ctx, restart)
+		in.fl.Unlist(name, false)
+		return "agent " + name + ", given up by the platform"
+	}
 	in.sleep(ctx, outage)
 	ga.Pause(false)
 	return "agent " + name
@@ -274,7 +291,7 @@
 		for _, up := range in.fl.Config.Upstreams {
 			if st := in.fl.Upstream(up.Name); !st.Running() {
 				deaths++
-				in.failed(st.Restart())
+				in.restart(st)
 			}
 		}
 	}
