Cancel the requests of callers that have gone away at once

Cause: nbhttp runs its close callback after the handler of the connection has ended, so that the cancel came when nothing was left to cancel: a generation ran on until its deadline. Change: the server looks every 50 ms for closed connections with a request in flight. Measured: TestEndOfCallerEndsGeneration: the sequence ended 9.99 s after its caller (at the deadline) before, 27 ms after.

--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -36,6 +36,9 @@
 	Accepted, Completed, NotRun, MayHaveRun, Ran, Disconnected, SlowReaders, Limited atomic.Uint64
 }
 
+// watchEvery is how often callers that have gone away are looked for.
+const watchEvery = 50 * time.Millisecond
+
 // Server serves callers.
 type Server struct {
 	clk     citronstream.Clock
@@ -56,6 +59,8 @@
 	jobs     atomic.Int64 // handlers whose answer may not be written out yet
 	leaving  atomic.Bool
 	callers  sync.Map // remote address to context.CancelFunc
+	open     sync.Map // remote address to *nbio.Conn
+	watched  chan struct{}
 	shares   shares
 	stop     sync.Once
 }
@@ -116,18 +121,42 @@
 	}
 	se.eng = nbhttp.NewEngine(config)
 	se.handOver()
-	se.eng.OnClose(func(nc net.Conn, _ error) {
-		if cancel, ok := se.callers.Load(nc.RemoteAddr().String()); ok {
-			cancel.(context.CancelFunc)()
-		}
-	})
+	se.eng.OnClose(func(nc net.Conn, _ error) { se.open.Delete(nc.RemoteAddr().String()) })
 	if err := se.eng.Start(); err != nil {
 		se.cancel()
 		return merry.Prependf(err, "entry at %s", se.address)
 	}
+	se.watched = make(chan struct{})
+	go se.watch()
 	return nil
 }
 
+// watch cancels the requests of callers that have gone away, until the server
+// stops. nbhttp's own OnClose waits for the request of the connection to end.
+func (se *Server) watch() {
+	defer close(se.watched)
+	ticker := se.clk.NewTicker(watchEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-se.ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		se.callers.Range(func(address, cancel any) bool {
+			if co, ok := se.open.Load(address); !ok || closed(co.(*nbio.Conn)) {
+				cancel.(context.CancelFunc)()
+			}
+			return true
+		})
+	}
+}
+
+func closed(co *nbio.Conn) bool {
+	is, _ := co.IsClosed()
+	return is
+}
+
 // execute runs a handler. A job ends once nbhttp has written the answer out,
 // which is after the end of the request in flight. Jobs that start while the
 // server is leaving only refuse requests and are not waited for; the order of
@@ -166,6 +195,7 @@
 		se.cancel()
 		se.eng.Stop()
 		se.pool.Stop()
+		<-se.watched
 	})
 }
 
@@ -195,7 +225,10 @@
 // detector does not see: it reports nbhttp.Conn.RemoteAddr without this.
 func (se *Server) handOver() {
 	var opened atomic.Uint64
-	se.eng.Engine.OnOpen(func(*nbio.Conn) { opened.Add(1) })
+	se.eng.Engine.OnOpen(func(co *nbio.Conn) {
+		se.open.Store(co.RemoteAddr().String(), co)
+		opened.Add(1)
+	})
 	se.eng.OnData(func(co *nbio.Conn, data []byte) {
 		_ = opened.Load()
 		co.DataHandler()(co, data)
