--- a/internal/proof/promises/fleet_test.go
+++ b/internal/proof/promises/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -10,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -133,6 +135,11 @@
 		sh.scale = 1
 	}
 	lf, err := local.New(ctx, clk, sh.config(t), local.WithScale(sh.scale))
+	for range 5 { // another process may have taken a port in the meantime
+		if errors.Is(err, syscall.EADDRINUSE) {
+			lf, err = local.New(ctx, clk, sh.config(t), local.WithScale(sh.scale))
+		}
+	}
 	require.NoError(t, err)
 	fl := &fleet{Fleet: lf, t: t, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
 	t.Cleanup(func() {
