--- a/call.go
+++ b/call.go
@@ -34,6 +34,8 @@
 	// Left is the time to this stage's deadline when the call was sent. It is
 	// relative, so that the processes' clocks need not agree.
 	Left time.Duration `json:"Left"`
+	// RequestAt is when the caller's request reached its entry, by the entry's clock.
+	RequestAt time.Time `json:"RequestAt,omitzero"`
 	// SentAt is when the entry sent the call, by the entry's clock. A call that
 	// is too old does not run on an agent's grant.
 	SentAt time.Time `json:"SentAt,omitzero"`
@@ -86,12 +88,15 @@
 	// Replayed says that the answer is that of an earlier attempt with the same key.
 	Replayed bool `json:"Replayed,omitempty"`
 	// Unflushed says that the call ran on the agent's grant and is not in the table yet.
-	Unflushed bool   `json:"Unflushed,omitempty"`
-	Died      bool   `json:"Died,omitempty"` // the upstream died while it ran the call
-	Fault     *Fault `json:"Fault,omitempty"`
-	Load      *Load  `json:"Load,omitempty"`
-	Version   uint64 `json:"Version"`
-	Clock     uint64 `json:"Clock,omitempty"`
+	Unflushed bool `json:"Unflushed,omitempty"`
+	// KeyChecked says that the verdict speaks of the call's key, not only of
+	// this attempt: the owner of the key has looked it up.
+	KeyChecked bool   `json:"KeyChecked,omitempty"`
+	Died       bool   `json:"Died,omitempty"` // the upstream died while it ran the call
+	Fault      *Fault `json:"Fault,omitempty"`
+	Load       *Load  `json:"Load,omitempty"`
+	Version    uint64 `json:"Version"`
+	Clock      uint64 `json:"Clock,omitempty"`
 }
 
 // Load is an agent's report on its upstream.
--- a/internal/agent/server/death.go
+++ b/internal/agent/server/death.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/citronstream/citronstream"
@@ -61,7 +63,7 @@
 	se.event(citronstream.Event{Kind: "UpstreamDied", Upstream: se.up.Name})
 	if se.holds != nil && len(digests) > 0 {
 		report := poison.Report{
-			ID: poison.DeathID(se.up.Name, se.epoch(), nth), Upstream: se.up.Name, At: se.clk.Now(), Running: digests,
+			ID: poison.DeathID(se.up.Name, se.life(), nth), Upstream: se.up.Name, At: se.clk.Now(), Running: digests,
 		}
 		report.Held = se.holds.Merge(report)
 		se.report(report)
@@ -71,6 +73,15 @@
 	go se.await()
 }
 
+// life tells the deaths that this process counts from those that an earlier
+// one counted.
+func (se *Server) life() uint64 {
+	if epoch := se.epoch(); epoch != 0 {
+		return epoch
+	}
+	return se.began
+}
+
 // report tells the entries of a death and waits until they have noted it, or
 // reportWait has passed. The calls that ended with the death are answered only
 // then: a caller that sends the content again at once through another entry
@@ -133,7 +144,9 @@
 	var dl net.Dialer
 	nc, err := dl.DialContext(ctx, "tcp", se.up.Address)
 	if err != nil {
-		return false
+		// A time-out shows a busy or paused upstream. Only a refused connection
+		// shows that its process has ended.
+		return !errors.Is(err, syscall.ECONNREFUSED)
 	}
 	_ = nc.Close()
 	return true
--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -27,6 +27,10 @@
 	if se.recall(at) {
 		return
 	}
+	if ca.KeyGiven && !ca.Idempotent && se.fences.bars(&ca) {
+		se.refused(at, citronstream.NewFault(citronstream.NotRun, citronstream.CodeStale, "a later request with this key was refused as not run"))
+		return
+	}
 	if err := se.enqueue(at); err != nil {
 		se.counts.Refused.Add(1)
 		se.refuse(at, err)
@@ -46,7 +50,7 @@
 	case down:
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "upstream %s is down", se.up.Name)
 	case se.unloaded(ca.Model):
-		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "upstream %s has not loaded %s", se.up.Name, ca.Model)
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotReady, "upstream %s has not loaded %s", se.up.Name, ca.Model)
 	case ca.Service != se.up.Service:
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeStale, "upstream %s serves %s, not %s", se.up.Name, se.up.Service, ca.Service)
 	}
@@ -98,10 +102,15 @@
 	se.runs.Add(1)
 	go func() {
 		defer se.runs.Done()
+		// The fence stands before the look: what comes later is barred, what came before is seen.
+		undo := se.fences.put(&at.Call, se.clk.Now())
 		of := *fa
 		if of.Verdict = se.once.Verdict(se.ctx, &at.Call); se.twin(at) {
 			of.Verdict = citronstream.MayHaveRun
 		}
+		if of.Verdict != citronstream.NotRun {
+			undo()
+		}
 		se.refused(at, &of)
 	}()
 }
@@ -121,7 +130,7 @@
 		Kind: "CallRefused", RequestID: at.Call.RequestID, AttemptID: at.Call.AttemptID,
 		Upstream: se.up.Name, Verdict: fa.Verdict.String(), Detail: string(fa.Code),
 	})
-	se.finish(at, citronstream.Result{Fault: fa})
+	se.finish(at, citronstream.Result{Fault: fa, KeyChecked: !at.Call.Idempotent})
 }
 
 // finish ends an attempt and sends its result.
@@ -274,6 +283,7 @@
 		return output, re
 	})
 	_ = at.Emit(output)
+	re.KeyChecked = true
 	return re
 }
 
