--- a/internal/entry/pipeline/attempts.go
+++ b/internal/entry/pipeline/attempts.go
@@ -68,6 +68,20 @@
 		ru.counts.NoRoute.Add(1)
 		return noRoute(ca)
 	}
+	if at.hedgeable(ca) {
+		return at.hedged(ctx, ca, picker, upstream)
+	}
+	return at.send(ctx, ca, picker, upstream, func(data []byte) {
+		at.output = append(at.output, data...)
+		if sink != nil {
+			sink(data)
+		}
+	})
+}
+
+// send sends the call to an upstream under a new attempt identifier.
+func (at *attempts) send(ctx context.Context, ca *citronstream.Call, picker citronstream.Picker, upstream string, sink func([]byte)) citronstream.Result {
+	ru := at.ru
 	ca.AttemptID = citronstream.NewID()
 	ca.SentAt = ru.clk.Now()
 	ca.Left = at.end.Sub(ca.SentAt)
@@ -79,14 +93,8 @@
 	if len(at.blocks) > 0 {
 		ru.prefix.Note(upstream, at.blocks)
 	}
-	start := ru.clk.Now()
-	re := ru.agents.Run(ctx, upstream, *ca, func(data []byte) {
-		at.output = append(at.output, data...)
-		if sink != nil {
-			sink(data)
-		}
-	})
-	took := ru.clk.Now().Sub(start)
+	re := ru.agents.Run(ctx, upstream, *ca, sink)
+	took := ru.clk.Now().Sub(ca.SentAt)
 	picker.Ended(upstream, ca.Cost, took, faultError(re.Fault))
 	ru.event(ca, "AttemptEnded", upstream, &re)
 	if re.Fault == nil && ru.times != nil && !re.Replayed {
@@ -133,10 +141,14 @@
 	if !ca.Idempotent && at.ru.owners != nil {
 		return at.ru.owners.Owner(ca.Service, ca.Workspace, ca.Key, at.exclude)
 	}
-	return picker.Pick(citronstream.PickRequest{
+	return picker.Pick(at.request(ca))
+}
+
+func (at *attempts) request(ca *citronstream.Call) citronstream.PickRequest {
+	return citronstream.PickRequest{
 		Service: ca.Service, Zone: at.ru.zone, Model: ca.Model, Cost: ca.Cost, Exclude: at.exclude, Suspect: ca.Suspect,
 		Blocks: at.blocks,
-	})
+	}
 }
 
 // again spends the budget and waits before the next attempt. A refusal by an
--- /dev/null
+++ b/internal/entry/pipeline/hedge.go
@@ -0,0 +1,60 @@
+package pipeline
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/citronstream/citronstream"
+)
+
+// When a call is hedged: after hedgeFactor times its usual time, and not
+// before hedgeLeast. A connection between an agent and its upstream that goes
+// silent shows in nothing else than the time, as HTTP/1.1 has no heartbeat.
+const (
+	hedgeFactor = 4
+	hedgeLeast  = 300 * time.Millisecond
+)
+
+// hedgeable says whether a second attempt may run beside the first.
+func (at *attempts) hedgeable(ca *citronstream.Call) bool {
+	return ca.Idempotent && !ca.Streams && !ca.Suspect && at.ru.times != nil
+}
+
+// hedged sends a call, and once more to another upstream if the answer takes
+// long. The first whole answer counts and the other attempt is cancelled. A
+// hedge is an extra attempt of the retry budget.
+func (at *attempts) hedged(ctx context.Context, ca *citronstream.Call, picker citronstream.Picker, upstream string) citronstream.Result {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // the attempt that lost ends by this, and reports to the buffered channel
+	results := make(chan citronstream.Result, 2)
+	start := func(upstream string) {
+		own := *ca
+		go func() { results <- at.send(ctx, &own, picker, upstream, nil) }()
+	}
+	start(upstream)
+	timer := at.ru.clk.NewTimer(max(hedgeLeast, hedgeFactor*at.ru.times.P50(ca.Service, ca.Cost)))
+	defer timer.Stop()
+	for running := 1; ; {
+		select {
+		case re := <-results:
+			if running--; re.Fault == nil || running == 0 {
+				return re
+			}
+		case <-timer.Chan():
+			if other, ok := at.other(ca, picker, upstream); ok {
+				at.ru.counts.Hedges.Add(1)
+				start(other)
+				running++
+			}
+		}
+	}
+}
+
+// other picks an upstream for a hedge, if the budget allows one.
+func (at *attempts) other(ca *citronstream.Call, picker citronstream.Picker, first string) (string, bool) {
+	pr := at.request(ca)
+	pr.Exclude = append(slices.Clone(at.exclude), first)
+	other, ok := picker.Pick(pr)
+	return other, ok && other != first && at.budget.Extra()
+}
--- a/internal/entry/pipeline/pipeline.go
+++ b/internal/entry/pipeline/pipeline.go
@@ -78,7 +78,7 @@
 
 // Counts are the counters of a Runner.
 type Counts struct {
-	Requests, Retries, Resumed, Refused, NoRoute, Held atomic.Uint64
+	Requests, Retries, Hedges, Resumed, Refused, NoRoute, Held atomic.Uint64
 }
 
 // Runner runs requests.
--- a/internal/proof/load/load.go
+++ b/internal/proof/load/load.go
@@ -30,6 +30,10 @@
 	resendAfter = 100 * time.Millisecond
 	// twiceShare is the share of orders that are sent through two entries at once.
 	twiceShare = 0.1
+	// againShare is the share of answered orders that are sent again some
+	// time later, as by a caller whose answer was lost, and againWithin when.
+	againShare  = 0.25
+	againWithin = 6 * time.Second
 	// opaqueShare is the share of orders whose key tells nothing of its age.
 	opaqueShare = 0.3
 )
--- a/internal/proof/load/trial.go
+++ b/internal/proof/load/trial.go
@@ -21,7 +21,8 @@
 	key      string
 	sends    int
 	twice    bool
-	stubborn bool // sends again whatever the answer
+	again    time.Duration // sent again this long after its answer; 0 is never
+	stubborn bool          // sends again whatever the answer
 	entry    int
 	began    time.Time
 
@@ -43,6 +44,9 @@
 		tr.sends = maxSends
 		tr.twice = lo.rnd.Float64() < twiceShare
 		tr.key = newKey(lo.rnd)
+		if lo.rnd.Float64() < againShare {
+			tr.again = time.Duration(lo.rnd.Int64N(int64(againWithin)))
+		}
 	}
 	return tr
 }
@@ -65,6 +69,7 @@
 	for try := range tr.sends {
 		an := lo.send(ctx, tr, tr.entry+try)
 		if an.final() && !tr.stubborn {
+			lo.sendAgain(ctx, tr)
 			return
 		}
 		select {
@@ -75,6 +80,18 @@
 	}
 }
 
+// sendAgain sends an answered request once more through another entry.
+func (lo *Load) sendAgain(ctx context.Context, tr *trial) {
+	if tr.again == 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-lo.clk.After(tr.again):
+		lo.send(ctx, tr, tr.entry+1)
+	}
+}
+
 // send sends the request once. An entry that can't be reached is skipped, as
 // the platform's balancer would do.
 func (lo *Load) send(ctx context.Context, tr *trial, entry int) answer {
