Tests of commands wait for events only

Cause: TestMove failed once under load: timers of a read counted as the awaited waiters of the fake clock. Change: the tests wait for the timers of the fetches themselves and for the question for running calls.

--- a/internal/agent/orders/orders_test.go
+++ b/internal/agent/orders/orders_test.go
@@ -206,8 +206,9 @@
 }
 
 func (ti timers) NewTimer(d time.Duration) clockwork.Timer {
+	timer := ti.FakeClock.NewTimer(d)
 	ti.waits <- d
-	return ti.FakeClock.NewTimer(d)
+	return timer
 }
 
 // TestMove guards against a model that moves faster than the weight store
@@ -250,12 +251,11 @@
 		ag.or.Configure(place(2, m2, m1, m2))
 		go func() { errs <- ag.or.step(ctx) }()
 	}
-	require.NoError(t, wo.clk.BlockUntilContext(ctx, 2))
+	// 2,000 bytes at 100 bytes a second.
+	assert.Equal(t, []time.Duration{20 * time.Second, 20 * time.Second}, []time.Duration{<-waits, <-waits})
 	for _, ag := range agents[:2] {
 		assert.Equal(t, []string{}, ag.or.Models(), "the model that is unloaded is still offered, or the other one already")
 	}
-	// 2,000 bytes at 100 bytes a second.
-	assert.Equal(t, []time.Duration{20 * time.Second, 20 * time.Second}, []time.Duration{<-waits, <-waits})
 	wo.clk.Advance(20 * time.Second)
 	require.NoError(t, <-errs)
 	require.NoError(t, <-errs)
@@ -275,11 +275,23 @@
 	defer cancel()
 	ag := wo.agent("eng-1", "i1", me, "")
 	ag.gr.Step(ctx)
-	WithBusy(func(string) int { return 1 })(ag.or)
+	asked := make(chan string, 1)
+	WithBusy(func(model string) int {
+		select {
+		case asked <- model:
+		default:
+		}
+		return 1
+	})(ag.or)
 	ag.or.Configure(fleet(1, "m1"))
 	ended := ag.or.Run(ctx)
-	require.NoError(t, wo.clk.BlockUntilContext(ctx, 1))
-	assert.Equal(t, []string{"m0"}, me.models, "unloaded under a call")
+	select {
+	case model := <-asked:
+		require.Equal(t, "m0", model)
+	case <-ctx.Done():
+		require.Fail(t, "the calls of m0 were not looked at")
+	}
+	assert.Empty(t, me.tokens, "commanded while a call of the model runs")
 	ag.or.Configure(fleet(2, "m0"))
 	for ag.or.Counts().Version != 2 && ctx.Err() == nil {
 		require.NoError(t, wo.clk.BlockUntilContext(ctx, 1))
