Hedges for calls that take long; a budget for cache events

Cause: calls on a connection to an upstream that had gone silent hung until their deadline (known red: 504 after 8.0 s); cache events would take an estimated 75 KB/s of an entry's 5 KB/s at full size. Change: idempotent calls without a stream are hedged within the retry budget, a call without an answer for 1 s closes the idle connections; cache events of a region share 1,000 bytes/s.

--- a/internal/entry/pipeline/hedge.go
+++ b/internal/entry/pipeline/hedge.go
@@ -14,6 +14,9 @@
 const (
 	hedgeFactor = 4
 	hedgeLeast  = 300 * time.Millisecond
+	// hedgeSame is the wait before a hedge at the same upstream, if there is no
+	// other. By then its agent has closed its idle connections.
+	hedgeSame = 1200 * time.Millisecond
 )
 
 // hedgeable says whether a second attempt may run beside the first.
@@ -33,8 +36,10 @@
 		go func() { results <- at.send(ctx, &own, picker, upstream, nil) }()
 	}
 	start(upstream)
-	timer := at.ru.clk.NewTimer(max(hedgeLeast, hedgeFactor*at.ru.times.P50(ca.Service, ca.Cost)))
+	delay := max(hedgeLeast, hedgeFactor*at.ru.times.P50(ca.Service, ca.Cost))
+	timer := at.ru.clk.NewTimer(delay)
 	defer timer.Stop()
+	same := false
 	for running := 1; ; {
 		select {
 		case re := <-results:
@@ -42,7 +47,13 @@
 				return re
 			}
 		case <-timer.Chan():
-			if other, ok := at.other(ca, picker, upstream); ok {
+			other, ok := at.other(ca, picker, upstream, same)
+			if !ok && !same {
+				same = true
+				timer.Reset(max(hedgeSame-delay, 0))
+				continue
+			}
+			if ok && at.budget.Extra() {
 				at.ru.counts.Hedges.Add(1)
 				start(other)
 				running++
@@ -51,10 +62,11 @@
 	}
 }
 
-// other picks an upstream for a hedge, if the budget allows one.
-func (at *attempts) other(ca *citronstream.Call, picker citronstream.Picker, first string) (string, bool) {
+// other picks an upstream for a hedge: not the first one, unless same says so.
+func (at *attempts) other(ca *citronstream.Call, picker citronstream.Picker, first string, same bool) (string, bool) {
 	pr := at.request(ca)
-	pr.Exclude = append(slices.Clone(at.exclude), first)
-	other, ok := picker.Pick(pr)
-	return other, ok && other != first && at.budget.Extra()
+	if !same {
+		pr.Exclude = append(slices.Clone(at.exclude), first)
+	}
+	return picker.Pick(pr)
 }
--- a/internal/process/agent/engine.go
+++ b/internal/process/agent/engine.go
@@ -11,6 +11,7 @@
 	"github.com/citronstream/citronstream/internal/once/grant"
 	"github.com/citronstream/citronstream/internal/route/prefix"
 	"github.com/citronstream/citronstream/internal/upstream/report"
+	"golang.org/x/time/rate"
 )
 
 // commands sets up the commands to an engine. Their epoch is that of the
@@ -33,14 +34,45 @@
 // cache events. An idle entry has no use for them and gets none.
 const cacheWithin = 10 * time.Second
 
+// Budget of the cache events. All engines of a region together may send an
+// entry cacheBytes a second, of the 5 KB that control may cost it: without a
+// limit the events of 87 engines took an estimated 75 KB/s. At that size next to
+// nothing passes, and entries go by what they sent themselves.
+const (
+	cacheBytes = 1000
+	cacheBurst = 4096
+	groupBytes = 120 // of an event without blocks, as JSON
+	blockBytes = 21
+)
+
+// engines returns the mean number of engines in a region, at least 1.
+func (ag *Agent) engines() int {
+	fl := ag.Config.Current().Fleet
+	kinds := make(map[string]string, len(fl.Services))
+	for _, se := range fl.Services {
+		kinds[se.Name] = se.Kind
+	}
+	count := 0
+	for _, up := range fl.Upstreams {
+		if kinds[up.Service] == citronstream.KindEngine {
+			count++
+		}
+	}
+	return max(1, count/max(1, len(fl.Regions)))
+}
+
 // reports sets up what is read from the upstream itself.
 func (ag *Agent) reports(se *citronstream.Service) {
 	mean := firstRate(se, 1)
 	switch {
 	case se.Kind == citronstream.KindEngine:
 		ag.reader = report.New()
+		limit := rate.NewLimiter(rate.Limit(cacheBytes/float64(ag.engines())), cacheBurst)
 		ag.Cache = cachefeed.New(ag.clk, ag.reader, ag.Up.Name, ag.Up.Address, ag.busy(), func(ev prefix.Event) {
-			ag.Server.Offer(citronstream.MethodCache, ev, cacheWithin)
+			// A group that is left out shows as a gap in the sequence.
+			if limit.AllowN(ag.clk.Now(), groupBytes+blockBytes*(len(ev.Stored)+len(ev.Evicted))) {
+				ag.Server.Offer(citronstream.MethodCache, ev, cacheWithin)
+			}
 		})
 		ag.Own = ownload.New(ag.clk, ag.Up.Address, ag.reader.Engine, mean, ag.busy())
 	case se.Kind == citronstream.KindPlain && se.ReportsLoad:
--- a/internal/proof/faults/faults.go
+++ b/internal/proof/faults/faults.go
@@ -178,12 +178,33 @@
 	return names[in.intn(len(names))]
 }
 
-// either returns an upstream of a keyed service half of the time.
+// engine returns an upstream that streams.
+func (in *Injector) engine() string {
+	var names []string
+	for _, up := range in.fl.Config.Upstreams {
+		for _, se := range in.fl.Config.Services {
+			if se.Name == up.Service && se.Kind == citronstream.KindEngine {
+				names = append(names, up.Name)
+			}
+		}
+	}
+	if len(names) == 0 {
+		return in.upstream()
+	}
+	return names[in.intn(len(names))]
+}
+
+// either returns an upstream of a keyed service, an engine, or any other,
+// with the same chance: the promises hang most on the first two.
 func (in *Injector) either() string {
-	if in.intn(2) == 0 {
+	switch in.intn(3) {
+	case 0:
 		return in.keyed()
+	case 1:
+		return in.engine()
+	default:
+		return in.upstream()
 	}
-	return in.upstream()
 }
 
 func (in *Injector) kill(ctx context.Context) string {
--- a/internal/upstream/exchange/client.go
+++ b/internal/upstream/exchange/client.go
@@ -95,6 +95,11 @@
 	return ca.Left
 }
 
+// quietAfter is how long a call goes without an answer before the idle
+// connections are closed: its connection may have gone silent, and the idle
+// ones with it, so that a second attempt needs a new one.
+const quietAfter = time.Second
+
 // Send sends the request and returns the head of the answer. The error is a
 // *citronstream.Fault: NotRun if no byte was written, MayHaveRun otherwise.
 // The caller closes the Answer.
@@ -128,7 +133,9 @@
 		req.Header[name] = values
 	}
 	identify(req.Header, rq.Call)
+	quiet := cl.clk.AfterFunc(quietAfter, cl.tr.CloseIdleConnections)
 	res, err := cl.tr.RoundTrip(req)
+	quiet.Stop()
 	if err != nil {
 		cancel()
 		return nil, at, err
