A resend to a restarted agent keeps its key in the settlement

Cause: Keeper.Begin raised the epoch of a kept key to that of the resend. Settle of the epoch under which the key ran then passed over it: its row was never written, and with entries old enough the slot counted as clean, so that the order could run again. Change: a kept key stays with the epoch of its first call.

--- a/internal/once/witness/witness.go
+++ b/internal/once/witness/witness.go
@@ -123,10 +123,11 @@
 	case ki == nil && (len(ke.keys) >= ke.maxKeys || ke.bytes >= ke.maxBytes):
 		return ke.refuse(ca, citronstream.CodeLimit, "too many keys wait for their agents")
 	case ki == nil:
-		ki = &kept{id: key, digest: ca.Digest, at: ke.clk.Now()}
+		ki = &kept{id: key, epoch: epoch, digest: ca.Digest, at: ke.clk.Now()}
 		ke.keys[key] = ki
 	}
-	ki.epoch = max(ki.epoch, epoch)
+	// A resend to the successor leaves the epoch as it is: raised, it would
+	// hide the key from the settlement of the epoch under which it ran.
 	ki.calls++
 	return nil
 }
