--- a/internal/proof/promises/config_test.go
+++ b/internal/proof/promises/config_test.go
@@ -73,6 +73,8 @@
 	change := func() uint64 {
 		return fl.accept(func(next *citronstream.Fleet) { next.Workspaces[0].Weight++ })
 	}
+	old, err := fl.Table.Get(context.Background(), version.RowKey)
+	require.NoError(t, err)
 	since := change()
 	down := func(on bool) {
 		fl.Table.SetDown(on)
@@ -104,6 +106,14 @@
 			until(t, "in force after the pause", func() bool { return fl.inForce(since) })
 		}
 	}
+	// A table that shows an old row, as after a restored backup, changes nothing.
+	require.NoError(t, fl.Table.Write(context.Background(), citronstream.NewID(), citronstream.Op{Key: version.RowKey, Value: old.Value, IfVersion: citronstream.AnyVersion}))
+	before, _, _ := fl.Table.Counts()
+	until(t, "entries read the old row", func() bool {
+		reads, _, _ := fl.Table.Counts()
+		return reads >= before+4*uint64(len(fl.Config.Entries))
+	})
+	require.True(t, fl.inForce(since))
 	for _, en := range fl.Config.Entries {
 		collect(fl.Entry(en.Name).Timeline, began[en.Name])
 	}
--- a/internal/proof/promises/leaving_test.go
+++ b/internal/proof/promises/leaving_test.go
@@ -127,6 +127,9 @@
 		if !an.done() {
 			failed++
 			require.True(t, held[an.id], "%+v", an)
+			if an.notRun() {
+				require.Empty(t, fl.Record.ByRequest(an.id))
+			}
 		}
 	}
 	t.Logf("%d requests, the killed agent held %d, %d of these failed", len(answers), len(held), failed)
--- a/internal/proof/promises/once_test.go
+++ b/internal/proof/promises/once_test.go
@@ -205,7 +205,10 @@
 // Guards against an order that runs again after its agent died in an outage:
 // the entry that carried it hands its answer to the successor.
 func TestAgentDiesInOutage(t *testing.T) {
-	fl := deskWithTwoEntries(t, nil)
+	fl := deskWithTwoEntries(t, func(co *citronstream.Fleet) {
+		// A successor that finds an entry without a link asks again after this time.
+		co.Limits.GrantRenew = citronstream.Duration(3 * time.Second)
+	})
 	fl.Table.SetDown(true)
 	keys := newKeys(30)
 	first := fl.orders(keys)
@@ -217,6 +220,13 @@
 		require.NoError(t, fl.StartAgent(up.Name))
 	}
 	var again []answer
+	defer func() {
+		if t.Failed() {
+			for i, an := range again {
+				t.Logf("key %s, first %v, then %v %s, ran %v", keys[i], first[i].fault, an.fault, an.body, fl.Record.ByKey(keys[i]))
+			}
+		}
+	}()
 	until(t, "the first answers are known again", func() bool {
 		again = fl.orders(keys)
 		fl.requireOnce(keys, first, again)
