Tests of the local fleet take ports below the outgoing range

Cause: TestPopularPrefix failed once with an address in use on 127.81.0.1:42997, a port of outgoing connections.

--- a/internal/process/local/engines_test.go
+++ b/internal/process/local/engines_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -42,14 +40,6 @@
 	})
 }
 
-// address returns a free address on a loopback network of this process.
-func address(t *testing.T) string {
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:0", 64+os.Getpid()%64))
-	require.NoError(t, err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
-}
-
 // writers is a fleet of engines and entries in one zone, with one model.
 func writers(t *testing.T, engines, entries int, policy string) *citronstream.Fleet {
 	fl := &citronstream.Fleet{
@@ -72,14 +62,16 @@
 	for i := range engines {
 		fl.Upstreams = append(fl.Upstreams, citronstream.Upstream{
 			Name: fmt.Sprintf("e%d", i), Service: "writer", Instance: fmt.Sprintf("i%d", i),
-			Address: address(t), Agent: address(t), Capacity: 8, Models: []string{"m"},
+			Capacity: 8, Models: []string{"m"},
 		})
 	}
 	for i := range entries {
 		fl.Entries = append(fl.Entries, citronstream.Entry{
-			Name: fmt.Sprintf("n%d", i), Instance: fmt.Sprintf("i%d", engines+i), Address: address(t), Admin: address(t),
+			Name: fmt.Sprintf("n%d", i), Instance: fmt.Sprintf("i%d", engines+i),
 		})
 	}
+	fl, err := FreePorts(fl)
+	require.NoError(t, err)
 	return fl
 }
 
