--- a/internal/cli/soak/soak.go
+++ b/internal/cli/soak/soak.go
@@ -19,7 +19,7 @@
 )
 
 // faultEvery is the mean time between two faults.
-const faultEvery = 3 * time.Second
+const faultEvery = 2 * time.Second
 
 // Command runs a fleet under faults drawn from a seed.
 type Command struct {
