--- a/internal/process/local/control.go
+++ b/internal/process/local/control.go
@@ -21,6 +21,17 @@
 	return fl.gates[name]
 }
 
+// Unlist drops the instance of an upstream from the platform's list, or adds it again.
+func (fl *Fleet) Unlist(name string, drop bool) {
+	for _, up := range fl.Config.Upstreams {
+		if up.Name == name && drop {
+			fl.List.Remove(up.Instance)
+		} else if up.Name == name {
+			fl.List.Set(citronstream.InstanceState{Instance: up.Instance, Zone: fl.zone(up.Instance)})
+		}
+	}
+}
+
 // StopAgent stops an agent as a crash would.
 func (fl *Fleet) StopAgent(name string) {
 	if ag := fl.takeAgent(name); ag != nil {
@@ -55,6 +66,10 @@
 	return ag
 }
 
+// stopWithin is longer than the stop of an entry takes. Until it has ended,
+// requests that come in break too.
+const stopWithin = time.Hour
+
 // StopEntry stops an entry as a crash would.
 func (fl *Fleet) StopEntry(name string) {
 	fl.mu.Lock()
@@ -64,7 +79,7 @@
 	for _, co := range fl.Config.Entries {
 		if co.Name == name {
 			address = co.Address
-			fl.killed[address] = fl.clk.Now()
+			fl.killed[address] = fl.clk.Now().Add(stopWithin)
 		}
 	}
 	fl.mu.Unlock()
@@ -72,7 +87,6 @@
 		return
 	}
 	en.Stop()
-	// Requests that came between the start and the end of the stop broke too.
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	fl.killed[address] = fl.clk.Now()
