--- a/internal/proof/promises/bounds_test.go
+++ b/internal/proof/promises/bounds_test.go
@@ -26,12 +26,10 @@
 		workspace string
 		accepted  uint64
 	}{{"small", 1}, {"small", 2}, {"small", 2}, {"large", 3}, {"large", 4}, {"large", 5}, {"large", 6}, {"large", 6}, {"tiny", 6}} {
-		limited := taken().Limited.Load()
 		send(step.workspace)
 		until(t, "the request is in flight or refused", func() bool {
 			return taken().Accepted.Load() == step.accepted && (step.accepted+taken().Limited.Load() == uint64(len(callers)))
 		})
-		_ = limited
 	}
 	fl.Upstream("desk-1").Pause(false)
 	refused := 0
--- a/internal/proof/promises/load_test.go
+++ b/internal/proof/promises/load_test.go
@@ -100,7 +100,7 @@
 	t.Run("deadline passes", func(t *testing.T) {
 		long.deadline = 2 * time.Second
 		an := fl.post(long)
-		require.False(t, an.done() && an.connErr == nil && len(an.body) == 0)
+		require.NotContains(t, an.body, "[DONE]")
 		until(t, "sequence ends", func() bool { return !generating() })
 		ex := fl.Record.All()[1]
 		require.Equal(t, record.Canceled, ex.Outcome)
