--- a/internal/proof/bench/control_test.go
+++ b/internal/proof/bench/control_test.go
@@ -13,19 +13,20 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Times of a measurement. At full size an entry checks an idle link each 21 s
-// and renews nothing; an agent renews its grant each 30 s.
+// Times of a measurement. At full size an entry checks an idle link each 47.5 s,
+// all of them at once if they were opened at once, so that the measurement has
+// to last as long.
 const (
 	settle    = 3 * time.Second
-	idleEntry = 22 * time.Second
-	idleAgent = 31 * time.Second
+	idleEntry = 48 * time.Second
+	idleAgent = 48 * time.Second
 	lowLoad   = 10 * time.Second
 	// share is one entry's interval between requests, 5,300 a second over 360 entries.
 	share = time.Second * 360 / 5300
 )
 
-// sizes runs a measurement of three fleets side by side, whose first region
-// has a quarter, half and all of the full size. Each process is measured alone.
+// sizes runs a measurement of three fleets side by side, with a quarter, half
+// and all of the links of the full size. Each process is measured alone.
 func sizes(b *testing.B, measure func(fl *citronstream.Fleet, home Region, size string)) {
 	for b.Loop() {
 		var wg sync.WaitGroup
@@ -68,7 +69,7 @@
 		fl.Version = st.accept(fl)
 		as, err := NewAgents(st.ctx, st.clk, st.eng, fl, home.Upstreams)
 		require.NoError(b, err)
-		en := home.Entries[0]
+		en := home.Entry
 		ch := st.spawn(Child{Role: "entry", Name: en.Name, Zone: home.Zone, Address: en.Address, Threads: 2})
 		ch.ready(len(home.Upstreams), fl.Version)
 		me.set(float64(as.Meter.Wire().Upper())/float64(len(home.Upstreams)), "connect-B/link", size)
@@ -140,10 +141,10 @@
 			}
 		}
 		ch := st.spawn(Child{Role: "agent", Name: up.Name, Zone: home.Zone, Threads: 2})
-		NewEntries(st.ctx, st.clk, st.eng, home.Entries, up.Agent, fl.Version, len(home.Upstreams))
-		ch.ready(len(home.Entries), fl.Version)
+		NewEntries(st.ctx, st.clk, st.eng, fl.Entries, up.Agent, fl.Version, len(home.Upstreams))
+		ch.ready(len(fl.Entries), fl.Version)
 		<-st.clk.After(settle)
-		me.set(float64(len(home.Entries)), "links", size)
+		me.set(float64(len(fl.Entries)), "links", size)
 		reads, writes, _ := st.table.Counts()
 		me.process(ch.over(idleAgent, nil), "idle", size)
 		readsAfter, writesAfter, _ := st.table.Counts()
--- a/internal/proof/bench/fleet.go
+++ b/internal/proof/bench/fleet.go
@@ -45,14 +45,15 @@
 	}
 }
 
-// Region is the part of a fleet that one region's processes connect to.
+// Region is what the processes of one region connect to.
 type Region struct {
 	Zone      string
-	Upstreams []citronstream.Upstream
-	Entries   []citronstream.Entry
+	Entry     citronstream.Entry      // an entry of the region
+	Upstreams []citronstream.Upstream // whose agents the entry connects to
 }
 
-// Home returns the first region.
+// Home returns the first region. An entry connects to the agents of its
+// region, and to all agents of services with non-idempotent calls.
 func Home(fl *citronstream.Fleet) Region {
 	re := Region{Zone: fl.Regions[0].Zones[0].Name}
 	zones, zone := make(map[string]bool), make(map[string]string)
@@ -62,33 +63,37 @@
 	for _, in := range fl.Instances {
 		zone[in.Name] = in.Zone
 	}
+	keyed := make(map[string]bool)
+	for _, se := range fl.Services {
+		for _, sc := range se.Calls {
+			keyed[se.Name] = keyed[se.Name] || !sc.Idempotent
+		}
+	}
 	for _, up := range fl.Upstreams {
-		if zones[zone[up.Instance]] {
+		if zones[zone[up.Instance]] || keyed[up.Service] {
 			re.Upstreams = append(re.Upstreams, up)
 		}
 	}
 	for _, en := range fl.Entries {
 		if zones[zone[en.Instance]] {
-			re.Entries = append(re.Entries, en)
+			re.Entry = en
+			break
 		}
 	}
 	return re
 }
 
-// Thin returns the fleet with one in every upstreams and entries of the first
-// region kept, at least one upstream of each service. Other regions keep
-// theirs, so that the size of the configuration hardly changes with the links.
+// Thin returns the fleet with one in every of all entries and of the upstreams
+// that the first region connects to, at least one of each service. Other
+// regions keep theirs, so that the size of the configuration changes less than
+// the number of links.
 func Thin(fl *citronstream.Fleet, every int) *citronstream.Fleet {
-	home := Home(fl)
 	drop := make(map[string]bool)
 	seen := make(map[string]int)
-	for _, up := range home.Upstreams {
+	for _, up := range Home(fl).Upstreams {
 		drop[up.Name] = seen[up.Service]%every != 0
 		seen[up.Service]++
 	}
-	for i, en := range home.Entries {
-		drop[en.Name] = i%every != 0
-	}
 	next := *fl
 	next.Upstreams, next.Entries = nil, nil
 	for _, up := range fl.Upstreams {
@@ -96,8 +101,8 @@
 			next.Upstreams = append(next.Upstreams, up)
 		}
 	}
-	for _, en := range fl.Entries {
-		if !drop[en.Name] {
+	for i, en := range fl.Entries {
+		if i%every == 0 {
 			next.Entries = append(next.Entries, en)
 		}
 	}
--- a/internal/proof/bench/peers.go
+++ b/internal/proof/bench/peers.go
@@ -34,7 +34,7 @@
 }
 
 // agentPace is how long an agent lets an idle link be quiet.
-const agentPace = 30 * time.Second
+const agentPace = time.Minute
 
 // Agents are minimal agents with their upstreams: they answer each call at
 // once, and check idle links as agents do.
--- a/internal/proof/bench/rate_test.go
+++ b/internal/proof/bench/rate_test.go
@@ -22,7 +22,7 @@
 	fl.Version = st.accept(fl)
 	_, err = NewAgents(st.ctx, st.clk, st.eng, fl, home.Upstreams)
 	require.NoError(b, err)
-	en := home.Entries[0]
+	en := home.Entry
 	ch := st.spawn(Child{Role: "entry", Name: en.Name, Zone: home.Zone, Address: en.Address, Threads: 2})
 	ch.ready(len(home.Upstreams), fl.Version)
 	for _, kind := range []struct {
--- a/internal/proof/bench/slope_test.go
+++ b/internal/proof/bench/slope_test.go
@@ -59,7 +59,7 @@
 	fl.Version = st.accept(fl)
 	_, err = NewAgents(st.ctx, st.clk, st.eng, fl, home.Upstreams)
 	require.NoError(b, err)
-	en := home.Entries[0]
+	en := home.Entry
 	ch := st.spawn(Child{Role: "entry", Name: en.Name, Zone: home.Zone, Address: en.Address, Threads: 2})
 	ch.ready(len(home.Upstreams), fl.Version)
 	st.rates(b, ch, func() error {
@@ -82,8 +82,8 @@
 	desk := service.New(st.clk, up.Name, record.New(st.clk), service.WithScale(0), service.WithCapacity(up.Capacity))
 	require.NoError(b, desk.Start(st.ctx, up.Address))
 	ch := st.spawn(Child{Role: "agent", Name: up.Name, Zone: home.Zone, Threads: 2})
-	es := NewEntries(st.ctx, st.clk, st.eng, home.Entries, up.Agent, fl.Version, len(home.Upstreams))
-	ch.ready(len(home.Entries), fl.Version)
+	es := NewEntries(st.ctx, st.clk, st.eng, fl.Entries, up.Agent, fl.Version, len(home.Upstreams))
+	ch.ready(len(fl.Entries), fl.Version)
 	ws := fl.Workspaces[0].Name
 	li := es[0].Link()
 	st.rates(b, ch, func() error {
