--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -50,7 +50,7 @@
 	case down:
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "upstream %s is down", se.up.Name)
 	case se.unloaded(ca.Model):
-		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "upstream %s has not loaded %s", se.up.Name, ca.Model)
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotReady, "upstream %s has not loaded %s", se.up.Name, ca.Model)
 	case ca.Service != se.up.Service:
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeStale, "upstream %s serves %s, not %s", se.up.Name, se.up.Service, ca.Service)
 	}
@@ -130,7 +130,7 @@
 		Kind: "CallRefused", RequestID: at.Call.RequestID, AttemptID: at.Call.AttemptID,
 		Upstream: se.up.Name, Verdict: fa.Verdict.String(), Detail: string(fa.Code),
 	})
-	se.finish(at, citronstream.Result{Fault: fa})
+	se.finish(at, citronstream.Result{Fault: fa, KeyChecked: !at.Call.Idempotent})
 }
 
 // finish ends an attempt and sends its result.
@@ -283,6 +283,7 @@
 		return output, re
 	})
 	_ = at.Emit(output)
+	re.KeyChecked = true
 	return re
 }
 
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -52,8 +52,9 @@
 	meter    Meter
 	rec      citronstream.Recorder
 	token    string
-	boot     string // names this run of the process
-	epoch    func() uint64
+	boot     string        // names this run of the process
+	began    uint64        // nanoseconds since 1970
+	epoch    func() uint64 // 0 without a grant: entries then tell restarts by the link
 	version  func() uint64
 	observe  func(entry string, version uint64)
 	extra    func(li *link.Link, re *link.Request) bool
@@ -71,10 +72,12 @@
 	running map[string]*attempts.Attempt
 	inc     uint64 // incarnation of the upstream, grows with each death
 	down    bool
-	leaving bool
-	cost    float64 // estimated cost units running
-	loadSeq uint64
-	rate    float64 // cost units a second at full use, decayed
+	// reported is closed when the entries know of the last death.
+	reported chan struct{}
+	leaving  bool
+	cost     float64 // estimated cost units running
+	loadSeq  uint64
+	rate     float64 // cost units a second at full use, decayed
 
 	told    []int // slots last announced; used by the loop only
 	wake    chan struct{}
@@ -97,7 +100,7 @@
 ) *Server {
 	se := &Server{
 		clk: clk, eng: eng, up: up, protocol: protocol, queue: queue, log: logr.Discard(),
-		epoch: func() uint64 { return 1 }, version: func() uint64 { return 0 },
+		began: uint64(clk.Now().UnixNano()), epoch: func() uint64 { return 0 }, version: func() uint64 { return 0 },
 		observe: func(string, uint64) {}, slots: func() []int { return nil },
 		fold: func(*citronstream.Load) {}, models: func() []string { return nil },
 		extra:    func(*link.Link, *link.Request) bool { return false },
--- a/internal/entry/agents/run.go
+++ b/internal/entry/agents/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/once/claim"
@@ -21,12 +22,25 @@
 	}
 	li := ag.dial.Link()
 	if li == nil {
-		return failed(upstream, citronstream.NotRun, citronstream.CodeUnavailable, "no link to the agent of "+upstream)
+		return ofKey(&ca, failed(upstream, citronstream.NotRun, citronstream.CodeUnavailable, "no link to the agent of "+upstream))
 	}
 	if ca.Idempotent || po.keeper == nil {
 		return po.exchange(ctx, ag, li, ca, sink)
 	}
-	return po.keyed(ctx, ag, li, ca)
+	return ofKey(&ca, po.keyed(ctx, ag, li, ca))
+}
+
+// ofKey makes a verdict speak of the caller's key. That this attempt did not
+// run says nothing of an earlier request with the key, unless the owner of the
+// key has looked it up.
+func ofKey(ca *citronstream.Call, re citronstream.Result) citronstream.Result {
+	if ca.Idempotent || !ca.KeyGiven || re.KeyChecked || re.Fault == nil || re.Fault.Verdict != citronstream.NotRun {
+		return re
+	}
+	fa := *re.Fault
+	fa.Verdict = citronstream.MayHaveRun
+	re.Fault = &fa
+	return re
 }
 
 // keyed makes an attempt at a call that must not be repeated. The keeper
@@ -101,6 +115,10 @@
 	return re
 }
 
+// queryPause keeps a query from being repeated in a tight loop on a link that
+// has just ended.
+const queryPause = 10 * time.Millisecond
+
 // settle asks the agent over a new link what became of an attempt. An agent
 // that was replaced knows nothing, so its answer is no proof.
 func (po *Pool) settle(ctx context.Context, ag *agent, old *link.Link, fl *flight, ca *citronstream.Call) (citronstream.Result, error) {
@@ -132,6 +150,10 @@
 		if !errors.Is(err, link.ErrLost) {
 			return re, err
 		}
+		select { // the dialer may not have dropped the broken link yet
+		case <-ctx.Done():
+		case <-po.clk.After(queryPause):
+		}
 	}
 }
 
--- a/internal/entry/pipeline/attempts.go
+++ b/internal/entry/pipeline/attempts.go
@@ -44,7 +44,9 @@
 		if !retryable(&ca, &re) || !at.again(ctx, re, try) {
 			return at.failure(&ca, re, ran)
 		}
-		if re.Upstream != "" && (ca.Idempotent || re.Fault.Code == citronstream.CodeNotOwner) {
+		// An upstream that has not loaded the model says so in its load report,
+		// which keeps it from being picked; it may be the only one soon.
+		if re.Upstream != "" && re.Fault.Code != citronstream.CodeNotReady && (ca.Idempotent || re.Fault.Code == citronstream.CodeNotOwner) {
 			at.exclude = append(at.exclude, re.Upstream)
 		}
 		if len(at.output) > 0 {
@@ -66,6 +68,20 @@
 		ru.counts.NoRoute.Add(1)
 		return noRoute(ca)
 	}
+	if at.hedgeable(ca) {
+		return at.hedged(ctx, ca, picker, upstream)
+	}
+	return at.send(ctx, ca, picker, upstream, func(data []byte) {
+		at.output = append(at.output, data...)
+		if sink != nil {
+			sink(data)
+		}
+	})
+}
+
+// send sends the call to an upstream under a new attempt identifier.
+func (at *attempts) send(ctx context.Context, ca *citronstream.Call, picker citronstream.Picker, upstream string, sink func([]byte)) citronstream.Result {
+	ru := at.ru
 	ca.AttemptID = citronstream.NewID()
 	ca.SentAt = ru.clk.Now()
 	ca.Left = at.end.Sub(ca.SentAt)
@@ -77,14 +93,8 @@
 	if len(at.blocks) > 0 {
 		ru.prefix.Note(upstream, at.blocks)
 	}
-	start := ru.clk.Now()
-	re := ru.agents.Run(ctx, upstream, *ca, func(data []byte) {
-		at.output = append(at.output, data...)
-		if sink != nil {
-			sink(data)
-		}
-	})
-	took := ru.clk.Now().Sub(start)
+	re := ru.agents.Run(ctx, upstream, *ca, sink)
+	took := ru.clk.Now().Sub(ca.SentAt)
 	picker.Ended(upstream, ca.Cost, took, faultError(re.Fault))
 	ru.event(ca, "AttemptEnded", upstream, &re)
 	if re.Fault == nil && ru.times != nil && !re.Replayed {
@@ -131,14 +141,23 @@
 	if !ca.Idempotent && at.ru.owners != nil {
 		return at.ru.owners.Owner(ca.Service, ca.Workspace, ca.Key, at.exclude)
 	}
-	return picker.Pick(citronstream.PickRequest{
+	return picker.Pick(at.request(ca))
+}
+
+func (at *attempts) request(ca *citronstream.Call) citronstream.PickRequest {
+	return citronstream.PickRequest{
 		Service: ca.Service, Zone: at.ru.zone, Model: ca.Model, Cost: ca.Cost, Exclude: at.exclude, Suspect: ca.Suspect,
 		Blocks: at.blocks,
-	})
+	}
 }
 
-// again spends the budget and waits before the next attempt.
+// again spends the budget and waits before the next attempt. A refusal by an
+// upstream that leaves is free: it adds no load, and a drain must not fail a
+// request because others have spent the budget.
 func (at *attempts) again(ctx context.Context, re citronstream.Result, try int) bool {
+	if re.Fault.Code == citronstream.CodeLeaving && re.Fault.Verdict == citronstream.NotRun {
+		return ctx.Err() == nil
+	}
 	wait := at.ru.budget.Backoff(try)
 	if at.ru.clk.Now().Add(wait).After(at.end) || ctx.Err() != nil || !at.budget.Extra() {
 		return false
@@ -168,7 +187,11 @@
 	if fa.Verdict == citronstream.NotRun || ca.Idempotent {
 		return true
 	}
-	return fa.Verdict == citronstream.MayHaveRun && ca.Key != "" && (fa.Code == citronstream.CodeLinkLost || fa.Code == citronstream.CodeNotOwner)
+	switch fa.Code {
+	case citronstream.CodeLinkLost, citronstream.CodeNotOwner, citronstream.CodeUnavailable:
+		return fa.Verdict == citronstream.MayHaveRun && ca.Key != ""
+	}
+	return false
 }
 
 func (at *attempts) success(ca *citronstream.Call, re citronstream.Result) Outcome {
--- a/internal/process/local/engines_test.go
+++ b/internal/process/local/engines_test.go
@@ -16,10 +16,14 @@
 	"github.com/citronstream/citronstream/internal/entry/pipeline"
 	"github.com/citronstream/citronstream/internal/entry/stagebody"
 	"github.com/citronstream/citronstream/internal/kernel/policy"
+	"github.com/citronstream/citronstream/internal/limit/holdrow"
+	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/process/entry"
 	"github.com/citronstream/citronstream/internal/route/nearest"
 	"github.com/citronstream/citronstream/internal/route/prefix"
+	"github.com/citronstream/citronstream/internal/route/table"
 	"github.com/citronstream/citronstream/internal/standin/engine"
+	"github.com/citronstream/citronstream/internal/standin/host"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -234,3 +238,89 @@
 	assert.Equal(t, []string{"m"}, models("e1"))
 	assert.Equal(t, "spare", fl.Upstream("e0").(*engine.Server).Role())
 }
+
+// TestLeaving guards against work for an upstream that the platform lists as
+// leaving while its agent announces nothing, also after the agent was paused.
+func TestLeaving(t *testing.T) {
+	for name, pause := range map[string]bool{"silent agent": false, "paused agent": true} {
+		t.Run(name, func(t *testing.T) {
+			fl := begin(t, writers(t, 2, 1, ""))
+			en, no := fl.Entry("n0"), fl.Entry("n0").Routes.Snapshot().Node("e0")
+			fl.Gate("e0").Pause(pause)
+			if pause {
+				eventually(t, func() bool { return no.Status().Source == table.FromHeartbeat }, "no heartbeat was missed")
+			}
+			fl.List.Set(citronstream.InstanceState{Instance: "i0", Zone: "z", Leaving: true})
+			eventually(t, func() bool { return no.State() == table.Leaving || pause && no.State() == table.Gone }, "the list was not followed")
+			fl.Gate("e0").Pause(false)
+			eventually(t, func() bool { return en.Agents.Missing() == 0 && no.State() == table.Leaving }, "the agent is not back")
+			taken := fl.Agent("e0").Server.Counts().Taken.Load()
+			for range 50 {
+				_, fa := generate(t.Context(), en, "a prompt")
+				require.Nil(t, fa)
+			}
+			assert.Equal(t, taken, fl.Agent("e0").Server.Counts().Taken.Load())
+		})
+	}
+}
+
+// TestHoldSurvives guards against a poison content that is free again once
+// the entry and the agents that saw its deaths are replaced.
+func TestHoldSurvives(t *testing.T) {
+	fl := begin(t, writers(t, 2, 1, ""))
+	ctx, cancel := context.WithTimeout(t.Context(), bound)
+	defer cancel()
+	prompt := "write " + host.PoisonMarker
+	for ctx.Err() == nil {
+		_, fa := generate(ctx, fl.Entry("n0"), prompt)
+		require.NotNil(t, fa)
+		for _, up := range fl.Config.Upstreams {
+			if !fl.Upstream(up.Name).Running() {
+				require.NoError(t, fl.Upstream(up.Name).Restart())
+			}
+		}
+		if fa.Code == citronstream.CodeQuarantined {
+			break
+		}
+	}
+	written := func() bool { _, err := fl.Table.Get(ctx, holdrow.Key); return err == nil }
+	eventually(t, written, "the hold was not written")
+	fl.StopEntry("n0")
+	for _, up := range fl.Config.Upstreams {
+		fl.StopAgent(up.Name)
+	}
+	for _, up := range fl.Config.Upstreams {
+		require.NoError(t, fl.StartAgent(up.Name))
+	}
+	require.NoError(t, fl.StartEntry("n0"))
+	require.NoError(t, fl.Ready(ctx))
+	var digest []poison.Hold
+	eventually(t, func() bool { digest = holdrow.Holds(fl.Entry("n0").Holds); return len(digest) == 1 }, "the new entry knows no hold")
+	for _, up := range fl.Config.Upstreams {
+		eventually(t, func() bool {
+			_, held := fl.Agent(up.Name).Holds.Held(digest[0].Digest)
+			return held
+		}, "the new agent knows no hold")
+	}
+	_, fa := generate(ctx, fl.Entry("n0"), prompt)
+	require.NotNil(t, fa)
+	assert.Equal(t, citronstream.CodeQuarantined, fa.Code)
+}
+
+// TestAgentRestarts guards against an upstream without an epoch that stays
+// leaving for good once its agent has drained and returned.
+func TestAgentRestarts(t *testing.T) {
+	config := writers(t, 2, 1, "")
+	config.Services[0].Kind, config.Services[0].Protocol, config.Models = citronstream.KindPlain, "plain", nil
+	fl := begin(t, config)
+	no := fl.Entry("n0").Routes.Snapshot().Node("e0")
+	ctx, cancel := context.WithTimeout(t.Context(), bound)
+	defer cancel()
+	require.NoError(t, fl.DrainAgent(ctx, "e0"))
+	eventually(t, func() bool { return no.State() >= table.Leaving }, "the drain was not noticed")
+	require.NoError(t, fl.StartAgent("e0"))
+	eventually(t, func() bool { return no.State() == table.Live }, "the agent's return was not noticed")
+	before, _ := no.Reported()
+	fl.Agent("e0").Server.Broadcast(citronstream.MethodLoad, fl.Agent("e0").Server.Load())
+	eventually(t, func() bool { after, _ := no.Reported(); return after.Seq > before.Seq }, "reports of the new agent are dropped")
+}
