link: pass params and results by jsonrpc2 as raw bytes

Cause: jsonrpc2 scans an outgoing payload three times (a RawMessage within two MarshalJSON results) and decodes an incoming one into a map, encodes it again and only then hands it over for the real decoding. Change: the codec gives jsonrpc2 a message with a placeholder and sets the payload itself by the hooks OnSend and OnRecv. The bytes on the wire stay those of the library's own codec; a new test talks to it in both directions.

--- a/internal/peer/link/codec.go
+++ b/internal/peer/link/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"io"
@@ -14,14 +15,70 @@
 // one is disconnected before memory is taken for it.
 const MaxMessage = 12 << 20
 
+// maxScratch is the largest write buffer in bytes that a link keeps between messages.
+const maxScratch = 64 << 10
+
 var errTooLarge = merry.Sentinel("message is larger than the limit")
 
-// codec is jsonrpc2's length-prefixed codec with a limit on the length. It
-// reads each message whole, which spares a decoder's own buffer.
-type codec struct{ jsonrpc2.VarintObjectCodec }
+// codec writes and reads what jsonrpc2's VarintObjectCodec does, with a limit
+// on the length. It passes params and results by as raw bytes: jsonrpc2 would
+// scan them three times on the way out, and decode them into maps and encode
+// them again on the way in.
+//
+// The hooks sent and received tie it to one jsonrpc2.Conn. The Conn calls sent
+// right before WriteObject under its send lock, and received right after
+// ReadObject on its reader.
+type codec struct {
+	// Of the send lock.
+	req     *jsonrpc2.Request
+	resp    *jsonrpc2.Response
+	scratch []byte
+
+	payload json.RawMessage // of the reader: the params or result of the last message
+}
+
+// outgoing is a message without its payload.
+type outgoing struct {
+	Version string          `json:"jsonrpc"`
+	ID      *jsonrpc2.ID    `json:"id,omitempty"`
+	Method  string          `json:"method,omitempty"`
+	Error   *jsonrpc2.Error `json:"error,omitempty"`
+}
+
+// incoming is a message whose values are left as they came.
+type incoming struct {
+	ID     json.RawMessage `json:"id,omitempty"`
+	Method json.RawMessage `json:"method,omitempty"`
+	Params json.RawMessage `json:"params,omitempty"`
+	Result json.RawMessage `json:"result,omitempty"`
+	Error  json.RawMessage `json:"error,omitempty"`
+}
+
+// placeholder stands for a payload where jsonrpc2 decodes the message.
+var (
+	placeholder = json.RawMessage("0")
+	null        = json.RawMessage("null")
+)
+
+// sent is the Conn's OnSend hook.
+func (co *codec) sent(req *jsonrpc2.Request, resp *jsonrpc2.Response) { co.req, co.resp = req, resp }
+
+// received is the Conn's OnRecv hook. For a response, req is its request, or
+// nil if that is unknown.
+func (co *codec) received(req *jsonrpc2.Request, resp *jsonrpc2.Response) {
+	if co.payload == nil {
+		return
+	}
+	payload := co.payload // the reader goes on to the next message before this one is decoded
+	if resp != nil {
+		resp.Result = &payload
+		return
+	}
+	req.Params = &payload
+}
 
 // ReadObject implements jsonrpc2.ObjectCodec.
-func (codec) ReadObject(rd *bufio.Reader, to any) error {
+func (co *codec) ReadObject(rd *bufio.Reader, to any) error {
 	length, err := binary.ReadUvarint(rd)
 	if err != nil {
 		return err
@@ -33,10 +90,58 @@
 	if _, err := io.ReadFull(rd, data); err != nil {
 		return err
 	}
-	return json.Unmarshal(data, to)
+	var in incoming
+	if err := json.Unmarshal(data, &in); err != nil {
+		return err
+	}
+	co.payload = nil
+	for _, value := range []*json.RawMessage{&in.Params, &in.Result} {
+		if *value != nil && !bytes.Equal(*value, null) {
+			co.payload, *value = *value, placeholder
+		}
+	}
+	small, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(small, to)
 }
 
-// WriteObject implements jsonrpc2.ObjectCodec.
-func (co codec) WriteObject(wr io.Writer, from any) error {
-	return co.VarintObjectCodec.WriteObject(wr, from)
+// WriteObject implements jsonrpc2.ObjectCodec. It writes the message that sent has noted.
+func (co *codec) WriteObject(wr io.Writer, _ any) error {
+	var payload json.RawMessage
+	out, name := outgoing{Version: "2.0"}, `,"params":`
+	if co.req != nil {
+		out.Method = co.req.Method
+		if !co.req.Notif {
+			out.ID = &co.req.ID
+		}
+		if co.req.Params != nil {
+			payload = *co.req.Params
+		}
+	} else {
+		out.ID, out.Error, name = &co.resp.ID, co.resp.Error, `,"result":`
+		if co.resp.Result != nil {
+			payload = *co.resp.Result
+		}
+	}
+	co.req, co.resp = nil, nil
+	head, err := json.Marshal(&out)
+	if err != nil {
+		return err
+	}
+	length := len(head)
+	if payload != nil {
+		length += len(name) + len(payload)
+	}
+	buf := binary.AppendUvarint(co.scratch[:0], uint64(length))
+	buf = append(buf, head...)
+	if payload != nil {
+		buf = append(append(append(buf[:len(buf)-1], name...), payload...), '}')
+	}
+	if cap(buf) <= maxScratch {
+		co.scratch = buf
+	}
+	_, err = wr.Write(buf)
+	return err
 }
--- /dev/null
+++ b/internal/peer/link/codec_test.go
@@ -0,0 +1,109 @@
+package link
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"github.com/stretchr/testify/require"
+)
+
+// echo answers "fail" with an error, "null" with null, and else with the params.
+type echo struct{ notified chan string }
+
+func (ec echo) Handle(ctx context.Context, co *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	params := "absent"
+	if req.Params != nil {
+		params = string(*req.Params)
+	}
+	switch {
+	case req.Notif:
+		ec.notified <- req.Method + " " + params
+	case req.Method == "fail":
+		_ = co.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: 7, Message: "refused", Data: req.Params})
+	case req.Method == "null":
+		_ = co.Reply(ctx, req.ID, nil)
+	default:
+		_ = co.Reply(ctx, req.ID, params)
+	}
+}
+
+// pair connects a Conn with this package's codec to one with the library's.
+func pair(t *testing.T) (own, other *jsonrpc2.Conn, notified chan string) {
+	left, right := net.Pipe()
+	notified = make(chan string, 1)
+	co := &codec{}
+	own = jsonrpc2.NewConn(t.Context(), jsonrpc2.NewBufferedStream(left, co), echo{notified},
+		jsonrpc2.OnSend(co.sent), jsonrpc2.OnRecv(co.received))
+	other = jsonrpc2.NewConn(t.Context(), jsonrpc2.NewBufferedStream(right, jsonrpc2.VarintObjectCodec{}), echo{notified})
+	t.Cleanup(func() {
+		_ = own.Close()
+		_ = other.Close()
+	})
+	return own, other, notified
+}
+
+// Guards against a wire format other than that of jsonrpc2's own codec, and
+// against payloads that are lost or mixed up on their way past the library.
+func TestCodecSpeaksToTheLibrarys(t *testing.T) {
+	own, other, notified := pair(t)
+	for name, co := range map[string]*jsonrpc2.Conn{"own asks": own, "library asks": other} {
+		t.Run(name, func(t *testing.T) {
+			var text string
+			require.NoError(t, co.Call(t.Context(), "echo", map[string]any{"Body": strings.Repeat("x", 9000)}, &text))
+			require.Equal(t, `{"Body":"`+strings.Repeat("x", 9000)+`"}`, text)
+			require.NoError(t, co.Call(t.Context(), "echo", nil, &text))
+			require.Equal(t, "absent", text)
+			require.NoError(t, co.Call(t.Context(), "echo", json.RawMessage("null"), &text))
+			require.Equal(t, "null", text)
+			text = "unchanged"
+			require.NoError(t, co.Call(t.Context(), "null", 5, &text))
+			require.Equal(t, "unchanged", text)
+			var refused *jsonrpc2.Error
+			require.ErrorAs(t, co.Call(t.Context(), "fail", 5, &text), &refused)
+			require.Equal(t, "5", string(*refused.Data))
+			require.NoError(t, co.Notify(t.Context(), "told", []int{1, 2}))
+			require.Equal(t, "told [1,2]", <-notified)
+		})
+	}
+}
+
+// Guards against messages that the library refuses being taken by the codec.
+func TestCodecRefuses(t *testing.T) {
+	for name, text := range map[string]string{
+		"cut short":           `{"jsonrpc":"2.0","id":1,"method":"a"`,
+		"neither kind":        `{"jsonrpc":"2.0","id":1}`,
+		"both kinds":          `{"jsonrpc":"2.0","id":1,"method":"a","result":{"A":1}}`,
+		"both kinds, null":    `{"jsonrpc":"2.0","id":1,"method":"a","result":null}`,
+		"a batch":             `[{"jsonrpc":"2.0","id":1,"method":"a"}]`,
+		"method not text":     `{"jsonrpc":"2.0","id":1,"method":{}}`,
+		"malformed parameter": `{"jsonrpc":"2.0","id":1,"method":"a","params":{"A":}}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			frame := append(binary.AppendUvarint(nil, uint64(len(text))), text...)
+			co := &codec{}
+			left, right := net.Pipe()
+			conn := jsonrpc2.NewConn(t.Context(), jsonrpc2.NewBufferedStream(left, co), echo{},
+				jsonrpc2.OnSend(co.sent), jsonrpc2.OnRecv(co.received))
+			_, _ = right.Write(frame)
+			select {
+			case <-conn.DisconnectNotify():
+			case <-t.Context().Done():
+				require.Fail(t, "the message was taken")
+			}
+		})
+	}
+}
+
+// Guards against memory being taken for a message above the limit.
+func TestCodecLimitsMessages(t *testing.T) {
+	frame := binary.AppendUvarint(nil, MaxMessage+1)
+	err := (&codec{}).ReadObject(bufio.NewReader(bytes.NewReader(frame)), &json.RawMessage{})
+	require.ErrorIs(t, err, errTooLarge)
+}
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -122,7 +122,9 @@
 	}
 	quiet := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
 	ready := make(chan struct{})
-	li.conn = jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(stream, codec{}), &dispatcher{li: li, ready: ready}, quiet)
+	co := &codec{}
+	li.conn = jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(stream, co), &dispatcher{li: li, ready: ready}, quiet,
+		jsonrpc2.OnSend(co.sent), jsonrpc2.OnRecv(co.received))
 	close(ready)
 	go li.watch(ctx)
 	return li
