agent: start calls where they arrive and end

Cause: a call's arrival and its end woke the agent's loop, which then started the goroutine of the call: one hand-over more on the path of each call. Each call had another goroutine that only waited for its cancel. Change: dispatch runs on the reader that takes a call and on the goroutine whose call has ended, under a lock of its own. An attempt keeps the function that ends its run, which Cancel calls. Kept because it is less code and less work.

--- a/internal/agent/attempts/attempt.go
+++ b/internal/agent/attempts/attempt.go
@@ -41,7 +41,7 @@
 	output    []byte
 	seq       int // sequence number of the next chunk on the present link
 	result    citronstream.Result
-	stop      chan struct{} // closed on cancel
+	stop      func() // ends the run, nil while there is none
 
 	endedAt time.Time // guarded by Table.mu
 	kept    int       // guarded by Table.mu
@@ -54,8 +54,17 @@
 	return at.phase
 }
 
-// Stop is closed when the attempt is cancelled.
-func (at *Attempt) Stop() <-chan struct{} { return at.stop }
+// OnCancel sets what ends the run when the attempt is cancelled. It is called
+// at once if that has happened already. Nil clears it.
+func (at *Attempt) OnCancel(stop func()) {
+	at.mu.Lock()
+	at.stop = stop
+	canceled := at.canceled
+	at.mu.Unlock()
+	if canceled && stop != nil {
+		stop()
+	}
+}
 
 // Attach directs the answer to a peer that already has the first bytes of
 // the output. An attempt that has ended answers at once. It returns false
@@ -114,12 +123,16 @@
 // Cancel asks the attempt to end and returns its phase at that moment.
 func (at *Attempt) Cancel() Phase {
 	at.mu.Lock()
-	defer at.mu.Unlock()
+	var stop func()
 	if !at.canceled && at.phase != Ended {
-		at.canceled = true
-		close(at.stop)
+		at.canceled, stop = true, at.stop
 	}
-	return at.phase
+	phase := at.phase
+	at.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+	return phase
 }
 
 // Withdraw cancels an attempt that is to be made again elsewhere.
--- a/internal/agent/attempts/attempts.go
+++ b/internal/agent/attempts/attempts.go
@@ -46,7 +46,7 @@
 		return at, false
 	}
 	now := ta.clk.Now()
-	at := &Attempt{Call: ca, Arrived: now, Deadline: now.Add(ca.Left), stop: make(chan struct{})}
+	at := &Attempt{Call: ca, Arrived: now, Deadline: now.Add(ca.Left)}
 	ta.byID[ca.AttemptID] = at
 	ta.live[ca.AttemptID] = at
 	return at, true
@@ -60,7 +60,7 @@
 	if at, ok := ta.byID[id]; ok {
 		return at, !at.tombstone
 	}
-	at := &Attempt{Call: citronstream.Call{AttemptID: id}, tombstone: true, phase: Ended, stop: make(chan struct{})}
+	at := &Attempt{Call: citronstream.Call{AttemptID: id}, tombstone: true, phase: Ended}
 	ta.byID[id] = at
 	ta.retire(at)
 	return nil, false
--- a/internal/agent/server/death.go
+++ b/internal/agent/server/death.go
@@ -135,7 +135,7 @@
 	se.log.Info("upstream is back", "upstream", se.up.Name)
 	se.event(citronstream.Event{Kind: "UpstreamBack", Upstream: se.up.Name})
 	se.Broadcast(citronstream.MethodLoad, se.Load())
-	se.kick()
+	se.dispatch()
 }
 
 func (se *Server) reachable() bool {
--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -36,7 +36,7 @@
 		se.refuse(at, err)
 		return
 	}
-	se.kick()
+	se.dispatch()
 }
 
 func (se *Server) enqueue(at *attempts.Attempt) error {
@@ -169,9 +169,13 @@
 	return citronstream.MayHaveRun
 }
 
-// dispatch starts waiting calls while the upstream has room.
+// dispatch starts waiting calls while the upstream has room. It runs where a
+// call arrives or ends, which spares a call the wake-up of the loop, and does
+// not block.
 func (se *Server) dispatch() {
-	for se.room() {
+	se.starting.Lock()
+	defer se.starting.Unlock()
+	for !se.ended && se.room() {
 		it, expired, ok := se.queue.Pop()
 		for _, old := range expired {
 			se.counts.Expired.Add(1)
@@ -236,7 +240,7 @@
 		se.meter.Count(ca, &re)
 	}
 	se.finish(at, re)
-	se.kick()
+	se.dispatch()
 }
 
 func verdictOf(re citronstream.Result) citronstream.Verdict {
@@ -253,19 +257,11 @@
 	}
 	ctx, cancel := context.WithCancel(se.ctx)
 	timer := se.clk.AfterFunc(limit, cancel)
-	stop := make(chan struct{})
-	go func() {
-		select {
-		case <-at.Stop():
-			cancel()
-		case <-ctx.Done():
-		}
-		close(stop)
-	}()
+	at.OnCancel(cancel)
 	return ctx, func() {
+		at.OnCancel(nil) // the table keeps ended attempts
 		timer.Stop()
 		cancel()
-		<-stop
 	}
 }
 
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -79,8 +79,10 @@
 	loadSeq  uint64
 	rate     float64 // cost units a second at full use, decayed
 
+	starting sync.Mutex // held while waiting calls are started
+	ended    bool       // guarded by starting: no more calls are started
+
 	told    []int // slots last announced; used by the loop only
-	wake    chan struct{}
 	runs    sync.WaitGroup
 	ln      net.Listener
 	ctx     context.Context
@@ -106,7 +108,7 @@
 		extra:    func(*link.Link, *link.Request) bool { return false },
 		wrap:     func(stream link.Stream) link.Stream { return stream },
 		attempts: attempts.New(clk), links: make(map[*link.Link]*peer), running: make(map[string]*attempts.Attempt),
-		wake: make(chan struct{}, 1), done: make(chan struct{}), boot: citronstream.NewID(),
+		done: make(chan struct{}), boot: citronstream.NewID(),
 	}
 	for _, opt := range opts {
 		opt(se)
@@ -229,7 +231,7 @@
 	go pe.watch()
 }
 
-// loop dispatches waiting calls and sweeps, until the agent ends.
+// loop sweeps until the agent ends.
 func (se *Server) loop(accepted <-chan struct{}) {
 	defer close(se.done)
 	ticker := se.clk.NewTicker(sweepEvery)
@@ -237,8 +239,6 @@
 	for se.ctx.Err() == nil {
 		select {
 		case <-se.ctx.Done():
-		case <-se.wake:
-			se.dispatch()
 		case <-ticker.Chan():
 			se.sweep()
 			se.announce()
@@ -247,6 +247,9 @@
 	}
 	_ = se.ln.Close()
 	<-accepted
+	se.starting.Lock()
+	se.ended = true
+	se.starting.Unlock()
 	se.runs.Wait()
 	for _, pe := range se.peers() {
 		<-pe.gone
@@ -272,13 +275,6 @@
 	}
 }
 
-func (se *Server) kick() {
-	select {
-	case se.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Links calls visit with the link of each entry that has said its name.
 func (se *Server) Links(visit func(name string, li *link.Link)) {
 	for _, pe := range se.peers() {
