pipeline: run a chain of stages without a goroutine for each

Cause: a pipeline started one goroutine for each stage at once, which then waited for the stage before it: a hand-over for each stage, and other threads woken for nothing. Change: stages that each follow the one before run one after the other on the goroutine of the request. Other orders run as before.

--- a/internal/entry/pipeline/pipeline.go
+++ b/internal/entry/pipeline/pipeline.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -169,14 +168,7 @@
 	if ru.throttle != nil && !ru.throttle.Admit(kind) {
 		return ru.refuse(ca, pi, &rq, "requests of this kind are being refused")
 	}
-	for i := range ex.done {
-		ex.done[i] = make(chan struct{})
-	}
-	var wg sync.WaitGroup
-	for i := range pi.Stages {
-		wg.Go(func() { ex.stage(ctx, cancel, i, after[i]) })
-	}
-	wg.Wait()
+	ex.run(ctx, cancel, after)
 	out := ex.outcome()
 	if ru.throttle != nil {
 		ru.throttle.Ended(kind, out.Fault != nil && (out.Fault.Code == citronstream.CodeOverloaded || out.Fault.Code == citronstream.CodeDeadline))
--- a/internal/entry/pipeline/stages.go
+++ b/internal/entry/pipeline/stages.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/citronstream/citronstream"
@@ -37,6 +39,35 @@
 	}
 }
 
+// run runs all stages. Those of a chain run one after the other without
+// goroutines of their own, which would cost a hand-over for each stage.
+func (ex *execution) run(ctx context.Context, cancel func(), after [][]int) {
+	for i := range ex.done {
+		ex.done[i] = make(chan struct{})
+	}
+	if chain(after) {
+		for i := range after {
+			ex.stage(ctx, cancel, i, after[i])
+		}
+		return
+	}
+	var wg sync.WaitGroup
+	for i := range after {
+		wg.Go(func() { ex.stage(ctx, cancel, i, after[i]) })
+	}
+	wg.Wait()
+}
+
+// chain says whether each stage follows the one before it.
+func chain(after [][]int) bool {
+	for i := 1; i < len(after); i++ {
+		if !slices.Contains(after[i], i-1) {
+			return false
+		}
+	}
+	return true
+}
+
 // stage waits for the stages that it follows and runs. A stage that fails
 // ends the request, which cancels the others.
 func (ex *execution) stage(ctx context.Context, cancel func(), at int, after []int) {
