completions: pass on together the texts that came together

Cause: each event of an engine's stream became a chunk of its own: a message, a write and a wake-up of the entry for each token, also for tokens that had arrived in one read. Change: the texts of the events at hand are emitted when the stream has to be read again, so that no text waits for a later one.

--- a/internal/upstream/completions/completions.go
+++ b/internal/upstream/completions/completions.go
@@ -47,8 +47,8 @@
 var errNoDone = errors.New("stream ended without " + doneMark)
 
 // Run implements citronstream.Protocol. Each emit passes the decoded text of
-// choices[0] of one event as UTF-8 bytes, without any framing; events without
-// text are not emitted. The stream is complete only with its "[DONE]" event.
+// choices[0] of the events that have arrived, as UTF-8 bytes without any
+// framing. The stream is complete only with its "[DONE]" event.
 // Call.Path overrides /v1/completions when it is set. Cancelling ctx closes
 // the request, which cancels the sequence at the engine.
 func (pr *Protocol) Run(ctx context.Context, address string, ca citronstream.Call, emit func([]byte) error) (citronstream.Result, error) {
@@ -92,33 +92,73 @@
 	Drain()
 }
 
-// relay passes the events of a stream on until its end.
+// relay passes the events of a stream on until its end. Texts that came
+// together are emitted together.
 func relay(ctx context.Context, an stream, us *citronstream.Usage, emit func([]byte) error) error {
 	pieces := 0
-	for ev, err := range sse.Read(an, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+	ba := &batch{from: an, emit: emit}
+	for ev, err := range sse.Read(ba, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
-			return an.Fault(ctx, err)
+			return ba.end(an.Fault(ctx, err))
 		}
 		if ev.Data == doneMark {
 			if us.TokensOut == 0 {
 				us.TokensOut = pieces // an engine without usage sends one token an event
 			}
+			if err := ba.flush(); err != nil {
+				return err
+			}
 			an.Drain()
 			return nil
 		}
 		text, err := decode(ev.Data, us)
 		if err != nil {
-			return err
+			return ba.end(err)
 		}
 		if text == "" {
 			continue
 		}
 		pieces++
-		if err := emit([]byte(text)); err != nil {
-			return citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeCanceled, "output not accepted: %v", err)
-		}
+		ba.text = append(ba.text, text...)
+	}
+	return ba.end(an.Fault(ctx, errors.Join(errNoDone, io.ErrUnexpectedEOF)))
+}
+
+// batch collects the texts of the events that have arrived. It emits them
+// before it reads more, so that no text waits for a later one.
+type batch struct {
+	from io.Reader
+	emit func([]byte) error
+	text []byte
+	err  error // of the first emit that failed
+}
+
+// Read implements io.Reader.
+func (ba *batch) Read(to []byte) (int, error) {
+	if err := ba.flush(); err != nil {
+		return 0, err
+	}
+	return ba.from.Read(to)
+}
+
+func (ba *batch) flush() error {
+	if ba.err != nil || len(ba.text) == 0 {
+		return ba.err
+	}
+	text := ba.text
+	ba.text = nil
+	if err := ba.emit(text); err != nil {
+		ba.err = citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeCanceled, "output not accepted: %v", err)
+	}
+	return ba.err
+}
+
+// end emits what came before a failure, and returns the error that came first.
+func (ba *batch) end(err error) error {
+	if own := ba.flush(); own != nil {
+		return own
 	}
-	return an.Fault(ctx, errors.Join(errNoDone, io.ErrUnexpectedEOF))
+	return err
 }
 
 // decode returns the text of an event and notes its usage. An error event is
--- a/internal/upstream/completions/stream_test.go
+++ b/internal/upstream/completions/stream_test.go
@@ -80,3 +80,63 @@
 		}
 	})
 }
+
+// partStream gives one part for each read and notes how many were read.
+type partStream struct {
+	memoryStream
+	left []string
+	read int
+}
+
+func (ps *partStream) Read(to []byte) (int, error) {
+	if len(ps.left) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(to, ps.left[0])
+	ps.left = ps.left[1:]
+	ps.read++
+	return n, nil
+}
+
+// Guards against a text that waits for a later part of the stream, and
+// against several emits for texts that came in one part.
+func TestTextsThatCameTogether(t *testing.T) {
+	type emitted struct {
+		text  string
+		after int // parts read
+	}
+	for _, tc := range []struct {
+		name  string
+		parts []string
+		want  []emitted
+	}{
+		{"apart", []string{one, one, doneEnd}, []emitted{{"a", 1}, {"a", 2}}},
+		{"together", []string{one + one, one + doneEnd}, []emitted{{"aa", 1}, {"a", 2}}},
+		{"an event in two parts", []string{one + one[:9], one[9:], doneEnd}, []emitted{{"a", 1}, {"a", 2}}},
+		{"broken off", []string{one + one}, []emitted{{"aa", 1}}},
+		{"malformed after a text", []string{one + "data: {\n\n"}, []emitted{{"a", 1}}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			st := &partStream{left: tc.parts}
+			var got []emitted
+			_ = relay(t.Context(), st, &citronstream.Usage{}, func(text []byte) error {
+				got = append(got, emitted{string(text), st.read})
+				return nil
+			})
+			assert.Equal(t, tc.want, got)
+		})
+	}
+}
+
+// Guards against a stream that goes on after its output was refused.
+func TestRefusedOutput(t *testing.T) {
+	st := &partStream{left: []string{one, one, doneEnd}}
+	calls := 0
+	err := relay(t.Context(), st, &citronstream.Usage{}, func([]byte) error {
+		calls++
+		return io.ErrClosedPipe
+	})
+	assertFault(t, err, citronstream.MayHaveRun, citronstream.CodeCanceled)
+	assert.Equal(t, 1, calls)
+	assert.Equal(t, 1, st.read)
+}
