fairqueue: a burst within the free slots does not wait

The fourth of four calls was refused as overloaded by an agent with eight free slots: the estimated wait counted queued calls that had not been popped yet. Change: no wait is estimated while there is a free slot for each call. Result: the new case of TestAdmission fails without the change (needs 2 s, deadline in 1.1 s) and passes with it.

--- a/internal/limit/fairqueue/estimate.go
+++ b/internal/limit/fairqueue/estimate.go
@@ -66,8 +66,8 @@
 // plus what the other workspaces receive by weight in the meantime. Less
 // urgent ranks count only by the floors that they can claim.
 func (qu *Queue) wait(ra *rank, name string, cost float64) time.Duration {
-	if len(qu.nodes) == 0 && qu.running < qu.capacity {
-		return 0
+	if len(qu.nodes)+qu.running < qu.capacity {
+		return 0 // there is a free slot for each call that waits
 	}
 	qu.decay()
 	own, weight, others := 0.0, qu.weightOf(name), ra.weight
--- a/internal/limit/fairqueue/queue_test.go
+++ b/internal/limit/fairqueue/queue_test.go
@@ -228,6 +228,16 @@
 		fi.fill(5000, 0, "a")
 		fi.push(fi.item(0, "b", 1, 100*time.Millisecond))
 	})
+	// Guards against a fresh upstream that refuses a burst that it has free slots for.
+	t.Run("a burst within the free slots does not wait", func(t *testing.T) {
+		clk := clockwork.NewFakeClockAt(start)
+		fi := &fixture{Queue: New(clk, fleet(0), WithCapacity(8), WithRate(8)), t: t, clk: clk}
+		for range 8 { // the guess is one second a call and slot
+			fi.push(fi.item(0, "a", 1, 1100*time.Millisecond))
+		}
+		_, err := fi.Push(fi.item(0, "a", 1, 1100*time.Millisecond))
+		assertRefused(t, err)
+	})
 	t.Run("measured throughput replaces the guess", func(t *testing.T) {
 		fi := newFixture(t, fleet(0))
 		for range 200 {
--- a/internal/proof/promises/answers_test.go
+++ b/internal/proof/promises/answers_test.go
@@ -200,7 +200,16 @@
 		callers = append(callers, fl.later(call{path: "services/desk/look"}))
 	}
 	callers = append(callers, fl.later(call{path: "services/desk/place", key: "order-1", body: "{}"}))
-	until(t, "calls run", func() bool { return fl.running("/look") >= 3 && fl.running("/place") == 1 })
+	until(t, "calls run", func() bool {
+		for _, got := range callers {
+			select {
+			case an := <-got:
+				t.Fatalf("a call ended before its entry: %+v", an)
+			default:
+			}
+		}
+		return fl.running("/look") >= 3 && fl.running("/place") == 1
+	})
 	fl.StopEntry("entry-1")
 	for _, got := range callers {
 		<-got
