Proofs: TestKilledAgent counts as held only what was sent before the end was noticed

Cause: the test took each failed attempt at the killed agent as held by it, so that it also passed when the entry went on sending calls to it. Change: held are the requests with an attempt that was sent before the entry noticed; 24 more answers must come while the agent is away.

--- a/internal/proof/promises/leaving_test.go
+++ b/internal/proof/promises/leaving_test.go
@@ -36,6 +36,12 @@
 	return tr
 }
 
+func (tr *traffic) answered() int {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return len(tr.answers)
+}
+
 func (tr *traffic) end() []answer {
 	tr.stop.Store(true)
 	tr.wg.Wait()
@@ -113,12 +119,15 @@
 		return fl.count(func(ex record.Execution) bool { return ex.Upstream == "desk-1" && ex.Outcome == record.Running }) > 2
 	})
 	fl.StopAgent("desk-1")
+	until(t, "the entry has noticed", func() bool { return fl.Entry("entry-1").Agents.Link("desk-1") == nil })
+	noticed, before := uint64(clk.Now().UnixMilli()), tr.answered() //nolint:gosec // after 1970
+	until(t, "calls are answered without the agent", func() bool { return tr.answered() >= before+24 })
 	require.NoError(t, fl.StartAgent("desk-1"))
 	until(t, "links", func() bool { return fl.Entry("entry-1").Agents.Missing() == 0 })
 	answers := tr.end()
-	held := map[string]bool{} // requests of which the killed agent had an attempt
+	held := map[string]bool{} // requests with an attempt that was sent to the agent before its end was noticed
 	for _, ev := range fl.Timeline() {
-		if ev.Kind == "AttemptEnded" && ev.Upstream == "desk-1" && ev.Verdict != citronstream.Ran.String() {
+		if ev.Kind == "AttemptSent" && ev.Upstream == "desk-1" && ev.At>>16 <= noticed {
 			held[ev.RequestID] = true
 		}
 	}
