grant: a request to read the slots that comes early is acted upon late, not dropped

Cause: in a trial with separate processes the owner of slots kept refusing keys for 24 s after an operator had lifted the interval: the message came 158 ms after another one and was dropped, so that the owner read its row only with the next renewal (30 s). Change: a request within 500 ms of a step leads to a step at their end.

--- a/internal/once/grant/grant.go
+++ b/internal/once/grant/grant.go
@@ -96,7 +96,8 @@
 	listed  map[string]bool // last list; nil when it can't be used
 	until   map[string]time.Time
 
-	poked atomic.Int64 // nanoseconds since 1970 of the last Poke
+	poked     atomic.Int64 // nanoseconds since 1970 of the last Poke
+	pokeLater atomic.Bool  // a request waits for the end of pokeEvery
 
 	starts, renewals, acquired, released, takeovers, settled, lost atomic.Uint64
 }
@@ -180,11 +181,21 @@
 	gr.poke()
 }
 
-// Poke asks for the next step soon. Requests within pokeEvery of a step count as one.
+// Poke asks for the next step soon. Requests within pokeEvery of a step count
+// as one, which is acted upon at the end of that time.
 func (gr *Grant) Poke() {
 	now := gr.clk.Now().UnixNano()
 	last := gr.poked.Load()
-	if now-last >= int64(pokeEvery) && gr.poked.CompareAndSwap(last, now) {
+	if wait := int64(pokeEvery) - (now - last); wait > 0 {
+		if gr.pokeLater.CompareAndSwap(false, true) {
+			gr.clk.AfterFunc(time.Duration(wait), func() {
+				gr.pokeLater.Store(false)
+				gr.Poke()
+			})
+		}
+		return
+	}
+	if gr.poked.CompareAndSwap(last, now) {
 		gr.poke()
 	}
 }
--- a/internal/once/grant/grant_test.go
+++ b/internal/once/grant/grant_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -117,3 +118,37 @@
 	token, _ = b.Token()
 	assert.Equal(t, uint64(9), token)
 }
+
+// TestLiftedDoubt guards against an owner that goes on refusing keys after an
+// operator has removed the interval from the row, because the message that
+// tells it to read the row came shortly after another.
+func TestLiftedDoubt(t *testing.T) {
+	fi := newFixture()
+	a := fi.agent("a", "1")
+	steps(2, a)
+	fi.clk.Advance(time.Second)
+	again := New(a.Settings(), fi.ta, fi, fi.clk) // same address: the predecessor has ended
+	steps(1, again)
+	require.False(t, again.Held(0).DoubtTo.IsZero())
+
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := again.Run(ctx)
+	require.NoError(t, fi.clk.BlockUntilContext(ctx, 1)) // the pause after a step
+	again.Poke()
+	require.Eventually(t, func() bool { return again.Counts().Renewals >= 2 }, 10*time.Second, time.Millisecond)
+	row, err := fi.ta.Get(ctx, SlotsKey("desk"))
+	require.NoError(t, err)
+	var sl Slots
+	require.NoError(t, json.Unmarshal(row.Value, &sl))
+	for i := range sl.Slots {
+		sl.Slots[i].Doubts = nil
+	}
+	value, err := json.Marshal(sl)
+	require.NoError(t, err)
+	require.NoError(t, fi.ta.Write(ctx, "lift", citronstream.Op{Key: SlotsKey("desk"), Value: value, IfVersion: row.Version}))
+	again.Poke()
+	fi.clk.Advance(pokeEvery)
+	require.Eventually(t, func() bool { return again.Held(0).DoubtTo.IsZero() }, 10*time.Second, time.Millisecond)
+	cancel()
+	<-ended
+}
