Routing by rank: floors of the whole service hold in a flood

Cause: each upstream keeps the floors for what waits there, and routing spread the calls by the load of all ranks. In a flood of the most urgent rank nothing of the standard rank waited at some upstreams. The simulation drove a picker of its own instead of the default routing policy. Change: PickRequest, Sent and Ended have the rank; Load.Ranks has the cost that waits by rank, only when something waits. The routing table estimates the wait of a rank as limit/fairqueue does, and nearest prefers an upstream whose floor for the rank is unused to one where the rank waits. The simulation drives nearest over a routing table, with the load report of each result; its own picker is gone. Load.Cost and Load.Rate are rounded to thousandths, which pays for the bytes of Load.Ranks.

--- a/call.go
+++ b/call.go
@@ -1,6 +1,7 @@
 package citronstream
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -107,6 +108,9 @@
 	Running int     `json:"Running"`
 	Waiting int     `json:"Waiting"`
 	Cost    float64 `json:"Cost"`
+	// Ranks are the cost units that wait, by rank, most urgent first. Zeros at
+	// the end are cut, so that a report of an empty queue does not grow.
+	Ranks []float64 `json:"Ranks,omitempty"`
 	// Rate is the upstream's recent throughput in cost units a second.
 	Rate     float64 `json:"Rate"`
 	Capacity int     `json:"Capacity"`
@@ -120,3 +124,14 @@
 	Epoch   uint64 `json:"Epoch,omitempty"`
 	Version uint64 `json:"Version"`
 }
+
+// RankLoad returns Load.Ranks for cost units that wait by rank, to a tenth of a unit.
+func RankLoad(costs []float64) []float64 {
+	for rank, cost := range costs {
+		costs[rank] = math.Round(cost*10) / 10
+	}
+	for len(costs) > 0 && costs[len(costs)-1] <= 0 {
+		costs = costs[:len(costs)-1]
+	}
+	return costs
+}
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -170,14 +171,18 @@
 	se.loadSeq++
 	lo := citronstream.Load{
 		Upstream: se.up.Name, Seq: se.loadSeq, Running: len(se.running), Waiting: se.queue.Len(),
-		Cost: se.cost + se.queue.Cost(), Rate: se.rate, Capacity: se.up.Capacity,
+		Cost: se.cost + se.queue.Cost(), Ranks: citronstream.RankLoad(se.queue.RankCosts()), Rate: se.rate, Capacity: se.up.Capacity,
 		Leaving: se.leaving, Down: se.down, Slots: se.slots(), Epoch: se.epoch(), Version: se.version(),
 		Models: se.models(),
 	}
 	se.fold(&lo)
+	// The routing table counts in thousandths; more digits only lengthen the message.
+	lo.Cost, lo.Rate = milli(lo.Cost), milli(lo.Rate)
 	return lo
 }
 
+func milli(value float64) float64 { return math.Round(value*1000) / 1000 }
+
 // Running returns the number of calls that run.
 func (se *Server) Running() int {
 	se.mu.Lock()
--- a/internal/entry/pipeline/attempts.go
+++ b/internal/entry/pipeline/attempts.go
@@ -89,13 +89,13 @@
 		return unasked(ca, citronstream.CodeDeadline, "no time is left for "+ca.Service)
 	}
 	ru.event(ca, "AttemptSent", upstream, nil)
-	picker.Sent(upstream, ca.Cost)
+	picker.Sent(upstream, ca.Rank, ca.Cost)
 	if len(at.blocks) > 0 {
 		ru.prefix.Note(upstream, at.blocks)
 	}
 	re := ru.agents.Run(ctx, upstream, *ca, sink)
 	took := ru.clk.Now().Sub(ca.SentAt)
-	picker.Ended(upstream, ca.Cost, took, faultError(re.Fault))
+	picker.Ended(upstream, ca.Rank, ca.Cost, took, faultError(re.Fault))
 	ru.event(ca, "AttemptEnded", upstream, &re)
 	if re.Fault == nil && ru.times != nil && !re.Replayed {
 		// Without the time in the queue: a flood of one rank must not raise the estimates of the others.
@@ -146,7 +146,7 @@
 
 func (at *attempts) request(ca *citronstream.Call) citronstream.PickRequest {
 	return citronstream.PickRequest{
-		Service: ca.Service, Zone: at.ru.zone, Model: ca.Model, Cost: ca.Cost, Exclude: at.exclude, Suspect: ca.Suspect,
+		Service: ca.Service, Zone: at.ru.zone, Model: ca.Model, Rank: ca.Rank, Cost: ca.Cost, Exclude: at.exclude, Suspect: ca.Suspect,
 		Blocks: at.blocks,
 	}
 }
--- a/internal/entry/pipeline/moving_test.go
+++ b/internal/entry/pipeline/moving_test.go
@@ -29,8 +29,8 @@
 	return "", false
 }
 
-func (mo *moving) Sent(string, float64)                        {}
-func (mo *moving) Ended(string, float64, time.Duration, error) {}
+func (mo *moving) Sent(string, int, float64)                        {}
+func (mo *moving) Ended(string, int, float64, time.Duration, error) {}
 
 func (mo *moving) Run(_ context.Context, upstream string, ca citronstream.Call, _ func([]byte)) citronstream.Result {
 	if upstream == "old" {
--- a/internal/kernel/policy/account.go
+++ b/internal/kernel/policy/account.go
@@ -16,11 +16,11 @@
 func NewAccount(de Deps) Account { return Account{table: de.Table, outliers: de.Outliers} }
 
 // Sent implements citronstream.Picker.
-func (ac Account) Sent(upstream string, cost float64) { ac.table.Sent(upstream, cost) }
+func (ac Account) Sent(upstream string, rank int, cost float64) { ac.table.Sent(upstream, rank, cost) }
 
 // Ended implements citronstream.Picker.
-func (ac Account) Ended(upstream string, cost float64, took time.Duration, err error) {
-	ac.table.Ended(upstream, cost)
+func (ac Account) Ended(upstream string, rank int, cost float64, took time.Duration, err error) {
+	ac.table.Ended(upstream, rank, cost)
 	if ac.outliers != nil {
 		ac.outliers.Observe(upstream, cost, took, err)
 	}
--- a/internal/limit/fairqueue/queue.go
+++ b/internal/limit/fairqueue/queue.go
@@ -349,6 +349,17 @@
 	}
 }
 
+// RankCosts implements citronstream.Discipline.
+func (qu *Queue) RankCosts() []float64 {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	costs := make([]float64, len(qu.ranks))
+	for i, ra := range qu.ranks {
+		costs[i] = ra.cost
+	}
+	return costs
+}
+
 // Len implements citronstream.Discipline.
 func (qu *Queue) Len() int {
 	qu.mu.Lock()
--- a/internal/limit/fairqueue/queue_test.go
+++ b/internal/limit/fairqueue/queue_test.go
@@ -166,6 +166,17 @@
 	})
 }
 
+// Guards against routing that is told of a rank's work under another rank.
+func TestRankCosts(t *testing.T) {
+	fi := newFixture(t, fleet(0.3, 0.2, 0.1))
+	fi.fill(2, 0, "a")
+	fi.fill(3, 2, "b")
+	fi.fill(1, 9, "b")
+	assert.Equal(t, []float64{2, 0, 4}, fi.RankCosts())
+	fi.serve(1)
+	assert.Equal(t, []float64{1, 0, 4}, fi.RankCosts())
+}
+
 func TestWorkspaces(t *testing.T) {
 	isB := func(it Item) bool { return it.Workspace == "b" }
 	t.Run("share follows the weight", func(t *testing.T) {
--- a/internal/proof/bench/bounds_test.go
+++ b/internal/proof/bench/bounds_test.go
@@ -74,7 +74,7 @@
 	pr := citronstream.PickRequest{Service: "engine-1", Zone: fl.Regions[0].Zones[0].Name, Model: "draft-1"}
 	return testing.AllocsPerRun(200, func() {
 		if name, ok := pi.Pick(pr); ok {
-			pi.Sent(name, 1)
+			pi.Sent(name, 0, 1)
 		}
 	})
 }
--- a/internal/proof/policy/agent.go
+++ b/internal/proof/policy/agent.go
@@ -42,7 +42,8 @@
 	silent  bool
 	random  *rand.Rand
 	seq     int
-	waiting []int // calls by rank
+	waiting []int   // calls by rank
+	rate    float64 // cost units a second at full use, decayed as the agent's server does
 }
 
 func (ru *run) newAgent(ti Tier, index int) *agent {
@@ -122,10 +123,25 @@
 	ca.ended = true
 	ag.running--
 	ag.cost -= ca.it.Cost
-	ag.queue.Done(ca.it, cost, ag.sim.clk.Now().Sub(ca.began))
+	took := ag.sim.clk.Now().Sub(ca.began)
+	ag.queue.Done(ca.it, cost, took)
+	ag.throughput(cost, took)
 	ag.sim.served(ca, cost)
 }
 
+// throughput is that of agent/server.
+func (ag *agent) throughput(cost float64, took time.Duration) {
+	const share = 0.05
+	if cost <= 0 || took <= 0 {
+		return
+	}
+	rate := cost / took.Seconds() * float64(ag.tier.Capacity)
+	if ag.rate == 0 {
+		ag.rate = rate
+	}
+	ag.rate += share * (rate - ag.rate)
+}
+
 // withdraw ends a call that its entry no longer wants. Running calls that
 // are not idempotent go on to their end.
 func (ag *agent) withdraw(ca *call) {
@@ -147,7 +163,13 @@
 
 func (ag *agent) answer(ca *call, err error) {
 	ca.ended = true
-	ag.sim.after(ag.sim.delay(ca.en.zone, ag.zone), func() { ca.en.answered(ca, err) })
+	lo := ag.load()
+	ag.sim.after(ag.sim.delay(ca.en.zone, ag.zone), func() {
+		if taker, ok := ca.en.pickers[ag.tier.Service].(ResultTaker); ok {
+			taker.TakeResultLoad(lo)
+		}
+		ca.en.answered(ca, err)
+	})
 }
 
 // lose makes the upstream silent, and returns the calls that are lost with it
@@ -166,6 +188,7 @@
 
 func (ag *agent) load() citronstream.Load {
 	return citronstream.Load{
-		Upstream: ag.name, Running: ag.running, Waiting: ag.queue.Len(), Cost: ag.queue.Cost() + ag.cost, Capacity: ag.tier.Capacity,
+		Upstream: ag.name, Running: ag.running, Waiting: ag.queue.Len(), Cost: ag.queue.Cost() + ag.cost,
+		Ranks: citronstream.RankLoad(ag.queue.RankCosts()), Rate: ag.rate, Capacity: ag.tier.Capacity,
 	}
 }
--- a/internal/proof/policy/entry.go
+++ b/internal/proof/policy/entry.go
@@ -47,9 +47,12 @@
 	for _, ti := range ru.site.Tiers {
 		var targets []Target
 		for _, ag := range ru.agents[ti.Service] {
-			targets = append(targets, Target{Name: ag.name, Zone: strconv.Itoa(ag.zone)})
+			targets = append(targets, Target{Name: ag.name, Zone: strconv.Itoa(ag.zone), Capacity: ti.Capacity})
 		}
-		en.pickers[ti.Service] = ru.policy.Picker(targets, strconv.Itoa(zone), ru.random("picker "+ti.Service+strconv.Itoa(zone)))
+		en.pickers[ti.Service] = ru.policy.Picker(PickerSettings{
+			Service: ti.Service, Targets: targets, Zone: strconv.Itoa(zone), Distance: ru.site.Distance,
+			Fleet: ru.fleet, Clock: ru.clk, Random: ru.random("picker " + ti.Service + strconv.Itoa(zone)),
+		})
 	}
 	return en
 }
@@ -78,7 +81,7 @@
 	}
 	st := rest[0]
 	name, ok := en.pickers[st.Service].Pick(citronstream.PickRequest{
-		Service: st.Service, Zone: strconv.Itoa(en.zone), Cost: st.Cost, Exclude: re.exclude,
+		Service: st.Service, Zone: strconv.Itoa(en.zone), Rank: re.rank, Cost: st.Cost, Exclude: re.exclude,
 	})
 	if !ok {
 		en.end(re, false, true)
@@ -91,7 +94,7 @@
 	en.sim.out.Attempts++
 	ca.number = en.sim.out.Attempts
 	ag.open[ca] = true
-	en.pickers[st.Service].Sent(name, st.Cost)
+	en.pickers[st.Service].Sent(name, re.rank, st.Cost)
 	en.sim.after(en.sim.delay(en.zone, ag.zone), func() { ag.receive(ca) })
 	en.watch(ca, left)
 }
@@ -127,7 +130,7 @@
 	delete(ca.to.open, ca)
 	now := en.sim.clk.Now()
 	st := re.estimates[re.stage]
-	en.pickers[st.Service].Ended(ca.to.name, st.Cost, now.Sub(ca.sent), err)
+	en.pickers[st.Service].Ended(ca.to.name, re.rank, st.Cost, now.Sub(ca.sent), err)
 	if re.ended {
 		return
 	}
@@ -193,7 +196,7 @@
 		ca.over = true
 		delete(ca.to.open, ca)
 		st := re.estimates[re.stage]
-		en.pickers[st.Service].Ended(ca.to.name, st.Cost, en.sim.clk.Now().Sub(ca.sent), nil)
+		en.pickers[st.Service].Ended(ca.to.name, re.rank, st.Cost, en.sim.clk.Now().Sub(ca.sent), nil)
 		en.sim.after(en.sim.delay(en.zone, ca.to.zone), func() { ca.to.withdraw(ca) })
 	}
 }
--- a/internal/proof/policy/fifo.go
+++ b/internal/proof/policy/fifo.go
@@ -54,4 +54,6 @@
 
 func (ff *fifo) Cost() float64 { return ff.cost }
 
+func (ff *fifo) RankCosts() []float64 { return nil }
+
 func (ff *fifo) Wait(int, string, float64) time.Duration { return 0 }
--- a/internal/proof/policy/picker.go
+++ b/internal/proof/policy/picker.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -11,7 +10,7 @@
 // choice is what a picker knows about an upstream.
 type choice struct {
 	Target
-	load float64 // cost units of the last report, and with twoChoices what was sent since
+	load float64 // cost units of the last report
 	down bool
 }
 
@@ -41,9 +40,9 @@
 	co.load, co.down = lo.Cost, lo.Down
 }
 
-func (ch *choices) Sent(string, float64) {}
+func (ch *choices) Sent(string, int, float64) {}
 
-func (ch *choices) Ended(string, float64, time.Duration, error) {}
+func (ch *choices) Ended(string, int, float64, time.Duration, error) {}
 
 // roundRobin takes the upstreams in turn.
 type roundRobin struct {
@@ -51,8 +50,8 @@
 	next int
 }
 
-func newRoundRobin(targets []Target, _ string, random *rand.Rand) citronstream.Picker {
-	return &roundRobin{choices: newChoices(targets), next: random.IntN(len(targets))}
+func newRoundRobin(se PickerSettings) citronstream.Picker {
+	return &roundRobin{choices: newChoices(se.Targets), next: se.Random.IntN(len(se.Targets))}
 }
 
 func (rr *roundRobin) Pick(pr citronstream.PickRequest) (string, bool) {
@@ -68,8 +67,8 @@
 // leastReported takes the upstream with the least load in the last reports.
 type leastReported struct{ choices }
 
-func newLeastReported(targets []Target, _ string, _ *rand.Rand) citronstream.Picker {
-	return &leastReported{choices: newChoices(targets)}
+func newLeastReported(se PickerSettings) citronstream.Picker {
+	return &leastReported{choices: newChoices(se.Targets)}
 }
 
 func (lr *leastReported) Pick(pr citronstream.PickRequest) (string, bool) {
@@ -84,64 +83,3 @@
 	}
 	return best.Name, true
 }
-
-// twoChoices takes the less loaded of two upstreams of the own zone, and
-// compares it with two of the other zones.
-type twoChoices struct {
-	choices
-	random       *rand.Rand
-	near, remote []*choice
-}
-
-// spill is the extra load, in cost units, above which the other zones are used.
-const spill = 100
-
-func newTwoChoices(targets []Target, zone string, random *rand.Rand) citronstream.Picker {
-	tc := &twoChoices{choices: newChoices(targets), random: random}
-	for _, co := range tc.all {
-		if co.Zone == zone {
-			tc.near = append(tc.near, co)
-		} else {
-			tc.remote = append(tc.remote, co)
-		}
-	}
-	return tc
-}
-
-// best draws two usable upstreams and returns the less loaded one, or nil.
-func (tc *twoChoices) best(from []*choice, pr citronstream.PickRequest) *choice {
-	var first *choice
-	drawn := 0
-	for _, at := range tc.random.Perm(len(from)) {
-		co := from[at]
-		if !tc.usable(co, pr) {
-			continue
-		}
-		if first == nil || co.load < first.load {
-			first = co
-		}
-		if drawn++; drawn == 2 {
-			break
-		}
-	}
-	return first
-}
-
-func (tc *twoChoices) Pick(pr citronstream.PickRequest) (string, bool) {
-	near, remote := tc.best(tc.near, pr), tc.best(tc.remote, pr)
-	switch {
-	case near == nil && remote == nil:
-		return "", false
-	case near == nil || remote != nil && near.load > remote.load+spill:
-		return remote.Name, true
-	default:
-		return near.Name, true
-	}
-}
-
-func (tc *twoChoices) Sent(upstream string, cost float64) { tc.byName[upstream].load += cost }
-
-func (tc *twoChoices) Ended(upstream string, cost float64, _ time.Duration, _ error) {
-	co := tc.byName[upstream]
-	co.load = max(co.load-cost, 0)
-}
--- a/internal/proof/policy/policy.go
+++ b/internal/proof/policy/policy.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/kernel/discipline"
@@ -13,18 +14,37 @@
 
 // Target is an upstream as a routing policy is told of it at the start.
 type Target struct {
-	Name string
-	Zone string
+	Name     string
+	Zone     string
+	Capacity int
 }
 
-// PickerFactory builds the routing policy of one entry for one service.
-type PickerFactory func(targets []Target, zone string, random *rand.Rand) citronstream.Picker
+// PickerSettings is what a routing policy of one entry for one service is built from.
+type PickerSettings struct {
+	Service  string
+	Targets  []Target
+	Zone     string             // of the entry
+	Distance time.Duration      // one way between zones
+	Fleet    citronstream.Fleet // ranks and limits
+	Clock    citronstream.Clock
+	Random   *rand.Rand
+}
+
+// PickerFactory builds a routing policy.
+type PickerFactory func(se PickerSettings) citronstream.Picker
 
 // LoadTaker is a Picker that uses load reports.
 type LoadTaker interface {
 	TakeLoad(lo citronstream.Load)
 }
 
+// ResultTaker is a LoadTaker that also takes the report that each result
+// carries to its entry.
+type ResultTaker interface {
+	LoadTaker
+	TakeResultLoad(lo citronstream.Load)
+}
+
 // Policy is a combination to be measured.
 type Policy struct {
 	Name       string
@@ -40,11 +60,10 @@
 	Timeout float64
 }
 
-// Fair is this project's policy. A nil picker means the local one: the less
-// loaded of two, own zone first.
+// Fair is this project's policy. A nil picker means the default routing policy.
 func Fair(picker PickerFactory) Policy {
 	if picker == nil {
-		picker = newTwoChoices
+		picker = newNearest
 	}
 	fair, err := discipline.Registry.Get("fair")
 	if err != nil {
--- a/internal/proof/policy/sim.go
+++ b/internal/proof/policy/sim.go
@@ -27,7 +27,7 @@
 // WithSite sets the site. Default Magnolia.
 func WithSite(si Site) Option { return func(sm *Sim) { sm.site = si } }
 
-// WithPolicy sets the policy. Default Fair with the local picker.
+// WithPolicy sets the policy. Default Fair with the default routing policy.
 func WithPolicy(po Policy) Option { return func(sm *Sim) { sm.policy = po } }
 
 // New returns a Sim.
--- a/internal/route/nearest/lag_test.go
+++ b/internal/route/nearest/lag_test.go
@@ -104,7 +104,7 @@
 		return
 	}
 	if wo.correct {
-		fr.pi.Sent(name, 1)
+		fr.pi.Sent(name, 0, 1)
 	}
 	wo.picked[name]++
 	if fr.ta.Snapshot().Node(name).Zone == fr.zone {
@@ -133,7 +133,7 @@
 		if wo.correct {
 			cost = 1
 		}
-		wo.fronts[jo.entry].pi.Ended(name, cost, now.Sub(jo.sent), nil)
+		wo.fronts[jo.entry].pi.Ended(name, 0, cost, now.Sub(jo.sent), nil)
 	}
 	se.running = kept
 	for len(se.running) < 4 && len(se.waiting) > 0 {
--- a/internal/route/nearest/nearest.go
+++ b/internal/route/nearest/nearest.go
@@ -95,7 +95,7 @@
 	own, wait := se.Zones[at.pr.Zone], math.Inf(1)
 	if own != nil {
 		pi.draw(at, own.Nodes, 0)
-		wait = own.MeanWait(at.now, pi.offset(own))
+		wait = own.MeanWait(at.pr.Rank, at.now, pi.offset(own))
 	}
 	if at.best == nil {
 		wait = math.Inf(1)
@@ -106,7 +106,7 @@
 	var other *table.Group
 	least := wait
 	for _, gr := range se.Near[at.pr.Zone] {
-		if mean := gr.MeanWait(at.now, pi.offset(gr)) + gr.Distance.Seconds(); mean < least {
+		if mean := gr.MeanWait(at.pr.Rank, at.now, pi.offset(gr)) + gr.Distance.Seconds(); mean < least {
 			other, least = gr, mean
 		}
 	}
@@ -144,7 +144,7 @@
 		if no == nil || no.Service != at.pr.Service || no.Region != at.best.Region || no.Weight() < 1 || !policy.Usable(no, at.pr, at.worst) {
 			continue
 		}
-		score := no.Wait()
+		score := no.Wait(at.pr.Rank)
 		if no.Zone != at.pr.Zone {
 			score += se.Zones[no.Zone].Distance.Seconds()
 		}
@@ -205,12 +205,23 @@
 	return we >= 1 || pi.rnd.Float64() < we
 }
 
-// weigh prefers the node with the shorter wait. The preference is certain
+// weigh prefers a node whose floor for the rank is unused to one where the
+// rank waits: a floor that nothing waits for is lent to other ranks and lost to
+// this one. Else it prefers the node with the shorter wait. The preference is certain
 // when the difference reaches the horizon, the time in which an upstream's
 // queue changes unseen; below it, it is proportional, which keeps the loop
 // through the late reports stable.
 func (pi *Picker) weigh(at *attempt, no *table.Node, extra float64) {
-	score := no.Wait() + extra
+	score := no.Wait(at.pr.Rank) + extra
+	if at.best != nil {
+		switch mine, theirs := no.Floor(at.pr.Rank), at.best.Floor(at.pr.Rank); {
+		case mine == table.FloorUnused && theirs == table.FloorUsed:
+			at.best, at.score = no, score
+			return
+		case mine == table.FloorUsed && theirs == table.FloorUnused:
+			return
+		}
+	}
 	if at.best == nil || pi.rnd.Float64()*2-1 < (at.score-score)/pi.horizon(at, no) {
 		at.best, at.score = no, score
 	}
--- a/internal/route/nearest/nearest_test.go
+++ b/internal/route/nearest/nearest_test.go
@@ -120,6 +120,20 @@
 		pr.Model = "m"
 		assert.Zero(t, shares(pi, pr)["u0"])
 	})
+	// A rank gets its floor of the service only if it waits at each upstream.
+	t.Run("prefers an unused floor of the rank", func(t *testing.T) {
+		ta, pi := setup(t, "", 2, 1, nil)
+		fl := fleet(2, 1)
+		fl.Ranks = []citronstream.Rank{{Floor: 0.3}, {Floor: 0.2}}
+		require.True(t, ta.Replace(fl))
+		ta.Report(citronstream.Load{Upstream: "u0", Seq: 1, Cost: 110, Rate: 100, Waiting: 1, Ranks: []float64{98, 2}})
+		ta.Report(citronstream.Load{Upstream: "u1", Seq: 1, Cost: 150, Rate: 100, Waiting: 1, Ranks: []float64{140}})
+		pr := request
+		pr.Rank = 1
+		assert.Equal(t, map[string]int{"u1": 1000}, shares(pi, pr))
+		pr.Rank = 0
+		assert.Greater(t, shares(pi, pr)["u0"], 500, "the urgent rank waits at both")
+	})
 	// A reduced weight of 0.1 must leave about a tenth of the ordinary work, for probing.
 	t.Run("reduced weight", func(t *testing.T) {
 		ta, pi := setup(t, "", 2, 1, nil)
@@ -173,14 +187,14 @@
 		for _, count := range []int{10, 100, 1000, 1700} {
 			ta, pi := setup(b, name, count, 3, fixedHints{{Upstream: "u9", Blocks: 1}})
 			for i := range count {
-				ta.Report(citronstream.Load{Upstream: fmt.Sprintf("u%d", i), Seq: 1, Cost: float64(i % 7), Models: []string{"a", "b", "m"}})
+				ta.Report(citronstream.Load{Upstream: fmt.Sprintf("u%d", i), Seq: 1, Cost: float64(20 + i%7), Ranks: []float64{float64(i % 3), float64(i % 5), float64(i % 2)}, Models: []string{"a", "b", "m"}})
 			}
-			pr := citronstream.PickRequest{Service: "gen", Zone: "z0", Model: "m", Blocks: []uint64{1, 2}, Exclude: []string{"u1"}}
+			pr := citronstream.PickRequest{Service: "gen", Zone: "z0", Model: "m", Rank: 1, Blocks: []uint64{1, 2}, Exclude: []string{"u1"}}
 			b.Run(fmt.Sprintf("%s/%d/serial", name, count), func(b *testing.B) {
 				b.ReportAllocs()
 				for b.Loop() {
 					up, _ := pi.Pick(pr)
-					pi.Sent(up, 0)
+					pi.Sent(up, 0, 0)
 				}
 			})
 			b.Run(fmt.Sprintf("%s/%d/parallel", name, count), func(b *testing.B) {
@@ -188,7 +202,7 @@
 				b.RunParallel(func(pb *testing.PB) {
 					for pb.Next() {
 						up, _ := pi.Pick(pr)
-						pi.Sent(up, 0)
+						pi.Sent(up, 0, 0)
 					}
 				})
 			})
--- a/internal/route/table/node.go
+++ b/internal/route/table/node.go
@@ -32,6 +32,7 @@
 	Agent    string
 	Capacity int
 	Allowed  []string // models that the inventory allows; empty allows all
+	floors   *[MaxRanks]float64
 	live     *live
 }
 
@@ -39,9 +40,9 @@
 type live struct {
 	verdicts atomic.Pointer[verdicts]
 	report   atomic.Pointer[report]
-	weight   atomic.Uint64 // float64 bits
-	pending  atomic.Int64  // own work not covered by the report, in milli cost units
-	flying   atomic.Int64  // own work in flight, in milli cost units
+	weight   atomic.Uint64          // float64 bits
+	pending  [MaxRanks]atomic.Int64 // own work not covered by the report, in milli cost units
+	flying   atomic.Int64           // own work in flight, in milli cost units
 	buckets  [ring]bucket
 	budget   atomic.Uint64 // pick count at which the next diversion is due
 }
@@ -49,15 +50,17 @@
 // bucket holds the net work of one interval. Epoch is the interval's number.
 type bucket struct {
 	epoch atomic.Int64
-	net   atomic.Int64
+	net   [MaxRanks]atomic.Int64
 }
 
 // report is the last accepted Load with what is derived from it.
 type report struct {
-	load  citronstream.Load
-	rate  float64
-	slots uint64
-	at    time.Time // arrival
+	load    citronstream.Load
+	rate    float64
+	slots   uint64
+	at      time.Time         // arrival
+	waiting [MaxRanks]float64 // cost units by rank
+	queued  bool              // calls wait
 }
 
 func newLive(now time.Time) *live {
@@ -94,12 +97,18 @@
 // Load returns the corrected load in cost units: the last report plus work
 // sent since it was taken, less work seen to end since.
 func (no *Node) Load() float64 {
-	own := float64(no.live.pending.Load()) / 1000
-	re := no.live.report.Load()
+	return no.load(no.live.report.Load())
+}
+
+func (no *Node) load(re *report) float64 {
 	if re == nil {
 		return max(0, float64(no.live.flying.Load())/1000)
 	}
-	return max(0, re.load.Cost+own)
+	var own int64
+	for rank := range no.live.pending {
+		own += no.live.pending[rank].Load()
+	}
+	return max(0, re.load.Cost+float64(own)/1000)
 }
 
 // ReportedLoad returns the load of the last report without correction.
@@ -110,9 +119,6 @@
 	return 0
 }
 
-// Wait returns the corrected load as time, in seconds.
-func (no *Node) Wait() float64 { return no.Load() / no.rate() }
-
 // Divert asks whether another pick may be turned to this node for a reason
 // other than load. At most one in interval picks of the service may be; turn
 // is the service's count of picks.
@@ -167,7 +173,10 @@
 	case rate < assumed:
 		rate += (assumed - rate) * rateRecovery
 	}
-	re := &report{load: lo, rate: rate, at: now}
+	re := &report{load: lo, rate: rate, at: now, queued: len(lo.Ranks) > 0}
+	for rank, cost := range lo.Ranks {
+		re.waiting[class(rank)] += max(0, cost)
+	}
 	for _, slot := range lo.Slots {
 		if slot >= 0 && slot < Slots {
 			re.slots |= 1 << slot
@@ -177,22 +186,25 @@
 }
 
 // add notes work sent (positive) or ended (negative) in the interval.
-func (li *live) add(epoch int64, milli int64) {
+func (li *live) add(epoch int64, rank int, milli int64) {
 	bu := &li.buckets[epoch%ring]
 	if old := bu.epoch.Load(); old != epoch && bu.epoch.CompareAndSwap(old, epoch) {
-		bu.net.Store(0)
+		for other := range bu.net {
+			bu.net[other].Store(0)
+		}
 	}
-	bu.net.Add(milli)
-	li.pending.Add(milli)
+	bu.net[rank].Add(milli)
+	li.pending[rank].Add(milli)
 	li.flying.Add(milli)
 }
 
 // since sums the work of the intervals from epoch first to last.
-func (li *live) since(first, last int64) int64 {
-	var sum int64
+func (li *live) since(first, last int64) (sum [MaxRanks]int64) {
 	for epoch := max(first, last-ring+1); epoch <= last; epoch++ {
 		if bu := &li.buckets[epoch%ring]; bu.epoch.Load() == epoch {
-			sum += bu.net.Load()
+			for rank := range sum {
+				sum[rank] += bu.net[rank].Load()
+			}
 		}
 	}
 	return sum
--- /dev/null
+++ b/internal/route/table/ranks.go
@@ -0,0 +1,80 @@
+package table
+
+// MaxRanks bounds the state by rank. Less urgent ranks count as the last of these.
+const MaxRanks = 4
+
+// minOpen is the least share of the service assumed for a rank without a floor.
+const minOpen = 0.01
+
+// class is the index of a rank's state. A rank out of range is treated as the
+// least urgent, as limit/fairqueue does.
+func class(rank int) int {
+	if rank < 0 {
+		return MaxRanks - 1
+	}
+	return min(rank, MaxRanks-1)
+}
+
+// Wait estimates the time until the upstream takes up a new call of the rank, in
+// seconds. While calls wait there, the ones of less urgent ranks count only by
+// the floors that they can claim, and a rank waits no longer than its own floor
+// takes for its own work, as in limit/fairqueue. An upstream where nothing
+// waits has the whole corrected load ahead of the call.
+func (no *Node) Wait(rank int) float64 {
+	re := no.live.report.Load()
+	total := no.load(re)
+	if re == nil {
+		return total / no.assumedRate()
+	}
+	if !re.queued {
+		return total / re.rate
+	}
+	rank = class(rank)
+	running, urgent, own, open := total, 0.0, 0.0, 1.0
+	for other := range re.waiting {
+		waits := no.waiting(re, other)
+		running -= waits
+		switch {
+		case other < rank:
+			urgent += waits
+		case other == rank:
+			own = waits
+		case waits > 0:
+			open -= no.floors[other]
+		}
+	}
+	running = max(0, running)
+	wait := running + (urgent+own)/max(open, no.floors[rank], minOpen)
+	if floor := no.floors[rank]; floor > 0 {
+		wait = min(wait, running+own/floor)
+	}
+	return wait / re.rate
+}
+
+// waiting is the corrected cost of the calls of a rank that wait, in cost units.
+func (no *Node) waiting(re *report, rank int) float64 {
+	return max(0, re.waiting[rank]+float64(no.live.pending[rank].Load())/1000)
+}
+
+// Floor says what an upstream's guaranteed share is to a rank.
+type Floor uint8
+
+// A floor counts only at an upstream where calls wait.
+const (
+	FloorNone   Floor = iota // the rank has no floor, or nothing waits
+	FloorUnused              // others wait, and nothing of the rank
+	FloorUsed                // calls of the rank wait
+)
+
+// Floor returns the use of the rank's floor by the corrected report.
+func (no *Node) Floor(rank int) Floor {
+	re := no.live.report.Load()
+	rank = class(rank)
+	switch {
+	case re == nil || !re.queued || no.floors[rank] <= 0:
+		return FloorNone
+	case no.waiting(re, rank) > 0:
+		return FloorUsed
+	}
+	return FloorUnused
+}
--- a/internal/route/table/snapshot.go
+++ b/internal/route/table/snapshot.go
@@ -40,8 +40,13 @@
 	Zone     string
 	Distance time.Duration // one-way delay to another zone of the region
 	Nodes    []*Node
-	mean     atomic.Uint64 // float64 bits, seconds
-	due      atomic.Int64  // nanoseconds since 1970
+	means    [MaxRanks]mean // by rank
+}
+
+// mean is a mean wait that is renewed from time to time.
+type mean struct {
+	wait atomic.Uint64 // float64 bits, seconds
+	due  atomic.Int64  // nanoseconds since 1970
 }
 
 // Service returns a service by name, or nil.
@@ -60,24 +65,25 @@
 	}
 }
 
-// MeanWait returns the mean corrected wait of the group's live upstreams, in
-// seconds, and +Inf if there is none. The value is up to meanFor old.
-func (gr *Group) MeanWait(now time.Time, offset int) float64 {
-	due := gr.due.Load()
-	if at := now.UnixNano(); at >= due && gr.due.CompareAndSwap(due, at+int64(meanFor)) {
-		gr.mean.Store(math.Float64bits(gr.sample(offset)))
+// MeanWait returns the mean wait of a call of the rank at the group's live
+// upstreams, in seconds, and +Inf if there is none. The value is up to meanFor old.
+func (gr *Group) MeanWait(rank int, now time.Time, offset int) float64 {
+	me := &gr.means[class(rank)]
+	due := me.due.Load()
+	if at := now.UnixNano(); at >= due && me.due.CompareAndSwap(due, at+int64(meanFor)) {
+		me.wait.Store(math.Float64bits(gr.sample(rank, offset)))
 	}
-	return math.Float64frombits(gr.mean.Load())
+	return math.Float64frombits(me.wait.Load())
 }
 
-func (gr *Group) sample(offset int) float64 {
+func (gr *Group) sample(rank, offset int) float64 {
 	sum, seen := 0.0, 0
 	for i := range len(gr.Nodes) {
 		no := gr.Nodes[(offset+i)%len(gr.Nodes)]
 		if no.State() != Live {
 			continue
 		}
-		sum += no.Wait()
+		sum += no.Wait(rank)
 		if seen++; seen == meanSample {
 			break
 		}
@@ -92,6 +98,7 @@
 func build(fl *citronstream.Fleet, keep func(*Node) *live) *Snapshot {
 	sn := &Snapshot{Version: fl.Version, services: make(map[string]*Service, len(fl.Services)), nodes: make(map[string]*Node, len(fl.Upstreams))}
 	region, distance, zone := places(fl)
+	floors := floorsOf(fl.Ranks)
 	for _, spec := range fl.Services {
 		sn.services[spec.Name] = &Service{Spec: spec, Zones: make(map[string]*Group), Near: make(map[string][]*Group)}
 	}
@@ -102,7 +109,7 @@
 		}
 		no := &Node{
 			Name: up.Name, Service: up.Service, Zone: zone[up.Instance], Region: region[zone[up.Instance]],
-			Instance: up.Instance, Agent: up.Agent, Capacity: up.Capacity, Allowed: up.Models,
+			Instance: up.Instance, Agent: up.Agent, Capacity: up.Capacity, Allowed: up.Models, floors: floors,
 		}
 		no.live = keep(no)
 		sn.nodes[no.Name] = no
@@ -120,6 +127,14 @@
 	return sn
 }
 
+func floorsOf(ranks []citronstream.Rank) *[MaxRanks]float64 {
+	floors := new([MaxRanks]float64)
+	for rank, ra := range ranks {
+		floors[class(rank)] += min(max(ra.Floor, 0), 1)
+	}
+	return floors
+}
+
 // connect fills Near for every zone of the fleet, in the order of the document.
 func (se *Service) connect(fl *citronstream.Fleet) {
 	for _, re := range fl.Regions {
--- a/internal/route/table/table.go
+++ b/internal/route/table/table.go
@@ -107,7 +107,9 @@
 	epoch := ta.epoch()
 	kept := no.live.since(epoch-int64(ta.lag/bucketFor), epoch)
 	no.live.report.Store(no.accept(lo, ta.clk.Now()))
-	no.live.pending.Store(kept)
+	for rank := range kept {
+		no.live.pending[rank].Store(kept[rank])
+	}
 	if lo.Leaving {
 		ta.set(no, FromAnnouncement, Leaving)
 	}
@@ -212,11 +214,11 @@
 func (ta *Table) epoch() int64 { return ta.clk.Now().UnixNano() / int64(bucketFor) }
 
 // Sent notes work sent to an upstream, in cost units.
-func (ta *Table) Sent(upstream string, cost float64) {
+func (ta *Table) Sent(upstream string, rank int, cost float64) {
 	if no := ta.Snapshot().Node(upstream); no != nil {
-		no.live.add(ta.epoch(), int64(math.Round(cost*1000)))
+		no.live.add(ta.epoch(), class(rank), int64(math.Round(cost*1000)))
 	}
 }
 
-// Ended notes that work sent to an upstream has ended. Cost is the same as at Sent.
-func (ta *Table) Ended(upstream string, cost float64) { ta.Sent(upstream, -cost) }
+// Ended notes that work sent to an upstream has ended. Rank and cost are the same as at Sent.
+func (ta *Table) Ended(upstream string, rank int, cost float64) { ta.Sent(upstream, rank, -cost) }
--- a/internal/route/table/table_test.go
+++ b/internal/route/table/table_test.go
@@ -45,11 +45,11 @@
 	// A report that lags must not hide work that was sent after it was taken.
 	t.Run("work within the lag stays counted", func(t *testing.T) {
 		ta, clk := setup(t)
-		ta.Sent("u0", 5)
+		ta.Sent("u0", 0, 5)
 		clk.Advance(time.Second)
-		ta.Sent("u0", 2)
-		ta.Sent("u0", 1)
-		ta.Ended("u0", 1)
+		ta.Sent("u0", 0, 2)
+		ta.Sent("u0", 0, 1)
+		ta.Ended("u0", 0, 1)
 		require.True(t, ta.Report(citronstream.Load{Upstream: "u0", Seq: 1, Cost: 10}))
 		assertLoad(t, ta, 12)
 		clk.Advance(time.Second)
@@ -75,7 +75,7 @@
 	// A configuration change must not make loaded upstreams look idle.
 	t.Run("replaced fleet keeps live state", func(t *testing.T) {
 		ta, _ := setup(t)
-		ta.Sent("u0", 3)
+		ta.Sent("u0", 0, 3)
 		ta.Mark("u0", FromLink, Suspect)
 		require.True(t, ta.Replace(fleet(2, 2)))
 		assertLoad(t, ta, 3)
--- a/policy.go
+++ b/policy.go
@@ -10,6 +10,7 @@
 	Service string
 	Zone    string // zone of the entry
 	Model   string
+	Rank    int // index of the priority class, most urgent first
 	Cost    float64
 	// Blocks are hashes of the prompt's leading blocks, for prefix affinity.
 	Blocks []uint64
@@ -24,8 +25,8 @@
 	// Pick returns the name of the upstream for a call and false if none can take it.
 	Pick(pr PickRequest) (string, bool)
 	// Sent and Ended tell the policy what became of the pick.
-	Sent(upstream string, cost float64)
-	Ended(upstream string, cost float64, took time.Duration, err error)
+	Sent(upstream string, rank int, cost float64)
+	Ended(upstream string, rank int, cost float64, took time.Duration, err error)
 }
 
 // Item is a call that waits in a queue.
@@ -52,9 +53,11 @@
 	Remove(id string) bool
 	// Done corrects the account of an item that has run.
 	Done(it Item, cost float64, took time.Duration)
-	// Len returns the number of waiting items, Cost their cost units.
+	// Len returns the number of waiting items, Cost their cost units, and
+	// RankCosts their cost units by rank, most urgent first.
 	Len() int
 	Cost() float64
+	RankCosts() []float64
 	// Wait estimates the wait of a new item of this rank and workspace.
 	Wait(rank int, workspace string, cost float64) time.Duration
 }
