Tests: shorter TestRanks, TestTable, TestConfigurationNeverReverts

Change: TestRanks becomes TestOrderOfRanks, TestFloors and TestCreditOfIdleRanks; TestTable becomes TestWrite, TestList and TestExpiry on a fixture, and TestList gets neighbours before and after its rows, which the other subtests had left in the shared table; the history of versions becomes a type. No assertion changed.

--- a/internal/limit/fairqueue/queue_test.go
+++ b/internal/limit/fairqueue/queue_test.go
@@ -83,7 +83,7 @@
 	assert.Positive(t, fa.RetryAfter)
 }
 
-func TestRanks(t *testing.T) {
+func TestOrderOfRanks(t *testing.T) {
 	// Guards against less urgent work running before urgent work when no floor asks for it.
 	t.Run("urgent first", func(t *testing.T) {
 		fi := newFixture(t, fleet(0, 0))
@@ -91,6 +91,19 @@
 		fi.fill(5, 0, "a")
 		assert.Equal(t, 1.0, fi.share(5, func(it Item) bool { return it.Rank == 0 }))
 	})
+	// Guards against the order of ranks being lost among those below their floor.
+	t.Run("most urgent of the ranks below their floor", func(t *testing.T) {
+		fi := newFixture(t, fleet(0, 0.2, 0.1))
+		for rank := range 3 {
+			fi.fill(5, rank, "a")
+		}
+		for _, want := range []int{0, 1, 2} {
+			assert.Equal(t, want, fi.serve(1).Rank)
+		}
+	})
+}
+
+func TestFloors(t *testing.T) {
 	// Guards against a flood of the urgent rank starving the others.
 	t.Run("floor under an urgent flood", func(t *testing.T) {
 		fi := newFixture(t, fleet(0.5, 0.2, 0.1))
@@ -104,16 +117,6 @@
 		assert.InDelta(t, 200, served[1], 20)
 		assert.InDelta(t, 100, served[2], 10)
 	})
-	// Guards against the order of ranks being lost among those below their floor.
-	t.Run("most urgent of the ranks below their floor", func(t *testing.T) {
-		fi := newFixture(t, fleet(0, 0.2, 0.1))
-		for rank := range 3 {
-			fi.fill(5, rank, "a")
-		}
-		for _, want := range []int{0, 1, 2} {
-			assert.Equal(t, want, fi.serve(1).Rank)
-		}
-	})
 	// Guards against an unused floor staying unused.
 	t.Run("unused floor is lent", func(t *testing.T) {
 		fi := newFixture(t, fleet(0.5, 0.4))
@@ -128,6 +131,9 @@
 		fi.fill(2000, 0, "a")
 		assert.InDelta(t, 0.2, fi.share(100, func(it Item) bool { return it.Rank == 1 }), 0.02)
 	})
+}
+
+func TestCreditOfIdleRanks(t *testing.T) {
 	// Guards against a rank that falls short of its floor because its queue runs empty now and then.
 	t.Run("idle rank keeps credit for one call", func(t *testing.T) {
 		fi := newFixture(t, fleet(0, 0.2))
--- a/internal/platform/dynamodb/table_test.go
+++ b/internal/platform/dynamodb/table_test.go
@@ -27,50 +27,71 @@
 	return citronstream.Op{Key: key, Value: []byte(value), IfVersion: version}
 }
 
-func TestTable(t *testing.T) {
+// fixture is a table on its stand-in, with a clock that the test moves.
+type fixture struct {
+	*Table
+	clk *clockwork.FakeClock
+}
+
+func newFixture(t *testing.T) *fixture {
 	clk := clockwork.NewFakeClockAt(time.Unix(1e9, 0))
 	ta, _, _ := start(t, clk)
-	ctx := t.Context()
-	holds := func(t *testing.T, key, value string, version uint64) {
-		row, err := ta.Get(ctx, key)
-		require.NoError(t, err)
-		assert.Equal(t, value, string(row.Value))
-		assert.Equal(t, version, row.Version)
-		assert.Equal(t, key, row.Key)
-	}
+	return &fixture{Table: ta, clk: clk}
+}
 
+func (fi *fixture) holds(t *testing.T, key, value string, version uint64) {
+	t.Helper()
+	row, err := fi.Get(t.Context(), key)
+	require.NoError(t, err)
+	assert.Equal(t, value, string(row.Value))
+	assert.Equal(t, version, row.Version)
+	assert.Equal(t, key, row.Key)
+}
+
+func TestWrite(t *testing.T) {
+	fi, ctx := newFixture(t), t.Context()
 	// Guards against a write that ignores its condition or is applied in part.
 	t.Run("conditions", func(t *testing.T) {
-		require.NoError(t, ta.Write(ctx, "a", put("Grant/desk-1", "x", 0), put("Config", "y", 0)))
-		holds(t, "Grant/desk-1", "x", 1)
-		holds(t, "Config", "y", 1)
-		err := ta.Write(ctx, "b", put("Config", "z", 1), put("Grant/desk-1", "z", 0))
+		require.NoError(t, fi.Write(ctx, "a", put("Grant/desk-1", "x", 0), put("Config", "y", 0)))
+		fi.holds(t, "Grant/desk-1", "x", 1)
+		fi.holds(t, "Config", "y", 1)
+		err := fi.Write(ctx, "b", put("Config", "z", 1), put("Grant/desk-1", "z", 0))
 		var conflict *citronstream.ConflictError
 		require.ErrorAs(t, err, &conflict)
 		assert.Equal(t, []string{"Grant/desk-1"}, conflict.Keys)
-		holds(t, "Config", "y", 1)
+		fi.holds(t, "Config", "y", 1)
 		check := citronstream.Op{Key: "Grant/desk-1", IfVersion: 1, CheckOnly: true}
-		require.NoError(t, ta.Write(ctx, "c", put("Config", "z", 1), check))
-		require.NoError(t, ta.Write(ctx, "d", put("Config", "", citronstream.AnyVersion)))
-		holds(t, "Config", "", 3)
-		require.NoError(t, ta.Write(ctx, "e", citronstream.Op{Key: "Config", IfVersion: 3, Delete: true}))
-		_, err = ta.Get(ctx, "Config")
+		require.NoError(t, fi.Write(ctx, "c", put("Config", "z", 1), check))
+		require.NoError(t, fi.Write(ctx, "d", put("Config", "", citronstream.AnyVersion)))
+		fi.holds(t, "Config", "", 3)
+		require.NoError(t, fi.Write(ctx, "e", citronstream.Op{Key: "Config", IfVersion: 3, Delete: true}))
+		_, err = fi.Get(ctx, "Config")
 		assert.ErrorIs(t, err, citronstream.ErrNotFound)
 	})
 	// Guards against a repeat that counts twice, also under a long identifier.
 	t.Run("repeat", func(t *testing.T) {
 		id := citronstream.NewID() + citronstream.NewID()
-		require.NoError(t, ta.Write(ctx, id, put("R/1", "x", 0)))
-		require.NoError(t, ta.Write(ctx, id, put("R/1", "x", 0)))
-		holds(t, "R/1", "x", 1)
+		require.NoError(t, fi.Write(ctx, id, put("R/1", "x", 0)))
+		require.NoError(t, fi.Write(ctx, id, put("R/1", "x", 0)))
+		fi.holds(t, "R/1", "x", 1)
 	})
+	// Guards against two keys that share one item.
+	t.Run("reserved keys", func(t *testing.T) {
+		for _, key := range []string{"", "/a", "a/", "a/-"} {
+			assert.ErrorContains(t, fi.Write(ctx, "k", put(key, "", 0)), "reserved", key)
+		}
+	})
+}
+
+func TestList(t *testing.T) {
+	fi, ctx := newFixture(t), t.Context()
 	// Guards against rows lost between pages and rows of other prefixes.
 	t.Run("list over pages", func(t *testing.T) {
-		for _, key := range []string{"L", "L/a/1", "L/a/2", "L/a/3", "L/b/1"} {
-			require.NoError(t, ta.Write(ctx, key, put(key, "", 0)))
+		for _, key := range []string{"K/1", "L", "L/a/1", "L/a/2", "L/a/3", "L/b/1", "M/1"} {
+			require.NoError(t, fi.Write(ctx, key, put(key, "", 0)))
 		}
 		listed := func(prefix string, limit int) (keys []string) {
-			rows, err := ta.List(ctx, prefix, limit)
+			rows, err := fi.List(ctx, prefix, limit)
 			require.NoError(t, err)
 			for _, row := range rows {
 				keys = append(keys, row.Key)
@@ -81,31 +102,29 @@
 		assert.Equal(t, []string{"L/a/1", "L/a/2", "L/a/3"}, listed("L/a/", 9))
 		assert.Equal(t, []string{"L/a/1"}, listed("L/a/", 1))
 	})
+}
+
+func TestExpiry(t *testing.T) {
+	fi, ctx := newFixture(t), t.Context()
 	// Guards against rows that outlive their end or end early.
 	t.Run("expiry", func(t *testing.T) {
 		op := put("E/1", "x", 0)
-		op.Expires = clk.Now().Add(1500 * time.Millisecond)
-		require.NoError(t, ta.Write(ctx, "x1", op))
-		clk.Advance(1900 * time.Millisecond)
-		holds(t, "E/1", "x", 1)
-		clk.Advance(100 * time.Millisecond)
-		require.NoError(t, ta.Write(ctx, "x2", put("E/1", "y", 0)))
-		holds(t, "E/1", "y", 1)
+		op.Expires = fi.clk.Now().Add(1500 * time.Millisecond)
+		require.NoError(t, fi.Write(ctx, "x1", op))
+		fi.clk.Advance(1900 * time.Millisecond)
+		fi.holds(t, "E/1", "x", 1)
+		fi.clk.Advance(100 * time.Millisecond)
+		require.NoError(t, fi.Write(ctx, "x2", put("E/1", "y", 0)))
+		fi.holds(t, "E/1", "y", 1)
 	})
 	// Guards against an expired item that the service has not yet removed.
 	t.Run("late removal", func(t *testing.T) {
-		_, live, err := ta.rowOf(map[string]types.AttributeValue{
-			attrPart: text("E"), attrSort: text("2"), attrVersion: number(1), attrExpires: expires(clk.Now()),
+		_, live, err := fi.rowOf(map[string]types.AttributeValue{
+			attrPart: text("E"), attrSort: text("2"), attrVersion: number(1), attrExpires: expires(fi.clk.Now()),
 		})
 		require.NoError(t, err)
 		assert.False(t, live)
 	})
-	// Guards against two keys that share one item.
-	t.Run("reserved keys", func(t *testing.T) {
-		for _, key := range []string{"", "/a", "a/", "a/-"} {
-			assert.ErrorContains(t, ta.Write(ctx, "k", put(key, "", 0)), "reserved", key)
-		}
-	})
 }
 
 // Guards against a write that is reported as not applied although it may have
--- a/internal/proof/promises/config_test.go
+++ b/internal/proof/promises/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -53,29 +54,63 @@
 	require.LessOrEqual(t, slowest, inForceWithin)
 }
 
+// history has the versions in force by life of a process, and for each life
+// the version that was in force everywhere when it began.
+type history struct {
+	lives   [][]uint64
+	atLeast []uint64
+}
+
+func (hi *history) collect(t *testing.T, ri *timeline.Ring, since uint64) {
+	var seen []uint64
+	for _, ev := range ri.Snapshot(timeline.Filter{}) {
+		if ev.Kind == "ConfigInForce" {
+			version, err := strconv.ParseUint(ev.Detail, 10, 64)
+			require.NoError(t, err)
+			seen = append(seen, version)
+		}
+	}
+	hi.lives, hi.atLeast = append(hi.lives, seen), append(hi.atLeast, since)
+}
+
+// requireGrowth fails if a version is not above the one before in its life.
+func (hi *history) requireGrowth(t *testing.T) {
+	changes := 0
+	for i, seen := range hi.lives {
+		last := uint64(0)
+		for _, version := range seen {
+			require.Greater(t, version, last, "versions of one life: %v", seen)
+			require.GreaterOrEqual(t, version, hi.atLeast[i], "first version after a restart: %v", seen)
+			last = version
+			changes++
+		}
+	}
+	t.Logf("%d lives of processes, %d versions put in force, none older than the one before", len(hi.lives), changes)
+}
+
+// acceptWhilePaused accepts a version that an agent can't hear of until it runs again.
+func (fl *fleet) acceptWhilePaused(agent string) uint64 {
+	fl.t.Helper()
+	fl.Gate(agent).Pause(true)
+	defer fl.Gate(agent).Pause(false)
+	require.NoError(fl.t, fl.Operator.Refresh(context.Background()))
+	next := fl.Operator.Current()
+	edited := *next.Fleet
+	edited.Workspaces = slices.Clone(edited.Workspaces)
+	edited.Workspaces[1].Weight++
+	version, err := fl.Operator.Accept(context.Background(), next.Fleet.Version, &edited, "during a pause")
+	require.NoError(fl.t, err)
+	return version
+}
+
 // Guards against a process that goes back to an older configuration after a
 // restart, a pause or an outage of the table (P7).
 func TestConfigurationNeverReverts(t *testing.T) {
 	fl := start(t, shape{desks: []string{"desk"}, each: 3, entries: 2})
-	var lives [][]uint64 // versions in force, by life of a process
-	var atLeast []uint64 // accepted and in force everywhere when that life began
-	collect := func(ri *timeline.Ring, since uint64) {
-		var seen []uint64
-		for _, ev := range ri.Snapshot(timeline.Filter{}) {
-			if ev.Kind == "ConfigInForce" {
-				version, err := strconv.ParseUint(ev.Detail, 10, 64)
-				require.NoError(t, err)
-				seen = append(seen, version)
-			}
-		}
-		lives, atLeast = append(lives, seen), append(atLeast, since)
-	}
-	change := func() uint64 {
-		return fl.accept(func(next *citronstream.Fleet) { next.Workspaces[0].Weight++ })
-	}
+	var hi history
 	old, err := fl.Table.Get(context.Background(), version.RowKey)
 	require.NoError(t, err)
-	since := change()
+	since := fl.accept(func(next *citronstream.Fleet) { next.Workspaces[0].Weight++ })
 	down := func(on bool) {
 		fl.Table.SetDown(on)
 		fl.Objects.SetDown(on)
@@ -85,24 +120,16 @@
 		for _, outage := range []bool{false, true} {
 			down(outage)
 			entry, agent := fl.Config.Entries[round].Name, fl.Config.Upstreams[round].Name
-			collect(fl.Entry(entry).Timeline, began[entry])
+			hi.collect(t, fl.Entry(entry).Timeline, began[entry])
 			fl.StopEntry(entry)
-			collect(fl.Agent(agent).Timeline, began[agent])
+			hi.collect(t, fl.Agent(agent).Timeline, began[agent])
 			fl.StopAgent(agent)
 			require.NoError(t, fl.StartAgent(agent))
 			require.NoError(t, fl.StartEntry(entry))
 			began[entry], began[agent] = since, since
 			until(t, "restarted processes are up to date", func() bool { return fl.inForce(since) })
 			down(false)
-			fl.Gate("desk-3").Pause(true)
-			next, err := fl.Operator.Current(), fl.Operator.Refresh(context.Background())
-			require.NoError(t, err)
-			edited := *next.Fleet
-			edited.Workspaces = append([]citronstream.Workspace(nil), edited.Workspaces...)
-			edited.Workspaces[1].Weight++
-			since, err = fl.Operator.Accept(context.Background(), next.Fleet.Version, &edited, "during a pause")
-			require.NoError(t, err)
-			fl.Gate("desk-3").Pause(false)
+			since = fl.acceptWhilePaused("desk-3")
 			until(t, "in force after the pause", func() bool { return fl.inForce(since) })
 		}
 	}
@@ -115,20 +142,10 @@
 	})
 	require.True(t, fl.inForce(since))
 	for _, en := range fl.Config.Entries {
-		collect(fl.Entry(en.Name).Timeline, began[en.Name])
+		hi.collect(t, fl.Entry(en.Name).Timeline, began[en.Name])
 	}
 	for _, up := range fl.Config.Upstreams {
-		collect(fl.Agent(up.Name).Timeline, began[up.Name])
-	}
-	changes := 0
-	for i, seen := range lives {
-		last := uint64(0)
-		for _, version := range seen {
-			require.Greater(t, version, last, "versions of one life: %v", seen)
-			require.GreaterOrEqual(t, version, atLeast[i], "first version after a restart: %v", seen)
-			last = version
-			changes++
-		}
+		hi.collect(t, fl.Agent(up.Name).Timeline, began[up.Name])
 	}
-	t.Logf("%d lives of processes, %d versions put in force, none older than the one before", len(lives), changes)
+	hi.requireGrowth(t)
 }
