Limits, platform clients, stand-ins: options that nothing sets become constants

Cause: eleven options had no caller in product or tests: fairqueue.WithWindow, retrybudget.WithWindow and WithBackoff, stagetime.WithGuess and WithHalfLife, dynamodb.WithTimeout, httpsd.WithTimeout, s3.WithTimeout and WithWeightPrefix, engine.WithLoadTime and pool.WithTime. Change: their defaults are constants with the reason of the value; the zero check of Backoff, which only an option could reach, is gone. Tests name the constants by their new names; no assertion changed.

--- a/internal/limit/fairqueue/estimate.go
+++ b/internal/limit/fairqueue/estimate.go
@@ -83,7 +83,7 @@
 		case other.index < ra.index:
 			urgent += other.cost
 			// Urgent work of the recent past stands for that of the near future.
-			open -= other.used / (rate * qu.window.Seconds())
+			open -= other.used / (rate * accountWindow.Seconds())
 		case other.index > ra.index && other.count > 0:
 			open -= other.floor
 		}
--- a/internal/limit/fairqueue/queue.go
+++ b/internal/limit/fairqueue/queue.go
@@ -19,15 +19,14 @@
 // minCost replaces missing or negative estimates, so that each call is charged.
 const minCost = 1e-3
 
-// defaultWindow is the time constant of the accounts of the ranks. It
+// accountWindow is the time constant of the accounts of the ranks. It
 // spans a few deadlines of the longest rank at 6 s.
-const defaultWindow = 10 * time.Second
+const accountWindow = 10 * time.Second
 
 // Queue is the discipline. Each item returned by Pop must be given to Done
 // once. Push, Pop, Remove and Done take O(log n).
 type Queue struct {
 	clk      citronstream.Clock
-	window   time.Duration
 	capacity int
 	first    float64 // first guess of the throughput
 
@@ -61,13 +60,10 @@
 	}
 }
 
-// WithWindow sets the time constant of the accounts of the ranks. Default 10 s.
-func WithWindow(window time.Duration) Option { return func(qu *Queue) { qu.window = window } }
-
 // New returns an empty queue with the ranks, weights and count cap of the fleet.
 func New(clk citronstream.Clock, fl citronstream.Fleet, opts ...Option) *Queue {
 	qu := &Queue{
-		clk: clk, window: defaultWindow, capacity: 1, first: 1,
+		clk: clk, capacity: 1, first: 1,
 		workspaces: make(map[string]*workspace), nodes: make(map[string]*node),
 		decayed: clk.Now(),
 	}
@@ -291,7 +287,7 @@
 		return
 	}
 	qu.decayed = now
-	factor := math.Exp(-past.Seconds() / qu.window.Seconds())
+	factor := math.Exp(-past.Seconds() / accountWindow.Seconds())
 	for _, ra := range qu.ranks {
 		ra.used *= factor
 		ra.owed *= factor
--- a/internal/limit/fairqueue/queue_test.go
+++ b/internal/limit/fairqueue/queue_test.go
@@ -158,7 +158,7 @@
 		}
 		fi.fill(2000, 0, "a")
 		fi.share(1000, func(Item) bool { return true })
-		fi.clk.Advance(10 * defaultWindow)
+		fi.clk.Advance(10 * accountWindow)
 		fi.Done(first, 1, 0)
 		assert.InDelta(t, 0.2, fi.share(100, func(it Item) bool { return it.Rank == 1 }), 0.02)
 	})
--- a/internal/limit/fairqueue/rank.go
+++ b/internal/limit/fairqueue/rank.go
@@ -92,7 +92,7 @@
 type rank struct {
 	index  int
 	floor  float64
-	used   float64 // cost served, decayed over Queue.window
+	used   float64 // cost served, decayed over accountWindow
 	owed   float64 // floor x cost served in all ranks, less the cost served in this one; decayed
 	last   float64 // cost of the call that ran last
 	cost   float64 // cost waiting
--- a/internal/limit/retrybudget/budget.go
+++ b/internal/limit/retrybudget/budget.go
@@ -18,11 +18,12 @@
 // pass 10% by 3 extra attempts every 10 s.
 const defaultConstant = 3
 
-// Defaults of the window and the backoff.
 const (
-	defaultWindow = 10 * time.Second
-	defaultBase   = 20 * time.Millisecond
-	defaultMost   = time.Second
+	// windowLength is the length of the sliding window.
+	windowLength = 10 * time.Second
+	// backoffBase and backoffMost are the ceilings of the first and of the longest delay of Backoff.
+	backoffBase = 20 * time.Millisecond
+	backoffMost = time.Second
 )
 
 // Budget is the ratio cap of a process. Request and Extra use atomics only.
@@ -35,9 +36,8 @@
 	spent      atomic.Uint64
 	refused    atomic.Uint64
 
-	base, most time.Duration
-	mu         sync.Mutex
-	random     *rand.Rand // guarded by mu
+	mu     sync.Mutex
+	random *rand.Rand // guarded by mu
 }
 
 // Option changes a Budget.
@@ -46,16 +46,6 @@
 // WithConstant sets the extra attempts that a window allows at any rate. Default 3.
 func WithConstant(extras int) Option { return func(bu *Budget) { bu.constant = float64(extras) } }
 
-// WithWindow sets the length of the sliding window. Default 10 s.
-func WithWindow(length time.Duration) Option {
-	return func(bu *Budget) { bu.window.width = max(length/buckets, time.Millisecond) }
-}
-
-// WithBackoff sets the base and the longest delay of Backoff. Default 20 ms and 1 s.
-func WithBackoff(base, most time.Duration) Option {
-	return func(bu *Budget) { bu.base, bu.most = base, most }
-}
-
 // WithSource sets the source of the jitter, for reproducible runs.
 func WithSource(source rand.Source) Option {
 	return func(bu *Budget) { bu.random = rand.New(source) }
@@ -64,10 +54,9 @@
 // New returns a budget with RetryRatio and RetriesPerRequest of the limits.
 func New(clk citronstream.Clock, li citronstream.Limits, opts ...Option) *Budget {
 	bu := &Budget{
-		clk: clk, constant: defaultConstant, base: defaultBase, most: defaultMost,
+		clk: clk, constant: defaultConstant,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
-	bu.window.width = defaultWindow / buckets
 	for _, opt := range opts {
 		opt(bu)
 	}
@@ -137,14 +126,11 @@
 // Backoff returns the delay before an extra attempt, counted from 1: a
 // uniform share ("full jitter") of base x 2^(attempt-1), at most the longest delay.
 func (bu *Budget) Backoff(attempt int) time.Duration {
-	ceiling := bu.base
-	for i := 1; i < attempt && ceiling < bu.most; i++ {
+	ceiling := backoffBase
+	for i := 1; i < attempt && ceiling < backoffMost; i++ {
 		ceiling *= 2
 	}
-	ceiling = min(ceiling, bu.most)
-	if ceiling <= 0 {
-		return 0
-	}
+	ceiling = min(ceiling, backoffMost)
 	bu.mu.Lock()
 	defer bu.mu.Unlock()
 	return time.Duration(bu.random.Int64N(int64(ceiling)))
--- a/internal/limit/retrybudget/budget_test.go
+++ b/internal/limit/retrybudget/budget_test.go
@@ -28,7 +28,7 @@
 		for re.Extra() {
 			assertWithinCap(t, bu)
 		}
-		clk.Advance(windows * defaultWindow / requests)
+		clk.Advance(windows * windowLength / requests)
 	}
 	spent, _ := bu.Counts()
 	assert.LessOrEqual(t, spent, uint64(requests/10+defaultConstant))
@@ -37,7 +37,7 @@
 
 // inWindow counts the times of the last buckets periods.
 func inWindow(times []time.Time, now time.Time) float64 {
-	width, count := int64(defaultWindow/buckets), 0.0
+	width, count := int64(windowLength/buckets), 0.0
 	for _, at := range times {
 		if now.UnixNano()/width-at.UnixNano()/width < buckets {
 			count++
@@ -89,7 +89,7 @@
 	bu := New(clk, citronstream.DefaultLimits(), WithConstant(1))
 	assert.True(t, bu.Request().Extra())
 	assert.False(t, bu.Request().Extra())
-	clk.Advance(defaultWindow)
+	clk.Advance(windowLength)
 	assert.True(t, bu.Request().Extra())
 }
 
@@ -114,7 +114,7 @@
 	// Guards against retries that arrive in step, or later than the longest delay.
 	t.Run("full jitter below the ceiling", func(t *testing.T) {
 		bu := New(clockwork.NewFakeClock(), citronstream.DefaultLimits(), WithSource(rand.NewPCG(1, 2)))
-		for attempt, ceiling := range map[int]time.Duration{1: defaultBase, 2: 2 * defaultBase, 60: defaultMost} {
+		for attempt, ceiling := range map[int]time.Duration{1: backoffBase, 2: 2 * backoffBase, 60: backoffMost} {
 			var total time.Duration
 			for range 1000 {
 				delay := bu.Backoff(attempt)
--- a/internal/limit/retrybudget/window.go
+++ b/internal/limit/retrybudget/window.go
@@ -19,9 +19,11 @@
 	periodMask  = uint64(1)<<(64-extraBits-requestBits) - 1
 )
 
+// width is the period of one bucket.
+const width = windowLength / buckets
+
 // window counts by bucket over the last buckets x width.
 type window struct {
-	width time.Duration
 	cells [buckets]atomic.Uint64
 }
 
@@ -31,7 +33,7 @@
 	period uint64
 }
 
-func (wi *window) period(now time.Time) uint64 { return uint64(now.UnixNano() / int64(wi.width)) }
+func (wi *window) period(now time.Time) uint64 { return uint64(now.UnixNano() / int64(width)) }
 
 // add counts one request or extra attempt. A bucket that is full keeps its
 // count, which at 2^24 requests a bucket no process reaches.
--- a/internal/limit/stagetime/estimator.go
+++ b/internal/limit/stagetime/estimator.go
@@ -14,9 +14,11 @@
 
 // Defaults and bounds.
 const (
-	defaultCap   = 1024 // cells; 40 services of 16 classes need 680
-	defaultGuess = 50 * time.Millisecond
-	defaultHalf  = 30 * time.Second
+	defaultCap = 1024 // cells; 40 services of 16 classes need 680
+	// unmeasured is the estimate for a service that has not been measured.
+	unmeasured = 50 * time.Millisecond
+	// halfLife is the time in which a measurement loses half its weight.
+	halfLife = 30 * time.Second
 	// classes are powers of two of the cost, from below 1 to 2^14 and above.
 	classes = 16
 	// anyClass is the cell of a service over all costs.
@@ -37,10 +39,8 @@
 // Estimator keeps the decayed median stage time by service and cost class.
 // Reads use atomics only.
 type Estimator struct {
-	clk   citronstream.Clock
-	guess time.Duration
-	half  time.Duration
-	cap   int
+	clk citronstream.Clock
+	cap int
 
 	cells atomic.Pointer[map[key]*cell] // replaced as a whole under mu
 	mu    sync.Mutex
@@ -49,18 +49,12 @@
 // Option changes an Estimator.
 type Option func(*Estimator)
 
-// WithGuess sets the estimate for a service that has not been measured. Default 50 ms.
-func WithGuess(guess time.Duration) Option { return func(es *Estimator) { es.guess = guess } }
-
-// WithHalfLife sets the time in which a measurement loses half its weight. Default 30 s.
-func WithHalfLife(half time.Duration) Option { return func(es *Estimator) { es.half = half } }
-
 // WithCap bounds the cells. The cell measured longest ago goes first. Default 1,024.
 func WithCap(cells int) Option { return func(es *Estimator) { es.cap = max(cells, 2) } }
 
 // New returns an Estimator without measurements.
 func New(clk citronstream.Clock, opts ...Option) *Estimator {
-	es := &Estimator{clk: clk, guess: defaultGuess, half: defaultHalf, cap: defaultCap}
+	es := &Estimator{clk: clk, cap: defaultCap}
 	for _, opt := range opts {
 		opt(es)
 	}
@@ -84,8 +78,8 @@
 		return
 	}
 	now := es.clk.Now()
-	es.cell(key{service, classOf(cost)}).add(now, es.half, took)
-	es.cell(key{service, anyClass}).add(now, es.half, took)
+	es.cell(key{service, classOf(cost)}).add(now, halfLife, took)
+	es.cell(key{service, anyClass}).add(now, halfLife, took)
 }
 
 func (es *Estimator) cell(ke key) *cell {
@@ -121,17 +115,17 @@
 }
 
 // P50 returns the median time of a stage: that of its cost class, else that
-// of its service, else the guess.
+// of its service, else unmeasured.
 func (es *Estimator) P50(service string, cost float64) time.Duration {
 	cells, now := *es.cells.Load(), es.clk.Now()
 	for _, class := range [...]int{classOf(cost), anyClass} {
 		if ce, ok := cells[key{service, class}]; ok {
-			if median, ok := ce.median(now, es.half); ok {
+			if median, ok := ce.median(now, halfLife); ok {
 				return median
 			}
 		}
 	}
-	return es.guess
+	return unmeasured
 }
 
 // Split returns for each stage the time from now by which it must end: the
--- a/internal/limit/stagetime/estimator_test.go
+++ b/internal/limit/stagetime/estimator_test.go
@@ -30,7 +30,7 @@
 func TestP50(t *testing.T) {
 	t.Run("guess, then service, then class", func(t *testing.T) {
 		es, _ := newEstimator()
-		assert.Equal(t, defaultGuess, es.P50("encode", 3))
+		assert.Equal(t, unmeasured, es.P50("encode", 3))
 		observe(es, 10, "encode", 100, time.Second)
 		assertNear(t, time.Second, es.P50("encode", 3))
 		observe(es, 1, "encode", 3, 20*time.Millisecond)
@@ -47,7 +47,7 @@
 	t.Run("old measurements decay", func(t *testing.T) {
 		es, clk := newEstimator()
 		observe(es, 100, "encode", 1, 10*time.Millisecond)
-		clk.Advance(5 * defaultHalf)
+		clk.Advance(5 * halfLife)
 		observe(es, 10, "encode", 1, time.Second)
 		assertNear(t, time.Second, es.P50("encode", 1))
 	})
@@ -57,7 +57,7 @@
 		observe(es, 10, "encode", 1, 8*time.Second)
 		clk.Advance(patience)
 		assertNear(t, 8*time.Second, es.P50("encode", 1))
-		clk.Advance(3 * defaultHalf)
+		clk.Advance(3 * halfLife)
 		assertNear(t, time.Second, es.P50("encode", 1))
 	})
 }
--- a/internal/platform/dynamodb/table.go
+++ b/internal/platform/dynamodb/table.go
@@ -31,17 +31,18 @@
 // noSort is the sort key of a key without "/".
 const noSort = "-"
 
+// timeout bounds each call.
+const timeout = 2 * time.Second
+
 // Table implements citronstream.Table.
 type Table struct {
-	api     *sdk.Client
-	clk     citronstream.Clock
-	name    string
-	timeout time.Duration
+	api  *sdk.Client
+	clk  citronstream.Clock
+	name string
 }
 
 type options struct {
 	name, region, keyID, secret string
-	timeout                     time.Duration
 }
 
 // Option changes a Table.
@@ -58,19 +59,16 @@
 	return func(op *options) { op.keyID, op.secret = keyID, secret }
 }
 
-// WithTimeout bounds each call; the default is 2 s.
-func WithTimeout(timeout time.Duration) Option { return func(op *options) { op.timeout = timeout } }
-
 // New returns a client of the table service at an endpoint such as
 // "http://10.0.0.1:8000". The client makes no retries: callers know whether a
 // repeat is harmless and how much time is left.
 func New(clk citronstream.Clock, endpoint string, opts ...Option) *Table {
-	op := options{name: "citronstream", region: "local", keyID: "none", secret: "none", timeout: 2 * time.Second}
+	op := options{name: "citronstream", region: "local", keyID: "none", secret: "none"}
 	for _, opt := range opts {
 		opt(&op)
 	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: op.timeout}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
 		MaxIdleConnsPerHost: 16, MaxConnsPerHost: 64, IdleConnTimeout: time.Minute,
 	}
 	api := sdk.New(sdk.Options{
@@ -80,13 +78,13 @@
 		HTTPClient:   &http.Client{Transport: transport},
 		Retryer:      aws.NopRetryer{},
 	})
-	return &Table{api: api, clk: clk, name: op.name, timeout: op.timeout}
+	return &Table{api: api, clk: clk, name: op.name}
 }
 
-// bound limits a call to the timeout of the Table.
+// bound limits a call to the timeout.
 func (ta *Table) bound(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	timer := ta.clk.AfterFunc(ta.timeout, cancel)
+	timer := ta.clk.AfterFunc(timeout, cancel)
 	return ctx, func() { timer.Stop(); cancel() }
 }
 
--- a/internal/platform/httpsd/list.go
+++ b/internal/platform/httpsd/list.go
@@ -23,32 +23,31 @@
 // about 300 KB.
 const defaultMaxBytes = 4 << 20
 
+// timeout bounds a call.
+const timeout = 2 * time.Second
+
 // List implements citronstream.Liveness.
 type List struct {
 	clk      citronstream.Clock
 	url      string
 	http     *http.Client
-	timeout  time.Duration
 	maxBytes int64
 }
 
 // Option changes a List.
 type Option func(*List)
 
-// WithTimeout bounds a call; the default is 2 s.
-func WithTimeout(timeout time.Duration) Option { return func(li *List) { li.timeout = timeout } }
-
 // WithMaxBytes bounds an answer; the default is 4 MiB.
 func WithMaxBytes(size int64) Option { return func(li *List) { li.maxBytes = size } }
 
 // New returns a client of the list at a URL.
 func New(clk citronstream.Clock, url string, opts ...Option) *List {
-	li := &List{clk: clk, url: url, timeout: 2 * time.Second, maxBytes: defaultMaxBytes}
+	li := &List{clk: clk, url: url, maxBytes: defaultMaxBytes}
 	for _, opt := range opts {
 		opt(li)
 	}
 	li.http = &http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: li.timeout}).DialContext, IdleConnTimeout: time.Minute,
+		DialContext: (&net.Dialer{Timeout: timeout}).DialContext, IdleConnTimeout: time.Minute,
 	}}
 	return li
 }
@@ -60,7 +59,7 @@
 func (li *List) List(ctx context.Context) ([]citronstream.InstanceState, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer li.clk.AfterFunc(li.timeout, cancel).Stop()
+	defer li.clk.AfterFunc(timeout, cancel).Stop()
 	body, err := li.fetch(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("%w: instance list: %w", citronstream.ErrUnavailable, err)
--- a/internal/platform/s3/store.go
+++ b/internal/platform/s3/store.go
@@ -19,6 +19,13 @@
 	"github.com/citronstream/citronstream"
 )
 
+const (
+	// weightPrefix begins the keys of weights.
+	weightPrefix = "weights/"
+	// timeout bounds each Get and Put. Fetch is bounded by its context alone.
+	timeout = 5 * time.Second
+)
+
 // Store implements citronstream.Objects and citronstream.Weights.
 type Store struct {
 	api *sdk.Client
@@ -27,9 +34,8 @@
 }
 
 type options struct {
-	bucket, prefix, region, keyID, secret string
-	timeout                               time.Duration
-	maxBytes                              int64
+	bucket, region, keyID, secret string
+	maxBytes                      int64
 }
 
 // Option changes a Store.
@@ -38,9 +44,6 @@
 // WithBucket sets the bucket.
 func WithBucket(bucket string) Option { return func(op *options) { op.bucket = bucket } }
 
-// WithWeightPrefix sets the key prefix of weights; the default is "weights/".
-func WithWeightPrefix(prefix string) Option { return func(op *options) { op.prefix = prefix } }
-
 // WithRegion sets the region for request signatures.
 func WithRegion(region string) Option { return func(op *options) { op.region = region } }
 
@@ -49,10 +52,6 @@
 	return func(op *options) { op.keyID, op.secret = keyID, secret }
 }
 
-// WithTimeout bounds each Get and Put; the default is 5 s. Fetch is bounded
-// by its context alone.
-func WithTimeout(timeout time.Duration) Option { return func(op *options) { op.timeout = timeout } }
-
 // WithMaxBytes bounds an object that Get reads; the default is 64 MiB.
 func WithMaxBytes(size int64) Option { return func(op *options) { op.maxBytes = size } }
 
@@ -60,14 +59,14 @@
 // "http://10.0.0.1:9000". The client makes no retries.
 func New(clk citronstream.Clock, endpoint string, opts ...Option) *Store {
 	op := options{
-		bucket: "citronstream", prefix: "weights/", region: "local", keyID: "none", secret: "none",
-		timeout: 5 * time.Second, maxBytes: 64 << 20,
+		bucket: "citronstream", region: "local", keyID: "none", secret: "none",
+		maxBytes: 64 << 20,
 	}
 	for _, opt := range opts {
 		opt(&op)
 	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: op.timeout}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
 		MaxIdleConnsPerHost: 16, MaxConnsPerHost: 64, IdleConnTimeout: time.Minute,
 	}
 	api := sdk.New(sdk.Options{
@@ -86,7 +85,7 @@
 
 func (st *Store) bound(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	timer := st.clk.AfterFunc(st.op.timeout, cancel)
+	timer := st.clk.AfterFunc(timeout, cancel)
 	return ctx, func() { timer.Stop(); cancel() }
 }
 
@@ -121,7 +120,7 @@
 // Fetch implements citronstream.Weights. The engine loads the bytes; the
 // agent only needs their size and the store's pace.
 func (st *Store) Fetch(ctx context.Context, model string) (int64, error) {
-	key := st.op.prefix + model
+	key := weightPrefix + model
 	out, err := st.api.GetObject(ctx, &sdk.GetObjectInput{Bucket: &st.op.bucket, Key: &key})
 	if err != nil {
 		return 0, storeError(err)
--- a/internal/standin/engine/command.go
+++ b/internal/standin/engine/command.go
@@ -69,7 +69,7 @@
 		refuse(w, http.StatusPreconditionFailed, "stale fencing token")
 		return
 	}
-	if cmd.Path == "/v1/load_model" && !se.holds(cmd) && se.Sleep(r.Context(), se.loadTime) != nil {
+	if cmd.Path == "/v1/load_model" && !se.holds(cmd) && se.Sleep(r.Context(), loadTime) != nil {
 		return
 	}
 	if !se.apply(cmd) {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -17,6 +17,9 @@
 	"github.com/citronstream/citronstream/internal/standin/record"
 )
 
+// loadTime is the time of a load command.
+const loadTime = 200 * time.Millisecond
+
 // Options of a Server. The zero value of a field takes the default.
 type settings struct {
 	capacity int
@@ -26,7 +29,6 @@
 	blocks   int
 	models   []string
 	fencing  bool
-	loadTime time.Duration
 	lag      time.Duration
 	gapEvery uint64
 	scale    float64
@@ -80,9 +82,6 @@
 // than one it has seen. Without it tokens are ignored.
 func WithFencing() Option { return func(se *Server) { se.fencing = true } }
 
-// WithLoadTime sets the time of a load command. The default is 200 ms.
-func WithLoadTime(d time.Duration) Option { return func(se *Server) { se.loadTime = d } }
-
 // WithLag delays cache events and load metrics. The default is 500 ms.
 func WithLag(d time.Duration) Option { return func(se *Server) { se.lag = d } }
 
@@ -99,7 +98,7 @@
 func New(clk citronstream.Clock, name string, log *record.Log, opts ...Option) *Server {
 	se := &Server{clk: clk, name: name, log: log, wake: make(chan struct{}, 1), settings: settings{
 		capacity: 16, prefill: 100 * time.Microsecond, step: 10 * time.Millisecond, stepEach: 500 * time.Microsecond,
-		blocks: 4096, loadTime: 200 * time.Millisecond, lag: 500 * time.Millisecond, scale: 1, seed: 1,
+		blocks: 4096, lag: 500 * time.Millisecond, scale: 1, seed: 1,
 	}}
 	for _, opt := range opts {
 		opt(se)
--- a/internal/standin/pool/pool.go
+++ b/internal/standin/pool/pool.go
@@ -19,6 +19,9 @@
 const (
 	vectorSize = 8
 	documents  = 4
+	// The service time of a call is took and perKB for each 1,024 bytes of input.
+	took  = 4 * time.Millisecond
+	perKB = 2 * time.Millisecond
 )
 
 // Server is the stand-in. Embedded are its life cycle and fault switches.
@@ -28,8 +31,6 @@
 	kind     string
 	log      *record.Log
 	capacity int
-	took     time.Duration
-	perKB    time.Duration
 	scale    float64
 	seed     uint64
 	slots    *semaphore.Weighted
@@ -41,12 +42,6 @@
 // WithCapacity sets the calls that run side by side. The default is 16.
 func WithCapacity(n int) Option { return func(se *Server) { se.capacity = n } }
 
-// WithTime sets the service time of a call: took plus perKB for each 1,024
-// bytes of input. The default is 4 ms and 2 ms.
-func WithTime(took, perKB time.Duration) Option {
-	return func(se *Server) { se.took, se.perKB = took, perKB }
-}
-
 // WithScale divides all times; 0 takes no time at all. The default is 1.
 func WithScale(scale float64) Option { return func(se *Server) { se.scale = scale } }
 
@@ -56,7 +51,7 @@
 // New returns a server of a kind: citronstream.KindEncoder, KindRetriever or
 // KindReranker. Executions go into log.
 func New(clk citronstream.Clock, name, kind string, log *record.Log, opts ...Option) *Server {
-	se := &Server{name: name, kind: kind, log: log, capacity: 16, took: 4 * time.Millisecond, perKB: 2 * time.Millisecond, scale: 1, seed: 1}
+	se := &Server{name: name, kind: kind, log: log, capacity: 16, scale: 1, seed: 1}
 	for _, opt := range opts {
 		opt(se)
 	}
@@ -128,8 +123,8 @@
 		http.Error(w, "failure switched on", http.StatusInternalServerError)
 		return
 	}
-	size := time.Duration(len(body)) * se.perKB / 1024
-	if err := se.Sleep(ctx, se.took+size); err != nil {
+	size := time.Duration(len(body)) * perKB / 1024
+	if err := se.Sleep(ctx, took+size); err != nil {
 		se.log.End(id, 0, host.Outcome(ctx))
 		return
 	}
