HTTP servers of entries and operators share their start

Cause: listening before nbio does, the choice of TLS and the order of opening and first read for the race detector stood in both servers. Change: kernel/httpengine starts the engine for both. A server that can't listen also stops its pool of handlers, which is now made before.

--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -13,6 +13,7 @@
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/entry/catalog"
 	"github.com/citronstream/citronstream/internal/entry/pipeline"
+	"github.com/citronstream/citronstream/internal/kernel/httpengine"
 	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
@@ -97,35 +98,26 @@
 
 // Start listens for callers.
 func (se *Server) Start(ctx context.Context) error {
-	// nbio's engine hangs in its start when its own listen fails.
-	ln, err := net.Listen("tcp", se.address)
-	if err != nil {
-		return merry.Prependf(err, "entry at %s", se.address)
-	}
 	se.ctx, se.cancel = context.WithCancel(ctx)
 	se.pool = taskpool.New(se.limits.MaxConcurrent+64, maxJobs)
-	config := nbhttp.Config{
-		Network: "tcp", NPoller: 2, NListener: 1,
-		Listen:          func(string, string) (net.Listener, error) { return ln, nil },
+	eng, err := httpengine.Start(se.address, nbhttp.Config{
+		NPoller: 2, NListener: 1,
 		MaxLoad:         se.limits.MaxConnections,
 		ReadLimit:       se.limits.MaxHeaderBytes + se.limits.MaxBodyBytes,
 		MaxHTTPBodySize: se.limits.MaxBodyBytes, MaxWriteBufferSize: maxUnsent,
 		ServerExecutor: se.execute,
 		KeepaliveTime:  se.limits.IdleTimeout.Std(),
 		Handler:        se.routes(),
-	}
-	if se.tls != nil {
-		config.AddrsTLS, config.TLSConfig = []string{se.address}, se.tls
-	} else {
-		config.Addrs = []string{se.address}
-	}
-	se.eng = nbhttp.NewEngine(config)
-	se.handOver()
-	se.eng.OnClose(func(nc net.Conn, _ error) { se.open.Delete(nc.RemoteAddr().String()) })
-	if err := se.eng.Start(); err != nil {
+	}, httpengine.WithTLS(se.tls), httpengine.WithConns(
+		func(co *nbio.Conn) { se.open.Store(co.RemoteAddr().String(), co) },
+		func(nc net.Conn) { se.open.Delete(nc.RemoteAddr().String()) },
+	))
+	if err != nil {
 		se.cancel()
+		se.pool.Stop()
 		return merry.Prependf(err, "entry at %s", se.address)
 	}
+	se.eng = eng
 	se.watched = make(chan struct{})
 	go se.watch()
 	return nil
@@ -219,18 +211,3 @@
 	})
 	return mux
 }
-
-// handOver orders the set-up of a connection by nbhttp's listener before the
-// first read by its poller. The two meet only in epoll, which the race
-// detector does not see: it reports nbhttp.Conn.RemoteAddr without this.
-func (se *Server) handOver() {
-	var opened atomic.Uint64
-	se.eng.Engine.OnOpen(func(co *nbio.Conn) {
-		se.open.Store(co.RemoteAddr().String(), co)
-		opened.Add(1)
-	})
-	se.eng.OnData(func(co *nbio.Conn, data []byte) {
-		_ = opened.Load()
-		co.DataHandler()(co, data)
-	})
-}
--- /dev/null
+++ b/internal/kernel/httpengine/httpengine.go
@@ -0,0 +1,68 @@
+// Package httpengine starts the HTTP servers of entries and operators.
+package httpengine
+
+import (
+	"net"
+	"sync/atomic"
+
+	"github.com/lesismal/llib/std/crypto/tls"
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// Option changes the engine before it starts.
+type Option func(*settings)
+
+type settings struct {
+	tls    *tls.Config
+	opened func(*nbio.Conn)
+	closed func(net.Conn)
+}
+
+// WithTLS serves HTTPS. Nil serves HTTP.
+func WithTLS(config *tls.Config) Option { return func(se *settings) { se.tls = config } }
+
+// WithConns sets what is told of each connection that opens or has closed.
+func WithConns(opened func(*nbio.Conn), closed func(net.Conn)) Option {
+	return func(se *settings) { se.opened, se.closed = opened, closed }
+}
+
+// Start listens at an address and serves it. The config lacks the network,
+// the addresses, the listener and TLS.
+func Start(address string, config nbhttp.Config, opts ...Option) (*nbhttp.Engine, error) {
+	se := settings{opened: func(*nbio.Conn) {}, closed: func(net.Conn) {}}
+	for _, opt := range opts {
+		opt(&se)
+	}
+	// nbio's engine hangs in its start when its own listen fails.
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	config.Network = "tcp"
+	config.Listen = func(string, string) (net.Listener, error) { return ln, nil }
+	if se.tls != nil {
+		config.AddrsTLS, config.TLSConfig = []string{address}, se.tls
+	} else {
+		config.Addrs = []string{address}
+	}
+	eng := nbhttp.NewEngine(config)
+	order(eng, se.opened)
+	eng.OnClose(func(nc net.Conn, _ error) { se.closed(nc) })
+	return eng, eng.Start()
+}
+
+// order puts the set-up of a connection by nbhttp's listener before the first
+// read by its poller. The two meet only in epoll, which the race detector
+// does not see: it reports nbhttp.Conn.RemoteAddr without this.
+func order(eng *nbhttp.Engine, opened func(*nbio.Conn)) {
+	var count atomic.Uint64
+	eng.Engine.OnOpen(func(co *nbio.Conn) {
+		opened(co)
+		count.Add(1)
+	})
+	eng.OnData(func(co *nbio.Conn, data []byte) {
+		_ = count.Load()
+		co.DataHandler()(co, data)
+	})
+}
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -12,11 +11,11 @@
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/config/settings"
 	"github.com/citronstream/citronstream/internal/config/version"
+	"github.com/citronstream/citronstream/internal/kernel/httpengine"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
 	"github.com/citronstream/citronstream/internal/operator/report"
 	"github.com/go-logr/logr"
 	"github.com/lesismal/llib/std/crypto/tls"
-	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/lesismal/nbio/taskpool"
@@ -115,44 +114,22 @@
 
 // Start listens for operators until ctx ends or Stop is called.
 func (se *Server) Start(ctx context.Context) error {
-	// nbio's engine hangs in its start when its own listen fails.
-	ln, err := net.Listen("tcp", se.address)
-	if err != nil {
-		return merry.Prependf(err, "operators' address %s", se.address)
-	}
 	se.ctx, se.cancel = context.WithCancel(ctx)
 	se.pool = taskpool.New(handlers, maxJobs)
-	config := nbhttp.Config{
-		Listen:  func(string, string) (net.Listener, error) { return ln, nil },
-		Network: "tcp", NPoller: 1, NListener: 1, MaxLoad: maxConnections,
+	eng, err := httpengine.Start(se.address, nbhttp.Config{
+		NPoller: 1, NListener: 1, MaxLoad: maxConnections,
 		ReadLimit: maxHeaderBytes + maxBodyBytes, MaxHTTPBodySize: maxBodyBytes,
 		MaxWriteBufferSize: maxUnsent, ServerExecutor: se.execute, Handler: se.routes(),
-	}
-	if se.tls != nil {
-		config.AddrsTLS, config.TLSConfig = []string{se.address}, se.tls
-	} else {
-		config.Addrs = []string{se.address}
-	}
-	se.eng = nbhttp.NewEngine(config)
-	se.handOver()
-	if err := se.eng.Start(); err != nil {
+	}, httpengine.WithTLS(se.tls))
+	if err != nil {
 		se.cancel()
+		se.pool.Stop()
 		return merry.Prependf(err, "operators' address %s", se.address)
 	}
+	se.eng = eng
 	return nil
 }
 
-// handOver orders the set-up of a connection by nbhttp's listener before the
-// first read by its poller, as the entry's server does for the race detector.
-func (se *Server) handOver() {
-	var opened atomic.Uint64
-	se.eng.Engine.OnOpen(func(*nbio.Conn) { opened.Add(1) })
-	se.eng.OnData(func(co *nbio.Conn, data []byte) {
-		_ = opened.Load()
-		co.DataHandler()(co, data)
-	})
-}
-
 func (se *Server) execute(job func()) {
 	se.jobs.Add(1)
 	se.pool.Go(func() {
