upstream: one way to fetch a whole answer

Cause: plain and jsonpost had the same sixteen lines of sending, reading and noting status, time and death. Change: exchange.Client.Fetch has them. The package of the promises gets its package comment.

--- a/internal/proof/promises/fleet_test.go
+++ b/internal/proof/promises/fleet_test.go
@@ -1,3 +1,5 @@
+// Package promises has a test for each promise of the design page, on real
+// entries and agents over loopback.
 package promises
 
 import (
--- a/internal/upstream/exchange/answer.go
+++ b/internal/upstream/exchange/answer.go
@@ -91,3 +91,20 @@
 	}
 	return nil, fa
 }
+
+// Fetch sends the request and reads the whole answer. The result names the
+// attempt and has what is known of the answer, also beside an error; framed
+// is that of Answer.Framed.
+func (cl *Client) Fetch(ctx context.Context, rq Request) (re citronstream.Result, body []byte, framed bool, err error) {
+	re.AttemptID = rq.Call.AttemptID
+	an, err := cl.Send(ctx, rq)
+	if err == nil {
+		defer an.Close()
+		body, err = an.Whole(ctx)
+		re.Status, re.Usage.Busy, framed = an.Status(), an.Busy(), an.Framed()
+	}
+	if err != nil {
+		re.Died = Died(err)
+	}
+	return re, body, framed, err
+}
--- a/internal/upstream/jsonpost/jsonpost.go
+++ b/internal/upstream/jsonpost/jsonpost.go
@@ -26,20 +26,11 @@
 // after it was found complete and valid. A document that is not valid JSON
 // gives a Fault with CodeUpstreamFailed and MayHaveRun.
 func (pr *Protocol) Run(ctx context.Context, address string, ca citronstream.Call, emit func([]byte) error) (citronstream.Result, error) {
-	rs := citronstream.Result{AttemptID: ca.AttemptID}
-	an, err := pr.cl.Send(ctx, exchange.Request{
+	rs, body, _, err := pr.cl.Fetch(ctx, exchange.Request{
 		Method: http.MethodPost, Address: address, Path: ca.Path, Body: ca.Body, Call: ca,
 		Header: http.Header{"Content-Type": {"application/json"}, "Accept": {"application/json"}},
 	})
 	if err != nil {
-		rs.Died = exchange.Died(err)
-		return rs, err
-	}
-	defer an.Close()
-	body, err := an.Whole(ctx)
-	rs.Status, rs.Usage.Busy = an.Status(), an.Busy()
-	if err != nil {
-		rs.Died = exchange.Died(err)
 		return rs, err
 	}
 	if !json.Valid(body) {
--- a/internal/upstream/plain/plain.go
+++ b/internal/upstream/plain/plain.go
@@ -29,7 +29,6 @@
 // it was found complete; an answer without Content-Length and chunked
 // encoding can't be found complete and gives MayHaveRun.
 func (pr *Protocol) Run(ctx context.Context, address string, ca citronstream.Call, emit func([]byte) error) (citronstream.Result, error) {
-	rs := citronstream.Result{AttemptID: ca.AttemptID}
 	rq := exchange.Request{
 		Method: http.MethodPost, Address: address, Path: ca.Path, Body: ca.Body, Call: ca,
 		Header: http.Header{"Deadline": {exchange.Milliseconds(pr.cl.Left(ctx, ca))}},
@@ -43,19 +42,11 @@
 	if ca.Key != "" {
 		rq.Header.Set("Idempotency-Key", ca.Key)
 	}
-	an, err := pr.cl.Send(ctx, rq)
+	rs, body, framed, err := pr.cl.Fetch(ctx, rq)
 	if err != nil {
-		rs.Died = exchange.Died(err)
 		return rs, err
 	}
-	defer an.Close()
-	body, err := an.Whole(ctx)
-	rs.Status, rs.Usage.Busy = an.Status(), an.Busy()
-	if err != nil {
-		rs.Died = exchange.Died(err)
-		return rs, err
-	}
-	if !an.Framed() {
+	if !framed {
 		return rs, citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeUpstreamFailed, "answer has neither a length nor chunked encoding")
 	}
 	return rs, emit(body)
