Names: plain words for seven functions and constants

Cause: kick, greet, greeted, tell, tellHolds, judge and patience are figurative or don't tell what they do. Change: signal, printExamples, linkOpened, notify, sendReports, judgeOutliers and freshFor; cell.add and cell.median lose the parameter that was always the half-life. Result: tests of the packages pass; no assertion changed.

--- a/internal/agent/orders/orders.go
+++ b/internal/agent/orders/orders.go
@@ -126,7 +126,7 @@
 	if or.cancel != nil {
 		or.cancel()
 	}
-	or.kick()
+	or.signal()
 }
 
 // Models returns what the engine has loaded, and nil while that is not known.
@@ -140,7 +140,7 @@
 // Down notes that the engine has died, and its models with it. It does not block.
 func (or *Orders) Down() {
 	if old := or.models.Load(); old != nil && len(*old) > 0 && or.models.CompareAndSwap(old, &[]string{}) {
-		or.kick()
+		or.signal()
 	}
 }
 
@@ -155,7 +155,7 @@
 	}
 }
 
-func (or *Orders) kick() {
+func (or *Orders) signal() {
 	select {
 	case or.wake <- struct{}{}:
 	default:
--- a/internal/cli/local/local.go
+++ b/internal/cli/local/local.go
@@ -41,7 +41,7 @@
 		return err
 	}
 	defer stop()
-	greet(out, set.Fleet)
+	printExamples(out, set.Fleet)
 	if _, err := fmt.Fprintf(out, "try: citronstream status --settings %s\n", co.Settings); err != nil {
 		return err
 	}
@@ -49,8 +49,8 @@
 	return nil
 }
 
-// greet prints the address and a command line to try.
-func greet(out io.Writer, fl *citronstream.Fleet) {
+// printExamples prints the address and a command line to try.
+func printExamples(out io.Writer, fl *citronstream.Fleet) {
 	url := "http://" + fl.Entries[0].Address
 	_, _ = fmt.Fprintf(out, "serving %s at %s\n", fl.Site, url)
 	if len(fl.Pipelines) > 0 && len(fl.Workspaces) > 0 {
--- a/internal/entry/membership/membership.go
+++ b/internal/entry/membership/membership.go
@@ -72,8 +72,8 @@
 	wa.routes.Listed(states)
 }
 
-// Beat marks upstreams whose agent owes the answer to a heartbeat as
-// suspect, until ctx ends. The link closes only after a longer silence.
+// Beat marks upstreams whose agent has not answered a heartbeat as
+// suspect, until ctx ends. The link is closed only later, when it counts as silent.
 func (wa *Watch) Beat(ctx context.Context) {
 	ticker := wa.clk.NewTicker(beatEvery)
 	defer ticker.Stop()
--- a/internal/limit/stagetime/cell.go
+++ b/internal/limit/stagetime/cell.go
@@ -13,9 +13,9 @@
 	// least is the upper bound of the first bucket; 24 octaves reach 1,600 s.
 	least   = 100 * time.Microsecond
 	buckets = 24 * steps
-	// patience is the silence after which an estimate begins to sink. Refusals
-	// by a high estimate end the measurements, and it must not last for good.
-	patience = 10 * time.Second
+	// freshFor is the time without measurements after which an estimate decays:
+	// refusals by a high estimate end the measurements, and it must not last.
+	freshFor = 10 * time.Second
 )
 
 // cell is a decayed histogram of times with a published median.
@@ -41,11 +41,11 @@
 	return time.Duration(float64(least) * math.Exp2((float64(bucket)-0.5)/steps))
 }
 
-func (ce *cell) add(now time.Time, half, took time.Duration) {
+func (ce *cell) add(now time.Time, took time.Duration) {
 	ce.mu.Lock()
 	defer ce.mu.Unlock()
 	if past := now.Sub(ce.last); past > 0 {
-		factor := math.Exp2(-past.Seconds() / half.Seconds())
+		factor := math.Exp2(-past.Seconds() / halfLife.Seconds())
 		for i := range ce.counts {
 			ce.counts[i] *= factor
 		}
@@ -65,14 +65,14 @@
 }
 
 // median returns the published median. It halves with each half-life after
-// the silence has passed patience.
-func (ce *cell) median(now time.Time, half time.Duration) (time.Duration, bool) {
+// freshFor without measurements.
+func (ce *cell) median(now time.Time) (time.Duration, bool) {
 	p50 := ce.p50.Load()
 	if p50 == 0 {
 		return 0, false
 	}
-	if silence := time.Duration(now.UnixNano()-ce.at.Load()) - patience; silence > 0 {
-		p50 = int64(float64(p50) * math.Exp2(-silence.Seconds()/half.Seconds()))
+	if silence := time.Duration(now.UnixNano()-ce.at.Load()) - freshFor; silence > 0 {
+		p50 = int64(float64(p50) * math.Exp2(-silence.Seconds()/halfLife.Seconds()))
 	}
 	return time.Duration(p50), true
 }
--- a/internal/limit/stagetime/estimator.go
+++ b/internal/limit/stagetime/estimator.go
@@ -78,8 +78,8 @@
 		return
 	}
 	now := es.clk.Now()
-	es.cell(key{service, classOf(cost)}).add(now, halfLife, took)
-	es.cell(key{service, anyClass}).add(now, halfLife, took)
+	es.cell(key{service, classOf(cost)}).add(now, took)
+	es.cell(key{service, anyClass}).add(now, took)
 }
 
 func (es *Estimator) cell(ke key) *cell {
@@ -120,7 +120,7 @@
 	cells, now := *es.cells.Load(), es.clk.Now()
 	for _, class := range [...]int{classOf(cost), anyClass} {
 		if ce, ok := cells[key{service, class}]; ok {
-			if median, ok := ce.median(now, halfLife); ok {
+			if median, ok := ce.median(now); ok {
 				return median
 			}
 		}
--- a/internal/limit/stagetime/estimator_test.go
+++ b/internal/limit/stagetime/estimator_test.go
@@ -55,7 +55,7 @@
 	t.Run("sinks when nothing is measured", func(t *testing.T) {
 		es, clk := newEstimator()
 		observe(es, 10, "encode", 1, 8*time.Second)
-		clk.Advance(patience)
+		clk.Advance(freshFor)
 		assertNear(t, 8*time.Second, es.P50("encode", 1))
 		clk.Advance(3 * halfLife)
 		assertNear(t, time.Second, es.P50("encode", 1))
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -111,7 +111,7 @@
 		Times: stagetime.New(clk), Timeline: timeline.New(clk, timeline.WithProcess(set.Name)),
 	}
 	en.Hints = prefix.New(clk)
-	en.HoldRow = holdrow.New(clk, set.Platform.Table, en.Holds, en.tellHolds)
+	en.HoldRow = holdrow.New(clk, set.Platform.Table, en.Holds, en.sendReports)
 	en.Keeper = witness.New(set.Platform.Table, set.Platform.Objects, clk, witness.WithRetention(set.Limits.KeyRetention.Std()))
 	en.Ledger = ledger.New(set.Platform.Table, clk, set.Name, uint64(en.started.UnixNano()), ledger.WithInterval(set.Limits.CostFlush.Std()))
 	en.Config = version.New(clk, set.Platform.Table, set.Platform.Objects,
@@ -119,7 +119,7 @@
 	en.ctx, en.cancel = context.WithCancel(ctx)
 	en.outliers = outlier.New(clk, en.Routes)
 	en.Agents = agents.New(en.ctx, clk, eng, en.Routes, en.hello,
-		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper), agents.WithGone(en.Hints.Drop), agents.WithGreeted(en.greeted),
+		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper), agents.WithGone(en.Hints.Drop), agents.WithGreeted(en.linkOpened),
 		agents.WithObserve(func(upstream string, version uint64) { en.Config.Observe(version, upstream) }))
 	en.Members = membership.New(clk, set.Platform.Liveness, en.Routes, en.Agents.Links)
 	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, en.Budget, append([]pipeline.Option{
@@ -205,7 +205,7 @@
 		}
 	})
 	en.own(func(ctx context.Context) { <-en.Ledger.Run(ctx) })
-	en.own(en.judge)
+	en.own(en.judgeOutliers)
 	en.own(en.Members.Beat)
 	en.own(en.HoldRow.Run)
 	if en.set.Platform.Liveness != nil {
@@ -368,8 +368,8 @@
 	return ow.routes.Owner(service, grant.SlotOf(workspace, key), exclude...)
 }
 
-// judge looks for outliers until the entry ends.
-func (en *Entry) judge(ctx context.Context) {
+// judgeOutliers looks for outliers until the entry ends.
+func (en *Entry) judgeOutliers(ctx context.Context) {
 	ticker := en.clk.NewTicker(judgeEvery)
 	defer ticker.Stop()
 	for {
--- a/internal/process/entry/holds.go
+++ b/internal/process/entry/holds.go
@@ -24,9 +24,9 @@
 	re.Reply(struct{}{}) // after the agents are told, so that a later call finds them informed
 }
 
-// tellHolds passes holds and lifts from the table on to the agents.
-func (en *Entry) tellHolds(reports []poison.Report) {
-	en.Agents.Links(func(_ string, li *link.Link) { tell(li, reports) })
+// sendReports passes holds and lifts from the table on to the agents.
+func (en *Entry) sendReports(reports []poison.Report) {
+	en.Agents.Links(func(_ string, li *link.Link) { notify(li, reports) })
 }
 
 // Lift ends a hold at this entry and, through the table's row, at the other
@@ -37,12 +37,12 @@
 	return held
 }
 
-// greeted tells a new agent of the holds: it may know none.
-func (en *Entry) greeted(_ string, li *link.Link) {
-	tell(li, holdrow.Reports(holdrow.Holds(en.Holds), en.clk.Now()))
+// linkOpened sends the holds to an agent with a new link: it may know none.
+func (en *Entry) linkOpened(_ string, li *link.Link) {
+	notify(li, holdrow.Reports(holdrow.Holds(en.Holds), en.clk.Now()))
 }
 
-func tell(li *link.Link, reports []poison.Report) {
+func notify(li *link.Link, reports []poison.Report) {
 	for _, report := range reports {
 		_ = li.Notify(citronstream.MethodPoison, report)
 	}
