daemon: running entries and agents serve the metrics of the page

Cause: the names were compared for processes that had not started; a daemon that forgets to add a part of its metrics would not have been seen. Change: a subtest scrapes /metrics of all entries and agents of the trial fleet and compares the names with the operations page, by kind of process.

--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -124,6 +124,7 @@
 
 	t.Run("one execution through both entries", fl.once)
 	t.Run("operators", fl.operate)
+	t.Run("metrics", fl.metrics)
 	t.Run("entry that the configuration does not name", fl.stray)
 	t.Run("agent killed and restarted", fl.restart)
 	t.Run("graceful end", fl.end)
--- a/internal/process/daemon/fleet_test.go
+++ b/internal/process/daemon/fleet_test.go
@@ -45,6 +45,7 @@
 	running map[string]*exec.Cmd
 	logs    map[string]*bytes.Buffer
 	exited  map[string]chan error
+	admins  map[string]string // operators' addresses of the agents
 	// secured says that tokens and certificates are in use.
 	secured bool
 	client  *http.Client
@@ -102,13 +103,13 @@
 		Liveness: settings.Liveness{Protocol: settings.ProtocolHTTPSD, URL: "http://" + take() + "/instances"},
 	}
 	config := smallFleet()
-	admins := map[string]string{}
+	fl.admins = map[string]string{}
 	for _, up := range upstreams {
 		config.Instances = append(config.Instances, citronstream.Instance{Name: "host-" + up.name, Zone: "zone-a", Address: "127.0.0.1"})
 		config.Upstreams = append(config.Upstreams, citronstream.Upstream{
 			Name: up.name, Service: up.service, Instance: "host-" + up.name, Address: take(), Agent: take(), Capacity: 8,
 		})
-		admins[up.name] = take()
+		fl.admins[up.name] = take()
 	}
 	for _, name := range []string{"entry-1", "entry-2"} {
 		config.Instances = append(config.Instances, citronstream.Instance{Name: "host-" + name, Zone: "zone-a", Address: "127.0.0.1"})
@@ -120,7 +121,7 @@
 		fl.writeProcess(settings.Process{Name: en.Name, Zone: "zone-a", Listen: en.Address, Admin: en.Admin})
 	}
 	for _, up := range config.Upstreams {
-		fl.writeProcess(settings.Process{Name: up.Name, Admin: admins[up.Name], PeerListen: up.Agent})
+		fl.writeProcess(settings.Process{Name: up.Name, Admin: fl.admins[up.Name], PeerListen: up.Agent})
 	}
 	t.Cleanup(fl.cleanup)
 	return fl
