No notice of a version on a link whose peer has named it

Change: a link notes the highest version that its peer has named in greetings, heartbeats, load reports, notices and calls, and link.Tell leaves out a notice of that version or a lower one. Counters citronstream_config_notices_total{event=sent,spared}. Conclusion: one of the two notices a link is gone, unless both ends take the version at once.

--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -92,6 +92,8 @@
 // Counts are the counters of an agent.
 type Counts struct {
 	Taken, Ran, Refused, Expired, Canceled, Orphaned, Buried, Deaths, Queried, Offered, OffersDropped atomic.Uint64
+	// Notices are versions told to entries, NoticesSpared those that the entry had named already.
+	Notices, NoticesSpared atomic.Uint64
 }
 
 // New returns an agent for one upstream. Start opens it.
@@ -295,6 +297,17 @@
 	}
 }
 
+// Tell names a configuration version to the entries that have not named it.
+func (se *Server) Tell(version uint64) {
+	for _, pe := range se.peers() {
+		if pe.li.Tell(version) {
+			se.counts.Notices.Add(1)
+		} else {
+			se.counts.NoticesSpared.Add(1)
+		}
+	}
+}
+
 func (se *Server) event(ev citronstream.Event) {
 	if se.rec != nil {
 		ev.Process = se.up.Name
--- a/internal/entry/agents/agents.go
+++ b/internal/entry/agents/agents.go
@@ -36,6 +36,8 @@
 // Counts are the counters of the pool.
 type Counts struct {
 	Attempts, Links, LinksLost, LinksSilent, Queried, Settled, Unsettled, Late, Corrupt, Canceled atomic.Uint64
+	// Notices are versions told to agents, NoticesSpared those that the agent had named already.
+	Notices, NoticesSpared atomic.Uint64
 }
 
 // Pool holds the links of one entry.
@@ -173,6 +175,7 @@
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeStale, "agent is %q, not %q", he.Name, name)
 	}
 	li.SetSession(he)
+	li.Name(he.Version)
 	po.counts.Links.Add(1)
 	po.routes.Connected(name, he.Epoch)
 	if he.Load != nil {
@@ -212,6 +215,7 @@
 	case citronstream.MethodLoad, citronstream.MethodDrain:
 		var lo citronstream.Load
 		if re.Decode(&lo) == nil {
+			li.Name(lo.Version)
 			po.routes.Report(lo)
 			if lo.Down {
 				po.gone(lo.Upstream)
@@ -236,6 +240,17 @@
 	}
 }
 
+// Tell names a configuration version to the agents that have not named it.
+func (po *Pool) Tell(version uint64) {
+	po.Links(func(_ string, li *link.Link) {
+		if li.Tell(version) {
+			po.counts.Notices.Add(1)
+		} else {
+			po.counts.NoticesSpared.Add(1)
+		}
+	})
+}
+
 // Missing returns the number of agents without an open link.
 func (po *Pool) Missing() int {
 	missing := 0
--- a/internal/observe/metrics/agent.go
+++ b/internal/observe/metrics/agent.go
@@ -30,6 +30,10 @@
 		}
 		return 1
 	})
+	se.notices(func() (uint64, uint64) {
+		co := ag.Server.Counts()
+		return co.Notices.Load(), co.NoticesSpared.Load()
+	})
 	if ag.Grant != nil {
 		se.addOnce(ag)
 	}
--- a/internal/observe/metrics/entry.go
+++ b/internal/observe/metrics/entry.go
@@ -49,6 +49,10 @@
 		put(co.LinksLost.Load(), "lost")
 		put(co.LinksSilent.Load(), "silent")
 	})
+	se.notices(func() (uint64, uint64) {
+		co := en.Agents.Counts()
+		return co.Notices.Load(), co.NoticesSpared.Load()
+	})
 	se.addRoutes(en)
 	se.addBudget(en)
 	se.addWitness(en)
--- a/internal/observe/metrics/metrics.go
+++ b/internal/observe/metrics/metrics.go
@@ -123,6 +123,15 @@
 	})
 }
 
+// notices adds the counter of versions told to peers, and of those that peers had named already.
+func (se *Set) notices(read func() (sent, spared uint64)) {
+	se.events("citronstream_config_notices_total", "Notices of a configuration version to peers, by event.", "event", func(put func(uint64, string)) {
+		sent, spared := read()
+		put(sent, "sent")
+		put(spared, "spared")
+	})
+}
+
 // sizes adds the gauge of the bounded tables of a process.
 func (se *Set) sizes(read func(put func(size int, table string))) {
 	se.add(prometheus.GaugeValue, "citronstream_table_size", "Elements in a bounded table of the process.", []string{"table"}, func(put emit) {
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -94,6 +94,7 @@
 	observe  func(li *Link, version uint64)
 	inFlight atomic.Int64
 	late     atomic.Bool
+	named    atomic.Uint64
 	done     chan struct{}
 	mu       sync.Mutex
 	err      error
@@ -144,6 +145,7 @@
 	if req.Method == MethodPing {
 		var no citronstream.VersionNotice
 		if re.Decode(&no) == nil {
+			di.li.Name(no.Version)
 			di.li.observe(di.li, no.Version)
 		}
 		re.Reply(citronstream.VersionNotice{Version: di.li.version()})
@@ -158,6 +160,31 @@
 // Session returns the attached value or nil.
 func (li *Link) Session() any { return li.session.Load() }
 
+// Name notes a configuration version that a message of the peer has named.
+// A lower one than before changes nothing, as versions only grow.
+func (li *Link) Name(version uint64) {
+	for {
+		old := li.named.Load()
+		if version <= old || li.named.CompareAndSwap(old, version) {
+			return
+		}
+	}
+}
+
+// Named returns the highest version that the peer has named on this link, 0
+// before the first.
+func (li *Link) Named() uint64 { return li.named.Load() }
+
+// Tell names a version to the peer, unless the peer has named that one or a
+// higher one itself. It reports whether a notice was sent.
+func (li *Link) Tell(version uint64) bool {
+	if li.Named() >= version {
+		return false
+	}
+	_ = li.Notify(citronstream.MethodVersion, citronstream.VersionNotice{Version: version})
+	return true
+}
+
 // Remote returns the peer's address.
 func (li *Link) Remote() string { return li.stream.Remote() }
 
--- /dev/null
+++ b/internal/peer/link/tell_test.go
@@ -0,0 +1,78 @@
+package link_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/peer/link"
+	"github.com/citronstream/citronstream/internal/peer/nbconn"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// pair returns both ends of a link and the versions that notices name to the far end.
+func pair(t *testing.T) (near, far *link.Link, notices chan uint64) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	eng, err := nbconn.New()
+	require.NoError(t, err)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	dialed, err := eng.Dial(ctx, ln.Addr().String())
+	require.NoError(t, err)
+	nc, err := ln.Accept()
+	require.NoError(t, err)
+	require.NoError(t, ln.Close())
+	accepted, err := eng.Attach(nc)
+	require.NoError(t, err)
+	notices = make(chan uint64, 8)
+	clk := clockwork.NewFakeClock() // no heartbeats
+	slow := link.WithIdleCheck(func() time.Duration { return time.Hour })
+	near = link.New(ctx, clk, dialed, func(*link.Link, *link.Request) {}, slow)
+	far = link.New(ctx, clk, accepted, func(_ *link.Link, re *link.Request) {
+		var no citronstream.VersionNotice
+		if re.Method == citronstream.MethodVersion && re.Decode(&no) == nil {
+			notices <- no.Version
+		}
+		re.Reply(struct{}{})
+	}, slow)
+	t.Cleanup(func() {
+		cancel()
+		<-near.Done()
+		<-far.Done()
+		eng.Stop()
+	})
+	return near, far, notices
+}
+
+// Guards against notices of a version to a peer that has named it, which take
+// half of an entry's bytes on a day with many changes, and against a notice
+// that is left out although the peer has only named an older version.
+func TestTell(t *testing.T) {
+	near, far, notices := pair(t)
+	assert.True(t, near.Tell(3), "the peer has named none")
+	assert.True(t, near.Tell(3), "a notice that was sent may be lost with the peer's process")
+	near.Name(4)
+	assert.False(t, near.Tell(3), "the peer has named a higher version")
+	assert.False(t, near.Tell(4), "the peer has named this version")
+	near.Name(2)
+	assert.Equal(t, uint64(4), near.Named(), "a version named late lowers nothing")
+	assert.True(t, near.Tell(5))
+	require.NoError(t, near.Call(t.Context(), "Test.Barrier", struct{}{}, nil))
+	require.Len(t, notices, 3)
+	assert.Equal(t, []uint64{3, 3, 5}, []uint64{<-notices, <-notices, <-notices})
+	assert.Zero(t, far.Named(), "only the owner of the link knows which messages name versions")
+}
+
+// Guards against heartbeats whose version doesn't count as named.
+func TestHeartbeatNames(t *testing.T) {
+	near, far, _ := pair(t)
+	require.NoError(t, near.Call(t.Context(), link.MethodPing, citronstream.VersionNotice{Version: 7}, nil))
+	assert.Equal(t, uint64(7), far.Named())
+	assert.False(t, far.Tell(7))
+	assert.True(t, far.Tell(8))
+}
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -265,7 +265,7 @@
 	if ag.Orders != nil {
 		ag.Orders.Configure(sn.Fleet)
 	}
-	ag.Server.Broadcast(citronstream.MethodVersion, citronstream.VersionNotice{Version: sn.Fleet.Version})
+	ag.Server.Tell(sn.Fleet.Version)
 	ag.Timeline.Record(citronstream.Event{Kind: "ConfigInForce", Detail: strconv.FormatUint(sn.Fleet.Version, 10)})
 }
 
@@ -277,6 +277,7 @@
 	case citronstream.MethodVersion:
 		var no citronstream.VersionNotice
 		if he, ok := li.Session().(citronstream.Hello); ok && re.Decode(&no) == nil {
+			li.Name(no.Version)
 			ag.Config.Observe(no.Version, he.Name)
 		}
 	case citronstream.MethodPoke:
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -150,9 +150,7 @@
 	}
 	en.current.Store(next)
 	en.Agents.Replace(en.near(fl))
-	en.Agents.Links(func(_ string, li *link.Link) {
-		_ = li.Notify(citronstream.MethodVersion, citronstream.VersionNotice{Version: fl.Version})
-	})
+	en.Agents.Tell(fl.Version)
 	en.Timeline.Record(citronstream.Event{Kind: "ConfigInForce", Detail: strconv.FormatUint(fl.Version, 10)})
 	return nil
 }
@@ -312,6 +310,7 @@
 	case citronstream.MethodVersion:
 		var no citronstream.VersionNotice
 		if he, ok := li.Session().(citronstream.Hello); ok && re.Decode(&no) == nil {
+			li.Name(no.Version)
 			en.Config.Observe(no.Version, he.Name)
 		}
 	case citronstream.MethodCache:
--- a/internal/proof/bench/bounds_test.go
+++ b/internal/proof/bench/bounds_test.go
@@ -35,10 +35,11 @@
 	bs, err := bounds.Read(root + "/bounds.json")
 	require.NoError(t, err)
 	measures := map[string]func(t *testing.T) float64{
-		"allocations of a decision":                  decisionAllocations,
-		"bytes of an idle heartbeat":                 heartbeatBytes,
-		"messages of an entry for a change, by link": changeMessages,
-		"table writes of a keyed call":               keyedWrites,
+		"allocations of a decision":                                                decisionAllocations,
+		"bytes of an idle heartbeat":                                               heartbeatBytes,
+		"messages of an entry for a change, by link":                               func(t *testing.T) float64 { return changeMessages(t, false) },
+		"messages of an entry for a change, by link of an agent that has named it": func(t *testing.T) float64 { return changeMessages(t, true) },
+		"table writes of a keyed call":                                             keyedWrites,
 	}
 	for _, si := range []simulation.Site{simulation.Magnolia(), simulation.Nullagine()} {
 		measures[si.Name+", flood of the least urgent, urgent attainment"] = func(*testing.T) float64 {
@@ -109,8 +110,9 @@
 }
 
 // changeMessages counts what the agents of a site hear from an entry of which
-// one change was put in force.
-func changeMessages(t *testing.T) float64 {
+// one change was put in force. Named says that the agents hold the version
+// before the entry and have named it.
+func changeMessages(t *testing.T, named bool) float64 {
 	const barrier = "Test.Barrier"
 	fl, err := Example(root, "magnolia", 7)
 	require.NoError(t, err)
@@ -126,11 +128,14 @@
 	require.NoError(t, err)
 	as, err := NewAgents(ctx, clk, eng, fl, fl.Upstreams)
 	require.NoError(t, err)
+	if named {
+		as.Version.Store(fl.Version + 1) // in their greetings
+	}
 	var told, other atomic.Int64
 	heard := make(chan struct{}, 10*len(fl.Upstreams))
 	as.Other = func(method string) {
 		switch method {
-		case barrier:
+		case barrier, citronstream.MethodConfig: // the question for a version that they named
 		case citronstream.MethodVersion:
 			told.Add(1)
 			heard <- struct{}{}
@@ -145,10 +150,10 @@
 	next := *fl
 	number, err := op.Accept(ctx, fl.Version, &next, "test")
 	require.NoError(t, err)
-	for range fl.Upstreams {
+	for i := 0; i < len(fl.Upstreams) && !named; i++ {
 		<-heard
 	}
-	require.Equal(t, number, en.Version())
+	require.Eventually(t, func() bool { return en.Version() == number }, 10*time.Second, time.Millisecond)
 	// A call on each link comes after everything that the change has sent.
 	en.Agents.Links(func(_ string, li *link.Link) {
 		require.NoError(t, li.Call(ctx, barrier, struct{}{}, nil))
