--- a/bench.sh
+++ b/bench.sh
@@ -11,8 +11,8 @@
 # Whole runs of a simulation, each with its seed.
 run -bench "$match" -benchtime 1x ./internal/proof/policy
 if [ "$match" = . ]; then
-	run -bench 'Added|Stream|InForce|Fetch' -benchtime 4s ./internal/proof/bench
-	run -bench 'EntryRate|EntryLoad|AgentLoad|Keys|Control' -benchtime 1x ./internal/proof/bench
+	run -bench 'Added|Stream|InForce' -benchtime 4s ./internal/proof/bench
+	run -bench 'EntryRate|EntryLoad|AgentLoad|Keys|Control|Fetch|Change' -benchtime 1x ./internal/proof/bench
 else
 	run -bench "$match" -benchtime 1x ./internal/proof/bench
 fi
--- a/internal/config/version/steps_test.go
+++ b/internal/config/version/steps_test.go
@@ -92,7 +92,9 @@
 		return body
 	}
 	for name, spoil := range map[string]func(do *Document){
-		"other content":         func(do *Document) { do.Body = packed(`[{"op":"replace","path":"/Version","value":2},{"op":"replace","path":"/Site","value":"x"}]`) },
+		"other content": func(do *Document) {
+			do.Body = packed(`[{"op":"replace","path":"/Version","value":2},{"op":"replace","path":"/Site","value":"x"}]`)
+		},
 		"no change":             func(do *Document) { do.Body = packed(`[]`) },
 		"no patch":              func(do *Document) { do.Body = packed(`{}`) },
 		"path that isn't there": func(do *Document) { do.Body = packed(`[{"op":"remove","path":"/Models/999"}]`) },
--- a/internal/proof/bench/bounds_test.go
+++ b/internal/proof/bench/bounds_test.go
@@ -146,7 +146,9 @@
 	en := entry.New(ctx, clk, eng, entry.Settings{Name: fl.Entries[0].Name, Zone: Home(fl).Zone, Platform: pl, Limits: fl.Limits}, fl.Entries[0].Address, logr.Discard())
 	require.NoError(t, en.Start())
 	defer en.Stop()
-	require.Eventually(t, func() bool { return en.Version() == fl.Version && en.Agents.Missing() == 0 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool {
+		return int(en.Agents.Counts().Links.Load()) == len(fl.Upstreams) && en.Agents.Missing() == 0
+	}, 10*time.Second, time.Millisecond)
 	next := *fl
 	number, err := op.Accept(ctx, fl.Version, &next, "test")
 	require.NoError(t, err)
--- a/internal/proof/bench/config_test.go
+++ b/internal/proof/bench/config_test.go
@@ -1,19 +1,22 @@
 package bench
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"runtime"
+	"slices"
 	"testing"
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/config/check"
 	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/entry/catalog"
-	"github.com/citronstream/citronstream/internal/peer/asker"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/route/table"
+	"github.com/citronstream/citronstream/internal/standin/memobjects"
+	"github.com/citronstream/citronstream/internal/standin/memtable"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 )
@@ -73,42 +76,89 @@
 	}
 }
 
-// BenchmarkFetch is the transfer of the full-size configuration from a peer,
-// with the bytes on the link.
+// changedUpstreams returns the fleet with another capacity for a number of upstreams.
+func changedUpstreams(fl *citronstream.Fleet, number int) *citronstream.Fleet {
+	next := *fl
+	next.Upstreams = slices.Clone(fl.Upstreams)
+	for i := range number {
+		next.Upstreams[i*len(next.Upstreams)/number].Capacity++
+	}
+	return &next
+}
+
+// asking reads the configuration over one link.
+type asking struct{ li *link.Link }
+
+// Fetch implements version.Fetcher.
+func (as asking) Fetch(ctx context.Context, _ string, rq citronstream.ConfigRequest) (version.Document, error) {
+	var do version.Document
+	err := as.li.Call(ctx, citronstream.MethodConfig, rq, &do)
+	return do, err
+}
+
+// BenchmarkFetch is the transfer of a changed configuration over a link and
+// its application, with the bytes on the link: for a process that holds none
+// (whole) and for one that holds the version before.
 func BenchmarkFetch(b *testing.B) {
-	fl, err := Example(root, "full", 0)
-	require.NoError(b, err)
-	fl.Version = 2
-	packed, digest, err := version.Encode(fl)
-	require.NoError(b, err)
-	do := version.Document{Record: version.Record{Version: 2, Digest: digest}, Body: packed}
-	st := newStage(b)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	full, err := Example(root, "full", 0)
 	require.NoError(b, err)
-	defer func() { _ = ln.Close() }()
-	me := &Meter{}
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			if stream, err := st.eng.Attach(nc); err == nil {
-				link.New(st.ctx, st.clk, me.Wrap(stream), func(_ *link.Link, re *link.Request) {
-					if re.Method == citronstream.MethodHello {
-						re.Reply(citronstream.Hello{Name: "peer", Version: 2})
-						return
-					}
-					re.Reply(do)
-				})
+	for _, every := range []int{4, 2, 1} {
+		fl := cut(full, every)
+		for _, number := range []int{0, 1, 10, 100} {
+			name := fmt.Sprintf("changed=%d", number)
+			if number == 0 {
+				name = "whole"
 			}
+			b.Run(fmt.Sprintf("%s/upstreams=%d", name, len(fl.Upstreams)), func(b *testing.B) { fetch(b, fl, number) })
 		}
-	}()
-	ask := asker.New(st.clk, st.eng, func() citronstream.Hello { return citronstream.Hello{Name: "asker"} })
+	}
+}
+
+func fetch(b *testing.B, fl *citronstream.Fleet, number int) {
+	st := newStage(b)
+	op := version.New(st.clk, st.table, memobjects.New())
+	base, err := op.Accept(st.ctx, 0, fl, "bench")
+	require.NoError(b, err)
+	first := version.WithFirst(op.Current())
+	if number == 0 {
+		first = func(*version.Store) {} // holds no version
+	}
+	_, err = op.Accept(st.ctx, base, changedUpstreams(fl, max(number, 1)), "bench")
+	require.NoError(b, err)
+	near, me := st.serveConfig(op)
+	down := memtable.New(st.clk)
+	down.SetDown(true)
+	b.ResetTimer()
 	for b.Loop() {
-		got, err := ask.Fetch(st.ctx, ln.Addr().String(), citronstream.ConfigRequest{Version: 2})
-		require.NoError(b, err)
-		require.Len(b, got.Body, len(packed))
+		to := version.New(st.clk, down, memobjects.New(), version.WithFetcher(asking{near}), first)
+		to.Observe(op.Version(), "peer")
+		require.NoError(b, to.Refresh(st.ctx))
+		require.Equal(b, op.Version(), to.Version())
+		require.Equal(b, uint64(min(number, 1)), to.Counts().Deltas)
 	}
 	b.ReportMetric(float64(me.Wire().Upper())/float64(b.N), "wire-bytes")
 }
+
+// serveConfig returns the near end of a link whose far end gives the
+// configuration of a store, and the meter of the link.
+func (st *stage) serveConfig(from *version.Store) (*link.Link, *Meter) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(st.tb, err)
+	dialed, err := st.eng.Dial(st.ctx, ln.Addr().String())
+	require.NoError(st.tb, err)
+	nc, err := ln.Accept()
+	require.NoError(st.tb, err)
+	require.NoError(st.tb, ln.Close())
+	accepted, err := st.eng.Attach(nc)
+	require.NoError(st.tb, err)
+	me := &Meter{}
+	link.New(st.ctx, st.clk, me.Wrap(accepted), func(_ *link.Link, re *link.Request) {
+		var rq citronstream.ConfigRequest
+		if err := re.Decode(&rq); err != nil {
+			re.ReplyError(err)
+			return
+		}
+		re.Reply(from.Answer(rq))
+	})
+	return link.New(st.ctx, st.clk, dialed, func(*link.Link, *link.Request) {}), me
+}
--- a/internal/proof/bench/peers.go
+++ b/internal/proof/bench/peers.go
@@ -44,6 +44,9 @@
 	// Other, if set before the first link, hears the methods that are neither
 	// greetings nor calls.
 	Other func(method string)
+	// Told, if set before the first link, hears the versions that the entry
+	// tells an upstream's agent. It must not block.
+	Told func(li *link.Link, upstream string, version uint64)
 
 	ctx  context.Context
 	clk  citronstream.Clock
@@ -107,6 +110,12 @@
 			AttemptID: ca.AttemptID, Upstream: up.Name, Status: 200, Body: body, Length: len(body),
 			Checksum: citronstream.Digest(body), Usage: citronstream.Usage{Cost: ca.Cost}, Load: &lo, Version: lo.Version,
 		})
+	case citronstream.MethodVersion:
+		var no citronstream.VersionNotice
+		if as.Told != nil && re.Decode(&no) == nil {
+			as.Told(li, up.Name, no.Version)
+		}
+		fallthrough
 	default:
 		if as.Other != nil {
 			as.Other(re.Method)
