--- a/internal/proof/promises/config_test.go
+++ b/internal/proof/promises/config_test.go
@@ -51,6 +51,33 @@
 	}
 	t.Logf("slowest of 5 changes in force on 2 entries and 3 agents after %s", slowest.Round(time.Millisecond))
 	require.LessOrEqual(t, slowest, inForceWithin)
+	fl.requireDifferences(t, 5)
+}
+
+// requireDifferences guards against differences between honest processes that
+// don't lead to the digest, which would send every document twice. It logs
+// what a number of changes cost.
+func (fl *fleet) requireDifferences(t *testing.T, changes int) {
+	t.Helper()
+	var notices uint64
+	stores := []*version.Store{fl.Operator}
+	for _, en := range fl.Config.Entries {
+		notices += fl.Entry(en.Name).Agents.Counts().Notices.Load()
+		stores = append(stores, fl.Entry(en.Name).Config)
+	}
+	for _, up := range fl.Config.Upstreams {
+		notices += fl.Agent(up.Name).Server.Counts().Notices.Load()
+		stores = append(stores, fl.Agent(up.Name).Config)
+	}
+	var wholes, deltas uint64
+	for _, st := range stores {
+		co := st.Counts()
+		require.Zero(t, co.Mismatches)
+		wholes, deltas = wholes+co.Wholes, deltas+co.Deltas
+	}
+	links := len(fl.Config.Entries) * len(fl.Config.Upstreams)
+	t.Logf("%d changes on %d links: %.2f notices a link and change, %d differences and %d whole documents read by %d processes",
+		changes, links, float64(notices)/float64(links*changes), deltas, wholes, len(stores))
 }
 
 // Guards against a process that goes back to an older configuration after a
