--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -149,9 +149,7 @@
 	}
 	en.current.Store(next)
 	en.Agents.Replace(en.near(fl))
-	en.Agents.Links(func(_ string, li *link.Link) {
-		_ = li.Notify(citronstream.MethodVersion, citronstream.VersionNotice{Version: fl.Version})
-	})
+	en.Agents.Tell(fl.Version)
 	en.Timeline.Record(citronstream.Event{Kind: "ConfigInForce", Detail: strconv.FormatUint(fl.Version, 10)})
 	return nil
 }
@@ -237,13 +235,13 @@
 }
 
 // Fetch implements version.Fetcher: from an agent by name, or from an address.
-func (en *Entry) Fetch(ctx context.Context, peer string, atLeast uint64) (version.Document, error) {
+func (en *Entry) Fetch(ctx context.Context, peer string, rq citronstream.ConfigRequest) (version.Document, error) {
 	var do version.Document
 	if li := en.Agents.Link(peer); li != nil {
-		err := li.Call(ctx, citronstream.MethodConfig, citronstream.ConfigRequest{Version: atLeast}, &do)
+		err := li.Call(ctx, citronstream.MethodConfig, rq, &do)
 		return do, err
 	}
-	return asker.New(en.clk, en.eng, en.hello).Fetch(ctx, peer, atLeast)
+	return asker.New(en.clk, en.eng, en.hello).Fetch(ctx, peer, rq)
 }
 
 func (en *Entry) ready() error {
@@ -307,10 +305,17 @@
 	case citronstream.MethodPoison:
 		en.poison(li, re)
 	case citronstream.MethodConfig:
-		re.Reply(en.Config.Current().Document)
+		var rq citronstream.ConfigRequest
+		if err := re.Decode(&rq); err != nil {
+			re.ReplyError(err)
+			return
+		}
+		li.Name(rq.Holds)
+		re.Reply(en.Config.Answer(rq))
 	case citronstream.MethodVersion:
 		var no citronstream.VersionNotice
 		if he, ok := li.Session().(citronstream.Hello); ok && re.Decode(&no) == nil {
+			li.Name(no.Version)
 			en.Config.Observe(no.Version, he.Name)
 		}
 	case citronstream.MethodCache:
