soak: targeted faults, an audit of the table's rows and of the engines' commands

Cause: a soak rarely met the situations in which the claim's condition, the fencing token, the boot identifier, the prefix of a resumed stream or the verdict of a timeout matter, so faults put into these places stayed unseen. Change: five targeted faults, each drawn once in a run; orders without a key; bursts and resends around the faults; the gate delays writes of a paused agent past their time limit; the audit checks each row written, and the stand-ins' commands are checked for older tokens.

--- a/internal/agent/server/options.go
+++ b/internal/agent/server/options.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"time"
+
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/peer/link"
@@ -60,3 +62,6 @@
 func WithStream(wrap func(link.Stream) link.Stream) Option {
 	return func(se *Server) { se.wrap = wrap }
 }
+
+// WithRunLimit bounds the run of a non-idempotent call. The default is 30 s.
+func WithRunLimit(limit time.Duration) Option { return func(se *Server) { se.runLimit = limit } }
--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -249,7 +249,7 @@
 func (se *Server) runContext(at *attempts.Attempt) (context.Context, context.CancelFunc) {
 	limit := at.Deadline.Sub(se.clk.Now())
 	if !at.Call.Idempotent {
-		limit = runLimit
+		limit = se.runLimit
 	}
 	ctx, cancel := context.WithCancel(se.ctx)
 	timer := se.clk.AfterFunc(limit, cancel)
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -62,6 +62,7 @@
 	fold     func(lo *citronstream.Load)
 	models   func() []string
 	wrap     func(link.Stream) link.Stream
+	runLimit time.Duration // of a non-idempotent call
 
 	attempts *attempts.Table
 	fences   fences
@@ -105,6 +106,7 @@
 		fold: func(*citronstream.Load) {}, models: func() []string { return nil },
 		extra:    func(*link.Link, *link.Request) bool { return false },
 		wrap:     func(stream link.Stream) link.Stream { return stream },
+		runLimit: runLimit,
 		attempts: attempts.New(clk), links: make(map[*link.Link]*peer), running: make(map[string]*attempts.Attempt),
 		wake: make(chan struct{}, 1), done: make(chan struct{}), boot: citronstream.NewID(),
 	}
@@ -163,6 +165,10 @@
 	<-se.done
 }
 
+// Unbind closes the listener and leaves the rest running, as when the platform
+// gives the address to a successor while this process still runs.
+func (se *Server) Unbind() error { return se.ln.Close() }
+
 // Load returns the present load report.
 func (se *Server) Load() citronstream.Load {
 	se.mu.Lock()
--- a/internal/cli/soak/soak.go
+++ b/internal/cli/soak/soak.go
@@ -56,8 +56,12 @@
 	return nil
 }
 
+// targetedIn is the share of the run in which the targeted faults begin: the
+// longest takes 10 s, and its outcome must fall into the run.
+const targetedIn = 0.6
+
 // draw takes faults from the seed: about one in faultEvery, some at the same
-// time as another, some twice.
+// time as another, some twice, and each of the targeted ones at least once.
 func (co *Command) draw() []faults.Fault {
 	rnd := rand.New(rand.NewPCG(co.Seed, 4))
 	span := co.Duration * 4 / 5
@@ -70,6 +74,12 @@
 			drawn = append(drawn, faults.Fault{Kind: fa.Kind, At: fa.At + time.Duration(rnd.Int64N(int64(time.Second)))})
 		}
 	}
+	targeted := faults.Targeted()
+	each := time.Duration(float64(co.Duration)*targetedIn) / time.Duration(len(targeted))
+	for i, nth := range rnd.Perm(len(targeted)) {
+		at := time.Duration(i)*each + time.Duration(rnd.Int64N(int64(each)+1))
+		drawn = append(drawn, faults.Fault{Kind: targeted[nth], At: at})
+	}
 	return drawn
 }
 
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -137,6 +137,9 @@
 	engine, _ := pr.(orders.Engine)
 	if set.Wrap != nil {
 		pr = set.Wrap(pr)
+		if wrapped, ok := pr.(orders.Engine); ok {
+			engine = wrapped
+		}
 	}
 	ag.Queue = factory(discipline.Settings{Clock: clk, Fleet: *fl, Capacity: up.Capacity, Rate: firstRate(se, up.Capacity)})
 	ag.Ledger = ledger.New(set.Platform.Table, clk, up.Name, uint64(clk.Now().UnixNano()), ledger.WithInterval(fl.Limits.CostFlush.Std()))
--- a/internal/process/local/control.go
+++ b/internal/process/local/control.go
@@ -11,6 +11,8 @@
 	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/observe/invariant"
 	"github.com/citronstream/citronstream/internal/observe/ledger"
+	"github.com/citronstream/citronstream/internal/process/agent"
+	"github.com/citronstream/citronstream/internal/standin/engine"
 	"github.com/citronstream/citronstream/internal/standin/gate"
 )
 
@@ -40,6 +42,28 @@
 	}
 }
 
+// SupplantAgent starts a second agent of an upstream while the first still
+// runs: the platform has given the first one's machine up, so that it has lost
+// its address and its connections, but not the table and the upstream. The
+// first one is returned; the caller stops it.
+func (fl *Fleet) SupplantAgent(name string) (*agent.Agent, error) {
+	old, ga := fl.Agent(name), fl.Gate(name)
+	if old == nil {
+		return nil, fmt.Errorf("no agent of %s", name)
+	}
+	if err := old.Server.Unbind(); err != nil {
+		return nil, err
+	}
+	ga.Silence()
+	return old, fl.StartAgent(name)
+}
+
+// Engine returns the stand-in of an engine, or nil.
+func (fl *Fleet) Engine(name string) *engine.Server {
+	en, _ := fl.upstreams[name].(*engine.Server)
+	return en
+}
+
 // DrainAgent stops an agent gracefully: the platform lists its instance as
 // leaving, and the agent ends when its calls have run.
 func (fl *Fleet) DrainAgent(ctx context.Context, name string) error {
--- a/internal/process/local/local.go
+++ b/internal/process/local/local.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/agent/server"
 	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
 	"github.com/citronstream/citronstream/internal/once/grant"
@@ -67,6 +68,8 @@
 	token string
 
 	engines []engine.Option
+	servers []server.Option
+	tables  []memtable.Option
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -95,17 +98,24 @@
 // WithEngines adds options to the engines' stand-ins.
 func WithEngines(opts ...engine.Option) Option { return func(fl *Fleet) { fl.engines = opts } }
 
+// WithServers adds options to the agents' servers.
+func WithServers(opts ...server.Option) Option { return func(fl *Fleet) { fl.servers = opts } }
+
+// WithTable adds options to the stand-in for the table.
+func WithTable(opts ...memtable.Option) Option { return func(fl *Fleet) { fl.tables = opts } }
+
 // New starts the fleet of a configuration. Stop ends it.
 func New(ctx context.Context, clk citronstream.Clock, config *citronstream.Fleet, opts ...Option) (*Fleet, error) {
 	fl := &Fleet{
 		Config: config, Record: record.New(clk), clk: clk, log: logr.Discard(), scale: 1, seed: 1,
 		upstreams: make(map[string]Upstream), agents: make(map[string]*agent.Agent), entries: make(map[string]*entry.Entry),
 		killed: make(map[string]time.Time), gates: make(map[string]*gate.Gate),
-		Table: memtable.New(clk), Objects: memobjects.New(), List: memlist.New(clk, listLag),
+		Objects: memobjects.New(), List: memlist.New(clk, listLag),
 	}
 	for _, opt := range opts {
 		opt(fl)
 	}
+	fl.Table = memtable.New(clk, fl.tables...)
 	fl.ctx, fl.cancel = context.WithCancel(ctx)
 	var err error
 	if fl.eng, err = nbconn.New(nbconn.WithPollers(2)); err != nil {
@@ -203,7 +213,7 @@
 	fl.mu.Unlock()
 	pl := fl.platform()
 	pl.Table = ga.Table(pl.Table)
-	return agent.Settings{Upstream: name, Token: fl.token, Platform: pl, Peers: fl.peers(name), Wrap: ga.Protocol, Stream: ga.Stream}
+	return agent.Settings{Upstream: name, Token: fl.token, Platform: pl, Peers: fl.peers(name), Wrap: ga.Protocol, Stream: ga.Stream, ServerOptions: fl.servers}
 }
 
 // StartAgent starts the agent of an upstream, also after it was stopped.
--- a/internal/proof/faults/faults.go
+++ b/internal/proof/faults/faults.go
@@ -56,7 +56,8 @@
 	"kill": (*Injector).kill, "pause": (*Injector).pause, "slow": (*Injector).slow, "silent": (*Injector).silent,
 	"store-down": (*Injector).storeDown, "store-lost-answers": (*Injector).storeLost, "poison": (*Injector).poison,
 	"leave": (*Injector).leave, "flood-least": (*Injector).floodLeast, "flood-most": (*Injector).floodMost,
-	"race-config": (*Injector).raceConfig,
+	"race-config": (*Injector).raceConfig, "pause-holder": (*Injector).pauseHolder, "replace-agent": (*Injector).replaceAgent,
+	"supplant-agent": (*Injector).supplantAgent, "stall": (*Injector).stall, "break-streams": (*Injector).breakStreams,
 }
 
 // Kinds returns the known faults in order.
@@ -69,6 +70,12 @@
 	return names
 }
 
+// Targeted returns the kinds that bring about one situation each in which a
+// promise hangs on one check of the program.
+func Targeted() []string {
+	return []string{"break-streams", "pause-holder", "replace-agent", "stall", "supplant-agent"}
+}
+
 // Draw returns a number of faults spread over a time, from a seed.
 func Draw(seed uint64, count int, over time.Duration) []Fault {
 	rnd := rand.New(rand.NewPCG(seed, 3))
@@ -92,11 +99,17 @@
 	done []string
 	errs []error
 	wg   sync.WaitGroup
+
+	agents map[string]*sync.Mutex // by upstream; held by a fault that pauses or stops the agent
 }
 
 // New returns an injector for a fleet under a load.
 func New(clk citronstream.Clock, fl *local.Fleet, lo *load.Load, seed uint64) *Injector {
-	return &Injector{clk: clk, fl: fl, lo: lo, rnd: rand.New(rand.NewPCG(seed, 2))}
+	in := &Injector{clk: clk, fl: fl, lo: lo, rnd: rand.New(rand.NewPCG(seed, 2)), agents: make(map[string]*sync.Mutex)}
+	for _, up := range fl.Config.Upstreams {
+		in.agents[up.Name] = &sync.Mutex{}
+	}
+	return in
 }
 
 // Run brings the faults about at their times, and returns when all have
@@ -218,6 +231,7 @@
 		return "upstream " + name
 	case 1:
 		name := in.either()
+		defer in.hold(name)()
 		in.fl.StopAgent(name)
 		in.sleep(ctx, restart)
 		in.failed(in.fl.StartAgent(name))
@@ -232,6 +246,12 @@
 	}
 }
 
+// hold keeps other faults from pausing or stopping an agent until the release.
+func (in *Injector) hold(name string) (release func()) {
+	in.agents[name].Lock()
+	return in.agents[name].Unlock
+}
+
 // restart brings a stand-in back, unless another fault's end has done so.
 func (in *Injector) restart(up local.Upstream) {
 	if err := up.Restart(); err != nil && !up.Running() {
@@ -248,6 +268,7 @@
 		up.Pause(false)
 		return "upstream " + name
 	}
+	defer in.hold(name)()
 	ga := in.fl.Gate(name)
 	ga.Pause(true)
 	if in.intn(2) == 0 {
@@ -321,9 +342,12 @@
 
 func (in *Injector) leave(ctx context.Context) string {
 	name := in.either()
+	defer in.hold(name)()
 	in.failed(in.fl.DrainAgent(context.WithoutCancel(ctx), name))
+	in.resend(ctx, name)
 	in.sleep(ctx, restart)
 	in.failed(in.fl.StartAgent(name))
+	in.resend(ctx, name)
 	return "agent " + name
 }
 
--- a/internal/proof/load/load.go
+++ b/internal/proof/load/load.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,10 @@
 	// time later, as by a caller whose answer was lost, and againWithin when.
 	againShare  = 0.25
 	againWithin = 6 * time.Second
+	// keylessShare is the share of orders without a key. The entry makes one up
+	// and sends the call again only after NotRun, so that a wrong verdict from an
+	// agent runs the order twice; a key of the caller would keep it from that.
+	keylessShare = 0.25
 	// opaqueShare is the share of orders whose key tells nothing of its age.
 	opaqueShare = 0.3
 )
@@ -194,6 +199,48 @@
 	lo.start(ctx, tr)
 }
 
+// Burst adds a number of requests of a service at once, orders among them.
+func (lo *Load) Burst(ctx context.Context, service string, n int) {
+	var orders, others []class
+	for _, cl := range lo.classes {
+		switch {
+		case cl.service != service:
+		case cl.once:
+			orders = append(orders, cl)
+		default:
+			others = append(others, cl)
+		}
+	}
+	for i := range n {
+		from := orders
+		if i%4 == 3 && len(others) > 0 {
+			from = others
+		}
+		if len(from) > 0 && ctx.Err() == nil {
+			lo.start(context.WithoutCancel(ctx), lo.newTrial(from[i%len(from)]))
+		}
+	}
+}
+
+// Resend sends the latest answered orders of a service once more, as callers
+// do whose answers were lost. It returns their number, at most n.
+func (lo *Load) Resend(ctx context.Context, service string, n int) int {
+	lo.mu.Lock()
+	trials := lo.trials
+	lo.mu.Unlock()
+	sent := 0
+	for _, tr := range slices.Backward(trials) {
+		if sent == n || ctx.Err() != nil {
+			break
+		}
+		if tr.service == service && tr.key != "" && tr.answered() {
+			lo.wg.Go(func() { lo.send(context.WithoutCancel(ctx), tr, tr.entry+1) })
+			sent++
+		}
+	}
+	return sent
+}
+
 // Run sends requests until ctx ends, then waits for their answers.
 func (lo *Load) Run(ctx context.Context) {
 	life, cancel := context.WithCancel(context.Background())
--- a/internal/proof/load/report.go
+++ b/internal/proof/load/report.go
@@ -21,6 +21,8 @@
 	Doubled     int `json:"Doubled"`
 	Crossed     int `json:"Crossed"`
 	FalseNotRun int `json:"FalseNotRun"`
+	Rows        int `json:"Rows"`       // writes of the table that break its rules
+	Commands    int `json:"Commands"`   // engines that were sent a command with an older token
 	Invariants  int `json:"Invariants"` // violated conditions inside the program
 
 	Flood                    int                `json:"Flood"`        // requests of a flood, part of Sent, not of the attainments
@@ -52,7 +54,7 @@
 
 // Broken counts the broken promises.
 func (re *Report) Broken() int {
-	return re.Lost + re.Doubled + re.Crossed + re.FalseNotRun + re.Invariants
+	return re.Lost + re.Doubled + re.Crossed + re.FalseNotRun + re.Invariants + re.Rows + re.Commands
 }
 
 // Costs sets the costs as the agents have counted them.
--- a/internal/proof/load/trial.go
+++ b/internal/proof/load/trial.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +42,9 @@
 	}
 	tr.body = fmt.Appendf(nil, `{"Item":%d,"Number":"%x"}`, number%1000, number)
 	if cl.once {
+		if lo.rnd.Float64() < keylessShare {
+			return tr
+		}
 		tr.sends = maxSends
 		tr.twice = lo.rnd.Float64() < twiceShare
 		tr.key = newKey(lo.rnd)
@@ -58,6 +62,13 @@
 	return uuid.Must(uuid.NewV7()).String()
 }
 
+// answered says whether the caller has a whole answer.
+func (tr *trial) answered() bool {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return slices.ContainsFunc(tr.answers, func(an answer) bool { return an.outcome == completed })
+}
+
 // run sends the request, and again while the caller has no answer that ends
 // its wish.
 func (lo *Load) run(ctx context.Context, tr *trial) {
--- a/internal/proof/load/verify.go
+++ b/internal/proof/load/verify.go
@@ -49,7 +49,7 @@
 		}
 	}
 	if tr.once {
-		if all := lo.log.ByKey(tr.key); len(all) > 1 {
+		if all := lo.executions(tr); len(all) > 1 {
 			add("Doubled", &tr.answers[0], "%d executions, first at %s, second at %s", len(all), all[0].Upstream, all[1].Upstream)
 		} else if first != nil && len(all) == 0 {
 			add("Lost", first, "answered, but no upstream ran it")
@@ -58,6 +58,18 @@
 	return found
 }
 
+// executions returns those of an order. Without a key of the caller its
+// request names them; it is sent once.
+func (lo *Load) executions(tr *trial) []record.Execution {
+	if tr.key != "" {
+		return lo.log.ByKey(tr.key)
+	}
+	if id := tr.answers[0].requestID; id != "" {
+		return lo.log.ByRequest(id)
+	}
+	return nil
+}
+
 // own says why a whole answer is not that of its own request, or "".
 func (lo *Load) own(tr *trial, an *answer) string {
 	if tr.pipeline == "" {
--- a/internal/proof/trial/trial.go
+++ b/internal/proof/trial/trial.go
@@ -4,13 +4,17 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/agent/server"
 	"github.com/citronstream/citronstream/internal/observe/invariant"
 	"github.com/citronstream/citronstream/internal/process/local"
 	"github.com/citronstream/citronstream/internal/proof/faults"
 	"github.com/citronstream/citronstream/internal/proof/load"
+	"github.com/citronstream/citronstream/internal/proof/rowaudit"
+	"github.com/citronstream/citronstream/internal/standin/memtable"
 	"github.com/go-logr/logr"
 )
 
@@ -20,6 +24,10 @@
 	costsWithin = 30 * time.Second
 )
 
+// runLimit bounds the run of an order. With the ordinary 30 s no order of a
+// run would be cut, and what is said of one that was would go unproved.
+const runLimit = 3 * time.Second
+
 // Trial is one run.
 type Trial struct {
 	clk      citronstream.Clock
@@ -67,7 +75,9 @@
 		return load.Report{}, nil, err
 	}
 	broken := invariant.Default.Count()
-	fl, err := local.New(ctx, tr.clk, config, local.WithLog(tr.log), local.WithSeed(tr.seed))
+	au := rowaudit.New(tr.clk)
+	fl, err := local.New(ctx, tr.clk, config, local.WithLog(tr.log), local.WithSeed(tr.seed),
+		local.WithTable(memtable.WithAudit(au.Wrote)), local.WithServers(server.WithRunLimit(runLimit)))
 	if err != nil {
 		return load.Report{}, nil, err
 	}
@@ -85,9 +95,31 @@
 		re.Violations = append(re.Violations, load.Violation{Kind: "Invariant", Detail: text})
 	}
 	re.Invariants = int(invariant.Default.Count() - broken)
+	records(&re, fl, au)
 	return re, fl.Timeline(), nil
 }
 
+// records adds what the table's and the engines' records show.
+func records(re *load.Report, fl *local.Fleet, au *rowaudit.Audit) {
+	count, texts := au.Broken(fl.Record)
+	re.Rows = count
+	for _, text := range texts {
+		re.Violations = append(re.Violations, load.Violation{Kind: "Row", Detail: text})
+	}
+	for _, up := range fl.Config.Upstreams {
+		en := fl.Engine(up.Name)
+		if en == nil {
+			continue
+		}
+		if cmd, ok := en.Stale(); ok {
+			re.Commands++
+			re.Violations = append(re.Violations, load.Violation{
+				Kind: "Command", Detail: fmt.Sprintf("%s at %s with token %d after a higher one", cmd.Path, up.Name, cmd.Token),
+			})
+		}
+	}
+}
+
 func (tr *Trial) load(ctx context.Context, fl *local.Fleet, config *citronstream.Fleet) (load.Report, error) {
 	rate := tr.rate
 	if rate == 0 {
--- a/internal/standin/engine/command.go
+++ b/internal/standin/engine/command.go
@@ -33,6 +33,22 @@
 	return append([]Command(nil), se.commands...)
 }
 
+// Stale returns a command with a lower token than one before it, and false if
+// there was none. An engine that checks tokens refuses it; to others the
+// guard of their agent must not pass it on.
+func (se *Server) Stale() (Command, bool) {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	highest := uint64(0)
+	for _, cmd := range se.commands {
+		if cmd.Token < highest {
+			return cmd, true
+		}
+		highest = cmd.Token
+	}
+	return Command{}, false
+}
+
 // Role returns the role that the engine was given last.
 func (se *Server) Role() string {
 	se.mu.Lock()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -155,6 +155,13 @@
 	return ok
 }
 
+// Unload drops all models, as an engine does that lost its memory.
+func (se *Server) Unload() {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	clear(se.loaded)
+}
+
 // Models returns the loaded models in order.
 func (se *Server) Models() []string {
 	se.mu.Lock()
--- a/internal/standin/gate/gate.go
+++ b/internal/standin/gate/gate.go
@@ -45,6 +45,17 @@
 	}
 }
 
+// thaw waits until the gate is open. A stopped process does not notice that
+// its time is up, so the end of a context does not end the wait.
+func (ga *Gate) thaw() {
+	ga.mu.Lock()
+	paused := ga.paused
+	ga.mu.Unlock()
+	if paused != nil {
+		<-paused
+	}
+}
+
 // pass waits until the gate is open.
 func (ga *Gate) pass(ctx context.Context) error {
 	for {
@@ -62,6 +73,12 @@
 	}
 }
 
+func (ga *Gate) closed() bool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.paused != nil
+}
+
 // Stream puts a connection behind the gate.
 func (ga *Gate) Stream(inner link.Stream) link.Stream {
 	st := &stream{Stream: inner, ga: ga, quiet: make(chan struct{}), closed: make(chan struct{})}
@@ -140,8 +157,9 @@
 	return st.Stream.Close()
 }
 
-// Table puts the table service behind the gate. A call that the pause meets
-// half way takes effect, and its answer waits.
+// Table puts the table service behind the gate. A write that the pause meets
+// on its way takes effect after the pause, however late; one that the pause
+// meets half way takes effect, and its answer waits.
 func (ga *Gate) Table(inner citronstream.Table) citronstream.Table { return &table{inner, ga} }
 
 type table struct {
@@ -169,9 +187,13 @@
 
 // Write implements citronstream.Table.
 func (ta *table) Write(ctx context.Context, opID string, ops ...citronstream.Op) error {
-	if err := ta.ga.pass(ctx); err != nil {
+	if err := ctx.Err(); err != nil {
 		return err
 	}
+	if ta.ga.closed() {
+		ta.ga.thaw()
+		ctx = context.WithoutCancel(ctx)
+	}
 	err := ta.inner.Write(ctx, opID, ops...)
 	if ta.ga.pass(ctx) != nil {
 		return citronstream.ErrUnknownOutcome
@@ -190,7 +212,35 @@
 
 // Protocol puts the way to the upstream behind the gate.
 func (ga *Gate) Protocol(inner citronstream.Protocol) citronstream.Protocol {
-	return &protocol{inner, ga}
+	pr := &protocol{inner, ga}
+	if en, ok := inner.(engine); ok {
+		return &commander{pr, en}
+	}
+	return pr
+}
+
+// engine is a protocol that commands an engine.
+type engine interface {
+	citronstream.Orderer
+	Models(ctx context.Context, address string) ([]string, error)
+}
+
+// commander holds back what a paused agent reads of its engine. Commands pass:
+// the guard confirms their token in the table, which is behind the gate, and
+// an engine that ignores tokens can't be protected from one that stops between
+// the two.
+type commander struct {
+	*protocol
+	engine
+}
+
+// Models returns the models that the engine has loaded.
+func (co *commander) Models(ctx context.Context, address string) ([]string, error) {
+	if co.ga.closed() {
+		co.ga.thaw()
+		ctx = context.WithoutCancel(ctx)
+	}
+	return co.engine.Models(ctx, address)
 }
 
 type protocol struct {
--- a/internal/standin/memtable/memtable.go
+++ b/internal/standin/memtable/memtable.go
@@ -35,6 +35,8 @@
 	loseEvery atomic.Int64 // each n-th write's answer is lost; 0 is off
 	lost      atomic.Uint64
 
+	audit func(before, after citronstream.Row)
+
 	readLimit  *rate.Limiter
 	writeLimit *rate.Limiter
 
@@ -54,6 +56,13 @@
 	}
 }
 
+// WithAudit sets what sees each row before and after a write that took
+// effect, in the order of the writes. Without a row before, its version is 0.
+// It must not call the table.
+func WithAudit(audit func(before, after citronstream.Row)) Option {
+	return func(ta *Table) { ta.audit = audit }
+}
+
 // New returns an empty table.
 func New(clk citronstream.Clock, opts ...Option) *Table {
 	ta := &Table{clk: clk, rows: make(map[string]citronstream.Row), ops: make(map[string]opRecord)}
@@ -179,7 +188,11 @@
 		return
 	}
 	row, _ := ta.live(op.Key)
-	ta.rows[op.Key] = citronstream.Row{Key: op.Key, Version: row.Version + 1, Value: slices.Clone(op.Value), Expires: op.Expires}
+	next := citronstream.Row{Key: op.Key, Version: row.Version + 1, Value: slices.Clone(op.Value), Expires: op.Expires}
+	ta.rows[op.Key] = next
+	if ta.audit != nil {
+		ta.audit(row, next)
+	}
 }
 
 // forget drops old operation identifiers once the map has grown.
