Verdicts: a hedge and a cancel no longer hide a call that ran

Cause: a hedged call returned the verdict of the attempt that ended last, so that NotRun of the hedge, withdrawn from a queue at the deadline, hid the first attempt, which ran. A cancel at the deadline took the word of whatever process listened at the agent's address by then, also of one started after the call. Change: NotRun of a hedged call needs NotRun of each attempt; a cancel compares the boot identifier, as a query does. Conclusion: both were faults of the program; the second was found by reading.

--- a/internal/entry/agents/run.go
+++ b/internal/entry/agents/run.go
@@ -95,7 +95,7 @@
 		re, err = po.settle(ctx, ag, li, fl, &ca)
 	}
 	if err != nil {
-		return po.ended(ctx, ag, &ca, err)
+		return po.ended(ctx, ag, li, &ca, err)
 	}
 	return po.accept(fl, &ca, re, ag.up.Name)
 }
@@ -164,7 +164,7 @@
 
 // ended turns an error into a result. When ctx ended, the agent is asked to
 // cancel and its answer gives the verdict.
-func (po *Pool) ended(ctx context.Context, ag *agent, ca *citronstream.Call, err error) citronstream.Result {
+func (po *Pool) ended(ctx context.Context, ag *agent, sent *link.Link, ca *citronstream.Call, err error) citronstream.Result {
 	var fa *citronstream.Fault
 	if errors.As(err, &fa) {
 		return citronstream.Result{AttemptID: ca.AttemptID, Upstream: ag.up.Name, Fault: fa}
@@ -173,13 +173,15 @@
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		code, text = citronstream.CodeCanceled, "the caller went away"
 	}
-	return failed(ag.up.Name, po.cancel(ag, ca), code, text)
+	return failed(ag.up.Name, po.cancel(ag, bootOf(sent), ca), code, text)
 }
 
-func (po *Pool) cancel(ag *agent, ca *citronstream.Call) citronstream.Verdict {
+// cancel asks the process that the call was sent to, which boot names, to give
+// it up. The word of a process that was started after it is no proof.
+func (po *Pool) cancel(ag *agent, boot string, ca *citronstream.Call) citronstream.Verdict {
 	po.counts.Canceled.Add(1)
 	li := ag.dial.Link()
-	if li == nil {
+	if li == nil || bootOf(li) != boot {
 		return citronstream.MayHaveRun
 	}
 	ctx, cancel := context.WithCancel(po.ctx)
--- a/internal/entry/pipeline/hedge.go
+++ b/internal/entry/pipeline/hedge.go
@@ -39,13 +39,14 @@
 	delay := max(hedgeLeast, hedgeFactor*at.ru.times.P50(ca.Service, ca.Cost))
 	timer := at.ru.clk.NewTimer(delay)
 	defer timer.Stop()
-	same := false
+	same, ran := false, false // ran: an attempt that failed first may have run
 	for running := 1; ; {
 		select {
 		case re := <-results:
 			if running--; re.Fault == nil || running == 0 {
-				return re
+				return besides(re, ran)
 			}
+			ran = ran || re.Fault.Verdict != citronstream.NotRun
 		case <-timer.Chan():
 			other, ok := at.other(ca, picker, upstream, same)
 			if !ok && !same {
@@ -62,6 +63,18 @@
 	}
 }
 
+// besides returns the last result of a hedged call. Its NotRun speaks of one
+// attempt alone, so it does not hold if the other one may have run.
+func besides(re citronstream.Result, ran bool) citronstream.Result {
+	if !ran || re.Fault == nil || re.Fault.Verdict != citronstream.NotRun {
+		return re
+	}
+	fa := *re.Fault
+	fa.Verdict = citronstream.MayHaveRun
+	re.Fault = &fa
+	return re
+}
+
 // other picks an upstream for a hedge: not the first one, unless same says so.
 func (at *attempts) other(ca *citronstream.Call, picker citronstream.Picker, first string, same bool) (string, bool) {
 	pr := at.request(ca)
--- a/internal/process/local/local.go
+++ b/internal/process/local/local.go
@@ -305,6 +305,9 @@
 	fl.mu.Lock()
 	entries, agents := fl.entries, fl.agents
 	fl.entries, fl.agents = map[string]*entry.Entry{}, map[string]*agent.Agent{}
+	for _, ga := range fl.gates {
+		ga.Pause(false) // a paused agent does not notice that it is to end
+	}
 	fl.mu.Unlock()
 	for _, en := range entries {
 		en.Stop()
