--- a/internal/entry/pipeline/hedge_test.go
+++ b/internal/entry/pipeline/hedge_test.go
@@ -28,7 +28,7 @@
 	return "second", !slices.Contains(pr.Exclude, "second")
 }
 
-func (tf *twoFailures) Sent(string, float64) {}
+func (tf *twoFailures) Sent(string, int, float64) {}
 
 // Ended lets the second upstream answer once the attempt at the first has ended.
 func (tf *twoFailures) Ended(upstream string, _ float64, _ time.Duration, _ error) {
