--- a/internal/entry/pipeline/hedge_test.go
+++ b/internal/entry/pipeline/hedge_test.go
@@ -31,7 +31,7 @@
 func (tf *twoFailures) Sent(string, int, float64) {}
 
 // Ended lets the second upstream answer once the attempt at the first has ended.
-func (tf *twoFailures) Ended(upstream string, _ float64, _ time.Duration, _ error) {
+func (tf *twoFailures) Ended(upstream string, _ int, _ float64, _ time.Duration, _ error) {
 	if upstream == "first" {
 		close(tf.ended)
 	}
--- a/internal/kernel/httpengine/httpengine.go
+++ b/internal/kernel/httpengine/httpengine.go
@@ -3,6 +3,7 @@
 
 import (
 	"net"
+	"runtime"
 	"sync/atomic"
 
 	"github.com/lesismal/llib/std/crypto/tls"
@@ -64,5 +65,6 @@
 	eng.OnData(func(co *nbio.Conn, data []byte) {
 		_ = count.Load()
 		co.DataHandler()(co, data)
+		runtime.Gosched() // lets the handler run on this thread, as in nbconn.New
 	})
 }
