--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -62,6 +63,7 @@
 	fold     func(lo *citronstream.Load)
 	models   func() []string
 	wrap     func(link.Stream) link.Stream
+	runLimit time.Duration // of a non-idempotent call
 
 	attempts *attempts.Table
 	fences   fences
@@ -94,6 +96,8 @@
 // Counts are the counters of an agent.
 type Counts struct {
 	Taken, Ran, Refused, Expired, Canceled, Orphaned, Buried, Deaths, Queried, Offered, OffersDropped atomic.Uint64
+	// Notices are versions told to entries, NoticesSpared those that the entry had named already.
+	Notices, NoticesSpared atomic.Uint64
 }
 
 // New returns an agent for one upstream. Start opens it.
@@ -107,6 +111,7 @@
 		fold: func(*citronstream.Load) {}, models: func() []string { return nil },
 		extra:    func(*link.Link, *link.Request) bool { return false },
 		wrap:     func(stream link.Stream) link.Stream { return stream },
+		runLimit: runLimit,
 		attempts: attempts.New(clk), links: make(map[*link.Link]*peer), running: make(map[string]*attempts.Attempt),
 		done: make(chan struct{}), boot: citronstream.NewID(),
 	}
@@ -165,6 +170,10 @@
 	<-se.done
 }
 
+// Unbind closes the listener and leaves the rest running, as when the platform
+// gives the address to a successor while this process still runs.
+func (se *Server) Unbind() error { return se.ln.Close() }
+
 // Load returns the present load report.
 func (se *Server) Load() citronstream.Load {
 	se.mu.Lock()
@@ -172,14 +181,18 @@
 	se.loadSeq++
 	lo := citronstream.Load{
 		Upstream: se.up.Name, Seq: se.loadSeq, Running: len(se.running), Waiting: se.queue.Len(),
-		Cost: se.cost + se.queue.Cost(), Rate: se.rate, Capacity: se.up.Capacity,
+		Cost: se.cost + se.queue.Cost(), Ranks: citronstream.RankLoad(se.queue.RankCosts()), Rate: se.rate, Capacity: se.up.Capacity,
 		Leaving: se.leaving, Down: se.down, Slots: se.slots(), Epoch: se.epoch(), Version: se.version(),
 		Models: se.models(),
 	}
 	se.fold(&lo)
+	// The routing table counts in thousandths; more digits only lengthen the message.
+	lo.Cost, lo.Rate = milli(lo.Cost), milli(lo.Rate)
 	return lo
 }
 
+func milli(value float64) float64 { return math.Round(value*1000) / 1000 }
+
 // Running returns the number of calls that run.
 func (se *Server) Running() int {
 	se.mu.Lock()
@@ -291,6 +304,17 @@
 	}
 }
 
+// Tell names a configuration version to the entries that have not named it.
+func (se *Server) Tell(version uint64) {
+	for _, pe := range se.peers() {
+		if pe.li.Tell(version) {
+			se.counts.Notices.Add(1)
+		} else {
+			se.counts.NoticesSpared.Add(1)
+		}
+	}
+}
+
 func (se *Server) event(ev citronstream.Event) {
 	if se.rec != nil {
 		ev.Process = se.up.Name
--- a/internal/limit/fairqueue/estimate.go
+++ b/internal/limit/fairqueue/estimate.go
@@ -66,8 +66,8 @@
 // plus what the other workspaces receive by weight in the meantime. Less
 // urgent ranks count only by the floors that they can claim.
 func (qu *Queue) wait(ra *rank, name string, cost float64) time.Duration {
-	if len(qu.nodes) == 0 && qu.running < qu.capacity {
-		return 0
+	if len(qu.nodes)+qu.running < qu.capacity {
+		return 0 // there is a free slot for each call that waits
 	}
 	qu.decay()
 	own, weight, others := 0.0, qu.weightOf(name), ra.weight
@@ -83,7 +83,7 @@
 		case other.index < ra.index:
 			urgent += other.cost
 			// Urgent work of the recent past stands for that of the near future.
-			open -= other.used / (rate * qu.window.Seconds())
+			open -= other.used / (rate * accountWindow.Seconds())
 		case other.index > ra.index && other.count > 0:
 			open -= other.floor
 		}
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -12,11 +11,11 @@
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/config/settings"
 	"github.com/citronstream/citronstream/internal/config/version"
+	"github.com/citronstream/citronstream/internal/kernel/httpengine"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
 	"github.com/citronstream/citronstream/internal/operator/report"
 	"github.com/go-logr/logr"
 	"github.com/lesismal/llib/std/crypto/tls"
-	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/lesismal/nbio/taskpool"
@@ -50,6 +49,8 @@
 	Holds() ([]byte, error)
 	// Lift ends a hold and returns the number of processes that had it.
 	Lift(ctx context.Context, digest uint64) int
+	// Poke tells the owners of a service's slots to read their row at once.
+	Poke(service string)
 	// Drain starts to take a process out of service. An empty name means this one.
 	// Errors: a Fault with CodeNotFound for a process that isn't linked.
 	Drain(ctx context.Context, name string) error
@@ -94,7 +95,7 @@
 	return func(se *Server) { se.store, se.check = store, check }
 }
 
-// WithTable serves the cost records of the table.
+// WithTable serves the cost records and the intervals of uncertainty of the table.
 func WithTable(ta citronstream.Table) Option { return func(se *Server) { se.table = ta } }
 
 // WithLog sets the logger. Each act of an operator is a line in it.
@@ -115,44 +116,22 @@
 
 // Start listens for operators until ctx ends or Stop is called.
 func (se *Server) Start(ctx context.Context) error {
-	// nbio's engine hangs in its start when its own listen fails.
-	ln, err := net.Listen("tcp", se.address)
-	if err != nil {
-		return merry.Prependf(err, "operators' address %s", se.address)
-	}
 	se.ctx, se.cancel = context.WithCancel(ctx)
 	se.pool = taskpool.New(handlers, maxJobs)
-	config := nbhttp.Config{
-		Listen:  func(string, string) (net.Listener, error) { return ln, nil },
-		Network: "tcp", NPoller: 1, NListener: 1, MaxLoad: maxConnections,
+	eng, err := httpengine.Start(se.address, nbhttp.Config{
+		NPoller: 1, NListener: 1, MaxLoad: maxConnections,
 		ReadLimit: maxHeaderBytes + maxBodyBytes, MaxHTTPBodySize: maxBodyBytes,
 		MaxWriteBufferSize: maxUnsent, ServerExecutor: se.execute, Handler: se.routes(),
-	}
-	if se.tls != nil {
-		config.AddrsTLS, config.TLSConfig = []string{se.address}, se.tls
-	} else {
-		config.Addrs = []string{se.address}
-	}
-	se.eng = nbhttp.NewEngine(config)
-	se.handOver()
-	if err := se.eng.Start(); err != nil {
+	}, httpengine.WithTLS(se.tls))
+	if err != nil {
 		se.cancel()
+		se.pool.Stop()
 		return merry.Prependf(err, "operators' address %s", se.address)
 	}
+	se.eng = eng
 	return nil
 }
 
-// handOver orders the set-up of a connection by nbhttp's listener before the
-// first read by its poller, as the entry's server does for the race detector.
-func (se *Server) handOver() {
-	var opened atomic.Uint64
-	se.eng.Engine.OnOpen(func(*nbio.Conn) { opened.Add(1) })
-	se.eng.OnData(func(co *nbio.Conn, data []byte) {
-		_ = opened.Load()
-		co.DataHandler()(co, data)
-	})
-}
-
 func (se *Server) execute(job func()) {
 	se.jobs.Add(1)
 	se.pool.Go(func() {
@@ -186,6 +165,8 @@
 	mux.Handle("GET /v1/admin/cost", se.admit(se.cost))
 	mux.Handle("GET /v1/admin/holds", se.admit(se.holds))
 	mux.Handle("POST /v1/admin/holds/lift", se.admit(se.lift))
+	mux.Handle("GET /v1/admin/doubts", se.admit(se.doubts))
+	mux.Handle("POST /v1/admin/doubts/lift", se.admit(se.liftDoubt))
 	mux.Handle("POST /v1/admin/drain", se.admit(se.drain))
 	mux.Handle("GET /v1/admin/config", se.admit(se.config))
 	mux.Handle("POST /v1/admin/config", se.admit(se.apply))
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -137,6 +137,9 @@
 	engine, _ := pr.(orders.Engine)
 	if set.Wrap != nil {
 		pr = set.Wrap(pr)
+		if wrapped, ok := pr.(orders.Engine); ok {
+			engine = wrapped
+		}
 	}
 	ag.Queue = factory(discipline.Settings{Clock: clk, Fleet: *fl, Capacity: up.Capacity, Rate: firstRate(se, up.Capacity)})
 	ag.Ledger = ledger.New(set.Platform.Table, clk, up.Name, uint64(clk.Now().UnixNano()), ledger.WithInterval(fl.Limits.CostFlush.Std()))
@@ -265,7 +268,7 @@
 	if ag.Orders != nil {
 		ag.Orders.Configure(sn.Fleet)
 	}
-	ag.Server.Broadcast(citronstream.MethodVersion, citronstream.VersionNotice{Version: sn.Fleet.Version})
+	ag.Server.Tell(sn.Fleet.Version)
 	ag.Timeline.Record(citronstream.Event{Kind: "ConfigInForce", Detail: strconv.FormatUint(sn.Fleet.Version, 10)})
 }
 
@@ -273,10 +276,17 @@
 func (ag *Agent) handle(li *link.Link, re *link.Request) bool {
 	switch re.Method {
 	case citronstream.MethodConfig:
-		re.Reply(ag.Config.Current().Document)
+		var rq citronstream.ConfigRequest
+		if err := re.Decode(&rq); err != nil {
+			re.ReplyError(err)
+			return true
+		}
+		li.Name(rq.Holds)
+		re.Reply(ag.Config.Answer(rq))
 	case citronstream.MethodVersion:
 		var no citronstream.VersionNotice
 		if he, ok := li.Session().(citronstream.Hello); ok && re.Decode(&no) == nil {
+			li.Name(no.Version)
 			ag.Config.Observe(no.Version, he.Name)
 		}
 	case citronstream.MethodPoke:
@@ -290,7 +300,7 @@
 }
 
 // Fetch implements version.Fetcher: from an entry by name, or from an address.
-func (ag *Agent) Fetch(ctx context.Context, peer string, atLeast uint64) (version.Document, error) {
+func (ag *Agent) Fetch(ctx context.Context, peer string, rq citronstream.ConfigRequest) (version.Document, error) {
 	var from *link.Link
 	ag.Server.Links(func(name string, li *link.Link) {
 		if name == peer {
@@ -301,7 +311,7 @@
 		return version.Document{}, citronstream.ErrUnavailable
 	}
 	var do version.Document
-	err := from.Call(ctx, citronstream.MethodConfig, citronstream.ConfigRequest{Version: atLeast}, &do)
+	err := from.Call(ctx, citronstream.MethodConfig, rq, &do)
 	return do, err
 }
 
