--- a/internal/cli/doubts/doubts.go
+++ b/internal/cli/doubts/doubts.go
@@ -43,13 +43,7 @@
 	if !li.JSON {
 		return write(out, found)
 	}
-	enc := json.NewEncoder(out)
-	for _, do := range found {
-		if err := enc.Encode(do); err != nil {
-			return err
-		}
-	}
-	return nil
+	return operate.Lines(out, found)
 }
 
 func write(out io.Writer, found []report.Doubt) error {
--- a/internal/cli/holds/holds.go
+++ b/internal/cli/holds/holds.go
@@ -41,25 +41,17 @@
 	if err != nil {
 		return err
 	}
-	if err := li.print(out, known); err != nil {
+	if li.JSON {
+		err = operate.Lines(out, known)
+	} else {
+		err = write(out, known)
+	}
+	if err != nil {
 		return err
 	}
 	return operate.Missing(answers)
 }
 
-func (li *list) print(out io.Writer, known []poison.Hold) error {
-	if li.JSON {
-		enc := json.NewEncoder(out)
-		for _, ho := range known {
-			if err := enc.Encode(ho); err != nil {
-				return err
-			}
-		}
-		return nil
-	}
-	return write(out, known)
-}
-
 // merge returns each digest once, with its latest hold and its latest lift,
 // in the order of the holds. Answers with an error are left out.
 func merge(answers []client.Answer) ([]poison.Hold, error) {
--- a/internal/limit/holdrow/holdrow_test.go
+++ b/internal/limit/holdrow/holdrow_test.go
@@ -60,15 +60,16 @@
 	return ra.Table.Write(ctx, opID, ops...)
 }
 
+func setup() (*clockwork.FakeClock, *memtable.Table, *entry) {
+	clk := clockwork.NewFakeClock()
+	ta := memtable.New(clk)
+	return clk, ta, newEntry(clk, ta)
+}
+
 // TestSync guards against holds that are lost with their process, in a race
 // of two entries, in an outage of the table or with a lost answer.
 func TestSync(t *testing.T) {
 	ctx := context.Background()
-	setup := func() (*clockwork.FakeClock, *memtable.Table, *entry) {
-		clk := clockwork.NewFakeClock()
-		ta := memtable.New(clk)
-		return clk, ta, newEntry(clk, ta)
-	}
 	t.Run("race of two entries", func(t *testing.T) {
 		clk, ta, a := setup()
 		b := newEntry(clk, &racing{ta, func() { a.hold(clk, 1); require.NoError(t, a.sy.Step(ctx)) }})
@@ -106,6 +107,21 @@
 		require.NoError(t, b.sy.Step(ctx))
 		assert.Zero(t, b.sy.Counts().Writes)
 	})
+	t.Run("malformed row", func(t *testing.T) {
+		clk, ta, a := setup()
+		require.NoError(t, ta.Write(ctx, "x", citronstream.Op{Key: Key, Value: []byte("no holds")}))
+		a.hold(clk, 1)
+		require.NoError(t, a.sy.Step(ctx))
+		b := newEntry(clk, ta)
+		require.NoError(t, b.sy.Step(ctx))
+		assertHeld(t, b, 1)
+	})
+}
+
+// TestLift guards against a lift that stays at one entry, and against an end
+// or a lift that another entry undoes.
+func TestLift(t *testing.T) {
+	ctx := context.Background()
 	t.Run("lift and end", func(t *testing.T) {
 		clk, ta, a := setup()
 		a.hold(clk, 1)
@@ -139,15 +155,6 @@
 		require.NoError(t, b.sy.Step(ctx))
 		assert.Len(t, b.lifted, 1, "the agents are told again with each read")
 	})
-	t.Run("malformed row", func(t *testing.T) {
-		clk, ta, a := setup()
-		require.NoError(t, ta.Write(ctx, "x", citronstream.Op{Key: Key, Value: []byte("no holds")}))
-		a.hold(clk, 1)
-		require.NoError(t, a.sy.Step(ctx))
-		b := newEntry(clk, ta)
-		require.NoError(t, b.sy.Step(ctx))
-		assertHeld(t, b, 1)
-	})
 }
 
 // TestRun guards against a loop that reads more often than the version poll
--- a/internal/operator/doubts/doubts_test.go
+++ b/internal/operator/doubts/doubts_test.go
@@ -40,47 +40,54 @@
 	require.NoError(t, ta.Write(t.Context(), citronstream.NewID(), citronstream.Op{Key: grant.SlotsKey("desk"), Value: value, IfVersion: row.Version}))
 }
 
-// Guards against an interval that an operator can't see or lift, and against
-// a lift that takes another interval or an owner's change along.
-func TestDoubts(t *testing.T) {
-	clk := clockwork.NewFakeClock()
-	now := clk.Now()
-	fl := &citronstream.Fleet{Limits: citronstream.DefaultLimits(), Services: []citronstream.Service{
+var (
+	clk = clockwork.NewFakeClock()
+	fl  = &citronstream.Fleet{Limits: citronstream.DefaultLimits(), Services: []citronstream.Service{
 		{Name: "catalog", Calls: []citronstream.ServiceCall{{Name: "search", Idempotent: true}}},
 		{Name: "desk", Calls: []citronstream.ServiceCall{{Name: "look", Idempotent: true}, {Name: "place"}}},
 	}}
-	retention := fl.Limits.KeyRetention.Std()
-	first := grant.Doubt{Upstream: "desk-1", Epoch: 1, From: now.Add(-time.Hour), To: now.Add(-30 * time.Minute)}
-	second := grant.Doubt{Upstream: "desk-2", Epoch: 4, From: now.Add(-time.Minute), To: now}
-	expired := grant.Doubt{Upstream: "desk-3", Epoch: 2, From: now.Add(-2 * retention), To: now.Add(-retention)}
-	lift := report.LiftDoubt{Service: "desk", Upstream: "desk-1", Epoch: 1}
-	setup := func(t *testing.T) (*memtable.Table, grant.Slots) {
-		ta := memtable.New(clk)
-		var sl grant.Slots
-		sl.Slots[3] = grant.Slot{Owner: "desk-2", Epoch: 5, Doubts: []grant.Doubt{first, second}}
-		sl.Slots[9] = grant.Slot{Owner: "desk-2", Epoch: 5, Doubts: []grant.Doubt{expired, first}}
-		store(t, ta, sl)
-		return ta, sl
-	}
-	want := func(do grant.Doubt, slots int) report.Doubt {
-		return report.Doubt{Service: "desk", Upstream: do.Upstream, Epoch: do.Epoch, From: do.From.UTC(), To: do.To.UTC(), Until: do.To.Add(retention).UTC(), Slots: slots}
-	}
-	requireList := func(t *testing.T, ta citronstream.Table, all ...report.Doubt) {
-		t.Helper()
-		found, err := New(clk, ta).List(t.Context(), fl)
-		require.NoError(t, err)
-		for i := range found {
-			found[i].From, found[i].To, found[i].Until = found[i].From.UTC(), found[i].To.UTC(), found[i].Until.UTC()
-		}
-		assert.Equal(t, all, found)
-	}
+
+	now       = clk.Now().UTC()
+	retention = fl.Limits.KeyRetention.Std()
+
+	first   = grant.Doubt{Upstream: "desk-1", Epoch: 1, From: now.Add(-time.Hour), To: now.Add(-30 * time.Minute)}
+	second  = grant.Doubt{Upstream: "desk-2", Epoch: 4, From: now.Add(-time.Minute), To: now}
+	expired = grant.Doubt{Upstream: "desk-3", Epoch: 2, From: now.Add(-2 * retention), To: now.Add(-retention)}
+	lift    = report.LiftDoubt{Service: "desk", Upstream: "desk-1", Epoch: 1}
+)
+
+// setup stores a row of slots with three intervals, of which one has expired.
+func setup(t *testing.T) (*memtable.Table, grant.Slots) {
+	t.Helper()
+	ta := memtable.New(clk)
+	var sl grant.Slots
+	sl.Slots[3] = grant.Slot{Owner: "desk-2", Epoch: 5, Doubts: []grant.Doubt{first, second}}
+	sl.Slots[9] = grant.Slot{Owner: "desk-2", Epoch: 5, Doubts: []grant.Doubt{expired, first}}
+	store(t, ta, sl)
+	return ta, sl
+}
+
+func inForce(do grant.Doubt, slots int) report.Doubt {
+	return report.Doubt{Service: "desk", Upstream: do.Upstream, Epoch: do.Epoch, From: do.From, To: do.To, Until: do.To.Add(retention), Slots: slots}
+}
+
+func requireList(t *testing.T, ta citronstream.Table, all ...report.Doubt) {
+	t.Helper()
+	found, err := New(clk, ta).List(t.Context(), fl)
+	require.NoError(t, err)
+	assert.Equal(t, all, found)
+}
+
+// Guards against an interval that an operator can't see or lift, and against
+// a lift that takes another interval or an owner's change along.
+func TestDoubts(t *testing.T) {
 	t.Run("list and lift", func(t *testing.T) {
 		ta, _ := setup(t)
-		requireList(t, ta, want(first, 2), want(second, 1))
+		requireList(t, ta, inForce(first, 2), inForce(second, 1))
 		slots, err := New(clk, ta).Lift(t.Context(), lift)
 		require.NoError(t, err)
 		assert.Equal(t, 2, slots)
-		requireList(t, ta, want(second, 1))
+		requireList(t, ta, inForce(second, 1))
 		_, err = New(clk, ta).Lift(t.Context(), lift)
 		assert.ErrorIs(t, err, citronstream.ErrNotFound)
 	})
@@ -91,7 +98,7 @@
 		ta.SetLoseAnswers(0)
 		require.NoError(t, err)
 		assert.Equal(t, 2, slots)
-		requireList(t, ta, want(second, 1))
+		requireList(t, ta, inForce(second, 1))
 	})
 	t.Run("an owner writes at the same time", func(t *testing.T) {
 		ta, sl := setup(t)
@@ -107,7 +114,7 @@
 		var now grant.Slots
 		require.NoError(t, json.Unmarshal(row.Value, &now))
 		assert.Equal(t, "desk-1", now.Slots[3].Owner)
-		requireList(t, ta, want(second, 1))
+		requireList(t, ta, inForce(second, 1))
 	})
 	t.Run("table down", func(t *testing.T) {
 		ta, _ := setup(t)
