--- a/internal/operator/server/admin.go
+++ b/internal/operator/server/admin.go
@@ -16,11 +16,10 @@
 	"github.com/citronstream/citronstream/internal/operator/report"
 )
 
-// Bounds of listings: events of one answer, and cost records of one process
-// and day, which are 2,880 at an interval of 30 s.
+// Bounds of listings: events of one answer, and cost records of one page.
 const (
 	maxEvents  = 100000
-	maxRecords = 100000
+	maxRecords = 5000
 )
 
 func (se *Server) status(wr http.ResponseWriter, _ *http.Request, _ string) {
@@ -62,8 +61,9 @@
 	return time.Parse(time.RFC3339, text)
 }
 
-// cost answers with the cost records of a day (UTC) as JSON lines. Without a
-// day it is today. Each process of the configuration is read on its own.
+// cost answers with a page of the cost records of a day (UTC) as JSON lines.
+// Without a day it is today. The next page is asked for with the key of the
+// last record as after; an empty page is the end.
 func (se *Server) cost(wr http.ResponseWriter, rq *http.Request, _ string) {
 	if se.table == nil {
 		problem(wr, http.StatusNotFound, "this process reads no cost records")
@@ -77,7 +77,7 @@
 			return
 		}
 	}
-	deltas, err := ledger.Read(se.ctx, se.table, day, maxRecords)
+	deltas, err := ledger.Read(se.ctx, se.table, day, rq.URL.Query().Get("after"), maxRecords)
 	if err != nil {
 		problem(wr, http.StatusServiceUnavailable, "cost records: %s", err)
 		return
--- a/internal/platform/dynamodb/read.go
+++ b/internal/platform/dynamodb/read.go
@@ -40,7 +40,7 @@
 }
 
 // List implements citronstream.Table with consistent reads.
-func (ta *Table) List(ctx context.Context, prefix string, limit int) ([]citronstream.Row, error) {
+func (ta *Table) List(ctx context.Context, prefix, after string, limit int) ([]citronstream.Row, error) {
 	part, rest, found := strings.Cut(prefix, "/")
 	if !found || part == "" {
 		return nil, fmt.Errorf("table prefix %q has no \"/\"", prefix)
@@ -58,6 +58,13 @@
 		in.ExpressionAttributeNames["#s"] = attrSort
 		in.ExpressionAttributeValues[":s"] = text(rest)
 	}
+	if after != "" {
+		start, err := itemKey(after)
+		if err != nil {
+			return nil, err
+		}
+		in.ExclusiveStartKey = start
+	}
 	var rows []citronstream.Row
 	for range maxPages {
 		page, last, err := ta.page(ctx, in, prefix)
--- a/internal/process/local/control.go
+++ b/internal/process/local/control.go
@@ -132,7 +132,7 @@
 			return ledger.Report{}, err
 		}
 	}
-	deltas, err := ledger.Read(ctx, fl.Table, fl.clk.Now(), maxRecords)
+	deltas, err := ledger.Read(ctx, fl.Table, fl.clk.Now(), "", maxRecords)
 	if err != nil {
 		return ledger.Report{}, err
 	}
--- a/internal/standin/dynamodb/items.go
+++ b/internal/standin/dynamodb/items.go
@@ -119,7 +119,7 @@
 		return nil, err
 	}
 	prefix := part + "/" + rest
-	rows, err := se.table.List(ctx, prefix, 1<<30)
+	rows, err := se.table.List(ctx, prefix, "", 1<<30)
 	if err != nil {
 		return nil, err
 	}
--- a/platform.go
+++ b/platform.go
@@ -59,9 +59,10 @@
 type Table interface {
 	// Get reads one row. Errors: ErrNotFound, ErrUnavailable, ErrThrottled.
 	Get(ctx context.Context, key string) (Row, error)
-	// List reads the rows whose key starts with prefix, in key order, at most limit.
-	// The prefix ends with "/".
-	List(ctx context.Context, prefix string, limit int) ([]Row, error)
+	// List reads the rows whose key starts with prefix, in key order, at most
+	// limit. Rows up to the key after are left out; it need not exist. The
+	// prefix ends with "/".
+	List(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 	// Write applies all operations or none. opID makes a repeat of the same
 	// transaction harmless for ten minutes. Errors: *ConflictError,
 	// ErrUnavailable (not applied), ErrThrottled (not applied),
