Agents forget finished attempts without further calls; memory of an agent at its cap

Cause: attempts of the last minute were dropped only when another one ended, so an agent that falls quiet after a burst kept up to 65,536 of them. BenchmarkAgentAtCap fills an agent's keys with the table down and reports its resident memory, with a bound of 64 MB.

--- a/internal/agent/attempts/attempts.go
+++ b/internal/agent/attempts/attempts.go
@@ -73,15 +73,27 @@
 	ta.retire(at)
 }
 
+// Forget drops the ended attempts that are older than they are kept. Without
+// calls none ends that would push them out.
+func (ta *Table) Forget() {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ta.forget(ta.clk.Now())
+}
+
 func (ta *Table) retire(at *Attempt) {
 	delete(ta.live, at.Call.AttemptID)
 	at.endedAt = ta.clk.Now()
 	at.kept = at.size()
 	ta.kept += at.kept
 	ta.ended.PushBack(at)
+	ta.forget(at.endedAt)
+}
+
+func (ta *Table) forget(now time.Time) {
 	for front := ta.ended.Front(); front != nil; front = ta.ended.Front() {
 		old := front.Value.(*Attempt)
-		if ta.ended.Len() <= maxFinished && ta.kept <= maxKeptBytes && at.endedAt.Sub(old.endedAt) < keepFor {
+		if ta.ended.Len() <= maxFinished && ta.kept <= maxKeptBytes && now.Sub(old.endedAt) < keepFor {
 			return
 		}
 		ta.ended.Remove(front)
--- a/internal/agent/server/death.go
+++ b/internal/agent/server/death.go
@@ -152,9 +152,10 @@
 	return true
 }
 
-// sweep cancels calls whose entry did not come back, and refuses what waits
+// sweep forgets old attempts, cancels calls whose entry did not come back, and refuses what waits
 // at an upstream that is down.
 func (se *Server) sweep() {
+	se.attempts.Forget()
 	now := se.clk.Now()
 	se.mu.Lock()
 	down := se.down
