--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -62,6 +63,7 @@
 	fold     func(lo *citronstream.Load)
 	models   func() []string
 	wrap     func(link.Stream) link.Stream
+	runLimit time.Duration // of a non-idempotent call
 
 	attempts *attempts.Table
 	fences   fences
@@ -79,8 +81,10 @@
 	loadSeq  uint64
 	rate     float64 // cost units a second at full use, decayed
 
+	starting sync.Mutex // held while waiting calls are started
+	ended    bool       // guarded by starting: no more calls are started
+
 	told    []int // slots last announced; used by the loop only
-	wake    chan struct{}
 	runs    sync.WaitGroup
 	ln      net.Listener
 	ctx     context.Context
@@ -107,8 +111,9 @@
 		fold: func(*citronstream.Load) {}, models: func() []string { return nil },
 		extra:    func(*link.Link, *link.Request) bool { return false },
 		wrap:     func(stream link.Stream) link.Stream { return stream },
+		runLimit: runLimit,
 		attempts: attempts.New(clk), links: make(map[*link.Link]*peer), running: make(map[string]*attempts.Attempt),
-		wake: make(chan struct{}, 1), done: make(chan struct{}), boot: citronstream.NewID(),
+		done: make(chan struct{}), boot: citronstream.NewID(),
 	}
 	for _, opt := range opts {
 		opt(se)
@@ -165,6 +170,10 @@
 	<-se.done
 }
 
+// Unbind closes the listener and leaves the rest running, as when the platform
+// gives the address to a successor while this process still runs.
+func (se *Server) Unbind() error { return se.ln.Close() }
+
 // Load returns the present load report.
 func (se *Server) Load() citronstream.Load {
 	se.mu.Lock()
@@ -172,14 +181,18 @@
 	se.loadSeq++
 	lo := citronstream.Load{
 		Upstream: se.up.Name, Seq: se.loadSeq, Running: len(se.running), Waiting: se.queue.Len(),
-		Cost: se.cost + se.queue.Cost(), Rate: se.rate, Capacity: se.up.Capacity,
+		Cost: se.cost + se.queue.Cost(), Ranks: citronstream.RankLoad(se.queue.RankCosts()), Rate: se.rate, Capacity: se.up.Capacity,
 		Leaving: se.leaving, Down: se.down, Slots: se.slots(), Epoch: se.epoch(), Version: se.version(),
 		Models: se.models(),
 	}
 	se.fold(&lo)
+	// The routing table counts in thousandths; more digits only lengthen the message.
+	lo.Cost, lo.Rate = milli(lo.Cost), milli(lo.Rate)
 	return lo
 }
 
+func milli(value float64) float64 { return math.Round(value*1000) / 1000 }
+
 // Running returns the number of calls that run.
 func (se *Server) Running() int {
 	se.mu.Lock()
@@ -231,7 +244,7 @@
 	go pe.watch()
 }
 
-// loop dispatches waiting calls and sweeps, until the agent ends.
+// loop sweeps until the agent ends.
 func (se *Server) loop(accepted <-chan struct{}) {
 	defer close(se.done)
 	ticker := se.clk.NewTicker(sweepEvery)
@@ -239,8 +252,6 @@
 	for se.ctx.Err() == nil {
 		select {
 		case <-se.ctx.Done():
-		case <-se.wake:
-			se.dispatch()
 		case <-ticker.Chan():
 			se.sweep()
 			se.announce()
@@ -249,6 +260,9 @@
 	}
 	_ = se.ln.Close()
 	<-accepted
+	se.starting.Lock()
+	se.ended = true
+	se.starting.Unlock()
 	se.runs.Wait()
 	for _, pe := range se.peers() {
 		<-pe.gone
@@ -274,13 +288,6 @@
 	}
 }
 
-func (se *Server) kick() {
-	select {
-	case se.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Links calls visit with the link of each entry that has said its name.
 func (se *Server) Links(visit func(name string, li *link.Link)) {
 	for _, pe := range se.peers() {
--- a/internal/observe/metrics/metrics.go
+++ b/internal/observe/metrics/metrics.go
@@ -124,6 +124,19 @@
 	})
 }
 
+// putReads takes the reads of a source and how many of them failed.
+type putReads func(source string, all, failed uint64)
+
+// reads adds the counter of what a process reads at intervals.
+func (se *Set) reads(read func(put putReads)) {
+	se.add(prometheus.CounterValue, "citronstream_reads_total", "Reads at intervals, by source and outcome.", []string{"source", "outcome"}, func(put emit) {
+		read(func(source string, all, failed uint64) {
+			put(float64(all-min(all, failed)), source, "done")
+			put(float64(failed), source, "failed")
+		})
+	})
+}
+
 // notices adds the counter of versions told to peers, and of those that peers had named already.
 func (se *Set) notices(read func() (sent, spared uint64)) {
 	se.events("citronstream_config_notices_total", "Notices of a configuration version to peers, by event.", "event", func(put func(uint64, string)) {
