soak: the paused holder owns slots and is taken over, orders are cut within a run

Cause: the holder that was paused owned no slots in most draws, others did not take it over because they had never seen its instance in the list, and no order is cut within a run by the ordinary limit of 30 s. Change: a holder of slots is drawn; the list shows the instances from the start; the wait ends with the takeover; the limit on the run of an order is 6 s in a trial; a token must carry the epoch under which it was raised.

--- a/internal/process/local/local.go
+++ b/internal/process/local/local.go
@@ -132,6 +132,9 @@
 	for _, in := range fl.Config.Instances {
 		fl.List.Set(citronstream.InstanceState{Instance: in.Name, Zone: in.Zone})
 	}
+	// The instances were there before the processes. An agent that has never
+	// seen an instance in the list does not take its slots over.
+	fl.List.Show()
 	fl.Operator = version.New(fl.clk, fl.Table, fl.Objects)
 	if _, err := fl.Operator.Accept(fl.ctx, 0, fl.Config, "local"); err != nil {
 		return err
--- a/internal/proof/faults/targeted.go
+++ b/internal/proof/faults/targeted.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"time"
+
+	"github.com/citronstream/citronstream/internal/once/grant"
 )
 
 // The faults of this file bring about one situation each in which a promise
@@ -13,12 +16,20 @@
 	// many of its answered orders are sent again.
 	burst  = 60
 	resent = 40
-	// stalled makes a call of 5 ms take 5 s: longer than an urgent deadline and
+	// stalled makes a call of 5 ms take 7.5 s: longer than an urgent deadline and
 	// than the limit on the run of an order.
-	stalled = 1000.0
-	// takenOver is how long others need to take a paused holder's slots: the
-	// links go silent, the list drops the instance, and the entries ask for an owner.
-	takenOver = 4 * time.Second
+	stalled = 1500.0
+	// stallFor is longer than a stalled call.
+	stallFor = 8 * time.Second
+	// takenOver bounds the wait until others have taken a paused holder's slots:
+	// the links go silent, the list drops the instance, the entries ask for an
+	// owner, and an agent that was asked may wait 10 s for an entry before that.
+	takenOver = 12 * time.Second
+	// epochPoll is short, so that the holder wakes up before the entries have
+	// written the rows of its calls, which would stop it as well.
+	epochPoll = 2 * time.Millisecond
+	// slowTable is less than a claim waits for the table.
+	slowTable = 150 * time.Millisecond
 	// readAgain is the longest time between two looks of an agent at its engine's models.
 	readAgain = 3500 * time.Millisecond
 )
@@ -33,6 +44,30 @@
 	return ""
 }
 
+// holder returns an agent that owns slots.
+func (in *Injector) holder() string {
+	var names []string
+	for _, up := range in.fl.Config.Upstreams {
+		if ag := in.fl.Agent(up.Name); ag != nil && ag.Grant != nil && len(ag.Grant.Owned()) > 0 {
+			names = append(names, up.Name)
+		}
+	}
+	if len(names) == 0 {
+		return in.keyed()
+	}
+	return names[in.intn(len(names))]
+}
+
+// epoch reads the epoch in force of an agent; 0 if the table does not answer.
+func (in *Injector) epoch(ctx context.Context, upstream string) uint64 {
+	var row grant.EpochRow
+	raw, err := in.fl.Table.Get(ctx, grant.EpochKey(upstream))
+	if err != nil || json.Unmarshal(raw.Value, &row) != nil {
+		return 0
+	}
+	return row.Epoch
+}
+
 // resend lets the callers of an upstream's service send answered orders again.
 func (in *Injector) resend(ctx context.Context, upstream string) {
 	in.lo.Resend(ctx, in.service(upstream), resent)
@@ -42,24 +77,38 @@
 // Others take its slots over; then it wakes up, finds the orders, and must
 // learn from the table that they are not its own any more.
 func (in *Injector) pauseHolder(ctx context.Context) string {
-	name := in.keyed()
+	name := in.holder()
 	defer in.hold(name)()
-	ga := in.fl.Gate(name)
-	ga.Pause(true)
+	ag, ga := in.fl.Agent(name), in.fl.Gate(name)
+	if ag == nil {
+		return "no agent"
+	}
+	before, epoch := ag.Claim.Counts(), in.epoch(ctx, name)
+	// Orders come in while the table is slow, so that most wait to be claimed
+	// when the pause begins. It meets one group of claims on its way back.
+	in.fl.Table.SetSlow(slowTable)
 	in.lo.Burst(ctx, in.service(name), burst)
+	in.sleep(ctx, slowTable)
+	ga.Pause(true)
+	in.fl.Table.SetSlow(0)
 	in.fl.Unlist(name, true)
-	in.sleep(ctx, takenOver)
+	now := epoch
+	for waited := time.Duration(0); now <= epoch && waited < takenOver && in.sleep(ctx, epochPoll); waited += epochPoll {
+		now = max(epoch, in.epoch(ctx, name))
+	}
 	ga.Pause(false)
 	in.resend(ctx, name)
 	in.sleep(ctx, restart)
 	in.fl.Unlist(name, false)
-	return "agent " + name + ", given up by the platform, with orders on their way"
+	after := ag.Claim.Counts()
+	return fmt.Sprintf("agent %s, given up by the platform, epoch %d to %d, with orders on their way: %d claims fenced, %d won, %d ran on the grant",
+		name, epoch, now, after.Fenced-before.Fenced, after.Claims-before.Claims, after.Offline-before.Offline)
 }
 
 // replaceAgent stops an agent while its upstream runs orders, and starts
 // another at once, which knows nothing of them. Their entries ask it.
 func (in *Injector) replaceAgent(ctx context.Context) string {
-	name := in.keyed()
+	name := in.holder()
 	defer in.hold(name)()
 	up := in.fl.Upstream(name)
 	up.Slow(stalled / 10)
@@ -72,7 +121,7 @@
 	return "agent " + name + ", with orders that run"
 }
 
-// stall lets the calls of a service that begin within a second take 5 s, so
+// stall lets the calls of a service that begin within a second take 7.5 s, so
 // that they are cut while they run. Their callers send them again.
 func (in *Injector) stall(ctx context.Context) string {
 	service := in.service(in.keyed())
@@ -87,7 +136,8 @@
 	in.lo.Burst(ctx, service, burst)
 	in.sleep(ctx, restart)
 	slow(1)
-	in.sleep(ctx, takenOver)
+	in.sleep(ctx, stallFor)
+	in.lo.Resend(ctx, service, resent)
 	return "service " + service
 }
 
--- a/internal/proof/rowaudit/rowaudit.go
+++ b/internal/proof/rowaudit/rowaudit.go
@@ -69,7 +69,8 @@
 	au.epochs[upstream] = row.Epoch
 }
 
-// grant checks that the highest token sent to an engine never goes back.
+// grant checks that the highest token sent to an engine never goes back, and
+// that a new one carries the epoch under which it was raised.
 func (au *Audit) grant(upstream string, before, after citronstream.Row) {
 	var old, row grant.Record
 	if before.Version == 0 || !au.decode(before, &old) || !au.decode(after, &row) {
@@ -78,6 +79,9 @@
 	if row.Token < old.Token || row.Epoch < old.Epoch {
 		au.broken("grant of %s from epoch %d, token %d to epoch %d, token %d", upstream, old.Epoch, old.Token, row.Epoch, row.Token)
 	}
+	if row.Token != old.Token && row.Token&0xffff != row.Epoch&0xffff {
+		au.broken("token %d of %s was raised under epoch %d", row.Token, upstream, row.Epoch)
+	}
 }
 
 // once checks that an answer is final, and that a claim is changed by its own
--- a/internal/proof/rowaudit/rowaudit_test.go
+++ b/internal/proof/rowaudit/rowaudit_test.go
@@ -105,14 +105,16 @@
 	}
 }
 
-// Fails if the audit misses a fencing token that goes back.
+// Fails if the audit misses a fencing token that goes back or lacks the epoch.
 func TestTokensGoForward(t *testing.T) {
 	wo := newWorld(t)
 	wo.put(grant.EpochKey("e-1"), grant.EpochRow{Epoch: 2})
-	wo.put(grant.GrantKey("e-1"), grant.Record{Epoch: 2, Token: 7})
-	wo.put(grant.GrantKey("e-1"), grant.Record{Epoch: 2, Token: 7})
+	wo.put(grant.GrantKey("e-1"), grant.Record{Epoch: 2, Token: 1<<16 + 2})
+	wo.put(grant.GrantKey("e-1"), grant.Record{Epoch: 2, Token: 2<<16 + 2})
 	wo.want(0)
-	wo.put(grant.GrantKey("e-1"), grant.Record{Epoch: 2, Token: 6})
+	wo.put(grant.GrantKey("e-1"), grant.Record{Epoch: 2, Token: 1<<16 + 2})
 	wo.put(grant.EpochKey("e-1"), grant.EpochRow{Epoch: 2})
 	wo.want(2)
+	wo.put(grant.GrantKey("e-1"), grant.Record{Epoch: 2, Token: 3 << 16})
+	wo.want(3)
 }
--- a/internal/proof/trial/trial.go
+++ b/internal/proof/trial/trial.go
@@ -25,8 +25,10 @@
 )
 
 // runLimit bounds the run of an order. With the ordinary 30 s no order of a
-// run would be cut, and what is said of one that was would go unproved.
-const runLimit = 3 * time.Second
+// run would be cut, and what is said of one that was would go unproved. It is
+// longer than others take to get the slots of a paused agent, whose orders must
+// reach the check of their epoch.
+const runLimit = 6 * time.Second
 
 // Trial is one run.
 type Trial struct {
--- a/internal/standin/gate/gate.go
+++ b/internal/standin/gate/gate.go
@@ -47,13 +47,27 @@
 
 // thaw waits until the gate is open. A stopped process does not notice that
 // its time is up, so the end of a context does not end the wait.
-func (ga *Gate) thaw() {
+func (ga *Gate) thaw() (waited bool) {
 	ga.mu.Lock()
 	paused := ga.paused
 	ga.mu.Unlock()
-	if paused != nil {
-		<-paused
+	if paused == nil {
+		return false
 	}
+	<-paused
+	return true
+}
+
+// hold waits until the gate is open for a call that had begun before. After a
+// wait the call has a context without end.
+func (ga *Gate) hold(ctx context.Context) (context.Context, error) {
+	if err := ctx.Err(); err != nil {
+		return ctx, err
+	}
+	if ga.thaw() {
+		return context.WithoutCancel(ctx), nil
+	}
+	return ctx, nil
 }
 
 // pass waits until the gate is open.
@@ -73,12 +87,6 @@
 	}
 }
 
-func (ga *Gate) closed() bool {
-	ga.mu.Lock()
-	defer ga.mu.Unlock()
-	return ga.paused != nil
-}
-
 // Stream puts a connection behind the gate.
 func (ga *Gate) Stream(inner link.Stream) link.Stream {
 	st := &stream{Stream: inner, ga: ga, quiet: make(chan struct{}), closed: make(chan struct{})}
@@ -157,9 +165,9 @@
 	return st.Stream.Close()
 }
 
-// Table puts the table service behind the gate. A write that the pause meets
-// on its way takes effect after the pause, however late; one that the pause
-// meets half way takes effect, and its answer waits.
+// Table puts the table service behind the gate. A call that the pause meets on
+// its way takes effect after the pause, however late; one that the pause meets
+// half way takes effect, and its answer waits.
 func (ga *Gate) Table(inner citronstream.Table) citronstream.Table { return &table{inner, ga} }
 
 type table struct {
@@ -169,45 +177,32 @@
 
 // Get implements citronstream.Table.
 func (ta *table) Get(ctx context.Context, key string) (citronstream.Row, error) {
-	if err := ta.ga.pass(ctx); err != nil {
+	ctx, err := ta.ga.hold(ctx)
+	if err != nil {
 		return citronstream.Row{}, err
 	}
-	row, err := ta.inner.Get(ctx, key)
-	return row, first(err, ta.ga.pass(ctx))
+	defer ta.ga.thaw()
+	return ta.inner.Get(ctx, key)
 }
 
 // List implements citronstream.Table.
 func (ta *table) List(ctx context.Context, prefix string, limit int) ([]citronstream.Row, error) {
-	if err := ta.ga.pass(ctx); err != nil {
+	ctx, err := ta.ga.hold(ctx)
+	if err != nil {
 		return nil, err
 	}
-	rows, err := ta.inner.List(ctx, prefix, limit)
-	return rows, first(err, ta.ga.pass(ctx))
+	defer ta.ga.thaw()
+	return ta.inner.List(ctx, prefix, limit)
 }
 
 // Write implements citronstream.Table.
 func (ta *table) Write(ctx context.Context, opID string, ops ...citronstream.Op) error {
-	if err := ctx.Err(); err != nil {
+	ctx, err := ta.ga.hold(ctx)
+	if err != nil {
 		return err
 	}
-	if ta.ga.closed() {
-		ta.ga.thaw()
-		ctx = context.WithoutCancel(ctx)
-	}
-	err := ta.inner.Write(ctx, opID, ops...)
-	if ta.ga.pass(ctx) != nil {
-		return citronstream.ErrUnknownOutcome
-	}
-	return err
-}
-
-func first(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+	defer ta.ga.thaw()
+	return ta.inner.Write(ctx, opID, ops...)
 }
 
 // Protocol puts the way to the upstream behind the gate.
@@ -236,9 +231,9 @@
 
 // Models returns the models that the engine has loaded.
 func (co *commander) Models(ctx context.Context, address string) ([]string, error) {
-	if co.ga.closed() {
-		co.ga.thaw()
-		ctx = context.WithoutCancel(ctx)
+	ctx, err := co.ga.hold(ctx)
+	if err != nil {
+		return nil, err
 	}
 	return co.engine.Models(ctx, address)
 }
--- a/internal/standin/memlist/memlist.go
+++ b/internal/standin/memlist/memlist.go
@@ -18,6 +18,15 @@
 	removed bool
 }
 
+// Show ends the lag of all changes so far.
+func (li *List) Show() {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	for i := range li.waiting {
+		li.waiting[i].at = li.waiting[i].at.Add(-li.lag)
+	}
+}
+
 // List implements citronstream.Liveness.
 type List struct {
 	clk     citronstream.Clock
