--- a/internal/observe/metrics/metrics.go
+++ b/internal/observe/metrics/metrics.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/observe/invariant"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -123,6 +124,40 @@
 	})
 }
 
+// putReads takes the reads of a source and how many of them failed.
+type putReads func(source string, all, failed uint64)
+
+// reads adds the counter of what a process reads at intervals.
+func (se *Set) reads(read func(put putReads)) {
+	se.add(prometheus.CounterValue, "citronstream_reads_total", "Reads at intervals, by source and outcome.", []string{"source", "outcome"}, func(put emit) {
+		read(func(source string, all, failed uint64) {
+			put(float64(all-min(all, failed)), source, "done")
+			put(float64(failed), source, "failed")
+		})
+	})
+}
+
+// notices adds the counter of versions told to peers, and of those that peers had named already.
+func (se *Set) notices(read func() (sent, spared uint64)) {
+	se.events("citronstream_config_notices_total", "Notices of a configuration version to peers, by event.", "event", func(put func(uint64, string)) {
+		sent, spared := read()
+		put(sent, "sent")
+		put(spared, "spared")
+	})
+}
+
+// documents adds the counter of configuration documents read and given.
+func (se *Set) documents(st *version.Store) {
+	se.events("citronstream_config_documents_total", "Configuration documents read or given to peers, by event.", "event", func(put func(uint64, string)) {
+		co := st.Counts()
+		put(co.Wholes, "whole_read")
+		put(co.Deltas, "difference_read")
+		put(co.Mismatches, "difference_refused")
+		put(co.GaveWholes, "whole_given")
+		put(co.GaveDeltas, "difference_given")
+	})
+}
+
 // sizes adds the gauge of the bounded tables of a process.
 func (se *Set) sizes(read func(put func(size int, table string))) {
 	se.add(prometheus.GaugeValue, "citronstream_table_size", "Elements in a bounded table of the process.", []string{"table"}, func(put emit) {
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -94,6 +94,7 @@
 	observe  func(li *Link, version uint64)
 	inFlight atomic.Int64
 	late     atomic.Bool
+	named    atomic.Uint64
 	done     chan struct{}
 	mu       sync.Mutex
 	err      error
@@ -122,7 +123,9 @@
 	}
 	quiet := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
 	ready := make(chan struct{})
-	li.conn = jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(stream, codec{}), &dispatcher{li: li, ready: ready}, quiet)
+	co := &codec{}
+	li.conn = jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(stream, co), &dispatcher{li: li, ready: ready}, quiet,
+		jsonrpc2.OnSend(co.sent), jsonrpc2.OnRecv(co.received))
 	close(ready)
 	go li.watch(ctx)
 	return li
@@ -144,6 +147,7 @@
 	if req.Method == MethodPing {
 		var no citronstream.VersionNotice
 		if re.Decode(&no) == nil {
+			di.li.Name(no.Version)
 			di.li.observe(di.li, no.Version)
 		}
 		re.Reply(citronstream.VersionNotice{Version: di.li.version()})
@@ -158,6 +162,31 @@
 // Session returns the attached value or nil.
 func (li *Link) Session() any { return li.session.Load() }
 
+// Name notes a configuration version that a message of the peer has named.
+// A lower one than before changes nothing, as versions only grow.
+func (li *Link) Name(version uint64) {
+	for {
+		old := li.named.Load()
+		if version <= old || li.named.CompareAndSwap(old, version) {
+			return
+		}
+	}
+}
+
+// Named returns the highest version that the peer has named on this link, 0
+// before the first.
+func (li *Link) Named() uint64 { return li.named.Load() }
+
+// Tell names a version to the peer, unless the peer has named that one or a
+// higher one itself. It reports whether a notice was sent.
+func (li *Link) Tell(version uint64) bool {
+	if li.Named() >= version {
+		return false
+	}
+	_ = li.Notify(citronstream.MethodVersion, citronstream.VersionNotice{Version: version})
+	return true
+}
+
 // Remote returns the peer's address.
 func (li *Link) Remote() string { return li.stream.Remote() }
 
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -203,7 +203,7 @@
 		return 0
 	}
 	lifted := 0
-	if en.Holds.Lift(digest) {
+	if en.Lift(digest) {
 		lifted++
 	}
 	for _, li := range ask[report.Lifted](ctx, ro, en, report.MethodLift, report.Lift{Digest: digest}) {
@@ -212,6 +212,13 @@
 	return lifted
 }
 
+// Poke implements server.Process.
+func (ro *entryRole) Poke(service string) {
+	if en := ro.en.Load(); en != nil {
+		en.Poke(service)
+	}
+}
+
 // Drain implements server.Process.
 func (ro *entryRole) Drain(ctx context.Context, name string) error {
 	if name == "" || name == ro.da.set.Process.Name {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -56,8 +56,7 @@
 	Seed  uint64
 	Token string // shared secret of the peers
 	// Peers are addresses of agents that are asked for the configuration while the table is down.
-	Peers []string
-	// Platform is the platform's services.
+	Peers    []string
 	Platform citronstream.Platform
 	// Limits are in force before the first configuration.
 	Limits citronstream.Limits
@@ -111,7 +110,7 @@
 		Times: stagetime.New(clk), Timeline: timeline.New(clk, timeline.WithProcess(set.Name)),
 	}
 	en.Hints = prefix.New(clk)
-	en.HoldRow = holdrow.New(clk, set.Platform.Table, en.Holds, en.tellHolds)
+	en.HoldRow = holdrow.New(clk, set.Platform.Table, en.Holds, en.sendReports)
 	en.Keeper = witness.New(set.Platform.Table, set.Platform.Objects, clk, witness.WithRetention(set.Limits.KeyRetention.Std()))
 	en.Ledger = ledger.New(set.Platform.Table, clk, set.Name, uint64(en.started.UnixNano()), ledger.WithInterval(set.Limits.CostFlush.Std()))
 	en.Config = version.New(clk, set.Platform.Table, set.Platform.Objects,
@@ -119,12 +118,12 @@
 	en.ctx, en.cancel = context.WithCancel(ctx)
 	en.outliers = outlier.New(clk, en.Routes)
 	en.Agents = agents.New(en.ctx, clk, eng, en.Routes, en.hello,
-		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper), agents.WithGone(en.Hints.Drop), agents.WithGreeted(en.greeted),
+		agents.WithHandler(en.handle), agents.WithRecorder(en.Timeline), agents.WithKeeper(en.Keeper), agents.WithGone(en.Hints.Drop), agents.WithGreeted(en.linkOpened),
 		agents.WithObserve(func(upstream string, version uint64) { en.Config.Observe(version, upstream) }))
 	en.Members = membership.New(clk, set.Platform.Liveness, en.Routes, en.Agents.Links)
 	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, en.Budget, append([]pipeline.Option{
 		pipeline.WithTimes(en.Times), pipeline.WithHolds(en.Holds),
-		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}), pipeline.WithPoke(en.poke),
+		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}), pipeline.WithPoke(en.Poke),
 		pipeline.WithMeter(meter.New(en.Ledger, ledger.SideEntry)), pipeline.WithPrefixes(prefixes{en}),
 		pipeline.WithThrottle(throttle.New(clk, set.Seed)),
 	}, set.RunnerOptions...)...)
@@ -150,9 +149,7 @@
 	}
 	en.current.Store(next)
 	en.Agents.Replace(en.near(fl))
-	en.Agents.Links(func(_ string, li *link.Link) {
-		_ = li.Notify(citronstream.MethodVersion, citronstream.VersionNotice{Version: fl.Version})
-	})
+	en.Agents.Tell(fl.Version)
 	en.Timeline.Record(citronstream.Event{Kind: "ConfigInForce", Detail: strconv.FormatUint(fl.Version, 10)})
 	return nil
 }
@@ -205,7 +202,7 @@
 		}
 	})
 	en.own(func(ctx context.Context) { <-en.Ledger.Run(ctx) })
-	en.own(en.judge)
+	en.own(en.judgeOutliers)
 	en.own(en.Members.Beat)
 	en.own(en.HoldRow.Run)
 	if en.set.Platform.Liveness != nil {
@@ -238,13 +235,13 @@
 }
 
 // Fetch implements version.Fetcher: from an agent by name, or from an address.
-func (en *Entry) Fetch(ctx context.Context, peer string, atLeast uint64) (version.Document, error) {
+func (en *Entry) Fetch(ctx context.Context, peer string, rq citronstream.ConfigRequest) (version.Document, error) {
 	var do version.Document
 	if li := en.Agents.Link(peer); li != nil {
-		err := li.Call(ctx, citronstream.MethodConfig, citronstream.ConfigRequest{Version: atLeast}, &do)
+		err := li.Call(ctx, citronstream.MethodConfig, rq, &do)
 		return do, err
 	}
-	return asker.New(en.clk, en.eng, en.hello).Fetch(ctx, peer, atLeast)
+	return asker.New(en.clk, en.eng, en.hello).Fetch(ctx, peer, rq)
 }
 
 func (en *Entry) ready() error {
@@ -308,10 +305,17 @@
 	case citronstream.MethodPoison:
 		en.poison(li, re)
 	case citronstream.MethodConfig:
-		re.Reply(en.Config.Current().Document)
+		var rq citronstream.ConfigRequest
+		if err := re.Decode(&rq); err != nil {
+			re.ReplyError(err)
+			return
+		}
+		li.Name(rq.Holds)
+		re.Reply(en.Config.Answer(rq))
 	case citronstream.MethodVersion:
 		var no citronstream.VersionNotice
 		if he, ok := li.Session().(citronstream.Hello); ok && re.Decode(&no) == nil {
+			li.Name(no.Version)
 			en.Config.Observe(no.Version, he.Name)
 		}
 	case citronstream.MethodCache:
@@ -346,9 +350,9 @@
 	re.Reply(citronstream.SettleReply{Started: started})
 }
 
-// poke tells the agents of a service that a slot has no owner. The agents
+// Poke tells the agents of a service that its slots have changed or one has no owner. The agents
 // bound how often they act on it.
-func (en *Entry) poke(service string) {
+func (en *Entry) Poke(service string) {
 	se := en.Routes.Snapshot().Service(service)
 	if se == nil {
 		return
@@ -368,8 +372,8 @@
 	return ow.routes.Owner(service, grant.SlotOf(workspace, key), exclude...)
 }
 
-// judge looks for outliers until the entry ends.
-func (en *Entry) judge(ctx context.Context) {
+// judgeOutliers looks for outliers until the entry ends.
+func (en *Entry) judgeOutliers(ctx context.Context) {
 	ticker := en.clk.NewTicker(judgeEvery)
 	defer ticker.Stop()
 	for {
