--- a/internal/standin/gate/gate.go
+++ b/internal/standin/gate/gate.go
@@ -186,13 +186,13 @@
 }
 
 // List implements citronstream.Table.
-func (ta *table) List(ctx context.Context, prefix string, limit int) ([]citronstream.Row, error) {
+func (ta *table) List(ctx context.Context, prefix, after string, limit int) ([]citronstream.Row, error) {
 	ctx, err := ta.ga.hold(ctx)
 	if err != nil {
 		return nil, err
 	}
 	defer ta.ga.thaw()
-	return ta.inner.List(ctx, prefix, limit)
+	return ta.inner.List(ctx, prefix, after, limit)
 }
 
 // Write implements citronstream.Table.
