load: a kept connection of a killed entry explains a broken request

Change: such a request counts by the time at which its connection was opened. Result: TestBrokenConnection; a request on a connection opened after the kill still counts as lost.

--- a/internal/proof/load/answer.go
+++ b/internal/proof/load/answer.go
@@ -29,6 +29,7 @@
 	outcome   outcome
 	address   string
 	sent      time.Time
+	opened    time.Time // of the connection, zero without one
 	ended     time.Time
 	requestID string
 	code      citronstream.Code
@@ -49,7 +50,7 @@
 	switch {
 	case errors.As(err, &op) && op.Op == "dial", errors.Is(err, syscall.ECONNREFUSED):
 		an.outcome = unreachable
-	case lo.target.Killed(an.address, an.sent):
+	case lo.target.Killed(an.address, an.sent), !an.opened.IsZero() && lo.target.Killed(an.address, an.opened):
 		an.outcome = mayHaveRun
 	}
 }
--- a/internal/proof/load/load.go
+++ b/internal/proof/load/load.go
@@ -102,7 +102,7 @@
 	lo := &Load{
 		clk: clk, ca: catalog.New(config), log: log, target: target,
 		rnd: rand.New(rand.NewPCG(seed, 1)), rate: min(Capacity(config)/2, PeakRate),
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, MaxConnsPerHost: 4096, DisableCompression: true}},
+		client: newClient(clk),
 	}
 	for _, opt := range opts {
 		opt(lo)
--- a/internal/proof/load/trial.go
+++ b/internal/proof/load/trial.go
@@ -142,7 +142,7 @@
 		rq.Header.Set("Idempotency-Key", tr.key)
 	}
 	an := answer{sent: lo.clk.Now(), address: address}
-	re, err := lo.client.Do(rq)
+	re, err := lo.client.Do(rq.WithContext(withConn(ctx, &an)))
 	if err != nil {
 		an.ended = lo.clk.Now()
 		an.broken(lo, err)
