Idle heartbeats within 1.9 KB/s

Change: the byte budget of the heartbeats on idle links is 1,900 instead of 3,000 B/s; at 474 links an idle link is checked each 75 s instead of 47.5 s. Links with calls in flight are checked after 300 ms as before.

--- a/internal/entry/agents/agents.go
+++ b/internal/entry/agents/agents.go
@@ -29,7 +29,7 @@
 // Budget of the heartbeats on idle links: bytes a second, and bytes of one
 // heartbeat in both directions with its TCP headers.
 const (
-	idleBytes = 3000
+	idleBytes = 1900
 	pingBytes = 300
 )
 
