--- a/internal/agent/server/options.go
+++ b/internal/agent/server/options.go
@@ -44,3 +44,9 @@
 func WithExtra(extra func(li *link.Link, re *link.Request) bool) Option {
 	return func(se *Server) { se.extra = extra }
 }
+
+// WithStream sets what each connection of an entry passes through. Tests put
+// faults there.
+func WithStream(wrap func(link.Stream) link.Stream) Option {
+	return func(se *Server) { se.wrap = wrap }
+}
--- a/internal/agent/server/peer.go
+++ b/internal/agent/server/peer.go
@@ -15,7 +15,8 @@
 	se    *Server
 	li    *link.Link
 	name  string
-	known atomic.Bool // the hello was accepted
+	known atomic.Bool   // the hello was accepted
+	ready chan struct{} // closed when li is set
 	gone  chan struct{}
 }
 
@@ -37,6 +38,7 @@
 
 // handle takes one message. It runs on the link's reader and does not block.
 func (pe *peer) handle(li *link.Link, re *link.Request) {
+	<-pe.ready
 	if re.Method == citronstream.MethodHello {
 		pe.hello(re)
 		return
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -53,6 +53,7 @@
 	observe  func(li *link.Link, version uint64)
 	extra    func(li *link.Link, re *link.Request) bool
 	slots    func() []int
+	wrap     func(link.Stream) link.Stream
 
 	attempts *attempts.Table
 	counts   Counts
@@ -90,6 +91,7 @@
 		epoch: func() uint64 { return 1 }, version: func() uint64 { return 0 },
 		observe: func(*link.Link, uint64) {}, slots: func() []int { return nil },
 		extra:    func(*link.Link, *link.Request) bool { return false },
+		wrap:     func(stream link.Stream) link.Stream { return stream },
 		attempts: attempts.New(clk), links: make(map[*link.Link]*peer), running: make(map[string]*attempts.Attempt),
 		wake: make(chan struct{}, 1), done: make(chan struct{}), boot: citronstream.NewID(),
 	}
@@ -174,16 +176,17 @@
 			_ = nc.Close()
 			continue
 		}
-		se.take(stream)
+		se.take(se.wrap(stream))
 	}
 }
 
 func (se *Server) take(stream link.Stream) {
-	pe := &peer{se: se, gone: make(chan struct{})}
+	pe := &peer{se: se, ready: make(chan struct{}), gone: make(chan struct{})}
 	se.mu.Lock()
 	defer se.mu.Unlock()
 	li := link.New(se.ctx, se.clk, stream, pe.handle, link.WithIdleCheck(se.idleCheck))
 	pe.li = li
+	close(pe.ready)
 	se.links[li] = pe
 	go pe.watch()
 }
--- /dev/null
+++ b/internal/cli/demo/demo.go
@@ -0,0 +1,70 @@
+// Package demo is the command `citronstream demo`.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/config/check"
+	"github.com/citronstream/citronstream/internal/process/local"
+	"github.com/citronstream/citronstream/internal/proof/load"
+	"github.com/go-logr/logr"
+)
+
+// Command puts a load on a local fleet and prints the outcome.
+type Command struct {
+	Settings string        `help:"Settings file with a Fleet." type:"existingfile" default:"examples/magnolia.json"`
+	Seed     uint64        `help:"Seed of the load and of the faults." default:"1"`
+	Duration time.Duration `help:"How long requests are sent." default:"10s"`
+	Rate     float64       `help:"Requests a second; 0 takes half of what the engines can do."`
+	JSON     bool          `help:"Print the outcome as one JSON object on the last line." name:"json"`
+}
+
+// Run implements the command.
+func (co *Command) Run(ctx context.Context, out io.Writer, clk citronstream.Clock, log logr.Logger) error {
+	data, err := os.ReadFile(co.Settings)
+	if err != nil {
+		return err
+	}
+	set, faults := check.New().Settings(data)
+	if check.Failed(faults) || set.Fleet == nil {
+		return fmt.Errorf("--settings: %s has faults, see citronstream check %s", co.Settings, co.Settings)
+	}
+	fl, err := local.New(ctx, clk, set.Fleet, local.WithLog(log), local.WithSeed(co.Seed))
+	if err != nil {
+		return err
+	}
+	defer fl.Stop()
+	if err := fl.Ready(ctx); err != nil {
+		return err
+	}
+	var opts []load.Option
+	if co.Rate > 0 {
+		opts = append(opts, load.WithRate(co.Rate))
+	}
+	lo := load.New(clk, set.Fleet, fl.Record, fl, co.Seed, opts...)
+	runCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer clk.AfterFunc(co.Duration, cancel).Stop()
+	lo.Run(runCtx)
+	return co.print(out, lo.Report())
+}
+
+func (co *Command) print(out io.Writer, re load.Report) error {
+	enc := json.NewEncoder(out)
+	if !co.JSON {
+		enc.SetIndent("", "  ")
+	}
+	if err := enc.Encode(re); err != nil {
+		return err
+	}
+	if bad := re.Lost + re.Doubled + re.Crossed + re.FalseNotRun; bad > 0 {
+		return fmt.Errorf("%d promises were broken", bad)
+	}
+	return nil
+}
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -10,6 +10,7 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/cli/demo"
 	"github.com/citronstream/citronstream/internal/cli/local"
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
@@ -18,6 +19,7 @@
 
 // commands are the subcommands.
 type commands struct {
+	Demo  demo.Command  `cmd:"" help:"Put a load on a local fleet and print the outcome."`
 	Local local.Command `cmd:"" help:"Run a whole fleet with stand-ins in one process."`
 }
 
--- a/internal/entry/server/stream.go
+++ b/internal/entry/server/stream.go
@@ -129,6 +129,9 @@
 		problem(ew.wr, ew.id, out.Fault)
 		return
 	}
+	if out.Fault == nil && !ew.started && len(out.Body) > 0 {
+		ew.add(out.Body) // the last stage does not stream
+	}
 	ew.begin()
 	if out.Fault != nil {
 		ew.event("error", describe(ew.id, out.Fault))
--- a/internal/process/local/local.go
+++ b/internal/process/local/local.go
@@ -56,6 +56,7 @@
 	upstreams map[string]Upstream
 	agents    map[string]*agent.Agent
 	entries   map[string]*entry.Entry
+	killed    map[string]time.Time // by the entry's address
 }
 
 // Option changes a Fleet.
@@ -75,6 +76,7 @@
 	fl := &Fleet{
 		Config: config, Record: record.New(clk), clk: clk, log: logr.Discard(), scale: 1, seed: 1,
 		upstreams: make(map[string]Upstream), agents: make(map[string]*agent.Agent), entries: make(map[string]*entry.Entry),
+		killed: make(map[string]time.Time),
 	}
 	for _, opt := range opts {
 		opt(fl)
@@ -207,6 +209,14 @@
 	return fl.entries[name]
 }
 
+// Killed says whether the entry at this address was stopped by a fault after that time.
+func (fl *Fleet) Killed(address string, since time.Time) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	at, ok := fl.killed[address]
+	return ok && at.After(since)
+}
+
 // Stop ends the fleet: entries first, so that no call is cut.
 func (fl *Fleet) Stop() {
 	fl.mu.Lock()
--- /dev/null
+++ b/internal/proof/load/trial.go
@@ -0,0 +1,128 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// trial is one logical request: what its caller sent, once or several times,
+// and what came back.
+type trial struct {
+	class
+	body     []byte
+	key      string
+	sends    int
+	twice    bool
+	stubborn bool // sends again whatever the answer
+	entry    int
+	began    time.Time
+
+	mu      sync.Mutex
+	answers []answer
+}
+
+func (lo *Load) newTrial(cl class) *trial {
+	lo.rndMu.Lock()
+	defer lo.rndMu.Unlock()
+	tr := &trial{class: cl, sends: 1, entry: lo.rnd.IntN(len(lo.ca.Fleet.Entries)), began: lo.clk.Now()}
+	number := lo.rnd.Uint64()
+	if cl.pipeline != "" {
+		tr.body = fmt.Appendf(nil, `{"prompt":"request %x asks for the spec of item %d","max_tokens":%d,"stream":true}`, number, number%1000, maxTokens)
+		return tr
+	}
+	tr.body = fmt.Appendf(nil, `{"Item":%d,"Number":"%x"}`, number%1000, number)
+	if cl.once {
+		tr.sends = maxSends
+		tr.twice = lo.rnd.Float64() < twiceShare
+		tr.key = newKey(lo.rnd)
+	}
+	return tr
+}
+
+func newKey(rnd *rand.Rand) string {
+	if rnd.Float64() < opaqueShare {
+		return fmt.Sprintf("order-%016x", rnd.Uint64())
+	}
+	return uuid.Must(uuid.NewV7()).String()
+}
+
+// run sends the request, and again while the caller has no answer that ends
+// its wish.
+func (lo *Load) run(ctx context.Context, tr *trial) {
+	if tr.twice {
+		var other sync.WaitGroup
+		other.Go(func() { lo.send(ctx, tr, tr.entry+1) })
+		defer other.Wait()
+	}
+	for try := range tr.sends {
+		an := lo.send(ctx, tr, tr.entry+try)
+		if an.final() && !tr.stubborn {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-lo.clk.After(resendAfter * time.Duration(try+1)):
+		}
+	}
+}
+
+// send sends the request once. An entry that can't be reached is skipped, as
+// the platform's balancer would do.
+func (lo *Load) send(ctx context.Context, tr *trial, entry int) answer {
+	entries := lo.ca.Fleet.Entries
+	var an answer
+	for i := range entries {
+		address := entries[(entry+i)%len(entries)].Address
+		an = lo.exchange(ctx, tr, address)
+		if an.outcome != unreachable {
+			break
+		}
+	}
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.answers = append(tr.answers, an)
+	return an
+}
+
+func (lo *Load) exchange(ctx context.Context, tr *trial, address string) answer {
+	deadline := lo.ca.Deadline(tr.rank)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer lo.clk.AfterFunc(deadline+answerGrace, cancel).Stop()
+	path := "/v1/pipelines/" + tr.pipeline
+	if tr.pipeline == "" {
+		path = "/v1/services/" + tr.service + "/" + tr.call
+	}
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(tr.body))
+	if err != nil {
+		return answer{outcome: unreachable}
+	}
+	// net/http would send a request with an Idempotency-Key again by itself.
+	rq.GetBody = nil
+	rq.Header.Set("X-Workspace", tr.ws.Name)
+	rq.Header.Set("X-Rank", lo.ca.Fleet.Ranks[tr.rank].Name)
+	if tr.key != "" {
+		rq.Header.Set("Idempotency-Key", tr.key)
+	}
+	an := answer{sent: lo.clk.Now(), address: address}
+	re, err := lo.client.Do(rq)
+	if err != nil {
+		an.ended = lo.clk.Now()
+		an.broken(lo, err)
+		return an
+	}
+	defer func() { _ = re.Body.Close() }()
+	body, err := io.ReadAll(re.Body)
+	an.ended = lo.clk.Now()
+	an.read(lo, re, body, err)
+	return an
+}
