--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -6,12 +6,14 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/cli/demo"
 	"github.com/citronstream/citronstream/internal/cli/local"
+	"github.com/citronstream/citronstream/internal/proof/faults"
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 	"github.com/jonboulle/clockwork"
@@ -40,6 +42,7 @@
 	exit := -1
 	parser, err := kong.New(&cmds, kong.Name("citronstream"), kong.UsageOnError(),
 		kong.Description("Serves multi-stage model pipelines and the plain services beside them."),
+		kong.Vars{"faults": strings.Join(faults.Kinds(), ", ")},
 		kong.Writers(ro.out, ro.err), kong.Exit(func(code int) { exit = code }))
 	if err != nil {
 		panic(err) // the grammar is a constant of the program
--- a/internal/process/local/local.go
+++ b/internal/process/local/local.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/observe/timeline"
 	"github.com/citronstream/citronstream/internal/once/grant"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
 	"github.com/citronstream/citronstream/internal/process/agent"
@@ -249,6 +250,20 @@
 	return ok && at.After(since)
 }
 
+// Timeline merges the events of all processes.
+func (fl *Fleet) Timeline() []citronstream.Event {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	var lists [][]citronstream.Event
+	for _, en := range fl.entries {
+		lists = append(lists, en.Timeline.Snapshot(timeline.Filter{}))
+	}
+	for _, ag := range fl.agents {
+		lists = append(lists, ag.Timeline.Snapshot(timeline.Filter{}))
+	}
+	return timeline.Merge(lists...)
+}
+
 // Stop ends the fleet: entries first, so that no call is cut.
 func (fl *Fleet) Stop() {
 	fl.mu.Lock()
