--- a/call.go
+++ b/call.go
@@ -38,9 +38,13 @@
 	// is too old does not run on an agent's grant.
 	SentAt time.Time `json:"SentAt,omitzero"`
 	// After is the estimated time of the later stages, already taken off Left.
-	After  time.Duration `json:"After,omitempty"`
-	Cost   float64       `json:"Cost"` // estimated cost units
-	Digest uint64        `json:"Digest"`
+	After time.Duration `json:"After,omitempty"`
+	Cost  float64       `json:"Cost"` // estimated cost units
+	// CostPerToken, in cost units, is part of the estimate in Cost for
+	// TokensExpected tokens, and corrects it by the tokens used.
+	CostPerToken   float64 `json:"CostPerToken,omitempty"`
+	TokensExpected int     `json:"TokensExpected,omitempty"`
+	Digest         uint64  `json:"Digest"`
 	// Suspect says that the content has been on an upstream that died.
 	Suspect bool   `json:"Suspect,omitempty"`
 	Trace   string `json:"Trace,omitempty"` // traceparent header
--- a/fleet.go
+++ b/fleet.go
@@ -131,8 +131,11 @@
 	Idempotent bool   `json:"Idempotent,omitempty"`
 	// Rank is the rank of calls that name none.
 	Rank string `json:"Rank,omitempty"`
-	// Cost is the estimated cost of a call, in cost units.
+	// Cost is the cost of a call, in cost units.
 	Cost float64 `json:"Cost,omitempty"`
+	// CostPer1KTokens is added for each 1,000 tokens of prompt and answer. The
+	// estimate takes max_tokens for the answer, the account what was generated.
+	CostPer1KTokens float64 `json:"CostPer1KTokens,omitempty"`
 	// Streams says that the answer is passed on as it is made.
 	Streams bool `json:"Streams,omitempty"`
 }
--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -204,8 +204,8 @@
 	took := se.clk.Now().Sub(started)
 	re.Queued = started.Sub(at.Arrived)
 	re.Usage.Busy = took
-	if re.Usage.Cost == 0 && re.Fault == nil {
-		re.Usage.Cost = ca.Cost
+	if re.Usage.Cost == 0 && (re.Fault == nil || re.Usage.TokensOut > 0) {
+		re.Usage.Cost = corrected(ca, re.Usage)
 	}
 	if re.Fault == nil && se.holds != nil {
 		se.holds.Finished(ca.Digest)
@@ -297,6 +297,14 @@
 	return re
 }
 
+// corrected is the cost of a call by the tokens that it used.
+func corrected(ca *citronstream.Call, us citronstream.Usage) float64 {
+	if us.TokensIn+us.TokensOut == 0 {
+		return ca.Cost
+	}
+	return ca.Cost + ca.CostPerToken*float64(us.TokensIn+us.TokensOut-ca.TokensExpected)
+}
+
 // throughput keeps a decayed figure of the cost units a second that the
 // upstream does when all its capacity is used. The caller holds mu.
 func (se *Server) throughput(cost float64, took time.Duration) {
--- a/internal/cli/demo/demo.go
+++ b/internal/cli/demo/demo.go
@@ -12,9 +12,9 @@
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/config/check"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
-	"github.com/citronstream/citronstream/internal/process/local"
 	"github.com/citronstream/citronstream/internal/proof/faults"
 	"github.com/citronstream/citronstream/internal/proof/load"
+	"github.com/citronstream/citronstream/internal/proof/trial"
 	"github.com/go-logr/logr"
 )
 
@@ -24,11 +24,25 @@
 	Seed     uint64         `help:"Seed of the load and of the faults." default:"1"`
 	Duration time.Duration  `help:"How long requests are sent." default:"10s"`
 	Rate     float64        `help:"Requests a second; 0 takes half of what the engines can do."`
+	Scale    float64        `help:"Fraction of the fleet's instances, upstreams and load, above 0 and up to 1." default:"1"`
 	Fault    []faults.Fault `help:"Fault to bring about, as KIND@TIME; repeatable. Kinds: ${faults}." placeholder:"KIND@TIME"`
-	Timeline string         `help:"Write the timeline of this request to standard error: an identifier, a code such as deadline, or slowest."`
+	Timeline string         `help:"Write the timeline of a request to standard error: an identifier, a code such as deadline, or slowest."`
 	JSON     bool           `help:"Print the outcome as one JSON object on the last line." name:"json"`
 }
 
+// Validate is called by kong.
+func (co *Command) Validate() error {
+	switch {
+	case co.Scale <= 0 || co.Scale > 1:
+		return fmt.Errorf("--scale: must be above 0 and up to 1, got %g", co.Scale)
+	case co.Duration <= 0:
+		return fmt.Errorf("--duration: must be positive, got %s", co.Duration)
+	case co.Rate < 0:
+		return fmt.Errorf("--rate: must not be negative, got %g", co.Rate)
+	}
+	return nil
+}
+
 // Run implements the command.
 func (co *Command) Run(ctx context.Context, out io.Writer, clk citronstream.Clock, log logr.Logger) error {
 	data, err := os.ReadFile(co.Settings)
@@ -39,43 +53,20 @@
 	if check.Failed(bad) || set.Fleet == nil {
 		return fmt.Errorf("--settings: %s has faults, see citronstream check %s", co.Settings, co.Settings)
 	}
-	fl, err := local.New(ctx, clk, set.Fleet, local.WithLog(log), local.WithSeed(co.Seed))
+	tr := trial.New(clk, set.Fleet, co.Seed, co.Duration,
+		trial.WithLog(log), trial.WithFaults(co.Fault), trial.WithRate(co.Rate), trial.WithScale(co.Scale))
+	re, events, err := tr.Run(ctx)
 	if err != nil {
 		return err
 	}
-	defer fl.Stop()
-	if err := fl.Ready(ctx); err != nil {
-		return err
-	}
-	var opts []load.Option
-	if co.Rate > 0 {
-		opts = append(opts, load.WithRate(co.Rate))
-	}
-	lo := load.New(clk, set.Fleet, fl.Record, fl, co.Seed, opts...)
-	runCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer clk.AfterFunc(co.Duration, cancel).Stop()
-	in := faults.New(clk, fl, lo, co.Seed)
-	injected := make(chan struct{})
-	go func() {
-		defer close(injected)
-		in.Run(runCtx, co.Fault)
-	}()
-	lo.Run(runCtx)
-	<-injected
-	re := lo.Report()
-	re.Faults = in.Done()
-	if err := in.Err(); err != nil {
-		return err
-	}
-	if err := co.timeline(fl, re); err != nil {
+	if err := co.timeline(events, re); err != nil {
 		return err
 	}
 	return co.print(out, re)
 }
 
 // timeline writes the events of one request, or of the first violation.
-func (co *Command) timeline(fl *local.Fleet, re load.Report) error {
+func (co *Command) timeline(events []citronstream.Event, re load.Report) error {
 	id := co.Timeline
 	if id == "slowest" {
 		id = re.Slowest
@@ -89,7 +80,7 @@
 	if id == "" {
 		return nil
 	}
-	return timeline.WriteText(os.Stderr, timeline.Follow(fl.Timeline(), id))
+	return timeline.WriteText(os.Stderr, timeline.Follow(events, id))
 }
 
 func (co *Command) print(out io.Writer, re load.Report) error {
@@ -100,7 +91,7 @@
 	if err := enc.Encode(re); err != nil {
 		return err
 	}
-	if bad := re.Lost + re.Doubled + re.Crossed + re.FalseNotRun; bad > 0 {
+	if bad := re.Broken(); bad > 0 {
 		return fmt.Errorf("%d promises were broken", bad)
 	}
 	return nil
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -13,6 +13,7 @@
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/cli/demo"
 	"github.com/citronstream/citronstream/internal/cli/local"
+	"github.com/citronstream/citronstream/internal/cli/soak"
 	"github.com/citronstream/citronstream/internal/proof/faults"
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
@@ -22,6 +23,7 @@
 // commands are the subcommands.
 type commands struct {
 	Demo  demo.Command  `cmd:"" help:"Put a load on a local fleet and print the outcome."`
+	Soak  soak.Command  `cmd:"" help:"Run a local fleet under faults drawn from a seed."`
 	Local local.Command `cmd:"" help:"Run a whole fleet with stand-ins in one process."`
 }
 
--- a/internal/config/check/services.go
+++ b/internal/config/check/services.go
@@ -58,6 +58,7 @@
 			ru.refer(at(j), "Rank", "Ranks", "rank", ca.Rank, ru.ranks)
 		}
 		within(ru, at(j), "Cost", ca.Cost, 0, maxCost)
+		within(ru, at(j), "CostPer1KTokens", ca.CostPer1KTokens, 0, maxCost)
 		if ca.Streams && !ca.Idempotent {
 			ru.warn(at(j), "Streams", "a non-idempotent call is answered from its record when it is sent again, not streamed")
 		}
--- a/internal/entry/pipeline/pipeline.go
+++ b/internal/entry/pipeline/pipeline.go
@@ -168,11 +168,13 @@
 	ctx, cancel := ru.deadline(ctx, rq.Deadline)
 	defer cancel()
 	at := &attempts{ru: ru, budget: ru.budget.Request(), end: ru.clk.Now().Add(rq.Deadline)}
-	return at.run(ctx, citronstream.Call{
+	one := citronstream.Call{
 		RequestID: rq.ID, Workspace: rq.Workspace.Name, Owner: rq.Workspace.Owner, Rank: rq.Rank, Service: service, Call: call,
-		Path: sc.Path, Idempotent: sc.Idempotent, Key: rq.Key, KeyGiven: rq.KeyGiven, Cost: cost(sc), Body: rq.Body,
+		Path: sc.Path, Idempotent: sc.Idempotent, Key: rq.Key, KeyGiven: rq.KeyGiven, Body: rq.Body,
 		Digest: citronstream.Digest(rq.Body), Trace: rq.Trace,
-	}, nil)
+	}
+	price(&one, sc, 0)
+	return at.run(ctx, one, nil)
 }
 
 func (ru *Runner) deadline(ctx context.Context, limit time.Duration) (context.Context, func()) {
@@ -188,10 +190,23 @@
 	return Outcome{Fault: citronstream.NewFault(ve, code, format, args...)}
 }
 
-// cost returns the estimated cost units of a call; a call without a figure counts as 1.
+// cost returns the cost units of a call without its tokens; a call without a figure counts as 1.
 func cost(sc *citronstream.ServiceCall) float64 {
 	if sc.Cost > 0 {
 		return sc.Cost
 	}
 	return 1
 }
+
+// bytesPerToken is the usual size of a token of text.
+const bytesPerToken = 4
+
+// price sets a call's estimated cost. MaxTokens is what the answer may have.
+func price(ca *citronstream.Call, sc *citronstream.ServiceCall, maxTokens int) {
+	ca.Cost = cost(sc)
+	if sc.CostPer1KTokens > 0 {
+		ca.CostPerToken = sc.CostPer1KTokens / 1000
+		ca.TokensExpected = len(ca.Body)/bytesPerToken + maxTokens
+		ca.Cost += ca.CostPerToken * float64(ca.TokensExpected)
+	}
+}
--- a/internal/entry/pipeline/stages.go
+++ b/internal/entry/pipeline/stages.go
@@ -67,9 +67,10 @@
 	ca := citronstream.Call{
 		RequestID: ex.rq.ID, Workspace: ex.rq.Workspace.Name, Owner: ex.rq.Workspace.Owner, Rank: ex.rq.Rank,
 		Pipeline: ex.pi.Name, Stage: st.Name, Service: st.Service, Call: st.Call, Path: sc.Path, Model: st.Model,
-		Idempotent: sc.Idempotent, Streams: sc.Streams && last && ex.sink != nil, Cost: cost(sc),
+		Idempotent: sc.Idempotent, Streams: sc.Streams && last && ex.sink != nil,
 		After: ex.rest[at+1], Body: body, Digest: citronstream.Digest(body), Trace: ex.rq.Trace,
 	}
+	price(&ca, sc, ex.bu.MaxTokens())
 	if !sc.Idempotent {
 		ca.Key, ca.KeyGiven = ex.rq.Key+"/"+st.Name, ex.rq.KeyGiven
 	}
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -80,9 +80,15 @@
 
 // Start listens for callers.
 func (se *Server) Start(ctx context.Context) error {
+	// nbio's engine hangs in its start when its own listen fails.
+	ln, err := net.Listen("tcp", se.address)
+	if err != nil {
+		return merry.Prependf(err, "entry at %s", se.address)
+	}
 	se.ctx, se.cancel = context.WithCancel(ctx)
 	se.eng = nbhttp.NewEngine(nbhttp.Config{
 		Network: "tcp", Addrs: []string{se.address}, NPoller: 2, NListener: 1,
+		Listen:          func(string, string) (net.Listener, error) { return ln, nil },
 		MaxLoad:         se.limits.MaxConnections,
 		ReadLimit:       se.limits.MaxHeaderBytes + se.limits.MaxBodyBytes,
 		MaxHTTPBodySize: se.limits.MaxBodyBytes, MaxWriteBufferSize: maxUnsent,
--- a/internal/entry/stagebody/stagebody.go
+++ b/internal/entry/stagebody/stagebody.go
@@ -40,6 +40,18 @@
 // Stream says whether the caller asked for a streamed answer.
 func (bu *Builder) Stream() bool { return string(bu.fields["stream"]) == "true" }
 
+// defaultMaxTokens is what engines commonly generate for a request without a limit.
+const defaultMaxTokens = 16
+
+// MaxTokens returns the caller's limit on the answer.
+func (bu *Builder) MaxTokens() int {
+	limit := defaultMaxTokens
+	if err := json.Unmarshal(bu.fields["max_tokens"], &limit); err != nil || limit < 0 {
+		return defaultMaxTokens
+	}
+	return limit
+}
+
 // poolInput is what encoders, retrievers and rerankers take.
 type poolInput struct {
 	Model    string                     `json:"model,omitempty"`
--- a/internal/observe/ledger/counts.go
+++ b/internal/observe/ledger/counts.go
@@ -56,18 +56,27 @@
 }
 
 func (co *Counts) add(other Counts) {
-	co.Calls += other.Calls
-	co.Cost += other.Cost
-	co.TokensIn += other.TokensIn
-	co.TokensOut += other.TokensOut
-	co.Busy += other.Busy
-	co.Queued += other.Queued
-	co.Attained += other.Attained
+	co.Calls = sum(co.Calls, other.Calls)
+	co.Cost = sum(co.Cost, other.Cost)
+	co.TokensIn = sum(co.TokensIn, other.TokensIn)
+	co.TokensOut = sum(co.TokensOut, other.TokensOut)
+	co.Busy = sum(co.Busy, other.Busy)
+	co.Queued = sum(co.Queued, other.Queued)
+	co.Attained = sum(co.Attained, other.Attained)
 }
 
-// bound is the most that one row of a record may count in each field. Records
-// above it are refused, so that sums over a day's records can't overflow.
-const bound = math.MaxInt64 / (1 << 20)
+// sum adds counts that are not negative, and stays at the largest value.
+func sum[T ~int64](a, b T) T {
+	if a > math.MaxInt64-b {
+		return math.MaxInt64
+	}
+	return a + b
+}
+
+// bound is the most that one row of a record may count in each field; a row
+// above it is a fault of its writer. In a flood the calls of one interval
+// wait for hours together, so a bound of 2^43 ns refused real records.
+const bound = 1 << 56
 
 func (co Counts) check() error {
 	fields := []int64{co.Calls, int64(co.Cost), co.TokensIn, co.TokensOut, int64(co.Busy), int64(co.Queued), co.Attained}
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -13,6 +13,8 @@
 	"github.com/citronstream/citronstream/internal/kernel/discipline"
 	"github.com/citronstream/citronstream/internal/kernel/protocol"
 	"github.com/citronstream/citronstream/internal/limit/poison"
+	"github.com/citronstream/citronstream/internal/observe/ledger"
+	"github.com/citronstream/citronstream/internal/observe/meter"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
 	"github.com/citronstream/citronstream/internal/once/claim"
 	"github.com/citronstream/citronstream/internal/once/grant"
@@ -62,6 +64,7 @@
 
 	Config *version.Store
 	Queue  citronstream.Discipline
+	Ledger *ledger.Ledger
 
 	set    Settings
 	clk    citronstream.Clock
@@ -113,7 +116,9 @@
 		pr = set.Wrap(pr)
 	}
 	ag.Queue = factory(discipline.Settings{Clock: clk, Fleet: *fl, Capacity: up.Capacity, Rate: firstRate(se, up.Capacity)})
+	ag.Ledger = ledger.New(set.Platform.Table, clk, up.Name, uint64(clk.Now().UnixNano()), ledger.WithInterval(fl.Limits.CostFlush.Std()))
 	opts := []server.Option{
+		server.WithMeter(meter.New(ag.Ledger, ledger.SideAgent)),
 		server.WithHolds(ag.Holds), server.WithRecorder(ag.Timeline), server.WithLog(log), server.WithToken(set.Token),
 		server.WithVersion(ag.Config.Version, func(entry string, version uint64) { ag.Config.Observe(version, entry) }),
 		server.WithExtra(ag.handle),
@@ -168,7 +173,12 @@
 		defer close(followed)
 		ag.Config.Run(ctx)
 	}()
-	ag.ended = append(ag.ended, followed)
+	flushed := make(chan struct{})
+	go func() {
+		defer close(flushed)
+		<-ag.Ledger.Run(ctx)
+	}()
+	ag.ended = append(ag.ended, followed, flushed)
 	if ag.Grant != nil {
 		ag.ended = append(ag.ended, ag.Grant.Run(ctx), ag.Claim.Run(ctx))
 	}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -19,6 +19,8 @@
 	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/limit/retrybudget"
 	"github.com/citronstream/citronstream/internal/limit/stagetime"
+	"github.com/citronstream/citronstream/internal/observe/ledger"
+	"github.com/citronstream/citronstream/internal/observe/meter"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
 	"github.com/citronstream/citronstream/internal/once/claim"
 	"github.com/citronstream/citronstream/internal/once/grant"
@@ -68,6 +70,7 @@
 	Keeper   *witness.Keeper
 	Config   *version.Store
 	Budget   *retrybudget.Budget
+	Ledger   *ledger.Ledger
 
 	set      Settings
 	clk      citronstream.Clock
@@ -96,6 +99,7 @@
 		Routes: table.New(clk), Holds: poison.New(clk, set.Limits), Budget: retrybudget.New(clk, set.Limits), Timeline: timeline.New(clk, timeline.WithProcess(set.Name)),
 	}
 	en.Keeper = witness.New(set.Platform.Table, set.Platform.Objects, clk, witness.WithRetention(set.Limits.KeyRetention.Std()))
+	en.Ledger = ledger.New(set.Platform.Table, clk, set.Name, uint64(en.started.UnixNano()), ledger.WithInterval(set.Limits.CostFlush.Std()))
 	en.Config = version.New(clk, set.Platform.Table, set.Platform.Objects,
 		version.WithPoll(set.Limits.ConfigPoll.Std()), version.WithFetcher(en))
 	en.ctx, en.cancel = context.WithCancel(ctx)
@@ -105,7 +109,8 @@
 		agents.WithObserve(func(upstream string, version uint64) { en.Config.Observe(version, upstream) }))
 	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, en.Budget,
 		pipeline.WithTimes(stagetime.New(clk)), pipeline.WithHolds(en.Holds),
-		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}), pipeline.WithPoke(en.poke))
+		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}), pipeline.WithPoke(en.poke),
+		pipeline.WithMeter(meter.New(en.Ledger, ledger.SideEntry)))
 	en.Server = server.New(clk, address, en.Runner, en.Catalog, set.Limits, server.WithReady(en.ready))
 	return en
 }
@@ -175,6 +180,7 @@
 			en.log.Error(err, "configuration not in force", "version", sn.Fleet.Version)
 		}
 	})
+	en.own(func(ctx context.Context) { <-en.Ledger.Run(ctx) })
 	en.own(en.judge)
 	en.own(en.follow)
 	return nil
--- a/internal/process/local/control.go
+++ b/internal/process/local/control.go
@@ -10,6 +10,7 @@
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/observe/invariant"
+	"github.com/citronstream/citronstream/internal/observe/ledger"
 	"github.com/citronstream/citronstream/internal/standin/gate"
 )
 
@@ -70,6 +71,32 @@
 	}
 }
 
+// Costs flushes what all processes have counted and reads the report.
+func (fl *Fleet) Costs(ctx context.Context) (ledger.Report, error) {
+	fl.mu.Lock()
+	var all []*ledger.Ledger
+	for _, en := range fl.entries {
+		all = append(all, en.Ledger)
+	}
+	for _, ag := range fl.agents {
+		all = append(all, ag.Ledger)
+	}
+	fl.mu.Unlock()
+	for _, le := range all {
+		if err := le.Flush(ctx); err != nil {
+			return ledger.Report{}, err
+		}
+	}
+	deltas, err := ledger.Read(ctx, fl.Table, fl.clk.Now(), maxRecords)
+	if err != nil {
+		return ledger.Report{}, err
+	}
+	return ledger.Tally(deltas)
+}
+
+// maxRecords bounds the cost records of a run.
+const maxRecords = 1 << 20
+
 // inForceWithin is the target for a configuration to be in force everywhere on
 // the sites of today.
 const inForceWithin = 5 * time.Second
--- a/internal/proof/load/report.go
+++ b/internal/proof/load/report.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/citronstream/citronstream/internal/observe/ledger"
 	"github.com/citronstream/citronstream/internal/standin/record"
 )
 
@@ -20,6 +21,7 @@
 	Doubled     int `json:"Doubled"`
 	Crossed     int `json:"Crossed"`
 	FalseNotRun int `json:"FalseNotRun"`
+	Invariants  int `json:"Invariants"` // violated conditions inside the program
 
 	Flood                    int                `json:"Flood"` // requests of a flood, part of Sent, not of the attainments
 	AttainmentByRank         map[string]float64 `json:"AttainmentByRank"`
@@ -29,6 +31,8 @@
 
 	CostByStage map[string]float64 `json:"CostByStage"`
 	CostByOwner map[string]float64 `json:"CostByOwner"`
+	// CostGap is the agents' count less the entries' count, in cost units.
+	CostGap float64 `json:"CostGap"`
 
 	AddedLatencyP50Micros int64 `json:"AddedLatencyP50Micros"`
 	AddedLatencyP99Micros int64 `json:"AddedLatencyP99Micros"`
@@ -45,6 +49,23 @@
 	Violations []Violation `json:"Violations,omitempty"`
 }
 
+// Broken counts the broken promises.
+func (re *Report) Broken() int {
+	return re.Lost + re.Doubled + re.Crossed + re.FalseNotRun + re.Invariants
+}
+
+// Costs sets the costs as the agents have counted them.
+func (re *Report) Costs(of ledger.Report) {
+	re.CostByStage, re.CostByOwner = map[string]float64{}, map[string]float64{}
+	for _, li := range of.ByStage {
+		re.CostByStage[li.Name] = li.Agent.Cost.Float()
+	}
+	for _, li := range of.ByOwner {
+		re.CostByOwner[li.Name] = li.Agent.Cost.Float()
+	}
+	re.CostGap = of.Total.Agent.Cost.Float() - of.Total.Entry.Cost.Float()
+}
+
 // maxViolations bounds the listed violations; the counts are complete.
 const maxViolations = 20
 
