--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -11,18 +11,45 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/cli/check"
 	"github.com/citronstream/citronstream/internal/cli/demo"
+	"github.com/citronstream/citronstream/internal/cli/inventory"
 	"github.com/citronstream/citronstream/internal/cli/local"
+	"github.com/citronstream/citronstream/internal/cli/version"
+	checker "github.com/citronstream/citronstream/internal/config/check"
+	"github.com/citronstream/citronstream/internal/kernel/policy"
+	"github.com/citronstream/citronstream/internal/kernel/protocol"
 	"github.com/citronstream/citronstream/internal/proof/faults"
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 	"github.com/jonboulle/clockwork"
+	"github.com/willabides/kongplete"
 )
 
 // commands are the subcommands.
 type commands struct {
+	Check     check.Command     `cmd:"" help:"Check settings documents and list all faults."`
+	Inventory inventory.Command `cmd:"" help:"Work on the inventory of a fleet."`
+
 	Demo  demo.Command  `cmd:"" help:"Put a load on a local fleet and print the outcome."`
 	Local local.Command `cmd:"" help:"Run a whole fleet with stand-ins in one process."`
+
+	Version    version.Command              `cmd:"" help:"Print the version."`
+	Completion kongplete.InstallCompletions `cmd:"" help:"Print or install shell completions."`
+}
+
+// description heads the help text. The exit codes are part of the interface.
+const description = `Serves multi-stage model pipelines and the plain services beside them.
+
+Exit codes: 0 for success, 1 for a failure or faults found, 2 for a wrong command line.`
+
+// newCommands returns the commands with what they need to know of the plug-ins.
+func (ro *Root) newCommands() *commands {
+	ch := checker.New(checker.WithProtocols(protocol.Names()...), checker.WithPolicies(policy.Names()...))
+	return &commands{
+		Check:     *check.New(check.WithChecker(ch), check.WithOutput(ro.out)),
+		Inventory: *inventory.New(inventory.WithChecker(ch), inventory.WithOutput(ro.out), inventory.WithNotes(ro.err)),
+	}
 }
 
 // Root is the command line.
@@ -38,15 +65,21 @@
 func (ro *Root) Run(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	var cmds commands
+	// After the first signal the default action is back, so that a second one
+	// ends a process that drains.
+	defer context.AfterFunc(ctx, stop)()
 	exit := -1
-	parser, err := kong.New(&cmds, kong.Name("citronstream"), kong.UsageOnError(),
-		kong.Description("Serves multi-stage model pipelines and the plain services beside them."),
+	parser, err := kong.New(ro.newCommands(), kong.Name("citronstream"), kong.UsageOnError(),
+		kong.Description(description),
 		kong.Vars{"faults": strings.Join(faults.Kinds(), ", ")},
 		kong.Writers(ro.out, ro.err), kong.Exit(func(code int) { exit = code }))
 	if err != nil {
 		panic(err) // the grammar is a constant of the program
 	}
+	kongplete.Complete(parser, kongplete.WithExitFunc(func(code int) { exit = code }))
+	if exit >= 0 {
+		return exit
+	}
 	kctx, err := parser.Parse(args)
 	if exit >= 0 {
 		return exit
