--- /dev/null
+++ b/internal/cli/agent/agent.go
@@ -0,0 +1,29 @@
+// Package agent is the command `citronstream agent`.
+package agent
+
+import (
+	"context"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/cli/operate"
+	"github.com/citronstream/citronstream/internal/process/daemon"
+	"github.com/go-logr/logr"
+)
+
+// Command queues and runs the calls of one upstream until it is told to end.
+type Command struct {
+	Settings string `required:"" help:"Settings document of the process." type:"existingfile"`
+}
+
+// Run implements the command.
+func (co *Command) Run(ctx context.Context, clk citronstream.Clock, lo *operate.Loader, log logr.Logger) error {
+	set, err := lo.Settings(co.Settings)
+	if err != nil {
+		return err
+	}
+	da, err := daemon.New(clk, set, lo.Checker(), log)
+	if err != nil {
+		return err
+	}
+	return da.Agent(ctx)
+}
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -11,10 +11,19 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/cli/agent"
+	"github.com/citronstream/citronstream/internal/cli/apply"
 	"github.com/citronstream/citronstream/internal/cli/check"
+	"github.com/citronstream/citronstream/internal/cli/cost"
 	"github.com/citronstream/citronstream/internal/cli/demo"
+	"github.com/citronstream/citronstream/internal/cli/drain"
+	"github.com/citronstream/citronstream/internal/cli/entry"
 	"github.com/citronstream/citronstream/internal/cli/inventory"
 	"github.com/citronstream/citronstream/internal/cli/local"
+	"github.com/citronstream/citronstream/internal/cli/operate"
+	"github.com/citronstream/citronstream/internal/cli/standin"
+	"github.com/citronstream/citronstream/internal/cli/status"
+	"github.com/citronstream/citronstream/internal/cli/timeline"
 	"github.com/citronstream/citronstream/internal/cli/version"
 	checker "github.com/citronstream/citronstream/internal/config/check"
 	"github.com/citronstream/citronstream/internal/kernel/policy"
@@ -30,6 +39,16 @@
 type commands struct {
 	Check     check.Command     `cmd:"" help:"Check settings documents and list all faults."`
 	Inventory inventory.Command `cmd:"" help:"Work on the inventory of a fleet."`
+	Apply     apply.Command     `cmd:"" help:"Show the difference to the accepted configuration and replace it."`
+
+	Entry   entry.Command   `cmd:"" help:"Run an entry, which serves callers."`
+	Agent   agent.Command   `cmd:"" help:"Run the agent of one upstream."`
+	Standin standin.Command `cmd:"" help:"Run stand-ins for the platform and the upstreams of a fleet."`
+
+	Status   status.Command   `cmd:"" help:"Show the processes of a fleet and their versions."`
+	Drain    drain.Command    `cmd:"" help:"Take an entry or an agent out of service."`
+	Timeline timeline.Command `cmd:"" help:"Show the events of all processes in causal order."`
+	Cost     cost.Command     `cmd:"" help:"Report the usage of a day and export its records."`
 
 	Demo  demo.Command  `cmd:"" help:"Put a load on a local fleet and print the outcome."`
 	Local local.Command `cmd:"" help:"Run a whole fleet with stand-ins in one process."`
@@ -43,9 +62,12 @@
 
 Exit codes: 0 for success, 1 for a failure or faults found, 2 for a wrong command line.`
 
-// newCommands returns the commands with what they need to know of the plug-ins.
-func (ro *Root) newCommands() *commands {
-	ch := checker.New(checker.WithProtocols(protocol.Names()...), checker.WithPolicies(policy.Names()...))
+// newChecker returns a checker that knows the names of the plug-ins.
+func newChecker() *checker.Checker {
+	return checker.New(checker.WithProtocols(protocol.Names()...), checker.WithPolicies(policy.Names()...))
+}
+
+func (ro *Root) newCommands(ch *checker.Checker) *commands {
 	return &commands{
 		Check:     *check.New(check.WithChecker(ch), check.WithOutput(ro.out)),
 		Inventory: *inventory.New(inventory.WithChecker(ch), inventory.WithOutput(ro.out), inventory.WithNotes(ro.err)),
@@ -69,7 +91,8 @@
 	// ends a process that drains.
 	defer context.AfterFunc(ctx, stop)()
 	exit := -1
-	parser, err := kong.New(ro.newCommands(), kong.Name("citronstream"), kong.UsageOnError(),
+	ch := newChecker()
+	parser, err := kong.New(ro.newCommands(ch), kong.Name("citronstream"), kong.UsageOnError(),
 		kong.Description(description),
 		kong.Vars{"faults": strings.Join(faults.Kinds(), ", ")},
 		kong.Writers(ro.out, ro.err), kong.Exit(func(code int) { exit = code }))
@@ -91,7 +114,7 @@
 	kctx.BindTo(ctx, (*context.Context)(nil))
 	kctx.BindTo(ro.out, (*io.Writer)(nil))
 	kctx.BindTo(clockwork.NewRealClock(), (*citronstream.Clock)(nil))
-	kctx.Bind(ro.logger())
+	kctx.Bind(ro.logger(), operate.NewLoader(ch))
 	if err := kctx.Run(); err != nil {
 		parser.Errorf("%s", err)
 		return 1
--- /dev/null
+++ b/internal/operator/client/client.go
@@ -0,0 +1,167 @@
+// Package client asks the operators' HTTP of the entries of a fleet.
+package client
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// maxAnswer bounds an answer; it equals the limit on unsent bytes of the server.
+	maxAnswer = 64 << 20
+	// askers is how many entries are asked side by side.
+	askers = 16
+	// defaultTimeout is longer than the time that an entry waits for its agents.
+	defaultTimeout = 10 * time.Second
+)
+
+// Client asks entries.
+type Client struct {
+	entries []citronstream.Entry
+	token   string
+	scheme  string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithToken sets the operator's token.
+func WithToken(token string) Option { return func(cl *Client) { cl.token = token } }
+
+// WithTimeout bounds each request.
+func WithTimeout(timeout time.Duration) Option { return func(cl *Client) { cl.timeout = timeout } }
+
+// WithTLS asks over HTTPS.
+func WithTLS(config *tls.Config) Option {
+	return func(cl *Client) {
+		cl.scheme = "https"
+		cl.http.Transport = &http.Transport{TLSClientConfig: config}
+	}
+}
+
+// New returns a client for the entries of a fleet.
+func New(fl *citronstream.Fleet, opts ...Option) *Client {
+	cl := &Client{entries: fl.Entries, scheme: "http", timeout: defaultTimeout, http: &http.Client{Transport: &http.Transport{}}}
+	for _, opt := range opts {
+		opt(cl)
+	}
+	return cl
+}
+
+// Answer is what one entry said.
+type Answer struct {
+	Entry string
+	Body  []byte
+	Err   error
+}
+
+// StatusError is an answer other than 200.
+type StatusError struct {
+	Status int
+	Detail string
+	Body   []byte
+}
+
+// Error implements error.
+func (se *StatusError) Error() string {
+	if se.Detail != "" {
+		return se.Detail
+	}
+	return http.StatusText(se.Status)
+}
+
+// Each asks all entries and tells progress after each answer. Answers are in
+// the order of the fleet.
+func (cl *Client) Each(ctx context.Context, method, path string, body any, progress func(done, all int)) []Answer {
+	answers := make([]Answer, len(cl.entries))
+	var mu sync.Mutex
+	done := 0
+	var eg errgroup.Group
+	eg.SetLimit(askers)
+	for i, en := range cl.entries {
+		eg.Go(func() error {
+			got, err := cl.Ask(ctx, en, method, path, body)
+			mu.Lock()
+			defer mu.Unlock()
+			answers[i] = Answer{Entry: en.Name, Body: got, Err: err}
+			done++
+			progress(done, len(cl.entries))
+			return nil
+		})
+	}
+	_ = eg.Wait() // the errors are in the answers
+	return answers
+}
+
+// First asks one entry after another until one answers. An answer with
+// another status than 200, 404 or 503 ends the search too.
+func (cl *Client) First(ctx context.Context, method, path string, body any) ([]byte, error) {
+	var errs []error
+	for _, en := range cl.entries {
+		got, err := cl.Ask(ctx, en, method, path, body)
+		var se *StatusError
+		if err == nil || errors.As(err, &se) && se.Status != http.StatusNotFound && se.Status != http.StatusServiceUnavailable {
+			return got, err
+		}
+		errs = append(errs, fmt.Errorf("entry %s: %w", en.Name, err))
+	}
+	return nil, errors.Join(errs...)
+}
+
+// Ask asks one entry. Errors: *StatusError for an answer other than 200.
+func (cl *Client) Ask(ctx context.Context, en citronstream.Entry, method, path string, body any) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, cl.timeout)
+	defer cancel()
+	var sent io.Reader
+	if body != nil {
+		raw, err := json.Marshal(body)
+		if err != nil {
+			return nil, err
+		}
+		sent = bytes.NewReader(raw)
+	}
+	rq, err := http.NewRequestWithContext(ctx, method, cl.scheme+"://"+en.Admin+path, sent)
+	if err != nil {
+		return nil, err
+	}
+	rq.Header.Set("Content-Type", "application/json")
+	if cl.token != "" {
+		rq.Header.Set("Authorization", "Bearer "+cl.token)
+	}
+	rs, err := cl.http.Do(rq)
+	if err != nil {
+		return nil, err
+	}
+	defer rs.Body.Close()
+	got, err := io.ReadAll(io.LimitReader(rs.Body, maxAnswer+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(got) > maxAnswer {
+		return nil, fmt.Errorf("the answer has more than %d bytes", maxAnswer)
+	}
+	if rs.StatusCode != http.StatusOK {
+		se := &StatusError{Status: rs.StatusCode, Body: got}
+		var doc struct {
+			Detail string `json:"detail"`
+		}
+		if json.Unmarshal(got, &doc) == nil {
+			se.Detail = doc.Detail
+		}
+		return nil, se
+	}
+	return got, nil
+}
