--- /dev/null
+++ b/internal/cli/holds/holds.go
@@ -0,0 +1,138 @@
+// Package holds is the command `citronstream holds`.
+package holds
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/citronstream/citronstream/internal/cli/operate"
+	"github.com/citronstream/citronstream/internal/limit/poison"
+	"github.com/citronstream/citronstream/internal/operator/client"
+	"github.com/citronstream/citronstream/internal/operator/report"
+)
+
+// Command lists or lifts the holds of content that kills upstreams.
+type Command struct {
+	List list `cmd:"" default:"withargs" help:"List the holds that the entries know."`
+	Lift lift `cmd:"" help:"Lift the hold of a content at all processes."`
+}
+
+type list struct {
+	operate.Flags
+	JSON bool `name:"json" help:"Print one JSON object for each hold."`
+}
+
+// Run implements the command. It fails if an entry gives no answer.
+func (li *list) Run(ctx context.Context, out io.Writer, lo *operate.Loader) error {
+	_, cl, err := li.Open(lo)
+	if err != nil {
+		return err
+	}
+	answers := cl.Each(ctx, http.MethodGet, "/v1/admin/holds", nil, operate.Progress())
+	known, err := merge(answers)
+	if err != nil {
+		return err
+	}
+	if err := li.print(out, known); err != nil {
+		return err
+	}
+	return operate.Missing(answers)
+}
+
+func (li *list) print(out io.Writer, known []poison.Hold) error {
+	if li.JSON {
+		enc := json.NewEncoder(out)
+		for _, ho := range known {
+			if err := enc.Encode(ho); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return write(out, known)
+}
+
+// merge returns each digest once, with its latest hold and its latest lift,
+// in the order of the holds. Answers with an error are left out.
+func merge(answers []client.Answer) ([]poison.Hold, error) {
+	byDigest := make(map[uint64]poison.Hold)
+	for _, an := range answers {
+		if an.Err != nil {
+			continue
+		}
+		var some []poison.Hold
+		if err := json.Unmarshal(an.Body, &some); err != nil {
+			return nil, fmt.Errorf("entry %s: %w", an.Entry, err)
+		}
+		for _, ho := range some {
+			was := byDigest[ho.Digest]
+			lifted := latest(ho.Lifted, was.Lifted)
+			if was.At.After(ho.At) {
+				ho = was
+			}
+			ho.Lifted = lifted
+			byDigest[ho.Digest] = ho
+		}
+	}
+	return slices.SortedFunc(maps.Values(byDigest), func(ho, other poison.Hold) int {
+		return cmp.Or(ho.At.Compare(other.At), cmp.Compare(ho.Digest, other.Digest))
+	}), nil
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func write(out io.Writer, known []poison.Hold) error {
+	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "DIGEST\tUPSTREAM\tHELD SINCE\tUNTIL\tSTATE")
+	for _, ho := range known {
+		state := "held"
+		if !ho.Lifted.Before(ho.At) {
+			state = "lifted"
+		}
+		fmt.Fprintf(tw, "%d\t%s\t%s\t%s\t%s\n", ho.Digest, ho.Upstream, ho.At.UTC().Format(time.RFC3339), ho.Until.UTC().Format(time.RFC3339), state)
+	}
+	return tw.Flush()
+}
+
+type lift struct {
+	operate.Flags
+	Digest uint64 `arg:"" help:"Digest of the content, as the list prints it."`
+}
+
+// Run implements the command. It asks all entries, so that the hold ends at
+// once also while the table is down.
+func (li *lift) Run(ctx context.Context, out io.Writer, lo *operate.Loader) error {
+	_, cl, err := li.Open(lo)
+	if err != nil {
+		return err
+	}
+	answers := cl.Each(ctx, http.MethodPost, "/v1/admin/holds/lift", report.Lift{Digest: li.Digest}, operate.Progress())
+	processes := 0
+	for _, an := range answers {
+		var lifted report.Lifted
+		if an.Err == nil && json.Unmarshal(an.Body, &lifted) == nil {
+			processes += lifted.Processes
+		}
+	}
+	if err := operate.Missing(answers); err != nil {
+		return err
+	}
+	if processes == 0 {
+		return fmt.Errorf("digest %d is not held", li.Digest)
+	}
+	_, err = fmt.Fprintf(out, "lifted at %d processes\n", processes)
+	return err
+}
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -18,6 +18,7 @@
 	"github.com/citronstream/citronstream/internal/cli/demo"
 	"github.com/citronstream/citronstream/internal/cli/drain"
 	"github.com/citronstream/citronstream/internal/cli/entry"
+	"github.com/citronstream/citronstream/internal/cli/holds"
 	"github.com/citronstream/citronstream/internal/cli/inventory"
 	"github.com/citronstream/citronstream/internal/cli/local"
 	"github.com/citronstream/citronstream/internal/cli/operate"
@@ -48,6 +49,7 @@
 
 	Status   status.Command   `cmd:"" help:"Show the processes of a fleet and their versions."`
 	Drain    drain.Command    `cmd:"" help:"Take an entry or an agent out of service."`
+	Holds    holds.Command    `cmd:"" help:"List or lift the holds of content that kills upstreams."`
 	Timeline timeline.Command `cmd:"" help:"Show the events of all processes in causal order."`
 	Cost     cost.Command     `cmd:"" help:"Report the usage of a day and export its records."`
 
--- a/internal/limit/holdrow/holdrow.go
+++ b/internal/limit/holdrow/holdrow.go
@@ -43,12 +43,12 @@
 	holds   *poison.Holds
 	learned func([]poison.Report)
 	wake    chan struct{}
-	pending atomic.Bool // a hold may be missing from the row
+	pending atomic.Bool // a hold or a lift may be missing from the row
 
 	reads, writes, conflicts, failed atomic.Uint64
 }
 
-// New returns a Sync. Learned is told of holds that the row added.
+// New returns a Sync. Learned is told of holds that the row added or lifted.
 func New(clk citronstream.Clock, ta citronstream.Table, ho *poison.Holds, learned func([]poison.Report)) *Sync {
 	return &Sync{clk: clk, table: ta, holds: ho, learned: learned, wake: make(chan struct{}, 1)}
 }
@@ -58,8 +58,8 @@
 	return Counts{Reads: sy.reads.Load(), Writes: sy.writes.Load(), Conflicts: sy.conflicts.Load(), Failed: sy.failed.Load()}
 }
 
-// Held says that this process holds a content newly. It does not block.
-func (sy *Sync) Held() {
+// Changed says that this process holds a content newly or lifted a hold. It does not block.
+func (sy *Sync) Changed() {
 	sy.pending.Store(true)
 	select {
 	case sy.wake <- struct{}{}:
@@ -125,21 +125,34 @@
 	if err := json.Unmarshal(row.Value, &holds); err != nil {
 		return row.Version, nil, nil //nolint:nilerr // a malformed row is replaced by the next hold
 	}
-	var fresh []poison.Hold
+	var fresh, held []poison.Hold
 	for _, hold := range holds {
-		if _, held := sy.holds.Held(hold.Digest); !held {
+		if _, known := sy.holds.Held(hold.Digest); known {
+			held = append(held, hold)
+		} else {
 			fresh = append(fresh, hold)
 		}
 	}
 	if sy.holds.Import(row.Value) != nil {
 		return row.Version, nil, nil
 	}
-	if reports := Reports(fresh, sy.clk.Now()); len(reports) > 0 {
+	if reports := append(Reports(fresh, sy.clk.Now()), sy.lifted(held)...); len(reports) > 0 {
 		sy.learned(reports)
 	}
 	return row.Version, holds, nil
 }
 
+// lifted reports the holds that another entry's operator lifted.
+func (sy *Sync) lifted(held []poison.Hold) []poison.Report {
+	var reports []poison.Report
+	for _, hold := range held {
+		if _, still := sy.holds.Held(hold.Digest); !still && !hold.Lifted.IsZero() {
+			reports = append(reports, poison.Report{ID: citronstream.NewID(), Upstream: hold.Upstream, At: hold.Lifted, Lifted: []uint64{hold.Digest}})
+		}
+	}
+	return reports
+}
+
 // missing says that the row lacks a hold or a lift of this process.
 func (sy *Sync) missing(row []poison.Hold) bool {
 	known := make(map[uint64]poison.Hold, len(row))
--- a/internal/limit/poison/holds.go
+++ b/internal/limit/poison/holds.go
@@ -32,6 +32,8 @@
 	Running []uint64 `json:"Running"`
 	// Held are the digests that the reporter held because of this death.
 	Held []uint64 `json:"Held,omitempty"`
+	// Lifted are digests whose holds up to At an operator lifted.
+	Lifted []uint64 `json:"Lifted,omitempty"`
 }
 
 // DeathID names the death of an upstream. Epoch is that of its agent's grant;
@@ -102,6 +104,12 @@
 	if now.Sub(at) > holdFor {
 		return nil
 	}
+	for _, digest := range re.Lifted[:min(len(re.Lifted), reportCap)] {
+		ho.marks.lift(digest, at)
+	}
+	if len(re.Lifted) > 0 {
+		return nil // a lift is not a death
+	}
 	de := ho.deaths.get(re.ID)
 	for _, digest := range re.Running[:min(len(re.Running), reportCap)] {
 		if de.counted[digest] || len(de.counted) >= reportCap {
@@ -191,7 +199,11 @@
 func (ho *Holds) Lift(digest uint64) bool {
 	ho.mu.Lock()
 	defer ho.mu.Unlock()
-	return ho.marks.lift(digest, ho.clk.Now())
+	now := ho.clk.Now()
+	mk := ho.marks.get(digest)
+	held := mk != nil && mk.hold.inForce(now)
+	ho.marks.lift(digest, now)
+	return held
 }
 
 // Len returns the remembered digests and deaths.
--- a/internal/limit/poison/marks.go
+++ b/internal/limit/poison/marks.go
@@ -115,13 +115,11 @@
 	return time.Time{}, false
 }
 
-func (ma *marks) lift(digest uint64, now time.Time) bool {
-	mk := ma.get(digest)
-	if mk == nil || !mk.hold.inForce(now) {
-		return false
+// lift ends the holds of a digest up to a time. Later ones stay in force.
+func (ma *marks) lift(digest uint64, at time.Time) {
+	if mk := ma.get(digest); mk != nil && at.After(mk.hold.Lifted) {
+		mk.hold.Lifted = at
 	}
-	mk.hold.Lifted = now
-	return true
 }
 
 // clear forgets a suspect. The record of a lifted hold stays until its
--- a/internal/observe/metrics/entry.go
+++ b/internal/observe/metrics/entry.go
@@ -28,6 +28,7 @@
 		co := en.Runner.Counts()
 		put(co.Requests.Load(), "request")
 		put(co.Retries.Load(), "retry")
+		put(co.Hedges.Load(), "hedge")
 		put(co.Resumed.Load(), "resumed")
 		put(co.Refused.Load(), "refused")
 		put(co.NoRoute.Load(), "no_route")
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -203,7 +203,7 @@
 		return 0
 	}
 	lifted := 0
-	if en.Holds.Lift(digest) {
+	if en.Lift(digest) {
 		lifted++
 	}
 	for _, li := range ask[report.Lifted](ctx, ro, en, report.MethodLift, report.Lift{Digest: digest}) {
--- a/internal/process/entry/holds.go
+++ b/internal/process/entry/holds.go
@@ -14,7 +14,7 @@
 		return
 	}
 	if held := en.Holds.Merge(report); len(held) > 0 {
-		en.HoldRow.Held()
+		en.HoldRow.Changed()
 	}
 	en.Agents.Links(func(_ string, li *link.Link) {
 		if li != from {
@@ -24,11 +24,19 @@
 	re.Reply(struct{}{}) // after the agents are told, so that a later call finds them informed
 }
 
-// tellHolds passes holds from the table on to the agents.
+// tellHolds passes holds and lifts from the table on to the agents.
 func (en *Entry) tellHolds(reports []poison.Report) {
 	en.Agents.Links(func(_ string, li *link.Link) { tell(li, reports) })
 }
 
+// Lift ends a hold at this entry and, through the table's row, at the other
+// entries, which tell their agents. It says whether this entry held the content.
+func (en *Entry) Lift(digest uint64) bool {
+	held := en.Holds.Lift(digest)
+	en.HoldRow.Changed()
+	return held
+}
+
 // greeted tells a new agent of the holds: it may know none.
 func (en *Entry) greeted(_ string, li *link.Link) {
 	tell(li, holdrow.Reports(holdrow.Holds(en.Holds), en.clk.Now()))
--- a/internal/proof/promises/fleet_test.go
+++ b/internal/proof/promises/fleet_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -260,6 +261,26 @@
 	return fl.count(func(ex record.Execution) bool { return ex.Outcome == record.Running && ex.Path == path })
 }
 
+// hedges returns how many second attempts beside a first one the entries have
+// started. Only idempotent calls are hedged.
+func (fl *fleet) hedges() uint64 {
+	sum := uint64(0)
+	for _, en := range fl.Config.Entries {
+		if pr := fl.Entry(en.Name); pr != nil {
+			sum += pr.Runner.Counts().Hedges.Load()
+		}
+	}
+	return sum
+}
+
+// hedgeLost says that an execution was cancelled because another attempt of
+// the same request had answered.
+func (fl *fleet) hedgeLost(ex record.Execution) bool {
+	return ex.Outcome == record.Canceled && slices.ContainsFunc(fl.Record.ByRequest(ex.RequestID), func(other record.Execution) bool {
+		return other.ID != ex.ID && other.Outcome == record.Done && !other.EndedAt.After(ex.EndedAt)
+	})
+}
+
 func (fl *fleet) count(match func(ex record.Execution) bool) int {
 	found := 0
 	for _, ex := range fl.Record.All() {
