--- a/internal/cli/local/operate.go
+++ b/internal/cli/local/operate.go
@@ -113,7 +113,7 @@
 // Lift implements server.Process.
 func (op *operated) Lift(_ context.Context, digest uint64) int {
 	lifted := 0
-	if en := op.fl.Entry(op.name); en != nil && en.Holds.Lift(digest) {
+	if en := op.fl.Entry(op.name); en != nil && en.Lift(digest) {
 		lifted++
 	}
 	for _, up := range op.fl.Config.Upstreams {
@@ -124,6 +124,13 @@
 	return lifted
 }
 
+// Poke implements server.Process.
+func (op *operated) Poke(service string) {
+	if en := op.fl.Entry(op.name); en != nil {
+		en.Poke(service)
+	}
+}
+
 // Drain implements server.Process for the agents. The entries of a local
 // fleet end with its process.
 func (op *operated) Drain(_ context.Context, name string) error {
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -16,6 +16,7 @@
 	"github.com/citronstream/citronstream/internal/cli/check"
 	"github.com/citronstream/citronstream/internal/cli/cost"
 	"github.com/citronstream/citronstream/internal/cli/demo"
+	"github.com/citronstream/citronstream/internal/cli/doubts"
 	"github.com/citronstream/citronstream/internal/cli/drain"
 	"github.com/citronstream/citronstream/internal/cli/entry"
 	"github.com/citronstream/citronstream/internal/cli/holds"
@@ -50,6 +51,7 @@
 	Status   status.Command   `cmd:"" help:"Show the processes of a fleet and their versions."`
 	Drain    drain.Command    `cmd:"" help:"Take an entry or an agent out of service."`
 	Holds    holds.Command    `cmd:"" help:"List or lift the holds of content that kills upstreams."`
+	Doubts   doubts.Command   `cmd:"" help:"List or lift the intervals in which orders may have run unrecorded."`
 	Timeline timeline.Command `cmd:"" help:"Show the events of all processes in causal order."`
 	Cost     cost.Command     `cmd:"" help:"Report the usage of a day and export its records."`
 
--- a/internal/operator/report/report.go
+++ b/internal/operator/report/report.go
@@ -84,6 +84,30 @@
 	Processes int `json:"Processes"`
 }
 
+// Doubt is an interval in which a dead owner of slots may have run idempotency
+// keys that have no row. Until then the slots refuse keys that may be older.
+type Doubt struct {
+	Service  string    `json:"Service"`
+	Upstream string    `json:"Upstream"` // the dead owner
+	Epoch    uint64    `json:"Epoch"`    // of its grant
+	From     time.Time `json:"From"`
+	To       time.Time `json:"To"`
+	Until    time.Time `json:"Until"`
+	Slots    int       `json:"Slots"`
+}
+
+// LiftDoubt removes an interval from all slots of a service.
+type LiftDoubt struct {
+	Service  string `json:"Service"`
+	Upstream string `json:"Upstream"`
+	Epoch    uint64 `json:"Epoch"`
+}
+
+// LiftedDoubt says how many slots had the interval.
+type LiftedDoubt struct {
+	Slots int `json:"Slots"`
+}
+
 // Drain takes a process out of service. An empty name means the one that is asked.
 type Drain struct {
 	Name string `json:"Name,omitempty"`
--- a/internal/operator/server/admin.go
+++ b/internal/operator/server/admin.go
@@ -12,6 +12,7 @@
 	"github.com/citronstream/citronstream/internal/config/version"
 	"github.com/citronstream/citronstream/internal/observe/ledger"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
+	"github.com/citronstream/citronstream/internal/operator/doubts"
 	"github.com/citronstream/citronstream/internal/operator/report"
 )
 
@@ -106,6 +107,42 @@
 	}
 }
 
+func (se *Server) doubts(wr http.ResponseWriter, _ *http.Request, _ string) {
+	store := se.store()
+	if se.table == nil || store == nil {
+		problem(wr, http.StatusServiceUnavailable, "this process holds no configuration yet")
+		return
+	}
+	found, err := doubts.New(se.clk, se.table).List(se.ctx, store.Current().Fleet)
+	if err != nil {
+		problem(wr, http.StatusServiceUnavailable, "slots: %s", err)
+		return
+	}
+	answer(wr, found)
+}
+
+func (se *Server) liftDoubt(wr http.ResponseWriter, rq *http.Request, operator string) {
+	var li report.LiftDoubt
+	if !read(wr, rq, &li) {
+		return
+	}
+	if se.table == nil {
+		problem(wr, http.StatusNotFound, "this process reads no slots")
+		return
+	}
+	slots, err := doubts.New(se.clk, se.table).Lift(se.ctx, li)
+	switch {
+	case errors.Is(err, citronstream.ErrNotFound):
+		problem(wr, http.StatusConflict, "%s", err)
+	case err != nil:
+		problem(wr, http.StatusServiceUnavailable, "slots: %s", err)
+	default:
+		se.log.Info("interval of uncertainty lifted", "operator", operator, "service", li.Service, "upstream", li.Upstream, "epoch", li.Epoch)
+		se.process.Poke(li.Service)
+		answer(wr, report.LiftedDoubt{Slots: slots})
+	}
+}
+
 func (se *Server) drain(wr http.ResponseWriter, rq *http.Request, operator string) {
 	var dr report.Drain
 	if !read(wr, rq, &dr) {
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -50,6 +50,8 @@
 	Holds() ([]byte, error)
 	// Lift ends a hold and returns the number of processes that had it.
 	Lift(ctx context.Context, digest uint64) int
+	// Poke tells the owners of a service's slots to read their row at once.
+	Poke(service string)
 	// Drain starts to take a process out of service. An empty name means this one.
 	// Errors: a Fault with CodeNotFound for a process that isn't linked.
 	Drain(ctx context.Context, name string) error
@@ -94,7 +96,7 @@
 	return func(se *Server) { se.store, se.check = store, check }
 }
 
-// WithTable serves the cost records of the table.
+// WithTable serves the cost records and the intervals of uncertainty of the table.
 func WithTable(ta citronstream.Table) Option { return func(se *Server) { se.table = ta } }
 
 // WithLog sets the logger. Each act of an operator is a line in it.
@@ -186,6 +188,8 @@
 	mux.Handle("GET /v1/admin/cost", se.admit(se.cost))
 	mux.Handle("GET /v1/admin/holds", se.admit(se.holds))
 	mux.Handle("POST /v1/admin/holds/lift", se.admit(se.lift))
+	mux.Handle("GET /v1/admin/doubts", se.admit(se.doubts))
+	mux.Handle("POST /v1/admin/doubts/lift", se.admit(se.liftDoubt))
 	mux.Handle("POST /v1/admin/drain", se.admit(se.drain))
 	mux.Handle("GET /v1/admin/config", se.admit(se.config))
 	mux.Handle("POST /v1/admin/config", se.admit(se.apply))
--- a/internal/process/daemon/agent.go
+++ b/internal/process/daemon/agent.go
@@ -148,6 +148,13 @@
 	return 0
 }
 
+// Poke implements server.Process.
+func (ro *agentRole) Poke(string) {
+	if ag := ro.ag.Load(); ag != nil && ag.Grant != nil {
+		ag.Grant.Poke()
+	}
+}
+
 // Drain implements server.Process.
 func (ro *agentRole) Drain(_ context.Context, name string) error {
 	if name != "" && name != ro.da.set.Process.Name {
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -212,6 +212,13 @@
 	return lifted
 }
 
+// Poke implements server.Process.
+func (ro *entryRole) Poke(service string) {
+	if en := ro.en.Load(); en != nil {
+		en.Poke(service)
+	}
+}
+
 // Drain implements server.Process.
 func (ro *entryRole) Drain(ctx context.Context, name string) error {
 	if name == "" || name == ro.da.set.Process.Name {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -124,7 +124,7 @@
 	en.Members = membership.New(clk, set.Platform.Liveness, en.Routes, en.Agents.Links)
 	en.Runner = pipeline.New(clk, set.Zone, en.Agents, en.picker, en.Budget, append([]pipeline.Option{
 		pipeline.WithTimes(en.Times), pipeline.WithHolds(en.Holds),
-		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}), pipeline.WithPoke(en.poke),
+		pipeline.WithRecorder(en.Timeline), pipeline.WithVersion(en.Version), pipeline.WithOwners(owners{en.Routes}), pipeline.WithPoke(en.Poke),
 		pipeline.WithMeter(meter.New(en.Ledger, ledger.SideEntry)), pipeline.WithPrefixes(prefixes{en}),
 		pipeline.WithThrottle(throttle.New(clk, set.Seed)),
 	}, set.RunnerOptions...)...)
@@ -346,9 +346,9 @@
 	re.Reply(citronstream.SettleReply{Started: started})
 }
 
-// poke tells the agents of a service that a slot has no owner. The agents
+// Poke tells the agents of a service that its slots have changed or one has no owner. The agents
 // bound how often they act on it.
-func (en *Entry) poke(service string) {
+func (en *Entry) Poke(service string) {
 	se := en.Routes.Snapshot().Service(service)
 	if se == nil {
 		return
