--- a/internal/config/settings/reference_test.go
+++ b/internal/config/settings/reference_test.go
@@ -1,17 +1,55 @@
 package settings
 
 import (
+	"fmt"
 	"os"
 	"reflect"
 	"regexp"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/citronstream/citronstream"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/citronstream/citronstream/internal/config/strictjson"
 )
 
+// Guards against a default that the settings reference gives wrongly. Columns
+// that say required, none or empty are defaults of zero; those in words name
+// no value.
+func TestReferenceDefaults(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/operations.md")
+	require.NoError(t, err)
+	set := New()
+	set.Fleet = &citronstream.Fleet{Limits: citronstream.DefaultLimits()}
+	rows := regexp.MustCompile("(?m)^\\| `([A-Z][A-Za-z.]*)` \\| ([^|]*) \\| ([^|]*) \\|").FindAllStringSubmatch(string(page), -1)
+	assert.Greater(t, len(rows), 40)
+	for _, row := range rows {
+		value := reflect.ValueOf(*set)
+		for key := range strings.SplitSeq(row[1], ".") {
+			value = reflect.Indirect(value).FieldByName(key)
+			require.True(t, value.IsValid(), row[1])
+		}
+		if kind := reflect.Indirect(value).Kind(); kind == reflect.Struct {
+			continue
+		}
+		switch want := row[3]; want {
+		case "required", "none", "empty", "0":
+			assert.True(t, value.IsZero(), "%s: %v is not %q", row[1], value, want)
+		default:
+			if du, ok := value.Interface().(citronstream.Duration); ok {
+				listed, err := time.ParseDuration(want)
+				require.NoError(t, err, row[1])
+				assert.Equal(t, listed, du.Std(), row[1])
+				continue
+			}
+			assert.Equal(t, want, fmt.Sprint(value.Interface()), row[1])
+		}
+	}
+}
+
 // Guards against a key that the settings reference does not list, and
 // against one that it lists although no struct has it.
 func TestReference(t *testing.T) {
--- a/internal/observe/metrics/agent.go
+++ b/internal/observe/metrics/agent.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"github.com/citronstream/citronstream/internal/agent/orders"
 	"github.com/citronstream/citronstream/internal/observe/ledger"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
 	"github.com/citronstream/citronstream/internal/process/agent"
@@ -33,6 +34,19 @@
 	if ag.Grant != nil {
 		se.addOnce(ag)
 	}
+	if ag.Orders != nil {
+		se.addOrders(ag.Orders)
+	}
+	se.reads(func(put putReads) {
+		if ag.Own != nil {
+			co := ag.Own.Counts()
+			put("load", co.Reads, co.Failed)
+		}
+		if ag.Cache != nil {
+			co := ag.Cache.Counts()
+			put("cache", co.Polls, co.Failed)
+		}
+	})
 	se.addTimeline(ag.Timeline)
 	se.sizes(func(put func(int, string)) {
 		si := ag.Server.Sizes()
@@ -86,6 +100,17 @@
 	})
 }
 
+func (se *Set) addOrders(or *orders.Orders) {
+	se.events("citronstream_engine_commands_total", "Commands to the engine, by event.", "event", func(put func(uint64, string)) {
+		co := or.Counts()
+		put(co.Commands, "sent")
+		put(co.Refused, "refused")
+		put(co.Failed, "failed")
+		put(co.Throttled, "throttled")
+	})
+	se.gauge("citronstream_engine_config_version", "Configuration version of the last command that the engine took.", func() float64 { return float64(or.Counts().Version) })
+}
+
 // AddLedger adds the metrics of the cost records.
 func (se *Set) AddLedger(le *ledger.Ledger) {
 	se.gauge("citronstream_cost_records_pending", "Cost records that the table has not confirmed.", func() float64 { return float64(le.Pending()) })
--- a/internal/observe/metrics/entry.go
+++ b/internal/observe/metrics/entry.go
@@ -23,11 +23,13 @@
 		put(co.Disconnected.Load(), "disconnected")
 		put(co.SlowReaders.Load(), "slow_reader")
 		put(co.Limited.Load(), "limited")
+		put(co.Late.Load(), "late")
 	})
 	se.events("citronstream_stages_total", "Stages and services run for requests, by event.", "event", func(put func(uint64, string)) {
 		co := en.Runner.Counts()
 		put(co.Requests.Load(), "request")
 		put(co.Retries.Load(), "retry")
+		put(co.Hedges.Load(), "hedge")
 		put(co.Resumed.Load(), "resumed")
 		put(co.Refused.Load(), "refused")
 		put(co.NoRoute.Load(), "no_route")
@@ -52,6 +54,11 @@
 	se.addRoutes(en)
 	se.addBudget(en)
 	se.addWitness(en)
+	se.reads(func(put putReads) {
+		list, row := en.Members.Counts(), en.HoldRow.Counts()
+		put("list", list.Lists, list.Failed)
+		put("holds", row.Reads, row.Failed)
+	})
 	se.addTimeline(en.Timeline)
 	se.sizes(func(put func(int, string)) {
 		si := en.Agents.Sizes()
--- a/internal/observe/metrics/metrics.go
+++ b/internal/observe/metrics/metrics.go
@@ -123,6 +123,19 @@
 	})
 }
 
+// putReads takes the reads of a source and how many of them failed.
+type putReads func(source string, all, failed uint64)
+
+// reads adds the counter of what a process reads at intervals.
+func (se *Set) reads(read func(put putReads)) {
+	se.add(prometheus.CounterValue, "citronstream_reads_total", "Reads at intervals, by source and outcome.", []string{"source", "outcome"}, func(put emit) {
+		read(func(source string, all, failed uint64) {
+			put(float64(all-min(all, failed)), source, "done")
+			put(float64(failed), source, "failed")
+		})
+	})
+}
+
 // sizes adds the gauge of the bounded tables of a process.
 func (se *Set) sizes(read func(put func(size int, table string))) {
 	se.add(prometheus.GaugeValue, "citronstream_table_size", "Elements in a bounded table of the process.", []string{"table"}, func(put emit) {
