--- a/internal/agent/ownload/ownload.go
+++ b/internal/agent/ownload/ownload.go
@@ -15,8 +15,7 @@
 
 const (
 	// every is the least interval of reads.
-	every = time.Second
-	// readWait bounds one read.
+	every    = time.Second
 	readWait = time.Second
 	// validFor is how long a read figure counts: a few missed reads.
 	validFor = 3 * time.Second
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -37,7 +37,6 @@
 	"github.com/willabides/kongplete"
 )
 
-// commands are the subcommands.
 type commands struct {
 	Check     check.Command     `cmd:"" help:"Check settings documents and list all faults."`
 	Inventory inventory.Command `cmd:"" help:"Work on the inventory of a fleet."`
--- a/internal/limit/retrybudget/budget.go
+++ b/internal/limit/retrybudget/budget.go
@@ -19,7 +19,6 @@
 const defaultConstant = 3
 
 const (
-	// windowLength is the length of the sliding window.
 	windowLength = 10 * time.Second
 	// backoffBase and backoffMost are the ceilings of the first and of the longest delay of Backoff.
 	backoffBase = 20 * time.Millisecond
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -56,8 +56,7 @@
 	Seed  uint64
 	Token string // shared secret of the peers
 	// Peers are addresses of agents that are asked for the configuration while the table is down.
-	Peers []string
-	// Platform is the platform's services.
+	Peers    []string
 	Platform citronstream.Platform
 	// Limits are in force before the first configuration.
 	Limits citronstream.Limits
