--- a/internal/observe/metrics/entry.go
+++ b/internal/observe/metrics/entry.go
@@ -65,6 +65,10 @@
 		put("holds", row.Reads, row.Failed)
 	})
 	se.addTimeline(en.Timeline)
+	se.addEntrySizes(en)
+}
+
+func (se *Set) addEntrySizes(en *entry.Entry) {
 	se.sizes(func(put func(int, string)) {
 		si := en.Agents.Sizes()
 		put(si.Links, "links")
