stage: order by what memory of the upstreams a job frees

Jobs past their target at the ledger kept the memory of fee-till until it expired (680 inputs gone), the large results of a parallel first stage lay at stall-desk for the time of three other stages, batches of eight took a whole call when memory trickled free, and releases were counted before the upstream had seen them. Change: jobs that free more memory than they take are never put behind; expected stage times come from measured ones with their deviation; a branch starts when the longer one needs as long as it; with a backlog an upstream waits for room for half a batch; memory is free once the release is answered; jobs whose inputs have expired are not sent.

--- a/internal/ingress/flow/admit.go
+++ b/internal/ingress/flow/admit.go
@@ -25,6 +25,10 @@
 		rt.CallerRequest = &citronstream.CallerRequest{}
 		return rt.deny(http.StatusBadRequest, err.Error()), false
 	}
+	if rt.fl.closed(rt.at) {
+		return rt.answer(http.StatusServiceUnavailable, comeBackSoon,
+			citronstream.NewFault(citronstream.NotRun, citronstream.CodeLeaving, "this process is leaving")), false
+	}
 	rt.routes = rt.fl.View.Routes()
 	if rt.routes == nil {
 		return rt.answer(http.StatusServiceUnavailable, comeBackSoon,
@@ -87,21 +91,14 @@
 	return outcome{}, true
 }
 
-// bound sets the times of the request. A caller that comes again has waited
-// before, which its remaining time shows: its target counts from its first attempt.
+// bound sets the times of the request.
 func (rt *request) bound() {
 	left := rt.route.Timeout
-	if !rt.Unbounded {
-		if rt.Left < left || left <= 0 {
-			left = rt.Left
-		}
-	}
-	age := time.Duration(0)
-	if !rt.Unbounded {
-		age = rt.fl.times.age(rt.route.Name, rt.Left)
+	if !rt.Unbounded && (rt.Left < left || left <= 0) {
+		left = rt.Left
 	}
 	rt.end = rt.at.Add(left)
-	rt.target = rt.at.Add(rt.route.Target - age)
+	rt.target = rt.at.Add(rt.route.Target)
 }
 
 // pickShare draws the service of a request by the weights of its route.
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -49,7 +49,7 @@
 	log      logr.Logger
 	times    *times
 	inFlight atomic.Int64
-	leaving  atomic.Bool
+	leaving  atomic.Int64 // since when, in ns since 1970; 0 while the process stays
 }
 
 // New returns a flow.
@@ -60,8 +60,19 @@
 // InFlight returns the number of requests that have been read and not answered.
 func (fl *Flow) InFlight() int { return int(fl.inFlight.Load()) }
 
-// Leave makes each answer the last on its connection.
-func (fl *Flow) Leave() { fl.leaving.Store(true) }
+// acceptLast is how long a leaving process takes requests. Those that come
+// later could not be finished within the grace period, and the platform sends
+// new connections elsewhere by then.
+const acceptLast = 3 * time.Second
+
+// Leave makes each answer the last on its connection, and refuses requests after a while.
+func (fl *Flow) Leave() { fl.leaving.Store(fl.clk.Now().UnixNano()) }
+
+// closed reports whether the process has stopped to take requests.
+func (fl *Flow) closed(now time.Time) bool {
+	since := fl.leaving.Load()
+	return since > 0 && now.UnixNano()-since > int64(acceptLast)
+}
 
 // errCallerGone is the cause of a context whose caller has left.
 var errCallerGone = errors.New("the caller has left")
@@ -70,7 +81,7 @@
 func (fl *Flow) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
 	fl.inFlight.Add(1)
 	defer fl.inFlight.Add(-1)
-	if fl.leaving.Load() {
+	if fl.leaving.Load() > 0 {
 		wr.Header().Set("Connection", "close")
 	}
 	rt := &request{fl: fl, wr: wr, rq: rq, at: fl.clk.Now()}
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -10,6 +10,10 @@
 	"github.com/citronstream/citronstream/internal/route/engines"
 )
 
+// freshMargin is taken off the time for which a result is kept, for the way to
+// its maker and the wait there.
+const freshMargin = 200 * time.Millisecond
+
 // maxRemakes is how often the lost results of a request are made again.
 const maxRemakes = 2
 
@@ -23,6 +27,7 @@
 	rest    time.Duration
 	users   int // stages that have not taken its results yet
 	handles []string
+	made    time.Time // when the oldest of its results was made
 	done    chan struct{}
 }
 
@@ -102,7 +107,7 @@
 		st := sg.list[i]
 		st.rest = max(st.rest, end)
 		for _, before := range st.spec.After {
-			sg.list[before].rest = max(sg.list[before].rest, st.rest+st.work())
+			sg.list[before].rest = max(sg.list[before].rest, st.rest+sg.usual(st))
 		}
 	}
 }
@@ -115,6 +120,14 @@
 	return st.batch.CallTime + time.Duration(min(st.pieces, st.batch.Items))*st.batch.ItemTime
 }
 
+// usual is the time that the stage of such a request takes, with its wait.
+func (sg *stages) usual(st *stage) time.Duration {
+	if st.pieces == 0 {
+		return 0
+	}
+	return sg.rt.fl.times.stage(sg.rt.route.Name, st.number, st.work())
+}
+
 // stage waits for the results that a stage takes, and makes its own.
 func (sg *stages) stage(ctx context.Context, st *stage) *citronstream.Fault {
 	for _, before := range st.spec.After {
@@ -124,8 +137,8 @@
 			return sg.ended(ctx)
 		}
 	}
-	if ctx.Err() != nil {
-		return sg.ended(ctx)
+	if fa := sg.align(ctx, st); fa != nil {
+		return fa
 	}
 	if st.pieces > 0 {
 		if st.batch == nil {
@@ -141,6 +154,31 @@
 	return nil
 }
 
+// alignSlack is how much later than needed the results of a branch may be ready.
+const alignSlack = 50 * time.Millisecond
+
+// align holds a stage back while another branch of the request needs longer
+// than it: its results would only take memory until the other branch is done.
+func (sg *stages) align(ctx context.Context, st *stage) *citronstream.Fault {
+	if st.pieces > 0 && st.last {
+		tail := sg.usual(st) + st.rest + alignSlack
+		for _, other := range sg.list {
+			if other == st || sg.usual(other)+other.rest <= tail {
+				continue
+			}
+			select {
+			case <-other.done:
+			case <-ctx.Done():
+				return sg.ended(ctx)
+			}
+		}
+	}
+	if ctx.Err() != nil {
+		return sg.ended(ctx)
+	}
+	return nil
+}
+
 func (sg *stages) ended(ctx context.Context) *citronstream.Fault {
 	if cause := context.Cause(ctx); cause == context.DeadlineExceeded {
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeDeadline, "the deadline passed before the stages were done")
@@ -153,12 +191,18 @@
 func (sg *stages) make(ctx context.Context, st *stage, places []int, repairing bool) *citronstream.Fault {
 	for {
 		inputs := sg.inputsOf(st)
-		re := sg.rt.fl.Broker.Run(ctx, sg.job(st, places, inputs))
+		jo := sg.job(st, places, inputs)
+		began := sg.rt.fl.clk.Now()
+		re := sg.rt.fl.Broker.Run(ctx, jo)
 		if re.Fault != nil {
 			return re.Fault
 		}
 		if !re.InputGone {
 			sg.keep(st, places, re.Handles)
+			// A job that was late from the start waits for idle upstreams, which says nothing of the others.
+			if jo.Slack > 0 && len(places) == st.pieces {
+				sg.rt.fl.times.staged(sg.rt.route.Name, st.number, sg.rt.fl.clk.Since(began))
+			}
 			return nil
 		}
 		sg.rt.fl.log.Info("stage input gone", "request", sg.rt.ID, "stage", st.number, "service", st.spec.Service, "remakes", sg.remakes)
@@ -180,6 +224,7 @@
 	defer sg.mu.Unlock()
 	if st.handles == nil {
 		st.handles = make([]string, st.pieces)
+		st.made = sg.rt.fl.clk.Now()
 	}
 	for i, place := range places {
 		st.handles[place] = handles[i]
@@ -270,6 +315,15 @@
 		Rank: sg.rt.rank, Workspace: sg.rt.workspace, Zone: sg.zone,
 		Left: sg.rt.end.Sub(now), Rest: st.rest + st.work(), Slack: sg.rt.target.Sub(now) - st.rest - st.work(),
 	}
+	inputBytes := 0
+	for _, before := range st.spec.After {
+		made := sg.list[before]
+		inputBytes += made.pieces * made.spec.Bytes
+		if fresh := made.batch.ResultLife - now.Sub(made.made) - freshMargin; made.pieces > 0 && (jo.Fresh == 0 || fresh < jo.Fresh) {
+			jo.Fresh = max(fresh, time.Millisecond)
+		}
+	}
+	jo.Frees = inputBytes > len(places)*st.spec.Bytes
 	if len(st.spec.After) == 0 {
 		jo.Key = sg.rt.PieceKey
 	}
--- a/internal/ingress/flow/times.go
+++ b/internal/ingress/flow/times.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -12,12 +13,9 @@
 	firstGuess = 150 * time.Millisecond
 	// timeAlpha weighs the newest time in the moving average.
 	timeAlpha = 0.1
-	// spanLife is how long the longest remaining time of a route is remembered.
-	spanLife = 30 * time.Second
-	// ageSlack is the difference between two callers' remaining times that is
-	// not taken for an earlier attempt: the time of the way varies by this.
-	ageSlack  = 50 * time.Millisecond
-	maxRoutes = 4096
+	// stageAlpha does so for the times of stages, which change within a burst.
+	stageAlpha = 0.15
+	maxRoutes  = 4096
 )
 
 // times has what a process learns of each route.
@@ -28,9 +26,19 @@
 }
 
 type routeTimes struct {
-	first float64 // seconds to the first event or to the answer
-	span  time.Duration
-	until time.Time // end of span's life
+	first  float64 // seconds to the first event or to the answer
+	stages map[int]*average
+}
+
+// average is a moving average with its mean deviation, in seconds.
+type average struct{ mean, deviation float64 }
+
+func (av *average) add(value float64) {
+	if av.mean == 0 {
+		av.mean = value
+	}
+	av.deviation += stageAlpha * (math.Abs(value-av.mean) - av.deviation)
+	av.mean += stageAlpha * (value - av.mean)
 }
 
 func newTimes(clk citronstream.Clock) *times {
@@ -43,27 +51,12 @@
 		if len(ti.of) >= maxRoutes {
 			clear(ti.of)
 		}
-		rt = &routeTimes{}
+		rt = &routeTimes{stages: make(map[int]*average)}
 		ti.of[name] = rt
 	}
 	return rt
 }
 
-// age returns how long the caller has waited before this attempt. Callers of
-// a route start with the same time, so the longest one seen is that of first attempts.
-func (ti *times) age(name string, left time.Duration) time.Duration {
-	ti.mu.Lock()
-	defer ti.mu.Unlock()
-	rt, now := ti.route(name), ti.clk.Now()
-	if left >= rt.span || now.After(rt.until) {
-		rt.span, rt.until = left, now.Add(spanLife)
-	}
-	if age := rt.span - left; age > ageSlack {
-		return age
-	}
-	return 0
-}
-
 // began notes the time from a send to the first event or the answer.
 func (ti *times) began(name string, took time.Duration) {
 	ti.mu.Lock()
@@ -84,3 +77,27 @@
 	}
 	return firstGuess
 }
+
+// staged notes the time of a stage, from its job's submission to the results.
+func (ti *times) staged(name string, number int, took time.Duration) {
+	ti.mu.Lock()
+	defer ti.mu.Unlock()
+	rt := ti.route(name)
+	av := rt.stages[number]
+	if av == nil {
+		av = &average{}
+		rt.stages[number] = av
+	}
+	av.add(took.Seconds())
+}
+
+// stage returns the time within which most jobs of a stage end, at least that of its work.
+func (ti *times) stage(name string, number int, work time.Duration) time.Duration {
+	ti.mu.Lock()
+	defer ti.mu.Unlock()
+	av := ti.route(name).stages[number]
+	if av == nil {
+		return work
+	}
+	return max(work, time.Duration((av.mean+av.deviation)*float64(time.Second)))
+}
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -19,6 +19,8 @@
 const (
 	// tickEvery is how often the queues are looked at for what time has changed.
 	tickEvery = 20 * time.Millisecond
+	// reportTicks times tickEvery is how often the state of a queue is logged.
+	reportTicks = 50
 	// maxMoves bounds the owners that a job is brought to.
 	maxMoves = 4
 )
@@ -103,16 +105,30 @@
 	defer close(br.done)
 	ticker := br.clk.NewTicker(tickEvery)
 	defer ticker.Stop()
-	for {
+	for count := 1; ; count++ {
 		select {
 		case <-br.ctx.Done():
 			return
 		case <-ticker.Chan():
-			for _, ow := range br.all() {
-				ow.Tick()
-			}
 		}
+		for _, ow := range br.all() {
+			ow.Tick()
+		}
+		if count%reportTicks == 0 {
+			br.Each(br.report)
+		}
+	}
+}
+
+// report logs the state of a queue that has work.
+func (br *Broker) report(service string, ow *owner.Owner) {
+	st := ow.State()
+	if st.Jobs == 0 {
+		return
 	}
+	br.log.Info("queue", "service", service, "jobs", st.Jobs, "waiting", st.Waiting, "late", st.Late, "pieces", st.Pending,
+		"upstreams", st.Upstreams, "busy", st.Busy, "used", int(100*st.Used), "batches", st.Batches, "items", st.Items,
+		"refused", st.Refused, "broken", st.Broken, "no room", st.NoRoom, "repeated", st.Repeated, "expired", st.Expired)
 }
 
 // members passes a new set of upstreams on to the queues.
--- a/internal/stage/order/order.go
+++ b/internal/stage/order/order.go
@@ -11,16 +11,19 @@
 	Rank int
 	// Start is the latest start with which the request still reaches its target.
 	Start time.Time
+	// Frees says that the job gives back more memory of the upstreams than it takes.
+	Frees bool
 	// End is the latest start with which it is still answered in time at all.
 	End time.Time
 }
 
-// Late reports whether the request can no longer reach its target.
-func (en Entry) Late(now time.Time) bool { return now.After(en.Start) }
+// Late reports whether the job is put behind because its request can no longer
+// reach its target. A job that frees memory is not: the jobs that can wait for it.
+func (en Entry) Late(now time.Time) bool { return !en.Frees && now.After(en.Start) }
 
 // Compare returns a negative number when a comes before b. Jobs that can still
-// reach their target come first, by their latest start; the others are
-// worth less and come by rank, then by the time until they are worth nothing.
+// reach their target come first, by their latest start; the others are worth
+// less and come by rank, then by the time until they are worth nothing.
 func Compare(a, b Entry, now time.Time) int {
 	lateA, lateB := a.Late(now), b.Late(now)
 	switch {
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -30,6 +30,10 @@
 	// lateFactor times the expected time is how long a batch may take.
 	lateFactor = 3.0
 	lateExtra  = 300 * time.Millisecond
+	// sizeStep is how much larger results are taken to be after one did not
+	// find room, up to maxSize. The configuration names their size approximately.
+	sizeStep = 1.02
+	maxSize  = 1.3
 	// maxRepeats is how often each piece of a job is made again, on average.
 	maxRepeats = 2
 )
@@ -60,6 +64,7 @@
 
 	mu      sync.Mutex
 	spec    citronstream.BatchSpec
+	size    float64 // measured size of a result against the configured one
 	jobs    map[citronstream.JobName]*job
 	waiting []*job // with pieces that are not in a batch
 	servers map[*node.Node]*server
@@ -91,6 +96,7 @@
 	*node.Node
 	running int
 	until   time.Time // left alone until then
+	idle    time.Time // end of its last batch
 	used    int       // bytes of results that it holds or makes
 	results map[string]result
 }
@@ -103,7 +109,7 @@
 // New returns an owner without upstreams. It ends with ctx.
 func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, service string, spec citronstream.BatchSpec, batcher Batcher, budget Budget) *Owner {
 	return &Owner{
-		clk: clk, log: log, service: service, batcher: batcher, budget: budget, ctx: ctx, spec: spec,
+		clk: clk, log: log, service: service, batcher: batcher, budget: budget, ctx: ctx, spec: spec, size: 1,
 		jobs: make(map[citronstream.JobName]*job), servers: make(map[*node.Node]*server),
 	}
 }
@@ -158,7 +164,7 @@
 	now := ow.clk.Now()
 	jb := &job{
 		Job: jo, at: now, done: done, left: len(jo.Pieces), handles: make([]string, len(jo.Pieces)),
-		Entry: order.Entry{Rank: jo.Rank, Start: now.Add(jo.Slack), End: now.Add(jo.Left - jo.Rest)},
+		Entry: order.Entry{Rank: jo.Rank, Frees: jo.Frees, Start: now.Add(jo.Slack), End: now.Add(jo.Left - jo.Rest)},
 	}
 	for place := range jo.Pieces {
 		jb.pending = append(jb.pending, place)
@@ -205,24 +211,61 @@
 	defer ow.mu.Unlock()
 	byNode := make(map[*node.Node][]string)
 	for _, handle := range handles {
-		no := at(handle)
-		if no == nil {
-			continue
+		if no := at(handle); no != nil {
+			byNode[no] = append(byNode[no], handle)
 		}
-		byNode[no] = append(byNode[no], handle)
+	}
+	for no, list := range byNode {
+		ow.release(no, list)
+	}
+}
+
+// release gives up results of one upstream. Their memory counts as free once
+// the upstream has answered, as a batch may overtake the call. The caller holds the lock.
+func (ow *Owner) release(no *node.Node, handles []string) {
+	ow.calls.Go(func() {
+		ow.batcher.Release(ow.ctx, no, handles)
+		ow.mu.Lock()
+		defer ow.mu.Unlock()
 		if sv := ow.servers[no]; sv != nil {
-			if re, ok := sv.results[handle]; ok {
-				sv.used -= re.bytes
+			for _, handle := range handles {
+				sv.used -= sv.results[handle].bytes
 				delete(sv.results, handle)
 			}
 		}
-	}
-	for no, list := range byNode {
-		ow.calls.Go(func() { ow.batcher.Release(ow.ctx, no, list) })
-	}
-	if len(byNode) > 0 {
 		ow.dispatch()
+	})
+}
+
+// State describes the queue at a moment.
+type State struct {
+	Counts
+	Jobs, Waiting, Late, Pending int // jobs in all, those that wait, of these the late ones, and their pieces
+	Upstreams, Busy              int
+	Used                         float64 // share of the upstreams' memory for results
+}
+
+// State returns the state of the queue.
+func (ow *Owner) State() State {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	now := ow.clk.Now()
+	st := State{Counts: ow.counts, Jobs: len(ow.jobs), Waiting: len(ow.waiting), Upstreams: len(ow.list)}
+	for _, jb := range ow.waiting {
+		st.Pending += len(jb.pending)
+		if now.After(jb.Start) {
+			st.Late++
+		}
 	}
+	for _, sv := range ow.list {
+		if sv.running > 0 {
+			st.Busy++
+		}
+		if ow.spec.ResultBytes > 0 {
+			st.Used += float64(sv.used) / float64(ow.spec.ResultBytes) / float64(len(ow.list))
+		}
+	}
+	return st
 }
 
 // Tick looks at the queue for what time alone has changed.
@@ -259,21 +302,16 @@
 
 // drop releases the results of a job that will not be used.
 func (ow *Owner) drop(jb *job) {
-	byServer := make(map[*server][]string)
-	for _, handle := range jb.handles {
-		if handle == "" {
-			continue
-		}
-		for _, sv := range ow.list {
-			if re, ok := sv.results[handle]; ok {
-				sv.used -= re.bytes
-				delete(sv.results, handle)
-				byServer[sv] = append(byServer[sv], handle)
+	for _, sv := range ow.list {
+		var handles []string
+		for _, handle := range jb.handles {
+			if _, ok := sv.results[handle]; ok {
+				handles = append(handles, handle)
 			}
 		}
-	}
-	for sv, handles := range byServer {
-		ow.calls.Go(func() { ow.batcher.Release(ow.ctx, sv.Node, handles) })
+		if len(handles) > 0 {
+			ow.release(sv.Node, handles)
+		}
 	}
 }
 
@@ -294,6 +332,10 @@
 // expire ends the jobs that can no longer be answered in time.
 func (ow *Owner) expire(now time.Time) {
 	for _, jb := range slices.Clone(ow.waiting) {
+		if jb.Fresh > 0 && now.Sub(jb.at) > jb.Fresh {
+			ow.end(jb, citronstream.JobResult{InputGone: true})
+			continue
+		}
 		if now.After(jb.End) {
 			ow.counts.Expired++
 			ow.end(jb, citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeDeadline,
@@ -307,7 +349,7 @@
 	for _, jb := range ow.waiting {
 		var best *server
 		for _, sv := range ow.list {
-			if !ow.free(sv, now) || ow.room(sv, jb.Bytes) < 1 {
+			if !ow.free(sv, now) || ow.room(sv, jb.Bytes) < ow.least(sv, now) {
 				continue
 			}
 			if best == nil || ow.prefer(sv, best, jb) {
@@ -330,7 +372,21 @@
 	if ow.spec.ResultBytes <= 0 || bytes <= 0 {
 		return ow.spec.Items
 	}
-	return max(0, (ow.spec.ResultBytes-sv.used)/bytes)
+	return max(0, int(float64(ow.spec.ResultBytes-sv.used)/(float64(bytes)*ow.size)))
+}
+
+// least returns the results for which an upstream must have room before it
+// gets a batch. With a backlog and little memory a batch of a few items would
+// take the upstream for the time of a call, while memory is about to be released.
+func (ow *Owner) least(sv *server, now time.Time) int {
+	pending := 0
+	for _, jb := range ow.waiting {
+		pending += len(jb.pending)
+	}
+	if now.Sub(sv.idle) > ow.spec.CallTime {
+		return 1
+	}
+	return max(1, min(pending, ow.spec.Items)/2)
 }
 
 // prefer reports whether a is better than b for the job that leads a batch.
@@ -362,7 +418,7 @@
 	for _, jb := range jobs {
 		count := min(len(jb.pending), ow.spec.Items-items)
 		if jb.Bytes > 0 && ow.spec.ResultBytes > 0 {
-			count = min(count, (ow.spec.ResultBytes-sv.used-bytes)/jb.Bytes)
+			count = min(count, int(float64(ow.spec.ResultBytes-sv.used-bytes)/(float64(jb.Bytes)*ow.size)))
 		}
 		if count < len(jb.pending) && len(jb.pending) <= ow.spec.Items && items > 0 {
 			continue // a job that is split waits for two batches
@@ -436,6 +492,7 @@
 	sv.running--
 	sv.used -= bytes
 	now := ow.clk.Now()
+	sv.idle = now
 	switch {
 	case refused:
 		ow.counts.Refused++
@@ -469,7 +526,7 @@
 				gone = true
 			case citronstream.ItemNoRoom:
 				ow.counts.NoRoom++
-				sv.until = now.Add(fullPause)
+				ow.size = min(ow.size*sizeStep, maxSize)
 				failed.places = append(failed.places, place)
 			default:
 				failed.places = append(failed.places, place)
@@ -490,13 +547,14 @@
 // keep notes a result. That of a job that has ended is released at once.
 func (ow *Owner) keep(sv *server, jb *job, place int, handle string, now time.Time) {
 	if jb.ended {
-		ow.calls.Go(func() { ow.batcher.Release(ow.ctx, sv.Node, []string{handle}) })
-		return
+		ow.release(sv.Node, []string{handle})
 	}
 	sv.results[handle] = result{bytes: jb.Bytes, until: now.Add(ow.spec.ResultLife)}
 	sv.used += jb.Bytes
-	jb.handles[place] = handle
-	jb.left--
+	if !jb.ended {
+		jb.handles[place] = handle
+		jb.left--
+	}
 }
 
 // again queues pieces once more, as far as their jobs allow.
--- a/message_peer.go
+++ b/message_peer.go
@@ -55,6 +55,11 @@
 	Inputs    []string `json:"Inputs,omitempty"`
 	Rank      int      `json:"Rank"`
 	Workspace string   `json:"Workspace,omitempty"`
+	// Frees says that the inputs take more memory of the upstreams than the
+	// results, so that the job makes room for others.
+	Frees bool `json:"Frees,omitempty"`
+	// Fresh is how long the inputs are kept by their makers; 0 without inputs.
+	Fresh time.Duration `json:"Fresh,omitempty"`
 	// Zone is where the results are best made; empty means anywhere.
 	Zone string `json:"Zone,omitempty"`
 	// Left is the time to the request's deadline, Slack the time within which
