stage: owners tell the load of their queues; requests are admitted by it

Change: expected times are the work of the stages and the waits that the owners of the queues tell every 100 ms, by slack. A request that can't reach its target and would wait over 2 s is refused at once, with a time to come back. Results of an unknown owner before are taken into account by the items that find no room.

--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -23,9 +23,10 @@
 	spec    citronstream.RouteStage
 	batch   *citronstream.BatchSpec
 	pieces  int
-	last    bool // its results are inputs of the request itself
-	rest    time.Duration
-	users   int // stages that have not taken its results yet
+	last    bool          // its results are inputs of the request itself
+	rest    time.Duration // needed after the stage
+	wait    time.Duration // in the queue of its service, as things are
+	users   int           // stages that have not taken its results yet
 	handles []string
 	made    time.Time // when the oldest of its results was made
 	done    chan struct{}
@@ -71,7 +72,9 @@
 	if len(sg.list) == 0 {
 		return nil
 	}
-	sg.estimate()
+	if fa := sg.admit(); fa != nil {
+		return fa
+	}
 	if no := sg.rt.prefer(nil); no != nil {
 		sg.zone = no.Zone
 	}
@@ -91,6 +94,37 @@
 	return sg.fault
 }
 
+const (
+	// lateWait is the longest wait for which a request is taken that will miss
+	// its target. With a longer backlog most such requests would be given up
+	// in the end, which helps nobody.
+	lateWait = 2 * time.Second
+	// comeBackLeast is the least time after which a caller is asked to come back to a full queue.
+	comeBackLeast = 300 * time.Millisecond
+)
+
+// admit refuses a request at once that can't reach its target and would wait long.
+func (sg *stages) admit() *citronstream.Fault {
+	needs := sg.estimate()
+	slack := sg.rt.target.Sub(sg.rt.at) - needs
+	if slack >= 0 {
+		return nil
+	}
+	wait, at := time.Duration(0), ""
+	for _, st := range sg.list {
+		if late := sg.rt.fl.Broker.QueueWait(st.spec.Service, slack); st.pieces > 0 && late > wait {
+			wait, at = late, st.spec.Service
+		}
+	}
+	if wait < lateWait && needs < sg.rt.left() {
+		return nil
+	}
+	fa := citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "needs %v of %v, waits %v for service %s",
+		needs.Round(time.Millisecond), sg.rt.route.Target, wait.Round(time.Millisecond), at)
+	fa.RetryAfter = max(comeBackLeast, min(wait-lateWait, sg.rt.route.Target/4))
+	return fa
+}
+
 // fail keeps the first fault; those after it are its consequence.
 func (sg *stages) fail(fa *citronstream.Fault) {
 	sg.mu.Lock()
@@ -100,16 +134,44 @@
 	}
 }
 
-// estimate sets the time that the request needs after each stage.
-func (sg *stages) estimate() {
-	end := sg.rt.fl.times.expected(sg.rt.route.Name)
+// estimate sets the time that the request needs after each stage, and returns
+// that which it needs in all. Waits are those of the queues now.
+func (sg *stages) estimate() time.Duration {
+	sg.mu.Lock()
+	defer sg.mu.Unlock()
+	first := sg.rt.fl.times.expected(sg.rt.route.Name)
+	slack := sg.rt.target.Sub(sg.rt.fl.clk.Now()) - sg.alone(first)
+	total := first
+	for _, st := range sg.list {
+		st.rest, st.wait = first, 0
+		if st.pieces > 0 {
+			st.wait = sg.rt.fl.Broker.QueueWait(st.spec.Service, slack)
+		}
+	}
+	for i := len(sg.list) - 1; i >= 0; i-- {
+		st := sg.list[i]
+		tail := st.rest + st.wait + st.work()
+		for _, before := range st.spec.After {
+			sg.list[before].rest = max(sg.list[before].rest, tail)
+		}
+		total = max(total, tail)
+	}
+	return total
+}
+
+// alone is the time that the request needs when nothing else runs.
+func (sg *stages) alone(first time.Duration) time.Duration {
+	tails := make([]time.Duration, len(sg.list))
+	total := first
 	for i := len(sg.list) - 1; i >= 0; i-- {
 		st := sg.list[i]
-		st.rest = max(st.rest, end)
+		tails[i] = max(tails[i], first) + st.work()
 		for _, before := range st.spec.After {
-			sg.list[before].rest = max(sg.list[before].rest, st.rest+sg.usual(st))
+			tails[before] = max(tails[before], tails[i])
 		}
+		total = max(total, tails[i])
 	}
+	return total
 }
 
 // work is the time of the stage's batch when it runs alone.
@@ -120,12 +182,11 @@
 	return st.batch.CallTime + time.Duration(min(st.pieces, st.batch.Items))*st.batch.ItemTime
 }
 
-// usual is the time that the stage of such a request takes, with its wait.
-func (sg *stages) usual(st *stage) time.Duration {
-	if st.pieces == 0 {
-		return 0
-	}
-	return sg.rt.fl.times.stage(sg.rt.route.Name, st.number, st.work())
+// tail is the time from the stage's submission to the request's first event.
+func (sg *stages) tail(st *stage) time.Duration {
+	sg.mu.Lock()
+	defer sg.mu.Unlock()
+	return st.wait + st.work() + st.rest
 }
 
 // stage waits for the results that a stage takes, and makes its own.
@@ -161,9 +222,9 @@
 // than it: its results would only take memory until the other branch is done.
 func (sg *stages) align(ctx context.Context, st *stage) *citronstream.Fault {
 	if st.pieces > 0 && st.last {
-		tail := sg.usual(st) + st.rest + alignSlack
+		tail := sg.tail(st) + alignSlack
 		for _, other := range sg.list {
-			if other == st || sg.usual(other)+other.rest <= tail {
+			if other == st || sg.tail(other) <= tail {
 				continue
 			}
 			select {
@@ -191,18 +252,12 @@
 func (sg *stages) make(ctx context.Context, st *stage, places []int, repairing bool) *citronstream.Fault {
 	for {
 		inputs := sg.inputsOf(st)
-		jo := sg.job(st, places, inputs)
-		began := sg.rt.fl.clk.Now()
-		re := sg.rt.fl.Broker.Run(ctx, jo)
+		re := sg.rt.fl.Broker.Run(ctx, sg.job(st, places, inputs))
 		if re.Fault != nil {
 			return re.Fault
 		}
 		if !re.InputGone {
 			sg.keep(st, places, re.Handles)
-			// A job that was late from the start waits for idle upstreams, which says nothing of the others.
-			if jo.Slack > 0 && len(places) == st.pieces {
-				sg.rt.fl.times.staged(sg.rt.route.Name, st.number, sg.rt.fl.clk.Since(began))
-			}
 			return nil
 		}
 		sg.rt.fl.log.Info("stage input gone", "request", sg.rt.ID, "stage", st.number, "service", st.spec.Service, "remakes", sg.remakes)
@@ -309,11 +364,13 @@
 }
 
 func (sg *stages) job(st *stage, places []int, inputs []string) citronstream.Job {
+	sg.estimate()
 	now := sg.rt.fl.clk.Now()
+	rest := sg.tail(st) - st.wait
 	jo := citronstream.Job{
 		ID: sg.rt.ID, Stage: st.number, Service: st.spec.Service, Pieces: places, Bytes: st.spec.Bytes, Inputs: inputs,
 		Rank: sg.rt.rank, Workspace: sg.rt.workspace, Zone: sg.zone,
-		Left: sg.rt.end.Sub(now), Rest: st.rest + st.work(), Slack: sg.rt.target.Sub(now) - st.rest - st.work(),
+		Left: sg.rt.end.Sub(now), Rest: rest, Slack: sg.rt.target.Sub(now) - rest,
 	}
 	inputBytes := 0
 	for _, before := range st.spec.After {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -270,6 +270,9 @@
 		if places, changed := ga.engines.News(); changed {
 			ga.mesh.Broadcast(citronstream.MethodPlaces, places)
 		}
+		if queues, busy := ga.broker.News(); busy {
+			ga.mesh.Broadcast(citronstream.MethodQueues, queues)
+		}
 		if count%sweepTicks == 0 {
 			ga.pool.Sweep()
 			ga.mesh.Prune()
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -21,8 +22,12 @@
 	tickEvery = 20 * time.Millisecond
 	// reportTicks times tickEvery is how often the state of a queue is logged.
 	reportTicks = 50
+	// loadLife is how long an owner's word on its queue counts. It is renewed each 100 ms while work waits.
+	loadLife = 500 * time.Millisecond
 	// maxMoves bounds the owners that a job is brought to.
 	maxMoves = 4
+	// maxServices bounds the services whose load is remembered.
+	maxServices = 1024
 )
 
 // Broker knows the owners of all services.
@@ -39,14 +44,21 @@
 	mu      sync.Mutex
 	owners  map[string]*owner.Owner
 	leaving bool
+	loads   map[string]load
 	done    chan struct{}
 }
 
+// load is what an owner has told of its queue.
+type load struct {
+	citronstream.QueueLoad
+	at time.Time
+}
+
 // New returns a broker. It ends with ctx.
 func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, self string, vi *view.View, me *mesh.Mesh, batcher owner.Batcher, budget owner.Budget) *Broker {
 	br := &Broker{
 		clk: clk, log: log, self: self, view: vi, mesh: me, batcher: batcher, budget: budget, ctx: ctx,
-		owners: make(map[string]*owner.Owner), done: make(chan struct{}),
+		owners: make(map[string]*owner.Owner), loads: make(map[string]load), done: make(chan struct{}),
 	}
 	vi.OnMembers(br.members)
 	go br.tick()
@@ -263,6 +275,11 @@
 				ow.Cancel(name)
 			}
 		}
+	case citronstream.MethodQueues:
+		var qu citronstream.Queues
+		if re.Decode(&qu) == nil {
+			br.Hear(qu)
+		}
 	case citronstream.MethodRelease:
 		var rl citronstream.Release
 		if re.Decode(&rl) == nil {
@@ -310,6 +327,45 @@
 	}
 }
 
+// QueueWait returns the time until a job of a service with this slack starts, as
+// far as its owner has told.
+func (br *Broker) QueueWait(service string, slack time.Duration) time.Duration {
+	br.mu.Lock()
+	ld, known := br.loads[service]
+	br.mu.Unlock()
+	if !known || br.clk.Since(ld.at) > loadLife {
+		return 0
+	}
+	return ld.Wait(slack)
+}
+
+// Hear takes what an owner tells of its queues.
+func (br *Broker) Hear(qu citronstream.Queues) {
+	now := br.clk.Now()
+	br.mu.Lock()
+	defer br.mu.Unlock()
+	for service, ql := range qu.Loads {
+		if len(br.loads) < maxServices || br.loads[service].at != (time.Time{}) {
+			br.loads[service] = load{ql, now}
+		}
+	}
+}
+
+// News returns the load of the queues in this process that have work, for the peers.
+func (br *Broker) News() (citronstream.Queues, bool) {
+	qu := citronstream.Queues{Loads: make(map[string]citronstream.QueueLoad)}
+	br.mu.Lock()
+	owners := maps.Clone(br.owners)
+	br.mu.Unlock()
+	for service, ow := range owners {
+		if ow.Len() > 0 {
+			qu.Loads[service] = ow.Load()
+		}
+	}
+	br.Hear(qu)
+	return qu, len(qu.Loads) > 0
+}
+
 // At returns the upstream that holds a result, nil when it isn't listed.
 func (br *Broker) At(handle string) *node.Node {
 	return br.view.Members().At(br.batcher.Maker(handle))
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -71,6 +71,7 @@
 	list    []*server // in the order of the upstreams' IDs
 	calls   sync.WaitGroup
 	counts  Counts
+	rate    rate
 }
 
 // Counts are the counters of an Owner.
@@ -99,6 +100,18 @@
 	idle    time.Time // end of its last batch
 	used    int       // bytes of results that it holds or makes
 	results map[string]result
+	// foreign are bytes of results that this owner does not know of, such as
+	// those of an owner before, by the items that found no room.
+	foreign   int
+	foreignAt time.Time
+}
+
+// others returns the bytes of unknown results. They vanish within the life of a result.
+func (sv *server) others(now time.Time, life time.Duration) int {
+	if sv.foreign == 0 || life <= 0 {
+		return 0
+	}
+	return int(float64(sv.foreign) * max(0, 1-float64(now.Sub(sv.foreignAt))/float64(life)))
 }
 
 type result struct {
@@ -268,11 +281,43 @@
 	return st
 }
 
+// Load returns what peers need to know of the queue.
+func (ow *Owner) Load() citronstream.QueueLoad {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	now := ow.clk.Now()
+	ql := citronstream.QueueLoad{Rate: ow.rate.value(now, ow.ideal())}
+	for _, jb := range ow.waiting {
+		slack := jb.Start.Sub(now)
+		if jb.Late(now) {
+			ql.Late += len(jb.pending)
+			continue
+		}
+		at := 0
+		for at < len(citronstream.SlackSteps)-1 && slack >= citronstream.SlackSteps[at] {
+			at++
+		}
+		ql.Pending[at] += len(jb.pending)
+	}
+	return ql
+}
+
+// ideal is the pieces that the upstreams make in a second with full batches.
+func (ow *Owner) ideal() float64 {
+	full := expected(&ow.spec, ow.spec.Items).Seconds()
+	sum := 0.0
+	for _, sv := range ow.list {
+		sum += float64(ow.spec.Items*ow.spec.Calls) / (full * max(1, sv.Slowness()))
+	}
+	return sum
+}
+
 // Tick looks at the queue for what time alone has changed.
 func (ow *Owner) Tick() {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	now := ow.clk.Now()
+	ow.rate.waiting(now, len(ow.waiting) > 0)
 	for _, sv := range ow.list {
 		for handle, re := range sv.results {
 			if now.After(re.until) {
@@ -349,7 +394,7 @@
 	for _, jb := range ow.waiting {
 		var best *server
 		for _, sv := range ow.list {
-			if !ow.free(sv, now) || ow.room(sv, jb.Bytes) < ow.least(sv, now) {
+			if !ow.free(sv, now) || ow.room(sv, jb.Bytes, 0, now) < ow.least(sv, now) {
 				continue
 			}
 			if best == nil || ow.prefer(sv, best, jb) {
@@ -367,12 +412,14 @@
 	return sv.running < ow.spec.Calls && now.After(sv.until) && !sv.Avoided(now)
 }
 
-// room returns the number of results of a size that fit into an upstream's memory.
-func (ow *Owner) room(sv *server, bytes int) int {
+// room returns the number of results of a size that fit into an upstream's
+// memory beside the bytes that a batch takes already.
+func (ow *Owner) room(sv *server, bytes, taken int, now time.Time) int {
 	if ow.spec.ResultBytes <= 0 || bytes <= 0 {
 		return ow.spec.Items
 	}
-	return max(0, int(float64(ow.spec.ResultBytes-sv.used)/(float64(bytes)*ow.size)))
+	free := ow.spec.ResultBytes - sv.used - taken - sv.others(now, ow.spec.ResultLife)
+	return max(0, int(float64(free)/(float64(bytes)*ow.size)))
 }
 
 // least returns the results for which an upstream must have room before it
@@ -416,10 +463,7 @@
 	var batch []part
 	items, bytes := 0, 0
 	for _, jb := range jobs {
-		count := min(len(jb.pending), ow.spec.Items-items)
-		if jb.Bytes > 0 && ow.spec.ResultBytes > 0 {
-			count = min(count, int(float64(ow.spec.ResultBytes-sv.used-bytes)/(float64(jb.Bytes)*ow.size)))
-		}
+		count := min(len(jb.pending), ow.spec.Items-items, ow.room(sv, jb.Bytes, bytes, now))
 		if count < len(jb.pending) && len(jb.pending) <= ow.spec.Items && items > 0 {
 			continue // a job that is split waits for two batches
 		}
@@ -505,6 +549,7 @@
 		ow.again(batch, "broken")
 	default:
 		sv.Done(float64(took) / float64(normal))
+		ow.rate.made(now, len(items))
 		ow.settle(sv, batch, results, now)
 	}
 	ow.dispatch()
@@ -526,6 +571,7 @@
 				gone = true
 			case citronstream.ItemNoRoom:
 				ow.counts.NoRoom++
+				sv.foreign, sv.foreignAt = sv.others(now, ow.spec.ResultLife)+pa.jb.Bytes, now
 				ow.size = min(ow.size*sizeStep, maxSize)
 				failed.places = append(failed.places, place)
 			default:
--- a/message_peer.go
+++ b/message_peer.go
@@ -12,6 +12,7 @@
 	MethodJob     = "Stage.Run"    // answered by JobResult
 	MethodForget  = "Stage.Cancel" // notification, JobName
 	MethodRelease = "Stage.Free"   // notification, Release
+	MethodQueues  = "Stage.Load"   // notification, Queues
 	MethodDeath   = "Site.Death"   // notification, a report of an upstream's death
 )
 
@@ -90,3 +91,41 @@
 	Service string   `json:"Service"`
 	Handles []string `json:"Handles"`
 }
+
+// Queues has the load of the queues that the sender owns, by service.
+type Queues struct {
+	Loads map[string]QueueLoad `json:"Loads"`
+}
+
+// QueueLoad says how much work waits for the upstreams of a service.
+type QueueLoad struct {
+	// Pending are the pieces that wait, by the time until their latest start:
+	// Pending[i] those with less than SlackSteps[i] and not less than the step before.
+	Pending [len(SlackSteps)]int `json:"Pending"`
+	// Late are the pieces whose requests can no longer reach their target.
+	Late int `json:"Late"`
+	// Rate is the pieces that the upstreams make in a second.
+	Rate float64 `json:"Rate"`
+}
+
+// SlackSteps are the bounds of QueueLoad.Pending.
+var SlackSteps = [...]time.Duration{250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, time.Hour}
+
+// Wait returns the time until a job starts that has a slack of its own:
+// those with less come before it, and late ones come last.
+func (ql *QueueLoad) Wait(slack time.Duration) time.Duration {
+	pieces := 0
+	if slack < 0 {
+		pieces = ql.Late
+	}
+	for i := range SlackSteps {
+		if slack >= 0 && i > 0 && slack < SlackSteps[i-1] {
+			break
+		}
+		pieces += ql.Pending[i]
+	}
+	if pieces == 0 || ql.Rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(pieces) / ql.Rate * float64(time.Second))
+}
