--- /dev/null
+++ b/internal/fleet/view/view_test.go
@@ -0,0 +1,158 @@
+package view
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+)
+
+// The rows of these tests have values such as "service address born d".
+func member(row citronstream.Row) (citronstream.Member, error) {
+	field := strings.Fields(string(row.Value))
+	if len(field) < 3 {
+		return citronstream.Member{}, errors.New("malformed")
+	}
+	return citronstream.Member{ID: row.Key, Service: field[0], Address: field[1], Born: int64(len(field[2])), Draining: len(field) > 3}, nil
+}
+
+func routing(value []byte) (*citronstream.Routing, error) {
+	if len(value) == 0 {
+		return nil, errors.New("empty")
+	}
+	return &citronstream.Routing{Version: uint64(value[0] - '0'), Routes: []citronstream.Route{
+		{Name: "long", Host: "h", Prefix: "/a/b/"}, {Name: "short", Host: "h", Prefix: "/a/"},
+	}}, nil
+}
+
+func newView() (*View, *clockwork.FakeClock, *[]string) {
+	clk := clockwork.NewFakeClock()
+	vi := New(clk, logr.Discard(), Decode{Routing: routing, Member: member, ConfigKey: "op/config"})
+	news := &[]string{}
+	vi.OnChange(func(changes []citronstream.Change, _ string) {
+		for _, ch := range changes {
+			*news = append(*news, ch.Key)
+		}
+	})
+	return vi, clk, news
+}
+
+func put(key string, version uint64, value string) citronstream.Change {
+	return citronstream.Change{Row: citronstream.Row{Key: key, Version: version, Value: []byte(value)}}
+}
+
+func removal(key string, version uint64) citronstream.Change {
+	return citronstream.Change{Row: citronstream.Row{Key: key, Version: version}, Deleted: true}
+}
+
+func apply(vi *View, changes ...citronstream.Change) { vi.Apply(changes, SourceStore) }
+
+// News come from the store and from peers in any order; the newest version of a row wins.
+func TestNewestVersionWins(t *testing.T) {
+	vi, _, _ := newView()
+	apply(vi, put("i", 5, "s a:1 x"), removal("i", 7))
+	assert.Empty(t, vi.Members().Service("s"))
+	apply(vi, put("i", 6, "s a:1 x"))
+	assert.Empty(t, vi.Members().Service("s"), "a removed upstream must not come back by old news")
+	apply(vi, put("i", 8, "s a:1 x"))
+	assert.Len(t, vi.Members().Service("s"), 1)
+}
+
+func TestDrainingTakesNoWork(t *testing.T) {
+	vi, _, _ := newView()
+	apply(vi, put("i", 1, "s a:1 x"), put("j", 2, "s a:2 x"))
+	apply(vi, put("i", 3, "s a:1 x draining"))
+	assert.Len(t, vi.Members().Service("s"), 1)
+	assert.NotNil(t, vi.Members().At("a:1"), "its results can still be fetched")
+}
+
+// A heartbeat keeps what is known of an upstream, and is no news to peers.
+func TestHeartbeat(t *testing.T) {
+	vi, _, news := newView()
+	apply(vi, put("i", 1, "s a:1 x"))
+	before := vi.Members().Node("i")
+	apply(vi, put("i", 2, "s a:1 x"))
+	assert.Same(t, before, vi.Members().Node("i"))
+	assert.Len(t, *news, 1)
+	apply(vi, put("i", 3, "s a:1 xx"))
+	assert.NotSame(t, before, vi.Members().Node("i"), "a new start under the same name knows nothing of before")
+}
+
+// A row that names no upstream takes away the one before, and the others hold.
+func TestMalformedRow(t *testing.T) {
+	vi, _, _ := newView()
+	apply(vi, put("i", 1, "s a:1 x"), put("j", 2, "s a:2 x"), put("i", 3, "?"))
+	assert.Len(t, vi.Members().Service("s"), 1)
+}
+
+// Entries lapse while the store is away, because heartbeats can't reach it.
+// The upstreams stay in use until they had time to come back.
+func TestLapse(t *testing.T) {
+	vi, clk, _ := newView()
+	apply(vi, put("i", 1, "s a:1 x"), put("j", 2, "s a:2 x"), put("k", 3, "s a:3 x draining"))
+	vi.Trouble()
+	clk.Advance(time.Second)
+	apply(vi, removal("i", 4), removal("j", 5), removal("k", 6))
+	assert.Len(t, vi.Members().Service("s"), 2)
+	assert.Nil(t, vi.Members().Node("k"), "one that was leaving has left")
+	apply(vi, put("i", 7, "s a:1 x"))
+	clk.Advance(lapseGrace)
+	vi.Sweep()
+	assert.Len(t, vi.Members().Service("s"), 1, "one that did not come back is gone")
+	apply(vi, removal("i", 8))
+	assert.Empty(t, vi.Members().Service("s"), "with a sound store a removal counts at once")
+}
+
+// A scan of the table tells of removals that the feed could not.
+func TestScan(t *testing.T) {
+	vi, _, _ := newView()
+	apply(vi, put("i", 1, "s a:1 x"), put("j", 9, "s a:2 x"))
+	vi.Replace([]citronstream.Row{{Key: "k", Version: 4, Value: []byte("s a:3 x")}}, 5, SourceStore)
+	assert.Nil(t, vi.Members().Node("i"))
+	assert.NotNil(t, vi.Members().Node("j"), "written after the scan")
+	assert.NotNil(t, vi.Members().Node("k"))
+}
+
+// Versions only grow, and what can't be used leaves the one before in force.
+func TestConfiguration(t *testing.T) {
+	vi, _, _ := newView()
+	assert.Nil(t, vi.Routes())
+	apply(vi, put("op/config", 5, "3"))
+	for _, ch := range []citronstream.Change{put("op/config", 4, "4"), put("op/config", 6, ""), put("op/config", 7, "2"), removal("op/config", 8)} {
+		apply(vi, ch)
+		assert.Equal(t, uint64(3), vi.Routes().Version)
+	}
+	apply(vi, put("op/config", 9, "4"))
+	assert.Equal(t, uint64(4), vi.Routes().Version)
+	assert.Equal(t, uint64(9), vi.Revision())
+}
+
+func TestFind(t *testing.T) {
+	vi, _, _ := newView()
+	apply(vi, put("op/config", 1, "1"))
+	for path, want := range map[string]string{"/a/b/c": "long", "/a/x": "short", "/a/b": "short", "/b/": ""} {
+		got := ""
+		if ro := vi.Routes().Find("H:80", path); ro != nil {
+			got = ro.Name
+		}
+		assert.Equal(t, want, got, path)
+	}
+	assert.Nil(t, vi.Routes().Find("other", "/a/"))
+}
+
+// A peer that has nothing gets everything, removals included.
+func TestState(t *testing.T) {
+	vi, _, _ := newView()
+	apply(vi, put("op/config", 1, "1"), put("i", 2, "s a:1 x"), put("j", 3, "s a:2 x"), removal("j", 4))
+	other, _, _ := newView()
+	other.Apply(vi.State(), "peer")
+	assert.Equal(t, uint64(1), other.Revision())
+	assert.NotNil(t, other.Members().Node("i"))
+	apply(other, put("j", 3, "s a:2 x"))
+	assert.Nil(t, other.Members().Node("j"))
+}
--- /dev/null
+++ b/internal/limit/comeback/comeback_test.go
@@ -0,0 +1,38 @@
+package comeback
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+)
+
+// A caller who comes back after a refusal, to whatever entry, has waited since its first attempt.
+func TestFirstAttempt(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	here, there := New(clk), New(clk)
+	first := clk.Now()
+	here.Refused(7, first)
+	clk.Advance(time.Second)
+	there.Hear(here.News())
+	for _, re := range []*Registry{here, there} {
+		assert.WithinDuration(t, first, re.First(7, clk.Now()), time.Second)
+		assert.Equal(t, clk.Now(), re.First(8, clk.Now()))
+	}
+	assert.Empty(t, here.News(), "told once")
+	here.Refused(7, first)
+	assert.Empty(t, here.News(), "a second refusal is known")
+	clk.Advance(life)
+	assert.Equal(t, clk.Now(), here.First(7, clk.Now()), "another request with the same content")
+	here.Forget(7)
+}
+
+func TestBound(t *testing.T) {
+	re := New(clockwork.NewFakeClock())
+	for id := range uint64(maxSeen + 10) {
+		re.Refused(id, re.clk.Now())
+	}
+	assert.Len(t, re.byID, maxSeen)
+	assert.Len(t, re.News(), maxNews)
+}
--- /dev/null
+++ b/internal/limit/sharebudget/budget_test.go
@@ -0,0 +1,42 @@
+package sharebudget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+)
+
+var bounds = citronstream.Bounds{RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryExtra: 50}
+
+// All entries together must stay within the bound in each window.
+func TestShareOfLiveEntries(t *testing.T) {
+	live := 5
+	bu := New(clockwork.NewFakeClock(), bounds, func() int { return live })
+	assert.Equal(t, 8, bu.Take("s", 100)) // 0.8 x 50 / 5
+	assert.Zero(t, bu.Take("s", 1))
+	live = 2
+	assert.Equal(t, 12, bu.Take("s", 100))
+	assert.Equal(t, 20, bu.Take("other", 100))
+}
+
+func TestRatioAndWindow(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	bu := New(clk, bounds, func() int { return 50 })
+	for range 100 {
+		bu.First("s")
+	}
+	assert.Equal(t, 16, bu.Take("s", 100)) // 0.8 x (0.2 x 100 + 1)
+	clk.Advance(9 * time.Second)
+	assert.Zero(t, bu.Take("s", 1))
+	clk.Advance(2 * time.Second)
+	assert.Zero(t, bu.Take("s", 1), "the requests have left the window as well")
+	bu.First("s")
+	for range 9 {
+		bu.First("s")
+	}
+	assert.Equal(t, 2, bu.Take("s", 5))
+	assert.NotZero(t, bu.Refused())
+}
--- /dev/null
+++ b/internal/route/engines/engines_test.go
@@ -0,0 +1,86 @@
+package engines
+
+import (
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+)
+
+func nodes(count int) (list []*node.Node) {
+	for i := range count {
+		list = append(list, node.New(citronstream.Member{ID: string(rune('a' + i)), Zone: string(rune('x' + i%2)), Slots: 64}))
+	}
+	return list
+}
+
+func shared(id uint64, tokens int) Request {
+	return Request{Tokens: tokens + 500, Shared: citronstream.PromptPart{ID: id, Tokens: tokens}, Parts: tokens}
+}
+
+// Requests with a shared part go to one engine, at every entry, until it has
+// much more to read than another one.
+func TestAffinityWithABound(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	pi, other := New(clk), New(clk)
+	list := nodes(9)
+	first := pi.Pick(list, shared(7, 5000))
+	assert.Same(t, first, other.Prefer(list, shared(7, 5000)), "entries agree without a word")
+	assert.Same(t, first, pi.Pick(list, shared(7, 5000)))
+	moved := false
+	for range 20 {
+		moved = moved || pi.Pick(list, shared(7, 5000)) != first
+	}
+	assert.True(t, moved)
+}
+
+// The load that peers put on the engines counts, for a while.
+func TestPeersLoad(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	pi := New(clk)
+	list := nodes(2)
+	pi.Hear("peer", citronstream.Places{Engines: map[string]citronstream.EngineLoad{"a": {Running: 10, Unread: 50000}}})
+	assert.Equal(t, "b", pi.Prefer(list, Request{Tokens: 100}).ID)
+	pi.Hear("peer", citronstream.Places{Engines: map[string]citronstream.EngineLoad{"b": {Running: 10, Unread: 50000}}})
+	assert.Equal(t, "a", pi.Prefer(list, Request{Tokens: 100}).ID)
+	clk.Advance(peerLife)
+	pi.Pick(list[:1], Request{Tokens: 100})
+	assert.Equal(t, "b", pi.Prefer(list, Request{Tokens: 100}).ID, "a peer that says nothing more is not counted")
+}
+
+func TestCounts(t *testing.T) {
+	pi := New(clockwork.NewFakeClock())
+	list := nodes(1)
+	rq := Request{Tokens: 100}
+	no := pi.Pick(list, rq)
+	news, changed := pi.News()
+	assert.True(t, changed)
+	assert.Equal(t, citronstream.EngineLoad{Running: 1, Unread: 100}, news.Engines["a"])
+	pi.First(no, rq)
+	pi.End(no, rq, true)
+	news, _ = pi.News()
+	assert.Empty(t, news.Engines)
+	_, changed = pi.News()
+	assert.False(t, changed)
+}
+
+// An engine whose connections break is passed over, as is one that was tried.
+func TestUnusable(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	pi := New(clk)
+	list := nodes(2)
+	list[0].Broke(clk.Now())
+	assert.Equal(t, "b", pi.Prefer(list, Request{}).ID)
+	assert.Nil(t, pi.Prefer(list, Request{Exclude: map[string]bool{"b": true}}))
+	clk.Advance(5 * time.Second)
+	assert.NotNil(t, pi.Prefer(list, Request{Exclude: map[string]bool{"b": true}}))
+}
+
+// Large inputs are fetched within their zone where the loads allow.
+func TestInputs(t *testing.T) {
+	pi := New(clockwork.NewFakeClock())
+	assert.Equal(t, "y", pi.Prefer(nodes(2), Request{Tokens: 100, Inputs: map[string]int{"y": 2e6}}).Zone)
+}
