Stand-in of the users' platform and tests of gateways on it

Found: results that were made again kept the old ones until they expired (TestLostInputs); a peer was asked for its state over a link that was not published yet, so that an entry without the store learned nothing at first, and the link was read without order (race detector, TestStages). Change: replaced results are released; the state is asked for over the link that was just opened.

--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -36,7 +36,7 @@
 	eng     *nbconn.Engine
 	self    func() citronstream.Meeting
 	handler Handler
-	onMeet  func(pe *Peer)
+	onMeet  func(pe *Peer, li *link.Link)
 
 	ctx    context.Context
 	ln     net.Listener
@@ -53,14 +53,15 @@
 	Zone    string
 
 	meeting atomic.Pointer[citronstream.Meeting]
-	dialer  *dialer.Dialer
+	dialer  atomic.Pointer[dialer.Dialer]
 	cancel  context.CancelFunc
 	lost    atomic.Int64 // when the link was lost, ns since 1970; 0 while it is up
 	leaving atomic.Bool
 }
 
-// New returns a mesh that links to nobody yet. Self describes this process.
-func New(clk citronstream.Clock, log logr.Logger, eng *nbconn.Engine, self func() citronstream.Meeting, handler Handler, onMeet func(pe *Peer)) *Mesh {
+// New returns a mesh that links to nobody yet. Self describes this process;
+// onMeet is told of a peer that has said what it has, and must not block.
+func New(clk citronstream.Clock, log logr.Logger, eng *nbconn.Engine, self func() citronstream.Meeting, handler Handler, onMeet func(pe *Peer, li *link.Link)) *Mesh {
 	me := &Mesh{clk: clk, log: log, eng: eng, self: self, handler: handler, onMeet: onMeet, byAdr: make(map[string]*Peer)}
 	me.live.Store(&[]*Peer{})
 	return me
@@ -85,7 +86,7 @@
 	defer me.mu.Unlock()
 	for _, pe := range me.byAdr {
 		pe.cancel()
-		<-pe.dialer.Done()
+		<-pe.dialer.Load().Done()
 	}
 }
 
@@ -152,10 +153,10 @@
 	ctx, cancel := context.WithCancel(me.ctx)
 	pe := &Peer{Address: address, Zone: zone, cancel: cancel}
 	pe.lost.Store(me.clk.Now().UnixNano())
-	pe.dialer = dialer.New(ctx, me.clk, me.eng, address,
+	pe.dialer.Store(dialer.New(ctx, me.clk, me.eng, address,
 		func(_ *link.Link, re *link.Request) { me.handler(address, re) },
 		dialer.WithUp(func(ctx context.Context, li *link.Link) error { return me.meet(ctx, pe, li) }),
-		dialer.WithDown(func(err error) { me.down(pe, err) }))
+		dialer.WithDown(func(err error) { me.down(pe, err) })))
 	me.byAdr[address] = pe
 	me.publish()
 	return pe
@@ -169,7 +170,7 @@
 	pe.lost.Store(0)
 	me.met(pe, mt)
 	me.log.Info("peer linked", "peer", mt.Name, "address", pe.Address, "zone", mt.Zone, "leaving", mt.Leaving, "revision", mt.Revision)
-	me.onMeet(pe)
+	me.onMeet(pe, li)
 	return nil
 }
 
@@ -200,7 +201,9 @@
 		me.log.Info("peer leaves", "peer", mt.Name)
 	}
 	me.met(pe, mt)
-	me.onMeet(pe)
+	if li := pe.Link(); li != nil {
+		me.onMeet(pe, li)
+	}
 }
 
 // publish renews the list that reads use. The caller holds the lock.
@@ -276,7 +279,12 @@
 }
 
 // Link returns the open link to the peer, or nil.
-func (pe *Peer) Link() *link.Link { return pe.dialer.Link() }
+func (pe *Peer) Link() *link.Link {
+	if di := pe.dialer.Load(); di != nil {
+		return di.Link()
+	}
+	return nil
+}
 
 // Up reports whether the peer can take work.
 func (pe *Peer) Up() bool {
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -277,16 +277,22 @@
 	}
 }
 
+// keep notes results. Those that they replace are given up: their makers may hold them still.
 func (sg *stages) keep(st *stage, places []int, handles []string) {
+	var old []string
 	sg.mu.Lock()
-	defer sg.mu.Unlock()
 	if st.handles == nil {
 		st.handles = make([]string, st.pieces)
 		st.made = sg.rt.fl.clk.Now()
 	}
 	for i, place := range places {
+		if st.handles[place] != "" {
+			old = append(old, st.handles[place])
+		}
 		st.handles[place] = handles[i]
 	}
+	sg.mu.Unlock()
+	sg.rt.fl.Broker.Release(citronstream.Release{Service: st.spec.Service, Handles: old})
 }
 
 // held returns a copy of a stage's results.
--- /dev/null
+++ b/internal/process/gateway/fleet_test.go
@@ -0,0 +1,248 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream/internal/standin/site"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// staged adds the upstreams of the route with stages.
+func (wo *world) staged() (pool, cut, glue *site.Upstream) {
+	return wo.upstream("p1", "pool"), wo.upstream("c1", "cut"), wo.upstream("g1", "glue")
+}
+
+func (wo *world) stagedCall() *call {
+	return wo.call("X-Citronstream-Pieces", "2,1", "X-Citronstream-Piece-Key", "k", "X-Citronstream-Token-Usage", "10,5")
+}
+
+// Stages run in their order, with the results of all pieces before, and the
+// request gets those of the last one. Used results are released.
+func TestStages(t *testing.T) {
+	wo := newWorld(t, 2)
+	_, cut, glue := wo.staged()
+	wo.ready()
+	var group sync.WaitGroup
+	for i := range 6 {
+		ca := wo.stagedCall()
+		group.Go(func() {
+			res, body := wo.answer(wo.entries[i%2], ca, http.MethodPost, "/staged/stream/", "")
+			assert.Equal(t, http.StatusOK, res.StatusCode)
+			assert.Equal(t, 5, strings.Count(body, "data:"))
+			inputs := wo.log.Of(ca.id)[0].Header.Get("X-Citronstream-Inputs")
+			assert.True(t, strings.HasPrefix(inputs, glue.Address()+"/"), inputs)
+			assert.NotContains(t, inputs, ",")
+		})
+	}
+	group.Wait()
+	wo.until(func() bool { return cut.Held()+glue.Held() == 0 }, "results are not released")
+	for _, ar := range wo.log.All() {
+		if ar.Target == "/stage-run" && ar.Upstream == "g1" {
+			assert.Contains(t, ar.Body, `"inputs":["`+cut.Address())
+			assert.NotContains(t, ar.Body, `"key"`)
+		}
+	}
+}
+
+// Inputs that are gone when the request reaches its engine are made again.
+func TestLostInputs(t *testing.T) {
+	wo := newWorld(t, 1)
+	pool, _, glue := wo.staged()
+	wo.ready()
+	pool.Gone.Store(true)
+	ca := wo.stagedCall()
+	go func() {
+		wo.until(func() bool { return len(wo.log.Of(ca.id)) > 0 }, "not sent")
+		pool.Gone.Store(false)
+	}()
+	wo.upstream("p2", "pool").Gone.Store(false)
+	wo.ready()
+	res, _ := wo.answer(wo.entries[0], ca, http.MethodPost, "/staged/stream/", "")
+	wo.assertStatus(http.StatusOK, res)
+	wo.until(func() bool { return glue.Held() == 0 }, "results are not released")
+}
+
+// A caller that leaves withdraws the stages of its request.
+func TestCallerLeavesDuringStages(t *testing.T) {
+	wo := newWorld(t, 2)
+	_, cut, _ := wo.staged()
+	wo.ready()
+	cut.Work.Store(int64(300 * time.Millisecond))
+	ca := wo.stagedCall()
+	ctx, cancel := context.WithCancel(context.Background())
+	for _, en := range wo.entries {
+		go func() {
+			if res, err := wo.send(ctx, en, ca, http.MethodPost, "/staged/stream/", ""); err == nil {
+				_ = res.Body.Close()
+			}
+		}()
+	}
+	wo.until(func() bool { return len(wo.log.All()) > 0 }, "no stage was sent")
+	cancel()
+	wo.until(func() bool { return wo.entries[0].flow.InFlight()+wo.entries[1].flow.InFlight() == 0 }, "the request goes on")
+	wo.until(func() bool { return cut.Held() == 0 }, "results are not released")
+	assert.Empty(t, wo.log.Of(ca.id), "the engine was asked for a caller that left")
+}
+
+// The queue of a stage passes to another entry when its owner is killed, and
+// the requests of the others are served.
+func TestOwnerDies(t *testing.T) {
+	wo := newWorld(t, 3)
+	_, cut, _ := wo.staged()
+	wo.ready()
+	cut.Work.Store(int64(50 * time.Millisecond))
+	owner := wo.owner("cut")
+	var group sync.WaitGroup
+	for _, en := range wo.entries {
+		if en == owner {
+			continue
+		}
+		for range 4 {
+			ca := wo.stagedCall()
+			group.Go(func() {
+				res, _ := wo.answer(en, ca, http.MethodPost, "/staged/stream/", "")
+				assert.Equal(t, http.StatusOK, res.StatusCode)
+			})
+		}
+	}
+	wo.until(func() bool { return len(wo.log.All()) > 0 }, "no stage was sent")
+	owner.stop()
+	group.Wait()
+}
+
+// owner returns the entry that owns the queue of a service.
+func (wo *world) owner(service string) *entry {
+	for _, en := range wo.entries {
+		if en.broker.Owns(service) {
+			return en
+		}
+	}
+	require.Fail(wo.t, "no owner")
+	return nil
+}
+
+// An entry that leaves says so, hands its queues over, answers what it has,
+// with a close, and refuses what comes too late to be finished.
+func TestLeaving(t *testing.T) {
+	wo := newWorld(t, 2)
+	wo.staged()
+	up := wo.upstream("d1", "desk")
+	wo.ready()
+	up.Work.Store(int64(200 * time.Millisecond))
+	leaver := wo.owner("cut")
+	ca := wo.call()
+	answered := make(chan *http.Response, 1)
+	go func() {
+		res, _ := wo.answer(leaver, ca, http.MethodPost, "/order/", "")
+		answered <- res
+	}()
+	wo.until(func() bool { return wo.ran(ca) == 1 }, "not sent")
+	leaver.Leave()
+	assert.False(t, leaver.Ready())
+	res := <-answered
+	wo.assertStatus(http.StatusOK, res)
+	res, _ = wo.answer(leaver, wo.call(), http.MethodPost, "/order/", "")
+	wo.assertStatus(http.StatusOK, res)
+	assert.True(t, res.Close)
+	wo.until(func() bool { return !leaver.broker.Owns("cut") }, "the queue was not handed over")
+	res, _ = wo.answer(leaver, wo.stagedCall(), http.MethodPost, "/staged/stream/", "")
+	wo.assertStatus(http.StatusOK, res)
+}
+
+// An upstream that drains or whose row is removed gets no new requests.
+func TestLeavingUpstream(t *testing.T) {
+	wo := newWorld(t, 2)
+	one := wo.upstream("d1", "desk")
+	wo.upstream("d2", "desk")
+	wo.ready()
+	wo.st.Put("servers", "d1", one.Row("draining"))
+	for _, en := range wo.entries {
+		wo.until(func() bool { return len(en.view.Members().Service("desk")) == 1 }, "the state is not known")
+		for range 5 {
+			ca := wo.call()
+			wo.answer(en, ca, http.MethodPost, "/order/", "")
+			assert.Equal(t, "d2", wo.log.Of(ca.id)[0].Upstream)
+		}
+	}
+}
+
+// An entry that the store turns away hears from its peers of configurations,
+// keys and leaving upstreams, also when it starts then.
+func TestStoreTurnsOneAway(t *testing.T) {
+	wo := newWorld(t, 2)
+	one := wo.upstream("d1", "desk")
+	wo.upstream("d2", "desk")
+	wo.ready()
+	for name, fault := range map[string]int32{"refuses": site.Refuses, "silent": site.Silent} {
+		t.Run(name, func(t *testing.T) {
+			alone := wo.entries[0]
+			alone.door.Fault(fault)
+			alone.door.CloseClientConnections()
+			defer alone.door.Fault(site.Sound)
+			version := alone.view.Routes().Version + 1
+			wo.configure(int(version), "")
+			wo.st.Put("servers", "d1", one.Row("draining"))
+			wo.until(func() bool {
+				return alone.view.Routes().Version == version && len(alone.view.Members().Service("desk")) == 1
+			}, "the peers did not tell")
+			wo.st.Put("servers", "d1", one.Row("ready"))
+			wo.until(func() bool { return len(alone.view.Members().Service("desk")) == 2 }, "the peers did not tell")
+		})
+	}
+}
+
+// A lost write of the registration does no harm, and a dropped history is read anew.
+func TestHistoryIsGone(t *testing.T) {
+	wo := newWorld(t, 1)
+	wo.upstream("d1", "desk")
+	wo.ready()
+	wo.entries[0].door.Fault(site.Refuses)
+	wo.until(func() bool { return wo.entries[0].follower.Away() }, "the fault was not seen")
+	wo.upstream("d2", "desk")
+	wo.configure(2, "")
+	wo.st.Forget()
+	wo.entries[0].door.Fault(site.Sound)
+	wo.until(func() bool {
+		return wo.entries[0].view.Members().Len() == 2 && wo.entries[0].view.Routes().Version == 2
+	}, "not read anew")
+}
+
+// A content that has killed two upstreams is refused at all entries.
+func TestPoison(t *testing.T) {
+	wo := newWorld(t, 2)
+	for _, id := range []string{"d1", "d2", "d3"} {
+		wo.upstream(id, "desk")
+	}
+	wo.ready()
+	for round := range 2 {
+		ca := wo.call()
+		for _, up := range wo.ups {
+			up.Reset.Store(true)
+		}
+		res, _ := wo.answer(wo.entries[round], ca, http.MethodPost, "/order/poison", "")
+		wo.assertStatus(http.StatusBadGateway, res)
+		dead := wo.ups[wo.log.Of(ca.id)[0].Upstream]
+		dead.CloseClientConnections()
+		_ = dead.Listener.Close()
+		for _, up := range wo.ups {
+			up.Reset.Store(false)
+		}
+		wo.until(func() bool {
+			_, deaths := wo.entries[0].holds.Len()
+			_, others := wo.entries[1].holds.Len()
+			return deaths == round+1 && others == round+1
+		}, "the death was not told")
+	}
+	for _, en := range wo.entries {
+		ca := wo.call()
+		res, _ := wo.answer(en, ca, http.MethodPost, "/order/poison", "")
+		wo.assertStatus(http.StatusServiceUnavailable, res)
+		assert.Empty(t, wo.log.Of(ca.id))
+	}
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -182,7 +182,7 @@
 }
 
 // met asks a peer for what it knows and this process does not.
-func (ga *Gateway) met(pe *mesh.Peer) {
+func (ga *Gateway) met(pe *mesh.Peer, li *link.Link) {
 	if ga.ctx.Err() != nil {
 		return
 	}
@@ -190,11 +190,11 @@
 	if pe.Revision() <= ga.view.Revision() && !blind {
 		return
 	}
-	ga.own(func(ctx context.Context) { ga.fetch(ctx, pe, blind) })
+	ga.own(func(ctx context.Context) { ga.fetch(ctx, pe, li, blind) })
 }
 
 // fetch takes over what a peer knows, unless the store tells in the meantime.
-func (ga *Gateway) fetch(ctx context.Context, pe *mesh.Peer, blind bool) {
+func (ga *Gateway) fetch(ctx context.Context, pe *mesh.Peer, li *link.Link, blind bool) {
 	if !blind {
 		timer := ga.clk.NewTimer(fetchAfter)
 		defer timer.Stop()
@@ -207,10 +207,6 @@
 			return
 		}
 	}
-	li := pe.Link()
-	if li == nil {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
 	var rows citronstream.Rows
--- /dev/null
+++ b/internal/process/gateway/site_test.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/standin/site"
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Patience of these tests. Nothing in them depends on speed.
+const (
+	soon  = 10 * time.Second
+	often = 2 * time.Millisecond
+)
+
+// world is a site with its stand-ins and some entries.
+type world struct {
+	t       *testing.T
+	clk     citronstream.Clock
+	st      *site.Store
+	log     *site.Log
+	ups     map[string]*site.Upstream
+	entries []*entry
+	client  *http.Client
+	next    int
+}
+
+// entry is a gateway under test.
+type entry struct {
+	*Gateway
+	door  *site.Door
+	ended bool
+}
+
+// settings of the routes of these tests. Paths under /stream/ are streamed.
+const routesText = `{"version":%d,"routes":[
+{"name":"order","host":"h","prefix":"/order/","kind":"unsafe","timeout-ms":3000,"target-latency-ms":100,"service":"desk","max-attempts":2},
+{"name":"look","host":"h","prefix":"/look/","kind":"safe","timeout-ms":3000,"target-latency-ms":300,"service":"desk","max-attempts":2},
+{"name":"short","host":"h","prefix":"/short/","kind":"unsafe","timeout-ms":200,"target-latency-ms":100,"service":"desk","max-attempts":1},
+{"name":"draft","host":"h","prefix":"/draft/stream/","kind":"streaming","timeout-ms":8000,"target-latency-ms":4000,"service":"pool","max-attempts":2,"resume-streams":true,"gap-target-ms":500},
+{"name":"once","host":"h","prefix":"/once/stream/","kind":"streaming","timeout-ms":8000,"target-latency-ms":4000,"service":"pool","max-attempts":2,"gap-target-ms":500},
+{"name":"staged","host":"h","prefix":"/staged/stream/","kind":"streaming","timeout-ms":8000,"target-latency-ms":6000,"service":"pool","max-attempts":2,"resume-streams":true,"gap-target-ms":500,
+ "stages":[{"service":"cut","after":[],"bytes":100},{"service":"glue","after":[0],"bytes":100}]},
+{"name":"open","host":"h","prefix":"/open/","kind":"safe","timeout-ms":3000,"service":"desk","max-attempts":1,"allow-anonymous":true}%s],
+"services":[{"name":"desk","max-connections":50},{"name":"pool","max-connections":50,"engine":{"slots":4,"kv-cache-tokens":1000}},
+{"name":"cut","pieces":{"slots":1,"queue":2,"batch":8,"call-ms":20,"item-ms":1,"headroom-mb":1,"handle-s":4}},
+{"name":"glue","pieces":{"slots":1,"queue":2,"batch":8,"call-ms":20,"item-ms":1,"headroom-mb":1,"handle-s":4}}],
+"limits":{"max-header-bytes":16384,"max-body-bytes":100000,"header-timeout-ms":3000,"idle-timeout-ms":15000},
+"tenants":[{"name":"w","api-keys":["key"]}]}`
+
+func newWorld(t *testing.T, entries int) *world {
+	wo := &world{t: t, clk: clockwork.NewRealClock(), log: &site.Log{}, ups: make(map[string]*site.Upstream)}
+	wo.st = site.NewStore(wo.clk)
+	wo.client = &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	wo.configure(1, "")
+	for range entries {
+		wo.enter()
+	}
+	t.Cleanup(func() {
+		for _, en := range wo.entries {
+			en.stop()
+		}
+		for _, up := range wo.ups {
+			up.CloseClientConnections()
+			up.Close()
+		}
+		wo.client.CloseIdleConnections()
+	})
+	return wo
+}
+
+func (wo *world) configure(version int, more string) {
+	wo.st.Put("op", "config", fmt.Sprintf(routesText, version, more))
+}
+
+// upstream starts an upstream and registers it.
+func (wo *world) upstream(id, service string) *site.Upstream {
+	up := site.NewUpstream(wo.clk, wo.log, id, service)
+	wo.ups[id] = up
+	wo.st.Put("servers", id, up.Row("ready"))
+	return up
+}
+
+func address(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+// enter starts an entry.
+func (wo *world) enter() *entry {
+	door := wo.st.Open()
+	si := &citronstream.Site{
+		Process: fmt.Sprintf("front-%d", len(wo.entries)), Zone: "z", Callers: address(wo.t), Ready: address(wo.t), Peers: address(wo.t),
+		Bounds: citronstream.Bounds{Grace: 8 * time.Second, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryExtra: 50},
+		Store:  citronstream.StoreLimits{Address: door.Address()},
+	}
+	ga, err := New(context.Background(), wo.clk, logr.Discard(), si)
+	require.NoError(wo.t, err)
+	require.NoError(wo.t, ga.Start())
+	en := &entry{Gateway: ga, door: door}
+	wo.entries = append(wo.entries, en)
+	return en
+}
+
+func (en *entry) stop() {
+	if en.ended {
+		return
+	}
+	en.ended = true
+	en.Stop()
+	en.door.CloseClientConnections()
+	en.door.Close()
+}
+
+// ready waits until all entries know all upstreams and each other.
+func (wo *world) ready() {
+	wo.until(func() bool {
+		for _, en := range wo.entries {
+			if !en.ended && (!en.Ready() || en.view.Members().Len() != len(wo.ups) || en.mesh.Live() != wo.alive()) {
+				return false
+			}
+		}
+		return true
+	}, "the site is not ready")
+}
+
+func (wo *world) alive() (count int) {
+	for _, en := range wo.entries {
+		if !en.ended {
+			count++
+		}
+	}
+	return count
+}
+
+func (wo *world) until(condition func() bool, text string) {
+	wo.t.Helper()
+	require.Eventually(wo.t, condition, soon, often, text)
+}
+
+// call is a caller's request.
+type call struct {
+	id     string
+	header http.Header
+}
+
+func (wo *world) call(change ...string) *call {
+	wo.next++
+	ca := &call{id: fmt.Sprintf("r%d", wo.next), header: http.Header{}}
+	ca.header.Set("X-Citronstream-Request-Id", ca.id)
+	ca.header.Set("Authorization", "Token key")
+	ca.header.Set("X-Citronstream-Deadline-Remaining", "6000")
+	for i := 0; i+1 < len(change); i += 2 {
+		if ca.header.Set(change[i], change[i+1]); change[i+1] == "" {
+			ca.header.Del(change[i])
+		}
+	}
+	return ca
+}
+
+// send sends a call to an entry.
+func (wo *world) send(ctx context.Context, en *entry, ca *call, method, target, body string) (*http.Response, error) {
+	rq, err := http.NewRequestWithContext(ctx, method, "http://"+en.site.Callers+target, strings.NewReader(body))
+	require.NoError(wo.t, err)
+	rq.Host = "h"
+	rq.Header = ca.header
+	return wo.client.Do(rq)
+}
+
+// answer sends a call and reads the whole answer.
+func (wo *world) answer(en *entry, ca *call, method, target, body string) (*http.Response, string) {
+	wo.t.Helper()
+	res, err := wo.send(context.Background(), en, ca, method, target, body)
+	require.NoError(wo.t, err)
+	defer func() { _ = res.Body.Close() }()
+	raw, err := io.ReadAll(res.Body)
+	require.NoError(wo.t, err)
+	return res, string(raw)
+}
+
+// ran returns how often a request was run.
+func (wo *world) ran(ca *call) (count int) {
+	for _, ar := range wo.log.Of(ca.id) {
+		if ar.Ran {
+			count++
+		}
+	}
+	return count
+}
+
+func (wo *world) assertStatus(want int, res *http.Response) {
+	wo.t.Helper()
+	assert.Equal(wo.t, want, res.StatusCode)
+}
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -194,6 +194,14 @@
 	return best
 }
 
+// Owns reports whether this process owns the queue of a service.
+func (br *Broker) Owns(service string) bool {
+	br.mu.Lock()
+	leaving := br.leaving
+	br.mu.Unlock()
+	return !leaving && br.owner(service, nil) == nil
+}
+
 // Run brings a job to the owner of its queue and waits for its end. A job whose
 // owner is lost goes to the next one within the budget of repeats.
 func (br *Broker) Run(ctx context.Context, jo citronstream.Job) citronstream.JobResult {
--- a/internal/stage/owner/owner_test.go
+++ b/internal/stage/owner/owner_test.go
@@ -299,7 +299,11 @@
 	be := newBench(t, upstream("a", ""))
 	be.submit(work("0", 4, nil))
 	late := be.submit(work("1", 1, func(jo *citronstream.Job) { jo.Slack = -time.Millisecond }))
-	past := be.submit(work("2", 1, func(jo *citronstream.Job) { jo.Slack = time.Hour; jo.Left = time.Second; jo.Rest = 500 * time.Millisecond }))
+	past := be.submit(work("2", 1, func(jo *citronstream.Job) {
+		jo.Slack = time.Hour
+		jo.Left = time.Second
+		jo.Rest = 500 * time.Millisecond
+	}))
 	be.clk.Advance(600 * time.Millisecond)
 	be.Tick()
 	assert.Equal(t, citronstream.CodeDeadline, be.result(past).Fault.Code)
--- /dev/null
+++ b/internal/standin/site/upstream.go
@@ -0,0 +1,253 @@
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronstream/citronstream"
+)
+
+// Arrival is a request that reached an upstream.
+type Arrival struct {
+	Upstream string
+	ID       string // of the request
+	Method   string
+	Target   string
+	Header   http.Header
+	Body     string
+	Ran      bool
+	// Ended is closed when the upstream has stopped to work on it.
+	Ended chan struct{}
+}
+
+// Upstream is a server of the platform: a plain service, an engine that
+// streams, or one that works on batches.
+type Upstream struct {
+	*httptest.Server
+	ID      string
+	Service string
+	clk     citronstream.Clock
+	log     *Log
+	born    int64
+
+	// Switches. The zero values are those of a sound upstream.
+	Refuse   atomic.Bool  // 503 with the mark that the work did not run
+	Unmarked atomic.Bool  // 503 without it, after the work
+	Reset    atomic.Bool  // runs the work and resets the connection
+	Status   atomic.Int32 // status of the answers; 0 is 200
+	Unsigned atomic.Bool
+	Hang     atomic.Bool  // runs the work until its caller leaves
+	CutAfter atomic.Int32 // events of a stream before it breaks in the middle of one
+	Events   atomic.Int32 // events of a stream; 0 is 5
+	Gap      atomic.Int64 // pause between events, in ns
+	Work     atomic.Int64 // time of a plain request or a batch, in ns
+	Gone     atomic.Bool  // inputs are said to be gone
+	made     atomic.Int64
+	mu       sync.Mutex
+	results  map[string]bool
+}
+
+// Log has the arrivals at all upstreams of a site, in their order.
+type Log struct {
+	mu       sync.Mutex
+	arrivals []*Arrival
+}
+
+// All returns the arrivals so far.
+func (lo *Log) All() []Arrival {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	list := make([]Arrival, len(lo.arrivals))
+	for i, ar := range lo.arrivals {
+		list[i] = *ar
+	}
+	return list
+}
+
+// Of returns the arrivals of a request.
+func (lo *Log) Of(id string) (list []Arrival) {
+	for _, ar := range lo.All() {
+		if ar.ID == id {
+			list = append(list, ar)
+		}
+	}
+	return list
+}
+
+// NewUpstream starts an upstream that does not register yet. The caller closes it.
+func NewUpstream(clk citronstream.Clock, lo *Log, id, service string) *Upstream {
+	up := &Upstream{ID: id, Service: service, clk: clk, log: lo, born: clk.Now().UnixMilli(), results: make(map[string]bool)}
+	up.Server = httptest.NewServer(up)
+	return up
+}
+
+// Address returns the host and port.
+func (up *Upstream) Address() string { return strings.TrimPrefix(up.URL, "http://") }
+
+// Row returns the value of the upstream's row in the store.
+func (up *Upstream) Row(state string) string {
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":4,"state":%q,"sequence":1,"born":%d}`,
+		up.Service, up.Address(), state, up.born)
+}
+
+// Held returns the number of results that the upstream holds.
+func (up *Upstream) Held() int {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return len(up.results)
+}
+
+// ServeHTTP implements http.Handler.
+func (up *Upstream) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
+	body, err := io.ReadAll(rq.Body)
+	if err != nil {
+		return
+	}
+	ar := &Arrival{
+		Upstream: up.ID, ID: rq.Header.Get("X-Citronstream-Request-Id"), Method: rq.Method, Target: rq.RequestURI,
+		Header: rq.Header.Clone(), Body: string(body), Ended: make(chan struct{}),
+	}
+	defer close(ar.Ended)
+	up.log.mu.Lock()
+	up.log.arrivals = append(up.log.arrivals, ar)
+	up.log.mu.Unlock()
+	if want := rq.Header.Get("X-Citronstream-Expected-Instance"); want != "" && want != up.ID {
+		wr.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if up.Refuse.Load() {
+		wr.Header().Set("X-Citronstream-Not-Executed", "1")
+		wr.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	switch rq.URL.Path {
+	case "/stage-run":
+		up.batch(wr, rq, body)
+	case "/stage-free":
+		up.free(body)
+	default:
+		up.run(wr, rq, ar)
+	}
+}
+
+// run does the work of a request.
+func (up *Upstream) run(wr http.ResponseWriter, rq *http.Request, ar *Arrival) {
+	if up.Gone.Load() && rq.Header.Get("X-Citronstream-Inputs") != "" {
+		wr.Header().Set("X-Citronstream-Not-Executed", "1")
+		wr.WriteHeader(http.StatusConflict)
+		return
+	}
+	up.log.mu.Lock()
+	ar.Ran = true
+	up.log.mu.Unlock()
+	switch {
+	case up.Hang.Load():
+		<-rq.Context().Done()
+		return
+	case up.Reset.Load():
+		panic(http.ErrAbortHandler)
+	case up.Unmarked.Load():
+		wr.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	header := wr.Header()
+	header.Set("X-Citronstream-Request-Id", ar.ID)
+	if !up.Unsigned.Load() {
+		header.Set("X-Citronstream-Response-Signature", up.ID+".sig")
+	}
+	if strings.Contains(rq.URL.Path, "/stream") {
+		up.stream(wr, rq)
+		return
+	}
+	select {
+	case <-up.clk.After(time.Duration(up.Work.Load())):
+	case <-rq.Context().Done():
+		return
+	}
+	if status := up.Status.Load(); status != 0 {
+		wr.WriteHeader(int(status))
+	}
+	_, _ = io.WriteString(wr, "answer to "+ar.ID) // a caller that left needs no answer
+}
+
+// stream sends events from the one after Last-Event-Id.
+func (up *Upstream) stream(wr http.ResponseWriter, rq *http.Request) {
+	wr.Header().Set("Content-Type", "text/event-stream")
+	first, _ := strconv.Atoi(rq.Header.Get("Last-Event-Id"))
+	count := int(up.Events.Load())
+	if count == 0 {
+		count = 5
+	}
+	for id := first + 1; id <= count; id++ {
+		if cut := int(up.CutAfter.Load()); cut > 0 && id > cut {
+			_, _ = fmt.Fprintf(wr, "id: %d\nda", id)
+			wr.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := fmt.Fprintf(wr, "id: %d\ndata: token %d\n\n", id, id); err != nil {
+			return
+		}
+		wr.(http.Flusher).Flush()
+		select {
+		case <-up.clk.After(time.Duration(up.Gap.Load())):
+		case <-rq.Context().Done():
+			return
+		}
+	}
+}
+
+// batch makes a result for each item whose inputs are there.
+func (up *Upstream) batch(wr http.ResponseWriter, rq *http.Request, body []byte) {
+	var batch struct {
+		Items []struct {
+			Inputs []string `json:"inputs"`
+		} `json:"items"`
+	}
+	if json.Unmarshal(body, &batch) != nil {
+		wr.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if up.Reset.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	select {
+	case <-up.clk.After(time.Duration(up.Work.Load())):
+	case <-rq.Context().Done():
+	}
+	items := make([]map[string]string, len(batch.Items))
+	up.mu.Lock()
+	for i, it := range batch.Items {
+		if up.Gone.Load() && len(it.Inputs) > 0 {
+			items[i] = map[string]string{"reason": "gone"}
+			continue
+		}
+		handle := fmt.Sprintf("%s/%x", up.Address(), up.made.Add(1))
+		up.results[handle] = true
+		items[i] = map[string]string{"handle": handle}
+	}
+	up.mu.Unlock()
+	wr.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(wr).Encode(map[string]any{"items": items}) // a caller that left needs no answer
+}
+
+func (up *Upstream) free(body []byte) {
+	var list struct {
+		Handles []string `json:"handles"`
+	}
+	if json.Unmarshal(body, &list) != nil {
+		return
+	}
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	for _, handle := range list.Handles {
+		delete(up.results, handle)
+	}
+}
