Zones: large results cross them only for a request that would miss its target; homes of shared parts

Change: a job waits for an upstream in the zone of its inputs while it has time for a full batch; homes are chosen among a third of the engines for each shared part; entries share the reads of the list.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -16,12 +16,13 @@
 
 const (
 	// feedWait is how long the store holds a call for changes. A connection that
-	// has gone silent is noticed after this and the time of an answer, which
-	// together are below the time within which a configuration has to be in force.
-	feedWait = 900 * time.Millisecond
-	// memberPace is the least time between two reads of the upstreams' table,
-	// which changes with each heartbeat. A leaving upstream is noticed within it.
-	memberPace = 400 * time.Millisecond
+	// has gone silent is noticed after this and the time of an answer. That is
+	// below the time after which a process counts as in touch again.
+	feedWait = 2 * time.Second
+	// memberPace is the time between two reads of the upstreams' table by all
+	// entries together: the table changes with each heartbeat, and who reads
+	// of a leaving upstream tells the others.
+	memberPace = 200 * time.Millisecond
 	// slowAnswer is an answer of the store that counts as trouble: heartbeats of
 	// upstreams that take as long can miss their turn.
 	slowAnswer = 500 * time.Millisecond
@@ -33,7 +34,8 @@
 // Table is a table to follow.
 type Table struct {
 	Name string
-	Pace time.Duration
+	// Pace gives the least time between two reads; nil means none.
+	Pace func() time.Duration
 	// Whole says that a row without an entry in a scan has been removed.
 	Whole bool
 }
@@ -63,8 +65,11 @@
 // ConfigTable returns the table with the configuration, which seldom changes.
 func ConfigTable(name string) Table { return Table{Name: name} }
 
-// MemberTable returns the table with the upstreams.
-func MemberTable(name string) Table { return Table{Name: name, Pace: memberPace, Whole: true} }
+// MemberTable returns the table with the upstreams. Live gives the number of
+// entries that read it, and most the longest time between two reads of one.
+func MemberTable(name string, live func() int, most time.Duration) Table {
+	return Table{Name: name, Whole: true, Pace: func() time.Duration { return min(time.Duration(live())*memberPace, most) }}
+}
 
 // Run follows a table until ctx ends.
 func (fo *Follower) Run(ctx context.Context, ta Table) {
@@ -93,7 +98,10 @@
 			known, wait = true, firstRetry
 			fo.note(ta, nil)
 		}
-		if rest := ta.Pace - fo.clk.Since(began); rest > 0 {
+		if ta.Pace == nil {
+			continue
+		}
+		if rest := ta.Pace() - fo.clk.Since(began); rest > 0 {
 			fo.sleep(ctx, rest)
 		}
 	}
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -380,7 +380,8 @@
 	jo := citronstream.Job{
 		ID: sg.rt.ID, Stage: st.number, Service: st.spec.Service, Pieces: places, Bytes: st.spec.Bytes, Inputs: inputs,
 		Rank: sg.rt.rank, Workspace: sg.rt.workspace, Zone: sg.zone,
-		Left: sg.rt.end.Sub(now), Rest: rest, Slack: sg.rt.target.Sub(now) - rest - margin,
+		Left: sg.rt.end.Sub(now), Rest: rest, Slack: sg.rt.target.Sub(now) - rest - margin, Margin: margin,
+		Cross: len(places) * st.spec.Bytes,
 	}
 	inputBytes := 0
 	for _, before := range st.spec.After {
@@ -395,7 +396,7 @@
 		jo.Key = sg.rt.PieceKey
 	}
 	if zone := heaviest(sg.bytesByZone(st.spec.After)); zone != "" {
-		jo.Zone = zone
+		jo.Zone, jo.Cross = zone, len(places)*inputBytes
 	}
 	return jo
 }
@@ -504,13 +505,7 @@
 
 // demand describes the request to the choice of an engine.
 func (rt *request) demand(exclude map[string]bool) engines.Request {
-	rq := engines.Request{Tokens: rt.TokensIn, Exclude: exclude}
-	if shared, ok := rt.Shared(); ok {
-		rq.Shared = shared
-		for _, part := range rt.Prompt[:len(rt.Prompt)-1] {
-			rq.Parts += part.Tokens
-		}
-	}
+	rq := engines.Request{Tokens: rt.TokensIn, Shared: rt.Shared(), Exclude: exclude}
 	if rt.stages != nil {
 		rq.Inputs = rt.stages.bytesByZone(rt.stages.finals())
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -46,7 +46,10 @@
 	lingerLeast = 3 * time.Second
 	// graceMargin is the end of the grace period that is left for the exit.
 	graceMargin = 600 * time.Millisecond
-	drainPoll   = 20 * time.Millisecond
+	// drainReads is how often the list is read within the time in which a
+	// leaving upstream must get its last request, also by an entry without peers.
+	drainReads = 2
+	drainPoll  = 20 * time.Millisecond
 )
 
 // Gateway is one process.
@@ -146,7 +149,9 @@
 		ga.mesh.Learn(seed, "")
 	}
 	ga.own(func(ctx context.Context) { ga.follower.Run(ctx, follow.ConfigTable(platform.TableConfig)) })
-	ga.own(func(ctx context.Context) { ga.follower.Run(ctx, follow.MemberTable(platform.TableMembers)) })
+	ga.own(func(ctx context.Context) {
+		ga.follower.Run(ctx, follow.MemberTable(platform.TableMembers, ga.mesh.Live, ga.site.Bounds.Drain/drainReads))
+	})
 	ga.own(ga.register.Run)
 	ga.own(ga.tick)
 	ga.own(ga.tell)
--- a/internal/route/engines/engines.go
+++ b/internal/route/engines/engines.go
@@ -4,8 +4,11 @@
 package engines
 
 import (
+	"cmp"
 	"container/list"
+	"encoding/binary"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,7 +26,10 @@
 	runCost = 0.5
 	// warmFactor weighs the time to read a shared part again. A second copy
 	// also takes memory of another engine and is billed.
-	warmFactor = 3.0
+	warmFactor = 10.0
+	// narrow is the part of the engines, one in so many, among which requests
+	// with an equal part have their homes.
+	narrow = 3
 	// crossCost is the delay in ms that a request accepts per megabyte of inputs
 	// that need not cross zones.
 	crossCost = 60.0
@@ -39,8 +45,8 @@
 // Request is what the choice depends on.
 type Request struct {
 	Tokens int // of the prompt
-	Shared citronstream.PromptPart
-	Parts  int // shared tokens up to and including Shared
+	// Shared are the parts of the prompt that other requests share, in order.
+	Shared []citronstream.PromptPart
 	// Inputs are the bytes of results to fetch, by zone.
 	Inputs  map[string]int
 	Exclude map[string]bool // IDs of upstreams that are not to be used
@@ -97,8 +103,8 @@
 	ld.running++
 	ld.unread += rq.Tokens
 	pi.dirty = true
-	if rq.Shared.Tokens > 0 {
-		pi.remember(rq.Shared.ID, best.ID)
+	if count := len(rq.Shared); count > 0 {
+		pi.remember(rq.Shared[count-1].ID, best.ID)
 	}
 	return best
 }
@@ -113,8 +119,8 @@
 func (pi *Picker) choose(nodes []*node.Node, rq Request) *node.Node {
 	now := pi.clk.Now()
 	home := ""
-	if rq.Shared.Tokens > 0 {
-		home = pi.home(nodes, rq.Shared.ID, now)
+	if len(rq.Shared) > 0 {
+		home = pi.home(nodes, rq.Shared, now)
 	}
 	var best *node.Node
 	least := math.Inf(1)
@@ -134,7 +140,7 @@
 	running, unread := pi.total(no.ID, now)
 	cost := float64(unread+rq.Tokens)/pi.rate*no.Slowness() + float64(running)*runCost
 	if home != "" && no.ID != home {
-		cost += float64(rq.Parts) / pi.rate * warmFactor
+		cost += float64(rq.tokens()) / pi.rate * warmFactor
 	}
 	for zone, bytes := range rq.Inputs {
 		if zone != no.Zone {
@@ -144,30 +150,56 @@
 	return cost + no.Failures()*failCost
 }
 
-// home returns the engine that holds a shared part: the one that read it
-// last, else the one that all entries agree on.
-func (pi *Picker) home(nodes []*node.Node, id uint64, now time.Time) string {
-	if el := pi.byID[id]; el != nil {
+// tokens returns the size of the shared parts.
+func (rq *Request) tokens() (sum int) {
+	for _, part := range rq.Shared {
+		sum += part.Tokens
+	}
+	return sum
+}
+
+// home returns the engine that holds the shared parts: the one that read the
+// last of them last, else the one that all entries agree on. Requests with
+// equal first parts have their homes among few engines, as each of these
+// engines reads the first part once.
+func (pi *Picker) home(nodes []*node.Node, shared []citronstream.PromptPart, now time.Time) string {
+	if el := pi.byID[shared[len(shared)-1].ID]; el != nil {
 		me := el.Value.(*memory)
-		if now.Sub(me.at) < memoryLife {
-			for _, no := range nodes {
-				if no.ID == me.node {
-					return me.node
-				}
-			}
+		if now.Sub(me.at) < memoryLife && slices.ContainsFunc(nodes, func(no *node.Node) bool { return no.ID == me.node }) {
+			return me.node
 		}
 	}
-	home, most := "", uint64(0)
+	for i, part := range shared {
+		count := 1
+		if i < len(shared)-1 {
+			count = (len(nodes) + narrow - 1) / narrow
+		}
+		nodes = nearest(nodes, part.ID, count)
+	}
+	if len(nodes) == 0 {
+		return ""
+	}
+	return nodes[0].ID
+}
+
+// nearest returns the engines with the highest scores for a part (rendezvous hashing).
+func nearest(nodes []*node.Node, id uint64, count int) []*node.Node {
+	type scored struct {
+		no    *node.Node
+		score uint64
+	}
+	list := make([]scored, len(nodes))
 	var key [8]byte
-	for i := range key {
-		key[i] = byte(id >> (8 * i))
+	binary.LittleEndian.PutUint64(key[:], id)
+	for i, no := range nodes {
+		list[i] = scored{no, xxhash.Sum64(append(key[:], no.ID...))}
 	}
-	for _, no := range nodes {
-		if score := xxhash.Sum64(append(key[:], no.ID...)); home == "" || score > most {
-			home, most = no.ID, score
-		}
+	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	best := make([]*node.Node, 0, count)
+	for _, sc := range list[:min(count, len(list))] {
+		best = append(best, sc.no)
 	}
-	return home
+	return best
 }
 
 func (pi *Picker) remember(id uint64, node string) {
--- a/internal/route/engines/engines_test.go
+++ b/internal/route/engines/engines_test.go
@@ -18,7 +18,7 @@
 }
 
 func shared(id uint64, tokens int) Request {
-	return Request{Tokens: tokens + 500, Shared: citronstream.PromptPart{ID: id, Tokens: tokens}, Parts: tokens}
+	return Request{Tokens: tokens + 500, Shared: []citronstream.PromptPart{{ID: 1, Tokens: 100}, {ID: id, Tokens: tokens}}}
 }
 
 // Requests with a shared part go to one engine, at every entry, until it has
@@ -37,6 +37,16 @@
 	assert.True(t, moved)
 }
 
+// Requests with an equal first part share few engines, each of which reads it once.
+func TestFirstPartsStayTogether(t *testing.T) {
+	pi := New(clockwork.NewFakeClock())
+	homes := make(map[string]bool)
+	for id := range uint64(50) {
+		homes[pi.Prefer(nodes(9), shared(id+10, 500)).ID] = true
+	}
+	assert.Len(t, homes, 3)
+}
+
 // The load that peers put on the engines counts, for a while.
 func TestPeersLoad(t *testing.T) {
 	clk := clockwork.NewFakeClock()
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -24,6 +24,8 @@
 	// zoneCost is the delay that a job accepts to be made in the zone where its
 	// inputs lie, as results that cross zones are billed.
 	zoneCost = 60 * time.Millisecond
+	// crossFree are the bytes for which a job does not wait for its zone.
+	crossFree = 64 << 10
 	// fullPause is how long an upstream is left alone that refused a batch as
 	// full, as another owner's batch runs there.
 	fullPause = 100 * time.Millisecond
@@ -404,7 +406,7 @@
 	for _, jb := range ow.waiting {
 		var best *server
 		for _, sv := range ow.list {
-			if !ow.free(sv, now) || ow.room(sv, jb.Bytes, 0, now) < ow.least(sv, now) {
+			if !ow.free(sv, now) || !ow.allowed(sv, jb, now) || ow.room(sv, jb.Bytes, 0, now) < ow.least(sv, now) {
 				continue
 			}
 			if best == nil || ow.prefer(sv, best, jb) {
@@ -422,6 +424,22 @@
 	return sv.running < ow.spec.Calls && now.After(sv.until) && !sv.Avoided(now)
 }
 
+// allowed reports whether an upstream may take a job in view of the zones.
+// Large results cross zones only for a request that would miss its target
+// if it waited for an upstream in its zone to end a batch.
+func (ow *Owner) allowed(sv *server, jb *job, now time.Time) bool {
+	if jb.Zone == "" || sv.Zone == jb.Zone || jb.Cross < crossFree || !ow.has(jb.Zone, now) {
+		return true
+	}
+	left := jb.Start.Add(jb.Margin).Sub(now)
+	return left < expected(&ow.spec, ow.spec.Items) && !jb.Late(now)
+}
+
+// has reports whether a zone has an upstream that takes batches.
+func (ow *Owner) has(zone string, now time.Time) bool {
+	return slices.ContainsFunc(ow.list, func(sv *server) bool { return sv.Zone == zone && !sv.Avoided(now) })
+}
+
 // room returns the number of results of a size that fit into an upstream's
 // memory beside the bytes that a batch takes already.
 func (ow *Owner) room(sv *server, bytes, taken int, now time.Time) int {
@@ -473,6 +491,9 @@
 	var batch []part
 	items, bytes := 0, 0
 	for _, jb := range jobs {
+		if !ow.allowed(sv, jb, now) {
+			continue
+		}
 		count := min(len(jb.pending), ow.spec.Items-items, ow.room(sv, jb.Bytes, bytes, now))
 		if count < len(jb.pending) && len(jb.pending) <= ow.spec.Items && items > 0 {
 			continue // a job that is split waits for two batches
--- a/message_peer.go
+++ b/message_peer.go
@@ -71,10 +71,14 @@
 	Fresh time.Duration `json:"Fresh,omitempty"`
 	// Zone is where the results are best made; empty means anywhere.
 	Zone string `json:"Zone,omitempty"`
+	// Cross is the number of bytes that cross zones if they are made elsewhere.
+	Cross int `json:"Cross,omitempty"`
 	// Left is the time to the request's deadline, Slack the time within which
 	// the work must start for the request to reach its target.
 	Left  time.Duration `json:"Left"`
 	Slack time.Duration `json:"Slack"`
+	// Margin was taken off Slack for what the estimates leave out.
+	Margin time.Duration `json:"Margin,omitempty"`
 	// Rest is the estimated time of the request after this stage.
 	Rest time.Duration `json:"Rest"`
 }
--- a/request.go
+++ b/request.go
@@ -21,13 +21,10 @@
 	LastEvent string
 }
 
-// Shared returns the deepest part of the prompt that other requests share. The
-// last part belongs to the request or its session alone.
-func (cr *CallerRequest) Shared() (PromptPart, bool) {
-	if len(cr.Prompt) < 2 {
-		return PromptPart{}, false
-	}
-	return cr.Prompt[len(cr.Prompt)-2], true
+// Shared returns the parts of the prompt that other requests share. The last
+// part belongs to the request or its session alone.
+func (cr *CallerRequest) Shared() []PromptPart {
+	return cr.Prompt[:max(0, len(cr.Prompt)-1)]
 }
 
 // Forward is what the system adds to a request for an upstream.
