--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -432,7 +432,7 @@
 		return true
 	}
 	left := jb.Start.Add(jb.Margin).Sub(now)
-	return left < expected(&ow.spec, ow.spec.Items) && !jb.Late(now)
+	return left < 3*expected(&ow.spec, ow.spec.Items)/2 && !jb.Late(now)
 }
 
 // has reports whether a zone has an upstream that takes batches.
