--- a/internal/cli/gateway/gateway.go
+++ b/internal/cli/gateway/gateway.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"io"
+	"net"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/citronstream/citronstream"
@@ -18,6 +20,8 @@
 // Command serves callers on the users' platform until SIGTERM.
 type Command struct {
 	Settings string `help:"Settings file that the platform gives to the process." env:"CITRONSTREAM_CONFIG" required:"" type:"path"`
+	// The platform gives no port for metrics, so the deploy file and this flag agree on one.
+	MetricsPort int `help:"Port of the metrics; 0 serves none." default:"0"`
 }
 
 // Run implements the command.
@@ -29,6 +33,9 @@
 	if err != nil {
 		return err
 	}
+	if co.MetricsPort > 0 {
+		site.Metrics = net.JoinHostPort(site.Address, strconv.Itoa(co.MetricsPort))
+	}
 	logging, stop := context.WithCancel(context.Background())
 	writer := lines.New(logging, clk, out)
 	defer func() {
--- a/internal/ingress/flow/answer.go
+++ b/internal/ingress/flow/answer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/observe/requests"
 	"github.com/citronstream/citronstream/platform"
 )
 
@@ -67,9 +68,7 @@
 	took := rt.fl.clk.Since(rt.at)
 	values := make([]any, 0, 32)
 	values = append(values, "request", rt.ID, "status", out.status, "reason", out.reason, "took", took.Milliseconds())
-	ob := Observation{Outcome: out.reason, Rank: rt.rank, Took: took, Workspace: rt.workspace}
 	if rt.route != nil {
-		ob.Route = rt.route.Name
 		values = append(values, "route", rt.route.Name, "rank", rt.rank, "workspace", rt.workspace, "service", rt.service,
 			"version", rt.routes.Version, "left", rt.Left.Milliseconds(), "target", rt.target.Sub(rt.at).Milliseconds())
 	}
@@ -87,6 +86,6 @@
 	}
 	rt.fl.log.Info("request ended", values...)
 	if rt.fl.Observe != nil {
-		rt.fl.Observe(ob)
+		rt.fl.Observe(requests.Request{Service: rt.service, Workspace: rt.workspace, Outcome: out.reason, Rank: rt.rank, Took: took})
 	}
 }
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -16,6 +16,7 @@
 	"github.com/citronstream/citronstream/internal/limit/deathwatch"
 	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/limit/sharebudget"
+	"github.com/citronstream/citronstream/internal/observe/requests"
 	"github.com/citronstream/citronstream/internal/route/engines"
 	"github.com/citronstream/citronstream/internal/stage/broker"
 	"github.com/citronstream/citronstream/internal/upstream/conns"
@@ -34,14 +35,8 @@
 	Holds   *poison.Holds
 	Refused *comeback.Registry
 	Deaths  *deathwatch.Watch
-	Observe func(ob Observation)
-}
-
-// Observation is the end of a request, for metrics.
-type Observation struct {
-	Route, Workspace, Outcome string
-	Rank                      int
-	Took                      time.Duration
+	// Observe is told of each request's end; it may be nil.
+	Observe func(rq requests.Request)
 }
 
 // Flow serves requests.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -21,6 +22,7 @@
 	"github.com/citronstream/citronstream/internal/limit/deathwatch"
 	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/limit/sharebudget"
+	"github.com/citronstream/citronstream/internal/observe/requests"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
 	"github.com/citronstream/citronstream/internal/route/engines"
@@ -69,9 +71,12 @@
 	holds    *poison.Holds
 	refused  *comeback.Registry
 	deaths   *deathwatch.Watch
+	budget   *sharebudget.Budget
+	meter    *requests.Meter
 	flow     *flow.Flow
 	callers  *server.Server
 	ready    *http.Server
+	scrapes  *http.Server
 	register *register.Register
 
 	ctx     context.Context
@@ -94,8 +99,8 @@
 	ga := &Gateway{
 		clk: clk, log: log, site: site, boot: citronstream.NewID(), eng: eng,
 		pool: conns.New(clk), engines: engines.New(clk), holds: poison.New(clk, citronstream.DefaultLimits()),
-		refused: comeback.New(clk),
-		news:    make(chan []citronstream.Change, newsWaiting),
+		refused: comeback.New(clk), meter: requests.New(),
+		news: make(chan []citronstream.Change, newsWaiting),
 	}
 	ga.ctx, ga.cancel = context.WithCancel(ctx)
 	store := platform.NewStore(site.Store.Address)
@@ -107,9 +112,10 @@
 	ga.deaths = deathwatch.New(ga.ctx, clk, probe, ga.died)
 	owned := sharebudget.New(clk, site.Bounds, func() int { return 1 })
 	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, batch.New(clk, log, ga.pool), owned)
+	ga.budget = sharebudget.New(clk, site.Bounds, ga.mesh.Live)
 	ga.flow = flow.New(clk, log, flow.Parts{
 		Zone: site.Zone, View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
-		Budget: sharebudget.New(clk, site.Bounds, ga.mesh.Live), Holds: ga.holds, Refused: ga.refused, Deaths: ga.deaths,
+		Budget: ga.budget, Holds: ga.holds, Refused: ga.refused, Deaths: ga.deaths, Observe: ga.meter.Observe,
 	})
 	ga.callers = server.New(log, ga.flow)
 	return ga, nil
@@ -135,16 +141,15 @@
 	if err := ga.callers.Start(ga.site.Callers); err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", ga.site.Ready)
-	if err != nil {
-		return merry.Prependf(err, "readiness at %s", ga.site.Ready)
+	var err error
+	if ga.ready, err = ga.listen(ga.site.Ready, http.HandlerFunc(ga.serveReady)); err != nil {
+		return merry.Prepend(err, "readiness")
 	}
-	ga.ready = &http.Server{Handler: http.HandlerFunc(ga.serveReady), ReadHeaderTimeout: askTime, ConnState: nil}
-	ga.own(func(context.Context) {
-		if err := ga.ready.Serve(ln); err != nil && ga.ctx.Err() == nil && !ga.leaving.Load() {
-			ga.log.Error(err, "readiness is not served")
+	if ga.site.Metrics != "" {
+		if ga.scrapes, err = ga.listen(ga.site.Metrics, ga.metrics()); err != nil {
+			return merry.Prepend(err, "metrics")
 		}
-	})
+	}
 	for _, seed := range ga.site.Seeds {
 		ga.mesh.Learn(seed, "")
 	}
@@ -159,6 +164,21 @@
 	return nil
 }
 
+// listen serves HTTP at an address until Stop.
+func (ga *Gateway) listen(address string, handler http.Handler) (*http.Server, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	hs := &http.Server{Handler: handler, ReadHeaderTimeout: askTime}
+	ga.own(func(context.Context) {
+		if err := hs.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			ga.log.Error(err, "server ended", "address", address)
+		}
+	})
+	return hs, nil
+}
+
 // own runs a part until its end.
 func (ga *Gateway) own(part func(ctx context.Context)) {
 	ga.parts.Go(func() { part(ga.ctx) })
@@ -358,6 +378,9 @@
 	ga.cancel()
 	ga.callers.Close()
 	_ = ga.ready.Close() // nobody waits for an answer any more
+	if ga.scrapes != nil {
+		_ = ga.scrapes.Close()
+	}
 	ga.mesh.Close()
 	ga.broker.Wait()
 	ga.deaths.Wait()
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -178,7 +178,7 @@
 	cancel()
 	select {
 	case <-wo.log.Of(ca.id)[0].Ended:
-	case <-time.After(soon):
+	case <-wo.clk.After(soon):
 		t.Fatal("the upstream still works for a caller that left")
 	}
 }
--- /dev/null
+++ b/internal/process/gateway/metrics.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/citronstream/citronstream/internal/stage/owner"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// metrics returns the handler of the metrics address.
+func (ga *Gateway) metrics() http.Handler {
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(ga.meter, queues{ga}, collectors.NewGoCollector())
+	gauge := func(name, help string, read func() float64) {
+		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+	}
+	counter := func(name, help string, read func() float64) {
+		reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, read))
+	}
+	gauge("citronstream_site_config_version", "Configuration version in force, 0 before the first.", func() float64 {
+		if routes := ga.view.Routes(); routes != nil {
+			return float64(routes.Version)
+		}
+		return 0
+	})
+	gauge("citronstream_site_upstreams", "Upstreams in use.", func() float64 { return float64(ga.view.Members().Len()) })
+	gauge("citronstream_site_entries", "Entries that take part, this one included.", func() float64 { return float64(ga.mesh.Live()) })
+	gauge("citronstream_site_in_flight", "Requests that were read and not answered.", func() float64 { return float64(ga.flow.InFlight()) })
+	counter("citronstream_site_store_reads_total", "Reads of the store's tables.", func() float64 {
+		calls, _ := ga.follower.Counts()
+		return float64(calls)
+	})
+	counter("citronstream_site_store_failures_total", "Reads of the store's tables that failed.", func() float64 {
+		_, failed := ga.follower.Counts()
+		return float64(failed)
+	})
+	counter("citronstream_site_connections_opened_total", "Connections opened to upstreams.", func() float64 {
+		opened, _ := ga.pool.Counts()
+		return float64(opened)
+	})
+	counter("citronstream_site_connections_reused_total", "Requests sent over a connection that was open.", func() float64 {
+		_, reused := ga.pool.Counts()
+		return float64(reused)
+	})
+	counter("citronstream_site_repeats_refused_total", "Repeats that the shared budget did not allow.", func() float64 {
+		return float64(ga.budget.Refused())
+	})
+	return promhttp.HandlerFor(reg, promhttp.HandlerOpts{Registry: reg, MaxRequestsInFlight: 2})
+}
+
+// queues collects the state of the queues that this process owns.
+type queues struct{ ga *Gateway }
+
+var (
+	queueJobs   = prometheus.NewDesc("citronstream_site_queue_jobs", "Jobs of stages that wait or run, by service.", []string{"service"}, nil)
+	queueLate   = prometheus.NewDesc("citronstream_site_queue_late", "Jobs that wait and can no longer reach their target, by service.", []string{"service"}, nil)
+	queueMemory = prometheus.NewDesc("citronstream_site_queue_memory_ratio", "Share of the upstreams' memory that results take, by service.", []string{"service"}, nil)
+	queueEvents = prometheus.NewDesc("citronstream_site_queue_events_total", "Batches, items and what became of them, by service.", []string{"service", "event"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (qu queues) Describe(to chan<- *prometheus.Desc) {
+	for _, desc := range []*prometheus.Desc{queueJobs, queueLate, queueMemory, queueEvents} {
+		to <- desc
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (qu queues) Collect(to chan<- prometheus.Metric) {
+	qu.ga.broker.Each(func(service string, ow *owner.Owner) {
+		st := ow.State()
+		to <- prometheus.MustNewConstMetric(queueJobs, prometheus.GaugeValue, float64(st.Jobs), service)
+		to <- prometheus.MustNewConstMetric(queueLate, prometheus.GaugeValue, float64(st.Late), service)
+		to <- prometheus.MustNewConstMetric(queueMemory, prometheus.GaugeValue, st.Used, service)
+		for event, count := range map[string]uint64{
+			"batch": st.Batches, "item": st.Items, "refused": st.Refused, "broken": st.Broken, "no_room": st.NoRoom,
+			"repeated": st.Repeated, "expired": st.Expired, "overloaded": st.Overloaded,
+		} {
+			to <- prometheus.MustNewConstMetric(queueEvents, prometheus.CounterValue, float64(count), service, event)
+		}
+	})
+}
--- a/internal/stage/owner/owner_test.go
+++ b/internal/stage/owner/owner_test.go
@@ -75,6 +75,9 @@
 	return got
 }
 
+// real is the clock of waits for goroutines; it decides nothing.
+var real = clockwork.NewRealClock()
+
 // bench is an owner with its surroundings.
 type bench struct {
 	*Owner
@@ -125,7 +128,7 @@
 	select {
 	case se := <-be.fa.batches:
 		return se
-	case <-time.After(5 * time.Second):
+	case <-real.After(5 * time.Second):
 		require.Fail(be.t, "no batch was sent")
 		return sent{}
 	}
@@ -135,7 +138,7 @@
 	select {
 	case se := <-be.fa.batches:
 		assert.Fail(be.t, "a batch was sent", "%v", se.items)
-	case <-time.After(20 * time.Millisecond):
+	case <-real.After(20 * time.Millisecond):
 	}
 }
 
@@ -157,7 +160,7 @@
 	select {
 	case re := <-from:
 		return re
-	case <-time.After(5 * time.Second):
+	case <-real.After(5 * time.Second):
 		require.Fail(be.t, "the job has not ended")
 		return citronstream.JobResult{}
 	}
--- a/internal/upstream/conns/conns_test.go
+++ b/internal/upstream/conns/conns_test.go
@@ -72,7 +72,10 @@
 	return string(body), err
 }
 
-func pool() *Pool { return New(clockwork.NewRealClock()) }
+// real is the clock of the sockets that these tests use.
+var real = clockwork.NewRealClock()
+
+func pool() *Pool { return New(real) }
 
 func TestConnectionIsKept(t *testing.T) {
 	address := upstream(t, func(nc net.Conn, br *bufio.Reader) {
@@ -142,7 +145,7 @@
 	_, err := send(po, address, "1")
 	require.NoError(t, err)
 	<-closed
-	time.Sleep(20 * time.Millisecond) // lets the FIN arrive
+	real.Sleep(20 * time.Millisecond) // lets the FIN arrive
 	body, err := send(po, address, "2")
 	require.NoError(t, err)
 	assert.Equal(t, "two", body)
@@ -207,7 +210,7 @@
 			if err == nil {
 				answer(nc, rq.Header.Get("Id"), "early")
 			}
-			time.Sleep(50 * time.Millisecond)
+			real.Sleep(50 * time.Millisecond)
 		},
 		func(nc net.Conn, br *bufio.Reader) { answer(nc, read(br), "two") })
 	po := pool()
@@ -234,12 +237,12 @@
 		close(gone)
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	time.AfterFunc(30*time.Millisecond, cancel)
+	real.AfterFunc(30*time.Millisecond, cancel)
 	_, err := pool().Send(ctx, address, request("1"))
 	assert.Equal(t, citronstream.CodeCanceled, citronstream.FaultOf(err).Code)
 	select {
 	case <-gone:
-	case <-time.After(5 * time.Second):
+	case <-real.After(5 * time.Second):
 		t.Fatal("the connection stays open")
 	}
 }
--- a/site.go
+++ b/site.go
@@ -14,6 +14,8 @@
 	Callers string
 	Ready   string
 	Peers   string
+	// Metrics is where metrics are served; empty means nowhere.
+	Metrics string
 	// Seeds are peer addresses of at most three other entries. They may be out of date.
 	Seeds []string
 
