An upstream that died is passed over until its row had time to go; a stray send is no attempt

Change: a death and a 421 pass the upstream over for four heartbeats; a request that another upstream sent back goes on within the shared budget. The log names the revision of the row behind each send and the time of each stage.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -62,6 +62,17 @@
 	no.breaks++
 }
 
+// Dead notes that the process has died or another one has its address. It is
+// passed over for a time in which its row is replaced or removed; if neither
+// happens, it lives and could only not be reached.
+func (no *Node) Dead(now time.Time, rowLife time.Duration) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	if until := now.Add(rowLife); until.After(no.until) {
+		no.until = until
+	}
+}
+
 // Failed notes an answer that says the work failed.
 func (no *Node) Failed() {
 	no.mu.Lock()
--- a/internal/ingress/flow/answer.go
+++ b/internal/ingress/flow/answer.go
@@ -75,14 +75,17 @@
 	if rt.stages != nil && len(rt.stages.list) > 0 && !rt.stageEnd.IsZero() {
 		values = append(values, "staged", rt.stageEnd.Sub(rt.at).Milliseconds())
 	}
+	if rt.stages != nil && len(rt.stages.list) > 0 {
+		values = append(values, "stages", rt.stages.times())
+	}
 	if rt.last != nil {
-		values = append(values, "upstream", rt.last.ID, "sends", rt.sends)
+		values = append(values, "upstream", rt.last.ID, "listed", rt.last.Revision, "sends", rt.sends)
 	}
 	if out.fault != nil {
 		values = append(values, "verdict", out.fault.Verdict.String(), "cause", out.fault.Text)
 	}
 	if out.abort {
-		values = append(values, "cut", rt.started)
+		values = append(values, "cut", rt.started, "events", rt.lastEvent)
 	}
 	rt.fl.log.Info("request ended", values...)
 	if rt.fl.Observe != nil {
--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -36,7 +36,8 @@
 	done    bool // the caller has the answer, or its part of one
 	out     outcome
 	fault   *citronstream.Fault
-	reached bool  // an upstream was handed the request
+	reached bool  // the upstream was handed the request
+	strayed bool  // another upstream was, and did not run it
 	gone    bool  // an input was gone
 	kept    *kept // the upstream's own failure, for the case that no better answer comes
 }
@@ -55,7 +56,7 @@
 	worst := citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "no upstream of service %s is known", rt.service)
 	var fallback *kept
 	for unreached := 0; unreached < maxUnreached; {
-		if rt.sends > 0 && !rt.again() {
+		if rt.arrivals > 0 && !rt.again() {
 			break
 		}
 		no, demand := rt.pick()
@@ -67,6 +68,9 @@
 			return re.out
 		}
 		rt.tried[no.ID] = true
+		if re.reached || re.strayed {
+			rt.arrivals++
+		}
 		if re.reached {
 			rt.sends++
 		} else {
@@ -249,7 +253,7 @@
 		}
 	}
 	if !gone(ctx) {
-		rt.fl.log.Info("attempt failed", "request", rt.ID, "upstream", no.ID, "verdict", re.fault.Verdict.String(), "cause", re.fault.Text, "sends", rt.sends)
+		rt.fl.log.Info("attempt failed", "request", rt.ID, "upstream", no.ID, "listed", no.Revision, "verdict", re.fault.Verdict.String(), "cause", re.fault.Text, "sends", rt.sends)
 	}
 	return re
 }
@@ -259,13 +263,14 @@
 	switch {
 	case an.Head.Refused:
 		_, _ = io.Copy(io.Discard, io.LimitReader(an, maxBody)) // only to keep the connection
-		re := result{reached: true, gone: an.Status == http.StatusConflict}
+		strayed := an.Status == http.StatusMisdirectedRequest
+		re := result{reached: !strayed, strayed: strayed, gone: an.Status == http.StatusConflict}
 		re.fault = citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "upstream %s refused with status %d", no.ID, an.Status)
-		if an.Status == http.StatusMisdirectedRequest {
-			no.Broke(rt.fl.clk.Now())
+		if strayed {
+			no.Dead(rt.fl.clk.Now(), rt.fl.RowLife)
 			rt.fl.Pool.Drop(no.Address)
 		}
-		rt.fl.log.Info("attempt refused", "request", rt.ID, "upstream", no.ID, "status", an.Status, "sends", rt.sends)
+		rt.fl.log.Info("attempt refused", "request", rt.ID, "upstream", no.ID, "listed", no.Revision, "status", an.Status, "sends", rt.sends)
 		return re, false
 	case promises(an.Status):
 		return rt.spoiled(no, "a status that promises without the mark of a refusal"), false
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -26,7 +26,9 @@
 
 // Parts are what a flow works with.
 type Parts struct {
-	Zone    string
+	Zone string
+	// RowLife is how long the platform lists an upstream after its last sign of life.
+	RowLife time.Duration
 	View    *view.View
 	Pool    *conns.Pool
 	Broker  *broker.Broker
@@ -109,11 +111,12 @@
 	target time.Time // time by which the answer or its first event has its full value
 	end    time.Time // time of the final answer
 
-	stages  *stages
-	tried   map[string]bool // IDs of the upstreams that were sent the request
-	sends   int
-	last    *node.Node
-	started bool // the head of an answer was written to the caller
+	stages   *stages
+	tried    map[string]bool // IDs of the upstreams that were sent the request
+	sends    int             // upstreams that were sent the request
+	arrivals int             // the same, and others at their addresses
+	last     *node.Node
+	started  bool // the head of an answer was written to the caller
 	// lastEvent is the identifier of the last event that the caller has.
 	lastEvent int64
 	stageEnd  time.Time
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,6 +31,7 @@
 	users   int           // stages that have not taken its results yet
 	handles []string
 	made    time.Time // when the oldest of its results was made
+	took    time.Duration
 	done    chan struct{}
 }
 
@@ -255,7 +258,9 @@
 func (sg *stages) make(ctx context.Context, st *stage, places []int, repairing bool) *citronstream.Fault {
 	for {
 		inputs := sg.inputsOf(st)
+		began := sg.rt.fl.clk.Now()
 		re := sg.rt.fl.Broker.Run(ctx, sg.job(st, places, inputs))
+		sg.spent(st, sg.rt.fl.clk.Since(began))
 		if re.Fault != nil {
 			return re.Fault
 		}
@@ -277,6 +282,26 @@
 	}
 }
 
+// spent adds to the time of a stage, for the log.
+func (sg *stages) spent(st *stage, took time.Duration) {
+	sg.mu.Lock()
+	defer sg.mu.Unlock()
+	st.took += took
+}
+
+// times returns the time of each stage in ms, with its wait, as "0:250 1:480".
+func (sg *stages) times() string {
+	sg.mu.Lock()
+	defer sg.mu.Unlock()
+	var parts []string
+	for _, st := range sg.list {
+		if st.pieces > 0 {
+			parts = append(parts, fmt.Sprintf("%d:%d", st.number, st.took.Milliseconds()))
+		}
+	}
+	return strings.Join(parts, " ")
+}
+
 // keep notes results. Those that they replace are given up: their makers may hold them still.
 func (sg *stages) keep(st *stage, places []int, handles []string) {
 	var old []string
--- a/internal/observe/lines/lines.go
+++ b/internal/observe/lines/lines.go
@@ -49,7 +49,7 @@
 
 // Logger returns a logger of JSON lines with the time and these values on each.
 func (wr *Writer) Logger(values ...any) logr.Logger {
-	sink := funcr.NewJSON(wr.put, funcr.Options{LogTimestamp: true, TimestampFormat: "15:04:05.000"})
+	sink := funcr.NewJSON(wr.put, funcr.Options{LogTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
 	return logr.New(&limited{LogSink: sink.GetSink(), wr: wr}).WithValues(values...)
 }
 
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -114,7 +114,7 @@
 	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, batch.New(clk, log, ga.pool), owned)
 	ga.budget = sharebudget.New(clk, site.Bounds, ga.mesh.Live)
 	ga.flow = flow.New(clk, log, flow.Parts{
-		Zone: site.Zone, View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
+		Zone: site.Zone, RowLife: ga.rowLife(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
 		Budget: ga.budget, Holds: ga.holds, Refused: ga.refused, Deaths: ga.deaths, Observe: ga.meter.Observe,
 	})
 	ga.callers = server.New(log, ga.flow)
@@ -334,6 +334,10 @@
 	}
 }
 
+// rowLife is how long the platform lists an upstream that has died: three
+// heartbeats, and one until the list has been read.
+func (ga *Gateway) rowLife() time.Duration { return 4 * ga.site.Heartbeat }
+
 // died tells everyone of an upstream's death.
 func (ga *Gateway) died(report poison.Report) {
 	ga.hold(report, ga.site.Process)
@@ -342,6 +346,9 @@
 
 func (ga *Gateway) hold(report poison.Report, source string) {
 	held := ga.holds.Merge(report)
+	if no := ga.view.Members().Node(report.Upstream); no != nil {
+		no.Dead(ga.clk.Now(), ga.rowLife())
+	}
 	ga.log.Info("upstream died", "upstream", report.Upstream, "death", report.ID, "running", len(report.Running), "held", len(held), "source", source)
 }
 
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -148,6 +148,22 @@
 	assert.Zero(t, wo.ran(ca))
 }
 
+// A request that met another upstream at the address goes to one that is meant,
+// also where it may be sent to one upstream only.
+func TestReusedAddressIsNoAttempt(t *testing.T) {
+	wo := newWorld(t, 1)
+	one, two := wo.upstream("d1", "desk"), wo.upstream("d2", "desk")
+	wo.ready()
+	one.ID = "d9"
+	for range 8 {
+		ca := wo.call()
+		res, _ := wo.answer(wo.entries[0], ca, http.MethodPost, "/short/", "")
+		wo.assertStatus(http.StatusOK, res)
+		assert.Equal(t, 1, wo.ran(ca))
+	}
+	assert.Equal(t, "d2", two.ID)
+}
+
 // The final answer comes at the route's timeout, and says that the work may have run.
 func TestTimeout(t *testing.T) {
 	wo := newWorld(t, 1)
--- a/routing.go
+++ b/routing.go
@@ -114,6 +114,8 @@
 	// Born is the start of the process, in milliseconds since 1970. A process
 	// that starts again under its ID has another one and knows nothing of before.
 	Born int64
+	// Revision is the version of the row that described it.
+	Revision uint64
 }
 
 // PromptPart is a part of a prompt. Requests with equal IDs share the part.
