--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -27,7 +27,7 @@
 )
 
 // Handler takes a message of a peer. It must not block.
-type Handler func(from string, re *link.Request)
+type Handler func(from string, li *link.Link, re *link.Request)
 
 // Mesh holds a link to each other entry.
 type Mesh struct {
@@ -134,7 +134,7 @@
 		re.ReplyError(citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnauthorized, "the peer has not introduced itself"))
 		return
 	}
-	me.handler(from, re)
+	me.handler(from, li, re)
 }
 
 // Learn makes an entry known by its address. It returns nil for the process itself and above the bound.
@@ -154,7 +154,7 @@
 	pe := &Peer{Address: address, Zone: zone, cancel: cancel}
 	pe.lost.Store(me.clk.Now().UnixNano())
 	pe.dialer.Store(dialer.New(ctx, me.clk, me.eng, address,
-		func(_ *link.Link, re *link.Request) { me.handler(address, re) },
+		func(li *link.Link, re *link.Request) { me.handler(address, li, re) },
 		dialer.WithUp(func(ctx context.Context, li *link.Link) error { return me.meet(ctx, pe, li) }),
 		dialer.WithDown(func(err error) { me.down(pe, err) })))
 	me.byAdr[address] = pe
--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -116,6 +116,31 @@
 	group.Wait()
 }
 
+// Jobs of an entry that is lost are withdrawn: it has brought them to another
+// owner, or nobody waits for them.
+func TestJobsOfALostPeer(t *testing.T) {
+	wo := newWorld(t, 2)
+	_, cut, _ := wo.staged()
+	wo.ready()
+	cut.Work.Store(int64(100 * time.Millisecond))
+	owner := wo.owner("cut")
+	other := wo.entries[0]
+	if owner == other {
+		other = wo.entries[1]
+	}
+	for range 20 {
+		go func() {
+			ca := wo.call("X-Citronstream-Pieces", "8,1", "X-Citronstream-Piece-Key", "k")
+			if res, err := wo.send(context.Background(), other, ca, http.MethodPost, "/staged/stream/", ""); err == nil {
+				_ = res.Body.Close()
+			}
+		}()
+	}
+	wo.until(func() bool { return !owner.broker.Idle() }, "no job came")
+	other.stop()
+	wo.until(owner.broker.Idle, "jobs of a lost peer wait on")
+}
+
 // owner returns the entry that owns the queue of a service.
 func (wo *world) owner(service string) *entry {
 	for _, en := range wo.entries {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -48,6 +48,9 @@
 	lingerLeast = 3 * time.Second
 	// graceMargin is the end of the grace period that is left for the exit.
 	graceMargin = 600 * time.Millisecond
+	// owners is the number of owners that a queue may have within one window of
+	// the retry budget; each keeps to its share.
+	owners = 2
 	// drainReads is how often the list is read within the time in which a
 	// leaving upstream must get its last request, also by an entry without peers.
 	drainReads = 2
@@ -110,7 +113,7 @@
 	ga.mesh = mesh.New(clk, log, eng, ga.meeting, ga.handle, ga.met)
 	ga.register = register.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone)
 	ga.deaths = deathwatch.New(ga.ctx, clk, probe, ga.died)
-	owned := sharebudget.New(clk, site.Bounds, func() int { return 1 })
+	owned := sharebudget.New(clk, site.Bounds, func() int { return owners })
 	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, batch.New(clk, log, ga.pool), owned)
 	ga.budget = sharebudget.New(clk, site.Bounds, ga.mesh.Live)
 	ga.flow = flow.New(clk, log, flow.Parts{
@@ -307,7 +310,7 @@
 }
 
 // handle takes the messages of peers.
-func (ga *Gateway) handle(from string, re *link.Request) {
+func (ga *Gateway) handle(from string, li *link.Link, re *link.Request) {
 	switch re.Method {
 	case citronstream.MethodState:
 		re.Reply(citronstream.Rows{Changes: ga.view.State()})
@@ -328,7 +331,7 @@
 			ga.hold(report, from)
 		}
 	default:
-		if !ga.broker.Handle(re) {
+		if !ga.broker.Handle(li, re) {
 			re.ReplyError(citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "unknown method %q", re.Method))
 		}
 	}
--- a/internal/process/gateway/site_test.go
+++ b/internal/process/gateway/site_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,7 +34,7 @@
 	ups     map[string]*site.Upstream
 	entries []*entry
 	client  *http.Client
-	next    int
+	next    atomic.Int64
 }
 
 // entry is a gateway under test.
@@ -158,8 +159,7 @@
 }
 
 func (wo *world) call(change ...string) *call {
-	wo.next++
-	ca := &call{id: fmt.Sprintf("r%d", wo.next), header: http.Header{}}
+	ca := &call{id: fmt.Sprintf("r%d", wo.next.Add(1)), header: http.Header{}}
 	ca.header.Set("X-Citronstream-Request-Id", ca.id)
 	ca.header.Set("Authorization", "Token key")
 	ca.header.Set("X-Citronstream-Deadline-Remaining", "6000")
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -45,7 +45,12 @@
 	owners  map[string]*owner.Owner
 	leaving bool
 	loads   map[string]load
-	done    chan struct{}
+	// remote are the jobs of peers by the link that brought them. They have a
+	// lock of their own, as an owner ends jobs while it holds its lock.
+	remoteMu sync.Mutex
+	remote   map[*link.Link]map[citronstream.JobName]bool
+	links    sync.WaitGroup
+	done     chan struct{}
 }
 
 // load is what an owner has told of its queue.
@@ -58,7 +63,8 @@
 func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, self string, vi *view.View, me *mesh.Mesh, batcher owner.Batcher, budget owner.Budget) *Broker {
 	br := &Broker{
 		clk: clk, log: log, self: self, view: vi, mesh: me, batcher: batcher, budget: budget, ctx: ctx,
-		owners: make(map[string]*owner.Owner), loads: make(map[string]load), done: make(chan struct{}),
+		owners: make(map[string]*owner.Owner), loads: make(map[string]load),
+		remote: make(map[*link.Link]map[citronstream.JobName]bool), done: make(chan struct{}),
 	}
 	vi.OnMembers(br.members)
 	go br.tick()
@@ -68,6 +74,7 @@
 // Wait returns when the broker and all batches have ended.
 func (br *Broker) Wait() {
 	<-br.done
+	br.links.Wait()
 	for _, ow := range br.all() {
 		ow.Wait()
 	}
@@ -272,10 +279,10 @@
 }
 
 // Handle takes the messages of peers about jobs. It reports whether the message was one.
-func (br *Broker) Handle(re *link.Request) bool {
+func (br *Broker) Handle(li *link.Link, re *link.Request) bool {
 	switch re.Method {
 	case citronstream.MethodJob:
-		br.handleJob(re)
+		br.handleJob(li, re)
 	case citronstream.MethodForget:
 		var name citronstream.JobName
 		if re.Decode(&name) == nil {
@@ -299,7 +306,7 @@
 	return true
 }
 
-func (br *Broker) handleJob(re *link.Request) {
+func (br *Broker) handleJob(li *link.Link, re *link.Request) {
 	var jo citronstream.Job
 	if err := re.Decode(&jo); err != nil {
 		re.ReplyError(err)
@@ -313,7 +320,48 @@
 		re.Reply(citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeLeaving, "this entry does not own service %s", jo.Service)})
 		return
 	}
-	ow.Submit(jo, func(result citronstream.JobResult) { re.Reply(result) })
+	name := nameOf(&jo)
+	br.attach(li, name)
+	ow.Submit(jo, func(result citronstream.JobResult) {
+		br.detach(li, name)
+		re.Reply(result)
+	})
+}
+
+// attach notes a job of a peer. When the link ends, its jobs are withdrawn: the
+// peer has brought them to another owner.
+func (br *Broker) attach(li *link.Link, name citronstream.JobName) {
+	br.remoteMu.Lock()
+	defer br.remoteMu.Unlock()
+	names, known := br.remote[li]
+	if !known {
+		names = make(map[citronstream.JobName]bool)
+		br.remote[li] = names
+		br.links.Go(func() { br.watch(li) })
+	}
+	names[name] = true
+}
+
+func (br *Broker) detach(li *link.Link, name citronstream.JobName) {
+	br.remoteMu.Lock()
+	defer br.remoteMu.Unlock()
+	delete(br.remote[li], name)
+}
+
+func (br *Broker) watch(li *link.Link) {
+	select {
+	case <-li.Done():
+	case <-br.ctx.Done():
+	}
+	br.remoteMu.Lock()
+	names := br.remote[li]
+	delete(br.remote, li)
+	br.remoteMu.Unlock()
+	for name := range names {
+		if ow := br.local(name.Service); ow != nil {
+			ow.Cancel(name)
+		}
+	}
 }
 
 // Release gives up results through the owner of their service.
