Queues and stages by concern; an owner that stops leaves its peers' jobs to them

Change: the watch withdraws jobs only when a link ends. Also: owner.go and stages.go are split by concern; the names of the wire in the gateway's tests stand in the stand-in.

--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -16,9 +16,6 @@
 // its maker and the wait there.
 const freshMargin = 200 * time.Millisecond
 
-// maxRemakes is how often the lost results of a request are made again.
-const maxRemakes = 2
-
 // stage is the work of one stage of a request.
 type stage struct {
 	number  int
@@ -97,40 +94,6 @@
 	return sg.fault
 }
 
-const (
-	// batchMargin is the part of a full batch that a job may meet in progress
-	// at each stage: half of one on average.
-	batchMargin = 0.5
-	// lateWait is the longest wait for which a request is taken that will miss
-	// its target. With a longer backlog most such requests would be given up
-	// in the end, which helps nobody.
-	lateWait = 2 * time.Second
-	// comeBackLeast is the least time after which a caller is asked to come back to a full queue.
-	comeBackLeast = 300 * time.Millisecond
-)
-
-// admit refuses a request at once that can't reach its target and would wait long.
-func (sg *stages) admit() *citronstream.Fault {
-	needs := sg.estimate()
-	slack := sg.rt.target.Sub(sg.rt.at) - needs
-	if slack >= 0 {
-		return nil
-	}
-	wait, at := time.Duration(0), ""
-	for _, st := range sg.list {
-		if late := sg.rt.fl.Broker.QueueWait(st.spec.Service, slack); st.pieces > 0 && late > wait {
-			wait, at = late, st.spec.Service
-		}
-	}
-	if wait < lateWait && needs < sg.rt.left() {
-		return nil
-	}
-	fa := citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "needs %v of %v, waits %v for service %s",
-		needs.Round(time.Millisecond), sg.rt.route.Target, wait.Round(time.Millisecond), at)
-	fa.RetryAfter = max(comeBackLeast, min(wait-lateWait, sg.rt.route.Target/4))
-	return fa
-}
-
 // fail keeps the first fault; those after it are its consequence.
 func (sg *stages) fail(fa *citronstream.Fault) {
 	sg.mu.Lock()
@@ -140,61 +103,6 @@
 	}
 }
 
-// estimate sets the time that the request needs after each stage, and returns
-// that which it needs in all. Waits are those of the queues now.
-func (sg *stages) estimate() time.Duration {
-	sg.mu.Lock()
-	defer sg.mu.Unlock()
-	first := sg.rt.fl.times.expected(sg.rt.route.Name)
-	slack := sg.rt.target.Sub(sg.rt.fl.clk.Now()) - sg.alone(first)
-	total := first
-	for _, st := range sg.list {
-		st.rest, st.wait = first, 0
-		if st.pieces > 0 {
-			st.wait = sg.rt.fl.Broker.QueueWait(st.spec.Service, slack)
-		}
-	}
-	for i := len(sg.list) - 1; i >= 0; i-- {
-		st := sg.list[i]
-		tail := st.rest + st.wait + st.work()
-		for _, before := range st.spec.After {
-			sg.list[before].rest = max(sg.list[before].rest, tail)
-		}
-		total = max(total, tail)
-	}
-	return total
-}
-
-// alone is the time that the request needs when nothing else runs.
-func (sg *stages) alone(first time.Duration) time.Duration {
-	tails := make([]time.Duration, len(sg.list))
-	total := first
-	for i := len(sg.list) - 1; i >= 0; i-- {
-		st := sg.list[i]
-		tails[i] = max(tails[i], first) + st.work()
-		for _, before := range st.spec.After {
-			tails[before] = max(tails[before], tails[i])
-		}
-		total = max(total, tails[i])
-	}
-	return total
-}
-
-// work is the time of the stage's batch when it runs alone.
-func (st *stage) work() time.Duration {
-	if st.batch == nil || st.pieces == 0 {
-		return 0
-	}
-	return st.batch.CallTime + time.Duration(min(st.pieces, st.batch.Items))*st.batch.ItemTime
-}
-
-// tail is the time from the stage's submission to the request's first event.
-func (sg *stages) tail(st *stage) time.Duration {
-	sg.mu.Lock()
-	defer sg.mu.Unlock()
-	return st.wait + st.work() + st.rest
-}
-
 // stage waits for the results that a stage takes, and makes its own.
 func (sg *stages) stage(ctx context.Context, st *stage) *citronstream.Fault {
 	for _, before := range st.spec.After {
@@ -221,31 +129,6 @@
 	return nil
 }
 
-// alignSlack is how much later than needed the results of a branch may be ready.
-const alignSlack = 50 * time.Millisecond
-
-// align holds a stage back while another branch of the request needs longer
-// than it: its results would only take memory until the other branch is done.
-func (sg *stages) align(ctx context.Context, st *stage) *citronstream.Fault {
-	if st.pieces > 0 && st.last {
-		tail := sg.tail(st) + alignSlack
-		for _, other := range sg.list {
-			if other == st || sg.tail(other) <= tail {
-				continue
-			}
-			select {
-			case <-other.done:
-			case <-ctx.Done():
-				return sg.ended(ctx)
-			}
-		}
-	}
-	if ctx.Err() != nil {
-		return sg.ended(ctx)
-	}
-	return nil
-}
-
 func (sg *stages) ended(ctx context.Context) *citronstream.Fault {
 	if cause := context.Cause(ctx); cause == context.DeadlineExceeded {
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeDeadline, "the deadline passed before the stages were done")
@@ -335,68 +218,6 @@
 	return places
 }
 
-// remake makes the lost results of some stages again, or all of them when
-// none is known to be lost.
-func (sg *stages) remake(ctx context.Context, numbers []int) *citronstream.Fault {
-	sg.mu.Lock()
-	sg.remakes++
-	many := sg.remakes > maxRemakes
-	sg.mu.Unlock()
-	if many {
-		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUpstreamDied, "results of the stages were lost again")
-	}
-	lost := 0
-	for _, number := range numbers {
-		lost += len(sg.lost(sg.list[number]))
-	}
-	for _, number := range numbers {
-		st := sg.list[number]
-		places := sg.lost(st)
-		if lost == 0 {
-			places = all(st)
-		}
-		if len(places) == 0 {
-			continue
-		}
-		if fa := sg.remakeReleased(ctx, st.spec.After); fa != nil {
-			return fa
-		}
-		if fa := sg.make(ctx, st, places, true); fa != nil {
-			return fa
-		}
-	}
-	return nil
-}
-
-// remakeReleased makes results again that were given up after their use.
-func (sg *stages) remakeReleased(ctx context.Context, numbers []int) *citronstream.Fault {
-	for _, number := range numbers {
-		st := sg.list[number]
-		if sg.held(st) != nil || st.pieces == 0 {
-			continue
-		}
-		if fa := sg.remakeReleased(ctx, st.spec.After); fa != nil {
-			return fa
-		}
-		if fa := sg.make(ctx, st, all(st), true); fa != nil {
-			return fa
-		}
-	}
-	return nil
-}
-
-// lost returns the results whose maker is gone or can't be reached.
-func (sg *stages) lost(st *stage) []int {
-	var places []int
-	now := sg.rt.fl.clk.Now()
-	for i, handle := range sg.held(st) {
-		if no := sg.rt.fl.Broker.At(handle); no == nil || no.Avoided(now) {
-			places = append(places, i)
-		}
-	}
-	return places
-}
-
 func (sg *stages) job(st *stage, places []int, inputs []string) citronstream.Job {
 	sg.estimate()
 	now := sg.rt.fl.clk.Now()
@@ -426,22 +247,6 @@
 	return jo
 }
 
-// margin is what the batches of others add to the time of a request: under
-// load a batch is full, and starts when the one before it ends.
-func (sg *stages) margin(st *stage) time.Duration {
-	if st.batch == nil {
-		return 0
-	}
-	full := time.Duration(st.batch.Items) * st.batch.ItemTime
-	most := time.Duration(0)
-	for _, other := range sg.list {
-		if slices.Contains(other.spec.After, st.number) && other.pieces > 0 {
-			most = max(most, sg.margin(other))
-		}
-	}
-	return time.Duration(batchMargin*float64(full+st.batch.CallTime)) + most
-}
-
 // inputsOf returns the results that a stage takes.
 func (sg *stages) inputsOf(st *stage) []string {
 	var inputs []string
@@ -512,22 +317,6 @@
 	return numbers
 }
 
-// inputs returns the results that the request itself takes. Those that were
-// given up are made again.
-func (sg *stages) inputs(ctx context.Context) ([]string, *citronstream.Fault) {
-	finals := sg.finals()
-	sg.repair.Lock()
-	defer sg.repair.Unlock()
-	if fa := sg.remakeReleased(ctx, finals); fa != nil {
-		return nil, fa
-	}
-	var inputs []string
-	for _, number := range finals {
-		inputs = append(inputs, sg.held(sg.list[number])...)
-	}
-	return inputs, nil
-}
-
 // demand describes the request to the choice of an engine.
 func (rt *request) demand(exclude map[string]bool) engines.Request {
 	rq := engines.Request{Tokens: rt.TokensIn, Shared: rt.Shared(), Exclude: exclude}
--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -19,7 +19,7 @@
 }
 
 func (wo *world) stagedCall() *call {
-	return wo.call("X-Citronstream-Pieces", "2,1", "X-Citronstream-Piece-Key", "k", "X-Citronstream-Token-Usage", "10,5")
+	return wo.call(site.HeaderPieces, "2,1", site.HeaderPieceKey, "k", site.HeaderTokens, "10,5")
 }
 
 // Stages run in their order, with the results of all pieces before, and the
@@ -35,7 +35,7 @@
 			res, body := wo.answer(wo.entries[i%2], ca, http.MethodPost, "/staged/stream/", "")
 			assert.Equal(t, http.StatusOK, res.StatusCode)
 			assert.Equal(t, 5, strings.Count(body, "data:"))
-			inputs := wo.log.Of(ca.id)[0].Header.Get("X-Citronstream-Inputs")
+			inputs := wo.log.Of(ca.id)[0].Header.Get(site.HeaderInputs)
 			assert.True(t, strings.HasPrefix(inputs, glue.Address()+"/"), inputs)
 			assert.NotContains(t, inputs, ",")
 		})
@@ -43,7 +43,7 @@
 	group.Wait()
 	wo.until(func() bool { return cut.Held()+glue.Held() == 0 }, "results are not released")
 	for _, ar := range wo.log.All() {
-		if ar.Target == "/stage-run" && ar.Upstream == "g1" {
+		if ar.Target == site.PathBatch && ar.Upstream == "g1" {
 			assert.Contains(t, ar.Body, `"inputs":["`+cut.Address())
 			assert.NotContains(t, ar.Body, `"key"`)
 		}
@@ -106,8 +106,8 @@
 		for range 4 {
 			ca := wo.stagedCall()
 			group.Go(func() {
-				res, _ := wo.answer(en, ca, http.MethodPost, "/staged/stream/", "")
-				assert.Equal(t, http.StatusOK, res.StatusCode)
+				res, body := wo.answer(en, ca, http.MethodPost, "/staged/stream/", "")
+				assert.Equal(t, http.StatusOK, res.StatusCode, body)
 			})
 		}
 	}
@@ -130,7 +130,7 @@
 	}
 	for range 20 {
 		go func() {
-			ca := wo.call("X-Citronstream-Pieces", "8,1", "X-Citronstream-Piece-Key", "k")
+			ca := wo.call(site.HeaderPieces, "8,1", site.HeaderPieceKey, "k")
 			if res, err := wo.send(context.Background(), other, ca, http.MethodPost, "/staged/stream/", ""); err == nil {
 				_ = res.Body.Close()
 			}
@@ -186,7 +186,7 @@
 	one := wo.upstream("d1", "desk")
 	wo.upstream("d2", "desk")
 	wo.ready()
-	wo.st.Put("servers", "d1", one.Row("draining"))
+	wo.st.List(one, site.Draining)
 	for _, en := range wo.entries {
 		wo.until(func() bool { return len(en.view.Members().Service("desk")) == 1 }, "the state is not known")
 		for range 5 {
@@ -212,11 +212,11 @@
 			defer alone.door.Fault(site.Sound)
 			version := alone.view.Routes().Version + 1
 			wo.configure(int(version), "")
-			wo.st.Put("servers", "d1", one.Row("draining"))
+			wo.st.List(one, site.Draining)
 			wo.until(func() bool {
 				return alone.view.Routes().Version == version && len(alone.view.Members().Service("desk")) == 1
 			}, "the peers did not tell")
-			wo.st.Put("servers", "d1", one.Row("ready"))
+			wo.st.List(one, site.Ready)
 			wo.until(func() bool { return len(alone.view.Members().Service("desk")) == 2 }, "the peers did not tell")
 		})
 	}
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/citronstream/citronstream/internal/standin/site"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -18,20 +19,20 @@
 	wo := newWorld(t, 1)
 	wo.upstream("d1", "desk")
 	wo.ready()
-	ca := wo.call("X-Citronstream-Tenant", "other", "X-Citronstream-Hold", "h", "X-Own", "1")
+	ca := wo.call(site.HeaderWorkspace, "other", site.HeaderHold, "h", "X-Own", "1")
 	res, body := wo.answer(wo.entries[0], ca, http.MethodPost, "/order/a%2Fb/x?q=%20+1", "the body")
 	wo.assertStatus(http.StatusOK, res)
 	assert.Equal(t, "answer to "+ca.id, body)
-	assert.Equal(t, "d1.sig", res.Header.Get("X-Citronstream-Response-Signature"))
+	assert.Equal(t, "d1.sig", res.Header.Get(site.HeaderSignature))
 	arrivals := wo.log.Of(ca.id)
 	require.Len(t, arrivals, 1)
 	ar := arrivals[0]
 	assert.Equal(t, []string{"POST", "/order/a%2Fb/x?q=%20+1", "the body"}, []string{ar.Method, ar.Target, ar.Body})
-	assert.Equal(t, "w", ar.Header.Get("X-Citronstream-Tenant"))
-	assert.Equal(t, "d1", ar.Header.Get("X-Citronstream-Expected-Instance"))
+	assert.Equal(t, "w", ar.Header.Get(site.HeaderWorkspace))
+	assert.Equal(t, "d1", ar.Header.Get(site.HeaderMember))
 	assert.Equal(t, "1", ar.Header.Get("X-Own"))
-	assert.Empty(t, ar.Header.Get("Authorization"))
-	assert.Empty(t, ar.Header.Get("X-Citronstream-Hold"))
+	assert.Empty(t, ar.Header.Get(site.HeaderKey))
+	assert.Empty(t, ar.Header.Get(site.HeaderHold))
 }
 
 // What the configuration does not allow is refused without an upstream, and
@@ -48,10 +49,10 @@
 	}{
 		{http.StatusNotFound, "/none/", wo.call()},
 		{http.StatusNotFound, "/order", wo.call()},
-		{http.StatusUnauthorized, "/order/", wo.call("Authorization", "Token other")},
-		{http.StatusUnauthorized, "/order/", wo.call("Authorization", "")},
-		{http.StatusBadRequest, "/order/", wo.call("X-Citronstream-Request-Id", "")},
-		{http.StatusOK, "/open/", wo.call("Authorization", "")},
+		{http.StatusUnauthorized, "/order/", wo.call(site.HeaderKey, site.OtherKey)},
+		{http.StatusUnauthorized, "/order/", wo.call(site.HeaderKey, "")},
+		{http.StatusBadRequest, "/order/", wo.call(site.HeaderID, "")},
+		{http.StatusOK, "/open/", wo.call(site.HeaderKey, "")},
 	} {
 		res, _ := wo.answer(en, one.ca, http.MethodPost, one.target, "")
 		assert.Equal(t, one.status, res.StatusCode, one.target)
@@ -63,7 +64,7 @@
 
 func TestNotReadyWithoutConfiguration(t *testing.T) {
 	wo := newWorld(t, 0)
-	wo.st.Remove("op", "config")
+	wo.st.Unconfigure()
 	en := wo.enter()
 	ca := wo.call()
 	res, _ := wo.answer(en, ca, http.MethodPost, "/order/", "")
@@ -92,7 +93,7 @@
 			ca := wo.call()
 			res, _ := wo.answer(wo.entries[0], ca, http.MethodPost, "/order/", "")
 			assert.Equal(t, http.StatusBadGateway, res.StatusCode)
-			assert.Empty(t, res.Header.Get("X-Citronstream-Response-Signature"))
+			assert.Empty(t, res.Header.Get(site.HeaderSignature))
 			assert.Equal(t, 1, wo.ran(ca))
 		})
 	}
@@ -175,7 +176,7 @@
 	assert.Equal(t, 1, wo.ran(ca))
 	arrivals := wo.log.Of(ca.id)
 	require.Len(t, arrivals, 1)
-	assert.Less(t, len(arrivals[0].Header.Get("X-Citronstream-Deadline-Remaining")), 4, "the upstream gets the time that is left")
+	assert.Less(t, len(arrivals[0].Header.Get(site.HeaderLeft)), 4, "the upstream gets the time that is left")
 }
 
 // A caller that leaves ends the work at the upstream.
@@ -239,8 +240,8 @@
 	assert.Equal(t, "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\nid: 4\ndata: token 4\n\nid: 5\ndata: token 5\n\n", body)
 	arrivals := wo.log.Of(ca.id)
 	require.Len(t, arrivals, 2)
-	assert.Equal(t, arrivals[0].Upstream+".sig", res.Header.Get("X-Citronstream-Response-Signature"))
-	assert.Equal(t, "3", arrivals[1].Header.Get("Last-Event-Id"))
+	assert.Equal(t, arrivals[0].Upstream+".sig", res.Header.Get(site.HeaderSignature))
+	assert.Equal(t, "3", arrivals[1].Header.Get(site.HeaderLastEvent))
 }
 
 // A stream that may not be resumed must look cut to its caller.
--- a/internal/process/gateway/site_test.go
+++ b/internal/process/gateway/site_test.go
@@ -44,22 +44,6 @@
 	ended bool
 }
 
-// settings of the routes of these tests. Paths under /stream/ are streamed.
-const routesText = `{"version":%d,"routes":[
-{"name":"order","host":"h","prefix":"/order/","kind":"unsafe","timeout-ms":3000,"target-latency-ms":100,"service":"desk","max-attempts":2},
-{"name":"look","host":"h","prefix":"/look/","kind":"safe","timeout-ms":3000,"target-latency-ms":300,"service":"desk","max-attempts":2},
-{"name":"short","host":"h","prefix":"/short/","kind":"unsafe","timeout-ms":200,"target-latency-ms":100,"service":"desk","max-attempts":1},
-{"name":"draft","host":"h","prefix":"/draft/stream/","kind":"streaming","timeout-ms":8000,"target-latency-ms":4000,"service":"pool","max-attempts":2,"resume-streams":true,"gap-target-ms":500},
-{"name":"once","host":"h","prefix":"/once/stream/","kind":"streaming","timeout-ms":8000,"target-latency-ms":4000,"service":"pool","max-attempts":2,"gap-target-ms":500},
-{"name":"staged","host":"h","prefix":"/staged/stream/","kind":"streaming","timeout-ms":8000,"target-latency-ms":6000,"service":"pool","max-attempts":2,"resume-streams":true,"gap-target-ms":500,
- "stages":[{"service":"cut","after":[],"bytes":100},{"service":"glue","after":[0],"bytes":100}]},
-{"name":"open","host":"h","prefix":"/open/","kind":"safe","timeout-ms":3000,"service":"desk","max-attempts":1,"allow-anonymous":true}%s],
-"services":[{"name":"desk","max-connections":50},{"name":"pool","max-connections":50,"engine":{"slots":4,"kv-cache-tokens":1000}},
-{"name":"cut","pieces":{"slots":1,"queue":2,"batch":8,"call-ms":20,"item-ms":1,"headroom-mb":1,"handle-s":4}},
-{"name":"glue","pieces":{"slots":1,"queue":2,"batch":8,"call-ms":20,"item-ms":1,"headroom-mb":1,"handle-s":4}}],
-"limits":{"max-header-bytes":16384,"max-body-bytes":100000,"header-timeout-ms":3000,"idle-timeout-ms":15000},
-"tenants":[{"name":"w","api-keys":["key"]}]}`
-
 func newWorld(t *testing.T, entries int) *world {
 	wo := &world{t: t, clk: clockwork.NewRealClock(), log: &site.Log{}, ups: make(map[string]*site.Upstream)}
 	wo.st = site.NewStore(wo.clk)
@@ -82,14 +66,14 @@
 }
 
 func (wo *world) configure(version int, more string) {
-	wo.st.Put("op", "config", fmt.Sprintf(routesText, version, more))
+	wo.st.Configure(version, more)
 }
 
 // upstream starts an upstream and registers it.
 func (wo *world) upstream(id, service string) *site.Upstream {
 	up := site.NewUpstream(wo.clk, wo.log, id, service)
 	wo.ups[id] = up
-	wo.st.Put("servers", id, up.Row("ready"))
+	wo.st.List(up, site.Ready)
 	return up
 }
 
@@ -158,14 +142,14 @@
 	header http.Header
 }
 
-func (wo *world) call(change ...string) *call {
-	ca := &call{id: fmt.Sprintf("r%d", wo.next.Add(1)), header: http.Header{}}
-	ca.header.Set("X-Citronstream-Request-Id", ca.id)
-	ca.header.Set("Authorization", "Token key")
-	ca.header.Set("X-Citronstream-Deadline-Remaining", "6000")
-	for i := 0; i+1 < len(change); i += 2 {
-		if ca.header.Set(change[i], change[i+1]); change[i+1] == "" {
-			ca.header.Del(change[i])
+// call returns a request with a header of its own. Changes are pairs of name
+// and value; an empty value removes the header.
+func (wo *world) call(changes ...string) *call {
+	ca := &call{id: fmt.Sprintf("r%d", wo.next.Add(1))}
+	ca.header = site.CallerHeader(ca.id)
+	for i := 0; i+1 < len(changes); i += 2 {
+		if ca.header.Set(changes[i], changes[i+1]); changes[i+1] == "" {
+			ca.header.Del(changes[i])
 		}
 	}
 	return ca
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -352,6 +352,7 @@
 	select {
 	case <-li.Done():
 	case <-br.ctx.Done():
+		return // the peer brings its jobs to another owner when the link ends
 	}
 	br.remoteMu.Lock()
 	names := br.remote[li]
--- /dev/null
+++ b/internal/stage/owner/state.go
@@ -0,0 +1,79 @@
+package owner
+
+import (
+	"github.com/citronstream/citronstream"
+)
+
+// Counts are the counters of an Owner.
+type Counts struct {
+	Batches, Items, Refused, Broken, NoRoom, Repeated, Expired, Overloaded uint64
+}
+
+// Counts returns the counters.
+func (ow *Owner) Counts() Counts {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	return ow.counts
+}
+
+// State describes the queue at a moment.
+type State struct {
+	Counts
+	Jobs, Waiting, Late, Pending int // jobs in all, those that wait, of these the late ones, and their pieces
+	Upstreams, Busy              int
+	Used                         float64 // share of the upstreams' memory for results
+}
+
+// State returns the state of the queue.
+func (ow *Owner) State() State {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	now := ow.clk.Now()
+	st := State{Counts: ow.counts, Jobs: len(ow.jobs), Waiting: len(ow.waiting), Upstreams: len(ow.list)}
+	for _, jb := range ow.waiting {
+		st.Pending += len(jb.pending)
+		if now.After(jb.Start) {
+			st.Late++
+		}
+	}
+	for _, sv := range ow.list {
+		if sv.running > 0 {
+			st.Busy++
+		}
+		if ow.spec.ResultBytes > 0 {
+			st.Used += float64(sv.used) / float64(ow.spec.ResultBytes) / float64(len(ow.list))
+		}
+	}
+	return st
+}
+
+// Load returns what peers need to know of the queue.
+func (ow *Owner) Load() citronstream.QueueLoad {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	now := ow.clk.Now()
+	ql := citronstream.QueueLoad{Rate: ow.rate.value(now, ow.ideal())}
+	for _, jb := range ow.waiting {
+		slack := jb.Start.Sub(now)
+		if jb.Late(now) {
+			ql.Late += len(jb.pending)
+			continue
+		}
+		at := 0
+		for at < len(citronstream.SlackSteps)-1 && slack >= citronstream.SlackSteps[at] {
+			at++
+		}
+		ql.Pending[at] += len(jb.pending)
+	}
+	return ql
+}
+
+// ideal is the pieces that the upstreams make in a second with full batches.
+func (ow *Owner) ideal() float64 {
+	full := expected(&ow.spec, ow.spec.Items).Seconds()
+	sum := 0.0
+	for _, sv := range ow.list {
+		sum += float64(ow.spec.Items*ow.spec.Calls) / (full * max(1, sv.Slowness()))
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/standin/site/caller.go
@@ -0,0 +1,77 @@
+package site
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// Headers of requests and answers on the platform's wire.
+const (
+	HeaderID        = "X-Citronstream-Request-Id"
+	HeaderKey       = "Authorization"
+	HeaderLeft      = "X-Citronstream-Deadline-Remaining"
+	HeaderWorkspace = "X-Citronstream-Tenant"
+	HeaderMember    = "X-Citronstream-Expected-Instance"
+	HeaderHold      = "X-Citronstream-Hold"
+	HeaderPieces    = "X-Citronstream-Pieces"
+	HeaderPieceKey  = "X-Citronstream-Piece-Key"
+	HeaderTokens    = "X-Citronstream-Token-Usage"
+	HeaderInputs    = "X-Citronstream-Inputs"
+	HeaderSignature = "X-Citronstream-Response-Signature"
+	headerRefused   = "X-Citronstream-Not-Executed"
+	HeaderLastEvent = "Last-Event-Id"
+)
+
+// Paths of batches and releases at an upstream.
+const (
+	PathBatch   = "/stage-run"
+	pathRelease = "/stage-free"
+)
+
+// OtherKey is the header value of a key that no configuration has.
+const OtherKey = "Token other"
+
+// CallerHeader returns the headers of a caller's request with a known key.
+func CallerHeader(id string) http.Header {
+	header := http.Header{}
+	header.Set(HeaderID, id)
+	header.Set(HeaderKey, "Token key")
+	header.Set(HeaderLeft, "6000")
+	return header
+}
+
+// States of an upstream's row.
+const (
+	Ready    = "ready"
+	Draining = "draining"
+)
+
+// List writes an upstream's row.
+func (st *Store) List(up *Upstream, state string) { st.Put("servers", up.ID, up.Row(state)) }
+
+// Unlist removes an upstream's row.
+func (st *Store) Unlist(up *Upstream) { st.Remove("servers", up.ID) }
+
+// Unconfigure removes the configuration, as before the operator's first one.
+func (st *Store) Unconfigure() { st.Remove("op", "config") }
+
+// Configure writes a configuration with the routes of the tests, and more of
+// them in JSON after a comma. Paths under /stream/ are streamed.
+func (st *Store) Configure(version int, more string) {
+	st.Put("op", "config", fmt.Sprintf(configuration, version, more))
+}
+
+const configuration = `{"version":%d,"routes":[
+{"name":"order","host":"h","prefix":"/order/","kind":"unsafe","timeout-ms":3000,"target-latency-ms":100,"service":"desk","max-attempts":2},
+{"name":"look","host":"h","prefix":"/look/","kind":"safe","timeout-ms":3000,"target-latency-ms":300,"service":"desk","max-attempts":2},
+{"name":"short","host":"h","prefix":"/short/","kind":"unsafe","timeout-ms":200,"target-latency-ms":100,"service":"desk","max-attempts":1},
+{"name":"draft","host":"h","prefix":"/draft/stream/","kind":"streaming","timeout-ms":8000,"target-latency-ms":4000,"service":"pool","max-attempts":2,"resume-streams":true,"gap-target-ms":500},
+{"name":"once","host":"h","prefix":"/once/stream/","kind":"streaming","timeout-ms":8000,"target-latency-ms":4000,"service":"pool","max-attempts":2,"gap-target-ms":500},
+{"name":"staged","host":"h","prefix":"/staged/stream/","kind":"streaming","timeout-ms":8000,"target-latency-ms":6000,"service":"pool","max-attempts":2,"resume-streams":true,"gap-target-ms":500,
+ "stages":[{"service":"cut","after":[],"bytes":100},{"service":"glue","after":[0],"bytes":100}]},
+{"name":"open","host":"h","prefix":"/open/","kind":"safe","timeout-ms":3000,"service":"desk","max-attempts":1,"allow-anonymous":true}%s],
+"services":[{"name":"desk","max-connections":50},{"name":"pool","max-connections":50,"engine":{"slots":4,"kv-cache-tokens":1000}},
+{"name":"cut","pieces":{"slots":1,"queue":2,"batch":8,"call-ms":20,"item-ms":1,"headroom-mb":1,"handle-s":4}},
+{"name":"glue","pieces":{"slots":1,"queue":2,"batch":8,"call-ms":20,"item-ms":1,"headroom-mb":1,"handle-s":4}}],
+"limits":{"max-header-bytes":16384,"max-body-bytes":100000,"header-timeout-ms":3000,"idle-timeout-ms":15000},
+"tenants":[{"name":"w","api-keys":["key"]}]}`
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -112,26 +112,26 @@
 		return
 	}
 	ar := &Arrival{
-		Upstream: up.ID, ID: rq.Header.Get("X-Citronstream-Request-Id"), Method: rq.Method, Target: rq.RequestURI,
+		Upstream: up.ID, ID: rq.Header.Get(HeaderID), Method: rq.Method, Target: rq.RequestURI,
 		Header: rq.Header.Clone(), Body: string(body), Ended: make(chan struct{}),
 	}
 	defer close(ar.Ended)
 	up.log.mu.Lock()
 	up.log.arrivals = append(up.log.arrivals, ar)
 	up.log.mu.Unlock()
-	if want := rq.Header.Get("X-Citronstream-Expected-Instance"); want != "" && want != up.ID {
+	if want := rq.Header.Get(HeaderMember); want != "" && want != up.ID {
 		wr.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if up.Refuse.Load() {
-		wr.Header().Set("X-Citronstream-Not-Executed", "1")
+		wr.Header().Set(headerRefused, "1")
 		wr.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	switch rq.URL.Path {
-	case "/stage-run":
+	case PathBatch:
 		up.batch(wr, rq, body)
-	case "/stage-free":
+	case pathRelease:
 		up.free(body)
 	default:
 		up.run(wr, rq, ar)
@@ -140,8 +140,8 @@
 
 // run does the work of a request.
 func (up *Upstream) run(wr http.ResponseWriter, rq *http.Request, ar *Arrival) {
-	if up.Gone.Load() && rq.Header.Get("X-Citronstream-Inputs") != "" {
-		wr.Header().Set("X-Citronstream-Not-Executed", "1")
+	if up.Gone.Load() && rq.Header.Get(HeaderInputs) != "" {
+		wr.Header().Set(headerRefused, "1")
 		wr.WriteHeader(http.StatusConflict)
 		return
 	}
@@ -159,9 +159,9 @@
 		return
 	}
 	header := wr.Header()
-	header.Set("X-Citronstream-Request-Id", ar.ID)
+	header.Set(HeaderID, ar.ID)
 	if !up.Unsigned.Load() {
-		header.Set("X-Citronstream-Response-Signature", up.ID+".sig")
+		header.Set(HeaderSignature, up.ID+".sig")
 	}
 	if strings.Contains(rq.URL.Path, "/stream") {
 		up.stream(wr, rq)
@@ -181,7 +181,7 @@
 // stream sends events from the one after Last-Event-Id.
 func (up *Upstream) stream(wr http.ResponseWriter, rq *http.Request) {
 	wr.Header().Set("Content-Type", "text/event-stream")
-	first, _ := strconv.Atoi(rq.Header.Get("Last-Event-Id"))
+	first, _ := strconv.Atoi(rq.Header.Get(HeaderLastEvent))
 	count := int(up.Events.Load())
 	if count == 0 {
 		count = 5
