--- a/internal/stage/owner/batch.go
+++ b/internal/stage/owner/batch.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -60,6 +59,8 @@
 	now := ow.clk.Now()
 	sv.idle = now
 	switch {
+	case refused && err != nil:
+		ow.requeue(batch)
 	case refused:
 		ow.counts.Refused++
 		sv.until = now.Add(fullPause)
@@ -140,10 +141,22 @@
 		}
 		jb.repeats += len(pa.places)
 		ow.counts.Repeated += uint64(len(pa.places))
+		ow.requeue([]part{pa})
+	}
+}
+
+// requeue queues the pieces of a batch that no upstream was handed, or that
+// may be sent once more.
+func (ow *Owner) requeue(batch []part) {
+	for _, pa := range batch {
+		jb := pa.jb
+		if jb.ended {
+			continue
+		}
 		if len(jb.pending) == 0 {
 			ow.waiting = append(ow.waiting, jb)
 		}
 		jb.pending = append(jb.pending, pa.places...)
-		slices.SortFunc(jb.pending, func(a, b int) int { return cmp.Compare(a, b) })
+		slices.Sort(jb.pending)
 	}
 }
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -43,8 +43,9 @@
 	maxRepeats = 2
 )
 
-// Batcher runs a batch at an upstream. Refused says that the upstream did not
-// take it. An error says that it may or may not have run.
+// Batcher runs a batch at an upstream. Refused says that it did not run: with
+// an error the upstream was not reached, without one it did not take the batch.
+// Any other error says that it may have run.
 type Batcher interface {
 	Run(ctx context.Context, no *node.Node, items []citronstream.BatchItem) (results []citronstream.ItemResult, refused bool, err error)
 	Release(ctx context.Context, no *node.Node, handles []string)
--- a/internal/stage/owner/owner_test.go
+++ b/internal/stage/owner/owner_test.go
@@ -252,6 +252,21 @@
 	assert.Equal(t, citronstream.NotRun, re.Fault.Verdict)
 }
 
+// A batch that reached no upstream costs no repeat.
+func TestUnreachedUpstream(t *testing.T) {
+	one, two := upstream("a", ""), upstream("b", "")
+	be := newBench(t, one, two)
+	be.bu.left = 0
+	result := be.submit(work("1", 2, nil))
+	first := be.batch()
+	first.no.Broke(be.clk.Now())
+	first.end <- ended{refused: true, err: errors.New("no route to host")}
+	second := be.batch()
+	assert.NotEqual(t, first.no.ID, second.no.ID)
+	be.done(second)
+	assert.Nil(t, be.result(result).Fault)
+}
+
 // Pieces without room are sent again elsewhere, those that were made are kept.
 func TestNoRoom(t *testing.T) {
 	be := newBench(t, upstream("a", ""))
