--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -111,7 +111,7 @@
 
 // prefer returns the engine that the request would get now, nil for other services.
 func (rt *request) prefer(exclude map[string]bool) *node.Node {
-	if rt.routes.Services[rt.service].Engine == nil {
+	if !rt.routes.Services[rt.service].Engine {
 		return nil
 	}
 	return rt.fl.Engines.Prefer(rt.fl.View.Members().Service(rt.service), rt.demand(exclude))
@@ -120,7 +120,7 @@
 // pick chooses an upstream. An engine is counted, which attempt ends.
 func (rt *request) pick() (*node.Node, *engines.Request) {
 	nodes := rt.fl.View.Members().Service(rt.service)
-	if rt.routes.Services[rt.service].Engine != nil {
+	if rt.routes.Services[rt.service].Engine {
 		demand := rt.demand(rt.tried)
 		if no := rt.fl.Engines.Pick(nodes, demand); no != nil {
 			return no, &demand
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -101,12 +101,13 @@
 	}
 	ga := &Gateway{
 		clk: clk, log: log, site: site, boot: citronstream.NewID(), eng: eng,
-		pool: conns.New(clk), engines: engines.New(clk), holds: poison.New(clk, citronstream.DefaultLimits()),
+		engines: engines.New(clk), holds: poison.New(clk, citronstream.DefaultLimits()),
 		refused: comeback.New(clk), meter: requests.New(),
 		news: make(chan []citronstream.Change, newsWaiting),
 	}
 	ga.ctx, ga.cancel = context.WithCancel(ctx)
-	store := platform.NewStore(site.Store.Address)
+	ga.pool = conns.New(clk, conns.WithMost(ga.idle))
+	store := platform.NewStore(site.Store)
 	ga.view = view.New(clk, log, view.Decode{Routing: platform.DecodeRouting, Member: platform.DecodeMember, ConfigKey: platform.ConfigKey})
 	ga.view.OnChange(ga.changed)
 	ga.follower = follow.New(clk, log, store, ga.view)
@@ -124,6 +125,16 @@
 	return ga, nil
 }
 
+// idle returns how many idle connections to an upstream this process keeps:
+// half of its share of those that the upstream accepts from all entries.
+func (ga *Gateway) idle(address string) int {
+	routes, no := ga.view.Routes(), ga.view.Members().At(address)
+	if routes == nil || no == nil {
+		return 1
+	}
+	return max(1, routes.Services[no.Service].MaxConnections/(2*ga.mesh.Live()))
+}
+
 // probe opens a connection to an upstream that may have died.
 func probe(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
--- a/internal/process/gateway/site_test.go
+++ b/internal/process/gateway/site_test.go
@@ -90,7 +90,7 @@
 	si := &citronstream.Site{
 		Process: fmt.Sprintf("front-%d", len(wo.entries)), Zone: "z", Callers: address(wo.t), Ready: address(wo.t), Peers: address(wo.t),
 		Bounds: citronstream.Bounds{Grace: 8 * time.Second, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryExtra: 50},
-		Store:  citronstream.StoreLimits{Address: door.Address()},
+		Store:  door.Address(),
 	}
 	ga, err := New(context.Background(), wo.clk, logr.Discard(), si)
 	require.NoError(wo.t, err)
--- a/internal/upstream/conns/conns_test.go
+++ b/internal/upstream/conns/conns_test.go
@@ -94,6 +94,20 @@
 	assert.Equal(t, [2]uint64{1, 2}, [2]uint64{opened, reused})
 }
 
+// Idle connections stay within the share of an upstream's connections.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	serve := func(nc net.Conn, br *bufio.Reader) { answer(nc, read(br), "one") }
+	address := upstream(t, serve, serve)
+	po := New(real, WithMost(func(string) int { return 0 }))
+	defer po.Close()
+	for _, id := range []string{"1", "2"} {
+		_, err := send(po, address, id)
+		require.NoError(t, err)
+	}
+	opened, reused := po.Counts()
+	assert.Equal(t, [2]uint64{2, 0}, [2]uint64{opened, reused})
+}
+
 // A second answer that comes late must not be taken for that of the next request.
 func TestLateExtraAnswer(t *testing.T) {
 	address := upstream(t, func(nc net.Conn, br *bufio.Reader) {
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -44,6 +44,7 @@
 type Pool struct {
 	clk    citronstream.Clock
 	dial   func(ctx context.Context, address string) (net.Conn, error)
+	most   func(address string) int
 	opened atomic.Uint64
 	reused atomic.Uint64
 
@@ -59,6 +60,10 @@
 	return func(po *Pool) { po.dial = dial }
 }
 
+// WithMost sets how many idle connections to an address are kept. Upstreams
+// reset connections beyond a number for all callers together.
+func WithMost(most func(address string) int) Option { return func(po *Pool) { po.most = most } }
+
 // New returns an empty pool.
 func New(clk citronstream.Clock, opts ...Option) *Pool {
 	dialer := &net.Dialer{Timeout: dialTimeout}
@@ -66,6 +71,7 @@
 	po.dial = func(ctx context.Context, address string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp", address)
 	}
+	po.most = func(string) int { return maxIdle }
 	for _, opt := range opts {
 		opt(po)
 	}
@@ -124,9 +130,10 @@
 		return
 	}
 	co.until = po.clk.Now().Add(keep)
+	most := min(po.most(address), maxIdle)
 	po.mu.Lock()
 	list, known := po.idle[address]
-	full := len(list) >= maxIdle || !known && len(po.idle) >= maxAddresses
+	full := len(list) >= most || !known && len(po.idle) >= maxAddresses
 	if !full {
 		po.idle[address] = append(list, co)
 	}
--- a/routing.go
+++ b/routing.go
@@ -52,8 +52,6 @@
 	Split     []Share
 	Stages    []RouteStage
 	Anonymous bool // no API key is asked for
-	// Affinity says that the requests name the parts of their prompts.
-	Affinity bool
 }
 
 // Share is the part of a route's requests that a service takes.
@@ -73,15 +71,14 @@
 // ServiceSpec describes the upstreams of a service.
 type ServiceSpec struct {
 	Name           string
-	MaxConnections int         // of one upstream, from all callers together
-	Batch          *BatchSpec  // nil unless stages use the service
-	Engine         *EngineSpec // nil unless the upstreams are model engines
+	MaxConnections int        // of one upstream, from all callers together
+	Batch          *BatchSpec // nil unless stages use the service
+	Engine         bool       // the upstreams are model engines
 }
 
 // BatchSpec describes one upstream of a service that works on batches.
 type BatchSpec struct {
 	Calls       int           // batches side by side
-	Waiting     int           // batches that may wait
 	Items       int           // items of a batch
 	CallTime    time.Duration // time of a batch without its items
 	ItemTime    time.Duration // time added by each item, approximately
@@ -89,12 +86,6 @@
 	ResultLife  time.Duration // how long a result is kept unless it is released
 }
 
-// EngineSpec describes one model engine.
-type EngineSpec struct {
-	Slots       int
-	CacheTokens int
-}
-
 // CallerLimits bounds what callers may send and how long they may take.
 type CallerLimits struct {
 	HeaderBytes   int
--- a/site.go
+++ b/site.go
@@ -7,7 +7,6 @@
 type Site struct {
 	Process string // unique among the running processes
 	Zone    string
-	Region  string
 	Address string // IP address of the instance
 
 	// Callers, Ready and Peers are the addresses to listen at, as host:port.
@@ -21,24 +20,14 @@
 
 	Heartbeat time.Duration // interval of an upstream's writes to its row
 	Bounds    Bounds
-	Store     StoreLimits
+	Store     string // address of the platform's store, host:port
 }
 
 // Bounds are the times and shares that the operators of a site promise.
 type Bounds struct {
-	Contact     time.Duration // time after which an instance without disturbance counts as in touch
 	Drain       time.Duration // time from the store's acknowledgement to the last request to a leaving upstream
 	Grace       time.Duration // time from SIGTERM to SIGKILL
-	ConfigApply time.Duration // time from the store's acknowledgement of a configuration to its use everywhere
 	RetryWindow time.Duration // window of the retry budget
 	RetryRatio  float64       // extra attempts as a share of a service's requests
 	RetryExtra  int           // extra attempts that a window allows at any rate, over all processes
 }
-
-// StoreLimits describes the platform's store.
-type StoreLimits struct {
-	Address     string // host:port
-	RowBytes    int    // longest value of a row
-	ObjectBytes int    // longest object
-	History     time.Duration
-}
