--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -232,9 +232,12 @@
 	inputBytes := 0
 	for _, before := range st.spec.After {
 		made := sg.list[before]
+		if made.pieces == 0 {
+			continue
+		}
 		inputBytes += made.pieces * made.spec.Bytes
-		if fresh := made.batch.ResultLife - now.Sub(made.made) - freshMargin; made.pieces > 0 && (jo.Fresh == 0 || fresh < jo.Fresh) {
-			jo.Fresh = max(fresh, time.Millisecond)
+		if fresh := max(made.batch.ResultLife-now.Sub(made.made)-freshMargin, time.Millisecond); jo.Fresh == 0 || fresh < jo.Fresh {
+			jo.Fresh = fresh
 		}
 	}
 	jo.Frees = inputBytes > len(places)*st.spec.Bytes
--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -50,6 +50,20 @@
 	}
 }
 
+// A stage that a request leaves out is no input of the next one, also when its
+// service is not in the configuration.
+func TestOmittedStage(t *testing.T) {
+	wo := newWorld(t, 1)
+	wo.staged()
+	wo.st.Configure(2, `,{"name":"odd","host":"h","prefix":"/odd/stream/","kind":"streaming","timeout-ms":8000,"target-latency-ms":6000,"service":"pool",
+		"stages":[{"service":"nowhere","after":[],"bytes":1},{"service":"cut","after":[0],"bytes":100}]}`)
+	wo.ready()
+	wo.until(func() bool { return wo.entries[0].view.Routes().Version == 2 }, "the configuration is not in force")
+	ca := wo.call(site.HeaderPieces, "0,2", site.HeaderPieceKey, "k")
+	res, _ := wo.answer(wo.entries[0], ca, http.MethodPost, "/odd/stream/", "")
+	wo.assertStatus(http.StatusOK, res)
+}
+
 // Inputs that are gone when the request reaches its engine are made again.
 func TestLostInputs(t *testing.T) {
 	wo := newWorld(t, 1)
--- a/routing.go
+++ b/routing.go
@@ -111,6 +111,6 @@
 
 // PromptPart is a part of a prompt. Requests with equal IDs share the part.
 type PromptPart struct {
-	ID     uint64
+	ID     uint64 // digest of the part's name
 	Tokens int
 }
