gateway: with more than 16 peers loads are told less often

Change: one word on loads per 100 ms and 16 peers; an owner tells once that its queue is empty, so that its word can count for longer.

--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -130,6 +130,28 @@
 	group.Wait()
 }
 
+// The other entries hear that a queue is long, and that it is empty again.
+func TestQueueLoadIsTold(t *testing.T) {
+	wo := newWorld(t, 2)
+	_, cut, _ := wo.staged()
+	wo.ready()
+	cut.Work.Store(int64(50 * time.Millisecond))
+	owner, other := wo.owner("cut"), wo.entries[0]
+	if owner == other {
+		other = wo.entries[1]
+	}
+	var group sync.WaitGroup
+	for range 40 {
+		group.Go(func() {
+			ca := wo.call(site.HeaderPieces, "4,1", site.HeaderPieceKey, "k")
+			wo.answer(owner, ca, http.MethodPost, "/staged/stream/", "")
+		})
+	}
+	wo.until(func() bool { return other.broker.QueueWait("cut", time.Hour) > 0 }, "the load was not told")
+	group.Wait()
+	wo.until(func() bool { return other.broker.QueueWait("cut", time.Hour) == 0 }, "the end of the load was not told")
+}
+
 // Jobs of an entry that is lost are withdrawn: it has brought them to another
 // owner, or nobody waits for them.
 func TestJobsOfALostPeer(t *testing.T) {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -36,6 +36,8 @@
 const (
 	// tickEvery is how often peers hear of this process's load on the engines.
 	tickEvery = 100 * time.Millisecond
+	// loadPeers is the number of gateways up to which loads are told at each tick.
+	loadPeers = 16
 	// sweepTicks times tickEvery is how often idle connections and lost peers are looked for.
 	sweepTicks = 5
 	// fetchAfter is how long a process waits for the store to tell of a
@@ -305,13 +307,8 @@
 		case <-ticker.Chan():
 		}
 		ga.view.Sweep()
-		places, changed := ga.engines.News()
-		places.Refused = ga.refused.News()
-		if changed || len(places.Refused) > 0 {
-			ga.mesh.Broadcast(citronstream.MethodPlaces, places)
-		}
-		if queues, busy := ga.broker.News(); busy {
-			ga.mesh.Broadcast(citronstream.MethodQueues, queues)
+		if count%ga.stride() == 0 {
+			ga.tellLoads()
 		}
 		if count%sweepTicks == 0 {
 			ga.pool.Sweep()
@@ -320,6 +317,23 @@
 	}
 }
 
+// stride is the number of ticks between two words on loads. Each gateway tells
+// all others, so that with many of them each has to say less.
+func (ga *Gateway) stride() int { return (ga.mesh.Live() + loadPeers - 1) / loadPeers }
+
+// tellLoads tells the peers the load of this process on the engines, of its
+// queues, and what it has refused.
+func (ga *Gateway) tellLoads() {
+	places, changed := ga.engines.News()
+	places.Refused = ga.refused.News()
+	if changed || len(places.Refused) > 0 {
+		ga.mesh.Broadcast(citronstream.MethodPlaces, places)
+	}
+	if queues, busy := ga.broker.News(); busy {
+		ga.mesh.Broadcast(citronstream.MethodQueues, queues)
+	}
+}
+
 // handle takes the messages of peers.
 func (ga *Gateway) handle(from string, li *link.Link, re *link.Request) {
 	switch re.Method {
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -22,8 +22,9 @@
 	tickEvery = 20 * time.Millisecond
 	// reportTicks times tickEvery is how often the state of a queue is logged.
 	reportTicks = 50
-	// loadLife is how long an owner's word on its queue counts. It is renewed each 100 ms while work waits.
-	loadLife = 500 * time.Millisecond
+	// loadLife is how long an owner's word on its queue counts. It is renewed
+	// while work waits, each 100 ms with few gateways and each 2.3 s with 364.
+	loadLife = 3 * time.Second
 	// maxMoves bounds the owners that a job is brought to.
 	maxMoves = 4
 	// maxServices bounds the services whose load is remembered.
@@ -45,6 +46,7 @@
 	owners  map[string]*owner.Owner
 	leaving bool
 	loads   map[string]load
+	told    map[string]bool // services whose queue had work at the last News
 	// remote are the jobs of peers by the link that brought them. They have a
 	// lock of their own, as an owner ends jobs while it holds its lock.
 	remoteMu sync.Mutex
@@ -63,7 +65,7 @@
 func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, self string, vi *view.View, me *mesh.Mesh, batcher owner.Batcher, budget owner.Budget) *Broker {
 	br := &Broker{
 		clk: clk, log: log, self: self, view: vi, mesh: me, batcher: batcher, budget: budget, ctx: ctx,
-		owners: make(map[string]*owner.Owner), loads: make(map[string]load),
+		owners: make(map[string]*owner.Owner), loads: make(map[string]load), told: make(map[string]bool),
 		remote: make(map[*link.Link]map[citronstream.JobName]bool), done: make(chan struct{}),
 	}
 	vi.OnMembers(br.members)
@@ -408,16 +410,19 @@
 	}
 }
 
-// News returns the load of the queues in this process that have work, for the peers.
+// News returns the load of the queues in this process that have work or had
+// some at the last call, for the peers. It is called by one goroutine.
 func (br *Broker) News() (citronstream.Queues, bool) {
 	qu := citronstream.Queues{Loads: make(map[string]citronstream.QueueLoad)}
 	br.mu.Lock()
 	owners := maps.Clone(br.owners)
 	br.mu.Unlock()
 	for service, ow := range owners {
-		if ow.Len() > 0 {
+		busy := ow.Len() > 0
+		if busy || br.told[service] {
 			qu.Loads[service] = ow.Load()
 		}
+		br.told[service] = busy
 	}
 	br.Hear(qu)
 	return qu, len(qu.Loads) > 0
