gateway: requests that wait for their stages are refused before the process ends

Change: 0.4 s before the drain ends, requests whose stages are not done are refused with a time to come back; they have not run.

--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -49,11 +49,15 @@
 	times    *times
 	inFlight atomic.Int64
 	leaving  atomic.Int64 // since when, in ns since 1970; 0 while the process stays
+	finished context.Context
+	finish   context.CancelFunc
 }
 
 // New returns a flow.
 func New(clk citronstream.Clock, log logr.Logger, pa Parts) *Flow {
-	return &Flow{Parts: pa, clk: clk, log: log, times: newTimes(clk)}
+	fl := &Flow{Parts: pa, clk: clk, log: log, times: newTimes(clk)}
+	fl.finished, fl.finish = context.WithCancel(context.Background())
+	return fl
 }
 
 // InFlight returns the number of requests that have been read and not answered.
@@ -67,6 +71,10 @@
 // Leave makes each answer the last on its connection, and refuses requests after a while.
 func (fl *Flow) Leave() { fl.leaving.Store(fl.clk.Now().UnixNano()) }
 
+// Finish refuses the requests that still wait for their stages, before the
+// process ends: they have not run, and their callers can go elsewhere.
+func (fl *Flow) Finish() { fl.finish() }
+
 // closed reports whether the process has stopped to take requests.
 func (fl *Flow) closed(now time.Time) bool {
 	since := fl.leaving.Load()
@@ -143,13 +151,25 @@
 	defer stop()
 	rt.stages = newStages(rt)
 	defer rt.stages.release()
-	if fa := rt.stages.run(ctx); fa != nil {
+	if fa := rt.prepare(ctx); fa != nil {
 		return rt.refuse(ctx, fa)
 	}
 	rt.stageEnd = rt.fl.clk.Now()
 	return rt.forward(ctx)
 }
 
+// errFinished is the cause of stages that end with the process.
+var errFinished = errors.New("this process is leaving")
+
+// prepare makes the results that the request takes.
+func (rt *request) prepare(ctx context.Context) *citronstream.Fault {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(rt.fl.finished, func() { cancel(errFinished) })
+	defer stop()
+	return rt.stages.run(ctx)
+}
+
 // left is the time to the final answer.
 func (rt *request) left() time.Duration { return rt.end.Sub(rt.fl.clk.Now()) }
 
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -91,6 +92,11 @@
 		})
 	}
 	group.Wait()
+	if sg.fault != nil && errors.Is(context.Cause(ctx), errFinished) {
+		fa := citronstream.NewFault(citronstream.NotRun, citronstream.CodeLeaving, "%v", errFinished)
+		fa.RetryAfter = comeBackSoon
+		return fa
+	}
 	return sg.fault
 }
 
--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/standin/site"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -216,6 +217,31 @@
 	wo.assertStatus(http.StatusOK, res)
 }
 
+// A request that still waits for its stages when its process has to end is
+// refused, as it has not run.
+func TestRefusedAtTheEnd(t *testing.T) {
+	wo := newWorld(t, 1)
+	_, cut, _ := wo.staged()
+	wo.ready()
+	cut.Work.Store(int64(time.Minute))
+	ca := wo.stagedCall()
+	answered := make(chan *http.Response, 1)
+	var body string
+	go func() {
+		var res *http.Response
+		res, body = wo.answer(wo.entries[0], ca, http.MethodPost, "/staged/stream/", "")
+		answered <- res
+	}()
+	wo.until(func() bool { return len(wo.log.All()) > 0 }, "no stage was sent")
+	wo.entries[0].Leave()
+	wo.entries[0].flow.Finish()
+	res := <-answered
+	wo.assertStatus(http.StatusServiceUnavailable, res)
+	assert.NotEmpty(t, res.Header.Get("Retry-After"))
+	assert.Contains(t, body, citronstream.CodeLeaving)
+	assert.Empty(t, wo.log.Of(ca.id))
+}
+
 // An upstream that drains or whose row is removed gets no new requests.
 func TestLeavingUpstream(t *testing.T) {
 	wo := newWorld(t, 2)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -56,6 +56,8 @@
 	// drainReads is how often the list is read within the time in which a
 	// leaving upstream must get its last request, also by an entry without peers.
 	drainReads = 2
+	// finishTime is what the last refusals take until callers have them.
+	finishTime = 400 * time.Millisecond
 	drainPoll  = 20 * time.Millisecond
 )
 
@@ -399,6 +401,9 @@
 	ga.Leave()
 	for {
 		passed := ga.clk.Since(began)
+		if passed >= ga.site.Bounds.Grace-graceMargin-finishTime {
+			ga.flow.Finish()
+		}
 		if passed >= ga.site.Bounds.Grace-graceMargin || passed >= lingerLeast && ga.flow.InFlight() == 0 && ga.broker.Idle() {
 			break
 		}
