A large configuration reaches entries behind slow links

The store's answers were cut at 1 s after the wait, and each peer that knew the newer version was asked for its whole state at once, which filled the link further. Result: TestSlowLinkToTheStore fails before and passes after.

--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -142,12 +142,12 @@
 	vi.Apply(changes, source)
 }
 
-// State returns all rows for a peer that has none.
-func (vi *View) State() []citronstream.Change {
+// State returns all rows for a peer, but for the configuration if the peer has this revision of it.
+func (vi *View) State(has uint64) []citronstream.Change {
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
 	all := make([]citronstream.Change, 0, len(vi.rows)+1)
-	if vi.config.Version > 0 {
+	if vi.config.Version > has {
 		all = append(all, citronstream.Change{Row: vi.config})
 	}
 	for _, rec := range vi.rows {
--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -300,6 +300,19 @@
 	}, "not read anew")
 }
 
+// An answer of the store that comes slowly, as a large configuration over a
+// slow link, is waited for as long as it comes.
+func TestSlowLinkToTheStore(t *testing.T) {
+	wo := newWorld(t, 1)
+	wo.upstream("d1", "desk")
+	wo.ready()
+	en := wo.entries[0]
+	en.door.Fault(site.Trickles)
+	wo.configure(2, "")
+	wo.until(func() bool { return en.view.Routes().Version == 2 }, "the configuration did not arrive")
+	assert.False(t, en.follower.Away())
+}
+
 // A content that has killed two upstreams is refused at all entries.
 func TestPoison(t *testing.T) {
 	wo := newWorld(t, 2)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -43,7 +43,9 @@
 	// fetchAfter is how long a process waits for the store to tell of a
 	// configuration that a peer has, before it asks the peer.
 	fetchAfter = 150 * time.Millisecond
-	// askTime bounds the questions to peers.
+	// stateTime bounds the wait for a peer's state, which may be a megabyte over a slow link.
+	stateTime = 4 * time.Second
+	// askTime bounds the probes of upstreams and the heads of requests to this process.
 	askTime = time.Second
 	// lingerLeast is how long a leaving process still takes connections: the
 	// platform asks each second whether it is ready and believes the second no.
@@ -91,6 +93,8 @@
 	parts   sync.WaitGroup
 	news    chan []citronstream.Change
 	leaving atomic.Bool
+	// fetching says that a peer is asked for its state.
+	fetching atomic.Bool
 }
 
 // newsWaiting bounds the changes that wait to be passed on. What is dropped
@@ -233,7 +237,25 @@
 	if pe.Revision() <= ga.view.Revision() && !blind {
 		return
 	}
-	ga.own(func(ctx context.Context) { ga.fetch(ctx, pe, li, blind) })
+	// One at a time: a state may be as large as what a slow link carries in a second.
+	if !ga.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	ga.own(func(ctx context.Context) {
+		ga.fetch(ctx, pe, li, blind)
+		ga.fetching.Store(false)
+		ga.recheck()
+	})
+}
+
+// recheck asks for a state again if a peer has a newer configuration still.
+func (ga *Gateway) recheck() {
+	for _, pe := range ga.mesh.Peers() {
+		if li := pe.Link(); li != nil && pe.Revision() > ga.view.Revision() {
+			ga.met(pe, li)
+			return
+		}
+	}
 }
 
 // fetch takes over what a peer knows, unless the store tells in the meantime.
@@ -250,7 +272,7 @@
 			return
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTime)
+	ctx, cancel := context.WithTimeout(ctx, stateTime)
 	defer cancel()
 	var rows citronstream.Rows
 	if err := li.Call(ctx, citronstream.MethodState, ga.meeting(), &rows); err != nil {
@@ -340,7 +362,12 @@
 func (ga *Gateway) handle(from string, li *link.Link, re *link.Request) {
 	switch re.Method {
 	case citronstream.MethodState:
-		re.Reply(citronstream.Rows{Changes: ga.view.State()})
+		var mt citronstream.Meeting
+		if err := re.Decode(&mt); err != nil {
+			re.ReplyError(err)
+			return
+		}
+		re.Reply(citronstream.Rows{Changes: ga.view.State(mt.Revision)})
 	case citronstream.MethodRows:
 		var rows citronstream.Rows
 		if re.Decode(&rows) == nil {
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -79,12 +79,16 @@
 
 // Faults of a door.
 const (
-	Sound   int32 = iota
-	Refuses       // answers 503
-	Silent        // does not answer
-	Loses         // does what it is asked and does not answer
+	Sound    int32 = iota
+	Refuses        // answers 503
+	Silent         // does not answer
+	Loses          // does what it is asked and does not answer
+	Trickles       // sends the second half of an answer after a while, as a slow link does
 )
 
+// trickle is the pause in the middle of an answer of a door that trickles.
+const trickle = 3500 * time.Millisecond
+
 // Door is an address of the store with its own faults.
 type Door struct {
 	*httptest.Server
@@ -127,7 +131,20 @@
 	}
 	wr.Header().Set("Content-Type", "application/json")
 	wr.WriteHeader(status)
-	_ = json.NewEncoder(wr).Encode(answer) // a caller that left needs no answer
+	raw, err := json.Marshal(answer)
+	if err != nil {
+		return
+	}
+	half := len(raw) / 2
+	if do.fault.Load() != Trickles {
+		half = 0
+	}
+	_, _ = wr.Write(raw[:half]) // a caller that left needs no answer
+	if half > 0 {
+		wr.(http.Flusher).Flush()
+		<-do.st.clk.After(trickle)
+	}
+	_, _ = wr.Write(raw[half:])
 }
 
 type storeAnswer struct {
