--- /dev/null
+++ b/internal/cli/gateway/gateway.go
@@ -0,0 +1,67 @@
+// Package gateway is the command `citronstream gateway`.
+package gateway
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/observe/lines"
+	process "github.com/citronstream/citronstream/internal/process/gateway"
+	"github.com/citronstream/citronstream/platform"
+	"github.com/go-logr/logr"
+)
+
+// Command serves callers on the users' platform until SIGTERM.
+type Command struct {
+	Settings string `help:"Settings file that the platform gives to the process." env:"CITRONSTREAM_CONFIG" required:"" type:"path"`
+}
+
+// Run implements the command.
+func (co *Command) Run(clk citronstream.Clock, out io.Writer) error {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	defer signal.Stop(signals)
+	site, err := platform.ReadSite(co.Settings)
+	if err != nil {
+		return err
+	}
+	logging, stop := context.WithCancel(context.Background())
+	writer := lines.New(logging, clk, out)
+	defer func() {
+		stop()
+		<-writer.Done()
+	}()
+	log := writer.Logger("process", site.Process)
+	ga, err := process.New(context.Background(), clk, log, site)
+	if err != nil {
+		return err
+	}
+	if err := ga.Start(); err != nil {
+		log.Error(err, "not started")
+		return err
+	}
+	co.wait(signals, log, ga)
+	ga.Stop()
+	log.Info("stopped")
+	return nil
+}
+
+// wait returns after a signal to end, once the process has drained.
+func (co *Command) wait(signals chan os.Signal, log logr.Logger, ga *process.Gateway) {
+	for one := range signals {
+		if one != syscall.SIGHUP {
+			ga.Drain()
+			return
+		}
+		site, err := platform.ReadSite(co.Settings)
+		if err != nil {
+			log.Error(err, "settings not reloaded")
+			continue
+		}
+		log.Info("settings reloaded", "process", site.Process)
+	}
+}
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -19,6 +19,7 @@
 	"github.com/citronstream/citronstream/internal/cli/doubts"
 	"github.com/citronstream/citronstream/internal/cli/drain"
 	"github.com/citronstream/citronstream/internal/cli/entry"
+	"github.com/citronstream/citronstream/internal/cli/gateway"
 	"github.com/citronstream/citronstream/internal/cli/holds"
 	"github.com/citronstream/citronstream/internal/cli/inventory"
 	"github.com/citronstream/citronstream/internal/cli/local"
@@ -45,6 +46,7 @@
 
 	Entry   entry.Command   `cmd:"" help:"Run an entry, which serves callers."`
 	Agent   agent.Command   `cmd:"" help:"Run the agent of one upstream."`
+	Gateway gateway.Command `cmd:"" help:"Run an entry on the users' platform, which lists its servers itself."`
 	Standin standin.Command `cmd:"" help:"Run stand-ins for the platform and the upstreams of a fleet."`
 
 	Status   status.Command   `cmd:"" help:"Show the processes of a fleet and their versions."`
--- /dev/null
+++ b/internal/fleet/view/routes.go
@@ -0,0 +1,42 @@
+package view
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/citronstream/citronstream"
+)
+
+// Routes is a configuration in force, with its routes in the order of a search.
+type Routes struct {
+	*citronstream.Routing
+	// Revision is the version of the row that held the configuration.
+	Revision uint64
+	byHost   map[string][]*citronstream.Route
+}
+
+func newRoutes(ro *citronstream.Routing, revision uint64) *Routes {
+	index := &Routes{Routing: ro, Revision: revision, byHost: make(map[string][]*citronstream.Route)}
+	for i := range ro.Routes {
+		route := &ro.Routes[i]
+		index.byHost[route.Host] = append(index.byHost[route.Host], route)
+	}
+	for _, list := range index.byHost {
+		slices.SortStableFunc(list, func(a, b *citronstream.Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return index
+}
+
+// Find returns the route with the longest prefix of the path, nil when there is none.
+func (ro *Routes) Find(host, path string) *citronstream.Route {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	for _, route := range ro.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/view/view.go
@@ -0,0 +1,256 @@
+// Package view is what a process believes of its site: the configuration in
+// force and the upstreams. Rows come from the store and from peers in any
+// order; of each row the newest version wins.
+package view
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/go-logr/logr"
+)
+
+const (
+	// lapseGrace is how long an upstream stays in use whose row was removed
+	// while or just after the store could not be reached: its heartbeats could
+	// not reach the store either, and its row is back within about 2 s.
+	lapseGrace = 2200 * time.Millisecond
+	// tombstoneLife is how long a removal is remembered against late news of
+	// an older version. Peers pass news on within seconds.
+	tombstoneLife = time.Minute
+)
+
+// Decode reads the values of rows.
+type Decode struct {
+	Routing   func(value []byte) (*citronstream.Routing, error)
+	Member    func(row citronstream.Row) (citronstream.Member, error)
+	ConfigKey string
+}
+
+// record is the newest version of a row.
+type record struct {
+	citronstream.Change
+	node    *node.Node // nil when the row names no upstream
+	removed time.Time  // when the removal was seen
+	lapsed  bool       // removed, but in use until the grace has passed
+}
+
+// View holds the rows. Reads take no lock.
+type View struct {
+	clk    citronstream.Clock
+	log    logr.Logger
+	decode Decode
+
+	routes  atomic.Pointer[Routes]
+	members atomic.Pointer[Members]
+
+	mu      sync.Mutex
+	rows    map[string]*record
+	config  citronstream.Row
+	trouble time.Time // last sign that the store could not be reached
+	changed func(changes []citronstream.Change, source string)
+	onNodes []func(*Members)
+}
+
+// New returns an empty view.
+func New(clk citronstream.Clock, log logr.Logger, decode Decode) *View {
+	vi := &View{clk: clk, log: log, decode: decode, rows: make(map[string]*record), changed: func([]citronstream.Change, string) {}}
+	vi.members.Store(newMembers(nil))
+	return vi
+}
+
+// SourceStore names the store as the source of rows.
+const SourceStore = "store"
+
+// OnChange sets what is told of rows that changed what the process believes,
+// and of their source, so that peers can be told. It must not call the view.
+func (vi *View) OnChange(changed func(changes []citronstream.Change, source string)) {
+	vi.changed = changed
+}
+
+// OnMembers adds what is told of each new set of upstreams. It must not call the view's writers.
+func (vi *View) OnMembers(told func(*Members)) { vi.onNodes = append(vi.onNodes, told) }
+
+// Routes returns the configuration in force, nil before the first.
+func (vi *View) Routes() *Routes { return vi.routes.Load() }
+
+// Members returns the upstreams in use.
+func (vi *View) Members() *Members { return vi.members.Load() }
+
+// Revision returns the version of the row with the configuration, 0 before the first.
+func (vi *View) Revision() uint64 {
+	if ro := vi.routes.Load(); ro != nil {
+		return ro.Revision
+	}
+	return 0
+}
+
+// Trouble notes that the store could not be reached at this moment.
+func (vi *View) Trouble() {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	vi.trouble = vi.clk.Now()
+}
+
+// Apply takes changes of rows from a source, which logs name. Rows older than
+// those known change nothing.
+func (vi *View) Apply(changes []citronstream.Change, source string) {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	var news []citronstream.Change
+	members := false
+	for _, ch := range changes {
+		switch {
+		case ch.Key == vi.decode.ConfigKey:
+			if vi.applyConfig(ch, source) {
+				news = append(news, ch)
+			}
+		case vi.applyMember(ch, source):
+			members = true
+			if rec := vi.rows[ch.Key]; !rec.lapsed {
+				news = append(news, ch)
+			}
+		}
+	}
+	if members {
+		vi.publish()
+	}
+	if len(news) > 0 {
+		vi.changed(news, source)
+	}
+}
+
+// Replace takes the whole table of upstreams as of a version. Upstreams
+// without a row have been removed.
+func (vi *View) Replace(rows []citronstream.Row, version uint64, source string) {
+	changes := make([]citronstream.Change, 0, len(rows))
+	present := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		changes = append(changes, citronstream.Change{Row: row})
+		present[row.Key] = true
+	}
+	vi.mu.Lock()
+	for key, rec := range vi.rows {
+		if !present[key] && !rec.Deleted && rec.Version <= version {
+			changes = append(changes, citronstream.Change{Row: citronstream.Row{Key: key, Version: version}, Deleted: true})
+		}
+	}
+	vi.mu.Unlock()
+	vi.Apply(changes, source)
+}
+
+// State returns all rows for a peer that has none.
+func (vi *View) State() []citronstream.Change {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	all := make([]citronstream.Change, 0, len(vi.rows)+1)
+	if vi.config.Version > 0 {
+		all = append(all, citronstream.Change{Row: vi.config})
+	}
+	for _, rec := range vi.rows {
+		if !rec.lapsed {
+			all = append(all, rec.Change)
+		}
+	}
+	return all
+}
+
+// Sweep ends the grace of removed upstreams and forgets old removals.
+func (vi *View) Sweep() {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	now := vi.clk.Now()
+	var news []citronstream.Change
+	for key, rec := range vi.rows {
+		switch {
+		case rec.lapsed && now.Sub(vi.trouble) >= lapseGrace && now.Sub(rec.removed) >= lapseGrace/2:
+			rec.lapsed = false
+			news = append(news, rec.Change)
+			vi.log.Info("upstream gone", "upstream", rec.node.ID, "service", rec.node.Service, "reason", "row did not come back", "revision", rec.Version)
+			rec.node = nil
+		case rec.Deleted && !rec.lapsed && now.Sub(rec.removed) > tombstoneLife:
+			delete(vi.rows, key)
+		}
+	}
+	if len(news) > 0 {
+		vi.publish()
+		vi.changed(news, SourceStore)
+	}
+}
+
+func (vi *View) applyConfig(ch citronstream.Change, source string) bool {
+	if ch.Deleted || ch.Version <= vi.config.Version {
+		return false
+	}
+	routing, err := vi.decode.Routing(ch.Value)
+	if err != nil {
+		vi.log.Error(err, "configuration refused", "revision", ch.Version, "source", source, "in force", vi.Revision())
+		return false
+	}
+	if old := vi.routes.Load(); old != nil && routing.Version < old.Version {
+		vi.log.Info("configuration refused", "reason", "older version", "version", routing.Version, "in force", old.Version, "source", source)
+		return false
+	}
+	vi.config = ch.Row
+	vi.routes.Store(newRoutes(routing, ch.Version))
+	vi.log.Info("configuration in force", "version", routing.Version, "revision", ch.Version, "source", source, "routes", len(routing.Routes))
+	return true
+}
+
+// applyMember reports whether the set of upstreams in use changed.
+func (vi *View) applyMember(ch citronstream.Change, source string) bool {
+	old := vi.rows[ch.Key]
+	if old != nil && ch.Version <= old.Version {
+		return false
+	}
+	now := vi.clk.Now()
+	if ch.Deleted {
+		rec := &record{Change: ch, removed: now}
+		vi.rows[ch.Key] = rec
+		if old == nil || old.node == nil {
+			return false
+		}
+		// A node that drains is leaving anyway.
+		if now.Sub(vi.trouble) < lapseGrace && !old.node.Draining {
+			rec.node, rec.lapsed = old.node, true
+			vi.log.Info("upstream lapsed", "upstream", old.node.ID, "service", old.node.Service, "source", source, "revision", ch.Version)
+			return false
+		}
+		vi.log.Info("upstream gone", "upstream", old.node.ID, "service", old.node.Service, "reason", "row removed", "source", source, "revision", ch.Version)
+		return true
+	}
+	rec := &record{Change: ch}
+	vi.rows[ch.Key] = rec
+	member, err := vi.decode.Member(ch.Row)
+	if err != nil {
+		vi.log.Info("row names no upstream", "key", ch.Key, "reason", err.Error(), "source", source, "revision", ch.Version)
+		return old != nil && old.node != nil
+	}
+	if old != nil && old.node != nil && old.node.Same(member) {
+		if old.node.Draining == member.Draining && old.node.Slots == member.Slots && old.node.Zone == member.Zone {
+			rec.node = old.node // a heartbeat
+			return old.lapsed
+		}
+	}
+	rec.node = node.New(member)
+	vi.log.Info("upstream known", "upstream", member.ID, "service", member.Service, "address", member.Address, "zone", member.Zone,
+		"draining", member.Draining, "source", source, "revision", ch.Version)
+	return true
+}
+
+func (vi *View) publish() {
+	nodes := make([]*node.Node, 0, len(vi.rows))
+	for _, rec := range vi.rows {
+		if rec.node != nil {
+			nodes = append(nodes, rec.node)
+		}
+	}
+	members := newMembers(nodes)
+	vi.members.Store(members)
+	for _, told := range vi.onNodes {
+		told(members)
+	}
+}
--- /dev/null
+++ b/internal/ingress/flow/flow.go
@@ -0,0 +1,156 @@
+// Package flow carries a caller's request through its stages to an upstream
+// and its answer back.
+package flow
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/citronstream/citronstream/internal/fleet/view"
+	"github.com/citronstream/citronstream/internal/limit/deathwatch"
+	"github.com/citronstream/citronstream/internal/limit/poison"
+	"github.com/citronstream/citronstream/internal/limit/sharebudget"
+	"github.com/citronstream/citronstream/internal/route/engines"
+	"github.com/citronstream/citronstream/internal/stage/broker"
+	"github.com/citronstream/citronstream/internal/upstream/conns"
+	"github.com/citronstream/citronstream/platform"
+	"github.com/go-logr/logr"
+)
+
+// Parts are what a flow works with.
+type Parts struct {
+	Zone    string
+	View    *view.View
+	Pool    *conns.Pool
+	Broker  *broker.Broker
+	Engines *engines.Picker
+	Budget  *sharebudget.Budget
+	Holds   *poison.Holds
+	Deaths  *deathwatch.Watch
+	Observe func(ob Observation)
+}
+
+// Observation is the end of a request, for metrics.
+type Observation struct {
+	Route, Workspace, Outcome string
+	Rank                      int
+	Took                      time.Duration
+}
+
+// Flow serves requests.
+type Flow struct {
+	Parts
+	clk      citronstream.Clock
+	log      logr.Logger
+	times    *times
+	inFlight atomic.Int64
+	leaving  atomic.Bool
+}
+
+// New returns a flow.
+func New(clk citronstream.Clock, log logr.Logger, pa Parts) *Flow {
+	return &Flow{Parts: pa, clk: clk, log: log, times: newTimes(clk)}
+}
+
+// InFlight returns the number of requests that have been read and not answered.
+func (fl *Flow) InFlight() int { return int(fl.inFlight.Load()) }
+
+// Leave makes each answer the last on its connection.
+func (fl *Flow) Leave() { fl.leaving.Store(true) }
+
+// errCallerGone is the cause of a context whose caller has left.
+var errCallerGone = errors.New("the caller has left")
+
+// ServeHTTP implements http.Handler.
+func (fl *Flow) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
+	fl.inFlight.Add(1)
+	defer fl.inFlight.Add(-1)
+	if fl.leaving.Load() {
+		wr.Header().Set("Connection", "close")
+	}
+	rt := &request{fl: fl, wr: wr, rq: rq, at: fl.clk.Now()}
+	out := rt.serve()
+	rt.record(out)
+	if out.abort {
+		panic(http.ErrAbortHandler) // the caller must see that the answer is cut
+	}
+}
+
+// request is one request on its way.
+type request struct {
+	*citronstream.CallerRequest
+	fl     *Flow
+	wr     http.ResponseWriter
+	rq     *http.Request
+	body   []byte
+	digest uint64
+
+	routes    *view.Routes
+	route     *citronstream.Route
+	service   string // of the upstream that runs the request
+	workspace string
+	rank      int
+
+	at     time.Time // arrival
+	target time.Time // time by which the answer or its first event has its full value
+	end    time.Time // time of the final answer
+
+	stages  *stages
+	tried   map[string]bool // IDs of the upstreams that were sent the request
+	sends   int
+	last    *node.Node
+	started bool // the head of an answer was written to the caller
+	// lastEvent is the identifier of the last event that the caller has.
+	lastEvent int64
+	stageEnd  time.Time
+}
+
+// outcome is how a request ended.
+type outcome struct {
+	status int
+	reason string
+	fault  *citronstream.Fault
+	abort  bool // the answer was cut
+}
+
+// serve runs the request and writes its answer.
+func (rt *request) serve() outcome {
+	if out, ok := rt.admit(); !ok {
+		return out
+	}
+	ctx, cancel := context.WithCancelCause(rt.rq.Context())
+	defer cancel(nil)
+	timer := rt.fl.clk.AfterFunc(rt.end.Sub(rt.at), func() { cancel(context.DeadlineExceeded) })
+	defer timer.Stop()
+	stop := context.AfterFunc(rt.rq.Context(), func() { cancel(errCallerGone) })
+	defer stop()
+	rt.stages = newStages(rt)
+	defer rt.stages.release()
+	if fa := rt.stages.run(ctx); fa != nil {
+		return rt.refuse(ctx, fa)
+	}
+	rt.stageEnd = rt.fl.clk.Now()
+	return rt.forward(ctx)
+}
+
+// left is the time to the final answer.
+func (rt *request) left() time.Duration { return rt.end.Sub(rt.fl.clk.Now()) }
+
+// gone reports whether the caller has left.
+func gone(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errCallerGone) || errors.Is(context.Cause(ctx), context.Canceled)
+}
+
+// send builds the request for an upstream.
+func (rt *request) send(no *node.Node, fo citronstream.Forward) *conns.Request {
+	fo.Left, fo.Member, fo.Workspace = rt.left(), no.ID, rt.workspace
+	return &conns.Request{
+		Method: rt.rq.Method, Target: rt.rq.RequestURI, Host: rt.rq.Host,
+		Header: platform.UpstreamHeader(rt.rq.Header, &fo), Body: rt.body, ID: rt.ID, Parse: platform.ParseAnswer,
+	}
+}
--- /dev/null
+++ b/internal/ingress/flow/stages.go
@@ -0,0 +1,381 @@
+package flow
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/route/engines"
+)
+
+// maxRemakes is how often the lost results of a request are made again.
+const maxRemakes = 2
+
+// stage is the work of one stage of a request.
+type stage struct {
+	number  int
+	spec    citronstream.RouteStage
+	batch   *citronstream.BatchSpec
+	pieces  int
+	last    bool // its results are inputs of the request itself
+	rest    time.Duration
+	users   int // stages that have not taken its results yet
+	handles []string
+	done    chan struct{}
+}
+
+// stages are those of a request that it does not leave out.
+type stages struct {
+	rt      *request
+	list    []*stage
+	zone    string // of the engine that the request would get now
+	remakes int
+
+	repair sync.Mutex // held while lost results are made again
+
+	mu    sync.Mutex // guards fault, remakes, and the handles and users of all stages
+	fault *citronstream.Fault
+}
+
+func newStages(rt *request) *stages {
+	sg := &stages{rt: rt}
+	followed := make(map[int]bool)
+	for i, spec := range rt.route.Stages {
+		for _, before := range spec.After {
+			followed[before] = true
+		}
+		st := &stage{number: i, spec: spec, batch: rt.routes.Services[spec.Service].Batch, pieces: 1, done: make(chan struct{})}
+		if i < len(rt.Pieces) {
+			st.pieces = rt.Pieces[i]
+		}
+		sg.list = append(sg.list, st)
+	}
+	for i, st := range sg.list {
+		st.last = !followed[i]
+		for _, before := range st.spec.After {
+			sg.list[before].users++
+		}
+	}
+	return sg
+}
+
+// run makes all results. It returns nil when the request can run.
+func (sg *stages) run(ctx context.Context) *citronstream.Fault {
+	if len(sg.list) == 0 {
+		return nil
+	}
+	sg.estimate()
+	if no := sg.rt.prefer(nil); no != nil {
+		sg.zone = no.Zone
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, st := range sg.list {
+		group.Go(func() {
+			defer close(st.done)
+			if fa := sg.stage(ctx, st); fa != nil {
+				sg.fail(fa)
+				cancel()
+			}
+		})
+	}
+	group.Wait()
+	return sg.fault
+}
+
+// fail keeps the first fault; those after it are its consequence.
+func (sg *stages) fail(fa *citronstream.Fault) {
+	sg.mu.Lock()
+	defer sg.mu.Unlock()
+	if sg.fault == nil {
+		sg.fault = fa
+	}
+}
+
+// estimate sets the time that the request needs after each stage.
+func (sg *stages) estimate() {
+	end := sg.rt.fl.times.expected(sg.rt.route.Name)
+	for i := len(sg.list) - 1; i >= 0; i-- {
+		st := sg.list[i]
+		st.rest = max(st.rest, end)
+		for _, before := range st.spec.After {
+			sg.list[before].rest = max(sg.list[before].rest, st.rest+st.work())
+		}
+	}
+}
+
+// work is the time of the stage's batch when it runs alone.
+func (st *stage) work() time.Duration {
+	if st.batch == nil || st.pieces == 0 {
+		return 0
+	}
+	return st.batch.CallTime + time.Duration(min(st.pieces, st.batch.Items))*st.batch.ItemTime
+}
+
+// stage waits for the results that a stage takes, and makes its own.
+func (sg *stages) stage(ctx context.Context, st *stage) *citronstream.Fault {
+	for _, before := range st.spec.After {
+		select {
+		case <-sg.list[before].done:
+		case <-ctx.Done():
+			return sg.ended(ctx)
+		}
+	}
+	if ctx.Err() != nil {
+		return sg.ended(ctx)
+	}
+	if st.pieces > 0 {
+		if st.batch == nil {
+			return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "stage %d: service %s is not in the configuration", st.number, st.spec.Service)
+		}
+		if fa := sg.make(ctx, st, all(st), false); fa != nil {
+			return fa
+		}
+	}
+	for _, before := range st.spec.After {
+		sg.used(sg.list[before])
+	}
+	return nil
+}
+
+func (sg *stages) ended(ctx context.Context) *citronstream.Fault {
+	if cause := context.Cause(ctx); cause == context.DeadlineExceeded {
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeDeadline, "the deadline passed before the stages were done")
+	}
+	return citronstream.NewFault(citronstream.NotRun, citronstream.CodeCanceled, "the request has ended")
+}
+
+// make runs the job for some pieces of a stage. Inputs that are gone are made
+// again, one stage at a time; repairing says that the caller is doing so.
+func (sg *stages) make(ctx context.Context, st *stage, places []int, repairing bool) *citronstream.Fault {
+	for {
+		inputs := sg.inputsOf(st)
+		re := sg.rt.fl.Broker.Run(ctx, sg.job(st, places, inputs))
+		if re.Fault != nil {
+			return re.Fault
+		}
+		if !re.InputGone {
+			sg.keep(st, places, re.Handles)
+			return nil
+		}
+		sg.rt.fl.log.Info("stage input gone", "request", sg.rt.ID, "stage", st.number, "service", st.spec.Service, "remakes", sg.remakes)
+		if !repairing {
+			sg.repair.Lock()
+		}
+		fa := sg.remake(ctx, st.spec.After)
+		if !repairing {
+			sg.repair.Unlock()
+		}
+		if fa != nil {
+			return fa
+		}
+	}
+}
+
+func (sg *stages) keep(st *stage, places []int, handles []string) {
+	sg.mu.Lock()
+	defer sg.mu.Unlock()
+	if st.handles == nil {
+		st.handles = make([]string, st.pieces)
+	}
+	for i, place := range places {
+		st.handles[place] = handles[i]
+	}
+}
+
+// held returns a copy of a stage's results.
+func (sg *stages) held(st *stage) []string {
+	sg.mu.Lock()
+	defer sg.mu.Unlock()
+	return slices.Clone(st.handles)
+}
+
+func all(st *stage) []int {
+	places := make([]int, st.pieces)
+	for i := range places {
+		places[i] = i
+	}
+	return places
+}
+
+// remake makes the lost results of some stages again, or all of them when
+// none is known to be lost.
+func (sg *stages) remake(ctx context.Context, numbers []int) *citronstream.Fault {
+	sg.mu.Lock()
+	sg.remakes++
+	many := sg.remakes > maxRemakes
+	sg.mu.Unlock()
+	if many {
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUpstreamDied, "results of the stages were lost again")
+	}
+	lost := 0
+	for _, number := range numbers {
+		lost += len(sg.lost(sg.list[number]))
+	}
+	for _, number := range numbers {
+		st := sg.list[number]
+		places := sg.lost(st)
+		if lost == 0 {
+			places = all(st)
+		}
+		if len(places) == 0 {
+			continue
+		}
+		if fa := sg.remakeReleased(ctx, st.spec.After); fa != nil {
+			return fa
+		}
+		if fa := sg.make(ctx, st, places, true); fa != nil {
+			return fa
+		}
+	}
+	return nil
+}
+
+// remakeReleased makes results again that were given up after their use.
+func (sg *stages) remakeReleased(ctx context.Context, numbers []int) *citronstream.Fault {
+	for _, number := range numbers {
+		st := sg.list[number]
+		if sg.held(st) != nil || st.pieces == 0 {
+			continue
+		}
+		if fa := sg.remakeReleased(ctx, st.spec.After); fa != nil {
+			return fa
+		}
+		if fa := sg.make(ctx, st, all(st), true); fa != nil {
+			return fa
+		}
+	}
+	return nil
+}
+
+// lost returns the results whose maker is gone or can't be reached.
+func (sg *stages) lost(st *stage) []int {
+	var places []int
+	now := sg.rt.fl.clk.Now()
+	for i, handle := range sg.held(st) {
+		if no := sg.rt.fl.Broker.At(handle); no == nil || no.Avoided(now) {
+			places = append(places, i)
+		}
+	}
+	return places
+}
+
+func (sg *stages) job(st *stage, places []int, inputs []string) citronstream.Job {
+	now := sg.rt.fl.clk.Now()
+	jo := citronstream.Job{
+		ID: sg.rt.ID, Stage: st.number, Service: st.spec.Service, Pieces: places, Bytes: st.spec.Bytes, Inputs: inputs,
+		Rank: sg.rt.rank, Workspace: sg.rt.workspace, Zone: sg.zone,
+		Left: sg.rt.end.Sub(now), Rest: st.rest + st.work(), Slack: sg.rt.target.Sub(now) - st.rest - st.work(),
+	}
+	if len(st.spec.After) == 0 {
+		jo.Key = sg.rt.PieceKey
+	}
+	if zone := heaviest(sg.bytesByZone(st.spec.After)); zone != "" {
+		jo.Zone = zone
+	}
+	return jo
+}
+
+// inputsOf returns the results that a stage takes.
+func (sg *stages) inputsOf(st *stage) []string {
+	var inputs []string
+	for _, before := range st.spec.After {
+		inputs = append(inputs, sg.held(sg.list[before])...)
+	}
+	return inputs
+}
+
+// bytesByZone returns where the results of some stages lie.
+func (sg *stages) bytesByZone(numbers []int) map[string]int {
+	zones := make(map[string]int)
+	for _, number := range numbers {
+		st := sg.list[number]
+		for _, handle := range sg.held(st) {
+			if no := sg.rt.fl.Broker.At(handle); no != nil {
+				zones[no.Zone] += st.spec.Bytes
+			}
+		}
+	}
+	return zones
+}
+
+func heaviest(zones map[string]int) string {
+	best, most := "", 0
+	for zone, bytes := range zones {
+		if bytes > most || bytes == most && zone < best {
+			best, most = zone, bytes
+		}
+	}
+	return best
+}
+
+// used notes that a stage has taken the results of another.
+func (sg *stages) used(st *stage) {
+	sg.mu.Lock()
+	st.users--
+	free := st.users == 0 && !st.last
+	sg.mu.Unlock()
+	if free {
+		sg.giveUp(st)
+	}
+}
+
+func (sg *stages) giveUp(st *stage) {
+	sg.mu.Lock()
+	handles := slices.DeleteFunc(st.handles, func(handle string) bool { return handle == "" })
+	st.handles = nil
+	sg.mu.Unlock()
+	sg.rt.fl.Broker.Release(citronstream.Release{Service: st.spec.Service, Handles: handles})
+}
+
+// release gives up all results.
+func (sg *stages) release() {
+	for _, st := range sg.list {
+		sg.giveUp(st)
+	}
+}
+
+// finals returns the numbers of the stages whose results the request itself takes.
+func (sg *stages) finals() []int {
+	var numbers []int
+	for _, st := range sg.list {
+		if st.last {
+			numbers = append(numbers, st.number)
+		}
+	}
+	return numbers
+}
+
+// inputs returns the results that the request itself takes. Those that were
+// given up are made again.
+func (sg *stages) inputs(ctx context.Context) ([]string, *citronstream.Fault) {
+	finals := sg.finals()
+	sg.repair.Lock()
+	defer sg.repair.Unlock()
+	if fa := sg.remakeReleased(ctx, finals); fa != nil {
+		return nil, fa
+	}
+	var inputs []string
+	for _, number := range finals {
+		inputs = append(inputs, sg.held(sg.list[number])...)
+	}
+	return inputs, nil
+}
+
+// demand describes the request to the choice of an engine.
+func (rt *request) demand(exclude map[string]bool) engines.Request {
+	rq := engines.Request{Tokens: rt.TokensIn, Exclude: exclude}
+	if shared, ok := rt.Shared(); ok {
+		rq.Shared = shared
+		for _, part := range rt.Prompt[:len(rt.Prompt)-1] {
+			rq.Parts += part.Tokens
+		}
+	}
+	if rt.stages != nil {
+		rq.Inputs = rt.stages.bytesByZone(rt.stages.finals())
+	}
+	return rq
+}
--- /dev/null
+++ b/internal/process/gateway/gateway.go
@@ -0,0 +1,357 @@
+// Package gateway puts the parts of an entry on the users' platform together.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/follow"
+	"github.com/citronstream/citronstream/internal/fleet/mesh"
+	"github.com/citronstream/citronstream/internal/fleet/register"
+	"github.com/citronstream/citronstream/internal/fleet/view"
+	"github.com/citronstream/citronstream/internal/ingress/flow"
+	"github.com/citronstream/citronstream/internal/ingress/server"
+	"github.com/citronstream/citronstream/internal/limit/deathwatch"
+	"github.com/citronstream/citronstream/internal/limit/poison"
+	"github.com/citronstream/citronstream/internal/limit/sharebudget"
+	"github.com/citronstream/citronstream/internal/peer/link"
+	"github.com/citronstream/citronstream/internal/peer/nbconn"
+	"github.com/citronstream/citronstream/internal/route/engines"
+	"github.com/citronstream/citronstream/internal/stage/broker"
+	"github.com/citronstream/citronstream/internal/upstream/batch"
+	"github.com/citronstream/citronstream/internal/upstream/conns"
+	"github.com/citronstream/citronstream/platform"
+	"github.com/go-logr/logr"
+)
+
+const (
+	// tickEvery is how often peers hear of this process's load on the engines.
+	tickEvery = 100 * time.Millisecond
+	// sweepTicks times tickEvery is how often idle connections and lost peers are looked for.
+	sweepTicks = 5
+	// fetchAfter is how long a process waits for the store to tell of a
+	// configuration that a peer has, before it asks the peer.
+	fetchAfter = 150 * time.Millisecond
+	// askTime bounds the questions to peers.
+	askTime = time.Second
+	// lingerLeast is how long a leaving process still takes connections: the
+	// platform asks each second whether it is ready and believes the second no.
+	lingerLeast = 3 * time.Second
+	// graceMargin is the end of the grace period that is left for the exit.
+	graceMargin = 600 * time.Millisecond
+	drainPoll   = 20 * time.Millisecond
+)
+
+// Gateway is one process.
+type Gateway struct {
+	clk  citronstream.Clock
+	log  logr.Logger
+	site *citronstream.Site
+	boot string
+
+	eng      *nbconn.Engine
+	view     *view.View
+	follower *follow.Follower
+	mesh     *mesh.Mesh
+	pool     *conns.Pool
+	broker   *broker.Broker
+	engines  *engines.Picker
+	holds    *poison.Holds
+	deaths   *deathwatch.Watch
+	flow     *flow.Flow
+	callers  *server.Server
+	ready    *http.Server
+	register *register.Register
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	parts   sync.WaitGroup
+	news    chan []citronstream.Change
+	leaving atomic.Bool
+}
+
+// newsWaiting bounds the changes that wait to be passed on. What is dropped
+// comes with the peer's own reads.
+const newsWaiting = 1024
+
+// New returns a gateway that does not listen yet.
+func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, site *citronstream.Site) (*Gateway, error) {
+	eng, err := nbconn.New()
+	if err != nil {
+		return nil, err
+	}
+	ga := &Gateway{
+		clk: clk, log: log, site: site, boot: citronstream.NewID(), eng: eng,
+		pool: conns.New(clk), engines: engines.New(clk), holds: poison.New(clk, citronstream.DefaultLimits()),
+		news: make(chan []citronstream.Change, newsWaiting),
+	}
+	ga.ctx, ga.cancel = context.WithCancel(ctx)
+	store := platform.NewStore(site.Store.Address)
+	ga.view = view.New(clk, log, view.Decode{Routing: platform.DecodeRouting, Member: platform.DecodeMember, ConfigKey: platform.ConfigKey})
+	ga.view.OnChange(ga.changed)
+	ga.follower = follow.New(clk, log, store, ga.view)
+	ga.mesh = mesh.New(clk, log, eng, ga.meeting, ga.handle, ga.met)
+	ga.register = register.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone)
+	ga.deaths = deathwatch.New(ga.ctx, clk, probe, ga.died)
+	owned := sharebudget.New(clk, site.Bounds, func() int { return 1 })
+	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, batch.New(clk, log, ga.pool), owned)
+	ga.flow = flow.New(clk, log, flow.Parts{
+		Zone: site.Zone, View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
+		Budget: sharebudget.New(clk, site.Bounds, ga.mesh.Live), Holds: ga.holds, Deaths: ga.deaths,
+	})
+	ga.callers = server.New(log, ga.flow)
+	return ga, nil
+}
+
+// probe opens a connection to an upstream that may have died.
+func probe(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	var dialer net.Dialer
+	nc, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return nc.Close()
+}
+
+// Start listens and begins to follow the store.
+func (ga *Gateway) Start() error {
+	if err := ga.mesh.Start(ga.ctx, ga.site.Peers); err != nil {
+		return err
+	}
+	if err := ga.callers.Start(ga.site.Callers); err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", ga.site.Ready)
+	if err != nil {
+		return merry.Prependf(err, "readiness at %s", ga.site.Ready)
+	}
+	ga.ready = &http.Server{Handler: http.HandlerFunc(ga.serveReady), ReadHeaderTimeout: askTime, ConnState: nil}
+	ga.own(func(context.Context) {
+		if err := ga.ready.Serve(ln); err != nil && ga.ctx.Err() == nil && !ga.leaving.Load() {
+			ga.log.Error(err, "readiness is not served")
+		}
+	})
+	for _, seed := range ga.site.Seeds {
+		ga.mesh.Learn(seed, "")
+	}
+	ga.own(func(ctx context.Context) { ga.follower.Run(ctx, follow.ConfigTable(platform.TableConfig)) })
+	ga.own(func(ctx context.Context) { ga.follower.Run(ctx, follow.MemberTable(platform.TableMembers)) })
+	ga.own(ga.register.Run)
+	ga.own(ga.tick)
+	ga.own(ga.tell)
+	ga.log.Info("started", "callers", ga.site.Callers, "peers", ga.site.Peers, "zone", ga.site.Zone, "boot", ga.boot)
+	return nil
+}
+
+// own runs a part until its end.
+func (ga *Gateway) own(part func(ctx context.Context)) {
+	ga.parts.Go(func() { part(ga.ctx) })
+}
+
+// serveReady answers the platform's question whether to send new connections.
+func (ga *Gateway) serveReady(wr http.ResponseWriter, _ *http.Request) {
+	if !ga.Ready() {
+		wr.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	wr.WriteHeader(http.StatusOK)
+}
+
+// Ready reports whether the process can serve.
+func (ga *Gateway) Ready() bool {
+	return !ga.leaving.Load() && ga.view.Routes() != nil && ga.view.Members().Len() > 0
+}
+
+// meeting describes this process to peers.
+func (ga *Gateway) meeting() citronstream.Meeting {
+	return citronstream.Meeting{
+		Name: ga.site.Process, Zone: ga.site.Zone, Address: ga.site.Peers, Boot: ga.boot,
+		Leaving: ga.leaving.Load(), Revision: ga.view.Revision(),
+	}
+}
+
+// met asks a peer for what it knows and this process does not.
+func (ga *Gateway) met(pe *mesh.Peer) {
+	if ga.ctx.Err() != nil {
+		return
+	}
+	blind := ga.follower.Away() || ga.view.Members().Len() == 0
+	if pe.Revision() <= ga.view.Revision() && !blind {
+		return
+	}
+	ga.own(func(ctx context.Context) { ga.fetch(ctx, pe, blind) })
+}
+
+// fetch takes over what a peer knows, unless the store tells in the meantime.
+func (ga *Gateway) fetch(ctx context.Context, pe *mesh.Peer, blind bool) {
+	if !blind {
+		timer := ga.clk.NewTimer(fetchAfter)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.Chan():
+		}
+		if pe.Revision() <= ga.view.Revision() {
+			return
+		}
+	}
+	li := pe.Link()
+	if li == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	var rows citronstream.Rows
+	if err := li.Call(ctx, citronstream.MethodState, ga.meeting(), &rows); err != nil {
+		ga.log.Info("peer gave no state", "peer", pe.Name(), "reason", err.Error())
+		return
+	}
+	ga.view.Apply(rows.Changes, pe.Name())
+}
+
+// changed passes on to the peers what the store told.
+func (ga *Gateway) changed(changes []citronstream.Change, source string) {
+	if source != view.SourceStore {
+		changes = nil // the reader has told everyone
+	}
+	select {
+	case ga.news <- changes:
+	default:
+	}
+}
+
+// tell sends news to the peers and puts limits of a new configuration in force.
+func (ga *Gateway) tell(ctx context.Context) {
+	told := uint64(0)
+	for {
+		var changes []citronstream.Change
+		select {
+		case <-ctx.Done():
+			return
+		case changes = <-ga.news:
+		}
+		if routes := ga.view.Routes(); routes != nil && routes.Revision > told {
+			told = routes.Revision
+			ga.callers.Configure(routes.Limits)
+			ga.mesh.Broadcast(citronstream.MethodNotice, ga.meeting())
+		}
+		var members []citronstream.Change
+		for _, ch := range changes {
+			if ch.Key != platform.ConfigKey {
+				members = append(members, ch)
+			}
+		}
+		if len(members) > 0 {
+			ga.mesh.Broadcast(citronstream.MethodRows, citronstream.Rows{Changes: members})
+		}
+	}
+}
+
+// tick does what time alone asks for.
+func (ga *Gateway) tick(ctx context.Context) {
+	ticker := ga.clk.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for count := 1; ; count++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		ga.view.Sweep()
+		if places, changed := ga.engines.News(); changed {
+			ga.mesh.Broadcast(citronstream.MethodPlaces, places)
+		}
+		if count%sweepTicks == 0 {
+			ga.pool.Sweep()
+			ga.mesh.Prune()
+		}
+	}
+}
+
+// handle takes the messages of peers.
+func (ga *Gateway) handle(from string, re *link.Request) {
+	switch re.Method {
+	case citronstream.MethodState:
+		re.Reply(citronstream.Rows{Changes: ga.view.State()})
+	case citronstream.MethodRows:
+		var rows citronstream.Rows
+		if re.Decode(&rows) == nil {
+			ga.view.Apply(rows.Changes, from)
+		}
+	case citronstream.MethodPlaces:
+		var places citronstream.Places
+		if re.Decode(&places) == nil {
+			ga.engines.Hear(from, places)
+		}
+	case citronstream.MethodDeath:
+		var report poison.Report
+		if re.Decode(&report) == nil {
+			ga.hold(report, from)
+		}
+	default:
+		if !ga.broker.Handle(re) {
+			re.ReplyError(citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "unknown method %q", re.Method))
+		}
+	}
+}
+
+// died tells everyone of an upstream's death.
+func (ga *Gateway) died(report poison.Report) {
+	ga.hold(report, ga.site.Process)
+	ga.mesh.Broadcast(citronstream.MethodDeath, report)
+}
+
+func (ga *Gateway) hold(report poison.Report, source string) {
+	held := ga.holds.Merge(report)
+	ga.log.Info("upstream died", "upstream", report.Upstream, "death", report.ID, "running", len(report.Running), "held", len(held), "source", source)
+}
+
+// Leave takes the process out of service: it says that it is not ready, hands
+// its queues over and answers what it has read.
+func (ga *Gateway) Leave() {
+	if ga.leaving.Swap(true) {
+		return
+	}
+	ga.flow.Leave()
+	ga.mesh.Broadcast(citronstream.MethodNotice, ga.meeting())
+	ga.broker.Leave()
+}
+
+// Drain leaves and waits until all requests are answered, at most until the
+// end of the grace period.
+func (ga *Gateway) Drain() {
+	began := ga.clk.Now()
+	ga.log.Info("leaving", "in flight", ga.flow.InFlight())
+	ga.Leave()
+	for {
+		passed := ga.clk.Since(began)
+		if passed >= ga.site.Bounds.Grace-graceMargin || passed >= lingerLeast && ga.flow.InFlight() == 0 && ga.broker.Idle() {
+			break
+		}
+		ga.clk.Sleep(drainPoll)
+	}
+	ga.log.Info("drained", "in flight", ga.flow.InFlight(), "took", ga.clk.Since(began).String())
+}
+
+// Stop ends the process's parts at once.
+func (ga *Gateway) Stop() {
+	ga.leaving.Store(true)
+	ga.cancel()
+	ga.callers.Close()
+	_ = ga.ready.Close() // nobody waits for an answer any more
+	ga.mesh.Close()
+	ga.broker.Wait()
+	ga.deaths.Wait()
+	ga.parts.Wait()
+	ga.pool.Close()
+	ga.eng.Stop()
+}
--- /dev/null
+++ b/internal/route/engines/engines.go
@@ -0,0 +1,261 @@
+// Package engines chooses a model engine for a request: where the shared part
+// of its prompt was read before, unless that engine has much more to do than
+// another one.
+package engines
+
+import (
+	"container/list"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/node"
+)
+
+const (
+	// readRate is the prompt tokens that an engine is taken to read in a
+	// millisecond until its answers have told.
+	readRate = 40.0
+	// runCost is the delay that each running request adds to a first event:
+	// a step of the engine takes longer with each, and prompts are read between steps.
+	runCost = 0.5
+	// warmFactor weighs the time to read a shared part again. A second copy
+	// also takes memory of another engine and is billed.
+	warmFactor = 3.0
+	// crossCost is the delay in ms that a request accepts per megabyte of inputs
+	// that need not cross zones.
+	crossCost = 60.0
+	// failCost is the delay that stands for a failed request.
+	failCost = 2000.0
+	// memoryLife is how long a shared part is taken to stay in an engine's memory.
+	memoryLife = 30 * time.Second
+	maxShared  = 65536
+	// peerLife is how long a peer's load counts. Peers send a change within 100 ms.
+	peerLife = 3 * time.Second
+)
+
+// Request is what the choice depends on.
+type Request struct {
+	Tokens int // of the prompt
+	Shared citronstream.PromptPart
+	Parts  int // shared tokens up to and including Shared
+	// Inputs are the bytes of results to fetch, by zone.
+	Inputs  map[string]int
+	Exclude map[string]bool // IDs of upstreams that are not to be used
+}
+
+type load struct {
+	running int
+	unread  int
+}
+
+type peerLoad struct {
+	at    time.Time
+	loads map[string]citronstream.EngineLoad
+}
+
+// memory says which engine read a shared part last.
+type memory struct {
+	id   uint64
+	node string
+	at   time.Time
+}
+
+// Picker chooses engines. Its methods are called concurrently.
+type Picker struct {
+	clk citronstream.Clock
+
+	mu    sync.Mutex
+	own   map[string]*load
+	peers map[string]peerLoad
+	byID  map[uint64]*list.Element
+	order *list.List // of *memory, the newest first
+	rate  float64    // prompt tokens read in a ms
+	dirty bool
+}
+
+// New returns a picker that knows no loads.
+func New(clk citronstream.Clock) *Picker {
+	return &Picker{
+		clk: clk, own: make(map[string]*load), peers: make(map[string]peerLoad),
+		byID: make(map[uint64]*list.Element), order: list.New(), rate: readRate,
+	}
+}
+
+// Pick chooses one of the engines and counts the request there. It returns nil
+// if none can be used. The caller ends the count with First and End.
+func (pi *Picker) Pick(nodes []*node.Node, rq Request) *node.Node {
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	best := pi.choose(nodes, rq)
+	if best == nil {
+		return nil
+	}
+	ld := pi.load(best.ID)
+	ld.running++
+	ld.unread += rq.Tokens
+	pi.dirty = true
+	if rq.Shared.Tokens > 0 {
+		pi.remember(rq.Shared.ID, best.ID)
+	}
+	return best
+}
+
+// Prefer returns the engine that Pick would choose, without counting.
+func (pi *Picker) Prefer(nodes []*node.Node, rq Request) *node.Node {
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	return pi.choose(nodes, rq)
+}
+
+func (pi *Picker) choose(nodes []*node.Node, rq Request) *node.Node {
+	now := pi.clk.Now()
+	home := ""
+	if rq.Shared.Tokens > 0 {
+		home = pi.home(nodes, rq.Shared.ID, now)
+	}
+	var best *node.Node
+	least := math.Inf(1)
+	for _, no := range nodes {
+		if rq.Exclude[no.ID] || no.Avoided(now) {
+			continue
+		}
+		if cost := pi.cost(no, rq, home, now); cost < least {
+			best, least = no, cost
+		}
+	}
+	return best
+}
+
+// cost is the expected delay of the first event, in ms, with what a choice costs besides.
+func (pi *Picker) cost(no *node.Node, rq Request, home string, now time.Time) float64 {
+	running, unread := pi.total(no.ID, now)
+	cost := float64(unread+rq.Tokens)/pi.rate*no.Slowness() + float64(running)*runCost
+	if home != "" && no.ID != home {
+		cost += float64(rq.Parts) / pi.rate * warmFactor
+	}
+	for zone, bytes := range rq.Inputs {
+		if zone != no.Zone {
+			cost += float64(bytes) / 1e6 * crossCost
+		}
+	}
+	return cost + no.Failures()*failCost
+}
+
+// home returns the engine that holds a shared part: the one that read it
+// last, else the one that all entries agree on.
+func (pi *Picker) home(nodes []*node.Node, id uint64, now time.Time) string {
+	if el := pi.byID[id]; el != nil {
+		me := el.Value.(*memory)
+		if now.Sub(me.at) < memoryLife {
+			for _, no := range nodes {
+				if no.ID == me.node {
+					return me.node
+				}
+			}
+		}
+	}
+	home, most := "", uint64(0)
+	var key [8]byte
+	for i := range key {
+		key[i] = byte(id >> (8 * i))
+	}
+	for _, no := range nodes {
+		if score := xxhash.Sum64(append(key[:], no.ID...)); home == "" || score > most {
+			home, most = no.ID, score
+		}
+	}
+	return home
+}
+
+func (pi *Picker) remember(id uint64, node string) {
+	now := pi.clk.Now()
+	if el := pi.byID[id]; el != nil {
+		me := el.Value.(*memory)
+		me.node, me.at = node, now
+		pi.order.MoveToFront(el)
+		return
+	}
+	if len(pi.byID) >= maxShared {
+		oldest := pi.order.Back()
+		delete(pi.byID, oldest.Value.(*memory).id)
+		pi.order.Remove(oldest)
+	}
+	pi.byID[id] = pi.order.PushFront(&memory{id: id, node: node, at: now})
+}
+
+func (pi *Picker) load(id string) *load {
+	ld := pi.own[id]
+	if ld == nil {
+		ld = &load{}
+		pi.own[id] = ld
+	}
+	return ld
+}
+
+func (pi *Picker) total(id string, now time.Time) (running, unread int) {
+	if ld := pi.own[id]; ld != nil {
+		running, unread = ld.running, ld.unread
+	}
+	for _, pe := range pi.peers {
+		if now.Sub(pe.at) < peerLife {
+			running, unread = running+pe.loads[id].Running, unread+pe.loads[id].Unread
+		}
+	}
+	return running, unread
+}
+
+// First notes the first event of a request with the time since it was sent.
+func (pi *Picker) First(no *node.Node, rq Request) {
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	ld := pi.load(no.ID)
+	ld.unread = max(0, ld.unread-rq.Tokens)
+	pi.dirty = true
+}
+
+// End ends the count of a request. Begun says that First was called for it.
+func (pi *Picker) End(no *node.Node, rq Request, begun bool) {
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	ld := pi.load(no.ID)
+	ld.running--
+	if !begun {
+		ld.unread = max(0, ld.unread-rq.Tokens)
+	}
+	if ld.running <= 0 {
+		delete(pi.own, no.ID)
+	}
+	pi.dirty = true
+}
+
+// Hear takes the load that a peer has put on the engines.
+func (pi *Picker) Hear(peer string, pl citronstream.Places) {
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	pi.peers[peer] = peerLoad{at: pi.clk.Now(), loads: pl.Engines}
+}
+
+// Forget drops what a peer has told, as when its link is lost.
+func (pi *Picker) Forget(peer string) {
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	delete(pi.peers, peer)
+}
+
+// News returns the load of this process if it has changed since the last call.
+func (pi *Picker) News() (citronstream.Places, bool) {
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	if !pi.dirty {
+		return citronstream.Places{}, false
+	}
+	pi.dirty = false
+	pl := citronstream.Places{Engines: make(map[string]citronstream.EngineLoad, len(pi.own))}
+	for id, ld := range pi.own {
+		pl.Engines[id] = citronstream.EngineLoad{Running: ld.running, Unread: ld.unread}
+	}
+	return pl, true
+}
--- /dev/null
+++ b/internal/stage/broker/broker.go
@@ -0,0 +1,300 @@
+// Package broker brings the jobs of requests to the owners of their queues.
+package broker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/mesh"
+	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/citronstream/citronstream/internal/fleet/view"
+	"github.com/citronstream/citronstream/internal/peer/link"
+	"github.com/citronstream/citronstream/internal/stage/owner"
+	"github.com/go-logr/logr"
+)
+
+const (
+	// tickEvery is how often the queues are looked at for what time has changed.
+	tickEvery = 20 * time.Millisecond
+	// maxMoves bounds the owners that a job is brought to.
+	maxMoves = 4
+)
+
+// Broker knows the owners of all services.
+type Broker struct {
+	clk     citronstream.Clock
+	log     logr.Logger
+	self    string // address of this process
+	view    *view.View
+	mesh    *mesh.Mesh
+	batcher owner.Batcher
+	budget  owner.Budget
+	ctx     context.Context
+
+	mu      sync.Mutex
+	owners  map[string]*owner.Owner
+	leaving bool
+	done    chan struct{}
+}
+
+// New returns a broker. It ends with ctx.
+func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, self string, vi *view.View, me *mesh.Mesh, batcher owner.Batcher, budget owner.Budget) *Broker {
+	br := &Broker{
+		clk: clk, log: log, self: self, view: vi, mesh: me, batcher: batcher, budget: budget, ctx: ctx,
+		owners: make(map[string]*owner.Owner), done: make(chan struct{}),
+	}
+	vi.OnMembers(br.members)
+	go br.tick()
+	return br
+}
+
+// Wait returns when the broker and all batches have ended.
+func (br *Broker) Wait() {
+	<-br.done
+	for _, ow := range br.all() {
+		ow.Wait()
+	}
+}
+
+// Leave hands the jobs of which nothing was sent to the next owners.
+func (br *Broker) Leave() {
+	br.mu.Lock()
+	br.leaving = true
+	br.mu.Unlock()
+	for _, ow := range br.all() {
+		ow.Leave()
+	}
+}
+
+// Idle reports whether no queue of this process has a job.
+func (br *Broker) Idle() bool {
+	for _, ow := range br.all() {
+		if ow.Len() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Each calls a function for each service's queue in this process.
+func (br *Broker) Each(each func(service string, ow *owner.Owner)) {
+	br.mu.Lock()
+	defer br.mu.Unlock()
+	for service, ow := range br.owners {
+		each(service, ow)
+	}
+}
+
+func (br *Broker) all() []*owner.Owner {
+	br.mu.Lock()
+	defer br.mu.Unlock()
+	all := make([]*owner.Owner, 0, len(br.owners))
+	for _, ow := range br.owners {
+		all = append(all, ow)
+	}
+	return all
+}
+
+// tick lets the queues see the time.
+func (br *Broker) tick() {
+	defer close(br.done)
+	ticker := br.clk.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-br.ctx.Done():
+			return
+		case <-ticker.Chan():
+			for _, ow := range br.all() {
+				ow.Tick()
+			}
+		}
+	}
+}
+
+// members passes a new set of upstreams on to the queues.
+func (br *Broker) members(me *view.Members) {
+	br.mu.Lock()
+	defer br.mu.Unlock()
+	for service, ow := range br.owners {
+		ow.Replace(me.Service(service))
+	}
+}
+
+// local returns the queue of a service in this process, nil when the
+// configuration has no such service.
+func (br *Broker) local(service string) *owner.Owner {
+	routes := br.view.Routes()
+	if routes == nil || routes.Services[service].Batch == nil {
+		return nil
+	}
+	spec := *routes.Services[service].Batch
+	br.mu.Lock()
+	defer br.mu.Unlock()
+	ow := br.owners[service]
+	if ow == nil {
+		ow = owner.New(br.ctx, br.clk, br.log, service, spec, br.batcher, br.budget)
+		br.owners[service] = ow
+		ow.Replace(br.view.Members().Service(service))
+	} else {
+		ow.Configure(spec)
+	}
+	return ow
+}
+
+// owner returns the entry that owns the queue of a service, nil for this one.
+func (br *Broker) owner(service string, exclude map[*mesh.Peer]bool) *mesh.Peer {
+	br.mu.Lock()
+	leaving := br.leaving
+	br.mu.Unlock()
+	var best *mesh.Peer
+	most := uint64(0)
+	if !leaving {
+		most = xxhash.Sum64String(service + "\x00" + br.self)
+	}
+	for _, pe := range br.mesh.Peers() {
+		if !pe.Up() || exclude[pe] {
+			continue
+		}
+		if score := xxhash.Sum64String(service + "\x00" + pe.Address); score > most {
+			best, most = pe, score
+		}
+	}
+	return best
+}
+
+// Run brings a job to the owner of its queue and waits for its end. A job whose
+// owner is lost goes to the next one within the budget of repeats.
+func (br *Broker) Run(ctx context.Context, jo citronstream.Job) citronstream.JobResult {
+	began := br.clk.Now()
+	left, slack := jo.Left, jo.Slack
+	exclude := make(map[*mesh.Peer]bool)
+	var re citronstream.JobResult
+	for range maxMoves {
+		passed := br.clk.Since(began)
+		jo.Left, jo.Slack = left-passed, slack-passed
+		pe := br.owner(jo.Service, exclude)
+		if pe == nil {
+			return br.runLocal(ctx, jo)
+		}
+		var err error
+		re, err = br.runRemote(ctx, pe, jo)
+		if err == nil && (re.Fault == nil || re.Fault.Code != citronstream.CodeLeaving) {
+			return re
+		}
+		exclude[pe] = true
+		if ctx.Err() != nil {
+			return re
+		}
+		if err != nil {
+			br.log.Info("owner lost", "request", jo.ID, "stage", jo.Stage, "service", jo.Service, "peer", pe.Name(), "reason", err.Error())
+			// Pieces may have been sent by the lost owner.
+			if br.budget.Take(jo.Service, len(jo.Pieces)) < len(jo.Pieces) {
+				return citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeLinkLost, "the owner of service %s was lost", jo.Service)}
+			}
+		}
+	}
+	return re
+}
+
+func (br *Broker) runLocal(ctx context.Context, jo citronstream.Job) citronstream.JobResult {
+	ow := br.local(jo.Service)
+	if ow == nil {
+		return citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "service %s is not in the configuration", jo.Service)}
+	}
+	ended := make(chan citronstream.JobResult, 1)
+	ow.Submit(jo, func(re citronstream.JobResult) { ended <- re })
+	select {
+	case re := <-ended:
+		return re
+	case <-ctx.Done():
+		ow.Cancel(nameOf(&jo))
+		return <-ended
+	}
+}
+
+func (br *Broker) runRemote(ctx context.Context, pe *mesh.Peer, jo citronstream.Job) (citronstream.JobResult, error) {
+	li := pe.Link()
+	if li == nil {
+		return citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeLeaving, "no link to the owner")}, nil
+	}
+	var re citronstream.JobResult
+	err := li.Call(ctx, citronstream.MethodJob, &jo, &re)
+	if ctx.Err() != nil {
+		_ = li.Notify(citronstream.MethodForget, nameOf(&jo)) // the owner ends the job at its deadline anyway
+		re.Fault = citronstream.NewFault(citronstream.NotRun, citronstream.CodeCanceled, "the request has ended")
+		return re, nil
+	}
+	return re, err
+}
+
+func nameOf(jo *citronstream.Job) citronstream.JobName {
+	return citronstream.JobName{ID: jo.ID, Stage: jo.Stage, Service: jo.Service}
+}
+
+// Handle takes the messages of peers about jobs. It reports whether the message was one.
+func (br *Broker) Handle(re *link.Request) bool {
+	switch re.Method {
+	case citronstream.MethodJob:
+		br.handleJob(re)
+	case citronstream.MethodForget:
+		var name citronstream.JobName
+		if re.Decode(&name) == nil {
+			if ow := br.local(name.Service); ow != nil {
+				ow.Cancel(name)
+			}
+		}
+	case citronstream.MethodRelease:
+		var rl citronstream.Release
+		if re.Decode(&rl) == nil {
+			br.releaseLocal(rl)
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+func (br *Broker) handleJob(re *link.Request) {
+	var jo citronstream.Job
+	if err := re.Decode(&jo); err != nil {
+		re.ReplyError(err)
+		return
+	}
+	ow := br.local(jo.Service)
+	br.mu.Lock()
+	leaving := br.leaving
+	br.mu.Unlock()
+	if ow == nil || leaving {
+		re.Reply(citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeLeaving, "this entry does not own service %s", jo.Service)})
+		return
+	}
+	ow.Submit(jo, func(result citronstream.JobResult) { re.Reply(result) })
+}
+
+// Release gives up results through the owner of their service.
+func (br *Broker) Release(rl citronstream.Release) {
+	if len(rl.Handles) == 0 {
+		return
+	}
+	if pe := br.owner(rl.Service, nil); pe != nil {
+		if li := pe.Link(); li != nil && li.Notify(citronstream.MethodRelease, rl) == nil {
+			return
+		}
+	}
+	br.releaseLocal(rl)
+}
+
+func (br *Broker) releaseLocal(rl citronstream.Release) {
+	if ow := br.local(rl.Service); ow != nil {
+		ow.Release(rl.Handles, br.At)
+	}
+}
+
+// At returns the upstream that holds a result, nil when it isn't listed.
+func (br *Broker) At(handle string) *node.Node {
+	return br.view.Members().At(br.batcher.Maker(handle))
+}
--- /dev/null
+++ b/internal/stage/owner/owner.go
@@ -0,0 +1,523 @@
+// Package owner holds the queue of a service whose upstreams work on batches.
+// One entry of a site owns it, so that a batch joins the work of all entries
+// and the memory of the upstreams is accounted in one place. Ownership is
+// soft: two owners side by side cost efficiency only, as each upstream refuses
+// what it has no room for.
+package owner
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/citronstream/citronstream/internal/stage/order"
+	"github.com/go-logr/logr"
+)
+
+const (
+	// maxJobs bounds the jobs that wait.
+	maxJobs = 10000
+	// zoneCost is the delay that a job accepts to be made in the zone where its
+	// inputs lie, as results that cross zones are billed.
+	zoneCost = 60 * time.Millisecond
+	// fullPause is how long an upstream is left alone that refused a batch as
+	// full, as another owner's batch runs there.
+	fullPause = 100 * time.Millisecond
+	// lateFactor times the expected time is how long a batch may take.
+	lateFactor = 3.0
+	lateExtra  = 300 * time.Millisecond
+	// maxRepeats is how often each piece of a job is made again, on average.
+	maxRepeats = 2
+)
+
+// Batcher runs a batch at an upstream. Refused says that the upstream did not
+// take it. An error says that it may or may not have run.
+type Batcher interface {
+	Run(ctx context.Context, no *node.Node, items []citronstream.BatchItem) (results []citronstream.ItemResult, refused bool, err error)
+	Release(ctx context.Context, no *node.Node, handles []string)
+	// Maker returns the address of the upstream that holds a result.
+	Maker(handle string) string
+}
+
+// Budget bounds the pieces that are sent more than once.
+type Budget interface {
+	First(service string)
+	Take(service string, count int) int
+}
+
+// Owner is the queue of one service.
+type Owner struct {
+	clk     citronstream.Clock
+	log     logr.Logger
+	service string
+	batcher Batcher
+	budget  Budget
+	ctx     context.Context
+
+	mu      sync.Mutex
+	spec    citronstream.BatchSpec
+	jobs    map[citronstream.JobName]*job
+	waiting []*job // with pieces that are not in a batch
+	servers map[*node.Node]*server
+	list    []*server // in the order of the upstreams' IDs
+	calls   sync.WaitGroup
+	counts  Counts
+}
+
+// Counts are the counters of an Owner.
+type Counts struct {
+	Batches, Items, Refused, Broken, NoRoom, Repeated, Expired, Overloaded uint64
+}
+
+// job is a Job with its state.
+type job struct {
+	citronstream.Job
+	order.Entry
+	at      time.Time
+	pending []int // places in Pieces that wait
+	left    int   // pieces without a result
+	handles []string
+	repeats int
+	done    func(citronstream.JobResult)
+	ended   bool
+}
+
+// server is what the owner knows of an upstream.
+type server struct {
+	*node.Node
+	running int
+	until   time.Time // left alone until then
+	used    int       // bytes of results that it holds or makes
+	results map[string]result
+}
+
+type result struct {
+	bytes int
+	until time.Time // the upstream drops it by itself
+}
+
+// New returns an owner without upstreams. It ends with ctx.
+func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, service string, spec citronstream.BatchSpec, batcher Batcher, budget Budget) *Owner {
+	return &Owner{
+		clk: clk, log: log, service: service, batcher: batcher, budget: budget, ctx: ctx, spec: spec,
+		jobs: make(map[citronstream.JobName]*job), servers: make(map[*node.Node]*server),
+	}
+}
+
+// Wait returns when all batches have ended.
+func (ow *Owner) Wait() { ow.calls.Wait() }
+
+// Counts returns the counters.
+func (ow *Owner) Counts() Counts {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	return ow.counts
+}
+
+// Len returns the jobs that wait or run.
+func (ow *Owner) Len() int {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	return len(ow.jobs)
+}
+
+// Configure replaces the specification of the upstreams.
+func (ow *Owner) Configure(spec citronstream.BatchSpec) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	ow.spec = spec
+}
+
+// Replace sets the upstreams that take new work.
+func (ow *Owner) Replace(nodes []*node.Node) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	servers := make(map[*node.Node]*server, len(nodes))
+	ow.list = ow.list[:0]
+	for _, no := range nodes {
+		sv := ow.servers[no]
+		if sv == nil {
+			sv = &server{Node: no, results: make(map[string]result)}
+		}
+		servers[no] = sv
+		ow.list = append(ow.list, sv)
+	}
+	ow.servers = servers
+	ow.dispatch()
+}
+
+// Submit queues a job. Done is called once, with the owner's lock held, and
+// must not call the owner or block.
+func (ow *Owner) Submit(jo citronstream.Job, done func(citronstream.JobResult)) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	now := ow.clk.Now()
+	jb := &job{
+		Job: jo, at: now, done: done, left: len(jo.Pieces), handles: make([]string, len(jo.Pieces)),
+		Entry: order.Entry{Rank: jo.Rank, Start: now.Add(jo.Slack), End: now.Add(jo.Left - jo.Rest)},
+	}
+	for place := range jo.Pieces {
+		jb.pending = append(jb.pending, place)
+	}
+	name := citronstream.JobName{ID: jo.ID, Stage: jo.Stage, Service: jo.Service}
+	if old := ow.jobs[name]; old != nil {
+		// The entry has lost its link and asks again.
+		ow.end(old, citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeCanceled, "the job was submitted again")})
+	}
+	if len(ow.jobs) >= maxJobs {
+		ow.counts.Overloaded++
+		done(citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeLimit, "the queue of service %s is full", ow.service)})
+		return
+	}
+	ow.jobs[name] = jb
+	ow.budget.First(ow.service)
+	ow.waiting = append(ow.waiting, jb)
+	ow.dispatch()
+}
+
+// Cancel withdraws a job whose request has ended.
+func (ow *Owner) Cancel(name citronstream.JobName) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	if jb := ow.jobs[name]; jb != nil {
+		ow.end(jb, citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeCanceled, "the request has ended")})
+	}
+}
+
+// Leave ends the jobs of which nothing was sent, for the next owner.
+func (ow *Owner) Leave() {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	for _, jb := range slices.Clone(ow.waiting) {
+		if len(jb.pending) == len(jb.Pieces) && jb.repeats == 0 {
+			ow.end(jb, citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeLeaving, "the owner of service %s leaves", ow.service)})
+		}
+	}
+}
+
+// Release gives up results, of this owner or an earlier one.
+func (ow *Owner) Release(handles []string, at func(handle string) *node.Node) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	byNode := make(map[*node.Node][]string)
+	for _, handle := range handles {
+		no := at(handle)
+		if no == nil {
+			continue
+		}
+		byNode[no] = append(byNode[no], handle)
+		if sv := ow.servers[no]; sv != nil {
+			if re, ok := sv.results[handle]; ok {
+				sv.used -= re.bytes
+				delete(sv.results, handle)
+			}
+		}
+	}
+	for no, list := range byNode {
+		ow.calls.Go(func() { ow.batcher.Release(ow.ctx, no, list) })
+	}
+	if len(byNode) > 0 {
+		ow.dispatch()
+	}
+}
+
+// Tick looks at the queue for what time alone has changed.
+func (ow *Owner) Tick() {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	now := ow.clk.Now()
+	for _, sv := range ow.list {
+		for handle, re := range sv.results {
+			if now.After(re.until) {
+				sv.used -= re.bytes
+				delete(sv.results, handle)
+			}
+		}
+	}
+	if len(ow.waiting) > 0 {
+		ow.dispatch()
+	}
+}
+
+// end ends a job. The caller holds the lock.
+func (ow *Owner) end(jb *job, re citronstream.JobResult) {
+	if jb.ended {
+		return
+	}
+	jb.ended = true
+	delete(ow.jobs, citronstream.JobName{ID: jb.ID, Stage: jb.Stage, Service: jb.Service})
+	ow.waiting = slices.DeleteFunc(ow.waiting, func(other *job) bool { return other == jb })
+	if re.Fault != nil || re.InputGone {
+		ow.drop(jb)
+	}
+	jb.done(re)
+}
+
+// drop releases the results of a job that will not be used.
+func (ow *Owner) drop(jb *job) {
+	byServer := make(map[*server][]string)
+	for _, handle := range jb.handles {
+		if handle == "" {
+			continue
+		}
+		for _, sv := range ow.list {
+			if re, ok := sv.results[handle]; ok {
+				sv.used -= re.bytes
+				delete(sv.results, handle)
+				byServer[sv] = append(byServer[sv], handle)
+			}
+		}
+	}
+	for sv, handles := range byServer {
+		ow.calls.Go(func() { ow.batcher.Release(ow.ctx, sv.Node, handles) })
+	}
+}
+
+// dispatch starts batches while an upstream is free. The caller holds the lock.
+func (ow *Owner) dispatch() {
+	now := ow.clk.Now()
+	ow.expire(now)
+	for len(ow.waiting) > 0 {
+		slices.SortStableFunc(ow.waiting, func(a, b *job) int { return order.Compare(a.Entry, b.Entry, now) })
+		sv, batch := ow.next(now)
+		if sv == nil {
+			return
+		}
+		ow.start(sv, batch, now)
+	}
+}
+
+// expire ends the jobs that can no longer be answered in time.
+func (ow *Owner) expire(now time.Time) {
+	for _, jb := range slices.Clone(ow.waiting) {
+		if now.After(jb.End) {
+			ow.counts.Expired++
+			ow.end(jb, citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeDeadline,
+				"waited %v for service %s", now.Sub(jb.at).Round(time.Millisecond), ow.service)})
+		}
+	}
+}
+
+// next chooses an upstream for the first job that fits one, and fills its batch.
+func (ow *Owner) next(now time.Time) (*server, []part) {
+	for _, jb := range ow.waiting {
+		var best *server
+		for _, sv := range ow.list {
+			if !ow.free(sv, now) || ow.room(sv, jb.Bytes) < 1 {
+				continue
+			}
+			if best == nil || ow.prefer(sv, best, jb) {
+				best = sv
+			}
+		}
+		if best != nil {
+			return best, ow.fill(best, now)
+		}
+	}
+	return nil, nil
+}
+
+func (ow *Owner) free(sv *server, now time.Time) bool {
+	return sv.running < ow.spec.Calls && now.After(sv.until) && !sv.Avoided(now)
+}
+
+// room returns the number of results of a size that fit into an upstream's memory.
+func (ow *Owner) room(sv *server, bytes int) int {
+	if ow.spec.ResultBytes <= 0 || bytes <= 0 {
+		return ow.spec.Items
+	}
+	return max(0, (ow.spec.ResultBytes-sv.used)/bytes)
+}
+
+// prefer reports whether a is better than b for the job that leads a batch.
+func (ow *Owner) prefer(a, b *server, jb *job) bool {
+	if jb.Zone != "" && (a.Zone == jb.Zone) != (b.Zone == jb.Zone) {
+		return a.Zone == jb.Zone
+	}
+	if slowA, slowB := a.Slowness(), b.Slowness(); slowA > 1.5*slowB || slowB > 1.5*slowA {
+		return slowA < slowB
+	}
+	return a.used < b.used
+}
+
+// part is what a batch takes of a job.
+type part struct {
+	jb     *job
+	places []int
+}
+
+// fill composes the batch of an upstream in the order of the jobs, those whose
+// inputs lie in its zone a little ahead.
+func (ow *Owner) fill(sv *server, now time.Time) []part {
+	jobs := slices.Clone(ow.waiting)
+	slices.SortStableFunc(jobs, func(a, b *job) int {
+		return order.Compare(ow.shifted(a, sv), ow.shifted(b, sv), now)
+	})
+	var batch []part
+	items, bytes := 0, 0
+	for _, jb := range jobs {
+		count := min(len(jb.pending), ow.spec.Items-items)
+		if jb.Bytes > 0 && ow.spec.ResultBytes > 0 {
+			count = min(count, (ow.spec.ResultBytes-sv.used-bytes)/jb.Bytes)
+		}
+		if count < len(jb.pending) && len(jb.pending) <= ow.spec.Items && items > 0 {
+			continue // a job that is split waits for two batches
+		}
+		if count <= 0 {
+			continue
+		}
+		batch = append(batch, part{jb, slices.Clone(jb.pending[:count])})
+		items, bytes = items+count, bytes+count*jb.Bytes
+		if items == ow.spec.Items {
+			break
+		}
+	}
+	return batch
+}
+
+func (ow *Owner) shifted(jb *job, sv *server) order.Entry {
+	en := jb.Entry
+	if jb.Zone != "" && jb.Zone != sv.Zone {
+		en.Start = en.Start.Add(zoneCost)
+	}
+	return en
+}
+
+// start sends a batch. The caller holds the lock.
+func (ow *Owner) start(sv *server, batch []part, now time.Time) {
+	var items []citronstream.BatchItem
+	bytes := 0
+	for _, pa := range batch {
+		jb := pa.jb
+		jb.pending = jb.pending[len(pa.places):]
+		for _, place := range pa.places {
+			items = append(items, citronstream.BatchItem{
+				RequestID: jb.ID, Stage: jb.Stage, Piece: jb.Pieces[place],
+				Left: jb.at.Add(jb.Left).Sub(now), Key: jb.Key, Inputs: jb.Inputs,
+			})
+			bytes += jb.Bytes
+		}
+	}
+	ow.waiting = slices.DeleteFunc(ow.waiting, func(jb *job) bool { return len(jb.pending) == 0 })
+	sv.running++
+	sv.used += bytes
+	ow.counts.Batches++
+	ow.counts.Items += uint64(len(items))
+	sv.Begin()
+	ow.calls.Go(func() { ow.call(sv, batch, items, bytes) })
+}
+
+// expected returns the time of a batch at an upstream of ordinary speed.
+func expected(spec *citronstream.BatchSpec, items int) time.Duration {
+	return spec.CallTime + time.Duration(items)*spec.ItemTime
+}
+
+func (ow *Owner) call(sv *server, batch []part, items []citronstream.BatchItem, bytes int) {
+	ow.mu.Lock()
+	spec := ow.spec
+	ow.mu.Unlock()
+	normal := expected(&spec, len(items))
+	most := time.Duration(lateFactor*max(1, sv.Slowness())*float64(normal)) + lateExtra
+	ctx, cancel := context.WithCancel(ow.ctx)
+	timer := ow.clk.AfterFunc(most, cancel)
+	began := ow.clk.Now()
+	results, refused, err := ow.batcher.Run(ctx, sv.Node, items)
+	timer.Stop()
+	cancel()
+	took := ow.clk.Since(began)
+	sv.End()
+
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	sv.running--
+	sv.used -= bytes
+	now := ow.clk.Now()
+	switch {
+	case refused:
+		ow.counts.Refused++
+		sv.until = now.Add(fullPause)
+		ow.again(batch, "refused")
+	case err != nil:
+		ow.counts.Broken++
+		sv.Broke(now)
+		ow.log.Info("batch broken", "service", ow.service, "upstream", sv.ID, "items", len(items), "took", took.Round(time.Millisecond).String(), "reason", err.Error())
+		ow.again(batch, "broken")
+	default:
+		sv.Done(float64(took) / float64(normal))
+		ow.settle(sv, batch, results, now)
+	}
+	ow.dispatch()
+}
+
+// settle takes the results of a batch.
+func (ow *Owner) settle(sv *server, batch []part, results []citronstream.ItemResult, now time.Time) {
+	at := 0
+	for _, pa := range batch {
+		failed := part{jb: pa.jb}
+		gone := false
+		for _, place := range pa.places {
+			re := results[at]
+			at++
+			switch re.Fault {
+			case citronstream.ItemDone:
+				ow.keep(sv, pa.jb, place, re.Handle, now)
+			case citronstream.ItemInputGone:
+				gone = true
+			case citronstream.ItemNoRoom:
+				ow.counts.NoRoom++
+				sv.until = now.Add(fullPause)
+				failed.places = append(failed.places, place)
+			default:
+				failed.places = append(failed.places, place)
+			}
+		}
+		switch {
+		case pa.jb.ended:
+		case gone:
+			ow.end(pa.jb, citronstream.JobResult{InputGone: true})
+		case len(failed.places) > 0:
+			ow.again([]part{failed}, "failed")
+		case pa.jb.left == 0:
+			ow.end(pa.jb, citronstream.JobResult{Handles: pa.jb.handles})
+		}
+	}
+}
+
+// keep notes a result. That of a job that has ended is released at once.
+func (ow *Owner) keep(sv *server, jb *job, place int, handle string, now time.Time) {
+	if jb.ended {
+		ow.calls.Go(func() { ow.batcher.Release(ow.ctx, sv.Node, []string{handle}) })
+		return
+	}
+	sv.results[handle] = result{bytes: jb.Bytes, until: now.Add(ow.spec.ResultLife)}
+	sv.used += jb.Bytes
+	jb.handles[place] = handle
+	jb.left--
+}
+
+// again queues pieces once more, as far as their jobs allow.
+func (ow *Owner) again(batch []part, why string) {
+	for _, pa := range batch {
+		jb := pa.jb
+		if jb.ended {
+			continue
+		}
+		if jb.repeats+len(pa.places) > maxRepeats*len(jb.Pieces) || ow.budget.Take(ow.service, len(pa.places)) < len(pa.places) {
+			ow.log.Info("stage given up", "request", jb.ID, "stage", jb.Stage, "service", ow.service, "reason", why, "repeats", jb.repeats)
+			ow.end(jb, citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeUpstreamFailed,
+				"stage %d at service %s: %s, and no repeat is left", jb.Stage, ow.service, why)})
+			continue
+		}
+		jb.repeats += len(pa.places)
+		ow.counts.Repeated += uint64(len(pa.places))
+		if len(jb.pending) == 0 {
+			ow.waiting = append(ow.waiting, jb)
+		}
+		jb.pending = append(jb.pending, pa.places...)
+		slices.SortFunc(jb.pending, func(a, b int) int { return cmp.Compare(a, b) })
+	}
+}
--- /dev/null
+++ b/internal/upstream/batch/batch.go
@@ -0,0 +1,88 @@
+// Package batch sends batches of stage work to upstreams.
+package batch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/citronstream/citronstream/internal/upstream/conns"
+	"github.com/citronstream/citronstream/platform"
+	"github.com/go-logr/logr"
+)
+
+// maxAnswer bounds the answer to a batch, in bytes. A result takes about 60.
+const maxAnswer = 1 << 20
+
+// Caller implements owner.Batcher.
+type Caller struct {
+	clk  citronstream.Clock
+	log  logr.Logger
+	pool *conns.Pool
+}
+
+// New returns a caller over a pool of connections.
+func New(clk citronstream.Clock, log logr.Logger, pool *conns.Pool) *Caller {
+	return &Caller{clk: clk, log: log, pool: pool}
+}
+
+// Run implements owner.Batcher.
+func (ca *Caller) Run(ctx context.Context, no *node.Node, items []citronstream.BatchItem) ([]citronstream.ItemResult, bool, error) {
+	body, err := platform.EncodeBatch(items)
+	if err != nil {
+		return nil, false, err
+	}
+	answer, status, refused, err := ca.post(ctx, no, platform.PathBatch, body)
+	switch {
+	case err != nil && citronstream.VerdictOf(err) == citronstream.NotRun:
+		no.Broke(ca.clk.Now())
+		return nil, true, err
+	case err != nil:
+		return nil, false, err
+	case refused:
+		return nil, true, nil
+	case status != http.StatusOK:
+		return nil, false, fmt.Errorf("status %d", status)
+	}
+	results, err := platform.DecodeBatch(answer, len(items))
+	return results, false, err
+}
+
+// Release implements owner.Batcher. A result that is not released is dropped
+// by its maker after some seconds, so an error is only logged.
+func (ca *Caller) Release(ctx context.Context, no *node.Node, handles []string) {
+	body, err := platform.EncodeRelease(handles)
+	if err == nil {
+		var status int
+		_, status, _, err = ca.post(ctx, no, platform.PathRelease, body)
+		if err == nil && status != http.StatusOK {
+			err = fmt.Errorf("status %d", status)
+		}
+	}
+	if err != nil {
+		ca.log.Info("release failed", "upstream", no.ID, "results", len(handles), "reason", err.Error())
+	}
+}
+
+// Maker implements owner.Batcher.
+func (ca *Caller) Maker(handle string) string { return platform.MakerOf(handle) }
+
+func (ca *Caller) post(ctx context.Context, no *node.Node, path string, body []byte) (answer []byte, status int, refused bool, err error) {
+	an, err := ca.pool.Send(ctx, no.Address, &conns.Request{
+		Method: http.MethodPost, Target: path, Host: no.Address, Header: platform.BatchHeader(no.ID), Body: body,
+		Parse: platform.ParseAnswer,
+	})
+	if err != nil {
+		return nil, 0, false, err
+	}
+	defer an.Close()
+	answer, err = io.ReadAll(io.LimitReader(an, maxAnswer))
+	if err == nil && an.Head.Encoded {
+		err = errors.New("the answer is encoded")
+	}
+	return answer, an.Status, an.Head.Refused, err
+}
--- /dev/null
+++ b/message_peer.go
@@ -0,0 +1,87 @@
+package citronstream
+
+import "time"
+
+// Methods of the messages between the entries of a site.
+const (
+	MethodMeet    = "Site.Meet"    // answered by Meeting
+	MethodState   = "Site.State"   // answered by Rows: all that the peer knows
+	MethodRows    = "Site.Rows"    // notification, Rows: upstreams that changed
+	MethodNotice  = "Site.Notice"  // notification, Meeting: the sender leaves or has another configuration
+	MethodPlaces  = "Site.Places"  // notification, Places
+	MethodJob     = "Stage.Run"    // answered by JobResult
+	MethodForget  = "Stage.Cancel" // notification, JobName
+	MethodRelease = "Stage.Free"   // notification, Release
+	MethodDeath   = "Site.Death"   // notification, a report of an upstream's death
+)
+
+// Meeting introduces two entries to each other.
+type Meeting struct {
+	Name    string `json:"Name"`
+	Zone    string `json:"Zone"`
+	Address string `json:"Address"`
+	Boot    string `json:"Boot"` // names this run of the process
+	Leaving bool   `json:"Leaving,omitempty"`
+	// Revision is the version of the row with the configuration in force, 0 before the first.
+	Revision uint64 `json:"Revision"`
+}
+
+// Rows are rows of the store as their reader passes them on.
+type Rows struct {
+	Changes []Change `json:"Changes"`
+}
+
+// Places says how much of the upstreams' capacity the sender's requests take.
+type Places struct {
+	// Engines has the sender's load by upstream; one without load is left out.
+	Engines map[string]EngineLoad `json:"Engines"`
+}
+
+// EngineLoad is what one entry has in flight at an engine.
+type EngineLoad struct {
+	Running int `json:"Running"`
+	// Unread are the prompt tokens of requests without a first event.
+	Unread int `json:"Unread,omitempty"`
+}
+
+// Job is the work of one stage of one request, for the owner of the stage's queue.
+type Job struct {
+	ID        string   `json:"ID"` // of the request, as the upstreams know it
+	Stage     int      `json:"Stage"`
+	Service   string   `json:"Service"`
+	Pieces    []int    `json:"Pieces"` // numbers of the pieces to make
+	Bytes     int      `json:"Bytes"`  // approximate size of a result
+	Key       string   `json:"Key,omitempty"`
+	Inputs    []string `json:"Inputs,omitempty"`
+	Rank      int      `json:"Rank"`
+	Workspace string   `json:"Workspace,omitempty"`
+	// Zone is where the results are best made; empty means anywhere.
+	Zone string `json:"Zone,omitempty"`
+	// Left is the time to the request's deadline, Slack the time within which
+	// the work must start for the request to reach its target.
+	Left  time.Duration `json:"Left"`
+	Slack time.Duration `json:"Slack"`
+	// Rest is the estimated time of the request after this stage.
+	Rest time.Duration `json:"Rest"`
+}
+
+// JobName names a job.
+type JobName struct {
+	ID      string `json:"ID"`
+	Stage   int    `json:"Stage"`
+	Service string `json:"Service"`
+}
+
+// JobResult ends a job. Handles are in the order of Job.Pieces.
+type JobResult struct {
+	Handles []string `json:"Handles,omitempty"`
+	// InputGone says that a result that the job takes is gone.
+	InputGone bool   `json:"InputGone,omitempty"`
+	Fault     *Fault `json:"Fault,omitempty"`
+}
+
+// Release gives up results that are used or will not be.
+type Release struct {
+	Service string   `json:"Service"`
+	Handles []string `json:"Handles"`
+}
--- a/platform.go
+++ b/platform.go
@@ -70,6 +70,23 @@
 	Write(ctx context.Context, opID string, ops ...Op) error
 }
 
+// Change is a row that was written or, with Deleted, removed at Version.
+type Change struct {
+	Row
+	Deleted bool
+}
+
+// Feed is the stream of changes of a table.
+type Feed interface {
+	// Changes returns the changes of a table after a version, in order, as soon
+	// as there is one, or none after the wait. Next continues the feed. Errors:
+	// ErrHistoryGone when the changes are no longer kept, ErrUnavailable,
+	// ErrThrottled.
+	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (changes []Change, next uint64, err error)
+	// Scan reads a whole table as of the returned version.
+	Scan(ctx context.Context, table string) (rows []Row, version uint64, err error)
+}
+
 // Objects is the platform's object store.
 type Objects interface {
 	// Put stores an object. Objects are named by their content or by an
--- /dev/null
+++ b/routing.go
@@ -0,0 +1,123 @@
+package citronstream
+
+import "time"
+
+// Routing is the accepted configuration of a site: which requests are served,
+// by which services, and for whom. It is never changed once it is in force.
+type Routing struct {
+	Version  uint64
+	Routes   []Route
+	Services map[string]ServiceSpec
+	// Keys maps an API key to its workspace. It is nil when the site has no workspaces.
+	Keys   map[string]KeyHolder
+	Limits CallerLimits
+}
+
+// KeyHolder is the workspace that an API key stands for.
+type KeyHolder struct {
+	Workspace string
+	// Rank replaces the route's rank; negative when the workspace has none of its own.
+	Rank int
+}
+
+// Repeat says how often the work of a request may be done.
+type Repeat uint8
+
+// The kinds of Repeat.
+const (
+	RepeatNever  Repeat = iota // at most once for each attempt of the caller
+	RepeatAlways               // idempotent
+	RepeatResume               // a stream that may go on at another upstream after its last event
+)
+
+// Idempotent reports whether the work may be done more than once.
+func (re Repeat) Idempotent() bool { return re != RepeatNever }
+
+// Route says how requests for a host and a path prefix are served.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string // begins and ends with a slash
+	Repeat Repeat
+	Stream bool // the answer is a stream of events
+	Rank   int  // priority class, 0 is the most urgent
+	// Timeout is the longest time to the final answer, Target that within
+	// which an answer (of a stream: the first event) has its full value.
+	Timeout time.Duration
+	Target  time.Duration
+	// MaxGap is the longest pause between two events of a stream that is in time.
+	MaxGap time.Duration
+	// Attempts is the most upstreams to which one attempt of a caller is sent.
+	Attempts  int
+	Split     []Share
+	Stages    []RouteStage
+	Anonymous bool // no API key is asked for
+	// Affinity says that the requests name the parts of their prompts.
+	Affinity bool
+}
+
+// Share is the part of a route's requests that a service takes.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// RouteStage is work that is done before a request runs. Its number is its
+// place in Route.Stages.
+type RouteStage struct {
+	Service string
+	After   []int // stages whose results it takes
+	Bytes   int   // approximate size of a result
+}
+
+// ServiceSpec describes the upstreams of a service.
+type ServiceSpec struct {
+	Name           string
+	MaxConnections int         // of one upstream, from all callers together
+	Batch          *BatchSpec  // nil unless stages use the service
+	Engine         *EngineSpec // nil unless the upstreams are model engines
+}
+
+// BatchSpec describes one upstream of a service that works on batches.
+type BatchSpec struct {
+	Calls       int           // batches side by side
+	Waiting     int           // batches that may wait
+	Items       int           // items of a batch
+	CallTime    time.Duration // time of a batch without its items
+	ItemTime    time.Duration // time added by each item, approximately
+	ResultBytes int           // memory for results
+	ResultLife  time.Duration // how long a result is kept unless it is released
+}
+
+// EngineSpec describes one model engine.
+type EngineSpec struct {
+	Slots       int
+	CacheTokens int
+}
+
+// CallerLimits bounds what callers may send and how long they may take.
+type CallerLimits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Member is an upstream in the platform's list.
+type Member struct {
+	ID       string
+	Service  string
+	Address  string // host:port
+	Zone     string
+	Slots    int
+	Draining bool
+	// Born is the start of the process, in milliseconds since 1970. A process
+	// that starts again under its ID has another one and knows nothing of before.
+	Born int64
+}
+
+// PromptPart is a part of a prompt. Requests with equal IDs share the part.
+type PromptPart struct {
+	ID     uint64
+	Tokens int
+}
