--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -19,6 +19,7 @@
 	"github.com/citronstream/citronstream/internal/cli/doubts"
 	"github.com/citronstream/citronstream/internal/cli/drain"
 	"github.com/citronstream/citronstream/internal/cli/entry"
+	"github.com/citronstream/citronstream/internal/cli/explain"
 	"github.com/citronstream/citronstream/internal/cli/gateway"
 	"github.com/citronstream/citronstream/internal/cli/holds"
 	"github.com/citronstream/citronstream/internal/cli/inventory"
@@ -54,6 +55,7 @@
 	Holds    holds.Command    `cmd:"" help:"List or lift the holds of content that kills upstreams."`
 	Doubts   doubts.Command   `cmd:"" help:"List or lift the intervals in which orders may have run unrecorded."`
 	Timeline timeline.Command `cmd:"" help:"Show the events of all processes in causal order."`
+	Explain  explain.Command  `cmd:"" help:"Show the log lines of gateways that belong to a request."`
 	Cost     cost.Command     `cmd:"" help:"Report the usage of a day and export its records."`
 
 	Demo  demo.Command  `cmd:"" help:"Put a load on a local fleet and print the outcome."`
