broker: a job whose owners are all lost ends with a fault

Ruled out: memory, a peak of 20.5 MB of 184. Change: the fault is set with the loss; results whose number is not that of the pieces are a fault as well. Test: TestEveryOwnerIsLost failed on 20 of 20 jobs before, passes after.

--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -153,6 +153,9 @@
 		if re.Fault != nil {
 			return re.Fault
 		}
+		if !re.InputGone && len(re.Handles) != len(places) {
+			return citronstream.NewFault(citronstream.NotRun, citronstream.CodeInternal, "stage %d: %d results for %d pieces", st.number, len(re.Handles), len(places))
+		}
 		if !re.InputGone {
 			sg.keep(st, places, re.Handles)
 			return nil
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -231,16 +231,17 @@
 			return re
 		}
 		exclude[pe] = true
-		if ctx.Err() != nil {
-			return re
-		}
 		if err != nil {
+			re.Fault = citronstream.NewFault(citronstream.NotRun, citronstream.CodeLinkLost, "the owner of service %s was lost", jo.Service)
 			br.log.Info("owner lost", "request", jo.ID, "stage", jo.Stage, "service", jo.Service, "peer", pe.Name(), "reason", err.Error())
 			// Pieces may have been sent by the lost owner.
 			if br.budget.Take(jo.Service, len(jo.Pieces)) < len(jo.Pieces) {
-				return citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeLinkLost, "the owner of service %s was lost", jo.Service)}
+				return re
 			}
 		}
+		if ctx.Err() != nil {
+			return re
+		}
 	}
 	return re
 }
