broker: queues belong to strong entries

Cause: on the grown sites 24 of 32 entries have 0.144 cores and links of 10 Mbit/s, 8 have 0.8 cores and 200 Mbit/s. Rendezvous hashing gave all three queues to weak ones; under a burst their links were silent for over 1.2 s, peers took them for lost, and two owners filled the same memory (1,051 items without room in 2 s). Change: peers tell their capacity (cores times Mbit/s), decoded from the settings; owners are chosen among those with half of the greatest. Test: TestOwnersAreStrong, failed without the bound.

--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -269,6 +269,14 @@
 	return 0
 }
 
+// Capacity compares the peer with other entries; 0 while it is not known.
+func (pe *Peer) Capacity() float64 {
+	if mt := pe.meeting.Load(); mt != nil {
+		return mt.Capacity
+	}
+	return 0
+}
+
 // LostFor returns how long the peer has been out of reach, 0 while it is linked.
 func (pe *Peer) LostFor(now time.Time) time.Duration {
 	lost := pe.lost.Load()
--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -181,7 +181,7 @@
 // owner returns the entry that owns the queue of a service.
 func (wo *world) owner(service string) *entry {
 	for _, en := range wo.entries {
-		if en.broker.Owns(service) {
+		if !en.ended && en.broker.Owns(service) {
 			return en
 		}
 	}
@@ -189,6 +189,25 @@
 	return nil
 }
 
+// Queues belong to the strong entries of a site, as all jobs of a service pass
+// its owner, and to the others when no strong one is left.
+func TestOwnersAreStrong(t *testing.T) {
+	wo := newWorld(t, 0)
+	wo.staged()
+	for range 4 {
+		wo.enterAs(0.14, 10)
+	}
+	strong := wo.enterAs(0.8, 200)
+	wo.ready()
+	services := []string{"cut", "glue", "a", "b", "c", "d", "e", "f"}
+	for _, service := range services {
+		wo.until(func() bool { return wo.owner(service) == strong }, "a weak entry owns service "+service)
+	}
+	strong.stop()
+	wo.until(func() bool { return wo.entries[0].mesh.Live() == 4 && wo.entries[3].mesh.Live() == 4 }, "the loss was not seen")
+	assert.NotNil(t, wo.owner("cut"))
+}
+
 // An entry that leaves says so, hands its queues over, answers what it has,
 // with a close, and refuses what comes too late to be finished.
 func TestLeaving(t *testing.T) {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -123,7 +123,8 @@
 	ga.register = register.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone)
 	ga.deaths = deathwatch.New(ga.ctx, clk, probe, ga.died)
 	owned := sharebudget.New(clk, site.Bounds, func() int { return owners })
-	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, batch.New(clk, log, ga.pool), owned)
+	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, batch.New(clk, log, ga.pool), owned,
+		broker.WithCapacity(site.Cores*site.LinkRate))
 	ga.budget = sharebudget.New(clk, site.Bounds, ga.mesh.Live)
 	ga.flow = flow.New(clk, log, flow.Parts{
 		Zone: site.Zone, RowLife: ga.rowLife(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
@@ -224,7 +225,7 @@
 func (ga *Gateway) meeting() citronstream.Meeting {
 	return citronstream.Meeting{
 		Name: ga.site.Process, Zone: ga.site.Zone, Address: ga.site.Peers, Boot: ga.boot,
-		Leaving: ga.leaving.Load(), Revision: ga.view.Revision(),
+		Leaving: ga.leaving.Load(), Capacity: ga.site.Cores * ga.site.LinkRate, Revision: ga.view.Revision(),
 	}
 }
 
--- a/internal/process/gateway/site_test.go
+++ b/internal/process/gateway/site_test.go
@@ -85,12 +85,15 @@
 }
 
 // enter starts an entry.
-func (wo *world) enter() *entry {
+func (wo *world) enter() *entry { return wo.enterAs(0, 0) }
+
+// enterAs starts an entry on an instance with this processor and link.
+func (wo *world) enterAs(cores, rate float64) *entry {
 	door := wo.st.Open()
 	si := &citronstream.Site{
 		Process: fmt.Sprintf("front-%d", len(wo.entries)), Zone: "z", Callers: address(wo.t), Ready: address(wo.t), Peers: address(wo.t),
 		Bounds: citronstream.Bounds{Grace: 8 * time.Second, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryExtra: 50},
-		Store:  door.Address(),
+		Store:  door.Address(), Cores: cores, LinkRate: rate,
 	}
 	ga, err := New(context.Background(), wo.clk, logr.Discard(), si)
 	require.NoError(wo.t, err)
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -27,6 +27,10 @@
 	loadLife = 3 * time.Second
 	// maxMoves bounds the owners that a job is brought to.
 	maxMoves = 4
+	// ownerShare is the least capacity of an owner against that of the strongest
+	// entry. All jobs of a service pass its owner, whose link and processor would
+	// be the limit of the whole site.
+	ownerShare = 0.5
 	// maxServices bounds the services whose load is remembered.
 	maxServices = 1024
 )
@@ -41,6 +45,8 @@
 	batcher owner.Batcher
 	budget  owner.Budget
 	ctx     context.Context
+	// capacity is that of this process, as peers tell theirs.
+	capacity float64
 
 	mu      sync.Mutex
 	owners  map[string]*owner.Owner
@@ -61,13 +67,22 @@
 	at time.Time
 }
 
+// Option changes a Broker.
+type Option func(*Broker)
+
+// WithCapacity sets how this process compares with its peers, see citronstream.Meeting.
+func WithCapacity(capacity float64) Option { return func(br *Broker) { br.capacity = capacity } }
+
 // New returns a broker. It ends with ctx.
-func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, self string, vi *view.View, me *mesh.Mesh, batcher owner.Batcher, budget owner.Budget) *Broker {
+func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, self string, vi *view.View, me *mesh.Mesh, batcher owner.Batcher, budget owner.Budget, opts ...Option) *Broker {
 	br := &Broker{
 		clk: clk, log: log, self: self, view: vi, mesh: me, batcher: batcher, budget: budget, ctx: ctx,
 		owners: make(map[string]*owner.Owner), loads: make(map[string]load), told: make(map[string]bool),
 		remote: make(map[*link.Link]map[citronstream.JobName]bool), done: make(chan struct{}),
 	}
+	for _, opt := range opts {
+		opt(br)
+	}
 	vi.OnMembers(br.members)
 	go br.tick()
 	return br
@@ -182,18 +197,29 @@
 	return ow
 }
 
-// owner returns the entry that owns the queue of a service, nil for this one.
+// owner returns the entry that owns the queue of a service, nil for this one:
+// the one with the highest score among those with enough capacity.
 func (br *Broker) owner(service string, exclude map[*mesh.Peer]bool) *mesh.Peer {
 	br.mu.Lock()
 	leaving := br.leaving
 	br.mu.Unlock()
+	strongest := 0.0
+	if !leaving {
+		strongest = br.capacity
+	}
+	var able []*mesh.Peer
+	for _, pe := range br.mesh.Peers() {
+		if pe.Up() && !exclude[pe] {
+			able, strongest = append(able, pe), max(strongest, pe.Capacity())
+		}
+	}
 	var best *mesh.Peer
 	most := uint64(0)
-	if !leaving {
+	if !leaving && br.capacity >= ownerShare*strongest {
 		most = xxhash.Sum64String(service + "\x00" + br.self)
 	}
-	for _, pe := range br.mesh.Peers() {
-		if !pe.Up() || exclude[pe] {
+	for _, pe := range able {
+		if pe.Capacity() < ownerShare*strongest {
 			continue
 		}
 		if score := xxhash.Sum64String(service + "\x00" + pe.Address); score > most {
--- a/message_peer.go
+++ b/message_peer.go
@@ -23,6 +23,8 @@
 	Address string `json:"Address"`
 	Boot    string `json:"Boot"` // names this run of the process
 	Leaving bool   `json:"Leaving,omitempty"`
+	// Capacity compares entries: processor cores times Mbit/s of the link; 0 when it is not known.
+	Capacity float64 `json:"Capacity,omitempty"`
 	// Revision is the version of the row with the configuration in force, 0 before the first.
 	Revision uint64 `json:"Revision"`
 }
--- a/site.go
+++ b/site.go
@@ -18,6 +18,8 @@
 	// Seeds are peer addresses of at most three other entries. They may be out of date.
 	Seeds []string
 
+	Cores     float64       // processor time that the process may use, in seconds a second
+	LinkRate  float64       // of the instance's network link, in Mbit/s
 	Heartbeat time.Duration // interval of an upstream's writes to its row
 	Bounds    Bounds
 	Store     string // address of the platform's store, host:port
