owner: jobs whose inputs expire come first

Cause: the inputs of a job live for 4 s. Change: a job is due at its latest start or one batch before its inputs expire, whichever is earlier; a late job whose inputs have expired is refused. The estimate of a wait uses the same time. Test: TestInputsExpire, failed before.

--- a/internal/ingress/flow/estimate.go
+++ b/internal/ingress/flow/estimate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -53,7 +54,7 @@
 	for _, st := range sg.list {
 		st.rest, st.wait = first, 0
 		if st.pieces > 0 {
-			st.wait = sg.rt.fl.Broker.QueueWait(st.spec.Service, slack)
+			st.wait = sg.rt.fl.Broker.QueueWait(st.spec.Service, min(slack, sg.life(st)))
 		}
 	}
 	for i := len(sg.list) - 1; i >= 0; i-- {
@@ -67,6 +68,17 @@
 	return total
 }
 
+// life is how long a stage may wait for its turn until its inputs expire.
+func (sg *stages) life(st *stage) time.Duration {
+	life := time.Duration(math.MaxInt64)
+	for _, before := range st.spec.After {
+		if made := sg.list[before]; made.pieces > 0 && made.batch != nil && made.batch.ResultLife > 0 {
+			life = min(life, made.batch.ResultLife-freshMargin-st.work())
+		}
+	}
+	return life
+}
+
 // alone is the time that the request needs when nothing else runs.
 func (sg *stages) alone(first time.Duration) time.Duration {
 	tails := make([]time.Duration, len(sg.list))
--- a/internal/stage/order/order.go
+++ b/internal/stage/order/order.go
@@ -11,6 +11,8 @@
 	Rank int
 	// Start is the latest start with which the request still reaches its target.
 	Start time.Time
+	// Due is the time by which it should start: Start, or earlier when its inputs expire.
+	Due time.Time
 	// Frees says that the job gives back more memory of the upstreams than it takes.
 	Frees bool
 	// End is the latest start with which it is still answered in time at all.
@@ -22,7 +24,7 @@
 func (en Entry) Late(now time.Time) bool { return !en.Frees && now.After(en.Start) }
 
 // Compare returns a negative number when a comes before b. Jobs that can still
-// reach their target come first, by their latest start; the others are worth
+// reach their target come first, by the time they are due; the others are worth
 // less and come by rank, then by the time until they are worth nothing.
 func Compare(a, b Entry, now time.Time) int {
 	lateA, lateB := a.Late(now), b.Late(now)
@@ -33,7 +35,7 @@
 		}
 		return -1
 	case !lateA:
-		return a.Start.Compare(b.Start)
+		return a.Due.Compare(b.Due)
 	}
 	return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.End.Compare(b.End))
 }
--- a/internal/stage/owner/dispatch.go
+++ b/internal/stage/owner/dispatch.go
@@ -26,7 +26,7 @@
 func (ow *Owner) expire(now time.Time) {
 	for _, jb := range slices.Clone(ow.waiting) {
 		if jb.Fresh > 0 && now.Sub(jb.at) > jb.Fresh {
-			ow.end(jb, citronstream.JobResult{InputGone: true})
+			ow.stale(jb, now)
 			continue
 		}
 		if jb.Late(now) && now.Sub(jb.Start) > lateWait && len(jb.pending) == len(jb.Pieces) {
@@ -43,6 +43,18 @@
 	}
 }
 
+// stale ends a job whose inputs have expired. To make them again helps only a
+// request that can still reach its target.
+func (ow *Owner) stale(jb *job, now time.Time) {
+	if !jb.Late(now) {
+		ow.end(jb, citronstream.JobResult{InputGone: true})
+		return
+	}
+	ow.counts.Overloaded++
+	ow.end(jb, citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded,
+		"late, and its inputs expired after %v in the queue of service %s", now.Sub(jb.at).Round(time.Millisecond), ow.service)})
+}
+
 // next chooses an upstream for the first job that fits one, and fills its batch.
 func (ow *Owner) next(now time.Time) (*server, []part) {
 	for _, jb := range ow.waiting {
@@ -155,7 +167,7 @@
 func (ow *Owner) shifted(jb *job, sv *server) order.Entry {
 	en := jb.Entry
 	if jb.Zone != "" && jb.Zone != sv.Zone {
-		en.Start = en.Start.Add(zoneCost)
+		en.Due = en.Due.Add(zoneCost)
 	}
 	return en
 }
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -173,6 +173,10 @@
 		Job: jo, at: now, done: done, left: len(jo.Pieces), handles: make([]string, len(jo.Pieces)),
 		Entry: order.Entry{Rank: jo.Rank, Frees: jo.Frees, Start: now.Add(jo.Slack), End: now.Add(jo.Left - jo.Rest)},
 	}
+	jb.Due = jb.Start
+	if fresh := now.Add(jo.Fresh - expected(&ow.spec, ow.spec.Items)); jo.Fresh > 0 && fresh.Before(jb.Due) {
+		jb.Due = fresh
+	}
 	for place := range jo.Pieces {
 		jb.pending = append(jb.pending, place)
 	}
--- a/internal/stage/owner/owner_test.go
+++ b/internal/stage/owner/owner_test.go
@@ -297,6 +297,24 @@
 	assert.True(t, be.result(result).InputGone)
 }
 
+// A job whose inputs are about to expire comes before those that are due
+// earlier for their target only; a late one whose inputs have expired is
+// refused, as to make them again would be in vain.
+func TestInputsExpire(t *testing.T) {
+	be := newBench(t, upstream("a", ""))
+	be.submit(work("0", 4, nil))
+	late := be.submit(work("late", 4, func(jo *citronstream.Job) { jo.Slack = -time.Millisecond; jo.Fresh = time.Second }))
+	be.submit(work("soon", 4, func(jo *citronstream.Job) { jo.Slack = 3 * time.Second }))
+	be.submit(work("fresh", 4, func(jo *citronstream.Job) { jo.Slack = time.Minute; jo.Fresh = 2 * time.Second }))
+	be.done(be.batch())
+	assert.Equal(t, "fresh", be.batch().items[0].RequestID)
+	be.clk.Advance(1100 * time.Millisecond)
+	be.Tick()
+	re := be.result(late)
+	assert.False(t, re.InputGone)
+	assert.Equal(t, citronstream.CodeOverloaded, re.Fault.Code)
+}
+
 // The end of a request withdraws its job; what is made then is released.
 func TestCancel(t *testing.T) {
 	be := newBench(t, upstream("a", ""))
--- a/internal/stage/owner/state.go
+++ b/internal/stage/owner/state.go
@@ -54,7 +54,7 @@
 	now := ow.clk.Now()
 	ql := citronstream.QueueLoad{Rate: ow.rate.value(now, ow.ideal())}
 	for _, jb := range ow.waiting {
-		slack := jb.Start.Sub(now)
+		slack := jb.Due.Sub(now)
 		if jb.Late(now) {
 			ql.Late += len(jb.pending)
 			continue
