owner: inputs are given up when they have been read

The upstream reads its inputs when the turn of the call comes, and not later. Ruled out: the growth of the assumed size (1,004 -> 1,020 items/s without it). Change: the owner tells the entry when the upstreams had time to read the inputs of all pieces (twice their bytes over the link, and 60 ms); the entry gives them up then. A batch that does not find inputs makes the owner wait longer. Work that breaks later has its inputs made again. Tests: TestInputsAreRead, TestInputsAreKeptLonger, TestInputsAreReleasedEarly.

--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -26,7 +26,8 @@
 	last    bool          // its results are inputs of the request itself
 	rest    time.Duration // needed after the stage
 	wait    time.Duration // in the queue of its service, as things are
-	users   int           // stages that have not taken its results yet
+	users   int           // stages that take its results
+	taken   map[int]bool  // the numbers of those that have
 	handles []string
 	made    time.Time // when the oldest of its results was made
 	took    time.Duration
@@ -53,7 +54,7 @@
 		for _, before := range spec.After {
 			followed[before] = true
 		}
-		st := &stage{number: i, spec: spec, batch: rt.routes.Services[spec.Service].Batch, pieces: 1, done: make(chan struct{})}
+		st := &stage{number: i, spec: spec, batch: rt.routes.Services[spec.Service].Batch, pieces: 1, taken: make(map[int]bool), done: make(chan struct{})}
 		if i < len(rt.Pieces) {
 			st.pieces = rt.Pieces[i]
 		}
@@ -129,10 +130,15 @@
 			return fa
 		}
 	}
+	sg.took(st)
+	return nil
+}
+
+// took notes that a stage has its inputs, and gives up those that no other stage takes.
+func (sg *stages) took(st *stage) {
 	for _, before := range st.spec.After {
-		sg.used(sg.list[before])
+		sg.used(sg.list[before], st)
 	}
-	return nil
 }
 
 func (sg *stages) ended(ctx context.Context) *citronstream.Fault {
@@ -148,7 +154,7 @@
 	for {
 		inputs := sg.inputsOf(st)
 		began := sg.rt.fl.clk.Now()
-		re := sg.rt.fl.Broker.Run(ctx, sg.job(st, places, inputs))
+		re := sg.runJob(ctx, st, sg.job(st, places, inputs))
 		sg.spent(st, sg.rt.fl.clk.Since(began))
 		if re.Fault != nil {
 			return re.Fault
@@ -174,6 +180,29 @@
 	}
 }
 
+// runJob runs a job. Its inputs are given up as soon as the upstream has read
+// them: what waits for their memory need not wait for the end of the work.
+func (sg *stages) runJob(ctx context.Context, st *stage, jo citronstream.Job) citronstream.JobResult {
+	fetched, ended := make(chan struct{}, 1), make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() {
+		select {
+		case <-fetched:
+			sg.took(st)
+		case <-ended:
+		}
+	})
+	re := sg.rt.fl.Broker.Run(ctx, jo, func() {
+		select {
+		case fetched <- struct{}{}:
+		default:
+		}
+	})
+	close(ended)
+	group.Wait()
+	return re
+}
+
 // spent adds to the time of a stage, for the log.
 func (sg *stages) spent(st *stage, took time.Duration) {
 	sg.mu.Lock()
@@ -249,7 +278,7 @@
 			jo.Fresh = fresh
 		}
 	}
-	jo.Frees = inputBytes > len(places)*st.spec.Bytes
+	jo.Frees, jo.InputBytes = inputBytes > len(places)*st.spec.Bytes, inputBytes
 	if len(st.spec.After) == 0 {
 		jo.Key = sg.rt.PieceKey
 	}
@@ -293,10 +322,10 @@
 }
 
 // used notes that a stage has taken the results of another.
-func (sg *stages) used(st *stage) {
+func (sg *stages) used(st, by *stage) {
 	sg.mu.Lock()
-	st.users--
-	free := st.users == 0 && !st.last
+	st.taken[by.number] = true
+	free := len(st.taken) == st.users && !st.last
 	sg.mu.Unlock()
 	if free {
 		sg.giveUp(st)
--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -51,6 +52,27 @@
 	}
 }
 
+// The inputs of a stage are released while it works, once they had time to be read.
+func TestInputsAreReleasedEarly(t *testing.T) {
+	wo := newWorld(t, 2)
+	_, cut, glue := wo.staged()
+	wo.ready()
+	glue.Work.Store(int64(time.Second))
+	ca := wo.stagedCall()
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		wo.answer(wo.entries[0], ca, http.MethodPost, "/staged/stream/", "")
+	}()
+	wo.until(func() bool {
+		return slices.ContainsFunc(wo.log.All(), func(ar site.Arrival) bool { return ar.Upstream == "g1" })
+	}, "the second stage was not sent")
+	wo.until(func() bool { return cut.Held() == 0 }, "the inputs are held")
+	assert.Zero(t, glue.Held(), "the work has ended before the inputs were released")
+	<-answered
+	wo.until(func() bool { return glue.Held() == 0 }, "results are not released")
+}
+
 // A stage that a request leaves out is no input of the next one, also when its
 // service is not in the configuration.
 func TestOmittedStage(t *testing.T) {
--- a/internal/process/gateway/metrics_test.go
+++ b/internal/process/gateway/metrics_test.go
@@ -22,7 +22,7 @@
 	wo.ready()
 	en := wo.entries[0]
 	en.meter.Observe(requests.Request{Service: "s", Outcome: "served", Took: time.Second})
-	en.broker.Run(t.Context(), citronstream.Job{ID: "r", Service: "cut", Pieces: []int{0}, Left: time.Second, Slack: time.Second})
+	en.broker.Run(t.Context(), citronstream.Job{ID: "r", Service: "cut", Pieces: []int{0}, Left: time.Second, Slack: time.Second}, func() {})
 	answer := httptest.NewRecorder()
 	en.metrics().ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
 	raw, err := io.ReadAll(answer.Result().Body)
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -58,6 +58,8 @@
 	remoteMu sync.Mutex
 	remote   map[*link.Link]map[citronstream.JobName]bool
 	links    sync.WaitGroup
+	// fetched has a func() for each job of this process, by its citronstream.JobName.
+	fetched sync.Map
 	done     chan struct{}
 }
 
@@ -238,8 +240,12 @@
 }
 
 // Run brings a job to the owner of its queue and waits for its end. A job whose
-// owner is lost goes to the next one within the budget of repeats.
-func (br *Broker) Run(ctx context.Context, jo citronstream.Job) citronstream.JobResult {
+// owner is lost goes to the next one within the budget of repeats. Fetched is
+// called when the job's inputs have been read; it must not block.
+func (br *Broker) Run(ctx context.Context, jo citronstream.Job, fetched func()) citronstream.JobResult {
+	name := nameOf(&jo)
+	br.fetched.Store(name, fetched)
+	defer br.fetched.Delete(name)
 	began := br.clk.Now()
 	left, slack := jo.Left, jo.Slack
 	exclude := make(map[*mesh.Peer]bool)
@@ -249,7 +255,7 @@
 		jo.Left, jo.Slack = left-passed, slack-passed
 		pe := br.owner(jo.Service, exclude)
 		if pe == nil {
-			return br.runLocal(ctx, jo)
+			return br.runLocal(ctx, jo, fetched)
 		}
 		var err error
 		re, err = br.runRemote(ctx, pe, jo)
@@ -272,13 +278,13 @@
 	return re
 }
 
-func (br *Broker) runLocal(ctx context.Context, jo citronstream.Job) citronstream.JobResult {
+func (br *Broker) runLocal(ctx context.Context, jo citronstream.Job, fetched func()) citronstream.JobResult {
 	ow := br.local(jo.Service)
 	if ow == nil {
 		return citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "service %s is not in the configuration", jo.Service)}
 	}
 	ended := make(chan citronstream.JobResult, 1)
-	ow.Submit(jo, func(re citronstream.JobResult) { ended <- re })
+	ow.Submit(jo, func(re citronstream.JobResult) { ended <- re }, fetched)
 	select {
 	case re := <-ended:
 		return re
@@ -319,6 +325,13 @@
 				ow.Cancel(name)
 			}
 		}
+	case citronstream.MethodFetched:
+		var name citronstream.JobName
+		if re.Decode(&name) == nil {
+			if fetched, ok := br.fetched.Load(name); ok {
+				fetched.(func())()
+			}
+		}
 	case citronstream.MethodQueues:
 		var qu citronstream.Queues
 		if re.Decode(&qu) == nil {
@@ -354,7 +367,7 @@
 	ow.Submit(jo, func(result citronstream.JobResult) {
 		br.detach(li, name)
 		re.Reply(result)
-	})
+	}, func() { _ = li.Notify(citronstream.MethodFetched, name) }) // the end of the job tells as well
 }
 
 // attach notes a job of a peer. When the link ends, its jobs are withdrawn: the
--- a/internal/stage/broker/broker_test.go
+++ b/internal/stage/broker/broker_test.go
@@ -61,7 +61,7 @@
 	require.Eventually(t, func() bool { return own.Live() == 3*maxMoves+1 }, 10*time.Second, 10*time.Millisecond)
 	for service := range 20 {
 		jo := citronstream.Job{ID: "r", Service: string(rune('a' + service)), Pieces: []int{0}, Left: time.Minute, Slack: time.Second}
-		re := br.Run(ctx, jo)
+		re := br.Run(ctx, jo, func() {})
 		if assert.NotNil(t, re.Fault) {
 			assert.Equal(t, citronstream.NotRun, re.Fault.Verdict)
 		}
--- a/internal/stage/owner/batch.go
+++ b/internal/stage/owner/batch.go
@@ -11,7 +11,7 @@
 // start sends a batch. The caller holds the lock.
 func (ow *Owner) start(sv *server, batch []part, now time.Time) {
 	var items []citronstream.BatchItem
-	bytes := 0
+	bytes, inputs := 0, 0
 	for _, pa := range batch {
 		jb := pa.jb
 		jb.pending = jb.pending[len(pa.places):]
@@ -21,6 +21,7 @@
 				Left: jb.at.Add(jb.Left).Sub(now), Key: jb.Key, Inputs: jb.Inputs,
 			})
 			bytes += jb.Bytes
+			inputs += jb.InputBytes
 		}
 	}
 	ow.waiting = slices.DeleteFunc(ow.waiting, func(jb *job) bool { return len(jb.pending) == 0 })
@@ -29,7 +30,29 @@
 	ow.counts.Batches++
 	ow.counts.Items += uint64(len(items))
 	sv.Begin()
-	ow.calls.Go(func() { ow.call(sv, batch, items, bytes) })
+	fetch := time.Duration(0)
+	if inputs > 0 && ow.spec.LinkRate > 0 {
+		fetch = time.Duration(ow.patience * float64(fetchTime(inputs, ow.spec.LinkRate)))
+	}
+	ow.calls.Go(func() { ow.call(sv, batch, items, bytes, fetch) })
+}
+
+// fetchTime is the time after the start of a batch in which an upstream has
+// read these bytes, over its own link (in Mbit/s) and those of their makers.
+func fetchTime(bytes int, rate float64) time.Duration {
+	return time.Duration(2*8*float64(bytes)/(rate*1e6)*float64(time.Second)) + fetchMargin
+}
+
+// read notes that an upstream has read the inputs of a batch that it works on.
+func (ow *Owner) read(batch []part) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	for _, pa := range batch {
+		jb := pa.jb
+		if jb.unread -= len(pa.places); jb.unread == 0 && !jb.ended && len(jb.Inputs) > 0 {
+			jb.fetched()
+		}
+	}
 }
 
 // expected returns the time of a batch at an upstream of ordinary speed.
@@ -37,7 +60,7 @@
 	return spec.CallTime + time.Duration(items)*spec.ItemTime
 }
 
-func (ow *Owner) call(sv *server, batch []part, items []citronstream.BatchItem, bytes int) {
+func (ow *Owner) call(sv *server, batch []part, items []citronstream.BatchItem, bytes int, fetch time.Duration) {
 	ow.mu.Lock()
 	spec := ow.spec
 	ow.mu.Unlock()
@@ -46,8 +69,13 @@
 	ctx, cancel := context.WithCancel(ow.ctx)
 	timer := ow.clk.AfterFunc(most, cancel)
 	began := ow.clk.Now()
+	stop := func() bool { return true }
+	if fetch > 0 {
+		stop = ow.clk.AfterFunc(fetch, func() { ow.read(batch) }).Stop
+	}
 	results, refused, err := ow.batcher.Run(ctx, sv.Node, items)
 	timer.Stop()
+	wasRead := !stop()
 	cancel()
 	took := ow.clk.Since(began)
 	sv.End()
@@ -74,10 +102,24 @@
 		sv.Done(float64(took) / float64(normal))
 		ow.rate.made(now, len(items))
 		ow.settle(sv, batch, results, now)
+		ow.learn(wasRead, results)
 	}
 	ow.dispatch()
 }
 
+// learn keeps inputs longer when they were given up before they were read.
+func (ow *Owner) learn(wasRead bool, results []citronstream.ItemResult) {
+	if !wasRead {
+		return
+	}
+	gone := slices.ContainsFunc(results, func(re citronstream.ItemResult) bool { return re.Fault == citronstream.ItemInputGone })
+	if gone {
+		ow.patience = min(ow.patience*patienceStep, maxPatience)
+	} else {
+		ow.patience = max(1, ow.patience*patienceDecay)
+	}
+}
+
 // settle takes the results of a batch.
 func (ow *Owner) settle(sv *server, batch []part, results []citronstream.ItemResult, now time.Time) {
 	at := 0
@@ -133,6 +175,10 @@
 		if jb.ended {
 			continue
 		}
+		if jb.unread <= 0 && len(jb.Inputs) > 0 {
+			ow.end(jb, citronstream.JobResult{InputGone: true}) // they were given up
+			continue
+		}
 		if jb.repeats+len(pa.places) > maxRepeats*len(jb.Pieces) || ow.budget.Take(ow.service, len(pa.places)) < len(pa.places) {
 			ow.log.Info("stage given up", "request", jb.ID, "stage", jb.Stage, "service", ow.service, "reason", why, "repeats", jb.repeats)
 			ow.end(jb, citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeUpstreamFailed,
--- a/internal/stage/owner/dispatch_test.go
+++ b/internal/stage/owner/dispatch_test.go
@@ -34,11 +34,11 @@
 	}
 	be := newBench(b, nodes...)
 	for i := range 17 + 800 {
-		be.Submit(work(fmt.Sprint(i), 4, func(jo *citronstream.Job) { jo.Zone = "z1" }), func(citronstream.JobResult) {})
+		be.Submit(work(fmt.Sprint(i), 4, func(jo *citronstream.Job) { jo.Zone = "z1" }), func(citronstream.JobResult) {}, nil)
 	}
 	for i := 0; b.Loop(); i++ {
 		jo := work(fmt.Sprint("b", i), 4, nil)
-		be.Submit(jo, func(citronstream.JobResult) {})
+		be.Submit(jo, func(citronstream.JobResult) {}, nil)
 		be.Cancel(citronstream.JobName{ID: jo.ID, Service: "s"})
 	}
 }
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -39,6 +39,16 @@
 	// that waits longer mostly has no answer in the end, and holding it is worse
 	// for its caller than a refusal.
 	lateWait = 2 * time.Second
+	// fetchMargin is added to the time in which an upstream reads the inputs of a
+	// batch over its own link and those of their makers: for the way there, and for
+	// other batches that read from the same maker.
+	fetchMargin = 60 * time.Millisecond
+	// patienceStep is the factor by which inputs are kept longer after a batch did
+	// not find those that were given up, up to maxPatience. It shrinks with each
+	// batch that found them.
+	patienceStep  = 2.0
+	maxPatience   = 64.0
+	patienceDecay = 0.98
 	// maxRepeats is how often each piece of a job is made again, on average.
 	maxRepeats = 2
 )
@@ -68,17 +78,19 @@
 	budget  Budget
 	ctx     context.Context
 
-	mu      sync.Mutex
-	spec    citronstream.BatchSpec
-	size    float64 // measured size of a result against the configured one
-	jobs    map[citronstream.JobName]*job
-	waiting []*job // with pieces that are not in a batch
-	servers map[*node.Node]*server
-	list    []*server // in the order of the upstreams' IDs
-	spare   []*server // memory of open's result
-	calls   sync.WaitGroup
-	counts  Counts
-	rate    rate
+	mu   sync.Mutex
+	spec citronstream.BatchSpec
+	size float64 // measured size of a result against the configured one
+	jobs map[citronstream.JobName]*job
+	// patience times the expected time is how long inputs are kept after the start of a batch.
+	patience float64
+	waiting  []*job // with pieces that are not in a batch
+	servers  map[*node.Node]*server
+	list     []*server // in the order of the upstreams' IDs
+	spare    []*server // memory of open's result
+	calls    sync.WaitGroup
+	counts   Counts
+	rate     rate
 }
 
 // job is a Job with its state.
@@ -90,7 +102,9 @@
 	left    int   // pieces without a result
 	handles []string
 	repeats int
+	unread  int // pieces whose inputs have not been read
 	done    func(citronstream.JobResult)
+	fetched func()
 	ended   bool
 }
 
@@ -125,7 +139,7 @@
 // New returns an owner without upstreams. It ends with ctx.
 func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, service string, spec citronstream.BatchSpec, batcher Batcher, budget Budget) *Owner {
 	return &Owner{
-		clk: clk, log: log, service: service, batcher: batcher, budget: budget, ctx: ctx, spec: spec, size: 1,
+		clk: clk, log: log, service: service, batcher: batcher, budget: budget, ctx: ctx, spec: spec, size: 1, patience: 1,
 		jobs: make(map[citronstream.JobName]*job), servers: make(map[*node.Node]*server),
 	}
 }
@@ -165,14 +179,15 @@
 	ow.dispatch()
 }
 
-// Submit queues a job. Done is called once, with the owner's lock held, and
-// must not call the owner or block.
-func (ow *Owner) Submit(jo citronstream.Job, done func(citronstream.JobResult)) {
+// Submit queues a job. Done is called once at its end; fetched at most once
+// before, when upstreams have read its inputs. Both are called with the owner's
+// lock held, and must not call the owner or block.
+func (ow *Owner) Submit(jo citronstream.Job, done func(citronstream.JobResult), fetched func()) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	now := ow.clk.Now()
 	jb := &job{
-		Job: jo, at: now, done: done, left: len(jo.Pieces), handles: make([]string, len(jo.Pieces)),
+		Job: jo, at: now, done: done, fetched: fetched, unread: len(jo.Pieces), left: len(jo.Pieces), handles: make([]string, len(jo.Pieces)),
 		Entry: order.Entry{Rank: jo.Rank, Frees: jo.Frees, Start: now.Add(jo.Slack), End: now.Add(jo.Left - jo.Rest)},
 	}
 	jb.Due = jb.Start
--- a/internal/stage/owner/owner_test.go
+++ b/internal/stage/owner/owner_test.go
@@ -86,6 +86,8 @@
 	fa   *fake
 	bu   *budget
 	next int
+	// fetched are the IDs of jobs whose inputs have been read; mu of the owner guards it.
+	fetched []string
 }
 
 var spec = citronstream.BatchSpec{
@@ -119,7 +121,7 @@
 
 func (be *bench) submit(jo citronstream.Job) chan citronstream.JobResult {
 	result := make(chan citronstream.JobResult, 1)
-	be.Submit(jo, func(re citronstream.JobResult) { result <- re })
+	be.Submit(jo, func(re citronstream.JobResult) { result <- re }, func() { be.fetched = append(be.fetched, jo.ID) })
 	return result
 }
 
@@ -315,6 +317,65 @@
 	assert.Equal(t, citronstream.CodeOverloaded, re.Fault.Code)
 }
 
+// reading is a job of the second stage.
+func reading(id string, pieces int) citronstream.Job {
+	return work(id, pieces, func(jo *citronstream.Job) { jo.Inputs, jo.InputBytes = []string{"h"}, 1000000 })
+}
+
+func (be *bench) read() []string {
+	be.mu.Lock()
+	defer be.mu.Unlock()
+	return append([]string(nil), be.fetched...)
+}
+
+// Inputs are no longer needed once the upstreams of all pieces had time to
+// read them, well before the end of the work.
+func TestInputsAreRead(t *testing.T) {
+	be := newBench(t, upstream("a", ""))
+	sp := spec
+	sp.LinkRate = 1000
+	be.Configure(sp)
+	first := be.submit(reading("1", 6))
+	one := be.batch()
+	require.Len(t, one.items, 4)
+	fetch := fetchTime(4000000, sp.LinkRate)
+	require.Equal(t, 64*time.Millisecond+fetchMargin, fetch)
+	require.NoError(t, be.clk.BlockUntilContext(t.Context(), 2))
+	be.clk.Advance(fetch)
+	be.done(one)
+	two := be.batch()
+	assert.Empty(t, be.read(), "two pieces wait")
+	require.NoError(t, be.clk.BlockUntilContext(t.Context(), 2))
+	be.clk.Advance(fetch)
+	assert.Eventually(t, func() bool { return len(be.read()) == 1 }, 5*time.Second, time.Millisecond)
+	two.end <- ended{err: errors.New("reset")}
+	assert.True(t, be.result(first).InputGone, "the inputs were given up")
+}
+
+// Inputs that were given up too early are kept longer from then on.
+func TestInputsAreKeptLonger(t *testing.T) {
+	be := newBench(t, upstream("a", ""))
+	sp := spec
+	sp.LinkRate = 1000
+	be.Configure(sp)
+	first := be.submit(reading("1", 1))
+	one := be.batch()
+	fetch := fetchTime(1000000, sp.LinkRate)
+	require.NoError(t, be.clk.BlockUntilContext(t.Context(), 2))
+	be.clk.Advance(fetch)
+	assert.Eventually(t, func() bool { return len(be.read()) == 1 }, 5*time.Second, time.Millisecond)
+	one.end <- ended{results: []citronstream.ItemResult{{Fault: citronstream.ItemInputGone}}}
+	assert.True(t, be.result(first).InputGone)
+	be.submit(reading("2", 1))
+	be.batch()
+	require.NoError(t, be.clk.BlockUntilContext(t.Context(), 2))
+	be.clk.Advance(fetch)
+	real.Sleep(20 * time.Millisecond)
+	assert.Len(t, be.read(), 1)
+	be.clk.Advance(fetch)
+	assert.Eventually(t, func() bool { return len(be.read()) == 2 }, 5*time.Second, time.Millisecond)
+}
+
 // The end of a request withdraws its job; what is made then is released.
 func TestCancel(t *testing.T) {
 	be := newBench(t, upstream("a", ""))
--- a/message_peer.go
+++ b/message_peer.go
@@ -4,16 +4,17 @@
 
 // Methods of the messages between the entries of a site.
 const (
-	MethodMeet    = "Site.Meet"    // answered by Meeting
-	MethodState   = "Site.State"   // answered by Rows: all that the peer knows
-	MethodRows    = "Site.Rows"    // notification, Rows: upstreams that changed
-	MethodNotice  = "Site.Notice"  // notification, Meeting: the sender leaves or has another configuration
-	MethodPlaces  = "Site.Places"  // notification, Places
-	MethodJob     = "Stage.Run"    // answered by JobResult
-	MethodForget  = "Stage.Cancel" // notification, JobName
-	MethodRelease = "Stage.Free"   // notification, Release
-	MethodQueues  = "Stage.Load"   // notification, Queues
-	MethodDeath   = "Site.Death"   // notification, a report of an upstream's death
+	MethodMeet    = "Site.Meet"     // answered by Meeting
+	MethodState   = "Site.State"    // answered by Rows: all that the peer knows
+	MethodRows    = "Site.Rows"     // notification, Rows: upstreams that changed
+	MethodNotice  = "Site.Notice"   // notification, Meeting: the sender leaves or has another configuration
+	MethodPlaces  = "Site.Places"   // notification, Places
+	MethodJob     = "Stage.Run"     // answered by JobResult
+	MethodForget  = "Stage.Cancel"  // notification, JobName
+	MethodFetched = "Stage.Fetched" // notification, JobName: its inputs have been read
+	MethodRelease = "Stage.Free"    // notification, Release
+	MethodQueues  = "Stage.Load"    // notification, Queues
+	MethodDeath   = "Site.Death"    // notification, a report of an upstream's death
 )
 
 // Meeting introduces two entries to each other.
@@ -57,15 +58,17 @@
 
 // Job is the work of one stage of one request, for the owner of the stage's queue.
 type Job struct {
-	ID        string   `json:"ID"` // of the request, as the upstreams know it
-	Stage     int      `json:"Stage"`
-	Service   string   `json:"Service"`
-	Pieces    []int    `json:"Pieces"` // numbers of the pieces to make
-	Bytes     int      `json:"Bytes"`  // approximate size of a result
-	Key       string   `json:"Key,omitempty"`
-	Inputs    []string `json:"Inputs,omitempty"`
-	Rank      int      `json:"Rank"`
-	Workspace string   `json:"Workspace,omitempty"`
+	ID      string   `json:"ID"` // of the request, as the upstreams know it
+	Stage   int      `json:"Stage"`
+	Service string   `json:"Service"`
+	Pieces  []int    `json:"Pieces"` // numbers of the pieces to make
+	Bytes   int      `json:"Bytes"`  // approximate size of a result
+	Key     string   `json:"Key,omitempty"`
+	Inputs  []string `json:"Inputs,omitempty"`
+	// InputBytes is the approximate size of all inputs, which each piece fetches.
+	InputBytes int    `json:"InputBytes,omitempty"`
+	Rank       int    `json:"Rank"`
+	Workspace  string `json:"Workspace,omitempty"`
 	// Frees says that the inputs take more memory of the upstreams than the
 	// results, so that the job makes room for others.
 	Frees bool `json:"Frees,omitempty"`
--- a/routing.go
+++ b/routing.go
@@ -84,6 +84,7 @@
 	ItemTime    time.Duration // time added by each item, approximately
 	ResultBytes int           // memory for results
 	ResultLife  time.Duration // how long a result is kept unless it is released
+	LinkRate    float64       // of the upstream's network link, in Mbit/s; 0 when it is not known
 }
 
 // CallerLimits bounds what callers may send and how long they may take.
