flow: inputs of a request are given up when its engine has read them

Cause: results of the last stage lay in memory until the first event, and limited the batches of that stage to 22 of 30 items. Change: an engine with less than half of its places taken reads the inputs as the request comes; they are given up after the time for their bytes, kept longer after an engine did not find them (stage/patience, shared with the owners). Tests: TestPatience; TestLostInputs and TestStages as before.

--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -167,6 +167,8 @@
 	if fo.Inputs, fa = rt.stages.inputs(ctx); fa != nil {
 		return result{fault: fa}
 	}
+	given := rt.giveUpEarly(no, demand)
+	defer given()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := rt.limit(cancel)
@@ -177,7 +179,11 @@
 		return rt.broken(ctx, no, citronstream.FaultOf(err))
 	}
 	defer an.Close()
-	if re, ok := rt.judge(no, an); !ok {
+	re, ok := rt.judge(no, an)
+	if given() {
+		rt.fl.patience.Learn(re.gone)
+	}
+	if !ok {
 		return re
 	}
 	if rt.route.Stream && an.Status < http.StatusMultipleChoices {
@@ -193,6 +199,28 @@
 	return rt.whole(ctx, no, an, sent)
 }
 
+// engineShare is the part of an engine's places up to which a request is taken
+// to be admitted as it comes, so that its inputs are read at once.
+const engineShare = 0.5
+
+// giveUpEarly releases the inputs of a request once its engine had time to read
+// them. The function that it returns ends that, and reports whether they were released.
+func (rt *request) giveUpEarly(no *node.Node, demand *engines.Request) func() bool {
+	bytes, rate := rt.stages.finalBytes()
+	wait := rt.fl.patience.Time(bytes, rate)
+	if demand == nil || wait == 0 || float64(rt.fl.Engines.Running(no)) > engineShare*float64(no.Slots) {
+		return func() bool { return false }
+	}
+	timer := rt.fl.clk.AfterFunc(wait, rt.stages.release)
+	stopped, released := false, false
+	return func() bool {
+		if !stopped {
+			stopped, released = true, !timer.Stop()
+		}
+		return released
+	}
+}
+
 // errSilent is the cause of an attempt that gave no sign for too long.
 var errSilent = errors.New("the upstream is silent")
 
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -19,6 +19,7 @@
 	"github.com/citronstream/citronstream/internal/observe/requests"
 	"github.com/citronstream/citronstream/internal/route/engines"
 	"github.com/citronstream/citronstream/internal/stage/broker"
+	"github.com/citronstream/citronstream/internal/stage/patience"
 	"github.com/citronstream/citronstream/internal/upstream/conns"
 	"github.com/citronstream/citronstream/platform"
 	"github.com/go-logr/logr"
@@ -47,6 +48,7 @@
 	clk      citronstream.Clock
 	log      logr.Logger
 	times    *times
+	patience *patience.Patience // of the inputs of requests
 	inFlight atomic.Int64
 	leaving  atomic.Int64 // since when, in ns since 1970; 0 while the process stays
 	finished context.Context
@@ -55,7 +57,7 @@
 
 // New returns a flow.
 func New(clk citronstream.Clock, log logr.Logger, pa Parts) *Flow {
-	fl := &Flow{Parts: pa, clk: clk, log: log, times: newTimes(clk)}
+	fl := &Flow{Parts: pa, clk: clk, log: log, times: newTimes(clk), patience: patience.New()}
 	fl.finished, fl.finish = context.WithCancel(context.Background())
 	return fl
 }
--- a/internal/ingress/flow/remake.go
+++ b/internal/ingress/flow/remake.go
@@ -71,6 +71,22 @@
 	return places
 }
 
+// finalBytes returns the size of the results that the request itself takes, and
+// the rate of the slowest link on their way, in Mbit/s.
+func (sg *stages) finalBytes() (bytes int, rate float64) {
+	for _, number := range sg.finals() {
+		st := sg.list[number]
+		if st.pieces == 0 || st.batch == nil {
+			continue
+		}
+		bytes += st.pieces * st.spec.Bytes
+		if rate == 0 || st.batch.LinkRate < rate {
+			rate = st.batch.LinkRate
+		}
+	}
+	return bytes, rate
+}
+
 // inputs returns the results that the request itself takes. Those that were
 // given up are made again.
 func (sg *stages) inputs(ctx context.Context) ([]string, *citronstream.Fault) {
--- a/internal/route/engines/engines.go
+++ b/internal/route/engines/engines.go
@@ -227,6 +227,14 @@
 	return ld
 }
 
+// Running returns the requests that this process and its peers have at an engine.
+func (pi *Picker) Running(no *node.Node) int {
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	running, _ := pi.total(no.ID, pi.clk.Now())
+	return running
+}
+
 func (pi *Picker) total(id string, now time.Time) (running, unread int) {
 	if ld := pi.own[id]; ld != nil {
 		running, unread = ld.running, ld.unread
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -60,7 +60,7 @@
 	links    sync.WaitGroup
 	// fetched has a func() for each job of this process, by its citronstream.JobName.
 	fetched sync.Map
-	done     chan struct{}
+	done    chan struct{}
 }
 
 // load is what an owner has told of its queue.
--- a/internal/stage/owner/batch.go
+++ b/internal/stage/owner/batch.go
@@ -30,19 +30,10 @@
 	ow.counts.Batches++
 	ow.counts.Items += uint64(len(items))
 	sv.Begin()
-	fetch := time.Duration(0)
-	if inputs > 0 && ow.spec.LinkRate > 0 {
-		fetch = time.Duration(ow.patience * float64(fetchTime(inputs, ow.spec.LinkRate)))
-	}
+	fetch := ow.patience.Time(inputs, ow.spec.LinkRate)
 	ow.calls.Go(func() { ow.call(sv, batch, items, bytes, fetch) })
 }
 
-// fetchTime is the time after the start of a batch in which an upstream has
-// read these bytes, over its own link (in Mbit/s) and those of their makers.
-func fetchTime(bytes int, rate float64) time.Duration {
-	return time.Duration(2*8*float64(bytes)/(rate*1e6)*float64(time.Second)) + fetchMargin
-}
-
 // read notes that an upstream has read the inputs of a batch that it works on.
 func (ow *Owner) read(batch []part) {
 	ow.mu.Lock()
@@ -102,24 +93,13 @@
 		sv.Done(float64(took) / float64(normal))
 		ow.rate.made(now, len(items))
 		ow.settle(sv, batch, results, now)
-		ow.learn(wasRead, results)
+		if wasRead {
+			ow.patience.Learn(slices.ContainsFunc(results, func(re citronstream.ItemResult) bool { return re.Fault == citronstream.ItemInputGone }))
+		}
 	}
 	ow.dispatch()
 }
 
-// learn keeps inputs longer when they were given up before they were read.
-func (ow *Owner) learn(wasRead bool, results []citronstream.ItemResult) {
-	if !wasRead {
-		return
-	}
-	gone := slices.ContainsFunc(results, func(re citronstream.ItemResult) bool { return re.Fault == citronstream.ItemInputGone })
-	if gone {
-		ow.patience = min(ow.patience*patienceStep, maxPatience)
-	} else {
-		ow.patience = max(1, ow.patience*patienceDecay)
-	}
-}
-
 // settle takes the results of a batch.
 func (ow *Owner) settle(sv *server, batch []part, results []citronstream.ItemResult, now time.Time) {
 	at := 0
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -14,6 +14,7 @@
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/stage/order"
+	"github.com/citronstream/citronstream/internal/stage/patience"
 	"github.com/go-logr/logr"
 )
 
@@ -41,16 +42,6 @@
 	// that waits longer mostly has no answer in the end, and holding it is worse
 	// for its caller than a refusal.
 	lateWait = 2 * time.Second
-	// fetchMargin is added to the time in which an upstream reads the inputs of a
-	// batch over its own link and those of their makers: for the way there, and for
-	// other batches that read from the same maker.
-	fetchMargin = 60 * time.Millisecond
-	// patienceStep is the factor by which inputs are kept longer after a batch did
-	// not find those that were given up, up to maxPatience. It shrinks with each
-	// batch that found them.
-	patienceStep  = 2.0
-	maxPatience   = 64.0
-	patienceDecay = 0.98
 	// maxRepeats is how often each piece of a job is made again, on average.
 	maxRepeats = 2
 )
@@ -80,13 +71,12 @@
 	budget  Budget
 	ctx     context.Context
 
-	mu   sync.Mutex
-	spec citronstream.BatchSpec
-	size float64 // measured size of a result against the configured one
-	jobs map[citronstream.JobName]*job
-	// patience times the expected time is how long inputs are kept after the start of a batch.
-	patience float64
-	waiting  []*job // with pieces that are not in a batch
+	mu       sync.Mutex
+	spec     citronstream.BatchSpec
+	size     float64 // measured size of a result against the configured one
+	jobs     map[citronstream.JobName]*job
+	patience *patience.Patience // of the inputs of this service's jobs
+	waiting  []*job             // with pieces that are not in a batch
 	servers  map[*node.Node]*server
 	list     []*server // in the order of the upstreams' IDs
 	spare    []*server // memory of open's result
@@ -141,7 +131,7 @@
 // New returns an owner without upstreams. It ends with ctx.
 func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, service string, spec citronstream.BatchSpec, batcher Batcher, budget Budget) *Owner {
 	return &Owner{
-		clk: clk, log: log, service: service, batcher: batcher, budget: budget, ctx: ctx, spec: spec, size: 1, patience: 1,
+		clk: clk, log: log, service: service, batcher: batcher, budget: budget, ctx: ctx, spec: spec, size: 1, patience: patience.New(),
 		jobs: make(map[citronstream.JobName]*job), servers: make(map[*node.Node]*server),
 	}
 }
