engines: entries tell each other which engine has read a part

Each entry remembered its own choices only, one in 30, and all others went by rendezvous hashing, whose answer moves when engines crash, come back under another name or are added. Ruled out: leaving a warm engine because of its load. Tests: TestPartsAreRemembered, TestAffinityFollowsTheSlack.

--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -109,12 +109,15 @@
 	return rt.stages.remake(ctx, rt.stages.finals())
 }
 
-// prefer returns the engine that the request would get now, nil for other services.
-func (rt *request) prefer(exclude map[string]bool) *node.Node {
+// prefer returns the engine that the request would get if its stages were done,
+// nil for other services. Needs is the time that they still take.
+func (rt *request) prefer(needs time.Duration) *node.Node {
 	if !rt.routes.Services[rt.service].Engine {
 		return nil
 	}
-	return rt.fl.Engines.Prefer(rt.fl.View.Members().Service(rt.service), rt.demand(exclude))
+	demand := rt.demand(nil)
+	demand.Slack -= needs
+	return rt.fl.Engines.Prefer(rt.fl.View.Members().Service(rt.service), demand)
 }
 
 // pick chooses an upstream. An engine is counted, which attempt ends.
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -77,7 +77,7 @@
 	if fa := sg.admit(); fa != nil {
 		return fa
 	}
-	if no := sg.rt.prefer(nil); no != nil {
+	if no := sg.rt.prefer(sg.estimate()); no != nil {
 		sg.zone = no.Zone
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -360,7 +360,7 @@
 
 // demand describes the request to the choice of an engine.
 func (rt *request) demand(exclude map[string]bool) engines.Request {
-	rq := engines.Request{Tokens: rt.TokensIn, Shared: rt.Shared(), Exclude: exclude}
+	rq := engines.Request{Tokens: rt.TokensIn, Shared: rt.Shared(), Exclude: exclude, Slack: rt.target.Sub(rt.fl.clk.Now())}
 	if rt.stages != nil {
 		rq.Inputs = rt.stages.bytesByZone(rt.stages.finals())
 	}
--- a/internal/route/engines/engines.go
+++ b/internal/route/engines/engines.go
@@ -24,6 +24,10 @@
 	// runCost is the delay that each running request adds to a first event:
 	// a step of the engine takes longer with each, and prompts are read between steps.
 	runCost = 0.5
+	// delayWeight weighs a delay with which a request still reaches its target: it
+	// only takes the time of others. lateWeight weighs what is beyond that.
+	delayWeight = 0.3
+	lateWeight  = 3.0
 	// warmFactor weighs the time to read a shared part again. A second copy
 	// also takes memory of another engine and is billed.
 	warmFactor = 10.0
@@ -37,7 +41,11 @@
 	failCost = 2000.0
 	// memoryLife is how long a shared part is taken to stay in an engine's memory.
 	memoryLife = 30 * time.Second
-	maxShared  = 65536
+	// tellAfter is the age after which peers are told again that a part is used.
+	tellAfter = 10 * time.Second
+	maxShared = 65536
+	// maxNews bounds the parts that are told to the peers at once.
+	maxNews = 1024
 	// peerLife is how long a peer's load counts. Peers send a change within 100 ms.
 	peerLife = 3 * time.Second
 )
@@ -48,7 +56,10 @@
 	// Shared are the parts of the prompt that other requests share, in order.
 	Shared []citronstream.PromptPart
 	// Inputs are the bytes of results to fetch, by zone.
-	Inputs  map[string]int
+	Inputs map[string]int
+	// Slack is the longest delay of the first event with which the request
+	// reaches its target; 0 and less when it can't, and each delay counts in full.
+	Slack   time.Duration
 	Exclude map[string]bool // IDs of upstreams that are not to be used
 }
 
@@ -64,9 +75,9 @@
 
 // memory says which engine read a shared part last.
 type memory struct {
-	id   uint64
-	node string
-	at   time.Time
+	citronstream.PartAt
+	at   time.Time // last use that is known
+	told time.Time // when peers were told, or told this process
 }
 
 // Picker chooses engines. Its methods are called concurrently.
@@ -79,6 +90,7 @@
 	byID  map[uint64]*list.Element
 	order *list.List // of *memory, the newest first
 	rate  float64    // prompt tokens read in a ms
+	news  []citronstream.PartAt
 	dirty bool
 }
 
@@ -104,7 +116,7 @@
 	ld.unread += rq.Tokens
 	pi.dirty = true
 	if count := len(rq.Shared); count > 0 {
-		pi.remember(rq.Shared[count-1].ID, best.ID)
+		pi.read(citronstream.PartAt{Part: rq.Shared[count-1].ID, Engine: best.ID, Born: best.Born})
 	}
 	return best
 }
@@ -135,10 +147,14 @@
 	return best
 }
 
-// cost is the expected delay of the first event, in ms, with what a choice costs besides.
+// cost is the weighted delay of the first event, in ms, with what a choice costs besides.
 func (pi *Picker) cost(no *node.Node, rq Request, home string, now time.Time) float64 {
 	running, unread := pi.total(no.ID, now)
-	cost := float64(unread+rq.Tokens)/pi.rate*no.Slowness() + float64(running)*runCost
+	delay := float64(unread+rq.Tokens)/pi.rate*no.Slowness() + float64(running)*runCost
+	cost := delay
+	if slack := float64(rq.Slack.Milliseconds()); slack > 0 {
+		cost = delayWeight*delay + lateWeight*max(0, delay-slack)
+	}
 	if home != "" && no.ID != home {
 		cost += float64(rq.tokens()) / pi.rate * warmFactor
 	}
@@ -159,14 +175,14 @@
 }
 
 // home returns the engine that holds the shared parts: the one that read the
-// last of them last, else the one that all entries agree on. Requests with
+// last of them last, for any entry, else the one that all entries agree on. Requests with
 // equal first parts have their homes among few engines, as each of these
 // engines reads the first part once.
 func (pi *Picker) home(nodes []*node.Node, shared []citronstream.PromptPart, now time.Time) string {
 	if el := pi.byID[shared[len(shared)-1].ID]; el != nil {
 		me := el.Value.(*memory)
-		if now.Sub(me.at) < memoryLife && slices.ContainsFunc(nodes, func(no *node.Node) bool { return no.ID == me.node }) {
-			return me.node
+		if now.Sub(me.at) < memoryLife && slices.ContainsFunc(nodes, func(no *node.Node) bool { return no.ID == me.Engine && no.Born == me.Born }) {
+			return me.Engine
 		}
 	}
 	for i, part := range shared {
@@ -202,20 +218,33 @@
 	return best
 }
 
-func (pi *Picker) remember(id uint64, node string) {
+// read notes that a request brings a part to an engine, for the peers too.
+func (pi *Picker) read(part citronstream.PartAt) {
 	now := pi.clk.Now()
-	if el := pi.byID[id]; el != nil {
+	me, changed := pi.remember(part, now)
+	if (changed || now.Sub(me.told) > tellAfter) && len(pi.news) < maxNews {
+		me.told = now
+		pi.news, pi.dirty = append(pi.news, part), true
+	}
+}
+
+// remember notes where a part was read, and reports whether that is new.
+func (pi *Picker) remember(part citronstream.PartAt, now time.Time) (*memory, bool) {
+	if el := pi.byID[part.Part]; el != nil {
 		me := el.Value.(*memory)
-		me.node, me.at = node, now
+		changed := me.PartAt != part
+		me.PartAt, me.at = part, now
 		pi.order.MoveToFront(el)
-		return
+		return me, changed
 	}
 	if len(pi.byID) >= maxShared {
 		oldest := pi.order.Back()
-		delete(pi.byID, oldest.Value.(*memory).id)
+		delete(pi.byID, oldest.Value.(*memory).Part)
 		pi.order.Remove(oldest)
 	}
-	pi.byID[id] = pi.order.PushFront(&memory{id: id, node: node, at: now})
+	me := &memory{PartAt: part, at: now}
+	pi.byID[part.Part] = pi.order.PushFront(me)
+	return me, true
 }
 
 func (pi *Picker) load(id string) *load {
@@ -275,7 +304,12 @@
 func (pi *Picker) Hear(peer string, pl citronstream.Places) {
 	pi.mu.Lock()
 	defer pi.mu.Unlock()
-	pi.peers[peer] = peerLoad{at: pi.clk.Now(), loads: pl.Engines}
+	now := pi.clk.Now()
+	pi.peers[peer] = peerLoad{at: now, loads: pl.Engines}
+	for _, part := range pl.Read {
+		me, _ := pi.remember(part, now)
+		me.told = now
+	}
 }
 
 // Forget drops what a peer has told, as when its link is lost.
@@ -291,7 +325,8 @@
 	defer pi.mu.Unlock()
 	changed := pi.dirty
 	pi.dirty = false
-	pl := citronstream.Places{Engines: make(map[string]citronstream.EngineLoad, len(pi.own))}
+	pl := citronstream.Places{Engines: make(map[string]citronstream.EngineLoad, len(pi.own)), Read: pi.news}
+	pi.news = nil
 	for id, ld := range pi.own {
 		pl.Engines[id] = citronstream.EngineLoad{Running: ld.running, Unread: ld.unread}
 	}
--- a/internal/route/engines/engines_test.go
+++ b/internal/route/engines/engines_test.go
@@ -37,6 +37,57 @@
 	assert.True(t, moved)
 }
 
+// A request with time to spare waits longer for the engine that has its shared
+// part; one that would miss its target there goes elsewhere.
+func TestAffinityFollowsTheSlack(t *testing.T) {
+	pi := New(clockwork.NewFakeClock())
+	list := nodes(9)
+	rq := shared(7, 500)
+	home := pi.Prefer(list, rq)
+	pi.Hear("peer", citronstream.Places{Engines: map[string]citronstream.EngineLoad{home.ID: {Unread: 12000}}}) // 300 ms
+	rq.Slack = time.Second
+	assert.Same(t, home, pi.Prefer(list, rq))
+	rq.Slack = 200 * time.Millisecond
+	assert.NotSame(t, home, pi.Prefer(list, rq))
+	rq.Slack = -time.Second
+	assert.NotSame(t, home, pi.Prefer(list, rq))
+}
+
+// A part stays with the engine that has read it, at all entries, when engines
+// come; when that engine starts anew, all agree on another.
+func TestPartsAreRemembered(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	pi, other := New(clk), New(clk)
+	list := nodes(9)
+	read := make(map[uint64]*node.Node)
+	for id := range uint64(100) {
+		read[id] = pi.Pick(list[:4], shared(id+10, 5000))
+		pi.End(read[id], shared(id+10, 5000), false)
+	}
+	places, _ := pi.News()
+	assert.Len(t, places.Read, 100)
+	places.Engines = nil
+	other.Hear("peer", places)
+	for id, no := range read {
+		assert.Same(t, no, pi.Prefer(list, shared(id+10, 5000)))
+		assert.Same(t, no, other.Prefer(list, shared(id+10, 5000)))
+	}
+	for _, no := range list[:4] {
+		no.Born++
+	}
+	moved := 0
+	for id, no := range read {
+		if pi.Prefer(list, shared(id+10, 5000)) != no {
+			moved++
+		}
+	}
+	assert.Greater(t, moved, 25)
+	clk.Advance(tellAfter / 2)
+	other.Pick(list, shared(10, 5000))
+	again, _ := other.News()
+	assert.Len(t, again.Read, 1, "it has moved")
+}
+
 // Requests with an equal first part share few engines, each of which reads it once.
 func TestFirstPartsStayTogether(t *testing.T) {
 	pi := New(clockwork.NewFakeClock())
--- a/message_peer.go
+++ b/message_peer.go
@@ -39,10 +39,20 @@
 type Places struct {
 	// Engines has the sender's load by upstream; one without load is left out.
 	Engines map[string]EngineLoad `json:"Engines"`
+	// Read are the shared parts of prompts that the sender's requests have brought
+	// to an engine since its last message, unless it knew them there already.
+	Read []PartAt `json:"Read,omitempty"`
 	// Refused are requests that the sender has refused since its last message.
 	Refused []FirstAttempt `json:"Refused,omitempty"`
 }
 
+// PartAt says which engine has read a part of prompts.
+type PartAt struct {
+	Part   uint64 `json:"Part"`
+	Engine string `json:"Engine"` // ID of the upstream
+	Born   int64  `json:"Born"`   // its start, as in Member
+}
+
 // FirstAttempt says how long ago a refused request first came.
 type FirstAttempt struct {
 	Digest uint64        `json:"Digest"`
