owner: an owner that begins asks for the memory that is free

Cause: the queue of a service passes to another entry 2 to 5 times while entries are restarted in turn. Change: an owner without work for the life of a result asks each upstream for its report; what it does not account for itself counts as taken, and less from moment to moment.

--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -38,7 +38,7 @@
 	sizeStep  = 1.02
 	sizeDecay = 0.999
 	maxSize   = 1.3
-	// lateWait is how long a job waits that can no longer reach its target. One
+	// lateWait is how long a job waits once it can no longer reach its target. One
 	// that waits longer mostly has no answer in the end, and holding it is worse
 	// for its caller than a refusal.
 	lateWait = 2 * time.Second
@@ -52,6 +52,8 @@
 type Batcher interface {
 	Run(ctx context.Context, no *node.Node, items []citronstream.BatchItem) (results []citronstream.ItemResult, refused bool, err error)
 	Release(ctx context.Context, no *node.Node, handles []string)
+	// Free returns the bytes that an upstream has free for results.
+	Free(ctx context.Context, no *node.Node) (int, error)
 	// Maker returns the address of the upstream that holds a result.
 	Maker(handle string) string
 }
@@ -83,6 +85,7 @@
 	calls    sync.WaitGroup
 	counts   Counts
 	rate     rate
+	last     time.Time // when a job came or ended
 }
 
 // job is a Job with its state.
@@ -199,12 +202,33 @@
 		done(citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeLimit, "the queue of service %s is full", ow.service)})
 		return
 	}
-	ow.jobs[name] = jb
+	if len(ow.jobs) == 0 && now.Sub(ow.last) > ow.spec.ResultLife {
+		ow.takeStock()
+	}
+	ow.jobs[name], ow.last = jb, now
 	ow.budget.First(ow.service)
 	ow.waiting = append(ow.waiting, jb)
 	ow.dispatch()
 }
 
+// takeStock asks the upstreams how much memory they have, as results of an
+// owner before this one may take it. The caller holds the lock.
+func (ow *Owner) takeStock() {
+	for _, sv := range ow.list {
+		used := sv.used
+		ow.calls.Go(func() {
+			free, err := ow.batcher.Free(ow.ctx, sv.Node)
+			if err != nil {
+				ow.log.Info("memory of an upstream not known", "service", ow.service, "upstream", sv.ID, "reason", err.Error())
+				return
+			}
+			ow.mu.Lock()
+			defer ow.mu.Unlock()
+			sv.foreign, sv.foreignAt = max(0, ow.spec.ResultBytes-free-used), ow.clk.Now()
+		})
+	}
+}
+
 // Cancel withdraws a job whose request has ended.
 func (ow *Owner) Cancel(name citronstream.JobName) {
 	ow.mu.Lock()
@@ -280,7 +304,7 @@
 	if jb.ended {
 		return
 	}
-	jb.ended = true
+	jb.ended, ow.last = true, ow.clk.Now()
 	delete(ow.jobs, citronstream.JobName{ID: jb.ID, Stage: jb.Stage, Service: jb.Service})
 	ow.waiting = slices.DeleteFunc(ow.waiting, func(other *job) bool { return other == jb })
 	if re.Fault != nil || re.InputGone {
--- a/internal/stage/owner/owner_test.go
+++ b/internal/stage/owner/owner_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,6 +36,7 @@
 	mu       sync.Mutex
 	released []string
 	hold     chan struct{} // holds releases while it is open
+	free     atomic.Int64  // what the upstreams report; negative for an error
 }
 
 func (fa *fake) Run(ctx context.Context, no *node.Node, items []citronstream.BatchItem) ([]citronstream.ItemResult, bool, error) {
@@ -57,6 +59,14 @@
 	fa.released = append(fa.released, handles...)
 }
 
+func (fa *fake) Free(context.Context, *node.Node) (int, error) {
+	free := int(fa.free.Load())
+	if free < 0 {
+		return 0, errors.New("no report")
+	}
+	return free, nil
+}
+
 func (fa *fake) Maker(string) string { return "" }
 
 func (fa *fake) releases() []string {
@@ -98,6 +108,7 @@
 func newBench(t testing.TB, nodes ...*node.Node) *bench {
 	ctx, cancel := context.WithCancel(context.Background())
 	be := &bench{t: t, clk: clockwork.NewFakeClock(), fa: &fake{batches: make(chan sent, 64)}, bu: &budget{left: 100}}
+	be.fa.free.Store(-1)
 	be.Owner = New(ctx, be.clk, logr.Discard(), "s", spec, be.fa, be.bu)
 	be.Replace(nodes)
 	t.Cleanup(func() { cancel(); be.Wait() })
@@ -224,6 +235,24 @@
 	assert.Equal(t, []string{"3", "3"}, ids(be.batch()))
 }
 
+// An owner that begins asks for the memory that results of the owner before it
+// take. They vanish within the life of a result.
+func TestMemoryOfAnEarlierOwner(t *testing.T) {
+	no := upstream("a", "")
+	be := newBench(t, no)
+	be.fa.free.Store(int64(spec.ResultBytes - 600))
+	first := be.submit(work("1", 1, nil))
+	be.done(be.batch())
+	be.result(first)
+	assert.Eventually(t, func() bool {
+		be.mu.Lock()
+		defer be.mu.Unlock()
+		return be.servers[no].foreign == 600
+	}, 5*time.Second, time.Millisecond)
+	be.submit(work("2", 3, nil))
+	assert.Len(t, be.batch().items, 1, "the results of before and that of the first job leave room for one")
+}
+
 // A result that nobody releases is dropped by its maker after its life.
 func TestResultLife(t *testing.T) {
 	be := newBench(t, upstream("a", ""))
--- a/internal/standin/site/caller.go
+++ b/internal/standin/site/caller.go
@@ -26,6 +26,7 @@
 const (
 	PathBatch   = "/stage-run"
 	pathRelease = "/stage-free"
+	pathReport  = "/report"
 )
 
 // OtherKey is the header value of a key that no configuration has.
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -50,6 +50,7 @@
 	Gap      atomic.Int64 // pause between events, in ns
 	Work     atomic.Int64 // time of a plain request or a batch, in ns
 	Gone     atomic.Bool  // inputs are said to be gone
+	Taken    atomic.Int64 // bytes of the memory for results that the report says are taken, of 1 MB
 	made     atomic.Int64
 	mu       sync.Mutex
 	results  map[string]bool
@@ -131,6 +132,8 @@
 	switch rq.URL.Path {
 	case PathBatch:
 		up.batch(wr, rq, body)
+	case pathReport:
+		_, _ = fmt.Fprintf(wr, `{"waiting-requests":0,"busy":false,"free-mb":%g}`, 1-float64(up.Taken.Load())/1e6) // a caller that left needs no answer
 	case pathRelease:
 		up.free(body)
 	default:
--- a/internal/upstream/batch/batch.go
+++ b/internal/upstream/batch/batch.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/fleet/node"
@@ -18,6 +19,10 @@
 // maxAnswer bounds the answer to a batch, in bytes. A result takes about 60.
 const maxAnswer = 1 << 20
 
+// reportTime bounds a question for the state of an upstream. It is answered
+// beside the work, within a few ms.
+const reportTime = 300 * time.Millisecond
+
 // Caller implements owner.Batcher.
 type Caller struct {
 	clk  citronstream.Clock
@@ -71,9 +76,27 @@
 // Maker implements owner.Batcher.
 func (ca *Caller) Maker(handle string) string { return platform.MakerOf(handle) }
 
+// Free implements owner.Batcher.
+func (ca *Caller) Free(ctx context.Context, no *node.Node) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	answer, status, _, err := ca.call(ctx, no, http.MethodGet, platform.PathReport, nil)
+	if err != nil {
+		return 0, err
+	}
+	if status != http.StatusOK {
+		return 0, fmt.Errorf("status %d", status)
+	}
+	return platform.DecodeFree(answer)
+}
+
 func (ca *Caller) post(ctx context.Context, no *node.Node, path string, body []byte) (answer []byte, status int, refused bool, err error) {
+	return ca.call(ctx, no, http.MethodPost, path, body)
+}
+
+func (ca *Caller) call(ctx context.Context, no *node.Node, method, path string, body []byte) (answer []byte, status int, refused bool, err error) {
 	an, err := ca.pool.Send(ctx, no.Address, &conns.Request{
-		Method: http.MethodPost, Target: path, Host: no.Address, Header: platform.BatchHeader(no.ID), Body: body,
+		Method: method, Target: path, Host: no.Address, Header: platform.BatchHeader(no.ID), Body: body,
 		Parse: platform.ParseAnswer,
 	})
 	if err != nil {
