platform: a report names whole MB, rounded down

Cause: owners took what the report left open as memory of another owner: 0.3 of 1.3 MB, 0.2 of 0.2 MB. Found by a line that printed the reports (free 9, 1 and 0 MB of 9.6, 1.3, 0.2).

--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -52,7 +52,7 @@
 type Batcher interface {
 	Run(ctx context.Context, no *node.Node, items []citronstream.BatchItem) (results []citronstream.ItemResult, refused bool, err error)
 	Release(ctx context.Context, no *node.Node, handles []string)
-	// Free returns the bytes that an upstream has free for results.
+	// Free returns the most bytes that an upstream can have free for results.
 	Free(ctx context.Context, no *node.Node) (int, error)
 	// Maker returns the address of the upstream that holds a result.
 	Maker(handle string) string
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -133,7 +133,7 @@
 	case PathBatch:
 		up.batch(wr, rq, body)
 	case pathReport:
-		_, _ = fmt.Fprintf(wr, `{"waiting-requests":0,"busy":false,"free-mb":%g}`, 1-float64(up.Taken.Load())/1e6) // a caller that left needs no answer
+		_, _ = fmt.Fprintf(wr, `{"waiting-requests":0,"busy":false,"free-mb":%d}`, (1e6-up.Taken.Load())/1e6) // a caller that left needs no answer
 	case pathRelease:
 		up.free(body)
 	default:
