Proofs: TestLeavingUpstream waits for the state that it needs

Cause, traced by printing the record while it waited: the first calls of a burst all take the same upstream, here 12 orders at desk-2 and 12 look-ups at desk-1, so that no order ran at desk-1, which was to leave; and look-ups at the one slow upstream ended within ms as their hedges won. Ruled out: a lost or cut call, all 24 were answered. Change: all upstreams are equally slow; orders are added until one runs beside a look-up, and that upstream leaves. Bounds and checks are unchanged.

--- a/internal/proof/promises/leaving_test.go
+++ b/internal/proof/promises/leaving_test.go
@@ -54,24 +54,42 @@
 	const noNewAfter = 3 * time.Second
 	// All calls have a slot at each upstream, so that none waits behind the slow ones.
 	fl := start(t, shape{desks: []string{"desk"}, each: 3, capacity: 24, deadline: 20 * time.Second})
-	fl.Upstream("desk-1").Slow(1000) // 5 s, so that the agent stays longer than the bound
+	// 5 s each, so that the agent stays longer than the bound. Were only the one
+	// slow that leaves, its look-ups would end within ms, as their hedges elsewhere win.
+	for _, up := range fl.Config.Upstreams {
+		fl.Upstream(up.Name).Slow(1000)
+	}
 	tr := fl.traffic(12, look)
 	var orders []<-chan answer // these are not hedged, so that they stay at their upstream
-	for range 12 {
-		orders = append(orders, fl.later(call{path: "services/desk/place", key: citronstream.NewID()}))
-	}
-	until(t, "calls of both kinds run at the upstream that will leave", func() bool {
-		kinds := map[string]bool{}
+	placed := time.Time{}
+	leaver := ""
+	// The first calls of a burst may all take the same upstream, so orders are added
+	// until one runs beside a look-up; that upstream leaves.
+	until(t, "calls of both kinds run at one upstream", func() bool {
+		if clk.Since(placed) > 500*time.Millisecond {
+			placed = clk.Now()
+			for range 4 {
+				orders = append(orders, fl.later(call{path: "services/desk/place", key: citronstream.NewID()}))
+			}
+		}
+		kinds := map[string]map[string]bool{"/look": {}, "/place": {}}
 		for _, ex := range fl.Record.All() {
-			kinds[ex.Path] = kinds[ex.Path] || ex.Upstream == "desk-1" && ex.Outcome == record.Running
+			if ex.Outcome == record.Running {
+				kinds[ex.Path][ex.Upstream] = true
+			}
+		}
+		for name := range kinds["/place"] {
+			if kinds["/look"][name] {
+				leaver = name
+			}
 		}
-		return kinds["/look"] && kinds["/place"]
+		return leaver != ""
 	})
-	left, events := clk.Now(), fl.Agent("desk-1").Timeline
-	require.NoError(t, fl.DrainAgent(context.Background(), "desk-1"))
+	left, events := clk.Now(), fl.Agent(leaver).Timeline
+	require.NoError(t, fl.DrainAgent(context.Background(), leaver))
 	until(t, "work goes on at the other upstreams", func() bool {
 		return fl.count(func(ex record.Execution) bool {
-			return ex.Upstream != "desk-1" && ex.StartedAt.After(left.Add(noNewAfter))
+			return ex.Upstream != leaver && ex.StartedAt.After(left.Add(noNewAfter))
 		}) > 0
 	})
 	answers := tr.end()
@@ -83,7 +101,7 @@
 	}
 	last := time.Duration(0)
 	for _, ex := range fl.Record.All() {
-		if ex.Upstream == "desk-1" && !fl.hedgeLost(ex) {
+		if ex.Upstream == leaver && !fl.hedgeLost(ex) {
 			require.Equal(t, record.Done, ex.Outcome)
 		}
 	}
