conns: a request that is given up resets its connection

Its bytes lay in the socket of a link that was cut; the connection was closed in order, so they were delivered when the link carried bytes again. Change: a connection whose request has no complete answer is reset. Test: TestGivenUpIsReset failed before (EOF at the upstream), passes after.

--- a/internal/process/gateway/site_test.go
+++ b/internal/process/gateway/site_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -90,17 +92,32 @@
 // enterAs starts an entry on an instance with this processor and link.
 func (wo *world) enterAs(cores, rate float64) *entry {
 	door := wo.st.Open()
+	for range 20 {
+		ga, err := wo.begin(door, cores, rate)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue // another process has taken an address between the choice and its use
+		}
+		require.NoError(wo.t, err)
+		en := &entry{Gateway: ga, door: door}
+		wo.entries = append(wo.entries, en)
+		return en
+	}
+	require.Fail(wo.t, "no free addresses")
+	return nil
+}
+
+// begin starts a gateway at addresses that are free now.
+func (wo *world) begin(door *site.Door, cores, rate float64) (*Gateway, error) {
 	si := &citronstream.Site{
 		Process: fmt.Sprintf("front-%d", len(wo.entries)), Zone: "z", Callers: address(wo.t), Ready: address(wo.t), Peers: address(wo.t),
 		Bounds: citronstream.Bounds{Grace: 8 * time.Second, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryExtra: 50},
 		Store:  door.Address(), Cores: cores, LinkRate: rate,
 	}
 	ga, err := New(context.Background(), wo.clk, logr.Discard(), si)
-	require.NoError(wo.t, err)
-	require.NoError(wo.t, ga.Start())
-	en := &entry{Gateway: ga, door: door}
-	wo.entries = append(wo.entries, en)
-	return en
+	if err != nil {
+		return nil, err
+	}
+	return ga, ga.Start()
 }
 
 func (en *entry) stop() {
--- a/internal/proof/sitesoak/proxy_test.go
+++ b/internal/proof/sitesoak/proxy_test.go
@@ -26,6 +26,7 @@
 type pair struct {
 	near, far net.Conn
 	silent    atomic.Bool // carries nothing for good, and stays open
+	deaf      atomic.Bool // the same for what the target sends
 }
 
 func newProxy(t *testing.T, target string) *proxy {
@@ -75,7 +76,10 @@
 		if wait := time.Duration(pr.delay.Load()); wait > 0 {
 			<-clk.After(wait)
 		}
-		if count > 0 && !pa.silent.Load() && (!back || !pr.oneWay.Load()) {
+		if back && count > 0 && pr.oneWay.Load() {
+			pa.deaf.Store(true) // TCP delivers nothing behind bytes that were lost
+		}
+		if count > 0 && !pa.silent.Load() && (!back || !pa.deaf.Load()) {
 			if _, failed := to.Write(buf[:count]); failed != nil {
 				err = failed
 			}
--- a/internal/upstream/conns/conns_test.go
+++ b/internal/upstream/conns/conns_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -242,6 +243,21 @@
 	assert.Equal(t, "two", text)
 }
 
+// A request that is given up is reset, so that nothing of it is delivered later.
+func TestGivenUpIsReset(t *testing.T) {
+	end := make(chan error, 1)
+	address := upstream(t, func(_ net.Conn, br *bufio.Reader) {
+		read(br)
+		_, err := br.ReadByte()
+		end <- err
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	real.AfterFunc(30*time.Millisecond, cancel)
+	_, err := pool().Send(ctx, address, request("1"))
+	assert.Error(t, err)
+	assert.ErrorIs(t, <-end, syscall.ECONNRESET)
+}
+
 // A caller that leaves ends the exchange at once.
 func TestCancel(t *testing.T) {
 	gone := make(chan struct{})
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -40,6 +40,16 @@
 	until  time.Time // end of the time in which it may be used again
 }
 
+// abandon resets a connection whose request has no complete answer. A close
+// would leave the request in the socket, and deliver it when a link that was
+// cut carries bytes again, seconds after it was given up.
+func (co *conn) abandon() {
+	if tc, ok := co.Conn.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0) // a connection that is closed already has nothing to send
+	}
+	_ = co.Close()
+}
+
 // Pool keeps connections by address.
 type Pool struct {
 	clk    citronstream.Clock
--- a/internal/upstream/conns/send.go
+++ b/internal/upstream/conns/send.go
@@ -72,7 +72,7 @@
 		if err == nil {
 			return an, nil
 		}
-		_ = co.Close()
+		co.abandon()
 		if !sent && co.reused && ctx.Err() == nil && tries < maxSends {
 			continue
 		}
@@ -98,7 +98,7 @@
 }
 
 func (po *Pool) exchange(ctx context.Context, address string, co *conn, rq *Request, raw []byte) (an *Answer, sent bool, err error) {
-	stop := context.AfterFunc(ctx, func() { _ = co.Close() })
+	stop := context.AfterFunc(ctx, co.abandon)
 	var written chan error
 	if len(raw) <= smallRequest {
 		if count, err := co.Write(raw); err != nil {
@@ -174,7 +174,11 @@
 		}
 	}
 	if !clean {
-		_ = an.co.Close()
+		if an.ended {
+			_ = an.co.Close()
+		} else {
+			an.co.abandon()
+		}
 		return
 	}
 	an.po.put(an.address, an.co, an.Head.IdleTimeout)
