--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -53,12 +53,16 @@
 	leaving  atomic.Int64 // since when, in ns since 1970; 0 while the process stays
 	finished context.Context
 	finish   context.CancelFunc
+	// abandoned ends when the process has no time left for its requests.
+	abandoned context.Context
+	abandon   context.CancelFunc
 }
 
 // New returns a flow.
 func New(clk citronstream.Clock, log logr.Logger, pa Parts) *Flow {
 	fl := &Flow{Parts: pa, clk: clk, log: log, times: newTimes(clk), patience: patience.New()}
 	fl.finished, fl.finish = context.WithCancel(context.Background())
+	fl.abandoned, fl.abandon = context.WithCancel(context.Background())
 	return fl
 }
 
@@ -77,6 +81,10 @@
 // process ends: they have not run, and their callers can go elsewhere.
 func (fl *Flow) Finish() { fl.finish() }
 
+// Abandon ends all requests: those without an answer get one that promises
+// nothing, which tells their callers more than a connection that ends.
+func (fl *Flow) Abandon() { fl.abandon() }
+
 // closed reports whether the process has stopped to take requests.
 func (fl *Flow) closed(now time.Time) bool {
 	since := fl.leaving.Load()
@@ -151,6 +159,8 @@
 	defer timer.Stop()
 	stop := context.AfterFunc(rt.rq.Context(), func() { cancel(errCallerGone) })
 	defer stop()
+	left := context.AfterFunc(rt.fl.abandoned, func() { cancel(errFinished) })
+	defer left()
 	rt.stages = newStages(rt)
 	defer rt.stages.release()
 	if fa := rt.prepare(ctx); fa != nil {
--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -283,6 +283,26 @@
 	assert.Empty(t, wo.log.Of(ca.id))
 }
 
+// A request whose upstream still works when its process has to end gets an
+// answer that promises nothing.
+func TestAnsweredAtTheEnd(t *testing.T) {
+	wo := newWorld(t, 1)
+	up := wo.upstream("d1", "desk")
+	wo.ready()
+	up.Hang.Store(true)
+	ca := wo.call()
+	answered := make(chan *http.Response, 1)
+	go func() {
+		res, _ := wo.answer(wo.entries[0], ca, http.MethodPost, "/order/", "")
+		answered <- res
+	}()
+	wo.until(func() bool { return wo.ran(ca) == 1 }, "not sent")
+	wo.entries[0].Leave()
+	wo.entries[0].flow.Finish()
+	wo.entries[0].flow.Abandon()
+	wo.assertStatus(http.StatusBadGateway, <-answered)
+}
+
 // An upstream that drains or whose row is removed gets no new requests.
 func TestLeavingUpstream(t *testing.T) {
 	wo := newWorld(t, 2)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -60,7 +60,9 @@
 	drainReads = 2
 	// finishTime is what the last refusals take until callers have them.
 	finishTime = 400 * time.Millisecond
-	drainPoll  = 20 * time.Millisecond
+	// abandonTime is the same for the answers to requests that upstreams still work on.
+	abandonTime = 150 * time.Millisecond
+	drainPoll   = 20 * time.Millisecond
 )
 
 // Gateway is one process.
@@ -432,6 +434,9 @@
 		if passed >= ga.site.Bounds.Grace-graceMargin-finishTime {
 			ga.flow.Finish()
 		}
+		if passed >= ga.site.Bounds.Grace-graceMargin-abandonTime {
+			ga.flow.Abandon()
+		}
 		if passed >= ga.site.Bounds.Grace-graceMargin || passed >= lingerLeast && ga.flow.InFlight() == 0 && ga.broker.Idle() {
 			break
 		}
