standin: a silent store notices that its caller has left

Cause: two of three soaks hung in the close of the store's stand-in, whose handler waited for the end of a request with an unread body; net/http sees a caller leave only after the body was read. Ruled out: the program under test, whose processes had been killed. Change: the body is read first.

--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -121,6 +122,8 @@
 		wr.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case Silent:
+		// The server notices that its caller has left only after the body was read.
+		_, _ = io.Copy(io.Discard, rq.Body)
 		<-rq.Context().Done()
 		return
 	}
