--- a/internal/proof/sitesoak/process_test.go
+++ b/internal/proof/sitesoak/process_test.go
@@ -25,9 +25,11 @@
 	name    string
 	callers string
 	ready   string
+	peers   string
 
-	mu  sync.Mutex
-	cmd *exec.Cmd
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan error // the end of cmd
 	// hurt is when the process last was killed or paused, or ended: requests that
 	// it had then may have no answer.
 	hurt time.Time
@@ -41,15 +43,25 @@
 	return ln.Addr().String()
 }
 
-func newGateway(t *testing.T, binary, dir, name, store string, peers string, seeds string) *gateway {
-	ga := &gateway{t: t, binary: binary, dir: dir, name: name, callers: address(t), ready: address(t)}
-	settings := fmt.Sprintf(`{"node-name":%q,"ip":"127.0.0.1","zone":"z","listen":{"front":%q,"ready":%q,"control":%q},"seeds":[%q],
-		"heartbeat-interval-ms":500,"limits":{"cpu-share":1,"cpu-cores":1,"link-mbps":1000},
-		"bounds":{"drain-ms":2000,"grace-period-s":8,"retry-budget-ratio":0.2,"budget-window-s":10,"retry-budget-extra":200},
-		"platform":{"address":%q}}`, name, ga.callers, ga.ready, peers, seeds, store)
-	require.NoError(t, os.WriteFile(ga.settings(), []byte(settings), 0o600))
-	ga.start()
-	return ga
+func newGateway(t *testing.T, binary, dir, name, store string, seed string) *gateway {
+	ga := &gateway{t: t, binary: binary, dir: dir, name: name}
+	// Another process may take an address between its choice and its use.
+	for range 20 {
+		ga.callers, ga.ready, ga.peers = address(t), address(t), address(t)
+		if seed == "" {
+			seed = ga.peers
+		}
+		settings := fmt.Sprintf(`{"node-name":%q,"ip":"127.0.0.1","zone":"z","listen":{"front":%q,"ready":%q,"control":%q},"seeds":[%q],
+			"heartbeat-interval-ms":500,"limits":{"cpu-share":1,"cpu-cores":1,"link-mbps":1000},
+			"bounds":{"drain-ms":2000,"grace-period-s":8,"retry-budget-ratio":0.2,"budget-window-s":10,"retry-budget-extra":200},
+			"platform":{"address":%q}}`, name, ga.callers, ga.ready, ga.peers, seed, store)
+		require.NoError(t, os.WriteFile(ga.settings(), []byte(settings), 0o600))
+		if ga.start(); ga.settles() {
+			return ga
+		}
+	}
+	require.Fail(t, name+" does not start")
+	return nil
 }
 
 func (ga *gateway) settings() string { return filepath.Join(ga.dir, ga.name+".json") }
@@ -61,8 +73,10 @@
 	cmd.Stdout, cmd.Stderr = out, out
 	require.NoError(ga.t, cmd.Start())
 	require.NoError(ga.t, out.Close())
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
 	ga.mu.Lock()
-	ga.cmd = cmd
+	ga.cmd, ga.ended = cmd, ended
 	ga.mu.Unlock()
 }
 
@@ -76,12 +90,29 @@
 	return true
 }
 
+// settles waits until the process listens. False means that it has ended.
+func (ga *gateway) settles() bool {
+	for began := clk.Now(); clk.Since(began) < grace; {
+		select {
+		case <-ga.ended:
+			return false
+		case <-clk.After(5 * time.Millisecond):
+		}
+		if ga.settled() {
+			return true
+		}
+	}
+	return false
+}
+
 // restart starts the process and waits until it listens. A signal before its
-// runtime has begun would end it, whatever the program does.
+// runtime has begun would end it, whatever the program does. A connection of
+// another process may have one of its addresses for a while.
 func (ga *gateway) restart() {
-	ga.start()
-	for began := clk.Now(); !ga.settled() && clk.Since(began) < grace; {
-		clk.Sleep(5 * time.Millisecond)
+	for range 20 {
+		if ga.start(); ga.settles() {
+			break
+		}
 	}
 	ga.give()
 }
@@ -104,14 +135,12 @@
 
 // wait waits for the end of the process, at most until the grace period is over.
 func (ga *gateway) wait() (graceful bool) {
-	ended := make(chan error, 1)
-	go func() { ended <- ga.cmd.Wait() }()
 	select {
-	case err := <-ended:
+	case err := <-ga.ended:
 		return err == nil
 	case <-clk.After(grace):
 		ga.signal(syscall.SIGKILL)
-		<-ended
+		<-ga.ended
 		return false
 	}
 }
--- a/internal/proof/sitesoak/soak_test.go
+++ b/internal/proof/sitesoak/soak_test.go
@@ -95,23 +95,22 @@
 	st := site.NewStore(clk)
 	door := st.Open()
 	defer door.Close()
-	peers := address(t)
-	ga := newGateway(t, binary, t.TempDir(), "gateway-0", door.Address(), peers, peers)
+	ga := newGateway(t, binary, t.TempDir(), "gateway-0", door.Address(), "")
 	defer func() {
 		ga.signal(syscall.SIGKILL)
-		_ = ga.cmd.Wait() // it was killed
+		<-ga.ended
 		door.CloseClientConnections()
 	}()
 	// The time between the program's first act and its own handling of the signal
 	// is a few ms, so several starts may be needed to meet it.
 	for range 50 {
+		ga.signal(syscall.SIGKILL)
+		<-ga.ended
+		ga.start()
 		if hung := hangUp(ga); hung {
-			require.Eventually(t, ga.settled, calm, 5*time.Millisecond, "the process has ended")
+			require.True(t, ga.settles(), "the process has ended")
 			return
 		}
-		ga.signal(syscall.SIGKILL)
-		_ = ga.cmd.Wait() // it was killed
-		ga.start()
 	}
 	require.Fail(t, "the process does not ignore SIGHUP at any time of its start")
 }
@@ -191,15 +190,12 @@
 		door := wo.st.Open()
 		store := newProxy(t, door.Address())
 		wo.doors, wo.stores = append(wo.doors, door), append(wo.stores, store)
-		peers := address(t)
-		if seedPeer == "" {
-			seedPeer = peers
-		}
-		ga := newGateway(t, binary, dir, fmt.Sprint("gateway-", i), store.address(), peers, seedPeer)
+		ga := newGateway(t, binary, dir, fmt.Sprint("gateway-", i), store.address(), seedPeer)
+		seedPeer = ga.peers
 		wo.gateways = append(wo.gateways, ga)
 		t.Cleanup(func() {
 			ga.signal(syscall.SIGKILL)
-			_ = ga.cmd.Wait() // it was killed
+			<-ga.ended
 			door.CloseClientConnections()
 			door.Close()
 		})
