Upstreams: bounds on heads, events and discarded bodies; copies of answers to batches

Cause: an upstream in trouble may send bytes without end. Comments and repeated events counted as progress of a stream. A second copy of an answer to a batch was taken for the answer to the next one, as batches have no identifier.

--- a/internal/ingress/flow/stream.go
+++ b/internal/ingress/flow/stream.go
@@ -1,18 +1,16 @@
 package flow
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/upstream/conns"
+	"github.com/citronstream/citronstream/internal/upstream/sse"
 	"github.com/citronstream/citronstream/platform"
 )
 
@@ -21,62 +19,19 @@
 	// and at least minGap, is resumed at another upstream.
 	gapFactor = 2
 	minGap    = time.Second
-	// maxEvent is the largest size of one event, in bytes.
-	maxEvent = 1 << 20
 	// writeSlack is added to the request's deadline for the last write.
 	writeSlack = time.Second
 )
 
-// errPartialEvent is the error of a stream that ends within an event.
-var errPartialEvent = errors.New("stream ended within an event")
-
-// events splits a stream into whole events.
-type events struct {
-	br  *bufio.Reader
-	buf []byte
-}
-
-// next returns the next event, with the empty line that ends it, and its ID, or
-// 0 if it has none. It returns io.EOF only between two events.
-func (ev *events) next() ([]byte, int64, error) {
-	ev.buf = ev.buf[:0]
-	id := int64(0)
-	for {
-		line, err := ev.br.ReadSlice('\n')
-		ev.buf = append(ev.buf, line...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			if len(ev.buf) > maxEvent {
-				return nil, 0, errors.New("event exceeds the size limit")
-			}
-			continue
-		case err != nil:
-			if errors.Is(err, io.EOF) && len(ev.buf) > 0 {
-				err = errPartialEvent
-			}
-			return nil, 0, err
-		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
-			return ev.buf, id, nil
-		}
-		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			id, err = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-			if err != nil {
-				return nil, 0, err
-			}
-		}
-	}
-}
-
-// relayStream forwards events as they arrive. It calls first with the first one.
+// relayStream forwards events as they arrive. It calls first with the first one
+// that has a token.
 func (rt *request) relayStream(ctx context.Context, nd *node.Node, ans *conns.Answer, stall *stallTimer, first func()) result {
 	resumed := rt.started
-	ev := &events{br: bufio.NewReader(ans)}
+	events := sse.New(ans)
 	control := http.NewResponseController(rt.wr)
 	count := 0
 	for {
-		event, id, err := ev.next()
+		err := events.Next()
 		if errors.Is(err, io.EOF) && (count > 0 || resumed) {
 			nd.RequestDone(1)
 			rt.fl.Holds.Finished(rt.digest)
@@ -85,25 +40,37 @@
 		if err != nil {
 			return rt.failStream(ctx, nd, err)
 		}
-		stall.reset()
-		if count++; count == 1 {
-			first()
-			rt.stages.releaseAll()
+		if rt.progress(events) {
+			stall.reset()
+			if count++; count == 1 {
+				first()
+				rt.stages.releaseAll()
+			}
 		}
-		if rt.started && id > 0 && id <= rt.lastEvent {
+		if rt.started && events.ID > 0 && events.ID <= rt.lastEvent {
 			continue // the upstream resumed before the last event that the caller has
 		}
 		if !rt.started {
 			rt.writeStreamHead(ans, control)
 		}
-		if _, err = rt.wr.Write(event); err == nil {
+		if _, err = rt.wr.Write(events.Event); err == nil {
 			err = control.Flush()
 		}
 		if err != nil {
 			return result{done: true, out: outcome{status: ans.Status, reason: "caller left", abort: true}}
 		}
-		rt.lastEvent = max(rt.lastEvent, id)
+		rt.lastEvent = max(rt.lastEvent, events.ID)
+	}
+}
+
+// progress reports whether the last event brings the stream forward. Comments,
+// empty events and events that the caller has do not: a stalled upstream may go
+// on sending those.
+func (rt *request) progress(events *sse.Reader) bool {
+	if events.ID == 0 {
+		return events.Data && rt.lastEvent == 0
 	}
+	return events.ID > rt.lastEvent
 }
 
 // writeStreamHead writes the status and header of a streamed response.
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -49,6 +49,7 @@
 	Unsigned    atomic.Bool  // leaves the response signature out
 	Hang        atomic.Bool  // runs until the caller disconnects
 	CutAfter    atomic.Int32 // events of a stream before it breaks in the middle of one
+	Drip        atomic.Int32 // events of a stream before it stalls and sends only comments and repeated events
 	Events      atomic.Int32 // events of a stream; 0 is 5
 	Gap         atomic.Int64 // pause between events, in ns
 	Work        atomic.Int64 // time of a plain request or a batch, in ns
@@ -203,6 +204,10 @@
 			wr.(http.Flusher).Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if drip := int(up.Drip.Load()); drip > 0 && id > drip {
+			up.drip(wr, rq, id-1)
+			return
+		}
 		if _, err := fmt.Fprintf(wr, "id: %d\ndata: token %d\n\n", id, id); err != nil {
 			return
 		}
@@ -215,6 +220,26 @@
 	}
 }
 
+// dripInterval is the pause between the bytes of a stalled stream.
+const dripInterval = 50 * time.Millisecond
+
+// drip sends bytes that bring a stream no further until the caller disconnects.
+func (up *Upstream) drip(wr http.ResponseWriter, rq *http.Request, last int) {
+	for {
+		for _, text := range []string{": comment\n\n", "\n", fmt.Sprintf("id: %d\ndata: token %d\n\n", last, last), "d"} {
+			if _, err := io.WriteString(wr, text); err != nil {
+				return
+			}
+			wr.(http.Flusher).Flush()
+			select {
+			case <-up.clk.After(dripInterval):
+			case <-rq.Context().Done():
+				return
+			}
+		}
+	}
+}
+
 // batch computes a result for each item whose inputs are available.
 func (up *Upstream) batch(wr http.ResponseWriter, rq *http.Request, body []byte) {
 	var batch struct {
--- a/internal/upstream/batch/batch.go
+++ b/internal/upstream/batch/batch.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/citronstream/citronstream"
@@ -23,16 +24,50 @@
 // within a few ms, also while they run batches.
 const reportTimeout = 300 * time.Millisecond
 
+const (
+	// releaseTimeout bounds the release of results. Upstreams drop results by
+	// themselves after some seconds.
+	releaseTimeout = 2 * time.Second
+	// maxKnown bounds the remembered results in each of two generations. A late
+	// copy of an answer arrives while its connection is in use, within seconds.
+	maxKnown = 1 << 14
+)
+
 // Caller implements owner.Batcher.
 type Caller struct {
 	clk  citronstream.Clock
 	log  logr.Logger
 	pool *conns.Pool
+
+	mu sync.Mutex
+	// known has the results of answers so far, the newer and the older half.
+	known, older map[string]bool
 }
 
 // New returns a Caller that uses a pool of connections.
 func New(clk citronstream.Clock, log logr.Logger, pool *conns.Pool) *Caller {
-	return &Caller{clk: clk, log: log, pool: pool}
+	return &Caller{clk: clk, log: log, pool: pool, known: make(map[string]bool)}
+}
+
+// learn remembers the results of an answer. It returns false if one of them was
+// in an answer before. Answers to batches have no identifier, so this is how a
+// second copy of an earlier answer is told from the answer that is due.
+func (ca *Caller) learn(results []citronstream.ItemResult) bool {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	for _, re := range results {
+		if re.Handle == "" {
+			continue
+		}
+		if ca.known[re.Handle] || ca.older[re.Handle] {
+			return false
+		}
+		if len(ca.known) >= maxKnown {
+			ca.known, ca.older = make(map[string]bool), ca.known
+		}
+		ca.known[re.Handle] = true
+	}
+	return true
 }
 
 // Run implements owner.Batcher.
@@ -41,7 +76,14 @@
 	if err != nil {
 		return nil, false, err
 	}
-	answer, status, refused, err := ca.post(ctx, nd, platform.PathBatch, body)
+	var results []citronstream.ItemResult
+	check := func(answer []byte) (err error) {
+		if results, err = platform.DecodeBatch(answer, len(items)); err == nil && !ca.learn(results) {
+			err = errors.New("copy of an earlier answer")
+		}
+		return err
+	}
+	status, refused, err := ca.call(ctx, nd, http.MethodPost, platform.PathBatch, body, check)
 	switch {
 	case err != nil && citronstream.VerdictOf(err) == citronstream.NotRun:
 		nd.ConnectionBroke(ca.clk.Now())
@@ -53,8 +95,7 @@
 	case status != http.StatusOK:
 		return nil, false, fmt.Errorf("status %d", status)
 	}
-	results, err := platform.DecodeBatch(answer, len(items))
-	return results, false, err
+	return results, false, nil
 }
 
 // Release implements owner.Batcher. An upstream drops a result that is not
@@ -62,8 +103,11 @@
 func (ca *Caller) Release(ctx context.Context, nd *node.Node, handles []string) {
 	body, err := platform.EncodeRelease(handles)
 	if err == nil {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer ca.clk.AfterFunc(releaseTimeout, cancel).Stop()
 		var status int
-		_, status, _, err = ca.post(ctx, nd, platform.PathRelease, body)
+		status, _, err = ca.call(ctx, nd, http.MethodPost, platform.PathRelease, body, func([]byte) error { return nil })
 		if err == nil && status != http.StatusOK {
 			err = fmt.Errorf("status %d", status)
 		}
@@ -80,32 +124,38 @@
 func (ca *Caller) Free(ctx context.Context, nd *node.Node) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	answer, status, _, err := ca.call(ctx, nd, http.MethodGet, platform.PathReport, nil)
-	if err != nil {
-		return 0, err
-	}
-	if status != http.StatusOK {
-		return 0, fmt.Errorf("status %d", status)
+	free := 0
+	status, _, err := ca.call(ctx, nd, http.MethodGet, platform.PathReport, nil, func(answer []byte) (err error) {
+		free, err = platform.DecodeFreeMemory(answer)
+		return err
+	})
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("status %d", status)
 	}
-	return platform.DecodeFreeMemory(answer)
-}
-
-func (ca *Caller) post(ctx context.Context, nd *node.Node, path string, body []byte) (answer []byte, status int, refused bool, err error) {
-	return ca.call(ctx, nd, http.MethodPost, path, body)
+	return free, err
 }
 
-func (ca *Caller) call(ctx context.Context, nd *node.Node, method, path string, body []byte) (answer []byte, status int, refused bool, err error) {
+// call sends a request and passes the body of a 200 to check. If check fails, the
+// connection is not used again: what follows on it may belong to other requests.
+func (ca *Caller) call(ctx context.Context, nd *node.Node, method, path string, body []byte, check func(answer []byte) error) (status int, refused bool, err error) {
 	ans, err := ca.pool.Send(ctx, nd.Address, &conns.Request{
 		Method: method, Target: path, Host: nd.Address, Header: platform.BatchHeader(nd.ID), Body: body,
 		Parse: platform.ParseAnswer,
 	})
 	if err != nil {
-		return nil, 0, false, err
+		return 0, false, err
 	}
 	defer ans.Close()
-	answer, err = io.ReadAll(io.LimitReader(ans, maxAnswerBytes))
-	if err == nil && ans.Head.Encoded {
+	answer, err := io.ReadAll(io.LimitReader(ans, maxAnswerBytes))
+	switch {
+	case err != nil:
+	case ans.Head.Encoded:
 		err = errors.New("answer has a content encoding")
+	case ans.Status == http.StatusOK && !ans.Head.Refused:
+		err = check(answer)
+	}
+	if err != nil {
+		ans.Invalidate()
 	}
-	return answer, ans.Status, ans.Head.Refused, err
+	return ans.Status, ans.Head.Refused, err
 }
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -41,6 +41,18 @@
 	br        *bufio.Reader
 	reused    bool
 	idleUntil time.Time // the connection may be reused before this time
+	limited   bool      // at most headLeft more bytes may be read
+	headLeft  int
+}
+
+// Read implements io.Reader for the buffered reader.
+func (co *conn) Read(data []byte) (int, error) {
+	if co.limited && co.headLeft <= 0 {
+		return 0, errHeadTooLarge
+	}
+	count, err := co.Conn.Read(data)
+	co.headLeft -= count
+	return count, err
 }
 
 // reset resets a connection whose request has no complete answer. After a
@@ -115,7 +127,9 @@
 		return nil, err
 	}
 	po.opened.Add(1)
-	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, bufferBytes)}, nil
+	co := &conn{Conn: raw}
+	co.br = bufio.NewReaderSize(co, bufferBytes)
+	return co, nil
 }
 
 func (po *Pool) pop(address string) *conn {
--- a/internal/upstream/conns/send.go
+++ b/internal/upstream/conns/send.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/citronstream/citronstream"
 )
@@ -21,6 +22,20 @@
 	// before the answer is read. A larger one is written concurrently, since an
 	// upstream may answer before it has read the whole request.
 	maxInlineWrite = 4 << 10
+	// maxHeadBytes bounds the head of an answer, and bytes that are no answer.
+	// headTimeout is the longest time between the first byte of a head and its end,
+	// and for skipping an answer to another request.
+	maxHeadBytes = 64 << 10
+	headTimeout  = 2 * time.Second
+	// A body that is not needed is read up to maxDiscardBytes within
+	// discardTimeout, as a new connection costs more than that.
+	maxDiscardBytes = 64 << 10
+	discardTimeout  = 200 * time.Millisecond
+)
+
+var (
+	errHeadTooLarge = errors.New("the head of the answer exceeds the size limit")
+	errHeadTooSlow  = errors.New("the head of the answer did not end in time")
 )
 
 // Request is one HTTP request to an upstream.
@@ -114,7 +129,7 @@
 			written <- err
 		}()
 	}
-	res, head, err := co.receive(rq)
+	res, head, err := co.receive(rq, po.clk)
 	if err != nil {
 		stop()
 		// A concurrent write may have sent a part of the request.
@@ -128,9 +143,9 @@
 }
 
 // receive skips answers to other requests and returns the head of rq's answer.
-func (co *conn) receive(rq *Request) (*http.Response, citronstream.AnswerHead, error) {
+func (co *conn) receive(rq *Request, clk citronstream.Clock) (*http.Response, citronstream.AnswerHead, error) {
 	for range maxStaleAnswers + 1 {
-		res, err := http.ReadResponse(co.br, &http.Request{Method: rq.Method})
+		res, err := co.readHead(rq.Method, clk)
 		if err != nil {
 			return nil, citronstream.AnswerHead{}, err
 		}
@@ -141,7 +156,10 @@
 		if rq.ID == "" || head.RequestID == "" || head.RequestID == rq.ID {
 			return res, head, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStaleBytes)); err != nil {
+		timer := clk.AfterFunc(headTimeout, co.reset)
+		_, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxStaleBytes))
+		timer.Stop()
+		if err != nil {
 			return nil, head, err
 		}
 		if res.Close {
@@ -151,6 +169,22 @@
 	return nil, citronstream.AnswerHead{}, errors.New("received only answers to other requests")
 }
 
+// readHead waits for an answer without limit, but reads its head in bounded
+// bytes and time: a faulty upstream may send bytes without end.
+func (co *conn) readHead(method string, clk citronstream.Clock) (*http.Response, error) {
+	if _, err := co.br.Peek(1); err != nil {
+		return nil, err
+	}
+	co.limited, co.headLeft = true, maxHeadBytes
+	timer := clk.AfterFunc(headTimeout, co.reset)
+	res, err := http.ReadResponse(co.br, &http.Request{Method: method})
+	co.limited = false
+	if !timer.Stop() && err != nil {
+		err = errHeadTooSlow
+	}
+	return res, err
+}
+
 // Read reads the body. An error other than io.EOF means that the body is incomplete.
 func (ans *Answer) Read(data []byte) (int, error) {
 	count, err := ans.res.Body.Read(data)
@@ -164,6 +198,18 @@
 	return count, err
 }
 
+// Discard reads the rest of a body that is not needed, so that the connection can
+// be reused, unless it is long or slow.
+func (ans *Answer) Discard() {
+	timer := ans.po.clk.AfterFunc(discardTimeout, ans.co.reset)
+	defer timer.Stop()
+	_, _ = io.CopyN(io.Discard, ans, maxDiscardBytes) // Close resets a connection with more
+}
+
+// Invalidate marks the answer as wrong, so that Close does not return its
+// connection to the pool.
+func (ans *Answer) Invalidate() { ans.failed = true }
+
 // Close returns the connection to the pool if request and answer are complete,
 // and closes it otherwise.
 func (ans *Answer) Close() {
