Admission, waits by rank and choice of engines as decisions without I/O

Cause: in bursts urgent requests met queues full of work that could wait, and long prompts met engines whose loads were known late. Change: limit/admission decides on plain data; QueueLoad.Wait keeps the throughput that more urgent routes use free for them; a missed target weighs more than reading a shared part again; branches of a request do not wait for each other.

--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -111,6 +111,13 @@
 	return rt.stages.recompute(ctx, rt.stages.finalStages())
 }
 
+// estimateReadTime sets the time to read the prompt.
+func (rt *request) estimateReadTime() {
+	if rt.routes.Services[rt.service].Engine {
+		rt.readTime = rt.fl.Engines.ReadTime(rt.fl.View.Members().Service(rt.service), rt.demand(nil))
+	}
+}
+
 // preferredEngine returns the engine that the request would get now if its
 // stages were done, nil for services without engines. Needs is the time that the
 // stages still take.
@@ -129,7 +136,7 @@
 	nodes := rt.fl.View.Members().Service(rt.service)
 	if rt.routes.Services[rt.service].Engine {
 		demand := rt.demand(rt.tried)
-		if nd := rt.fl.Engines.Pick(nodes, demand); nd != nil {
+		if nd := rt.fl.Engines.Pick(nodes, &demand); nd != nil {
 			return nd, &demand
 		}
 		return rt.anyUntried(nodes), nil
@@ -197,8 +204,8 @@
 	if rt.route.Stream && ans.Status < http.StatusMultipleChoices {
 		return rt.relayStream(ctx, nd, ans, stall, func() {
 			begun = true
-			took := rt.fl.clk.Since(sent)
-			rt.fl.latencies.observe(rt.route.Name, took)
+			rt.firstEvent = rt.fl.clk.Now()
+			rt.fl.latencies.observe(rt.route.Name, rt.firstEvent.Sub(sent), rt.readTime)
 			if demand != nil {
 				rt.fl.Engines.FirstEvent(nd, *demand)
 			}
@@ -242,7 +249,7 @@
 	}
 	wait := stallFactor * rt.route.Target
 	if rt.route.Stream {
-		wait = firstEventFactor*rt.fl.latencies.expected(rt.route.Name) + firstEventExtra
+		wait = firstEventFactor*rt.fl.latencies.expected(rt.route.Name, rt.readTime) + firstEventExtra
 		si.gap = max(gapFactor*rt.route.MaxGap, minGap)
 	}
 	si.timer = rt.fl.clk.AfterFunc(wait, func() { cancel(errStalled) })
@@ -302,7 +309,7 @@
 func (rt *request) checkHead(nd *node.Node, ans *conns.Answer) (result, bool) {
 	switch {
 	case ans.Head.Refused:
-		_, _ = io.Copy(io.Discard, io.LimitReader(ans, maxBody)) // drained so that the connection can be reused
+		ans.Discard()
 		misdirected := ans.Status == http.StatusMisdirectedRequest
 		re := result{reached: !misdirected, misdirected: misdirected, inputLost: ans.Status == http.StatusConflict}
 		re.fault = citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "upstream %s refused with status %d", nd.ID, ans.Status)
@@ -359,8 +366,8 @@
 		return result{done: true, out: rt.writeResponse(rp, "upstream failed")}
 	}
 	took := rt.fl.clk.Since(sent)
-	nd.RequestDone(float64(took) / float64(max(rt.fl.latencies.expected(rt.route.Name), time.Millisecond)))
-	rt.fl.latencies.observe(rt.route.Name, took)
+	nd.RequestDone(float64(took) / float64(max(rt.fl.latencies.expected(rt.route.Name, rt.readTime), time.Millisecond)))
+	rt.fl.latencies.observe(rt.route.Name, took, rt.readTime)
 	rt.fl.Holds.Finished(rt.digest)
 	return result{done: true, out: rt.writeResponse(rp, "served")}
 }
--- a/internal/ingress/flow/estimate.go
+++ b/internal/ingress/flow/estimate.go
@@ -3,60 +3,51 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/limit/admission"
 )
 
-const (
-	// batchMargin is the expected fill of the batch that a job finds running at
-	// each stage: on average half of a full one.
-	batchMargin = 0.5
-	// maxLateWait is the longest queue wait with which a request that will miss
-	// its target is still admitted. With a longer backlog most such requests
-	// would be dropped in the end.
-	maxLateWait = 2 * time.Second
-	// minRetryAfter is the shortest Retry-After sent with a refusal because of a
-	// full queue.
-	minRetryAfter = 300 * time.Millisecond
-)
+// batchMargin is the expected fill of the batch that a job finds running at each
+// stage: on average half of a full one.
+const batchMargin = 0.5
 
-// admit refuses a request early if it can't reach its target and would wait
-// long.
+// admit refuses a request that can't be served in time.
 func (sg *stages) admit() *citronstream.Fault {
-	needs := sg.estimate()
-	slack := sg.rt.target.Sub(sg.rt.at) - needs
-	if slack >= 0 {
-		return nil
-	}
+	rt := sg.rt
+	needs, target := sg.estimate(rt.route.Rank), rt.target.Sub(rt.at)
 	wait, at := time.Duration(0), ""
 	for _, st := range sg.list {
-		if late := sg.rt.fl.Broker.QueueWait(st.spec.Service, slack); st.pieces > 0 && late > wait {
+		if late := rt.fl.Broker.QueueWait(st.spec.Service, target-needs, rt.route.Rank); st.pieces > 0 && late > wait {
 			wait, at = late, st.spec.Service
 		}
 	}
-	if wait < maxLateWait && needs < sg.rt.timeLeft() {
+	de := admission.New(needs, wait, target, rt.timeLeft(), rand.Float64())
+	if de.Admit {
 		return nil
 	}
 	fa := citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "needs %v of %v, including a wait of %v for service %s",
-		needs.Round(time.Millisecond), sg.rt.route.Target, wait.Round(time.Millisecond), at)
-	fa.RetryAfter = max(minRetryAfter, min(wait-maxLateWait, sg.rt.route.Target/4))
+		needs.Round(time.Millisecond), target.Round(time.Millisecond), wait.Round(time.Millisecond), at)
+	fa.RetryAfter = de.RetryAfter
 	return fa
 }
 
 // estimate sets the time that the request needs after each stage and returns the
-// total time that it needs, with the current queue waits.
-func (sg *stages) estimate() time.Duration {
+// total time that it needs, with the current queue waits of a rank: that of its
+// route to be admitted, the most urgent one once it is.
+func (sg *stages) estimate(rank int) time.Duration {
 	sg.mu.Lock()
 	defer sg.mu.Unlock()
-	first := sg.rt.fl.latencies.expected(sg.rt.route.Name)
+	first := sg.rt.fl.latencies.expected(sg.rt.route.Name, sg.rt.readTime)
 	slack := sg.rt.target.Sub(sg.rt.fl.clk.Now()) - sg.unloadedTime(first)
 	total := first
 	for _, st := range sg.list {
 		st.laterStages, st.wait = first, 0
 		if st.pieces > 0 {
-			st.wait = sg.rt.fl.Broker.QueueWait(st.spec.Service, min(slack, sg.inputLife(st)))
+			st.wait = sg.rt.fl.Broker.QueueWait(st.spec.Service, min(slack, sg.inputLife(st)), rank)
 		}
 	}
 	for i := len(sg.list) - 1; i >= 0; i-- {
@@ -110,9 +101,12 @@
 func (sg *stages) timeToFirstEvent(st *stage) time.Duration {
 	sg.mu.Lock()
 	defer sg.mu.Unlock()
-	return st.wait + st.batchTime() + st.laterStages
+	return st.timeToFirstEvent()
 }
 
+// timeToFirstEvent is the same. The caller holds the lock of the stages.
+func (st *stage) timeToFirstEvent() time.Duration { return st.wait + st.batchTime() + st.laterStages }
+
 // alignSlack is how much later than needed the results of a branch may be ready.
 const alignSlack = 50 * time.Millisecond
 
@@ -120,16 +114,23 @@
 // results would only occupy memory until the other branch is done.
 func (sg *stages) align(ctx context.Context, st *stage) *citronstream.Fault {
 	if st.pieces > 0 && st.final {
-		tail := sg.timeToFirstEvent(st) + alignSlack
 		for _, other := range sg.list {
-			if other == st || sg.timeToFirstEvent(other) <= tail {
+			if !sg.beginWait(st, other) {
 				continue
 			}
+			// The last stage of another branch runs beside this one.
+			until := other.done
+			if other.final {
+				until = other.begun
+			}
 			select {
-			case <-other.done:
+			case <-until:
 			case <-ctx.Done():
 				return sg.contextFault(ctx)
 			}
+			sg.mu.Lock()
+			st.waits = false
+			sg.mu.Unlock()
 		}
 	}
 	if ctx.Err() != nil {
@@ -138,6 +139,19 @@
 	return nil
 }
 
+// beginWait reports whether a stage waits for another one that needs longer, and
+// records it. The estimates change with the queues, so that each of two stages may
+// find that the other one needs longer: none waits for one that waits.
+func (sg *stages) beginWait(st, other *stage) bool {
+	sg.mu.Lock()
+	defer sg.mu.Unlock()
+	if other == st || other.waits || other.timeToFirstEvent() <= st.timeToFirstEvent()+alignSlack {
+		return false
+	}
+	st.waits = true
+	return true
+}
+
 // margin returns the time that batches of other requests add: under load a batch
 // is full and starts when the one before it ends.
 func (sg *stages) margin(st *stage) time.Duration {
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -127,10 +127,12 @@
 	workspace string
 	rank      int
 
-	at     time.Time // arrival
-	first  time.Time // arrival of the caller's first attempt, if known
-	target time.Time // time by which the response or its first event is due for full value
-	end    time.Time // deadline of the response
+	at    time.Time // arrival
+	first time.Time // arrival of the caller's first attempt, if known
+	// readTime is how long an engine takes to read the prompt; 0 for other upstreams.
+	readTime time.Duration
+	target   time.Time // time by which the response or its first event is due for full value
+	end      time.Time // deadline of the response
 
 	stages     *stages
 	tried      map[string]bool // IDs of the upstreams that were tried
@@ -139,8 +141,9 @@
 	last       *node.Node
 	started    bool // the response header was written
 	// lastEvent is the ID of the last event written to the caller.
-	lastEvent int64
-	stageEnd  time.Time
+	lastEvent  int64
+	stageEnd   time.Time
+	firstEvent time.Time
 }
 
 // outcome is how a request ended.
@@ -164,6 +167,7 @@
 	defer stop()
 	left := context.AfterFunc(rt.fl.requestsCtx, func() { cancel(errShutdown) })
 	defer left()
+	rt.estimateReadTime()
 	rt.stages = newStages(rt)
 	defer rt.stages.releaseAll()
 	if fa := rt.runStages(ctx); fa != nil {
--- a/internal/ingress/flow/latency.go
+++ b/internal/ingress/flow/latency.go
@@ -25,6 +25,7 @@
 
 type routeLatency struct {
 	seconds float64 // moving average
+	read    float64 // moving average of the time to read the prompt, in seconds
 }
 
 func newLatencies(clk citronstream.Clock) *latencies {
@@ -44,24 +45,26 @@
 }
 
 // observe records the time from sending a request to its first event or complete
-// response.
-func (la *latencies) observe(name string, took time.Duration) {
+// response, and the time that its prompt takes alone.
+func (la *latencies) observe(name string, took, read time.Duration) {
 	la.mu.Lock()
 	defer la.mu.Unlock()
 	rl := la.route(name)
 	if rl.seconds == 0 {
-		rl.seconds = took.Seconds()
+		rl.seconds, rl.read = took.Seconds(), read.Seconds()
 	}
 	rl.seconds += latencyAlpha * (took.Seconds() - rl.seconds)
+	rl.read += latencyAlpha * (read.Seconds() - rl.read)
 }
 
-// expected returns the average time from sending a request to its first event or
-// complete response.
-func (la *latencies) expected(name string) time.Duration {
+// expected returns the time from sending a request to its first event or complete
+// response: the average of its route, corrected for the length of its prompt.
+func (la *latencies) expected(name string, read time.Duration) time.Duration {
 	la.mu.Lock()
 	defer la.mu.Unlock()
-	if rl := la.route(name); rl.seconds > 0 {
-		return time.Duration(rl.seconds * float64(time.Second))
+	rl := la.route(name)
+	if rl.seconds <= 0 {
+		return max(defaultLatency, read)
 	}
-	return defaultLatency
+	return time.Duration(max(rl.seconds/4, rl.seconds+read.Seconds()-rl.read) * float64(time.Second))
 }
--- a/internal/ingress/flow/respond.go
+++ b/internal/ingress/flow/respond.go
@@ -67,7 +67,7 @@
 // record logs the end of a request and passes it to Observe.
 func (rt *request) record(out outcome) {
 	took := rt.fl.clk.Since(rt.at)
-	values := make([]any, 0, 32)
+	values := make([]any, 0, 36)
 	values = append(values, "request", rt.ID, "status", out.status, "reason", out.reason, "took", took.Milliseconds())
 	if rt.route != nil {
 		values = append(values, "route", rt.route.Name, "rank", rt.rank, "workspace", rt.workspace, "service", rt.service,
@@ -79,6 +79,12 @@
 	if rt.stages != nil && len(rt.stages.list) > 0 {
 		values = append(values, "stages", rt.stages.timings())
 	}
+	if rt.TokensIn > 0 {
+		values = append(values, "tokens", rt.TokensIn)
+	}
+	if !rt.firstEvent.IsZero() {
+		values = append(values, "first", rt.firstEvent.Sub(rt.at).Milliseconds())
+	}
 	if rt.last != nil {
 		values = append(values, "upstream", rt.last.ID, "listed", rt.last.Revision, "sends", rt.sends)
 	}
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -17,6 +17,9 @@
 // its upstream and the wait there.
 const freshMargin = 200 * time.Millisecond
 
+// mostUrgent is the most urgent rank.
+const mostUrgent = 0
+
 // stage is the state of one stage of a request.
 type stage struct {
 	number      int
@@ -32,6 +35,8 @@
 	computedAt  time.Time // when the first of its results was stored
 	took        time.Duration
 	done        chan struct{}
+	begun       chan struct{} // closed when it no longer waits for other branches
+	waits       bool          // it waits for another branch
 }
 
 // stages runs the stages of a request.
@@ -54,7 +59,7 @@
 		for _, before := range spec.After {
 			followed[before] = true
 		}
-		st := &stage{number: i, spec: spec, batch: rt.routes.Services[spec.Service].Batch, pieces: 1, takenBy: make(map[int]bool), done: make(chan struct{})}
+		st := &stage{number: i, spec: spec, batch: rt.routes.Services[spec.Service].Batch, pieces: 1, takenBy: make(map[int]bool), done: make(chan struct{}), begun: make(chan struct{})}
 		if i < len(rt.Pieces) {
 			st.pieces = rt.Pieces[i]
 		}
@@ -78,7 +83,7 @@
 	if fa := sg.admit(); fa != nil {
 		return fa
 	}
-	if nd := sg.rt.preferredEngine(sg.estimate()); nd != nil {
+	if nd := sg.rt.preferredEngine(sg.estimate(mostUrgent)); nd != nil {
 		sg.zone = nd.Zone
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -123,6 +128,7 @@
 	if fa := sg.align(ctx, st); fa != nil {
 		return fa
 	}
+	close(st.begun)
 	if st.pieces > 0 {
 		if st.batch == nil {
 			return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "stage %d: service %s is not in the configuration", st.number, st.spec.Service)
@@ -261,13 +267,13 @@
 }
 
 func (sg *stages) newJob(st *stage, indexes []int, inputs []string) citronstream.Job {
-	sg.estimate()
+	sg.estimate(mostUrgent)
 	now := sg.rt.fl.clk.Now()
 	rest := sg.timeToFirstEvent(st) - st.wait
 	margin := sg.margin(st)
 	jo := citronstream.Job{
 		ID: sg.rt.ID, Stage: st.number, Service: st.spec.Service, Pieces: indexes, Bytes: st.spec.Bytes, Inputs: inputs,
-		Rank: sg.rt.rank, Workspace: sg.rt.workspace, Zone: sg.zone,
+		Rank: sg.rt.rank, RouteRank: sg.rt.route.Rank, Workspace: sg.rt.workspace, Zone: sg.zone,
 		Left: sg.rt.end.Sub(now), LaterStages: rest, Slack: sg.rt.target.Sub(now) - rest - margin, Margin: margin,
 		CrossZoneBytes: len(indexes) * st.spec.Bytes,
 	}
--- a/internal/route/engines/engines.go
+++ b/internal/route/engines/engines.go
@@ -18,16 +18,24 @@
 )
 
 const (
-	// assumedReadRate is the assumed prefill rate of an engine, in prompt tokens per
-	// millisecond.
+	// assumedReadRate is the prefill rate of an engine until it was measured, in
+	// prompt tokens per millisecond. minSampleTokens is the least number of tokens
+	// whose reading measures it. Most prompts wait for others, so the rate follows
+	// faster samples by rateUp and slower ones by rateDown.
 	assumedReadRate = 40.0
+	minSampleTokens = 2000
+	rateUp          = 0.2
+	rateDown        = 0.02
 	// runningDelay is the delay in ms that each running request adds to a first event:
 	// each makes a step of the engine longer, and prompts are read between steps.
 	runningDelay = 0.5
 	// delayWeight weighs a delay with which a request still reaches its target:
-	// it only delays other requests. lateWeight weighs the delay beyond that.
+	// it only delays other requests. Missing the target costs lateCost, in ms, more
+	// than reading a long prompt again. Loads are known with some delay, so that
+	// within lateRamp before the target a miss is likely already.
 	delayWeight = 0.3
-	lateWeight  = 3.0
+	lateCost    = 5000.0
+	lateRamp    = 250.0
 	// rereadFactor weighs the time to read a shared part again. A second copy
 	// also takes the memory of another engine and is billed.
 	rereadFactor = 10.0
@@ -46,8 +54,11 @@
 	maxParts    = 65536
 	// maxUnsent bounds the parts in one message to the peers.
 	maxUnsent = 1024
-	// peerLoadTTL is how long a peer's load counts. Peers send a change within 100 ms.
+	// peerLoadTTL is how long a peer's load counts.
 	peerLoadTTL = 3 * time.Second
+	// largeRead is the time to read a prompt from which on the peers are told of it
+	// at once: with many entries they tell their loads less often than that.
+	largeRead = 400 * time.Millisecond
 )
 
 // Request holds the properties of a request that the choice depends on.
@@ -62,6 +73,10 @@
 	// in full.
 	Slack   time.Duration
 	Exclude map[string]bool // IDs of upstreams that are not to be used
+
+	picked time.Time
+	unread int  // tokens that the picked engine has to read
+	known  bool // the picked engine is known to have the shared parts
 }
 
 type load struct {
@@ -69,9 +84,10 @@
 	prefillTokens int
 }
 
+// peerLoad is a peer's load on one engine.
 type peerLoad struct {
-	at    time.Time
-	loads map[string]citronstream.EngineLoad
+	citronstream.EngineLoad
+	at time.Time
 }
 
 // partLocation is the engine that read a shared part last.
@@ -87,7 +103,10 @@
 
 	mu       sync.Mutex
 	ownLoads map[string]*load
-	peers    map[string]peerLoad
+	// peers has the loads of peers by engine, so that a choice among many engines
+	// does not look at all peers for each.
+	peers    map[string]map[string]peerLoad
+	urgent   chan struct{}
 	parts    map[uint64]*list.Element
 	lru      *list.List // of *partLocation, the most recently used first
 	readRate float64    // prompt tokens per ms
@@ -98,27 +117,37 @@
 // New returns a picker without loads.
 func New(clk citronstream.Clock) *Picker {
 	return &Picker{
-		clk: clk, ownLoads: make(map[string]*load), peers: make(map[string]peerLoad),
+		clk: clk, ownLoads: make(map[string]*load), peers: make(map[string]map[string]peerLoad), urgent: make(chan struct{}, 1),
 		parts: make(map[uint64]*list.Element), lru: list.New(), readRate: assumedReadRate,
 	}
 }
 
+// Urgent receives a value when the peers should be told the load at once.
+func (pi *Picker) Urgent() <-chan struct{} { return pi.urgent }
+
 // Pick chooses an engine and adds the request to its load. It returns nil if
 // none can be used. The caller removes the load with FirstEvent and End.
-func (pi *Picker) Pick(nodes []*node.Node, rq Request) *node.Node {
+func (pi *Picker) Pick(nodes []*node.Node, rq *Request) *node.Node {
 	pi.mu.Lock()
 	defer pi.mu.Unlock()
-	best := pi.choose(nodes, rq)
+	best, unread := pi.choose(nodes, rq)
 	if best == nil {
 		return nil
 	}
+	rq.picked, rq.unread, rq.known = pi.clk.Now(), unread, unread < rq.Tokens
 	ld := pi.ownLoad(best.ID)
 	ld.running++
-	ld.prefillTokens += rq.Tokens
+	ld.prefillTokens += unread
 	pi.changed = true
 	if count := len(rq.Shared); count > 0 {
 		pi.recordRead(citronstream.CachedPart{Part: rq.Shared[count-1].ID, Engine: best.ID, StartedMs: best.StartedMs})
 	}
+	if float64(unread) > pi.readRate*float64(largeRead.Milliseconds()) {
+		select {
+		case pi.urgent <- struct{}{}:
+		default:
+		}
+	}
 	return best
 }
 
@@ -126,36 +155,56 @@
 func (pi *Picker) Prefer(nodes []*node.Node, rq Request) *node.Node {
 	pi.mu.Lock()
 	defer pi.mu.Unlock()
-	return pi.choose(nodes, rq)
+	best, _ := pi.choose(nodes, &rq)
+	return best
+}
+
+// ReadTime returns how long an idle engine takes to read a prompt, without the
+// shared parts if an engine is known to have them.
+func (pi *Picker) ReadTime(nodes []*node.Node, rq Request) time.Duration {
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	unread := rq.Tokens
+	if len(rq.Shared) > 0 {
+		if _, known := pi.homeEngine(nodes, rq.Shared, pi.clk.Now()); known {
+			unread -= rq.sharedTokens()
+		}
+	}
+	return time.Duration(float64(max(0, unread)) / pi.readRate * float64(time.Millisecond))
 }
 
-func (pi *Picker) choose(nodes []*node.Node, rq Request) *node.Node {
+// choose returns the best engine and the number of tokens that it would have to read.
+func (pi *Picker) choose(nodes []*node.Node, rq *Request) (*node.Node, int) {
 	now := pi.clk.Now()
-	home := ""
+	home, known := "", false
 	if len(rq.Shared) > 0 {
-		home = pi.homeEngine(nodes, rq.Shared, now)
+		home, known = pi.homeEngine(nodes, rq.Shared, now)
 	}
 	var best *node.Node
-	least := math.Inf(1)
+	least, bestUnread := math.Inf(1), 0
 	for _, nd := range nodes {
 		if rq.Exclude[nd.ID] || nd.Avoided(now) {
 			continue
 		}
-		if cost := pi.cost(nd, rq, home, now); cost < least {
-			best, least = nd, cost
+		unread := rq.Tokens
+		if known && nd.ID == home {
+			unread = max(0, unread-rq.sharedTokens())
+		}
+		if cost := pi.cost(nd, rq, unread, home, now); cost < least {
+			best, least, bestUnread = nd, cost, unread
 		}
 	}
-	return best
+	return best, bestUnread
 }
 
 // cost returns the weighted delay of the first event, in ms, plus penalties for
-// a cold cache, inputs in other zones and failures.
-func (pi *Picker) cost(nd *node.Node, rq Request, home string, now time.Time) float64 {
+// a missed target, a cold cache, inputs in other zones and failures.
+func (pi *Picker) cost(nd *node.Node, rq *Request, unread int, home string, now time.Time) float64 {
 	running, prefill := pi.totalLoad(nd.ID, now)
-	delay := float64(prefill+rq.Tokens)/pi.readRate*nd.Slowness() + float64(running)*runningDelay
+	delay := (prefill+float64(unread))/pi.readRate*nd.Slowness() + float64(running)*runningDelay
 	cost := delay
 	if slack := float64(rq.Slack.Milliseconds()); slack > 0 {
-		cost = delayWeight*delay + lateWeight*max(0, delay-slack)
+		cost = delayWeight*delay + lateCost*min(1, max(0, delay-slack+lateRamp)/lateRamp)
 	}
 	if home != "" && nd.ID != home {
 		cost += float64(rq.sharedTokens()) / pi.readRate * rereadFactor
@@ -179,12 +228,13 @@
 // homeEngine returns the engine that holds the shared parts: the one that any
 // entry last used for the last of them, else one chosen by hash, which is the same
 // at all entries. Requests with equal first parts go to few engines, because each
-// of these engines has to read the first part once.
-func (pi *Picker) homeEngine(nodes []*node.Node, shared []citronstream.PromptPart, now time.Time) string {
+// of these engines has to read the first part once. Known says that it has read
+// the shared parts.
+func (pi *Picker) homeEngine(nodes []*node.Node, shared []citronstream.PromptPart, now time.Time) (home string, known bool) {
 	if el := pi.parts[shared[len(shared)-1].ID]; el != nil {
 		loc := el.Value.(*partLocation)
 		if now.Sub(loc.lastUse) < partTTL && slices.ContainsFunc(nodes, func(nd *node.Node) bool { return nd.ID == loc.Engine && nd.StartedMs == loc.StartedMs }) {
-			return loc.Engine
+			return loc.Engine, true
 		}
 	}
 	for i, part := range shared {
@@ -195,9 +245,9 @@
 		nodes = topByHash(nodes, part.ID, count)
 	}
 	if len(nodes) == 0 {
-		return ""
+		return "", false
 	}
-	return nodes[0].ID
+	return nodes[0].ID, false
 }
 
 // topByHash returns the engines with the highest scores for a part (rendezvous hashing).
@@ -266,13 +316,16 @@
 	return running
 }
 
-func (pi *Picker) totalLoad(id string, now time.Time) (running, prefill int) {
+// totalLoad returns the requests at an engine and the tokens that it has to read.
+// What peers told is older: the engine has read on since.
+func (pi *Picker) totalLoad(id string, now time.Time) (running int, prefill float64) {
 	if ld := pi.ownLoads[id]; ld != nil {
-		running, prefill = ld.running, ld.prefillTokens
+		running, prefill = ld.running, float64(ld.prefillTokens)
 	}
-	for _, pe := range pi.peers {
-		if now.Sub(pe.at) < peerLoadTTL {
-			running, prefill = running+pe.loads[id].Running, prefill+pe.loads[id].PrefillTokens
+	for _, pe := range pi.peers[id] {
+		if age := now.Sub(pe.at); age < peerLoadTTL {
+			running += pe.Running
+			prefill += max(0, float64(pe.PrefillTokens)-pi.readRate*float64(age.Milliseconds()))
 		}
 	}
 	return running, prefill
@@ -283,8 +336,15 @@
 	pi.mu.Lock()
 	defer pi.mu.Unlock()
 	ld := pi.ownLoad(nd.ID)
-	ld.prefillTokens = max(0, ld.prefillTokens-rq.Tokens)
+	ld.prefillTokens = max(0, ld.prefillTokens-rq.unread)
 	pi.changed = true
+	if took := pi.clk.Since(rq.picked); rq.known && rq.unread >= minSampleTokens && took > 0 {
+		sample, weight := float64(rq.unread)/float64(took.Milliseconds()+1), rateDown
+		if sample > pi.readRate {
+			weight = rateUp
+		}
+		pi.readRate += weight * (sample - pi.readRate)
+	}
 }
 
 // End removes a request from the load. Begun says that FirstEvent was called for it.
@@ -294,7 +354,7 @@
 	ld := pi.ownLoad(nd.ID)
 	ld.running--
 	if !begun {
-		ld.prefillTokens = max(0, ld.prefillTokens-rq.Tokens)
+		ld.prefillTokens = max(0, ld.prefillTokens-rq.unread)
 	}
 	if ld.running <= 0 {
 		delete(pi.ownLoads, nd.ID)
@@ -307,18 +367,26 @@
 	pi.mu.Lock()
 	defer pi.mu.Unlock()
 	now := pi.clk.Now()
-	pi.peers[peer] = peerLoad{at: now, loads: pl.Engines}
+	pi.removePeer(peer)
+	for id, el := range pl.Engines {
+		if pi.peers[id] == nil {
+			pi.peers[id] = make(map[string]peerLoad)
+		}
+		pi.peers[id][peer] = peerLoad{el, now}
+	}
 	for _, part := range pl.Cached {
 		loc, _ := pi.setLocation(part, now)
 		loc.sent = now
 	}
 }
 
-// RemovePeer removes the load of a peer, for example when its link is lost.
-func (pi *Picker) RemovePeer(peer string) {
-	pi.mu.Lock()
-	defer pi.mu.Unlock()
-	delete(pi.peers, peer)
+// removePeer forgets the loads of a peer, which are replaced.
+func (pi *Picker) removePeer(peer string) {
+	for id, loads := range pi.peers {
+		if delete(loads, peer); len(loads) == 0 {
+			delete(pi.peers, id)
+		}
+	}
 }
 
 // ChangedLoad returns the message for the peers, with the load of this process, and
@@ -328,6 +396,7 @@
 	defer pi.mu.Unlock()
 	changed := pi.changed
 	pi.changed = false
+	pi.dropExpired()
 	pl := citronstream.EntryLoad{Engines: make(map[string]citronstream.EngineLoad, len(pi.ownLoads)), Cached: pi.unsent}
 	pi.unsent = nil
 	for id, ld := range pi.ownLoads {
@@ -335,3 +404,18 @@
 	}
 	return pl, changed
 }
+
+// dropExpired forgets the loads of peers that have been silent for long.
+func (pi *Picker) dropExpired() {
+	now := pi.clk.Now()
+	for id, loads := range pi.peers {
+		for peer, ld := range loads {
+			if now.Sub(ld.at) >= peerLoadTTL {
+				delete(loads, peer)
+			}
+		}
+		if len(loads) == 0 {
+			delete(pi.peers, id)
+		}
+	}
+}
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -432,16 +432,16 @@
 	}
 }
 
-// QueueWait returns the time until a job of a service with this slack starts, by
-// the last load its owner reported, and 0 without one.
-func (br *Broker) QueueWait(service string, slack time.Duration) time.Duration {
+// QueueWait returns the time until a job of a service with this slack and route's
+// rank starts, by the last load its owner reported, and 0 without one.
+func (br *Broker) QueueWait(service string, slack time.Duration, rank int) time.Duration {
 	br.mu.Lock()
 	ld, known := br.loads[service]
 	br.mu.Unlock()
 	if !known || br.clk.Since(ld.at) > loadTTL {
 		return 0
 	}
-	return ld.Wait(slack)
+	return ld.Wait(slack, rank)
 }
 
 // UpdateLoads stores the queue loads that an owner reports.
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -87,6 +87,7 @@
 	calls      sync.WaitGroup
 	counts     Counts
 	rate       rate
+	arrivals   arrivals
 	lastActive time.Time // when a job was last submitted or ended
 }
 
@@ -210,6 +211,7 @@
 		ow.queryFreeMemory()
 	}
 	ow.jobs[key], ow.lastActive = jb, now
+	ow.arrivals.add(now, jo.RouteRank, len(jo.Pieces))
 	ow.budget.First(ow.service)
 	ow.waiting = append(ow.waiting, jb)
 	ow.dispatch()
--- a/internal/stage/owner/state.go
+++ b/internal/stage/owner/state.go
@@ -52,7 +52,7 @@
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	now := ow.clk.Now()
-	ql := citronstream.QueueLoad{Rate: ow.rate.value(now, ow.idealRate())}
+	ql := citronstream.QueueLoad{Rate: ow.rate.value(now, ow.idealRate()), Arrivals: ow.arrivals.value(now)}
 	for _, jb := range ow.waiting {
 		slack := jb.Due.Sub(now)
 		if jb.Late(now) {
--- a/message_peer.go
+++ b/message_peer.go
@@ -5,7 +5,7 @@
 // Methods of the messages between the entries of a site.
 const (
 	MethodHandshake      = "Site.Meet"     // answered by PeerInfo
-	MethodState          = "Site.State"    // answered by Rows: all rows that the peer has
+	MethodState          = "Site.State"    // StateQuery, answered by Rows
 	MethodRows           = "Site.Rows"     // notification, Rows: upstreams that changed
 	MethodPeerUpdate     = "Site.Notice"   // notification, PeerInfo: the sender is leaving or has another configuration
 	MethodEntryLoad      = "Site.Places"   // notification, EntryLoad
@@ -28,11 +28,39 @@
 	Capacity float64 `json:"Capacity,omitempty"`
 	// Revision is the version of the row with the configuration in force, 0 before the first.
 	Revision uint64 `json:"Revision"`
+	// ConfigBytes is the size of that row.
+	ConfigBytes int `json:"ConfigBytes,omitempty"`
+}
+
+// StateQuery asks a peer for the rows that it has.
+type StateQuery struct {
+	// Revision is the version of the row with the asker's configuration, 0 before the first.
+	Revision uint64 `json:"Revision"`
+	// ConfigOnly asks for no other row.
+	ConfigOnly bool `json:"ConfigOnly,omitempty"`
 }
 
 // Rows are changed rows of the store, forwarded by the entry that reads the store.
 type Rows struct {
 	Changes []Change `json:"Changes"`
+	// Reading says what the changes are complete for; nil if for nothing.
+	Reading *Reading `json:"Reading,omitempty"`
+}
+
+// Reading describes a read of a table's changes.
+type Reading struct {
+	Table string `json:"Table"`
+	// After and Version are the versions of the store between which all changes
+	// were read.
+	After   uint64 `json:"After"`
+	Version uint64 `json:"Version"`
+	// Revision is the version of the configuration's row, which is not among the
+	// changes; 0 for other tables.
+	Revision uint64 `json:"Revision,omitempty"`
+	// AsOf is the time of the store's clock until which it is known to have been in
+	// this state. The age of a reading can't be told: the message may be held up
+	// on its way, as may the process that sends or receives it.
+	AsOf time.Duration `json:"AsOf"`
 }
 
 // EntryLoad is the load of the sender's requests on the engines.
@@ -76,9 +104,11 @@
 	Key     string   `json:"Key,omitempty"`
 	Inputs  []string `json:"Inputs,omitempty"`
 	// InputBytes is the approximate size of all inputs, which each piece fetches.
-	InputBytes int    `json:"InputBytes,omitempty"`
-	Rank       int    `json:"Rank"`
-	Workspace  string `json:"Workspace,omitempty"`
+	InputBytes int `json:"InputBytes,omitempty"`
+	Rank       int `json:"Rank"` // of the request: that of its workspace or its route
+	// RouteRank is the rank of the route. It orders kinds of request, Rank those of one kind.
+	RouteRank int    `json:"RouteRank,omitempty"`
+	Workspace string `json:"Workspace,omitempty"`
 	// FreesMemory means that the inputs take more memory of the upstreams than
 	// the results, so that running the job frees memory.
 	FreesMemory bool `json:"Frees,omitempty"`
@@ -133,14 +163,26 @@
 	Late int `json:"Late"`
 	// Rate is the throughput of the upstreams in pieces a second.
 	Rate float64 `json:"Rate"`
+	// Arrivals has the pieces that came in a second, by the rank of their routes;
+	// the last one has all lower ranks too.
+	Arrivals [Ranks]float64 `json:"Arrivals"`
 }
 
+// Ranks is the number of ranks of routes that queues tell apart.
+const Ranks = 4
+
 // SlackSteps are the upper bounds of QueueLoad.Pending.
 var SlackSteps = [...]time.Duration{250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, time.Hour}
 
+// lowerRankShare is the part of the upstreams' throughput that more urgent work
+// leaves to the rest at least, so that no kind of request is starved.
+const lowerRankShare = 0.25
+
 // Wait estimates the time until a new job with this slack starts: jobs with less
-// slack run before it, and late jobs run last.
-func (ql *QueueLoad) Wait(slack time.Duration) time.Duration {
+// slack run before it, and late jobs run last. What more urgent routes are
+// expected to bring meanwhile is kept free for them: a job with much slack would
+// be admitted behind a short queue and then leave no room for those with little.
+func (ql *QueueLoad) Wait(slack time.Duration, rank int) time.Duration {
 	pieces := 0
 	if slack < 0 {
 		pieces = ql.Late
@@ -154,5 +196,9 @@
 	if pieces == 0 || ql.Rate <= 0 {
 		return 0
 	}
-	return time.Duration(float64(pieces) / ql.Rate * float64(time.Second))
+	rate := ql.Rate
+	for _, arrivals := range ql.Arrivals[:max(0, min(rank, Ranks-1))] {
+		rate -= arrivals
+	}
+	return time.Duration(float64(pieces) / max(rate, lowerRankShare*ql.Rate) * float64(time.Second))
 }
