Readers of the store: one entry a zone reads for the others

Change: fleet/readers chooses, fleet/coverage says how current a copy is that others keep, follow reads itself when they keep silent.

--- a/internal/fleet/discovery/discovery.go
+++ b/internal/fleet/discovery/discovery.go
@@ -17,9 +17,11 @@
 	prefix = "Entries/"
 	// retryDelay is the mean wait after a failed call.
 	retryDelay = 300 * time.Millisecond
-	// readInterval is the mean time between two reads of the rows. New entries
-	// connect to the others, so the rows only reveal entries that were missed.
-	readInterval = 20 * time.Second
+	// readInterval is the mean time between two reads of the rows by an entry with
+	// few peers, intervalPerPeer that of many. New entries connect to the others,
+	// so the rows only reveal entries that were missed.
+	readInterval    = 20 * time.Second
+	intervalPerPeer = time.Second
 	// removeAfter is how long an entry is unreachable before its row is removed.
 	// A process that restarts under the name writes the row again.
 	removeAfter = 90 * time.Second
@@ -51,7 +53,7 @@
 func (di *Discovery) Run(ctx context.Context) {
 	written := false
 	for ctx.Err() == nil {
-		wait := readInterval
+		wait := max(readInterval, time.Duration(di.mesh.LiveCount())*intervalPerPeer)
 		if !written {
 			err := di.write(ctx)
 			written = err == nil
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -1,15 +1,19 @@
 // Package follow copies the tables of the platform's store into a process's
-// view of its site and keeps them up to date.
+// view of its site and keeps them up to date. A few entries read the store for
+// all; the others read only when those keep silent.
 package follow
 
 import (
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/coverage"
+	"github.com/citronstream/citronstream/internal/fleet/readers"
 	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/go-logr/logr"
 )
@@ -20,16 +24,24 @@
 	// together must be shorter than the time after which the store counts as
 	// reachable again.
 	feedWait = 2 * time.Second
+	// readsPerAge is how often all readers together tell the others, within the
+	// greatest age of a copy, that a table is unchanged.
+	readsPerAge = 4
 	// memberInterval is the time between two reads of the upstreams' table by all
 	// entries together. The table changes with each heartbeat, and the entry that
 	// reads a change sends it to the others.
 	memberInterval = 200 * time.Millisecond
+	// sharedInterval is the same where few entries read for all.
+	sharedInterval = 400 * time.Millisecond
 	// slowAnswer is the time of an answer above which the store counts as
 	// unreachable: heartbeats that take as long can come too late.
 	slowAnswer = 500 * time.Millisecond
 	// minRetry and maxRetry bound the wait after a failed call, before jitter.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 800 * time.Millisecond
+	// listenJitter spreads the reads of entries that notice at once that the readers
+	// keep silent.
+	listenJitter = 100 * time.Millisecond
 )
 
 // Table is a table of the store to follow.
@@ -39,6 +51,9 @@
 	MinInterval func() time.Duration
 	// Complete says that a known row that a scan doesn't return has been removed.
 	Complete bool
+	// MaxAge is the age of the copy above which an entry that relies on readers
+	// reads the table itself.
+	MaxAge time.Duration
 }
 
 // Follower reads tables of the store into a view.
@@ -47,14 +62,102 @@
 	log       logr.Logger
 	feed      citronstream.Feed
 	view      *view.View
+	readers   func() readers.Choice
+	onRead    func(changes []citronstream.Change, re *citronstream.Reading)
 	calls     atomic.Uint64
 	failed    atomic.Uint64
 	storeDown atomic.Bool
+
+	mu        sync.Mutex
+	coverages map[string]*coverage.Coverage // by table
+	wakes     map[string]chan struct{}      // by table
+}
+
+// Option configures a Follower.
+type Option func(*Follower)
+
+// WithReaders sets the choice of the entries that read for all; without it this
+// entry reads for itself.
+func WithReaders(choice func() readers.Choice) Option {
+	return func(fo *Follower) { fo.readers = choice }
+}
+
+// WithOnRead sets the function that gets the rows with which each read changed
+// the view. Re is nil after a scan, which does not tell what was changed when.
+func WithOnRead(onRead func(changes []citronstream.Change, re *citronstream.Reading)) Option {
+	return func(fo *Follower) { fo.onRead = onRead }
 }
 
 // New returns a follower. Run starts it for a table.
-func New(clk citronstream.Clock, log logr.Logger, feed citronstream.Feed, vi *view.View) *Follower {
-	return &Follower{clk: clk, log: log, feed: feed, view: vi}
+func New(clk citronstream.Clock, log logr.Logger, feed citronstream.Feed, vi *view.View, opts ...Option) *Follower {
+	fo := &Follower{
+		clk: clk, log: log, feed: feed, view: vi, coverages: make(map[string]*coverage.Coverage), wakes: make(map[string]chan struct{}),
+		readers: func() readers.Choice { return readers.Choice{Self: true, Count: 1} },
+		onRead:  func([]citronstream.Change, *citronstream.Reading) {},
+	}
+	for _, opt := range opts {
+		opt(fo)
+	}
+	return fo
+}
+
+// Heard records that a reader has told all changes of a table. Only tables that
+// this process has read before count.
+func (fo *Follower) Heard(re citronstream.Reading) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if co := fo.coverages[re.Table]; co != nil {
+		co.Heard(re.After, re.Version, re.AsOf, fo.clk.Now())
+	}
+}
+
+// Refresh makes Run read a table again at once.
+func (fo *Follower) Refresh(table string) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if co := fo.coverages[table]; co != nil {
+		co.Expire()
+	}
+	select {
+	case fo.wakeOf(table) <- struct{}{}:
+	default:
+	}
+}
+
+// wakeOf returns the channel that ends a sleep before the next read of a table.
+// The caller holds the lock.
+func (fo *Follower) wakeOf(table string) chan struct{} {
+	if fo.wakes[table] == nil {
+		fo.wakes[table] = make(chan struct{}, 1)
+	}
+	return fo.wakes[table]
+}
+
+// rest returns how long this process may leave a table to the readers; at most 0
+// means that it has to read now: as a reader, or because the readers keep silent.
+func (fo *Follower) rest(ta Table) time.Duration {
+	if fo.readers().Self {
+		return 0
+	}
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	co := fo.coverages[ta.Name]
+	if co == nil {
+		return 0
+	}
+	return ta.MaxAge - co.Age(fo.clk.Now())
+}
+
+// recordRead records the state that a read has brought the copy of a table to.
+func (fo *Follower) recordRead(ta Table, at citronstream.Stamp, asOf time.Time) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	co := fo.coverages[ta.Name]
+	if co == nil {
+		co = &coverage.Coverage{}
+		fo.coverages[ta.Name] = co
+	}
+	co.Read(at.Version, asOf, at.Time)
 }
 
 // Counts returns the number of calls to the store and how many of them failed.
@@ -64,18 +167,29 @@
 func (fo *Follower) StoreDown() bool { return fo.storeDown.Load() }
 
 // ConfigTable returns the table with the configuration, which changes rarely.
-func ConfigTable(name string) Table { return Table{Name: name} }
+func ConfigTable(name string, maxAge time.Duration) Table { return Table{Name: name, MaxAge: maxAge} }
 
-// MemberTable returns the table with the upstreams. Live returns the number of
-// entries that read it, most is the longest time between two reads by one entry.
-func MemberTable(name string, live func() int, most time.Duration) Table {
-	return Table{Name: name, Complete: true, MinInterval: func() time.Duration { return min(time.Duration(live())*memberInterval, most) }}
+// MemberTable returns the table with the upstreams. MaxAge is the longest time
+// between two reads by one entry.
+func MemberTable(name string, choice func() readers.Choice, maxAge time.Duration) Table {
+	return Table{Name: name, Complete: true, MaxAge: maxAge, MinInterval: func() time.Duration {
+		interval, ch := memberInterval, choice()
+		if ch.Listeners {
+			interval = min(sharedInterval, maxAge/readsPerAge)
+		}
+		return min(time.Duration(ch.Count)*interval, maxAge)
+	}}
 }
 
 // Run follows a table until ctx ends.
 func (fo *Follower) Run(ctx context.Context, ta Table) {
 	after, known, wait := uint64(0), false, minRetry
 	for ctx.Err() == nil {
+		if rest := fo.rest(ta); rest > 0 {
+			known = false // after a pause the whole table is smaller than its changes
+			fo.sleep(ctx, ta, rest+rand.N(listenJitter))
+			continue
+		}
 		began := fo.clk.Now()
 		var err error
 		if known {
@@ -92,7 +206,7 @@
 			fo.log.Info("change history expired, scanning the table", "table", ta.Name, "revision", after)
 		case err != nil:
 			fo.recordResult(ta, err)
-			fo.sleep(ctx, wait/2+rand.N(wait))
+			fo.sleep(ctx, ta, wait/2+rand.N(wait))
 			wait = min(2*wait, maxRetry)
 			continue
 		default:
@@ -103,7 +217,7 @@
 			continue
 		}
 		if rest := ta.MinInterval() - fo.clk.Since(began); rest > 0 {
-			fo.sleep(ctx, rest)
+			fo.sleep(ctx, ta, rest)
 		}
 	}
 }
@@ -111,33 +225,62 @@
 func (fo *Follower) scan(ctx context.Context, ta Table) (uint64, error) {
 	fo.calls.Add(1)
 	began := fo.clk.Now()
-	rows, version, err := fo.feed.Scan(ctx, ta.Name)
+	rows, at, err := fo.feed.Scan(ctx, ta.Name)
 	if err != nil {
 		return 0, err
 	}
 	fo.checkLatency(fo.clk.Since(began))
+	var applied []citronstream.Change
 	if ta.Complete {
-		fo.view.Replace(rows, version, view.SourceStore)
-		return version, nil
+		applied = fo.view.Replace(rows, at.Version, view.SourceStore)
+	} else {
+		changes := make([]citronstream.Change, len(rows))
+		for i, row := range rows {
+			changes[i] = citronstream.Change{Row: row}
+		}
+		applied = fo.view.Apply(changes, view.SourceStore)
 	}
-	changes := make([]citronstream.Change, len(rows))
-	for i, row := range rows {
-		changes[i] = citronstream.Change{Row: row}
+	if fo.hasRead(ta) {
+		fo.onRead(applied, nil) // peers have read by themselves what a first scan returns
 	}
-	fo.view.Apply(changes, view.SourceStore)
-	return version, nil
+	fo.recordRead(ta, at, began)
+	return at.Version, nil
+}
+
+// hasRead reports whether the table was read before.
+func (fo *Follower) hasRead(ta Table) bool {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return fo.coverages[ta.Name] != nil
 }
 
 func (fo *Follower) changes(ctx context.Context, ta Table, after uint64) (uint64, error) {
 	fo.calls.Add(1)
-	began := fo.clk.Now()
-	changes, next, err := fo.feed.Changes(ctx, ta.Name, after, feedWait)
+	began, wait := fo.clk.Now(), fo.pollTime(ta)
+	changes, at, err := fo.feed.Changes(ctx, ta.Name, after, wait)
 	if err != nil {
 		return after, err
 	}
-	fo.checkLatency(fo.clk.Since(began) - feedWait)
-	fo.view.Apply(changes, view.SourceStore)
-	return next, nil
+	took := fo.clk.Since(began)
+	fo.checkLatency(took - wait)
+	asOf := began
+	if len(changes) == 0 && took > wait {
+		asOf = began.Add(wait) // nothing has changed until then
+	}
+	applied := fo.view.Apply(changes, view.SourceStore)
+	fo.recordRead(ta, at, asOf)
+	fo.onRead(applied, &citronstream.Reading{Table: ta.Name, After: after, Version: at.Version, AsOf: at.Time})
+	return at.Version, nil
+}
+
+// pollTime returns how long the store may wait for changes of a table. Entries
+// that do not read it must not take the silence between two answers for a loss
+// of the readers.
+func (fo *Follower) pollTime(ta Table) time.Duration {
+	if ch := fo.readers(); ch.Listeners {
+		return min(feedWait, time.Duration(ch.Count)*ta.MaxAge/readsPerAge)
+	}
+	return feedWait
 }
 
 // checkLatency treats a slow answer as a sign that heartbeats are late as well.
@@ -163,11 +306,16 @@
 	}
 }
 
-func (fo *Follower) sleep(ctx context.Context, wait time.Duration) {
+// sleep waits before the next read of a table, until Refresh at most.
+func (fo *Follower) sleep(ctx context.Context, ta Table, wait time.Duration) {
+	fo.mu.Lock()
+	wake := fo.wakeOf(ta.Name)
+	fo.mu.Unlock()
 	timer := fo.clk.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+	case <-wake:
 	case <-timer.Chan():
 	}
 }
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"slices"
@@ -50,8 +51,8 @@
 // Peer is another entry.
 type Peer struct {
 	Address string
-	Zone    string
 
+	zone    string // as first told; seeds have none
 	info    atomic.Pointer[citronstream.PeerInfo]
 	dialer  atomic.Pointer[dialer.Dialer]
 	cancel  context.CancelFunc
@@ -153,7 +154,7 @@
 		return nil
 	}
 	ctx, cancel := context.WithCancel(ms.ctx)
-	pe := &Peer{Address: address, Zone: zone, cancel: cancel}
+	pe := &Peer{Address: address, zone: zone, cancel: cancel}
 	pe.lostAt.Store(ms.clk.Now().UnixNano())
 	pe.dialer.Store(dialer.New(ctx, ms.clk, ms.eng, address,
 		func(li *link.Link, re *link.Request) { ms.handler(address, li, re) },
@@ -246,11 +247,21 @@
 	return count
 }
 
-// Broadcast sends a notification to all linked peers.
+// Broadcast sends a notification to all linked peers. It is encoded once for all.
 func (ms *Mesh) Broadcast(method string, params any) {
+	ms.Tell(method, params, func(*Peer) bool { return true })
+}
+
+// Tell sends a notification to the linked peers that wanted selects.
+func (ms *Mesh) Tell(method string, params any, wanted func(pe *Peer) bool) {
+	raw, err := json.Marshal(params)
+	if err != nil {
+		ms.log.Error(err, "message to peers not encoded", "method", method)
+		return
+	}
 	for _, pe := range ms.Peers() {
-		if li := pe.Link(); li != nil {
-			_ = li.Notify(method, params) // a failed link is reopened, and the peer then asks for the state
+		if li := pe.Link(); li != nil && wanted(pe) {
+			_ = li.Notify(method, json.RawMessage(raw)) // a failed link is reopened, and the peer then asks for the state
 		}
 	}
 }
@@ -263,6 +274,14 @@
 	return pe.Address
 }
 
+// Zone returns the peer's zone, empty while it is unknown.
+func (pe *Peer) Zone() string {
+	if info := pe.info.Load(); info != nil {
+		return info.Zone
+	}
+	return pe.zone
+}
+
 // Revision returns the version of the row with the peer's configuration, 0 while unknown.
 func (pe *Peer) Revision() uint64 {
 	if info := pe.info.Load(); info != nil {
@@ -271,6 +290,14 @@
 	return 0
 }
 
+// ConfigBytes returns the size of the row with the peer's configuration, 0 while unknown.
+func (pe *Peer) ConfigBytes() int {
+	if info := pe.info.Load(); info != nil {
+		return info.ConfigBytes
+	}
+	return 0
+}
+
 // Capacity returns the peer's capacity relative to other entries, 0 while unknown.
 func (pe *Peer) Capacity() float64 {
 	if info := pe.info.Load(); info != nil {
--- a/internal/fleet/view/routes.go
+++ b/internal/fleet/view/routes.go
@@ -13,11 +13,12 @@
 	*citronstream.Routing
 	// Revision is the version of the row that held the configuration.
 	Revision uint64
+	Bytes    int                              // size of that row
 	byHost   map[string][]*citronstream.Route // longest prefix first
 }
 
-func newRoutes(ro *citronstream.Routing, revision uint64) *Routes {
-	index := &Routes{Routing: ro, Revision: revision, byHost: make(map[string][]*citronstream.Route)}
+func newRoutes(ro *citronstream.Routing, revision uint64, bytes int) *Routes {
+	index := &Routes{Routing: ro, Revision: revision, Bytes: bytes, byHost: make(map[string][]*citronstream.Route)}
 	for i := range ro.Routes {
 		route := &ro.Routes[i]
 		index.byHost[route.Host] = append(index.byHost[route.Host], route)
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -62,8 +62,11 @@
 	return vi
 }
 
-// SourceStore names the store as the source of rows.
-const SourceStore = "store"
+// Sources of rows besides the names of peers.
+const (
+	SourceStore  = "store"
+	SourceExpiry = "grace period ended"
+)
 
 // OnChange sets the function that is called with rows that changed the view and
 // their source, to forward them to peers. It must not call the view.
@@ -89,6 +92,14 @@
 	return 0
 }
 
+// ConfigBytes returns the size of the row with the configuration, or 0 before the first.
+func (vi *View) ConfigBytes() int {
+	if ro := vi.routes.Load(); ro != nil {
+		return ro.Bytes
+	}
+	return 0
+}
+
 // RecordStoreFailure records that the store is unreachable or slow at this moment.
 func (vi *View) RecordStoreFailure() {
 	vi.mu.Lock()
@@ -96,9 +107,9 @@
 	vi.storeDownAt = vi.clk.Now()
 }
 
-// Apply applies changes of rows that are newer than the known ones. Source is
-// for logs.
-func (vi *View) Apply(changes []citronstream.Change, source string) {
+// Apply applies changes of rows that are newer than the known ones and returns
+// those that changed the view. Source is for logs.
+func (vi *View) Apply(changes []citronstream.Change, source string) []citronstream.Change {
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
 	var applied []citronstream.Change
@@ -122,11 +133,12 @@
 	if len(applied) > 0 {
 		vi.onChange(applied, source)
 	}
+	return applied
 }
 
-// Replace applies the complete table of upstreams as of a version. Upstreams
-// without a row have been removed.
-func (vi *View) Replace(rows []citronstream.Row, version uint64, source string) {
+// Replace applies the complete table of upstreams as of a version and returns the
+// changes. Upstreams without a row have been removed.
+func (vi *View) Replace(rows []citronstream.Row, version uint64, source string) []citronstream.Change {
 	changes := make([]citronstream.Change, 0, len(rows))
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
@@ -140,18 +152,21 @@
 		}
 	}
 	vi.mu.Unlock()
-	vi.Apply(changes, source)
+	return vi.Apply(changes, source)
 }
 
-// State returns all rows for a peer. It omits the configuration if the peer has
-// the same or a newer revision.
-func (vi *View) State(has uint64) []citronstream.Change {
+// State returns what a peer asks for: the configuration, if its own is older, and
+// all other rows unless it wants only the configuration.
+func (vi *View) State(qu citronstream.StateQuery) []citronstream.Change {
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
 	all := make([]citronstream.Change, 0, len(vi.rows)+1)
-	if vi.config.Version > has {
+	if vi.config.Version > qu.Revision {
 		all = append(all, citronstream.Change{Row: vi.config})
 	}
+	if qu.ConfigOnly {
+		return all
+	}
 	for _, rec := range vi.rows {
 		if !rec.inGrace {
 			all = append(all, rec.Change)
@@ -179,7 +194,7 @@
 	}
 	if len(applied) > 0 {
 		vi.publish()
-		vi.onChange(applied, SourceStore)
+		vi.onChange(applied, SourceExpiry)
 	}
 }
 
@@ -197,7 +212,7 @@
 		return false
 	}
 	vi.config = ch.Row
-	vi.routes.Store(newRoutes(routing, ch.Version))
+	vi.routes.Store(newRoutes(routing, ch.Version, len(ch.Value)))
 	vi.log.Info("configuration in force", "version", routing.Version, "revision", ch.Version, "source", source, "routes", len(routing.Routes))
 	return true
 }
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -151,10 +151,10 @@
 	vi, _, _ := newView()
 	apply(vi, row("op/config", 1, "1"), row("i", 2, "s a:1 x"), row("j", 3, "s a:2 x"), removal("j", 4))
 	other, _, _ := newView()
-	other.Apply(vi.State(0), "peer")
+	other.Apply(vi.State(citronstream.StateQuery{}), "peer")
 	assert.Equal(t, uint64(1), other.Revision())
 	assert.NotNil(t, other.Members().Node("i"))
 	apply(other, row("j", 3, "s a:2 x"))
 	assert.Nil(t, other.Members().Node("j"))
-	assert.Len(t, vi.State(1), 2, "a configuration that the peer has is not sent again")
+	assert.Len(t, vi.State(citronstream.StateQuery{Revision: 1}), 2, "a configuration that the peer has is not sent again")
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +17,7 @@
 	"github.com/citronstream/citronstream/internal/fleet/discovery"
 	"github.com/citronstream/citronstream/internal/fleet/follow"
 	"github.com/citronstream/citronstream/internal/fleet/mesh"
+	"github.com/citronstream/citronstream/internal/fleet/readers"
 	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/citronstream/citronstream/internal/ingress/flow"
 	"github.com/citronstream/citronstream/internal/ingress/server"
@@ -43,6 +46,9 @@
 	// stateFetchDelay is how long a process waits to read a peer's newer
 	// configuration from the store before it asks the peer.
 	stateFetchDelay = 150 * time.Millisecond
+	// maxPeerConfig is the largest configuration in bytes that entries get from each
+	// other. It takes a link of 10 Mbit/s 50 ms; several ask one entry at a time.
+	maxPeerConfig = 64 << 10
 	// stateTimeout bounds the fetch of a peer's state, which may be a megabyte over a slow link.
 	stateTimeout = 4 * time.Second
 	// ioTimeout bounds probes of upstreams and the reading of request headers.
@@ -56,7 +62,8 @@
 	// of the retry budget. Each uses at most its share of the budget.
 	ownersPerWindow = 2
 	// readsPerDrain is the number of list reads within the time in which requests to
-	// a leaving upstream must stop, also for an entry without peers.
+	// a leaving upstream must stop, also for an entry without peers. The same holds
+	// for the configuration and the time in which it must be in force.
 	readsPerDrain = 2
 	// cancelStagesLead is the time in which the last refusals reach their callers.
 	cancelStagesLead = 400 * time.Millisecond
@@ -90,18 +97,18 @@
 	metricsServer *http.Server
 	discovery     *discovery.Discovery
 
-	ctx            context.Context
-	cancel         context.CancelFunc
-	background     sync.WaitGroup
-	pendingChanges chan []citronstream.Change
-	leaving        atomic.Bool
+	ctx         context.Context
+	cancel      context.CancelFunc
+	background  sync.WaitGroup
+	pendingRows chan citronstream.Rows
+	leaving     atomic.Bool
 	// fetching is true while a peer's state is being fetched.
 	fetching atomic.Bool
 }
 
-// maxPendingChanges bounds the queue of changes for peers. Peers get dropped
-// changes by their own reads of the store.
-const maxPendingChanges = 1024
+// maxPendingRows bounds the queue of rows for peers. Peers notice dropped ones by
+// the versions of the next and read the store themselves.
+const maxPendingRows = 1024
 
 // New returns a gateway that does not listen yet.
 func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, site *citronstream.Site) (*Gateway, error) {
@@ -113,15 +120,15 @@
 		clk: clk, log: log, site: site, boot: citronstream.NewID(), eng: eng,
 		engines: engines.New(clk), holds: poison.New(clk, citronstream.DefaultLimits()),
 		refusals: firstattempt.New(clk), meter: requests.New(),
-		pendingChanges: make(chan []citronstream.Change, maxPendingChanges),
+		pendingRows: make(chan citronstream.Rows, maxPendingRows),
 	}
 	ga.ctx, ga.cancel = context.WithCancel(ctx)
 	ga.pool = conns.New(clk, conns.WithMaxIdle(ga.maxIdleConns))
 	store := platform.NewStore(site.Store)
 	ga.view = view.New(clk, log, view.Decode{Routing: platform.DecodeRouting, Member: platform.DecodeMember, ConfigKey: platform.ConfigKey})
 	ga.view.OnChange(ga.viewChanged)
-	ga.follower = follow.New(clk, log, store, ga.view)
 	ga.mesh = mesh.New(clk, log, eng, ga.peerInfo, ga.handle, ga.peerConnected)
+	ga.follower = follow.New(clk, log, store, ga.view, follow.WithReaders(ga.readers), follow.WithOnRead(ga.storeRead))
 	ga.discovery = discovery.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone)
 	ga.deaths = deathdetect.New(ga.ctx, clk, probeUpstream, ga.upstreamDied)
 	owned := siteretrybudget.New(clk, site.Bounds, func() int { return ownersPerWindow })
@@ -178,13 +185,15 @@
 	for _, seed := range ga.site.Seeds {
 		ga.mesh.AddPeer(seed, "")
 	}
-	ga.runInBackground(func(ctx context.Context) { ga.follower.Run(ctx, follow.ConfigTable(platform.TableConfig)) })
 	ga.runInBackground(func(ctx context.Context) {
-		ga.follower.Run(ctx, follow.MemberTable(platform.TableMembers, ga.mesh.LiveCount, ga.site.Bounds.Drain/readsPerDrain))
+		ga.follower.Run(ctx, follow.ConfigTable(platform.TableConfig, ga.site.Bounds.ConfigApply/readsPerDrain))
+	})
+	ga.runInBackground(func(ctx context.Context) {
+		ga.follower.Run(ctx, follow.MemberTable(platform.TableMembers, ga.readers, ga.site.Bounds.Drain/readsPerDrain))
 	})
 	ga.runInBackground(ga.discovery.Run)
 	ga.runInBackground(ga.runPeriodic)
-	ga.runInBackground(ga.broadcastChanges)
+	ga.runInBackground(ga.broadcastRows)
 	ga.log.Info("started", "callers", ga.site.Callers, "peers", ga.site.Peers, "zone", ga.site.Zone, "boot", ga.boot)
 	return nil
 }
@@ -227,10 +236,22 @@
 func (ga *Gateway) peerInfo() citronstream.PeerInfo {
 	return citronstream.PeerInfo{
 		Name: ga.site.Process, Zone: ga.site.Zone, Address: ga.site.Peers, Boot: ga.boot,
-		Leaving: ga.leaving.Load(), Capacity: ga.site.Cores * ga.site.LinkRate, Revision: ga.view.Revision(),
+		Leaving: ga.leaving.Load(), Capacity: ga.site.Cores * ga.site.LinkRate, Revision: ga.view.Revision(), ConfigBytes: ga.view.ConfigBytes(),
 	}
 }
 
+// readers chooses the entries that read the store for all.
+func (ga *Gateway) readers() readers.Choice {
+	peers := ga.mesh.Peers()
+	live := make([]citronstream.PeerInfo, 0, len(peers))
+	for _, pe := range peers {
+		if pe.Up() {
+			live = append(live, citronstream.PeerInfo{Zone: pe.Zone(), Address: pe.Address})
+		}
+	}
+	return readers.New(citronstream.PeerInfo{Zone: ga.site.Zone, Address: ga.site.Peers}, live)
+}
+
 // peerConnected fetches the state of a peer that has a newer configuration, or of
 // any peer while this process can't read the store or knows no upstream.
 func (ga *Gateway) peerConnected(pe *mesh.Peer, li *link.Link) {
@@ -246,84 +267,159 @@
 		return
 	}
 	ga.runInBackground(func(ctx context.Context) {
-		ga.fetchState(ctx, pe, li, withoutStore)
+		if withoutStore {
+			ga.fetchState(ctx, pe, li, citronstream.StateQuery{Revision: ga.view.Revision()})
+		} else {
+			ga.fetchConfig(ctx)
+		}
 		ga.fetching.Store(false)
-		ga.fetchNewest()
+		if pe, li := ga.newestPeer(); pe != nil {
+			ga.peerConnected(pe, li)
+		}
 	})
 }
 
-// fetchNewest fetches another state if a peer has a still newer configuration.
-func (ga *Gateway) fetchNewest() {
+// newestPeer returns a peer with a newer configuration than this process, nil if
+// there is none: by chance, from the own zone if it has one, as all entries that
+// do not read the store ask for a new configuration at the same time.
+func (ga *Gateway) newestPeer() (*mesh.Peer, *link.Link) {
+	var near, far []*mesh.Peer
 	for _, pe := range ga.mesh.Peers() {
-		if li := pe.Link(); li != nil && pe.Revision() > ga.view.Revision() {
-			ga.peerConnected(pe, li)
-			return
+		switch {
+		case pe.Link() == nil || pe.Revision() <= ga.view.Revision():
+		case pe.Zone() == ga.site.Zone:
+			near = append(near, pe)
+		default:
+			far = append(far, pe)
 		}
 	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return nil, nil
+	}
+	pe := near[rand.IntN(len(near))]
+	return pe, pe.Link()
 }
 
-// fetchState applies a peer's state unless the store delivers the configuration first.
-func (ga *Gateway) fetchState(ctx context.Context, pe *mesh.Peer, li *link.Link, withoutStore bool) {
-	if !withoutStore {
-		timer := ga.clk.NewTimer(stateFetchDelay)
-		defer timer.Stop()
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.Chan():
-		}
-		if pe.Revision() <= ga.view.Revision() {
-			return
+// fetchConfig fetches the configuration from a peer unless the store delivers it
+// first. Entries that do not read the store ask at different times; a large one
+// they read there all the same, as the links between entries are slow.
+func (ga *Gateway) fetchConfig(ctx context.Context) {
+	delay := stateFetchDelay
+	pe, _ := ga.newestPeer()
+	switch {
+	case pe == nil:
+		return
+	case pe.ConfigBytes() > maxPeerConfig:
+		if !ga.readers().Self {
+			ga.follower.Refresh(platform.TableConfig)
 		}
+		delay += 2 * ga.transferTime(pe.ConfigBytes())
+	case !ga.readers().Self:
+		delay = rand.N(stateFetchDelay)
+	}
+	timer := ga.clk.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-timer.Chan():
+	}
+	if pe, li := ga.newestPeer(); pe != nil && li != nil {
+		ga.fetchState(ctx, pe, li, citronstream.StateQuery{Revision: ga.view.Revision(), ConfigOnly: true})
+	}
+}
+
+// transferTime returns how long this instance's link takes for some bytes.
+func (ga *Gateway) transferTime(bytes int) time.Duration {
+	if ga.site.LinkRate <= 0 {
+		return 0
 	}
+	return time.Duration(float64(bytes) * 8 / 1e6 / ga.site.LinkRate * float64(time.Second))
+}
+
+// fetchState fetches rows from a peer and applies them.
+func (ga *Gateway) fetchState(ctx context.Context, pe *mesh.Peer, li *link.Link, qu citronstream.StateQuery) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	var rows citronstream.Rows
-	if err := li.Call(ctx, citronstream.MethodState, ga.peerInfo(), &rows); err != nil {
+	if err := li.Call(ctx, citronstream.MethodState, qu, &rows); err != nil {
 		ga.log.Info("failed to fetch state from peer", "peer", pe.Name(), "reason", err.Error())
 		return
 	}
 	ga.view.Apply(rows.Changes, pe.Name())
 }
 
-// viewChanged queues changes from the store for the peers.
+// viewChanged wakes the announcement of a configuration, and queues upstreams
+// whose grace period has ended for the peers. What was read is queued by storeRead.
 func (ga *Gateway) viewChanged(changes []citronstream.Change, source string) {
-	if source != view.SourceStore {
-		changes = nil // the process that read them has sent them to all peers
+	if source != view.SourceExpiry {
+		changes = nil
+	}
+	ga.queueRows(citronstream.Rows{Changes: changes})
+}
+
+// storeRead queues what was read from the store for the peers. Those that do not
+// read it are told of each read, as its changes being none is news as well.
+func (ga *Gateway) storeRead(changes []citronstream.Change, re *citronstream.Reading) {
+	if !ga.readers().Listeners {
+		re = nil
+	}
+	if re != nil && re.Table == platform.TableConfig {
+		re.After, re.Revision = 0, ga.view.Revision()
 	}
+	if re != nil || len(changes) > 0 {
+		ga.queueRows(citronstream.Rows{Changes: changes, Reading: re})
+	}
+}
+
+func (ga *Gateway) queueRows(rows citronstream.Rows) {
 	select {
-	case ga.pendingChanges <- changes:
+	case ga.pendingRows <- rows:
 	default:
 	}
 }
 
-// broadcastChanges sends changes to the peers and applies the limits of a new configuration.
-func (ga *Gateway) broadcastChanges(ctx context.Context) {
+// broadcastRows sends rows to the peers and applies the limits of a new configuration.
+func (ga *Gateway) broadcastRows(ctx context.Context) {
 	announced := uint64(0)
 	for {
-		var changes []citronstream.Change
+		var rows citronstream.Rows
 		select {
 		case <-ctx.Done():
 			return
-		case changes = <-ga.pendingChanges:
+		case rows = <-ga.pendingRows:
 		}
 		if routes := ga.view.Routes(); routes != nil && routes.Revision > announced {
 			announced = routes.Revision
 			ga.callerServer.Configure(routes.Limits)
-			ga.mesh.Broadcast(citronstream.MethodPeerUpdate, ga.peerInfo())
-		}
-		var members []citronstream.Change
-		for _, ch := range changes {
-			if ch.Key != platform.ConfigKey {
-				members = append(members, ch)
-			}
+			ga.announceConfig()
 		}
-		if len(members) > 0 {
-			ga.mesh.Broadcast(citronstream.MethodRows, citronstream.Rows{Changes: members})
+		rows.Changes = slices.DeleteFunc(rows.Changes, func(ch citronstream.Change) bool { return ch.Key == platform.ConfigKey })
+		if len(rows.Changes) > 0 || rows.Reading != nil {
+			ga.mesh.Broadcast(citronstream.MethodRows, rows)
 		}
 	}
 }
 
+// announceConfig tells the peers which configuration is in force here: all of
+// them, if this process reads the store, else those of its zone.
+func (ga *Gateway) announceConfig() {
+	all := ga.readers().Self
+	ga.mesh.Tell(citronstream.MethodPeerUpdate, ga.peerInfo(), func(pe *mesh.Peer) bool { return all || pe.Zone() == ga.site.Zone })
+}
+
+// heardRows applies rows that a peer has read.
+func (ga *Gateway) heardRows(from string, rows citronstream.Rows) {
+	ga.view.Apply(rows.Changes, from)
+	// A configuration that this process does not have is fetched when its peer announces it.
+	if re := rows.Reading; re != nil && re.Revision <= ga.view.Revision() {
+		ga.follower.Heard(*re)
+	}
+}
+
 // runPeriodic runs the periodic tasks.
 func (ga *Gateway) runPeriodic(ctx context.Context) {
 	ticker := ga.clk.NewTicker(tickInterval)
@@ -332,6 +428,9 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-ga.engines.Urgent():
+			ga.broadcastEntryLoad()
+			continue
 		case <-ticker.Chan():
 		}
 		ga.view.Sweep()
@@ -352,30 +451,34 @@
 // broadcastLoads sends the peers this process's load on the engines, the load of
 // its queues, and the requests that it has refused.
 func (ga *Gateway) broadcastLoads() {
+	ga.broadcastEntryLoad()
+	if queues, busy := ga.broker.ChangedLoads(); busy {
+		ga.mesh.Broadcast(citronstream.MethodQueueLoads, queues)
+	}
+}
+
+func (ga *Gateway) broadcastEntryLoad() {
 	load, changed := ga.engines.ChangedLoad()
 	load.Refused = ga.refusals.TakeUnsent()
 	if changed || len(load.Refused) > 0 {
 		ga.mesh.Broadcast(citronstream.MethodEntryLoad, load)
 	}
-	if queues, busy := ga.broker.ChangedLoads(); busy {
-		ga.mesh.Broadcast(citronstream.MethodQueueLoads, queues)
-	}
 }
 
 // handle processes messages from peers.
 func (ga *Gateway) handle(from string, li *link.Link, re *link.Request) {
 	switch re.Method {
 	case citronstream.MethodState:
-		var info citronstream.PeerInfo
-		if err := re.Decode(&info); err != nil {
+		var qu citronstream.StateQuery
+		if err := re.Decode(&qu); err != nil {
 			re.ReplyError(err)
 			return
 		}
-		re.Reply(citronstream.Rows{Changes: ga.view.State(info.Revision)})
+		re.Reply(citronstream.Rows{Changes: ga.view.State(qu)})
 	case citronstream.MethodRows:
 		var rows citronstream.Rows
 		if re.Decode(&rows) == nil {
-			ga.view.Apply(rows.Changes, from)
+			ga.heardRows(from, rows)
 		}
 	case citronstream.MethodEntryLoad:
 		var load citronstream.EntryLoad
--- a/internal/process/gateway/site_test.go
+++ b/internal/process/gateway/site_test.go
@@ -27,6 +27,11 @@
 	pollInterval = 2 * time.Millisecond
 )
 
+// testBounds are the bounds of the smallest sites.
+var testBounds = citronstream.Bounds{
+	Drain: 2 * time.Second, ConfigApply: 2 * time.Second, Grace: 8 * time.Second, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryExtra: 50,
+}
+
 // testSite is a site with stand-ins for its store and upstreams, and some entries.
 type testSite struct {
 	t         *testing.T
@@ -35,6 +40,7 @@
 	log       *site.Log
 	upstreams map[string]*site.Upstream
 	entries   []*testEntry
+	bounds    citronstream.Bounds
 	client    *http.Client
 	next      atomic.Int64
 }
@@ -48,7 +54,7 @@
 
 func newTestSite(t *testing.T, entries int) *testSite {
 	ts := &testSite{t: t, clk: clockwork.NewRealClock(), log: &site.Log{}, upstreams: make(map[string]*site.Upstream)}
-	ts.st = site.NewStore(ts.clk)
+	ts.st, ts.bounds = site.NewStore(ts.clk), testBounds
 	ts.client = &http.Client{Transport: &http.Transport{DisableCompression: true}}
 	ts.configure(1, "")
 	for range entries {
@@ -110,8 +116,7 @@
 func (ts *testSite) startGateway(door *site.Door, cores, rate float64) (*Gateway, error) {
 	si := &citronstream.Site{
 		Process: fmt.Sprintf("front-%d", len(ts.entries)), Zone: "z", Callers: freeAddress(ts.t), Ready: freeAddress(ts.t), Peers: freeAddress(ts.t),
-		Bounds: citronstream.Bounds{Grace: 8 * time.Second, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryExtra: 50},
-		Store:  door.Address(), Cores: cores, LinkRate: rate,
+		Bounds: ts.bounds, Store: door.Address(), Cores: cores, LinkRate: rate,
 	}
 	ga, err := New(context.Background(), ts.clk, logr.Discard(), si)
 	if err != nil {
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -128,6 +128,7 @@
 		return
 	}
 	answer, status := do.st.call(rq)
+	answer.NowMs = do.st.clk.Now().UnixMilli()
 	if do.fault.Load() == Loses {
 		<-rq.Context().Done()
 		return
@@ -154,6 +155,7 @@
 	Rows    []storeRow `json:"rows"`
 	More    bool       `json:"more-pages"`
 	Version uint64     `json:"record-version"`
+	NowMs   int64      `json:"now-ms"`
 }
 
 func (st *Store) call(rq *http.Request) (storeAnswer, int) {
--- a/platform.go
+++ b/platform.go
@@ -79,12 +79,18 @@
 // Feed is the stream of changes of a table.
 type Feed interface {
 	// Changes returns the changes of a table after a version, in order. Without
-	// any it waits for one, at most for the time wait. Next is the version to go on from. Errors:
+	// any it waits for one, at most for the time wait. The next call goes on from its version. Errors:
 	// ErrHistoryExpired when the changes are no longer kept, ErrUnavailable,
 	// ErrThrottled.
-	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (changes []Change, next uint64, err error)
+	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (changes []Change, at Stamp, err error)
 	// Scan reads a whole table as of the returned version.
-	Scan(ctx context.Context, table string) (rows []Row, version uint64, err error)
+	Scan(ctx context.Context, table string) (rows []Row, at Stamp, err error)
+}
+
+// Stamp says when the store gave an answer.
+type Stamp struct {
+	Version uint64        // of the store: of all tables together
+	Time    time.Duration // of the store's steady clock
 }
 
 // Objects is the platform's object store.
--- a/site.go
+++ b/site.go
@@ -28,6 +28,7 @@
 // Bounds are the time and retry limits that the operators of a site promise.
 type Bounds struct {
 	Drain       time.Duration // time from the store's acknowledgement to the last request to a leaving upstream
+	ConfigApply time.Duration // time from the store's acknowledgement to a configuration's use by all
 	Grace       time.Duration // time from SIGTERM to SIGKILL
 	RetryWindow time.Duration // window of the retry budget
 	RetryRatio  float64       // extra attempts as a share of a service's requests
