Readers tell all changes of a read, and read at different times

Rows 493 to 499 were read first by front-se-a-6, whose links to some entries were silent. The other readers heard them from it, so their own reads of the same rows changed nothing, they told an empty reading up to that version, and entries that had not heard front-se-a-6 took their copies for current. TestChangeHeardFromAReader fails without the change. TestListenersMakeNoCalls of package follow counts 3 calls in a minute without the change, 0 with it. The test of the gateway also counted reads that were due 100 ms after its start. Ruled out: load (fails under a fake clock); the grace period of expired rows. Change: with a reading goes each change that it covers; no reading is told while a removal is in its grace period; the rest between two reads is drawn at random, at most half of the age, and the store waits at most to three quarters of the age. Tests: times and calls are asserted under a fake clock with the bounds of the smallest site (package follow, 2 s again); the tests of the gateway keep the wiring over real links, without wall-clock bounds.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -24,9 +24,13 @@
 	// together must be shorter than the time after which the store counts as
 	// reachable again.
 	feedWait = 2 * time.Second
-	// readsPerAge is how often all readers together tell the others, within the
-	// greatest age of a copy, that a table is unchanged.
-	readsPerAge = 4
+	// A reader that others rely on reads again when the copy has three quarters of
+	// its greatest age, so that a message is told in time by each reader, however
+	// the reads of several coincide. Between two reads it rests half of that age at
+	// most, and the store waits for changes at least a quarter.
+	tellAt      = 0.75
+	restAtMost  = 0.5
+	waitAtLeast = 0.25
 	// memberInterval is the time between two reads of the upstreams' table by all
 	// entries together. The table changes with each heartbeat, and the entry that
 	// reads a change sends it to the others.
@@ -47,7 +51,8 @@
 // Table is a table of the store to follow.
 type Table struct {
 	Name string
-	// MinInterval returns the minimum time between two reads; nil means none.
+	// MinInterval returns the time between two reads when the table changes all the
+	// time, at most; nil means none.
 	MinInterval func() time.Duration
 	// Complete says that a known row that a scan doesn't return has been removed.
 	Complete bool
@@ -82,8 +87,10 @@
 	return func(fo *Follower) { fo.readers = choice }
 }
 
-// WithOnRead sets the function that gets the rows with which each read changed
-// the view. Re is nil after a scan, which does not tell what was changed when.
+// WithOnRead sets the function that gets the rows of each read that others should
+// know: all of its changes with a reading, else those that changed the view. Re is
+// nil after a scan, which does not tell what was changed when, while a removal is
+// not final, and if all entries read.
 func WithOnRead(onRead func(changes []citronstream.Change, re *citronstream.Reading)) Option {
 	return func(fo *Follower) { fo.onRead = onRead }
 }
@@ -173,11 +180,11 @@
 // between two reads by one entry.
 func MemberTable(name string, choice func() readers.Choice, maxAge time.Duration) Table {
 	return Table{Name: name, Complete: true, MaxAge: maxAge, MinInterval: func() time.Duration {
-		interval, ch := memberInterval, choice()
+		ch := choice()
 		if ch.Listeners {
-			interval = min(sharedInterval, maxAge/readsPerAge)
+			return min(time.Duration(ch.Count)*sharedInterval, portion(maxAge, restAtMost))
 		}
-		return min(time.Duration(ch.Count)*interval, maxAge)
+		return min(time.Duration(ch.Count)*memberInterval, maxAge)
 	}}
 }
 
@@ -216,7 +223,10 @@
 		if ta.MinInterval == nil {
 			continue
 		}
-		if rest := ta.MinInterval() - fo.clk.Since(began); rest > 0 {
+		// A change ends the waits of all readers at once. They go on at different
+		// times, so that one of them waits for the next change.
+		interval := ta.MinInterval()
+		if rest := interval/2 + rand.N(max(1, interval/2)) - fo.clk.Since(began); rest > 0 {
 			fo.sleep(ctx, ta, rest)
 		}
 	}
@@ -269,7 +279,13 @@
 	}
 	applied := fo.view.Apply(changes, view.SourceStore)
 	fo.recordRead(ta, at, asOf)
-	fo.onRead(applied, &citronstream.Reading{Table: ta.Name, After: after, Version: at.Version, AsOf: at.Time})
+	if fo.readers().Listeners && fo.view.Settled(changes) {
+		// All changes of the read, also those heard from another reader before, whose
+		// message may not have reached everyone.
+		fo.onRead(changes, &citronstream.Reading{Table: ta.Name, After: after, Version: at.Version, AsOf: at.Time})
+	} else {
+		fo.onRead(applied, nil)
+	}
 	return at.Version, nil
 }
 
@@ -277,10 +293,20 @@
 // that do not read it must not take the silence between two answers for a loss
 // of the readers.
 func (fo *Follower) pollTime(ta Table) time.Duration {
-	if ch := fo.readers(); ch.Listeners {
-		return min(feedWait, time.Duration(ch.Count)*ta.MaxAge/readsPerAge)
+	if !fo.readers().Listeners {
+		return feedWait
 	}
-	return feedWait
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	wait := portion(ta.MaxAge, tellAt)
+	if co := fo.coverages[ta.Name]; co != nil {
+		wait -= co.Age(fo.clk.Now())
+	}
+	return min(feedWait, max(portion(ta.MaxAge, waitAtLeast), wait))
+}
+
+func portion(age time.Duration, share float64) time.Duration {
+	return time.Duration(float64(age) * share)
 }
 
 // checkLatency treats a slow answer as a sign that heartbeats are late as well.
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -155,6 +155,19 @@
 	return vi.Apply(changes, source)
 }
 
+// Settled reports whether no upstream of these changes is in its grace period, in
+// which only this process keeps what the store has removed.
+func (vi *View) Settled(changes []citronstream.Change) bool {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	for _, ch := range changes {
+		if rec := vi.rows[ch.Key]; rec != nil && rec.inGrace {
+			return false
+		}
+	}
+	return true
+}
+
 // State returns what a peer asks for: the configuration, if its own is older, and
 // all other rows unless it wants only the configuration.
 func (vi *View) State(qu citronstream.StateQuery) []citronstream.Change {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -364,9 +364,6 @@
 // storeRead queues what was read from the store for the peers. Those that do not
 // read it are told of each read, as its changes being none is news as well.
 func (ga *Gateway) storeRead(changes []citronstream.Change, re *citronstream.Reading) {
-	if !ga.readers().Listeners {
-		re = nil
-	}
 	if re != nil && re.Table == platform.TableConfig {
 		re.After, re.Revision = 0, ga.view.Revision()
 	}
