engines: what many entries told shrinks at one rate of reading

Each peer's told tokens shrank at the engine's whole rate, so that the prompts of 15 peers vanished within 30 ms from the estimate. Ruled out: the measured rate of reading (35 to 40 tokens/ms of 32); waits by rank, which refuse only the least urgent kind there. Change: the rate is shared by all prompts at the engine in proportion; prompts of 50 ms instead of 400 ms are told at once. Result: TestToldLoadsShareTheRate fails before (0 tokens instead of 16,000).

--- a/internal/route/engines/engines.go
+++ b/internal/route/engines/engines.go
@@ -58,7 +58,7 @@
 	peerLoadTTL = 3 * time.Second
 	// largeRead is the time to read a prompt from which on the peers are told of it
 	// at once: with many entries they tell their loads less often than that.
-	largeRead = 400 * time.Millisecond
+	largeRead = 50 * time.Millisecond
 )
 
 // Request holds the properties of a request that the choice depends on.
@@ -317,15 +317,23 @@
 }
 
 // totalLoad returns the requests at an engine and the tokens that it has to read.
-// What peers told is older: the engine has read on since.
+// What peers told is older: the engine has read on since, and its rate is shared
+// by the prompts of all.
 func (pi *Picker) totalLoad(id string, now time.Time) (running int, prefill float64) {
 	if ld := pi.ownLoads[id]; ld != nil {
 		running, prefill = ld.running, float64(ld.prefillTokens)
 	}
+	all := prefill
 	for _, pe := range pi.peers[id] {
-		if age := now.Sub(pe.at); age < peerLoadTTL {
+		if now.Sub(pe.at) < peerLoadTTL {
 			running += pe.Running
-			prefill += max(0, float64(pe.PrefillTokens)-pi.readRate*float64(age.Milliseconds()))
+			all += float64(pe.PrefillTokens)
+		}
+	}
+	for _, pe := range pi.peers[id] {
+		if age := now.Sub(pe.at); age < peerLoadTTL && pe.PrefillTokens > 0 {
+			told := float64(pe.PrefillTokens)
+			prefill += max(0, told-told/all*pi.readRate*float64(age.Milliseconds()))
 		}
 	}
 	return running, prefill
--- a/internal/route/engines/engines_test.go
+++ b/internal/route/engines/engines_test.go
@@ -149,3 +149,19 @@
 	pi := New(clockwork.NewFakeClock())
 	assert.Equal(t, "y", pi.Prefer(nodes(2), Request{Tokens: 100, Inputs: map[string]int{"y": 2e6}}).Zone)
 }
+
+// Load pattern: many entries with a short prompt each at the same engine. It reads
+// them one after the other, so that a moment later most of them still wait.
+func TestToldLoadsShareTheRate(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	pi := New(clk)
+	for i := range 20 {
+		pi.UpdateLoad(string(rune('a'+i)), citronstream.EntryLoad{Engines: map[string]citronstream.EngineLoad{"e": {Running: 1, PrefillTokens: 1000}}})
+	}
+	clk.Advance(100 * time.Millisecond)
+	_, prefill := pi.totalLoad("e", clk.Now())
+	assert.InDelta(t, 20*1000-100*assumedReadRate, prefill, 1)
+	clk.Advance(time.Second)
+	_, prefill = pi.totalLoad("e", clk.Now())
+	assert.Zero(t, prefill)
+}
