Jobs outlive the links between entries

Ruled out: the retry budget as such; it was used up by work that ran elsewhere. The state of a dialer is one value, as its link and its wake-up were read apart. An owner that has ended takes no job: TestJobsOfALostPeer failed once with the race detector (WaitGroup of calls); TestSubmitAfterTheEnd.

--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -266,6 +266,20 @@
 	}
 }
 
+// Boot identifies the run of the peer's process, empty while unknown.
+func (pe *Peer) Boot() string {
+	if info := pe.info.Load(); info != nil {
+		return info.Boot
+	}
+	return ""
+}
+
+// Reopened returns the link that replaces a lost one, or nil if the next attempt to
+// connect fails or ctx ends before.
+func (pe *Peer) Reopened(ctx context.Context, lost *link.Link) *link.Link {
+	return pe.dialer.Load().Reopened(ctx, lost)
+}
+
 // Name returns the peer's name, or its address while the name is unknown.
 func (pe *Peer) Name() string {
 	if info := pe.info.Load(); info != nil {
--- a/internal/peer/dialer/dialer.go
+++ b/internal/peer/dialer/dialer.go
@@ -30,9 +30,14 @@
 	onDown  func(err error)
 	linkOpt []link.Option
 
-	current atomic.Pointer[link.Link]
-	changed atomic.Pointer[chan struct{}]
-	done    chan struct{}
+	state atomic.Pointer[state]
+	done  chan struct{}
+}
+
+// state is the result of the last attempt to connect.
+type state struct {
+	li      *link.Link    // nil while there is none
+	changed chan struct{} // closed when the next state replaces this one
 }
 
 // Option changes a Dialer.
@@ -60,8 +65,7 @@
 	for _, opt := range opts {
 		opt(di)
 	}
-	ready := make(chan struct{})
-	di.changed.Store(&ready)
+	di.state.Store(&state{changed: make(chan struct{})})
 	go di.run(ctx)
 	return di
 }
@@ -73,21 +77,42 @@
 func (di *Dialer) Done() <-chan struct{} { return di.done }
 
 // Link returns the open link, or nil.
-func (di *Dialer) Link() *link.Link { return di.current.Load() }
+func (di *Dialer) Link() *link.Link { return di.state.Load().li }
 
 // Wait returns the open link, waiting for one until ctx ends.
 func (di *Dialer) Wait(ctx context.Context) (*link.Link, error) {
 	for {
-		changed := *di.changed.Load()
-		if li := di.current.Load(); li != nil {
-			return li, nil
+		st := di.state.Load()
+		if st.li != nil {
+			return st.li, nil
 		}
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-di.done:
 			return nil, link.ErrLost
-		case <-changed:
+		case <-st.changed:
+		}
+	}
+}
+
+// Reopened returns the link that replaces a lost one, or nil if the next attempt to
+// connect fails or ctx ends before.
+func (di *Dialer) Reopened(ctx context.Context, lost *link.Link) *link.Link {
+	for {
+		st := di.state.Load()
+		if st.li != nil && st.li != lost {
+			return st.li
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-di.done:
+			return nil
+		case <-st.changed:
+		}
+		if st.li == nil {
+			return di.Link() // nil after a failed attempt
 		}
 	}
 }
@@ -103,6 +128,8 @@
 			<-li.Done()
 			di.publish(nil)
 			err = li.Err()
+		} else {
+			di.publish(nil)
 		}
 		if ctx.Err() != nil {
 			return
@@ -132,9 +159,8 @@
 	return li, nil
 }
 
-// publish replaces the link and wakes the callers of Wait.
+// publish replaces the link, by nil after a failed attempt, and wakes the callers
+// of Wait and Reopened.
 func (di *Dialer) publish(li *link.Link) {
-	di.current.Store(li)
-	next := make(chan struct{})
-	close(*di.changed.Swap(&next))
+	close(di.state.Swap(&state{li: li, changed: make(chan struct{})}).changed)
 }
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -14,6 +14,7 @@
 	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/stage/owner"
+	"github.com/citronstream/citronstream/internal/stage/peerjobs"
 	"github.com/go-logr/logr"
 )
 
@@ -31,6 +32,12 @@
 	// entry. All jobs of a service pass through its owner, whose network link
 	// and CPU would otherwise limit the whole site.
 	ownerShare = 0.5
+	// maxResumes is how often a job is asked for again at an owner whose link was lost,
+	// resumeWait how long the link may take to be replaced. A reset one takes 75 ms.
+	maxResumes = 2
+	resumeWait = 400 * time.Millisecond
+	// The jobs of peers without a link expire every expireTicks ticks.
+	expireTicks = 5
 	// maxServices is the number of services whose load is kept.
 	maxServices = 1024
 )
@@ -54,10 +61,8 @@
 	leaving  bool
 	loads    map[string]load
 	reported map[string]bool // services that had work at the last ChangedLoads
-	// remote has the jobs of peers by the link they arrived on. It has its own
-	// lock, as an owner ends jobs while it holds its lock.
-	remoteMu sync.Mutex
-	remote   map[*link.Link]map[citronstream.JobKey]bool
+	peerJobs *peerjobs.Jobs[*link.Link]
+	watched  map[*link.Link]bool // links of peers with jobs
 	links    sync.WaitGroup
 	// onFetched has a func() for each job of this process, by its
 	// citronstream.JobKey.
@@ -83,7 +88,7 @@
 	br := &Broker{
 		clk: clk, log: log, self: self, view: vi, mesh: ms, batcher: batcher, budget: budget, ctx: ctx,
 		owners: make(map[string]*owner.Owner), loads: make(map[string]load), reported: make(map[string]bool),
-		remote: make(map[*link.Link]map[citronstream.JobKey]bool), done: make(chan struct{}),
+		peerJobs: peerjobs.New[*link.Link](clk), watched: make(map[*link.Link]bool), done: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(br)
@@ -156,6 +161,9 @@
 		for _, ow := range br.allOwners() {
 			ow.Tick()
 		}
+		if count%expireTicks == 0 {
+			br.expirePeerJobs()
+		}
 		if count%logTicks == 0 {
 			br.Each(br.logState)
 		}
@@ -294,26 +302,57 @@
 	case re := <-ended:
 		return re
 	case <-ctx.Done():
-		ow.Cancel(jobKey(&jo))
+		ow.Cancel(jobKey(&jo), "")
 		return <-ended
 	}
 }
 
+// runRemote submits a job to its owner. If the link is lost and the owner lives, the
+// job is asked for over the next link: it has gone on meanwhile.
 func (br *Broker) runRemote(ctx context.Context, pe *mesh.Peer, jo citronstream.Job) (citronstream.JobResult, error) {
-	li := pe.Link()
+	li, boot := pe.Link(), pe.Boot()
 	if li == nil {
 		return citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeLeaving, "no link to the owner")}, nil
 	}
-	var re citronstream.JobResult
-	err := li.Call(ctx, citronstream.MethodRunJob, &jo, &re)
+	jo.Attempt = citronstream.NewID()
+	re, err := br.call(ctx, li, &jo)
+	for range maxResumes {
+		if err == nil {
+			break
+		}
+		if li = br.reopened(ctx, pe, li); li == nil || pe.Boot() != boot {
+			break
+		}
+		jo.Resume = true
+		resumed, resumeErr := br.call(ctx, li, &jo)
+		if resumeErr == nil && resumed.Fault != nil && resumed.Fault.Code == citronstream.CodeNotFound {
+			break
+		}
+		br.log.Info("job resumed", "request", jo.ID, "stage", jo.Stage, "service", jo.Service, "peer", pe.Name(), "reason", err.Error())
+		re, err = resumed, resumeErr
+	}
+	return re, err
+}
+
+// call sends a job over a link and waits for its result.
+func (br *Broker) call(ctx context.Context, li *link.Link, jo *citronstream.Job) (re citronstream.JobResult, err error) {
+	err = li.Call(ctx, citronstream.MethodRunJob, jo, &re)
 	if ctx.Err() != nil {
-		_ = li.Notify(citronstream.MethodCancelJob, jobKey(&jo)) // without it the owner ends the job at its deadline
+		_ = li.Notify(citronstream.MethodCancelJob, jobKey(jo)) // without it the owner ends the job at its deadline
 		re.Fault = citronstream.NewFault(citronstream.NotRun, citronstream.CodeCanceled, "the request has ended")
 		return re, nil
 	}
 	return re, err
 }
 
+// reopened waits for the link that replaces a lost one; nil if it takes too long.
+func (br *Broker) reopened(ctx context.Context, pe *mesh.Peer, lost *link.Link) *link.Link {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer br.clk.AfterFunc(resumeWait, cancel).Stop()
+	return pe.Reopened(ctx, lost)
+}
+
 func jobKey(jo *citronstream.Job) citronstream.JobKey {
 	return citronstream.JobKey{ID: jo.ID, Stage: jo.Stage, Service: jo.Service}
 }
@@ -328,7 +367,7 @@
 		var key citronstream.JobKey
 		if re.Decode(&key) == nil {
 			if ow := br.localOwner(key.Service); ow != nil {
-				ow.Cancel(key)
+				ow.Cancel(key, "")
 			}
 		}
 	case citronstream.MethodInputsFetched:
@@ -368,49 +407,54 @@
 		re.Reply(citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeLeaving, "this entry does not own service %s", jo.Service)})
 		return
 	}
-	key := jobKey(&jo)
-	br.trackRemote(li, key)
-	ow.Submit(jo, func(result citronstream.JobResult) {
-		br.untrackRemote(li, key)
-		re.Reply(result)
-	}, func() { _ = li.Notify(citronstream.MethodInputsFetched, key) }) // if it is lost, the end of the job reports the same
-}
-
-// trackRemote records a job of a peer. When the link ends, its jobs are
-// canceled, as the peer submits them to another owner.
-func (br *Broker) trackRemote(li *link.Link, key citronstream.JobKey) {
-	br.remoteMu.Lock()
-	defer br.remoteMu.Unlock()
-	keys, known := br.remote[li]
-	if !known {
-		keys = make(map[citronstream.JobKey]bool)
-		br.remote[li] = keys
-		br.links.Go(func() { br.cancelOnClose(li) })
-	}
-	keys[key] = true
+	br.watch(li)
+	key, attempt := jobKey(&jo), jo.Attempt
+	answer := func(result citronstream.JobResult) { re.Reply(result) }
+	if jo.Resume {
+		if !br.peerJobs.Resume(li, key, attempt, answer) {
+			answer(citronstream.JobResult{Fault: citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeNotFound, "the job is not known here")})
+		}
+		return
+	}
+	br.peerJobs.Add(li, key, attempt, answer)
+	ow.Submit(jo, func(result citronstream.JobResult) { br.peerJobs.End(key, attempt, result) }, func() {
+		if current, ok := br.peerJobs.Conn(key, attempt); ok {
+			_ = current.Notify(citronstream.MethodInputsFetched, key) // if it is lost, the end of the job reports the same
+		}
+	})
 }
 
-func (br *Broker) untrackRemote(li *link.Link, key citronstream.JobKey) {
-	br.remoteMu.Lock()
-	defer br.remoteMu.Unlock()
-	delete(br.remote[li], key)
+// watch notices the end of a link with jobs.
+func (br *Broker) watch(li *link.Link) {
+	br.mu.Lock()
+	defer br.mu.Unlock()
+	if br.watched[li] {
+		return
+	}
+	br.watched[li] = true
+	br.links.Go(func() {
+		select {
+		case <-li.Done():
+			br.peerJobs.Lost(li)
+		case <-br.ctx.Done():
+		}
+		br.mu.Lock()
+		defer br.mu.Unlock()
+		delete(br.watched, li)
+	})
 }
 
-func (br *Broker) cancelOnClose(li *link.Link) {
-	select {
-	case <-li.Done():
-	case <-br.ctx.Done():
-		return // the peer submits its jobs to another owner when the link ends
-	}
-	br.remoteMu.Lock()
-	keys := br.remote[li]
-	delete(br.remote, li)
-	br.remoteMu.Unlock()
-	for key := range keys {
+// expirePeerJobs ends the jobs whose peers have not asked for them over another link.
+func (br *Broker) expirePeerJobs() {
+	running, unsent := br.peerJobs.Expire()
+	for key, attempt := range running {
 		if ow := br.localOwner(key.Service); ow != nil {
-			ow.Cancel(key)
+			ow.Cancel(key, attempt)
 		}
 	}
+	for _, rl := range unsent {
+		br.releaseLocal(rl)
+	}
 }
 
 // Release releases results through the owner of their service.
--- a/internal/stage/owner/dispatch_test.go
+++ b/internal/stage/owner/dispatch_test.go
@@ -64,6 +64,6 @@
 	for i := 0; b.Loop(); i++ {
 		jo := newJob(fmt.Sprint("b", i), 4, nil)
 		hs.Submit(jo, func(citronstream.JobResult) {}, nil)
-		hs.Cancel(citronstream.JobKey{ID: jo.ID, Service: "s"})
+		hs.Cancel(citronstream.JobKey{ID: jo.ID, Service: "s"}, "")
 	}
 }
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -85,6 +85,7 @@
 	list       []*server // in the order of the upstreams' IDs
 	openBuf    []*server // reused for the result of openServers
 	calls      sync.WaitGroup
+	closed     bool // no call may begin any more
 	counts     Counts
 	rate       rate
 	arrivals   arrivals
@@ -144,8 +145,13 @@
 	}
 }
 
-// Wait waits until all batches have ended.
-func (ow *Owner) Wait() { ow.calls.Wait() }
+// Wait refuses further jobs and waits until all batches have ended.
+func (ow *Owner) Wait() {
+	ow.mu.Lock()
+	ow.closed = true
+	ow.mu.Unlock()
+	ow.calls.Wait()
+}
 
 // Len returns the number of queued and running jobs.
 func (ow *Owner) Len() int {
@@ -202,6 +208,10 @@
 		// The entry lost its link and has submitted the job again.
 		ow.endJob(old, citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeCanceled, "the job was submitted again")})
 	}
+	if ow.closed {
+		done(citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeLeaving, "the owner of service %s has ended", ow.service)})
+		return
+	}
 	if len(ow.jobs) >= maxJobs {
 		ow.counts.Overloaded++
 		done(citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeLimit, "the queue of service %s is full", ow.service)})
@@ -235,11 +245,12 @@
 	}
 }
 
-// Cancel removes a job whose request has ended.
-func (ow *Owner) Cancel(key citronstream.JobKey) {
+// Cancel removes a job whose request has ended, if it is this submission of it; an
+// empty attempt means any.
+func (ow *Owner) Cancel(key citronstream.JobKey, attempt string) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
-	if jb := ow.jobs[key]; jb != nil {
+	if jb := ow.jobs[key]; jb != nil && (attempt == "" || jb.Attempt == attempt) {
 		ow.endJob(jb, citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeCanceled, "the request has ended")})
 	}
 }
@@ -275,6 +286,9 @@
 // after the upstream has answered, as a batch may overtake the call. The caller
 // holds the lock.
 func (ow *Owner) release(nd *node.Node, handles []string) {
+	if ow.closed {
+		return // the upstream drops them by itself
+	}
 	ow.calls.Go(func() {
 		ow.batcher.Release(ow.ctx, nd, handles)
 		ow.mu.Lock()
--- a/internal/stage/owner/owner_test.go
+++ b/internal/stage/owner/owner_test.go
@@ -414,8 +414,8 @@
 	result := hs.submit(newJob("1", 1, nil))
 	one := hs.batch()
 	waits := hs.submit(newJob("2", 1, nil))
-	hs.Cancel(citronstream.JobKey{ID: "1", Service: "s"})
-	hs.Cancel(citronstream.JobKey{ID: "2", Service: "s"})
+	hs.Cancel(citronstream.JobKey{ID: "1", Service: "s"}, "")
+	hs.Cancel(citronstream.JobKey{ID: "2", Service: "s"}, "")
 	assert.Equal(t, citronstream.CodeCanceled, hs.result(result).Fault.Code)
 	assert.Equal(t, citronstream.CodeCanceled, hs.result(waits).Fault.Code)
 	handles := hs.finish(one)
@@ -458,6 +458,15 @@
 	assert.Nil(t, hs.result(runs).Fault)
 }
 
+// An owner that has ended begins no call: the process that stops waits for its calls
+// while requests still submit jobs, as their links to other owners are lost.
+func TestSubmitAfterTheEnd(t *testing.T) {
+	hs := newHarness(t, upstream("a", ""))
+	hs.Wait()
+	assert.Equal(t, citronstream.CodeLeaving, hs.result(hs.submit(newJob("1", 1, nil))).Fault.Code)
+	hs.noBatch()
+}
+
 // An upstream that is no longer listed gets no new batch.
 func TestRemovedUpstream(t *testing.T) {
 	nd := upstream("a", "")
--- a/message_peer.go
+++ b/message_peer.go
@@ -126,6 +126,10 @@
 	Margin time.Duration `json:"Margin,omitempty"`
 	// LaterStages is the estimated time of the request after this stage.
 	LaterStages time.Duration `json:"Rest"`
+	// Attempt identifies the submission to a queue. Resume asks for the result of an
+	// attempt that was submitted over a link that is lost; nothing is started for it.
+	Attempt string `json:"Attempt,omitempty"`
+	Resume  bool   `json:"Resume,omitempty"`
 }
 
 // JobKey identifies a job.
