--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -25,6 +25,12 @@
 	maxPeers = 1024
 	// removeAfter is how long an entry may be unreachable before it is removed.
 	removeAfter = 2 * time.Minute
+	// Times after which an idle link is pinged. A link with calls in flight is
+	// pinged earlier; a silent peer must be noticed within contact times of 3 s in
+	// small sites and 5 s in large ones.
+	minIdlePing = time.Second
+	maxIdlePing = 3 * time.Second
+	pingPerPeer = 25 * time.Millisecond
 )
 
 // Handler handles a message from a peer. It must not block.
@@ -92,6 +98,16 @@
 	}
 }
 
+func (ms *Mesh) idlePing() time.Duration { return idlePing(len(ms.Peers())) }
+
+func (ms *Mesh) idleCheck() time.Duration { return ms.idlePing() * 3 / 10 }
+
+// idlePing returns after which silence a link without calls in flight is pinged. A
+// process has two links for each peer, so that its pings would grow with the fleet.
+func idlePing(peers int) time.Duration {
+	return min(maxIdlePing, max(minIdlePing, time.Duration(peers)*pingPerPeer))
+}
+
 func (ms *Mesh) acceptLinks() {
 	defer close(ms.acceptDone)
 	for {
@@ -108,7 +124,7 @@
 			_ = nc.Close()
 			continue
 		}
-		link.New(ms.ctx, ms.clk, stream, ms.handleIncoming)
+		link.New(ms.ctx, ms.clk, stream, ms.handleIncoming, link.WithIdlePing(ms.idlePing), link.WithIdleCheck(ms.idleCheck))
 	}
 }
 
@@ -158,6 +174,7 @@
 	pe.lostAt.Store(ms.clk.Now().UnixNano())
 	pe.dialer.Store(dialer.New(ctx, ms.clk, ms.eng, address,
 		func(li *link.Link, re *link.Request) { ms.handler(address, li, re) },
+		dialer.WithLinkOptions(link.WithIdlePing(ms.idlePing), link.WithIdleCheck(ms.idleCheck)),
 		dialer.WithUp(func(ctx context.Context, li *link.Link) error { return ms.handshake(ctx, pe, li) }),
 		dialer.WithDown(func(err error) { ms.linkDown(pe, err) })))
 	ms.byAddress[address] = pe
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -93,6 +93,7 @@
 	conn        *jsonrpc2.Conn
 	handler     Handler
 	pingIdle    func() time.Duration
+	checkIdle   func() time.Duration
 	version     func() uint64
 	observe     func(li *Link, version uint64)
 	inFlight    atomic.Int64
@@ -110,6 +111,12 @@
 // WithIdlePing sets after which silence a link without calls in flight sends a ping.
 func WithIdlePing(after func() time.Duration) Option { return func(li *Link) { li.pingIdle = after } }
 
+// WithIdleCheck sets the time between two silence checks of a link without calls in
+// flight. A call that begins between two is checked that much later.
+func WithIdleCheck(interval func() time.Duration) Option {
+	return func(li *Link) { li.checkIdle = interval }
+}
+
 // WithVersion sets the configuration version that heartbeats carry, and the
 // callback for the peer's version.
 func WithVersion(version func() uint64, observe func(li *Link, version uint64)) Option {
@@ -119,7 +126,7 @@
 // New starts a link over the stream. It ends with ctx, with the stream, or when the peer is silent.
 func New(ctx context.Context, clk citronstream.Clock, stream Stream, handler Handler, opts ...Option) *Link {
 	li := &Link{clk: clk, stream: stream, handler: handler, done: make(chan struct{})}
-	li.pingIdle = func() time.Duration { return idlePingAfter }
+	li.pingIdle, li.checkIdle = func() time.Duration { return idlePingAfter }, func() time.Duration { return idleCheckInterval }
 	li.version, li.observe = func() uint64 { return 0 }, func(*Link, uint64) {}
 	for _, opt := range opts {
 		opt(li)
@@ -296,7 +303,7 @@
 	if li.inFlight.Load() > 0 {
 		return busyCheckInterval
 	}
-	return idleCheckInterval
+	return li.checkIdle()
 }
 
 // ping sends a heartbeat. Its answer counts as received bytes.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -4,10 +4,8 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,7 +15,6 @@
 	"github.com/citronstream/citronstream/internal/fleet/discovery"
 	"github.com/citronstream/citronstream/internal/fleet/follow"
 	"github.com/citronstream/citronstream/internal/fleet/mesh"
-	"github.com/citronstream/citronstream/internal/fleet/readers"
 	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/citronstream/citronstream/internal/ingress/flow"
 	"github.com/citronstream/citronstream/internal/ingress/server"
@@ -43,14 +40,6 @@
 	peersPerTick = 16
 	// sweepTicks is the number of ticks between removals of idle connections and lost peers.
 	sweepTicks = 5
-	// stateFetchDelay is how long a process waits to read a peer's newer
-	// configuration from the store before it asks the peer.
-	stateFetchDelay = 150 * time.Millisecond
-	// maxPeerConfig is the largest configuration in bytes that entries get from each
-	// other. It takes a link of 10 Mbit/s 50 ms; several ask one entry at a time.
-	maxPeerConfig = 64 << 10
-	// stateTimeout bounds the fetch of a peer's state, which may be a megabyte over a slow link.
-	stateTimeout = 4 * time.Second
 	// ioTimeout bounds probes of upstreams and the reading of request headers.
 	ioTimeout = time.Second
 	// minLinger is how long a leaving process still accepts connections: the platform
@@ -106,10 +95,6 @@
 	fetching atomic.Bool
 }
 
-// maxPendingRows bounds the queue of rows for peers. Peers notice dropped ones by
-// the versions of the next and read the store themselves.
-const maxPendingRows = 1024
-
 // New returns a gateway that does not listen yet.
 func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, site *citronstream.Site) (*Gateway, error) {
 	eng, err := nbconn.New()
@@ -240,183 +225,6 @@
 	}
 }
 
-// readers chooses the entries that read the store for all.
-func (ga *Gateway) readers() readers.Choice {
-	peers := ga.mesh.Peers()
-	live := make([]citronstream.PeerInfo, 0, len(peers))
-	for _, pe := range peers {
-		if pe.Up() {
-			live = append(live, citronstream.PeerInfo{Zone: pe.Zone(), Address: pe.Address})
-		}
-	}
-	return readers.New(citronstream.PeerInfo{Zone: ga.site.Zone, Address: ga.site.Peers}, live)
-}
-
-// peerConnected fetches the state of a peer that has a newer configuration, or of
-// any peer while this process can't read the store or knows no upstream.
-func (ga *Gateway) peerConnected(pe *mesh.Peer, li *link.Link) {
-	if ga.ctx.Err() != nil {
-		return
-	}
-	withoutStore := ga.follower.StoreDown() || ga.view.Members().Len() == 0
-	if pe.Revision() <= ga.view.Revision() && !withoutStore {
-		return
-	}
-	// One fetch at a time: a state can take a slow link a whole second.
-	if !ga.fetching.CompareAndSwap(false, true) {
-		return
-	}
-	ga.runInBackground(func(ctx context.Context) {
-		if withoutStore {
-			ga.fetchState(ctx, pe, li, citronstream.StateQuery{Revision: ga.view.Revision()})
-		} else {
-			ga.fetchConfig(ctx)
-		}
-		ga.fetching.Store(false)
-		if pe, li := ga.newestPeer(); pe != nil {
-			ga.peerConnected(pe, li)
-		}
-	})
-}
-
-// newestPeer returns a peer with a newer configuration than this process, nil if
-// there is none: by chance, from the own zone if it has one, as all entries that
-// do not read the store ask for a new configuration at the same time.
-func (ga *Gateway) newestPeer() (*mesh.Peer, *link.Link) {
-	var near, far []*mesh.Peer
-	for _, pe := range ga.mesh.Peers() {
-		switch {
-		case pe.Link() == nil || pe.Revision() <= ga.view.Revision():
-		case pe.Zone() == ga.site.Zone:
-			near = append(near, pe)
-		default:
-			far = append(far, pe)
-		}
-	}
-	if len(near) == 0 {
-		near = far
-	}
-	if len(near) == 0 {
-		return nil, nil
-	}
-	pe := near[rand.IntN(len(near))]
-	return pe, pe.Link()
-}
-
-// fetchConfig fetches the configuration from a peer unless the store delivers it
-// first. Entries that do not read the store ask at different times; a large one
-// they read there all the same, as the links between entries are slow.
-func (ga *Gateway) fetchConfig(ctx context.Context) {
-	delay := stateFetchDelay
-	pe, _ := ga.newestPeer()
-	switch {
-	case pe == nil:
-		return
-	case pe.ConfigBytes() > maxPeerConfig:
-		if !ga.readers().Self {
-			ga.follower.Refresh(platform.TableConfig)
-		}
-		delay += 2 * ga.transferTime(pe.ConfigBytes())
-	case !ga.readers().Self:
-		delay = rand.N(stateFetchDelay)
-	}
-	timer := ga.clk.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return
-	case <-timer.Chan():
-	}
-	if pe, li := ga.newestPeer(); pe != nil && li != nil {
-		ga.fetchState(ctx, pe, li, citronstream.StateQuery{Revision: ga.view.Revision(), ConfigOnly: true})
-	}
-}
-
-// transferTime returns how long this instance's link takes for some bytes.
-func (ga *Gateway) transferTime(bytes int) time.Duration {
-	if ga.site.LinkRate <= 0 {
-		return 0
-	}
-	return time.Duration(float64(bytes) * 8 / 1e6 / ga.site.LinkRate * float64(time.Second))
-}
-
-// fetchState fetches rows from a peer and applies them.
-func (ga *Gateway) fetchState(ctx context.Context, pe *mesh.Peer, li *link.Link, qu citronstream.StateQuery) {
-	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
-	defer cancel()
-	var rows citronstream.Rows
-	if err := li.Call(ctx, citronstream.MethodState, qu, &rows); err != nil {
-		ga.log.Info("failed to fetch state from peer", "peer", pe.Name(), "reason", err.Error())
-		return
-	}
-	ga.view.Apply(rows.Changes, pe.Name())
-}
-
-// viewChanged wakes the announcement of a configuration, and queues upstreams
-// whose grace period has ended for the peers. What was read is queued by storeRead.
-func (ga *Gateway) viewChanged(changes []citronstream.Change, source string) {
-	if source != view.SourceExpiry {
-		changes = nil
-	}
-	ga.queueRows(citronstream.Rows{Changes: changes})
-}
-
-// storeRead queues what was read from the store for the peers. Those that do not
-// read it are told of each read, as its changes being none is news as well.
-func (ga *Gateway) storeRead(changes []citronstream.Change, re *citronstream.Reading) {
-	if re != nil && re.Table == platform.TableConfig {
-		re.After, re.Revision = 0, ga.view.Revision()
-	}
-	if re != nil || len(changes) > 0 {
-		ga.queueRows(citronstream.Rows{Changes: changes, Reading: re})
-	}
-}
-
-func (ga *Gateway) queueRows(rows citronstream.Rows) {
-	select {
-	case ga.pendingRows <- rows:
-	default:
-	}
-}
-
-// broadcastRows sends rows to the peers and applies the limits of a new configuration.
-func (ga *Gateway) broadcastRows(ctx context.Context) {
-	announced := uint64(0)
-	for {
-		var rows citronstream.Rows
-		select {
-		case <-ctx.Done():
-			return
-		case rows = <-ga.pendingRows:
-		}
-		if routes := ga.view.Routes(); routes != nil && routes.Revision > announced {
-			announced = routes.Revision
-			ga.callerServer.Configure(routes.Limits)
-			ga.announceConfig()
-		}
-		rows.Changes = slices.DeleteFunc(rows.Changes, func(ch citronstream.Change) bool { return ch.Key == platform.ConfigKey })
-		if len(rows.Changes) > 0 || rows.Reading != nil {
-			ga.mesh.Broadcast(citronstream.MethodRows, rows)
-		}
-	}
-}
-
-// announceConfig tells the peers which configuration is in force here: all of
-// them, if this process reads the store, else those of its zone.
-func (ga *Gateway) announceConfig() {
-	all := ga.readers().Self
-	ga.mesh.Tell(citronstream.MethodPeerUpdate, ga.peerInfo(), func(pe *mesh.Peer) bool { return all || pe.Zone() == ga.site.Zone })
-}
-
-// heardRows applies rows that a peer has read.
-func (ga *Gateway) heardRows(from string, rows citronstream.Rows) {
-	ga.view.Apply(rows.Changes, from)
-	// A configuration that this process does not have is fetched when its peer announces it.
-	if re := rows.Reading; re != nil && re.Revision <= ga.view.Revision() {
-		ga.follower.Heard(*re)
-	}
-}
-
 // runPeriodic runs the periodic tasks.
 func (ga *Gateway) runPeriodic(ctx context.Context) {
 	ticker := ga.clk.NewTicker(tickInterval)
