--- a/internal/limit/admission/replay_test.go
+++ b/internal/limit/admission/replay_test.go
@@ -211,3 +211,25 @@
 	_, _, _, last := replayBoth(t, kinds)
 	assert.Empty(t, last.refused)
 }
+
+// Load pattern: a burst that exceeds the upstreams by a little, beside a less urgent
+// kind with much time. It can wait until the burst has passed, so few are turned away.
+func TestSmallBurst(t *testing.T) {
+	kinds := slices.Clone(urgentBurst)
+	kinds[0].burst = 1.6
+	kinds[1].target, kinds[1].left = 5*time.Second, 15*time.Second
+	_, now, bound, last := replayBoth(t, kinds)
+	assert.GreaterOrEqual(t, now, 0.95*bound)
+	assert.GreaterOrEqual(t, float64(last.inTime[2]), 0.95*float64(last.asked[2]), "the less urgent kind")
+}
+
+// Load pattern: a spike of one second, as when all callers come back after an outage.
+// Waits by rank must not turn away the less urgent kind for long after it.
+func TestSpike(t *testing.T) {
+	kinds := slices.Clone(urgentBurst)
+	kinds[0].burst, kinds[0].burstAt, kinds[0].burstEnd = 8, 8*time.Second, 9*time.Second
+	before, now, bound, last := replayBoth(t, kinds)
+	assert.GreaterOrEqual(t, now, 0.98*before)
+	assert.GreaterOrEqual(t, now, 0.85*bound)
+	assert.GreaterOrEqual(t, 2*last.inTime[2], last.asked[2], "the less urgent kind")
+}
--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -182,11 +182,7 @@
 	_, cut, _ := ts.addStageUpstreams()
 	ts.waitReady()
 	cut.Work.Store(int64(100 * time.Millisecond))
-	owner := ts.owner("cut")
-	other := ts.entries[0]
-	if owner == other {
-		other = ts.entries[1]
-	}
+	owner, other := ts.ownerAndOther("cut")
 	for range 20 {
 		go func() {
 			ca := ts.call(site.HeaderPieces, "8,1", site.HeaderPieceKey, "k")
@@ -200,6 +196,15 @@
 	ts.waitFor(owner.broker.Idle, "jobs of a lost peer were not cancelled")
 }
 
+// ownerAndOther returns the entry that owns the queue of a service, of two entries.
+func (ts *testSite) ownerAndOther(service string) (owner, other *testEntry) {
+	owner, other = ts.owner(service), ts.entries[0]
+	if owner == other {
+		other = ts.entries[1]
+	}
+	return owner, other
+}
+
 // owner returns the entry that owns the queue of a service.
 func (ts *testSite) owner(service string) *testEntry {
 	for _, en := range ts.entries {
--- a/internal/process/gateway/relink_test.go
+++ b/internal/process/gateway/relink_test.go
@@ -18,11 +18,7 @@
 	_, cut, _ := ts.addStageUpstreams()
 	ts.waitReady()
 	cut.Work.Store(int64(300 * time.Millisecond))
-	owner := ts.owner("cut")
-	other := ts.entries[0]
-	if owner == other {
-		other = ts.entries[1]
-	}
+	_, other := ts.ownerAndOther("cut")
 	const calls = 4
 	var group sync.WaitGroup
 	for range calls {
--- a/internal/route/engines/replay_test.go
+++ b/internal/route/engines/replay_test.go
@@ -59,94 +59,120 @@
 	reread                              int // tokens of shared parts
 }
 
-// replay plays the arrivals against engines that read one prompt after the other.
-func replay(clk *clockwork.FakeClock, list []arrival, ch chooser) (out outcome) {
-	nodes := make([]*node.Node, replayEngines)
-	free := make([]time.Duration, replayEngines) // when the engine has read all its prompts
-	cached := make([]map[uint64]bool, replayEngines)
-	index := make(map[*node.Node]int)
-	for i := range nodes {
-		nodes[i] = node.New(citronstream.Member{ID: fmt.Sprintf("e%d", i), Slots: 64})
-		cached[i], index[nodes[i]] = make(map[uint64]bool), i
-	}
-	type event struct {
-		at    time.Duration
-		entry int
-		nd    *node.Node
-		rq    *Request
+// replayed is the state of a replay: engines that read one prompt after the other.
+type replayed struct {
+	clk    *clockwork.FakeClock
+	ch     chooser
+	now    time.Duration
+	nodes  []*node.Node
+	index  map[*node.Node]int
+	free   []time.Duration   // when the engine has read all its prompts
+	cached []map[uint64]bool // shared parts that the engine has read
+	reads  []readEnd
+	next   []time.Duration // when the entry tells its load
+	out    outcome
+}
+
+// readEnd is the moment at which an engine has read a prompt.
+type readEnd struct {
+	at    time.Duration
+	entry int
+	nd    *node.Node
+	rq    *Request
+}
+
+// replay plays the arrivals.
+func replay(clk *clockwork.FakeClock, list []arrival, ch chooser) outcome {
+	re := &replayed{
+		clk: clk, ch: ch, index: make(map[*node.Node]int), nodes: make([]*node.Node, replayEngines), free: make([]time.Duration, replayEngines),
+		cached: make([]map[uint64]bool, replayEngines), next: make([]time.Duration, replayEntries),
 	}
-	var reads []event
-	next := make([]time.Duration, replayEntries)
-	for i := range next {
-		next[i] = replayTell * time.Duration(i) / replayEntries
+	for i := range re.nodes {
+		re.nodes[i] = node.New(citronstream.Member{ID: fmt.Sprintf("e%d", i), Slots: 64})
+		re.cached[i], re.index[re.nodes[i]] = make(map[uint64]bool), i
 	}
-	now := time.Duration(0)
-	advance := func(to time.Duration) {
-		clk.Advance(to - now)
-		now = to
+	for i := range re.next {
+		re.next[i] = replayTell * time.Duration(i) / replayEntries
 	}
 	for _, ar := range list {
-		for {
-			first, which := ar.at, -1
-			for i, ev := range reads {
-				if ev.at < first {
-					first, which = ev.at, i
-				}
-			}
-			told := -1
-			for entry, at := range next {
-				if at < first {
-					first, told = at, entry
-				}
-			}
-			advance(first)
-			if told >= 0 {
-				ch.tell(told)
-				next[told] += replayTell
-				continue
-			}
-			if which < 0 {
-				break
-			}
-			ev := reads[which]
-			reads = append(reads[:which], reads[which+1:]...)
-			ch.read(ev.entry, ev.nd, ev.rq)
+		for re.advance(ar.at) {
 		}
-		rq := ar.rq
-		nd := ch.pick(ar.entry, nodes, &rq)
-		if ch.urgent(ar.entry) {
-			ch.tell(ar.entry)
-		}
-		i, unread := index[nd], rq.Tokens
-		for _, part := range rq.Shared {
-			if !cached[i][part.ID] {
-				for other := range cached {
-					if cached[other][part.ID] {
-						out.reread += part.Tokens
-						break
-					}
-				}
-				break
-			}
-			unread -= part.Tokens
+		re.arrive(ar)
+	}
+	return re.out
+}
+
+// advance plays the first event before a time, if there is one, else goes on to
+// that time and returns false.
+func (re *replayed) advance(until time.Duration) bool {
+	first, read, told := until, -1, -1
+	for i, ev := range re.reads {
+		if ev.at < first {
+			first, read = ev.at, i
 		}
-		for _, part := range rq.Shared {
-			cached[i][part.ID] = true
+	}
+	for entry, at := range re.next {
+		if at < first {
+			first, told = at, entry
 		}
-		free[i] = max(free[i], now) + time.Duration(float64(unread)/replayReadRate*float64(time.Millisecond))
-		reads = append(reads, event{free[i], ar.entry, nd, &rq})
-		out.all++
-		inTime := free[i]-now <= replaySlack
-		if inTime {
-			out.inTime++
+	}
+	re.clk.Advance(first - re.now)
+	re.now = first
+	switch {
+	case told >= 0:
+		re.ch.tell(told)
+		re.next[told] += replayTell
+	case read >= 0:
+		ev := re.reads[read]
+		re.reads = append(re.reads[:read], re.reads[read+1:]...)
+		re.ch.read(ev.entry, ev.nd, ev.rq)
+	}
+	return told >= 0 || read >= 0
+}
+
+// arrive lets an entry choose an engine for a request.
+func (re *replayed) arrive(ar arrival) {
+	rq := ar.rq
+	nd := re.ch.pick(ar.entry, re.nodes, &rq)
+	if re.ch.urgent(ar.entry) {
+		re.ch.tell(ar.entry)
+	}
+	i := re.index[nd]
+	unread := re.unread(i, &rq)
+	re.free[i] = max(re.free[i], re.now) + time.Duration(float64(unread)/replayReadRate*float64(time.Millisecond))
+	re.reads = append(re.reads, readEnd{re.free[i], ar.entry, nd, &rq})
+	re.out.all++
+	inTime := re.free[i]-re.now <= replaySlack
+	if inTime {
+		re.out.inTime++
+	}
+	if rq.Tokens > 5382+3*6600 {
+		if re.out.largest++; inTime {
+			re.out.largestInTime++
 		}
-		if rq.Tokens > 5382+3*6600 {
-			if out.largest++; inTime {
-				out.largestInTime++
+	}
+}
+
+// unread returns the tokens that an engine has to read, and counts those of a shared
+// part that another one has read before.
+func (re *replayed) unread(engine int, rq *Request) int {
+	unread := rq.Tokens
+	for _, part := range rq.Shared {
+		if !re.cached[engine][part.ID] {
+			for other := range re.cached {
+				if re.cached[other][part.ID] {
+					re.out.reread += part.Tokens
+					break
+				}
 			}
+			break
 		}
+		unread -= part.Tokens
 	}
-	return out
+	for _, part := range rq.Shared {
+		re.cached[engine][part.ID] = true
+	}
+	return unread
 }
 
 // pickers is the rule of this package at each entry.
