Queues under the worst load: who gives way, who owns, what memory is taken

Changes: stage/order.Plan (the least urgent job gives way when one can't be in time); waits by rank; twice the mean deviation of first events as margin; stage/ownership (entries younger than 8 s own nothing while older ones live, queues are handed over, work waits 0.4 s for a link that is being replaced); releases reduce the memory of unknown results, and upstreams are asked again each 0.4 s; jobs begin whole and those begun come first; refusals are told to the zone within 0.1 s, with the time to come back; engines get the rank of the route too.

--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -58,7 +58,8 @@
 type Peer struct {
 	Address string
 
-	zone    string // as first told; seeds have none
+	zone    string       // as first told; seeds have none
+	started atomic.Int64 // start of its process, ns since 1970 by the own clock
 	info    atomic.Pointer[citronstream.PeerInfo]
 	dialer  atomic.Pointer[dialer.Dialer]
 	cancel  context.CancelFunc
@@ -195,6 +196,7 @@
 }
 
 func (ms *Mesh) setInfo(pe *Peer, info citronstream.PeerInfo) {
+	pe.started.Store(ms.clk.Now().Add(-info.Age).UnixNano())
 	pe.info.Store(&info)
 	pe.leaving.Store(info.Leaving)
 }
@@ -337,6 +339,14 @@
 	return 0
 }
 
+// Age returns how long the peer's process has run, by its last description.
+func (pe *Peer) Age(now time.Time) time.Duration {
+	return time.Duration(now.UnixNano() - pe.started.Load())
+}
+
+// Leaving reports whether the peer has said that it leaves.
+func (pe *Peer) Leaving() bool { return pe.leaving.Load() }
+
 // UnreachableFor returns how long the peer has been unreachable, 0 while it is linked.
 func (pe *Peer) UnreachableFor(now time.Time) time.Duration {
 	lost := pe.lostAt.Load()
--- a/internal/ingress/flow/admit.go
+++ b/internal/ingress/flow/admit.go
@@ -100,7 +100,7 @@
 		left = rt.Left
 	}
 	rt.end = rt.at.Add(left)
-	rt.first = rt.fl.Refused.First(rt.digest, rt.at)
+	rt.first, rt.returned = rt.fl.Refused.First(rt.digest, rt.at)
 	rt.target = rt.first.Add(rt.route.Target)
 }
 
--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -173,7 +173,7 @@
 	}
 	fo := citronstream.ForwardOptions{Priority: -1}
 	if demand != nil {
-		fo.Priority = rt.rank
+		fo.Priority = rt.rank*citronstream.Ranks + min(rt.route.Rank, citronstream.Ranks-1)
 	}
 	if rt.started {
 		fo.LastEvent = strconv.FormatInt(rt.lastEvent, 10)
--- a/internal/ingress/flow/estimate.go
+++ b/internal/ingress/flow/estimate.go
@@ -15,13 +15,17 @@
 // stage: on average half of a full one.
 const batchMargin = 0.5
 
+// deviationMargin is how many mean deviations of the time to the first event the
+// stages should be done earlier. Most requests then reach their target.
+const deviationMargin = 2
+
 // admit refuses a request that can't be served in time.
 func (sg *stages) admit() *citronstream.Fault {
 	rt := sg.rt
-	needs, target := sg.estimate(rt.route.Rank), rt.target.Sub(rt.at)
+	needs, target := sg.estimate(false), rt.target.Sub(rt.at)
 	wait, at := time.Duration(0), ""
 	for _, st := range sg.list {
-		if late := rt.fl.Broker.QueueWait(st.spec.Service, target-needs, rt.route.Rank); st.pieces > 0 && late > wait {
+		if late := rt.fl.Broker.QueueWait(st.spec.Service, target-needs, rt.route.Rank, false); st.pieces > 0 && late > wait {
 			wait, at = late, st.spec.Service
 		}
 	}
@@ -36,9 +40,9 @@
 }
 
 // estimate sets the time that the request needs after each stage and returns the
-// total time that it needs, with the current queue waits of a rank: that of its
-// route to be admitted, the most urgent one once it is.
-func (sg *stages) estimate(rank int) time.Duration {
+// total time that it needs, with the current queue waits of its rank before or
+// after it was admitted.
+func (sg *stages) estimate(admitted bool) time.Duration {
 	sg.mu.Lock()
 	defer sg.mu.Unlock()
 	first := sg.rt.fl.latencies.expected(sg.rt.route.Name, sg.rt.readTime)
@@ -47,7 +51,7 @@
 	for _, st := range sg.list {
 		st.laterStages, st.wait = first, 0
 		if st.pieces > 0 {
-			st.wait = sg.rt.fl.Broker.QueueWait(st.spec.Service, min(slack, sg.inputLife(st)), rank)
+			st.wait = sg.rt.fl.Broker.QueueWait(st.spec.Service, min(slack, sg.inputLife(st)), sg.rt.route.Rank, admitted)
 		}
 	}
 	for i := len(sg.list) - 1; i >= 0; i-- {
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -129,6 +129,8 @@
 
 	at    time.Time // arrival
 	first time.Time // arrival of the caller's first attempt, if known
+	// returned says that the caller was refused before and came back as told.
+	returned bool
 	// readTime is how long an engine takes to read the prompt; 0 for other upstreams.
 	readTime time.Duration
 	target   time.Time // time by which the response or its first event is due for full value
--- a/internal/ingress/flow/latency.go
+++ b/internal/ingress/flow/latency.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -24,8 +25,9 @@
 }
 
 type routeLatency struct {
-	seconds float64 // moving average
-	read    float64 // moving average of the time to read the prompt, in seconds
+	seconds   float64 // moving average
+	read      float64 // moving average of the time to read the prompt, in seconds
+	deviation float64 // moving average of the difference from what was expected, in seconds
 }
 
 func newLatencies(clk citronstream.Clock) *latencies {
@@ -53,6 +55,7 @@
 	if rl.seconds == 0 {
 		rl.seconds, rl.read = took.Seconds(), read.Seconds()
 	}
+	rl.deviation += latencyAlpha * (math.Abs(took.Seconds()-rl.expected(read)) - rl.deviation)
 	rl.seconds += latencyAlpha * (took.Seconds() - rl.seconds)
 	rl.read += latencyAlpha * (read.Seconds() - rl.read)
 }
@@ -66,5 +69,17 @@
 	if rl.seconds <= 0 {
 		return max(defaultLatency, read)
 	}
-	return time.Duration(max(rl.seconds/4, rl.seconds+read.Seconds()-rl.read) * float64(time.Second))
+	return time.Duration(rl.expected(read) * float64(time.Second))
+}
+
+func (rl *routeLatency) expected(read time.Duration) float64 {
+	return max(rl.seconds/4, rl.seconds+read.Seconds()-rl.read)
+}
+
+// deviation returns the mean difference between the measured and the expected times
+// of a route.
+func (la *latencies) deviation(name string) time.Duration {
+	la.mu.Lock()
+	defer la.mu.Unlock()
+	return time.Duration(la.route(name).deviation * float64(time.Second))
 }
--- a/internal/ingress/flow/respond.go
+++ b/internal/ingress/flow/respond.go
@@ -35,11 +35,11 @@
 		return outcome{reason: string(fa.Code), fault: fa, abort: true}
 	}
 	if fa.Verdict == citronstream.NotRun {
-		rt.fl.Refused.RecordRefusal(rt.digest, rt.first)
 		retryAfter := fa.RetryAfter
 		if retryAfter <= 0 {
 			retryAfter = defaultRetryAfter
 		}
+		rt.fl.Refused.RecordRefusal(rt.digest, rt.first, rt.fl.clk.Now().Add(retryAfter))
 		return rt.respond(http.StatusServiceUnavailable, retryAfter, fa)
 	}
 	if fa.Code == citronstream.CodeDeadline {
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -17,9 +17,6 @@
 // its upstream and the wait there.
 const freshMargin = 200 * time.Millisecond
 
-// mostUrgent is the most urgent rank.
-const mostUrgent = 0
-
 // stage is the state of one stage of a request.
 type stage struct {
 	number      int
@@ -83,7 +80,7 @@
 	if fa := sg.admit(); fa != nil {
 		return fa
 	}
-	if nd := sg.rt.preferredEngine(sg.estimate(mostUrgent)); nd != nil {
+	if nd := sg.rt.preferredEngine(sg.estimate(true)); nd != nil {
 		sg.zone = nd.Zone
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -248,7 +245,7 @@
 		st.handles[index] = handles[i]
 	}
 	sg.mu.Unlock()
-	sg.rt.fl.Broker.Release(citronstream.Release{Service: st.spec.Service, Handles: old})
+	sg.rt.fl.Broker.Release(citronstream.Release{Service: st.spec.Service, Handles: old, Bytes: st.spec.Bytes})
 }
 
 // results returns a copy of a stage's result handles.
@@ -267,14 +264,15 @@
 }
 
 func (sg *stages) newJob(st *stage, indexes []int, inputs []string) citronstream.Job {
-	sg.estimate(mostUrgent)
+	sg.estimate(true)
 	now := sg.rt.fl.clk.Now()
 	rest := sg.timeToFirstEvent(st) - st.wait
 	margin := sg.margin(st)
 	jo := citronstream.Job{
 		ID: sg.rt.ID, Stage: st.number, Service: st.spec.Service, Pieces: indexes, Bytes: st.spec.Bytes, Inputs: inputs,
-		Rank: sg.rt.rank, RouteRank: sg.rt.route.Rank, Workspace: sg.rt.workspace, Zone: sg.zone,
+		Rank: sg.rt.rank, RouteRank: sg.rt.route.Rank, Workspace: sg.rt.workspace, Returned: sg.rt.returned, Zone: sg.zone,
 		Left: sg.rt.end.Sub(now), LaterStages: rest, Slack: sg.rt.target.Sub(now) - rest - margin, Margin: margin,
+		Early:          deviationMargin * sg.rt.fl.latencies.deviation(sg.rt.route.Name),
 		CrossZoneBytes: len(indexes) * st.spec.Bytes,
 	}
 	inputBytes := 0
@@ -349,7 +347,7 @@
 	handles := slices.DeleteFunc(st.handles, func(handle string) bool { return handle == "" })
 	st.handles = nil
 	sg.mu.Unlock()
-	sg.rt.fl.Broker.Release(citronstream.Release{Service: st.spec.Service, Handles: handles})
+	sg.rt.fl.Broker.Release(citronstream.Release{Service: st.spec.Service, Handles: handles, Bytes: st.spec.Bytes})
 }
 
 // releaseAll releases the results of all stages.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -67,6 +67,8 @@
 	log  logr.Logger
 	site *citronstream.Site
 	boot string
+	// began is the start of the process.
+	began time.Time
 
 	eng           *nbconn.Engine
 	view          *view.View
@@ -102,7 +104,7 @@
 		return nil, err
 	}
 	ga := &Gateway{
-		clk: clk, log: log, site: site, boot: citronstream.NewID(), eng: eng,
+		clk: clk, log: log, site: site, boot: citronstream.NewID(), began: clk.Now(), eng: eng,
 		engines: engines.New(clk), holds: poison.New(clk, citronstream.DefaultLimits()),
 		refusals: firstattempt.New(clk), meter: requests.New(),
 		pendingRows: make(chan citronstream.Rows, maxPendingRows),
@@ -221,7 +223,7 @@
 func (ga *Gateway) peerInfo() citronstream.PeerInfo {
 	return citronstream.PeerInfo{
 		Name: ga.site.Process, Zone: ga.site.Zone, Address: ga.site.Peers, Boot: ga.boot,
-		Leaving: ga.leaving.Load(), Capacity: ga.site.Cores * ga.site.LinkRate, Revision: ga.view.Revision(), ConfigBytes: ga.view.ConfigBytes(),
+		Leaving: ga.leaving.Load(), Capacity: ga.site.Cores * ga.site.LinkRate, Age: ga.clk.Since(ga.began), Revision: ga.view.Revision(), ConfigBytes: ga.view.ConfigBytes(),
 	}
 }
 
@@ -239,6 +241,7 @@
 		case <-ticker.Chan():
 		}
 		ga.view.Sweep()
+		ga.tellRefusals()
 		if count%ga.loadTicks() == 0 {
 			ga.broadcastLoads()
 		}
@@ -263,13 +266,22 @@
 }
 
 func (ga *Gateway) broadcastEntryLoad() {
-	load, changed := ga.engines.ChangedLoad()
-	load.Refused = ga.refusals.TakeUnsent()
-	if changed || len(load.Refused) > 0 {
+	if load, changed := ga.engines.ChangedLoad(); changed {
 		ga.mesh.Broadcast(citronstream.MethodEntryLoad, load)
 	}
 }
 
+// tellRefusals tells the peers which requests were refused here. Their callers come
+// back to the entries of their zone within some hundred ms, before the loads of a
+// large fleet are told.
+func (ga *Gateway) tellRefusals() {
+	refused := ga.refusals.TakeUnsent()
+	if len(refused) == 0 {
+		return
+	}
+	ga.mesh.Tell(citronstream.MethodRefusals, citronstream.Refusals{Refused: refused}, func(pe *mesh.Peer) bool { return pe.Zone() == ga.site.Zone })
+}
+
 // handle processes messages from peers.
 func (ga *Gateway) handle(from string, li *link.Link, re *link.Request) {
 	switch re.Method {
@@ -289,7 +301,11 @@
 		var load citronstream.EntryLoad
 		if re.Decode(&load) == nil {
 			ga.engines.UpdateLoad(from, load)
-			ga.refusals.Merge(load.Refused)
+		}
+	case citronstream.MethodRefusals:
+		var refusals citronstream.Refusals
+		if re.Decode(&refusals) == nil {
+			ga.refusals.Merge(refusals.Refused)
 		}
 	case citronstream.MethodDeath:
 		var report poison.Report
--- a/internal/process/gateway/relink_test.go
+++ b/internal/process/gateway/relink_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/citronstream/citronstream/internal/stage/owner"
 	"github.com/stretchr/testify/assert"
 )
 
@@ -45,3 +46,28 @@
 	}
 	assert.Equal(t, 2*calls, items)
 }
+
+// Work that comes while the link to its owner is being replaced waits for it. A second
+// owner beside the first would get smaller batches, and results for which it does not
+// know the memory.
+func TestNewJobsWaitForTheirOwner(t *testing.T) {
+	ts := newTestSite(t, 2)
+	ts.addStageUpstreams()
+	ts.waitReady()
+	_, other := ts.ownerAndOther("cut")
+	for range 5 {
+		for _, pe := range other.mesh.Peers() {
+			if li := pe.Link(); li != nil {
+				li.Close()
+			}
+		}
+		res, body := ts.roundTrip(other, ts.stagedCall(), http.MethodPost, "/staged/stream/", "")
+		assert.Equal(t, http.StatusOK, res.StatusCode, body)
+		ts.waitFor(func() bool { return other.mesh.LiveCount() == 2 }, "the link is not replaced")
+	}
+	other.broker.Each(func(service string, ow *owner.Owner) {
+		if service == "cut" {
+			assert.Zero(t, ow.Counts().Items, "pieces of a second owner")
+		}
+	})
+}
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -7,13 +7,13 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/fleet/mesh"
 	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/stage/owner"
+	"github.com/citronstream/citronstream/internal/stage/ownership"
 	"github.com/citronstream/citronstream/internal/stage/peerjobs"
 	"github.com/go-logr/logr"
 )
@@ -28,15 +28,12 @@
 	loadTTL = 3 * time.Second
 	// maxOwners is the number of owners to which a job is submitted in turn.
 	maxOwners = 4
-	// ownerShare is the least capacity of an owner relative to the strongest
-	// entry. All jobs of a service pass through its owner, whose network link
-	// and CPU would otherwise limit the whole site.
-	ownerShare = 0.5
 	// maxResumes is how often a job is asked for again at an owner whose link was lost,
 	// resumeWait how long the link may take to be replaced. A reset one takes 75 ms.
 	maxResumes = 2
 	resumeWait = 400 * time.Millisecond
-	// The jobs of peers without a link expire every expireTicks ticks.
+	// Queues are handed over, and the jobs of peers without a link expire, every
+	// expireTicks ticks.
 	expireTicks = 5
 	// maxServices is the number of services whose load is kept.
 	maxServices = 1024
@@ -55,12 +52,14 @@
 	ctx     context.Context
 	// capacity of this process, on the scale that peers report.
 	capacity float64
+	began    time.Time // start of this process
 
 	mu       sync.Mutex
 	owners   map[string]*owner.Owner
 	leaving  bool
 	loads    map[string]load
 	reported map[string]bool // services that had work at the last ChangedLoads
+	owned    map[string]bool // services whose queues this process owned at the last handOver; used by tick only
 	peerJobs *peerjobs.Jobs[*link.Link]
 	watched  map[*link.Link]bool // links of peers with jobs
 	links    sync.WaitGroup
@@ -87,7 +86,7 @@
 func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, self string, vi *view.View, ms *mesh.Mesh, batcher owner.Batcher, budget owner.Budget, opts ...Option) *Broker {
 	br := &Broker{
 		clk: clk, log: log, self: self, view: vi, mesh: ms, batcher: batcher, budget: budget, ctx: ctx,
-		owners: make(map[string]*owner.Owner), loads: make(map[string]load), reported: make(map[string]bool),
+		began: clk.Now(), owners: make(map[string]*owner.Owner), loads: make(map[string]load), reported: make(map[string]bool), owned: make(map[string]bool),
 		peerJobs: peerjobs.New[*link.Link](clk), watched: make(map[*link.Link]bool), done: make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -163,6 +162,7 @@
 		}
 		if count%expireTicks == 0 {
 			br.expirePeerJobs()
+			br.handOver()
 		}
 		if count%logTicks == 0 {
 			br.Each(br.logState)
@@ -181,6 +181,23 @@
 		"refused", st.Refused, "broken", st.Broken, "no room", st.NoMemory, "repeated", st.Repeated, "expired", st.Expired)
 }
 
+// handOver ends the jobs of which nothing was sent in queues that this process no
+// longer owns, so that their entries submit them to the new owner. What comes
+// afterwards, from entries that see another owner, stays here.
+func (br *Broker) handOver() {
+	br.mu.Lock()
+	owners := maps.Clone(br.owners)
+	br.mu.Unlock()
+	for service, ow := range owners {
+		owns := br.Owns(service)
+		if !owns && br.owned[service] && ow.Len() > 0 {
+			br.log.Info("queue handed over", "service", service, "jobs", ow.Len())
+			ow.Leave()
+		}
+		br.owned[service] = owns
+	}
+}
+
 // replaceMembers passes the new list of upstreams to the queues.
 func (br *Broker) replaceMembers(ms *view.Members) {
 	br.mu.Lock()
@@ -211,37 +228,31 @@
 	return ow
 }
 
-// remoteOwner returns the entry that owns the queue of a service, nil for this
-// one. Among the entries with enough capacity it is the one with the highest
-// hash score (rendezvous hashing).
+// remoteOwner returns the entry that owns the queue of a service, nil for this one.
+// A peer whose link was lost a moment ago counts as well: its link is mostly
+// replaced at once.
 func (br *Broker) remoteOwner(service string, exclude map[*mesh.Peer]bool) *mesh.Peer {
 	br.mu.Lock()
 	leaving := br.leaving
 	br.mu.Unlock()
-	strongest := 0.0
+	now := br.clk.Now()
+	peers := make(map[string]*mesh.Peer)
+	var candidates []ownership.Candidate
 	if !leaving {
-		strongest = br.capacity
+		candidates = append(candidates, ownership.Candidate{Address: br.self, Capacity: br.capacity, Age: now.Sub(br.began)})
 	}
-	var candidates []*mesh.Peer
 	for _, pe := range br.mesh.Peers() {
-		if pe.Up() && !exclude[pe] {
-			candidates, strongest = append(candidates, pe), max(strongest, pe.Capacity())
+		if (pe.Up() || br.justLost(pe, now)) && !exclude[pe] {
+			peers[pe.Address] = pe
+			candidates = append(candidates, ownership.Candidate{Address: pe.Address, Capacity: pe.Capacity(), Age: pe.Age(now)})
 		}
 	}
-	var best *mesh.Peer
-	bestScore := uint64(0)
-	if !leaving && br.capacity >= ownerShare*strongest {
-		bestScore = xxhash.Sum64String(service + "\x00" + br.self)
-	}
-	for _, pe := range candidates {
-		if pe.Capacity() < ownerShare*strongest {
-			continue
-		}
-		if score := xxhash.Sum64String(service + "\x00" + pe.Address); score > bestScore {
-			best, bestScore = pe, score
-		}
-	}
-	return best
+	return peers[ownership.Owner(service, candidates)]
+}
+
+// justLost reports whether a peer's link was lost a moment ago.
+func (br *Broker) justLost(pe *mesh.Peer, now time.Time) bool {
+	return pe.Link() == nil && !pe.Leaving() && pe.Boot() != "" && pe.UnreachableFor(now) < resumeWait
 }
 
 // Owns reports whether this process owns the queue of a service.
@@ -268,7 +279,10 @@
 		jo.Left, jo.Slack = left-passed, slack-passed
 		pe := br.remoteOwner(jo.Service, exclude)
 		if pe == nil {
-			return br.runLocal(ctx, jo, fetched)
+			if re = br.runLocal(ctx, jo, fetched); re.Fault == nil || re.Fault.Code != citronstream.CodeLeaving || ctx.Err() != nil {
+				return re
+			}
+			continue // the queue was handed over
 		}
 		var err error
 		re, err = br.runRemote(ctx, pe, jo)
@@ -311,6 +325,9 @@
 // job is asked for over the next link: it has gone on meanwhile.
 func (br *Broker) runRemote(ctx context.Context, pe *mesh.Peer, jo citronstream.Job) (citronstream.JobResult, error) {
 	li, boot := pe.Link(), pe.Boot()
+	if li == nil {
+		li, boot = br.reopened(ctx, pe, nil, resumeWait-pe.UnreachableFor(br.clk.Now())), pe.Boot()
+	}
 	if li == nil {
 		return citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeLeaving, "no link to the owner")}, nil
 	}
@@ -320,7 +337,7 @@
 		if err == nil {
 			break
 		}
-		if li = br.reopened(ctx, pe, li); li == nil || pe.Boot() != boot {
+		if li = br.reopened(ctx, pe, li, resumeWait); li == nil || pe.Boot() != boot {
 			break
 		}
 		jo.Resume = true
@@ -346,10 +363,10 @@
 }
 
 // reopened waits for the link that replaces a lost one; nil if it takes too long.
-func (br *Broker) reopened(ctx context.Context, pe *mesh.Peer, lost *link.Link) *link.Link {
+func (br *Broker) reopened(ctx context.Context, pe *mesh.Peer, lost *link.Link, wait time.Duration) *link.Link {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer br.clk.AfterFunc(resumeWait, cancel).Stop()
+	defer br.clk.AfterFunc(wait, cancel).Stop()
 	return pe.Reopened(ctx, lost)
 }
 
@@ -372,20 +389,24 @@
 
 func (br *Broker) releaseLocal(rl citronstream.Release) {
 	if ow := br.localOwner(rl.Service); ow != nil {
-		ow.Release(rl.Handles, br.ResultNode)
+		ow.Release(rl.Handles, rl.Bytes, br.ResultNode)
 	}
 }
 
 // QueueWait returns the time until a job of a service with this slack and route's
-// rank starts, by the last load its owner reported, and 0 without one.
-func (br *Broker) QueueWait(service string, slack time.Duration, rank int) time.Duration {
+// rank starts, by the last load its owner reported, and 0 without one. Admitted
+// says that it is not up for admission any more.
+func (br *Broker) QueueWait(service string, slack time.Duration, rank int, admitted bool) time.Duration {
 	br.mu.Lock()
 	ld, known := br.loads[service]
 	br.mu.Unlock()
-	if !known || br.clk.Since(ld.at) > loadTTL {
+	switch {
+	case !known || br.clk.Since(ld.at) > loadTTL:
 		return 0
+	case admitted:
+		return ld.Wait(slack, rank)
 	}
-	return ld.Wait(slack, rank)
+	return ld.WaitNew(slack, rank)
 }
 
 // UpdateLoads stores the queue loads that an owner reports.
--- a/internal/stage/owner/batch.go
+++ b/internal/stage/owner/batch.go
@@ -118,7 +118,9 @@
 			case citronstream.ItemNoMemory:
 				ow.counts.NoMemory++
 				sv.unknownBytes, sv.unknownAt = sv.unknownNow(now, ow.spec.ResultLife)+pa.jb.Bytes, now
-				ow.sizeFactor = min(ow.sizeFactor*sizeGrowth, maxSizeFactor)
+				if !now.Before(sv.foreignUntil) { // else results of another owner may take the memory
+					ow.sizeFactor = min(ow.sizeFactor*sizeGrowth, maxSizeFactor)
+				}
 				failed.indexes = append(failed.indexes, index)
 			default:
 				failed.indexes = append(failed.indexes, index)
@@ -139,7 +141,7 @@
 // storeResult records a result. If its job has ended, it is released at once.
 func (ow *Owner) storeResult(sv *server, jb *job, index int, handle string, now time.Time) {
 	if jb.ended {
-		ow.release(sv.Node, []string{handle})
+		ow.release(sv.Node, []string{handle}, jb.Bytes)
 	}
 	sv.results[handle] = result{bytes: jb.Bytes, until: now.Add(ow.spec.ResultLife)}
 	sv.used += jb.Bytes
--- a/internal/stage/owner/dispatch.go
+++ b/internal/stage/owner/dispatch.go
@@ -21,7 +21,7 @@
 		}
 		if !sorted {
 			ow.expire(now)
-			slices.SortStableFunc(ow.waiting, func(a, b *job) int { return order.Compare(a.Priority, b.Priority, now) })
+			ow.plan(now)
 			sorted = true
 		}
 		sv, batch := ow.nextBatch(open, now)
@@ -32,12 +32,24 @@
 	}
 }
 
+// plan sorts the jobs that wait.
+func (ow *Owner) plan(now time.Time) {
+	for _, jb := range ow.waiting {
+		jb.Length, jb.Begun = len(jb.pending), len(jb.pending) < len(jb.Pieces)
+	}
+	order.Plan(ow.waiting, func(jb *job) *order.Priority { return &jb.Priority }, ow.rate.value(now, ow.idealRate()), now)
+}
+
 // openServers returns the upstreams that have memory for a batch of the smallest
-// results that wait.
+// results that wait, or for the rest of a job that has begun.
 func (ow *Owner) openServers(now time.Time) []*server {
 	pending, smallest := 0, math.MaxInt
+	var begun *job
 	for _, jb := range ow.waiting {
 		pending, smallest = pending+len(jb.pending), min(smallest, jb.Bytes)
+		if len(jb.pending) < len(jb.Pieces) && (begun == nil || len(jb.pending)*jb.Bytes < len(begun.pending)*begun.Bytes) {
+			begun = jb
+		}
 	}
 	open := ow.openBuf[:0]
 	for _, sv := range ow.list {
@@ -45,7 +57,7 @@
 			continue
 		}
 		sv.minRoom = ow.minBatchRoom(sv, pending, now)
-		if ow.roomFor(sv, smallest, 0, now) >= sv.minRoom {
+		if ow.roomFor(sv, smallest, 0, now) >= sv.minRoom || begun != nil && ow.fits(sv, begun, now) {
 			open = append(open, sv)
 		}
 	}
@@ -60,7 +72,7 @@
 			ow.endStale(jb, now)
 			continue
 		}
-		if jb.Late(now) && now.Sub(jb.Start) > maxLateWait && len(jb.pending) == len(jb.Pieces) {
+		if jb.Late(now) && now.Sub(jb.Last) > maxLateWait && len(jb.pending) == len(jb.Pieces) {
 			ow.counts.Overloaded++
 			ow.endJob(jb, citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded,
 				"late, and waited %v for service %s", now.Sub(jb.at).Round(time.Millisecond), ow.service)})
@@ -93,7 +105,7 @@
 	for _, jb := range ow.waiting {
 		var best *server
 		for _, sv := range open {
-			if !ow.zoneAllowed(sv, jb, zones, now) || ow.roomFor(sv, jb.Bytes, 0, now) < sv.minRoom {
+			if !ow.zoneAllowed(sv, jb, zones, now) || !ow.fits(sv, jb, now) {
 				continue
 			}
 			if best == nil || ow.preferred(sv, best, jb) {
@@ -107,6 +119,17 @@
 	return nil, nil
 }
 
+// fits reports whether an upstream has the memory to begin a batch with a job. The rest
+// of one that has begun needs no more than its own results take.
+func (ow *Owner) fits(sv *server, jb *job, now time.Time) bool {
+	needs := sv.minRoom
+	if len(jb.pending) < len(jb.Pieces) {
+		needs = min(needs, len(jb.pending))
+	}
+	room := ow.roomFor(sv, jb.Bytes, 0, now)
+	return room >= needs && (room >= len(jb.pending) || ow.roomForAll(jb, now))
+}
+
 func (ow *Owner) available(sv *server, now time.Time) bool {
 	return sv.running < ow.spec.Calls && now.After(sv.pausedUntil) && !sv.Avoided(now)
 }
@@ -118,7 +141,7 @@
 	if jb.Zone == "" || sv.Zone == jb.Zone || jb.CrossZoneBytes < freeCrossBytes || !zones[jb.Zone] {
 		return true
 	}
-	left := jb.Start.Add(jb.Margin).Sub(now)
+	left := jb.Last.Add(jb.Margin).Sub(now)
 	return left < 3*expected(&ow.spec, ow.spec.Items)/2 && !jb.Late(now)
 }
 
@@ -143,6 +166,23 @@
 	return max(0, int(float64(free)/(float64(bytes)*ow.sizeFactor)))
 }
 
+// roomForAll reports whether the upstreams together have memory for all results of a
+// job. Jobs that are begun in parts without that would hold the memory that the
+// rest of each of them waits for.
+func (ow *Owner) roomForAll(jb *job, now time.Time) bool {
+	room, usable := 0, 0
+	for _, sv := range ow.list {
+		if sv.Avoided(now) {
+			continue
+		}
+		usable++
+		if room += ow.roomFor(sv, jb.Bytes, 0, now); room >= len(jb.pending) {
+			return true
+		}
+	}
+	return len(jb.pending) < len(jb.Pieces) || usable*ow.spec.ResultBytes < len(jb.pending)*jb.Bytes
+}
+
 // minBatchRoom returns the number of results that must fit before an upstream
 // gets a batch. With a backlog and little memory, a batch of a few items would
 // occupy the upstream for a whole call while memory is about to be released.
@@ -180,8 +220,8 @@
 			continue
 		}
 		count := min(len(jb.pending), ow.spec.Items-items, ow.roomFor(sv, jb.Bytes, bytes, now))
-		if count < len(jb.pending) && len(jb.pending) <= ow.spec.Items && items > 0 {
-			continue // a split job waits for two batches
+		if count < len(jb.pending) && (len(jb.pending) <= ow.spec.Items && items > 0 || !ow.roomForAll(jb, now)) {
+			continue // a split job waits for two batches, and its first results for memory for the others
 		}
 		if count <= 0 {
 			continue
@@ -202,7 +242,7 @@
 		own, other := ow.nextIndex(0, sv, true), ow.nextIndex(0, sv, false)
 		for own < len(ow.waiting) || other < len(ow.waiting) {
 			next := &own
-			if own == len(ow.waiting) || other < len(ow.waiting) && order.Compare(delayed(ow.waiting[other]), ow.waiting[own].Priority, now) < 0 {
+			if own == len(ow.waiting) || other < len(ow.waiting) && order.Compare(delayed(ow.waiting[other]), &ow.waiting[own].Priority, now) < 0 {
 				next = &other
 			}
 			if !yield(ow.waiting[*next]) {
@@ -225,8 +265,8 @@
 	return index
 }
 
-func delayed(jb *job) order.Priority {
+func delayed(jb *job) *order.Priority {
 	pr := jb.Priority
 	pr.Due = pr.Due.Add(zoneDelay)
-	return pr
+	return &pr
 }
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -43,6 +43,9 @@
 	// target. Jobs that wait longer mostly expire, which is worse for the caller
 	// than an early refusal.
 	maxLateWait = 2 * time.Second
+	// memoryPoll is how often an upstream is asked for its free memory while results
+	// that the owner has no record of take some.
+	memoryPoll = 400 * time.Millisecond
 	// maxRepeats is how often each piece of a job is sent again, on average.
 	maxRepeats = 2
 )
@@ -121,6 +124,9 @@
 	// found no memory.
 	unknownBytes int
 	unknownAt    time.Time
+	askedAt      time.Time // when it was last asked for its free memory
+	// foreignUntil is when the results of an earlier owner have expired.
+	foreignUntil time.Time
 }
 
 // unknownNow returns the bytes of unknown results. They expire within the
@@ -132,6 +138,13 @@
 	return int(float64(sv.unknownBytes) * max(0, 1-float64(now.Sub(sv.unknownAt))/float64(life)))
 }
 
+// forgetUnknown subtracts a released result from the unknown ones.
+func (sv *server) forgetUnknown(bytes int, now time.Time, life time.Duration) {
+	if left := sv.unknownNow(now, life); left > 0 {
+		sv.unknownBytes = int(float64(sv.unknownBytes) * float64(max(0, left-bytes)) / float64(left))
+	}
+}
+
 type result struct {
 	bytes int
 	until time.Time // the upstream drops it by itself
@@ -194,7 +207,7 @@
 	now := ow.clk.Now()
 	jb := &job{
 		Job: jo, at: now, done: done, fetched: fetched, unread: len(jo.Pieces), remaining: len(jo.Pieces), handles: make([]string, len(jo.Pieces)),
-		Priority: order.Priority{Rank: jo.Rank, FreesMemory: jo.FreesMemory, Start: now.Add(jo.Slack), End: now.Add(jo.Left - jo.LaterStages)},
+		Priority: order.Priority{Rank: jo.Rank, RouteRank: jo.RouteRank, Returned: jo.Returned, FreesMemory: jo.FreesMemory, Start: now.Add(jo.Slack - jo.Early), Last: now.Add(jo.Slack), End: now.Add(jo.Left - jo.LaterStages)},
 	}
 	jb.Due = jb.Start
 	if expiry := now.Add(jo.InputTTL - expected(&ow.spec, ow.spec.Items)); jo.InputTTL > 0 && expiry.Before(jb.Due) {
@@ -218,7 +231,7 @@
 		return
 	}
 	if len(ow.jobs) == 0 && now.Sub(ow.lastActive) > ow.spec.ResultLife {
-		ow.queryFreeMemory()
+		ow.queryFreeMemory(now)
 	}
 	ow.jobs[key], ow.lastActive = jb, now
 	ow.arrivals.add(now, jo.RouteRank, len(jo.Pieces))
@@ -229,19 +242,42 @@
 
 // queryFreeMemory asks the upstreams how much memory is free, as results of an
 // earlier owner may occupy some. The caller holds the lock.
-func (ow *Owner) queryFreeMemory() {
+func (ow *Owner) queryFreeMemory(now time.Time) {
 	for _, sv := range ow.list {
-		used := sv.used
-		ow.calls.Go(func() {
-			free, err := ow.batcher.Free(ow.ctx, sv.Node)
-			if err != nil {
-				ow.log.Info("free memory of upstream unknown", "service", ow.service, "upstream", sv.ID, "reason", err.Error())
-				return
-			}
-			ow.mu.Lock()
-			defer ow.mu.Unlock()
-			sv.unknownBytes, sv.unknownAt = max(0, ow.spec.ResultBytes-free-used), ow.clk.Now()
-		})
+		ow.queryMemoryOf(sv, now)
+	}
+}
+
+// queryMemoryOf asks one upstream. The caller holds the lock.
+func (ow *Owner) queryMemoryOf(sv *server, now time.Time) {
+	used := sv.used
+	sv.askedAt = now
+	ow.calls.Go(func() {
+		free, err := ow.batcher.Free(ow.ctx, sv.Node)
+		if err != nil {
+			ow.log.Info("free memory of upstream unknown", "service", ow.service, "upstream", sv.ID, "reason", err.Error())
+			return
+		}
+		ow.mu.Lock()
+		defer ow.mu.Unlock()
+		now := ow.clk.Now()
+		sv.unknownBytes, sv.unknownAt = max(0, ow.spec.ResultBytes-free-used), now
+		if sv.unknownBytes > 0 {
+			sv.foreignUntil = now.Add(ow.spec.ResultLife)
+		}
+	})
+}
+
+// pollMemory asks the upstreams again at which unknown results take memory. They go
+// when their requests have used them, mostly before their lifetime ends.
+func (ow *Owner) pollMemory(now time.Time) {
+	if ow.closed || len(ow.waiting) == 0 {
+		return
+	}
+	for _, sv := range ow.list {
+		if now.Sub(sv.askedAt) >= memoryPoll && !sv.Avoided(now) && sv.unknownNow(now, ow.spec.ResultLife) > 0 {
+			ow.queryMemoryOf(sv, now)
+		}
 	}
 }
 
@@ -267,8 +303,9 @@
 	}
 }
 
-// Release releases results, of this owner or an earlier one.
-func (ow *Owner) Release(handles []string, at func(handle string) *node.Node) {
+// Release releases results, of this owner or an earlier one. Bytes is the size of
+// each, by which the memory that is taken by unknown results shrinks.
+func (ow *Owner) Release(handles []string, bytes int, at func(handle string) *node.Node) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	byNode := make(map[*node.Node][]string)
@@ -278,14 +315,14 @@
 		}
 	}
 	for nd, list := range byNode {
-		ow.release(nd, list)
+		ow.release(nd, list, bytes)
 	}
 }
 
 // release releases results of one upstream. Their memory counts as free only
 // after the upstream has answered, as a batch may overtake the call. The caller
 // holds the lock.
-func (ow *Owner) release(nd *node.Node, handles []string) {
+func (ow *Owner) release(nd *node.Node, handles []string, bytes int) {
 	if ow.closed {
 		return // the upstream drops them by itself
 	}
@@ -294,8 +331,13 @@
 		ow.mu.Lock()
 		defer ow.mu.Unlock()
 		if sv := ow.servers[nd]; sv != nil {
+			now := ow.clk.Now()
 			for _, handle := range handles {
-				sv.used -= sv.results[handle].bytes
+				re, known := sv.results[handle]
+				if !known {
+					sv.forgetUnknown(bytes, now, ow.spec.ResultLife)
+				}
+				sv.used -= re.bytes
 				delete(sv.results, handle)
 			}
 		}
@@ -318,6 +360,7 @@
 			}
 		}
 	}
+	ow.pollMemory(now)
 	ow.expire(now)
 	ow.dispatch()
 }
@@ -346,7 +389,7 @@
 			}
 		}
 		if len(handles) > 0 {
-			ow.release(sv.Node, handles)
+			ow.release(sv.Node, handles, jb.Bytes)
 		}
 	}
 }
--- a/internal/stage/owner/state.go
+++ b/internal/stage/owner/state.go
@@ -32,7 +32,7 @@
 	st := State{Counts: ow.counts, Jobs: len(ow.jobs), Waiting: len(ow.waiting), Upstreams: len(ow.list)}
 	for _, jb := range ow.waiting {
 		st.Pending += len(jb.pending)
-		if now.After(jb.Start) {
+		if now.After(jb.Last) {
 			st.Late++
 		}
 	}
@@ -54,16 +54,11 @@
 	now := ow.clk.Now()
 	ql := citronstream.QueueLoad{Rate: ow.rate.value(now, ow.idealRate()), Arrivals: ow.arrivals.value(now)}
 	for _, jb := range ow.waiting {
-		slack := jb.Due.Sub(now)
 		if jb.Late(now) {
 			ql.Late += len(jb.pending)
 			continue
 		}
-		at := 0
-		for at < len(citronstream.SlackSteps)-1 && slack >= citronstream.SlackSteps[at] {
-			at++
-		}
-		ql.Pending[at] += len(jb.pending)
+		ql.Add(jb.Priority.RouteRank, jb.Due.Sub(now), len(jb.pending))
 	}
 	return ql
 }
--- a/message_peer.go
+++ b/message_peer.go
@@ -9,6 +9,7 @@
 	MethodRows           = "Site.Rows"     // notification, Rows: upstreams that changed
 	MethodPeerUpdate     = "Site.Notice"   // notification, PeerInfo: the sender is leaving or has another configuration
 	MethodEntryLoad      = "Site.Places"   // notification, EntryLoad
+	MethodRefusals       = "Site.Refusals" // notification, Refusals
 	MethodRunJob         = "Stage.Run"     // answered by JobResult
 	MethodCancelJob      = "Stage.Cancel"  // notification, JobKey
 	MethodInputsFetched  = "Stage.Fetched" // notification, JobKey: its inputs have been fetched
@@ -25,7 +26,8 @@
 	Boot    string `json:"Boot"` // identifies this run of the process
 	Leaving bool   `json:"Leaving,omitempty"`
 	// Capacity is for comparison with other entries: processor cores times Mbit/s of the link; 0 when unknown.
-	Capacity float64 `json:"Capacity,omitempty"`
+	Capacity float64       `json:"Capacity,omitempty"`
+	Age      time.Duration `json:"Age,omitempty"` // since the start of the process
 	// Revision is the version of the row with the configuration in force, 0 before the first.
 	Revision uint64 `json:"Revision"`
 	// ConfigBytes is the size of that row.
@@ -70,8 +72,11 @@
 	// Cached are the shared prompt parts that the sender's requests have added to an
 	// engine's prefix cache since its last message, without those it knew to be there.
 	Cached []CachedPart `json:"Read,omitempty"`
-	// Refused are requests that the sender has refused since its last message.
-	Refused []FirstAttempt `json:"Refused,omitempty"`
+}
+
+// Refusals are the requests that the sender has refused since its last message.
+type Refusals struct {
+	Refused []FirstAttempt `json:"Refused"`
 }
 
 // CachedPart is a prompt part in the prefix cache of an engine.
@@ -85,6 +90,8 @@
 type FirstAttempt struct {
 	Digest uint64        `json:"Digest"`
 	Age    time.Duration `json:"Age"`
+	// Back is the time until its caller may come back.
+	Back time.Duration `json:"Back,omitempty"`
 }
 
 // EngineLoad is the load of one entry's requests in flight at an engine.
@@ -109,6 +116,8 @@
 	// RouteRank is the rank of the route. It orders kinds of request, Rank those of one kind.
 	RouteRank int    `json:"RouteRank,omitempty"`
 	Workspace string `json:"Workspace,omitempty"`
+	// Returned says that the caller was refused before and came back when it was told to.
+	Returned bool `json:"Returned,omitempty"`
 	// FreesMemory means that the inputs take more memory of the upstreams than
 	// the results, so that running the job frees memory.
 	FreesMemory bool `json:"Frees,omitempty"`
@@ -124,6 +133,9 @@
 	Slack time.Duration `json:"Slack"`
 	// Margin was subtracted from Slack for delays that the estimates don't cover.
 	Margin time.Duration `json:"Margin,omitempty"`
+	// Early is how much earlier still it should start, as the rest of the request takes
+	// longer for some.
+	Early time.Duration `json:"Early,omitempty"`
 	// LaterStages is the estimated time of the request after this stage.
 	LaterStages time.Duration `json:"Rest"`
 	// Attempt identifies the submission to a queue. Resume asks for the result of an
@@ -151,6 +163,8 @@
 type Release struct {
 	Service string   `json:"Service"`
 	Handles []string `json:"Handles"`
+	// Bytes is the approximate size of each.
+	Bytes int `json:"Bytes,omitempty"`
 }
 
 // QueueLoads has the load of the queues that the sender owns, by service.
@@ -160,9 +174,10 @@
 
 // QueueLoad is the queued work for the upstreams of a service.
 type QueueLoad struct {
-	// Pending counts the queued pieces by the time until their latest start:
-	// Pending[i] has those below SlackSteps[i] but not below SlackSteps[i-1].
-	Pending [len(SlackSteps)]int `json:"Pending"`
+	// Waiting counts the queued pieces by the rank of their routes and the time until
+	// their latest start: Waiting[rank][i] has those below SlackSteps[i] but not below
+	// SlackSteps[i-1]; the last rank has all lower ones too.
+	Waiting [Ranks][len(SlackSteps)]int `json:"Waiting"`
 	// Late counts the pieces whose requests can no longer reach their target.
 	Late int `json:"Late"`
 	// Rate is the throughput of the upstreams in pieces a second.
@@ -175,34 +190,57 @@
 // Ranks is the number of ranks of routes that queues tell apart.
 const Ranks = 4
 
-// SlackSteps are the upper bounds of QueueLoad.Pending.
+// SlackSteps are the upper bounds of QueueLoad.Waiting.
 var SlackSteps = [...]time.Duration{250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, time.Hour}
 
 // lowerRankShare is the part of the upstreams' throughput that more urgent work
-// leaves to the rest at least, so that no kind of request is starved.
-const lowerRankShare = 0.25
+// is assumed to leave to the rest at least.
+const lowerRankShare = 0.05
+
+// WaitNew estimates the time until a job that is not admitted yet would start. What
+// more urgent routes are expected to bring meanwhile is kept free for them: a job
+// with much slack would be admitted behind a short queue and then leave no room
+// for those with little.
+func (ql *QueueLoad) WaitNew(slack time.Duration, rank int) time.Duration {
+	rate := ql.Rate
+	for _, arrivals := range ql.Arrivals[:max(0, min(rank, Ranks-1))] {
+		rate -= arrivals
+	}
+	return ql.wait(slack, rank, max(rate, lowerRankShare*ql.Rate))
+}
 
-// Wait estimates the time until a new job with this slack starts: jobs with less
-// slack run before it, and late jobs run last. What more urgent routes are
-// expected to bring meanwhile is kept free for them: a job with much slack would
-// be admitted behind a short queue and then leave no room for those with little.
+// Wait estimates the time until an admitted job with this slack starts: jobs of its
+// rank and of more urgent ones with less slack run before it, late jobs run last,
+// and less urgent ones give way to it.
 func (ql *QueueLoad) Wait(slack time.Duration, rank int) time.Duration {
-	pieces := 0
+	return ql.wait(slack, rank, ql.Rate)
+}
+
+func (ql *QueueLoad) wait(slack time.Duration, rank int, rate float64) time.Duration {
+	rank = max(0, min(rank, Ranks-1))
+	pieces, ahead := 0, ql.Waiting[:rank+1]
 	if slack < 0 {
-		pieces = ql.Late
+		pieces, ahead = ql.Late, ql.Waiting[:]
 	}
 	for i := range SlackSteps {
 		if slack >= 0 && i > 0 && slack < SlackSteps[i-1] {
 			break
 		}
-		pieces += ql.Pending[i]
+		for _, waiting := range ahead {
+			pieces += waiting[i]
+		}
 	}
-	if pieces == 0 || ql.Rate <= 0 {
+	if pieces == 0 || rate <= 0 {
 		return 0
 	}
-	rate := ql.Rate
-	for _, arrivals := range ql.Arrivals[:max(0, min(rank, Ranks-1))] {
-		rate -= arrivals
+	return time.Duration(float64(pieces) / rate * float64(time.Second))
+}
+
+// Add counts pieces that wait.
+func (ql *QueueLoad) Add(rank int, slack time.Duration, pieces int) {
+	at := 0
+	for at < len(SlackSteps)-1 && slack >= SlackSteps[at] {
+		at++
 	}
-	return time.Duration(float64(pieces) / max(rate, lowerRankShare*ql.Rate) * float64(time.Second))
+	ql.Waiting[max(0, min(rank, Ranks-1))][at] += pieces
 }
