--- a/internal/limit/admission/replay_test.go
+++ b/internal/limit/admission/replay_test.go
@@ -33,6 +33,7 @@
 	rank              int
 	target, left      time.Duration
 	otherWork         time.Duration // after this stage; otherWork if 0
+	before            time.Duration // in the stages before this one, as long as nothing waits there
 	deviation         time.Duration // mean deviation of otherWork; exponential above its least value
 	value, lateValue  float64
 	pieces            int     // of a request; 1 if 0
@@ -111,6 +112,12 @@
 	comeback   bool
 }
 
+// arriving is an admitted call on its way to the queue.
+type arriving struct {
+	at   time.Time
+	call call
+}
+
 // job is an admitted call in the queue.
 type job struct {
 	order.Priority
@@ -133,6 +140,7 @@
 	began     time.Time
 	queue     []*job
 	returning []call
+	coming    []arriving // in the stages before this one
 	load      citronstream.QueueLoad
 	arrivals  [citronstream.Ranks]float64
 	rates     [citronstream.Ranks]float64
@@ -184,6 +192,13 @@
 			qu.arrive(call{kindOf: ki, first: now})
 		}
 	}
+	qu.coming = slices.DeleteFunc(qu.coming, func(ar arriving) bool {
+		due := !ar.at.After(now)
+		if due {
+			qu.join(ar.call)
+		}
+		return due
+	})
 	for i := 0; i < len(qu.returning); i++ {
 		if ca := qu.returning[i]; !ca.due.After(now) {
 			qu.returning = slices.Delete(qu.returning, i, i+1)
@@ -197,12 +212,23 @@
 func (qu *queueOf) arrive(ca call) {
 	now := qu.clk.Now()
 	target, rest := ca.first.Add(ca.target).Sub(now), ca.rest()
-	needs := rest + batchTime + qu.ru.wait(&qu.load, target-rest-batchTime, ca.rank)
+	needs := ca.before + rest + batchTime + qu.ru.wait(&qu.load, target-ca.before-rest-batchTime, ca.rank)
 	wait := qu.ru.wait(&qu.load, target-needs, ca.rank)
 	if de := New(needs, wait, target, ca.first.Add(ca.left).Sub(now), qu.draw.Float64()); !de.Admit {
 		qu.turnAway(ca, de.RetryAfter)
 		return
 	}
+	if ca.before > 0 {
+		qu.coming = append(qu.coming, arriving{now.Add(ca.before), ca})
+		return
+	}
+	qu.join(ca)
+}
+
+// join adds a call to the queue.
+func (qu *queueOf) join(ca call) {
+	now := qu.clk.Now()
+	target, rest := ca.first.Add(ca.target).Sub(now), ca.rest()
 	pieces := max(1, ca.pieces)
 	qu.arrivals[ca.rank] += float64(pieces)
 	last := now.Add(target - rest - batchTime)
@@ -299,7 +325,7 @@
 		return -int(1000*a.value/float64(max(1, a.pieces))) + int(1000*b.value/float64(max(1, b.pieces)))
 	})
 	for _, ki := range kinds {
-		wait := int((ki.target - ki.rest() - batchTime) / slot)
+		wait := int((ki.target - ki.before - ki.rest() - batchTime) / slot)
 		for i := range slots {
 			pieces := ki.rate * slot.Seconds() * float64(max(1, ki.pieces))
 			if at := time.Duration(i) * slot; at >= ki.burstAt && at < ki.burstEnd {
@@ -417,3 +443,16 @@
 	assert.GreaterOrEqual(t, now, 0.85*bound)
 	assert.GreaterOrEqual(t, 2*last.inTime[2], last.asked[2], "the least urgent kind")
 }
+
+// Load pattern: a burst that meets its bottleneck in a later stage (warranty letters on
+// magseal-cs-grown). When a request is admitted, many others are on their way to that
+// queue.
+func TestBurstAtALaterStage(t *testing.T) {
+	kinds := slices.Clone(urgentBurst)
+	kinds[0].before, kinds[1].before = 700*time.Millisecond, 700*time.Millisecond
+	kinds[0].otherWork, kinds[1].otherWork = 700*time.Millisecond, 700*time.Millisecond
+	before, now, bound, last := replayBoth(t, pattern{kinds: kinds})
+	assert.Greater(t, now, before)
+	assert.GreaterOrEqual(t, now, 0.85*bound)
+	assert.GreaterOrEqual(t, 2*last.inTime[2], last.asked[2], "the less urgent kind")
+}
--- a/internal/stage/owner/state.go
+++ b/internal/stage/owner/state.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"time"
+
 	"github.com/citronstream/citronstream"
 )
 
@@ -52,7 +54,7 @@
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	now := ow.clk.Now()
-	ql := citronstream.QueueLoad{Rate: ow.rate.value(now, ow.idealRate()), Arrivals: ow.arrivals.value(now)}
+	ql := citronstream.QueueLoad{Rate: ow.rate.value(now, ow.idealRate(now)), Arrivals: ow.arrivals.value(now)}
 	for _, jb := range ow.waiting {
 		if jb.Late(now) {
 			ql.Late += len(jb.pending)
@@ -63,12 +65,15 @@
 	return ql
 }
 
-// idealRate returns the pieces per second that the upstreams compute with full
+// idealRate returns the pieces per second that the upstreams in use compute with full
 // batches.
-func (ow *Owner) idealRate() float64 {
+func (ow *Owner) idealRate(now time.Time) float64 {
 	full := expected(&ow.spec, ow.spec.Items).Seconds()
 	sum := 0.0
 	for _, sv := range ow.list {
+		if sv.Avoided(now) {
+			continue
+		}
 		sum += float64(ow.spec.Items*ow.spec.Calls) / (full * max(1, sv.Slowness()))
 	}
 	return sum
