Gateway: budgets, lost links and the grace period count by the steady clock

Cause: the buckets of the retry budget, the time since a link was lost, the age of a peer and the time since SIGTERM were read from the time of day, which may jump by seconds: a jump forward granted the budget of the window again (TestTimeOfDayIsSet: 1 repeat granted after 8 of 8), a jump back would have let work wait 5 s for an owner that was lost 0.1 s ago. Result: 0 repeats granted after a step of an hour either way.

--- a/internal/fleet/discovery/discovery.go
+++ b/internal/fleet/discovery/discovery.go
@@ -89,7 +89,6 @@
 	if err != nil {
 		return err
 	}
-	now := di.clk.Now()
 	for _, ro := range rows {
 		var other row
 		if err := json.Unmarshal(ro.Value, &other); err != nil || other.Address == "" {
@@ -97,11 +96,11 @@
 			continue
 		}
 		pe := di.mesh.AddPeer(other.Address, other.Zone)
-		if pe == nil || pe.UnreachableFor(now) < removeAfter {
+		if pe == nil || pe.UnreachableFor() < removeAfter {
 			continue
 		}
 		err := di.table.Write(ctx, "", citronstream.Op{Key: ro.Key, IfVersion: ro.Version, Delete: true})
-		di.log.Info("removing the row of an unreachable entry", "key", ro.Key, "lost", pe.UnreachableFor(now).String(), "done", err == nil)
+		di.log.Info("removing the row of an unreachable entry", "key", ro.Key, "lost", pe.UnreachableFor().String(), "done", err == nil)
 	}
 	return nil
 }
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -39,6 +39,7 @@
 // Mesh keeps a link to each other entry.
 type Mesh struct {
 	clk          citronstream.Clock
+	began        time.Time
 	log          logr.Logger
 	eng          *nbconn.Engine
 	self         func() citronstream.PeerInfo
@@ -59,18 +60,19 @@
 	Address string
 
 	zone    string       // as first told; seeds have none
-	started atomic.Int64 // start of its process, ns since 1970 by the own clock
+	mesh    *Mesh
+	started atomic.Int64 // start of its process, in ns of Mesh.now
 	info    atomic.Pointer[citronstream.PeerInfo]
 	dialer  atomic.Pointer[dialer.Dialer]
 	cancel  context.CancelFunc
-	lostAt  atomic.Int64 // when the link was lost, ns since 1970; 0 while it is up
+	lostAt  atomic.Int64 // when the link was lost, in ns of Mesh.now; 0 while it is up
 	leaving atomic.Bool
 }
 
 // New returns a mesh without links. Self describes this process. onPeerUpdate
 // is called when a peer has described itself or changed, and must not block.
 func New(clk citronstream.Clock, log logr.Logger, eng *nbconn.Engine, self func() citronstream.PeerInfo, handler Handler, onPeerUpdate func(pe *Peer, li *link.Link)) *Mesh {
-	ms := &Mesh{clk: clk, log: log, eng: eng, self: self, handler: handler, onPeerUpdate: onPeerUpdate, byAddress: make(map[string]*Peer)}
+	ms := &Mesh{clk: clk, began: clk.Now(), log: log, eng: eng, self: self, handler: handler, onPeerUpdate: onPeerUpdate, byAddress: make(map[string]*Peer)}
 	ms.peers.Store(&[]*Peer{})
 	return ms
 }
@@ -99,6 +101,10 @@
 	}
 }
 
+// now returns the ns since the mesh began, by the steady clock and at least 1: the time
+// of day may jump.
+func (ms *Mesh) now() int64 { return max(1, int64(ms.clk.Since(ms.began))) }
+
 func (ms *Mesh) idlePing() time.Duration { return idlePing(len(ms.Peers())) }
 
 func (ms *Mesh) idleCheck() time.Duration { return ms.idlePing() * 3 / 10 }
@@ -171,8 +177,8 @@
 		return nil
 	}
 	ctx, cancel := context.WithCancel(ms.ctx)
-	pe := &Peer{Address: address, zone: zone, cancel: cancel}
-	pe.lostAt.Store(ms.clk.Now().UnixNano())
+	pe := &Peer{Address: address, mesh: ms, zone: zone, cancel: cancel}
+	pe.lostAt.Store(ms.now())
 	pe.dialer.Store(dialer.New(ctx, ms.clk, ms.eng, address,
 		func(li *link.Link, re *link.Request) { ms.handler(address, li, re) },
 		dialer.WithLinkOptions(link.WithIdlePing(ms.idlePing), link.WithIdleCheck(ms.idleCheck)),
@@ -196,13 +202,13 @@
 }
 
 func (ms *Mesh) setInfo(pe *Peer, info citronstream.PeerInfo) {
-	pe.started.Store(ms.clk.Now().Add(-info.Age).UnixNano())
+	pe.started.Store(ms.now() - int64(info.Age))
 	pe.info.Store(&info)
 	pe.leaving.Store(info.Leaving)
 }
 
 func (ms *Mesh) linkDown(pe *Peer, err error) {
-	if pe.lostAt.CompareAndSwap(0, ms.clk.Now().UnixNano()) {
+	if pe.lostAt.CompareAndSwap(0, ms.now()) {
 		ms.log.Info("peer lost", "peer", pe.Name(), "address", pe.Address, "reason", err.Error())
 	}
 }
@@ -242,7 +248,7 @@
 func (ms *Mesh) Prune() {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
-	now := ms.clk.Now().UnixNano()
+	now := ms.now()
 	for address, pe := range ms.byAddress {
 		if lost := pe.lostAt.Load(); lost != 0 && now-lost > int64(removeAfter) {
 			pe.cancel()
@@ -340,20 +346,18 @@
 }
 
 // Age returns how long the peer's process has run, by its last description.
-func (pe *Peer) Age(now time.Time) time.Duration {
-	return time.Duration(now.UnixNano() - pe.started.Load())
-}
+func (pe *Peer) Age() time.Duration { return time.Duration(pe.mesh.now() - pe.started.Load()) }
 
 // Leaving reports whether the peer has said that it leaves.
 func (pe *Peer) Leaving() bool { return pe.leaving.Load() }
 
 // UnreachableFor returns how long the peer has been unreachable, 0 while it is linked.
-func (pe *Peer) UnreachableFor(now time.Time) time.Duration {
+func (pe *Peer) UnreachableFor() time.Duration {
 	lost := pe.lostAt.Load()
 	if lost == 0 {
 		return 0
 	}
-	return time.Duration(now.UnixNano() - lost)
+	return time.Duration(pe.mesh.now() - lost)
 }
 
 // Link returns the open link to the peer, or nil.
--- a/internal/ingress/flow/admit.go
+++ b/internal/ingress/flow/admit.go
@@ -25,7 +25,7 @@
 		rt.CallerRequest = &citronstream.CallerRequest{}
 		return rt.reject(http.StatusBadRequest, err.Error()), false
 	}
-	if rt.fl.closed(rt.at) {
+	if rt.fl.closed() {
 		return rt.respond(http.StatusServiceUnavailable, shortRetryAfter,
 			citronstream.NewFault(citronstream.NotRun, citronstream.CodeLeaving, "this process is shutting down")), false
 	}
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -51,7 +51,8 @@
 	latencies    *latencies
 	fetchTimes   *fetchtime.Estimator // of the final results that requests take
 	inFlight     atomic.Int64
-	leaving      atomic.Int64 // when Leave was called, in Unix ns; 0 before
+	began        time.Time
+	leaving      atomic.Int64 // when Leave was called, in ns after began; 0 before
 	stagesCtx    context.Context
 	cancelStages context.CancelFunc
 	// requestsCtx is canceled by CancelRequests.
@@ -61,7 +62,7 @@
 
 // New returns a Flow.
 func New(clk citronstream.Clock, log logr.Logger, pa Dependencies) *Flow {
-	fl := &Flow{Dependencies: pa, clk: clk, log: log, latencies: newLatencies(clk), fetchTimes: fetchtime.New()}
+	fl := &Flow{Dependencies: pa, clk: clk, began: clk.Now(), log: log, latencies: newLatencies(clk), fetchTimes: fetchtime.New()}
 	fl.stagesCtx, fl.cancelStages = context.WithCancel(context.Background())
 	fl.requestsCtx, fl.cancelRequests = context.WithCancel(context.Background())
 	return fl
@@ -77,7 +78,7 @@
 
 // Leave closes each connection after its next response and, after
 // acceptAfterLeave, refuses requests.
-func (fl *Flow) Leave() { fl.leaving.Store(fl.clk.Now().UnixNano()) }
+func (fl *Flow) Leave() { fl.leaving.Store(max(1, int64(fl.clk.Since(fl.began)))) }
 
 // CancelStages cancels the stages of all requests before the process ends. These
 // requests are answered as not run, so that their callers can go elsewhere.
@@ -89,9 +90,9 @@
 func (fl *Flow) CancelRequests() { fl.cancelRequests() }
 
 // closed reports whether the process no longer accepts requests.
-func (fl *Flow) closed(now time.Time) bool {
-	since := fl.leaving.Load()
-	return since > 0 && now.UnixNano()-since > int64(acceptAfterLeave)
+func (fl *Flow) closed() bool {
+	left := time.Duration(fl.leaving.Load())
+	return left > 0 && fl.clk.Since(fl.began)-left > acceptAfterLeave
 }
 
 // errCallerDisconnected is the cause of a context whose caller has disconnected.
--- a/internal/limit/siteretrybudget/budget.go
+++ b/internal/limit/siteretrybudget/budget.go
@@ -22,6 +22,7 @@
 // Budget counts first and repeated sends per service and limits the latter.
 type Budget struct {
 	clk    citronstream.Clock
+	began  time.Time // periods count from it by the steady clock, as the time of day may jump
 	bounds citronstream.Bounds
 	live   func() int
 
@@ -39,7 +40,7 @@
 
 // New returns a budget. Live returns the number of entries that share it.
 func New(clk citronstream.Clock, bounds citronstream.Bounds, live func() int) *Budget {
-	return &Budget{clk: clk, bounds: bounds, live: live, services: make(map[string]*window)}
+	return &Budget{clk: clk, began: clk.Now(), bounds: bounds, live: live, services: make(map[string]*window)}
 }
 
 // First counts the first send of a request to a service.
@@ -104,7 +105,7 @@
 // currentBucket returns the bucket of the current period and resets it if necessary.
 func (bu *Budget) currentBucket(wi *window) *bucket {
 	length := max(bu.bounds.RetryWindow, time.Second) / bucketCount
-	number := bu.clk.Now().UnixNano() / int64(length)
+	number := int64(bu.clk.Since(bu.began) / length)
 	bc := &wi[number%int64(len(wi))]
 	if bc.number != number {
 		*bc = bucket{number: number}
--- a/internal/limit/siteretrybudget/budget_test.go
+++ b/internal/limit/siteretrybudget/budget_test.go
@@ -40,3 +40,23 @@
 	assert.Equal(t, 2, bu.Take("s", 5))
 	assert.NotZero(t, bu.Refused())
 }
+
+// steppedClock is a clock whose time of day has been set.
+type steppedClock struct {
+	*clockwork.FakeClock
+	step time.Duration
+}
+
+func (cl *steppedClock) Now() time.Time { return cl.FakeClock.Now().Add(cl.step) }
+
+// Guards against a budget that is granted again because the time of day has been set:
+// the requests of the window have not left it.
+func TestTimeOfDayIsSet(t *testing.T) {
+	for _, step := range []time.Duration{time.Hour, -time.Hour} {
+		clk := &steppedClock{FakeClock: clockwork.NewFakeClock()}
+		bu := New(clk, bounds, func() int { return 5 })
+		assert.Equal(t, 8, bu.Take("s", 100))
+		clk.step = step
+		assert.Zero(t, bu.Take("s", 1), "after %v", step)
+	}
+}
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -235,24 +235,23 @@
 	br.mu.Lock()
 	leaving := br.leaving
 	br.mu.Unlock()
-	now := br.clk.Now()
 	peers := make(map[string]*mesh.Peer)
 	var candidates []ownership.Candidate
 	if !leaving {
-		candidates = append(candidates, ownership.Candidate{Address: br.self, Capacity: br.capacity, Age: now.Sub(br.began)})
+		candidates = append(candidates, ownership.Candidate{Address: br.self, Capacity: br.capacity, Age: br.clk.Since(br.began)})
 	}
 	for _, pe := range br.mesh.Peers() {
-		if (pe.Up() || br.justLost(pe, now)) && !exclude[pe] {
+		if (pe.Up() || br.justLost(pe)) && !exclude[pe] {
 			peers[pe.Address] = pe
-			candidates = append(candidates, ownership.Candidate{Address: pe.Address, Capacity: pe.Capacity(), Age: pe.Age(now)})
+			candidates = append(candidates, ownership.Candidate{Address: pe.Address, Capacity: pe.Capacity(), Age: pe.Age()})
 		}
 	}
 	return peers[ownership.Owner(service, candidates)]
 }
 
 // justLost reports whether a peer's link was lost a moment ago.
-func (br *Broker) justLost(pe *mesh.Peer, now time.Time) bool {
-	return pe.Link() == nil && !pe.Leaving() && pe.Boot() != "" && pe.UnreachableFor(now) < resumeWait
+func (br *Broker) justLost(pe *mesh.Peer) bool {
+	return pe.Link() == nil && !pe.Leaving() && pe.Boot() != "" && pe.UnreachableFor() < resumeWait
 }
 
 // Owns reports whether this process owns the queue of a service.
@@ -326,7 +325,7 @@
 func (br *Broker) runRemote(ctx context.Context, pe *mesh.Peer, jo citronstream.Job) (citronstream.JobResult, error) {
 	li, boot := pe.Link(), pe.Boot()
 	if li == nil {
-		li, boot = br.reopened(ctx, pe, nil, resumeWait-pe.UnreachableFor(br.clk.Now())), pe.Boot()
+		li, boot = br.reopened(ctx, pe, nil, resumeWait-pe.UnreachableFor()), pe.Boot()
 	}
 	if li == nil {
 		return citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeLeaving, "no link to the owner")}, nil
