Owners: rounded reports of memory, ages after an outage

The reports that are asked for again name whole MB, of 3.3 MB (catalog) and 0.4 MB (shipping): each forgot the results that had found no room. At 43.0 to 43.2 s seven queues were handed over, as the entries reach 8 s one after the other. Change: a report narrows what is assumed only outside of its rounding; an entry has settled at half of the age of the oldest one, at most 8 s.

--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -56,9 +56,8 @@
 type Batcher interface {
 	Run(ctx context.Context, nd *node.Node, items []citronstream.BatchItem) (results []citronstream.ItemResult, refused bool, err error)
 	Release(ctx context.Context, nd *node.Node, handles []string)
-	// Free returns an upper bound of the bytes that an upstream has free for
-	// results.
-	Free(ctx context.Context, nd *node.Node) (int, error)
+	// Free returns the least and the most bytes that an upstream has free for results.
+	Free(ctx context.Context, nd *node.Node) (least, most int, err error)
 	// ResultAddress returns the address of the upstream that holds a result.
 	ResultAddress(handle string) string
 }
@@ -244,16 +243,17 @@
 // earlier owner may occupy some. The caller holds the lock.
 func (ow *Owner) queryFreeMemory(now time.Time) {
 	for _, sv := range ow.list {
-		ow.queryMemoryOf(sv, now)
+		ow.queryMemoryOf(sv, now, true)
 	}
 }
 
-// queryMemoryOf asks one upstream. The caller holds the lock.
-func (ow *Owner) queryMemoryOf(sv *server, now time.Time) {
+// queryMemoryOf asks one upstream, at the begin of this owner or later. The caller
+// holds the lock.
+func (ow *Owner) queryMemoryOf(sv *server, now time.Time, begins bool) {
 	used := sv.used
 	sv.askedAt = now
 	ow.calls.Go(func() {
-		free, err := ow.batcher.Free(ow.ctx, sv.Node)
+		least, most, err := ow.batcher.Free(ow.ctx, sv.Node)
 		if err != nil {
 			ow.log.Info("free memory of upstream unknown", "service", ow.service, "upstream", sv.ID, "reason", err.Error())
 			return
@@ -261,8 +261,9 @@
 		ow.mu.Lock()
 		defer ow.mu.Unlock()
 		now := ow.clk.Now()
-		sv.unknownBytes, sv.unknownAt = max(0, ow.spec.ResultBytes-free-used), now
-		if sv.unknownBytes > 0 {
+		known := min(sv.unknownNow(now, ow.spec.ResultLife), ow.spec.ResultBytes-least-used)
+		sv.unknownBytes, sv.unknownAt = max(0, known, ow.spec.ResultBytes-most-used), now
+		if begins && sv.unknownBytes > 0 {
 			sv.foreignUntil = now.Add(ow.spec.ResultLife)
 		}
 	})
@@ -276,7 +277,7 @@
 	}
 	for _, sv := range ow.list {
 		if now.Sub(sv.askedAt) >= memoryPoll && !sv.Avoided(now) && sv.unknownNow(now, ow.spec.ResultLife) > 0 {
-			ow.queryMemoryOf(sv, now)
+			ow.queryMemoryOf(sv, now, false)
 		}
 	}
 }
--- a/internal/stage/owner/owner_test.go
+++ b/internal/stage/owner/owner_test.go
@@ -32,6 +32,7 @@
 
 // fakeBatcher implements Batcher.
 type fakeBatcher struct {
+	rounding int // of the free memory that upstreams report
 	batches  chan sentBatch
 	mu       sync.Mutex
 	released []string
@@ -59,12 +60,12 @@
 	fa.released = append(fa.released, handles...)
 }
 
-func (fa *fakeBatcher) Free(context.Context, *node.Node) (int, error) {
+func (fa *fakeBatcher) Free(context.Context, *node.Node) (least, most int, err error) {
 	free := int(fa.free.Load())
 	if free < 0 {
-		return 0, errors.New("no report")
+		return 0, 0, errors.New("no report")
 	}
-	return free, nil
+	return free - fa.rounding, free, nil
 }
 
 func (fa *fakeBatcher) ResultAddress(string) string { return "" }
@@ -257,6 +258,28 @@
 	assert.Len(t, hs.batch().items, 1)
 }
 
+// Guards against a report of rounded memory that makes an owner forget the results
+// that found no room: what it does not tell apart stays as it was.
+func TestFreeMemoryIsRounded(t *testing.T) {
+	nd := upstream("a", "")
+	hs := newHarness(t, nd)
+	hs.fa.free.Store(int64(spec.ResultBytes))
+	hs.fa.rounding = spec.ResultBytes
+	first := hs.submit(newJob("1", 4, nil))
+	sent := hs.batch()
+	sent.end <- batchEnd{results: []citronstream.ItemResult{{Handle: "x"}, {Handle: "y"}, {Fault: citronstream.ItemNoMemory}, {Fault: citronstream.ItemNoMemory}}}
+	hs.unknown(nd, func(bytes int) bool { return bytes == 200 })
+	hs.finish(hs.batch())
+	hs.result(first)
+	sent = func() sentBatch { hs.submit(newJob("2", 1, nil)); return hs.batch() }()
+	hs.submit(newJob("3", 1, nil))
+	hs.clk.Advance(memoryPoll)
+	hs.Tick()
+	hs.unknown(nd, func(bytes int) bool { return bytes > 100 && bytes < 200 })
+	hs.finish(sent)
+	hs.finish(hs.batch())
+}
+
 // Load pattern: memory is short. A job whose results can't all be kept does not begin,
 // as its first results would hold memory that the others wait for; one that has
 // begun is done first, with whatever room there is.
--- a/internal/stage/ownership/ownership.go
+++ b/internal/stage/ownership/ownership.go
@@ -18,9 +18,11 @@
 	// and processor would otherwise limit the whole site.
 	capacityShare = 0.5
 	// settleTime is how long an entry must have run to take over from one that has
-	// run as long. It is longer than the backlog of a queue, and shorter than the
-	// time in which a new site gets its first requests.
-	settleTime = 8 * time.Second
+	// run for longer, or settleShare of the time that the oldest entry has run: after
+	// an outage all have started at about the same time. It is longer than the backlog
+	// of a queue.
+	settleTime  = 8 * time.Second
+	settleShare = 0.5
 )
 
 // Candidate is an entry that could own a queue.
@@ -34,16 +36,17 @@
 // Owner returns the address of the owner of a service's queue, empty without
 // candidates.
 func Owner(service string, candidates []Candidate) string {
-	strongest := 0.0
+	strongest, oldest := 0.0, time.Duration(0)
 	for _, ca := range candidates {
-		strongest = max(strongest, ca.Capacity)
+		strongest, oldest = max(strongest, ca.Capacity), max(oldest, ca.Age)
 	}
+	settles := min(settleTime, time.Duration(settleShare*float64(oldest)))
 	best, bestScore, bestSettled := "", uint64(0), false
 	for _, ca := range candidates {
 		if ca.Capacity < capacityShare*strongest {
 			continue
 		}
-		settled, score := ca.Age >= settleTime, xxhash.Sum64String(service+"\x00"+ca.Address)
+		settled, score := ca.Age >= settles, xxhash.Sum64String(service+"\x00"+ca.Address)
 		if best == "" || settled && !bestSettled || settled == bestSettled && score > bestScore {
 			best, bestScore, bestSettled = ca.Address, score, settled
 		}
--- a/internal/stage/ownership/ownership_test.go
+++ b/internal/stage/ownership/ownership_test.go
@@ -46,6 +46,20 @@
 	assert.Empty(t, Owner("a", nil))
 }
 
+// After an outage the entries start within a second. Their queues do not move when the
+// first of them has run for long.
+func TestAllStartAgain(t *testing.T) {
+	owners := make(map[string]bool)
+	for age := 2 * time.Second; age < 2*settleTime; age += 100 * time.Millisecond {
+		list := fleet(15, 0)
+		for i := range list {
+			list[i].Age = age - time.Duration(i)*time.Second/15
+		}
+		owners[Owner("a", list)] = true
+	}
+	assert.Len(t, owners, 1)
+}
+
 // Weak entries own no queue while a strong one lives, though it may be new.
 func TestWeakEntries(t *testing.T) {
 	list := fleet(15, time.Minute)
--- a/internal/upstream/batch/batch.go
+++ b/internal/upstream/batch/batch.go
@@ -121,18 +121,17 @@
 func (ca *Caller) ResultAddress(handle string) string { return platform.ResultAddress(handle) }
 
 // Free implements owner.Batcher.
-func (ca *Caller) Free(ctx context.Context, nd *node.Node) (int, error) {
+func (ca *Caller) Free(ctx context.Context, nd *node.Node) (least, most int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	free := 0
 	status, _, err := ca.call(ctx, nd, http.MethodGet, platform.PathReport, nil, func(answer []byte) (err error) {
-		free, err = platform.DecodeFreeMemory(answer)
+		least, most, err = platform.DecodeFreeMemory(answer)
 		return err
 	})
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("status %d", status)
 	}
-	return free, err
+	return least, most, err
 }
 
 // call sends a request and passes the body of a 200 to check. If check fails, the
