Gateway: suspended time counts towards the deadline of a request

Cause: the steady clock stands still while an instance is suspended, and the timer of a deadline may fire after a paused process has gone on: a request was sent to an upstream with 0 ms left, after its caller had given up.

--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -59,7 +59,7 @@
 type Peer struct {
 	Address string
 
-	zone    string       // as first told; seeds have none
+	zone    string // as first told; seeds have none
 	mesh    *Mesh
 	started atomic.Int64 // start of its process, in ns of Mesh.now
 	info    atomic.Pointer[citronstream.PeerInfo]
--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -185,6 +185,11 @@
 	if fo.Inputs, fa = rt.stages.requestInputs(ctx); fa != nil {
 		return result{fault: fa}
 	}
+	if left := rt.timeLeft(); left <= 0 {
+		// The process was paused, or its instance suspended: the timer of the deadline
+		// has not fired yet, but the caller has given up.
+		return result{fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeDeadline, "the deadline passed %v before the request was sent", -left)}
+	}
 	stopRelease := rt.releaseEarly(nd, demand)
 	defer stopRelease()
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -39,6 +39,9 @@
 	Holds      *poison.Holds
 	Refused    *firstattempt.Registry
 	Deaths     *deathdetect.Detector
+	// Suspended returns for how long the instance has been suspended; it may be nil. That
+	// time does not count for timers, but it does for callers.
+	Suspended func() time.Duration
 	// Observe is called at the end of each request; it may be nil.
 	Observe func(rq requests.Request)
 }
@@ -62,6 +65,9 @@
 
 // New returns a Flow.
 func New(clk citronstream.Clock, log logr.Logger, pa Dependencies) *Flow {
+	if pa.Suspended == nil {
+		pa.Suspended = func() time.Duration { return 0 }
+	}
 	fl := &Flow{Dependencies: pa, clk: clk, began: clk.Now(), log: log, latencies: newLatencies(clk), fetchTimes: fetchtime.New()}
 	fl.stagesCtx, fl.cancelStages = context.WithCancel(context.Background())
 	fl.requestsCtx, fl.cancelRequests = context.WithCancel(context.Background())
@@ -105,7 +111,7 @@
 	if fl.leaving.Load() > 0 {
 		wr.Header().Set("Connection", "close")
 	}
-	rt := &request{fl: fl, wr: wr, rq: rq, at: fl.clk.Now()}
+	rt := &request{fl: fl, wr: wr, rq: rq, at: fl.clk.Now(), suspended: fl.Suspended()}
 	out := rt.serve()
 	rt.record(out)
 	if out.abort {
@@ -128,8 +134,10 @@
 	workspace string
 	rank      int
 
-	at    time.Time // arrival
-	first time.Time // arrival of the caller's first attempt, if known
+	at time.Time // arrival
+	// suspended is the time for which the instance had been suspended at the arrival.
+	suspended time.Duration
+	first     time.Time // arrival of the caller's first attempt, if known
 	// returned says that the caller was refused before and came back as told.
 	returned bool
 	// readTime is how long an engine takes to read the prompt; 0 for other upstreams.
@@ -193,7 +201,9 @@
 }
 
 // timeLeft returns the time to the deadline of the response.
-func (rt *request) timeLeft() time.Duration { return rt.end.Sub(rt.fl.clk.Now()) }
+func (rt *request) timeLeft() time.Duration {
+	return rt.end.Sub(rt.fl.clk.Now()) - (rt.fl.Suspended() - rt.suspended)
+}
 
 // callerDisconnected reports whether ctx ended because the caller disconnected.
 func callerDisconnected(ctx context.Context) bool {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/boottime"
 	"github.com/citronstream/citronstream/internal/fleet/discovery"
 	"github.com/citronstream/citronstream/internal/fleet/follow"
 	"github.com/citronstream/citronstream/internal/fleet/mesh"
@@ -125,11 +126,23 @@
 	ga.flow = flow.New(clk, log, flow.Dependencies{
 		Zone: site.Zone, ListingTTL: ga.listingTTL(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
 		Budget: ga.budget, Holds: ga.holds, Refused: ga.refusals, Deaths: ga.deaths, Observe: ga.meter.Observe,
+		Suspended: ga.suspendedTime(),
 	})
 	ga.callerServer = server.New(log, ga.flow)
 	return ga, nil
 }
 
+// suspendedTime returns a function that tells for how long the instance has been
+// suspended, nil if it can't be told.
+func (ga *Gateway) suspendedTime() func() time.Duration {
+	me, err := boottime.New(ga.clk)
+	if err != nil {
+		ga.log.Error(err, "boot clock unreadable, suspended time counts as no time")
+		return nil
+	}
+	return me.Suspended
+}
+
 // maxIdleConns returns how many idle connections to an upstream this process keeps:
 // half of its share of the connections that the upstream accepts from all entries.
 func (ga *Gateway) maxIdleConns(address string) int {
--- a/internal/process/gateway/verdict_test.go
+++ b/internal/process/gateway/verdict_test.go
@@ -3,7 +3,9 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/citronstream/citronstream/internal/standin/site"
 	"github.com/stretchr/testify/assert"
@@ -44,3 +46,22 @@
 	assert.Equal(t, http.StatusBadGateway, res.StatusCode, body)
 	assert.Len(t, ts.log.Of(ca.id), 2)
 }
+
+// A request whose instance was suspended until after its deadline is not sent: its
+// caller has given up, and an order would be placed behind its back.
+func TestSuspendedUntilTheDeadline(t *testing.T) {
+	ts := newTestSite(t, 1)
+	_, cut, _ := ts.addStageUpstreams()
+	ts.waitReady()
+	cut.Work.Store(int64(200 * time.Millisecond))
+	var suspended atomic.Int64
+	ts.entries[0].flow.Suspended = func() time.Duration { return time.Duration(suspended.Load()) }
+	ca := ts.stagedCall()
+	go func() {
+		ts.waitFor(func() bool { return len(ts.log.All()) > 0 }, "no stage was sent")
+		suspended.Store(int64(time.Hour))
+	}()
+	res, _ := ts.roundTrip(ts.entries[0], ca, http.MethodPost, "/staged/stream/", "")
+	assert.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
+	assert.Empty(t, ts.log.Of(ca.id))
+}
