follow: entries that rely on readers ask less often while the store is away

Change: such an entry waits up to the greatest age of its copy; readers try as before and tell when the store is back. What a call returns after failures is applied as if the store had been away until then, so that lapsed rows keep their grace.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -214,7 +214,7 @@
 		case err != nil:
 			fo.recordResult(ta, err)
 			fo.sleep(ctx, ta, wait/2+rand.N(wait))
-			wait = min(2*wait, maxRetry)
+			wait = min(2*wait, fo.maxRetry(ta))
 			continue
 		default:
 			known, wait = true, minRetry
@@ -232,6 +232,23 @@
 	}
 }
 
+// maxRetry returns the longest wait after a failed call. Entries that rely on readers
+// hear from them when the store is back.
+func (fo *Follower) maxRetry(ta Table) time.Duration {
+	if fo.readers().Self {
+		return maxRetry
+	}
+	return max(maxRetry, ta.MaxAge)
+}
+
+// regained records, before what a call has returned is applied, that the store was
+// unreachable until then, as this process may not have called it for a while.
+func (fo *Follower) regained() {
+	if fo.storeDown.Load() {
+		fo.view.RecordStoreFailure()
+	}
+}
+
 func (fo *Follower) scan(ctx context.Context, ta Table) (uint64, error) {
 	fo.calls.Add(1)
 	began := fo.clk.Now()
@@ -239,6 +256,7 @@
 	if err != nil {
 		return 0, err
 	}
+	fo.regained()
 	fo.checkLatency(fo.clk.Since(began))
 	var applied []citronstream.Change
 	if ta.Complete {
@@ -271,6 +289,7 @@
 	if err != nil {
 		return after, err
 	}
+	fo.regained()
 	took := fo.clk.Since(began)
 	fo.checkLatency(took - wait)
 	asOf := began
--- a/internal/fleet/follow/follow_test.go
+++ b/internal/fleet/follow/follow_test.go
@@ -190,6 +190,11 @@
 // inFleet runs a test with readers r0, r1.. and listeners l0, l1.. in a bubble
 // with fake time.
 func inFleet(t *testing.T, readerCount, listenerCount int, test func(fl *fleet)) {
+	inFleetWithAge(t, maxAge, readerCount, listenerCount, test)
+}
+
+// inFleetWithAge does the same with another greatest age of copies.
+func inFleetWithAge(t *testing.T, maxAge time.Duration, readerCount, listenerCount int, test func(fl *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		clk := clockwork.NewRealClock()
 		fl := &fleet{t: t, clk: clk, st: &store{clk: clk, changed: make(chan struct{})}}
@@ -213,7 +218,7 @@
 			fl.running.Go(func() { en.follower.Run(ctx, ConfigTable(config, maxAge)) })
 			clk.Sleep(37 * time.Millisecond)
 		}
-		clk.Sleep(drain)
+		clk.Sleep(2 * maxAge)
 		synctest.Wait()
 		test(fl)
 		cancel()
@@ -355,3 +360,27 @@
 		fl.assertNoticed("up-1")
 	})
 }
+
+// While the store is away from all, hundreds of entries must not ask for it as often as
+// the readers do, who tell them when it is back; and a row that lapsed meanwhile stays
+// in use until its upstream can have written it again.
+func TestStoreIsAwayFromAll(t *testing.T) {
+	const away, age = 10 * time.Second, 2 * time.Second // of the largest site
+	inFleetWithAge(t, age, 3, 10, func(fl *fleet) {
+		calls := int32(0)
+		fl.each("l", func(en *entry) { calls -= en.calls.Load() })
+		fl.each("", func(en *entry) { en.fault.Store(refuses) })
+		fl.clk.Sleep(away)
+		fl.each("l", func(en *entry) { calls += en.calls.Load() })
+		const tables = 2
+		assert.LessOrEqual(t, calls, int32(10*tables*(away/age+4)))
+		fl.st.put("servers/up-1", "")
+		fl.each("", func(en *entry) { en.fault.Store(sound) })
+		fl.clk.Sleep(time.Second)
+		fl.st.put("servers/up-1", "ready")
+		for range 20 {
+			fl.each("", func(en *entry) { assert.Len(t, en.view.Members().Service("s"), 4, en.name) })
+			fl.clk.Sleep(100 * time.Millisecond)
+		}
+	})
+}
