--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -40,8 +40,9 @@
 	sizeDecay     = 0.999
 	maxSizeFactor = 1.3
 	// maxLateWait is how long a job stays queued once it can no longer reach its
-	// target. Jobs that wait longer mostly expire, which is worse for the caller
-	// than an early refusal.
+	// target, or after it came when it was late already: the caller of a refused
+	// request came back. Jobs that wait longer mostly expire, which is worse for the
+	// caller than an early refusal.
 	maxLateWait = 2 * time.Second
 	// memoryPoll is how often an upstream is asked for its free memory while results
 	// that the owner has no record of take some.
--- a/internal/stage/owner/owner_test.go
+++ b/internal/stage/owner/owner_test.go
@@ -493,6 +493,22 @@
 	hs.noBatch()
 }
 
+// Load pattern: callers that were refused in a burst come back after it, too late for
+// their target. They are served as soon as there is room, not refused again on arrival.
+func TestLateOnArrival(t *testing.T) {
+	hs := newHarness(t, upstream("a", ""))
+	hs.submit(newJob("1", 4, nil))
+	first := hs.batch()
+	late := hs.submit(newJob("2", 1, func(jo *citronstream.Job) { jo.Slack = -time.Minute }))
+	hs.clk.Advance(maxLateWait)
+	hs.Tick()
+	hs.finish(first)
+	sent := hs.batch()
+	assert.Equal(t, []string{"2"}, ids(sent))
+	hs.finish(sent)
+	assert.Nil(t, hs.result(late).Fault)
+}
+
 // A late job ends after maxLateWait rather than at its deadline; one past its
 // deadline ends too.
 func TestLateJobsEnd(t *testing.T) {
