Gateway: new entries tell what they read once, when they know who reads

Change: changes of the first 3 s are kept, the newest of each row, and told once by the entries that are readers then.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -93,6 +93,7 @@
 	cancel      context.CancelFunc
 	background  sync.WaitGroup
 	pendingRows chan citronstream.Rows
+	early       earlyRows
 	leaving     atomic.Bool
 	// fetching is true while a peer's state is being fetched.
 	fetching atomic.Bool
@@ -255,6 +256,9 @@
 		}
 		ga.view.Sweep()
 		ga.tellRefusals()
+		if ga.clk.Since(ga.began) >= tellAfter {
+			ga.tellEarlyRows()
+		}
 		if count%ga.loadTicks() == 0 {
 			ga.broadcastLoads()
 		}
--- a/internal/process/gateway/sharing.go
+++ b/internal/process/gateway/sharing.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/citronstream/citronstream"
@@ -24,6 +26,10 @@
 	maxPeerConfig = 64 << 10
 	// stateTimeout bounds the fetch of a peer's state, which may be a megabyte over a slow link.
 	stateTimeout = 4 * time.Second
+	// tellAfter is how long a process runs before it tells others what it has read
+	// since its start. When all start at the same time, each of them reads all rows by
+	// itself, and knows only then which few read for the others.
+	tellAfter = 3 * time.Second
 	// maxPendingRows bounds the queue of rows for peers. Peers notice dropped ones by
 	// the versions of the next and read the store themselves.
 	maxPendingRows = 1024
@@ -161,7 +167,12 @@
 	}
 }
 
+// queueRows queues rows for the peers. Without rows a new configuration is announced.
 func (ga *Gateway) queueRows(rows citronstream.Rows) {
+	if ga.clk.Since(ga.began) < tellAfter {
+		ga.early.add(rows.Changes)
+		rows = citronstream.Rows{}
+	}
 	select {
 	case ga.pendingRows <- rows:
 	default:
@@ -205,3 +216,39 @@
 		ga.follower.Heard(*re)
 	}
 }
+
+// earlyRows are the newest changes that a process has read in its first seconds.
+type earlyRows struct {
+	mu     sync.Mutex
+	newest map[string]citronstream.Change
+}
+
+func (er *earlyRows) add(changes []citronstream.Change) {
+	er.mu.Lock()
+	defer er.mu.Unlock()
+	if er.newest == nil {
+		er.newest = make(map[string]citronstream.Change)
+	}
+	for _, ch := range changes {
+		if ch.Version >= er.newest[ch.Key].Version {
+			er.newest[ch.Key] = ch
+		}
+	}
+}
+
+// take returns the changes and forgets them.
+func (er *earlyRows) take() []citronstream.Change {
+	er.mu.Lock()
+	defer er.mu.Unlock()
+	changes := slices.Collect(maps.Values(er.newest))
+	er.newest = nil
+	return changes
+}
+
+// tellEarlyRows tells the peers once what this process has read in its first seconds,
+// if it reads for them: one that the store turns away has no other way to know.
+func (ga *Gateway) tellEarlyRows() {
+	if changes := ga.early.take(); len(changes) > 0 && ga.readers().Self {
+		ga.queueRows(citronstream.Rows{Changes: changes})
+	}
+}
--- /dev/null
+++ b/internal/process/gateway/sharing_test.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/citronstream/citronstream"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+)
+
+// Load pattern: hundreds of entries that start at the same time. Each of them reads the
+// thousands of rows of the upstreams by itself; if each also told all others, the
+// messages would grow with the cube of the site.
+func TestNewEntriesTellNoRows(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	ga := &Gateway{clk: clk, began: clk.Now(), pendingRows: make(chan citronstream.Rows, 1)}
+	queued := func(version uint64) citronstream.Rows {
+		change := citronstream.Change{Row: citronstream.Row{Key: "up-1", Version: version}}
+		ga.queueRows(citronstream.Rows{Changes: []citronstream.Change{change}, Reading: &citronstream.Reading{}})
+		return <-ga.pendingRows
+	}
+	for version := range uint64(3) {
+		assert.Equal(t, citronstream.Rows{}, queued(version), "only wakes the announcement of a configuration")
+	}
+	clk.Advance(tellAfter)
+	changes := ga.early.take()
+	assert.Len(t, changes, 1, "the newest change of a row is told")
+	assert.Equal(t, uint64(2), changes[0].Version)
+	assert.Empty(t, ga.early.take())
+	assert.Len(t, queued(3).Changes, 1)
+}
--- a/internal/stage/owner/dispatch.go
+++ b/internal/stage/owner/dispatch.go
@@ -72,7 +72,7 @@
 			ow.endStale(jb, now)
 			continue
 		}
-		if jb.Late(now) && now.Sub(later(jb.Last, jb.at)) > maxLateWait && len(jb.pending) == len(jb.Pieces) {
+		if jb.Late(now) && now.Sub(jb.Last) > maxLateWait && now.Sub(jb.at) > minWait && len(jb.pending) == len(jb.Pieces) {
 			ow.counts.Overloaded++
 			ow.endJob(jb, citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded,
 				"late, and waited %v for service %s", now.Sub(jb.at).Round(time.Millisecond), ow.service)})
@@ -86,13 +86,6 @@
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // endStale ends a job whose inputs have expired. They are recomputed only for a
 // request that can still reach its target.
 func (ow *Owner) endStale(jb *job, now time.Time) {
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -40,10 +40,12 @@
 	sizeDecay     = 0.999
 	maxSizeFactor = 1.3
 	// maxLateWait is how long a job stays queued once it can no longer reach its
-	// target, or after it came when it was late already: the caller of a refused
-	// request came back. Jobs that wait longer mostly expire, which is worse for the
-	// caller than an early refusal.
+	// target. Jobs that wait longer mostly expire, which is worse for the caller than
+	// an early refusal. One that was as late when it came, as the caller of a refused
+	// request came back, waits for minWait all the same: about a batch, within which
+	// it runs if there is room.
 	maxLateWait = 2 * time.Second
+	minWait     = 500 * time.Millisecond
 	// memoryPoll is how often an upstream is asked for its free memory while results
 	// that the owner has no record of take some.
 	memoryPoll = 400 * time.Millisecond
