engines: rare shared parts stay at fewer engines; owner: late work waits only for room

Change: a part is spread among as many engines as its share of the prompts needs, twice over, at most a third.

--- a/internal/route/engines/engines.go
+++ b/internal/route/engines/engines.go
@@ -39,9 +39,19 @@
 	// rereadFactor weighs the time to read a shared part again. A second copy
 	// also takes the memory of another engine and is billed.
 	rereadFactor = 10.0
-	// homeDivisor divides the number of engines to give the number among which
-	// requests with an equal part are distributed.
-	homeDivisor = 3
+	// homeDivisor divides the number of engines to give the greatest number among
+	// which requests with an equal part are distributed. A part with a smaller share of
+	// the prompts is kept at spreadFactor times as many engines as this share needs,
+	// rounded up to a power of two so that entries mostly agree, and at leastSpread:
+	// each of them has to read the part.
+	homeDivisor  = 3
+	spreadFactor = 2.0
+	leastSpread  = 1
+	// The tokens of prompts by part are halved after shareWindow, and tell a share from
+	// minShareTokens on; at most maxShares parts are counted.
+	shareWindow    = 10 * time.Second
+	minShareTokens = 50000
+	maxShares      = 4096
 	// crossZoneDelay is the delay in ms that a request accepts for each megabyte of
 	// inputs that it saves from crossing zones.
 	crossZoneDelay = 60.0
@@ -110,8 +120,13 @@
 	parts    map[uint64]*list.Element
 	lru      *list.List // of *partLocation, the most recently used first
 	readRate float64    // prompt tokens per ms
-	unsent   []citronstream.CachedPart
-	changed  bool
+	// shares has the tokens of the prompts with a part that other sessions share, and
+	// shareTokens those of all prompts, since about shareWindow.
+	shares      map[uint64]float64
+	shareTokens float64
+	sharesFrom  time.Time // when they were halved last
+	unsent      []citronstream.CachedPart
+	changed     bool
 }
 
 // New returns a picker without loads.
@@ -119,6 +134,7 @@
 	return &Picker{
 		clk: clk, ownLoads: make(map[string]*load), peers: make(map[string]map[string]peerLoad), urgent: make(chan struct{}, 1),
 		parts: make(map[uint64]*list.Element), lru: list.New(), readRate: assumedReadRate,
+		shares: make(map[uint64]float64), sharesFrom: clk.Now(),
 	}
 }
 
@@ -135,6 +151,7 @@
 		return nil
 	}
 	rq.picked, rq.unread, rq.known = pi.clk.Now(), unread, unread < rq.Tokens
+	pi.countShares(rq)
 	ld := pi.ownLoad(best.ID)
 	ld.running++
 	ld.prefillTokens += unread
@@ -240,7 +257,7 @@
 	for i, part := range shared {
 		count := 1
 		if i < len(shared)-1 {
-			count = (len(nodes) + homeDivisor - 1) / homeDivisor
+			count = pi.spread(part.ID, len(nodes))
 		}
 		nodes = topByHash(nodes, part.ID, count)
 	}
@@ -250,6 +267,39 @@
 	return nodes[0].ID, false
 }
 
+// countShares counts the prompt of a request that has parts of several sessions.
+func (pi *Picker) countShares(rq *Request) {
+	if pi.clk.Since(pi.sharesFrom) >= shareWindow {
+		pi.sharesFrom = pi.clk.Now()
+		pi.shareTokens /= 2
+		for id := range pi.shares {
+			if pi.shares[id] /= 2; pi.shares[id] < 1 {
+				delete(pi.shares, id)
+			}
+		}
+	}
+	pi.shareTokens += float64(rq.Tokens)
+	for i := range len(rq.Shared) - 1 {
+		if id := rq.Shared[i].ID; len(pi.shares) < maxShares || pi.shares[id] > 0 {
+			pi.shares[id] += float64(rq.Tokens)
+		}
+	}
+}
+
+// spread returns among how many of some engines the requests with a part are
+// distributed.
+func (pi *Picker) spread(part uint64, engines int) int {
+	most := (engines + homeDivisor - 1) / homeDivisor
+	if pi.shareTokens < minShareTokens {
+		return most
+	}
+	count := leastSpread
+	for float64(count) < spreadFactor*float64(engines)*pi.shares[part]/pi.shareTokens {
+		count *= 2
+	}
+	return min(count, most)
+}
+
 // topByHash returns the engines with the highest scores for a part (rendezvous hashing).
 func topByHash(nodes []*node.Node, id uint64, count int) []*node.Node {
 	type scored struct {
--- a/internal/route/engines/replay_test.go
+++ b/internal/route/engines/replay_test.go
@@ -1,8 +1,10 @@
 package engines
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -305,3 +307,47 @@
 	sum.largestInTime += out.largestInTime
 	sum.reread += out.reread
 }
+
+// shortPrompts are requests of two less urgent kinds with many short shared parts.
+func shortPrompts(seed uint64) (list []arrival) {
+	draw := rand.New(rand.NewPCG(seed, 1))
+	for _, ki := range []struct{ kind, parts, sessions, first, session, own, rate int }{
+		{1, 80, 900, 119, 79, 628, 54}, {2, 32, 800, 341, 227, 1800, 46},
+	} {
+		for at := time.Duration(0); at < replaySpan; at += time.Duration(draw.ExpFloat64() / float64(ki.rate) * float64(time.Second)) {
+			session := uint64(draw.IntN(ki.sessions))
+			parts := []citronstream.PromptPart{
+				{ID: uint64(ki.kind)<<32 | session%uint64(ki.parts), Tokens: ki.first},
+				{ID: uint64(ki.kind)<<40 | session, Tokens: ki.session},
+			}
+			list = append(list, arrival{at, draw.IntN(replayEntries), Request{Tokens: ki.first + ki.session + ki.own, Shared: parts, Slack: replaySlack}})
+		}
+	}
+	return list
+}
+
+// wide is the rule of before: all parts are spread among a third of the engines.
+type wide struct{ *pickers }
+
+func (wi *wide) pick(entry int, nodes []*node.Node, rq *Request) *node.Node {
+	wi.list[entry].shareTokens = 0
+	return wi.pickers.pick(entry, nodes, rq)
+}
+
+// Load pattern: kinds of request with many shared parts of which each is rare, beside
+// long prompts with a few. A rare part is read by fewer engines, and no more requests
+// are late.
+func TestRarePartsStayTogether(t *testing.T) {
+	var before, now outcome
+	for seed := range uint64(3) {
+		list := append(arrivals(seed+1), shortPrompts(seed+1)...)
+		slices.SortFunc(list, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+		clk := clockwork.NewFakeClock()
+		add(&before, replay(clk, list, &wide{newPickers(clk)}))
+		clk = clockwork.NewFakeClock()
+		add(&now, replay(clk, list, newPickers(clk)))
+	}
+	t.Logf("of %d requests in time: before %d, %d tokens read again; now %d, %d tokens", before.all, before.inTime, before.reread, now.inTime, now.reread)
+	assert.Less(t, float64(now.reread), 0.8*float64(before.reread))
+	assert.GreaterOrEqual(t, float64(now.inTime), 0.998*float64(before.inTime))
+}
--- a/internal/stage/owner/dispatch.go
+++ b/internal/stage/owner/dispatch.go
@@ -67,12 +67,13 @@
 
 // expire ends the jobs that can no longer be answered in time.
 func (ow *Owner) expire(now time.Time) {
+	soon := ow.runsSoon(now)
 	for _, jb := range slices.Clone(ow.waiting) {
 		if jb.InputTTL > 0 && now.Sub(jb.at) > jb.InputTTL {
 			ow.endStale(jb, now)
 			continue
 		}
-		if jb.Late(now) && now.Sub(jb.Last) > maxLateWait && now.Sub(jb.at) > minWait && len(jb.pending) == len(jb.Pieces) {
+		if jb.Late(now) && now.Sub(jb.Last) > maxLateWait && (!soon || now.Sub(jb.at) > minWait) && len(jb.pending) == len(jb.Pieces) {
 			ow.counts.Overloaded++
 			ow.endJob(jb, citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded,
 				"late, and waited %v for service %s", now.Sub(jb.at).Round(time.Millisecond), ow.service)})
@@ -86,6 +87,18 @@
 	}
 }
 
+// runsSoon reports whether the jobs that can be in time take no longer than a batch, so
+// that late ones run after it.
+func (ow *Owner) runsSoon(now time.Time) bool {
+	pieces := 0
+	for _, jb := range ow.waiting {
+		if !jb.Late(now) {
+			pieces += len(jb.pending)
+		}
+	}
+	return float64(pieces) <= ow.rate.value(now, ow.idealRate(now))*minWait.Seconds()
+}
+
 // endStale ends a job whose inputs have expired. They are recomputed only for a
 // request that can still reach its target.
 func (ow *Owner) endStale(jb *job, now time.Time) {
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -42,8 +42,7 @@
 	// maxLateWait is how long a job stays queued once it can no longer reach its
 	// target. Jobs that wait longer mostly expire, which is worse for the caller than
 	// an early refusal. One that was as late when it came, as the caller of a refused
-	// request came back, waits for minWait all the same: about a batch, within which
-	// it runs if there is room.
+	// request came back, waits for minWait, about a batch, if it may run within it.
 	maxLateWait = 2 * time.Second
 	minWait     = 500 * time.Millisecond
 	// memoryPoll is how often an upstream is asked for its free memory while results
--- a/internal/stage/owner/owner_test.go
+++ b/internal/stage/owner/owner_test.go
@@ -509,6 +509,12 @@
 	hs.clk.Advance(minWait + time.Millisecond)
 	hs.Tick()
 	assert.Equal(t, citronstream.CodeOverloaded, hs.result(again).Fault.Code, "no room within a batch")
+	for range 3 {
+		hs.submit(newJob("4", 4, nil))
+	}
+	last := hs.submit(newJob("5", 1, func(jo *citronstream.Job) { jo.Slack = -time.Minute }))
+	hs.Tick()
+	assert.Equal(t, citronstream.CodeOverloaded, hs.result(last).Fault.Code, "others wait for more than a batch")
 	hs.finish(sent)
 	assert.Nil(t, hs.result(late).Fault)
 }
