admission: callers that are clearly late wait behind all that comes

Change: a job that is late by more than 0.5 s is expected to get only what the arrivals of all ranks leave of the throughput.

--- a/message_peer.go
+++ b/message_peer.go
@@ -197,13 +197,20 @@
 // is assumed to leave to the rest at least.
 const lowerRankShare = 0.05
 
+// borderline is how late a job may be by the estimates and still be in time: they are
+// rough, and queues are told with some delay.
+const borderline = 500 * time.Millisecond
+
 // WaitNew estimates the time until a job that is not admitted yet would start. What
 // more urgent routes are expected to bring meanwhile is kept free for them: a job
 // with much slack would be admitted behind a short queue and then leave no room
-// for those with little.
+// for those with little. One that is late runs after all others, also those to come.
 func (ql *QueueLoad) WaitNew(slack time.Duration, rank int) time.Duration {
-	rate := ql.Rate
-	for _, arrivals := range ql.Arrivals[:max(0, min(rank, Ranks-1))] {
+	rate, before := ql.Rate, max(0, min(rank, Ranks-1))
+	if slack < -borderline {
+		before = Ranks
+	}
+	for _, arrivals := range ql.Arrivals[:before] {
 		rate -= arrivals
 	}
 	return ql.wait(slack, rank, max(rate, lowerRankShare*ql.Rate))
--- /dev/null
+++ b/queueload_test.go
@@ -0,0 +1,28 @@
+package citronstream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestQueueLoadWaits(t *testing.T) {
+	ql := QueueLoad{Rate: 100, Arrivals: [Ranks]float64{20, 30, 45}}
+	ql.Add(0, 300*time.Millisecond, 10)
+	ql.Add(1, 3*time.Second, 20)
+	ql.Add(2, time.Second, 40)
+	ql.Late = 5
+	check := func(name string, want, got time.Duration) {
+		t.Helper()
+		assert.InDelta(t, want.Seconds(), got.Seconds(), 0.001, name)
+	}
+	check("the most urgent rank waits for its own", 100*time.Millisecond, ql.WaitNew(time.Second, 0))
+	check("what is due later does not count", 0, ql.WaitNew(100*time.Millisecond, 0))
+	check("room is kept for more urgent arrivals", 375*time.Millisecond, ql.WaitNew(4*time.Second, 1))
+	check("an admitted job has its place", 300*time.Millisecond, ql.Wait(4*time.Second, 1))
+	check("a late one runs after all, also those to come", 15*time.Second, ql.WaitNew(-time.Second, 0))
+	ql.Arrivals = [Ranks]float64{}
+	check("or soon when nothing comes", 750*time.Millisecond, ql.WaitNew(-time.Second, 0))
+	check("nothing waits", 0, (&QueueLoad{Rate: 100, Arrivals: [Ranks]float64{90}}).WaitNew(-time.Second, 2))
+}
