--- a/internal/process/gateway/sharing.go
+++ b/internal/process/gateway/sharing.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -29,7 +28,10 @@
 	// tellAfter is how long a process runs before it tells others what it has read
 	// since its start. When all start at the same time, each of them reads all rows by
 	// itself, and knows only then which few read for the others.
-	tellAfter = 3 * time.Second
+	tellAfter = 1500 * time.Millisecond
+	// earlyPerTick is how many of these rows are told at each tick: a message waits in
+	// memory for each slow link.
+	earlyPerTick = 50
 	// maxPendingRows bounds the queue of rows for peers. Peers notice dropped ones by
 	// the versions of the next and read the store themselves.
 	maxPendingRows = 1024
@@ -236,19 +238,27 @@
 	}
 }
 
-// take returns the changes and forgets them.
-func (er *earlyRows) take() []citronstream.Change {
+// take returns some of the changes and forgets them.
+func (er *earlyRows) take(most int) []citronstream.Change {
 	er.mu.Lock()
 	defer er.mu.Unlock()
-	changes := slices.Collect(maps.Values(er.newest))
-	er.newest = nil
+	var changes []citronstream.Change
+	for key, ch := range er.newest {
+		if len(changes) == most {
+			break
+		}
+		changes = append(changes, ch)
+		delete(er.newest, key)
+	}
 	return changes
 }
 
-// tellEarlyRows tells the peers once what this process has read in its first seconds,
-// if it reads for them: one that the store turns away has no other way to know.
+// tellEarlyRows tells the peers of the zone once what this process has read in its
+// first seconds, if it reads for them: one that the store turns away has no other way
+// to know. Each zone has a reader.
 func (ga *Gateway) tellEarlyRows() {
-	if changes := ga.early.take(); len(changes) > 0 && ga.readers().Self {
-		ga.queueRows(citronstream.Rows{Changes: changes})
+	changes := ga.early.take(earlyPerTick)
+	if len(changes) > 0 && ga.readers().Self {
+		ga.mesh.Tell(citronstream.MethodRows, citronstream.Rows{Changes: changes}, func(pe *mesh.Peer) bool { return pe.Zone() == ga.site.Zone })
 	}
 }
--- a/internal/process/gateway/sharing_test.go
+++ b/internal/process/gateway/sharing_test.go
@@ -23,9 +23,9 @@
 		assert.Equal(t, citronstream.Rows{}, queued(version), "only wakes the announcement of a configuration")
 	}
 	clk.Advance(tellAfter)
-	changes := ga.early.take()
+	changes := ga.early.take(10)
 	assert.Len(t, changes, 1, "the newest change of a row is told")
 	assert.Equal(t, uint64(2), changes[0].Version)
-	assert.Empty(t, ga.early.take())
+	assert.Empty(t, ga.early.take(10))
 	assert.Len(t, queued(3).Changes, 1)
 }
