--- a/internal/route/engines/engines.go
+++ b/internal/route/engines/engines.go
@@ -39,19 +39,6 @@
 	// rereadFactor weighs the time to read a shared part again. A second copy
 	// also takes the memory of another engine and is billed.
 	rereadFactor = 10.0
-	// homeDivisor divides the number of engines to give the greatest number among
-	// which requests with an equal part are distributed. A part with a smaller share of
-	// the prompts is kept at spreadFactor times as many engines as this share needs,
-	// rounded up to a power of two so that entries mostly agree, and at leastSpread:
-	// each of them has to read the part.
-	homeDivisor  = 3
-	spreadFactor = 2.0
-	leastSpread  = 1
-	// The tokens of prompts by part are halved after shareWindow, and tell a share from
-	// minShareTokens on; at most maxShares parts are counted.
-	shareWindow    = 10 * time.Second
-	minShareTokens = 50000
-	maxShares      = 4096
 	// crossZoneDelay is the delay in ms that a request accepts for each megabyte of
 	// inputs that it saves from crossing zones.
 	crossZoneDelay = 60.0
@@ -267,39 +254,6 @@
 	return nodes[0].ID, false
 }
 
-// countShares counts the prompt of a request that has parts of several sessions.
-func (pi *Picker) countShares(rq *Request) {
-	if pi.clk.Since(pi.sharesFrom) >= shareWindow {
-		pi.sharesFrom = pi.clk.Now()
-		pi.shareTokens /= 2
-		for id := range pi.shares {
-			if pi.shares[id] /= 2; pi.shares[id] < 1 {
-				delete(pi.shares, id)
-			}
-		}
-	}
-	pi.shareTokens += float64(rq.Tokens)
-	for i := range len(rq.Shared) - 1 {
-		if id := rq.Shared[i].ID; len(pi.shares) < maxShares || pi.shares[id] > 0 {
-			pi.shares[id] += float64(rq.Tokens)
-		}
-	}
-}
-
-// spread returns among how many of some engines the requests with a part are
-// distributed.
-func (pi *Picker) spread(part uint64, engines int) int {
-	most := (engines + homeDivisor - 1) / homeDivisor
-	if pi.shareTokens < minShareTokens {
-		return most
-	}
-	count := leastSpread
-	for float64(count) < spreadFactor*float64(engines)*pi.shares[part]/pi.shareTokens {
-		count *= 2
-	}
-	return min(count, most)
-}
-
 // topByHash returns the engines with the highest scores for a part (rendezvous hashing).
 func topByHash(nodes []*node.Node, id uint64, count int) []*node.Node {
 	type scored struct {
--- a/internal/stage/owner/dispatch.go
+++ b/internal/stage/owner/dispatch.go
@@ -169,43 +169,6 @@
 	return zones
 }
 
-// roomFor returns the number of results of a size that fit into an upstream's
-// free memory besides the bytes already assigned to the batch.
-func (ow *Owner) roomFor(sv *server, bytes, taken int, now time.Time) int {
-	if ow.spec.ResultBytes <= 0 || bytes <= 0 {
-		return ow.spec.Items
-	}
-	free := ow.spec.ResultBytes - sv.used - taken - sv.unknownNow(now, ow.spec.ResultLife)
-	return max(0, int(float64(free)/(float64(bytes)*ow.sizeFactor)))
-}
-
-// roomForAll reports whether the upstreams together have memory for all results of a
-// job. Jobs that are begun in parts without that would hold the memory that the
-// rest of each of them waits for.
-func (ow *Owner) roomForAll(jb *job, now time.Time) bool {
-	room, usable := 0, 0
-	for _, sv := range ow.list {
-		if sv.Avoided(now) {
-			continue
-		}
-		usable++
-		if room += ow.roomFor(sv, jb.Bytes, 0, now); room >= len(jb.pending) {
-			return true
-		}
-	}
-	return len(jb.pending) < len(jb.Pieces) || usable*ow.spec.ResultBytes < len(jb.pending)*jb.Bytes
-}
-
-// minBatchRoom returns the number of results that must fit before an upstream
-// gets a batch. With a backlog and little memory, a batch of a few items would
-// occupy the upstream for a whole call while memory is about to be released.
-func (ow *Owner) minBatchRoom(sv *server, pending int, now time.Time) int {
-	if now.Sub(sv.idleSince) > ow.spec.CallTime {
-		return 1
-	}
-	return max(1, min(pending, ow.spec.Items)/2)
-}
-
 // preferred reports whether a is better than b for the first job of a batch.
 func (ow *Owner) preferred(a, b *server, jb *job) bool {
 	if jb.Zone != "" && (a.Zone == jb.Zone) != (b.Zone == jb.Zone) {
