servicefloor: kinds that are hardly served are taken for urgent

Cause: with waits and order by rank a less urgent kind gets 5% of the throughput at most while more urgent work exceeds it. Change: each entry counts what it serves by route, with a time constant of 20 s; a kind below 0.4 of the mean is queued like the most urgent one. A burst of some seconds does not reach that.

--- a/internal/ingress/flow/admit.go
+++ b/internal/ingress/flow/admit.go
@@ -45,6 +45,7 @@
 		return out, false
 	}
 	rt.setDeadlines()
+	rt.raised = rt.fl.floor.Below(rt.route.Name)
 	rt.service = pickShare(rt.route.Split)
 	if until, held := rt.fl.Holds.Held(rt.digest); held {
 		return rt.respond(http.StatusServiceUnavailable, until.Sub(rt.fl.clk.Now()),
@@ -82,7 +83,7 @@
 	case errors.As(err, &tooLong):
 		return rt.reject(http.StatusRequestEntityTooLarge, "the body exceeds the size limit"), false
 	case err != nil:
-		return outcome{reason: "caller left", abort: true}, false
+		return outcome{reason: callerLeft, abort: true}, false
 	}
 	hash := xxhash.New()
 	for _, text := range []string{rt.rq.Method, "\x00", rt.rq.RequestURI, "\x00", rt.Key, "\x00"} {
--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -176,7 +176,8 @@
 	}
 	fo := citronstream.ForwardOptions{Priority: -1}
 	if demand != nil {
-		fo.Priority = rt.rank*citronstream.Ranks + min(rt.route.Rank, citronstream.Ranks-1)
+		rank, routeRank := rt.ranks()
+		fo.Priority = rank*citronstream.Ranks + min(routeRank, citronstream.Ranks-1)
 	}
 	if rt.started {
 		fo.LastEvent = strconv.FormatInt(rt.lastEvent, 10)
@@ -390,7 +391,7 @@
 	rt.started = true
 	rt.wr.WriteHeader(rp.status)
 	if _, err := rt.wr.Write(rp.body); err != nil {
-		return outcome{status: rp.status, reason: "caller left", abort: true}
+		return outcome{status: rp.status, reason: callerLeft, abort: true}
 	}
 	return outcome{status: rp.status, reason: reason}
 }
--- a/internal/ingress/flow/estimate.go
+++ b/internal/ingress/flow/estimate.go
@@ -23,9 +23,10 @@
 func (sg *stages) admit() *citronstream.Fault {
 	rt := sg.rt
 	needs, target := sg.estimate(false), rt.target.Sub(rt.at)
+	_, rank := rt.ranks()
 	wait, at := time.Duration(0), ""
 	for _, st := range sg.list {
-		if late := rt.fl.Broker.QueueWait(st.spec.Service, target-needs, rt.route.Rank, false); st.pieces > 0 && late > wait {
+		if late := rt.fl.Broker.QueueWait(st.spec.Service, target-needs, rank, false); st.pieces > 0 && late > wait {
 			wait, at = late, st.spec.Service
 		}
 	}
@@ -45,13 +46,14 @@
 func (sg *stages) estimate(admitted bool) time.Duration {
 	sg.mu.Lock()
 	defer sg.mu.Unlock()
+	_, rank := sg.rt.ranks()
 	first := sg.rt.fl.latencies.expected(sg.rt.route.Name, sg.rt.readTime)
 	slack := sg.rt.target.Sub(sg.rt.fl.clk.Now()) - sg.unloadedTime(first)
 	total := first
 	for _, st := range sg.list {
 		st.laterStages, st.wait = first, 0
 		if st.pieces > 0 {
-			st.wait = sg.rt.fl.Broker.QueueWait(st.spec.Service, min(slack, sg.inputLife(st)), sg.rt.route.Rank, admitted)
+			st.wait = sg.rt.fl.Broker.QueueWait(st.spec.Service, min(slack, sg.inputLife(st)), rank, admitted)
 		}
 	}
 	for i := len(sg.list) - 1; i >= 0; i-- {
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -15,6 +15,7 @@
 	"github.com/citronstream/citronstream/internal/limit/deathdetect"
 	"github.com/citronstream/citronstream/internal/limit/firstattempt"
 	"github.com/citronstream/citronstream/internal/limit/poison"
+	"github.com/citronstream/citronstream/internal/limit/servicefloor"
 	"github.com/citronstream/citronstream/internal/limit/siteretrybudget"
 	"github.com/citronstream/citronstream/internal/observe/requests"
 	"github.com/citronstream/citronstream/internal/route/engines"
@@ -52,6 +53,7 @@
 	clk          citronstream.Clock
 	log          logr.Logger
 	latencies    *latencies
+	floor        *servicefloor.Floor
 	fetchTimes   *fetchtime.Estimator // of the final results that requests take
 	inFlight     atomic.Int64
 	began        time.Time
@@ -68,7 +70,7 @@
 	if pa.Suspended == nil {
 		pa.Suspended = func() time.Duration { return 0 }
 	}
-	fl := &Flow{Dependencies: pa, clk: clk, began: clk.Now(), log: log, latencies: newLatencies(clk), fetchTimes: fetchtime.New()}
+	fl := &Flow{Dependencies: pa, clk: clk, began: clk.Now(), log: log, latencies: newLatencies(clk), floor: servicefloor.New(clk), fetchTimes: fetchtime.New()}
 	fl.stagesCtx, fl.cancelStages = context.WithCancel(context.Background())
 	fl.requestsCtx, fl.cancelRequests = context.WithCancel(context.Background())
 	return fl
@@ -133,6 +135,7 @@
 	service   string // that runs the request itself, after its stages
 	workspace string
 	rank      int
+	raised    bool // its kind is hardly served, so that it is taken for urgent
 
 	at time.Time // arrival
 	// suspended is the time for which the instance had been suspended at the arrival.
@@ -165,6 +168,17 @@
 	abort  bool // the response is incomplete
 }
 
+// callerLeft is the reason of requests whose caller disconnected.
+const callerLeft = "caller left"
+
+// ranks returns the rank of the request in queues and that of its route.
+func (rt *request) ranks() (rank, routeRank int) {
+	if rt.raised {
+		return 0, 0
+	}
+	return rt.rank, rt.route.Rank
+}
+
 // serve runs the request and writes its response.
 func (rt *request) serve() outcome {
 	if out, ok := rt.admit(); !ok {
--- a/internal/ingress/flow/respond.go
+++ b/internal/ingress/flow/respond.go
@@ -29,7 +29,7 @@
 // run.
 func (rt *request) respondFault(ctx context.Context, fa *citronstream.Fault) outcome {
 	if callerDisconnected(ctx) {
-		return outcome{reason: "caller left", fault: fa, abort: true}
+		return outcome{reason: callerLeft, fault: fa, abort: true}
 	}
 	if rt.started {
 		return outcome{reason: string(fa.Code), fault: fa, abort: true}
@@ -59,7 +59,7 @@
 	}
 	rt.wr.WriteHeader(status)
 	if _, err := rt.wr.Write(body); err != nil {
-		return outcome{status: status, reason: "caller left", fault: fa, abort: true}
+		return outcome{status: status, reason: callerLeft, fault: fa, abort: true}
 	}
 	return outcome{status: status, reason: string(fa.Code), fault: fa}
 }
@@ -91,10 +91,16 @@
 	if out.fault != nil {
 		values = append(values, "verdict", out.fault.Verdict.String(), "cause", out.fault.Text)
 	}
+	if rt.raised {
+		values = append(values, "raised", true)
+	}
 	if out.abort {
 		values = append(values, "cut", rt.started, "events", rt.lastEvent)
 	}
 	rt.fl.log.Info("request ended", values...)
+	if rt.route != nil && out.reason != callerLeft && out.status/100 != 4 {
+		rt.fl.floor.Observe(rt.route.Name, out.status == http.StatusOK && !out.abort)
+	}
 	if rt.fl.Observe != nil {
 		rt.fl.Observe(requests.Request{Service: rt.service, Workspace: rt.workspace, Outcome: out.reason, Rank: rt.rank, Took: took})
 	}
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -268,9 +268,10 @@
 	now := sg.rt.fl.clk.Now()
 	rest := sg.timeToFirstEvent(st) - st.wait
 	margin := sg.margin(st)
+	rank, routeRank := sg.rt.ranks()
 	jo := citronstream.Job{
 		ID: sg.rt.ID, Stage: st.number, Service: st.spec.Service, Pieces: indexes, Bytes: st.spec.Bytes, Inputs: inputs,
-		Rank: sg.rt.rank, RouteRank: sg.rt.route.Rank, Workspace: sg.rt.workspace, Returned: sg.rt.returned, Zone: sg.zone,
+		Rank: rank, RouteRank: routeRank, Workspace: sg.rt.workspace, Returned: sg.rt.returned, Zone: sg.zone,
 		Left: sg.rt.end.Sub(now), LaterStages: rest, Slack: sg.rt.target.Sub(now) - rest - margin, Margin: margin,
 		Early:          deviationMargin * sg.rt.fl.latencies.deviation(sg.rt.route.Name),
 		CrossZoneBytes: len(indexes) * st.spec.Bytes,
--- a/internal/ingress/flow/stream.go
+++ b/internal/ingress/flow/stream.go
@@ -57,7 +57,7 @@
 			err = control.Flush()
 		}
 		if err != nil {
-			return result{done: true, out: outcome{status: ans.Status, reason: "caller left", abort: true}}
+			return result{done: true, out: outcome{status: ans.Status, reason: callerLeft, abort: true}}
 		}
 		rt.lastEvent = max(rt.lastEvent, events.ID)
 	}
--- a/internal/limit/admission/replay_test.go
+++ b/internal/limit/admission/replay_test.go
@@ -1,12 +1,14 @@
 package admission
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/limit/servicefloor"
 	"github.com/citronstream/citronstream/internal/stage/order"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
@@ -64,6 +66,7 @@
 	// margin is how much before their latest start jobs of a kind should begin, as the
 	// work after this stage takes longer for some.
 	margin func(ki *kindOf) time.Duration
+	floor  bool // kinds that are hardly served are taken for urgent
 }
 
 // byRank is the rule of the program.
@@ -74,6 +77,7 @@
 	},
 	(*citronstream.QueueLoad).WaitNew,
 	func(ki *kindOf) time.Duration { return 2 * ki.deviation },
+	true,
 }
 
 // byTime is the rule before: all jobs by their latest start, and waits behind all
@@ -98,6 +102,7 @@
 		return all.Wait(slack, 0)
 	},
 	func(*kindOf) time.Duration { return 0 },
+	false,
 }
 
 var urgentBurst = []kindOf{
@@ -110,6 +115,16 @@
 	kindOf
 	due, first time.Time
 	comeback   bool
+	raised     bool // its kind is hardly served
+}
+
+func (ca *call) kind() int { return ca.rank }
+
+func (ca *call) queueRank() int {
+	if ca.raised {
+		return 0
+	}
+	return ca.rank
 }
 
 // arriving is an admitted call on its way to the queue.
@@ -135,6 +150,7 @@
 type queueOf struct {
 	pattern
 	ru        rule
+	floor     *servicefloor.Floor
 	clk       *clockwork.FakeClock
 	draw      *rand.Rand
 	began     time.Time
@@ -152,7 +168,7 @@
 func replay(seed uint64, pa pattern, ru rule) result {
 	clk := clockwork.NewFakeClock()
 	qu := &queueOf{
-		pattern: pa, ru: ru, clk: clk, draw: rand.New(rand.NewPCG(seed, 1)), began: clk.Now(), batchEnd: clk.Now(),
+		pattern: pa, ru: ru, floor: servicefloor.New(clk), clk: clk, draw: rand.New(rand.NewPCG(seed, 1)), began: clk.Now(), batchEnd: clk.Now(),
 		re: result{asked: make(map[int]int), inTime: make(map[int]int), late: make(map[int]int), refused: make(map[int]int), again: make(map[int]int)},
 	}
 	told := qu.began
@@ -211,9 +227,13 @@
 // arrive decides on a call.
 func (qu *queueOf) arrive(ca call) {
 	now := qu.clk.Now()
+	if qu.ru.floor && qu.floor.Below(fmt.Sprint(ca.kind())) {
+		ca.raised = true
+	}
+	rank := ca.queueRank()
 	target, rest := ca.first.Add(ca.target).Sub(now), ca.rest()
-	needs := ca.before + rest + batchTime + qu.ru.wait(&qu.load, target-ca.before-rest-batchTime, ca.rank)
-	wait := qu.ru.wait(&qu.load, target-needs, ca.rank)
+	needs := ca.before + rest + batchTime + qu.ru.wait(&qu.load, target-ca.before-rest-batchTime, rank)
+	wait := qu.ru.wait(&qu.load, target-needs, rank)
 	if de := New(needs, wait, target, ca.first.Add(ca.left).Sub(now), qu.draw.Float64()); !de.Admit {
 		qu.turnAway(ca, de.RetryAfter)
 		return
@@ -230,16 +250,17 @@
 	now := qu.clk.Now()
 	target, rest := ca.first.Add(ca.target).Sub(now), ca.rest()
 	pieces := max(1, ca.pieces)
-	qu.arrivals[ca.rank] += float64(pieces)
+	qu.arrivals[ca.queueRank()] += float64(pieces)
 	last := now.Add(target - rest - batchTime)
 	start := last.Add(-qu.ru.margin(&ca.kindOf))
 	qu.queue = append(qu.queue, &job{order.Priority{
-		RouteRank: ca.rank, Returned: ca.comeback, Start: start, Last: last, Due: start, End: ca.first.Add(ca.left - rest), Length: pieces,
+		RouteRank: ca.queueRank(), Returned: ca.comeback, Start: start, Last: last, Due: start, End: ca.first.Add(ca.left - rest), Length: pieces,
 	}, ca})
 }
 
 // turnAway refuses a call, whose caller may come back once.
 func (qu *queueOf) turnAway(ca call, after time.Duration) {
+	qu.floor.Observe(fmt.Sprint(ca.kind()), false)
 	if ca.comeback || after > ca.first.Add(ca.left).Sub(qu.clk.Now())/3 {
 		if ca.comeback {
 			qu.re.again[ca.rank]++
@@ -276,6 +297,7 @@
 			break
 		}
 		qu.queue = qu.queue[1:]
+		qu.floor.Observe(fmt.Sprint(jb.call.kind()), true)
 		rest := jb.call.rest()
 		if de := jb.call.deviation; de > 0 {
 			rest += time.Duration(float64(de) * (qu.draw.ExpFloat64() - 1))
@@ -456,3 +478,14 @@
 	assert.GreaterOrEqual(t, now, 0.85*bound)
 	assert.GreaterOrEqual(t, 2*last.inTime[2], last.asked[2], "the less urgent kind")
 }
+
+// Load pattern: more urgent work than the upstreams can do, all the time. The less
+// urgent kind is served less often, but it is not starved.
+func TestLastingOverload(t *testing.T) {
+	kinds := slices.Clone(urgentBurst)
+	kinds[0].rate, kinds[0].burst = 130, 1
+	_, now, _, last := replayBoth(t, pattern{kinds: kinds})
+	all := float64(last.inTime[1]+last.inTime[2]+last.late[1]+last.late[2]) / float64(last.asked[1]+last.asked[2])
+	assert.GreaterOrEqual(t, float64(last.inTime[2]+last.late[2])/float64(last.asked[2]), all/4, "the less urgent kind")
+	assert.Positive(t, now)
+}
