conns: the test of a body past its length has one case for each order of bytes

The upstream of the test wrote the answer and the bytes after it apart, so that the second request could be sent on the connection before the first of those bytes came. Such a request ends as MayHaveRun, which is allowed: nothing on the connection shows before the send that bytes follow. Ruled out: a connection reused in spite of unread bytes (TestBytesAfterAnAnswer). Change: two cases, bytes that come with the answer (not reused, as before) and bytes that come after the next request was sent (died, MayHaveRun, never its answer, third request on a new connection).

--- a/internal/upstream/conns/endless_test.go
+++ b/internal/upstream/conns/endless_test.go
@@ -100,20 +100,42 @@
 }
 
 // An answer that goes on past its length is delivered as far as it reaches, and
-// its connection is not used again.
+// its connection is not used again. Bytes that come with the answer are seen
+// before the next request; those that come only after the next request was sent
+// end that one, as nobody can know whether it ran, and never become its answer.
 func TestBodyPastItsLength(t *testing.T) {
-	var sent atomic.Int64
-	address := serveScripts(t,
-		flood(&sent, "HTTP/1.1 200 OK\r\nId: ID\r\nKeep-Alive: timeout=5\r\nContent-Length: 3\r\n\r\none", "x"),
-		func(nc net.Conn, br *bufio.Reader) { writeAnswer(nc, readRequest(br), "two") })
-	po := newPool()
-	defer po.Close()
-	for id, want := range []string{"one", "two"} {
-		body, err := send(po, address, fmt.Sprint(id))
+	const answer = "HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: timeout=5\r\nContent-Length: 3\r\n\r\none"
+	answerTwo := func(nc net.Conn, br *bufio.Reader) { writeAnswer(nc, readRequest(br), "two") }
+	assertBody := func(t *testing.T, po *Pool, address, id, want string) {
+		t.Helper()
+		body, err := send(po, address, id)
 		require.NoError(t, err)
 		assert.Equal(t, want, body)
 	}
-	assert.Less(t, sent.Load(), int64(floodBytes))
+	t.Run("with the answer", func(t *testing.T) {
+		var sent atomic.Int64
+		po := newPool()
+		defer po.Close()
+		address := serveScripts(t, flood(&sent, strings.Replace(answer, "%s", "ID", 1)+"x", "x"), answerTwo)
+		assertBody(t, po, address, "1", "one")
+		assertBody(t, po, address, "2", "two")
+		assert.Less(t, sent.Load(), int64(floodBytes))
+	})
+	t.Run("after the next request", func(t *testing.T) {
+		var sent atomic.Int64
+		po := newPool()
+		defer po.Close()
+		address := serveScripts(t, func(nc net.Conn, br *bufio.Reader) {
+			fmt.Fprintf(nc, answer, readRequest(br))
+			flood(&sent, "", "x")(nc, br)
+		}, answerTwo)
+		assertBody(t, po, address, "1", "one")
+		_, err := send(po, address, "2")
+		assert.Equal(t, citronstream.CodeUpstreamDied, citronstream.FaultOf(err).Code)
+		assert.Equal(t, citronstream.MayHaveRun, citronstream.VerdictOf(err))
+		assert.Less(t, sent.Load(), int64(floodBytes))
+		assertBody(t, po, address, "3", "two")
+	})
 }
 
 // A body of an answer that nobody needs is not waited for.
