ingress: a connection that comes while the limits change is served

Cause: a new configuration with other limits replaces the HTTP server. The accept loop read the former one before, found it closed and closed the caller's connection: an accepted request got no answer. Ruled out: connections that the former server has taken; it serves them to their end. Change: the connection goes to the server of the new limits.

--- a/internal/ingress/server/server.go
+++ b/internal/ingress/server/server.go
@@ -38,6 +38,7 @@
 	limits   citronstream.CallerLimits
 	listener *chanListener
 	servers  []*http.Server
+	closing  bool // Close was called
 	serving  sync.WaitGroup
 }
 
@@ -66,7 +67,7 @@
 func (se *Server) Configure(limits citronstream.CallerLimits) {
 	se.mu.Lock()
 	defer se.mu.Unlock()
-	if limits == se.limits || se.ln == nil {
+	if limits == se.limits || se.ln == nil || se.closing {
 		return
 	}
 	se.limits = limits
@@ -106,13 +107,25 @@
 			}
 			return
 		}
+		se.handOver(nc)
+	}
+}
+
+// handOver passes a connection to the HTTP server with the current limits. One that
+// Configure has just replaced takes none.
+func (se *Server) handOver(nc net.Conn) {
+	for {
 		se.mu.Lock()
-		cl := se.listener
+		cl, closing := se.listener, se.closing
 		se.mu.Unlock()
 		select {
 		case cl.conns <- nc:
+			return
 		case <-cl.closed:
+		}
+		if closing {
 			_ = nc.Close()
+			return
 		}
 	}
 }
@@ -120,9 +133,12 @@
 // Close closes the listener and all connections.
 func (se *Server) Close() {
 	_ = se.ln.Close()
-	<-se.done
 	se.mu.Lock()
+	se.closing = true
 	se.listener.close()
+	se.mu.Unlock()
+	<-se.done
+	se.mu.Lock()
 	servers := se.servers
 	se.mu.Unlock()
 	for _, hs := range servers {
--- /dev/null
+++ b/internal/ingress/server/server_test.go
@@ -0,0 +1,81 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// testTimeout bounds waits; no result depends on its length.
+const testTimeout = 10 * time.Second
+
+const (
+	firstHalf  = "GET / HTTP/1.1\r\nHost: h\r\n"
+	secondHalf = "A: b\r\n\r\n"
+)
+
+// Deadlines of real sockets need the real clock.
+var clk = clockwork.NewRealClock()
+
+func startServer(t *testing.T) *Server {
+	se := New(logr.Discard(), http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(wr, "ok") }))
+	require.NoError(t, se.Start("127.0.0.1:0"))
+	t.Cleanup(se.Close)
+	return se
+}
+
+func dial(t *testing.T, se *Server) (net.Conn, *bufio.Reader) {
+	nc, err := net.Dial("tcp", se.ln.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = nc.Close() })
+	require.NoError(t, nc.SetDeadline(clk.Now().Add(testTimeout)))
+	return nc, bufio.NewReader(nc)
+}
+
+func write(t *testing.T, nc net.Conn, text string) {
+	t.Helper()
+	_, err := io.WriteString(nc, text)
+	require.NoError(t, err)
+}
+
+func assertAnswered(t *testing.T, br *bufio.Reader) {
+	t.Helper()
+	res, err := http.ReadResponse(br, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	assert.Equal(t, "ok", string(body))
+}
+
+// A connection that comes while the limits change is served. Guards against one that is
+// handed to the HTTP server of the former limits, which accepts none any more.
+func TestLimitsChangeUnderLoad(t *testing.T) {
+	se := startServer(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var changes sync.WaitGroup
+	changes.Go(func() {
+		for bytes := 1; ctx.Err() == nil; bytes++ {
+			se.Configure(citronstream.CallerLimits{HeaderBytes: defaultHeaderBytes + bytes%2, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout})
+			clk.Sleep(10 * time.Microsecond)
+		}
+	})
+	defer changes.Wait()
+	defer cancel()
+	for range 2000 {
+		nc, br := dial(t, se)
+		write(t, nc, firstHalf+"Connection: close\r\n"+secondHalf)
+		assertAnswered(t, br)
+		_ = nc.Close()
+	}
+}
