gateway: a planned stop answers requests whose first bytes have come

Cause: a stopping process ended when no request was being processed, 3 s after SIGTERM, and closed all connections. Ruled out: requests read whole (TestLeaving, TestAnsweredAtEndOfGrace). Change: the server follows its connections. At the end those without a request time out in their next read, so that a read that returns a request at that moment is served; the process ends when none is open, or at the end of the grace period as before. Shutdown, which nobody called, is removed.

--- a/internal/ingress/server/server.go
+++ b/internal/ingress/server/server.go
@@ -5,7 +5,6 @@
 package server
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -31,8 +30,9 @@
 type Server struct {
 	log     logr.Logger
 	handler http.Handler
-	ln      net.Listener
+	ln      *net.TCPListener
 	done    chan struct{}
+	callers *callers
 
 	mu       sync.Mutex
 	limits   citronstream.CallerLimits
@@ -44,7 +44,7 @@
 
 // New returns a server that does not listen yet.
 func New(log logr.Logger, handler http.Handler) *Server {
-	return &Server{log: log, handler: handler, done: make(chan struct{}), limits: citronstream.CallerLimits{
+	return &Server{log: log, handler: handler, done: make(chan struct{}), callers: newCallers(), limits: citronstream.CallerLimits{
 		HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 	}}
 }
@@ -55,7 +55,7 @@
 	if err != nil {
 		return merry.Prependf(err, "listen for callers at %s", address)
 	}
-	se.ln = ln
+	se.ln = ln.(*net.TCPListener)
 	se.mu.Lock()
 	se.serve()
 	se.mu.Unlock()
@@ -81,6 +81,7 @@
 	hs := &http.Server{
 		Handler: se.handler, MaxHeaderBytes: se.limits.HeaderBytes,
 		ReadHeaderTimeout: se.limits.HeaderTimeout, IdleTimeout: se.limits.IdleTimeout + idleSlack,
+		ConnState: se.callers.observe,
 	}
 	cl := &chanListener{conns: make(chan net.Conn), closed: make(chan struct{}), address: se.ln.Addr()}
 	se.listener = cl
@@ -96,7 +97,7 @@
 func (se *Server) accept() {
 	defer close(se.done)
 	for {
-		nc, err := se.ln.Accept()
+		nc, err := se.ln.AcceptTCP()
 		if err != nil {
 			var temporary net.Error
 			if errors.As(err, &temporary) && temporary.Timeout() {
@@ -107,29 +108,34 @@
 			}
 			return
 		}
-		se.handOver(nc)
+		se.handOver(se.callers.add(nc))
 	}
 }
 
 // handOver passes a connection to the HTTP server with the current limits. One that
 // Configure has just replaced takes none.
-func (se *Server) handOver(nc net.Conn) {
+func (se *Server) handOver(cc *callerConn) {
 	for {
 		se.mu.Lock()
 		cl, closing := se.listener, se.closing
 		se.mu.Unlock()
 		select {
-		case cl.conns <- nc:
+		case cl.conns <- cc:
 			return
 		case <-cl.closed:
 		}
 		if closing {
-			_ = nc.Close()
+			_ = cc.Close()
+			se.callers.observe(cc, http.StateClosed)
 			return
 		}
 	}
 }
 
+// CloseIdle closes the connections without a request, and returns how many are still
+// open. A request of which a byte has been read is served.
+func (se *Server) CloseIdle() int { return se.callers.closeIdle() }
+
 // Close closes the listener and all connections.
 func (se *Server) Close() {
 	_ = se.ln.Close()
@@ -149,18 +155,6 @@
 	se.serving.Wait()
 }
 
-// Shutdown closes idle connections and waits for the others until ctx ends.
-func (se *Server) Shutdown(ctx context.Context) error {
-	se.mu.Lock()
-	servers := se.servers
-	se.mu.Unlock()
-	var failed error
-	for _, hs := range servers {
-		failed = errors.Join(failed, hs.Shutdown(ctx))
-	}
-	return failed
-}
-
 // chanListener is a net.Listener that receives its connections over a channel.
 type chanListener struct {
 	conns   chan net.Conn
--- a/internal/ingress/server/server_test.go
+++ b/internal/ingress/server/server_test.go
@@ -58,6 +58,52 @@
 	assert.Equal(t, "ok", string(body))
 }
 
+// assertNoneOpen waits until CloseIdle finds no connection.
+func assertNoneOpen(t *testing.T, se *Server) {
+	t.Helper()
+	assert.Eventually(t, func() bool { return se.CloseIdle() == 0 }, testTimeout, time.Millisecond)
+}
+
+// A process that stops closes idle connections, but not those on which a request has
+// begun: that one gets its whole response first.
+func TestCloseIdle(t *testing.T) {
+	check := func(name string, before func(t *testing.T, nc net.Conn, br *bufio.Reader)) {
+		t.Run(name, func(t *testing.T) {
+			se := startServer(t)
+			nc, br := dial(t, se)
+			before(t, nc, br)
+			write(t, nc, firstHalf)
+			require.Eventually(t, func() bool {
+				se.callers.mu.Lock()
+				defer se.callers.mu.Unlock()
+				for cc := range se.callers.open {
+					return cc.busy.Load()
+				}
+				return false
+			}, testTimeout, time.Millisecond)
+			assert.Equal(t, 1, se.CloseIdle())
+			write(t, nc, secondHalf)
+			assertAnswered(t, br)
+			assertNoneOpen(t, se)
+			_, err := br.ReadByte()
+			assert.ErrorIs(t, err, io.EOF)
+		})
+	}
+	check("first request", func(*testing.T, net.Conn, *bufio.Reader) {})
+	check("kept connection", func(t *testing.T, nc net.Conn, br *bufio.Reader) {
+		write(t, nc, firstHalf+secondHalf)
+		assertAnswered(t, br)
+	})
+	t.Run("no request", func(t *testing.T) {
+		se := startServer(t)
+		_, br := dial(t, se)
+		require.Eventually(t, func() bool { return se.CloseIdle() == 1 }, testTimeout, time.Millisecond)
+		assertNoneOpen(t, se)
+		_, err := br.ReadByte()
+		assert.ErrorIs(t, err, io.EOF)
+	})
+}
+
 // A connection that comes while the limits change is served. Guards against one that is
 // handed to the HTTP server of the former limits, which accepts none any more.
 func TestLimitsChangeUnderLoad(t *testing.T) {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -366,8 +366,8 @@
 	ga.broker.Leave()
 }
 
-// Drain calls Leave and waits until all requests are answered, or until the end of
-// the grace period.
+// Drain calls Leave and waits until all requests are answered and all callers'
+// connections closed, or until the end of the grace period.
 func (ga *Gateway) Drain() {
 	began := ga.clk.Now()
 	ga.log.Info("leaving", "in flight", ga.flow.InFlight())
@@ -380,7 +380,10 @@
 		if passed >= ga.site.Bounds.Grace-exitMargin-cancelRequestsLead {
 			ga.flow.CancelRequests()
 		}
-		if passed >= ga.site.Bounds.Grace-exitMargin || passed >= minLinger && ga.flow.InFlight() == 0 && ga.broker.Idle() {
+		if passed >= ga.site.Bounds.Grace-exitMargin {
+			break
+		}
+		if passed >= minLinger && ga.flow.InFlight() == 0 && ga.broker.Idle() && ga.callerServer.CloseIdle() == 0 {
 			break
 		}
 		ga.clk.Sleep(drainPoll)
