conns: a late copy of an answer without identifier reaches no later request

Cause: an answer without an identifier, as refusals of a full upstream or of another instance may be, was taken for the answer to whatever request was sent last. A second copy of a refusal that came late on a reused connection told 'not run' of the next request, which ran: its caller was told so, or it was sent to a second upstream. Ruled out: copies with an identifier (TestLateExtraAnswer), 2xx without a signature. Change: a connection on which such an answer came is not used again for a request that has an identifier; batches, releases and reports, whose answers have none, have connections of their own. Result: TestLateCopyWithoutIdentifier: empty answer before, the second request's own after.

--- a/internal/upstream/conns/conns_test.go
+++ b/internal/upstream/conns/conns_test.go
@@ -130,6 +130,51 @@
 	assert.Equal(t, "two", body)
 }
 
+// Guards against a late copy of an answer without an identifier, such as a refusal,
+// that is taken for the answer to the next request: that one would count as not run
+// though it runs.
+func TestLateCopyWithoutIdentifier(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Busy\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n"
+	refuse := func(nc net.Conn, br *bufio.Reader) {
+		readRequest(br)
+		fmt.Fprint(nc, refusal)
+		if readRequest(br) != "" {
+			fmt.Fprint(nc, refusal)
+		}
+	}
+	address := serveScripts(t, refuse, func(nc net.Conn, br *bufio.Reader) { writeAnswer(nc, readRequest(br), "two") })
+	po := newPool()
+	defer po.Close()
+	_, err := send(po, address, "1")
+	require.NoError(t, err)
+	body, err := send(po, address, "2")
+	require.NoError(t, err)
+	assert.Equal(t, "two", body)
+}
+
+// Requests without an identifier, to which no answer has one, share connections among
+// themselves, but not with others.
+func TestRequestsWithoutIdentifier(t *testing.T) {
+	twice := func(nc net.Conn, br *bufio.Reader) {
+		for range 2 {
+			writeAnswer(nc, readRequest(br), "body")
+		}
+	}
+	address := serveScripts(t, twice, twice)
+	po := newPool()
+	defer po.Close()
+	for range 2 {
+		_, err := send(po, address, "")
+		require.NoError(t, err)
+	}
+	for range 2 {
+		_, err := send(po, address, "1")
+		require.NoError(t, err)
+	}
+	opened, reused := po.Counts()
+	assert.Equal(t, [2]uint64{2, 2}, [2]uint64{opened, reused})
+}
+
 // Guards against reuse of a connection with bytes after a complete answer.
 func TestBytesAfterAnAnswer(t *testing.T) {
 	address := serveScripts(t,
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -29,7 +29,8 @@
 	// Its timeout is then below a second, since it can announce only whole
 	// seconds.
 	defaultIdleTime = 300 * time.Millisecond
-	// maxIdlePerAddress bounds the idle connections to one upstream, and maxAddresses the upstreams.
+	// maxIdlePerAddress bounds the idle connections of one kind to one upstream, and
+	// maxAddresses the kinds and upstreams.
 	maxIdlePerAddress = 16
 	maxAddresses      = 4096
 	bufferBytes       = 4 << 10
@@ -38,8 +39,11 @@
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
-	br        *bufio.Reader
-	reused    bool
+	br     *bufio.Reader
+	reused bool
+	// anonymous says that an answer without an identifier came on it. A late copy of
+	// that answer could not be told from the answer to a later request.
+	anonymous bool
 	idleUntil time.Time // the connection may be reused before this time
 	limited   bool      // at most headLeft more bytes may be read
 	headLeft  int
@@ -65,6 +69,13 @@
 	_ = co.Close()
 }
 
+// key is what the connections of one list are used for. Requests whose answers have an
+// identifier use no connection of those whose answers have none.
+type key struct {
+	address    string
+	identified bool
+}
+
 // Pool keeps idle connections by address.
 type Pool struct {
 	clk     citronstream.Clock
@@ -74,7 +85,7 @@
 	reused  atomic.Uint64
 
 	mu   sync.Mutex
-	idle map[string][]*conn
+	idle map[key][]*conn
 }
 
 // Option changes a Pool.
@@ -94,7 +105,7 @@
 // New returns an empty pool.
 func New(clk citronstream.Clock, opts ...Option) *Pool {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	po := &Pool{clk: clk, idle: make(map[string][]*conn)}
+	po := &Pool{clk: clk, idle: make(map[key][]*conn)}
 	po.dial = func(ctx context.Context, address string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp", address)
 	}
@@ -109,9 +120,9 @@
 func (po *Pool) Counts() (opened, reused uint64) { return po.opened.Load(), po.reused.Load() }
 
 // get returns an idle connection that is still open, or a new one.
-func (po *Pool) get(ctx context.Context, address string) (*conn, error) {
+func (po *Pool) get(ctx context.Context, ke key) (*conn, error) {
 	for {
-		co := po.pop(address)
+		co := po.pop(ke)
 		if co == nil {
 			break
 		}
@@ -122,7 +133,7 @@
 		}
 		_ = co.Close()
 	}
-	raw, err := po.dial(ctx, address)
+	raw, err := po.dial(ctx, ke.address)
 	if err != nil {
 		return nil, err
 	}
@@ -132,24 +143,24 @@
 	return co, nil
 }
 
-func (po *Pool) pop(address string) *conn {
+func (po *Pool) pop(ke key) *conn {
 	po.mu.Lock()
 	defer po.mu.Unlock()
-	conns := po.idle[address]
+	conns := po.idle[ke]
 	if len(conns) == 0 {
 		return nil
 	}
 	co := conns[len(conns)-1]
 	if conns = conns[:len(conns)-1]; len(conns) == 0 {
-		delete(po.idle, address)
+		delete(po.idle, ke)
 	} else {
-		po.idle[address] = conns
+		po.idle[ke] = conns
 	}
 	return co
 }
 
 // put adds a connection to the pool until its upstream's idle timeout.
-func (po *Pool) put(address string, co *conn, idleTimeout time.Duration) {
+func (po *Pool) put(ke key, co *conn, idleTimeout time.Duration) {
 	keep := defaultIdleTime
 	if idleTimeout > 0 {
 		keep = idleTimeout - idleMargin
@@ -159,12 +170,12 @@
 		return
 	}
 	co.idleUntil = po.clk.Now().Add(keep)
-	limit := min(po.maxIdle(address), maxIdlePerAddress)
+	limit := min(po.maxIdle(ke.address), maxIdlePerAddress)
 	po.mu.Lock()
-	conns, known := po.idle[address]
+	conns, known := po.idle[ke]
 	full := len(conns) >= limit || !known && len(po.idle) >= maxAddresses
 	if !full {
-		po.idle[address] = append(conns, co)
+		po.idle[ke] = append(conns, co)
 	}
 	po.mu.Unlock()
 	if full {
@@ -174,9 +185,12 @@
 
 // Drop closes the idle connections to an address, such as one whose upstream has ended.
 func (po *Pool) Drop(address string) {
+	var conns []*conn
 	po.mu.Lock()
-	conns := po.idle[address]
-	delete(po.idle, address)
+	for _, ke := range []key{{address, false}, {address, true}} {
+		conns = append(conns, po.idle[ke]...)
+		delete(po.idle, ke)
+	}
 	po.mu.Unlock()
 	for _, co := range conns {
 		_ = co.Close()
@@ -188,7 +202,7 @@
 	now := po.clk.Now()
 	var expired []*conn
 	po.mu.Lock()
-	for address, conns := range po.idle {
+	for ke, conns := range po.idle {
 		kept := conns[:0]
 		for _, co := range conns {
 			if now.Before(co.idleUntil) {
@@ -197,8 +211,8 @@
 				expired = append(expired, co)
 			}
 		}
-		if po.idle[address] = kept; len(kept) == 0 {
-			delete(po.idle, address)
+		if po.idle[ke] = kept; len(kept) == 0 {
+			delete(po.idle, ke)
 		}
 	}
 	po.mu.Unlock()
@@ -211,7 +225,7 @@
 func (po *Pool) Close() {
 	po.mu.Lock()
 	idle := po.idle
-	po.idle = make(map[string][]*conn)
+	po.idle = make(map[key][]*conn)
 	po.mu.Unlock()
 	for _, conns := range idle {
 		for _, co := range conns {
--- a/internal/upstream/conns/send.go
+++ b/internal/upstream/conns/send.go
@@ -63,7 +63,7 @@
 	Framed bool
 
 	po        *Pool
-	address   string
+	key       key
 	co        *conn
 	res       *http.Response
 	writeDone chan error // receives the error of a concurrent write; nil if there is none
@@ -80,12 +80,13 @@
 	if err != nil {
 		return nil, citronstream.NewFault(citronstream.NotRun, citronstream.CodeBadRequest, "request: %v", err)
 	}
+	ke := key{address: address, identified: rq.ID != ""}
 	for tries := 1; ; tries++ {
-		co, err := po.get(ctx, address)
+		co, err := po.get(ctx, ke)
 		if err != nil {
 			return nil, fault(ctx, citronstream.NotRun, err)
 		}
-		ans, sent, err := po.roundTrip(ctx, address, co, rq, raw)
+		ans, sent, err := po.roundTrip(ctx, ke, co, rq, raw)
 		if err == nil {
 			return ans, nil
 		}
@@ -114,7 +115,7 @@
 	return buf.Bytes(), err
 }
 
-func (po *Pool) roundTrip(ctx context.Context, address string, co *conn, rq *Request, raw []byte) (ans *Answer, sent bool, err error) {
+func (po *Pool) roundTrip(ctx context.Context, ke key, co *conn, rq *Request, raw []byte) (ans *Answer, sent bool, err error) {
 	stop := context.AfterFunc(ctx, co.reset)
 	var written chan error
 	if len(raw) <= maxInlineWrite {
@@ -138,7 +139,7 @@
 	return &Answer{
 		Status: res.StatusCode, Header: res.Header, Head: head, Length: res.ContentLength,
 		Framed: res.ContentLength >= 0 || len(res.TransferEncoding) > 0,
-		po:     po, address: address, co: co, res: res, writeDone: written, stop: stop,
+		po:     po, key: ke, co: co, res: res, writeDone: written, stop: stop,
 	}, true, nil
 }
 
@@ -154,6 +155,7 @@
 		}
 		head := rq.Parse(res.StatusCode, res.Header)
 		if rq.ID == "" || head.RequestID == "" || head.RequestID == rq.ID {
+			co.anonymous = head.RequestID == ""
 			return res, head, nil
 		}
 		timer := clk.AfterFunc(headTimeout, co.reset)
@@ -213,7 +215,8 @@
 // Close returns the connection to the pool if request and answer are complete,
 // and closes it otherwise.
 func (ans *Answer) Close() {
-	clean := ans.stop() && ans.complete && !ans.failed && !ans.res.Close && ans.Framed && ans.co.br.Buffered() == 0
+	clean := ans.stop() && ans.complete && !ans.failed && !ans.res.Close && ans.Framed && ans.co.br.Buffered() == 0 &&
+		!(ans.key.identified && ans.co.anonymous)
 	if clean && ans.writeDone != nil {
 		select {
 		case err := <-ans.writeDone:
@@ -230,7 +233,7 @@
 		}
 		return
 	}
-	ans.po.put(ans.address, ans.co, ans.Head.IdleTimeout)
+	ans.po.put(ans.key, ans.co, ans.Head.IdleTimeout)
 }
 
 // fault converts the error of a request without an answer.
