gateway: a process that was paused reads the tables before it acts on them

Cause: after a pause, a process that had been stopped, short of processor or suspended found requests in its sockets and served them by the configuration and the list of before: with a key that was revoked meanwhile, or by an upstream that was leaving. The age of the copies was looked at by the reads only, and a reader's long poll may last 2 s more. Ruled out: deadlines (TestSuspendedUntilTheDeadline), copies told by readers. Change: fleet/wakeup notes each 100 ms that the process runs. After 1 s without running, by the steady or the boot clock, both tables are read once beside the long polls; requests wait for that before they are admitted and before an upstream is chosen, and queues begin no batch, for 500 ms at most. Without the store the process goes on.

--- a/internal/fleet/coverage/coverage.go
+++ b/internal/fleet/coverage/coverage.go
@@ -58,5 +58,8 @@
 	}
 }
 
+// Version returns the version up to which the copy has all changes.
+func (co *Coverage) Version() uint64 { return co.version }
+
 // Age returns how old the copy may be.
 func (co *Coverage) Age(now time.Time) time.Duration { return now.Sub(co.asOf) }
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -131,6 +131,43 @@
 	}
 }
 
+// Reread brings the copy of a table up to date at once, beside Run. Nobody is told of
+// it: what is new here is old to those that have run all the while.
+func (fo *Follower) Reread(ctx context.Context, ta Table) error {
+	fo.mu.Lock()
+	co := fo.coverages[ta.Name]
+	if co == nil {
+		fo.mu.Unlock()
+		return nil // Run has yet to read it
+	}
+	after := co.Version()
+	fo.mu.Unlock()
+	fo.calls.Add(1)
+	began := fo.clk.Now()
+	changes, at, err := fo.feed.Changes(ctx, ta.Name, after, 0)
+	if errors.Is(err, citronstream.ErrHistoryExpired) {
+		return fo.rescan(ctx, ta)
+	}
+	if err != nil {
+		return err
+	}
+	fo.view.Apply(changes, view.SourceStore)
+	fo.recordRead(ta, at, began)
+	return nil
+}
+
+func (fo *Follower) rescan(ctx context.Context, ta Table) error {
+	fo.calls.Add(1)
+	began := fo.clk.Now()
+	rows, at, err := fo.feed.Scan(ctx, ta.Name)
+	if err != nil {
+		return err
+	}
+	fo.applyScan(ta, rows, at)
+	fo.recordRead(ta, at, began)
+	return nil
+}
+
 // wakeOf returns the channel that ends a sleep before the next read of a table.
 // The caller holds the lock.
 func (fo *Follower) wakeOf(table string) chan struct{} {
@@ -258,16 +295,7 @@
 	}
 	fo.regained()
 	fo.checkLatency(fo.clk.Since(began))
-	var applied []citronstream.Change
-	if ta.Complete {
-		applied = fo.view.Replace(rows, at.Version, view.SourceStore)
-	} else {
-		changes := make([]citronstream.Change, len(rows))
-		for i, row := range rows {
-			changes[i] = citronstream.Change{Row: row}
-		}
-		applied = fo.view.Apply(changes, view.SourceStore)
-	}
+	applied := fo.applyScan(ta, rows, at)
 	if fo.hasRead(ta) {
 		fo.onRead(applied, nil) // peers have read by themselves what a first scan returns
 	}
@@ -275,6 +303,18 @@
 	return at.Version, nil
 }
 
+// applyScan applies all rows of a table and returns the changes.
+func (fo *Follower) applyScan(ta Table, rows []citronstream.Row, at citronstream.Stamp) []citronstream.Change {
+	if ta.Complete {
+		return fo.view.Replace(rows, at.Version, view.SourceStore)
+	}
+	changes := make([]citronstream.Change, len(rows))
+	for i, row := range rows {
+		changes[i] = citronstream.Change{Row: row}
+	}
+	return fo.view.Apply(changes, view.SourceStore)
+}
+
 // hasRead reports whether the table was read before.
 func (fo *Follower) hasRead(ta Table) bool {
 	fo.mu.Lock()
--- a/internal/ingress/flow/admit.go
+++ b/internal/ingress/flow/admit.go
@@ -29,6 +29,7 @@
 		return rt.respond(http.StatusServiceUnavailable, shortRetryAfter,
 			citronstream.NewFault(citronstream.NotRun, citronstream.CodeLeaving, "this process is shutting down")), false
 	}
+	rt.fl.Pass(rt.rq.Context())
 	rt.routes = rt.fl.View.Routes()
 	if rt.routes == nil {
 		return rt.respond(http.StatusServiceUnavailable, shortRetryAfter,
--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -60,6 +60,7 @@
 		if rt.deliveries > 0 && !rt.takeRetry() {
 			break
 		}
+		rt.fl.Pass(ctx)
 		nd, demand := rt.pick()
 		if nd == nil {
 			break
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -43,6 +43,9 @@
 	// Suspended returns for how long the instance has been suspended; it may be nil. That
 	// time does not count for timers, but it does for callers.
 	Suspended func() time.Duration
+	// Pass waits while what the process knows may be out of date, as it was paused; it
+	// may be nil.
+	Pass func(ctx context.Context)
 	// Observe is called at the end of each request; it may be nil.
 	Observe func(rq requests.Request)
 }
@@ -70,6 +73,9 @@
 	if pa.Suspended == nil {
 		pa.Suspended = func() time.Duration { return 0 }
 	}
+	if pa.Pass == nil {
+		pa.Pass = func(context.Context) {}
+	}
 	fl := &Flow{Dependencies: pa, clk: clk, began: clk.Now(), log: log, latencies: newLatencies(clk), floor: servicefloor.New(clk), fetchTimes: fetchtime.New()}
 	fl.stagesCtx, fl.cancelStages = context.WithCancel(context.Background())
 	fl.requestsCtx, fl.cancelRequests = context.WithCancel(context.Background())
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/citronstream/citronstream/internal/fleet/follow"
 	"github.com/citronstream/citronstream/internal/fleet/mesh"
 	"github.com/citronstream/citronstream/internal/fleet/view"
+	"github.com/citronstream/citronstream/internal/fleet/wakeup"
 	"github.com/citronstream/citronstream/internal/ingress/flow"
 	"github.com/citronstream/citronstream/internal/ingress/server"
 	"github.com/citronstream/citronstream/internal/limit/deathdetect"
@@ -88,6 +89,7 @@
 	readyServer   *http.Server
 	metricsServer *http.Server
 	discovery     *discovery.Discovery
+	wakeup        *wakeup.Gate
 
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -119,31 +121,47 @@
 	ga.mesh = mesh.New(clk, log, eng, ga.peerInfo, ga.handle, ga.peerConnected)
 	ga.follower = follow.New(clk, log, store, ga.view, follow.WithReaders(ga.readers), follow.WithOnRead(ga.storeRead))
 	ga.discovery = discovery.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone)
+	suspended := ga.suspendedTime()
+	ga.wakeup = wakeup.New(clk, log, suspended, ga.readAgain)
 	ga.deaths = deathdetect.New(ga.ctx, clk, probeUpstream, ga.upstreamDied)
 	owned := siteretrybudget.New(clk, site.Bounds, func() int { return ownersPerWindow })
 	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, batch.New(clk, log, ga.pool), owned,
-		broker.WithCapacity(site.Cores*site.LinkRate))
+		broker.WithCapacity(site.Cores*site.LinkRate), broker.WithHeld(ga.wakeup.Held))
 	ga.budget = siteretrybudget.New(clk, site.Bounds, ga.mesh.LiveCount)
 	ga.flow = flow.New(clk, log, flow.Dependencies{
 		Zone: site.Zone, ListingTTL: ga.listingTTL(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
 		Budget: ga.budget, Holds: ga.holds, Refused: ga.refusals, Deaths: ga.deaths, Observe: ga.meter.Observe,
-		Suspended: ga.suspendedTime(),
+		Suspended: suspended, Pass: ga.wakeup.Pass,
 	})
 	ga.callerServer = server.New(log, ga.flow)
 	return ga, nil
 }
 
 // suspendedTime returns a function that tells for how long the instance has been
-// suspended, nil if it can't be told.
+// suspended, no time if it can't be told.
 func (ga *Gateway) suspendedTime() func() time.Duration {
 	me, err := boottime.New(ga.clk)
 	if err != nil {
 		ga.log.Error(err, "boot clock unreadable, suspended time counts as no time")
-		return nil
+		return func() time.Duration { return 0 }
 	}
 	return me.Suspended
 }
 
+// configTable and memberTable describe how the tables of the store are followed.
+func (ga *Gateway) configTable() follow.Table {
+	return follow.ConfigTable(platform.TableConfig, ga.site.Bounds.ConfigApply/readsPerDrain)
+}
+
+func (ga *Gateway) memberTable() follow.Table {
+	return follow.MemberTable(platform.TableMembers, ga.readers, ga.site.Bounds.Drain/readsPerDrain)
+}
+
+// readAgain reads the tables after a pause of the process.
+func (ga *Gateway) readAgain(ctx context.Context) error {
+	return errors.Join(ga.follower.Reread(ctx, ga.configTable()), ga.follower.Reread(ctx, ga.memberTable()))
+}
+
 // maxIdleConns returns how many idle connections to an upstream this process keeps:
 // half of its share of the connections that the upstream accepts from all entries.
 func (ga *Gateway) maxIdleConns(address string) int {
@@ -186,12 +204,9 @@
 	for _, seed := range ga.site.Seeds {
 		ga.mesh.AddPeer(seed, "")
 	}
-	ga.runInBackground(func(ctx context.Context) {
-		ga.follower.Run(ctx, follow.ConfigTable(platform.TableConfig, ga.site.Bounds.ConfigApply/readsPerDrain))
-	})
-	ga.runInBackground(func(ctx context.Context) {
-		ga.follower.Run(ctx, follow.MemberTable(platform.TableMembers, ga.readers, ga.site.Bounds.Drain/readsPerDrain))
-	})
+	ga.runInBackground(func(ctx context.Context) { ga.follower.Run(ctx, ga.configTable()) })
+	ga.runInBackground(func(ctx context.Context) { ga.follower.Run(ctx, ga.memberTable()) })
+	ga.runInBackground(ga.wakeup.Run)
 	ga.runInBackground(ga.discovery.Run)
 	ga.runInBackground(ga.runPeriodic)
 	ga.runInBackground(ga.broadcastRows)
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -50,6 +50,7 @@
 	batcher owner.Batcher
 	budget  owner.Budget
 	ctx     context.Context
+	held    func() bool
 	// capacity of this process, on the scale that peers report.
 	capacity float64
 	began    time.Time // start of this process
@@ -82,12 +83,16 @@
 // citronstream.PeerInfo.
 func WithCapacity(capacity float64) Option { return func(br *Broker) { br.capacity = capacity } }
 
+// WithHeld sets the function of owner.WithHeld.
+func WithHeld(held func() bool) Option { return func(br *Broker) { br.held = held } }
+
 // New returns a Broker that runs until ctx ends.
 func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, self string, vi *view.View, ms *mesh.Mesh, batcher owner.Batcher, budget owner.Budget, opts ...Option) *Broker {
 	br := &Broker{
 		clk: clk, log: log, self: self, view: vi, mesh: ms, batcher: batcher, budget: budget, ctx: ctx,
 		began: clk.Now(), owners: make(map[string]*owner.Owner), loads: make(map[string]load), reported: make(map[string]bool), owned: make(map[string]bool),
 		peerJobs: peerjobs.New[*link.Link](clk), watched: make(map[*link.Link]bool), done: make(chan struct{}),
+		held: func() bool { return false },
 	}
 	for _, opt := range opts {
 		opt(br)
@@ -219,7 +224,7 @@
 	defer br.mu.Unlock()
 	ow := br.owners[service]
 	if ow == nil {
-		ow = owner.New(br.ctx, br.clk, br.log, service, spec, br.batcher, br.budget)
+		ow = owner.New(br.ctx, br.clk, br.log, service, spec, br.batcher, br.budget, owner.WithHeld(br.held))
 		br.owners[service] = ow
 		ow.Replace(br.view.Members().Service(service))
 	} else {
--- a/internal/stage/owner/dispatch.go
+++ b/internal/stage/owner/dispatch.go
@@ -14,7 +14,7 @@
 func (ow *Owner) dispatch() {
 	now := ow.clk.Now()
 	sorted := false
-	for len(ow.waiting) > 0 && !ow.closed {
+	for len(ow.waiting) > 0 && !ow.closed && !ow.held() {
 		open := ow.openServers(now)
 		if len(open) == 0 {
 			return
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -94,8 +94,16 @@
 	rate       rate
 	arrivals   arrivals
 	lastActive time.Time // when a job was last submitted or ended
+	held       func() bool
 }
 
+// Option configures an Owner.
+type Option func(*Owner)
+
+// WithHeld sets a function that reports whether the upstreams may be out of date, as the
+// process was paused; no batch begins then. It is called with the owner's lock held.
+func WithHeld(held func() bool) Option { return func(ow *Owner) { ow.held = held } }
+
 // job is a Job and its state.
 type job struct {
 	citronstream.Job
@@ -136,11 +144,16 @@
 }
 
 // New returns an owner without upstreams. It ends with ctx.
-func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, service string, spec citronstream.BatchSpec, batcher Batcher, budget Budget) *Owner {
-	return &Owner{
+func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, service string, spec citronstream.BatchSpec, batcher Batcher, budget Budget, opts ...Option) *Owner {
+	ow := &Owner{
 		clk: clk, log: log, service: service, batcher: batcher, budget: budget, ctx: ctx, spec: spec, sizeFactor: 1, fetchTimes: fetchtime.New(),
 		jobs: make(map[citronstream.JobKey]*job), servers: make(map[*node.Node]*server),
+		held: func() bool { return false },
+	}
+	for _, opt := range opts {
+		opt(ow)
 	}
+	return ow
 }
 
 // Wait refuses further jobs and waits until all batches have ended.
--- a/internal/stage/owner/owner_test.go
+++ b/internal/stage/owner/owner_test.go
@@ -188,6 +188,21 @@
 	return list
 }
 
+// Guards against a batch that is sent by what was known before a pause of the process.
+func TestNoBatchWhileHeld(t *testing.T) {
+	hs := newHarness(t, upstream("a", ""))
+	hs.held = func() bool { return true }
+	hs.submit(newJob("1", 1, nil))
+	hs.Tick()
+	hs.noBatch()
+	hs.Replace([]*node.Node{upstream("b", "")}) // the other one has begun to leave
+	hs.held = func() bool { return false }
+	hs.Tick()
+	se := hs.batch()
+	assert.Equal(t, "b", se.nd.ID)
+	hs.finish(se)
+}
+
 // The pieces of several requests are joined in one call, since each call has a
 // high fixed cost.
 func TestBatchJoinsRequests(t *testing.T) {
