owner: batches of slow upstreams are waited for, and get what can wait

Cause: a batch was cut after three times its expected time and 0.3 s. Change: after twice its expected time the upstream is asked whether it works. If so, the batch is waited for, up to ten times its time; if not, the answer is lost and the batch is sent again at once; if it does not say, after three times as before. The pace of an upstream decides which jobs it gets: those that would wait longer for another one, and, with more than a batch waiting, those that reach their target there, or are late.

--- a/internal/stage/owner/batch.go
+++ b/internal/stage/owner/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -56,16 +57,14 @@
 	spec := ow.spec
 	ow.mu.Unlock()
 	normal := expected(&spec, len(items))
-	timeout := time.Duration(timeoutFactor*max(1, sv.Slowness())*float64(normal)) + timeoutExtra
 	ctx, cancel := context.WithCancel(ow.ctx)
-	timer := ow.clk.AfterFunc(timeout, cancel)
+	ow.calls.Go(func() { ow.watch(ctx, cancel, sv, normal) })
 	began := ow.clk.Now()
 	stop := func() bool { return true }
 	if fetchTime > 0 {
 		stop = ow.clk.AfterFunc(fetchTime, func() { ow.inputsRead(batch) }).Stop
 	}
 	results, refused, err := ow.batcher.Run(ctx, sv.Node, items)
-	timer.Stop()
 	released := !stop()
 	cancel()
 	took := ow.clk.Since(began)
@@ -91,6 +90,7 @@
 		ow.retry(batch, "broken")
 	default:
 		sv.RequestDone(float64(took) / float64(normal))
+		sv.pace.done(float64(took)/float64(normal), now)
 		ow.rate.addDone(now, len(items))
 		ow.applyResults(sv, batch, results, now)
 		if released {
@@ -100,6 +100,54 @@
 	ow.dispatch()
 }
 
+// watch cancels a batch whose answer is not to be expected any more. A slow upstream that
+// works on it is waited for: it would finish the batch all the same, and then begin with
+// the next one that it was sent. Normal is the expected time of the batch.
+func (ow *Owner) watch(ctx context.Context, cancel context.CancelFunc, sv *server, normal time.Duration) {
+	began := ow.clk.Now()
+	ow.mu.Lock()
+	usual := time.Duration(sv.pace.value(began) * float64(normal))
+	ow.mu.Unlock()
+	limit := func(factor float64, normal time.Duration) time.Duration {
+		return time.Duration(factor*float64(normal)) + timeoutExtra
+	}
+	for wait := limit(checkFactor, usual); ow.sleep(ctx, wait); wait = checkInterval {
+		working, err := ow.batcher.Working(ctx, sv.Node)
+		now := ow.clk.Now()
+		took := now.Sub(began)
+		if ctx.Err() != nil {
+			return
+		}
+		ow.log.Info("batch overdue", "service", ow.service, "upstream", sv.ID, "took", took.Round(time.Millisecond).String(), "usual", usual.Round(time.Millisecond).String(), "working", working, "reason", fmt.Sprint(err))
+		switch {
+		case err == nil && !working:
+			if ow.sleep(ctx, answerGrace) {
+				cancel()
+			}
+			return
+		case err != nil && took >= limit(timeoutFactor, usual), took >= max(limit(workingFactor, normal), limit(timeoutFactor, usual)):
+			cancel()
+			return
+		case err == nil:
+			ow.mu.Lock()
+			sv.pace.overdue(float64(took)/float64(normal), now)
+			ow.mu.Unlock()
+		}
+	}
+}
+
+// sleep waits, and reports whether ctx has not ended.
+func (ow *Owner) sleep(ctx context.Context, wait time.Duration) bool {
+	timer := ow.clk.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.Chan():
+		return true
+	}
+}
+
 // applyResults records the results of a batch and ends or requeues its jobs.
 func (ow *Owner) applyResults(sv *server, batch []batchPart, results []citronstream.ItemResult, now time.Time) {
 	at := 0
--- a/internal/stage/owner/dispatch.go
+++ b/internal/stage/owner/dispatch.go
@@ -114,24 +114,31 @@
 // nextBatch chooses an upstream for the first job that fits one, and fills its
 // batch.
 func (ow *Owner) nextBatch(open []*server, now time.Time) (*server, []batchPart) {
-	zones := ow.zones(now)
+	zones, bl, ahead := ow.zones(now), ow.backlog(now), 0
 	for _, jb := range ow.waiting {
 		var best *server
 		for _, sv := range open {
-			if !ow.zoneAllowed(sv, jb, zones, now) || !ow.fits(sv, jb, now) {
+			if !ow.zoneAllowed(sv, jb, zones, now) || !ow.fits(sv, jb, now) || !ow.mayTake(&bl, sv, jb, ahead, now) {
 				continue
 			}
-			if best == nil || ow.preferred(sv, best, jb) {
+			if best == nil || ow.preferred(sv, best, jb, now) {
 				best = sv
 			}
 		}
 		if best != nil {
-			return best, ow.fill(best, zones, now)
+			return best, ow.fill(best, zones, &bl, now)
 		}
+		ahead += len(jb.pending)
 	}
 	return nil, nil
 }
 
+// mayTake reports whether an upstream is fast enough for a job.
+func (ow *Owner) mayTake(bl *backlog, sv *server, jb *job, ahead int, now time.Time) bool {
+	pace := sv.pace.value(now)
+	return bl.mayTake(jb, pace, extraTime(&ow.spec, ow.spec.Items, pace), ahead, now)
+}
+
 // fits reports whether an upstream has the memory to begin a batch with a job. The rest
 // of one that has begun needs no more than its own results take.
 func (ow *Owner) fits(sv *server, jb *job, now time.Time) bool {
@@ -170,13 +177,13 @@
 }
 
 // preferred reports whether a is better than b for the first job of a batch.
-func (ow *Owner) preferred(a, b *server, jb *job) bool {
+func (ow *Owner) preferred(a, b *server, jb *job, now time.Time) bool {
+	if paceA, paceB := a.pace.value(now), b.pace.value(now); paceA > slowPace*paceB || paceB > slowPace*paceA {
+		return paceA < paceB
+	}
 	if jb.Zone != "" && (a.Zone == jb.Zone) != (b.Zone == jb.Zone) {
 		return a.Zone == jb.Zone
 	}
-	if slowA, slowB := a.Slowness(), b.Slowness(); slowA > 1.5*slowB || slowB > 1.5*slowA {
-		return slowA < slowB
-	}
 	return a.used < b.used
 }
 
@@ -188,11 +195,12 @@
 
 // fill selects the pieces of an upstream's batch in the order of the jobs, with
 // a preference of zoneDelay for jobs of its zone.
-func (ow *Owner) fill(sv *server, zones map[string]bool, now time.Time) []batchPart {
+func (ow *Owner) fill(sv *server, zones map[string]bool, bl *backlog, now time.Time) []batchPart {
 	var batch []batchPart
-	items, bytes := 0, 0
+	items, bytes, ahead := 0, 0, 0
 	for jb := range ow.inOrder(sv, now) {
-		if !ow.zoneAllowed(sv, jb, zones, now) {
+		if !ow.zoneAllowed(sv, jb, zones, now) || !ow.mayTake(bl, sv, jb, ahead, now) {
+			ahead += len(jb.pending)
 			continue
 		}
 		count := min(len(jb.pending), ow.spec.Items-items, ow.roomFor(sv, jb.Bytes, bytes, now))
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -30,9 +30,17 @@
 	// fullBackoff is the pause after an upstream refused a batch as full,
 	// because it runs a batch of another owner.
 	fullBackoff = 100 * time.Millisecond
-	// A batch may take timeoutFactor times its expected time plus timeoutExtra.
+	// After checkFactor times the expected time of a batch plus timeoutExtra its upstream is
+	// asked, each checkInterval, whether it works on it. One that does not say so is given
+	// timeoutFactor times that time, one that does workingFactor times.
+	checkFactor   = 2.0
 	timeoutFactor = 3.0
+	workingFactor = 10.0
 	timeoutExtra  = 300 * time.Millisecond
+	checkInterval = 400 * time.Millisecond
+	// answerGrace is how long the answer of a batch may be on its way when the upstream
+	// says that it works on nothing.
+	answerGrace = 200 * time.Millisecond
 	// sizeGrowth is the factor by which results are assumed to be larger after
 	// one found no memory, up to maxSizeFactor; sizeDecay reverses this with
 	// each batch. The configuration gives their size only approximately.
@@ -60,6 +68,8 @@
 	Release(ctx context.Context, nd *node.Node, handles []string)
 	// Free returns the least and the most bytes that an upstream has free for results.
 	Free(ctx context.Context, nd *node.Node) (least, most int, err error)
+	// Working reports whether an upstream runs a batch, or has some that wait.
+	Working(ctx context.Context, nd *node.Node) (bool, error)
 	// ResultAddress returns the address of the upstream that holds a result.
 	ResultAddress(handle string) string
 }
@@ -123,6 +133,7 @@
 type server struct {
 	*node.Node
 	running     int
+	pace        pace
 	pausedUntil time.Time // gets no batch until then
 	idleSince   time.Time // end of its last batch
 	used        int       // bytes of results that it holds or computes
--- a/internal/stage/owner/owner_test.go
+++ b/internal/stage/owner/owner_test.go
@@ -38,8 +38,16 @@
 	released []string
 	hold     chan struct{} // blocks releases until it is closed
 	free     atomic.Int64  // free bytes that the upstreams report; negative for an error
+	working  atomic.Int64  // whether they report that they work, see the constants
 }
 
+// Values of fakeBatcher.working.
+const (
+	saysNothing int64 = iota
+	saysWorking
+	saysIdle
+)
+
 func (fa *fakeBatcher) Run(ctx context.Context, nd *node.Node, items []citronstream.BatchItem) ([]citronstream.ItemResult, bool, error) {
 	se := sentBatch{nd, items, make(chan batchEnd, 1)}
 	fa.batches <- se
@@ -68,6 +76,16 @@
 	return free - fa.rounding, free, nil
 }
 
+func (fa *fakeBatcher) Working(context.Context, *node.Node) (bool, error) {
+	switch fa.working.Load() {
+	case saysWorking:
+		return true, nil
+	case saysIdle:
+		return false, nil
+	}
+	return false, errors.New("no report")
+}
+
 func (fa *fakeBatcher) ResultAddress(string) string { return "" }
 
 func (fa *fakeBatcher) releases() []string {
--- /dev/null
+++ b/internal/stage/owner/pace.go
@@ -0,0 +1,106 @@
+package owner
+
+import (
+	"math"
+	"time"
+
+	"github.com/citronstream/citronstream"
+)
+
+// Load pattern: some upstreams of a service turn slow for a while, under a burst. Their
+// batches are sound and end late. A slow upstream gets the work that can wait for it; the
+// others do the rest.
+
+const (
+	// paceWeight is the weight of the newest batch in the pace of an upstream.
+	paceWeight = 0.5
+	// paceFade is the time constant with which the pace of an upstream that has ended no
+	// batch goes back to normal, so that it is tried again.
+	paceFade = 2 * time.Second
+	// slowPace is the pace, relative to that of the fastest upstream, from which on an
+	// upstream gets only work that can wait for it. Upstreams of one service differ by less.
+	slowPace = 1.5
+)
+
+// pace is how long the batches of an upstream take, relative to the expected time. The
+// zero value is that of an upstream without batches.
+type pace struct {
+	factor float64
+	at     time.Time // of the last batch
+}
+
+// done records a batch that took ratio times the expected time.
+func (pa *pace) done(ratio float64, now time.Time) {
+	before := pa.value(now)
+	if pa.factor == 0 {
+		before = ratio
+	}
+	pa.factor, pa.at = before+paceWeight*(ratio-before), now
+}
+
+// overdue records that a batch has been running for ratio times the expected time.
+func (pa *pace) overdue(ratio float64, now time.Time) {
+	pa.factor, pa.at = max(pa.value(now), ratio), now
+}
+
+// value returns the pace, 1 at least.
+func (pa *pace) value(now time.Time) float64 {
+	if pa.factor <= 1 {
+		return 1
+	}
+	return 1 + (pa.factor-1)*math.Exp(-float64(now.Sub(pa.at))/float64(paceFade))
+}
+
+// backlog is what the decision on slow upstreams needs to know of the queue.
+type backlog struct {
+	fastest float64 // pace of the fastest upstream in use
+	rate    float64 // pieces a second of the upstreams that are not slow
+	items   int     // pieces of a full batch
+	pieces  int     // that wait
+}
+
+// slow reports whether an upstream of this pace gets only work that can wait.
+func (bl *backlog) slow(pace float64) bool { return pace >= slowPace*bl.fastest }
+
+// mayTake reports whether a job of some pieces behind ahead others may run at an upstream
+// of this pace, where it ends extra later than elsewhere: if it would wait longer for
+// another one, or if more than a batch waits and it can still be in time, or answered if
+// it is late.
+func (bl *backlog) mayTake(jb *job, pace float64, extra time.Duration, ahead int, now time.Time) bool {
+	if !bl.slow(pace) {
+		return true
+	}
+	if float64(ahead) > bl.rate*extra.Seconds() {
+		return true
+	}
+	latest := jb.Start
+	if jb.Late(now) {
+		latest = jb.End
+	}
+	return bl.pieces >= bl.items && now.Add(extra).Before(latest)
+}
+
+// extraTime returns how much later than at an upstream of normal pace a batch ends.
+func extraTime(spec *citronstream.BatchSpec, items int, pace float64) time.Duration {
+	return time.Duration((pace - 1) * float64(expected(spec, items)))
+}
+
+// backlog returns the state of the queue for mayTake.
+func (ow *Owner) backlog(now time.Time) backlog {
+	bl := backlog{fastest: math.Inf(1), items: ow.spec.Items}
+	for _, jb := range ow.waiting {
+		bl.pieces += len(jb.pending)
+	}
+	for _, sv := range ow.list {
+		if !sv.Avoided(now) {
+			bl.fastest = min(bl.fastest, sv.pace.value(now))
+		}
+	}
+	full := expected(&ow.spec, ow.spec.Items).Seconds()
+	for _, sv := range ow.list {
+		if pace := sv.pace.value(now); !sv.Avoided(now) && !bl.slow(pace) {
+			bl.rate += float64(ow.spec.Items*ow.spec.Calls) / (full * pace)
+		}
+	}
+	return bl
+}
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -56,6 +56,7 @@
 	Gone        atomic.Bool  // reports inputs as lost
 	Taken       atomic.Int64 // bytes reported as used of the 1 MB of memory for results
 	resultCount atomic.Int64
+	batches     atomic.Int64 // that run
 	mu          sync.Mutex
 	results     map[string]bool
 }
@@ -142,7 +143,7 @@
 	case PathBatch:
 		up.batch(wr, rq, body)
 	case pathReport:
-		_, _ = fmt.Fprintf(wr, `{"waiting-requests":0,"busy":false,"free-mb":%d}`, (1e6-up.Taken.Load())/1e6) // fails only if the caller disconnected
+		_, _ = fmt.Fprintf(wr, `{"waiting-requests":0,"busy":%d,"free-mb":%d}`, up.batches.Load(), (1e6-up.Taken.Load())/1e6) // fails only if the caller disconnected
 	case pathRelease:
 		up.releaseResults(body)
 	default:
@@ -179,6 +180,8 @@
 		up.stream(wr, rq)
 		return
 	}
+	up.batches.Add(1)
+	defer up.batches.Add(-1)
 	select {
 	case <-up.clk.After(time.Duration(up.Work.Load())):
 	case <-rq.Context().Done():
--- a/internal/upstream/batch/batch.go
+++ b/internal/upstream/batch/batch.go
@@ -122,16 +122,31 @@
 
 // Free implements owner.Batcher.
 func (ca *Caller) Free(ctx context.Context, nd *node.Node) (least, most int, err error) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	status, _, err := ca.call(ctx, nd, http.MethodGet, platform.PathReport, nil, func(answer []byte) (err error) {
+	err = ca.report(ctx, nd, func(answer []byte) (err error) {
 		least, most, err = platform.DecodeFreeMemory(answer)
 		return err
 	})
+	return least, most, err
+}
+
+// Working implements owner.Batcher.
+func (ca *Caller) Working(ctx context.Context, nd *node.Node) (working bool, err error) {
+	err = ca.report(ctx, nd, func(answer []byte) (err error) {
+		working, err = platform.DecodeWorking(answer)
+		return err
+	})
+	return working, err
+}
+
+// report fetches an upstream's report on itself.
+func (ca *Caller) report(ctx context.Context, nd *node.Node, decode func(answer []byte) error) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	status, _, err := ca.call(ctx, nd, http.MethodGet, platform.PathReport, nil, decode)
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("status %d", status)
 	}
-	return least, most, err
+	return err
 }
 
 // call sends a request and passes the body of a 200 to check. If check fails, the
