admission: a stream that can't end before its deadline is refused at once

Cause: admission looked at the time to the first event, and a request whose first event would be in time was admitted whatever its deadline. Ruled out: queue waits ('waited 0s' in their causes); engines (first events within 0.1 s). Change: the least usual time from the first event to the end of a route's responses is measured, and counted at the door, in the deadline of jobs, and before the send. A request that no shorter queue would help is told to come back after its deadline.

--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -187,10 +187,10 @@
 	if fo.Inputs, fa = rt.stages.requestInputs(ctx); fa != nil {
 		return result{fault: fa}
 	}
-	if left := rt.timeLeft(); left <= 0 {
-		// The process was paused, or its instance suspended: the timer of the deadline
-		// has not fired yet, but the caller has given up.
-		return result{fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeDeadline, "the deadline passed %v before the request was sent", -left)}
+	if left := rt.timeLeft() - rt.timeAfterFirstEvent(); left <= 0 {
+		// Its response would be cut at the deadline. It may even have passed: the process
+		// was paused, or its instance suspended, and the timer has not fired yet.
+		return result{fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeDeadline, "the request would have had to be sent %v ago", -left)}
 	}
 	stopRelease := rt.releaseEarly(nd, demand)
 	defer stopRelease()
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -225,6 +225,15 @@
 	return rt.end.Sub(rt.fl.clk.Now()) - (rt.fl.Suspended() - rt.suspended)
 }
 
+// timeAfterFirstEvent returns how long a response of the request's route takes at least
+// from its first event to its end, 0 once it has begun.
+func (rt *request) timeAfterFirstEvent() time.Duration {
+	if !rt.route.Stream || rt.started {
+		return 0
+	}
+	return rt.fl.latencies.rest(rt.route.Name)
+}
+
 // callerDisconnected reports whether ctx ended because the caller disconnected.
 func callerDisconnected(ctx context.Context) bool {
 	return errors.Is(context.Cause(ctx), errCallerDisconnected) || errors.Is(context.Cause(ctx), context.Canceled)
--- a/internal/ingress/flow/latency.go
+++ b/internal/ingress/flow/latency.go
@@ -15,6 +15,9 @@
 	// latencyAlpha is the weight of the newest time in the moving average.
 	latencyAlpha = 0.1
 	maxRoutes    = 4096
+	// restDeviations is how many mean deviations a response may be shorter than the
+	// average before it counts as one that could not have been served.
+	restDeviations = 2
 )
 
 // latencies keeps the measured response latency of each route.
@@ -28,6 +31,8 @@
 	seconds   float64 // moving average
 	read      float64 // moving average of the time to read the prompt, in seconds
 	deviation float64 // moving average of the difference from what was expected, in seconds
+	// rest and restDeviation are the same for the time from the first event to the end.
+	rest, restDeviation float64
 }
 
 func newLatencies(clk citronstream.Clock) *latencies {
@@ -76,6 +81,27 @@
 	return max(rl.seconds/4, rl.seconds+read.Seconds()-rl.read)
 }
 
+// observeRest records the time from the first event of a response to its end.
+func (la *latencies) observeRest(name string, took time.Duration) {
+	la.mu.Lock()
+	defer la.mu.Unlock()
+	rl := la.route(name)
+	if rl.rest == 0 {
+		rl.rest, rl.restDeviation = took.Seconds(), took.Seconds()/2
+	}
+	rl.restDeviation += latencyAlpha * (math.Abs(took.Seconds()-rl.rest) - rl.restDeviation)
+	rl.rest += latencyAlpha * (took.Seconds() - rl.rest)
+}
+
+// rest returns the time that most responses of a route take at least from their first
+// event to their end, 0 until that was measured.
+func (la *latencies) rest(name string) time.Duration {
+	la.mu.Lock()
+	defer la.mu.Unlock()
+	rl := la.route(name)
+	return time.Duration(max(0, rl.rest-restDeviations*rl.restDeviation) * float64(time.Second))
+}
+
 // deviation returns the mean difference between the measured and the expected times
 // of a route.
 func (la *latencies) deviation(name string) time.Duration {
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -272,7 +272,7 @@
 	jo := citronstream.Job{
 		ID: sg.rt.ID, Stage: st.number, Service: st.spec.Service, Pieces: indexes, Bytes: st.spec.Bytes, Inputs: inputs,
 		Rank: rank, RouteRank: routeRank, Workspace: sg.rt.workspace, Returned: sg.rt.returned, Zone: sg.zone,
-		Left: sg.rt.end.Sub(now), LaterStages: rest, Slack: sg.rt.target.Sub(now) - rest - margin, Margin: margin,
+		Left: sg.rt.end.Sub(now) - sg.rt.timeAfterFirstEvent(), LaterStages: rest, Slack: sg.rt.target.Sub(now) - rest - margin, Margin: margin,
 		Early:          deviationMargin * sg.rt.fl.latencies.deviation(sg.rt.route.Name),
 		CrossZoneBytes: len(indexes) * st.spec.Bytes,
 	}
--- a/internal/ingress/flow/stream.go
+++ b/internal/ingress/flow/stream.go
@@ -34,6 +34,9 @@
 		err := events.Next()
 		if errors.Is(err, io.EOF) && (count > 0 || resumed) {
 			nd.RequestDone(1)
+			if !resumed && !rt.firstEvent.IsZero() {
+				rt.fl.latencies.observeRest(rt.route.Name, rt.fl.clk.Since(rt.firstEvent))
+			}
 			rt.fl.Holds.Finished(rt.digest)
 			return result{done: true, out: outcome{status: http.StatusOK, reason: "served"}}
 		}
--- a/internal/limit/admission/admission.go
+++ b/internal/limit/admission/admission.go
@@ -1,7 +1,8 @@
 // Package admission decides which requests are turned away before they wait for
-// their stages, and when their callers may come back. Load pattern: more work than
-// the upstreams of a stage can do. A request that will miss its target and would
-// wait long is refused at once, as it would be dropped later.
+// their stages, and when their callers may come back. Load patterns: more work than
+// the upstreams of a stage can do; callers that come back after an outage with little
+// time left. A request that will miss its target and would wait long, or that can't be
+// answered whole before its deadline, is refused at once, as it would be dropped later.
 package admission
 
 import "time"
@@ -27,13 +28,23 @@
 	RetryAfter time.Duration // when the caller of a refused one may come back
 }
 
-// New decides on a request. Needs is the time to its first event with the current
-// queues, wait the longest of their waits, target and left are the times to its
-// target and its deadline. Draw is a random number in [0, 1).
-func New(needs, wait, target, left time.Duration, draw float64) Decision {
-	if needs <= target || wait < maxLateWait && needs < left {
+// Request is what the decision needs to know of a request.
+type Request struct {
+	Needs time.Duration // to its first event, with the current queues
+	Rest  time.Duration // from its first event to the end of its response
+	Wait  time.Duration // the longest in a queue
+	// Target and Left are the times to its target and its deadline.
+	Target, Left time.Duration
+}
+
+// New decides on a request. Draw is a random number in [0, 1).
+func New(rq Request, draw float64) Decision {
+	if rq.Needs-rq.Wait+rq.Rest >= rq.Left {
+		return Decision{RetryAfter: max(minRetryAfter, rq.Left)} // no time before its deadline would do
+	}
+	if rq.Needs+rq.Rest < rq.Left && (rq.Needs <= rq.Target || rq.Wait < maxLateWait) {
 		return Decision{Admit: true}
 	}
-	after := max(minRetryAfter, min(wait-maxLateWait, target/targetShare))
+	after := max(minRetryAfter, min(rq.Wait-maxLateWait, rq.Target/targetShare))
 	return Decision{RetryAfter: time.Duration(float64(after) * (1 - spread + 2*spread*draw))}
 }
--- a/internal/limit/admission/replay_test.go
+++ b/internal/limit/admission/replay_test.go
@@ -234,7 +234,7 @@
 	target, rest := ca.first.Add(ca.target).Sub(now), ca.rest()
 	needs := ca.before + rest + batchTime + qu.ru.wait(&qu.load, target-ca.before-rest-batchTime, rank)
 	wait := qu.ru.wait(&qu.load, target-needs, rank)
-	if de := New(needs, wait, target, ca.first.Add(ca.left).Sub(now), qu.draw.Float64()); !de.Admit {
+	if de := New(Request{Needs: needs, Wait: wait, Target: target, Left: ca.first.Add(ca.left).Sub(now)}, qu.draw.Float64()); !de.Admit {
 		qu.turnAway(ca, de.RetryAfter)
 		return
 	}
