owner: replay of upstreams that hang

Cause: upstreams that say they work are waited for up to ten times their time, which also holds for those that never answer. Change: a test, no code.

--- a/internal/stage/owner/slow_test.go
+++ b/internal/stage/owner/slow_test.go
@@ -78,6 +78,9 @@
 	x     float64 // how many times as long batches take that begin from slowFrom to slowUntil
 }
 
+// hangs is the x of an upstream that works on its batches until their caller closes.
+const hangs = 1e6
+
 const (
 	slowFrom  = 2 * time.Second
 	slowUntil = 7500 * time.Millisecond
@@ -105,6 +108,11 @@
 	if since := ss.clk.Since(up.begin); since >= slowFrom && since < slowUntil {
 		took = time.Duration(up.x * float64(took))
 	}
+	if took > playFor {
+		<-ctx.Done()
+		up.turn <- struct{}{}
+		return nil, false, ctx.Err()
+	}
 	ended := make(chan struct{})
 	ss.clk.AfterFunc(took, func() {
 		ss.mu.Lock()
@@ -225,3 +233,19 @@
 		}
 	}
 }
+
+// Load pattern: the same upstreams say that they work, and never answer. That is known
+// later than before, but fewer batches go to them.
+func TestHangingUpstreamsUnderLoad(t *testing.T) {
+	const slow, items = 13, 10
+	for _, seed := range []uint64{1, 2, 3} {
+		for _, load := range []float64{0.7, 0.9, 1.3} {
+			t.Run(fmt.Sprintf("seed %d, load %v", seed, load), func(t *testing.T) {
+				asked, without, _ := playSlow(t, seed, slow, hangs, load, true)
+				_, late, _ := playSlow(t, seed, slow, hangs, load, false)
+				t.Logf("%d jobs, late %d, without the hanging upstreams %d", asked, late, without)
+				assert.LessOrEqual(t, late, without+slow*items)
+			})
+		}
+	}
+}
