--- a/internal/stage/owner/slow_test.go
+++ b/internal/stage/owner/slow_test.go
@@ -25,8 +25,9 @@
 	hs.fa.working.Store(saysWorking)
 	done := hs.submit(newJob("1", 1, nil))
 	se := hs.batch()
-	for range 10 { // 2 s; before, the batch was cut after 930 ms
-		hs.advance(200 * time.Millisecond)
+	hs.advance(720 * time.Millisecond) // the first check
+	for range 4 {                      // 2.3 s in all; before, the batch was cut after 930 ms
+		hs.advance(checkInterval)
 	}
 	handles := hs.finish(se)
 	assert.Equal(t, handles, hs.result(done).Handles)
@@ -39,16 +40,17 @@
 	hs.fa.working.Store(saysIdle)
 	hs.submit(newJob("1", 1, nil))
 	first := hs.batch()
-	for range 6 {
-		hs.advance(200 * time.Millisecond) // the check comes after 720 ms, and answerGrace later
-	}
+	hs.advance(720 * time.Millisecond) // the first check
+	hs.advance(answerGrace)
 	assert.NotEqual(t, first.nd.ID, hs.batch().nd.ID)
 }
 
-// advance moves the clock and lets goroutines that wait for it run.
+// advance moves the clock once the only batch is being watched.
 func (hs *harness) advance(by time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	require.NoError(hs.t, hs.clk.BlockUntilContext(ctx, 1))
 	hs.clk.Advance(by)
-	realClock.Sleep(5 * time.Millisecond)
 }
 
 func TestPace(t *testing.T) {
