--- a/internal/stage/owner/slow_test.go
+++ b/internal/stage/owner/slow_test.go
@@ -147,47 +147,62 @@
 }
 func (ss *slowService) ResultAddress(string) string { return "" }
 
+const slowUpstreams = 42 // upstreams of the simulated service
+
+// newSlowService returns the service and its upstreams. Of these the first are slow by x
+// for a while, or absent.
+func newSlowService(clk citronstream.Clock, slow int, x float64, absent bool) (*slowService, []*node.Node) {
+	ss := &slowService{clk: clk, upstreams: make(map[string]*slowUpstream), spec: citronstream.BatchSpec{
+		Calls: 1, Items: 10, CallTime: 240 * time.Millisecond, ItemTime: 21 * time.Millisecond, ResultLife: 4 * time.Second,
+	}}
+	var nodes []*node.Node
+	for i := range slowUpstreams {
+		up := &slowUpstream{turn: make(chan struct{}, 1), begin: clk.Now(), x: 1}
+		up.turn <- struct{}{}
+		if i < slow {
+			up.x = x
+		}
+		if i >= slow || !absent {
+			nd := upstream(fmt.Sprint("u", i), "")
+			ss.upstreams[nd.ID] = up
+			nodes = append(nodes, nd)
+		}
+	}
+	return ss, nodes
+}
+
+// tick updates the owner until ctx ends.
+func tick(ctx context.Context, clk citronstream.Clock, ow *Owner) {
+	ticker := clk.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			ow.Tick()
+		}
+	}
+}
+
 // playSlow plays jobs against 42 upstreams, of which some are slow for a while, or not
 // there at all, and returns how many jobs came, ended late, and how many pieces were
 // computed for nothing. The jobs ask for this share of what the sound upstreams can do.
 func playSlow(t *testing.T, seed uint64, slow int, x, load float64, absent bool) (asked, late, wasted int) {
 	synctest.Test(t, func(t *testing.T) {
 		clk := clockwork.NewRealClock() // of the bubble
-		batches := citronstream.BatchSpec{Calls: 1, Items: 10, CallTime: 240 * time.Millisecond, ItemTime: 21 * time.Millisecond, ResultLife: 4 * time.Second}
-		const upstreams = 42
-		ss := &slowService{clk: clk, spec: batches, upstreams: make(map[string]*slowUpstream)}
-		var nodes []*node.Node
-		for i := range upstreams {
-			up := &slowUpstream{turn: make(chan struct{}, 1), begin: clk.Now(), x: 1}
-			up.turn <- struct{}{}
-			if i < slow {
-				up.x = x
-			}
-			if i >= slow || !absent {
-				nd := upstream(fmt.Sprint("u", i), "")
-				ss.upstreams[nd.ID] = up
-				nodes = append(nodes, nd)
-			}
-		}
+		ss, nodes := newSlowService(clk, slow, x, absent)
+		batches := ss.spec
 		ctx, cancel := context.WithCancel(context.Background())
 		ow := New(ctx, clk, logr.Discard(), "s", batches, ss, &budget{left: 1 << 20})
 		ow.Replace(nodes)
 		ticks := make(chan struct{})
 		go func() {
 			defer close(ticks)
-			ticker := clk.NewTicker(50 * time.Millisecond)
-			defer ticker.Stop()
-			for {
-				select {
-				case <-ctx.Done():
-					return
-				case <-ticker.Chan():
-					ow.Tick()
-				}
-			}
+			tick(ctx, clk, ow)
 		}()
 		random := rand.New(rand.NewPCG(seed, 0))
-		rate := load * float64((upstreams-slow)*batches.Items) / expected(&batches, batches.Items).Seconds()
+		rate := load * float64((slowUpstreams-slow)*batches.Items) / expected(&batches, batches.Items).Seconds()
 		slacks := []time.Duration{400 * time.Millisecond, time.Second, 2 * time.Second} // the three kinds of the users' largest site
 		var mu sync.Mutex
 		pieces, done := 0, 0
