--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -64,6 +64,7 @@
 	peerJobs *peerjobs.Jobs[*link.Link]
 	watched  map[*link.Link]bool // links of peers with jobs
 	links    sync.WaitGroup
+	ended    bool // Wait was called, so that no link is watched any more
 	// onFetched has a func() for each job of this process, by its
 	// citronstream.JobKey.
 	onFetched sync.Map
@@ -105,6 +106,9 @@
 // Wait waits until the broker and all batches have ended.
 func (br *Broker) Wait() {
 	<-br.done
+	br.mu.Lock()
+	br.ended = true
+	br.mu.Unlock()
 	br.links.Wait()
 	for _, ow := range br.allOwners() {
 		ow.Wait()
--- a/internal/stage/broker/broker_test.go
+++ b/internal/stage/broker/broker_test.go
@@ -145,3 +145,15 @@
 	cancel()
 	br.Wait()
 }
+
+// Guards against a job that comes from a peer while the broker ends, and starts a
+// goroutine that nobody waits for.
+func TestNoLinkIsWatchedAfterTheEnd(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	br := &Broker{ctx: ctx, done: make(chan struct{}), watched: make(map[*link.Link]bool)}
+	close(br.done)
+	br.Wait()
+	br.watch(nil)
+	assert.Empty(t, br.watched)
+}
--- a/internal/stage/broker/peers.go
+++ b/internal/stage/broker/peers.go
@@ -77,7 +77,7 @@
 func (br *Broker) watch(li *link.Link) {
 	br.mu.Lock()
 	defer br.mu.Unlock()
-	if br.watched[li] {
+	if br.watched[li] || br.ended {
 		return
 	}
 	br.watched[li] = true
