flow: the log says why no other upstream was tried

Hypothesis 1 of docs/incidents/lost-requests.md: a stream is cut because its upstream is silent and no other one may be tried. The line of a cut request did not tell that from an upstream that broke off with attempts left. Change: 'no retry' in 'request ended' names the reason: no other upstream, no attempt left, or the retry budget used up. Result: one more field on requests that end after a failed attempt; go test ./internal/ingress/... ./internal/process/gateway passes.

--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -63,6 +63,7 @@
 		rt.fl.Pass(ctx)
 		nd, demand := rt.pick()
 		if nd == nil {
+			rt.noRetry = noUpstreamLeft
 			break
 		}
 		re := rt.attempt(ctx, nd, demand)
@@ -102,10 +103,25 @@
 	return rt.respondFault(ctx, worst)
 }
 
+// Reasons for not trying another upstream, for the log.
+const (
+	noUpstreamLeft = "no other upstream"
+	noAttemptLeft  = "no attempt left"
+	noRetryBudget  = "retry budget used up"
+)
+
 // takeRetry reports whether another attempt is allowed, and takes it from the
 // retry budget.
 func (rt *request) takeRetry() bool {
-	return rt.sends < rt.route.Attempts && rt.fl.Budget.Take(rt.service, 1) == 1
+	switch {
+	case rt.sends >= rt.route.Attempts:
+		rt.noRetry = noAttemptLeft
+	case rt.fl.Budget.Take(rt.service, 1) < 1:
+		rt.noRetry = noRetryBudget
+	default:
+		return true
+	}
+	return false
 }
 
 // recomputeInputs recomputes lost inputs of the request.
--- a/internal/ingress/flow/respond.go
+++ b/internal/ingress/flow/respond.go
@@ -67,7 +67,7 @@
 // record logs the end of a request and passes it to Observe.
 func (rt *request) record(out outcome) {
 	took := rt.fl.clk.Since(rt.at)
-	values := make([]any, 0, 36)
+	values := make([]any, 0, 38)
 	values = append(values, "request", rt.ID, "status", out.status, "reason", out.reason, "took", took.Milliseconds())
 	if rt.route != nil {
 		values = append(values, "route", rt.route.Name, "rank", rt.rank, "workspace", rt.workspace, "service", rt.service,
@@ -88,6 +88,9 @@
 	if rt.last != nil {
 		values = append(values, "upstream", rt.last.ID, "listed", rt.last.Revision, "sends", rt.sends)
 	}
+	if rt.noRetry != "" {
+		values = append(values, "no retry", rt.noRetry)
+	}
 	if out.fault != nil {
 		values = append(values, "verdict", out.fault.Verdict.String(), "cause", out.fault.Text)
 	}
