flow: a silent upstream is given up only when another one takes over

What callers saw: a stream that had begun was cut off while its upstream, a sound one that was silent for a second, went on a moment later. Cause: the stall timer cancelled the attempt first and asked afterwards whether another upstream may be tried. With the retry budget used up, or without another upstream, the caller's connection was closed. Evidence: TestSilentUpstreamWithoutReplacement on the code before, both cases: 'Received unexpected error: unexpected EOF' after 1.0 s. Change: the timer takes the repeat from the budget, with another usable upstream at hand, before it cancels; without that it looks again each 500 ms and the attempt goes on. A repeat that was taken and not needed goes back. The log names upstreams that could not be reached as well. Result: the test passes with the race detector; the packages' other tests too.

--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -21,13 +21,6 @@
 	// maxUnreached is the maximum number of upstreams that could not be reached.
 	// They do not count as attempts.
 	maxUnreached = 4
-	// stallFactor times the target is how long a response may take before
-	// another upstream is tried, for idempotent requests.
-	stallFactor = 3
-	// The first event of a stream may take firstEventFactor times the average
-	// plus firstEventExtra: a long prompt takes several times the average.
-	firstEventFactor = 4
-	firstEventExtra  = time.Second
 	// maxBody is the largest response that is buffered, in bytes.
 	maxBody = 8 << 20
 )
@@ -54,9 +47,14 @@
 func (rt *request) forward(ctx context.Context) outcome {
 	rt.tried = make(map[string]bool)
 	rt.fl.Budget.First(rt.service)
+	defer rt.returnRetry()
 	worst := citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "no upstream of service %s is known", rt.service)
 	var fallback *response
-	for unreached := 0; unreached < maxUnreached; {
+	for unreached := 0; ; {
+		if unreached == maxUnreached {
+			rt.noRetry = noUpstreamReached
+			break
+		}
 		if rt.deliveries > 0 && !rt.takeRetry() {
 			break
 		}
@@ -105,23 +103,34 @@
 
 // Reasons for not trying another upstream, for the log.
 const (
-	noUpstreamLeft = "no other upstream"
-	noAttemptLeft  = "no attempt left"
-	noRetryBudget  = "retry budget used up"
+	noUpstreamLeft    = "no other upstream"
+	noUpstreamReached = "no upstream reached"
+	noAttemptLeft     = "no attempt left"
+	noRetryBudget     = "retry budget used up"
 )
 
 // takeRetry reports whether another attempt is allowed, and takes it from the
-// retry budget.
+// retry budget unless the last attempt has done so.
 func (rt *request) takeRetry() bool {
 	switch {
+	case rt.retryTaken:
+		rt.retryTaken = false
 	case rt.sends >= rt.route.Attempts:
 		rt.noRetry = noAttemptLeft
+		return false
 	case rt.fl.Budget.Take(rt.service, 1) < 1:
 		rt.noRetry = noRetryBudget
-	default:
-		return true
+		return false
+	}
+	return true
+}
+
+// returnRetry returns a repeat to the budget that was taken and not needed.
+func (rt *request) returnRetry() {
+	if rt.retryTaken {
+		rt.retryTaken = false
+		rt.fl.Budget.Return(rt.service, 1)
 	}
-	return false
 }
 
 // recomputeInputs recomputes lost inputs of the request.
@@ -212,7 +221,7 @@
 	defer stopRelease()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stall := rt.startStallTimer(cancel)
+	stall := rt.startStallTimer(nd, cancel)
 	defer stall.Stop()
 	sent := rt.fl.clk.Now()
 	ans, err := rt.fl.Pool.Send(ctx, nd.Address, rt.upstreamRequest(nd, fo))
@@ -263,49 +272,6 @@
 	}
 }
 
-// errStalled is the cause of an attempt canceled by its stallTimer.
-var errStalled = errors.New("the upstream stalled")
-
-// startStallTimer starts a timer that cancels a stalled attempt, if another
-// upstream may be tried.
-func (rt *request) startStallTimer(cancel context.CancelCauseFunc) *stallTimer {
-	si := &stallTimer{cancel: cancel}
-	if !rt.route.Repeat.Idempotent() || rt.sends+1 >= rt.route.Attempts {
-		return si
-	}
-	wait := stallFactor * rt.route.Target
-	if rt.route.Stream {
-		wait = firstEventFactor*rt.fl.latencies.expected(rt.route.Name, rt.readTime) + firstEventExtra
-		si.gap = max(gapFactor*rt.route.MaxGap, minGap)
-	}
-	si.timer = rt.fl.clk.AfterFunc(wait, func() { cancel(errStalled) })
-	return si
-}
-
-// stallTimer cancels an attempt that receives nothing for too long.
-type stallTimer struct {
-	cancel context.CancelCauseFunc
-	timer  interface {
-		Stop() bool
-		Reset(d time.Duration) bool
-	}
-	gap time.Duration
-}
-
-// Stop stops the timer.
-func (si *stallTimer) Stop() {
-	if si.timer != nil {
-		si.timer.Stop()
-	}
-}
-
-// reset restarts the timer after an event of a stream.
-func (si *stallTimer) reset() {
-	if si.timer != nil && si.gap > 0 {
-		si.timer.Reset(si.gap)
-	}
-}
-
 // failAttempt handles an attempt that ended without a complete response.
 func (rt *request) failAttempt(ctx context.Context, nd *node.Node, fa *citronstream.Fault) result {
 	now := rt.fl.clk.Now()
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -158,6 +158,7 @@
 	tried      map[string]bool // IDs of the upstreams that were tried
 	sends      int             // attempts that reached the chosen upstream
 	deliveries int             // sends, and attempts answered by another upstream at the address
+	retryTaken bool            // the next attempt is taken from the retry budget already
 	noRetry    string          // why no other upstream was tried; empty if it did not matter
 	last       *node.Node
 	started    bool // the response header was written
--- a/internal/ingress/flow/stream.go
+++ b/internal/ingress/flow/stream.go
@@ -15,10 +15,6 @@
 )
 
 const (
-	// A stream that pauses for longer than gapFactor times the route's MaxGap,
-	// and at least minGap, is resumed at another upstream.
-	gapFactor = 2
-	minGap    = time.Second
 	// writeSlack is added to the request's deadline for the last write.
 	writeSlack = time.Second
 )
