flow: a send that reaches no upstream takes no repeat

What callers saw: a resumable stream was cut with 'retry budget used up' though the budget allowed it to be resumed. Cause: each pass of the loop took a repeat before it picked an upstream, also when the one before could not be reached, so that a few upstreams that had gone used up the repeats of many requests. Nothing had arrived anywhere. Change: the repeat of a send that did not arrive serves the next one.

--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -71,6 +71,8 @@
 		rt.tried[nd.ID] = true
 		if re.reached || re.misdirected {
 			rt.deliveries++
+		} else if rt.deliveries > 0 {
+			rt.keepRetry()
 		}
 		if re.reached {
 			rt.sends++
@@ -125,6 +127,12 @@
 	return true
 }
 
+// keepRetry keeps the repeat of an attempt that reached no upstream for the next one.
+func (rt *request) keepRetry() {
+	rt.returnRetry() // one that was taken while the attempt stalled
+	rt.retryTaken = true
+}
+
 // returnRetry returns a repeat to the budget that was taken and not needed.
 func (rt *request) returnRetry() {
 	if rt.retryTaken {
--- a/internal/process/gateway/silent_test.go
+++ b/internal/process/gateway/silent_test.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // A stream whose upstream is silent for longer than the route's longest gap goes on to its
@@ -44,3 +47,43 @@
 // silence is longer than the pause after which the streams of the tests are resumed
 // elsewhere.
 const silence = 2500 * time.Millisecond
+
+// A stream is resumed with the only repeat that the budget allows although three upstreams
+// can't be reached first. Guards against taking a repeat for a send that never arrived.
+func TestUnreachedUpstreamsTakeNoRepeat(t *testing.T) {
+	ts := newTestSite(t, 0)
+	ts.bounds.RetryExtra, ts.bounds.RetryRatio = 2, 0 // less the margin of the budget: one
+	ts.startEntry()
+	en := ts.entries[0]
+	sound := ts.upstream("e1", "pool")
+	ts.waitReady()
+	sound.Hang.Store(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range 3 { // so that idle engines are chosen before this one
+		ca := ts.call()
+		go func() {
+			if res, err := ts.send(ctx, en, ca, http.MethodPost, "/once/stream/", ""); err == nil {
+				_ = res.Body.Close()
+			}
+		}()
+		ts.waitFor(func() bool { return ts.executions(ca) == 1 }, "not sent")
+	}
+	sound.Hang.Store(false)
+	broken := ts.upstream("e2", "pool")
+	broken.CutAfter.Store(2)
+	broken.Gap.Store(int64(500 * time.Millisecond))
+	ts.waitReady()
+	ca := ts.call()
+	res, err := ts.send(ctx, en, ca, http.MethodPost, "/draft/stream/", "")
+	require.NoError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	for _, id := range []string{"e3", "e4", "e5"} {
+		ts.upstream(id, "pool").Close()
+	}
+	ts.waitReady()
+	body, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	assert.Contains(t, string(body), "token 5")
+	assert.Equal(t, 2, ts.executions(ca))
+}
