flow: a stream stays with an upstream that is silent for a second or so

What callers saw: nothing lost, but a stream whose sound upstream paused for over a second was begun again elsewhere, its prompt read once more, a repeat spent that others need, while the first upstream still had the work. Cause: streams were resumed after a pause of at least 1 s; the users' pages now say that a sound upstream may be silent that long and go on. Evidence: TestShortSilence (pause of 1.5 s, another upstream at hand) before: 'expected: 1, actual: 2' executions. Change: at least 2 s. Callers give a stream up after a gap of 2 s or four times their target, whichever is longer, on the pages; the shortest target is 1.5 s. Result: the test passes.

--- a/internal/ingress/flow/stall.go
+++ b/internal/ingress/flow/stall.go
@@ -18,9 +18,10 @@
 	firstEventFactor = 4
 	firstEventExtra  = time.Second
 	// A stream that pauses for longer than gapFactor times the route's MaxGap,
-	// and at least minGap, is resumed at another upstream.
+	// and at least minGap, is resumed at another upstream. A sound upstream may be
+	// silent for a second or so.
 	gapFactor = 2
-	minGap    = time.Second
+	minGap    = 2 * time.Second
 	// replacementInterval is how often a stalled attempt looks for a replacement.
 	replacementInterval = 500 * time.Millisecond
 )
--- a/internal/process/gateway/silent_test.go
+++ b/internal/process/gateway/silent_test.go
@@ -48,6 +48,23 @@
 // elsewhere.
 const silence = 2500 * time.Millisecond
 
+// A stream whose upstream is silent for a second and a half stays there, with another one
+// at hand. Guards against work that is begun again while a sound upstream still has it.
+func TestShortSilence(t *testing.T) {
+	ts := newTestSite(t, 1)
+	for _, id := range []string{"e1", "e2"} {
+		up := ts.upstream(id, "pool")
+		up.Events.Store(2)
+		up.Gap.Store(int64(1500 * time.Millisecond))
+	}
+	ts.waitReady()
+	ca := ts.call()
+	res, body := ts.roundTrip(ts.entries[0], ca, http.MethodPost, "/draft/stream/", "")
+	ts.assertStatus(http.StatusOK, res)
+	assert.Contains(t, body, "token 2")
+	assert.Equal(t, 1, ts.executions(ca))
+}
+
 // A stream is resumed with the only repeat that the budget allows although three upstreams
 // can't be reached first. Guards against taking a repeat for a send that never arrived.
 func TestUnreachedUpstreamsTakeNoRepeat(t *testing.T) {
