--- a/internal/process/gateway/oddrows_test.go
+++ b/internal/process/gateway/oddrows_test.go
@@ -47,11 +47,16 @@
 	}
 }
 
-// writeOddRows writes a new version of each odd row.
+// writeOddRows writes a new version of each odd row, among them rows of a part of the
+// table with the keys of sound upstreams.
 func (ts *testSite) writeOddRows(trap *site.Upstream) {
 	for kind, value := range oddRows(trap) {
 		ts.st.Put("servers", kind, value)
 	}
+	for id := range ts.upstreams {
+		ts.st.PutIn("servers", "other", id, "?")
+	}
+	ts.st.PutIn("servers", "other", "part", trap.Row(site.Ready))
 }
 
 // assertMembers checks that an entry uses these upstreams and no others.
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -21,12 +21,14 @@
 type Store struct {
 	clk         citronstream.Clock
 	mu          sync.Mutex
-	rows        map[string]storeRow // by table and key; includes deleted rows
+	rows        map[rowKey]storeRow // includes deleted rows
 	lastVersion uint64
 	trimmedTo   uint64 // the history no longer has versions up to this one
 	changed     chan struct{}
 }
 
+type rowKey struct{ table, part, key string }
+
 type storeRow struct {
 	Table   string `json:"table"`
 	Part    string `json:"part"`
@@ -36,14 +38,19 @@
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
+func (ro *storeRow) id() rowKey { return rowKey{ro.Table, ro.Part, ro.Key} }
+
 // NewStore returns an empty store.
 func NewStore(clk citronstream.Clock) *Store {
-	return &Store{clk: clk, rows: make(map[string]storeRow), changed: make(chan struct{})}
+	return &Store{clk: clk, rows: make(map[rowKey]storeRow), changed: make(chan struct{})}
 }
 
 // Put writes a row as the operator or an upstream does.
-func (st *Store) Put(table, key, value string) {
-	st.write(storeRow{Table: table, Key: key, Value: []byte(value)})
+func (st *Store) Put(table, key, value string) { st.PutIn(table, "", key, value) }
+
+// PutIn writes a row of a part of a table.
+func (st *Store) PutIn(table, part, key, value string) {
+	st.write(storeRow{Table: table, Part: part, Key: key, Value: []byte(value)})
 }
 
 // Remove removes a row.
@@ -60,7 +67,7 @@
 func (st *Store) Value(table, key string) string {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if ro := st.rows[table+"/"+key]; !ro.Deleted {
+	if ro := st.rows[rowKey{table: table, key: key}]; !ro.Deleted {
 		return string(ro.Value)
 	}
 	return ""
@@ -72,7 +79,7 @@
 	st.lastVersion++
 	for _, ro := range rows {
 		ro.Version = st.lastVersion
-		st.rows[ro.Table+"/"+ro.Key] = ro
+		st.rows[ro.id()] = ro
 	}
 	close(st.changed)
 	st.changed = make(chan struct{})
@@ -162,7 +169,7 @@
 	query := rq.URL.Query()
 	switch rq.URL.Path {
 	case "/rows-get":
-		return st.get(query.Get("table"), query.Get("from"), query.Get("to")), http.StatusOK
+		return st.get(query.Get("table"), query.Get("part"), query.Get("from"), query.Get("to")), http.StatusOK
 	case "/rows-feed":
 		after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(query.Get("wait-ms"))
@@ -173,12 +180,12 @@
 	return storeAnswer{}, http.StatusNotFound
 }
 
-func (st *Store) get(table, from, to string) storeAnswer {
+func (st *Store) get(table, part, from, to string) storeAnswer {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	answer := storeAnswer{Rows: []storeRow{}, Version: st.lastVersion}
 	for _, ro := range st.rows {
-		if ro.Table == table && !ro.Deleted && ro.Key >= from && (to == "" || ro.Key < to) {
+		if ro.Table == table && ro.Part == part && !ro.Deleted && ro.Key >= from && (to == "" || ro.Key < to) {
 			answer.Rows = append(answer.Rows, ro)
 		}
 	}
@@ -228,7 +235,7 @@
 	answer := storeAnswer{Rows: []storeRow{}, Version: st.lastVersion}
 	failed := false
 	for _, want := range tx.Expected {
-		now := st.rows[want.Table+"/"+want.Key]
+		now := st.rows[want.id()]
 		if now.Deleted {
 			now.Version = 0
 		}
