view: rows of other tables are not taken for upstreams

Callers saw: requests sent to the address in a row of the operator's table (of all rows but its configuration) that has the fields of an upstream. Cause: the two tables are followed into one view, which took each row but op/config for an upstream's. A scan of the upstreams' table then removed it, and the next scan of the operator's table brought it back, with a log line each time if it was malformed. Nobody but the operator writes there, so this is open only to its own rows. Change: Decode.MemberPrefix says how the keys of upstreams begin; others are ignored, also from peers.

--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -4,6 +4,7 @@
 package view
 
 import (
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,11 +24,13 @@
 	tombstoneTTL = time.Minute
 )
 
-// Decode holds the functions that decode rows, and the key of the configuration.
+// Decode holds the functions that decode rows, the key of the configuration, and how
+// the keys of upstreams begin. Other rows are ignored.
 type Decode struct {
-	Routing   func(value []byte) (*citronstream.Routing, error)
-	Member    func(row citronstream.Row) (citronstream.Member, error)
-	ConfigKey string
+	Routing      func(value []byte) (*citronstream.Routing, error)
+	Member       func(row citronstream.Row) (citronstream.Member, error)
+	ConfigKey    string
+	MemberPrefix string
 }
 
 // record is the newest version of a row.
@@ -120,6 +123,7 @@
 			if vi.applyConfig(ch, source) {
 				applied = append(applied, ch)
 			}
+		case !strings.HasPrefix(ch.Key, vi.decode.MemberPrefix):
 		case vi.applyMember(ch, source):
 			members = true
 			if rec := vi.rows[ch.Key]; !rec.inGrace {
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -109,6 +109,18 @@
 	assert.Empty(t, vi.Members().Service("s"), "with the store reachable, a removal applies at once")
 }
 
+// Guards against an upstream made from a row of another table, and against its removal
+// and return, with log lines, at each scan of the two tables.
+func TestRowOfAnotherTable(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	vi := New(clk, logr.Discard(), Decode{Routing: routing, Member: member, ConfigKey: "op/config", MemberPrefix: "servers/"})
+	assert.Empty(t, vi.Apply([]citronstream.Change{row("op/note", 1, "s a:1 x"), row("op/?", 2, "?")}, SourceStore))
+	assert.Len(t, vi.Apply([]citronstream.Change{row("servers/i", 3, "s a:1 x"), row("op/config", 4, "1")}, SourceStore), 2)
+	assert.Empty(t, vi.Apply([]citronstream.Change{removal("op/note", 5), removal("op/none", 6)}, SourceStore))
+	assert.Equal(t, 1, vi.Members().Len())
+	assert.Len(t, vi.State(citronstream.StateQuery{}), 2)
+}
+
 // A scan must find the removals that the change feed missed.
 func TestScan(t *testing.T) {
 	vi, _, _ := newView()
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -116,7 +116,9 @@
 	ga.ctx, ga.cancel = context.WithCancel(ctx)
 	ga.pool = conns.New(clk, conns.WithMaxIdle(ga.maxIdleConns))
 	store := platform.NewStore(site.Store)
-	ga.view = view.New(clk, log, view.Decode{Routing: platform.DecodeRouting, Member: platform.DecodeMember, ConfigKey: platform.ConfigKey})
+	ga.view = view.New(clk, log, view.Decode{
+		Routing: platform.DecodeRouting, Member: platform.DecodeMember, ConfigKey: platform.ConfigKey, MemberPrefix: platform.TableMembers + "/",
+	})
 	ga.view.OnChange(ga.viewChanged)
 	ga.mesh = mesh.New(clk, log, eng, ga.peerInfo, ga.handle, ga.peerConnected)
 	ga.follower = follow.New(clk, log, store, ga.view, follow.WithReaders(ga.readers), follow.WithOnRead(ga.storeRead))
--- a/internal/process/gateway/oddrows_test.go
+++ b/internal/process/gateway/oddrows_test.go
@@ -48,7 +48,7 @@
 }
 
 // writeOddRows writes a new version of each odd row, among them rows of a part of the
-// table with the keys of sound upstreams.
+// table with the keys of sound upstreams, and a row of the operator's table.
 func (ts *testSite) writeOddRows(trap *site.Upstream) {
 	for kind, value := range oddRows(trap) {
 		ts.st.Put("servers", kind, value)
@@ -57,6 +57,7 @@
 		ts.st.PutIn("servers", "other", id, "?")
 	}
 	ts.st.PutIn("servers", "other", "part", trap.Row(site.Ready))
+	ts.st.Put("op", "note", trap.Row(site.Ready))
 }
 
 // assertMembers checks that an entry uses these upstreams and no others.
