--- a/internal/process/gateway/oddrows_test.go
+++ b/internal/process/gateway/oddrows_test.go
@@ -136,3 +136,25 @@
 		assert.NotEqual(t, "trap", ar.Upstream, "a request was sent to the upstream of an odd row")
 	}
 }
+
+// Guards against an entry that stops following the list because the changes since its
+// last read exceed what it takes of an answer.
+func TestLargeChanges(t *testing.T) {
+	ts := newTestSite(t, 1)
+	ts.upstream("d1", "desk")
+	ts.waitReady()
+	en := ts.entries[0]
+	en.door.Fault(site.Refuses)
+	ts.waitFor(func() bool { return en.follower.StoreDown() }, "the fault was not detected")
+	ts.writeLargeOddRows()
+	ts.upstream("d2", "desk")
+	en.door.Fault(site.Sound)
+	ts.assertMembers(en, "d1", "d2")
+}
+
+// writeLargeOddRows writes rows of the greatest size, more than fit in a message.
+func (ts *testSite) writeLargeOddRows() {
+	for i := range 170 {
+		ts.st.Put("servers", fmt.Sprintf("large-%d", i), strings.Repeat("x", 60000))
+	}
+}
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -94,6 +94,12 @@
 	Trickles       // sends the second half of the response after trickleDelay, as a slow link does
 )
 
+// Limits of an answer with a range of rows; the changes of a feed have none.
+const (
+	pageRows  = 500
+	pageBytes = 1e6
+)
+
 // trickleDelay is the pause in the middle of a response under the fault Trickles.
 const trickleDelay = 3500 * time.Millisecond
 
@@ -190,6 +196,14 @@
 		}
 	}
 	sort.Slice(answer.Rows, func(i, j int) bool { return answer.Rows[i].Key < answer.Rows[j].Key })
+	size := 0
+	for i := range answer.Rows {
+		size += len(answer.Rows[i].Value)
+		if i > 0 && (i == pageRows || size > pageBytes) {
+			answer.Rows, answer.More = answer.Rows[:i], true
+			break
+		}
+	}
 	return answer
 }
 
