view: the values of malformed rows are neither kept nor sent to peers

Callers saw: 503 from an entry that the store turned away at its start, for as long as that lasted: it never learned an upstream. Its peers answered with a state of more than 12 MB, at which it ended the link, once 170 rows of 60,000 bytes of another writer were among those of the upstreams. Fewer such rows cost each entry their memory, and each version of one was sent to all entries, over links of 10 Mbit/s in large sites. Cause: the view kept each row whole, although only its version is of use when it describes no upstream. Evidence: before the change, go test -count=1 -run TestStateWithLargeRows ./internal/process/gateway: expected [d1], actual none after 10 s; TestMalformedValues ./internal/fleet/view, in its form before Trim, fails at each list; TestMalformedRowsAreToldWithoutValue ./internal/fleet/follow, without Trim: "60000" is not less than "60000". The stand-in decoder of that package accepted any value and now has the two states only. Change: the view keeps such a row without its value, and Trim takes it from the changes that readers tell. A peer decodes the empty value as malformed as well, so that its log has another reason than that of the reader. Result: the three tests pass, 3 of 3 with the race detector.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -341,7 +341,7 @@
 	if fo.readers().Listeners && fo.view.Settled(changes) {
 		// All changes of the read, also those heard from another reader before, whose
 		// message may not have reached everyone.
-		fo.onRead(changes, &citronstream.Reading{Table: ta.Name, After: after, Version: at.Version, AsOf: at.Time})
+		fo.onRead(fo.view.Trim(changes), &citronstream.Reading{Table: ta.Name, After: after, Version: at.Version, AsOf: at.Time})
 	} else {
 		fo.onRead(applied, nil)
 	}
--- a/internal/fleet/follow/follow_test.go
+++ b/internal/fleet/follow/follow_test.go
@@ -170,6 +170,8 @@
 	running sync.WaitGroup
 	// held says that messages from r0 to l0 are held up.
 	held atomic.Bool
+	// longest is the size of the largest value that was told.
+	longest atomic.Int64
 }
 
 type message struct {
@@ -179,6 +181,9 @@
 }
 
 func member(row citronstream.Row) (citronstream.Member, error) {
+	if state := string(row.Value); state != "ready" && state != "draining" {
+		return citronstream.Member{}, fmt.Errorf("unknown state %.20q", state)
+	}
 	return citronstream.Member{ID: strings.TrimPrefix(row.Key, members+"/"), Service: "s", Address: row.Key, Draining: string(row.Value) == "draining"}, nil
 }
 
@@ -238,6 +243,9 @@
 		}
 	}
 	onRead := func(changes []citronstream.Change, re *citronstream.Reading) {
+		for _, ch := range changes {
+			fl.longest.Store(max(fl.longest.Load(), int64(len(ch.Value))))
+		}
 		for other, link := range links {
 			at := fl.clk.Now().Add(time.Millisecond)
 			if fl.held.Load() && en.name == "r0" && other.name == "l0" {
@@ -310,6 +318,20 @@
 	})
 }
 
+// Guards against large rows of another writer that readers send to all others.
+func TestMalformedRowsAreToldWithoutValue(t *testing.T) {
+	const large = 60000
+	inFleet(t, 3, 3, func(fl *fleet) {
+		fl.st.put("servers/odd", strings.Repeat("x", large))
+		fl.clk.Sleep(drain)
+		synctest.Wait()
+		assert.Less(t, fl.longest.Load(), int64(large))
+		fl.each("", func(en *entry) { assert.Equal(t, 4, en.view.Members().Len(), en.name) })
+		fl.st.put("servers/up-1", "")
+		fl.assertNoticed("up-1")
+	})
+}
+
 // When the readers can't reach the store, or are gone, the others read it themselves.
 func TestReadersFail(t *testing.T) {
 	for name, fail := range map[string]func(en *entry){
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -4,6 +4,7 @@
 package view
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -127,7 +128,7 @@
 		case vi.applyMember(ch, source):
 			members = true
 			if rec := vi.rows[ch.Key]; !rec.inGrace {
-				applied = append(applied, ch)
+				applied = append(applied, rec.Change)
 			}
 		}
 	}
@@ -172,6 +173,19 @@
 	return true
 }
 
+// Trim returns changes that were applied, without the values of malformed rows.
+func (vi *View) Trim(changes []citronstream.Change) []citronstream.Change {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	trimmed := slices.Clone(changes)
+	for i, ch := range trimmed {
+		if rec := vi.rows[ch.Key]; rec != nil && rec.Version == ch.Version {
+			trimmed[i].Value = rec.Value
+		}
+	}
+	return trimmed
+}
+
 // State returns what a peer asks for: the configuration, if its own is older, and
 // all other rows unless it wants only the configuration.
 func (vi *View) State(qu citronstream.StateQuery) []citronstream.Change {
@@ -260,6 +274,7 @@
 	vi.rows[ch.Key] = rec
 	member, err := vi.decode.Member(ch.Row)
 	if err != nil {
+		rec.Value = nil // it can have 64 kB, and peers need only know its version
 		vi.log.Info("row of an upstream malformed", "key", ch.Key, "reason", err.Error(), "source", source, "revision", ch.Version)
 		return old != nil && old.node != nil
 	}
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -109,6 +109,29 @@
 	assert.Empty(t, vi.Members().Service("s"), "with the store reachable, a removal applies at once")
 }
 
+// Guards against large rows of another writer that are kept and sent to all peers.
+func TestMalformedValues(t *testing.T) {
+	vi, _, _ := newView()
+	large := strings.Repeat("x", 60000)
+	assertValues := func(list []citronstream.Change, want ...string) {
+		t.Helper()
+		var have []string
+		for _, ch := range list {
+			have = append(have, string(ch.Value))
+		}
+		assert.ElementsMatch(t, want, have)
+	}
+	changes := []citronstream.Change{row("i", 1, large), row("j", 2, "s a:2 x"), row("k", 3, "s a:3 x"), row("k", 4, large)}
+	assertValues(vi.Apply(changes, SourceStore), "s a:2 x", "s a:3 x", "")
+	assertValues(vi.Trim(changes), "", "s a:2 x", "s a:3 x", "")
+	assertValues(changes, large, "s a:2 x", "s a:3 x", large)
+	assertValues(vi.State(citronstream.StateQuery{}), "", "s a:2 x", "")
+	again := []citronstream.Change{row("i", 1, large), row("j", 2, "s a:2 x")}
+	assert.Empty(t, vi.Apply(again, SourceStore))
+	assertValues(vi.Trim(again), "", "s a:2 x")
+	assert.Nil(t, vi.Members().Node("k"))
+}
+
 // Guards against an upstream made from a row of another table, and against its removal
 // and return, with log lines, at each scan of the two tables.
 func TestRowOfAnotherTable(t *testing.T) {
--- a/internal/process/gateway/oddrows_test.go
+++ b/internal/process/gateway/oddrows_test.go
@@ -158,3 +158,18 @@
 		ts.st.Put("servers", fmt.Sprintf("large-%d", i), strings.Repeat("x", 60000))
 	}
 }
+
+// Guards against a state that is too large to be sent: an entry that the store turns
+// away would never learn of the upstreams.
+func TestStateWithLargeRows(t *testing.T) {
+	ts := newTestSite(t, 0)
+	ts.writeLargeOddRows()
+	ts.upstream("d1", "desk")
+	ts.startEntry()
+	ts.waitReady()
+	door := ts.st.Open()
+	door.Fault(site.Refuses)
+	isolated := ts.startEntryAt(door, 0, 0)
+	isolated.mesh.AddPeer(ts.entries[0].site.Peers, "z")
+	ts.assertMembers(isolated, "d1")
+}
--- a/internal/process/gateway/site_test.go
+++ b/internal/process/gateway/site_test.go
@@ -97,7 +97,11 @@
 
 // startEntryWith starts an entry with this number of cores and link rate in the settings.
 func (ts *testSite) startEntryWith(cores, rate float64) *testEntry {
-	door := ts.st.Open()
+	return ts.startEntryAt(ts.st.Open(), cores, rate)
+}
+
+// startEntryAt starts an entry with this access to the store.
+func (ts *testSite) startEntryAt(door *site.Door, cores, rate float64) *testEntry {
 	for range 20 {
 		ga, err := ts.startGateway(door, cores, rate)
 		if errors.Is(err, syscall.EADDRINUSE) {
