view: a refused configuration is decoded and logged once

Callers saw: nothing. Each scan of the operator's table, and each message of a peer with the row, decoded a configuration that had been refused again and wrote a line to the log. Rows of upstreams cost one line per version already. Cause: only the version in force was remembered. Evidence: before the change, go test -count=1 -run TestMalformedRowsAreLoggedOnce ./internal/fleet/view: "9" is not less than or equal to "1", for a configuration that can't be decoded and for one with an older version; the cases of rows of upstreams and of other tables passed. Change: the version refused last is remembered. Result: go test -race -count=3 ./internal/fleet/... passes.

--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -54,6 +54,7 @@
 	mu          sync.Mutex
 	rows        map[string]*record
 	config      citronstream.Row
+	refused     uint64    // version of the last configuration that was not accepted
 	storeDownAt time.Time // last sign that the store was unreachable
 	onChange    func(changes []citronstream.Change, source string)
 	onMembers   []func(*Members)
@@ -230,15 +231,17 @@
 }
 
 func (vi *View) applyConfig(ch citronstream.Change, source string) bool {
-	if ch.Deleted || ch.Version <= vi.config.Version {
+	if ch.Deleted || ch.Version <= vi.config.Version || ch.Version == vi.refused {
 		return false
 	}
 	routing, err := vi.decode.Routing(ch.Value)
 	if err != nil {
+		vi.refused = ch.Version
 		vi.log.Error(err, "configuration refused", "revision", ch.Version, "source", source, "in force", vi.Revision())
 		return false
 	}
 	if old := vi.routes.Load(); old != nil && routing.Version < old.Version {
+		vi.refused = ch.Version
 		vi.log.Info("configuration refused", "reason", "older version", "version", routing.Version, "in force", old.Version, "source", source)
 		return false
 	}
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/citronstream/citronstream"
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 )
@@ -109,6 +110,37 @@
 	assert.Empty(t, vi.Members().Service("s"), "with the store reachable, a removal applies at once")
 }
 
+// Guards against a log line at each read of a malformed row: each version costs one.
+func TestMalformedRowsAreLoggedOnce(t *testing.T) {
+	for name, ch := range map[string]citronstream.Change{
+		"upstream":               row("servers/i", 5, "?"),
+		"configuration":          row("op/config", 5, ""),
+		"older configuration":    row("op/config", 5, "1"),
+		"row of no known prefix": row("op/note", 5, "?"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			lines := 0
+			log := funcr.New(func(string, string) { lines++ }, funcr.Options{})
+			vi := New(clockwork.NewFakeClock(), log, Decode{Routing: routing, Member: member, ConfigKey: "op/config", MemberPrefix: "servers/"})
+			apply(vi, row("op/config", 1, "2"))
+			lines = 0
+			for range 3 {
+				vi.Apply([]citronstream.Change{ch}, SourceStore)
+				vi.Apply([]citronstream.Change{ch}, "peer")
+				vi.Replace([]citronstream.Row{ch.Row}, 6, SourceStore)
+				vi.Sweep()
+			}
+			assert.LessOrEqual(t, lines, 1)
+			again := ch
+			again.Version = 7
+			apply(vi, again)
+			assert.LessOrEqual(t, lines, 2)
+			apply(vi, row("op/config", 8, "3"))
+			assert.Equal(t, uint64(3), vi.Routes().Version)
+		})
+	}
+}
+
 // Guards against large rows of another writer that are kept and sent to all peers.
 func TestMalformedValues(t *testing.T) {
 	vi, _, _ := newView()
