--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -4,6 +4,8 @@
 package view
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,11 +25,13 @@
 	tombstoneTTL = time.Minute
 )
 
-// Decode holds the functions that decode rows, and the key of the configuration.
+// Decode holds the functions that decode rows, the key of the configuration, and how
+// the keys of upstreams begin. Other rows are ignored.
 type Decode struct {
-	Routing   func(value []byte) (*citronstream.Routing, error)
-	Member    func(row citronstream.Row) (citronstream.Member, error)
-	ConfigKey string
+	Routing      func(value []byte) (*citronstream.Routing, error)
+	Member       func(row citronstream.Row) (citronstream.Member, error)
+	ConfigKey    string
+	MemberPrefix string
 }
 
 // record is the newest version of a row.
@@ -50,6 +54,7 @@
 	mu          sync.Mutex
 	rows        map[string]*record
 	config      citronstream.Row
+	refused     uint64    // version of the last configuration that was not accepted
 	storeDownAt time.Time // last sign that the store was unreachable
 	onChange    func(changes []citronstream.Change, source string)
 	onMembers   []func(*Members)
@@ -120,10 +125,11 @@
 			if vi.applyConfig(ch, source) {
 				applied = append(applied, ch)
 			}
+		case !strings.HasPrefix(ch.Key, vi.decode.MemberPrefix):
 		case vi.applyMember(ch, source):
 			members = true
 			if rec := vi.rows[ch.Key]; !rec.inGrace {
-				applied = append(applied, ch)
+				applied = append(applied, rec.Change)
 			}
 		}
 	}
@@ -168,6 +174,19 @@
 	return true
 }
 
+// Trim returns changes that were applied, without the values of malformed rows.
+func (vi *View) Trim(changes []citronstream.Change) []citronstream.Change {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	trimmed := slices.Clone(changes)
+	for i, ch := range trimmed {
+		if rec := vi.rows[ch.Key]; rec != nil && rec.Version == ch.Version {
+			trimmed[i].Value = rec.Value
+		}
+	}
+	return trimmed
+}
+
 // State returns what a peer asks for: the configuration, if its own is older, and
 // all other rows unless it wants only the configuration.
 func (vi *View) State(qu citronstream.StateQuery) []citronstream.Change {
@@ -212,15 +231,17 @@
 }
 
 func (vi *View) applyConfig(ch citronstream.Change, source string) bool {
-	if ch.Deleted || ch.Version <= vi.config.Version {
+	if ch.Deleted || ch.Version <= vi.config.Version || ch.Version == vi.refused {
 		return false
 	}
 	routing, err := vi.decode.Routing(ch.Value)
 	if err != nil {
+		vi.refused = ch.Version
 		vi.log.Error(err, "configuration refused", "revision", ch.Version, "source", source, "in force", vi.Revision())
 		return false
 	}
 	if old := vi.routes.Load(); old != nil && routing.Version < old.Version {
+		vi.refused = ch.Version
 		vi.log.Info("configuration refused", "reason", "older version", "version", routing.Version, "in force", old.Version, "source", source)
 		return false
 	}
@@ -256,6 +277,7 @@
 	vi.rows[ch.Key] = rec
 	member, err := vi.decode.Member(ch.Row)
 	if err != nil {
+		rec.Value = nil // it can have 64 kB, and peers need only know its version
 		vi.log.Info("row of an upstream malformed", "key", ch.Key, "reason", err.Error(), "source", source, "revision", ch.Version)
 		return old != nil && old.node != nil
 	}
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/citronstream/citronstream"
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 )
@@ -109,6 +110,72 @@
 	assert.Empty(t, vi.Members().Service("s"), "with the store reachable, a removal applies at once")
 }
 
+// Guards against a log line at each read of a malformed row: each version costs one.
+func TestMalformedRowsAreLoggedOnce(t *testing.T) {
+	for name, ch := range map[string]citronstream.Change{
+		"upstream":               row("servers/i", 5, "?"),
+		"configuration":          row("op/config", 5, ""),
+		"older configuration":    row("op/config", 5, "1"),
+		"row of no known prefix": row("op/note", 5, "?"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			lines := 0
+			log := funcr.New(func(string, string) { lines++ }, funcr.Options{})
+			vi := New(clockwork.NewFakeClock(), log, Decode{Routing: routing, Member: member, ConfigKey: "op/config", MemberPrefix: "servers/"})
+			apply(vi, row("op/config", 1, "2"))
+			lines = 0
+			for range 3 {
+				vi.Apply([]citronstream.Change{ch}, SourceStore)
+				vi.Apply([]citronstream.Change{ch}, "peer")
+				vi.Replace([]citronstream.Row{ch.Row}, 6, SourceStore)
+				vi.Sweep()
+			}
+			assert.LessOrEqual(t, lines, 1)
+			again := ch
+			again.Version = 7
+			apply(vi, again)
+			assert.LessOrEqual(t, lines, 2)
+			apply(vi, row("op/config", 8, "3"))
+			assert.Equal(t, uint64(3), vi.Routes().Version)
+		})
+	}
+}
+
+// Guards against large rows of another writer that are kept and sent to all peers.
+func TestMalformedValues(t *testing.T) {
+	vi, _, _ := newView()
+	large := strings.Repeat("x", 60000)
+	assertValues := func(list []citronstream.Change, want ...string) {
+		t.Helper()
+		var have []string
+		for _, ch := range list {
+			have = append(have, string(ch.Value))
+		}
+		assert.ElementsMatch(t, want, have)
+	}
+	changes := []citronstream.Change{row("i", 1, large), row("j", 2, "s a:2 x"), row("k", 3, "s a:3 x"), row("k", 4, large)}
+	assertValues(vi.Apply(changes, SourceStore), "s a:2 x", "s a:3 x", "")
+	assertValues(vi.Trim(changes), "", "s a:2 x", "s a:3 x", "")
+	assertValues(changes, large, "s a:2 x", "s a:3 x", large)
+	assertValues(vi.State(citronstream.StateQuery{}), "", "s a:2 x", "")
+	again := []citronstream.Change{row("i", 1, large), row("j", 2, "s a:2 x")}
+	assert.Empty(t, vi.Apply(again, SourceStore))
+	assertValues(vi.Trim(again), "", "s a:2 x")
+	assert.Nil(t, vi.Members().Node("k"))
+}
+
+// Guards against an upstream made from a row of another table, and against its removal
+// and return, with log lines, at each scan of the two tables.
+func TestRowOfAnotherTable(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	vi := New(clk, logr.Discard(), Decode{Routing: routing, Member: member, ConfigKey: "op/config", MemberPrefix: "servers/"})
+	assert.Empty(t, vi.Apply([]citronstream.Change{row("op/note", 1, "s a:1 x"), row("op/?", 2, "?")}, SourceStore))
+	assert.Len(t, vi.Apply([]citronstream.Change{row("servers/i", 3, "s a:1 x"), row("op/config", 4, "1")}, SourceStore), 2)
+	assert.Empty(t, vi.Apply([]citronstream.Change{removal("op/note", 5), removal("op/none", 6)}, SourceStore))
+	assert.Equal(t, 1, vi.Members().Len())
+	assert.Len(t, vi.State(citronstream.StateQuery{}), 2)
+}
+
 // A scan must find the removals that the change feed missed.
 func TestScan(t *testing.T) {
 	vi, _, _ := newView()
