conns: an answer without identifier on a used connection claims nothing

Seen by callers: a refusal that an upstream wrote once more without its identifier was taken for the answer to the next order on that connection. The order ran, was sent to a second upstream, ran there too, and its caller was told 503 'not run'. Evidence, before: go test -race -run TestCopiesOfRefusals ./internal/process/gateway copies_test.go:51: expected: 502, actual: 503; copies_test.go:52: expected: 1, actual: 2 (executions of the order), in 2 of its 4 cases; go test -race -run 'Cop|Refusal' ./internal/upstream/conns: expected "MayHaveRun", actual "NotRun" in 22 cases. Not red before: copies with their identifier, those that come with the refusal or while the connection is idle, those after the next answer, copies with a body of wrong length. Change: an answer without an identifier to a request that has one is accepted only as the first answer on a connection. Otherwise the connection is reset and the verdict is MayHaveRun. The stand-in's refusals name their request, as the users' protocol says that all answers do, so TestRefusal holds unchanged; with refusals that don't (the stand-in before), it had 502 on a used connection. The stand-in can write copies of refusals.

--- /dev/null
+++ b/internal/process/gateway/copies_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/citronstream/citronstream/internal/standin/site"
+	"github.com/stretchr/testify/assert"
+)
+
+// finishedExecutions returns how often a request ran, once the upstreams have ended their
+// work on it.
+func (ts *testSite) finishedExecutions(ca *call) int {
+	for _, ar := range ts.log.Of(ca.id) {
+		<-ar.Ended
+	}
+	return ts.executions(ca)
+}
+
+// Guards against a copy of an earlier refusal that is taken for the answer to an order
+// on the same connection: the order runs, but is sent to a second upstream or called not run.
+func TestCopiesOfRefusals(t *testing.T) {
+	for name, tc := range map[string]struct {
+		copies   int32
+		nameless bool
+		status   int
+	}{
+		"one":              {1, false, http.StatusOK},
+		"three":            {3, false, http.StatusOK},
+		"one nameless":     {1, true, http.StatusBadGateway},
+		"several nameless": {3, true, http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ts := newTestSite(t, 1)
+			upstreams := []*site.Upstream{ts.upstream("d1", "desk"), ts.upstream("d2", "desk")}
+			ts.waitReady()
+			for _, up := range upstreams {
+				up.Refuse.Store(true)
+			}
+			ca := ts.call()
+			res, _ := ts.roundTrip(ts.entries[0], ca, http.MethodPost, "/order/", "")
+			ts.assertStatus(http.StatusServiceUnavailable, res)
+			assert.Len(t, ts.log.Of(ca.id), 2)
+			for _, up := range upstreams {
+				up.Refuse.Store(false)
+				up.Copies.Store(tc.copies)
+				up.Nameless.Store(tc.nameless)
+			}
+			ca = ts.call()
+			res, _ = ts.roundTrip(ts.entries[0], ca, http.MethodPost, "/order/", "")
+			ts.assertStatus(tc.status, res)
+			assert.Equal(t, 1, ts.finishedExecutions(ca))
+		})
+	}
+}
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -1,9 +1,11 @@
 package site
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -43,6 +45,8 @@
 
 	// Fault switches and settings. With the zero values the upstream is healthy.
 	Refuse      atomic.Bool  // 503 with the header that the work did not run
+	Copies      atomic.Int32 // copies of a connection's last refusal that precede its next answer
+	Nameless    atomic.Bool  // the copies leave the request identifier out
 	Unmarked    atomic.Bool  // 503 without that header, after the work
 	Reset       atomic.Bool  // runs the work and resets the connection
 	Status      atomic.Int32 // response status; 0 is 200
@@ -91,10 +95,24 @@
 // NewUpstream starts an upstream without a row in the store. The caller closes it.
 func NewUpstream(clk citronstream.Clock, lo *Log, id, service string) *Upstream {
 	up := &Upstream{ID: id, Service: service, clk: clk, log: lo, startedMs: clk.Now().UnixMilli(), results: make(map[string]bool)}
-	up.Server = httptest.NewServer(up)
+	up.Server = httptest.NewUnstartedServer(up)
+	up.Config.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, &conn{Conn: nc})
+	}
+	up.Start()
 	return up
 }
 
+// conn is a connection of a caller.
+type conn struct {
+	net.Conn
+	refused int // status of the last refusal; 0 if there was none
+	header  http.Header
+}
+
+// connKey is the key of the conn in the context of a request.
+type connKey struct{}
+
 // Address returns the host and port.
 func (up *Upstream) Address() string {
 	if up.Public != "" {
@@ -130,13 +148,14 @@
 	up.log.mu.Lock()
 	up.log.arrivals = append(up.log.arrivals, ar)
 	up.log.mu.Unlock()
+	co := rq.Context().Value(connKey{}).(*conn)
+	up.copyRefusal(co)
 	if want := rq.Header.Get(HeaderMember); want != "" && want != up.ID {
-		wr.WriteHeader(http.StatusMisdirectedRequest)
+		co.refuse(wr, ar, http.StatusMisdirectedRequest)
 		return
 	}
 	if up.Refuse.Load() {
-		wr.Header().Set(headerRefused, "1")
-		wr.WriteHeader(http.StatusServiceUnavailable)
+		co.refuse(wr, ar, http.StatusServiceUnavailable)
 		return
 	}
 	switch rq.URL.Path {
@@ -151,11 +170,42 @@
 	}
 }
 
+// refuse answers that a request did not run. The status of a misdirected request says
+// so by itself.
+func (co *conn) refuse(wr http.ResponseWriter, ar *Arrival, status int) {
+	header := wr.Header()
+	header.Set("Keep-Alive", "timeout=60") // the server itself has no idle timeout
+	if ar.ID != "" {
+		header.Set(HeaderID, ar.ID)
+	}
+	if status != http.StatusMisdirectedRequest {
+		header.Set(headerRefused, "1")
+	}
+	co.refused, co.header = status, header.Clone()
+	wr.WriteHeader(status)
+}
+
+// copyRefusal writes copies of the last refusal on a connection.
+func (up *Upstream) copyRefusal(co *conn) {
+	for range up.Copies.Load() {
+		if co.refused == 0 {
+			return
+		}
+		header := co.header.Clone()
+		header.Set("Content-Length", "0")
+		if up.Nameless.Load() {
+			header.Del(HeaderID)
+		}
+		_, _ = fmt.Fprintf(co, "HTTP/1.1 %d %s\r\n", co.refused, http.StatusText(co.refused)) // fails only if the caller disconnected
+		_ = header.Write(co)
+		_, _ = io.WriteString(co, "\r\n")
+	}
+}
+
 // run executes a request.
 func (up *Upstream) run(wr http.ResponseWriter, rq *http.Request, ar *Arrival) {
 	if up.Gone.Load() && rq.Header.Get(HeaderInputs) != "" {
-		wr.Header().Set(headerRefused, "1")
-		wr.WriteHeader(http.StatusConflict)
+		rq.Context().Value(connKey{}).(*conn).refuse(wr, ar, http.StatusConflict)
 		return
 	}
 	up.log.mu.Lock()
--- a/internal/upstream/conns/send.go
+++ b/internal/upstream/conns/send.go
@@ -36,6 +36,7 @@
 var (
 	errHeadTooLarge = errors.New("the head of the answer exceeds the size limit")
 	errHeadTooSlow  = errors.New("the head of the answer did not end in time")
+	errUnidentified = errors.New("answer without an identifier on a connection with earlier answers")
 )
 
 // Request is one HTTP request to an upstream.
@@ -145,6 +146,7 @@
 
 // receive skips answers to other requests and returns the head of rq's answer.
 func (co *conn) receive(rq *Request, clk citronstream.Clock) (*http.Response, citronstream.AnswerHead, error) {
+	earlier := co.reused // other answers came on the connection
 	for range maxStaleAnswers + 1 {
 		res, err := co.readHead(rq.Method, clk)
 		if err != nil {
@@ -154,10 +156,14 @@
 			continue
 		}
 		head := rq.Parse(res.StatusCode, res.Header)
+		if rq.ID != "" && head.RequestID == "" && earlier {
+			return nil, head, errUnidentified // it may be a copy of one of them
+		}
 		if rq.ID == "" || head.RequestID == "" || head.RequestID == rq.ID {
 			co.anonymous = head.RequestID == ""
 			return res, head, nil
 		}
+		earlier = true
 		timer := clk.AfterFunc(headTimeout, co.reset)
 		_, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxStaleBytes))
 		timer.Stop()
