flow: a request sent to an address again uses a new connection

Seen by callers: 503 'not run' for an order that ran. Cause: rows of two upstreams may have one address, that of the one that is gone and that of its successor. The successor turns the request away for the first name (421), and the request is sent to it again under its own name, on the same kept connection and with the same identifier. A second copy of the 421 was then taken for the answer. Change: a request remembers the addresses to which it was sent, and is sent there again on a new connection, which replaces an idle one. Not seen: that the order ran at a second upstream, which needs a third one that is picked after it.

--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -52,7 +52,7 @@
 
 // forward tries upstreams until one has responded.
 func (rt *request) forward(ctx context.Context) outcome {
-	rt.tried = make(map[string]bool)
+	rt.tried, rt.visited = make(map[string]bool), make(map[string]bool)
 	rt.fl.Budget.First(rt.service)
 	worst := citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "no upstream of service %s is known", rt.service)
 	var fallback *response
@@ -69,7 +69,7 @@
 		if re.done {
 			return re.out
 		}
-		rt.tried[nd.ID] = true
+		rt.tried[nd.ID], rt.visited[nd.Address] = true, true
 		if re.reached || re.misdirected {
 			rt.deliveries++
 		}
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -156,6 +156,7 @@
 
 	stages     *stages
 	tried      map[string]bool // IDs of the upstreams that were tried
+	visited    map[string]bool // their addresses
 	sends      int             // attempts that reached the chosen upstream
 	deliveries int             // sends, and attempts answered by another upstream at the address
 	last       *node.Node
@@ -244,6 +245,6 @@
 	fo.Left, fo.Member, fo.Workspace = rt.timeLeft(), nd.ID, rt.workspace
 	return &conns.Request{
 		Method: rt.rq.Method, Target: rt.rq.RequestURI, Host: rt.rq.Host,
-		Header: platform.UpstreamHeader(rt.rq.Header, &fo), Body: rt.body, ID: rt.ID, Parse: platform.ParseAnswer,
+		Header: platform.UpstreamHeader(rt.rq.Header, &fo), Body: rt.body, ID: rt.ID, Fresh: rt.visited[nd.Address], Parse: platform.ParseAnswer,
 	}
 }
--- a/internal/process/gateway/copies_test.go
+++ b/internal/process/gateway/copies_test.go
@@ -53,3 +53,27 @@
 		})
 	}
 }
+
+// Guards against a copy that names the very request it is taken for. An upstream at a
+// reused address turns away a request for the one before it, and then gets the same
+// request under its own name.
+func TestCopyNamesTheSameRequest(t *testing.T) {
+	ts := newTestSite(t, 1)
+	up := ts.upstream("d1", "desk")
+	up.ID = "d9"
+	ts.upstreams["d9"] = up
+	ts.st.List(up, site.Ready)
+	ts.waitReady()
+	up.Copies.Store(1)
+	sentAgain := false
+	for range 100 {
+		ca := ts.call()
+		res, _ := ts.roundTrip(ts.entries[0], ca, http.MethodPost, "/order/", "")
+		ts.assertStatus(http.StatusOK, res)
+		assert.Equal(t, 1, ts.finishedExecutions(ca))
+		if sentAgain = len(ts.log.Of(ca.id)) > 1; sentAgain {
+			break
+		}
+	}
+	assert.True(t, sentAgain, "no order was sent to the old name first")
+}
--- a/internal/upstream/conns/copies_test.go
+++ b/internal/upstream/conns/copies_test.go
@@ -184,3 +184,21 @@
 		})
 	}
 }
+
+// Guards against a request that is sent to an address for the second time and takes a
+// copy of its first answer: both have the same identifier.
+func TestFreshRequest(t *testing.T) {
+	sent := make(chan struct{})
+	address := serveScripts(t, copyScript{before: refusalText("503 Busy", "Id: 1")}.serve(sent), serveHonestly)
+	po := newPool()
+	defer po.Close()
+	_, verdict := answerOf(t, po, address, newRequest("1"))
+	require.Equal(t, citronstream.NotRun, verdict)
+	<-sent
+	again := newRequest("1")
+	again.Fresh = true
+	body, verdict := answerOf(t, po, address, again)
+	assert.Equal(t, citronstream.Ran, verdict)
+	assert.Equal(t, "answer to 1", body)
+	assert.Len(t, po.idle[key{address, true}], 1, "the new connection replaces the old one")
+}
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -119,13 +119,18 @@
 // Counts returns the number of connections opened and of requests sent on a reused one.
 func (po *Pool) Counts() (opened, reused uint64) { return po.opened.Load(), po.reused.Load() }
 
-// get returns an idle connection that is still open, or a new one.
-func (po *Pool) get(ctx context.Context, ke key) (*conn, error) {
+// get returns an idle connection that is still open, or a new one. Fresh asks for a new
+// one, which replaces an idle one.
+func (po *Pool) get(ctx context.Context, ke key, fresh bool) (*conn, error) {
 	for {
 		co := po.pop(ke)
 		if co == nil {
 			break
 		}
+		if fresh {
+			_ = co.Close()
+			break
+		}
 		if po.clk.Now().Before(co.idleUntil) && reusable(co.Conn) {
 			co.reused = true
 			po.reused.Add(1)
--- a/internal/upstream/conns/send.go
+++ b/internal/upstream/conns/send.go
@@ -48,6 +48,9 @@
 	Body   []byte
 	// ID is the identifier that the answer repeats, or empty if it repeats none.
 	ID string
+	// Fresh sends on a new connection. It is set if a request with this ID was sent to
+	// the address before: a copy of that answer can't be told by its identifier.
+	Fresh bool
 	// Parse parses the head of an answer.
 	Parse func(status int, header http.Header) citronstream.AnswerHead
 }
@@ -83,7 +86,7 @@
 	}
 	ke := key{address: address, identified: rq.ID != ""}
 	for tries := 1; ; tries++ {
-		co, err := po.get(ctx, ke)
+		co, err := po.get(ctx, ke, rq.Fresh)
 		if err != nil {
 			return nil, fault(ctx, citronstream.NotRun, err)
 		}
