batch: the connection of an answer without results is closed

Seen by callers: a stage could get the results of another request. Besides, pieces were computed twice at the cost of the retry budget, and results stayed at their upstream. Cause: answers to batches name no batch. A copy of a refusal (503, 429, 421), a failure or an answer without any result was taken for the answer to the next batch on its connection. That batch was sent again though it ran, its connection went back to the pool, and the batch after it took its results: only results that are known already were told as a copy. Change: after an answer with no result, other than to a release or a report, the connection is closed, so no copy of it meets a batch.

--- a/internal/process/gateway/copies_test.go
+++ b/internal/process/gateway/copies_test.go
@@ -77,3 +77,31 @@
 	}
 	assert.True(t, sentAgain, "no order was sent to the old name first")
 }
+
+// Guards against a copy of an upstream's refusal of a batch that hides the answer to the
+// next one: its results would stay at the upstream, and its pieces be computed again.
+func TestCopiesOfRefusedBatches(t *testing.T) {
+	ts := newTestSite(t, 1)
+	_, cut, glue := ts.addStageUpstreams()
+	ts.waitReady()
+	for _, up := range []*site.Upstream{cut, glue} {
+		up.Refuse.Store(true)
+		up.Copies.Store(1)
+	}
+	for range 5 {
+		refused := len(ts.log.All())
+		cut.Refuse.Store(true)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			ts.waitFor(func() bool { return len(ts.log.All()) > refused }, "no batch was sent")
+			cut.Refuse.Store(false)
+			glue.Refuse.Store(false)
+		}()
+		res, _ := ts.roundTrip(ts.entries[0], ts.stagedCall(), http.MethodPost, "/staged/stream/", "")
+		<-done
+		ts.assertStatus(http.StatusOK, res)
+		// Before the next refusal: a release that is refused is not sent again.
+		ts.waitFor(func() bool { return cut.Held()+glue.Held() == 0 }, "results are not released")
+	}
+}
--- a/internal/upstream/batch/batch.go
+++ b/internal/upstream/batch/batch.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -77,11 +78,11 @@
 		return nil, false, err
 	}
 	var results []citronstream.ItemResult
-	check := func(answer []byte) (err error) {
+	check := func(answer []byte) (reuse bool, err error) {
 		if results, err = platform.DecodeBatch(answer, len(items)); err == nil && !ca.learn(results) {
 			err = errors.New("copy of an earlier answer")
 		}
-		return err
+		return slices.ContainsFunc(results, func(re citronstream.ItemResult) bool { return re.Handle != "" }), err
 	}
 	status, refused, err := ca.call(ctx, nd, http.MethodPost, platform.PathBatch, body, check)
 	switch {
@@ -107,7 +108,7 @@
 		defer cancel()
 		defer ca.clk.AfterFunc(releaseTimeout, cancel).Stop()
 		var status int
-		status, _, err = ca.call(ctx, nd, http.MethodPost, platform.PathRelease, body, func([]byte) error { return nil })
+		status, _, err = ca.call(ctx, nd, http.MethodPost, platform.PathRelease, body, func([]byte) (bool, error) { return true, nil })
 		if err == nil && status != http.StatusOK {
 			err = fmt.Errorf("status %d", status)
 		}
@@ -142,16 +143,18 @@
 func (ca *Caller) report(ctx context.Context, nd *node.Node, decode func(answer []byte) error) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	status, _, err := ca.call(ctx, nd, http.MethodGet, platform.PathReport, nil, decode)
+	status, _, err := ca.call(ctx, nd, http.MethodGet, platform.PathReport, nil, func(answer []byte) (bool, error) { return true, decode(answer) })
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("status %d", status)
 	}
 	return err
 }
 
-// call sends a request and passes the body of a 200 to check. If check fails, the
-// connection is not used again: what follows on it may belong to other requests.
-func (ca *Caller) call(ctx context.Context, nd *node.Node, method, path string, body []byte, check func(answer []byte) error) (status int, refused bool, err error) {
+// call sends a request and passes the body of a 200 to check, which reports whether the
+// connection may be used again. Nothing tells a copy of a refusal, a failure or an answer
+// without results from the answer to the next batch, whose results would then go to the
+// batch after it. The connection of such an answer is closed.
+func (ca *Caller) call(ctx context.Context, nd *node.Node, method, path string, body []byte, check func(answer []byte) (reuse bool, err error)) (status int, refused bool, err error) {
 	ans, err := ca.pool.Send(ctx, nd.Address, &conns.Request{
 		Method: method, Target: path, Host: nd.Address, Header: platform.BatchHeader(nd.ID), Body: body,
 		Parse: platform.ParseAnswer,
@@ -160,15 +163,16 @@
 		return 0, false, err
 	}
 	defer ans.Close()
+	reuse := false
 	answer, err := io.ReadAll(io.LimitReader(ans, maxAnswerBytes))
 	switch {
 	case err != nil:
 	case ans.Head.Encoded:
 		err = errors.New("answer has a content encoding")
 	case ans.Status == http.StatusOK && !ans.Head.Refused:
-		err = check(answer)
+		reuse, err = check(answer)
 	}
-	if err != nil {
+	if err != nil || !reuse {
 		ans.Invalidate()
 	}
 	return ans.Status, ans.Head.Refused, err
