completions: no later call takes a copy of the answer to an engine's command

Seen by callers: an engine's command was reported as refused and not run, and the next was put off for the longest pause, though the engine ran it. Cause: answers to commands name no command. A second copy of a refusal (412) was taken for the answer to a later command on the same connection.

--- a/internal/upstream/completions/order.go
+++ b/internal/upstream/completions/order.go
@@ -91,6 +91,7 @@
 	ans, err := pr.cl.Send(ctx, exchange.Request{
 		Method: http.MethodPost, Address: address, Path: path, Body: body,
 		Header: http.Header{"Content-Type": {"application/json"}, FencingTokenHeader: {strconv.FormatUint(token, 10)}},
+		Last:   true, // no answer names its command, and a refusal is final
 	})
 	if err != nil {
 		return err
--- a/internal/upstream/exchange/client.go
+++ b/internal/upstream/exchange/client.go
@@ -39,6 +39,9 @@
 	Header  http.Header
 	Body    []byte
 	Call    citronstream.Call // gives the identity headers; may be zero
+	// Last closes the connection after the answer, so that no later request can take a
+	// copy of it for its own.
+	Last bool
 }
 
 // Client sends requests with one pool of connections.
@@ -128,6 +131,7 @@
 		return nil, att, err
 	}
 	req.GetBody = nil // with GetBody and an Idempotency-Key, net/http would send the request again by itself
+	req.Close = rq.Last
 	for name, values := range rq.Header {
 		req.Header[name] = values
 	}
