flow: no other answer is written into a stream that has begun

Callers saw: a stream broke, the next upstream answered the request to resume with 404 or a redirect, and its body stood in the stream, which ended as if it were complete. A 204, a whole JSON body or any 2xx that isn't an event stream ended it as complete as well. Cause: only answers of 5xx and refusals were kept from an open stream; checkHead did not know that one was open. Red in cases not found, redirect, failure as an event stream, no content, whole body; the others are for what must stay. Change: once a stream has begun, only a 200 with an event stream may go on with it; any other answer is an invalid one, after which another upstream is tried or the caller's connection is aborted. Result: both tests pass, 3 of 3 with the race detector.

--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -337,6 +337,8 @@
 		return rt.invalidResponse(nd, "response to another request"), false
 	case ans.Status < http.StatusMultipleChoices && (!ans.Head.Signed || ans.Head.RequestID != rt.ID):
 		return rt.invalidResponse(nd, "missing signature"), false
+	case rt.started && (ans.Status != http.StatusOK || !isEventStream(ans.Header)):
+		return rt.invalidResponse(nd, "not the rest of a stream"), false
 	}
 	return result{}, true
 }
--- a/internal/ingress/flow/stream.go
+++ b/internal/ingress/flow/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
@@ -23,6 +24,12 @@
 	writeSlack = time.Second
 )
 
+// isEventStream reports whether the body of a response is a stream of events.
+func isEventStream(header http.Header) bool {
+	kind, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return err == nil && kind == "text/event-stream"
+}
+
 // relayStream forwards events as they arrive. It calls first with the first one
 // that has a token.
 func (rt *request) relayStream(ctx context.Context, nd *node.Node, ans *conns.Answer, stall *stallTimer, first func()) result {
--- /dev/null
+++ b/internal/process/gateway/midstream_test.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/citronstream/citronstream/internal/standin/site"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const eventStream = "text/event-stream"
+
+// event is an event of a stream as the stand-ins send it.
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id) }
+
+// answer returns a handler that answers with a status, a type and a framed body.
+func answer(status int, contentType, body string) http.HandlerFunc {
+	return func(wr http.ResponseWriter, _ *http.Request) {
+		wr.Header().Set("Content-Type", contentType)
+		wr.WriteHeader(status)
+		_, _ = io.WriteString(wr, body) // fails only if the caller disconnected
+	}
+}
+
+// unframed returns a handler that answers with a body that ends with its connection, by a
+// FIN or a reset.
+func unframed(contentType, body string, reset bool) http.HandlerFunc {
+	return func(wr http.ResponseWriter, _ *http.Request) {
+		header := wr.Header().Clone()
+		header.Set("Content-Type", contentType)
+		nc, _, err := http.NewResponseController(wr).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = nc.Close() }()
+		var head strings.Builder
+		_ = header.Write(&head) // a Builder never fails
+		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n"+head.String()+"\r\n"+body)
+		if reset {
+			_ = nc.(*net.TCPConn).SetLinger(0)
+		}
+	}
+}
+
+// brokenAfter returns a handler that sends text of a stream and breaks off, and answers a
+// request to resume with the other handler.
+func brokenAfter(text string, resume http.HandlerFunc) http.HandlerFunc {
+	return func(wr http.ResponseWriter, rq *http.Request) {
+		if resume != nil && rq.Header.Get(site.HeaderLastEvent) != "" {
+			resume(wr, rq)
+			return
+		}
+		wr.Header().Set("Content-Type", eventStream)
+		_, _ = io.WriteString(wr, text) // fails only if the caller disconnected
+		_ = http.NewResponseController(wr).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// streamSite is a site with one entry and upstreams that all answer with a handler.
+func streamSite(t *testing.T, answer http.HandlerFunc) *testSite {
+	ts := newTestSite(t, 1)
+	for _, up := range []*site.Upstream{ts.upstream("p1", "pool"), ts.upstream("p2", "pool"), ts.upstream("d1", "desk"), ts.upstream("d2", "desk")} {
+		up.Answer.Store(&answer)
+	}
+	ts.waitReady()
+	return ts
+}
+
+// assertStream checks what the caller of a stream gets, and whether it ends as complete.
+func (ts *testSite) assertStream(ca *call, target, want string, complete bool) {
+	ts.t.Helper()
+	res, err := ts.send(context.Background(), ts.entries[0], ca, http.MethodPost, target, "")
+	require.NoError(ts.t, err)
+	defer func() { _ = res.Body.Close() }()
+	raw, err := io.ReadAll(res.Body)
+	ts.assertStatus(http.StatusOK, res)
+	assert.Equal(ts.t, want, string(raw))
+	if complete {
+		assert.NoError(ts.t, err)
+	} else {
+		assert.ErrorIs(ts.t, err, io.ErrUnexpectedEOF)
+	}
+}
+
+// Guards against a stream that is joined with an answer that isn't its rest, or that ends
+// as complete without its last event.
+func TestAnswersToAResume(t *testing.T) {
+	rest := event(3) + event(4) + event(5)
+	for _, tc := range []struct {
+		name     string
+		resume   http.HandlerFunc
+		want     string
+		complete bool
+	}{
+		{"not found", answer(http.StatusNotFound, "text/plain", "no such model\n\n"), allEvents(2), false},
+		{"redirect", answer(http.StatusFound, "text/plain", "elsewhere\n\n"), allEvents(2), false},
+		{"failure", answer(http.StatusInternalServerError, "text/plain", "out of memory\n\n"), allEvents(2), false},
+		{"failure as an event stream", answer(http.StatusBadRequest, eventStream, rest), allEvents(2), false},
+		{"no content", answer(http.StatusNoContent, eventStream, ""), allEvents(2), false},
+		{"whole body", answer(http.StatusOK, "application/json", "{\"error\":\"x\"}\n\n"), allEvents(2), false},
+		{"ends in an event with its connection", unframed(eventStream, event(3)+"id: 4\nda", false), allEvents(3), false},
+		{"empty", answer(http.StatusOK, eventStream, ""), allEvents(2), true},
+		{"rest", answer(http.StatusOK, eventStream, rest), allEvents(5), true},
+		{"rest, ends with its connection", unframed(eventStream, rest, false), allEvents(5), true},
+		{"anew", answer(http.StatusOK, eventStream, allEvents(5)), allEvents(5), true},
+		{"anew and nothing more", answer(http.StatusOK, eventStream, allEvents(2)), allEvents(2), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ts := streamSite(t, brokenAfter(allEvents(2)+"id: 3\nda", tc.resume))
+			ca := ts.call()
+			ts.assertStream(ca, "/draft/stream/", tc.want, tc.complete)
+			assert.Len(t, ts.log.Of(ca.id), 2)
+		})
+	}
+}
+
+// Guards against a stream that is given up though its route allows one more upstream.
+func TestResumeAfterAnError(t *testing.T) {
+	var answers atomic.Int32
+	ts := streamSite(t, brokenAfter(allEvents(2)+"id: 3\nda", func(wr http.ResponseWriter, rq *http.Request) {
+		if answers.Add(1) == 1 {
+			answer(http.StatusNotFound, "text/plain", "no such model\n\n")(wr, rq)
+			return
+		}
+		answer(http.StatusOK, eventStream, event(3)+event(4)+event(5))(wr, rq)
+	}))
+	ts.upstream("p3", "pool").Answer.Store(ts.upstreams["p1"].Answer.Load())
+	ts.configure(2, `,{"name":"thrice","host":"h","prefix":"/thrice/stream/","kind":"streaming","timeout-ms":8000,"target-latency-ms":4000,"service":"pool","max-attempts":3,"resume-streams":true,"gap-target-ms":500}`)
+	ts.waitReady()
+	ts.waitFor(func() bool { return ts.entries[0].view.Routes().Version == 2 }, "no new route")
+	ca := ts.call()
+	ts.assertStream(ca, "/thrice/stream/", allEvents(5), true)
+	assert.Len(t, ts.log.Of(ca.id), 3)
+}
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -57,8 +57,12 @@
 	Taken       atomic.Int64 // bytes reported as used of the 1 MB of memory for results
 	resultCount atomic.Int64
 	batches     atomic.Int64 // that run
-	mu          sync.Mutex
-	results     map[string]bool
+
+	// Answer, if set, answers requests once the identifier and the signature are set.
+	Answer atomic.Pointer[http.HandlerFunc]
+
+	mu      sync.Mutex
+	results map[string]bool
 }
 
 // Log records the arrivals at all upstreams of a site, in order.
@@ -176,6 +180,10 @@
 	if !up.Unsigned.Load() {
 		header.Set(HeaderSignature, up.ID+".sig")
 	}
+	if answer := up.Answer.Load(); answer != nil {
+		(*answer)(wr, rq)
+		return
+	}
 	if strings.Contains(rq.URL.Path, "/stream") {
 		up.stream(wr, rq)
 		return
