flow: a whole answer of a stream's route is relayed whole

Callers saw: a signed 200 with a JSON body on a route of streams reached them up to its last empty line and broke off; where the route may be resumed, another upstream's events would have followed in the same body. Cause: each 2xx on such a route was read as events, whatever its Content-Type. Evidence: go test -run TestWholeAnswerOfAStreamRoute ./internal/process/gateway before: expected "{\n\n\"error\": \"x\"}", actual "{\n\n", then "unexpected EOF"; the case of a body that is reset likewise got a 200 with its first lines in place of a 502. That events were joined to it was not seen in a run. Change: only text/event-stream is relayed event by event; other answers are read to their end first, as on other routes. Result: TestWholeAnswerOfAStreamRoute passes, 3 of 3 with the race detector.

--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -211,7 +211,7 @@
 	if !ok {
 		return re
 	}
-	if rt.route.Stream && ans.Status < http.StatusMultipleChoices {
+	if rt.route.Stream && ans.Status < http.StatusMultipleChoices && isEventStream(ans.Header) {
 		return rt.relayStream(ctx, nd, ans, stall, func() {
 			begun = true
 			rt.firstEvent = rt.fl.clk.Now()
--- a/internal/process/gateway/midstream_test.go
+++ b/internal/process/gateway/midstream_test.go
@@ -140,3 +140,18 @@
 	ts.assertStream(ca, "/thrice/stream/", allEvents(5), true)
 	assert.Len(t, ts.log.Of(ca.id), 3)
 }
+
+// Guards against a whole answer of a stream's route that is cut at its empty lines, with
+// a stream joined to it.
+func TestWholeAnswerOfAStreamRoute(t *testing.T) {
+	body := "{\n\n\"error\": \"x\"}"
+	t.Run("whole", func(t *testing.T) {
+		ts := streamSite(t, answer(http.StatusOK, "application/json", body))
+		ts.assertStream(ts.call(), "/once/stream/", body, true)
+	})
+	t.Run("reset", func(t *testing.T) {
+		ts := streamSite(t, unframed("application/json", body, true))
+		res, _ := ts.roundTrip(ts.entries[0], ts.call(), http.MethodPost, "/once/stream/", "")
+		ts.assertStatus(http.StatusBadGateway, res)
+	})
+}
