flow: a stream is not resumed past a missing event

Callers saw: a stream broke after event 2, the next upstream went on with event 4, and the stream ended as complete without event 3. Cause: a resumed stream took any event whose identifier is above that of the last one. Change: the first new event of an upstream that goes on with a stream must follow the last one, otherwise its answer is invalid.

--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -162,6 +162,7 @@
 	started    bool // the response header was written
 	// lastEvent is the ID of the last event written to the caller.
 	lastEvent  int64
+	sparse     bool // the identifiers of its events do not rise by one
 	stageEnd   time.Time
 	firstEvent time.Time
 }
--- a/internal/ingress/flow/stream.go
+++ b/internal/ingress/flow/stream.go
@@ -33,7 +33,7 @@
 // relayStream forwards events as they arrive. It calls first with the first one
 // that has a token.
 func (rt *request) relayStream(ctx context.Context, nd *node.Node, ans *conns.Answer, stall *stallTimer, first func()) result {
-	resumed := rt.started
+	resumed, joins := rt.started, rt.lastEvent > 0
 	events := sse.New(ans)
 	control := http.NewResponseController(rt.wr)
 	count := 0
@@ -50,6 +50,9 @@
 		if err != nil {
 			return rt.failStream(ctx, nd, err)
 		}
+		if joins && count == 0 && rt.leavesGap(events) {
+			return rt.invalidResponse(nd, "events are missing where it should go on")
+		}
 		if rt.progress(events) {
 			stall.reset()
 			if count++; count == 1 {
@@ -69,10 +72,17 @@
 		if err != nil {
 			return result{done: true, out: outcome{status: ans.Status, reason: callerLeft, abort: true}}
 		}
+		rt.sparse = rt.sparse || rt.leavesGap(events)
 		rt.lastEvent = max(rt.lastEvent, events.ID)
 	}
 }
 
+// leavesGap reports whether events between the last one that the caller has and this one
+// are missing. Where the identifiers of one upstream have jumped, that can't be told.
+func (rt *request) leavesGap(events *sse.Reader) bool {
+	return events.ID > rt.lastEvent+1 && !rt.sparse
+}
+
 // progress reports whether the last event brings the stream forward. Comments,
 // empty events and events that the caller has do not: a stalled upstream may go
 // on sending those.
--- a/internal/process/gateway/midstream_test.go
+++ b/internal/process/gateway/midstream_test.go
@@ -106,6 +106,8 @@
 		{"failure as an event stream", answer(http.StatusBadRequest, eventStream, rest), allEvents(2), false},
 		{"no content", answer(http.StatusNoContent, eventStream, ""), allEvents(2), false},
 		{"whole body", answer(http.StatusOK, "application/json", "{\"error\":\"x\"}\n\n"), allEvents(2), false},
+		{"a missing event", answer(http.StatusOK, eventStream, event(4)+event(5)), allEvents(2), false},
+		{"anew with a missing event", answer(http.StatusOK, eventStream, allEvents(2)+event(4)), allEvents(2), false},
 		{"ends in an event with its connection", unframed(eventStream, event(3)+"id: 4\nda", false), allEvents(3), false},
 		{"empty", answer(http.StatusOK, eventStream, ""), allEvents(2), true},
 		{"rest", answer(http.StatusOK, eventStream, rest), allEvents(5), true},
@@ -141,6 +143,15 @@
 	assert.Len(t, ts.log.Of(ca.id), 3)
 }
 
+// Guards against a stream whose identifiers do not rise by one and that is broken off in
+// place of being resumed.
+func TestSparseIdentifiers(t *testing.T) {
+	for _, begin := range []string{event(7), event(1) + event(7)} {
+		ts := streamSite(t, brokenAfter(begin, answer(http.StatusOK, eventStream, event(14)+event(20))))
+		ts.assertStream(ts.call(), "/draft/stream/", begin+event(14)+event(20), true)
+	}
+}
+
 // Guards against a whole answer of a stream's route that is cut at its empty lines, with
 // a stream joined to it.
 func TestWholeAnswerOfAStreamRoute(t *testing.T) {
