flow: events without an identifier are not joined to a stream

Callers saw: the next upstream answered 200 with an event that says what failed, and it stood in their stream, which ended as complete. A stream whose events have no identifiers, or whose last one has none, got them twice when it was resumed. Cause: an event without an identifier was passed on at any place, and a stream was resumed after its last identifier though events without one had been written since. Change: what another upstream sends goes on in the stream only from an event that is known to follow the last one. A stream with a later event that has no identifier is not resumed; the connection is aborted.

--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -84,7 +84,7 @@
 		if re.fault != nil && (worst.Verdict == citronstream.NotRun || re.fault.Verdict != citronstream.NotRun) {
 			worst = re.fault
 		}
-		if ctx.Err() != nil || re.fault.Verdict != citronstream.NotRun && !rt.route.Repeat.Idempotent() {
+		if ctx.Err() != nil || rt.unplaced || re.fault.Verdict != citronstream.NotRun && !rt.route.Repeat.Idempotent() {
 			break
 		}
 		if re.inputLost {
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -163,6 +163,7 @@
 	// lastEvent is the ID of the last event written to the caller.
 	lastEvent  int64
 	sparse     bool // the identifiers of its events do not rise by one
+	unplaced   bool // an event without an identifier came after it, so that no upstream can go on there
 	stageEnd   time.Time
 	firstEvent time.Time
 }
--- a/internal/ingress/flow/stream.go
+++ b/internal/ingress/flow/stream.go
@@ -50,8 +50,8 @@
 		if err != nil {
 			return rt.failStream(ctx, nd, err)
 		}
-		if joins && count == 0 && rt.leavesGap(events) {
-			return rt.invalidResponse(nd, "events are missing where it should go on")
+		if joins && count == 0 && !rt.follows(events) {
+			return rt.invalidResponse(nd, "an event that does not follow the last one")
 		}
 		if rt.progress(events) {
 			stall.reset()
@@ -72,11 +72,26 @@
 		if err != nil {
 			return result{done: true, out: outcome{status: ans.Status, reason: callerLeft, abort: true}}
 		}
-		rt.sparse = rt.sparse || rt.leavesGap(events)
-		rt.lastEvent = max(rt.lastEvent, events.ID)
+		rt.note(events)
 	}
 }
 
+// follows reports whether an event of another upstream may come after the last one that the
+// caller has: that is not known of one without an identifier.
+func (rt *request) follows(events *sse.Reader) bool {
+	if events.ID == 0 {
+		return !events.Data
+	}
+	return !rt.leavesGap(events)
+}
+
+// note records an event that was written to the caller.
+func (rt *request) note(events *sse.Reader) {
+	rt.unplaced = events.ID == 0 && (rt.unplaced || events.Data)
+	rt.sparse = rt.sparse || rt.leavesGap(events)
+	rt.lastEvent = max(rt.lastEvent, events.ID)
+}
+
 // leavesGap reports whether events between the last one that the caller has and this one
 // are missing. Where the identifiers of one upstream have jumped, that can't be told.
 func (rt *request) leavesGap(events *sse.Reader) bool {
--- a/internal/process/gateway/midstream_test.go
+++ b/internal/process/gateway/midstream_test.go
@@ -106,6 +106,7 @@
 		{"failure as an event stream", answer(http.StatusBadRequest, eventStream, rest), allEvents(2), false},
 		{"no content", answer(http.StatusNoContent, eventStream, ""), allEvents(2), false},
 		{"whole body", answer(http.StatusOK, "application/json", "{\"error\":\"x\"}\n\n"), allEvents(2), false},
+		{"error event", answer(http.StatusOK, eventStream, "event: error\ndata: out of memory\n\n"), allEvents(2), false},
 		{"a missing event", answer(http.StatusOK, eventStream, event(4)+event(5)), allEvents(2), false},
 		{"anew with a missing event", answer(http.StatusOK, eventStream, allEvents(2)+event(4)), allEvents(2), false},
 		{"ends in an event with its connection", unframed(eventStream, event(3)+"id: 4\nda", false), allEvents(3), false},
@@ -166,3 +167,22 @@
 		ts.assertStatus(http.StatusBadGateway, res)
 	})
 }
+
+// Guards against events that come twice as the stream's position is not known.
+func TestStreamsWithoutAPosition(t *testing.T) {
+	t.Run("events without identifiers", func(t *testing.T) {
+		text := "data: a\n\ndata: b\n\n"
+		ts := streamSite(t, brokenAfter(text+"da", answer(http.StatusOK, eventStream, text+"data: c\n\n")))
+		ca := ts.call()
+		ts.assertStream(ca, "/draft/stream/", text, false)
+		assert.Len(t, ts.log.Of(ca.id), 1)
+	})
+	t.Run("an event without identifier after others", func(t *testing.T) {
+		ts := streamSite(t, brokenAfter(allEvents(2)+"data: b\n\n", answer(http.StatusOK, eventStream, "data: b\n\n"+event(3))))
+		ts.assertStream(ts.call(), "/draft/stream/", allEvents(2)+"data: b\n\n", false)
+	})
+	t.Run("an event without identifier before others", func(t *testing.T) {
+		ts := streamSite(t, brokenAfter("data: b\n\n"+event(1), answer(http.StatusOK, eventStream, event(2))))
+		ts.assertStream(ts.call(), "/draft/stream/", "data: b\n\n"+allEvents(2), true)
+	})
+}
