flow: a resumed stream ends only at its provable end

Callers saw: a stream broke, the next upstream's answer ended before any new event, and the stream ended as complete: an answer without length whose connection ended after its head, one that began anew and stopped before the event at which the first had broken, one with nothing but a comment or a line of text, which stood in the stream as well. Cause: once a stream had begun, each end between two events counted as its end. What comes without an identifier before its first new event is left out.

--- a/internal/ingress/flow/stream.go
+++ b/internal/ingress/flow/stream.go
@@ -33,13 +33,13 @@
 // relayStream forwards events as they arrive. It calls first with the first one
 // that has a token.
 func (rt *request) relayStream(ctx context.Context, nd *node.Node, ans *conns.Answer, stall *stallTimer, first func()) result {
-	resumed, joins := rt.started, rt.lastEvent > 0
+	resumed := rt.started
+	pa := part{joins: rt.lastEvent > 0}
 	events := sse.New(ans)
 	control := http.NewResponseController(rt.wr)
-	count := 0
 	for {
 		err := events.Next()
-		if errors.Is(err, io.EOF) && (count > 0 || resumed) {
+		if errors.Is(err, io.EOF) && rt.ended(&pa, ans.Framed) {
 			nd.RequestDone(1)
 			if !resumed && !rt.firstEvent.IsZero() {
 				rt.fl.latencies.observeRest(rt.route.Name, rt.fl.clk.Since(rt.firstEvent))
@@ -50,17 +50,18 @@
 		if err != nil {
 			return rt.failStream(ctx, nd, err)
 		}
-		if joins && count == 0 && !rt.follows(events) {
+		pa.read, pa.highest = true, max(pa.highest, events.ID)
+		if pa.joins && pa.count == 0 && !rt.follows(events) {
 			return rt.invalidResponse(nd, "an event that does not follow the last one")
 		}
 		if rt.progress(events) {
 			stall.reset()
-			if count++; count == 1 {
+			if pa.count++; pa.count == 1 {
 				first()
 				rt.stages.releaseAll()
 			}
 		}
-		if rt.started && events.ID > 0 && events.ID <= rt.lastEvent {
+		if events.ID <= rt.lastEvent && (events.ID > 0 || pa.joins && pa.count == 0) {
 			continue // the upstream resumed before the last event that the caller has
 		}
 		if !rt.started {
@@ -76,6 +77,21 @@
 	}
 }
 
+// part is what one upstream sends of a stream.
+type part struct {
+	joins   bool  // the caller has events of before
+	count   int   // events that brought the stream forward
+	read    bool  // anything was read
+	highest int64 // identifier
+}
+
+// ended reports whether a part that ended between two events ends the stream. One without a
+// new event does so if it reached the last event that the caller has, or if it is empty
+// and can't have been cut: the upstream has nothing after that event.
+func (rt *request) ended(pa *part, framed bool) bool {
+	return pa.count > 0 || pa.joins && (pa.highest == rt.lastEvent || framed && !pa.read)
+}
+
 // follows reports whether an event of another upstream may come after the last one that the
 // caller has: that is not known of one without an identifier.
 func (rt *request) follows(events *sse.Reader) bool {
