flow: a caller's own Last-Event-Id is kept until an event has come

Callers saw: nothing yet in the wild; by a test, the request of a caller that resumes after event 3 went to the next upstream with Last-Event-Id 0 once a comment of the first had been written, so that it would have got events 1 to 3 twice. Cause: the position sent was that of the response as soon as its header was written. Evidence: go test -run TestCallerResumes ./internal/process/gateway before: expected "3", actual "0". Change: the position is sent once an event with an identifier has been written.

--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -180,7 +180,7 @@
 		rank, routeRank := rt.ranks()
 		fo.Priority = rank*citronstream.Ranks + min(routeRank, citronstream.Ranks-1)
 	}
-	if rt.started {
+	if rt.lastEvent > 0 {
 		fo.LastEvent = strconv.FormatInt(rt.lastEvent, 10)
 	}
 	var fa *citronstream.Fault
--- a/internal/process/gateway/midstream_test.go
+++ b/internal/process/gateway/midstream_test.go
@@ -190,3 +190,19 @@
 		ts.assertStream(ts.call(), "/draft/stream/", "data: b\n\n"+allEvents(2), true)
 	})
 }
+
+// Guards against a caller's own position that is lost where another upstream goes on.
+func TestCallerResumes(t *testing.T) {
+	var answers atomic.Int32
+	ts := streamSite(t, func(wr http.ResponseWriter, rq *http.Request) {
+		if answers.Add(1) == 1 {
+			brokenAfter(": comment\n\n", nil)(wr, rq)
+		}
+		answer(http.StatusOK, eventStream, event(4)+event(5))(wr, rq)
+	})
+	ca := ts.call(site.HeaderLastEvent, "3")
+	ts.assertStream(ca, "/draft/stream/", ": comment\n\n"+event(4)+event(5), true)
+	arrivals := ts.log.Of(ca.id)
+	require.Len(t, arrivals, 2)
+	assert.Equal(t, "3", arrivals[1].Header.Get(site.HeaderLastEvent))
+}
