gateway: tests of answers that end with their connection

A stream with neither length nor chunks is complete if its connection ends between two events by a FIN, and broken off if it ends in an event or by a reset; where the route may be resumed, another upstream goes on. A whole answer without a length is passed on when it ends by a FIN, and answered with 502 when it is reset. Not seen red: all cases held before. Checked by a trial on a changed copy whose reads of an unframed body take each error for its end: stream/reset between events, /order/reset and /look/reset fail ("expected: 502, actual: 200").

--- a/internal/process/gateway/midstream_test.go
+++ b/internal/process/gateway/midstream_test.go
@@ -206,3 +206,48 @@
 	require.Len(t, arrivals, 2)
 	assert.Equal(t, "3", arrivals[1].Header.Get(site.HeaderLastEvent))
 }
+
+// Guards against an answer without length that is passed on short as if it were whole.
+func TestAnswersThatEndWithTheirConnection(t *testing.T) {
+	for _, tc := range []struct {
+		name, body string
+		reset      bool
+		want       string
+		complete   bool
+	}{
+		{"between events", allEvents(3), false, allEvents(3), true},
+		{"in an event", allEvents(2) + "id: 3\nda", false, allEvents(2), false},
+		{"reset between events", allEvents(3), true, allEvents(3), false},
+	} {
+		t.Run("stream/"+tc.name, func(t *testing.T) {
+			ts := streamSite(t, unframed(eventStream, tc.body, tc.reset))
+			ts.assertStream(ts.call(), "/once/stream/", tc.want, tc.complete)
+		})
+	}
+	t.Run("stream/goes on at another upstream", func(t *testing.T) {
+		for _, reset := range []bool{false, true} {
+			first, rest := unframed(eventStream, allEvents(2)+"id: 3\nda", reset), answer(http.StatusOK, eventStream, event(3)+event(4)+event(5))
+			ts := streamSite(t, func(wr http.ResponseWriter, rq *http.Request) {
+				if rq.Header.Get(site.HeaderLastEvent) == "" {
+					first(wr, rq)
+					return
+				}
+				rest(wr, rq)
+			})
+			ts.assertStream(ts.call(), "/draft/stream/", allEvents(5), true)
+		}
+	})
+	for _, target := range []string{"/order/", "/look/"} {
+		t.Run(target+"whole", func(t *testing.T) {
+			ts := streamSite(t, unframed("text/plain", "answer", false))
+			res, body := ts.roundTrip(ts.entries[0], ts.call(), http.MethodPost, target, "")
+			ts.assertStatus(http.StatusOK, res)
+			assert.Equal(t, "answer", body)
+		})
+		t.Run(target+"reset", func(t *testing.T) {
+			ts := streamSite(t, unframed("text/plain", "answer", true))
+			res, _ := ts.roundTrip(ts.entries[0], ts.call(), http.MethodPost, target, "")
+			ts.assertStatus(http.StatusBadGateway, res)
+		})
+	}
+}
