flow: a broken stream is reset for callers without chunked encoding

Callers saw: nothing reported; by a test, an HTTP/1.0 caller of a stream that broke got a clean end of its connection, which is the sign of a complete response there. Cause: an incomplete response is closed without the final chunk, and HTTP/1.0 has no chunks. Evidence: go test -run TestBrokenStreamOfAnOldCaller ./internal/process/gateway before: "An error is expected but got nil." Change: such a connection is reset. Result: the test passes, 10 of 10 with the race detector.

--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -123,7 +123,7 @@
 	out := rt.serve()
 	rt.record(out)
 	if out.abort {
-		panic(http.ErrAbortHandler) // closes the connection, so that the caller sees the response is incomplete
+		rt.abort()
 	}
 }
 
--- a/internal/ingress/flow/respond.go
+++ b/internal/ingress/flow/respond.go
@@ -64,6 +64,21 @@
 	return outcome{status: status, reason: string(fa.Code), fault: fa}
 }
 
+// abort closes the caller's connection, so that the caller sees the response is incomplete.
+// Without chunks, the end of a connection would be that of the response, so it is reset.
+func (rt *request) abort() {
+	if rt.started && !rt.rq.ProtoAtLeast(1, 1) {
+		if nc, _, err := http.NewResponseController(rt.wr).Hijack(); err == nil {
+			if co, ok := nc.(interface{ SetLinger(seconds int) error }); ok {
+				_ = co.SetLinger(0) // fails only on a closed connection
+			}
+			_ = nc.Close()
+			return
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // record logs the end of a request and passes it to Observe.
 func (rt *request) record(out outcome) {
 	took := rt.fl.clk.Since(rt.at)
