sse: an event with a negative identifier is an error

Callers saw: nothing; found by reading. Such an event was passed on at any place of a stream, also where another upstream goes on, as it is neither above the last one nor without an identifier. Evidence: go test -run TestEvents ./internal/upstream/sse before: "An error is expected but got nil. Messages: -1". Result: the package's tests pass, 3 of 3 with the race detector.

--- a/internal/upstream/sse/sse.go
+++ b/internal/upstream/sse/sse.go
@@ -17,6 +17,7 @@
 	// errPartialEvent is the error of a stream that ends within an event.
 	errPartialEvent = errors.New("stream ended within an event")
 	errTooLarge     = errors.New("event exceeds the size limit")
+	errNegative     = errors.New("negative identifier of an event")
 )
 
 // Reader splits a stream into whole events.
@@ -70,7 +71,9 @@
 		re.Data = true
 	case "id":
 		var err error
-		re.ID, err = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		if re.ID, err = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil && re.ID < 0 {
+			err = errNegative
+		}
 		return err
 	}
 	return nil
--- a/internal/upstream/sse/sse_test.go
+++ b/internal/upstream/sse/sse_test.go
@@ -26,7 +26,9 @@
 	}
 	assert.ErrorIs(t, re.Next(), io.EOF)
 	assert.ErrorIs(t, New(strings.NewReader("id: 1\ndata")).Next(), errPartialEvent)
-	assert.Error(t, New(strings.NewReader("id: one\n\n")).Next())
+	for _, id := range []string{"one", "-1", "9223372036854775808"} {
+		assert.Error(t, New(strings.NewReader("id: "+id+"\n\n")).Next(), id)
+	}
 }
 
 // endless repeats a text for ever and counts what was read of it.
