entry: nothing follows a part that a slow caller has not got

Callers saw: nothing reported; by a test, a caller that read too slowly missed a part of its stream, got later ones, and the stream ended with [DONE] if the upstream was done before the cancel reached it. Cause: a part that did not fit was dropped and the request cancelled, but parts that came after it were written, and a result that came in spite of the cancel counted as a success. Evidence: go test -run TestSlowCaller ./internal/entry/server before: "Expected value not to be nil" (no fault). With only the fault set: "expected: 1134, actual: 1430, parts after one that is missing". Change: after a part that did not fit no other is passed on, and the request ends as cancelled, with the error event and without [DONE]. SlowReaders counts the caller once, not each part. Result: the test passes, 10 of 10 with the race detector.

--- a/internal/entry/server/stream.go
+++ b/internal/entry/server/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/entry/pipeline"
@@ -44,15 +45,24 @@
 	defer cancel()
 	parts := make(chan []byte, unsentChunks)
 	ended := make(chan pipeline.Outcome, 1)
+	var missed atomic.Bool // a part did not fit, so that none may follow
 	go func() {
-		ended <- se.runner.Pipeline(ctx, re.ca, name, re.Request, bu, func(part []byte) {
+		out := se.runner.Pipeline(ctx, re.ca, name, re.Request, bu, func(part []byte) {
+			if missed.Load() {
+				return
+			}
 			select {
 			case parts <- part:
 			default:
+				missed.Store(true)
 				se.counts.SlowReaders.Add(1)
 				cancel()
 			}
 		})
+		if missed.Load() && out.Fault == nil {
+			out.Fault = citronstream.NewFault(citronstream.Ran, citronstream.CodeCanceled, "the caller reads too slowly")
+		}
+		ended <- out
 	}()
 	sw := &eventWriter{wr: wr, id: re.ID}
 	for {
