plain, jsonpost: a resumed call adds only the rest of an answer

Callers saw: nothing reported; by a test, a streamed call of these protocols whose output had come but whose result was lost (the agent ended in between) emitted its whole answer again when the entry resumed it, so that a caller would have got it twice, or two different ones. Cause: only the completions protocol reads Call.Prefix. Evidence: go test -run TestResumedAnswer ./internal/upstream/plain before: "expected: "", actual: "answer""; the case rest of an answer of TestAgainstPool in jsonpost likewise. It was not played through an entry and an agent. Change: the output that the caller has is cut off an answer that begins with it; any other answer is a failure with MayHaveRun. Result: both packages' tests pass, 3 of 3 with the race detector.

--- a/internal/upstream/exchange/answer.go
+++ b/internal/upstream/exchange/answer.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -92,6 +93,15 @@
 	return nil, fa
 }
 
+// Rest returns what follows the output that the caller of a resumed call has in a whole
+// answer. An answer that does not begin with that output is one of another run.
+func Rest(body []byte, ca citronstream.Call) ([]byte, error) {
+	if !bytes.HasPrefix(body, []byte(ca.Prefix)) {
+		return nil, citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeUpstreamFailed, "answer differs from the output that the caller has")
+	}
+	return body[len(ca.Prefix):], nil
+}
+
 // Fetch sends the request and reads the whole answer. The result has the
 // attempt's identifier and what is known of the answer, also with an error;
 // framed is the value of Answer.Framed.
--- a/internal/upstream/jsonpost/jsonpost.go
+++ b/internal/upstream/jsonpost/jsonpost.go
@@ -22,8 +22,8 @@
 // New returns the protocol with its own pool of connections.
 func New(opts ...exchange.Option) *Protocol { return &Protocol{cl: exchange.New(opts...)} }
 
-// Run implements citronstream.Protocol. It emits the whole document at once,
-// if it is complete and valid. A document that is not valid JSON gives a Fault
+// Run implements citronstream.Protocol. It emits the whole document, or for a
+// resume its rest, at once, if it is complete and valid. A document that is not valid JSON gives a Fault
 // with CodeUpstreamFailed and MayHaveRun.
 func (pr *Protocol) Run(ctx context.Context, address string, ca citronstream.Call, emit func([]byte) error) (citronstream.Result, error) {
 	rs, body, _, err := pr.cl.Fetch(ctx, exchange.Request{
@@ -36,5 +36,8 @@
 	if !json.Valid(body) {
 		return rs, citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeUpstreamFailed, "answer is not a complete JSON document")
 	}
+	if body, err = exchange.Rest(body, ca); err != nil {
+		return rs, err
+	}
 	return rs, emit(body)
 }
--- a/internal/upstream/jsonpost/jsonpost_test.go
+++ b/internal/upstream/jsonpost/jsonpost_test.go
@@ -34,6 +34,17 @@
 		require.NoError(t, err)
 		assert.Equal(t, string(pool.Answer(citronstream.KindEncoder, []byte(`{"Text":"a"}`))), out)
 	})
+	t.Run("rest of an answer", func(t *testing.T) {
+		body := []byte(`{"Text":"a"}`)
+		whole := string(pool.Answer(citronstream.KindEncoder, body))
+		for _, prefix := range []string{whole, "other"} {
+			var out []byte
+			ca := citronstream.Call{RequestID: "r", Path: "/encode", Body: body, Prefix: prefix, ResumeFrom: len(prefix)}
+			_, err := pr.Run(ctx, se.Address(), ca, func(data []byte) error { out = append(out, data...); return nil })
+			assert.Equal(t, prefix == whole, err == nil, prefix)
+			assert.Empty(t, out, prefix)
+		}
+	})
 	t.Run("error answer is not emitted", func(t *testing.T) {
 		se.Fail(1)
 		defer se.Fail(0)
--- a/internal/upstream/plain/plain.go
+++ b/internal/upstream/plain/plain.go
@@ -25,8 +25,8 @@
 
 // Run implements citronstream.Protocol. The method is POST unless Call.Path
 // starts with another method, as in "GET /status". The Deadline header is the
-// remaining time in milliseconds. The whole answer is emitted at once, if it
-// is complete. An answer without Content-Length and chunked encoding may be
+// remaining time in milliseconds. The whole answer, or for a resume its rest, is
+// emitted at once, if it is complete. An answer without Content-Length and chunked encoding may be
 // truncated and gives MayHaveRun.
 func (pr *Protocol) Run(ctx context.Context, address string, ca citronstream.Call, emit func([]byte) error) (citronstream.Result, error) {
 	rq := exchange.Request{
@@ -49,5 +49,8 @@
 	if !framed {
 		return rs, citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeUpstreamFailed, "answer has neither a length nor chunked encoding")
 	}
+	if body, err = exchange.Rest(body, ca); err != nil {
+		return rs, err
+	}
 	return rs, emit(body)
 }
--- a/internal/upstream/plain/plain_test.go
+++ b/internal/upstream/plain/plain_test.go
@@ -72,6 +72,22 @@
 	assert.Equal(t, citronstream.MayHaveRun, citronstream.VerdictOf(err))
 }
 
+// Guards against an answer that a caller who has it already gets once more, and against one
+// joined with another.
+func TestResumedAnswer(t *testing.T) {
+	pr, address, _ := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("answer")) })
+	for prefix, rest := range map[string]string{"": "answer", "ans": "wer", "answer": ""} {
+		_, out, err := run(t.Context(), pr, address, citronstream.Call{Path: "/x", Prefix: prefix, ResumeFrom: len(prefix)})
+		require.NoError(t, err, prefix)
+		assert.Equal(t, rest, out, prefix)
+	}
+	for _, prefix := range []string{"other", "answers"} {
+		_, out, err := run(t.Context(), pr, address, citronstream.Call{Path: "/x", Prefix: prefix, ResumeFrom: len(prefix)})
+		assert.Equal(t, citronstream.MayHaveRun, citronstream.VerdictOf(err), prefix)
+		assert.Empty(t, out, prefix)
+	}
+}
+
 func TestAgainstService(t *testing.T) {
 	clk := clockwork.NewRealClock()
 	log := record.New(clk)
