gateway: tests of refusals in answer to a resume

A refusal, marked or not, is not written into a stream that has begun: the marked one was held back by respondFault, the other one by the check of statuses that imply not run. Not seen red: both held before.

--- a/internal/process/gateway/midstream_test.go
+++ b/internal/process/gateway/midstream_test.go
@@ -103,6 +103,7 @@
 		{"not found", answer(http.StatusNotFound, "text/plain", "no such model\n\n"), allEvents(2), false},
 		{"redirect", answer(http.StatusFound, "text/plain", "elsewhere\n\n"), allEvents(2), false},
 		{"failure", answer(http.StatusInternalServerError, "text/plain", "out of memory\n\n"), allEvents(2), false},
+		{"unmarked refusal", answer(http.StatusServiceUnavailable, "text/plain", "busy\n\n"), allEvents(2), false},
 		{"failure as an event stream", answer(http.StatusBadRequest, eventStream, rest), allEvents(2), false},
 		{"no content", answer(http.StatusNoContent, eventStream, ""), allEvents(2), false},
 		{"whole body", answer(http.StatusOK, "application/json", "{\"error\":\"x\"}\n\n"), allEvents(2), false},
@@ -148,6 +149,25 @@
 	assert.Len(t, ts.log.Of(ca.id), 3)
 }
 
+// Guards against a refusal that is written into a stream that has begun.
+func TestRefusedResume(t *testing.T) {
+	ts := newTestSite(t, 1)
+	for _, ids := range [][2]string{{"p1", "p2"}, {"p2", "p1"}} {
+		up := ts.upstream(ids[0], "pool")
+		broken := brokenAfter(allEvents(2), nil)
+		answer := http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+			ts.upstreams[ids[1]].Refuse.Store(true)
+			broken(wr, rq)
+		})
+		up.Answer.Store(&answer)
+	}
+	ts.waitReady()
+	ca := ts.call()
+	ts.assertStream(ca, "/draft/stream/", allEvents(2), false)
+	assert.Len(t, ts.log.Of(ca.id), 2)
+	assert.Equal(t, 1, ts.executions(ca))
+}
+
 // Guards against a stream whose identifiers do not rise by one and that is broken off in
 // place of being resumed.
 func TestSparseIdentifiers(t *testing.T) {
