--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -85,7 +85,7 @@
 		if re.fault != nil && (worst.Verdict == citronstream.NotRun || re.fault.Verdict != citronstream.NotRun) {
 			worst = re.fault
 		}
-		if ctx.Err() != nil || re.fault.Verdict != citronstream.NotRun && !rt.route.Repeat.Idempotent() {
+		if ctx.Err() != nil || rt.unplaced || re.fault.Verdict != citronstream.NotRun && !rt.route.Repeat.Idempotent() {
 			break
 		}
 		if re.inputLost {
@@ -213,7 +213,7 @@
 		rank, routeRank := rt.ranks()
 		fo.Priority = rank*citronstream.Ranks + min(routeRank, citronstream.Ranks-1)
 	}
-	if rt.started {
+	if rt.lastEvent > 0 {
 		fo.LastEvent = strconv.FormatInt(rt.lastEvent, 10)
 	}
 	var fa *citronstream.Fault
@@ -244,7 +244,7 @@
 	if !ok {
 		return re
 	}
-	if rt.route.Stream && ans.Status < http.StatusMultipleChoices {
+	if rt.route.Stream && ans.Status < http.StatusMultipleChoices && isEventStream(ans.Header) {
 		return rt.relayStream(ctx, nd, ans, stall, func() {
 			begun = true
 			rt.firstEvent = rt.fl.clk.Now()
@@ -327,6 +327,8 @@
 		return rt.invalidResponse(nd, "response to another request"), false
 	case ans.Status < http.StatusMultipleChoices && (!ans.Head.Signed || ans.Head.RequestID != rt.ID):
 		return rt.invalidResponse(nd, "missing signature"), false
+	case rt.started && (ans.Status != http.StatusOK || !isEventStream(ans.Header)):
+		return rt.invalidResponse(nd, "not the rest of a stream"), false
 	}
 	return result{}, true
 }
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -123,7 +123,7 @@
 	out := rt.serve()
 	rt.record(out)
 	if out.abort {
-		panic(http.ErrAbortHandler) // closes the connection, so that the caller sees the response is incomplete
+		rt.abort()
 	}
 }
 
@@ -165,6 +165,8 @@
 	started    bool // the response header was written
 	// lastEvent is the ID of the last event written to the caller.
 	lastEvent  int64
+	sparse     bool // the identifiers of its events do not rise by one
+	unplaced   bool // an event without an identifier came after it, so that no upstream can go on there
 	stageEnd   time.Time
 	firstEvent time.Time
 }
