gateway: a prompt part that crashes engines is refused

What callers saw: requests of one kind crashed engine after engine for as long as they came, and each crash broke the streams of all others there.

Cause: the rule against poison requests knows a request by its whole content. Requests that share one prompt part and differ in all else have different digests, so no suspect came up twice; and requests that had crashed an engine were sent again at once, by prefix affinity, together with those that had only been beside them, so that a second death had several suspects and held none of them, or an innocent one.

Change: package limit/partquarantine. A first event proves the parts of a request sound, at all entries. A death makes suspects of the parts of requests without one. After three independent deaths (four if one request was at all of them, at most two within a second) the part is held for ten minutes; of parts that come together the one with the oldest sound run, or the last in the prompt. A suspect without a sound run in ten seconds is tried by one request at a time and entry, on a random engine without another such request. It is checked at admission and before each send. Death reports carry the parts with the age of their send; sound runs are told at once, holds by the entries that had a request at a crash, and all records to each new peer, so that an entry that starts knows them without the store. Old processes ignore the new fields and notifications.

Not seen red: the unit tests of the new package, of a mechanism that was not there.

Tests of the changed packages pass with -race, TestCrashingPart and TestCrashingPartAtNewEntry 8 times each.

Open: a site whose entries were all killed at once forgets its holds.

--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -67,6 +67,7 @@
 	cancel  context.CancelFunc
 	lostAt  atomic.Int64 // when the link was lost, in ns of Mesh.now; 0 while it is up
 	leaving atomic.Bool
+	greeted atomic.Pointer[link.Link]
 }
 
 // New returns a mesh without links. Self describes this process. onPeerUpdate
@@ -368,6 +369,9 @@
 	return nil
 }
 
+// Greet reports whether li is a link to the peer for which it was not called yet.
+func (pe *Peer) Greet(li *link.Link) bool { return pe.greeted.Swap(li) != li }
+
 // Up reports whether the peer can take work.
 func (pe *Peer) Up() bool {
 	li := pe.Link()
--- a/internal/ingress/flow/admit.go
+++ b/internal/ingress/flow/admit.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/limit/partquarantine"
 	"github.com/citronstream/citronstream/platform"
 )
 
@@ -52,9 +53,24 @@
 		return rt.respond(http.StatusServiceUnavailable, until.Sub(rt.fl.clk.Now()),
 			citronstream.NewFault(citronstream.NotRun, citronstream.CodeQuarantined, "this content is quarantined, as upstreams died while running it")), false
 	}
+	var re *partquarantine.Refusal
+	if rt.visit, re = rt.fl.Parts.Enter(rt.Shared()); re != nil {
+		return rt.respond(http.StatusServiceUnavailable, re.RetryAfter, partFault(re)), false
+	}
 	return outcome{}, true
 }
 
+// partFault returns the fault of a request that is refused for a prompt part.
+func partFault(re *partquarantine.Refusal) *citronstream.Fault {
+	text := "prompt part %s is tried one request at a time, as upstreams died with it"
+	if re.Held {
+		text = "prompt part %s is quarantined, as upstreams died with it"
+	}
+	fa := citronstream.NewFault(citronstream.NotRun, citronstream.CodeQuarantined, text, partquarantine.PartName(re.Part))
+	fa.RetryAfter = re.RetryAfter
+	return fa
+}
+
 // identify finds the workspace of the request's key. It returns false if the
 // route requires a key and this one is unknown.
 func (rt *request) identify() bool {
--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/citronstream/citronstream/internal/limit/deathdetect"
 	"github.com/citronstream/citronstream/internal/route/engines"
 	"github.com/citronstream/citronstream/internal/route/leastrequest"
 	"github.com/citronstream/citronstream/internal/upstream/conns"
@@ -39,6 +40,7 @@
 	fault       *citronstream.Fault
 	reached     bool      // the upstream received the request
 	misdirected bool      // another upstream at this address received and refused it
+	quarantined bool      // a prompt part may not be sent
 	inputLost   bool      // the upstream did not find an input
 	response    *response // 5xx response of the upstream, used if no better one arrives
 }
@@ -84,7 +86,7 @@
 		if re.fault != nil && (worst.Verdict == citronstream.NotRun || re.fault.Verdict != citronstream.NotRun) {
 			worst = re.fault
 		}
-		if ctx.Err() != nil || re.fault.Verdict != citronstream.NotRun && !rt.route.Repeat.Idempotent() {
+		if ctx.Err() != nil || re.quarantined || re.fault.Verdict != citronstream.NotRun && !rt.route.Repeat.Idempotent() {
 			break
 		}
 		if re.inputLost {
@@ -198,10 +200,14 @@
 	defer cancel(nil)
 	stall := rt.startStallTimer(cancel)
 	defer stall.Stop()
+	if refusal := rt.visit.Send(); refusal != nil {
+		return result{fault: partFault(refusal), quarantined: true}
+	}
+	defer rt.visit.Returned()
 	sent := rt.fl.clk.Now()
 	ans, err := rt.fl.Pool.Send(ctx, nd.Address, rt.upstreamRequest(nd, fo))
 	if err != nil {
-		return rt.failAttempt(ctx, nd, citronstream.FaultOf(err))
+		return rt.failAttempt(ctx, nd, citronstream.FaultOf(err), sent)
 	}
 	defer ans.Close()
 	re, ok := rt.checkHead(nd, ans)
@@ -212,7 +218,7 @@
 		return re
 	}
 	if rt.route.Stream && ans.Status < http.StatusMultipleChoices {
-		return rt.relayStream(ctx, nd, ans, stall, func() {
+		return rt.relayStream(ctx, nd, ans, sent, stall, func() {
 			begun = true
 			rt.firstEvent = rt.fl.clk.Now()
 			rt.fl.latencies.observe(rt.route.Name, rt.firstEvent.Sub(sent), rt.readTime)
@@ -291,7 +297,7 @@
 }
 
 // failAttempt handles an attempt that ended without a complete response.
-func (rt *request) failAttempt(ctx context.Context, nd *node.Node, fa *citronstream.Fault) result {
+func (rt *request) failAttempt(ctx context.Context, nd *node.Node, fa *citronstream.Fault, sent time.Time) result {
 	now := rt.fl.clk.Now()
 	re := result{fault: fa, reached: fa.Verdict != citronstream.NotRun}
 	switch {
@@ -305,7 +311,7 @@
 		nd.ConnectionBroke(now)
 		rt.fl.Pool.Drop(nd.Address)
 		if re.reached {
-			rt.fl.Deaths.ConnectionBroke(nd, rt.digest)
+			rt.fl.Deaths.ConnectionBroke(nd, deathdetect.Request{Digest: rt.digest, Sent: sent, Unproven: rt.visit.Broke()})
 		}
 	}
 	if !callerDisconnected(ctx) {
@@ -362,7 +368,7 @@
 func (rt *request) relayBuffered(ctx context.Context, nd *node.Node, ans *conns.Answer, sent time.Time) result {
 	body, err := io.ReadAll(io.LimitReader(ans, maxBody+1))
 	if err != nil {
-		return rt.failAttempt(ctx, nd, citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeUpstreamDied, "response incomplete: %v", err))
+		return rt.failAttempt(ctx, nd, citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeUpstreamDied, "response incomplete: %v", err), sent)
 	}
 	if len(body) > maxBody {
 		return rt.invalidResponse(nd, "response exceeds the size limit")
@@ -379,6 +385,7 @@
 	nd.RequestDone(float64(took) / float64(max(rt.fl.latencies.expected(rt.route.Name, rt.readTime), time.Millisecond)))
 	rt.fl.latencies.observe(rt.route.Name, took, rt.readTime)
 	rt.fl.Holds.Finished(rt.digest)
+	rt.visit.Began()
 	return result{done: true, out: rt.writeResponse(rp, "served")}
 }
 
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -14,6 +14,7 @@
 	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/citronstream/citronstream/internal/limit/deathdetect"
 	"github.com/citronstream/citronstream/internal/limit/firstattempt"
+	"github.com/citronstream/citronstream/internal/limit/partquarantine"
 	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/limit/servicefloor"
 	"github.com/citronstream/citronstream/internal/limit/siteretrybudget"
@@ -38,6 +39,7 @@
 	Engines    *engines.Picker
 	Budget     *siteretrybudget.Budget
 	Holds      *poison.Holds
+	Parts      *partquarantine.Quarantine
 	Refused    *firstattempt.Registry
 	Deaths     *deathdetect.Detector
 	// Suspended returns for how long the instance has been suspended; it may be nil. That
@@ -154,6 +156,9 @@
 	target   time.Time // time by which the response or its first event is due for full value
 	end      time.Time // deadline of the response
 
+	// visit is the request's part in the search for prompt parts that crash upstreams.
+	visit *partquarantine.Visit
+
 	stages     *stages
 	tried      map[string]bool // IDs of the upstreams that were tried
 	sends      int             // attempts that reached the chosen upstream
@@ -187,7 +192,11 @@
 
 // serve runs the request and writes its response.
 func (rt *request) serve() outcome {
-	if out, ok := rt.admit(); !ok {
+	out, ok := rt.admit()
+	if rt.visit != nil {
+		defer rt.visit.Leave()
+	}
+	if !ok {
 		return out
 	}
 	ctx, cancel := context.WithCancelCause(rt.rq.Context())
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -372,7 +372,7 @@
 
 // demand describes the request for the choice of an engine.
 func (rt *request) demand(exclude map[string]bool) engines.Request {
-	rq := engines.Request{Tokens: rt.TokensIn, Shared: rt.Shared(), Exclude: exclude, Slack: rt.target.Sub(rt.fl.clk.Now())}
+	rq := engines.Request{Tokens: rt.TokensIn, Shared: rt.Shared(), Exclude: exclude, Apart: rt.visit.Apart(), Slack: rt.target.Sub(rt.fl.clk.Now())}
 	if rt.stages != nil {
 		rq.Inputs = rt.stages.bytesByZone(rt.stages.finalStages())
 	}
--- a/internal/ingress/flow/stream.go
+++ b/internal/ingress/flow/stream.go
@@ -25,7 +25,7 @@
 
 // relayStream forwards events as they arrive. It calls first with the first one
 // that has a token.
-func (rt *request) relayStream(ctx context.Context, nd *node.Node, ans *conns.Answer, stall *stallTimer, first func()) result {
+func (rt *request) relayStream(ctx context.Context, nd *node.Node, ans *conns.Answer, sent time.Time, stall *stallTimer, first func()) result {
 	resumed := rt.started
 	events := sse.New(ans)
 	control := http.NewResponseController(rt.wr)
@@ -41,11 +41,12 @@
 			return result{done: true, out: outcome{status: http.StatusOK, reason: "served"}}
 		}
 		if err != nil {
-			return rt.failStream(ctx, nd, err)
+			return rt.failStream(ctx, nd, err, sent)
 		}
 		if rt.progress(events) {
 			stall.reset()
 			if count++; count == 1 {
+				rt.visit.Began()
 				first()
 				rt.stages.releaseAll()
 			}
@@ -91,10 +92,10 @@
 
 // failStream handles a broken stream. If it may not be resumed, the caller's
 // connection is aborted.
-func (rt *request) failStream(ctx context.Context, nd *node.Node, err error) result {
+func (rt *request) failStream(ctx context.Context, nd *node.Node, err error, sent time.Time) result {
 	fa := citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeUpstreamDied, "stream broken: %v", err)
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		fa = citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeDeadline, "deadline exceeded within the stream")
 	}
-	return rt.failAttempt(ctx, nd, fa)
+	return rt.failAttempt(ctx, nd, fa, sent)
 }
--- a/internal/limit/deathdetect/detector.go
+++ b/internal/limit/deathdetect/detector.go
@@ -21,6 +21,20 @@
 	maxDigests = 1024
 )
 
+// Request is a request whose connection broke.
+type Request struct {
+	Digest uint64
+	Sent   time.Time
+	// Unproven are the shared prompt parts of a request without a first event.
+	Unproven []uint64
+}
+
+// breakage has the connections to an upstream that broke.
+type breakage struct {
+	since    time.Time
+	requests []Request
+}
+
 // Detector collects broken connections by upstream and probes the upstream.
 type Detector struct {
 	clk    citronstream.Clock
@@ -29,28 +43,32 @@
 	ctx    context.Context
 
 	mu     sync.Mutex
-	broken map[*node.Node][]uint64
+	broken map[*node.Node]*breakage
 	checks sync.WaitGroup
 }
 
 // New returns a detector. Probe opens a connection to an address and closes it;
 // report receives the death of an upstream. After ctx ends nothing is reported.
 func New(ctx context.Context, clk citronstream.Clock, probe func(ctx context.Context, address string) error, report func(poison.Report)) *Detector {
-	return &Detector{clk: clk, probe: probe, report: report, ctx: ctx, broken: make(map[*node.Node][]uint64)}
+	return &Detector{clk: clk, probe: probe, report: report, ctx: ctx, broken: make(map[*node.Node]*breakage)}
 }
 
 // ConnectionBroke records that the connection of a request broke before its answer.
-func (de *Detector) ConnectionBroke(nd *node.Node, digest uint64) {
+func (de *Detector) ConnectionBroke(nd *node.Node, rq Request) {
 	de.mu.Lock()
 	defer de.mu.Unlock()
-	list, known := de.broken[nd]
-	if len(list) >= maxDigests || !known && len(de.broken) >= maxNodes {
-		return
-	}
-	de.broken[nd] = append(list, digest)
+	br, known := de.broken[nd]
 	if !known {
+		if len(de.broken) >= maxNodes {
+			return
+		}
+		br = &breakage{since: de.clk.Now()}
+		de.broken[nd] = br
 		de.checks.Go(func() { de.check(nd) })
 	}
+	if len(br.requests) < maxDigests {
+		br.requests = append(br.requests, rq)
+	}
 }
 
 // Wait returns when all checks have ended.
@@ -65,11 +83,19 @@
 	}
 	err := de.probe(de.ctx, nd.Address)
 	de.mu.Lock()
-	digests := de.broken[nd]
+	br := de.broken[nd]
 	delete(de.broken, nd)
 	de.mu.Unlock()
 	if err == nil || de.ctx.Err() != nil {
 		return // the upstream is alive, or the detector has ended
 	}
-	de.report(poison.Report{ID: poison.DeathID(nd.ID, uint64(nd.StartedMs), 0), Upstream: nd.ID, At: de.clk.Now(), Running: digests})
+	now := de.clk.Now()
+	report := poison.Report{ID: poison.DeathID(nd.ID, uint64(nd.StartedMs), 0), Upstream: nd.ID, At: now, Age: now.Sub(br.since)}
+	for _, rq := range br.requests {
+		report.Running = append(report.Running, rq.Digest)
+		if len(rq.Unproven) > 0 {
+			report.Requests = append(report.Requests, citronstream.SuspectRequest{Digest: rq.Digest, Sent: now.Sub(rq.Sent), Parts: rq.Unproven})
+		}
+	}
+	de.report(report)
 }
--- /dev/null
+++ b/internal/limit/partquarantine/visit.go
@@ -0,0 +1,174 @@
+package partquarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/citronstream/citronstream"
+)
+
+// Refusal says why a request is not sent.
+type Refusal struct {
+	Part uint64
+	// Held says that the part is held, else it is a suspect that is tried by one
+	// request at a time.
+	Held       bool
+	RetryAfter time.Duration
+}
+
+// Visit is a request without a first event. It is used by one goroutine at a time.
+type Visit struct {
+	qu       *Quarantine
+	parts    []uint64
+	admitted []uint64 // parts that are counted
+	sent     []uint64
+	began    bool
+	broke    bool // the connection of an attempt
+}
+
+// Enter admits a request with these shared parts, unless one is held, or is a suspect
+// and in another request without a first event. The caller ends the visit with Leave.
+func (qu *Quarantine) Enter(shared []citronstream.PromptPart) (*Visit, *Refusal) {
+	vi := &Visit{qu: qu}
+	for _, part := range shared[:min(len(shared), maxParts)] {
+		vi.parts = append(vi.parts, part.ID)
+	}
+	if len(vi.parts) == 0 {
+		return vi, nil
+	}
+	qu.mu.Lock()
+	defer qu.unlock()
+	if re := qu.refusal(vi.parts, qu.admitted, false); re != nil {
+		return vi, re
+	}
+	vi.admitted = countIn(qu.admitted, vi.parts)
+	return vi, nil
+}
+
+// refusal returns why a request with these parts can't go on, nil if it can. Broke
+// says that an upstream may just have died of it, which is not known yet. One crash
+// before a part is held, it is tried when the next crash is sure to count.
+func (qu *Quarantine) refusal(parts []uint64, others map[uint64]int, broke bool) *Refusal {
+	now := qu.clk.Now()
+	for _, part := range parts {
+		rec := qu.lookup(part, now)
+		switch {
+		case rec == nil:
+		case rec.held():
+			return &Refusal{Part: part, Held: true, RetryAfter: rec.heldUntil.Sub(now)}
+		case qu.vouched(part, now):
+		case others[part] > 0 || rec.likely() && (broke || now.Sub(rec.last()) < crashGap):
+			return &Refusal{Part: part, RetryAfter: busyRetryAfter}
+		}
+	}
+	return nil
+}
+
+// vouched reports whether a part has run soundly a short time ago.
+func (qu *Quarantine) vouched(part uint64, now time.Time) bool {
+	last, ok := qu.sound.get(part)
+	return ok && now.Sub(last) < soundFor
+}
+
+// Send is called right before the request is sent to an upstream. Returned must be
+// called after it.
+func (vi *Visit) Send() *Refusal {
+	if len(vi.parts) == 0 || vi.began {
+		return nil
+	}
+	vi.qu.mu.Lock()
+	defer vi.qu.unlock()
+	if re := vi.qu.refusal(vi.parts, vi.qu.sent, vi.broke); re != nil {
+		return re
+	}
+	vi.sent = countIn(vi.qu.sent, vi.parts)
+	return nil
+}
+
+// Broke records that the connection broke while the request was at the upstream. It
+// returns the parts of which the upstream may have died: none after the first event.
+func (vi *Visit) Broke() []uint64 {
+	vi.broke = true
+	if vi.began {
+		return nil
+	}
+	return vi.parts
+}
+
+// Returned records that the request is no longer at the upstream.
+func (vi *Visit) Returned() {
+	if len(vi.sent) == 0 {
+		return
+	}
+	vi.qu.mu.Lock()
+	defer vi.qu.mu.Unlock()
+	vi.sent = countOut(vi.qu.sent, vi.sent)
+}
+
+// Began records the first event, or the whole answer, which proves the parts sound.
+func (vi *Visit) Began() {
+	if len(vi.parts) == 0 || vi.began {
+		return
+	}
+	vi.began = true
+	qu := vi.qu
+	qu.mu.Lock()
+	defer qu.unlock()
+	now := qu.clk.Now()
+	for _, part := range vi.parts {
+		if qu.ran(part, now, "") {
+			qu.tell(part, now)
+		}
+	}
+	vi.leave()
+}
+
+// Leave ends the visit.
+func (vi *Visit) Leave() {
+	if len(vi.admitted) == 0 && len(vi.sent) == 0 {
+		return
+	}
+	vi.qu.mu.Lock()
+	defer vi.qu.mu.Unlock()
+	vi.leave()
+}
+
+func (vi *Visit) leave() {
+	vi.admitted = countOut(vi.qu.admitted, vi.admitted)
+	vi.sent = countOut(vi.qu.sent, vi.sent)
+}
+
+// Apart reports whether the request may be the one that crashes upstreams, so that it
+// should run apart from others like it.
+func (vi *Visit) Apart() bool {
+	if len(vi.parts) == 0 || vi.began {
+		return false
+	}
+	if vi.broke {
+		return true
+	}
+	vi.qu.mu.Lock()
+	defer vi.qu.mu.Unlock()
+	now := vi.qu.clk.Now()
+	return slices.ContainsFunc(vi.parts, func(part uint64) bool { return vi.qu.lookup(part, now) != nil && !vi.qu.vouched(part, now) })
+}
+
+// countIn adds a request to the counts of its parts and returns the counted ones.
+func countIn(counts map[uint64]int, parts []uint64) (counted []uint64) {
+	for _, part := range parts {
+		if _, known := counts[part]; known || len(counts) < maxInFlight {
+			counts[part]++
+			counted = append(counted, part)
+		}
+	}
+	return counted
+}
+
+func countOut(counts map[uint64]int, parts []uint64) []uint64 {
+	for _, part := range parts {
+		if counts[part]--; counts[part] <= 0 {
+			delete(counts, part)
+		}
+	}
+	return nil
+}
--- a/internal/limit/poison/holds.go
+++ b/internal/limit/poison/holds.go
@@ -34,6 +34,10 @@
 	Held []uint64 `json:"Held,omitempty"`
 	// Lifted are digests whose holds up to At an operator lifted.
 	Lifted []uint64 `json:"Lifted,omitempty"`
+	// Age is the time since the death, and Requests are the requests that the upstream
+	// had not begun to answer, for the search for a prompt part.
+	Age      time.Duration                 `json:"Age,omitempty"`
+	Requests []citronstream.SuspectRequest `json:"Requests,omitempty"`
 }
 
 // DeathID returns the ID of an upstream's death. Epoch is that of its agent's
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -2,6 +2,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -22,6 +23,7 @@
 	"github.com/citronstream/citronstream/internal/ingress/server"
 	"github.com/citronstream/citronstream/internal/limit/deathdetect"
 	"github.com/citronstream/citronstream/internal/limit/firstattempt"
+	"github.com/citronstream/citronstream/internal/limit/partquarantine"
 	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/limit/siteretrybudget"
 	"github.com/citronstream/citronstream/internal/observe/requests"
@@ -80,6 +82,7 @@
 	broker        *broker.Broker
 	engines       *engines.Picker
 	holds         *poison.Holds
+	parts         *partquarantine.Quarantine
 	refusals      *firstattempt.Registry
 	deaths        *deathdetect.Detector
 	budget        *siteretrybudget.Budget
@@ -113,6 +116,7 @@
 		refusals: firstattempt.New(clk), meter: requests.New(),
 		pendingRows: make(chan citronstream.Rows, maxPendingRows),
 	}
+	ga.parts = partquarantine.New(clk, citronstream.DefaultLimits(), partquarantine.WithOnChange(ga.partChanged))
 	ga.ctx, ga.cancel = context.WithCancel(ctx)
 	ga.pool = conns.New(clk, conns.WithMaxIdle(ga.maxIdleConns))
 	store := platform.NewStore(site.Store)
@@ -130,7 +134,7 @@
 	ga.budget = siteretrybudget.New(clk, site.Bounds, ga.mesh.LiveCount)
 	ga.flow = flow.New(clk, log, flow.Dependencies{
 		Zone: site.Zone, ListingTTL: ga.listingTTL(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
-		Budget: ga.budget, Holds: ga.holds, Refused: ga.refusals, Deaths: ga.deaths, Observe: ga.meter.Observe,
+		Budget: ga.budget, Holds: ga.holds, Parts: ga.parts, Refused: ga.refusals, Deaths: ga.deaths, Observe: ga.meter.Observe,
 		Suspended: suspended, Pass: ga.wakeup.Pass,
 	})
 	ga.callerServer = server.New(log, ga.flow)
@@ -267,10 +271,15 @@
 		case <-ga.engines.Urgent():
 			ga.broadcastEntryLoad()
 			continue
+		case <-ga.parts.Urgent():
+			ga.tellParts()
+			continue
 		case <-ticker.Chan():
 		}
 		ga.view.Sweep()
 		ga.tellRefusals()
+		ga.parts.Tick()
+		ga.tellParts()
 		if ga.clk.Since(ga.began) >= tellAfter {
 			ga.tellEarlyRows()
 		}
@@ -314,6 +323,18 @@
 	ga.mesh.Tell(citronstream.MethodRefusals, citronstream.Refusals{Refused: refused}, func(pe *mesh.Peer) bool { return pe.Zone() == ga.site.Zone })
 }
 
+// tellParts tells the peers which suspect prompt parts have run soundly here and which
+// are held.
+func (ga *Gateway) tellParts() {
+	sound, holds := ga.parts.TakeUnsent()
+	if len(sound) > 0 {
+		ga.mesh.Broadcast(citronstream.MethodSoundParts, citronstream.SoundParts{Sound: sound})
+	}
+	if len(holds) > 0 {
+		ga.mesh.Broadcast(citronstream.MethodSuspectParts, citronstream.SuspectParts{Suspects: holds})
+	}
+}
+
 // handle processes messages from peers.
 func (ga *Gateway) handle(from string, li *link.Link, re *link.Request) {
 	switch re.Method {
@@ -344,6 +365,16 @@
 		if re.Decode(&report) == nil {
 			ga.recordDeath(report, from)
 		}
+	case citronstream.MethodSoundParts:
+		var parts citronstream.SoundParts
+		if re.Decode(&parts) == nil {
+			ga.parts.MergeSound(parts.Sound, from)
+		}
+	case citronstream.MethodSuspectParts:
+		var parts citronstream.SuspectParts
+		if re.Decode(&parts) == nil {
+			ga.parts.Import(parts.Suspects, from)
+		}
 	default:
 		if !ga.broker.Handle(li, re) {
 			re.ReplyError(citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "unknown method %q", re.Method))
@@ -364,12 +395,18 @@
 // recordDeath holds the content that is suspected of the death and marks the upstream dead.
 func (ga *Gateway) recordDeath(report poison.Report, source string) {
 	held := ga.holds.Merge(report)
+	ga.parts.Crashed(partquarantine.Report{Death: report.ID, Upstream: report.Upstream, Source: source, Own: source == ga.site.Process, Age: report.Age, Requests: report.Requests})
 	if nd := ga.view.Members().Node(report.Upstream); nd != nil {
 		nd.MarkDead(ga.clk.Now(), ga.listingTTL())
 	}
 	ga.log.Info("upstream died", "upstream", report.Upstream, "death", report.ID, "running", len(report.Running), "held", len(held), "source", source)
 }
 
+// partChanged logs a change of a prompt part's state.
+func (ga *Gateway) partChanged(ch partquarantine.Change) {
+	ga.log.Info(string(ch.Event), "part", partquarantine.PartName(ch.Part), "upstream", ch.Upstream, "death", ch.Death, "crashes", ch.Crashes, "source", cmp.Or(ch.Source, ga.site.Process))
+}
+
 // Leave takes the process out of service: it reports not ready, hands its queues
 // over and still answers the requests that it has read.
 func (ga *Gateway) Leave() {
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -28,6 +28,14 @@
 	gauge("citronstream_site_upstreams", "Upstreams in use.", func() float64 { return float64(ga.view.Members().Len()) })
 	gauge("citronstream_site_entries", "Entries that take part, this one included.", func() float64 { return float64(ga.mesh.LiveCount()) })
 	gauge("citronstream_site_in_flight", "Requests that were read and not answered.", func() float64 { return float64(ga.flow.InFlight()) })
+	gauge("citronstream_site_prompt_parts_suspect", "Prompt parts suspected of crashing upstreams.", func() float64 {
+		suspects, _ := ga.parts.Counts()
+		return float64(suspects)
+	})
+	gauge("citronstream_site_prompt_parts_held", "Prompt parts that are refused, as upstreams crashed on them.", func() float64 {
+		_, held := ga.parts.Counts()
+		return float64(held)
+	})
 	counter("citronstream_site_store_reads_total", "Reads of the store's tables.", func() float64 {
 		calls, _ := ga.follower.Counts()
 		return float64(calls)
--- /dev/null
+++ b/internal/process/gateway/parts_test.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/citronstream/citronstream/internal/standin/site"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Prompt parts of the tests, without their tokens.
+const (
+	systemPart = "a0"
+	crashPart  = "dead"
+)
+
+// maxCrashes is the number of crashes after which a prompt part must be refused.
+const maxCrashes = 5
+
+// addEngines adds engines that crash when they begin to answer a prompt with crashPart.
+func (ts *testSite) addEngines(count int) {
+	for i := range count {
+		ts.upstream(fmt.Sprintf("p%d", i), "pool").CrashPart.Store(crashPart)
+	}
+}
+
+// prompt returns a call whose prompt has these parts and one of its own.
+func (ts *testSite) prompt(parts ...string) *call {
+	ca := ts.call()
+	list := make([]string, 0, len(parts)+1)
+	for _, part := range append(parts, fmt.Sprintf("%x", 4096+ts.next.Add(1))) {
+		list = append(list, part+":20")
+	}
+	ca.header.Set(site.HeaderPrompt, strings.Join(list, ","))
+	ca.header.Set(site.HeaderTokens, "100,5")
+	return ca
+}
+
+func (ts *testSite) draft(en *testEntry, ca *call) (*http.Response, string) {
+	return ts.roundTrip(en, ca, http.MethodPost, "/draft/stream/", ca.id)
+}
+
+// crashed returns the engines that are down.
+func (ts *testSite) crashed() (down []*site.Upstream) {
+	for _, up := range ts.upstreams {
+		if up.Crashed() {
+			down = append(down, up)
+		}
+	}
+	return down
+}
+
+// recover waits until all entries have heard of a number of deaths, and starts the
+// crashed engines again.
+func (ts *testSite) recover(deaths int) {
+	ts.waitFor(func() bool {
+		for _, en := range ts.entries {
+			if _, known := en.holds.Len(); !en.stopped && known < deaths {
+				return false
+			}
+		}
+		return true
+	}, "a death was not broadcast")
+	for _, up := range ts.crashed() {
+		require.NoError(ts.t, up.Restart())
+		ts.st.List(up, site.Ready)
+		ts.waitFor(func() bool {
+			for _, en := range ts.entries {
+				if nd := en.view.Members().Node(up.ID); !en.stopped && (nd == nil || nd.StartedMs != up.StartedMs()) {
+					return false
+				}
+			}
+			return true
+		}, "the new process of an engine is not known")
+	}
+}
+
+// assertSoundServed sends a request without the crashing part to each entry.
+func (ts *testSite) assertSoundServed() {
+	ts.t.Helper()
+	for _, en := range ts.entries {
+		res, body := ts.draft(en, ts.prompt(systemPart, "b0"))
+		assert.Equal(ts.t, http.StatusOK, res.StatusCode, body)
+	}
+}
+
+// quarantineCrashing sends requests with the crashing part to all entries in turn, each
+// followed by sound ones with the same other parts, until all refuse the part. It
+// returns the number of crashes, at most one more than maxCrashes.
+func (ts *testSite) quarantineCrashing() (crashes int) {
+	ts.assertSoundServed()
+	for refused := 0; refused < len(ts.entries) && crashes <= maxCrashes; {
+		refused = 0
+		for _, en := range ts.entries {
+			_, body := ts.draft(en, ts.prompt(systemPart, crashPart))
+			if strings.Contains(body, "is quarantined") {
+				refused++
+			}
+			if down := len(ts.crashed()); down > 0 {
+				crashes += down
+				ts.recover(crashes)
+			}
+			ts.assertSoundServed()
+		}
+	}
+	return crashes
+}
+
+// A prompt part that crashes engines is refused at all entries after a few crashes,
+// whatever else its requests have, and requests with the other parts are served.
+func TestCrashingPart(t *testing.T) {
+	ts := newTestSite(t, 3)
+	ts.addEngines(4)
+	ts.waitReady()
+	require.LessOrEqual(t, ts.quarantineCrashing(), maxCrashes, "crashed engines")
+	for _, en := range ts.entries {
+		ca := ts.prompt("c0", crashPart, "d0")
+		res, _ := ts.draft(en, ca)
+		ts.assertStatus(http.StatusServiceUnavailable, res)
+		assert.NotEmpty(t, res.Header.Get("Retry-After"))
+		assert.Empty(t, ts.log.Of(ca.id))
+	}
+}
+
+// An entry that starts while the store is away learns from its peers which prompt
+// parts are refused.
+func TestCrashingPartAtNewEntry(t *testing.T) {
+	ts := newTestSite(t, 2)
+	ts.addEngines(4)
+	ts.waitReady()
+	require.LessOrEqual(t, ts.quarantineCrashing(), maxCrashes, "crashed engines")
+	en := ts.startEntryWithoutStore()
+	ts.waitFor(func() bool { return en.Ready() && en.mesh.LiveCount() == len(ts.entries) }, "the entry is not ready")
+	ts.waitFor(func() bool {
+		_, held := en.parts.Counts()
+		return held == 1
+	}, "the entry did not learn of the hold")
+	ca := ts.prompt(crashPart)
+	res, _ := ts.draft(en, ca)
+	ts.assertStatus(http.StatusServiceUnavailable, res)
+	assert.Empty(t, ts.log.Of(ca.id))
+	ts.assertSoundServed()
+}
+
+// startEntryWithoutStore starts an entry that knows its peers by its settings alone.
+func (ts *testSite) startEntryWithoutStore() *testEntry {
+	var seeds []string
+	for _, en := range ts.entries {
+		seeds = append(seeds, en.site.Peers)
+	}
+	door := ts.st.Open()
+	door.Fault(site.Refuses)
+	for range 20 {
+		ga, err := ts.startGateway(door, 0, 0, seeds)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		require.NoError(ts.t, err)
+		en := &testEntry{Gateway: ga, door: door}
+		ts.entries = append(ts.entries, en)
+		return en
+	}
+	require.Fail(ts.t, "no free addresses")
+	return nil
+}
--- a/internal/process/gateway/sharing.go
+++ b/internal/process/gateway/sharing.go
@@ -49,12 +49,18 @@
 	return readers.New(citronstream.PeerInfo{Zone: ga.site.Zone, Address: ga.site.Peers}, live)
 }
 
-// peerConnected fetches the state of a peer that has a newer configuration, or of
-// any peer while this process can't read the store or knows no upstream.
+// peerConnected tells a new peer the suspect parts, and fetches the state of a peer
+// that has a newer configuration, or of any peer while this process can't read the
+// store or knows no upstream.
 func (ga *Gateway) peerConnected(pe *mesh.Peer, li *link.Link) {
 	if ga.ctx.Err() != nil {
 		return
 	}
+	if pe.Greet(li) {
+		if records := ga.parts.Export(); len(records) > 0 {
+			_ = li.Notify(citronstream.MethodSuspectParts, citronstream.SuspectParts{Suspects: records}) // a failed link is reopened
+		}
+	}
 	withoutStore := ga.follower.StoreDown() || ga.view.Members().Len() == 0
 	if pe.Revision() <= ga.view.Revision() && !withoutStore {
 		return
--- a/internal/process/gateway/site_test.go
+++ b/internal/process/gateway/site_test.go
@@ -99,7 +99,7 @@
 func (ts *testSite) startEntryWith(cores, rate float64) *testEntry {
 	door := ts.st.Open()
 	for range 20 {
-		ga, err := ts.startGateway(door, cores, rate)
+		ga, err := ts.startGateway(door, cores, rate, nil)
 		if errors.Is(err, syscall.EADDRINUSE) {
 			continue // another process has bound one of the addresses in the meantime
 		}
@@ -113,10 +113,10 @@
 }
 
 // startGateway starts a gateway at free addresses. Another process can bind them first.
-func (ts *testSite) startGateway(door *site.Door, cores, rate float64) (*Gateway, error) {
+func (ts *testSite) startGateway(door *site.Door, cores, rate float64, seeds []string) (*Gateway, error) {
 	si := &citronstream.Site{
 		Process: fmt.Sprintf("front-%d", len(ts.entries)), Zone: "z", Callers: freeAddress(ts.t), Ready: freeAddress(ts.t), Peers: freeAddress(ts.t),
-		Bounds: ts.bounds, Store: door.Address(), Cores: cores, LinkRate: rate,
+		Bounds: ts.bounds, Store: door.Address(), Cores: cores, LinkRate: rate, Seeds: seeds,
 	}
 	ga, err := New(context.Background(), ts.clk, logr.Discard(), si)
 	if err != nil {
--- a/internal/route/engines/engines.go
+++ b/internal/route/engines/engines.go
@@ -8,6 +8,7 @@
 	"container/list"
 	"encoding/binary"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -70,6 +71,9 @@
 	// in full.
 	Slack   time.Duration
 	Exclude map[string]bool // IDs of upstreams that are not to be used
+	// Apart says that the request may crash its engine: it goes to an engine without
+	// another such request, whatever that engine has cached.
+	Apart bool
 
 	picked time.Time
 	unread int  // tokens that the picked engine has to read
@@ -79,6 +83,7 @@
 type load struct {
 	running       int
 	prefillTokens int
+	apart         int // requests with Apart and without a first event
 }
 
 // peerLoad is a peer's load on one engine.
@@ -138,11 +143,15 @@
 		return nil
 	}
 	rq.picked, rq.unread, rq.known = pi.clk.Now(), unread, unread < rq.Tokens
-	pi.countShares(rq)
 	ld := pi.ownLoad(best.ID)
 	ld.running++
 	ld.prefillTokens += unread
 	pi.changed = true
+	if rq.Apart {
+		ld.apart++
+		return best
+	}
+	pi.countShares(rq)
 	if count := len(rq.Shared); count > 0 {
 		pi.recordRead(citronstream.CachedPart{Part: rq.Shared[count-1].ID, Engine: best.ID, StartedMs: best.StartedMs})
 	}
@@ -180,6 +189,9 @@
 // choose returns the best engine and the number of tokens that it would have to read.
 func (pi *Picker) choose(nodes []*node.Node, rq *Request) (*node.Node, int) {
 	now := pi.clk.Now()
+	if rq.Apart {
+		return pi.chooseApart(nodes, rq, now), rq.Tokens
+	}
 	home, known := "", false
 	if len(rq.Shared) > 0 {
 		home, known = pi.homeEngine(nodes, rq.Shared, now)
@@ -201,6 +213,33 @@
 	return best, bestUnread
 }
 
+// chooseApart returns the better of two random engines, of those without another
+// request that may crash its engine if there are any. All entries send such requests
+// at the same time, when an engine has crashed, and must not choose the same.
+func (pi *Picker) chooseApart(nodes []*node.Node, rq *Request, now time.Time) *node.Node {
+	var free, usable []*node.Node
+	for _, nd := range nodes {
+		if rq.Exclude[nd.ID] || nd.Avoided(now) {
+			continue
+		}
+		usable = append(usable, nd)
+		if ld := pi.ownLoads[nd.ID]; ld == nil || ld.apart == 0 {
+			free = append(free, nd)
+		}
+	}
+	if len(free) > 0 {
+		usable = free
+	}
+	if len(usable) == 0 {
+		return nil
+	}
+	one, other := usable[rand.IntN(len(usable))], usable[rand.IntN(len(usable))]
+	if pi.cost(other, rq, rq.Tokens, "", now) < pi.cost(one, rq, rq.Tokens, "", now) {
+		return other
+	}
+	return one
+}
+
 // cost returns the weighted delay of the first event, in ms, plus penalties for
 // a missed target, a cold cache, inputs in other zones and failures.
 func (pi *Picker) cost(nd *node.Node, rq *Request, unread int, home string, now time.Time) float64 {
@@ -343,12 +382,20 @@
 	return running, prefill
 }
 
+// unread removes a request from the load that only requests without a first event are.
+func (ld *load) unread(rq Request) {
+	ld.prefillTokens = max(0, ld.prefillTokens-rq.unread)
+	if rq.Apart {
+		ld.apart--
+	}
+}
+
 // FirstEvent records the first event of a request, which means that its prompt was read.
 func (pi *Picker) FirstEvent(nd *node.Node, rq Request) {
 	pi.mu.Lock()
 	defer pi.mu.Unlock()
 	ld := pi.ownLoad(nd.ID)
-	ld.prefillTokens = max(0, ld.prefillTokens-rq.unread)
+	ld.unread(rq)
 	pi.changed = true
 	if took := pi.clk.Since(rq.picked); rq.known && rq.unread >= minSampleTokens && took > 0 {
 		sample, weight := float64(rq.unread)/float64(took.Milliseconds()+1), rateDown
@@ -366,7 +413,7 @@
 	ld := pi.ownLoad(nd.ID)
 	ld.running--
 	if !begun {
-		ld.prefillTokens = max(0, ld.prefillTokens-rq.unread)
+		ld.unread(rq)
 	}
 	if ld.running <= 0 {
 		delete(pi.ownLoads, nd.ID)
--- a/internal/standin/site/caller.go
+++ b/internal/standin/site/caller.go
@@ -16,6 +16,7 @@
 	HeaderPieces    = "X-Citronstream-Pieces"
 	HeaderPieceKey  = "X-Citronstream-Piece-Key"
 	HeaderTokens    = "X-Citronstream-Token-Usage"
+	HeaderPrompt    = "X-Citronstream-Prompt-Prefix"
 	HeaderInputs    = "X-Citronstream-Inputs"
 	HeaderSignature = "X-Citronstream-Response-Signature"
 	headerRefused   = "X-Citronstream-Not-Executed"
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -54,11 +55,14 @@
 	Gap         atomic.Int64 // pause between events, in ns
 	Work        atomic.Int64 // time of a plain request or a batch, in ns
 	Gone        atomic.Bool  // reports inputs as lost
+	CrashPart   atomic.Value // string: prompt part on which the upstream crashes when it begins to answer
 	Taken       atomic.Int64 // bytes reported as used of the 1 MB of memory for results
 	resultCount atomic.Int64
 	batches     atomic.Int64 // that run
 	mu          sync.Mutex
 	results     map[string]bool
+	crashed     bool
+	address     string // of its listener
 }
 
 // Log records the arrivals at all upstreams of a site, in order.
@@ -92,6 +96,7 @@
 func NewUpstream(clk citronstream.Clock, lo *Log, id, service string) *Upstream {
 	up := &Upstream{ID: id, Service: service, clk: clk, log: lo, startedMs: clk.Now().UnixMilli(), results: make(map[string]bool)}
 	up.Server = httptest.NewServer(up)
+	up.address = strings.TrimPrefix(up.URL, "http://")
 	return up
 }
 
@@ -100,13 +105,54 @@
 	if up.Public != "" {
 		return up.Public
 	}
-	return strings.TrimPrefix(up.URL, "http://")
+	return up.address
+}
+
+// Crash breaks all connections and closes the listener.
+func (up *Upstream) Crash() {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	if up.crashed {
+		return
+	}
+	up.crashed = true
+	_ = up.Listener.Close()
+	up.CloseClientConnections()
+}
+
+// Crashed reports whether the upstream is down.
+func (up *Upstream) Crashed() bool {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return up.crashed
+}
+
+// StartedMs returns the start of its process, as in its row.
+func (up *Upstream) StartedMs() int64 {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return up.startedMs
+}
+
+// Restart starts a crashed upstream as a new process at the same address. It has to
+// be listed again.
+func (up *Upstream) Restart() error {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	ln, err := net.Listen("tcp", up.address)
+	if err != nil {
+		return err
+	}
+	up.startedMs = max(up.startedMs+1, up.clk.Now().UnixMilli())
+	up.Listener, up.crashed = ln, false
+	go func() { _ = up.Config.Serve(ln) }() // ends when the listener is closed
+	return nil
 }
 
 // Row returns the value of the upstream's row in the store.
 func (up *Upstream) Row(state string) string {
 	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":4,"state":%q,"sequence":1,"born":%d}`,
-		up.Service, up.Address(), state, up.startedMs)
+		up.Service, up.Address(), state, up.StartedMs())
 }
 
 // Held returns the number of results that the upstream holds.
@@ -176,6 +222,11 @@
 	if !up.Unsigned.Load() {
 		header.Set(HeaderSignature, up.ID+".sig")
 	}
+	if part, _ := up.CrashPart.Load().(string); part != "" && strings.Contains(rq.Header.Get(HeaderPrompt), part+":") {
+		wr.(http.Flusher).Flush()
+		up.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	if strings.Contains(rq.URL.Path, "/stream") {
 		up.stream(wr, rq)
 		return
--- a/message_peer.go
+++ b/message_peer.go
@@ -16,6 +16,8 @@
 	MethodReleaseResults = "Stage.Free"    // notification, Release
 	MethodQueueLoads     = "Stage.Load"    // notification, QueueLoads
 	MethodDeath          = "Site.Death"    // notification, a report of an upstream's death
+	MethodSoundParts     = "Site.Sound"    // notification, SoundParts
+	MethodSuspectParts   = "Site.Suspects" // notification, SuspectParts: new holds, and all to a new peer
 )
 
 // PeerInfo describes an entry to its peers.
@@ -79,6 +81,45 @@
 	Refused []FirstAttempt `json:"Refused"`
 }
 
+// SuspectRequest is a request that was at an upstream, without a first event, when
+// the upstream died.
+type SuspectRequest struct {
+	Digest uint64        `json:"Digest"` // of its content
+	Sent   time.Duration `json:"Sent"`   // since it was sent to the upstream
+	// Parts are the IDs of the prompt parts that other requests may share.
+	Parts []uint64 `json:"Parts"`
+}
+
+// SoundParts are suspect prompt parts that have run soundly at the sender.
+type SoundParts struct {
+	Sound []SoundPart `json:"Sound"`
+}
+
+// SoundPart is a prompt part of a request that an upstream began to answer.
+type SoundPart struct {
+	Part uint64        `json:"Part"`
+	Age  time.Duration `json:"Age"` // since then
+}
+
+// SuspectParts are the prompt parts that are suspected of crashing upstreams.
+type SuspectParts struct {
+	Suspects []SuspectPart `json:"Suspects"`
+}
+
+// SuspectPart is a prompt part that is suspected of crashing upstreams, or held for it.
+type SuspectPart struct {
+	Part    uint64        `json:"Part"`
+	Held    time.Duration `json:"Held,omitempty"` // the rest of its hold
+	Crashes []PartCrash   `json:"Crashes"`        // the oldest first
+}
+
+// PartCrash is the death of an upstream at which a prompt part was in flight.
+type PartCrash struct {
+	Death    string        `json:"Death"`
+	Age      time.Duration `json:"Age"`
+	Requests []uint64      `json:"Requests"` // digests of the requests with the part
+}
+
 // CachedPart is a prompt part in the prefix cache of an engine.
 type CachedPart struct {
 	Part      uint64 `json:"Part"`
