--- a/internal/process/gateway/site_test.go
+++ b/internal/process/gateway/site_test.go
@@ -103,7 +103,7 @@
 // startEntryAt starts an entry with this access to the store.
 func (ts *testSite) startEntryAt(door *site.Door, cores, rate float64) *testEntry {
 	for range 20 {
-		ga, err := ts.startGateway(door, cores, rate)
+		ga, err := ts.startGateway(door, cores, rate, nil)
 		if errors.Is(err, syscall.EADDRINUSE) {
 			continue // another process has bound one of the addresses in the meantime
 		}
@@ -117,10 +117,10 @@
 }
 
 // startGateway starts a gateway at free addresses. Another process can bind them first.
-func (ts *testSite) startGateway(door *site.Door, cores, rate float64) (*Gateway, error) {
+func (ts *testSite) startGateway(door *site.Door, cores, rate float64, seeds []string) (*Gateway, error) {
 	si := &citronstream.Site{
 		Process: fmt.Sprintf("front-%d", len(ts.entries)), Zone: "z", Callers: freeAddress(ts.t), Ready: freeAddress(ts.t), Peers: freeAddress(ts.t),
-		Bounds: ts.bounds, Store: door.Address(), Cores: cores, LinkRate: rate,
+		Bounds: ts.bounds, Store: door.Address(), Cores: cores, LinkRate: rate, Seeds: seeds,
 	}
 	ga, err := New(context.Background(), ts.clk, logr.Discard(), si)
 	if err != nil {
