sitesoak: upstreams that refuse write their refusals once more

A fault of the soak: an upstream that refuses writes that refusal before each later answer on its connection, until the faults end; every second one without its identifier.

--- a/internal/proof/sitesoak/faults_test.go
+++ b/internal/proof/sitesoak/faults_test.go
@@ -128,7 +128,9 @@
 	sw, name := &up.Reset, "resets"
 	switch wo.rng.IntN(4) {
 	case 0:
-		sw, name = &up.Refuse, "refuses"
+		sw, name = &up.Refuse, "refuses, and again until all faults end"
+		up.Copies.Store(1)
+		up.Nameless.Store(len(wo.story)%2 == 1)
 	case 1:
 		sw, name = &up.Unsigned, "does not sign"
 	case 2:
@@ -164,6 +166,7 @@
 		door.Fault(site.Sound)
 	}
 	for _, up := range wo.ups {
+		up.Copies.Store(0)
 		wo.st.List(up, site.Ready)
 	}
 }
