flow: a stream that can't be resumed stays with its silent upstream

What callers saw: a stream with an event that has no identifier was cut when its upstream was silent for over two seconds and then went on. Cause: since 'events without an identifier are not joined to a stream' no other upstream can go on after such an event, but the stall timer still gave the upstream up, if it found another one. Evidence: TestSilenceAfterUnidentifiedEvent before: expected 'data: one, data: two', actual 'data: one', unexpected EOF after 2.5 s. Change: the timer is stopped after such an event. Result: the test passes with the race detector.

--- a/internal/ingress/flow/stream.go
+++ b/internal/ingress/flow/stream.go
@@ -71,6 +71,9 @@
 			return result{done: true, out: outcome{status: ans.Status, reason: callerLeft, abort: true}}
 		}
 		rt.note(events)
+		if rt.unplaced {
+			stall.Stop() // no other upstream could go on
+		}
 	}
 }
 
--- a/internal/process/gateway/silent_test.go
+++ b/internal/process/gateway/silent_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -65,6 +67,22 @@
 	assert.Equal(t, 1, ts.executions(ca))
 }
 
+// A stream that no other upstream can go on with stays with its silent one. Guards against
+// giving up an upstream after an event without an identifier.
+func TestSilenceAfterUnidentifiedEvent(t *testing.T) {
+	const body = "data: one\n\ndata: two\n\n"
+	clk := clockwork.NewRealClock()
+	ts := streamSite(t, func(wr http.ResponseWriter, _ *http.Request) {
+		wr.Header().Set("Content-Type", eventStream)
+		begin, end, _ := strings.Cut(body, "data: two")
+		_, _ = io.WriteString(wr, begin) // fails only if the caller disconnected
+		wr.(http.Flusher).Flush()
+		clk.Sleep(silence)
+		_, _ = io.WriteString(wr, "data: two"+end)
+	})
+	ts.assertStream(ts.call(), "/draft/stream/", body, true)
+}
+
 // A stream is resumed with the only repeat that the budget allows although three upstreams
 // can't be reached first. Guards against taking a repeat for a send that never arrived.
 func TestUnreachedUpstreamsTakeNoRepeat(t *testing.T) {
