ingress: closing idle connections spares a request that has just begun

What callers saw: a connection closed without an answer while a process stops, though their request had been read whole and its handler had begun. Cause: closeIdle tested whether a request had begun and then set a read deadline in the past, without a lock in common with the read. When the request came in between, the HTTP server had already cleared the deadline; the late one made its background read time out, which cancels the request's context, and the flow takes that for a caller that has left. Change: one lock a connection around "mark busy" and "test busy and set the deadline". If the deadline came after the first bytes were taken from the socket, that of the HTTP server holds again. The subtest "pipelined" was not red on the old code; it fails if the state Active no longer marks a connection as busy.

--- a/internal/ingress/server/callers.go
+++ b/internal/ingress/server/callers.go
@@ -4,7 +4,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -17,19 +16,63 @@
 // callerConn is a connection of a caller.
 type callerConn struct {
 	*net.TCPConn
+
+	mu sync.Mutex
 	// busy is true from the first byte of a request to the end of its response.
-	busy atomic.Bool
+	busy bool
+	// deadline is the read deadline that the HTTP server has set last.
+	deadline time.Time
+	// expired is true if closeIdle has replaced the deadline.
+	expired bool
 }
 
 // Read implements net.Conn.
 func (cc *callerConn) Read(data []byte) (int, error) {
 	count, err := cc.TCPConn.Read(data)
 	if count > 0 {
-		cc.busy.Store(true)
+		cc.begin()
 	}
 	return count, err
 }
 
+// SetReadDeadline implements net.Conn.
+func (cc *callerConn) SetReadDeadline(deadline time.Time) error {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.deadline, cc.expired = deadline, false
+	return cc.TCPConn.SetReadDeadline(deadline)
+}
+
+// begin marks the beginning of a request. If closeIdle came first, the deadline of the
+// HTTP server holds again.
+func (cc *callerConn) begin() {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.busy = true
+	if cc.expired {
+		cc.expired = false
+		_ = cc.TCPConn.SetReadDeadline(cc.deadline) // fails only on a closed connection
+	}
+}
+
+// end marks the end of a response.
+func (cc *callerConn) end() {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.busy = false
+}
+
+// expire makes reads time out unless a request has begun.
+func (cc *callerConn) expire() {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if cc.busy {
+		return
+	}
+	cc.expired = true
+	_ = cc.TCPConn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+}
+
 func newCallers() *callers { return &callers{open: make(map[*callerConn]struct{})} }
 
 // add starts to track a connection.
@@ -48,10 +91,10 @@
 		return
 	}
 	switch state {
-	case http.StateActive:
-		cc.busy.Store(true)
+	case http.StateActive: // a pipelined request may need no call of Read
+		cc.begin()
 	case http.StateIdle:
-		cc.busy.Store(false)
+		cc.end()
 	case http.StateClosed, http.StateHijacked:
 		ca.mu.Lock()
 		delete(ca.open, cc)
@@ -67,9 +110,7 @@
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
 	for cc := range ca.open {
-		if !cc.busy.Load() {
-			_ = cc.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
-		}
+		cc.expire()
 	}
 	return len(ca.open)
 }
--- a/internal/ingress/server/server_test.go
+++ b/internal/ingress/server/server_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,7 +31,11 @@
 var clk = clockwork.NewRealClock()
 
 func startServer(t *testing.T) *Server {
-	se := New(logr.Discard(), http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(wr, "ok") }))
+	return startServerWith(t, func(wr http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(wr, "ok") })
+}
+
+func startServerWith(t *testing.T, handler http.HandlerFunc) *Server {
+	se := New(logr.Discard(), handler)
 	require.NoError(t, se.Start("127.0.0.1:0"))
 	t.Cleanup(se.Close)
 	return se
@@ -77,7 +83,9 @@
 				se.callers.mu.Lock()
 				defer se.callers.mu.Unlock()
 				for cc := range se.callers.open {
-					return cc.busy.Load()
+					cc.mu.Lock()
+					defer cc.mu.Unlock()
+					return cc.busy
 				}
 				return false
 			}, testTimeout, time.Millisecond)
@@ -104,6 +112,95 @@
 	})
 }
 
+// A request that was read whole when idle connections are closed is answered. Guards
+// against a deadline for idle connections that is set when a request has begun: the HTTP
+// server takes the time-out of its read for a caller that has left.
+func TestCloseIdleSparesRequests(t *testing.T) {
+	t.Run("pipelined", func(t *testing.T) {
+		begun, finish := make(chan struct{}, 2), make(chan struct{}, 2)
+		se := startServerWith(t, func(wr http.ResponseWriter, rq *http.Request) {
+			begun <- struct{}{}
+			select {
+			case <-rq.Context().Done():
+				panic(http.ErrAbortHandler)
+			case <-finish:
+			}
+			_, _ = io.WriteString(wr, "ok")
+		})
+		nc, br := dial(t, se)
+		write(t, nc, firstHalf+secondHalf+firstHalf+secondHalf)
+		<-begun
+		finish <- struct{}{}
+		assertAnswered(t, br)
+		<-begun
+		for range 20 {
+			require.Equal(t, 1, se.CloseIdle())
+			clk.Sleep(time.Millisecond)
+		}
+		finish <- struct{}{}
+		assertAnswered(t, br)
+	})
+	t.Run("on new connections", func(t *testing.T) {
+		const (
+			callers  = 16
+			requests = 3000 // of all callers
+		)
+		var ran sync.Map
+		se := startServerWith(t, func(wr http.ResponseWriter, rq *http.Request) {
+			ran.Store(rq.URL.Path, true)
+			select {
+			case <-rq.Context().Done():
+				panic(http.ErrAbortHandler)
+			case <-clk.After(time.Millisecond):
+			}
+			_, _ = io.WriteString(wr, "ok")
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		var closing, calling sync.WaitGroup
+		closing.Go(func() {
+			for ctx.Err() == nil {
+				se.CloseIdle()
+			}
+		})
+		defer closing.Wait()
+		defer cancel()
+		var lost, answered atomic.Int64
+		for ca := range callers {
+			calling.Go(func() {
+				for i := range requests / callers {
+					path := fmt.Sprintf("/%d/%d", ca, i)
+					if tryGet(se, path) == nil {
+						answered.Add(1)
+					} else if _, ok := ran.Load(path); ok {
+						lost.Add(1)
+					}
+				}
+			})
+		}
+		calling.Wait()
+		assert.Zero(t, lost.Load(), "requests that were read and not answered")
+		assert.NotZero(t, answered.Load())
+	})
+}
+
+// tryGet sends a request on a new connection and reads the response.
+func tryGet(se *Server, path string) error {
+	nc, err := net.Dial("tcp", se.ln.Addr().String())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = nc.Close() }()
+	if _, err := io.WriteString(nc, "GET "+path+" HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"); err != nil {
+		return err
+	}
+	res, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, res.Body)
+	return err
+}
+
 // A connection that comes while the limits change is served. Guards against one that is
 // handed to the HTTP server of the former limits, which accepts none any more.
 func TestLimitsChangeUnderLoad(t *testing.T) {
