gateway: a process that stops accepts no connection that it can't serve

What callers saw: a connection closed without an answer at the end of a planned stop, though their request had been read. Cause: Drain ended while the listener was open, and Stop closed all connections at once. The platform goes on sending new connections to a zone with few entries during the whole stop; a request that was read between the last check of Drain and Stop, or when the grace period was over, was cut off. At the end of the grace period kept connections without a request were open as well. Change: Drain closes the listener when nothing is in flight, at the latest 1 s before the grace period ends, serves what was accepted, and closes connections without a request until none is open or the time is over. TestStopUnderLoad needs the requests in flight to end within the last 400 ms before the process does.

--- a/internal/ingress/server/server.go
+++ b/internal/ingress/server/server.go
@@ -117,18 +117,13 @@
 func (se *Server) handOver(cc *callerConn) {
 	for {
 		se.mu.Lock()
-		cl, closing := se.listener, se.closing
+		cl := se.listener
 		se.mu.Unlock()
 		select {
 		case cl.conns <- cc:
 			return
 		case <-cl.closed:
 		}
-		if closing {
-			_ = cc.Close()
-			se.callers.observe(cc, http.StateClosed)
-			return
-		}
 	}
 }
 
@@ -136,15 +131,19 @@
 // open. A request of which a byte has been read is served.
 func (se *Server) CloseIdle() int { return se.callers.closeIdle() }
 
+// StopAccepting closes the listener. Connections that were accepted before are served,
+// and CloseIdle counts them.
+func (se *Server) StopAccepting() {
+	_ = se.ln.Close() // fails only if it is closed
+	<-se.done
+}
+
 // Close closes the listener and all connections.
 func (se *Server) Close() {
-	_ = se.ln.Close()
+	se.StopAccepting()
 	se.mu.Lock()
 	se.closing = true
 	se.listener.close()
-	se.mu.Unlock()
-	<-se.done
-	se.mu.Lock()
 	servers := se.servers
 	se.mu.Unlock()
 	for _, hs := range servers {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -398,8 +398,13 @@
 		if passed >= ga.site.Bounds.Grace-exitMargin {
 			break
 		}
-		if passed >= minLinger && ga.flow.InFlight() == 0 && ga.broker.Idle() && ga.callerServer.CloseIdle() == 0 {
-			break
+		idle := passed >= minLinger && ga.flow.InFlight() == 0 && ga.broker.Idle()
+		if idle || passed >= ga.site.Bounds.Grace-exitMargin-cancelStagesLead {
+			// A request on a later connection would be cut off by Stop.
+			ga.callerServer.StopAccepting()
+			if ga.callerServer.CloseIdle() == 0 && idle {
+				break
+			}
 		}
 		ga.clk.Sleep(drainPoll)
 	}
