ingress: a longer idle timeout holds for open connections too

What callers saw: a kept connection closed before the idle limit in force, while they may reuse it for up to four fifths of that limit. A request that crosses the close is not read. Cause: the limits are those of the HTTP server that took the connection; a configuration replaces the server for new connections only. The same holds for connections that came before the first configuration. Evidence: go test -count=1 -run TestRaised ./internal/ingress/server before the change, subtests "while idle" and "during a request": "expected: "i/o timeout" in chain: "EOF"", both closed 2.50 s after the response (the former limit of 1.5 s and the slack of 1 s) with a limit of 1 minute in force. Change: the connection adds what the longest configured limit exceeds its server's by to the deadlines of its idle time. A shorter limit holds for new connections only, as before.

--- a/internal/ingress/server/callers.go
+++ b/internal/ingress/server/callers.go
@@ -18,8 +18,11 @@
 	*net.TCPConn
 
 	mu sync.Mutex
-	// busy is true from the first byte of a request to the end of its response.
-	busy bool
+	// state is active from the first byte of a request to the end of its response.
+	state http.ConnState
+	// idleTimeout is that of the connection's HTTP server, and longestIdle the longest
+	// that was configured since.
+	idleTimeout, longestIdle time.Duration
 	// deadline is the read deadline that the HTTP server has set last.
 	deadline time.Time
 	// expired is true if closeIdle has replaced the deadline.
@@ -40,18 +43,48 @@
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	cc.deadline, cc.expired = deadline, false
+	return cc.applyDeadline()
+}
+
+// applyDeadline sets the deadline of the HTTP server, which knows no other idle timeout
+// than its own. The caller holds the lock.
+func (cc *callerConn) applyDeadline() error {
+	deadline := cc.deadline
+	if cc.state == http.StateIdle && !deadline.IsZero() && cc.longestIdle > cc.idleTimeout {
+		deadline = deadline.Add(cc.longestIdle - cc.idleTimeout)
+	}
 	return cc.TCPConn.SetReadDeadline(deadline)
 }
 
+// serve sets the idle timeout of the HTTP server that takes the connection.
+func (cc *callerConn) serve(idleTimeout time.Duration) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.idleTimeout = idleTimeout
+}
+
+// extendIdle lets the connection stay idle for as long as a new limit allows.
+func (cc *callerConn) extendIdle(idleTimeout time.Duration) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if idleTimeout <= cc.longestIdle {
+		return
+	}
+	cc.longestIdle = idleTimeout
+	if cc.state == http.StateIdle && !cc.expired {
+		_ = cc.applyDeadline() // fails only on a closed connection
+	}
+}
+
 // begin marks the beginning of a request. If closeIdle came first, the deadline of the
 // HTTP server holds again.
 func (cc *callerConn) begin() {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	cc.busy = true
+	cc.state = http.StateActive
 	if cc.expired {
 		cc.expired = false
-		_ = cc.TCPConn.SetReadDeadline(cc.deadline) // fails only on a closed connection
+		_ = cc.applyDeadline() // fails only on a closed connection
 	}
 }
 
@@ -59,14 +92,14 @@
 func (cc *callerConn) end() {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	cc.busy = false
+	cc.state = http.StateIdle
 }
 
 // expire makes reads time out unless a request has begun.
 func (cc *callerConn) expire() {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	if cc.busy {
+	if cc.state == http.StateActive {
 		return
 	}
 	cc.expired = true
@@ -103,6 +136,16 @@
 	}
 }
 
+// extendIdle lets the open connections stay idle for as long as a new limit allows. A
+// shorter one is left to new connections, as callers may not know it yet.
+func (ca *callers) extendIdle(idleTimeout time.Duration) {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	for cc := range ca.open {
+		cc.extendIdle(idleTimeout)
+	}
+}
+
 // closeIdle ends the connections on which no request has begun, and returns how many
 // are open. Their reads time out instead of being closed under way: a read that has
 // just returned the first bytes of a request goes on, and its caller gets a response.
--- a/internal/ingress/server/server.go
+++ b/internal/ingress/server/server.go
@@ -63,7 +63,7 @@
 	return nil
 }
 
-// Configure applies limits to new connections.
+// Configure applies limits to new connections, and a longer idle timeout to all.
 func (se *Server) Configure(limits citronstream.CallerLimits) {
 	se.mu.Lock()
 	defer se.mu.Unlock()
@@ -73,6 +73,7 @@
 	se.limits = limits
 	se.listener.close()
 	se.serve()
+	se.callers.extendIdle(limits.IdleTimeout)
 }
 
 // serve starts an HTTP server with the current limits. The caller holds the
@@ -83,7 +84,7 @@
 		ReadHeaderTimeout: se.limits.HeaderTimeout, IdleTimeout: se.limits.IdleTimeout + idleSlack,
 		ConnState: se.callers.observe,
 	}
-	cl := &chanListener{conns: make(chan net.Conn), closed: make(chan struct{}), address: se.ln.Addr()}
+	cl := &chanListener{conns: make(chan net.Conn), closed: make(chan struct{}), address: se.ln.Addr(), idleTimeout: se.limits.IdleTimeout}
 	se.listener = cl
 	se.servers = append(se.servers, hs)
 	se.serving.Go(func() {
@@ -119,6 +120,7 @@
 		se.mu.Lock()
 		cl := se.listener
 		se.mu.Unlock()
+		cc.serve(cl.idleTimeout)
 		select {
 		case cl.conns <- cc:
 			return
@@ -160,6 +162,8 @@
 	closed  chan struct{}
 	once    sync.Once
 	address net.Addr
+	// idleTimeout is the limit for its connections.
+	idleTimeout time.Duration
 }
 
 func (cl *chanListener) close() { cl.once.Do(func() { close(cl.closed) }) }
--- a/internal/ingress/server/server_test.go
+++ b/internal/ingress/server/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -85,7 +86,7 @@
 				for cc := range se.callers.open {
 					cc.mu.Lock()
 					defer cc.mu.Unlock()
-					return cc.busy
+					return cc.state == http.StateActive
 				}
 				return false
 			}, testTimeout, time.Millisecond)
@@ -183,6 +184,72 @@
 	})
 }
 
+// A kept connection stays open for the limit in force, and not for that of the time when
+// it was opened. Guards against callers that find a connection closed which they may reuse.
+func TestRaisedIdleTimeout(t *testing.T) {
+	const (
+		former = 1500 * time.Millisecond
+		raised = time.Minute
+		// pastFormer is when a connection under the former limit would be closed.
+		pastFormer = former + idleSlack + 500*time.Millisecond
+	)
+	limits := func(idle time.Duration) citronstream.CallerLimits {
+		return citronstream.CallerLimits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: idle}
+	}
+	assertKept := func(t *testing.T, nc net.Conn, br *bufio.Reader) {
+		t.Helper()
+		require.NoError(t, nc.SetReadDeadline(clk.Now().Add(pastFormer)))
+		_, err := br.ReadByte()
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		require.NoError(t, nc.SetReadDeadline(clk.Now().Add(testTimeout)))
+		write(t, nc, firstHalf+secondHalf)
+		assertAnswered(t, br)
+	}
+	t.Run("while idle", func(t *testing.T) {
+		t.Parallel()
+		se := startServer(t)
+		se.Configure(limits(former))
+		nc, br := dial(t, se)
+		write(t, nc, firstHalf+secondHalf)
+		assertAnswered(t, br)
+		se.Configure(limits(raised))
+		assertKept(t, nc, br)
+	})
+	t.Run("during a request", func(t *testing.T) {
+		t.Parallel()
+		begun, finish := make(chan struct{}, 2), make(chan struct{}, 2)
+		se := startServerWith(t, func(wr http.ResponseWriter, _ *http.Request) {
+			begun <- struct{}{}
+			<-finish
+			_, _ = io.WriteString(wr, "ok")
+		})
+		se.Configure(limits(former))
+		nc, br := dial(t, se)
+		write(t, nc, firstHalf+secondHalf)
+		<-begun
+		se.Configure(limits(raised))
+		finish <- struct{}{}
+		assertAnswered(t, br)
+		finish <- struct{}{}
+		assertKept(t, nc, br)
+	})
+	t.Run("and lowered", func(t *testing.T) {
+		t.Parallel()
+		se := startServer(t)
+		se.Configure(limits(raised))
+		nc, br := dial(t, se)
+		write(t, nc, firstHalf+secondHalf)
+		assertAnswered(t, br)
+		se.Configure(limits(former))
+		late, lateReader := dial(t, se)
+		write(t, late, firstHalf+secondHalf)
+		assertAnswered(t, lateReader)
+		assertKept(t, nc, br)
+		_, err := lateReader.ReadByte()
+		assert.ErrorIs(t, err, io.EOF)
+	})
+}
+
 // tryGet sends a request on a new connection and reads the response.
 func tryGet(se *Server, path string) error {
 	nc, err := net.Dial("tcp", se.ln.Addr().String())
