--- a/internal/ingress/server/callers.go
+++ b/internal/ingress/server/callers.go
@@ -4,7 +4,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -17,19 +16,96 @@
 // callerConn is a connection of a caller.
 type callerConn struct {
 	*net.TCPConn
-	// busy is true from the first byte of a request to the end of its response.
-	busy atomic.Bool
+
+	mu sync.Mutex
+	// state is active from the first byte of a request to the end of its response.
+	state http.ConnState
+	// idleTimeout is that of the connection's HTTP server, and longestIdle the longest
+	// that was configured since.
+	idleTimeout, longestIdle time.Duration
+	// deadline is the read deadline that the HTTP server has set last.
+	deadline time.Time
+	// expired is true if closeIdle has replaced the deadline.
+	expired bool
 }
 
 // Read implements net.Conn.
 func (cc *callerConn) Read(data []byte) (int, error) {
 	count, err := cc.TCPConn.Read(data)
 	if count > 0 {
-		cc.busy.Store(true)
+		cc.begin()
 	}
 	return count, err
 }
 
+// SetReadDeadline implements net.Conn.
+func (cc *callerConn) SetReadDeadline(deadline time.Time) error {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.deadline, cc.expired = deadline, false
+	return cc.applyDeadline()
+}
+
+// applyDeadline sets the deadline of the HTTP server, which knows no other idle timeout
+// than its own. The caller holds the lock.
+func (cc *callerConn) applyDeadline() error {
+	deadline := cc.deadline
+	if cc.state == http.StateIdle && !deadline.IsZero() && cc.longestIdle > cc.idleTimeout {
+		deadline = deadline.Add(cc.longestIdle - cc.idleTimeout)
+	}
+	return cc.TCPConn.SetReadDeadline(deadline)
+}
+
+// serve sets the idle timeout of the HTTP server that takes the connection.
+func (cc *callerConn) serve(idleTimeout time.Duration) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.idleTimeout = idleTimeout
+}
+
+// extendIdle lets the connection stay idle for as long as a new limit allows.
+func (cc *callerConn) extendIdle(idleTimeout time.Duration) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if idleTimeout <= cc.longestIdle {
+		return
+	}
+	cc.longestIdle = idleTimeout
+	if cc.state == http.StateIdle && !cc.expired {
+		_ = cc.applyDeadline() // fails only on a closed connection
+	}
+}
+
+// begin marks the beginning of a request. If closeIdle came first, the deadline of the
+// HTTP server holds again.
+func (cc *callerConn) begin() {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.state = http.StateActive
+	if cc.expired {
+		cc.expired = false
+		_ = cc.applyDeadline() // fails only on a closed connection
+	}
+}
+
+// end marks the end of a response.
+func (cc *callerConn) end() {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.state = http.StateIdle
+}
+
+// expire makes reads time out unless a request has begun.
+func (cc *callerConn) expire() {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if cc.state == http.StateActive {
+		return
+	}
+	cc.expired = true
+	_ = cc.TCPConn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+}
+
 func newCallers() *callers { return &callers{open: make(map[*callerConn]struct{})} }
 
 // add starts to track a connection.
@@ -48,10 +124,10 @@
 		return
 	}
 	switch state {
-	case http.StateActive:
-		cc.busy.Store(true)
+	case http.StateActive: // a pipelined request may need no call of Read
+		cc.begin()
 	case http.StateIdle:
-		cc.busy.Store(false)
+		cc.end()
 	case http.StateClosed, http.StateHijacked:
 		ca.mu.Lock()
 		delete(ca.open, cc)
@@ -60,6 +136,16 @@
 	}
 }
 
+// extendIdle lets the open connections stay idle for as long as a new limit allows. A
+// shorter one is left to new connections, as callers may not know it yet.
+func (ca *callers) extendIdle(idleTimeout time.Duration) {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	for cc := range ca.open {
+		cc.extendIdle(idleTimeout)
+	}
+}
+
 // closeIdle ends the connections on which no request has begun, and returns how many
 // are open. Their reads time out instead of being closed under way: a read that has
 // just returned the first bytes of a request goes on, and its caller gets a response.
@@ -67,9 +153,7 @@
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
 	for cc := range ca.open {
-		if !cc.busy.Load() {
-			_ = cc.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
-		}
+		cc.expire()
 	}
 	return len(ca.open)
 }
