discovery: a malformed row of an entry is logged once

Callers saw: nothing; the log had a line at each read, every 20 s and more at each entry, for each malformed row in the table of entries. Cause: what had been logged was not remembered. Nothing removes such a row.

--- a/internal/fleet/discovery/discovery.go
+++ b/internal/fleet/discovery/discovery.go
@@ -42,6 +42,8 @@
 	mesh   *mesh.Mesh
 	name   string
 	ownRow row
+	// malformed has the versions of the malformed rows of the last read, by key.
+	malformed map[string]uint64
 }
 
 // New returns a Discovery for the process with this name, peer address and zone.
@@ -89,10 +91,14 @@
 	if err != nil {
 		return err
 	}
+	logged := di.malformed
+	di.malformed = make(map[string]uint64)
 	for _, ro := range rows {
 		var other row
 		if err := json.Unmarshal(ro.Value, &other); err != nil || other.Address == "" {
-			di.log.Info("row of an entry malformed", "key", ro.Key)
+			if di.malformed[ro.Key] = ro.Version; logged[ro.Key] != ro.Version {
+				di.log.Info("row of an entry malformed", "key", ro.Key, "revision", ro.Version)
+			}
 			continue
 		}
 		pe := di.mesh.AddPeer(other.Address, other.Zone)
