view: a row of another service does not take an upstream's address

Callers saw: staged requests refused for lack of memory, where a row of a service that no route names had the address of a stage's upstream and a later start: its results were released in the name of the wrong ID, which the upstream answers with 421, and stayed for their whole life. Other upstreams with such a row had one idle connection kept instead of 25 in the test, so that more connections were opened. (That requests were refused follows from the results that stay; it was not played.) Cause: of all upstreams at an address, the one that started last had it, whatever its service. Evidence: before the change, go test -count=1 -run TestOddServiceAtAnAddress ./internal/process/gateway: expected 25, actual 1; results are not released (10 s). Change: results are looked up by service and address, and the connections to keep by the services that the configuration names. Not changed: a row of the same service with the address of another one and a later start is taken for that upstream's next process, as it looks the same. Result: the test passes 3 of 3, the packages of fleet, ingress and stage once, with the race detector.

--- a/internal/fleet/view/members.go
+++ b/internal/fleet/view/members.go
@@ -11,22 +11,22 @@
 type Members struct {
 	byID      map[string]*node.Node
 	byService map[string][]*node.Node // sorted by ID, without draining ones
-	byAddress map[string]*node.Node
+	byAddress map[string][]*node.Node // the one that started last first
 }
 
 func newMembers(nodes []*node.Node) *Members {
-	ms := &Members{byID: make(map[string]*node.Node), byService: make(map[string][]*node.Node), byAddress: make(map[string]*node.Node)}
+	ms := &Members{byID: make(map[string]*node.Node), byService: make(map[string][]*node.Node), byAddress: make(map[string][]*node.Node)}
 	slices.SortFunc(nodes, func(a, b *node.Node) int { return cmp.Compare(a.ID, b.ID) })
 	for _, nd := range nodes {
 		ms.byID[nd.ID] = nd
-		// Of two upstreams with the same address, the one that started later has it.
-		if other := ms.byAddress[nd.Address]; other == nil || other.StartedMs < nd.StartedMs {
-			ms.byAddress[nd.Address] = nd
-		}
+		ms.byAddress[nd.Address] = append(ms.byAddress[nd.Address], nd)
 		if !nd.Draining {
 			ms.byService[nd.Service] = append(ms.byService[nd.Service], nd)
 		}
 	}
+	for _, list := range ms.byAddress {
+		slices.SortStableFunc(list, func(a, b *node.Node) int { return cmp.Compare(b.StartedMs, a.StartedMs) })
+	}
 	return ms
 }
 
@@ -36,8 +36,19 @@
 // Node returns the upstream with an ID, or nil.
 func (ms *Members) Node(id string) *node.Node { return ms.byID[id] }
 
-// At returns the upstream at an address, or nil.
-func (ms *Members) At(address string) *node.Node { return ms.byAddress[address] }
+// At returns the upstreams at an address, the one that started last first. There is
+// more than one while the row of an ended process is left, and if a row is wrong.
+func (ms *Members) At(address string) []*node.Node { return ms.byAddress[address] }
+
+// ServiceAt returns the upstream of a service at an address, or nil.
+func (ms *Members) ServiceAt(service, address string) *node.Node {
+	for _, nd := range ms.byAddress[address] {
+		if nd.Service == service {
+			return nd
+		}
+	}
+	return nil
+}
 
 // Len returns the number of upstreams.
 func (ms *Members) Len() int { return len(ms.byID) }
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -70,7 +70,21 @@
 	apply(vi, row("i", 1, "s a:1 x"), row("j", 2, "s a:2 x"))
 	apply(vi, row("i", 3, "s a:1 x draining"))
 	assert.Len(t, vi.Members().Service("s"), 1)
-	assert.NotNil(t, vi.Members().At("a:1"), "its results can still be fetched")
+	assert.NotNil(t, vi.Members().ServiceAt("s", "a:1"), "its results can still be fetched")
+}
+
+// Guards against a row of another service that takes an upstream's address, to which its
+// results are then released.
+func TestServiceAt(t *testing.T) {
+	vi, _, _ := newView()
+	apply(vi, row("i", 1, "s a:1 xx"), row("j", 2, "s a:1 x"), row("k", 3, "other a:1 xxxx"), row("l", 4, "third a:2 x"))
+	ms := vi.Members()
+	assert.Equal(t, "i", ms.ServiceAt("s", "a:1").ID, "it started after the other one of its service")
+	assert.Equal(t, "k", ms.ServiceAt("other", "a:1").ID)
+	assert.Nil(t, ms.ServiceAt("s", "a:2"))
+	assert.Nil(t, ms.ServiceAt("s", "a:3"))
+	assert.Len(t, ms.At("a:1"), 3)
+	assert.Equal(t, "k", ms.At("a:1")[0].ID)
 }
 
 // A heartbeat must keep the recorded outcomes of an upstream, and isn't sent to peers.
--- a/internal/ingress/flow/recompute.go
+++ b/internal/ingress/flow/recompute.go
@@ -65,7 +65,7 @@
 	var indexes []int
 	now := sg.rt.fl.clk.Now()
 	for i, handle := range sg.results(st) {
-		if nd := sg.rt.fl.Broker.ResultNode(handle); nd == nil || nd.Avoided(now) {
+		if nd := sg.rt.fl.Broker.ResultNode(st.spec.Service, handle); nd == nil || nd.Avoided(now) {
 			indexes = append(indexes, i)
 		}
 	}
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -313,7 +313,7 @@
 	for _, number := range numbers {
 		st := sg.list[number]
 		for _, handle := range sg.results(st) {
-			if nd := sg.rt.fl.Broker.ResultNode(handle); nd != nil {
+			if nd := sg.rt.fl.Broker.ResultNode(st.spec.Service, handle); nd != nil {
 				zones[nd.Zone] += st.spec.Bytes
 			}
 		}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -167,11 +167,17 @@
 // maxIdleConns returns how many idle connections to an upstream this process keeps:
 // half of its share of the connections that the upstream accepts from all entries.
 func (ga *Gateway) maxIdleConns(address string) int {
-	routes, nd := ga.view.Routes(), ga.view.Members().At(address)
-	if routes == nil || nd == nil {
+	routes, most := ga.view.Routes(), 0
+	if routes == nil {
 		return 1
 	}
-	return max(1, routes.Services[nd.Service].MaxConnections/(2*ga.mesh.LiveCount()))
+	for _, nd := range ga.view.Members().At(address) {
+		if spec, known := routes.Services[nd.Service]; known {
+			most = spec.MaxConnections
+			break
+		}
+	}
+	return max(1, most/(2*ga.mesh.LiveCount()))
 }
 
 // probeUpstream opens a connection to an upstream that may have died.
--- a/internal/process/gateway/oddrows_test.go
+++ b/internal/process/gateway/oddrows_test.go
@@ -173,3 +173,23 @@
 	isolated.mesh.AddPeer(ts.entries[0].site.Peers, "z")
 	ts.assertMembers(isolated, "d1")
 }
+
+// Guards against results that stay at their upstream, and connections that are closed
+// after each request, because a row of a service that nobody uses has its address.
+func TestOddServiceAtAnAddress(t *testing.T) {
+	ts := newTestSite(t, 1)
+	_, cut, glue := ts.addStageUpstreams()
+	desk := ts.upstream("d1", "desk")
+	ts.waitReady()
+	en := ts.entries[0]
+	idle := en.maxIdleConns(desk.Address())
+	const born = 253402300799999 // the last time that a row can have
+	for id, up := range map[string]*site.Upstream{"odd-1": cut, "odd-2": glue, "odd-3": desk} {
+		ts.st.Put("servers", id, fmt.Sprintf(`{"service":"nobody","address":%q,"zone":"z","slots":4,"state":"ready","born":%d}`, up.Address(), born))
+		ts.waitFor(func() bool { return en.view.Members().Node(id) != nil }, "the row is not learned")
+	}
+	assert.Equal(t, idle, en.maxIdleConns(desk.Address()))
+	res, _ := ts.roundTrip(en, ts.stagedCall(), http.MethodPost, "/staged/stream/", "")
+	ts.assertStatus(http.StatusOK, res)
+	ts.waitFor(func() bool { return cut.Held() == 0 && glue.Held() == 0 }, "results are not released")
+}
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -397,7 +397,7 @@
 
 func (br *Broker) releaseLocal(rl citronstream.Release) {
 	if ow := br.localOwner(rl.Service); ow != nil {
-		ow.Release(rl.Handles, rl.Bytes, br.ResultNode)
+		ow.Release(rl.Handles, rl.Bytes, func(handle string) *node.Node { return br.ResultNode(rl.Service, handle) })
 	}
 }
 
@@ -447,7 +447,7 @@
 	return qu, len(qu.Loads) > 0
 }
 
-// ResultNode returns the upstream that holds a result, nil if it isn't listed.
-func (br *Broker) ResultNode(handle string) *node.Node {
-	return br.view.Members().At(br.batcher.ResultAddress(handle))
+// ResultNode returns the upstream of a service that holds a result, nil if it isn't listed.
+func (br *Broker) ResultNode(service, handle string) *node.Node {
+	return br.view.Members().ServiceAt(service, br.batcher.ResultAddress(handle))
 }
