gateway: a test of a row that becomes odd while its upstream serves

Requests under way are answered and run once, new ones are refused with 503, and the upstream is used again with its next sound row. Not seen failing; there was no fault to fix.

--- a/internal/process/gateway/oddrows_test.go
+++ b/internal/process/gateway/oddrows_test.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/citronstream/citronstream/internal/standin/site"
 	"github.com/stretchr/testify/assert"
@@ -193,3 +195,32 @@
 	ts.assertStatus(http.StatusOK, res)
 	ts.waitFor(func() bool { return cut.Held() == 0 && glue.Held() == 0 }, "results are not released")
 }
+
+// Guards against requests that are cut off because the row of their upstream became odd
+// meanwhile.
+func TestRowBecomesOddDuringARequest(t *testing.T) {
+	ts := newTestSite(t, 1)
+	one := ts.upstream("d1", "desk")
+	ts.waitReady()
+	en := ts.entries[0]
+	one.Work.Store(int64(500 * time.Millisecond))
+	var group sync.WaitGroup
+	for _, target := range []string{"/order/", "/look/"} {
+		ca := ts.call()
+		group.Go(func() {
+			res, body := ts.roundTrip(en, ca, http.MethodPost, target, "")
+			assert.Equal(t, http.StatusOK, res.StatusCode, body)
+			assert.Equal(t, 1, ts.executions(ca))
+		})
+	}
+	ts.waitFor(func() bool { return len(ts.log.All()) == 2 }, "no request arrived")
+	ts.st.Put("servers", "d1", oddRows(one)["slots-null"])
+	ts.assertMembers(en)
+	group.Wait()
+	res, _ := ts.roundTrip(en, ts.call(), http.MethodPost, "/order/", "")
+	ts.assertStatus(http.StatusServiceUnavailable, res)
+	ts.st.List(one, site.Ready)
+	ts.assertMembers(en, "d1")
+	res, _ = ts.roundTrip(en, ts.call(), http.MethodPost, "/order/", "")
+	ts.assertStatus(http.StatusOK, res)
+}
