--- a/internal/process/gateway/oddrows_test.go
+++ b/internal/process/gateway/oddrows_test.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/citronstream/citronstream/internal/standin/site"
 	"github.com/stretchr/testify/assert"
@@ -173,3 +175,52 @@
 	isolated.mesh.AddPeer(ts.entries[0].site.Peers, "z")
 	ts.assertMembers(isolated, "d1")
 }
+
+// Guards against results that stay at their upstream, and connections that are closed
+// after each request, because a row of a service that nobody uses has its address.
+func TestOddServiceAtAnAddress(t *testing.T) {
+	ts := newTestSite(t, 1)
+	_, cut, glue := ts.addStageUpstreams()
+	desk := ts.upstream("d1", "desk")
+	ts.waitReady()
+	en := ts.entries[0]
+	idle := en.maxIdleConns(desk.Address())
+	const born = 253402300799999 // the last time that a row can have
+	for id, up := range map[string]*site.Upstream{"odd-1": cut, "odd-2": glue, "odd-3": desk} {
+		ts.st.Put("servers", id, fmt.Sprintf(`{"service":"nobody","address":%q,"zone":"z","slots":4,"state":"ready","born":%d}`, up.Address(), born))
+		ts.waitFor(func() bool { return en.view.Members().Node(id) != nil }, "the row is not learned")
+	}
+	assert.Equal(t, idle, en.maxIdleConns(desk.Address()))
+	res, _ := ts.roundTrip(en, ts.stagedCall(), http.MethodPost, "/staged/stream/", "")
+	ts.assertStatus(http.StatusOK, res)
+	ts.waitFor(func() bool { return cut.Held() == 0 && glue.Held() == 0 }, "results are not released")
+}
+
+// Guards against requests that are cut off because the row of their upstream became odd
+// meanwhile.
+func TestRowBecomesOddDuringARequest(t *testing.T) {
+	ts := newTestSite(t, 1)
+	one := ts.upstream("d1", "desk")
+	ts.waitReady()
+	en := ts.entries[0]
+	one.Work.Store(int64(500 * time.Millisecond))
+	var group sync.WaitGroup
+	for _, target := range []string{"/order/", "/look/"} {
+		ca := ts.call()
+		group.Go(func() {
+			res, body := ts.roundTrip(en, ca, http.MethodPost, target, "")
+			assert.Equal(t, http.StatusOK, res.StatusCode, body)
+			assert.Equal(t, 1, ts.executions(ca))
+		})
+	}
+	ts.waitFor(func() bool { return len(ts.log.All()) == 2 }, "no request arrived")
+	ts.st.Put("servers", "d1", oddRows(one)["slots-null"])
+	ts.assertMembers(en)
+	group.Wait()
+	res, _ := ts.roundTrip(en, ts.call(), http.MethodPost, "/order/", "")
+	ts.assertStatus(http.StatusServiceUnavailable, res)
+	ts.st.List(one, site.Ready)
+	ts.assertMembers(en, "d1")
+	res, _ = ts.roundTrip(en, ts.call(), http.MethodPost, "/order/", "")
+	ts.assertStatus(http.StatusOK, res)
+}
