partquarantine: a sound run before the report of a crash is told

What callers saw: a part that had run soundly could be held for ten minutes at one entry.

Cause: an entry told its peers of a sound run only if the part was a suspect there. A run between the crash and the arrival of its report was not told, and the reporter went on to suspect the part.

Evidence: TestHoldsOnlyTheCulprit failed once in a few runs (go test -race -count=2 ./internal/limit/partquarantine): part 2, expected false, actual true. Its model did not let entries tell anything but at a sound run; it does now.

Change: a report that is older than a sound run of this entry makes the entry tell the run.

--- a/internal/limit/partquarantine/model_test.go
+++ b/internal/limit/partquarantine/model_test.go
@@ -77,8 +77,16 @@
 		return
 	}
 	vi.Began()
+	ms.tell(from)
+}
+
+// tell sends what an entry has to tell.
+func (ms *modelSite) tell(from int) {
 	at := ms.clk.Now()
 	sound, _ := ms.entries[from].TakeUnsent()
+	if len(sound) == 0 {
+		return
+	}
 	ms.send(from, func(qu *Quarantine) {
 		late := slices.Clone(sound)
 		for i := range late {
@@ -97,16 +105,21 @@
 	if !rapid.Bool().Draw(t, "again later") {
 		ms.messages = slices.Delete(ms.messages, at, at+1)
 	}
+	ms.receive(one)
+}
+
+func (ms *modelSite) receive(one message) {
 	one.apply(ms.entries[one.to])
+	ms.tell(one.to)
 }
 
-// settle delivers everything and runs each sound part once: what is held after it
-// stays held.
+// settle delivers all messages before the entries decide.
 func (ms *modelSite) settle() {
-	for _, one := range ms.messages {
-		one.apply(ms.entries[one.to])
+	for len(ms.messages) > 0 {
+		one := ms.messages[0]
+		ms.messages = ms.messages[1:]
+		ms.receive(one)
 	}
-	ms.messages = nil
 	ms.clk.Advance(settleTime)
 	for _, qu := range ms.entries {
 		qu.Tick()
--- a/internal/limit/partquarantine/quarantine.go
+++ b/internal/limit/partquarantine/quarantine.go
@@ -66,6 +66,12 @@
 	Crashes  int
 }
 
+// soundRun is a run of a part up to the first event.
+type soundRun struct {
+	at  time.Time
+	own bool // at this entry
+}
+
 // Event is the kind of a Change.
 type Event string
 
@@ -85,12 +91,12 @@
 
 	mu        sync.Mutex
 	records   *table
-	sound     *lru[uint64, time.Time] // last sound runs
-	explained *lru[string, struct{}]  // deaths at which a held part was in flight
-	admitted  map[uint64]int          // requests without a first event, by part
-	sent      map[uint64]int          // those of them that are at an upstream
-	unsent    map[uint64]time.Time    // sound runs that the peers are not told of
-	untold    []uint64                // holds that the peers are not told of
+	sound     *lru[uint64, soundRun] // the last ones
+	explained *lru[string, struct{}] // deaths at which a held part was in flight
+	admitted  map[uint64]int         // requests without a first event, by part
+	sent      map[uint64]int         // those of them that are at an upstream
+	unsent    map[uint64]time.Time   // sound runs that the peers are not told of
+	untold    []uint64               // holds that the peers are not told of
 	urgent    chan struct{}
 	changes   []Change // for onChange
 }
@@ -108,7 +114,7 @@
 func New(clk citronstream.Clock, li citronstream.Limits, opts ...Option) *Quarantine {
 	qu := &Quarantine{
 		clk: clk, cap: defaultCap, holdFor: li.HoldFor.Std(), onChange: func(Change) {},
-		sound: newLRU[uint64, time.Time](soundCap), explained: newLRU[string, struct{}](deathCap),
+		sound: newLRU[uint64, soundRun](soundCap), explained: newLRU[string, struct{}](deathCap),
 		admitted: make(map[uint64]int), sent: make(map[uint64]int), unsent: make(map[uint64]time.Time), urgent: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
@@ -144,8 +150,11 @@
 	}
 	for _, rq := range requests {
 		for position, part := range rq.Parts[:min(len(rq.Parts), maxParts)] {
-			if last, ok := qu.sound.get(part); ok && !last.Before(at) {
-				continue // it has run soundly since
+			if run, ok := qu.sound.get(part); ok && !run.at.Before(at) {
+				if run.own {
+					qu.tell(part, run.at) // it was no suspect then
+				}
+				continue
 			}
 			rec := qu.records.add(part)
 			rec.position, rec.own = position, rec.own || re.Own
@@ -202,9 +211,9 @@
 		if !rec.due() || now.Sub(rec.last()) < settleTime {
 			continue
 		}
-		last, _ := qu.sound.get(rec.part)
-		if best == nil || cmp.Or(cmp.Compare(len(rec.crashes), len(best.crashes)), bestSound.Compare(last), cmp.Compare(rec.position, best.position)) > 0 {
-			best, bestSound = rec, last
+		run, _ := qu.sound.get(rec.part)
+		if best == nil || cmp.Or(cmp.Compare(len(rec.crashes), len(best.crashes)), bestSound.Compare(run.at), cmp.Compare(rec.position, best.position)) > 0 {
+			best, bestSound = rec, run.at
 		}
 	}
 	return best
@@ -244,10 +253,10 @@
 }
 
 // ran records a sound run, which ends the suspicion and the hold of earlier crashes.
-// It reports whether it did.
+// It reports whether it did. Source is empty for a run at this entry.
 func (qu *Quarantine) ran(part uint64, at time.Time, source string) bool {
-	if last, ok := qu.sound.get(part); !ok || at.After(last) {
-		qu.sound.put(part, at)
+	if last, ok := qu.sound.get(part); !ok || at.After(last.at) {
+		qu.sound.put(part, soundRun{at: at, own: source == ""})
 	}
 	rec := qu.records.get(part)
 	if rec == nil {
--- a/internal/limit/partquarantine/quarantine_test.go
+++ b/internal/limit/partquarantine/quarantine_test.go
@@ -185,6 +185,8 @@
 		qu.Crashed(re)
 		suspects, _ := qu.Counts()
 		assert.Zero(t, suspects)
+		sound, _ := qu.TakeUnsent()
+		assert.Equal(t, []citronstream.SoundPart{{Part: rare, Age: time.Second}}, sound, "the reporter does not know of the run")
 	})
 	// Guards against parts that stay suspects though the crash is explained.
 	t.Run("not needed by parts next to a held one", func(t *testing.T) {
--- a/internal/limit/partquarantine/share.go
+++ b/internal/limit/partquarantine/share.go
@@ -101,8 +101,8 @@
 		return
 	}
 	newest := now.Add(-max(0, crashes[len(crashes)-1].Age))
-	if last, ok := qu.sound.get(sp.Part); ok && !last.Before(newest) {
-		qu.tell(sp.Part, last) // the peer has missed the sound run
+	if last, ok := qu.sound.get(sp.Part); ok && !last.at.Before(newest) {
+		qu.tell(sp.Part, last.at) // the peer has missed the sound run
 		return
 	}
 	if sp.Held <= 0 && now.Sub(newest) > qu.holdFor {
--- a/internal/limit/partquarantine/visit.go
+++ b/internal/limit/partquarantine/visit.go
@@ -67,7 +67,7 @@
 // vouched reports whether a part has run soundly a short time ago.
 func (qu *Quarantine) vouched(part uint64, now time.Time) bool {
 	last, ok := qu.sound.get(part)
-	return ok && now.Sub(last) < soundFor
+	return ok && now.Sub(last.at) < soundFor
 }
 
 // Send is called right before the request is sent to an upstream. Returned must be
