partquarantine: a new peer learns which crashes a hold explains

Cause: when a part is held, the parts that were in its requests keep their crashes, marked as explained. The records for a new peer had no such mark, so that the peer held the next of these parts at once.

TestNewPeer/learns_what_a_hold_explains failed before: part 7, expected false, actual true.

Change: PartCrash.Explained, omitted if false.

--- a/internal/limit/partquarantine/quarantine_test.go
+++ b/internal/limit/partquarantine/quarantine_test.go
@@ -270,6 +270,16 @@
 		suspects, _ := other.Counts()
 		assert.Equal(t, 1, suspects)
 	})
+	// Guards against a peer that holds parts which only came together with a held one.
+	t.Run("learns what a hold explains", func(t *testing.T) {
+		qu, clk := newQuarantine()
+		crashes(qu, clk, 3, rare, culprit)
+		other, otherClk := newQuarantine()
+		other.Import(qu.Export(), "peer")
+		settle(other, otherClk)
+		assertHeld(t, other, culprit, true)
+		assertHeld(t, other, rare, false)
+	})
 	t.Run("knows better", func(t *testing.T) {
 		other, otherClk := newQuarantine()
 		otherClk.Advance(clk.Since(otherClk.Now()))
--- a/internal/limit/partquarantine/share.go
+++ b/internal/limit/partquarantine/share.go
@@ -80,7 +80,7 @@
 		sp.Held = rec.heldUntil.Sub(now)
 	}
 	for _, cr := range rec.crashes {
-		sp.Crashes = append(sp.Crashes, citronstream.PartCrash{Death: cr.death, Age: now.Sub(cr.at), Requests: slices.Clone(cr.requests)})
+		sp.Crashes = append(sp.Crashes, citronstream.PartCrash{Death: cr.death, Age: now.Sub(cr.at), Requests: slices.Clone(cr.requests), Explained: cr.explained})
 	}
 	return sp
 }
@@ -114,7 +114,7 @@
 	for _, pc := range crashes {
 		re.Death = pc.Death
 		at := now.Add(-max(0, pc.Age))
-		cr := crash{death: pc.Death, at: at, sent: at, requests: pc.Requests[:min(len(pc.Requests), maxParts)]}
+		cr := crash{death: pc.Death, at: at, sent: at, requests: pc.Requests[:min(len(pc.Requests), maxParts)], explained: pc.Explained}
 		if rec.count(cr) {
 			qu.changed(Suspected, rec, re)
 		}
--- a/message_peer.go
+++ b/message_peer.go
@@ -118,6 +118,8 @@
 	Death    string        `json:"Death"`
 	Age      time.Duration `json:"Age"`
 	Requests []uint64      `json:"Requests"` // digests of the requests with the part
+	// Explained says that another part of these requests is held for it.
+	Explained bool `json:"Explained,omitempty"`
 }
 
 // CachedPart is a prompt part in the prefix cache of an engine.
