--- a/internal/limit/partquarantine/quarantine_test.go
+++ b/internal/limit/partquarantine/quarantine_test.go
@@ -185,6 +185,8 @@
 		qu.Crashed(re)
 		suspects, _ := qu.Counts()
 		assert.Zero(t, suspects)
+		sound, _ := qu.TakeUnsent()
+		assert.Equal(t, []citronstream.SoundPart{{Part: rare, Age: time.Second}}, sound, "the reporter does not know of the run")
 	})
 	// Guards against parts that stay suspects though the crash is explained.
 	t.Run("not needed by parts next to a held one", func(t *testing.T) {
@@ -268,6 +270,16 @@
 		suspects, _ := other.Counts()
 		assert.Equal(t, 1, suspects)
 	})
+	// Guards against a peer that holds parts which only came together with a held one.
+	t.Run("learns what a hold explains", func(t *testing.T) {
+		qu, clk := newQuarantine()
+		crashes(qu, clk, 3, rare, culprit)
+		other, otherClk := newQuarantine()
+		other.Import(qu.Export(), "peer")
+		settle(other, otherClk)
+		assertHeld(t, other, culprit, true)
+		assertHeld(t, other, rare, false)
+	})
 	t.Run("knows better", func(t *testing.T) {
 		other, otherClk := newQuarantine()
 		otherClk.Advance(clk.Since(otherClk.Now()))
--- a/internal/limit/partquarantine/share.go
+++ b/internal/limit/partquarantine/share.go
@@ -80,7 +80,7 @@
 		sp.Held = rec.heldUntil.Sub(now)
 	}
 	for _, cr := range rec.crashes {
-		sp.Crashes = append(sp.Crashes, citronstream.PartCrash{Death: cr.death, Age: now.Sub(cr.at), Requests: slices.Clone(cr.requests)})
+		sp.Crashes = append(sp.Crashes, citronstream.PartCrash{Death: cr.death, Age: now.Sub(cr.at), Requests: slices.Clone(cr.requests), Explained: cr.explained})
 	}
 	return sp
 }
@@ -101,8 +101,8 @@
 		return
 	}
 	newest := now.Add(-max(0, crashes[len(crashes)-1].Age))
-	if last, ok := qu.sound.get(sp.Part); ok && !last.Before(newest) {
-		qu.tell(sp.Part, last) // the peer has missed the sound run
+	if last, ok := qu.sound.get(sp.Part); ok && !last.at.Before(newest) {
+		qu.tell(sp.Part, last.at) // the peer has missed the sound run
 		return
 	}
 	if sp.Held <= 0 && now.Sub(newest) > qu.holdFor {
@@ -114,7 +114,7 @@
 	for _, pc := range crashes {
 		re.Death = pc.Death
 		at := now.Add(-max(0, pc.Age))
-		cr := crash{death: pc.Death, at: at, sent: at, requests: pc.Requests[:min(len(pc.Requests), maxParts)]}
+		cr := crash{death: pc.Death, at: at, sent: at, requests: pc.Requests[:min(len(pc.Requests), maxParts)], explained: pc.Explained}
 		if rec.count(cr) {
 			qu.changed(Suspected, rec, re)
 		}
