engines: a test of requests that are kept apart

TestApart guards the choice of engines for requests that may crash theirs. Evidence: with the check for another such request switched off (go test -count=1 -run TestApart ./internal/route/engines): the map "should have 4 item(s), but has 3", each has an engine of its own. It passes 2 times with -race as the code is.

--- a/internal/route/engines/engines_test.go
+++ b/internal/route/engines/engines_test.go
@@ -165,3 +165,40 @@
 	_, prefill = pi.totalLoad("e", clk.Now())
 	assert.Zero(t, prefill)
 }
+
+// Guards against requests that may crash their engines and follow each other to one,
+// where the cause of a crash can't be told.
+func TestApart(t *testing.T) {
+	pi := New(clockwork.NewFakeClock())
+	list := nodes(4)
+	home := pick(pi, list, shared(7, 5000))
+	rq := shared(7, 5000)
+	rq.Apart = true
+	used := make(map[*node.Node]Request)
+	for range list {
+		one := rq
+		used[pi.Pick(list, &one)] = one
+	}
+	assert.Len(t, used, len(list), "each has an engine of its own")
+	assert.NotNil(t, pick(pi, list, rq), "there is no other engine")
+	assert.Same(t, home, pi.Prefer(list, shared(7, 5000)), "others keep to theirs")
+	t.Run("an engine is free after the first event or the end", func(t *testing.T) {
+		pi, ended := New(clockwork.NewFakeClock()), false
+		for range 20 {
+			one := rq
+			nd := pi.Pick(list[:1], &one)
+			if ended = !ended; ended {
+				pi.FirstEvent(nd, one)
+			}
+			pi.End(nd, one, ended)
+			assert.Empty(t, pi.ownLoads)
+		}
+	})
+	t.Run("never an excluded one", func(t *testing.T) {
+		one := rq
+		one.Exclude = map[string]bool{"a": true, "b": true, "c": true}
+		for range 20 {
+			assert.Equal(t, "d", pick(pi, list, one).ID)
+		}
+	})
+}
