flow: a caller that waits for a suspect part counts as refused

What callers saw: one that was told to come back while a suspect prompt part was tried was a newcomer when it came back as told.

Cause: that refusal did not go the way of the others, which is remembered.

Change: it does. A held part is refused as before. Not seen red: no test shows it.

--- a/internal/ingress/flow/admit.go
+++ b/internal/ingress/flow/admit.go
@@ -54,9 +54,12 @@
 			citronstream.NewFault(citronstream.NotRun, citronstream.CodeQuarantined, "this content is quarantined, as upstreams died while running it")), false
 	}
 	var re *partquarantine.Refusal
-	if rt.visit, re = rt.fl.Parts.Enter(rt.Shared()); re != nil {
+	if rt.visit, re = rt.fl.Parts.Enter(rt.Shared()); re != nil && re.Held {
 		return rt.respond(http.StatusServiceUnavailable, re.RetryAfter, partFault(re)), false
 	}
+	if re != nil {
+		return rt.respondFault(rt.rq.Context(), partFault(re)), false
+	}
 	return outcome{}, true
 }
 
