flow: a silent stream that can't be resumed stays with its upstream

Cause: after an event without an identifier no other upstream can go on with the stream, and forward tries none. The stall timer did not know that: it took a repeat and cancelled the attempt. Change: the timer is told whether the stream can be resumed, before the event is written, and looks for no replacement while it can't.

--- a/internal/ingress/flow/stall.go
+++ b/internal/ingress/flow/stall.go
@@ -67,9 +67,10 @@
 	replace func() bool // takes the replacement; it is not called after Stop
 	gap     time.Duration
 
-	mu    sync.Mutex
-	ended bool
-	timer interface {
+	mu     sync.Mutex
+	ended  bool
+	pinned bool // no other upstream can go on with the stream at present
+	timer  interface {
 		Stop() bool
 		Reset(d time.Duration) bool
 	}
@@ -81,7 +82,7 @@
 	defer si.mu.Unlock()
 	switch {
 	case si.ended:
-	case si.replace():
+	case !si.pinned && si.replace():
 		si.ended = true
 		si.cancel(errStalled)
 	default:
@@ -107,3 +108,10 @@
 		si.timer.Reset(si.gap)
 	}
 }
+
+// pin sets whether the attempt goes on even if it can be replaced.
+func (si *stallTimer) pin(pinned bool) {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	si.pinned = pinned
+}
--- a/internal/ingress/flow/stream.go
+++ b/internal/ingress/flow/stream.go
@@ -64,13 +64,14 @@
 		if !rt.started {
 			rt.writeStreamHead(ans, control)
 		}
+		rt.note(events)
+		stall.pin(rt.unplaced)
 		if _, err = rt.wr.Write(events.Event); err == nil {
 			err = control.Flush()
 		}
 		if err != nil {
 			return result{done: true, out: outcome{status: ans.Status, reason: callerLeft, abort: true}}
 		}
-		rt.note(events)
 	}
 }
 
@@ -98,7 +99,7 @@
 	return !rt.leavesGap(events)
 }
 
-// note records an event that was written to the caller.
+// note records an event that is written to the caller.
 func (rt *request) note(events *sse.Reader) {
 	rt.unplaced = events.ID == 0 && (rt.unplaced || events.Data)
 	rt.sparse = rt.sparse || rt.leavesGap(events)
