siteretrybudget: a returned repeat leaves the part of the window it was taken in

What callers saw: nothing yet. Upstreams could get more repeats in a window than the site's bound. Cause: a return was deducted from the current part of the window, also when the repeat had been taken in an earlier one. Once that part had left the window, the deduction stood for nothing and allowed one repeat too many. Evidence: TestReturnInALaterPartOfTheWindow with the call of the code before (without the time of taking; go test -count=1 ./internal/limit/siteretrybudget): 'Should be zero, but was 1'. Change: Return is told when the repeat was taken. A request keeps that time in place of the flag, for the repeat of its attempt and that of the next one. Of two, the later one is kept.

--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -114,32 +114,39 @@
 )
 
 // takeRetry reports whether another attempt is allowed, and takes it from the
-// retry budget unless the last attempt has done so.
+// retry budget unless that has been done.
 func (rt *request) takeRetry() bool {
 	switch {
-	case rt.retryTaken:
-		rt.retryTaken = false
+	case !rt.nextRetry.IsZero():
+		rt.retry, rt.nextRetry = rt.nextRetry, time.Time{}
+		return true
 	case rt.sends >= rt.route.Attempts:
 		rt.noRetry = noAttemptLeft
 		return false
-	case rt.fl.Budget.Take(rt.service, 1) < 1:
+	}
+	rt.retry = rt.fl.clk.Now()
+	if rt.fl.Budget.Take(rt.service, 1) < 1 {
 		rt.noRetry = noRetryBudget
 		return false
 	}
 	return true
 }
 
-// keepRetry keeps the repeat of an attempt that reached no upstream for the next one.
+// keepRetry keeps the repeat of an attempt that reached no upstream for the next one,
+// unless another one was taken while it stalled.
 func (rt *request) keepRetry() {
-	rt.returnRetry() // one that was taken while the attempt stalled
-	rt.retryTaken = true
+	if rt.nextRetry.IsZero() {
+		rt.nextRetry = rt.retry
+		return
+	}
+	rt.fl.Budget.Return(rt.service, 1, rt.retry)
 }
 
 // returnRetry returns a repeat to the budget that was taken and not needed.
 func (rt *request) returnRetry() {
-	if rt.retryTaken {
-		rt.retryTaken = false
-		rt.fl.Budget.Return(rt.service, 1)
+	if !rt.nextRetry.IsZero() {
+		rt.fl.Budget.Return(rt.service, 1, rt.nextRetry)
+		rt.nextRetry = time.Time{}
 	}
 }
 
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -164,7 +164,8 @@
 	visited    map[string]bool // their addresses
 	sends      int             // attempts that reached the chosen upstream
 	deliveries int             // sends, and attempts answered by another upstream at the address
-	retryTaken bool            // the next attempt is taken from the retry budget already
+	retry      time.Time       // when the repeat of this attempt was taken from the retry budget
+	nextRetry  time.Time       // the same for the next attempt; zero if it was not taken yet
 	noRetry    string          // why no other upstream was tried; empty if it did not matter
 	last       *node.Node
 	started    bool // the response header was written
--- a/internal/ingress/flow/stall.go
+++ b/internal/ingress/flow/stall.go
@@ -53,8 +53,11 @@
 	now := rt.fl.clk.Now()
 	for _, nd := range rt.fl.View.Members().Service(rt.service) {
 		if nd.ID != current.ID && !rt.tried[nd.ID] && !nd.Avoided(now) {
-			rt.retryTaken = rt.fl.Budget.Take(rt.service, 1) == 1
-			return rt.retryTaken
+			if rt.fl.Budget.Take(rt.service, 1) < 1 {
+				return false
+			}
+			rt.nextRetry = now
+			return true
 		}
 	}
 	return false
--- a/internal/limit/siteretrybudget/budget.go
+++ b/internal/limit/siteretrybudget/budget.go
@@ -76,13 +76,18 @@
 	return got
 }
 
-// Return releases reserved sends that were not made.
-func (bu *Budget) Return(service string, count int) {
+// Return releases reserved sends that were not made. They are deducted from the part of
+// the window in which they were taken, unless that has left the window.
+func (bu *Budget) Return(service string, count int, taken time.Time) {
 	bu.mu.Lock()
 	defer bu.mu.Unlock()
-	if wi := bu.window(service); wi != nil {
-		now := bu.currentBucket(wi)
-		now.extras -= count
+	wi := bu.window(service)
+	if wi == nil {
+		return
+	}
+	number := bu.period(taken.Sub(bu.began))
+	if bc := &wi[number%int64(len(wi))]; bc.number == number {
+		bc.extras = max(0, bc.extras-count)
 	}
 }
 
@@ -104,11 +109,15 @@
 
 // currentBucket returns the bucket of the current period and resets it if necessary.
 func (bu *Budget) currentBucket(wi *window) *bucket {
-	length := max(bu.bounds.RetryWindow, time.Second) / bucketCount
-	number := int64(bu.clk.Since(bu.began) / length)
+	number := bu.period(bu.clk.Since(bu.began))
 	bc := &wi[number%int64(len(wi))]
 	if bc.number != number {
 		*bc = bucket{number: number}
 	}
 	return bc
 }
+
+// period returns the number of the period at a time since the start.
+func (bu *Budget) period(since time.Duration) int64 {
+	return int64(since / (max(bu.bounds.RetryWindow, time.Second) / bucketCount))
+}
--- a/internal/limit/siteretrybudget/budget_test.go
+++ b/internal/limit/siteretrybudget/budget_test.go
@@ -60,3 +60,17 @@
 		assert.Zero(t, bu.Take("s", 1), "after %v", step)
 	}
 }
+
+// Guards against a return that is deducted from a later part of the window than the one
+// that the repeat was counted in, and allows one too many once that has left.
+func TestReturnInALaterPartOfTheWindow(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	bu := New(clk, bounds, func() int { return 5 })
+	taken := clk.Now()
+	assert.Equal(t, 8, bu.Take("s", 100)) // 0.8 x 50 / 5
+	clk.Advance(9 * time.Second)
+	bu.Return("s", 8, taken)
+	assert.Equal(t, 8, bu.Take("s", 100))
+	clk.Advance(2 * time.Second)
+	assert.Zero(t, bu.Take("s", 1), "all were sent in this window")
+}
