flow: a silent upstream is kept when no time is left for another one

What callers saw: a stream whose upstream had not sent its first event was answered 502 before its deadline, though the upstream could still answer. Cause: an attempt is not sent if the rest of its response would not fit into the time left. The stall timer did not ask that: it cancelled the attempt, and nothing was sent in its place. Evidence: TestNoReplacementWithTooLittleTime on the code before (go test -race -count=1 -run Replacement ./internal/ingress/flow): 'Should be false', and the repeat was taken: 'expected: 1, actual: 0'. Change: the timer replaces an attempt only if more time is left than the rest of a response takes; it takes the repeat only then. Result: 3 of 3 with the race detector; the gateway's tests of silent and unreached upstreams once with it.

--- a/internal/ingress/flow/stall.go
+++ b/internal/ingress/flow/stall.go
@@ -32,7 +32,8 @@
 // startStallTimer starts a timer that cancels a stalled attempt, if another
 // upstream may be tried.
 func (rt *request) startStallTimer(nd *node.Node, cancel context.CancelCauseFunc) *stallTimer {
-	si := &stallTimer{cancel: cancel, replace: func() bool { return rt.takeReplacement(nd) }}
+	si := &stallTimer{cancel: cancel, rest: rt.timeAfterFirstEvent()}
+	si.replace = func() bool { return rt.takeReplacement(nd, si.rest) }
 	if !rt.route.Repeat.Idempotent() || rt.sends+1 >= rt.route.Attempts {
 		return si
 	}
@@ -48,8 +49,11 @@
 }
 
 // takeReplacement takes the repeat for an attempt that replaces the one at an
-// upstream, if there is another upstream to try.
-func (rt *request) takeReplacement(current *node.Node) bool {
+// upstream, if there is another upstream to try and time for the rest of its response.
+func (rt *request) takeReplacement(current *node.Node, rest time.Duration) bool {
+	if rt.timeLeft() <= rest {
+		return false
+	}
 	now := rt.fl.clk.Now()
 	for _, nd := range rt.fl.View.Members().Service(rt.service) {
 		if nd.ID != current.ID && !rt.tried[nd.ID] && !nd.Avoided(now) {
@@ -72,7 +76,8 @@
 
 	mu     sync.Mutex
 	ended  bool
-	pinned bool // no other upstream can go on with the stream at present
+	rest   time.Duration // from the first event to the end; 0 once the stream has begun
+	pinned bool          // no other upstream can go on with the stream at present
 	timer  interface {
 		Stop() bool
 		Reset(d time.Duration) bool
@@ -107,6 +112,7 @@
 func (si *stallTimer) reset() {
 	si.mu.Lock()
 	defer si.mu.Unlock()
+	si.rest = 0
 	if si.timer != nil && si.gap > 0 && !si.ended {
 		si.timer.Reset(si.gap)
 	}
