flow: a request with a repeat in hand takes no second one when it stalls

What callers saw: nothing yet. A repeat was used up without a send, and with no second one left a silent upstream was not replaced though a repeat was in hand. Cause: an attempt that stalled and reached no upstream, as can be after the process was paused, leaves its repeat to the request. A later stall took another one and forgot the first, or forgot it because there was none. Evidence: TestReplacementTakesOneRepeat on the code before (go test -race -count=1 -run Replacement ./internal/ingress/flow): 'Should be true'. Not seen in a whole gateway. Change: a repeat is taken only if the request has none.

--- a/internal/ingress/flow/stall.go
+++ b/internal/ingress/flow/stall.go
@@ -49,7 +49,7 @@
 }
 
 // takeReplacement takes the repeat for an attempt that replaces the one at an
-// upstream, if there is another upstream to try and time for the rest of its response.
+// upstream, unless the request still has one, if there is another upstream to try and time for the rest of its response.
 func (rt *request) takeReplacement(current *node.Node, rest time.Duration) bool {
 	if rt.timeLeft() <= rest {
 		return false
@@ -57,11 +57,10 @@
 	now := rt.fl.clk.Now()
 	for _, nd := range rt.fl.View.Members().Service(rt.service) {
 		if nd.ID != current.ID && !rt.tried[nd.ID] && !nd.Avoided(now) {
-			if rt.fl.Budget.Take(rt.service, 1) < 1 {
-				return false
+			if rt.nextRetry.IsZero() && rt.fl.Budget.Take(rt.service, 1) == 1 {
+				rt.nextRetry = now
 			}
-			rt.nextRetry = now
-			return true
+			return !rt.nextRetry.IsZero()
 		}
 	}
 	return false
--- a/internal/ingress/flow/stall_test.go
+++ b/internal/ingress/flow/stall_test.go
@@ -46,3 +46,14 @@
 	assert.False(t, rt.takeReplacement(rt.fl.View.Members().Node("m/a"), rt.timeAfterFirstEvent()))
 	assert.Equal(t, 1, rt.fl.Budget.Take("s", 1), "the repeat is left")
 }
+
+// Guards against a second repeat for an attempt that stalls while the request still has
+// the repeat of one that reached no upstream.
+func TestReplacementTakesOneRepeat(t *testing.T) {
+	rt := stalledRequest(t)
+	current := rt.fl.View.Members().Node("m/a")
+	require.True(t, rt.takeReplacement(current, 0))
+	assert.True(t, rt.takeReplacement(current, 0), "the repeat is still there")
+	rt.returnRetry()
+	assert.Equal(t, 1, rt.fl.Budget.Take("s", 1), "the repeat is left")
+}
