owner, broker: a job takes all the repeats that it needs, or none

What callers saw: with few repeats left, a stage failed with 'no retry is left' though it needed no more than were left before. Cause: Take grants up to the number asked for. A job that needed more than it got failed, and what it got was counted as sent. Evidence: TestTooFewRepeatsAreLeftToOthers on the code before (go test -race -count=1 -run TooFewRepeats ./internal/stage/owner): 'no batch was sent'. The broker's use was not seen red. Change: the budget has TakeAll, which owner and broker call. The budgets of their tests do the same. Result: the test 3 of 3 with the race detector; the packages owner, broker and siteretrybudget once with it.

--- a/internal/limit/siteretrybudget/budget.go
+++ b/internal/limit/siteretrybudget/budget.go
@@ -53,7 +53,15 @@
 }
 
 // Take reserves up to count repeated sends and returns how many were granted.
-func (bu *Budget) Take(service string, count int) int {
+func (bu *Budget) Take(service string, count int) int { return bu.take(service, count, 0) }
+
+// TakeAll reserves count repeated sends, or none. It reports whether they were granted.
+func (bu *Budget) TakeAll(service string, count int) bool {
+	return bu.take(service, count, count) == count
+}
+
+// take reserves up to count repeated sends, none if fewer than least are left.
+func (bu *Budget) take(service string, count, least int) int {
 	bu.mu.Lock()
 	defer bu.mu.Unlock()
 	wi := bu.window(service)
@@ -69,6 +77,9 @@
 	}
 	allowed := safetyFactor * (bu.bounds.RetryRatio*float64(first) + float64(bu.bounds.RetryExtra)/float64(max(1, bu.live())))
 	got := max(0, min(count, int(allowed)-extras))
+	if got < least {
+		got = 0
+	}
 	now.extras += got
 	if got < count {
 		bu.refused++
--- a/internal/limit/siteretrybudget/budget_test.go
+++ b/internal/limit/siteretrybudget/budget_test.go
@@ -74,3 +74,12 @@
 	clk.Advance(2 * time.Second)
 	assert.Zero(t, bu.Take("s", 1), "all were sent in this window")
 }
+
+// Guards against repeats that are reserved though there are too few for their purpose.
+func TestTakeAllOrNone(t *testing.T) {
+	bu := New(clockwork.NewFakeClock(), bounds, func() int { return 5 })
+	assert.False(t, bu.TakeAll("s", 9))
+	assert.NotZero(t, bu.Refused())
+	assert.True(t, bu.TakeAll("s", 8))
+	assert.False(t, bu.TakeAll("s", 1))
+}
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -302,7 +302,7 @@
 			re.Fault = citronstream.NewFault(citronstream.NotRun, citronstream.CodeLinkLost, "lost the connection to the owner of service %s", jo.Service)
 			br.log.Info("owner lost", "request", jo.ID, "stage", jo.Stage, "service", jo.Service, "peer", pe.Name(), "reason", err.Error())
 			// The lost owner may have sent pieces already.
-			if br.budget.Take(jo.Service, len(jo.Pieces)) < len(jo.Pieces) {
+			if !br.budget.TakeAll(jo.Service, len(jo.Pieces)) {
 				return re
 			}
 		}
--- a/internal/stage/broker/broker_test.go
+++ b/internal/stage/broker/broker_test.go
@@ -24,7 +24,7 @@
 
 func (unlimitedBudget) First(string) {}
 
-func (unlimitedBudget) Take(_ string, count int) int { return count }
+func (unlimitedBudget) TakeAll(string, int) bool { return true }
 
 // startPeer starts the mesh of an entry.
 func startPeer(t *testing.T, ctx context.Context, eng *nbconn.Engine, age time.Duration, handler mesh.Handler) (*mesh.Mesh, string) {
--- a/internal/stage/owner/batch.go
+++ b/internal/stage/owner/batch.go
@@ -210,7 +210,7 @@
 			ow.endJob(jb, citronstream.JobResult{InputLost: true}) // they were released
 			continue
 		}
-		if jb.repeats+len(pa.indexes) > maxRepeats*len(jb.Pieces) || ow.budget.Take(ow.service, len(pa.indexes)) < len(pa.indexes) {
+		if jb.repeats+len(pa.indexes) > maxRepeats*len(jb.Pieces) || !ow.budget.TakeAll(ow.service, len(pa.indexes)) {
 			ow.log.Info("stage failed", "request", jb.ID, "stage", jb.Stage, "service", ow.service, "reason", reason, "repeats", jb.repeats)
 			ow.endJob(jb, citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeUpstreamFailed,
 				"stage %d at service %s: %s, and no retry is left", jb.Stage, ow.service, reason)})
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -77,7 +77,8 @@
 // Budget bounds the pieces that are sent more than once.
 type Budget interface {
 	First(service string)
-	Take(service string, count int) int
+	// TakeAll reserves count repeated sends, or none, and reports whether it did.
+	TakeAll(service string, count int) bool
 }
 
 // Owner is the queue of one service.
--- a/internal/stage/owner/owner_test.go
+++ b/internal/stage/owner/owner_test.go
@@ -98,10 +98,12 @@
 
 func (bu *budget) First(string) {}
 
-func (bu *budget) Take(_ string, count int) int {
-	got := min(count, bu.left)
-	bu.left -= got
-	return got
+func (bu *budget) TakeAll(_ string, count int) bool {
+	if count > bu.left {
+		return false
+	}
+	bu.left -= count
+	return true
 }
 
 // realClock bounds waits for goroutines; no result depends on it.
@@ -388,6 +390,22 @@
 	assert.Equal(t, citronstream.NotRun, re.Fault.Verdict)
 }
 
+// Guards against repeats that are taken for a job which needs more of them than are left
+// and fails: another job could use them.
+func TestTooFewRepeatsAreLeftToOthers(t *testing.T) {
+	hs := newHarness(t, upstream("a", ""), upstream("b", ""), upstream("c", ""))
+	hs.bu.left = 2
+	large := hs.submit(newJob("1", 3, nil))
+	se := hs.batch()
+	se.end <- batchEnd{err: errors.New("broken")}
+	require.NotNil(t, hs.result(large).Fault)
+	small := hs.submit(newJob("2", 2, nil))
+	se = hs.batch()
+	se.end <- batchEnd{err: errors.New("broken")}
+	hs.finish(hs.batch())
+	assert.Nil(t, hs.result(small).Fault)
+}
+
 // A batch that reached no upstream does not count as a repeat.
 func TestUnreachedUpstream(t *testing.T) {
 	one, two := upstream("a", ""), upstream("b", "")
