flow: a slow caller is no reason to give up its upstream

What callers saw: a caller that read nothing for 2 s got the rest of its stream from another upstream. The work was begun again and a repeat spent. Cause: the stall timer went on while an event was written. With the connection to the caller full, a sound upstream counted as silent. Change: an attempt is not replaced while an event is written to the caller.

--- a/internal/ingress/flow/stall.go
+++ b/internal/ingress/flow/stall.go
@@ -76,7 +76,7 @@
 	mu     sync.Mutex
 	ended  bool
 	rest   time.Duration // from the first event to the end; 0 once the stream has begun
-	pinned bool          // no other upstream can go on with the stream at present
+	pinned bool          // the attempt is not to be replaced at present
 	timer  interface {
 		Stop() bool
 		Reset(d time.Duration) bool
--- a/internal/ingress/flow/stream.go
+++ b/internal/ingress/flow/stream.go
@@ -65,10 +65,11 @@
 			rt.writeStreamHead(ans, control)
 		}
 		rt.note(events)
-		stall.pin(rt.unplaced)
+		stall.pin(true) // a slow caller says nothing about the upstream
 		if _, err = rt.wr.Write(events.Event); err == nil {
 			err = control.Flush()
 		}
+		stall.pin(rt.unplaced)
 		if err != nil {
 			return result{done: true, out: outcome{status: ans.Status, reason: callerLeft, abort: true}}
 		}
