flow: a request without another upstream takes no repeat

What callers saw: with few repeats left, a stream was cut with 'retry budget used up' though fewer repeats had been sent than the budget allows. Cause: the loop took the repeat before it picked an upstream and didn't return it if there was none. Each request that fails at the only upstream took one. Evidence: TestNoOtherUpstreamTakesNoRepeat on the code before, 2 of 2 (go test -race -count=2 -run TestNoOtherUpstreamTakesNoRepeat ./internal/process/gateway): 'expected: 1, actual: 0' repeats left. The cut of another stream was not seen. Change: that repeat is returned.

--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -64,6 +64,9 @@
 		nd, demand := rt.pick()
 		if nd == nil {
 			rt.noRetry = noUpstreamLeft
+			if rt.deliveries > 0 {
+				rt.keepRetry() // to be returned
+			}
 			break
 		}
 		re := rt.attempt(ctx, nd, demand)
--- a/internal/process/gateway/silent_test.go
+++ b/internal/process/gateway/silent_test.go
@@ -104,3 +104,18 @@
 	assert.Contains(t, string(body), "token 5")
 	assert.Equal(t, 2, ts.executions(ca))
 }
+
+// A request that fails at the only upstream leaves the repeat to others. Guards against
+// taking a repeat for which there is no upstream.
+func TestNoOtherUpstreamTakesNoRepeat(t *testing.T) {
+	ts := newTestSite(t, 0)
+	ts.bounds.RetryExtra, ts.bounds.RetryRatio = 2, 0 // less the margin of the budget: one
+	ts.startEntry()
+	ts.upstream("e1", "pool").Reset.Store(true)
+	ts.waitReady()
+	ca := ts.call()
+	res, _ := ts.roundTrip(ts.entries[0], ca, http.MethodPost, "/draft/stream/", "")
+	ts.assertStatus(http.StatusBadGateway, res)
+	assert.Equal(t, 1, ts.executions(ca))
+	assert.Equal(t, 1, ts.entries[0].budget.Take("pool", 1))
+}
