--- a/internal/ingress/flow/stall.go
+++ b/internal/ingress/flow/stall.go
@@ -32,7 +32,8 @@
 // startStallTimer starts a timer that cancels a stalled attempt, if another
 // upstream may be tried.
 func (rt *request) startStallTimer(nd *node.Node, cancel context.CancelCauseFunc) *stallTimer {
-	si := &stallTimer{cancel: cancel, replace: func() bool { return rt.takeReplacement(nd) }}
+	si := &stallTimer{cancel: cancel, rest: rt.timeAfterFirstEvent()}
+	si.replace = func() bool { return rt.takeReplacement(nd, si.rest) }
 	if !rt.route.Repeat.Idempotent() || rt.sends+1 >= rt.route.Attempts {
 		return si
 	}
@@ -48,13 +49,18 @@
 }
 
 // takeReplacement takes the repeat for an attempt that replaces the one at an
-// upstream, if there is another upstream to try.
-func (rt *request) takeReplacement(current *node.Node) bool {
+// upstream, unless the request still has one, if there is another upstream to try and time for the rest of its response.
+func (rt *request) takeReplacement(current *node.Node, rest time.Duration) bool {
+	if rt.timeLeft() <= rest {
+		return false
+	}
 	now := rt.fl.clk.Now()
 	for _, nd := range rt.fl.View.Members().Service(rt.service) {
 		if nd.ID != current.ID && !rt.tried[nd.ID] && !nd.Avoided(now) {
-			rt.retryTaken = rt.fl.Budget.Take(rt.service, 1) == 1
-			return rt.retryTaken
+			if rt.nextRetry.IsZero() && rt.fl.Budget.Take(rt.service, 1) == 1 {
+				rt.nextRetry = now
+			}
+			return !rt.nextRetry.IsZero()
 		}
 	}
 	return false
@@ -67,9 +73,11 @@
 	replace func() bool // takes the replacement; it is not called after Stop
 	gap     time.Duration
 
-	mu    sync.Mutex
-	ended bool
-	timer interface {
+	mu     sync.Mutex
+	ended  bool
+	rest   time.Duration // from the first event to the end; 0 once the stream has begun
+	pinned bool          // the attempt is not to be replaced at present
+	timer  interface {
 		Stop() bool
 		Reset(d time.Duration) bool
 	}
@@ -81,7 +89,7 @@
 	defer si.mu.Unlock()
 	switch {
 	case si.ended:
-	case si.replace():
+	case !si.pinned && si.replace():
 		si.ended = true
 		si.cancel(errStalled)
 	default:
@@ -103,7 +111,15 @@
 func (si *stallTimer) reset() {
 	si.mu.Lock()
 	defer si.mu.Unlock()
+	si.rest = 0
 	if si.timer != nil && si.gap > 0 && !si.ended {
 		si.timer.Reset(si.gap)
 	}
 }
+
+// pin sets whether the attempt goes on even if it can be replaced.
+func (si *stallTimer) pin(pinned bool) {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	si.pinned = pinned
+}
--- a/internal/ingress/flow/stream.go
+++ b/internal/ingress/flow/stream.go
@@ -64,16 +64,15 @@
 		if !rt.started {
 			rt.writeStreamHead(ans, control)
 		}
+		rt.note(events)
+		stall.pin(true) // a slow caller says nothing about the upstream
 		if _, err = rt.wr.Write(events.Event); err == nil {
 			err = control.Flush()
 		}
+		stall.pin(rt.unplaced)
 		if err != nil {
 			return result{done: true, out: outcome{status: ans.Status, reason: callerLeft, abort: true}}
 		}
-		rt.note(events)
-		if rt.unplaced {
-			stall.Stop() // no other upstream could go on
-		}
 	}
 }
 
@@ -101,7 +100,7 @@
 	return !rt.leavesGap(events)
 }
 
-// note records an event that was written to the caller.
+// note records an event that is written to the caller.
 func (rt *request) note(events *sse.Reader) {
 	rt.unplaced = events.ID == 0 && (rt.unplaced || events.Data)
 	rt.sparse = rt.sparse || rt.leavesGap(events)
--- a/internal/limit/siteretrybudget/budget.go
+++ b/internal/limit/siteretrybudget/budget.go
@@ -53,7 +53,15 @@
 }
 
 // Take reserves up to count repeated sends and returns how many were granted.
-func (bu *Budget) Take(service string, count int) int {
+func (bu *Budget) Take(service string, count int) int { return bu.take(service, count, 0) }
+
+// TakeAll reserves count repeated sends, or none. It reports whether they were granted.
+func (bu *Budget) TakeAll(service string, count int) bool {
+	return bu.take(service, count, count) == count
+}
+
+// take reserves up to count repeated sends, none if fewer than least are left.
+func (bu *Budget) take(service string, count, least int) int {
 	bu.mu.Lock()
 	defer bu.mu.Unlock()
 	wi := bu.window(service)
@@ -69,6 +77,9 @@
 	}
 	allowed := safetyFactor * (bu.bounds.RetryRatio*float64(first) + float64(bu.bounds.RetryExtra)/float64(max(1, bu.live())))
 	got := max(0, min(count, int(allowed)-extras))
+	if got < least {
+		got = 0
+	}
 	now.extras += got
 	if got < count {
 		bu.refused++
@@ -76,13 +87,18 @@
 	return got
 }
 
-// Return releases reserved sends that were not made.
-func (bu *Budget) Return(service string, count int) {
+// Return releases reserved sends that were not made. They are deducted from the part of
+// the window in which they were taken, unless that has left the window.
+func (bu *Budget) Return(service string, count int, taken time.Time) {
 	bu.mu.Lock()
 	defer bu.mu.Unlock()
-	if wi := bu.window(service); wi != nil {
-		now := bu.currentBucket(wi)
-		now.extras -= count
+	wi := bu.window(service)
+	if wi == nil {
+		return
+	}
+	number := bu.period(taken.Sub(bu.began))
+	if bc := &wi[number%int64(len(wi))]; bc.number == number {
+		bc.extras = max(0, bc.extras-count)
 	}
 }
 
@@ -104,11 +120,15 @@
 
 // currentBucket returns the bucket of the current period and resets it if necessary.
 func (bu *Budget) currentBucket(wi *window) *bucket {
-	length := max(bu.bounds.RetryWindow, time.Second) / bucketCount
-	number := int64(bu.clk.Since(bu.began) / length)
+	number := bu.period(bu.clk.Since(bu.began))
 	bc := &wi[number%int64(len(wi))]
 	if bc.number != number {
 		*bc = bucket{number: number}
 	}
 	return bc
 }
+
+// period returns the number of the period at a time since the start.
+func (bu *Budget) period(since time.Duration) int64 {
+	return int64(since / (max(bu.bounds.RetryWindow, time.Second) / bucketCount))
+}
--- a/internal/process/gateway/silent_test.go
+++ b/internal/process/gateway/silent_test.go
@@ -4,11 +4,9 @@
 	"context"
 	"io"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -50,14 +48,14 @@
 // elsewhere.
 const silence = 2500 * time.Millisecond
 
-// A stream whose upstream is silent for a second and a half stays there, with another one
+// A stream whose upstream is silent for over a second stays there, with another one
 // at hand. Guards against work that is begun again while a sound upstream still has it.
 func TestShortSilence(t *testing.T) {
 	ts := newTestSite(t, 1)
 	for _, id := range []string{"e1", "e2"} {
 		up := ts.upstream(id, "pool")
 		up.Events.Store(2)
-		up.Gap.Store(int64(1500 * time.Millisecond))
+		up.Gap.Store(int64(1200 * time.Millisecond))
 	}
 	ts.waitReady()
 	ca := ts.call()
@@ -67,22 +65,6 @@
 	assert.Equal(t, 1, ts.executions(ca))
 }
 
-// A stream that no other upstream can go on with stays with its silent one. Guards against
-// giving up an upstream after an event without an identifier.
-func TestSilenceAfterUnidentifiedEvent(t *testing.T) {
-	const body = "data: one\n\ndata: two\n\n"
-	clk := clockwork.NewRealClock()
-	ts := streamSite(t, func(wr http.ResponseWriter, _ *http.Request) {
-		wr.Header().Set("Content-Type", eventStream)
-		begin, end, _ := strings.Cut(body, "data: two")
-		_, _ = io.WriteString(wr, begin) // fails only if the caller disconnected
-		wr.(http.Flusher).Flush()
-		clk.Sleep(silence)
-		_, _ = io.WriteString(wr, "data: two"+end)
-	})
-	ts.assertStream(ts.call(), "/draft/stream/", body, true)
-}
-
 // A stream is resumed with the only repeat that the budget allows although three upstreams
 // can't be reached first. Guards against taking a repeat for a send that never arrived.
 func TestUnreachedUpstreamsTakeNoRepeat(t *testing.T) {
@@ -106,8 +88,15 @@
 	}
 	sound.Hang.Store(false)
 	broken := ts.upstream("e2", "pool")
-	broken.CutAfter.Store(2)
-	broken.Gap.Store(int64(500 * time.Millisecond))
+	cut := make(chan struct{})
+	answer := http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+		wr.Header().Set("Content-Type", eventStream)
+		_, _ = io.WriteString(wr, event(1)) // fails only if the caller disconnected
+		_ = http.NewResponseController(wr).Flush()
+		<-cut
+		panic(http.ErrAbortHandler)
+	})
+	broken.Answer.Store(&answer)
 	ts.waitReady()
 	ca := ts.call()
 	res, err := ts.send(ctx, en, ca, http.MethodPost, "/draft/stream/", "")
@@ -117,8 +106,24 @@
 		ts.upstream(id, "pool").Close()
 	}
 	ts.waitReady()
+	close(cut)
 	body, err := io.ReadAll(res.Body)
 	require.NoError(t, err)
 	assert.Contains(t, string(body), "token 5")
 	assert.Equal(t, 2, ts.executions(ca))
 }
+
+// A request that fails at the only upstream leaves the repeat to others. Guards against
+// taking a repeat for which there is no upstream.
+func TestNoOtherUpstreamTakesNoRepeat(t *testing.T) {
+	ts := newTestSite(t, 0)
+	ts.bounds.RetryExtra, ts.bounds.RetryRatio = 2, 0 // less the margin of the budget: one
+	ts.startEntry()
+	ts.upstream("e1", "pool").Reset.Store(true)
+	ts.waitReady()
+	ca := ts.call()
+	res, _ := ts.roundTrip(ts.entries[0], ca, http.MethodPost, "/draft/stream/", "")
+	ts.assertStatus(http.StatusBadGateway, res)
+	assert.Equal(t, 1, ts.executions(ca))
+	assert.Equal(t, 1, ts.entries[0].budget.Take("pool", 1))
+}
