--- a/internal/limit/partquarantine/quarantine_test.go
+++ b/internal/limit/partquarantine/quarantine_test.go
@@ -95,6 +95,19 @@
 		settle(qu, clk)
 		assertHeld(t, qu, culprit, true)
 	})
+	t.Run("a hold ends and leaves a suspect", func(t *testing.T) {
+		qu, clk := newQuarantine()
+		crashes(qu, clk, 3, culprit)
+		clk.Advance(citronstream.DefaultLimits().HoldFor.Std())
+		settle(qu, clk)
+		assertHeld(t, qu, culprit, false)
+		crashes(qu, clk, 1, culprit, 3)
+		assertHeld(t, qu, culprit, true)
+	})
+}
+
+// Crashes that may have one other cause count once.
+func TestIndependentCrashes(t *testing.T) {
 	// Guards against a hold of all parts of one request that is sent again and again.
 	t.Run("crashes of one request", func(t *testing.T) {
 		qu, clk := newQuarantine()
@@ -141,15 +154,6 @@
 		settle(qu, clk)
 		assertHeld(t, qu, common, false)
 	})
-	t.Run("a hold ends and leaves a suspect", func(t *testing.T) {
-		qu, clk := newQuarantine()
-		crashes(qu, clk, 3, culprit)
-		clk.Advance(citronstream.DefaultLimits().HoldFor.Std())
-		settle(qu, clk)
-		assertHeld(t, qu, culprit, false)
-		crashes(qu, clk, 1, culprit, 3)
-		assertHeld(t, qu, culprit, true)
-	})
 }
 
 func TestSoundRun(t *testing.T) {
