partquarantine: a shared part isn't held for crashes of another one

What callers saw: a part that all requests of a kind share could be held for ten minutes in place of the one that crashed the engines.

Cause: a crash counts for a part if it is independent of the one before, which depends on when its requests were sent. Where requests with the crashing part were in flight at earlier crashes, and sound ones beside them were sent later, more crashes counted for what they share than for the part that crashed the engines, and the part with the most was held.

Evidence: two subtests of TestHold, "crashes of requests that were all in flight", fail before (go test -count=1 -run 'TestHold$' ./internal/limit/partquarantine): part 1, expected false, actual true; part 99, expected true, actual false.

Change: a record keeps the last crashes that didn't count as well. A part that was at all crashes of the one to hold, counted or not, is compared with it by sound runs and position, as parts with the same count are.

Measured: the tests of the package pass 10 times with -race, TestCrashingPart and TestCrashingPartAtNewEntry 3 times.

--- a/internal/limit/partquarantine/quarantine.go
+++ b/internal/limit/partquarantine/quarantine.go
@@ -39,6 +39,8 @@
 	// Bounds of a report, and of a crash that several report.
 	maxRequests = 1024
 	maxParts    = 64
+	// maxDependent bounds the crashes of a part that don't count.
+	maxDependent = 2 * crashesOfOne
 	// maxInFlight bounds the parts of requests in flight that are counted.
 	maxInFlight = 1 << 16
 	maxUnsent   = 1024
@@ -202,7 +204,8 @@
 
 // culprit returns the part to hold, nil if there is none. Parts that come together
 // have the same crashes; of those, the one that ran soundly longest ago or not at
-// all, or else the one furthest back in the prompt, concerns the fewest requests.
+// all, or else the one furthest back in the prompt, concerns the fewest requests. As
+// not all of them count for each of these parts, the one with the most may be another.
 func (qu *Quarantine) culprit(now time.Time) *record {
 	var best *record
 	var bestSound time.Time
@@ -216,6 +219,17 @@
 			best, bestSound = rec, run.at
 		}
 	}
+	if best == nil {
+		return nil
+	}
+	crashes := best.crashes
+	for el := qu.records.suspects.Front(); el != nil; el = el.Next() {
+		rec := el.Value.(*record)
+		run, _ := qu.sound.get(rec.part)
+		if cmp.Or(bestSound.Compare(run.at), cmp.Compare(rec.position, best.position)) > 0 && rec.explains(crashes) {
+			best, bestSound = rec, run.at
+		}
+	}
 	return best
 }
 
@@ -224,7 +238,7 @@
 func (qu *Quarantine) hold(rec *record, until time.Time) {
 	rec.heldUntil = until
 	qu.records.moveTo(rec, qu.records.holds)
-	for _, cr := range rec.crashes {
+	for _, cr := range slices.Concat(rec.crashes, rec.dependent) {
 		qu.explained.put(cr.death, struct{}{})
 		qu.records.forget(cr.death, cr.requests)
 	}
@@ -239,7 +253,7 @@
 	}
 	if rec.held() && !now.Before(rec.heldUntil) {
 		rec.heldUntil = time.Time{}
-		rec.crashes = rec.crashes[max(0, len(rec.crashes)-afterHold):]
+		rec.crashes, rec.dependent = rec.crashes[max(0, len(rec.crashes)-afterHold):], nil
 		for i := range rec.crashes {
 			rec.crashes[i].at, rec.crashes[i].explained = now, true
 		}
@@ -262,7 +276,8 @@
 	if rec == nil {
 		return false
 	}
-	rec.crashes = slices.DeleteFunc(rec.crashes, func(cr crash) bool { return !cr.at.After(at) })
+	ended := func(cr crash) bool { return !cr.at.After(at) }
+	rec.crashes, rec.dependent = slices.DeleteFunc(rec.crashes, ended), slices.DeleteFunc(rec.dependent, ended)
 	if len(rec.crashes) > 0 {
 		return false
 	}
--- a/internal/limit/partquarantine/quarantine_test.go
+++ b/internal/limit/partquarantine/quarantine_test.go
@@ -141,6 +141,30 @@
 		settle(qu, clk)
 		assertHeld(t, qu, common, false)
 	})
+	// Guards against a hold of what all requests of a kind share when others of them were
+	// sent after an earlier crash, so that more crashes count for it.
+	for _, split := range []bool{false, true} {
+		t.Run(fmt.Sprintf("crashes of requests that were all in flight, two reporters %v", split), func(t *testing.T) {
+			qu, clk := newQuarantine()
+			for i := range 3 {
+				clk.Advance(700 * time.Millisecond)
+				sent := time.Second + time.Duration(i)*500*time.Millisecond
+				first := suspect(uint64(10+i), sent, common, culprit)
+				second := suspect(uint64(20+i), 100*time.Millisecond, common, uint64(30+i))
+				if death := fmt.Sprint("death", i); split {
+					qu.Crashed(report(death, first))
+					qu.Crashed(report(death, second))
+				} else {
+					qu.Crashed(report(death, first, second))
+				}
+			}
+			settle(qu, clk)
+			assertHeld(t, qu, common, false)
+			assertHeld(t, qu, culprit, true)
+			suspects, _ := qu.Counts()
+			assert.Equal(t, 1, suspects, "the common part keeps the crashes of its requests")
+		})
+	}
 	t.Run("a hold ends and leaves a suspect", func(t *testing.T) {
 		qu, clk := newQuarantine()
 		crashes(qu, clk, 3, culprit)
--- a/internal/limit/partquarantine/record.go
+++ b/internal/limit/partquarantine/record.go
@@ -24,6 +24,7 @@
 type record struct {
 	part      uint64
 	crashes   []crash // independent ones, at most crashesOfOne
+	dependent []crash // the last others, at most maxDependent
 	heldUntil time.Time
 	position  int    // in the prompt
 	upstream  string // that crashed last
@@ -48,22 +49,47 @@
 	return later.sent.Before(cr.at) && later.at.Sub(cr.at) < crashGap && !cr.has(later.requests)
 }
 
-// count adds a crash if it is independent of the others, and reports whether it did.
+func find(crashes []crash, death string) *crash {
+	if i := slices.IndexFunc(crashes, func(cr crash) bool { return cr.death == death }); i >= 0 {
+		return &crashes[i]
+	}
+	return nil
+}
+
+func without(crashes []crash, death string) []crash {
+	return slices.DeleteFunc(crashes, func(cr crash) bool { return cr.death == death })
+}
+
+// count records a crash, and reports whether it counts: it is not known and is
+// independent of the others.
 func (rec *record) count(cr crash) bool {
-	for i := range rec.crashes {
-		if known := &rec.crashes[i]; known.death == cr.death {
-			known.merge(&cr)
-			return false
-		}
+	if known := find(rec.crashes, cr.death); known != nil {
+		known.merge(&cr)
+		return false
 	}
+	if known := find(rec.dependent, cr.death); known != nil {
+		known.merge(&cr)
+		cr = *known
+		rec.dependent = without(rec.dependent, cr.death)
+	}
+	if !rec.insert(&cr) {
+		rec.dependent = append(rec.dependent, cr)
+		rec.dependent = rec.dependent[max(0, len(rec.dependent)-maxDependent):]
+		return false
+	}
+	return true
+}
+
+// insert adds a crash if it is independent of the others, and reports whether it did.
+func (rec *record) insert(cr *crash) bool {
 	at := len(rec.crashes)
 	for at > 0 && rec.crashes[at-1].at.After(cr.at) {
 		at--
 	}
-	if at > 0 && rec.crashes[at-1].dependent(&cr) || at < len(rec.crashes) && cr.dependent(&rec.crashes[at]) {
+	if at > 0 && rec.crashes[at-1].dependent(cr) || at < len(rec.crashes) && cr.dependent(&rec.crashes[at]) {
 		return false
 	}
-	crashes := slices.Insert(slices.Clone(rec.crashes), at, cr)
+	crashes := slices.Insert(slices.Clone(rec.crashes), at, *cr)
 	for i := max(0, at-2); i <= at && i+2 < len(crashes); i++ {
 		if crashes[i+2].at.Sub(crashes[i].at) < crashGap {
 			return false // requests that are sent again meet the next of many upstreams that are lost together
@@ -89,16 +115,28 @@
 // due reports whether the part must be held.
 func (rec *record) due() bool {
 	count := len(rec.crashes)
-	return !rec.held() && count > 0 && !rec.crashes[count-1].explained && (count >= crashesOfOne || count >= crashesToHold && !rec.ofOneRequest())
+	return !rec.held() && count > 0 && !rec.crashes[count-1].explained && enough(rec.crashes)
+}
+
+// enough reports whether these crashes suffice to hold a part.
+func enough(crashes []crash) bool {
+	return len(crashes) >= crashesOfOne || len(crashes) >= crashesToHold && !ofOneRequest(crashes)
+}
+
+// explains reports whether the part was in flight at all crashes of another one, counted
+// or not, so that it may have caused them as well.
+func (rec *record) explains(crashes []crash) bool {
+	all := slices.Concat(rec.crashes, rec.dependent)
+	return enough(all) && !slices.ContainsFunc(crashes, func(cr crash) bool { return find(all, cr.death) == nil })
 }
 
 // likely reports whether one more crash may get the part held.
 func (rec *record) likely() bool { return len(rec.crashes) >= crashesToHold-1 }
 
 // ofOneRequest reports whether one request was in flight at all crashes.
-func (rec *record) ofOneRequest() bool {
-	return slices.ContainsFunc(rec.crashes[0].requests, func(digest uint64) bool {
-		return !slices.ContainsFunc(rec.crashes, func(cr crash) bool { return !slices.Contains(cr.requests, digest) })
+func ofOneRequest(crashes []crash) bool {
+	return slices.ContainsFunc(crashes[0].requests, func(digest uint64) bool {
+		return !slices.ContainsFunc(crashes, func(cr crash) bool { return !slices.Contains(cr.requests, digest) })
 	})
 }
 
@@ -166,6 +204,7 @@
 			}
 		}
 		rec.crashes = slices.DeleteFunc(rec.crashes, func(cr crash) bool { return cr.death == death && !cr.explained })
+		rec.dependent = without(rec.dependent, death)
 		if len(rec.crashes) == 0 {
 			ta.remove(rec)
 		}
