flow: only a signed answer clears a suspect prompt part

What callers saw: nothing yet. An unsigned 4xx, such as that of another process at the address of a crashed engine, cleared a suspect or held part at all entries, and its crashes had to be counted anew.

Cause: each whole answer under 500 counted as a sound run; under 300 it must be signed, over that it need not be.

Evidence: TestUnsignedAnswerProvesNothing fails before (go test -count=1 -run TestUnsignedAnswer ./internal/process/gateway): expected 1 suspect, actual 0.

Change: answers under 300, which checkHead takes only if they are signed and carry the ID of the request.

Measured: this test and TestCrashingPart* 3 times with -race; the packages flow and gateway once with -race, all pass.

--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -377,7 +377,9 @@
 	nd.RequestDone(float64(took) / float64(max(rt.fl.latencies.expected(rt.route.Name, rt.readTime), time.Millisecond)))
 	rt.fl.latencies.observe(rt.route.Name, took, rt.readTime)
 	rt.fl.Holds.Finished(rt.digest)
-	rt.visit.Began()
+	if ans.Status < http.StatusMultipleChoices { // signed, see checkHead
+		rt.visit.Began()
+	}
 	return result{done: true, out: rt.writeResponse(rp, "served")}
 }
 
--- a/internal/process/gateway/parts_test.go
+++ b/internal/process/gateway/parts_test.go
@@ -168,3 +168,29 @@
 	require.Fail(ts.t, "no free addresses")
 	return nil
 }
+
+// An answer without a signature doesn't clear a suspect part: it may not come from an
+// engine that began to run the request.
+func TestUnsignedAnswerProvesNothing(t *testing.T) {
+	ts := newTestSite(t, 1)
+	ts.addEngines(4)
+	ts.waitReady()
+	en := ts.entries[0]
+	_, _ = ts.draft(en, ts.prompt(crashPart))
+	suspects := func() int {
+		count, _ := en.parts.Counts()
+		return count
+	}
+	ts.waitFor(func() bool { return suspects() == 1 }, "the part is no suspect")
+	notFound := http.HandlerFunc(http.NotFound)
+	for _, up := range ts.upstreams {
+		up.CrashPart.Store("")
+		up.Unsigned.Store(true)
+		up.Answer.Store(&notFound)
+	}
+	ts.waitFor(func() bool {
+		res, _ := ts.draft(en, ts.prompt(crashPart))
+		return res.StatusCode == http.StatusNotFound
+	}, "the part was not tried again")
+	assert.Equal(t, 1, suspects())
+}
