partquarantine: a hold clears the parts beside it that have run soundly

What callers saw: after the hold of the part that crashed engines, a part that all requests of a kind share could be held for ten minutes at the first crash for another reason, if no request of the kind had begun meanwhile.

Cause: a part that was in the same requests kept their crashes, so that it is held at the next crash if the wrong part was held. That applied also to parts with an earlier sound run.

Evidence: TestHoldExplainsCrashes fails before (go test -count=1 -run TestHoldExplains ./internal/limit/partquarantine): part 1, expected false, actual true.

Change: only parts without a known sound run keep these crashes. If a part that once ran soundly does crash engines and another one was held for it, three more crashes are needed.

--- a/internal/limit/partquarantine/quarantine.go
+++ b/internal/limit/partquarantine/quarantine.go
@@ -194,7 +194,7 @@
 		for _, part := range rq.Parts[:min(len(rq.Parts), maxParts)] {
 			if rec := qu.lookup(part, now); rec != nil && rec.held() {
 				qu.explained.put(death, struct{}{})
-				qu.records.forget(death, []uint64{rq.Digest})
+				qu.records.forget(death, []uint64{rq.Digest}, qu.hasRun)
 				return true
 			}
 		}
@@ -240,10 +240,16 @@
 	qu.records.moveTo(rec, qu.records.holds)
 	for _, cr := range slices.Concat(rec.crashes, rec.dependent) {
 		qu.explained.put(cr.death, struct{}{})
-		qu.records.forget(cr.death, cr.requests)
+		qu.records.forget(cr.death, cr.requests, qu.hasRun)
 	}
 }
 
+// hasRun reports whether a sound run of a part is known, however old.
+func (qu *Quarantine) hasRun(part uint64) bool {
+	_, ok := qu.sound.get(part)
+	return ok
+}
+
 // lookup returns the record of a part, nil if it has none. When its hold has ended,
 // the part is a suspect; suspects without further crashes are forgotten.
 func (qu *Quarantine) lookup(part uint64, now time.Time) *record {
--- a/internal/limit/partquarantine/quarantine_test.go
+++ b/internal/limit/partquarantine/quarantine_test.go
@@ -176,6 +176,21 @@
 	})
 }
 
+// Guards against a hold of what all requests of a kind share at the first unrelated
+// crash after the hold of the part that crashed upstreams.
+func TestHoldExplainsCrashes(t *testing.T) {
+	qu, clk := newQuarantine()
+	runSoundly(t, qu, common)
+	crashes(qu, clk, 3, common, culprit)
+	assertHeld(t, qu, culprit, true)
+	clk.Advance(crashGap)
+	qu.Crashed(report("unrelated", suspect(50, 0, common, rare)))
+	settle(qu, clk)
+	assertHeld(t, qu, common, false)
+	suspects, _ := qu.Counts()
+	assert.Equal(t, 2, suspects)
+}
+
 func TestSoundRun(t *testing.T) {
 	t.Run("ends a false hold", func(t *testing.T) {
 		qu, clk := newQuarantine()
--- a/internal/limit/partquarantine/record.go
+++ b/internal/limit/partquarantine/record.go
@@ -192,14 +192,14 @@
 	delete(ta.byPart, rec.part)
 }
 
-// forget removes a crash from the suspects. Those that were in one of these requests
-// keep it, but it no longer suffices to hold them.
-func (ta *table) forget(death string, requests []uint64) {
+// forget removes a crash from the suspects. Those that were in one of these requests and
+// have never run soundly keep it, but it no longer suffices to hold them.
+func (ta *table) forget(death string, requests []uint64, hasRun func(part uint64) bool) {
 	for el := ta.suspects.Front(); el != nil; {
 		rec := el.Value.(*record)
 		el = el.Next()
 		for i := range rec.crashes {
-			if cr := &rec.crashes[i]; cr.death == death && cr.has(requests) {
+			if cr := &rec.crashes[i]; cr.death == death && cr.has(requests) && !hasRun(rec.part) {
 				cr.explained = true
 			}
 		}
