--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -65,7 +65,7 @@
 		if nd == nil {
 			rt.noRetry = noUpstreamLeft
 			if rt.deliveries > 0 {
-				rt.keepRetry() // to be returned
+				rt.keepRetry() // returnRetry gives it back
 			}
 			break
 		}
--- a/internal/ingress/flow/stall.go
+++ b/internal/ingress/flow/stall.go
@@ -48,8 +48,9 @@
 	return si
 }
 
-// takeReplacement takes the repeat for an attempt that replaces the one at an
-// upstream, unless the request still has one, if there is another upstream to try and time for the rest of its response.
+// takeReplacement reports whether another attempt can replace the one at an
+// upstream: there is another upstream, time for the rest of its response, and a
+// repeat, which is taken unless the request has one in hand.
 func (rt *request) takeReplacement(current *node.Node, rest time.Duration) bool {
 	if rt.timeLeft() <= rest {
 		return false
