fleet/evacuation: no work to upstreams of evacuated zones

Change: the state of zones is kept by version in fleet/evacuation. The view leaves upstreams of evacuated zones out of those that take new work, for requests, retries, resumed streams and batches alike; releases skip them. Readers tell all evacuated zones with each reading, and a complete read proves the end of an evacuation.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -54,8 +54,6 @@
 	// MinInterval returns the time between two reads when the table changes all the
 	// time, at most; nil means none.
 	MinInterval func() time.Duration
-	// Complete says that a known row that a scan doesn't return has been removed.
-	Complete bool
 	// MaxAge is the age of the copy above which an entry that relies on readers
 	// reads the table itself.
 	MaxAge time.Duration
@@ -216,7 +214,7 @@
 // MemberTable returns the table with the upstreams. MaxAge is the longest time
 // between two reads by one entry.
 func MemberTable(name string, choice func() readers.Choice, maxAge time.Duration) Table {
-	return Table{Name: name, Complete: true, MaxAge: maxAge, MinInterval: func() time.Duration {
+	return Table{Name: name, MaxAge: maxAge, MinInterval: func() time.Duration {
 		ch := choice()
 		if ch.Listeners {
 			return min(time.Duration(ch.Count)*sharedInterval, portion(maxAge, restAtMost))
@@ -305,14 +303,7 @@
 
 // applyScan applies all rows of a table and returns the changes.
 func (fo *Follower) applyScan(ta Table, rows []citronstream.Row, at citronstream.Stamp) []citronstream.Change {
-	if ta.Complete {
-		return fo.view.Replace(rows, at.Version, view.SourceStore)
-	}
-	changes := make([]citronstream.Change, len(rows))
-	for i, row := range rows {
-		changes[i] = citronstream.Change{Row: row}
-	}
-	return fo.view.Apply(changes, view.SourceStore)
+	return fo.view.Replace(ta.Name, rows, at.Version, view.SourceStore)
 }
 
 // hasRead reports whether the table was read before.
--- a/internal/fleet/view/members.go
+++ b/internal/fleet/view/members.go
@@ -10,17 +10,18 @@
 // Members is an immutable set of upstreams.
 type Members struct {
 	byID      map[string]*node.Node
-	byService map[string][]*node.Node // sorted by ID, without draining ones
+	byService map[string][]*node.Node // sorted by ID, without draining ones and those of evacuated zones
 	byAddress map[string][]*node.Node // the one that started last first
+	evacuated []string                // zones, sorted
 }
 
-func newMembers(nodes []*node.Node) *Members {
-	ms := &Members{byID: make(map[string]*node.Node), byService: make(map[string][]*node.Node), byAddress: make(map[string][]*node.Node)}
+func newMembers(nodes []*node.Node, evacuated []string) *Members {
+	ms := &Members{evacuated: evacuated, byID: make(map[string]*node.Node), byService: make(map[string][]*node.Node), byAddress: make(map[string][]*node.Node)}
 	slices.SortFunc(nodes, func(a, b *node.Node) int { return cmp.Compare(a.ID, b.ID) })
 	for _, nd := range nodes {
 		ms.byID[nd.ID] = nd
 		ms.byAddress[nd.Address] = append(ms.byAddress[nd.Address], nd)
-		if !nd.Draining {
+		if !nd.Draining && !ms.Evacuated(nd.Zone) {
 			ms.byService[nd.Service] = append(ms.byService[nd.Service], nd)
 		}
 	}
@@ -30,6 +31,10 @@
 	return ms
 }
 
+// Evacuated reports whether nothing more is to be sent to the upstreams of a zone. Work
+// that runs there may end.
+func (ms *Members) Evacuated(zone string) bool { return slices.Contains(ms.evacuated, zone) }
+
 // Service returns the upstreams of a service that take new work, sorted by ID.
 func (ms *Members) Service(name string) []*node.Node { return ms.byService[name] }
 
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -4,6 +4,7 @@
 package view
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/evacuation"
 	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/go-logr/logr"
 )
@@ -26,12 +28,13 @@
 )
 
 // Decode holds the functions that decode rows, the key of the configuration, and how
-// the keys of upstreams begin. Other rows are ignored.
+// the keys of upstreams and those of evacuated zones begin. Other rows are ignored.
 type Decode struct {
-	Routing      func(value []byte) (*citronstream.Routing, error)
-	Member       func(row citronstream.Row) (citronstream.Member, error)
-	ConfigKey    string
-	MemberPrefix string
+	Routing          func(value []byte) (*citronstream.Routing, error)
+	Member           func(row citronstream.Row) (citronstream.Member, error)
+	ConfigKey        string
+	MemberPrefix     string
+	EvacuationPrefix string // empty: zones are not evacuated
 }
 
 // record is the newest version of a row.
@@ -53,6 +56,7 @@
 
 	mu          sync.Mutex
 	rows        map[string]*record
+	zones       *evacuation.Zones
 	config      citronstream.Row
 	refused     uint64    // version of the last configuration that was not accepted
 	storeDownAt time.Time // last sign that the store was unreachable
@@ -62,8 +66,8 @@
 
 // New returns an empty view.
 func New(clk citronstream.Clock, log logr.Logger, decode Decode) *View {
-	vi := &View{clk: clk, log: log, decode: decode, rows: make(map[string]*record), onChange: func([]citronstream.Change, string) {}}
-	vi.members.Store(newMembers(nil))
+	vi := &View{clk: clk, log: log, decode: decode, rows: make(map[string]*record), zones: evacuation.New(), onChange: func([]citronstream.Change, string) {}}
+	vi.members.Store(newMembers(nil, nil))
 	return vi
 }
 
@@ -125,6 +129,10 @@
 			if vi.applyConfig(ch, source) {
 				applied = append(applied, ch)
 			}
+		case vi.isEvacuation(ch.Key):
+			if vi.applyEvacuation(ch, source) {
+				members, applied = true, append(applied, ch)
+			}
 		case !strings.HasPrefix(ch.Key, vi.decode.MemberPrefix):
 		case vi.applyMember(ch, source):
 			members = true
@@ -142,9 +150,9 @@
 	return applied
 }
 
-// Replace applies the complete table of upstreams as of a version and returns the
-// changes. Upstreams without a row have been removed.
-func (vi *View) Replace(rows []citronstream.Row, version uint64, source string) []citronstream.Change {
+// Replace applies a complete table as of a version and returns the changes. Upstreams of
+// this table without a row have been removed, and the evacuations of zones have ended.
+func (vi *View) Replace(table string, rows []citronstream.Row, version uint64, source string) []citronstream.Change {
 	changes := make([]citronstream.Change, 0, len(rows))
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
@@ -152,13 +160,50 @@
 		present[row.Key] = true
 	}
 	vi.mu.Lock()
-	for key, rec := range vi.rows {
-		if !present[key] && !rec.Deleted && rec.Version <= version {
-			changes = append(changes, citronstream.Change{Row: citronstream.Row{Key: key, Version: version}, Deleted: true})
+	remove := func(key string) {
+		changes = append(changes, citronstream.Change{Row: citronstream.Row{Key: key, Version: version}, Deleted: true})
+	}
+	if vi.decode.MemberPrefix == table+"/" {
+		for key, rec := range vi.rows {
+			if !present[key] && !rec.Deleted && rec.Version <= version {
+				remove(key)
+			}
+		}
+	}
+	vi.mu.Unlock()
+	applied := vi.Apply(changes, source)
+	if strings.HasPrefix(vi.decode.EvacuationPrefix, table+"/") {
+		evacuated := make(map[string]uint64)
+		for _, row := range rows {
+			if vi.isEvacuation(row.Key) {
+				evacuated[strings.TrimPrefix(row.Key, vi.decode.EvacuationPrefix)] = row.Version
+			}
 		}
+		applied = append(applied, vi.ReplaceEvacuated(evacuated, version, source)...)
+	}
+	return applied
+}
+
+// ReplaceEvacuated applies all evacuated zones as of a version of the store, with the
+// versions of their rows, and returns the changes. Other zones have been taken back.
+func (vi *View) ReplaceEvacuated(evacuated map[string]uint64, version uint64, source string) []citronstream.Change {
+	var changes []citronstream.Change
+	add := func(zone string, version uint64, deleted bool) {
+		changes = append(changes, citronstream.Change{Row: citronstream.Row{Key: vi.decode.EvacuationPrefix + zone, Version: version}, Deleted: deleted})
+	}
+	for zone, version := range evacuated {
+		add(zone, version, false)
+	}
+	vi.mu.Lock()
+	for _, zone := range vi.zones.Missing(evacuated, version) {
+		add(zone, version, true)
 	}
 	vi.mu.Unlock()
-	return vi.Apply(changes, source)
+	applied := vi.Apply(changes, source)
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	vi.zones.Settle(version)
+	return applied
 }
 
 // Settled reports whether no upstream of these changes is in its grace period, in
@@ -187,8 +232,8 @@
 	return trimmed
 }
 
-// State returns what a peer asks for: the configuration, if its own is older, and
-// all other rows unless it wants only the configuration.
+// State returns what a peer asks for: the configuration, if its own is older, the
+// evacuations of zones, and all other rows unless it wants only the configuration.
 func (vi *View) State(qu citronstream.StateQuery) []citronstream.Change {
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
@@ -196,6 +241,9 @@
 	if vi.config.Version > qu.Revision {
 		all = append(all, citronstream.Change{Row: vi.config})
 	}
+	for _, row := range vi.zones.Rows(vi.clk.Now()) {
+		all = append(all, citronstream.Change{Row: citronstream.Row{Key: vi.decode.EvacuationPrefix + row.Zone, Version: row.Version}, Deleted: !row.Evacuated})
+	}
 	if qu.ConfigOnly {
 		return all
 	}
@@ -251,6 +299,33 @@
 	return true
 }
 
+func (vi *View) isEvacuation(key string) bool {
+	return vi.decode.EvacuationPrefix != "" && strings.HasPrefix(key, vi.decode.EvacuationPrefix)
+}
+
+// applyEvacuation reports whether the state of a zone is news. The value of its row does
+// not matter.
+func (vi *View) applyEvacuation(ch citronstream.Change, source string) bool {
+	zone := strings.TrimPrefix(ch.Key, vi.decode.EvacuationPrefix)
+	if zone == "" || !vi.zones.Apply(zone, ch.Version, !ch.Deleted, vi.clk.Now()) {
+		return false
+	}
+	text := "zone evacuated"
+	if ch.Deleted {
+		text = "zone taken back"
+	}
+	vi.log.Info(text, "zone", zone, "source", source, "revision", ch.Version, "evacuated zones", len(vi.zones.Evacuated()))
+	return true
+}
+
+// Evacuated returns the zones to whose upstreams nothing more is to be sent, with the
+// versions of their rows.
+func (vi *View) Evacuated() map[string]uint64 {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	return vi.zones.Evacuated()
+}
+
 // applyMember reports whether the set of upstreams in use changed.
 func (vi *View) applyMember(ch citronstream.Change, source string) bool {
 	old := vi.rows[ch.Key]
@@ -300,7 +375,7 @@
 			nodes = append(nodes, rec.node)
 		}
 	}
-	members := newMembers(nodes)
+	members := newMembers(nodes, slices.Sorted(maps.Keys(vi.zones.Evacuated())))
 	vi.members.Store(members)
 	for _, onMembers := range vi.onMembers {
 		onMembers(members)
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -141,7 +141,7 @@
 			for range 3 {
 				vi.Apply([]citronstream.Change{ch}, SourceStore)
 				vi.Apply([]citronstream.Change{ch}, "peer")
-				vi.Replace([]citronstream.Row{ch.Row}, 6, SourceStore)
+				vi.Replace("servers", []citronstream.Row{ch.Row}, 6, SourceStore)
 				vi.Sweep()
 			}
 			assert.LessOrEqual(t, lines, 1)
@@ -192,12 +192,12 @@
 
 // A scan must find the removals that the change feed missed.
 func TestScan(t *testing.T) {
-	vi, _, _ := newView()
-	apply(vi, row("i", 1, "s a:1 x"), row("j", 9, "s a:2 x"))
-	vi.Replace([]citronstream.Row{{Key: "k", Version: 4, Value: []byte("s a:3 x")}}, 5, SourceStore)
-	assert.Nil(t, vi.Members().Node("i"))
-	assert.NotNil(t, vi.Members().Node("j"), "written after the scan")
-	assert.NotNil(t, vi.Members().Node("k"))
+	vi := New(clockwork.NewFakeClock(), logr.Discard(), Decode{Routing: routing, Member: member, ConfigKey: "op/config", MemberPrefix: "servers/"})
+	apply(vi, row("servers/i", 1, "s a:1 x"), row("servers/j", 9, "s a:2 x"))
+	vi.Replace("servers", []citronstream.Row{{Key: "servers/k", Version: 4, Value: []byte("s a:3 x")}}, 5, SourceStore)
+	assert.Nil(t, vi.Members().Node("servers/i"))
+	assert.NotNil(t, vi.Members().Node("servers/j"), "written after the scan")
+	assert.NotNil(t, vi.Members().Node("servers/k"))
 }
 
 // An invalid or older configuration must leave the current one in force.
@@ -239,3 +239,74 @@
 	assert.Nil(t, other.Members().Node("j"))
 	assert.Len(t, vi.State(citronstream.StateQuery{Revision: 1}), 2, "a configuration that the peer has is not sent again")
 }
+
+// zoned decodes rows of the form "service address born zone".
+func zoned(row citronstream.Row) (citronstream.Member, error) {
+	mb, err := member(citronstream.Row{Key: row.Key, Value: row.Value[:strings.LastIndex(string(row.Value), " ")]})
+	mb.Zone = string(row.Value[strings.LastIndex(string(row.Value), " ")+1:])
+	return mb, err
+}
+
+func newViewOfZones() *View {
+	vi := New(clockwork.NewFakeClock(), logr.Discard(), Decode{Routing: routing, Member: zoned, ConfigKey: "op/config", MemberPrefix: "servers/", EvacuationPrefix: "op/evacuate/"})
+	apply(vi, row("servers/i", 1, "s a:1 x z1"), row("servers/j", 2, "s a:2 x z2"))
+	return vi
+}
+
+// assertInUse checks how many upstreams take new work.
+func assertInUse(t *testing.T, vi *View, count int, text string) {
+	t.Helper()
+	assert.Len(t, vi.Members().Service("s"), count, text)
+}
+
+// Guards against requests to the upstreams of an evacuated zone, and against results of
+// work that runs there which can't be found any more.
+func TestEvacuatedZone(t *testing.T) {
+	vi := newViewOfZones()
+	apply(vi, row("op/evacuate/z1", 5, "{}"), row("op/evacuate/nowhere", 6, "not JSON"))
+	assertInUse(t, vi, 1, "one zone is evacuated")
+	assert.NotNil(t, vi.Members().ServiceAt("s", "a:1"))
+	apply(vi, row("servers/k", 7, "s a:3 x z1"))
+	assertInUse(t, vi, 1, "an upstream that starts in an evacuated zone")
+	apply(vi, removal("op/evacuate/z1", 8))
+	assertInUse(t, vi, 3, "the zone was taken back")
+}
+
+// Guards against an evacuation and its end in quick succession that arrive in reverse
+// order, and against two evacuations of which one ends.
+func TestEvacuationsInAnyOrder(t *testing.T) {
+	vi := newViewOfZones()
+	apply(vi, removal("op/evacuate/z1", 6), row("op/evacuate/z1", 5, "{}"))
+	assertInUse(t, vi, 2, "the end is newer")
+	apply(vi, row("op/evacuate/z1", 7, "{}"), row("op/evacuate/z2", 8, "{}"))
+	assertInUse(t, vi, 0, "all zones are evacuated")
+	apply(vi, removal("op/evacuate/z2", 9))
+	assertInUse(t, vi, 1, "one is taken back")
+}
+
+// Guards against an end of an evacuation that is missed while the store is away or has
+// forgotten its history, and against a peer that tells of the evacuation again afterwards.
+func TestScanEndsAnEvacuation(t *testing.T) {
+	vi := newViewOfZones()
+	apply(vi, row("op/evacuate/z1", 5, "{}"))
+	vi.Replace("servers", []citronstream.Row{{Key: "servers/i", Version: 1, Value: []byte("s a:1 x z1")}, {Key: "servers/j", Version: 2, Value: []byte("s a:2 x z2")}}, 9, SourceStore)
+	assertInUse(t, vi, 1, "the other table says nothing of zones")
+	vi.Replace("op", nil, 9, SourceStore)
+	assertInUse(t, vi, 2, "a scan without the row")
+	vi.Apply([]citronstream.Change{row("op/evacuate/z2", 7, "{}")}, "peer")
+	assertInUse(t, vi, 2, "a peer that has not heard of the end")
+}
+
+// Guards against a process that was cut off and hears from a peer only what changes from
+// then on.
+func TestPeerTellsAllEvacuations(t *testing.T) {
+	vi, late := newViewOfZones(), newViewOfZones()
+	apply(vi, row("op/evacuate/z1", 5, "{}"))
+	late.Apply(vi.State(citronstream.StateQuery{ConfigOnly: true}), "peer")
+	assertInUse(t, late, 1, "told on a new link")
+	late.ReplaceEvacuated(map[string]uint64{"z2": 7}, 8, "peer")
+	assertInUse(t, late, 1, "zone z2 is evacuated, zone z1 was taken back")
+	assert.Equal(t, map[string]uint64{"z2": 7}, late.Evacuated())
+	late.ReplaceEvacuated(map[string]uint64{"z1": 5}, 6, "slow peer")
+	assert.Equal(t, map[string]uint64{"z2": 7}, late.Evacuated(), "an older reading")
+}
--- /dev/null
+++ b/internal/process/gateway/evacuation_test.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/citronstream/citronstream/internal/standin/site"
+	"github.com/stretchr/testify/assert"
+)
+
+// evacuation is the key of the row that evacuates the zone of all upstreams.
+const evacuation = "evacuate/z"
+
+func (ts *testSite) assertEvacuated(entries []*testEntry, evacuated bool, text string) {
+	ts.t.Helper()
+	for _, en := range entries {
+		ts.waitFor(func() bool { return (len(en.view.Members().Service("desk")) == 0) == evacuated }, text)
+	}
+}
+
+// assertRefused checks that a request is answered as not run, and did not run.
+func (ts *testSite) assertRefused(en *testEntry) {
+	ts.t.Helper()
+	ca := ts.call()
+	res, _ := ts.roundTrip(en, ca, http.MethodPost, "/order/x", "order")
+	ts.assertStatus(http.StatusServiceUnavailable, res)
+	assert.Zero(ts.t, ts.executions(ca))
+}
+
+// Guards against entries that send requests to the upstreams of an evacuated zone, also
+// ones that leave the store to others, and against a zone that is never taken back.
+func TestEvacuation(t *testing.T) {
+	ts, _ := newSiteWithListeners(t)
+	ts.st.Put("op", evacuation, "{}")
+	ts.assertEvacuated(ts.entries, true, "an evacuation is not heard of")
+	ts.assertRefused(ts.entries[0])
+	ts.st.Remove("op", evacuation)
+	ts.assertEvacuated(ts.entries, false, "the end of an evacuation is not heard of")
+	res, _ := ts.roundTrip(ts.entries[0], ts.call(), http.MethodPost, "/order/x", "order")
+	ts.assertStatus(http.StatusOK, res)
+}
+
+// Guards against an evacuation that ends too early while the store is away, or never when
+// it returns without its history.
+func TestStoreIsAwayAtTheEndOfAnEvacuation(t *testing.T) {
+	ts := newTestSite(t, 2)
+	ts.upstream("d1", "desk")
+	ts.waitReady()
+	ts.st.Put("op", evacuation, "{}")
+	ts.assertEvacuated(ts.entries, true, "an evacuation is not heard of")
+	for _, en := range ts.entries {
+		en.door.Fault(site.Refuses)
+		ts.waitFor(en.follower.StoreDown, "the store is not missed")
+	}
+	ts.st.Remove("op", evacuation)
+	ts.st.Forget()
+	for _, en := range ts.entries {
+		ts.assertRefused(en)
+		en.door.Fault(site.Sound)
+	}
+	ts.assertEvacuated(ts.entries, false, "the zone is not taken back when the store returns")
+}
+
+// Guards against a gateway that starts without the store and uses the upstreams of a zone
+// whose evacuation its peers know of.
+func TestStartDuringAnEvacuation(t *testing.T) {
+	ts := newTestSite(t, 1)
+	ts.upstream("d1", "desk")
+	ts.waitReady()
+	ts.st.Put("op", evacuation, "{}")
+	ts.assertEvacuated(ts.entries, true, "an evacuation is not heard of")
+	late := ts.startEntryWithoutStore()
+	ts.waitFor(func() bool { return late.view.Members().Len() == 1 && late.view.Routes() != nil }, "peers don't tell their rows")
+	ts.assertEvacuated([]*testEntry{late}, true, "peers don't tell of the evacuation")
+	ts.assertRefused(late)
+	ts.st.Remove("op", evacuation)
+	ts.assertEvacuated(ts.entries, false, "peers don't tell of its end")
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -112,6 +112,7 @@
 	store := platform.NewStore(site.Store)
 	ga.view = view.New(clk, log, view.Decode{
 		Routing: platform.DecodeRouting, Member: platform.DecodeMember, ConfigKey: platform.ConfigKey, MemberPrefix: platform.TableMembers + "/",
+		EvacuationPrefix: platform.EvacuationPrefix,
 	})
 	ga.view.OnChange(ga.viewChanged)
 	ga.mesh = mesh.New(clk, log, eng, ga.peerInfo, ga.handle, ga.peerConnected)
--- a/internal/process/gateway/sharing.go
+++ b/internal/process/gateway/sharing.go
@@ -168,7 +168,7 @@
 // read it are told of each read, as its changes being none is news as well.
 func (ga *Gateway) storeRead(changes []citronstream.Change, re *citronstream.Reading) {
 	if re != nil && re.Table == platform.TableConfig {
-		re.After, re.Revision = 0, ga.view.Revision()
+		re.After, re.Revision, re.Evacuated = 0, ga.view.Revision(), ga.view.Evacuated()
 	}
 	if re != nil || len(changes) > 0 {
 		ga.queueRows(citronstream.Rows{Changes: changes, Reading: re})
@@ -219,6 +219,9 @@
 // heardRows applies rows that a peer has read.
 func (ga *Gateway) heardRows(from string, rows citronstream.Rows) {
 	ga.view.Apply(rows.Changes, from)
+	if re := rows.Reading; re != nil && re.Evacuated != nil {
+		ga.view.ReplaceEvacuated(re.Evacuated, re.Version, from)
+	}
 	// A configuration that this process does not have is fetched when its peer announces it.
 	if re := rows.Reading; re != nil && re.Revision <= ga.view.Revision() {
 		ga.follower.Heard(*re)
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -397,10 +397,20 @@
 
 func (br *Broker) releaseLocal(rl citronstream.Release) {
 	if ow := br.localOwner(rl.Service); ow != nil {
-		ow.Release(rl.Handles, rl.Bytes, func(handle string) *node.Node { return br.ResultNode(rl.Service, handle) })
+		ow.Release(rl.Handles, rl.Bytes, func(handle string) *node.Node { return br.releasable(rl.Service, handle) })
 	}
 }
 
+// releasable returns the upstream that is told of a released result, nil for none: those of
+// evacuated zones get no calls, and drop results by themselves.
+func (br *Broker) releasable(service, handle string) *node.Node {
+	nd := br.ResultNode(service, handle)
+	if nd == nil || br.view.Members().Evacuated(nd.Zone) {
+		return nil
+	}
+	return nd
+}
+
 // QueueWait returns the time until a job of a service with this slack and route's
 // rank starts, by the last load its owner reported, and 0 without one. Admitted
 // says that it is not up for admission any more.
--- a/message_peer.go
+++ b/message_peer.go
@@ -61,6 +61,9 @@
 	// Revision is the version of the configuration's row, which is not among the
 	// changes; 0 for other tables.
 	Revision uint64 `json:"Revision,omitempty"`
+	// Evacuated has all evacuated zones with the versions of their rows, for the
+	// configuration's table; nil if the sender does not tell.
+	Evacuated map[string]uint64 `json:"Evacuated"`
 	// AsOf is the time of the store's clock until which it is known to have been in
 	// this state. The age of a reading can't be told: the message may be held up
 	// on its way, as may the process that sends or receives it.
