platform: decode cold upstreams, the cold rate and allowed regions

Cause: the fields were dropped while decoding, so nothing could act on them. Change: settings (cold-overage, cold-slack, region, zones), services (cold-start-s, cold-per-s), rows of upstreams (cold-remaining-ms), routes and workspaces (allowed-regions) are decoded. Nothing uses them yet.

--- a/routing.go
+++ b/routing.go
@@ -18,6 +18,9 @@
 	Workspace string
 	// Rank replaces the route's rank; negative when the workspace has none of its own.
 	Rank int
+	// Regions are those in which requests of the workspace may run and their bodies may be
+	// sent; empty means all.
+	Regions []string
 }
 
 // Repeat says whether the work of a request may be repeated.
@@ -52,6 +55,9 @@
 	Split     []Share
 	Stages    []RouteStage
 	Anonymous bool // no API key is required
+	// Regions are those in which its requests may run and their bodies may be sent; empty
+	// means all.
+	Regions []string
 }
 
 // Share is the part of a route's requests that a service gets.
@@ -74,6 +80,10 @@
 	MaxConnections int        // of one upstream, from all callers together
 	Batch          *BatchSpec // nil unless stages use the service
 	Engine         bool       // the upstreams are model engines
+	// An upstream is cold for ColdStart after its start. While it is, it can take ColdRate
+	// requests a second; 0 means any number.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // BatchSpec describes one upstream of a service that works on batches.
@@ -103,6 +113,8 @@
 	Zone     string
 	Slots    int
 	Draining bool
+	// Cold is how much longer the upstream stays cold, when it wrote its row.
+	Cold time.Duration
 	// StartedMs is the start of the process, in milliseconds since 1970. It tells
 	// a restarted process, which has lost its state, from the one before.
 	StartedMs int64
--- a/site.go
+++ b/site.go
@@ -7,7 +7,9 @@
 type Site struct {
 	Process string // unique among the running processes
 	Zone    string
-	Address string // IP address of the instance
+	Region  string
+	Regions map[string]string // of the zones of the site
+	Address string            // IP address of the instance
 
 	// Callers, Ready and Peers are the addresses to listen at, as host:port.
 	Callers string
@@ -33,4 +35,8 @@
 	RetryWindow time.Duration // window of the retry budget
 	RetryRatio  float64       // extra attempts as a share of a service's requests
 	RetryExtra  int           // extra attempts that a window always allows, over all processes
+	// An upstream that is cold gets at most ServiceSpec.ColdRate times ColdOverage plus
+	// ColdSlack requests within any second, from all processes together.
+	ColdOverage float64
+	ColdSlack   float64
 }
