fleet/follow, ingress/flow: earlier service after a start while the store is silent

Cause: the first read of a process on a silent store waited 1 s for an answer that never came, and callers were told to come back after 0.2 s, which uses up their only return. Change: the first read of a table is made again each 0.25 s beside the one that waits; a process without a configuration 0.3 s after its start asks callers to come back after 0.7 to 1.3 s. Result: TestStoreIsSilentAtTheStart failed at 300 ms and 1.7 s before, passes 20 of 20.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -40,6 +40,12 @@
 	// slowAnswer is the time of an answer above which the store counts as
 	// unreachable: heartbeats that take as long can come too late.
 	slowAnswer = 500 * time.Millisecond
+	// A process that has not read a table yet can serve nothing. While the store is silent,
+	// its first read is made again each firstReadInterval, without giving up the reads that
+	// wait, of which there are firstReads at most: a store that answers 60 times slower than
+	// usual, after 0.25 s, must not be asked in vain.
+	firstReadInterval = 250 * time.Millisecond
+	firstReads        = 5
 	// minRetry and maxRetry bound the wait after a failed call, before jitter.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 800 * time.Millisecond
@@ -268,8 +274,11 @@
 }
 
 // maxRetry returns the longest wait after a failed call. Entries that rely on readers
-// hear from them when the store is back.
+// hear from them when the store is back; those that have read nothing yet can't serve.
 func (fo *Follower) maxRetry(ta Table) time.Duration {
+	if !fo.hasRead(ta) {
+		return firstReadInterval
+	}
 	if fo.readers().Self {
 		return maxRetry
 	}
@@ -285,9 +294,8 @@
 }
 
 func (fo *Follower) scan(ctx context.Context, ta Table) (uint64, error) {
-	fo.calls.Add(1)
 	began := fo.clk.Now()
-	rows, at, err := fo.feed.Scan(ctx, ta.Name)
+	rows, at, err := fo.scanTable(ctx, ta)
 	if err != nil {
 		return 0, err
 	}
@@ -301,6 +309,53 @@
 	return at.Version, nil
 }
 
+// scanned is the outcome of a read of a whole table.
+type scanned struct {
+	rows []citronstream.Row
+	at   citronstream.Stamp
+	err  error
+}
+
+// scanTable reads a whole table. The first read of a process is made several times at once
+// when the store is silent.
+func (fo *Follower) scanTable(ctx context.Context, ta Table) ([]citronstream.Row, citronstream.Stamp, error) {
+	most := firstReads
+	if fo.hasRead(ta) {
+		most = 1
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var reads sync.WaitGroup
+	defer reads.Wait()
+	defer cancel()
+	results := make(chan scanned, most)
+	begin := func() {
+		fo.calls.Add(1)
+		reads.Go(func() {
+			var sc scanned
+			sc.rows, sc.at, sc.err = fo.feed.Scan(ctx, ta.Name)
+			results <- sc
+		})
+	}
+	begin()
+	running := 1
+	ticker := fo.clk.NewTicker(firstReadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case sc := <-results:
+			running--
+			if sc.err == nil || running == 0 {
+				return sc.rows, sc.at, sc.err
+			}
+		case <-ticker.Chan():
+			if running < most {
+				begin()
+				running++
+			}
+		}
+	}
+}
+
 // applyScan applies all rows of a table and returns the changes.
 func (fo *Follower) applyScan(ta Table, rows []citronstream.Row, at citronstream.Stamp) []citronstream.Change {
 	return fo.view.Replace(ta.Name, rows, at.Version, view.SourceStore)
--- a/internal/fleet/follow/follow_test.go
+++ b/internal/fleet/follow/follow_test.go
@@ -383,6 +383,27 @@
 	})
 }
 
+// Guards against a process that starts while the store is silent and notices its return a
+// second late, as its first read waits for an answer that never comes.
+func TestStoreIsSilentAtTheStart(t *testing.T) {
+	for _, away := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 1700 * time.Millisecond} {
+		inFleet(t, 1, 0, func(fl *fleet) {
+			late := &entry{name: "late", reader: true, door: &door{st: fl.st}}
+			late.fault.Store(silent)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			fl.create(ctx, late, 1)
+			fl.running.Go(func() { late.follower.Run(ctx, ConfigTable(config, maxAge)) })
+			fl.clk.Sleep(away)
+			late.fault.Store(sound)
+			fl.clk.Sleep(300 * time.Millisecond)
+			synctest.Wait()
+			assert.NotNil(t, late.view.Routes(), "silent for %v", away)
+			assert.LessOrEqual(t, late.calls.Load(), int32(away/(250*time.Millisecond)+4))
+		})
+	}
+}
+
 // While the store is away from all, hundreds of entries must not ask for it as often as
 // the readers do, who tell them when it is back; and a row that lapsed meanwhile stays
 // in use until its upstream can have written it again.
--- a/internal/ingress/flow/admit.go
+++ b/internal/ingress/flow/admit.go
@@ -17,6 +17,26 @@
 // leaving. Another process may serve the request at once.
 const shortRetryAfter = 200 * time.Millisecond
 
+const (
+	// usualStart is how long a process takes to read the configuration when the store is
+	// sound. After it the store is away, mostly for longer than a second, and callers that
+	// may come back only once must not do so too early.
+	usualStart  = 300 * time.Millisecond
+	storeReturn = time.Second
+	// returnSpread is the part by which the time to come back varies, so that callers that
+	// were refused together do not return together.
+	returnSpread = 0.3
+)
+
+// notReadyRetryAfter returns the Retry-After of a process that has no configuration and
+// has run for some time. Draw is a random number in [0, 1).
+func notReadyRetryAfter(running time.Duration, draw float64) time.Duration {
+	if running < usualStart {
+		return shortRetryAfter
+	}
+	return time.Duration(float64(storeReturn) * (1 - returnSpread + 2*returnSpread*draw))
+}
+
 // admit reads and checks the request and selects its route and service. It
 // returns false if it has already responded.
 func (rt *request) admit() (outcome, bool) {
@@ -32,7 +52,7 @@
 	rt.fl.Pass(rt.rq.Context())
 	rt.routes = rt.fl.View.Routes()
 	if rt.routes == nil {
-		return rt.respond(http.StatusServiceUnavailable, shortRetryAfter,
+		return rt.respond(http.StatusServiceUnavailable, notReadyRetryAfter(rt.fl.clk.Since(rt.fl.began), rand.Float64()),
 			citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotReady, "no configuration is known yet")), false
 	}
 	rt.route = rt.routes.Find(rt.rq.Host, rt.rq.URL.Path)
