limit/coldrate: cold upstreams get no more than their rate

Cause: an upstream that has just started, or whose zone was taken back, has empty queues, so that all gateways send to it at once; it tolerates 8.9 requests a second and crashes well above. Change: the first 8 of the known gateways by rendezvous hashing send one request each within any 1.1 s to a cold upstream, the others none. Shares follow the gateways known from a complete list of the store, reachable or not; without one nothing is sent. A choice takes a permit; without one another upstream is chosen, or the request waits within its target, most urgent first, or is refused. Zone and cold state are checked again when a request is sent. The discovery reads its rows once more while shares are needed.

--- a/internal/fleet/discovery/discovery.go
+++ b/internal/fleet/discovery/discovery.go
@@ -44,21 +44,48 @@
 	ownRow row
 	// malformed has the versions of the malformed rows of the last read, by key.
 	malformed map[string]uint64
+	written   bool // the row of this process
+	onList    func(addresses []string, began time.Time)
+	refresh   chan struct{}
+}
+
+// Option configures a Discovery.
+type Option func(*Discovery)
+
+// WithOnList sets the function that is called with the addresses of all entries after each
+// complete read of their rows, and when it began. Until the row of this process is written,
+// the others may not know of it, and the function is not called.
+func WithOnList(onList func(addresses []string, began time.Time)) Option {
+	return func(di *Discovery) { di.onList = onList }
 }
 
 // New returns a Discovery for the process with this name, peer address and zone.
-func New(clk citronstream.Clock, log logr.Logger, table citronstream.Table, ms *mesh.Mesh, name, address, zone string) *Discovery {
-	return &Discovery{clk: clk, log: log, table: table, mesh: ms, name: name, ownRow: row{Address: address, Zone: zone}}
+func New(clk citronstream.Clock, log logr.Logger, table citronstream.Table, ms *mesh.Mesh, name, address, zone string, opts ...Option) *Discovery {
+	di := &Discovery{
+		clk: clk, log: log, table: table, mesh: ms, name: name, ownRow: row{Address: address, Zone: zone},
+		onList: func([]string, time.Time) {}, refresh: make(chan struct{}, 1),
+	}
+	for _, opt := range opts {
+		opt(di)
+	}
+	return di
+}
+
+// Refresh lets Run read the rows of the others now.
+func (di *Discovery) Refresh() {
+	select {
+	case di.refresh <- struct{}{}:
+	default:
+	}
 }
 
 // Run writes the row of this process once and reads those of the others until ctx ends.
 func (di *Discovery) Run(ctx context.Context) {
-	written := false
 	for ctx.Err() == nil {
 		wait := max(readInterval, time.Duration(di.mesh.LiveCount())*intervalPerPeer)
-		if !written {
+		if !di.written {
 			err := di.write(ctx)
-			written = err == nil
+			di.written = err == nil
 			if err != nil {
 				di.log.Info("own row not written", "reason", err.Error())
 				wait = retryDelay
@@ -71,6 +98,7 @@
 		select {
 		case <-ctx.Done():
 		case <-timer.Chan():
+		case <-di.refresh:
 		}
 		timer.Stop()
 	}
@@ -87,10 +115,17 @@
 // readRows adds the entries with a row to the mesh and removes the rows of those
 // that have been unreachable for long.
 func (di *Discovery) readRows(ctx context.Context) error {
+	began := di.clk.Now()
 	rows, err := di.table.List(ctx, prefix, "", maxRows)
 	if err != nil {
 		return err
 	}
+	addresses := make([]string, 0, len(rows))
+	defer func() {
+		if di.written && len(rows) < maxRows {
+			di.onList(addresses, began)
+		}
+	}()
 	logged := di.malformed
 	di.malformed = make(map[string]uint64)
 	for _, ro := range rows {
@@ -101,6 +136,7 @@
 			}
 			continue
 		}
+		addresses = append(addresses, other.Address)
 		pe := di.mesh.AddPeer(other.Address, other.Zone)
 		if pe == nil || pe.UnreachableFor() < removeAfter {
 			continue
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -62,11 +62,14 @@
 	storeDownAt time.Time // last sign that the store was unreachable
 	onChange    func(changes []citronstream.Change, source string)
 	onMembers   []func(*Members)
+	onRow       func(mb citronstream.Member)
+	onTakenBack func(zone string, version uint64)
 }
 
 // New returns an empty view.
 func New(clk citronstream.Clock, log logr.Logger, decode Decode) *View {
 	vi := &View{clk: clk, log: log, decode: decode, rows: make(map[string]*record), zones: evacuation.New(), onChange: func([]citronstream.Change, string) {}}
+	vi.onRow, vi.onTakenBack = func(citronstream.Member) {}, func(string, uint64) {}
 	vi.members.Store(newMembers(nil, nil))
 	return vi
 }
@@ -87,6 +90,16 @@
 // may call only Routes, Members and Revision.
 func (vi *View) OnMembers(onMembers func(*Members)) { vi.onMembers = append(vi.onMembers, onMembers) }
 
+// OnRow sets the function that is called with each newer row of an upstream, heartbeats
+// included. It may call only Routes, Members and Revision.
+func (vi *View) OnRow(onRow func(mb citronstream.Member)) { vi.onRow = onRow }
+
+// OnTakenBack sets the function that is called when the evacuation of a zone has ended at
+// a version of the store. It may call only Routes, Members and Revision.
+func (vi *View) OnTakenBack(onTakenBack func(zone string, version uint64)) {
+	vi.onTakenBack = onTakenBack
+}
+
 // Routes returns the configuration in force, or nil before the first.
 func (vi *View) Routes() *Routes { return vi.routes.Load() }
 
@@ -313,6 +326,7 @@
 	text := "zone evacuated"
 	if ch.Deleted {
 		text = "zone taken back"
+		vi.onTakenBack(zone, ch.Version)
 	}
 	vi.log.Info(text, "zone", zone, "source", source, "revision", ch.Version, "evacuated zones", len(vi.zones.Evacuated()))
 	return true
@@ -356,6 +370,7 @@
 		vi.log.Info("row of an upstream malformed", "key", ch.Key, "reason", err.Error(), "source", source, "revision", ch.Version)
 		return old != nil && old.node != nil
 	}
+	vi.onRow(member)
 	if old != nil && old.node != nil && old.node.Same(member) {
 		if old.node.Draining == member.Draining && old.node.Slots == member.Slots && old.node.Zone == member.Zone {
 			rec.node = old.node // a heartbeat
--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/limit/bodybudget"
+	"github.com/citronstream/citronstream/internal/limit/coldrate"
 	"github.com/citronstream/citronstream/internal/limit/deathdetect"
 	"github.com/citronstream/citronstream/internal/route/engines"
 	"github.com/citronstream/citronstream/internal/upstream/conns"
@@ -44,6 +45,7 @@
 	nd     *node.Node
 	demand *engines.Request // nil for services without engines
 	fresh  bool             // the address got the request before
+	permit *coldrate.Permit // nil if the upstream is not cold
 	retry  time.Time        // when its repeat was taken from the retry budget; zero for none
 	parent context.Context
 	ctx    context.Context
@@ -90,6 +92,9 @@
 		at.fault = citronstream.NewFault(citronstream.NotRun, citronstream.CodeDeadline, "the request would have had to be sent %v ago", -left)
 		return
 	}
+	if at.fault = rt.recheck(at); at.fault != nil {
+		return
+	}
 	at.stopRelease = rt.releaseEarly(at.nd, at.demand)
 	if refusal := rt.visit.Send(); refusal != nil {
 		at.fault, at.quarantined = partFault(refusal), true
@@ -114,6 +119,11 @@
 	}
 	at.cancel(nil)
 	at.stopRelease()
+	if at.sentAt.Load() == nil {
+		at.permit.Return()
+	} else {
+		at.permit.Sent()
+	}
 	if at.demand != nil {
 		rt.fl.Engines.End(at.nd, *at.demand, at.begun)
 	}
--- /dev/null
+++ b/internal/ingress/flow/choice.go
@@ -0,0 +1,156 @@
+package flow
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/citronstream/citronstream/internal/limit/coldrate"
+	"github.com/citronstream/citronstream/internal/route/engines"
+	"github.com/citronstream/citronstream/internal/route/leastrequest"
+)
+
+// turnInterval is how often a request that waits for a cold upstream looks whether it is
+// its turn.
+const turnInterval = 20 * time.Millisecond
+
+// usable returns the upstreams that may get the request now: without cold ones that may
+// take nothing more from this process, or whose next permit is for a request that waits.
+func (rt *request) usable() []*node.Node {
+	nodes := rt.permitted()
+	for i, nd := range nodes {
+		if !rt.mayTake(nd) {
+			left := append(make([]*node.Node, 0, len(nodes)), nodes[:i]...)
+			for _, nd := range nodes[i+1:] {
+				if rt.mayTake(nd) {
+					left = append(left, nd)
+				}
+			}
+			return left
+		}
+	}
+	return nodes
+}
+
+func (rt *request) mayTake(nd *node.Node) bool {
+	if !rt.fl.Cold.Free(nd.ID) {
+		return false
+	}
+	return rt.turn || !rt.fl.Cold.Limited(nd.ID) || !rt.fl.Cold.Waiting(rt.service, rt.rank)
+}
+
+// permitted returns the upstreams to which the request may be sent.
+func (rt *request) permitted() []*node.Node { return rt.fl.View.Members().Service(rt.service) }
+
+// pick chooses an upstream and takes the permit that it may need. An engine is counted as
+// used until attempt calls Engines.End.
+func (rt *request) pick() (*node.Node, *engines.Request, *coldrate.Permit) {
+	for {
+		nodes := rt.usable()
+		nd, demand := rt.choose(nodes)
+		if nd == nil {
+			return nil, nil, nil
+		}
+		if permit, ok := rt.fl.Cold.Take(nd.ID); ok {
+			return nd, demand, permit
+		}
+		// Another request has taken the last permit, so that nd is not usable any more.
+		if demand != nil {
+			rt.fl.Engines.End(nd, *demand, false)
+		}
+	}
+}
+
+// choose chooses one of the upstreams.
+func (rt *request) choose(nodes []*node.Node) (*node.Node, *engines.Request) {
+	if rt.routes.Services[rt.service].Engine {
+		demand := rt.demand(rt.tried)
+		if nd := rt.fl.Engines.Pick(nodes, &demand); nd != nil {
+			return nd, &demand
+		}
+		return rt.anyUntried(nodes), nil
+	}
+	if nd := leastrequest.Pick(nodes, rt.fl.Zone, rt.tried, rt.fl.clk.Now()); nd != nil {
+		return nd, nil
+	}
+	return rt.anyUntried(nodes), nil
+}
+
+// anyUntried returns a random upstream that was not tried, including ones that
+// seem broken.
+func (rt *request) anyUntried(nodes []*node.Node) *node.Node {
+	var left []*node.Node
+	for _, nd := range nodes {
+		if !rt.tried[nd.ID] {
+			left = append(left, nd)
+		}
+	}
+	if len(left) == 0 {
+		return nil
+	}
+	return left[rand.IntN(len(left))]
+}
+
+// pickLater waits for a permit of a cold upstream if only such ones are left and the
+// request can still reach its target then. The most urgent requests come first.
+func (rt *request) pickLater(ctx context.Context) (*node.Node, *engines.Request, *coldrate.Permit) {
+	var cold []string
+	for _, nd := range rt.permitted() {
+		if !rt.tried[nd.ID] {
+			cold = append(cold, nd.ID)
+		}
+	}
+	if len(cold) == 0 {
+		return nil, nil, nil
+	}
+	latest := rt.target.Add(-rt.fl.latencies.expected(rt.route.Name, rt.readTime))
+	wa := rt.fl.Cold.Wait(rt.service, rt.rank)
+	defer wa.Leave()
+	defer func() { rt.turn = false }()
+	for ctx.Err() == nil {
+		rt.turn = wa.Turn()
+		if nd, demand, permit := rt.pick(); nd != nil {
+			return nd, demand, permit
+		}
+		wait := rt.fl.Cold.Next(cold, wa.Ahead())
+		if rt.fl.clk.Now().Add(wait).After(latest) {
+			rt.refuseCold(len(cold), wait)
+			return nil, nil, nil
+		}
+		timer := rt.fl.clk.NewTimer(turnInterval)
+		select {
+		case <-ctx.Done():
+		case <-timer.Chan():
+		}
+		timer.Stop()
+	}
+	return nil, nil, nil
+}
+
+// refuseCold records that the cold upstreams that are left can't take the request in time.
+func (rt *request) refuseCold(count int, wait time.Duration) {
+	rt.noRetry = noPermitLeft
+	if rt.worst.Verdict != citronstream.NotRun {
+		return
+	}
+	rt.worst = citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "the %d upstreams of service %s that are left are cold and take no more for %v", count, rt.service, wait.Round(time.Millisecond))
+	rt.worst.RetryAfter = max(wait, shortRetryAfter)
+}
+
+// recheck returns why the chosen upstream may get nothing any more. Inputs of the request
+// may have been computed since it was chosen.
+func (rt *request) recheck(at *attempt) *citronstream.Fault {
+	if rt.fl.View.Members().Evacuated(at.nd.Zone) {
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "zone %s of upstream %s was evacuated", at.nd.Zone, at.nd.ID)
+	}
+	if at.permit == nil {
+		permit, ok := rt.fl.Cold.Take(at.nd.ID)
+		if !ok {
+			return citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "upstream %s has turned cold", at.nd.ID)
+		}
+		at.permit = permit
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ingress/flow/choice_test.go
@@ -0,0 +1,94 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/view"
+	"github.com/citronstream/citronstream/internal/limit/coldrate"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+)
+
+// coldRequest returns a request to a service with the cold upstreams m/a and m/b, each of
+// which takes two requests a second from this gateway.
+func coldRequest(t *testing.T) *request {
+	t.Helper()
+	rt := stalledRequest(t)
+	clk := rt.fl.clk.(*clockwork.FakeClock)
+	rt.fl.Cold = coldrate.New(clk, "self", func(string) citronstream.ServiceSpec {
+		return citronstream.ServiceSpec{ColdStart: time.Second, ColdRate: 8}
+	})
+	for _, id := range []string{"m/a", "m/b"} {
+		rt.fl.Cold.Row(citronstream.Member{ID: id, Service: "s", Revision: 1, Cold: time.Hour})
+	}
+	clk.Advance(2 * time.Second)
+	rt.fl.Cold.Listed(nil, clk.Now())
+	rt.routes = &view.Routes{Routing: &citronstream.Routing{}}
+	rt.worst = citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "none")
+	rt.visited = make(map[string]bool)
+	rt.target = clk.Now().Add(200 * time.Millisecond)
+	return rt
+}
+
+// Guards against a lost permit that costs a repeat, or excludes other upstreams.
+func TestOtherUpstreamWithoutPermit(t *testing.T) {
+	rt := coldRequest(t)
+	for range 2 {
+		_, ok := rt.fl.Cold.Take("m/a")
+		assert.True(t, ok)
+	}
+	for range 2 {
+		nd, _, permit := rt.pick()
+		if assert.NotNil(t, nd) {
+			assert.Equal(t, "m/b", nd.ID)
+		}
+		assert.NotNil(t, permit)
+	}
+	nd, _, _ := rt.pick()
+	assert.Nil(t, nd)
+	assert.Equal(t, stalledRequest(t).fl.Budget.Take("s", 5), rt.fl.Budget.Take("s", 5), "the repeats are left")
+}
+
+// Guards against a request that waits for a cold upstream longer than its target allows.
+func TestRefusedWithoutPermit(t *testing.T) {
+	rt := coldRequest(t)
+	for nd, _, permit := rt.pick(); nd != nil; nd, _, permit = rt.pick() {
+		permit.Sent()
+	}
+	assert.Nil(t, rt.nextAttempt(t.Context()))
+	assert.Equal(t, noPermitLeft, rt.noRetry)
+	assert.Equal(t, citronstream.NotRun, rt.worst.Verdict)
+	assert.Equal(t, 1100*time.Millisecond, rt.worst.RetryAfter)
+}
+
+// Guards against a new request that takes the permit of a more urgent one that waits.
+func TestNewRequestsComeAfterThoseThatWait(t *testing.T) {
+	rt := coldRequest(t)
+	rt.rank = 1
+	urgent := rt.fl.Cold.Wait("s", 0)
+	nd, _, _ := rt.pick()
+	assert.Nil(t, nd)
+	rt.rank = 0
+	nd, _, _ = rt.pick()
+	assert.Nil(t, nd, "it came later")
+	urgent.Leave()
+	nd, _, _ = rt.pick()
+	assert.NotNil(t, nd)
+}
+
+// Guards against a request that is sent to an upstream whose zone was evacuated, or that
+// turned cold, while its inputs were computed.
+func TestRecheck(t *testing.T) {
+	rt := coldRequest(t)
+	at := rt.newAttempt(t.Context(), rt.fl.View.Members().Node("m/a"), nil, time.Time{})
+	assert.Nil(t, rt.recheck(at))
+	assert.NotNil(t, at.permit)
+	_, ok := rt.fl.Cold.Take("m/a")
+	assert.True(t, ok)
+	late := rt.newAttempt(t.Context(), at.nd, nil, time.Time{})
+	if fa := rt.recheck(late); assert.NotNil(t, fa) {
+		assert.Equal(t, citronstream.NotRun, fa.Verdict)
+	}
+}
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -13,6 +13,7 @@
 	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/citronstream/citronstream/internal/limit/bodybudget"
+	"github.com/citronstream/citronstream/internal/limit/coldrate"
 	"github.com/citronstream/citronstream/internal/limit/deathdetect"
 	"github.com/citronstream/citronstream/internal/limit/firstattempt"
 	"github.com/citronstream/citronstream/internal/limit/partquarantine"
@@ -43,6 +44,8 @@
 	Parts      *partquarantine.Quarantine
 	Refused    *firstattempt.Registry
 	Deaths     *deathdetect.Detector
+	// Cold bounds the requests to cold upstreams; nil if none is cold.
+	Cold *coldrate.Limiter
 	// Suspended returns for how long the instance has been suspended; it may be nil. That
 	// time does not count for timers, but it does for callers.
 	Suspended func() time.Duration
@@ -79,6 +82,9 @@
 	if pa.Suspended == nil {
 		pa.Suspended = func() time.Duration { return 0 }
 	}
+	if pa.Cold == nil {
+		pa.Cold = coldrate.New(clk, "", func(string) citronstream.ServiceSpec { return citronstream.ServiceSpec{} })
+	}
 	if pa.Pass == nil {
 		pa.Pass = func(context.Context) {}
 	}
@@ -158,6 +164,7 @@
 	visited    map[string]bool     // their addresses
 	sends      int                 // attempts that reached the chosen upstream
 	deliveries int                 // sends, and attempts answered by another upstream at the address
+	turn       bool                // it is its turn to get a permit for a cold upstream
 	unreached  int                 // attempts that reached no upstream
 	nextRetry  time.Time           // when the repeat in hand was taken from the retry budget; zero for none
 	noRetry    string              // why no other upstream was tried; empty if it did not matter
@@ -270,8 +277,14 @@
 // upstreamRequest builds the request for an attempt.
 func (rt *request) upstreamRequest(at *attempt, fo citronstream.ForwardOptions) *conns.Request {
 	fo.Left, fo.Member, fo.Workspace = rt.timeLeft(), at.nd.ID, rt.workspace
+	written := func() {
+		at.permit.Sent()
+		if at.written != nil {
+			at.written()
+		}
+	}
 	return &conns.Request{
-		Method: rt.rq.Method, Target: rt.rq.RequestURI, Host: rt.rq.Host, Written: at.written,
+		Method: rt.rq.Method, Target: rt.rq.RequestURI, Host: rt.rq.Host, Written: written,
 		Header: platform.UpstreamHeader(rt.rq.Header, &fo), Body: rt.body, ID: rt.ID, Fresh: at.fresh, Parse: platform.ParseAnswer,
 	}
 }
--- a/internal/ingress/flow/forward.go
+++ b/internal/ingress/flow/forward.go
@@ -1,14 +1,12 @@
 package flow
 
 import (
+	"cmp"
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/fleet/node"
-	"github.com/citronstream/citronstream/internal/route/engines"
-	"github.com/citronstream/citronstream/internal/route/leastrequest"
 )
 
 // maxUnreached is the maximum number of upstreams that could not be reached.
@@ -67,15 +65,21 @@
 		}
 	}
 	rt.fl.Pass(ctx)
-	nd, demand := rt.pick()
+	rt.noRetry = ""
+	nd, demand, permit := rt.pick()
 	if nd == nil {
-		rt.noRetry = noUpstreamLeft
+		nd, demand, permit = rt.pickLater(ctx)
+	}
+	if nd == nil {
+		rt.noRetry = cmp.Or(rt.noRetry, noUpstreamLeft)
 		if !retry.IsZero() {
 			rt.keepRetry(retry) // returnRetry gives it back
 		}
 		return nil
 	}
-	return rt.newAttempt(ctx, nd, demand, retry)
+	at := rt.newAttempt(ctx, nd, demand, retry)
+	at.permit = permit
+	return at
 }
 
 // account records the outcome of an attempt that did not end the request.
@@ -118,6 +122,7 @@
 	noUpstreamReached = "no upstream reached"
 	noAttemptLeft     = "no attempt left"
 	noRetryBudget     = "retry budget used up"
+	noPermitLeft      = "other upstreams are cold"
 )
 
 // takeRetry takes a repeat from the retry budget, unless one is in hand, and returns when
@@ -165,7 +170,7 @@
 // estimateReadTime sets the time to read the prompt.
 func (rt *request) estimateReadTime() {
 	if rt.routes.Services[rt.service].Engine {
-		rt.readTime = rt.fl.Engines.ReadTime(rt.fl.View.Members().Service(rt.service), rt.demand(nil))
+		rt.readTime = rt.fl.Engines.ReadTime(rt.usable(), rt.demand(nil))
 	}
 }
 
@@ -178,37 +183,5 @@
 	}
 	demand := rt.demand(nil)
 	demand.Slack -= needs
-	return rt.fl.Engines.Prefer(rt.fl.View.Members().Service(rt.service), demand)
-}
-
-// pick chooses an upstream. An engine is counted as used until attempt calls
-// Engines.End.
-func (rt *request) pick() (*node.Node, *engines.Request) {
-	nodes := rt.fl.View.Members().Service(rt.service)
-	if rt.routes.Services[rt.service].Engine {
-		demand := rt.demand(rt.tried)
-		if nd := rt.fl.Engines.Pick(nodes, &demand); nd != nil {
-			return nd, &demand
-		}
-		return rt.anyUntried(nodes), nil
-	}
-	if nd := leastrequest.Pick(nodes, rt.fl.Zone, rt.tried, rt.fl.clk.Now()); nd != nil {
-		return nd, nil
-	}
-	return rt.anyUntried(nodes), nil
-}
-
-// anyUntried returns a random upstream that was not tried, including ones that
-// seem broken.
-func (rt *request) anyUntried(nodes []*node.Node) *node.Node {
-	var left []*node.Node
-	for _, nd := range nodes {
-		if !rt.tried[nd.ID] {
-			left = append(left, nd)
-		}
-	}
-	if len(left) == 0 {
-		return nil
-	}
-	return left[rand.IntN(len(left))]
+	return rt.fl.Engines.Prefer(rt.usable(), demand)
 }
--- a/internal/ingress/flow/takeover.go
+++ b/internal/ingress/flow/takeover.go
@@ -225,12 +225,13 @@
 	if rt.sends+1 >= rt.route.Attempts || rt.unreached >= maxUnreached || rt.visit.Apart() || !rt.takeReplacement(to.at.nd, to.rest) {
 		return false
 	}
-	nd, demand := rt.pick()
+	nd, demand, permit := rt.pick()
 	if nd == nil {
 		return false // the repeat stays in hand
 	}
 	retry, _ := rt.takeRetry() // takeReplacement has it in hand
 	next := rt.newAttempt(to.at.parent, nd, demand, retry)
+	next.permit = permit
 	after := to.acceptAfter()
 	next.written = func() { to.written(next, after) }
 	to.next, to.settled, to.sent, to.answered = next, make(chan struct{}), false, false
@@ -276,7 +277,7 @@
 		return false
 	}
 	now := rt.fl.clk.Now()
-	for _, nd := range rt.fl.View.Members().Service(rt.service) {
+	for _, nd := range rt.usable() {
 		if nd.ID != current.ID && !rt.tried[nd.ID] && !nd.Avoided(now) {
 			if rt.nextRetry.IsZero() && rt.fl.Budget.Take(rt.service, 1) == 1 {
 				rt.nextRetry = now
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/citronstream/citronstream/internal/fleet/wakeup"
 	"github.com/citronstream/citronstream/internal/ingress/flow"
 	"github.com/citronstream/citronstream/internal/ingress/server"
+	"github.com/citronstream/citronstream/internal/limit/coldrate"
 	"github.com/citronstream/citronstream/internal/limit/deathdetect"
 	"github.com/citronstream/citronstream/internal/limit/firstattempt"
 	"github.com/citronstream/citronstream/internal/limit/partquarantine"
@@ -75,6 +76,8 @@
 	parts         *partquarantine.Quarantine
 	refusals      *firstattempt.Registry
 	deaths        *deathdetect.Detector
+	cold          *coldrate.Limiter
+	listAsked     time.Time // when the list of gateways was last asked for by sweepCold
 	budget        *siteretrybudget.Budget
 	meter         *requests.Meter
 	flow          *flow.Flow
@@ -115,9 +118,12 @@
 		EvacuationPrefix: platform.EvacuationPrefix,
 	})
 	ga.view.OnChange(ga.viewChanged)
+	ga.cold = coldrate.New(clk, site.Peers, ga.serviceSpec, coldrate.WithBound(site.Bounds.ColdOverage, site.Bounds.ColdSlack), coldrate.WithOnChange(ga.coldChanged))
+	ga.view.OnRow(ga.cold.Row)
+	ga.view.OnTakenBack(ga.cold.TakenBack)
 	ga.mesh = mesh.New(clk, log, eng, ga.peerInfo, ga.handle, ga.peerConnected)
 	ga.follower = follow.New(clk, log, store, ga.view, follow.WithReaders(ga.readers), follow.WithOnRead(ga.storeRead))
-	ga.discovery = discovery.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone)
+	ga.discovery = discovery.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone, discovery.WithOnList(ga.cold.Listed))
 	suspended := ga.suspendedTime()
 	ga.wakeup = wakeup.New(clk, log, suspended, ga.readAgain)
 	ga.deaths = deathdetect.New(ga.ctx, clk, probeUpstream, ga.upstreamDied)
@@ -127,7 +133,7 @@
 	ga.budget = siteretrybudget.New(clk, site.Bounds, ga.mesh.LiveCount)
 	ga.flow = flow.New(clk, log, flow.Dependencies{
 		Zone: site.Zone, ListingTTL: ga.listingTTL(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
-		Budget: ga.budget, Holds: ga.holds, Parts: ga.parts, Refused: ga.refusals, Deaths: ga.deaths, Observe: ga.meter.Observe,
+		Budget: ga.budget, Holds: ga.holds, Parts: ga.parts, Refused: ga.refusals, Deaths: ga.deaths, Cold: ga.cold, Observe: ga.meter.Observe,
 		Suspended: suspended, Pass: ga.wakeup.Pass,
 	})
 	ga.callerServer = server.New(clk, log, ga.flow)
@@ -276,6 +282,7 @@
 		case <-ticker.Chan():
 		}
 		ga.view.Sweep()
+		ga.sweepCold()
 		ga.tellRefusals()
 		ga.parts.Tick()
 		ga.tellParts()
@@ -398,6 +405,7 @@
 	if nd := ga.view.Members().Node(report.Upstream); nd != nil {
 		nd.MarkDead(ga.clk.Now(), ga.listingTTL())
 	}
+	ga.cold.Died(report.Upstream, ga.listingTTL())
 	ga.log.Info("upstream died", "upstream", report.Upstream, "death", report.ID, "running", len(report.Running), "held", len(held), "source", source)
 }
 
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -27,6 +27,14 @@
 	})
 	gauge("citronstream_site_upstreams", "Upstreams in use.", func() float64 { return float64(ga.view.Members().Len()) })
 	gauge("citronstream_site_zones_evacuated", "Zones to whose upstreams nothing more is sent.", func() float64 { return float64(len(ga.view.Evacuated())) })
+	gauge("citronstream_site_upstreams_cold", "Upstreams that are cold.", func() float64 {
+		cold, _ := ga.cold.Counts()
+		return float64(cold)
+	})
+	gauge("citronstream_site_cold_rate_share", "Share of the rate of cold upstreams that this process may use, 0 if none is cold.", func() float64 {
+		_, share := ga.cold.Counts()
+		return share
+	})
 	gauge("citronstream_site_entries", "Entries that take part, this one included.", func() float64 { return float64(ga.mesh.LiveCount()) })
 	gauge("citronstream_site_in_flight", "Requests that were read and not answered.", func() float64 { return float64(ga.flow.InFlight()) })
 	counter("citronstream_site_panics_total", "Requests that ended by a panic.", func() float64 { return float64(ga.flow.Panics()) })
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -43,6 +44,10 @@
 	// means the upstream's own. It is set before the upstream is listed.
 	Public string
 
+	// Zone is the zone in its row; empty means z. It is set before the upstream is listed.
+	Zone string
+	Cold atomic.Int64 // rest of its cold time in its row, in ms
+
 	// Fault switches and settings. With the zero values the upstream is healthy.
 	Refuse      atomic.Bool  // 503 with the header that the work did not run
 	Copies      atomic.Int32 // copies of a connection's last refusal that precede its next answer
@@ -175,8 +180,8 @@
 
 // Row returns the value of the upstream's row in the store.
 func (up *Upstream) Row(state string) string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":4,"state":%q,"sequence":1,"born":%d}`,
-		up.Service, up.Address(), state, up.StartedMs())
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":4,"state":%q,"sequence":1,"born":%d,"cold-remaining-ms":%d}`,
+		up.Service, up.Address(), cmp.Or(up.Zone, "z"), state, up.StartedMs(), up.Cold.Load())
 }
 
 // Held returns the number of results that the upstream holds.
