platform, fleet/follow: replace silent connections to the store within the bound

A call on a connection that had gone silent failed only after its wait and 1 s, 3 s for a long poll, and the next one took another idle connection that was as silent. A long poll now ends at half of the drain or configuration time, an open connection has a quarter of it beyond that, and after a silent one all of its age are replaced and the calls on them repeated at once as short reads on new connections. A peer is asked for its rows at that moment.

TestSilentConnections, with two polls and an idle connection in fake time: before the change 12 of 12 offsets failed (configuration or draining not known 2 s after the store had it), 0 of 12 after. TestMetricsOnThePage (internal/process/gateway) failed before as well: docs/platform.md lacks citronstream_site_zones_evacuated.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -19,10 +19,10 @@
 )
 
 const (
-	// feedWait is how long the store waits for changes before it answers a call.
-	// A dead connection is noticed after this and the time of an answer, which
-	// together must be shorter than the time after which the store counts as
-	// reachable again.
+	// feedWait is how long the store waits for changes before it answers a call, at
+	// most. A connection that has gone silent is noticed only after this and a part of
+	// the bound within which a change must apply, so the wait ends at the greatest age of
+	// the copy, half of that bound.
 	feedWait = 2 * time.Second
 	// A reader that others rely on reads again when the copy has three quarters of
 	// its greatest age, so that a message is told in time by each reader, however
@@ -143,6 +143,10 @@
 	fo.calls.Add(1)
 	began := fo.clk.Now()
 	changes, at, err := fo.feed.Changes(ctx, ta.Name, after, 0)
+	if errors.Is(err, citronstream.ErrConnectionSilent) {
+		fo.calls.Add(1)
+		changes, at, err = fo.feed.Changes(ctx, ta.Name, after, 0)
+	}
 	if errors.Is(err, citronstream.ErrHistoryExpired) {
 		return fo.rescan(ctx, ta)
 	}
@@ -226,6 +230,7 @@
 // Run follows a table until ctx ends.
 func (fo *Follower) Run(ctx context.Context, ta Table) {
 	after, known, wait := uint64(0), false, minRetry
+	failing, silent := false, false
 	for ctx.Err() == nil {
 		if rest := fo.rest(ta); rest > 0 {
 			known = false // after a pause the whole table is smaller than its changes
@@ -235,14 +240,25 @@
 		began := fo.clk.Now()
 		var err error
 		if known {
-			after, err = fo.changes(ctx, ta, after)
+			poll := fo.pollTime(ta)
+			if failing {
+				poll = 0 // it asks whether the store is back, and for what was missed
+			}
+			after, err = fo.changes(ctx, ta, after, poll)
 		} else {
 			after, err = fo.scan(ctx, ta)
 		}
 		if ctx.Err() != nil {
 			return
 		}
+		again := errors.Is(err, citronstream.ErrConnectionSilent) && !silent
+		failing, silent = err != nil, again
 		switch {
+		case again: // at once on a new connection
+			fo.failed.Add(1)
+			fo.view.RecordStoreFailure()
+			fo.log.Info("connection to the store silent", "table", ta.Name)
+			continue
 		case errors.Is(err, citronstream.ErrHistoryExpired):
 			known = false
 			fo.log.Info("change history expired, scanning the table", "table", ta.Name, "revision", after)
@@ -313,9 +329,9 @@
 	return fo.coverages[ta.Name] != nil
 }
 
-func (fo *Follower) changes(ctx context.Context, ta Table, after uint64) (uint64, error) {
+func (fo *Follower) changes(ctx context.Context, ta Table, after uint64, wait time.Duration) (uint64, error) {
 	fo.calls.Add(1)
-	began, wait := fo.clk.Now(), fo.pollTime(ta)
+	began := fo.clk.Now()
 	changes, at, err := fo.feed.Changes(ctx, ta.Name, after, wait)
 	if err != nil {
 		return after, err
@@ -339,16 +355,19 @@
 	return at.Version, nil
 }
 
-// pollTime returns how long the store may wait for changes of a table. Entries
-// that do not read it must not take the silence between two answers for a loss
-// of the readers.
+// pollTime returns how long the store may wait for changes of a table: until the copy has
+// its greatest age. Entries that do not read it must not take the silence between two
+// answers for a loss of the readers, so these wait less.
 func (fo *Follower) pollTime(ta Table) time.Duration {
-	if !fo.readers().Listeners {
+	if ta.MaxAge <= 0 {
 		return feedWait
 	}
+	wait := ta.MaxAge
+	if fo.readers().Listeners {
+		wait = portion(ta.MaxAge, tellAt)
+	}
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	wait := portion(ta.MaxAge, tellAt)
 	if co := fo.coverages[ta.Name]; co != nil {
 		wait -= co.Age(fo.clk.Now())
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -53,6 +53,10 @@
 	// a leaving upstream must stop, also for an entry without peers. The same holds
 	// for the configuration and the time in which it must be in force.
 	readsPerDrain = 2
+	// silencePerBound is the part of the bound within which a change must apply after
+	// which an open connection to the store counts as silent. Half of the bound has passed
+	// by then at most; the last quarter is for the read on a new connection.
+	silencePerBound = 4
 )
 
 // Gateway is an entry process on the users' platform.
@@ -109,7 +113,7 @@
 	ga.parts = partquarantine.New(clk, citronstream.DefaultLimits(), partquarantine.WithOnChange(ga.partChanged))
 	ga.ctx, ga.cancel = context.WithCancel(ctx)
 	ga.pool = conns.New(clk, conns.WithMaxIdle(ga.maxIdleConns))
-	store := platform.NewStore(site.Store)
+	store := platform.NewStore(site.Store, platform.WithSilence(min(site.Bounds.Drain, site.Bounds.ConfigApply)/silencePerBound), platform.WithOnSilent(ga.storeSilent))
 	ga.view = view.New(clk, log, view.Decode{
 		Routing: platform.DecodeRouting, Member: platform.DecodeMember, ConfigKey: platform.ConfigKey, MemberPrefix: platform.TableMembers + "/",
 		EvacuationPrefix: platform.EvacuationPrefix,
--- a/internal/process/gateway/sharing.go
+++ b/internal/process/gateway/sharing.go
@@ -135,6 +135,38 @@
 	}
 }
 
+// storeSilent asks a peer for what the store may have told on a connection that has gone
+// silent: one with a newer configuration, or any one of the own zone first.
+func (ga *Gateway) storeSilent() {
+	pe, li := ga.newestPeer()
+	if pe == nil {
+		pe, li = ga.anyPeer()
+	}
+	if ga.ctx.Err() != nil || pe == nil || li == nil || !ga.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	ga.runInBackground(func(ctx context.Context) {
+		ga.fetchState(ctx, pe, li, citronstream.StateQuery{Revision: ga.view.Revision()})
+		ga.fetching.Store(false)
+	})
+}
+
+// anyPeer returns a linked peer by chance, from the own zone if it has one.
+func (ga *Gateway) anyPeer() (*mesh.Peer, *link.Link) {
+	var chosen *mesh.Peer
+	peers := slices.Clone(ga.mesh.Peers())
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, pe := range peers {
+		if pe.Up() && (chosen == nil || pe.Zone() == ga.site.Zone && chosen.Zone() != ga.site.Zone) {
+			chosen = pe
+		}
+	}
+	if chosen == nil {
+		return nil, nil
+	}
+	return chosen, chosen.Link()
+}
+
 // transferTime returns how long this instance's link takes for some bytes.
 func (ga *Gateway) transferTime(bytes int) time.Duration {
 	if ga.site.LinkRate <= 0 {
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -3,8 +3,10 @@
 package site
 
 import (
+	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -109,12 +111,35 @@
 	st    *Store
 	fault atomic.Int32
 	calls atomic.Int64
+	// Connections are numbered from 1; those up to dead are silent for good.
+	connections, dead atomic.Int64
+}
+
+// NewDoor returns a door that the caller serves: Handler with ConnContext.
+func (st *Store) NewDoor() *Door { return &Door{st: st} }
+
+// connNumber is the key of a connection's number in the context of its requests.
+type connNumber struct{}
+
+// ConnContext numbers the connections, for http.Server.
+func (do *Door) ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, connNumber{}, do.connections.Add(1))
+}
+
+// SilenceOpen makes the open connections silent for good, without closing them. New ones work.
+func (do *Door) SilenceOpen() { do.dead.Store(do.connections.Load()) }
+
+func (do *Door) silenced(rq *http.Request) bool {
+	number, _ := rq.Context().Value(connNumber{}).(int64)
+	return number <= do.dead.Load()
 }
 
 // Open returns a new door. The caller closes it.
 func (st *Store) Open() *Door {
-	do := &Door{st: st}
-	do.Server = httptest.NewServer(do)
+	do := st.NewDoor()
+	do.Server = httptest.NewUnstartedServer(do)
+	do.Config.ConnContext = do.ConnContext
+	do.Start()
 	return do
 }
 
@@ -130,7 +155,11 @@
 // ServeHTTP implements http.Handler.
 func (do *Door) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
 	do.calls.Add(1)
-	switch do.fault.Load() {
+	fault := do.fault.Load()
+	if do.silenced(rq) {
+		fault = Silent
+	}
+	switch fault {
 	case Refuses:
 		wr.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -142,7 +171,7 @@
 	}
 	answer, status := do.st.call(rq)
 	answer.NowMs = do.st.clk.Now().UnixMilli()
-	if do.fault.Load() == Loses {
+	if do.fault.Load() == Loses || do.silenced(rq) {
 		<-rq.Context().Done()
 		return
 	}
--- a/verdict.go
+++ b/verdict.go
@@ -122,6 +122,9 @@
 	ErrUnknownOutcome = merry.Sentinel("outcome unknown")
 	// ErrUnavailable reports that the service can't be reached or refused the call before it took effect.
 	ErrUnavailable = merry.Sentinel("service unavailable")
+	// ErrConnectionSilent reports a call on an open connection that was silent for too
+	// long. A new connection may work.
+	ErrConnectionSilent = merry.Sentinel("connection silent")
 	// ErrThrottled reports a call refused by a rate limit.
 	ErrThrottled = merry.Sentinel("throttled")
 	// ErrHistoryExpired reports that the requested changes are no longer kept.
