fleet/outage: wait only for rows that may have expired during an outage

A row that was removed within 2.2 s of any sign of a store failure was kept for up to 2.2 s after it, also on a sound store, and the signs came late: a call that began in an outage fails up to 3 s after its end. A removal is now in doubt only if the row can have expired: the store was away within 2.2 s, the row was not written after its return, and by the versions of earlier reads its last write is 2.9 heartbeat intervals ago. Failures of calls that began before a later answer don't count. While the store is away, calls follow each other within 0.75 s.

--- a/internal/fleet/coverage/coverage.go
+++ b/internal/fleet/coverage/coverage.go
@@ -36,7 +36,7 @@
 // changes from before, as a message was lost, or if the own clock has stood still:
 // then only a read helps.
 func (co *Coverage) Heard(after, version uint64, asOf time.Duration, now time.Time) bool {
-	at := co.base.Add(asOf - co.storeBase)
+	at := co.OwnTime(asOf)
 	if at.Sub(now) > maxAhead {
 		co.Expire()
 		return false
@@ -52,6 +52,9 @@
 	return true
 }
 
+// OwnTime returns the time of the own clock at a time of the store's clock, or an earlier one.
+func (co *Coverage) OwnTime(asOf time.Duration) time.Time { return co.base.Add(asOf - co.storeBase) }
+
 func (co *Coverage) advance(asOf time.Time) {
 	if asOf.After(co.asOf) {
 		co.asOf = asOf
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -40,9 +40,14 @@
 	// slowAnswer is the time of an answer above which the store counts as
 	// unreachable: heartbeats that take as long can come too late.
 	slowAnswer = 500 * time.Millisecond
-	// minRetry and maxRetry bound the wait after a failed call, before jitter.
+	// minRetry and maxRetry bound the wait after a failed call, before jitter. The time of
+	// the store's return is known only as well as calls follow each other: rows that
+	// expired are waited for until 2.2 s after it, which must end within the time of 3 s
+	// after which a removal counts.
 	minRetry = 100 * time.Millisecond
-	maxRetry = 800 * time.Millisecond
+	maxRetry = 150 * time.Millisecond
+	// listenerRetry is maxRetry for entries that rely on readers.
+	listenerRetry = 800 * time.Millisecond
 	// listenJitter spreads the reads of entries that notice at once that the readers
 	// keep silent.
 	listenJitter = 100 * time.Millisecond
@@ -112,6 +117,9 @@
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	if co := fo.coverages[re.Table]; co != nil {
+		if now := fo.clk.Now(); !co.OwnTime(re.AsOf).After(now) {
+			fo.view.StoreTold(re.Version, co.OwnTime(re.AsOf))
+		}
 		co.Heard(re.After, re.Version, re.AsOf, fo.clk.Now())
 	}
 }
@@ -153,6 +161,7 @@
 	if err != nil {
 		return err
 	}
+	fo.view.StoreAnswered(at.Version, began)
 	fo.view.Apply(changes, view.SourceStore)
 	fo.recordRead(ta, at, began)
 	return nil
@@ -165,6 +174,7 @@
 	if err != nil {
 		return err
 	}
+	fo.view.StoreAnswered(at.Version, began)
 	fo.applyScan(ta, rows, at)
 	fo.recordRead(ta, at, began)
 	return nil
@@ -237,12 +247,11 @@
 			fo.sleep(ctx, ta, rest+rand.N(listenJitter))
 			continue
 		}
-		began := fo.clk.Now()
+		began, poll := fo.clk.Now(), time.Duration(0)
 		var err error
 		if known {
-			poll := fo.pollTime(ta)
-			if failing {
-				poll = 0 // it asks whether the store is back, and for what was missed
+			if !failing { // else it asks whether the store is back, and for what was missed
+				poll = fo.pollTime(ta)
 			}
 			after, err = fo.changes(ctx, ta, after, poll)
 		} else {
@@ -256,20 +265,20 @@
 		switch {
 		case again: // at once on a new connection
 			fo.failed.Add(1)
-			fo.view.RecordStoreFailure()
+			fo.view.StoreFailed(fo.asked(began, poll))
 			fo.log.Info("connection to the store silent", "table", ta.Name)
 			continue
 		case errors.Is(err, citronstream.ErrHistoryExpired):
 			known = false
 			fo.log.Info("change history expired, scanning the table", "table", ta.Name, "revision", after)
 		case err != nil:
-			fo.recordResult(ta, err)
+			fo.recordResult(ta, err, fo.asked(began, poll))
 			fo.sleep(ctx, ta, wait/2+rand.N(wait))
 			wait = min(2*wait, fo.maxRetry(ta))
 			continue
 		default:
 			known, wait = true, minRetry
-			fo.recordResult(ta, nil)
+			fo.recordResult(ta, nil, began)
 		}
 		if ta.MinInterval == nil {
 			continue
@@ -289,15 +298,7 @@
 	if fo.readers().Self {
 		return maxRetry
 	}
-	return max(maxRetry, ta.MaxAge)
-}
-
-// regained records, before what a call has returned is applied, that the store was
-// unreachable until then, as this process may not have called it for a while.
-func (fo *Follower) regained() {
-	if fo.storeDown.Load() {
-		fo.view.RecordStoreFailure()
-	}
+	return max(listenerRetry, ta.MaxAge)
 }
 
 func (fo *Follower) scan(ctx context.Context, ta Table) (uint64, error) {
@@ -307,8 +308,8 @@
 	if err != nil {
 		return 0, err
 	}
-	fo.regained()
 	fo.checkLatency(fo.clk.Since(began))
+	fo.view.StoreAnswered(at.Version, began)
 	applied := fo.applyScan(ta, rows, at)
 	if fo.hasRead(ta) {
 		fo.onRead(applied, nil) // peers have read by themselves what a first scan returns
@@ -336,13 +337,13 @@
 	if err != nil {
 		return after, err
 	}
-	fo.regained()
 	took := fo.clk.Since(began)
 	fo.checkLatency(took - wait)
 	asOf := began
 	if len(changes) == 0 && took > wait {
 		asOf = began.Add(wait) // nothing has changed until then
 	}
+	fo.view.StoreAnswered(at.Version, asOf)
 	applied := fo.view.Apply(changes, view.SourceStore)
 	fo.recordRead(ta, at, asOf)
 	if fo.readers().Listeners && fo.view.Settled(changes) {
@@ -387,20 +388,41 @@
 
 // recordResult records the result of a call and logs when the store becomes
 // unreachable or reachable again.
-func (fo *Follower) recordResult(ta Table, err error) {
+func (fo *Follower) recordResult(ta Table, err error, asked time.Time) {
 	if err == nil {
 		if fo.storeDown.Swap(false) {
 			fo.log.Info("store reachable again", "table", ta.Name)
+			fo.wakeAll()
 		}
 		return
 	}
 	fo.failed.Add(1)
-	fo.view.RecordStoreFailure()
+	fo.view.StoreFailed(asked)
 	if !fo.storeDown.Swap(true) {
 		fo.log.Info("store unreachable", "table", ta.Name, "reason", err.Error())
 	}
 }
 
+// asked returns the last time at which the store was asked by a call that has failed.
+func (fo *Follower) asked(began time.Time, poll time.Duration) time.Time {
+	if now := fo.clk.Now(); began.Add(poll).After(now) {
+		return now
+	}
+	return began.Add(poll)
+}
+
+// wakeAll ends the sleep before the next read of each table.
+func (fo *Follower) wakeAll() {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	for _, wake := range fo.wakes {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // sleep waits before the next read of a table, until Refresh at most.
 func (fo *Follower) sleep(ctx context.Context, ta Table, wait time.Duration) {
 	fo.mu.Lock()
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -14,14 +14,14 @@
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/fleet/evacuation"
 	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/citronstream/citronstream/internal/fleet/outage"
 	"github.com/go-logr/logr"
 )
 
 const (
-	// expiryGrace is how long an upstream stays in use if its row was removed
-	// while or just after the store was unreachable. Its heartbeats could not
-	// reach the store either, and its row is back within about 2 s.
-	expiryGrace = 2200 * time.Millisecond
+	// expiryGrace is how long after the store's return an upstream stays in use whose
+	// row may have expired because its heartbeats could not reach the store either.
+	expiryGrace = outage.Grace
 	// tombstoneTTL is how long a removal is kept, so that an older version of
 	// the row that arrives late is ignored. Peers forward changes within seconds.
 	tombstoneTTL = time.Minute
@@ -42,7 +42,7 @@
 	citronstream.Change
 	node    *node.Node // nil if the row is malformed or removed
 	removed time.Time  // when this process received the removal
-	inGrace bool       // removed, but in use until expiryGrace has passed
+	inGrace bool       // removed, but in use until expiryGrace after the store's return
 }
 
 // View holds the rows. Routes, Members and Revision take no lock.
@@ -54,19 +54,31 @@
 	routes  atomic.Pointer[Routes]
 	members atomic.Pointer[Members]
 
-	mu          sync.Mutex
-	rows        map[string]*record
-	zones       *evacuation.Zones
-	config      citronstream.Row
-	refused     uint64    // version of the last configuration that was not accepted
-	storeDownAt time.Time // last sign that the store was unreachable
-	onChange    func(changes []citronstream.Change, source string)
-	onMembers   []func(*Members)
+	mu        sync.Mutex
+	rows      map[string]*record
+	zones     *evacuation.Zones
+	config    citronstream.Row
+	refused   uint64 // version of the last configuration that was not accepted
+	outage    *outage.Record
+	onChange  func(changes []citronstream.Change, source string)
+	onMembers []func(*Members)
+}
+
+// Option configures a View.
+type Option func(*View)
+
+// WithHeartbeat sets the interval in which upstreams write their rows, which the store
+// keeps for three of them. Without it, a row may have expired however new it is.
+func WithHeartbeat(interval time.Duration) Option {
+	return func(vi *View) { vi.outage = outage.New(interval) }
 }
 
 // New returns an empty view.
-func New(clk citronstream.Clock, log logr.Logger, decode Decode) *View {
-	vi := &View{clk: clk, log: log, decode: decode, rows: make(map[string]*record), zones: evacuation.New(), onChange: func([]citronstream.Change, string) {}}
+func New(clk citronstream.Clock, log logr.Logger, decode Decode, opts ...Option) *View {
+	vi := &View{clk: clk, log: log, decode: decode, outage: outage.New(0), rows: make(map[string]*record), zones: evacuation.New(), onChange: func([]citronstream.Change, string) {}}
+	for _, opt := range opts {
+		opt(vi)
+	}
 	vi.members.Store(newMembers(nil, nil))
 	return vi
 }
@@ -113,7 +125,28 @@
 func (vi *View) RecordStoreFailure() {
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
-	vi.storeDownAt = vi.clk.Now()
+	vi.outage.Disturbed(vi.clk.Now())
+}
+
+// StoreFailed records that a call has failed with which the store was asked until a time.
+func (vi *View) StoreFailed(asked time.Time) {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	vi.outage.Failed(asked, vi.clk.Now())
+}
+
+// StoreAnswered records an answer of the store at a version, before its rows are applied.
+func (vi *View) StoreAnswered(version uint64, began time.Time) {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	vi.outage.Answered(version, began, vi.clk.Now())
+}
+
+// StoreTold records that a peer has read the store at a version, as of a time.
+func (vi *View) StoreTold(version uint64, asOf time.Time) {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	vi.outage.Told(version, asOf, vi.clk.Now())
 }
 
 // Apply applies changes of rows that are newer than the known ones and returns
@@ -219,6 +252,18 @@
 	return true
 }
 
+// Unconfirmed returns the number of upstreams in their grace period.
+func (vi *View) Unconfirmed() (count int) {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	for _, rec := range vi.rows {
+		if rec.inGrace {
+			count++
+		}
+	}
+	return count
+}
+
 // Trim returns changes that were applied, without the values of malformed rows.
 func (vi *View) Trim(changes []citronstream.Change) []citronstream.Change {
 	vi.mu.Lock()
@@ -263,7 +308,7 @@
 	var applied []citronstream.Change
 	for key, rec := range vi.rows {
 		switch {
-		case rec.inGrace && now.Sub(vi.storeDownAt) >= expiryGrace && now.Sub(rec.removed) >= expiryGrace/2:
+		case rec.inGrace && vi.outage.Over(now):
 			rec.inGrace = false
 			applied = append(applied, rec.Change)
 			vi.log.Info("upstream gone", "upstream", rec.node.ID, "service", rec.node.Service, "reason", "row not written again", "revision", rec.Version)
@@ -340,7 +385,7 @@
 			return false
 		}
 		// A draining node gets no grace period, because it is leaving.
-		if now.Sub(vi.storeDownAt) < expiryGrace && !old.node.Draining {
+		if !old.node.Draining && (old.inGrace || vi.outage.MayHaveExpired(old.Version, now)) {
 			rec.node, rec.inGrace = old.node, true
 			vi.log.Info("upstream row expired, grace period started", "upstream", old.node.ID, "service", old.node.Service, "source", source, "revision", ch.Version)
 			return false
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -117,7 +117,7 @@
 	ga.view = view.New(clk, log, view.Decode{
 		Routing: platform.DecodeRouting, Member: platform.DecodeMember, ConfigKey: platform.ConfigKey, MemberPrefix: platform.TableMembers + "/",
 		EvacuationPrefix: platform.EvacuationPrefix,
-	})
+	}, view.WithHeartbeat(site.Heartbeat))
 	ga.view.OnChange(ga.viewChanged)
 	ga.mesh = mesh.New(clk, log, eng, ga.peerInfo, ga.handle, ga.peerConnected)
 	ga.follower = follow.New(clk, log, store, ga.view, follow.WithReaders(ga.readers), follow.WithOnRead(ga.storeRead))
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -111,6 +111,8 @@
 	st    *Store
 	fault atomic.Int32
 	calls atomic.Int64
+	// Delay is how long each response takes longer, in ns.
+	Delay atomic.Int64
 	// Connections are numbered from 1; those up to dead are silent for good.
 	connections, dead atomic.Int64
 }
@@ -169,6 +171,9 @@
 		<-rq.Context().Done()
 		return
 	}
+	if delay := do.Delay.Load(); delay > 0 {
+		<-do.st.clk.After(time.Duration(delay))
+	}
 	answer, status := do.st.call(rq)
 	answer.NowMs = do.st.clk.Now().UnixMilli()
 	if do.fault.Load() == Loses || do.silenced(rq) {
