--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -19,10 +19,10 @@
 )
 
 const (
-	// feedWait is how long the store waits for changes before it answers a call.
-	// A dead connection is noticed after this and the time of an answer, which
-	// together must be shorter than the time after which the store counts as
-	// reachable again.
+	// feedWait is how long the store waits for changes before it answers a call, at
+	// most. A connection that has gone silent is noticed only after this and a part of
+	// the bound within which a change must apply, so the wait ends at the greatest age of
+	// the copy, half of that bound.
 	feedWait = 2 * time.Second
 	// A reader that others rely on reads again when the copy has three quarters of
 	// its greatest age, so that a message is told in time by each reader, however
@@ -40,9 +40,14 @@
 	// slowAnswer is the time of an answer above which the store counts as
 	// unreachable: heartbeats that take as long can come too late.
 	slowAnswer = 500 * time.Millisecond
-	// minRetry and maxRetry bound the wait after a failed call, before jitter.
+	// minRetry and maxRetry bound the wait after a failed call, before jitter. The time of
+	// the store's return is known only as well as calls follow each other: rows that
+	// expired are waited for until 2.2 s after it, which must end within the time of 3 s
+	// after which a removal counts.
 	minRetry = 100 * time.Millisecond
-	maxRetry = 800 * time.Millisecond
+	maxRetry = 150 * time.Millisecond
+	// listenerRetry is maxRetry for entries that rely on readers.
+	listenerRetry = 800 * time.Millisecond
 	// listenJitter spreads the reads of entries that notice at once that the readers
 	// keep silent.
 	listenJitter = 100 * time.Millisecond
@@ -112,6 +117,9 @@
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	if co := fo.coverages[re.Table]; co != nil {
+		if now := fo.clk.Now(); !co.OwnTime(re.AsOf).After(now) {
+			fo.view.StoreTold(re.Version, co.OwnTime(re.AsOf))
+		}
 		co.Heard(re.After, re.Version, re.AsOf, fo.clk.Now())
 	}
 }
@@ -143,12 +151,17 @@
 	fo.calls.Add(1)
 	began := fo.clk.Now()
 	changes, at, err := fo.feed.Changes(ctx, ta.Name, after, 0)
+	if errors.Is(err, citronstream.ErrConnectionSilent) {
+		fo.calls.Add(1)
+		changes, at, err = fo.feed.Changes(ctx, ta.Name, after, 0)
+	}
 	if errors.Is(err, citronstream.ErrHistoryExpired) {
 		return fo.rescan(ctx, ta)
 	}
 	if err != nil {
 		return err
 	}
+	fo.view.StoreAnswered(at.Version, began)
 	fo.view.Apply(changes, view.SourceStore)
 	fo.recordRead(ta, at, began)
 	return nil
@@ -161,6 +174,7 @@
 	if err != nil {
 		return err
 	}
+	fo.view.StoreAnswered(at.Version, began)
 	fo.applyScan(ta, rows, at)
 	fo.recordRead(ta, at, began)
 	return nil
@@ -226,34 +240,45 @@
 // Run follows a table until ctx ends.
 func (fo *Follower) Run(ctx context.Context, ta Table) {
 	after, known, wait := uint64(0), false, minRetry
+	failing, silent := false, false
 	for ctx.Err() == nil {
 		if rest := fo.rest(ta); rest > 0 {
 			known = false // after a pause the whole table is smaller than its changes
 			fo.sleep(ctx, ta, rest+rand.N(listenJitter))
 			continue
 		}
-		began := fo.clk.Now()
+		began, poll := fo.clk.Now(), time.Duration(0)
 		var err error
 		if known {
-			after, err = fo.changes(ctx, ta, after)
+			if !failing { // else it asks whether the store is back, and for what was missed
+				poll = fo.pollTime(ta)
+			}
+			after, err = fo.changes(ctx, ta, after, poll)
 		} else {
 			after, err = fo.scan(ctx, ta)
 		}
 		if ctx.Err() != nil {
 			return
 		}
+		again := errors.Is(err, citronstream.ErrConnectionSilent) && !silent
+		failing, silent = err != nil, again
 		switch {
+		case again: // at once on a new connection
+			fo.failed.Add(1)
+			fo.view.StoreFailed(fo.asked(began, poll))
+			fo.log.Info("connection to the store silent", "table", ta.Name)
+			continue
 		case errors.Is(err, citronstream.ErrHistoryExpired):
 			known = false
 			fo.log.Info("change history expired, scanning the table", "table", ta.Name, "revision", after)
 		case err != nil:
-			fo.recordResult(ta, err)
+			fo.recordResult(ta, err, fo.asked(began, poll))
 			fo.sleep(ctx, ta, wait/2+rand.N(wait))
 			wait = min(2*wait, fo.maxRetry(ta))
 			continue
 		default:
 			known, wait = true, minRetry
-			fo.recordResult(ta, nil)
+			fo.recordResult(ta, nil, began)
 		}
 		if ta.MinInterval == nil {
 			continue
@@ -273,15 +298,7 @@
 	if fo.readers().Self {
 		return maxRetry
 	}
-	return max(maxRetry, ta.MaxAge)
-}
-
-// regained records, before what a call has returned is applied, that the store was
-// unreachable until then, as this process may not have called it for a while.
-func (fo *Follower) regained() {
-	if fo.storeDown.Load() {
-		fo.view.RecordStoreFailure()
-	}
+	return max(listenerRetry, ta.MaxAge)
 }
 
 func (fo *Follower) scan(ctx context.Context, ta Table) (uint64, error) {
@@ -291,8 +308,8 @@
 	if err != nil {
 		return 0, err
 	}
-	fo.regained()
 	fo.checkLatency(fo.clk.Since(began))
+	fo.view.StoreAnswered(at.Version, began)
 	applied := fo.applyScan(ta, rows, at)
 	if fo.hasRead(ta) {
 		fo.onRead(applied, nil) // peers have read by themselves what a first scan returns
@@ -313,20 +330,20 @@
 	return fo.coverages[ta.Name] != nil
 }
 
-func (fo *Follower) changes(ctx context.Context, ta Table, after uint64) (uint64, error) {
+func (fo *Follower) changes(ctx context.Context, ta Table, after uint64, wait time.Duration) (uint64, error) {
 	fo.calls.Add(1)
-	began, wait := fo.clk.Now(), fo.pollTime(ta)
+	began := fo.clk.Now()
 	changes, at, err := fo.feed.Changes(ctx, ta.Name, after, wait)
 	if err != nil {
 		return after, err
 	}
-	fo.regained()
 	took := fo.clk.Since(began)
 	fo.checkLatency(took - wait)
 	asOf := began
 	if len(changes) == 0 && took > wait {
 		asOf = began.Add(wait) // nothing has changed until then
 	}
+	fo.view.StoreAnswered(at.Version, asOf)
 	applied := fo.view.Apply(changes, view.SourceStore)
 	fo.recordRead(ta, at, asOf)
 	if fo.readers().Listeners && fo.view.Settled(changes) {
@@ -339,16 +356,19 @@
 	return at.Version, nil
 }
 
-// pollTime returns how long the store may wait for changes of a table. Entries
-// that do not read it must not take the silence between two answers for a loss
-// of the readers.
+// pollTime returns how long the store may wait for changes of a table: until the copy has
+// its greatest age. Entries that do not read it must not take the silence between two
+// answers for a loss of the readers, so these wait less.
 func (fo *Follower) pollTime(ta Table) time.Duration {
-	if !fo.readers().Listeners {
+	if ta.MaxAge <= 0 {
 		return feedWait
 	}
+	wait := ta.MaxAge
+	if fo.readers().Listeners {
+		wait = portion(ta.MaxAge, tellAt)
+	}
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	wait := portion(ta.MaxAge, tellAt)
 	if co := fo.coverages[ta.Name]; co != nil {
 		wait -= co.Age(fo.clk.Now())
 	}
@@ -368,20 +388,41 @@
 
 // recordResult records the result of a call and logs when the store becomes
 // unreachable or reachable again.
-func (fo *Follower) recordResult(ta Table, err error) {
+func (fo *Follower) recordResult(ta Table, err error, asked time.Time) {
 	if err == nil {
 		if fo.storeDown.Swap(false) {
 			fo.log.Info("store reachable again", "table", ta.Name)
+			fo.wakeAll()
 		}
 		return
 	}
 	fo.failed.Add(1)
-	fo.view.RecordStoreFailure()
+	fo.view.StoreFailed(asked)
 	if !fo.storeDown.Swap(true) {
 		fo.log.Info("store unreachable", "table", ta.Name, "reason", err.Error())
 	}
 }
 
+// asked returns the last time at which the store was asked by a call that has failed.
+func (fo *Follower) asked(began time.Time, poll time.Duration) time.Time {
+	if now := fo.clk.Now(); began.Add(poll).After(now) {
+		return now
+	}
+	return began.Add(poll)
+}
+
+// wakeAll ends the sleep before the next read of each table.
+func (fo *Follower) wakeAll() {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	for _, wake := range fo.wakes {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // sleep waits before the next read of a table, until Refresh at most.
 func (fo *Follower) sleep(ctx context.Context, ta Table, wait time.Duration) {
 	fo.mu.Lock()
