--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -78,6 +78,7 @@
 	view      *view.View
 	readers   func() readers.Choice
 	onRead    func(changes []citronstream.Change, re *citronstream.Reading)
+	onFirst   func(table string)
 	calls     atomic.Uint64
 	failed    atomic.Uint64
 	storeDown atomic.Bool
@@ -104,12 +105,18 @@
 	return func(fo *Follower) { fo.onRead = onRead }
 }
 
+// WithOnFirstRead sets the function that is called when a table was read for the first time.
+func WithOnFirstRead(onFirst func(table string)) Option {
+	return func(fo *Follower) { fo.onFirst = onFirst }
+}
+
 // New returns a follower. Run starts it for a table.
 func New(clk citronstream.Clock, log logr.Logger, feed citronstream.Feed, vi *view.View, opts ...Option) *Follower {
 	fo := &Follower{
 		clk: clk, log: log, feed: feed, view: vi, coverages: make(map[string]*coverage.Coverage), wakes: make(map[string]chan struct{}),
 		readers: func() readers.Choice { return readers.Choice{Self: true, Count: 1} },
 		onRead:  func([]citronstream.Change, *citronstream.Reading) {},
+		onFirst: func(string) {},
 	}
 	for _, opt := range opts {
 		opt(fo)
@@ -318,6 +325,8 @@
 	applied := fo.applyScan(ta, rows, at)
 	if fo.hasRead(ta) {
 		fo.onRead(applied, nil) // peers have read by themselves what a first scan returns
+	} else {
+		fo.onFirst(ta.Name)
 	}
 	fo.recordRead(ta, at, began)
 	return at.Version, nil
--- a/internal/fleet/view/members.go
+++ b/internal/fleet/view/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/citronstream/citronstream/internal/fleet/node"
@@ -41,6 +42,9 @@
 // Node returns the upstream with an ID, or nil.
 func (ms *Members) Node(id string) *node.Node { return ms.byID[id] }
 
+// All returns all upstreams, in no order.
+func (ms *Members) All() []*node.Node { return slices.Collect(maps.Values(ms.byID)) }
+
 // At returns the upstreams at an address, the one that started last first. There is
 // more than one while the row of an ended process is left, and if a row is wrong.
 func (ms *Members) At(address string) []*node.Node { return ms.byAddress[address] }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -319,23 +319,62 @@
 	defer vi.mu.Unlock()
 	now := vi.clk.Now()
 	var applied []citronstream.Change
+	ended := false
 	for key, rec := range vi.rows {
 		switch {
 		case rec.inGrace && vi.outage.Over(now):
-			rec.inGrace = false
-			applied = append(applied, rec.Change)
+			rec.inGrace, ended = false, true
+			if rec.Version > 0 { // else it was restored, and others know more of it
+				applied = append(applied, rec.Change)
+			}
 			vi.log.Info("upstream gone", "upstream", rec.node.ID, "service", rec.node.Service, "reason", "row not written again", "revision", rec.Version)
 			rec.node = nil
 		case rec.Deleted && !rec.inGrace && now.Sub(rec.removed) > tombstoneTTL:
 			delete(vi.rows, key)
 		}
 	}
-	if len(applied) > 0 {
+	if ended {
 		vi.publish()
+	}
+	if len(applied) > 0 {
 		vi.onChange(applied, SourceExpiry)
 	}
 }
 
+// Restore puts upstreams of before this process's start in use that have no row, as the
+// store was away just before: their rows may have expired. They are gone when their grace
+// period ends without a row. It returns how many there are.
+func (vi *View) Restore(members []citronstream.Member) (count int) {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	now := vi.clk.Now()
+	if vi.outage.Over(now) {
+		return 0
+	}
+	for _, mb := range members {
+		key := vi.decode.MemberPrefix + mb.ID
+		if vi.rows[key] != nil || mb.Draining {
+			continue
+		}
+		vi.rows[key] = &record{Change: citronstream.Change{Row: citronstream.Row{Key: key}, Deleted: true}, node: node.New(mb), removed: now, inGrace: true}
+		vi.onRow(mb)
+		count++
+	}
+	if count > 0 {
+		vi.log.Info("upstreams of before the start in use, grace period started", "upstreams", count)
+		vi.publish()
+	}
+	return count
+}
+
+// StoreWasAway reports whether the store was away a moment ago, so that rows may have
+// expired that are back soon.
+func (vi *View) StoreWasAway() bool {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	return !vi.outage.Over(vi.clk.Now())
+}
+
 func (vi *View) applyConfig(ch citronstream.Change, source string) bool {
 	if ch.Deleted || ch.Version <= vi.config.Version || ch.Version == vi.refused {
 		return false
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -310,3 +310,23 @@
 	late.ReplaceEvacuated(map[string]uint64{"z1": 5}, 6, "slow peer")
 	assert.Equal(t, map[string]uint64{"z2": 7}, late.Evacuated(), "an older reading")
 }
+
+// Guards against requests that are refused for two seconds after all processes were killed
+// while the store was away, as the rows of all upstreams have expired.
+func TestRestore(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	vi := New(clk, logr.Discard(), Decode{Routing: routing, Member: member, ConfigKey: "op/config", MemberPrefix: "servers/"})
+	old := []citronstream.Member{{ID: "i", Service: "s", Address: "a:1"}, {ID: "j", Service: "s", Address: "a:2"}, {ID: "k", Service: "s", Address: "a:3", Draining: true}}
+	assert.Zero(t, vi.Restore(old), "the store was not away")
+	vi.StoreFailed(clk.Now())
+	vi.StoreAnswered(7, clk.Now())
+	vi.Replace("servers", nil, 7, SourceStore)
+	assert.Equal(t, 2, vi.Restore(old))
+	assertInUse(t, vi, 2, "one was leaving")
+	apply(vi, row("servers/i", 9, "s a:1 x"))
+	assert.Len(t, vi.State(citronstream.StateQuery{}), 1, "peers are not told what was restored")
+	clk.Advance(2300 * time.Millisecond)
+	vi.Sweep()
+	assertInUse(t, vi, 1, "the row of the other one is not back")
+	assert.Zero(t, vi.Restore(old), "the grace period has ended")
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/citronstream/citronstream/internal/fleet/discovery"
 	"github.com/citronstream/citronstream/internal/fleet/follow"
 	"github.com/citronstream/citronstream/internal/fleet/mesh"
+	"github.com/citronstream/citronstream/internal/fleet/snapshot"
 	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/citronstream/citronstream/internal/fleet/wakeup"
 	"github.com/citronstream/citronstream/internal/ingress/flow"
@@ -89,6 +90,7 @@
 	readyServer   *http.Server
 	metricsServer *http.Server
 	discovery     *discovery.Discovery
+	snapshot      *snapshot.Snapshot
 	wakeup        *wakeup.Gate
 
 	ctx         context.Context
@@ -126,7 +128,8 @@
 	ga.view.OnRow(ga.cold.Row)
 	ga.view.OnTakenBack(ga.cold.TakenBack)
 	ga.mesh = mesh.New(clk, log, eng, ga.peerInfo, ga.handle, ga.peerConnected)
-	ga.follower = follow.New(clk, log, store, ga.view, follow.WithReaders(ga.readers), follow.WithOnRead(ga.storeRead))
+	ga.follower = follow.New(clk, log, store, ga.view, follow.WithReaders(ga.readers), follow.WithOnRead(ga.storeRead), follow.WithOnFirstRead(ga.tableRead))
+	ga.snapshot = snapshot.New(clk, log, store, ga.membersInUse, ga.writesSnapshot)
 	ga.discovery = discovery.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone, discovery.WithOnList(ga.cold.Listed))
 	suspended := ga.suspendedTime()
 	ga.wakeup = wakeup.New(clk, log, suspended, ga.readAgain)
@@ -221,6 +224,7 @@
 	ga.runInBackground(func(ctx context.Context) { ga.follower.Run(ctx, ga.memberTable()) })
 	ga.runInBackground(ga.wakeup.Run)
 	ga.runInBackground(ga.discovery.Run)
+	ga.runInBackground(ga.snapshot.Run)
 	ga.runInBackground(ga.runPeriodic)
 	ga.runInBackground(ga.broadcastRows)
 	ga.log.Info("started", "callers", ga.site.Callers, "peers", ga.site.Peers, "zone", ga.site.Zone, "boot", ga.boot)
--- /dev/null
+++ b/internal/process/gateway/restore.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/snapshot"
+	"github.com/citronstream/citronstream/platform"
+)
+
+// restoreRetry is the time between two reads of the snapshot that fail.
+const restoreRetry = 200 * time.Millisecond
+
+// membersInUse returns the upstreams that take work, in evacuated zones too.
+func (ga *Gateway) membersInUse() []citronstream.Member {
+	var list []citronstream.Member
+	for _, nd := range ga.view.Members().All() {
+		if !nd.Draining {
+			list = append(list, nd.Member)
+		}
+	}
+	return list
+}
+
+// writesSnapshot reports whether this process writes the snapshot of the upstreams.
+func (ga *Gateway) writesSnapshot() bool {
+	return !ga.leaving.Load() && !ga.follower.StoreDown() && !ga.view.StoreWasAway() && ga.broker.Owns(snapshot.Key)
+}
+
+// tableRead restores upstreams when their table was read for the first time.
+func (ga *Gateway) tableRead(table string) {
+	if table == platform.TableMembers && ga.view.StoreWasAway() {
+		ga.runInBackground(ga.restore)
+	}
+}
+
+// restore puts the upstreams of the snapshot in use until their rows are back.
+func (ga *Gateway) restore(ctx context.Context) {
+	for ga.view.StoreWasAway() {
+		list, err := ga.snapshot.Read(ctx)
+		if err == nil {
+			ga.view.Restore(list)
+			return
+		}
+		if errors.Is(err, citronstream.ErrNotFound) {
+			return
+		}
+		ga.log.Info("snapshot of the upstreams not read", "reason", err.Error())
+		timer := ga.clk.NewTimer(restoreRetry)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.Chan():
+		}
+	}
+}
