fleet/view: a peer does not restore a row that a scan has proven removed

A process that starts scans the list and asks a peer for its rows. A row that had just been removed was missing from the scan, of which nothing was recorded for rows not known yet, so the peer's older row was taken as new and the upstream stayed in use. The view now keeps the version up to which its rows are complete, as fleet/evacuation does, and ignores unknown rows of up to it, unless they come with a newer scan. Forgotten removals raise it.

--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -54,8 +54,11 @@
 	routes  atomic.Pointer[Routes]
 	members atomic.Pointer[Members]
 
-	mu        sync.Mutex
-	rows      map[string]*record
+	mu   sync.Mutex
+	rows map[string]*record
+	// settled is the version up to which the rows of upstreams are complete: one without a
+	// record had no row then.
+	settled   uint64
 	zones     *evacuation.Zones
 	config    citronstream.Row
 	refused   uint64 // version of the last configuration that was not accepted
@@ -154,6 +157,10 @@
 func (vi *View) Apply(changes []citronstream.Change, source string) []citronstream.Change {
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
+	return vi.apply(changes, source)
+}
+
+func (vi *View) apply(changes []citronstream.Change, source string) []citronstream.Change {
 	var applied []citronstream.Change
 	members := false
 	for _, ch := range changes {
@@ -184,7 +191,8 @@
 }
 
 // Replace applies a complete table as of a version and returns the changes. Upstreams of
-// this table without a row have been removed, and the evacuations of zones have ended.
+// this table without a row have been removed, and the evacuations of zones have ended. Of
+// those that are not known yet this is recorded too: a peer may tell an older row later.
 func (vi *View) Replace(table string, rows []citronstream.Row, version uint64, source string) []citronstream.Change {
 	changes := make([]citronstream.Change, 0, len(rows))
 	present := make(map[string]bool, len(rows))
@@ -193,18 +201,23 @@
 		present[row.Key] = true
 	}
 	vi.mu.Lock()
-	remove := func(key string) {
-		changes = append(changes, citronstream.Change{Row: citronstream.Row{Key: key, Version: version}, Deleted: true})
-	}
-	if vi.decode.MemberPrefix == table+"/" {
+	isMembers := vi.decode.MemberPrefix == table+"/"
+	if isMembers {
 		for key, rec := range vi.rows {
 			if !present[key] && !rec.Deleted && rec.Version <= version {
-				remove(key)
+				changes = append(changes, citronstream.Change{Row: citronstream.Row{Key: key, Version: version}, Deleted: true})
 			}
 		}
 	}
+	settled := vi.settled
+	if isMembers && version >= settled {
+		vi.settled = 0 // the rows of a newer read are the proof themselves
+	}
+	applied := vi.apply(changes, source)
+	if isMembers {
+		vi.settled = max(settled, version)
+	}
 	vi.mu.Unlock()
-	applied := vi.Apply(changes, source)
 	if strings.HasPrefix(vi.decode.EvacuationPrefix, table+"/") {
 		evacuated := make(map[string]uint64)
 		for _, row := range rows {
@@ -315,6 +328,7 @@
 			rec.node = nil
 		case rec.Deleted && !rec.inGrace && now.Sub(rec.removed) > tombstoneTTL:
 			delete(vi.rows, key)
+			vi.settled = max(vi.settled, rec.Version) // a row that is in use was written since
 		}
 	}
 	if len(applied) > 0 {
@@ -374,7 +388,7 @@
 // applyMember reports whether the set of upstreams in use changed.
 func (vi *View) applyMember(ch citronstream.Change, source string) bool {
 	old := vi.rows[ch.Key]
-	if old != nil && ch.Version <= old.Version {
+	if old != nil && ch.Version <= old.Version || old == nil && ch.Version <= vi.settled {
 		return false
 	}
 	now := vi.clk.Now()
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -200,6 +200,57 @@
 	assert.NotNil(t, vi.Members().Node("servers/k"))
 }
 
+// Guards against an upstream that was removed just before a process started and that a peer,
+// which has not heard of the removal, brings back for good.
+func TestRemovedRowDoesNotComeBack(t *testing.T) {
+	start := func() *View {
+		return New(clockwork.NewFakeClock(), logr.Discard(), Decode{Routing: routing, Member: member, ConfigKey: "op/config", MemberPrefix: "servers/"})
+	}
+	kept := []citronstream.Row{{Key: "servers/j", Version: 60, Value: []byte("s a:2 x")}}
+	state := []citronstream.Change{row("servers/i", 78, "s a:1 x"), row("servers/j", 60, "s a:2 x"), row("servers/k", 140, "s a:3 x")}
+	check := func(t *testing.T, vi *View) {
+		t.Helper()
+		assert.Nil(t, vi.Members().Node("servers/i"), "removed at 137")
+		assert.NotNil(t, vi.Members().Node("servers/j"))
+		assert.NotNil(t, vi.Members().Node("servers/k"), "written after the scan")
+	}
+	t.Run("scan first", func(t *testing.T) {
+		vi := start()
+		vi.Replace("servers", kept, 137, SourceStore)
+		vi.Apply(state, "peer")
+		check(t, vi)
+		vi.Apply([]citronstream.Change{row("servers/i", 150, "s a:1 x")}, "peer")
+		assert.NotNil(t, vi.Members().Node("servers/i"), "written again")
+	})
+	t.Run("peer first", func(t *testing.T) {
+		vi := start()
+		vi.Apply(state, "peer")
+		vi.Replace("servers", kept, 137, SourceStore)
+		check(t, vi)
+	})
+	t.Run("scan of another table", func(t *testing.T) {
+		vi := start()
+		vi.Replace("op", nil, 137, SourceStore)
+		vi.Apply(state, "peer")
+		assert.NotNil(t, vi.Members().Node("servers/i"))
+	})
+	t.Run("older scan later", func(t *testing.T) {
+		vi := start()
+		vi.Replace("servers", kept, 137, SourceStore)
+		vi.Replace("servers", []citronstream.Row{state[0].Row, kept[0]}, 100, SourceStore)
+		assert.Nil(t, vi.Members().Node("servers/i"))
+		assert.NotNil(t, vi.Members().Node("servers/j"))
+	})
+	t.Run("after the removal is forgotten", func(t *testing.T) {
+		vi, clk, _ := newView()
+		apply(vi, row("i", 78, "s a:1 x"), removal("i", 137))
+		clk.Advance(tombstoneTTL + time.Second)
+		vi.Sweep()
+		vi.Apply([]citronstream.Change{row("i", 78, "s a:1 x")}, "peer")
+		assert.Nil(t, vi.Members().Node("i"))
+	})
+}
+
 // An invalid or older configuration must leave the current one in force.
 func TestConfiguration(t *testing.T) {
 	vi, _, _ := newView()
