stage/owner: TestAssumedSizeShrinks waits for its jobs before it goes on

Cause: the test, not the owner. It submitted the next job and moved the clock without waiting for the end of the last batch. Change: each round waits for the result, which is compared now, and releases it. The checks and the time limit are as before.

--- a/internal/stage/owner/dispatch_test.go
+++ b/internal/stage/owner/dispatch_test.go
@@ -29,21 +29,27 @@
 // configured size again after many that did.
 func TestAssumedSizeShrinks(t *testing.T) {
 	hs := newHarness(t, upstream("a", ""))
+	// end ends a batch and waits for its job, so that the next job finds the upstream
+	// free and the clock is not moved while the batch seems to run.
+	end := func(se sentBatch, done chan citronstream.JobResult) {
+		handles := hs.finish(se)
+		assert.Equal(t, handles, hs.result(done).Handles)
+		hs.Release(handles, 0, func(string) *node.Node { return hs.list[0].Node })
+		hs.clk.Advance(spec.ResultLife + time.Millisecond) // also drops what is not released yet
+		hs.Tick()
+	}
 	for range 5 {
-		hs.submit(newJob("0", 1, nil))
+		done := hs.submit(newJob("0", 1, nil))
 		hs.batch().end <- batchEnd{results: []citronstream.ItemResult{{Fault: citronstream.ItemNoMemory}}}
-		hs.finish(hs.batch())
+		end(hs.batch(), done)
 	}
 	hs.mu.Lock()
 	grown := hs.sizeFactor
 	hs.mu.Unlock()
 	assert.Greater(t, grown, 1.05)
 	for range 120 {
-		hs.submit(newJob("0", 1, nil))
-		handles := hs.finish(hs.batch())
-		hs.Release(handles, 0, func(string) *node.Node { return hs.list[0].Node })
-		hs.clk.Advance(spec.ResultLife)
-		hs.Tick()
+		done := hs.submit(newJob("0", 1, nil))
+		end(hs.batch(), done)
 	}
 	hs.mu.Lock()
 	defer hs.mu.Unlock()
