platform: decode the load that upstreams say with their answers

Cause: X-Citronstream-Server-Load was not read. Change: RUNNING,WAITING,SLOTS[,PACE] becomes AnswerHead.Load. A value that is malformed, implausible or sent twice counts as none. Nothing uses it yet.

--- a/request.go
+++ b/request.go
@@ -48,6 +48,16 @@
 	Encoded bool // the body has a Content-Encoding; upstreams send none of their own
 	// IdleTimeout is how long the upstream keeps the connection; 0 when unknown.
 	IdleTimeout time.Duration
+	Load        ServerLoad
+}
+
+// ServerLoad is what an upstream says of its load with an answer. The zero value means
+// that it said nothing, or nothing plausible.
+type ServerLoad struct {
+	Running, Waiting int // requests or batches
+	Slots            int // at least 1 if anything was said
+	// Pace is how long work takes there now, relative to the usual time; 0 when not said.
+	Pace float64
 }
 
 // BatchItem is one piece of a stage's work in a batch.
