upstream/capacity: one state of an upstream's speed, pace and load

Cause: long-term speed and transient slowness were one moving average, and what upstreams say of their load was not used. Change: State holds both and the load, with age and source, for each node. A fresh pace takes the place of the moving average in Slowness, which plain upstreams are chosen by; Speed is 1 until long-term times are measured.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/upstream/capacity"
 )
 
 const (
@@ -24,6 +25,7 @@
 // Node is one upstream. Its methods are called concurrently.
 type Node struct {
 	citronstream.Member
+	clk citronstream.Clock // nil if nothing that ages counts
 
 	running      atomic.Int64
 	mu           sync.Mutex
@@ -31,10 +33,24 @@
 	avoidUntil   time.Time
 	failureRate  float64 // moving average, 0 to 1
 	slowness     float64 // moving average of measured to expected time, 0 before the first measurement
+	capacity     capacity.State
 }
 
+// Option changes a Node.
+type Option func(*Node)
+
+// WithClock sets the clock by which what the upstream says of its load, and what was
+// measured of its speed, ages. Without it, neither changes Slowness and Speed.
+func WithClock(clk citronstream.Clock) Option { return func(nd *Node) { nd.clk = clk } }
+
 // New returns a node without recorded outcomes.
-func New(mb citronstream.Member) *Node { return &Node{Member: mb} }
+func New(mb citronstream.Member, opts ...Option) *Node {
+	nd := &Node{Member: mb}
+	for _, opt := range opts {
+		opt(nd)
+	}
+	return nd
+}
 
 // Same reports whether the node and the row describe the same process.
 func (nd *Node) Same(mb citronstream.Member) bool {
@@ -109,13 +125,84 @@
 	return nd.failureRate
 }
 
-// Slowness returns the moving average of the ratio of measured to expected time,
-// 1 before the first measurement.
+// Slowness returns the time that work takes now relative to the expected one: the pace
+// that the upstream said last, else the moving average of the measured times, times the
+// long-term factor where that was measured. It is 1 before the first measurement.
 func (nd *Node) Slowness() float64 {
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
-	if nd.slowness == 0 {
+	usual := nd.slowness
+	if usual == 0 {
+		usual = 1
+	}
+	if nd.clk == nil {
+		return usual
+	}
+	now := nd.clk.Now()
+	if long := nd.capacity.LongTerm(now); long.Source != capacity.FromNothing {
+		return long.Factor * nd.capacity.Transient(now).Factor
+	}
+	pace, weight := nd.capacity.Pace(now)
+	return usual + weight*(pace-usual)
+}
+
+// Speed returns the long-term speed relative to the usual one of the service's
+// upstreams, 1 when unknown.
+func (nd *Node) Speed() float64 {
+	if nd.clk == nil {
 		return 1
 	}
-	return nd.slowness
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return 1 / nd.capacity.LongTerm(nd.clk.Now()).Factor
+}
+
+// ObserveLoad records what the upstream said of its load with any answer; the zero value
+// changes nothing.
+func (nd *Node) ObserveLoad(sl citronstream.ServerLoad, now time.Time) {
+	if sl.Slots == 0 {
+		return
+	}
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	nd.capacity.ObserveLoad(sl, now)
+}
+
+// Load returns the load that the upstream said last, and its age; false if that is
+// unknown or too old to be of use.
+func (nd *Node) Load(now time.Time) (sl citronstream.ServerLoad, age time.Duration, known bool) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return nd.capacity.Load(now)
+}
+
+// Pace returns the pace that the upstream said last, and how much it counts, from 1 when
+// it was said just now to 0.
+func (nd *Node) Pace(now time.Time) (pace, weight float64) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return nd.capacity.Pace(now)
+}
+
+// ObserveTime records the time between the events of a whole stream, relative to the
+// usual one of the service's upstreams.
+func (nd *Node) ObserveTime(ratio float64, now time.Time) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	nd.capacity.ObserveTime(ratio, now)
+}
+
+// TakeReport returns what the peers should be told of the measured speed; false if there
+// is nothing new.
+func (nd *Node) TakeReport() (citronstream.SpeedReport, bool) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return nd.capacity.TakeReport()
+}
+
+// ObserveReport records what a peer has measured of the speed.
+func (nd *Node) ObserveReport(peer string, sr citronstream.SpeedReport, now time.Time) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	nd.capacity.ObserveReport(peer, sr, now)
 }
--- a/internal/fleet/view/members.go
+++ b/internal/fleet/view/members.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 
 	"github.com/citronstream/citronstream/internal/fleet/node"
@@ -57,3 +59,6 @@
 
 // Len returns the number of upstreams.
 func (ms *Members) Len() int { return len(ms.byID) }
+
+// All returns all upstreams, also those that take no new work, in any order.
+func (ms *Members) All() iter.Seq[*node.Node] { return maps.Values(ms.byID) }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -362,7 +362,7 @@
 			return old.inGrace
 		}
 	}
-	rec.node = node.New(member)
+	rec.node = node.New(member, node.WithClock(vi.clk))
 	vi.log.Info("upstream known", "upstream", member.ID, "service", member.Service, "address", member.Address, "zone", member.Zone,
 		"draining", member.Draining, "source", source, "revision", ch.Version)
 	return true
--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -101,7 +101,9 @@
 	var err error
 	if at.ans, err = rt.fl.Pool.Send(at.ctx, at.nd.Address, rq); err != nil {
 		at.fault = citronstream.FaultOf(err)
+		return
 	}
+	at.nd.ObserveLoad(at.ans.Head.Load, rt.fl.clk.Now())
 }
 
 // finish releases what an attempt holds.
--- a/internal/upstream/batch/batch.go
+++ b/internal/upstream/batch/batch.go
@@ -163,6 +163,7 @@
 		return 0, false, err
 	}
 	defer ans.Close()
+	nd.ObserveLoad(ans.Head.Load, ca.clk.Now())
 	reuse := false
 	answer, err := io.ReadAll(io.LimitReader(ans, maxAnswerBytes))
 	switch {
--- a/message_peer.go
+++ b/message_peer.go
@@ -77,6 +77,14 @@
 	// Cached are the shared prompt parts that the sender's requests have added to an
 	// engine's prefix cache since its last message, without those it knew to be there.
 	Cached []CachedPart `json:"Read,omitempty"`
+	// Speeds has the speeds by upstream of which the sender has new measurements.
+	Speeds map[string]SpeedReport `json:"Speeds,omitempty"`
+}
+
+// SpeedReport is what an entry has measured of an upstream since it knows it.
+type SpeedReport struct {
+	Time    float64 `json:"Time"` // that work takes, relative to the usual time
+	Samples float64 `json:"Samples"`
 }
 
 // Refusals are the requests that the sender has refused since its last message.
