stage/owner: expect of a batch what its upstream says of its pace

Cause: the owner learned paces only from ended batches, with half weight and a fade of 2 s, while upstreams say their pace with each answer. Change: while it is fresh, the pace said last takes the place of the learned one, reduced by the part of a deviation that does not last for a batch (measured) and corrected by what the batches of this upstream took. Upstreams that say nothing are treated as before.

--- a/internal/stage/owner/batch.go
+++ b/internal/stage/owner/batch.go
@@ -15,6 +15,9 @@
 	inputs := 0
 	ctx, cancel := context.WithCancel(ow.ctx)
 	cl := &call{sv: sv, parts: batch, cancel: cancel}
+	if pace, weight := sv.Pace(now); weight >= minFresh {
+		cl.said, cl.forecast = pace, sv.said.forecast(pace, ow.lasting.value())
+	}
 	for _, pa := range batch {
 		jb := pa.jb
 		jb.calls = append(jb.calls, cl)
@@ -102,6 +105,10 @@
 	default:
 		sv.RequestDone(float64(took) / float64(normal))
 		sv.pace.done(float64(took)/float64(normal), now)
+		if cl.said > 0 {
+			ow.lasting.done(&sv.said, float64(took)/float64(normal), cl.said)
+			sv.said.done(float64(took)/float64(normal), cl.said, cl.forecast)
+		}
 		ow.rate.addDone(now, len(items))
 		ow.applyResults(cl, results, now)
 		if released {
@@ -117,7 +124,7 @@
 func (ow *Owner) watch(ctx context.Context, cl *call, normal time.Duration) {
 	sv, began := cl.sv, ow.clk.Now()
 	ow.mu.Lock()
-	usual := time.Duration(sv.pace.value(began) * float64(normal))
+	usual := time.Duration(max(1, ow.paceNow(sv, began)) * float64(normal))
 	ow.mu.Unlock()
 	limit := func(factor float64, normal time.Duration) time.Duration {
 		return time.Duration(factor*float64(normal)) + timeoutExtra
--- a/internal/stage/owner/dispatch.go
+++ b/internal/stage/owner/dispatch.go
@@ -144,7 +144,7 @@
 
 // mayTake reports whether an upstream is fast enough for a job.
 func (ow *Owner) mayTake(bl *backlog, sv *server, jb *job, ahead int, now time.Time) bool {
-	pace := sv.pace.value(now)
+	pace := ow.paceNow(sv, now)
 	return bl.mayTake(jb, pace, extraTime(&ow.spec, ow.spec.Items, pace), ahead, now)
 }
 
@@ -196,7 +196,7 @@
 
 // preferred reports whether a is better than b for the first job of a batch.
 func (ow *Owner) preferred(a, b *server, jb *job, now time.Time) bool {
-	if paceA, paceB := a.pace.value(now), b.pace.value(now); paceA > slowPace*paceB || paceB > slowPace*paceA {
+	if paceA, paceB := ow.paceNow(a, now), ow.paceNow(b, now); paceA > slowPace*paceB || paceB > slowPace*paceA {
 		return paceA < paceB
 	}
 	if jb.Zone != "" && (a.Zone == jb.Zone) != (b.Zone == jb.Zone) {
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -107,6 +107,7 @@
 	counts     Counts
 	rate       rate
 	arrivals   arrivals
+	lasting    lasting
 	lastActive time.Time // when a job was last submitted or ended
 	held       func() bool
 }
@@ -140,6 +141,7 @@
 	*node.Node
 	running     int
 	pace        pace
+	said        said
 	pausedUntil time.Time // gets no batch until then
 	idleSince   time.Time // end of its last batch
 	used        int       // bytes of results that it holds or computes
--- a/internal/stage/owner/pace.go
+++ b/internal/stage/owner/pace.go
@@ -51,6 +51,83 @@
 	return 1 + (pa.factor-1)*math.Exp(-float64(now.Sub(pa.at))/float64(paceFade))
 }
 
+// paceNow returns the pace of an upstream: that to be expected by what it said last, as
+// long as that is fresh, in place of what was learned from ended batches.
+func (ow *Owner) paceNow(sv *server, now time.Time) float64 {
+	learned := sv.pace.value(now)
+	pace, weight := sv.Pace(now)
+	if weight == 0 {
+		return learned
+	}
+	return learned + weight*(sv.said.forecast(pace, ow.lasting.value())-learned)
+}
+
+const (
+	// biasWeight is the weight of the newest batch in the bias of what an upstream says,
+	// and usualWeight in the pace that it usually says; the first ones weigh more.
+	biasWeight  = 0.3
+	usualWeight = 0.1
+	// minForecast is the least pace that is expected for what an upstream says, maxBias
+	// the greatest factor by which that is corrected.
+	minForecast = 0.5
+	maxBias     = 4.0
+	// minFresh is the weight of a pace from which on a batch is compared with it.
+	minFresh = 0.5
+	// lastingPrior is the sum of squared deviations that the assumption weighs that they
+	// last for the whole batch, lastingFade the factor of older sums at each batch.
+	lastingPrior = 4.0
+	lastingFade  = 0.98
+)
+
+// said compares what an upstream says of its pace with the batches that begin then. The
+// zero value believes it.
+type said struct {
+	usual   float64 // mean pace that it says
+	bias    float64 // mean logarithm of the measured to the expected time
+	batches float64
+}
+
+// forecast returns the pace to expect of a batch at an upstream that says this pace, of
+// whose deviation from its usual one this part lasts.
+func (sa *said) forecast(pace, lasting float64) float64 {
+	usual := sa.usual
+	if sa.batches == 0 {
+		usual = pace
+	}
+	return max(minForecast, (usual+lasting*(pace-usual))*math.Exp(sa.bias))
+}
+
+// done records a batch that took ratio times the expected time, and the pace that was
+// said and the one that was expected when it began.
+func (sa *said) done(ratio, pace, forecast float64) {
+	if ratio <= 0 {
+		return
+	}
+	sa.batches++
+	sa.usual += max(usualWeight, 1/sa.batches) * (pace - sa.usual)
+	sa.bias += max(biasWeight, 1/(1+sa.batches)) * math.Log(ratio/forecast)
+	sa.bias = max(-math.Log(maxBias), min(sa.bias, math.Log(maxBias)))
+}
+
+// lasting measures which part of a deviation from the usual pace that an upstream says at
+// the begin of a batch lasts for the batch: much less than all of it if it changes many
+// times a second. The zero value assumes all.
+type lasting struct{ product, square float64 }
+
+// done records a batch that took ratio times the expected time.
+func (la *lasting) done(sa *said, ratio, pace float64) {
+	if sa.batches == 0 {
+		return
+	}
+	deviation := pace - sa.usual
+	la.product = lastingFade*la.product + deviation*(ratio/math.Exp(sa.bias)-sa.usual)
+	la.square = lastingFade*la.square + deviation*deviation
+}
+
+func (la *lasting) value() float64 {
+	return max(0, min((lastingPrior+la.product)/(lastingPrior+la.square), 1))
+}
+
 // backlog is what the decision on slow upstreams needs to know of the queue.
 type backlog struct {
 	fastest float64 // pace of the fastest upstream in use
@@ -93,12 +170,12 @@
 	}
 	for _, sv := range ow.list {
 		if !sv.Avoided(now) {
-			bl.fastest = min(bl.fastest, sv.pace.value(now))
+			bl.fastest = min(bl.fastest, ow.paceNow(sv, now))
 		}
 	}
 	full := expected(&ow.spec, ow.spec.Items).Seconds()
 	for _, sv := range ow.list {
-		if pace := sv.pace.value(now); !sv.Avoided(now) && !bl.slow(pace) {
+		if pace := ow.paceNow(sv, now); !sv.Avoided(now) && !bl.slow(pace) {
 			bl.rate += float64(ow.spec.Items*ow.spec.Calls) / (full * pace)
 		}
 	}
--- a/internal/stage/owner/state.go
+++ b/internal/stage/owner/state.go
@@ -74,7 +74,7 @@
 		if sv.Avoided(now) {
 			continue
 		}
-		sum += float64(ow.spec.Items*ow.spec.Calls) / (full * sv.pace.value(now))
+		sum += float64(ow.spec.Items*ow.spec.Calls) / (full * ow.paceNow(sv, now))
 	}
 	return sum
 }
--- a/internal/stage/owner/takeover.go
+++ b/internal/stage/owner/takeover.go
@@ -13,13 +13,15 @@
 
 // call is a batch at an upstream.
 type call struct {
-	sv      *server
-	parts   []batchPart
-	bytes   int  // of its results
-	read    bool // the upstream has read its inputs
-	overdue bool
-	vacated bool // it takes no place at the upstream any more
-	cancel  context.CancelFunc
+	sv    *server
+	parts []batchPart
+	// said is the pace that the upstream had just said, or 0, forecast what that let expect.
+	said, forecast float64
+	bytes          int  // of its results
+	read           bool // the upstream has read its inputs
+	overdue        bool
+	vacated        bool // it takes no place at the upstream any more
+	cancel         context.CancelFunc
 }
 
 // replace takes over the pieces of an overdue call, as far as possible. Lost says that the
