ingress/flow: learn the long-term speeds of engines, together with the peers

Cause: streams counted as of normal speed whatever they took (RequestDone(1)), so an engine of 0.55 of the nominal speed got as much as one of 1.2. Change: the mean time between the events of a whole stream, relative to that of its route, is a sample of its engine's speed. Means and numbers of samples go to the peers in the load message that is sent anyway. Node.Slowness and Node.Speed follow; route/engines is not changed. Log lines upstream slower than usual and upstream at usual speed, gauge citronstream_site_upstreams_slow.

--- a/internal/ingress/flow/latency.go
+++ b/internal/ingress/flow/latency.go
@@ -15,6 +15,10 @@
 	// latencyAlpha is the weight of the newest time in the moving average.
 	latencyAlpha = 0.1
 	maxRoutes    = 4096
+	// stepAlpha is the weight of the newest stream in the mean time between events, which
+	// is over all engines. It is of use from minStreams on.
+	stepAlpha  = 0.05
+	minStreams = 5
 	// restDeviations is how many mean deviations a response may be shorter than the
 	// average before it counts as one that could not have been served.
 	restDeviations = 2
@@ -33,6 +37,9 @@
 	deviation float64 // moving average of the difference from what was expected, in seconds
 	// rest and restDeviation are the same for the time from the first event to the end.
 	rest, restDeviation float64
+	// step is the moving average of the time between two events, in seconds, over steps streams.
+	step  float64
+	steps int
 }
 
 func newLatencies(clk citronstream.Clock) *latencies {
@@ -81,6 +88,20 @@
 	return max(rl.seconds/4, rl.seconds+read.Seconds()-rl.read)
 }
 
+// observeStep records the mean time between two events of a stream. It returns this time
+// relative to the usual one of the route; false until that is known.
+func (la *latencies) observeStep(name string, took time.Duration) (ratio float64, known bool) {
+	la.mu.Lock()
+	defer la.mu.Unlock()
+	rl := la.route(name)
+	if rl.steps >= minStreams {
+		ratio, known = took.Seconds()/rl.step, rl.step > 0
+	}
+	rl.steps++
+	rl.step += max(stepAlpha, 1/float64(rl.steps)) * (took.Seconds() - rl.step)
+	return ratio, known
+}
+
 // observeRest records the time from the first event of a response to its end.
 func (la *latencies) observeRest(name string, took time.Duration) {
 	la.mu.Lock()
--- a/internal/ingress/flow/stream.go
+++ b/internal/ingress/flow/stream.go
@@ -43,6 +43,7 @@
 		if errors.Is(err, io.EOF) && rt.ended(&pa, at.ans.Framed) {
 			to.awake(true)
 			nd.RequestDone(1)
+			rt.observeSteps(at, &pa)
 			if !resumed && !rt.firstEvent.IsZero() {
 				rt.fl.latencies.observeRest(rt.route.Name, rt.fl.clk.Since(rt.firstEvent))
 			}
@@ -73,15 +74,19 @@
 		if progress {
 			if pa.count++; pa.count == 1 {
 				rt.observeFirstEvent(at)
+				pa.first = rt.firstEvent
 			}
+			pa.last = rt.fl.clk.Now()
 		}
 		if !rt.started {
 			rt.writeStreamHead(at.ans, control)
 		}
 		rt.note(events)
+		wrote := rt.fl.clk.Now()
 		if _, err = rt.wr.Write(events.Event); err == nil {
 			err = control.Flush()
 		}
+		pa.writing += rt.fl.clk.Since(wrote)
 		to.pin(rt.unplaced)
 		if err != nil {
 			return result{done: true, out: outcome{status: at.ans.Status, reason: callerLeft, abort: true}}
@@ -108,6 +113,29 @@
 	read    bool  // anything was read
 	idle    int   // bytes since the last event with new data
 	highest int64 // identifier
+	// first and last are when events came that brought the stream forward, writing is the
+	// time for which the caller was written to.
+	first, last time.Time
+	writing     time.Duration
+}
+
+const (
+	// minSteps is the least number of events whose mean distance says how fast an engine is.
+	minSteps = 8
+	// maxWriting is the greatest share of a stream's time for which its caller may be
+	// written to: a slow caller holds the events of its engine up.
+	maxWriting = 0.1
+)
+
+// observeSteps records how fast an engine has sent the events of a stream.
+func (rt *request) observeSteps(at *attempt, pa *part) {
+	took := pa.last.Sub(pa.first)
+	if at.demand == nil || pa.count < minSteps || took <= 0 || pa.writing.Seconds() > maxWriting*took.Seconds() {
+		return
+	}
+	if ratio, known := rt.fl.latencies.observeStep(rt.route.Name, took/time.Duration(pa.count-1)); known {
+		at.nd.ObserveTime(ratio, rt.fl.clk.Now())
+	}
 }
 
 // idles counts an event and reports whether the part goes on without new ones.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/citronstream/citronstream/internal/fleet/discovery"
 	"github.com/citronstream/citronstream/internal/fleet/follow"
 	"github.com/citronstream/citronstream/internal/fleet/mesh"
+	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/citronstream/citronstream/internal/fleet/wakeup"
 	"github.com/citronstream/citronstream/internal/ingress/flow"
@@ -69,6 +70,7 @@
 	follower      *follow.Follower
 	mesh          *mesh.Mesh
 	pool          *conns.Pool
+	slow          map[*node.Node]bool // upstreams that are logged as slow; used by runPeriodic only
 	broker        *broker.Broker
 	engines       *engines.Picker
 	holds         *poison.Holds
@@ -287,6 +289,7 @@
 		}
 		if count%sweepTicks == 0 {
 			ga.pool.Sweep()
+			ga.logSpeeds()
 			ga.mesh.Prune()
 		}
 	}
@@ -307,6 +310,7 @@
 
 func (ga *Gateway) broadcastEntryLoad() {
 	if load, changed := ga.engines.ChangedLoad(); changed {
+		load.Speeds = ga.takeSpeeds()
 		ga.mesh.Broadcast(citronstream.MethodEntryLoad, load)
 	}
 }
@@ -353,6 +357,7 @@
 		var load citronstream.EntryLoad
 		if re.Decode(&load) == nil {
 			ga.engines.UpdateLoad(from, load)
+			ga.heardSpeeds(from, load.Speeds)
 		}
 	case citronstream.MethodRefusals:
 		var refusals citronstream.Refusals
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -27,6 +27,7 @@
 	})
 	gauge("citronstream_site_upstreams", "Upstreams in use.", func() float64 { return float64(ga.view.Members().Len()) })
 	gauge("citronstream_site_upstreams_load_known", "Upstreams that said their load within the last 2 s.", func() float64 { return float64(ga.loadsKnown()) })
+	gauge("citronstream_site_upstreams_slow", "Upstreams that are slower than usual for good.", func() float64 { return float64(ga.slowUpstreams()) })
 	gauge("citronstream_site_zones_evacuated", "Zones to whose upstreams nothing more is sent.", func() float64 { return float64(len(ga.view.Evacuated())) })
 	gauge("citronstream_site_entries", "Entries that take part, this one included.", func() float64 { return float64(ga.mesh.LiveCount()) })
 	gauge("citronstream_site_in_flight", "Requests that were read and not answered.", func() float64 { return float64(ga.flow.InFlight()) })
--- a/internal/upstream/capacity/capacity.go
+++ b/internal/upstream/capacity/capacity.go
@@ -35,6 +35,8 @@
 	// sampleSpread is the standard deviation of the logarithm of one sample. Engines with
 	// equal speed differ by that much from one response to the next.
 	sampleSpread = 0.4
+	// longLife is how long a long-term factor is kept without a new sample or report.
+	longLife = time.Second
 	// reportLife is how long a peer's report counts. Peers report an instance again with
 	// each new sample.
 	reportLife = time.Minute
@@ -70,6 +72,10 @@
 	unsent bool // own has samples that the peers were not told
 	peers  map[string]peerMean
 
+	long   Value // the last result of LongTerm
+	longAt time.Time
+	known  bool // long follows from all samples and reports
+
 	step   float64 // measured slowness, relative to the long-term speed
 	stepAt time.Time
 }
@@ -124,7 +130,7 @@
 	}
 	st.own.samples = min(st.own.samples+1, maxSamples)
 	st.own.log += (math.Log(clamp(ratio)) - st.own.log) / st.own.samples
-	st.ownAt, st.unsent = now, true
+	st.ownAt, st.unsent, st.known = now, true, false
 }
 
 // ObserveStep records the measured time of the last few events of a response, relative to
@@ -155,6 +161,7 @@
 	if st.peers == nil {
 		st.peers = make(map[string]peerMean)
 	}
+	st.known = false
 	st.peers[peer] = peerMean{mean{math.Log(clamp(sr.Time)), min(sr.Samples, maxSamples)}, now}
 	for name, pe := range st.peers {
 		if now.Sub(pe.at) > reportLife {
@@ -164,8 +171,19 @@
 }
 
 // LongTerm returns the time that work takes for good, relative to the usual one: 1 until
-// enough samples tell it from chance.
+// enough samples tell it from chance. It is called for each candidate of each choice.
 func (st *State) LongTerm(now time.Time) Value {
+	if age := now.Sub(st.longAt); !st.known || age > longLife || age < 0 {
+		st.long, st.longAt, st.known = st.longTerm(now), now, true
+	}
+	va := st.long
+	if va.Source != FromNothing {
+		va.Age += now.Sub(st.longAt)
+	}
+	return va
+}
+
+func (st *State) longTerm(now time.Time) Value {
 	va := Value{Factor: 1, Source: FromNothing}
 	sum, samples := 0.0, 0.0
 	if st.own.samples > 0 {
