stage/owner: choose the upstream that is expected to end a batch first

Cause: among upstreams that differ by less than half, the one with less memory taken got the batch, however much longer it takes. Change: after the zone, a difference of more than 60 ms in the expected time of the batch decides where both have said their pace just now. The replay releases results, which brings headers, and has upstreams that turn slow for seconds.

--- a/internal/stage/owner/dispatch.go
+++ b/internal/stage/owner/dispatch.go
@@ -202,6 +202,11 @@
 	if jb.Zone != "" && (a.Zone == jb.Zone) != (b.Zone == jb.Zone) {
 		return a.Zone == jb.Zone
 	}
+	if a.saysPace(now) && b.saysPace(now) {
+		if endA, endB := ow.batchTime(a, now), ow.batchTime(b, now); max(endA-endB, endB-endA) > paceDelay {
+			return endA < endB
+		}
+	}
 	return a.used < b.used
 }
 
--- a/internal/stage/owner/pace.go
+++ b/internal/stage/owner/pace.go
@@ -71,6 +71,9 @@
 	// the greatest factor by which that is corrected.
 	minForecast = 0.5
 	maxBias     = 4.0
+	// paceDelay is the difference in expected time that decides between two upstreams
+	// rather than their memory for results.
+	paceDelay = 60 * time.Millisecond
 	// minFresh is the weight of a pace from which on a batch is compared with it.
 	minFresh = 0.5
 	// lastingPrior is the sum of squared deviations that the assumption weighs that they
@@ -79,6 +82,24 @@
 	lastingFade  = 0.98
 )
 
+// saysPace reports whether an upstream has said its pace just now.
+func (sv *server) saysPace(now time.Time) bool {
+	_, weight := sv.Pace(now)
+	return weight >= minFresh
+}
+
+// batchTime returns how long a batch takes that an upstream begins now, of the pieces that
+// wait.
+func (ow *Owner) batchTime(sv *server, now time.Time) time.Duration {
+	pieces := 0
+	for _, jb := range ow.waiting {
+		if pieces += len(jb.pending); pieces >= ow.spec.Items {
+			break
+		}
+	}
+	return time.Duration(ow.paceNow(sv, now) * float64(expected(&ow.spec, min(pieces, ow.spec.Items))))
+}
+
 // said compares what an upstream says of its pace with the batches that begin then. The
 // zero value believes it.
 type said struct {
--- a/internal/stage/owner/uneven_test.go
+++ b/internal/stage/owner/uneven_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -25,7 +26,6 @@
 const (
 	unevenUpstreams = 17
 	unevenSpan      = 12 * time.Second
-	unevenSlow      = 600 * time.Millisecond // for which an upstream is slowed
 )
 
 var unevenSpec = citronstream.BatchSpec{
@@ -44,7 +44,7 @@
 	pc := &paces{usual: pattern.usual(i)}
 	slowUntil, nextSlow := time.Duration(0), time.Duration(0)
 	pause := func() time.Duration {
-		return time.Duration(random.ExpFloat64() * (1/pattern.share - 1) * float64(unevenSlow))
+		return time.Duration(random.ExpFloat64() * (1/pattern.share - 1) * float64(pattern.spell))
 	}
 	if pattern.share > 0 {
 		nextSlow = pause()
@@ -52,7 +52,7 @@
 	done := 0.0
 	for at := time.Duration(0); at < 3*unevenSpan; at += time.Millisecond {
 		if pattern.share > 0 && at >= nextSlow {
-			slowUntil = at + unevenSlow
+			slowUntil = at + pattern.spell
 			nextSlow = slowUntil + pause()
 		}
 		factor := pc.usual
@@ -171,7 +171,8 @@
 	name   string
 	usual  func(i int) float64
 	slowed float64
-	share  float64 // of the time that an upstream is slowed
+	share  float64       // of the time that an upstream is slowed
+	spell  time.Duration // for which it is slowed
 	says   func(pc *paces, since time.Duration) float64
 }
 
@@ -182,12 +183,15 @@
 // half has every other upstream at 0.55 of the nominal speed.
 func half(i int) float64 { return []float64{1 / 0.55, 1}[i%2] }
 
+const short = 600 * time.Millisecond
+
 var unevenPatterns = []uneven{
-	{"rapidly fluctuating speed", alike, 2.5, 1.0 / 6, truth},
-	{"half of the upstreams slow", half, 1, 0, truth},
-	{"half slow, fluctuating", half, 2.5, 1.0 / 6, truth},
-	{"fluctuating, all say as usual", alike, 2.5, 1.0 / 6, func(*paces, time.Duration) float64 { return 1 }},
-	{"half slow, slow ones say fast", half, 1, 0, func(pc *paces, _ time.Duration) float64 { return 1 / pc.usual }},
+	{"rapidly fluctuating speed", alike, 2.5, 1.0 / 6, short, truth},
+	{"half of the upstreams slow", half, 1, 0, 0, truth},
+	{"half slow, fluctuating", half, 2.5, 1.0 / 6, short, truth},
+	{"turning slow for seconds", alike, 6, 0.1, 3 * time.Second, truth},
+	{"fluctuating, all say as usual", alike, 2.5, 1.0 / 6, short, func(*paces, time.Duration) float64 { return 1 }},
+	{"half slow, slow ones say fast", half, 1, 0, 0, func(pc *paces, _ time.Duration) float64 { return 1 / pc.usual }},
 }
 
 // unevenService implements Batcher in simulated time.
@@ -231,7 +235,7 @@
 	var results []citronstream.ItemResult
 	for range items {
 		us.results++
-		results = append(results, citronstream.ItemResult{Handle: fmt.Sprint(us.results)})
+		results = append(results, citronstream.ItemResult{Handle: fmt.Sprintf("%s/%d", nd.ID, us.results)})
 	}
 	return results, false, nil
 }
@@ -256,11 +260,12 @@
 		clk := clockwork.NewRealClock() // of the bubble
 		us := &unevenService{clk: clk, begin: clk.Now(), says: says, paces: make(map[string]*paces), turn: make(map[string]chan struct{})}
 		var nodes []*node.Node
+		byID := make(map[string]*node.Node)
 		for i, pc := range all {
 			nd := node.New(citronstream.Member{ID: fmt.Sprint("u", i), Service: "s"}, node.WithClock(clk))
 			us.paces[nd.ID], us.turn[nd.ID] = pc, make(chan struct{}, 1)
 			us.turn[nd.ID] <- struct{}{}
-			nodes = append(nodes, nd)
+			nodes, byID[nd.ID] = append(nodes, nd), nd
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		ow := New(ctx, clk, logr.Discard(), "s", unevenSpec, us, &budget{left: 1 << 20})
@@ -282,6 +287,12 @@
 				if re.Fault == nil && clk.Since(us.begin) <= uj.due() {
 					inTime++
 				}
+				clk.AfterFunc(100*time.Millisecond, func() { // the next stage has read them
+					ow.Release(re.Handles, 100, func(handle string) *node.Node {
+						id, _, _ := strings.Cut(handle, "/")
+						return byID[id]
+					})
+				})
 			}, func() {})
 		}
 		clk.Sleep(15 * time.Second) // to the deadline of the last job
