stage/owner: run a batch again elsewhere when its upstream has slowed

Cause: a batch stayed at an upstream that turned slow under it, though another one was free and its requests could still be in time there. Change: while no job waits, pieces of jobs that would be late by what the upstream says, and in time at a free one, are sent again within the retry budget. The slow batch is not cut.

--- a/internal/stage/owner/batch.go
+++ b/internal/stage/owner/batch.go
@@ -14,7 +14,7 @@
 	var items []citronstream.BatchItem
 	inputs := 0
 	ctx, cancel := context.WithCancel(ow.ctx)
-	cl := &call{sv: sv, parts: batch, cancel: cancel}
+	cl := &call{sv: sv, parts: batch, cancel: cancel, began: now, expects: ow.paceNow(sv, now)}
 	if pace, weight := sv.Pace(now); weight >= minFresh {
 		cl.said, cl.forecast = pace, sv.said.forecast(pace, ow.lasting.value())
 	}
@@ -32,6 +32,8 @@
 		}
 	}
 	ow.waiting = slices.DeleteFunc(ow.waiting, func(jb *job) bool { return len(jb.pending) == 0 })
+	cl.normal = expected(&ow.spec, len(items))
+	sv.batches = append(sv.batches, cl)
 	sv.running++
 	sv.used += cl.bytes
 	ow.counts.Batches++
@@ -211,6 +213,7 @@
 func (ow *Owner) storeResult(sv *server, jb *job, index int, handle string, now time.Time) {
 	unused := jb.ended || jb.has(index)
 	if unused {
+		ow.counts.Unused++
 		ow.release(sv.Node, []string{handle}, jb.Bytes)
 	}
 	sv.results[handle] = result{bytes: jb.Bytes, until: now.Add(ow.spec.ResultLife)}
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -140,6 +140,7 @@
 type server struct {
 	*node.Node
 	running     int
+	batches     []*call // that have a place there
 	pace        pace
 	said        said
 	pausedUntil time.Time // gets no batch until then
@@ -297,6 +298,7 @@
 	ow.pollMemory(now)
 	ow.expire(now)
 	ow.dispatch()
+	ow.rescue(now)
 }
 
 // endJob ends a job. The caller holds the lock.
--- a/internal/stage/owner/state.go
+++ b/internal/stage/owner/state.go
@@ -6,9 +6,10 @@
 	"github.com/citronstream/citronstream"
 )
 
-// Counts are the counters of an Owner.
+// Counts are the counters of an Owner. Rescued pieces are among the repeated ones; unused
+// results came when another one or the end of their job had come.
 type Counts struct {
-	Batches, Items, Refused, Broken, NoMemory, Repeated, Expired, Overloaded uint64
+	Batches, Items, Refused, Broken, NoMemory, Repeated, Expired, Overloaded, Rescued, Unused uint64
 }
 
 // Counts returns the counters.
--- a/internal/stage/owner/takeover.go
+++ b/internal/stage/owner/takeover.go
@@ -17,9 +17,13 @@
 	parts []batchPart
 	// said is the pace that the upstream had just said, or 0, forecast what that let expect.
 	said, forecast float64
-	bytes          int  // of its results
-	read           bool // the upstream has read its inputs
+	began          time.Time
+	normal         time.Duration // expected at the usual pace
+	expects        float64       // pace that was expected when it began
+	bytes          int           // of its results
+	read           bool          // the upstream has read its inputs
 	overdue        bool
+	rescued        bool // its upstream works on it, see rescue
 	vacated        bool // it takes no place at the upstream any more
 	cancel         context.CancelFunc
 }
@@ -32,8 +36,8 @@
 	if ctx.Err() != nil {
 		return
 	}
-	now, began := ow.clk.Now(), !cl.overdue
-	cl.overdue = true
+	now, began := ow.clk.Now(), !cl.overdue || cl.rescued
+	cl.overdue, cl.rescued = true, false
 	if lost {
 		ow.vacate(cl, now)
 	}
@@ -77,7 +81,9 @@
 // letGo cancels the overdue calls of a job that no job needs any more.
 func (ow *Owner) letGo(jb *job) {
 	for _, cl := range jb.calls {
-		if cl.overdue && !cl.needed() {
+		// An upstream that works on a batch would finish it all the same, and run the next
+		// one only then.
+		if cl.overdue && !cl.rescued && !cl.needed() {
 			cl.cancel()
 		}
 	}
@@ -89,6 +95,7 @@
 		return
 	}
 	cl.vacated = true
+	cl.sv.batches = slices.DeleteFunc(cl.sv.batches, func(other *call) bool { return other == cl })
 	cl.sv.running--
 	cl.sv.used -= cl.bytes
 	cl.sv.idleSince = now
