--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -27,6 +27,8 @@
 	})
 	gauge("citronstream_site_upstreams", "Upstreams in use.", func() float64 { return float64(ga.view.Members().Len()) })
 	gauge("citronstream_site_upstreams_unconfirmed", "Upstreams in use whose rows may have expired while the store was away.", func() float64 { return float64(ga.view.Unconfirmed()) })
+	gauge("citronstream_site_upstreams_load_known", "Upstreams that said their load within the last 2 s.", func() float64 { return float64(ga.loadsKnown()) })
+	gauge("citronstream_site_upstreams_slow", "Upstreams that are slower than usual for good.", func() float64 { return float64(ga.slowUpstreams()) })
 	gauge("citronstream_site_zones_evacuated", "Zones to whose upstreams nothing more is sent.", func() float64 { return float64(len(ga.view.Evacuated())) })
 	gauge("citronstream_site_upstreams_cold", "Upstreams that are cold.", func() float64 {
 		cold, _ := ga.cold.Counts()
@@ -96,6 +98,7 @@
 		for event, count := range map[string]uint64{
 			"batch": st.Batches, "item": st.Items, "refused": st.Refused, "broken": st.Broken, "no_room": st.NoMemory,
 			"repeated": st.Repeated, "expired": st.Expired, "overloaded": st.Overloaded,
+			"rescued": st.Rescued, "unused": st.Unused,
 		} {
 			to <- prometheus.MustNewConstMetric(queueEvents, prometheus.CounterValue, float64(count), service, event)
 		}
--- a/internal/process/gateway/restore.go
+++ b/internal/process/gateway/restore.go
@@ -16,7 +16,7 @@
 // membersInUse returns the upstreams that take work, in evacuated zones too.
 func (ga *Gateway) membersInUse() []citronstream.Member {
 	var list []citronstream.Member
-	for _, nd := range ga.view.Members().All() {
+	for nd := range ga.view.Members().All() {
 		if !nd.Draining {
 			list = append(list, nd.Member)
 		}
