--- a/internal/route/engines/engines.go
+++ b/internal/route/engines/engines.go
@@ -142,6 +142,12 @@
 	if best == nil {
 		return nil
 	}
+	pi.add(best, rq, unread)
+	return best
+}
+
+// add adds a request to the load of the engine that was chosen for it.
+func (pi *Picker) add(best *node.Node, rq *Request, unread int) {
 	rq.picked, rq.unread, rq.known = pi.clk.Now(), unread, unread < rq.Tokens
 	ld := pi.ownLoad(best.ID)
 	ld.running++
@@ -149,7 +155,7 @@
 	pi.changed = true
 	if rq.Apart {
 		ld.apart++
-		return best
+		return
 	}
 	pi.countShares(rq)
 	if count := len(rq.Shared); count > 0 {
@@ -161,7 +167,6 @@
 		default:
 		}
 	}
-	return best
 }
 
 // Prefer returns the engine that Pick would choose, without adding to its load.
@@ -179,7 +184,7 @@
 	defer pi.mu.Unlock()
 	unread := rq.Tokens
 	if len(rq.Shared) > 0 {
-		if _, known := pi.homeEngine(nodes, rq.Shared, pi.clk.Now()); known {
+		if pi.location(nodes, rq.Shared, pi.clk.Now()) != "" {
 			unread -= rq.sharedTokens()
 		}
 	}
@@ -194,7 +199,7 @@
 	}
 	home, known := "", false
 	if len(rq.Shared) > 0 {
-		home, known = pi.homeEngine(nodes, rq.Shared, now)
+		home, known = pi.homeEngine(nodes, rq, now)
 	}
 	var best *node.Node
 	least, bestUnread := math.Inf(1), 0
@@ -269,28 +274,50 @@
 }
 
 // homeEngine returns the engine that holds the shared parts: the one that any
-// entry last used for the last of them, else one chosen by hash, which is the same
-// at all entries. Requests with equal first parts go to few engines, because each
-// of these engines has to read the first part once. Known says that it has read
-// the shared parts.
-func (pi *Picker) homeEngine(nodes []*node.Node, shared []citronstream.PromptPart, now time.Time) (home string, known bool) {
-	if el := pi.parts[shared[len(shared)-1].ID]; el != nil {
-		loc := el.Value.(*partLocation)
-		if now.Sub(loc.lastUse) < partTTL && slices.ContainsFunc(nodes, func(nd *node.Node) bool { return nd.ID == loc.Engine && nd.StartedMs == loc.StartedMs }) {
-			return loc.Engine, true
+// entry last used for the last of them, else the best of some engines by hash, which
+// are the same at all entries. Known says that it has read the shared parts.
+func (pi *Picker) homeEngine(nodes []*node.Node, rq *Request, now time.Time) (home string, known bool) {
+	if loc := pi.location(nodes, rq.Shared, now); loc != "" {
+		return loc, true
+	}
+	least := math.Inf(1)
+	for _, nd := range pi.homes(nodes, rq.Shared) {
+		if rq.Exclude[nd.ID] || nd.Avoided(now) {
+			continue
+		}
+		if cost := pi.cost(nd, rq, rq.Tokens, "", now); cost < least {
+			home, least = nd.ID, cost
 		}
 	}
+	return home, false
+}
+
+// location returns the engine that any entry last used for the last shared part, if it
+// still runs.
+func (pi *Picker) location(nodes []*node.Node, shared []citronstream.PromptPart, now time.Time) string {
+	el := pi.parts[shared[len(shared)-1].ID]
+	if el == nil {
+		return ""
+	}
+	loc := el.Value.(*partLocation)
+	if now.Sub(loc.lastUse) < partTTL && slices.ContainsFunc(nodes, func(nd *node.Node) bool { return nd.ID == loc.Engine && nd.StartedMs == loc.StartedMs }) {
+		return loc.Engine
+	}
+	return ""
+}
+
+// homes returns the engines among which the first request with some shared parts is
+// placed, the first by hash first. Requests with equal first parts go to few engines,
+// because each of these engines has to read the first part once.
+func (pi *Picker) homes(nodes []*node.Node, shared []citronstream.PromptPart) []*node.Node {
 	for i, part := range shared {
-		count := 1
+		count := homeChoices
 		if i < len(shared)-1 {
 			count = pi.spread(part.ID, len(nodes))
 		}
 		nodes = topByHash(nodes, part.ID, count)
 	}
-	if len(nodes) == 0 {
-		return "", false
-	}
-	return nodes[0].ID, false
+	return nodes
 }
 
 // topByHash returns the engines with the highest scores for a part (rendezvous hashing).
--- a/internal/route/engines/shares.go
+++ b/internal/route/engines/shares.go
@@ -3,6 +3,9 @@
 import "time"
 
 const (
+	// homeChoices is the number of engines from which the least loaded one is chosen
+	// for the first request with a shared part.
+	homeChoices = 1
 	// homeDivisor divides the number of engines to give the greatest number among
 	// which requests with an equal part are distributed. A part with a smaller share of
 	// the prompts is kept at spreadFactor times as many engines as this share needs,
