route/engines: first requests with a part choose among three engines

A shared part that no engine was known to have went to the one engine that its hash names. Parts that arrive in the same moment pile up there while other engines idle, and later requests stay with them.

Three engines by hash are candidates now, and the one with the least cost is taken. Entries still agree when the loads are equal, and nothing more is told.

--- a/internal/route/engines/even_test.go
+++ b/internal/route/engines/even_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/stretchr/testify/assert"
 )
 
 // simRules are the rules that were compared, see docs/design/even-load.md.
@@ -255,3 +256,25 @@
 		})
 	}
 }
+
+// Load pattern: 25 gateways that choose among the same engines with loads 0.2 s old, in
+// bursts, a quarter of the engines slow for good and each for moments. Guards against
+// parts that pile up at a few engines, as their hashes or the spread of the part before
+// them put them there: fewer requests are late and the slowest first events come earlier,
+// no more is read or told.
+func TestPartsDoNotPileUp(t *testing.T) {
+	si := simSites[1].simSite
+	si.span = 14 * time.Second
+	before, now, bound := compare(si, 2, homes(1, 1, 16)), compare(si, 2, inForce), oneGateway(si, 2)
+	t.Logf("before: %s", before.String())
+	t.Logf("now: %s", now.String())
+	t.Logf("one gateway: %s", bound.String())
+	assert.Less(t, now.late(), before.late())
+	assert.Less(t, now.p99(), 0.85*before.p99())
+	assert.Less(t, now.p99(), 1.3*bound.p99())
+	assert.GreaterOrEqual(t, float64(now.inTime), 0.99*float64(bound.inTime))
+	assert.Less(t, now.evenness(), 0.9*before.evenness())
+	assert.Less(t, float64(now.reread), 1.1*float64(before.reread))
+	assert.LessOrEqual(t, float64(now.messages), 1.02*float64(before.messages))
+	assert.LessOrEqual(t, float64(now.bytes), 1.02*float64(before.bytes))
+}
--- a/internal/route/engines/shares.go
+++ b/internal/route/engines/shares.go
@@ -4,8 +4,10 @@
 
 const (
 	// homeChoices is the number of engines from which the least loaded one is chosen
-	// for the first request with a shared part.
-	homeChoices = 1
+	// for the first request with a shared part. With one, which the hash alone decides,
+	// parts that come at the same time pile up at an engine; docs/design/even-load.md
+	// has the figures of one to eight.
+	homeChoices = 3
 	// homeDivisor divides the number of engines to give the greatest number among
 	// which requests with an equal part are distributed. A part with a smaller share of
 	// the prompts is kept at spreadFactor times as many engines as this share needs,
