route/engines: spread shared parts over all engines that their share needs

A part was spread over a third of the engines at most, so that a kind of request whose prompts all begin with the same part and make two thirds of the tokens used 16 of 46 engines. A rare part had one engine, which left no choice when that one was loaded.

A part gets as many engines as its share needs, all of them if it must, and at least two. The third remains until the shares are known.

--- a/internal/route/engines/even_test.go
+++ b/internal/route/engines/even_test.go
@@ -274,6 +274,7 @@
 	assert.Less(t, now.p99(), 1.3*bound.p99())
 	assert.GreaterOrEqual(t, float64(now.inTime), 0.99*float64(bound.inTime))
 	assert.Less(t, now.evenness(), 0.9*before.evenness())
+	assert.Less(t, now.waits, 0.5*before.waits)
 	assert.Less(t, float64(now.reread), 1.1*float64(before.reread))
 	assert.LessOrEqual(t, float64(now.messages), 1.02*float64(before.messages))
 	assert.LessOrEqual(t, float64(now.bytes), 1.02*float64(before.bytes))
--- a/internal/route/engines/shares.go
+++ b/internal/route/engines/shares.go
@@ -8,14 +8,14 @@
 	// parts that come at the same time pile up at an engine; docs/design/even-load.md
 	// has the figures of one to eight.
 	homeChoices = 3
-	// homeDivisor divides the number of engines to give the greatest number among
-	// which requests with an equal part are distributed. A part with a smaller share of
-	// the prompts is kept at spreadFactor times as many engines as this share needs,
-	// rounded up to a power of two so that entries mostly agree, and at leastSpread:
-	// each of them has to read the part.
-	homeDivisor  = 3
+	// Requests with an equal part are distributed among spreadFactor times as many
+	// engines as the part's share of the prompts needs, rounded up to a power of two so
+	// that entries mostly agree, and among leastSpread: each of them has to read the
+	// part. Until the shares are known, homeDivisor divides the number of engines to
+	// give that number.
 	spreadFactor = 2.0
-	leastSpread  = 1
+	leastSpread  = 2
+	homeDivisor  = 3
 	// The tokens of prompts by part are halved after shareWindow, and tell a share from
 	// minShareTokens on; at most maxShares parts are counted.
 	shareWindow    = 10 * time.Second
@@ -45,13 +45,12 @@
 // spread returns among how many of some engines the requests with a part are
 // distributed.
 func (pi *Picker) spread(part uint64, engines int) int {
-	most := (engines + homeDivisor - 1) / homeDivisor
 	if pi.shareTokens < minShareTokens {
-		return most
+		return (engines + homeDivisor - 1) / homeDivisor
 	}
 	count := leastSpread
 	for float64(count) < spreadFactor*float64(engines)*pi.shares[part]/pi.shareTokens {
 		count *= 2
 	}
-	return min(count, most)
+	return min(count, engines)
 }
