route/engines: simulate failures of gateways and engines

Tests of a gateway that freezes and resumes, one that is cut off, half of the gateways killed at once, engines that are added empty, and no load data at all, each in a burst with slow and stalling engines.

--- a/internal/route/engines/site_test.go
+++ b/internal/route/engines/site_test.go
@@ -208,9 +208,11 @@
 	reports []map[int]simReport // by gateway and engine: the last load that it told
 	out     simOutcome
 	// sends is called for each request that is sent; cut reports whether a gateway neither
-	// tells its load nor hears that of others. Both may be nil.
-	sends func(gateway int, nd *node.Node)
-	cut   func(gateway int) bool
+	// tells its load nor hears that of others; listed returns the number of engines that
+	// the gateways know. All may be nil.
+	sends  func(gateway int, nd *node.Node)
+	cut    func(gateway int) bool
+	listed func() int
 }
 
 // simReport is the load that an engine tells with a response.
@@ -219,6 +221,21 @@
 	running int
 }
 
+// kill ends some gateways: their requests leave the engines.
+func (sm *sim) kill(dead func(gateway int) bool) {
+	for _, en := range sm.engines {
+		en.count()
+		for _, list := range []*[]*simJob{&en.coming, &en.waiting, &en.prompts, &en.running} {
+			*list = slices.DeleteFunc(*list, func(jo *simJob) bool {
+				if dead(jo.gateway) && jo.begun == 0 {
+					sm.out.all-- // it is no longer expected
+				}
+				return dead(jo.gateway)
+			})
+		}
+	}
+}
+
 // report records the load that an engine tells with a response to a gateway.
 func (sm *sim) report(jo *simJob) {
 	index := slices.Index(sm.nodes[jo.gateway], jo.nd)
@@ -313,7 +330,11 @@
 func (sm *sim) arrive(ar simArrival) {
 	pi := sm.pickers[ar.gateway]
 	jo := &simJob{simArrival: ar, sentAt: sm.now, unread: -1}
-	nd, unread := sm.rules[ar.gateway](pi, sm.nodes[ar.gateway], &jo.rq)
+	nodes := sm.nodes[ar.gateway]
+	if sm.listed != nil {
+		nodes = nodes[:sm.listed()]
+	}
+	nd, unread := sm.rules[ar.gateway](pi, nodes, &jo.rq)
 	pi.add(nd, &jo.rq, unread)
 	if sm.sends != nil {
 		sm.sends(ar.gateway, nd)
@@ -329,6 +350,9 @@
 	en.coming = append(en.coming, jo)
 	sm.after(simLatency, func() {
 		en.count()
+		if !slices.Contains(en.coming, jo) {
+			return // its gateway was killed
+		}
 		en.coming = slices.DeleteFunc(en.coming, func(other *simJob) bool { return other == jo })
 		en.waiting = append(en.waiting, jo)
 		en.step()
