gateway: metric of the engines' load ratio

citronstream_site_engine_load_ratio is the number of requests at the busiest engine divided by the mean, by service, as the gateway knows them from its own requests and the loads that peers tell. It is computed when it is scraped.

TestLoadRatio passes. TestMetricsOnThePage fails as it did before this commit: docs/platform.md lacks citronstream_site_zones_evacuated.

--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -12,7 +12,7 @@
 // metrics returns the handler of the metrics address.
 func (ga *Gateway) metrics() http.Handler {
 	reg := prometheus.NewRegistry()
-	reg.MustRegister(ga.meter, queues{ga}, collectors.NewGoCollector())
+	reg.MustRegister(ga.meter, queues{ga}, loadRatios{ga}, collectors.NewGoCollector())
 	gauge := func(name, help string, read func() float64) {
 		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 	}
@@ -60,6 +60,27 @@
 	return promhttp.HandlerFor(reg, promhttp.HandlerOpts{Registry: reg, MaxRequestsInFlight: 2})
 }
 
+// loadRatios collects the load ratio of the engines of each service.
+type loadRatios struct{ ga *Gateway }
+
+var loadRatio = prometheus.NewDesc("citronstream_site_engine_load_ratio", "Requests at the busiest engine divided by the mean, as this gateway knows them, by service; 0 without requests.", []string{"service"}, nil)
+
+// Describe implements prometheus.Collector.
+func (lr loadRatios) Describe(to chan<- *prometheus.Desc) { to <- loadRatio }
+
+// Collect implements prometheus.Collector.
+func (lr loadRatios) Collect(to chan<- prometheus.Metric) {
+	routes := lr.ga.view.Routes()
+	if routes == nil {
+		return
+	}
+	for name, spec := range routes.Services {
+		if spec.Engine {
+			to <- prometheus.MustNewConstMetric(loadRatio, prometheus.GaugeValue, lr.ga.engines.LoadRatio(lr.ga.view.Members().Service(name)), name)
+		}
+	}
+}
+
 // queues collects the state of the queues that this process owns.
 type queues struct{ ga *Gateway }
 
--- a/internal/route/engines/engines.go
+++ b/internal/route/engines/engines.go
@@ -386,6 +386,22 @@
 	return running
 }
 
+// LoadRatio returns the requests at the busiest engine divided by the mean of all, as far
+// as this process knows, 0 without requests.
+func (pi *Picker) LoadRatio(nodes []*node.Node) float64 {
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	now, most, sum := pi.clk.Now(), 0, 0
+	for _, nd := range nodes {
+		running, _ := pi.totalLoad(nd.ID, now)
+		most, sum = max(most, running), sum+running
+	}
+	if sum == 0 {
+		return 0
+	}
+	return float64(most) * float64(len(nodes)) / float64(sum)
+}
+
 // totalLoad returns the requests at an engine and the tokens that it has to read.
 // What peers told is older: the engine has read on since, and its rate is shared
 // by the prompts of all.
--- a/internal/route/engines/engines_test.go
+++ b/internal/route/engines/engines_test.go
@@ -134,6 +134,17 @@
 	assert.False(t, changed)
 }
 
+// Guards against a load ratio that leaves out what peers told or engines without load.
+func TestLoadRatio(t *testing.T) {
+	pi := New(clockwork.NewFakeClock())
+	list := nodes(4)
+	assert.Zero(t, pi.LoadRatio(list))
+	assert.Zero(t, pi.LoadRatio(nil))
+	pick(pi, list[:1], Request{Tokens: 100})
+	pi.UpdateLoad("peer", citronstream.EntryLoad{Engines: map[string]citronstream.EngineLoad{"a": {Running: 2}, "b": {Running: 1}}})
+	assert.InDelta(t, 3.0, pi.LoadRatio(list), 1e-9, "3 of 4 requests at one of 4 engines")
+}
+
 // An engine whose connections fail must not be chosen, nor an excluded one.
 func TestAvoidedAndExcluded(t *testing.T) {
 	clk := clockwork.NewFakeClock()
