route/regions: requests stay in their allowed regions

Cause: routes and workspaces may be restricted to regions, and nothing read that. Change: a request is sent only to upstreams in regions that both its route and its workspace allow. Jobs of restricted requests have queues of their own, by service and regions, with owners and upstreams in these regions; a gateway elsewhere runs only the jobs of its own clients, and those only if no allowed gateway is left. Without an upstream in the allowed regions a request is refused at once as not run. The unrestricted queues keep their names and owners.

--- a/internal/ingress/flow/admit.go
+++ b/internal/ingress/flow/admit.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/limit/partquarantine"
+	"github.com/citronstream/citronstream/internal/route/regions"
 	"github.com/citronstream/citronstream/platform"
 )
 
@@ -87,6 +88,7 @@
 			rt.rank = holder.Rank
 		}
 	}
+	rt.regions = regions.New(rt.route.Regions, holder.Regions)
 	return known || rt.route.Anonymous || rt.routes.Keys == nil
 }
 
--- a/internal/ingress/flow/choice.go
+++ b/internal/ingress/flow/choice.go
@@ -41,8 +41,43 @@
 	return rt.turn || !rt.fl.Cold.Limited(nd.ID) || !rt.fl.Cold.Waiting(rt.service, rt.rank)
 }
 
-// permitted returns the upstreams to which the request may be sent.
-func (rt *request) permitted() []*node.Node { return rt.fl.View.Members().Service(rt.service) }
+// permitted returns the upstreams to which the request may be sent: those in the regions
+// that it is restricted to.
+func (rt *request) permitted() []*node.Node { return rt.permittedOf(rt.service) }
+
+func (rt *request) permittedOf(service string) []*node.Node {
+	nodes := rt.fl.View.Members().Service(service)
+	if rt.regions == "" {
+		return nodes
+	}
+	var allowed []*node.Node
+	for _, nd := range nodes {
+		if rt.fl.Zones.Allows(rt.regions, nd.Zone) {
+			allowed = append(allowed, nd)
+		}
+	}
+	return allowed
+}
+
+// checkRegions refuses a request for which no upstream is left in the regions that it is
+// restricted to.
+func (rt *request) checkRegions() *citronstream.Fault {
+	if rt.regions == "" {
+		return nil
+	}
+	services := []string{rt.service}
+	for _, st := range rt.stages.list {
+		if st.pieces > 0 {
+			services = append(services, st.spec.Service)
+		}
+	}
+	for _, service := range services {
+		if len(rt.permittedOf(service)) == 0 {
+			return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "no upstream of service %s is known in the allowed regions (%s)", service, rt.regions)
+		}
+	}
+	return nil
+}
 
 // pick chooses an upstream and takes the permit that it may need. An engine is counted as
 // used until attempt calls Engines.End.
--- a/internal/ingress/flow/estimate.go
+++ b/internal/ingress/flow/estimate.go
@@ -9,6 +9,7 @@
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/limit/admission"
+	"github.com/citronstream/citronstream/internal/stage/broker"
 )
 
 // batchMargin is the expected fill of the batch that a job finds running at each
@@ -26,7 +27,7 @@
 	_, rank := rt.ranks()
 	wait, at := time.Duration(0), ""
 	for _, st := range sg.list {
-		if late := rt.fl.Broker.QueueWait(st.spec.Service, target-needs, rank, false); st.pieces > 0 && late > wait {
+		if late := rt.fl.Broker.QueueWait(broker.QueueName(st.spec.Service, rt.regions), target-needs, rank, false); st.pieces > 0 && late > wait {
 			wait, at = late, st.spec.Service
 		}
 	}
@@ -54,7 +55,7 @@
 	for _, st := range sg.list {
 		st.laterStages, st.wait = first, 0
 		if st.pieces > 0 {
-			st.wait = sg.rt.fl.Broker.QueueWait(st.spec.Service, min(slack, sg.inputLife(st)), rank, admitted)
+			st.wait = sg.rt.fl.Broker.QueueWait(broker.QueueName(st.spec.Service, sg.rt.regions), min(slack, sg.inputLife(st)), rank, admitted)
 		}
 	}
 	for i := len(sg.list) - 1; i >= 0; i-- {
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -22,6 +22,7 @@
 	"github.com/citronstream/citronstream/internal/limit/siteretrybudget"
 	"github.com/citronstream/citronstream/internal/observe/requests"
 	"github.com/citronstream/citronstream/internal/route/engines"
+	"github.com/citronstream/citronstream/internal/route/regions"
 	"github.com/citronstream/citronstream/internal/stage/broker"
 	"github.com/citronstream/citronstream/internal/stage/fetchtime"
 	"github.com/citronstream/citronstream/internal/upstream/conns"
@@ -32,6 +33,8 @@
 // Dependencies are the components that a Flow uses.
 type Dependencies struct {
 	Zone string
+	// Zones has the regions of the zones, for requests that are restricted to some.
+	Zones regions.Zones
 	// ListingTTL is how long the platform still lists an upstream after it was last
 	// seen.
 	ListingTTL time.Duration
@@ -142,6 +145,7 @@
 	route     *citronstream.Route
 	service   string // that runs the request itself, after its stages
 	workspace string
+	regions   regions.Set // in which it may run and its body may be sent
 	rank      int
 	raised    bool // its kind is hardly served, so that it is taken for urgent
 
@@ -221,6 +225,9 @@
 	rt.estimateReadTime()
 	rt.stages = newStages(rt)
 	defer rt.stages.releaseAll()
+	if fa := rt.checkRegions(); fa != nil {
+		return rt.respondFault(ctx, fa)
+	}
 	if rt.outlivesGrace(func() time.Duration { return rt.stages.estimate(false) }) {
 		return rt.refuseLeaving("the request would outlive this process")
 	}
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -265,7 +265,7 @@
 		st.handles[index] = handles[i]
 	}
 	sg.mu.Unlock()
-	sg.rt.fl.Broker.Release(citronstream.Release{Service: st.spec.Service, Handles: old, Bytes: st.spec.Bytes})
+	sg.rt.fl.Broker.Release(citronstream.Release{Service: st.spec.Service, Regions: string(sg.rt.regions), Handles: old, Bytes: st.spec.Bytes})
 }
 
 // results returns a copy of a stage's result handles.
@@ -291,7 +291,7 @@
 	rank, routeRank := sg.rt.ranks()
 	jo := citronstream.Job{
 		ID: sg.rt.ID, Stage: st.number, Service: st.spec.Service, Pieces: indexes, Bytes: st.spec.Bytes, Inputs: inputs,
-		Rank: rank, RouteRank: routeRank, Workspace: sg.rt.workspace, Returned: sg.rt.returned, Zone: sg.zone,
+		Rank: rank, RouteRank: routeRank, Workspace: sg.rt.workspace, Returned: sg.rt.returned, Zone: sg.zone, Regions: string(sg.rt.regions),
 		Left: sg.rt.end.Sub(now) - sg.rt.timeAfterFirstEvent(), LaterStages: rest, Slack: sg.rt.target.Sub(now) - rest - margin, Margin: margin,
 		Early:          deviationMargin * sg.rt.fl.latencies.deviation(sg.rt.route.Name),
 		CrossZoneBytes: len(indexes) * st.spec.Bytes,
@@ -368,7 +368,7 @@
 	handles := slices.DeleteFunc(st.handles, func(handle string) bool { return handle == "" })
 	st.handles = nil
 	sg.mu.Unlock()
-	sg.rt.fl.Broker.Release(citronstream.Release{Service: st.spec.Service, Handles: handles, Bytes: st.spec.Bytes})
+	sg.rt.fl.Broker.Release(citronstream.Release{Service: st.spec.Service, Regions: string(sg.rt.regions), Handles: handles, Bytes: st.spec.Bytes})
 }
 
 // releaseAll releases the results of all stages.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
 	"github.com/citronstream/citronstream/internal/route/engines"
+	"github.com/citronstream/citronstream/internal/route/regions"
 	"github.com/citronstream/citronstream/internal/stage/broker"
 	"github.com/citronstream/citronstream/internal/upstream/batch"
 	"github.com/citronstream/citronstream/internal/upstream/conns"
@@ -129,10 +130,10 @@
 	ga.deaths = deathdetect.New(ga.ctx, clk, probeUpstream, ga.upstreamDied)
 	owned := siteretrybudget.New(clk, site.Bounds, func() int { return ownersPerWindow })
 	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, batch.New(clk, log, ga.pool), owned,
-		broker.WithCapacity(site.Cores*site.LinkRate), broker.WithHeld(ga.wakeup.Held))
+		broker.WithCapacity(site.Cores*site.LinkRate), broker.WithHeld(ga.wakeup.Held), broker.WithZones(site.Zone, regions.NewZones(site)))
 	ga.budget = siteretrybudget.New(clk, site.Bounds, ga.mesh.LiveCount)
 	ga.flow = flow.New(clk, log, flow.Dependencies{
-		Zone: site.Zone, ListingTTL: ga.listingTTL(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
+		Zone: site.Zone, Zones: regions.NewZones(site), ListingTTL: ga.listingTTL(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
 		Budget: ga.budget, Holds: ga.holds, Parts: ga.parts, Refused: ga.refusals, Deaths: ga.deaths, Cold: ga.cold, Observe: ga.meter.Observe,
 		Suspended: suspended, Pass: ga.wakeup.Pass,
 	})
--- a/internal/process/gateway/site_test.go
+++ b/internal/process/gateway/site_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -43,6 +44,8 @@
 	bounds    citronstream.Bounds
 	client    *http.Client
 	next      atomic.Int64
+	zone      string // of the entries that are started from now on; empty means z
+	regions   map[string]string
 	logger    logr.Logger // of the entries that are started from now on; the zero value drops all lines
 }
 
@@ -120,7 +123,7 @@
 // startGateway starts a gateway at free addresses. Another process can bind them first.
 func (ts *testSite) startGateway(door *site.Door, cores, rate float64, seeds []string) (*Gateway, error) {
 	si := &citronstream.Site{
-		Process: fmt.Sprintf("front-%d", len(ts.entries)), Zone: "z", Callers: freeAddress(ts.t), Ready: freeAddress(ts.t), Peers: freeAddress(ts.t),
+		Process: fmt.Sprintf("front-%d", len(ts.entries)), Zone: cmp.Or(ts.zone, "z"), Regions: ts.regions, Callers: freeAddress(ts.t), Ready: freeAddress(ts.t), Peers: freeAddress(ts.t),
 		Bounds: ts.bounds, Store: door.Address(), Cores: cores, LinkRate: rate, Seeds: seeds,
 	}
 	ga, err := New(context.Background(), ts.clk, ts.logger, si)
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -12,6 +12,7 @@
 	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/citronstream/citronstream/internal/peer/link"
+	"github.com/citronstream/citronstream/internal/route/regions"
 	"github.com/citronstream/citronstream/internal/stage/owner"
 	"github.com/citronstream/citronstream/internal/stage/ownership"
 	"github.com/citronstream/citronstream/internal/stage/peerjobs"
@@ -54,13 +55,15 @@
 	// capacity of this process, on the scale that peers report.
 	capacity float64
 	began    time.Time // start of this process
+	zone     string
+	zones    regions.Zones
 
 	mu       sync.Mutex
-	owners   map[string]*owner.Owner
+	owners   map[queue]*owner.Owner
 	leaving  bool
-	loads    map[string]load
-	reported map[string]bool // services that had work at the last ChangedLoads
-	owned    map[string]bool // services whose queues this process owned at the last handOver; used by tick only
+	loads    map[string]load // by the name of the queue
+	reported map[queue]bool  // those that had work at the last ChangedLoads
+	owned    map[queue]bool  // those that this process owned at the last handOver; used by tick only
 	peerJobs *peerjobs.Jobs[*link.Link]
 	watched  map[*link.Link]bool // links of peers with jobs
 	links    sync.WaitGroup
@@ -91,7 +94,7 @@
 func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, self string, vi *view.View, ms *mesh.Mesh, batcher owner.Batcher, budget owner.Budget, opts ...Option) *Broker {
 	br := &Broker{
 		clk: clk, log: log, self: self, view: vi, mesh: ms, batcher: batcher, budget: budget, ctx: ctx,
-		began: clk.Now(), owners: make(map[string]*owner.Owner), loads: make(map[string]load), reported: make(map[string]bool), owned: make(map[string]bool),
+		began: clk.Now(), owners: make(map[queue]*owner.Owner), loads: make(map[string]load), reported: make(map[queue]bool), owned: make(map[queue]bool),
 		peerJobs: peerjobs.New[*link.Link](clk), watched: make(map[*link.Link]bool), done: make(chan struct{}),
 		held: func() bool { return false },
 	}
@@ -136,12 +139,13 @@
 	return true
 }
 
-// Each calls a function for each service's queue in this process.
-func (br *Broker) Each(each func(service string, ow *owner.Owner)) {
+// Each calls a function for each queue in this process. Its name is that of the service,
+// with the regions that its jobs are restricted to.
+func (br *Broker) Each(each func(name string, ow *owner.Owner)) {
 	br.mu.Lock()
 	defer br.mu.Unlock()
-	for service, ow := range br.owners {
-		each(service, ow)
+	for qu, ow := range br.owners {
+		each(qu.name(), ow)
 	}
 }
 
@@ -197,13 +201,13 @@
 	br.mu.Lock()
 	owners := maps.Clone(br.owners)
 	br.mu.Unlock()
-	for service, ow := range owners {
-		owns := br.Owns(service)
-		if !owns && br.owned[service] && ow.Len() > 0 {
-			br.log.Info("queue handed over", "service", service, "jobs", ow.Len())
+	for qu, ow := range owners {
+		owns := br.owns(qu)
+		if !owns && br.owned[qu] && ow.Len() > 0 {
+			br.log.Info("queue handed over", "service", qu.name(), "jobs", ow.Len())
 			ow.Leave()
 		}
-		br.owned[service] = owns
+		br.owned[qu] = owns
 	}
 }
 
@@ -211,51 +215,51 @@
 func (br *Broker) replaceMembers(ms *view.Members) {
 	br.mu.Lock()
 	defer br.mu.Unlock()
-	for service, ow := range br.owners {
-		ow.Replace(ms.Service(service))
+	for qu, ow := range br.owners {
+		ow.Replace(br.upstreams(ms, qu))
 	}
 }
 
-// localOwner returns this process's queue of a service, nil if the configuration
-// has no such service.
-func (br *Broker) localOwner(service string) *owner.Owner {
+// localOwner returns this process's queue, nil if the configuration has no such service.
+func (br *Broker) localOwner(qu queue) *owner.Owner {
 	routes := br.view.Routes()
-	if routes == nil || routes.Services[service].Batch == nil {
+	if routes == nil || routes.Services[qu.service].Batch == nil {
 		return nil
 	}
-	spec := *routes.Services[service].Batch
+	spec := *routes.Services[qu.service].Batch
 	br.mu.Lock()
 	defer br.mu.Unlock()
-	ow := br.owners[service]
+	ow := br.owners[qu]
 	if ow == nil {
-		ow = owner.New(br.ctx, br.clk, br.log, service, spec, br.batcher, br.budget, owner.WithHeld(br.held))
-		br.owners[service] = ow
-		ow.Replace(br.view.Members().Service(service))
+		ow = owner.New(br.ctx, br.clk, br.log, qu.service, spec, br.batcher, br.budget, owner.WithHeld(br.held))
+		br.owners[qu] = ow
+		ow.Replace(br.upstreams(br.view.Members(), qu))
 	} else {
 		ow.Configure(spec)
 	}
 	return ow
 }
 
-// remoteOwner returns the entry that owns the queue of a service, nil for this one.
+// remoteOwner returns the entry that owns a queue, nil for this one, which also runs the
+// jobs that may go to no other one.
 // A peer whose link was lost a moment ago counts as well: its link is mostly
 // replaced at once.
-func (br *Broker) remoteOwner(service string, exclude map[*mesh.Peer]bool) *mesh.Peer {
+func (br *Broker) remoteOwner(qu queue, exclude map[*mesh.Peer]bool) *mesh.Peer {
 	br.mu.Lock()
 	leaving := br.leaving
 	br.mu.Unlock()
 	peers := make(map[string]*mesh.Peer)
 	var candidates []ownership.Candidate
-	if !leaving {
+	if !leaving && br.zones.Allows(qu.regions, br.zone) {
 		candidates = append(candidates, ownership.Candidate{Address: br.self, Capacity: br.capacity, Age: br.clk.Since(br.began)})
 	}
 	for _, pe := range br.mesh.Peers() {
-		if (pe.Up() || br.justLost(pe)) && !exclude[pe] {
+		if (pe.Up() || br.justLost(pe)) && !exclude[pe] && br.zones.Allows(qu.regions, pe.Zone()) {
 			peers[pe.Address] = pe
 			candidates = append(candidates, ownership.Candidate{Address: pe.Address, Capacity: pe.Capacity(), Age: pe.Age()})
 		}
 	}
-	return peers[ownership.Owner(service, candidates)]
+	return peers[ownership.Owner(qu.name(), candidates)]
 }
 
 // justLost reports whether a peer's link was lost a moment ago.
@@ -264,11 +268,13 @@
 }
 
 // Owns reports whether this process owns the queue of a service.
-func (br *Broker) Owns(service string) bool {
+func (br *Broker) Owns(service string) bool { return br.owns(queue{service: service}) }
+
+func (br *Broker) owns(qu queue) bool {
 	br.mu.Lock()
 	leaving := br.leaving
 	br.mu.Unlock()
-	return !leaving && br.remoteOwner(service, nil) == nil
+	return !leaving && br.remoteOwner(qu, nil) == nil
 }
 
 // Run submits a job to the owner of its queue and waits for its end. If the
@@ -285,7 +291,7 @@
 	for range maxOwners {
 		passed := br.clk.Since(began)
 		jo.Left, jo.Slack = left-passed, slack-passed
-		pe := br.remoteOwner(jo.Service, exclude)
+		pe := br.remoteOwner(jobKeyQueue(key), exclude)
 		if pe == nil {
 			if re = br.runLocal(ctx, jo, fetched); re.Fault == nil || re.Fault.Code != citronstream.CodeLeaving || ctx.Err() != nil {
 				return re
@@ -314,7 +320,7 @@
 }
 
 func (br *Broker) runLocal(ctx context.Context, jo citronstream.Job, fetched func()) citronstream.JobResult {
-	ow := br.localOwner(jo.Service)
+	ow := br.localOwner(jobKeyQueue(jobKey(&jo)))
 	if ow == nil {
 		return citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "service %s is not in the configuration", jo.Service)}
 	}
@@ -324,7 +330,7 @@
 	case re := <-ended:
 		return re
 	case <-ctx.Done():
-		ow.Cancel(jobKey(&jo), "")
+		cancelJob(ow, jobKey(&jo), "")
 		return <-ended
 	}
 }
@@ -379,7 +385,18 @@
 }
 
 func jobKey(jo *citronstream.Job) citronstream.JobKey {
-	return citronstream.JobKey{ID: jo.ID, Stage: jo.Stage, Service: jo.Service}
+	return citronstream.JobKey{ID: jo.ID, Stage: jo.Stage, Service: jo.Service, Regions: jo.Regions}
+}
+
+// jobKeyQueue returns the queue of a job.
+func jobKeyQueue(key citronstream.JobKey) queue {
+	return queue{key.Service, regions.Set(key.Regions)}
+}
+
+// cancelJob cancels a job in its queue, which does not tell regions apart.
+func cancelJob(ow *owner.Owner, key citronstream.JobKey, attempt string) {
+	key.Regions = ""
+	ow.Cancel(key, attempt)
 }
 
 // Release releases results through the owner of their service.
@@ -387,7 +404,7 @@
 	if len(rl.Handles) == 0 {
 		return
 	}
-	if pe := br.remoteOwner(rl.Service, nil); pe != nil {
+	if pe := br.remoteOwner(queue{rl.Service, regions.Set(rl.Regions)}, nil); pe != nil {
 		if li := pe.Link(); li != nil && li.Notify(citronstream.MethodReleaseResults, rl) == nil {
 			return
 		}
@@ -396,7 +413,7 @@
 }
 
 func (br *Broker) releaseLocal(rl citronstream.Release) {
-	if ow := br.localOwner(rl.Service); ow != nil {
+	if ow := br.localOwner(queue{rl.Service, regions.Set(rl.Regions)}); ow != nil {
 		ow.Release(rl.Handles, rl.Bytes, func(handle string) *node.Node { return br.releasable(rl.Service, handle) })
 	}
 }
@@ -411,12 +428,12 @@
 	return nd
 }
 
-// QueueWait returns the time until a job of a service with this slack and route's
-// rank starts, by the last load its owner reported, and 0 without one. Admitted
+// QueueWait returns the time until a job of a queue with this slack and route's rank
+// starts, by the last load its owner reported, and 0 without one. Admitted
 // says that it is not up for admission any more.
-func (br *Broker) QueueWait(service string, slack time.Duration, rank int, admitted bool) time.Duration {
+func (br *Broker) QueueWait(name string, slack time.Duration, rank int, admitted bool) time.Duration {
 	br.mu.Lock()
-	ld, known := br.loads[service]
+	ld, known := br.loads[name]
 	br.mu.Unlock()
 	switch {
 	case !known || br.clk.Since(ld.at) > loadTTL:
@@ -432,9 +449,9 @@
 	now := br.clk.Now()
 	br.mu.Lock()
 	defer br.mu.Unlock()
-	for service, ql := range qu.Loads {
-		if len(br.loads) < maxServices || br.loads[service].at != (time.Time{}) {
-			br.loads[service] = load{ql, now}
+	for name, ql := range qu.Loads {
+		if len(br.loads) < maxServices || br.loads[name].at != (time.Time{}) {
+			br.loads[name] = load{ql, now}
 		}
 	}
 }
@@ -442,19 +459,19 @@
 // ChangedLoads returns the load of the queues of this process that have work or had some
 // at the last call, to be sent to the peers. It is called by one goroutine.
 func (br *Broker) ChangedLoads() (citronstream.QueueLoads, bool) {
-	qu := citronstream.QueueLoads{Loads: make(map[string]citronstream.QueueLoad)}
+	changed := citronstream.QueueLoads{Loads: make(map[string]citronstream.QueueLoad)}
 	br.mu.Lock()
 	owners := maps.Clone(br.owners)
 	br.mu.Unlock()
-	for service, ow := range owners {
+	for qu, ow := range owners {
 		busy := ow.Len() > 0
-		if busy || br.reported[service] {
-			qu.Loads[service] = ow.Load()
+		if busy || br.reported[qu] {
+			changed.Loads[qu.name()] = ow.Load()
 		}
-		br.reported[service] = busy
+		br.reported[qu] = busy
 	}
-	br.UpdateLoads(qu)
-	return qu, len(qu.Loads) > 0
+	br.UpdateLoads(changed)
+	return changed, len(changed.Loads) > 0
 }
 
 // ResultNode returns the upstream of a service that holds a result, nil if it isn't listed.
--- a/internal/stage/broker/broker_test.go
+++ b/internal/stage/broker/broker_test.go
@@ -140,7 +140,7 @@
 	}
 	br := New(ctx, realClock, logr.Discard(), address, view.New(realClock, logr.Discard(), view.Decode{}), ownMesh, nil, unlimitedBudget{})
 	require.Eventually(t, func() bool { return ownMesh.LiveCount() == 4 }, 10*time.Second, 10*time.Millisecond)
-	pe := br.remoteOwner("s", nil)
+	pe := br.remoteOwner(queue{service: "s"}, nil)
 	require.NotNil(t, pe)
 	re := br.Run(ctx, citronstream.Job{ID: "r", Service: "s", Pieces: []int{0}, Left: time.Minute, Slack: time.Second}, func() {})
 	assert.Equal(t, []string{pe.Address}, re.Handles, "%v", re.Fault)
--- a/internal/stage/broker/peers.go
+++ b/internal/stage/broker/peers.go
@@ -14,8 +14,8 @@
 	case citronstream.MethodCancelJob:
 		var key citronstream.JobKey
 		if re.Decode(&key) == nil {
-			if ow := br.localOwner(key.Service); ow != nil {
-				ow.Cancel(key, "")
+			if ow := br.localOwner(jobKeyQueue(key)); ow != nil {
+				cancelJob(ow, key, "")
 			}
 		}
 	case citronstream.MethodInputsFetched:
@@ -47,7 +47,7 @@
 		re.ReplyError(err)
 		return
 	}
-	ow := br.localOwner(jo.Service)
+	ow := br.localOwner(jobKeyQueue(jobKey(&jo)))
 	br.mu.Lock()
 	leaving := br.leaving
 	br.mu.Unlock()
@@ -97,8 +97,8 @@
 func (br *Broker) expirePeerJobs() {
 	running, unsent := br.peerJobs.Expire()
 	for key, attempt := range running {
-		if ow := br.localOwner(key.Service); ow != nil {
-			ow.Cancel(key, attempt)
+		if ow := br.localOwner(jobKeyQueue(key)); ow != nil {
+			cancelJob(ow, key, attempt)
 		}
 	}
 	for _, rl := range unsent {
--- a/internal/stage/peerjobs/peerjobs.go
+++ b/internal/stage/peerjobs/peerjobs.go
@@ -146,7 +146,7 @@
 			if !en.ended {
 				running[key] = en.attempt
 			} else if len(en.result.Handles) > 0 {
-				unsent = append(unsent, citronstream.Release{Service: key.Service, Handles: en.result.Handles})
+				unsent = append(unsent, citronstream.Release{Service: key.Service, Regions: key.Regions, Handles: en.result.Handles})
 			}
 		default:
 			continue
--- a/message_peer.go
+++ b/message_peer.go
@@ -184,6 +184,8 @@
 	Early time.Duration `json:"Early,omitempty"`
 	// LaterStages is the estimated time of the request after this stage.
 	LaterStages time.Duration `json:"Rest"`
+	// Regions are those in which it may run, as a regions.Set; empty means all.
+	Regions string `json:"Regions,omitempty"`
 	// Attempt identifies the submission to a queue. Resume asks for the result of an
 	// attempt that was submitted over a link that is lost; nothing is started for it.
 	Attempt string `json:"Attempt,omitempty"`
@@ -195,6 +197,7 @@
 	ID      string `json:"ID"`
 	Stage   int    `json:"Stage"`
 	Service string `json:"Service"`
+	Regions string `json:"Regions,omitempty"` // as in Job
 }
 
 // JobResult ends a job. Handles are in the order of Job.Pieces.
@@ -210,10 +213,12 @@
 	Service string   `json:"Service"`
 	Handles []string `json:"Handles"`
 	// Bytes is the approximate size of each.
-	Bytes int `json:"Bytes,omitempty"`
+	Bytes   int    `json:"Bytes,omitempty"`
+	Regions string `json:"Regions,omitempty"` // of the job that made them
 }
 
-// QueueLoads has the load of the queues that the sender owns, by service.
+// QueueLoads has the load of the queues that the sender owns, by service. The names of
+// queues of restricted jobs also have the regions.
 type QueueLoads struct {
 	Loads map[string]QueueLoad `json:"Loads"`
 }
