--- a/internal/process/gateway/cold.go
+++ b/internal/process/gateway/cold.go
@@ -1,16 +1,54 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/limit/coldrate"
+	"github.com/citronstream/citronstream/internal/stage/owner"
 )
 
 // listInterval is how often the list of gateways is read while this process may not send
 // to cold upstreams, as it does not know the others.
 const listInterval = 2 * time.Second
 
+// A cold upstream that may take no batch is avoided until it may, within these bounds.
+const (
+	minColdPause = 20 * time.Millisecond
+	maxColdPause = 500 * time.Millisecond
+)
+
+// errCold is the reason of batches that are not sent to a cold upstream.
+var errCold = errors.New("the upstream is cold and takes no more")
+
+// coldBatcher bounds the batches that are sent to cold upstreams. Reports and releases of
+// results don't count.
+type coldBatcher struct {
+	owner.Batcher
+	clk  citronstream.Clock
+	cold *coldrate.Limiter
+}
+
+// Run implements owner.Batcher. A batch without a permit counts as one that reached no
+// upstream, so that it costs no repeat.
+func (cb *coldBatcher) Run(ctx context.Context, nd *node.Node, items []citronstream.BatchItem) ([]citronstream.ItemResult, bool, error) {
+	permit, ok := cb.cold.Take(nd.ID)
+	if !ok {
+		pause := cb.cold.Next([]string{nd.ID}, 0)
+		nd.MarkDead(cb.clk.Now(), min(max(pause, minColdPause), maxColdPause))
+		return nil, true, errCold
+	}
+	results, refused, err := cb.Batcher.Run(ctx, nd, items)
+	if refused && err != nil {
+		permit.Return()
+	}
+	permit.Sent()
+	return results, refused, err
+}
+
 // serviceSpec returns the settings of a service, the zero value of unknown ones.
 func (ga *Gateway) serviceSpec(service string) citronstream.ServiceSpec {
 	if routes := ga.view.Routes(); routes != nil {
--- a/internal/process/gateway/cold_test.go
+++ b/internal/process/gateway/cold_test.go
@@ -107,6 +107,33 @@
 	assert.False(t, en.cold.Waiting("desk", 9))
 }
 
+// Guards against batches that a cold upstream of a stage gets above its rate, and against
+// jobs that fail as their batch was not sent.
+func TestColdUpstreamOfAStage(t *testing.T) {
+	ts := newColdSite(t)
+	ts.st.Put("op", "config", strings.Replace(ts.st.Value("op", "config"), `"name":"cut",`, `"name":"cut","cold-start-s":3,"cold-per-s":8.9,`, 1))
+	_, cut, _ := ts.addStageUpstreams()
+	cut.Cold.Store(time.Minute.Milliseconds())
+	ts.st.List(cut, site.Ready)
+	ts.waitReady()
+	en := ts.entries[0]
+	ts.waitCold(en, cut.ID, true)
+	ts.waitFor(en.cold.Settled, "the entry does not know that it is alone")
+	began := ts.clk.Now()
+	for range 4 {
+		res, _ := ts.roundTrip(en, ts.stagedCall(), http.MethodPost, "/staged/stream/x", "")
+		ts.assertStatus(http.StatusOK, res)
+	}
+	batches := 0
+	for _, ar := range ts.log.All() {
+		if ar.Upstream == cut.ID && ar.Target == site.PathBatch {
+			batches++
+		}
+	}
+	assert.LessOrEqual(t, batches, 2*(int(ts.clk.Since(began)/time.Second)+2))
+	assert.Zero(t, en.budget.Refused())
+}
+
 // Guards against upstreams of a zone that was taken back and get all requests at once, and
 // against ones that stay cold although a newer row says otherwise.
 func TestUpstreamsAreColdAfterAnEvacuation(t *testing.T) {
--- a/internal/process/gateway/evacuation_test.go
+++ b/internal/process/gateway/evacuation_test.go
@@ -76,3 +76,19 @@
 	ts.st.Remove("op", evacuation)
 	ts.assertEvacuated(ts.entries, false, "peers don't tell of its end")
 }
+
+// Guards against a gateway that the store turns away and that misses an evacuation or its
+// end, which its peers know of.
+func TestCutOffDuringAnEvacuation(t *testing.T) {
+	ts := newTestSite(t, 3)
+	ts.upstream("d1", "desk")
+	ts.waitReady()
+	cutOff := ts.entries[2]
+	cutOff.door.Fault(site.Refuses)
+	ts.waitFor(cutOff.follower.StoreDown, "the store is not missed")
+	ts.st.Put("op", evacuation, "{}")
+	ts.assertEvacuated(ts.entries, true, "peers don't tell of the evacuation")
+	ts.assertRefused(cutOff)
+	ts.st.Remove("op", evacuation)
+	ts.assertEvacuated(ts.entries, false, "peers don't tell of its end")
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -129,7 +129,7 @@
 	ga.wakeup = wakeup.New(clk, log, suspended, ga.readAgain)
 	ga.deaths = deathdetect.New(ga.ctx, clk, probeUpstream, ga.upstreamDied)
 	owned := siteretrybudget.New(clk, site.Bounds, func() int { return ownersPerWindow })
-	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, batch.New(clk, log, ga.pool), owned,
+	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, &coldBatcher{batch.New(clk, log, ga.pool), clk, ga.cold}, owned,
 		broker.WithCapacity(site.Cores*site.LinkRate), broker.WithHeld(ga.wakeup.Held), broker.WithZones(site.Zone, regions.NewZones(site)))
 	ga.budget = siteretrybudget.New(clk, site.Bounds, ga.mesh.LiveCount)
 	ga.flow = flow.New(clk, log, flow.Dependencies{
