Test of a fleet that starts at once beside a cold upstream

Cause: the bound on cold upstreams was tested on plain data only; the list of gateways, the links and the permits of requests are joined in the gateway. Change: 10 gateways start at once, one of them is stopped under load, and the stand-in records when requests arrive. A request that waits for a permit also waits after a pause of the process until what is known is current.

--- a/internal/ingress/flow/choice.go
+++ b/internal/ingress/flow/choice.go
@@ -163,6 +163,7 @@
 		case <-timer.Chan():
 		}
 		timer.Stop()
+		rt.fl.Pass(ctx)
 	}
 	return nil, nil, nil
 }
--- a/internal/limit/coldrate/shares_test.go
+++ b/internal/limit/coldrate/shares_test.go
@@ -102,7 +102,7 @@
 	for name, view := range views {
 		for _, size := range []int{1, 2, 3, 7, 8, 12, 19, 25, 100} {
 			t.Run(fmt.Sprintf("%s of %d", name, size), func(t *testing.T) {
-				for seed := range uint64(3) {
+				for seed := range uint64(10) {
 					fl := newFleet(size, seed)
 					fl.clk.Advance(settleTime)
 					for number, li := range fl.gateways {
--- a/internal/process/gateway/cold_test.go
+++ b/internal/process/gateway/cold_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -162,3 +164,46 @@
 	ts.st.List(up, site.Ready)
 	ts.waitCold(ts.entries[0], "d1", false)
 }
+
+// Guards against gateways that start at once, or are stopped under load, and send more to a
+// cold upstream together than it tolerates.
+func TestFleetAndAColdUpstream(t *testing.T) {
+	const entries, most = 10, 18 // 8.9 x 1.5 + 5 within a second
+	ts := newColdSite(t)
+	ts.upstream("d1", "desk")
+	ts.coldUpstream("d2")
+	for range entries - 1 {
+		ts.startEntry()
+	}
+	load, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	for _, en := range ts.entries {
+		group.Go(func() {
+			for load.Err() == nil {
+				if res, err := ts.send(load, en, ts.call(), http.MethodGet, "/look/x", ""); err == nil {
+					_, _ = io.Copy(io.Discard, res.Body)
+					_ = res.Body.Close()
+				}
+				ts.clk.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	ts.waitFor(func() bool { return ts.arrivedAt("d2") >= 2*entries }, "the cold upstream gets nothing")
+	ts.entries[0].stop()
+	ts.waitFor(func() bool { return ts.arrivedAt("d2") >= 4*entries }, "the cold upstream gets nothing without one of its senders")
+	cancel()
+	group.Wait()
+	var times []time.Time
+	for _, ar := range ts.log.All() {
+		if ar.Upstream == "d2" {
+			times = append(times, ar.At)
+		}
+	}
+	first := 0
+	for i, at := range times {
+		for at.Sub(times[first]) >= time.Second {
+			first++
+		}
+		assert.LessOrEqual(t, i-first+1, most)
+	}
+}
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -26,6 +26,7 @@
 	Target   string
 	Header   http.Header
 	Body     string
+	At       time.Time
 	Ran      bool // the work was started
 	// Ended is closed when the upstream has stopped working on it.
 	Ended chan struct{}
@@ -199,7 +200,7 @@
 	}
 	ar := &Arrival{
 		Upstream: up.ID, ID: rq.Header.Get(HeaderID), Method: rq.Method, Target: rq.RequestURI,
-		Header: rq.Header.Clone(), Body: string(body), Ended: make(chan struct{}),
+		Header: rq.Header.Clone(), Body: string(body), At: up.clk.Now(), Ended: make(chan struct{}),
 	}
 	defer close(ar.Ended)
 	up.log.mu.Lock()
