Test that all gateways hear of cold upstreams

Cause: the cold state changes with heartbeats, which change nothing else, and most gateways hear of rows only from the readers of the store. Change: a test with readers and listeners. Readers tell all rows of a read, so the product needs no change.

--- a/internal/process/gateway/cold_test.go
+++ b/internal/process/gateway/cold_test.go
@@ -165,6 +165,31 @@
 	ts.waitCold(ts.entries[0], "d1", false)
 }
 
+// Guards against entries that leave the store to others and miss that an upstream turns
+// cold, or is warm again: these are heartbeats, which change nothing else.
+func TestListenersHearOfColdUpstreams(t *testing.T) {
+	ts := newColdSite(t)
+	for range 5 {
+		ts.startEntry()
+	}
+	up := ts.upstream("d1", "desk")
+	ts.waitReady()
+	_, listeners := ts.readersAndListeners()
+	assert.Len(t, listeners, 3)
+	for range 3 {
+		up.Cold.Store(time.Minute.Milliseconds())
+		ts.st.List(up, site.Ready)
+		for _, en := range ts.entries {
+			ts.waitCold(en, "d1", true)
+		}
+		up.Cold.Store(0)
+		ts.st.List(up, site.Ready)
+		for _, en := range ts.entries {
+			ts.waitCold(en, "d1", false)
+		}
+	}
+}
+
 // Guards against gateways that start at once, or are stopped under load, and send more to a
 // cold upstream together than it tolerates.
 func TestFleetAndAColdUpstream(t *testing.T) {
