limit/coldrate: listed upstreams are not forgotten

Cause: the state of an upstream was dropped 5 minutes after its last row. After a longer outage of the store all upstreams would have counted as new ones, cold until their second row, and the list of gateways, as old, would have allowed no sends to them. Change: the state is kept while the upstream is listed and 5 minutes after that. Result: TestLongOutage fails without the change; limit/coldrate passes.

--- a/internal/limit/coldrate/coldrate.go
+++ b/internal/limit/coldrate/coldrate.go
@@ -24,8 +24,8 @@
 	// startGrace is the time from the first row in which further upstreams are taken for
 	// ones that have run before this process.
 	startGrace = 3 * time.Second
-	// stateTTL is how long the state of an upstream without a new row is kept. A row is
-	// renewed with each heartbeat, but not while the store is away.
+	// stateTTL is how long the state of an upstream that is no longer listed is kept. One
+	// that is listed again as it was has not started anew.
 	stateTTL = 5 * time.Minute
 )
 
@@ -51,8 +51,8 @@
 type upstream struct {
 	service, zone string
 	started       int64
-	version       uint64 // of its newest row
-	rowAt         time.Time
+	version       uint64    // of its newest row
+	listedAt      time.Time // when it had a row or was in use last
 	coldUntil     time.Time
 	announced     bool // the last change reported was to cold
 	// Rows up to this version, and the next warm ones as counted, may be older than what
@@ -132,7 +132,7 @@
 		up, started = &upstream{}, now.Sub(li.firstRow) > startGrace
 		li.upstreams[mb.ID] = up
 	}
-	up.service, up.zone, up.started, up.version, up.rowAt = mb.Service, mb.Zone, mb.StartedMs, mb.Revision, now
+	up.service, up.zone, up.started, up.version, up.listedAt = mb.Service, mb.Zone, mb.StartedMs, mb.Revision, now
 	until := now.Add(mb.Cold)
 	switch {
 	case started && mb.Cold == 0:
@@ -198,9 +198,9 @@
 	}
 }
 
-// Sweep reports the upstreams whose cold time has passed and forgets those without a row
-// for long.
-func (li *Limiter) Sweep() {
+// Sweep reports the upstreams whose cold time has passed and forgets those that have not
+// been listed for long. Rows of listed ones are not renewed while the store is away.
+func (li *Limiter) Sweep(listed func(id string) bool) {
 	li.mu.Lock()
 	defer li.mu.Unlock()
 	now := li.clk.Now()
@@ -208,7 +208,10 @@
 		if up.announced && !now.Before(up.coldUntil) {
 			li.setCold(id, up, up.coldUntil, SourceTime)
 		}
-		if now.Sub(up.rowAt) > stateTTL && !now.Before(up.coldUntil) && len(up.permits) == 0 {
+		if listed(id) {
+			up.listedAt = now
+		}
+		if now.Sub(up.listedAt) > stateTTL && !now.Before(up.coldUntil) {
 			delete(li.upstreams, id)
 		}
 	}
--- a/internal/limit/coldrate/coldrate_test.go
+++ b/internal/limit/coldrate/coldrate_test.go
@@ -38,6 +38,8 @@
 	return citronstream.Member{ID: "u", Service: "s", Zone: "z", StartedMs: started, Revision: version, Cold: cold}
 }
 
+func listed(string) bool { return true }
+
 func assertCold(t *testing.T, li *Limiter, cold bool) {
 	t.Helper()
 	assert.Equal(t, cold, li.Limited("u"))
@@ -119,6 +121,24 @@
 	assertCold(t, li, false)
 }
 
+// Guards against upstreams that are taken for new ones after the store was away for long.
+func TestLongOutage(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	li := newLimiter(clk, 0)
+	li.Row(row(1, 1, 0))
+	for range 10 {
+		clk.Advance(stateTTL)
+		li.Sweep(listed)
+	}
+	li.Row(row(2, 1, 0))
+	assertCold(t, li, false)
+	t.Run("ones that are gone are forgotten", func(t *testing.T) {
+		clk.Advance(stateTTL + 1)
+		li.Sweep(func(string) bool { return false })
+		assert.Empty(t, li.upstreams)
+	})
+}
+
 // Guards against an upstream that turns cold again without a start, and against changes
 // that are not reported once each.
 func TestChanges(t *testing.T) {
@@ -129,8 +149,8 @@
 	li.Row(row(2, 1, 2*time.Second))
 	li.Row(row(3, 1, time.Second))
 	clk.Advance(time.Second)
-	li.Sweep()
-	li.Sweep()
+	li.Sweep(listed)
+	li.Sweep(listed)
 	li.TakenBack("z", 4)
 	assert.Equal(t, []Change{
 		{Upstream: "u", Service: "s", Cold: true, Left: 2 * time.Second, Source: SourceRow},
--- a/internal/limit/coldrate/shares_test.go
+++ b/internal/limit/coldrate/shares_test.go
@@ -152,7 +152,7 @@
 		fl.run(step)
 		fl.clk.Advance(time.Minute)
 		for _, li := range fl.gateways {
-			li.Sweep()
+			li.Sweep(listed)
 		}
 		fl.run(2 * time.Second)
 	}
@@ -183,7 +183,7 @@
 				live = append(live, other.self)
 			}
 			li.Listed(live, fl.clk.Now())
-			li.Sweep()
+			li.Sweep(listed)
 		}
 	}
 	fl.run(2 * time.Second)
--- a/internal/process/gateway/cold.go
+++ b/internal/process/gateway/cold.go
@@ -87,7 +87,8 @@
 		}
 	}
 	ga.cold.Gateways(known)
-	ga.cold.Sweep()
+	members := ga.view.Members()
+	ga.cold.Sweep(func(id string) bool { return members.Node(id) != nil })
 	if now := ga.clk.Now(); ga.turnsCold() && ga.cold.MayList() && now.Sub(ga.listAsked) >= listInterval {
 		ga.listAsked = now
 		ga.discovery.Refresh()
