--- a/internal/process/gateway/cold_test.go
+++ b/internal/process/gateway/cold_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -107,6 +109,33 @@
 	assert.False(t, en.cold.Waiting("desk", 9))
 }
 
+// Guards against batches that a cold upstream of a stage gets above its rate, and against
+// jobs that fail as their batch was not sent.
+func TestColdUpstreamOfAStage(t *testing.T) {
+	ts := newColdSite(t)
+	ts.st.Put("op", "config", strings.Replace(ts.st.Value("op", "config"), `"name":"cut",`, `"name":"cut","cold-start-s":3,"cold-per-s":8.9,`, 1))
+	_, cut, _ := ts.addStageUpstreams()
+	cut.Cold.Store(time.Minute.Milliseconds())
+	ts.st.List(cut, site.Ready)
+	ts.waitReady()
+	en := ts.entries[0]
+	ts.waitCold(en, cut.ID, true)
+	ts.waitFor(en.cold.Settled, "the entry does not know that it is alone")
+	began := ts.clk.Now()
+	for range 4 {
+		res, _ := ts.roundTrip(en, ts.stagedCall(), http.MethodPost, "/staged/stream/x", "")
+		ts.assertStatus(http.StatusOK, res)
+	}
+	batches := 0
+	for _, ar := range ts.log.All() {
+		if ar.Upstream == cut.ID && ar.Target == site.PathBatch {
+			batches++
+		}
+	}
+	assert.LessOrEqual(t, batches, 2*(int(ts.clk.Since(began)/time.Second)+2))
+	assert.Zero(t, en.budget.Refused())
+}
+
 // Guards against upstreams of a zone that was taken back and get all requests at once, and
 // against ones that stay cold although a newer row says otherwise.
 func TestUpstreamsAreColdAfterAnEvacuation(t *testing.T) {
@@ -135,3 +164,71 @@
 	ts.st.List(up, site.Ready)
 	ts.waitCold(ts.entries[0], "d1", false)
 }
+
+// Guards against entries that leave the store to others and miss that an upstream turns
+// cold, or is warm again: these are heartbeats, which change nothing else.
+func TestListenersHearOfColdUpstreams(t *testing.T) {
+	ts := newColdSite(t)
+	for range 5 {
+		ts.startEntry()
+	}
+	up := ts.upstream("d1", "desk")
+	ts.waitReady()
+	_, listeners := ts.readersAndListeners()
+	assert.Len(t, listeners, 3)
+	for range 3 {
+		up.Cold.Store(time.Minute.Milliseconds())
+		ts.st.List(up, site.Ready)
+		for _, en := range ts.entries {
+			ts.waitCold(en, "d1", true)
+		}
+		up.Cold.Store(0)
+		ts.st.List(up, site.Ready)
+		for _, en := range ts.entries {
+			ts.waitCold(en, "d1", false)
+		}
+	}
+}
+
+// Guards against gateways that start at once, or are stopped under load, and send more to a
+// cold upstream together than it tolerates.
+func TestFleetAndAColdUpstream(t *testing.T) {
+	const entries, most = 10, 18 // 8.9 x 1.5 + 5 within a second
+	ts := newColdSite(t)
+	ts.upstream("d1", "desk")
+	ts.coldUpstream("d2")
+	for range entries - 1 {
+		ts.startEntry()
+	}
+	load, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	for _, en := range ts.entries {
+		group.Go(func() {
+			for load.Err() == nil {
+				if res, err := ts.send(load, en, ts.call(), http.MethodGet, "/look/x", ""); err == nil {
+					_, _ = io.Copy(io.Discard, res.Body)
+					_ = res.Body.Close()
+				}
+				ts.clk.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	ts.waitFor(func() bool { return ts.arrivedAt("d2") >= 2*entries }, "the cold upstream gets nothing")
+	ts.entries[0].stop()
+	ts.waitFor(func() bool { return ts.arrivedAt("d2") >= 4*entries }, "the cold upstream gets nothing without one of its senders")
+	cancel()
+	group.Wait()
+	var times []time.Time
+	for _, ar := range ts.log.All() {
+		if ar.Upstream == "d2" {
+			times = append(times, ar.At)
+		}
+	}
+	first := 0
+	for i, at := range times {
+		for at.Sub(times[first]) >= time.Second {
+			first++
+		}
+		assert.LessOrEqual(t, i-first+1, most)
+	}
+}
