limit/poison: peers tell a restarted gateway which requests are held

Refused request contents were only in the memory of each process, while suspect and held prompt parts went to new peers. Both now go in one message, and a gateway that has started asks its peers for them (Site.Held). Until one that knows has answered, a request that ran alone at an upstream that died is held for a minute, and a request whose connection broke is sent again only when that is decided. A first start, told by the missing row of its own, has nothing to learn.

TestCrashingRequestAtNewEntry and TestCrashingRequestAfterAllWereKilled failed with import and learning switched off (no hold at the new entry; 2 sends instead of 1) and pass with them.

--- a/internal/fleet/discovery/discovery.go
+++ b/internal/fleet/discovery/discovery.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -44,11 +45,25 @@
 	ownRow row
 	// malformed has the versions of the malformed rows of the last read, by key.
 	malformed map[string]uint64
+	onFirst   func()
+}
+
+// Option configures a Discovery.
+type Option func(*Discovery)
+
+// WithOnFirstStart sets the function that is called if no process has written the row of
+// this name before, which Run finds out before it writes it.
+func WithOnFirstStart(onFirst func()) Option {
+	return func(di *Discovery) { di.onFirst = onFirst }
 }
 
 // New returns a Discovery for the process with this name, peer address and zone.
-func New(clk citronstream.Clock, log logr.Logger, table citronstream.Table, ms *mesh.Mesh, name, address, zone string) *Discovery {
-	return &Discovery{clk: clk, log: log, table: table, mesh: ms, name: name, ownRow: row{Address: address, Zone: zone}}
+func New(clk citronstream.Clock, log logr.Logger, table citronstream.Table, ms *mesh.Mesh, name, address, zone string, opts ...Option) *Discovery {
+	di := &Discovery{clk: clk, log: log, table: table, mesh: ms, name: name, ownRow: row{Address: address, Zone: zone}}
+	for _, opt := range opts {
+		opt(di)
+	}
+	return di
 }
 
 // Run writes the row of this process once and reads those of the others until ctx ends.
@@ -57,7 +72,7 @@
 	for ctx.Err() == nil {
 		wait := max(readInterval, time.Duration(di.mesh.LiveCount())*intervalPerPeer)
 		if !written {
-			err := di.write(ctx)
+			err := di.announce(ctx)
 			written = err == nil
 			if err != nil {
 				di.log.Info("own row not written", "reason", err.Error())
@@ -76,6 +91,20 @@
 	}
 }
 
+// announce writes the row of this process, once it is known whether there was one.
+func (di *Discovery) announce(ctx context.Context) error {
+	if di.onFirst != nil {
+		switch _, err := di.table.Get(ctx, prefix+di.name); {
+		case errors.Is(err, citronstream.ErrNotFound):
+			di.onFirst()
+		case err != nil:
+			return err
+		}
+		di.onFirst = nil
+	}
+	return di.write(ctx)
+}
+
 func (di *Discovery) write(ctx context.Context) error {
 	value, err := json.Marshal(di.ownRow)
 	if err != nil {
--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -201,7 +201,7 @@
 		nd.ConnectionBroke(now)
 		rt.fl.Pool.Drop(nd.Address)
 		if re.reached {
-			rt.fl.Deaths.ConnectionBroke(nd, deathdetect.Request{Digest: rt.digest, Sent: *sent, Unproven: rt.visit.Broke()})
+			rt.checked = rt.fl.Deaths.ConnectionBroke(nd, deathdetect.Request{Digest: rt.digest, Sent: *sent, Unproven: rt.visit.Broke()})
 		}
 	}
 	if !callerDisconnected(at.ctx) {
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -154,17 +154,19 @@
 	visit *partquarantine.Visit
 
 	stages     *stages
-	tried      map[string]bool     // IDs of the upstreams that were tried
-	visited    map[string]bool     // their addresses
-	sends      int                 // attempts that reached the chosen upstream
-	deliveries int                 // sends, and attempts answered by another upstream at the address
-	unreached  int                 // attempts that reached no upstream
-	nextRetry  time.Time           // when the repeat in hand was taken from the retry budget; zero for none
-	noRetry    string              // why no other upstream was tried; empty if it did not matter
-	worst      *citronstream.Fault // that tells most about whether the request may have run
-	fallback   *response           // 5xx response of an upstream, used if no better one arrives
-	last       *node.Node
-	started    bool // the response header was written
+	tried      map[string]bool // IDs of the upstreams that were tried
+	visited    map[string]bool // their addresses
+	sends      int             // attempts that reached the chosen upstream
+	deliveries int             // sends, and attempts answered by another upstream at the address
+	unreached  int             // attempts that reached no upstream
+	nextRetry  time.Time       // when the repeat in hand was taken from the retry budget; zero for none
+	noRetry    string          // why no other upstream was tried; empty if it did not matter
+	// checked is closed when the upstream whose connection broke last was probed; nil for none.
+	checked  <-chan struct{}
+	worst    *citronstream.Fault // that tells most about whether the request may have run
+	fallback *response           // 5xx response of an upstream, used if no better one arrives
+	last     *node.Node
+	started  bool // the response header was written
 	// lastEvent is the ID of the last event written to the caller.
 	lastEvent  int64
 	sparse     bool // the identifiers of its events do not rise by one
--- a/internal/ingress/flow/forward.go
+++ b/internal/ingress/flow/forward.go
@@ -61,6 +61,10 @@
 		return nil
 	}
 	var retry time.Time
+	if rt.deliveries > 0 && !rt.mayRepeat(ctx) {
+		rt.noRetry = contentHeld
+		return nil
+	}
 	if rt.deliveries > 0 {
 		if retry, rt.noRetry = rt.takeRetry(); rt.noRetry != "" {
 			return nil
@@ -118,8 +122,48 @@
 	noUpstreamReached = "no upstream reached"
 	noAttemptLeft     = "no attempt left"
 	noRetryBudget     = "retry budget used up"
+	contentHeld       = "content quarantined"
 )
 
+const (
+	// verdictTimeout bounds the wait for the decision whether content is held: 50 ms until
+	// the upstream is probed, and 250 to 350 ms until all have told what ran there.
+	verdictTimeout = 600 * time.Millisecond
+	verdictPoll    = 20 * time.Millisecond
+)
+
+// mayRepeat reports whether the request may be sent again: it is not held. A process that
+// does not know yet which content has crashed upstreams waits, after a connection that
+// broke, until its peers have told it or it is clear whether the upstream has died.
+func (rt *request) mayRepeat(ctx context.Context) bool {
+	if rt.checked != nil && !rt.fl.Holds.Knows() {
+		rt.awaitVerdict(ctx, rt.checked)
+	}
+	rt.checked = nil
+	_, held := rt.fl.Holds.Held(rt.digest)
+	return !held && ctx.Err() == nil
+}
+
+// awaitVerdict waits until it is decided whether the content of the request is held.
+func (rt *request) awaitVerdict(ctx context.Context, checked <-chan struct{}) {
+	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
+	defer cancel()
+	select {
+	case <-checked:
+	case <-rt.fl.Holds.Learned():
+	case <-ctx.Done():
+	}
+	for rt.fl.Holds.Unsettled(rt.digest) && ctx.Err() == nil {
+		timer := rt.fl.clk.NewTimer(verdictPoll)
+		select {
+		case <-timer.Chan():
+		case <-rt.fl.Holds.Learned():
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
 // takeRetry takes a repeat from the retry budget, unless one is in hand, and returns when
 // it was taken, or why there is none.
 func (rt *request) takeRetry() (taken time.Time, missing string) {
--- a/internal/limit/deathdetect/detector.go
+++ b/internal/limit/deathdetect/detector.go
@@ -33,6 +33,7 @@
 type breakage struct {
 	since    time.Time
 	requests []Request
+	checked  chan struct{} // closed when the upstream was probed and its death reported
 }
 
 // Detector collects broken connections by upstream and probes the upstream.
@@ -53,22 +54,25 @@
 	return &Detector{clk: clk, probe: probe, report: report, ctx: ctx, broken: make(map[*node.Node]*breakage)}
 }
 
-// ConnectionBroke records that the connection of a request broke before its answer.
-func (de *Detector) ConnectionBroke(nd *node.Node, rq Request) {
+// ConnectionBroke records that the connection of a request broke before its answer. The
+// returned channel is closed when the upstream was probed, and its death reported if it has
+// died; it is nil if too many upstreams are under check.
+func (de *Detector) ConnectionBroke(nd *node.Node, rq Request) (checked <-chan struct{}) {
 	de.mu.Lock()
 	defer de.mu.Unlock()
 	br, known := de.broken[nd]
 	if !known {
 		if len(de.broken) >= maxNodes {
-			return
+			return nil
 		}
-		br = &breakage{since: de.clk.Now()}
+		br = &breakage{since: de.clk.Now(), checked: make(chan struct{})}
 		de.broken[nd] = br
 		de.checks.Go(func() { de.check(nd) })
 	}
 	if len(br.requests) < maxDigests {
 		br.requests = append(br.requests, rq)
 	}
+	return br.checked
 }
 
 // Wait returns when all checks have ended.
@@ -86,6 +90,7 @@
 	br := de.broken[nd]
 	delete(de.broken, nd)
 	de.mu.Unlock()
+	defer close(br.checked)
 	if err == nil || de.ctx.Err() != nil {
 		return // the upstream is alive, or the detector has ended
 	}
--- a/internal/limit/poison/holds.go
+++ b/internal/limit/poison/holds.go
@@ -19,6 +19,14 @@
 	deathCap = 1024
 	// reportCap bounds the digests of one death; an upstream runs far fewer calls at a time.
 	reportCap = 1024
+	// learnTime is how long a process that was told nothing by a peer knows nothing of the
+	// deaths before its start. Content that crashes upstreams comes again within less.
+	learnTime = time.Minute
+	// firstHold is how long content is held after a single death while nothing is known;
+	// it is a suspect afterwards. Sound content may be alone at an upstream that dies.
+	firstHold = time.Minute
+	// settleTime is how long after a death its reporters have told what ran there.
+	settleTime = 250 * time.Millisecond
 )
 
 // Report describes the death of an upstream, or a lift. Processes exchange it as JSON.
@@ -51,6 +59,8 @@
 type death struct {
 	seen     map[uint64]bool // digests of the reports so far
 	suspects []uint64        // digests that were already suspects
+	upstream string
+	at       time.Time // of the first report
 }
 
 // Holds keeps the suspects and the held digests. While there are none, checking
@@ -64,6 +74,11 @@
 	mu      sync.Mutex
 	digests *digestTable
 	deaths  *deathTable
+	// While the process learns, it knows nothing of the deaths before its start.
+	learnsUntil time.Time
+	learned     chan struct{} // closed when a peer has told what it knows
+	imported    time.Time     // when a peer last did; the zero time if none did
+	unsettled   []*death      // of the time in which the process learned
 }
 
 // Option changes Holds.
@@ -72,9 +87,16 @@
 // WithCap bounds the recorded digests. Default 4,096.
 func WithCap(digests int) Option { return func(ho *Holds) { ho.cap = max(digests, 1) } }
 
+// WithLearning makes a process that starts know nothing until a peer that knows has told it,
+// for a minute at most. Meanwhile, content is held after the first death at which it ran
+// alone, as it may have crashed upstreams before. The owner calls Tick.
+func WithLearning() Option {
+	return func(ho *Holds) { ho.learnsUntil = ho.clk.Now().Add(learnTime) }
+}
+
 // New returns empty Holds. Digests are held for HoldFor of the limits.
 func New(clk citronstream.Clock, li citronstream.Limits, opts ...Option) *Holds {
-	ho := &Holds{clk: clk, cap: defaultCap, deaths: newDeaths()}
+	ho := &Holds{clk: clk, cap: defaultCap, deaths: newDeaths(), learned: make(chan struct{})}
 	for _, opt := range opts {
 		opt(ho)
 	}
@@ -113,12 +135,17 @@
 		return nil // a lift is not a death
 	}
 	de := ho.deaths.get(re.ID)
+	told := ho.imported.After(now.Add(-max(0, re.Age))) // a peer's suspects are of this death too
+	if ho.learns(now) && len(de.seen) == 0 {
+		de.upstream, de.at = re.Upstream, now
+		ho.unsettled = append(ho.unsettled, de)
+	}
 	for _, digest := range re.Running[:min(len(re.Running), reportCap)] {
 		if de.seen[digest] || len(de.seen) >= reportCap {
 			continue
 		}
 		de.seen[digest] = true
-		if ho.digests.suspect(digest) {
+		if ho.digests.suspect(digest) && !told {
 			de.suspects = append(de.suspects, digest)
 		}
 		ho.digests.addSuspect(digest)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -106,7 +106,7 @@
 	}
 	ga := &Gateway{
 		clk: clk, log: log, site: site, boot: citronstream.NewID(), began: clk.Now(), eng: eng,
-		engines: engines.New(clk), holds: poison.New(clk, citronstream.DefaultLimits()),
+		engines: engines.New(clk), holds: poison.New(clk, citronstream.DefaultLimits(), poison.WithLearning()),
 		refusals: firstattempt.New(clk), meter: requests.New(),
 		pendingRows: make(chan citronstream.Rows, maxPendingRows),
 	}
@@ -121,7 +121,7 @@
 	ga.view.OnChange(ga.viewChanged)
 	ga.mesh = mesh.New(clk, log, eng, ga.peerInfo, ga.handle, ga.peerConnected)
 	ga.follower = follow.New(clk, log, store, ga.view, follow.WithReaders(ga.readers), follow.WithOnRead(ga.storeRead))
-	ga.discovery = discovery.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone)
+	ga.discovery = discovery.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone, discovery.WithOnFirstStart(ga.holds.FirstStart))
 	suspended := ga.suspendedTime()
 	ga.wakeup = wakeup.New(clk, log, suspended, ga.readAgain)
 	ga.deaths = deathdetect.New(ga.ctx, clk, probeUpstream, ga.upstreamDied)
@@ -282,6 +282,7 @@
 		ga.view.Sweep()
 		ga.tellRefusals()
 		ga.parts.Tick()
+		ga.logHeld(ga.holds.Tick(), ga.site.Process)
 		ga.tellParts()
 		if ga.clk.Since(ga.began) >= tellAfter {
 			ga.tellEarlyRows()
@@ -292,6 +293,9 @@
 		if count%sweepTicks == 0 {
 			ga.pool.Sweep()
 			ga.mesh.Prune()
+			if !ga.holds.Knows() {
+				ga.askQuarantine(ga.anyPeer())
+			}
 		}
 	}
 }
@@ -376,8 +380,10 @@
 	case citronstream.MethodSuspectParts:
 		var parts citronstream.SuspectParts
 		if re.Decode(&parts) == nil {
-			ga.parts.Import(parts.Suspects, from)
+			ga.heardSuspects(parts, from)
 		}
+	case citronstream.MethodQuarantine:
+		re.Reply(ga.suspects())
 	default:
 		if !ga.broker.Handle(li, re) {
 			re.ReplyError(citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "unknown method %q", re.Method))
@@ -403,6 +409,7 @@
 		nd.MarkDead(ga.clk.Now(), ga.listingTTL())
 	}
 	ga.log.Info("upstream died", "upstream", report.Upstream, "death", report.ID, "running", len(report.Running), "held", len(held), "source", source)
+	ga.logHeld(held, source)
 }
 
 // partChanged logs a change of a prompt part's state.
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -39,6 +39,14 @@
 		_, held := ga.parts.Counts()
 		return float64(held)
 	})
+	gauge("citronstream_site_contents_suspect", "Requests suspected of crashing upstreams.", func() float64 {
+		suspects, _ := ga.holds.Counts()
+		return float64(suspects)
+	})
+	gauge("citronstream_site_contents_held", "Requests that are refused, as upstreams crashed on them.", func() float64 {
+		_, held := ga.holds.Counts()
+		return float64(held)
+	})
 	counter("citronstream_site_store_reads_total", "Reads of the store's tables.", func() float64 {
 		calls, _ := ga.follower.Counts()
 		return float64(calls)
--- a/internal/process/gateway/sharing.go
+++ b/internal/process/gateway/sharing.go
@@ -49,7 +49,8 @@
 	return readers.New(citronstream.PeerInfo{Zone: ga.site.Zone, Address: ga.site.Peers}, live)
 }
 
-// peerConnected tells a new peer the suspect parts, and fetches the state of a peer
+// peerConnected tells a new peer the suspect parts and requests, asks for its own after the
+// start of this process, and fetches the state of a peer
 // that has a newer configuration, or of any peer while this process can't read the
 // store or knows no upstream.
 func (ga *Gateway) peerConnected(pe *mesh.Peer, li *link.Link) {
@@ -57,8 +58,11 @@
 		return
 	}
 	if pe.Greet(li) {
-		if records := ga.parts.Export(); len(records) > 0 {
-			_ = li.Notify(citronstream.MethodSuspectParts, citronstream.SuspectParts{Suspects: records}) // a failed link is reopened
+		if all := ga.suspects(); len(all.Suspects)+len(all.Contents) > 0 {
+			_ = li.Notify(citronstream.MethodSuspectParts, all) // a failed link is reopened
+		}
+		if !ga.holds.Knows() {
+			ga.askQuarantine(pe, li)
 		}
 	}
 	withoutStore := ga.follower.StoreDown() || ga.view.Members().Len() == 0
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -132,8 +132,8 @@
 func (do *Door) SilenceOpen() { do.dead.Store(do.connections.Load()) }
 
 func (do *Door) silenced(rq *http.Request) bool {
-	number, _ := rq.Context().Value(connNumber{}).(int64)
-	return number <= do.dead.Load()
+	number, numbered := rq.Context().Value(connNumber{}).(int64)
+	return numbered && number <= do.dead.Load()
 }
 
 // Open returns a new door. The caller closes it.
--- a/message_peer.go
+++ b/message_peer.go
@@ -18,6 +18,7 @@
 	MethodDeath          = "Site.Death"    // notification, a report of an upstream's death
 	MethodSoundParts     = "Site.Sound"    // notification, SoundParts
 	MethodSuspectParts   = "Site.Suspects" // notification, SuspectParts: new holds, and all to a new peer
+	MethodQuarantine     = "Site.Held"     // answered by SuspectParts: all
 )
 
 // PeerInfo describes an entry to its peers.
@@ -104,9 +105,21 @@
 	Age  time.Duration `json:"Age"` // since then
 }
 
-// SuspectParts are the prompt parts that are suspected of crashing upstreams.
+// SuspectParts are the prompt parts and the whole requests that are suspected of crashing
+// upstreams.
 type SuspectParts struct {
-	Suspects []SuspectPart `json:"Suspects"`
+	Suspects []SuspectPart    `json:"Suspects"`
+	Contents []SuspectContent `json:"Contents,omitempty"`
+	// Knows says that these are all that the fleet knows: the sender has not just started,
+	// or was told by another entry since.
+	Knows bool `json:"Knows,omitempty"`
+}
+
+// SuspectContent is a request that is suspected of crashing upstreams, or held for it.
+type SuspectContent struct {
+	Digest   uint64        `json:"Digest"`
+	Held     time.Duration `json:"Held,omitempty"`     // the rest of its hold
+	Upstream string        `json:"Upstream,omitempty"` // the last one that died of it
 }
 
 // SuspectPart is a prompt part that is suspected of crashing upstreams, or held for it.
