upstream/conns: send a target that begins with // as it is

url.URL takes an opaque part that begins with // for an authority and writes ://, which upstreams answer with 400. The slashes are now put back after the request is encoded.

--- a/internal/upstream/conns/conns_test.go
+++ b/internal/upstream/conns/conns_test.go
@@ -327,3 +327,13 @@
 		t.Fatal("the connection stays open")
 	}
 }
+
+// Guards against a target that begins with two slashes and reaches the upstream as "://".
+func TestTargetsAreSentAsTheyAre(t *testing.T) {
+	for _, target := range []string{"/a?b=%2f", "//", "//a", "//a//b?c=//d", "///a", "//h:80/%2F/\xc3\xa4", "*"} {
+		rq := &Request{Method: http.MethodPost, Target: target, Host: "h", Header: http.Header{"User-Agent": {""}}, Body: []byte("//")}
+		raw, err := rq.encode()
+		require.NoError(t, err, target)
+		assert.Equal(t, "POST "+target+" HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n//", string(raw))
+	}
+}
--- a/internal/upstream/conns/send.go
+++ b/internal/upstream/conns/send.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/citronstream/citronstream"
@@ -111,15 +113,24 @@
 
 func (rq *Request) encode() ([]byte, error) {
 	var buf bytes.Buffer
+	// url.URL takes an opaque part that begins with "//" for an authority and puts a colon
+	// before it.
+	target := rq.Target
+	if strings.HasPrefix(target, "//") {
+		target = "/" + strings.TrimLeft(target, "/")
+	}
 	req := &http.Request{
-		Method: rq.Method, URL: &url.URL{Opaque: rq.Target}, Host: rq.Host, Header: rq.Header,
+		Method: rq.Method, URL: &url.URL{Opaque: target}, Host: rq.Host, Header: rq.Header,
 		ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(rq.Body)), Body: http.NoBody,
 	}
 	if len(rq.Body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(rq.Body))
 	}
-	err := req.Write(&buf)
-	return buf.Bytes(), err
+	if err := req.Write(&buf); err != nil {
+		return nil, err
+	}
+	slashes := bytes.Repeat([]byte("/"), len(rq.Target)-len(target))
+	return slices.Insert(buf.Bytes(), len(rq.Method)+1, slashes...), nil
 }
 
 func (po *Pool) roundTrip(ctx context.Context, ke key, co *conn, rq *Request, raw []byte) (ans *Answer, sent bool, err error) {
