fleet/discovery, fleet/mesh: entries link again after a long cut

Entries that could not reach each other for over two minutes removed each other's rows and peers for good: each wrote its row once, and seeds of the settings were forgotten too. A missing own row is now written again at the next read of the rows, and seeds are kept.

A cut of two minutes between processes was not played.

--- a/internal/fleet/discovery/discovery.go
+++ b/internal/fleet/discovery/discovery.go
@@ -27,6 +27,8 @@
 	// A process that restarts under the name writes the row again.
 	removeAfter = 90 * time.Second
 	maxRows     = 1024
+	// maxListed is the number of rows above which the store's answer may be cut.
+	maxListed = 500
 )
 
 // row is the stored value of an entry's row.
@@ -66,7 +68,8 @@
 	return di
 }
 
-// Run writes the row of this process once and reads those of the others until ctx ends.
+// Run writes the row of this process, again if another entry has removed it, and reads those
+// of the others until ctx ends.
 func (di *Discovery) Run(ctx context.Context) {
 	written := false
 	for ctx.Err() == nil {
@@ -79,9 +82,17 @@
 				wait = retryDelay
 			}
 		}
-		if err := di.readRows(ctx); err != nil {
+		found, err := di.readRows(ctx)
+		if err != nil {
 			wait = min(wait, 4*retryDelay)
 		}
+		if err == nil && written && !found {
+			// Others could not reach this process for long. It is reachable again, or is cut
+			// off from them only; they add it again by its row.
+			written = false
+			wait = retryDelay
+			di.log.Info("own row missing, written again")
+		}
 		timer := di.clk.NewTimer(wait/2 + rand.N(wait))
 		select {
 		case <-ctx.Done():
@@ -113,16 +124,19 @@
 	return di.table.Write(ctx, "", citronstream.Op{Key: prefix + di.name, Value: value, IfVersion: citronstream.AnyVersion})
 }
 
-// readRows adds the entries with a row to the mesh and removes the rows of those
-// that have been unreachable for long.
-func (di *Discovery) readRows(ctx context.Context) error {
+// readRows adds the entries with a row to the mesh and removes the rows of those that have
+// been unreachable for long. It reports whether it has found that of this process, or may
+// have missed it.
+func (di *Discovery) readRows(ctx context.Context) (found bool, err error) {
 	rows, err := di.table.List(ctx, prefix, "", maxRows)
 	if err != nil {
-		return err
+		return false, err
 	}
+	found = len(rows) >= maxListed
 	logged := di.malformed
 	di.malformed = make(map[string]uint64)
 	for _, ro := range rows {
+		found = found || ro.Key == prefix+di.name
 		var other row
 		if err := json.Unmarshal(ro.Value, &other); err != nil || other.Address == "" {
 			if di.malformed[ro.Key] = ro.Version; logged[ro.Key] != ro.Version {
@@ -137,5 +151,5 @@
 		err := di.table.Write(ctx, "", citronstream.Op{Key: ro.Key, IfVersion: ro.Version, Delete: true})
 		di.log.Info("removing the row of an unreachable entry", "key", ro.Key, "lost", pe.UnreachableFor().String(), "done", err == nil)
 	}
-	return nil
+	return found, nil
 }
--- a/internal/fleet/discovery/discovery_test.go
+++ b/internal/fleet/discovery/discovery_test.go
@@ -2,9 +2,16 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/mesh"
+	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
@@ -32,7 +39,8 @@
 	assertLines := func(want int) {
 		t.Helper()
 		for range 3 {
-			require.NoError(t, di.readRows(t.Context()))
+			_, err := di.readRows(t.Context())
+			require.NoError(t, err)
 		}
 		assert.Equal(t, want, lines)
 	}
@@ -43,3 +51,69 @@
 	assertLines(4)
 	assert.Len(t, di.malformed, 1)
 }
+
+// Guards against entries that could not reach each other for long, have removed each other's
+// rows, and never link again, as each writes its row once.
+func TestRemovedRowIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clk := clockwork.NewRealClock()
+		ta := &store{rows: make(map[string]citronstream.Row)}
+		ms := mesh.New(clk, logr.Discard(), nil, func() citronstream.PeerInfo { return citronstream.PeerInfo{Address: "127.0.0.1:1"} }, nil, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			New(clk, logr.Discard(), ta, ms, "own", "127.0.0.1:1", "z").Run(ctx)
+		}()
+		clk.Sleep(time.Minute)
+		assert.Equal(t, 1, ta.count(prefix+"own"), "written once while it is there")
+		ta.remove(prefix + "own")
+		clk.Sleep(2 * readInterval)
+		assert.Equal(t, 2, ta.count(prefix+"own"))
+		cancel()
+		<-done
+	})
+}
+
+// store is a table that accepts writes.
+type store struct {
+	citronstream.Table
+
+	mu     sync.Mutex
+	rows   map[string]citronstream.Row
+	writes []string
+}
+
+func (st *store) List(context.Context, string, string, int) ([]citronstream.Row, error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return slices.Collect(maps.Values(st.rows)), nil
+}
+
+func (st *store) Write(_ context.Context, _ string, ops ...citronstream.Op) error {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for _, op := range ops {
+		st.rows[op.Key] = citronstream.Row{Key: op.Key, Value: op.Value, Version: 1}
+		st.writes = append(st.writes, op.Key)
+	}
+	return nil
+}
+
+func (st *store) remove(key string) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	delete(st.rows, key)
+}
+
+// count returns how often a row was written.
+func (st *store) count(key string) (count int) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for _, written := range st.writes {
+		if written == key {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -67,6 +67,7 @@
 	cancel  context.CancelFunc
 	lostAt  atomic.Int64 // when the link was lost, in ns of Mesh.now; 0 while it is up
 	leaving atomic.Bool
+	seed    bool // from the settings, guarded by Mesh.mu
 	greeted atomic.Pointer[link.Link]
 }
 
@@ -190,6 +191,16 @@
 	return pe
 }
 
+// AddSeed adds a peer of the settings. It is never removed: after a long cut between all
+// entries, nothing else may tell its address.
+func (ms *Mesh) AddSeed(address string) {
+	if pe := ms.AddPeer(address, ""); pe != nil {
+		ms.mu.Lock()
+		defer ms.mu.Unlock()
+		pe.seed = true
+	}
+}
+
 func (ms *Mesh) handshake(ctx context.Context, pe *Peer, li *link.Link) error {
 	var info citronstream.PeerInfo
 	if err := li.Call(ctx, citronstream.MethodHandshake, ms.self(), &info); err != nil {
@@ -245,13 +256,14 @@
 	ms.peers.Store(&list)
 }
 
-// Prune removes the entries that have been unreachable for longer than removeAfter.
+// Prune removes the entries that have been unreachable for longer than removeAfter, except
+// seeds.
 func (ms *Mesh) Prune() {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
 	now := ms.now()
 	for address, pe := range ms.byAddress {
-		if lost := pe.lostAt.Load(); lost != 0 && now-lost > int64(removeAfter) {
+		if lost := pe.lostAt.Load(); lost != 0 && now-lost > int64(removeAfter) && !pe.seed {
 			pe.cancel()
 			delete(ms.byAddress, address)
 		}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -209,7 +209,7 @@
 		}
 	}
 	for _, seed := range ga.site.Seeds {
-		ga.mesh.AddPeer(seed, "")
+		ga.mesh.AddSeed(seed)
 	}
 	ga.runInBackground(func(ctx context.Context) { ga.follower.Run(ctx, ga.configTable()) })
 	ga.runInBackground(func(ctx context.Context) { ga.follower.Run(ctx, ga.memberTable()) })
