upstream/selfreport: no work to an upstream that says that it leaves

Nothing read Server-Leaving. The header of any final response, of requests, batches, releases and reports, now takes the upstream out of those that take new work, as draining does, until its row shows a newer start.

--- a/internal/fleet/view/members.go
+++ b/internal/fleet/view/members.go
@@ -10,18 +10,20 @@
 // Members is an immutable set of upstreams.
 type Members struct {
 	byID      map[string]*node.Node
-	byService map[string][]*node.Node // sorted by ID, without draining ones and those of evacuated zones
+	byService map[string][]*node.Node // sorted by ID, without those that leave and those of evacuated zones
 	byAddress map[string][]*node.Node // the one that started last first
 	evacuated []string                // zones, sorted
 }
 
-func newMembers(nodes []*node.Node, evacuated []string) *Members {
+// newMembers returns a set of upstreams. Leaving reports whether an upstream has said that it
+// leaves.
+func newMembers(nodes []*node.Node, evacuated []string, leaving func(nd *node.Node) bool) *Members {
 	ms := &Members{evacuated: evacuated, byID: make(map[string]*node.Node), byService: make(map[string][]*node.Node), byAddress: make(map[string][]*node.Node)}
 	slices.SortFunc(nodes, func(a, b *node.Node) int { return cmp.Compare(a.ID, b.ID) })
 	for _, nd := range nodes {
 		ms.byID[nd.ID] = nd
 		ms.byAddress[nd.Address] = append(ms.byAddress[nd.Address], nd)
-		if !nd.Draining && !ms.Evacuated(nd.Zone) {
+		if !nd.Draining && !ms.Evacuated(nd.Zone) && !leaving(nd) {
 			ms.byService[nd.Service] = append(ms.byService[nd.Service], nd)
 		}
 	}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -15,6 +15,7 @@
 	"github.com/citronstream/citronstream/internal/fleet/evacuation"
 	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/fleet/outage"
+	"github.com/citronstream/citronstream/internal/upstream/selfreport"
 	"github.com/go-logr/logr"
 )
 
@@ -59,6 +60,7 @@
 	// settled is the version up to which the rows of upstreams are complete: one without a
 	// record had no row then.
 	settled   uint64
+	reports   *selfreport.Reports
 	zones     *evacuation.Zones
 	config    citronstream.Row
 	refused   uint64 // version of the last configuration that was not accepted
@@ -78,11 +80,11 @@
 
 // New returns an empty view.
 func New(clk citronstream.Clock, log logr.Logger, decode Decode, opts ...Option) *View {
-	vi := &View{clk: clk, log: log, decode: decode, outage: outage.New(0), rows: make(map[string]*record), zones: evacuation.New(), onChange: func([]citronstream.Change, string) {}}
+	vi := &View{clk: clk, log: log, decode: decode, outage: outage.New(0), rows: make(map[string]*record), zones: evacuation.New(), reports: selfreport.New(), onChange: func([]citronstream.Change, string) {}}
 	for _, opt := range opts {
 		opt(vi)
 	}
-	vi.members.Store(newMembers(nil, nil))
+	vi.members.Store(newMembers(nil, nil, nil))
 	return vi
 }
 
@@ -277,6 +279,29 @@
 	return count
 }
 
+// Leaves records that an upstream has said in a response that it leaves: nd, or the newest one
+// at its address if that has refused the request as one for another upstream.
+func (vi *View) Leaves(nd *node.Node, misdirected bool) {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	if at := vi.Members().At(nd.Address); misdirected && len(at) > 0 {
+		nd = at[0]
+	}
+	if vi.reports.Leaves(nd.ID, nd.StartedMs, vi.clk.Now()) {
+		vi.log.Info("upstream says that it leaves", "upstream", nd.ID, "service", nd.Service, "address", nd.Address, "born", nd.StartedMs)
+		vi.publish()
+	}
+}
+
+func (vi *View) leaving(nd *node.Node) bool { return vi.reports.Leaving(nd.ID, nd.StartedMs) }
+
+// Leaving returns the number of upstreams that have said that they leave.
+func (vi *View) Leaving() int {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	return vi.reports.Len()
+}
+
 // Trim returns changes that were applied, without the values of malformed rows.
 func (vi *View) Trim(changes []citronstream.Change) []citronstream.Change {
 	vi.mu.Lock()
@@ -399,7 +424,7 @@
 			return false
 		}
 		// A draining node gets no grace period, because it is leaving.
-		if !old.node.Draining && (old.inGrace || vi.outage.MayHaveExpired(old.Version, now)) {
+		if !old.node.Draining && !vi.leaving(old.node) && (old.inGrace || vi.outage.MayHaveExpired(old.Version, now)) {
 			rec.node, rec.inGrace = old.node, true
 			vi.log.Info("upstream row expired, grace period started", "upstream", old.node.ID, "service", old.node.Service, "source", source, "revision", ch.Version)
 			return false
@@ -421,6 +446,9 @@
 			return old.inGrace
 		}
 	}
+	if vi.reports.Started(member.ID, member.StartedMs) {
+		vi.log.Info("upstream that left has started again", "upstream", member.ID, "service", member.Service, "born", member.StartedMs)
+	}
 	rec.node = node.New(member)
 	vi.log.Info("upstream known", "upstream", member.ID, "service", member.Service, "address", member.Address, "zone", member.Zone,
 		"draining", member.Draining, "source", source, "revision", ch.Version)
@@ -434,7 +462,7 @@
 			nodes = append(nodes, rec.node)
 		}
 	}
-	members := newMembers(nodes, slices.Sorted(maps.Keys(vi.zones.Evacuated())))
+	members := newMembers(nodes, slices.Sorted(maps.Keys(vi.zones.Evacuated())), vi.leaving)
 	vi.members.Store(members)
 	for _, onMembers := range vi.onMembers {
 		onMembers(members)
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -361,3 +361,23 @@
 	late.ReplaceEvacuated(map[string]uint64{"z1": 5}, 6, "slow peer")
 	assert.Equal(t, map[string]uint64{"z2": 7}, late.Evacuated(), "an older reading")
 }
+
+// Guards against a 421 that is taken for a word of the upstream that was meant, and not of the
+// one that has its address now.
+func TestLeavingAtTheAddressOfAnother(t *testing.T) {
+	vi, _, _ := newView()
+	apply(vi, row("i", 1, "s a:1 x"))
+	meant := vi.Members().Node("i")
+	apply(vi, row("j", 2, "s a:1 xx"))
+	vi.Leaves(meant, true)
+	assert.Equal(t, 1, vi.Leaving())
+	inUse := vi.Members().Service("s")
+	assert.Len(t, inUse, 1)
+	assert.Equal(t, "i", inUse[0].ID)
+	vi.Leaves(meant, false)
+	assert.Empty(t, vi.Members().Service("s"))
+	assert.Len(t, vi.Members().At("a:1"), 2, "results are still fetched")
+	vi.RecordStoreFailure()
+	apply(vi, removal("i", 3))
+	assert.Nil(t, vi.Members().Node("i"), "no grace period for one that leaves")
+}
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -43,6 +43,9 @@
 	Parts      *partquarantine.Quarantine
 	Refused    *firstattempt.Registry
 	Deaths     *deathdetect.Detector
+	// Parse returns the function that parses the heads of an upstream's responses; it may
+	// be nil.
+	Parse func(nd *node.Node) func(status int, header http.Header) citronstream.AnswerHead
 	// Suspended returns for how long the instance has been suspended; it may be nil. That
 	// time does not count for timers, but it does for callers.
 	Suspended func() time.Duration
@@ -79,6 +82,9 @@
 	if pa.Suspended == nil {
 		pa.Suspended = func() time.Duration { return 0 }
 	}
+	if pa.Parse == nil {
+		pa.Parse = func(*node.Node) func(int, http.Header) citronstream.AnswerHead { return platform.ParseAnswer }
+	}
 	if pa.Pass == nil {
 		pa.Pass = func(context.Context) {}
 	}
@@ -274,6 +280,6 @@
 	fo.Left, fo.Member, fo.Workspace = rt.timeLeft(), at.nd.ID, rt.workspace
 	return &conns.Request{
 		Method: rt.rq.Method, Target: rt.rq.RequestURI, Host: rt.rq.Host, Written: at.written,
-		Header: platform.UpstreamHeader(rt.rq.Header, &fo), Body: rt.body, ID: rt.ID, Fresh: at.fresh, Parse: platform.ParseAnswer,
+		Header: platform.UpstreamHeader(rt.rq.Header, &fo), Body: rt.body, ID: rt.ID, Fresh: at.fresh, Parse: rt.fl.Parse(at.nd),
 	}
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/citronstream/citronstream/internal/fleet/discovery"
 	"github.com/citronstream/citronstream/internal/fleet/follow"
 	"github.com/citronstream/citronstream/internal/fleet/mesh"
+	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/citronstream/citronstream/internal/fleet/wakeup"
 	"github.com/citronstream/citronstream/internal/ingress/flow"
@@ -126,12 +127,13 @@
 	ga.wakeup = wakeup.New(clk, log, suspended, ga.readAgain)
 	ga.deaths = deathdetect.New(ga.ctx, clk, probeUpstream, ga.upstreamDied)
 	owned := siteretrybudget.New(clk, site.Bounds, func() int { return ownersPerWindow })
-	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, batch.New(clk, log, ga.pool), owned,
+	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, batch.New(clk, log, ga.pool, batch.WithParse(ga.parseAnswer)), owned,
 		broker.WithCapacity(site.Cores*site.LinkRate), broker.WithHeld(ga.wakeup.Held))
 	ga.budget = siteretrybudget.New(clk, site.Bounds, ga.mesh.LiveCount)
 	ga.flow = flow.New(clk, log, flow.Dependencies{
 		Zone: site.Zone, ListingTTL: ga.listingTTL(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
 		Budget: ga.budget, Holds: ga.holds, Parts: ga.parts, Refused: ga.refusals, Deaths: ga.deaths, Observe: ga.meter.Observe,
+		Parse:     ga.parseAnswer,
 		Suspended: suspended, Pass: ga.wakeup.Pass,
 	})
 	ga.callerServer = server.New(clk, log, ga.flow)
@@ -179,6 +181,18 @@
 	return max(1, most/(2*ga.mesh.LiveCount()))
 }
 
+// parseAnswer returns the function that parses the heads of an upstream's responses, also of
+// those that are skipped, and records what the upstream says of itself in them.
+func (ga *Gateway) parseAnswer(nd *node.Node) func(status int, header http.Header) citronstream.AnswerHead {
+	return func(status int, header http.Header) citronstream.AnswerHead {
+		head := platform.ParseAnswer(status, header)
+		if head.Leaving {
+			ga.view.Leaves(nd, status == http.StatusMisdirectedRequest)
+		}
+		return head
+	}
+}
+
 // probeUpstream opens a connection to an upstream that may have died.
 func probeUpstream(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, ioTimeout)
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -44,6 +44,7 @@
 	Public string
 
 	// Fault switches and settings. With the zero values the upstream is healthy.
+	Leaving     atomic.Bool  // says in each response that it leaves
 	Refuse      atomic.Bool  // 503 with the header that the work did not run
 	Copies      atomic.Int32 // copies of a connection's last refusal that precede its next answer
 	Nameless    atomic.Bool  // the copies leave the request identifier out
@@ -200,6 +201,9 @@
 	up.log.mu.Lock()
 	up.log.arrivals = append(up.log.arrivals, ar)
 	up.log.mu.Unlock()
+	if up.Leaving.Load() {
+		wr.Header().Set("Server-Leaving", "1")
+	}
 	co := rq.Context().Value(connKey{}).(*conn)
 	up.copyRefusal(co)
 	if want := rq.Header.Get(HeaderMember); want != "" && want != up.ID {
--- a/internal/upstream/batch/batch.go
+++ b/internal/upstream/batch/batch.go
@@ -39,15 +39,30 @@
 	clk  citronstream.Clock
 	log  logr.Logger
 	pool *conns.Pool
+	// parse returns the function that parses the heads of an upstream's responses.
+	parse func(nd *node.Node) func(status int, header http.Header) citronstream.AnswerHead
 
 	mu sync.Mutex
 	// known has the results of answers so far, the newer and the older half.
 	known, older map[string]bool
 }
 
+// Option configures a Caller.
+type Option func(*Caller)
+
+// WithParse sets what returns the function that parses the heads of an upstream's responses.
+func WithParse(parse func(nd *node.Node) func(status int, header http.Header) citronstream.AnswerHead) Option {
+	return func(ca *Caller) { ca.parse = parse }
+}
+
 // New returns a Caller that uses a pool of connections.
-func New(clk citronstream.Clock, log logr.Logger, pool *conns.Pool) *Caller {
-	return &Caller{clk: clk, log: log, pool: pool, known: make(map[string]bool)}
+func New(clk citronstream.Clock, log logr.Logger, pool *conns.Pool, opts ...Option) *Caller {
+	ca := &Caller{clk: clk, log: log, pool: pool, known: make(map[string]bool)}
+	ca.parse = func(*node.Node) func(int, http.Header) citronstream.AnswerHead { return platform.ParseAnswer }
+	for _, opt := range opts {
+		opt(ca)
+	}
+	return ca
 }
 
 // learn remembers the results of an answer. It returns false if one of them was
@@ -157,7 +172,7 @@
 func (ca *Caller) call(ctx context.Context, nd *node.Node, method, path string, body []byte, check func(answer []byte) (reuse bool, err error)) (status int, refused bool, err error) {
 	ans, err := ca.pool.Send(ctx, nd.Address, &conns.Request{
 		Method: method, Target: path, Host: nd.Address, Header: platform.BatchHeader(nd.ID), Body: body,
-		Parse: platform.ParseAnswer,
+		Parse: ca.parse(nd),
 	})
 	if err != nil {
 		return 0, false, err
--- a/request.go
+++ b/request.go
@@ -48,6 +48,7 @@
 	Encoded bool // the body has a Content-Encoding; upstreams send none of their own
 	// IdleTimeout is how long the upstream keeps the connection; 0 when unknown.
 	IdleTimeout time.Duration
+	Leaving     bool // the upstream says that it is about to end
 }
 
 // BatchItem is one piece of a stage's work in a batch.
