--- a/internal/fleet/discovery/discovery.go
+++ b/internal/fleet/discovery/discovery.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -26,6 +27,8 @@
 	// A process that restarts under the name writes the row again.
 	removeAfter = 90 * time.Second
 	maxRows     = 1024
+	// maxListed is the number of rows above which the store's answer may be cut.
+	maxListed = 500
 )
 
 // row is the stored value of an entry's row.
@@ -47,6 +50,7 @@
 	written   bool // the row of this process
 	onList    func(addresses []string, began time.Time)
 	refresh   chan struct{}
+	onFirst   func()
 }
 
 // Option configures a Discovery.
@@ -59,6 +63,12 @@
 	return func(di *Discovery) { di.onList = onList }
 }
 
+// WithOnFirstStart sets the function that is called if no process has written the row of
+// this name before, which Run finds out before it writes it.
+func WithOnFirstStart(onFirst func()) Option {
+	return func(di *Discovery) { di.onFirst = onFirst }
+}
+
 // New returns a Discovery for the process with this name, peer address and zone.
 func New(clk citronstream.Clock, log logr.Logger, table citronstream.Table, ms *mesh.Mesh, name, address, zone string, opts ...Option) *Discovery {
 	di := &Discovery{
@@ -79,21 +89,30 @@
 	}
 }
 
-// Run writes the row of this process once and reads those of the others until ctx ends.
+// Run writes the row of this process, again if another entry has removed it, and reads those
+// of the others until ctx ends.
 func (di *Discovery) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := max(readInterval, time.Duration(di.mesh.LiveCount())*intervalPerPeer)
 		if !di.written {
-			err := di.write(ctx)
+			err := di.announce(ctx)
 			di.written = err == nil
 			if err != nil {
 				di.log.Info("own row not written", "reason", err.Error())
 				wait = retryDelay
 			}
 		}
-		if err := di.readRows(ctx); err != nil {
+		found, err := di.readRows(ctx)
+		if err != nil {
 			wait = min(wait, 4*retryDelay)
 		}
+		if err == nil && di.written && !found {
+			// Others could not reach this process for long. It is reachable again, or is cut
+			// off from them only; they add it again by its row.
+			di.written = false
+			wait = retryDelay
+			di.log.Info("own row missing, written again")
+		}
 		timer := di.clk.NewTimer(wait/2 + rand.N(wait))
 		select {
 		case <-ctx.Done():
@@ -104,6 +123,20 @@
 	}
 }
 
+// announce writes the row of this process, once it is known whether there was one.
+func (di *Discovery) announce(ctx context.Context) error {
+	if di.onFirst != nil {
+		switch _, err := di.table.Get(ctx, prefix+di.name); {
+		case errors.Is(err, citronstream.ErrNotFound):
+			di.onFirst()
+		case err != nil:
+			return err
+		}
+		di.onFirst = nil
+	}
+	return di.write(ctx)
+}
+
 func (di *Discovery) write(ctx context.Context) error {
 	value, err := json.Marshal(di.ownRow)
 	if err != nil {
@@ -112,23 +145,26 @@
 	return di.table.Write(ctx, "", citronstream.Op{Key: prefix + di.name, Value: value, IfVersion: citronstream.AnyVersion})
 }
 
-// readRows adds the entries with a row to the mesh and removes the rows of those
-// that have been unreachable for long.
-func (di *Discovery) readRows(ctx context.Context) error {
+// readRows adds the entries with a row to the mesh and removes the rows of those that have
+// been unreachable for long. It reports whether it has found that of this process, or may
+// have missed it.
+func (di *Discovery) readRows(ctx context.Context) (found bool, err error) {
 	began := di.clk.Now()
 	rows, err := di.table.List(ctx, prefix, "", maxRows)
 	if err != nil {
-		return err
+		return false, err
 	}
 	addresses := make([]string, 0, len(rows))
 	defer func() {
-		if di.written && len(rows) < maxRows {
+		if di.written && found && len(rows) < maxRows {
 			di.onList(addresses, began)
 		}
 	}()
+	found = len(rows) >= maxListed
 	logged := di.malformed
 	di.malformed = make(map[string]uint64)
 	for _, ro := range rows {
+		found = found || ro.Key == prefix+di.name
 		var other row
 		if err := json.Unmarshal(ro.Value, &other); err != nil || other.Address == "" {
 			if di.malformed[ro.Key] = ro.Version; logged[ro.Key] != ro.Version {
@@ -144,5 +180,5 @@
 		err := di.table.Write(ctx, "", citronstream.Op{Key: ro.Key, IfVersion: ro.Version, Delete: true})
 		di.log.Info("removing the row of an unreachable entry", "key", ro.Key, "lost", pe.UnreachableFor().String(), "done", err == nil)
 	}
-	return nil
+	return found, nil
 }
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -49,6 +49,9 @@
 	Deaths     *deathdetect.Detector
 	// Cold bounds the requests to cold upstreams; nil if none is cold.
 	Cold *coldrate.Limiter
+	// Parse returns the function that parses the heads of an upstream's responses; it may
+	// be nil.
+	Parse func(nd *node.Node) func(status int, header http.Header) citronstream.AnswerHead
 	// Suspended returns for how long the instance has been suspended; it may be nil. That
 	// time does not count for timers, but it does for callers.
 	Suspended func() time.Duration
@@ -88,6 +91,9 @@
 	if pa.Cold == nil {
 		pa.Cold = coldrate.New(clk, "", func(string) citronstream.ServiceSpec { return citronstream.ServiceSpec{} })
 	}
+	if pa.Parse == nil {
+		pa.Parse = func(*node.Node) func(int, http.Header) citronstream.AnswerHead { return platform.ParseAnswer }
+	}
 	if pa.Pass == nil {
 		pa.Pass = func(context.Context) {}
 	}
@@ -164,18 +170,20 @@
 	visit *partquarantine.Visit
 
 	stages     *stages
-	tried      map[string]bool     // IDs of the upstreams that were tried
-	visited    map[string]bool     // their addresses
-	sends      int                 // attempts that reached the chosen upstream
-	deliveries int                 // sends, and attempts answered by another upstream at the address
-	turn       bool                // it is its turn to get a permit for a cold upstream
-	unreached  int                 // attempts that reached no upstream
-	nextRetry  time.Time           // when the repeat in hand was taken from the retry budget; zero for none
-	noRetry    string              // why no other upstream was tried; empty if it did not matter
-	worst      *citronstream.Fault // that tells most about whether the request may have run
-	fallback   *response           // 5xx response of an upstream, used if no better one arrives
-	last       *node.Node
-	started    bool // the response header was written
+	tried      map[string]bool // IDs of the upstreams that were tried
+	visited    map[string]bool // their addresses
+	sends      int             // attempts that reached the chosen upstream
+	deliveries int             // sends, and attempts answered by another upstream at the address
+	turn       bool            // it is its turn to get a permit for a cold upstream
+	unreached  int             // attempts that reached no upstream
+	nextRetry  time.Time       // when the repeat in hand was taken from the retry budget; zero for none
+	noRetry    string          // why no other upstream was tried; empty if it did not matter
+	// checked is closed when the upstream whose connection broke last was probed; nil for none.
+	checked  <-chan struct{}
+	worst    *citronstream.Fault // that tells most about whether the request may have run
+	fallback *response           // 5xx response of an upstream, used if no better one arrives
+	last     *node.Node
+	started  bool // the response header was written
 	// lastEvent is the ID of the last event written to the caller.
 	lastEvent  int64
 	sparse     bool // the identifiers of its events do not rise by one
@@ -298,6 +306,6 @@
 	}
 	return &conns.Request{
 		Method: rt.rq.Method, Target: rt.rq.RequestURI, Host: rt.rq.Host, Written: written,
-		Header: platform.UpstreamHeader(rt.rq.Header, &fo), Body: rt.body, ID: rt.ID, Fresh: at.fresh, Parse: platform.ParseAnswer,
+		Header: platform.UpstreamHeader(rt.rq.Header, &fo), Body: rt.body, ID: rt.ID, Fresh: at.fresh, Parse: rt.fl.Parse(at.nd),
 	}
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -114,7 +114,7 @@
 	}
 	ga := &Gateway{
 		clk: clk, log: log, site: site, boot: citronstream.NewID(), began: clk.Now(), eng: eng,
-		engines: engines.New(clk), holds: poison.New(clk, citronstream.DefaultLimits()),
+		engines: engines.New(clk), holds: poison.New(clk, citronstream.DefaultLimits(), poison.WithLearning()),
 		refusals: firstattempt.New(clk), meter: requests.New(),
 		pendingRows: make(chan citronstream.Rows, maxPendingRows),
 	}
@@ -133,17 +133,18 @@
 	ga.mesh = mesh.New(clk, log, eng, ga.peerInfo, ga.handle, ga.peerConnected)
 	ga.follower = follow.New(clk, log, store, ga.view, follow.WithReaders(ga.readers), follow.WithOnRead(ga.storeRead), follow.WithOnFirstRead(ga.tableRead))
 	ga.snapshot = snapshot.New(clk, log, store, ga.membersInUse, ga.writesSnapshot)
-	ga.discovery = discovery.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone, discovery.WithOnList(ga.cold.Listed))
+	ga.discovery = discovery.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone, discovery.WithOnList(ga.cold.Listed), discovery.WithOnFirstStart(ga.holds.FirstStart))
 	suspended := ga.suspendedTime()
 	ga.wakeup = wakeup.New(clk, log, suspended, ga.readAgain)
 	ga.deaths = deathdetect.New(ga.ctx, clk, probeUpstream, ga.upstreamDied)
 	owned := siteretrybudget.New(clk, site.Bounds, func() int { return ownersPerWindow })
-	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, &coldBatcher{batch.New(clk, log, ga.pool), clk, ga.cold}, owned,
+	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, &coldBatcher{batch.New(clk, log, ga.pool, batch.WithParse(ga.parseAnswer)), clk, ga.cold}, owned,
 		broker.WithCapacity(site.Cores*site.LinkRate), broker.WithHeld(ga.wakeup.Held), broker.WithZones(site.Zone, regions.NewZones(site)))
 	ga.budget = siteretrybudget.New(clk, site.Bounds, ga.mesh.LiveCount)
 	ga.flow = flow.New(clk, log, flow.Dependencies{
 		Zone: site.Zone, Zones: regions.NewZones(site), ListingTTL: ga.listingTTL(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
 		Budget: ga.budget, Holds: ga.holds, Parts: ga.parts, Refused: ga.refusals, Deaths: ga.deaths, Cold: ga.cold, Observe: ga.meter.Observe,
+		Parse:     ga.parseAnswer,
 		Suspended: suspended, Pass: ga.wakeup.Pass,
 	})
 	ga.callerServer = server.New(clk, log, ga.flow)
@@ -191,6 +192,18 @@
 	return max(1, most/(2*ga.mesh.LiveCount()))
 }
 
+// parseAnswer returns the function that parses the heads of an upstream's responses, also of
+// those that are skipped, and records what the upstream says of itself in them.
+func (ga *Gateway) parseAnswer(nd *node.Node) func(status int, header http.Header) citronstream.AnswerHead {
+	return func(status int, header http.Header) citronstream.AnswerHead {
+		head := platform.ParseAnswer(status, header)
+		if head.Leaving {
+			ga.view.Leaves(nd, status == http.StatusMisdirectedRequest)
+		}
+		return head
+	}
+}
+
 // probeUpstream opens a connection to an upstream that may have died.
 func probeUpstream(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, ioTimeout)
@@ -221,7 +234,7 @@
 		}
 	}
 	for _, seed := range ga.site.Seeds {
-		ga.mesh.AddPeer(seed, "")
+		ga.mesh.AddSeed(seed)
 	}
 	ga.runInBackground(func(ctx context.Context) { ga.follower.Run(ctx, ga.configTable()) })
 	ga.runInBackground(func(ctx context.Context) { ga.follower.Run(ctx, ga.memberTable()) })
@@ -296,6 +309,7 @@
 		ga.sweepCold()
 		ga.tellRefusals()
 		ga.parts.Tick()
+		ga.logHeld(ga.holds.Tick(), ga.site.Process)
 		ga.tellParts()
 		if ga.clk.Since(ga.began) >= tellAfter {
 			ga.tellEarlyRows()
@@ -307,6 +321,9 @@
 			ga.pool.Sweep()
 			ga.logSpeeds()
 			ga.mesh.Prune()
+			if !ga.holds.Knows() {
+				ga.askQuarantine(ga.anyPeer())
+			}
 		}
 	}
 }
@@ -393,8 +410,10 @@
 	case citronstream.MethodSuspectParts:
 		var parts citronstream.SuspectParts
 		if re.Decode(&parts) == nil {
-			ga.parts.Import(parts.Suspects, from)
+			ga.heardSuspects(parts, from)
 		}
+	case citronstream.MethodQuarantine:
+		re.Reply(ga.suspects())
 	default:
 		if !ga.broker.Handle(li, re) {
 			re.ReplyError(citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "unknown method %q", re.Method))
@@ -421,6 +440,7 @@
 	}
 	ga.cold.Died(report.Upstream, ga.listingTTL())
 	ga.log.Info("upstream died", "upstream", report.Upstream, "death", report.ID, "running", len(report.Running), "held", len(held), "source", source)
+	ga.logHeld(held, source)
 }
 
 // partChanged logs a change of a prompt part's state.
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -29,6 +29,7 @@
 	gauge("citronstream_site_upstreams_unconfirmed", "Upstreams in use whose rows may have expired while the store was away.", func() float64 { return float64(ga.view.Unconfirmed()) })
 	gauge("citronstream_site_upstreams_load_known", "Upstreams that said their load within the last 2 s.", func() float64 { return float64(ga.loadsKnown()) })
 	gauge("citronstream_site_upstreams_slow", "Upstreams that are slower than usual for good.", func() float64 { return float64(ga.slowUpstreams()) })
+	gauge("citronstream_site_upstreams_leaving", "Upstreams that have said in a response that they leave.", func() float64 { return float64(ga.view.Leaving()) })
 	gauge("citronstream_site_zones_evacuated", "Zones to whose upstreams nothing more is sent.", func() float64 { return float64(len(ga.view.Evacuated())) })
 	gauge("citronstream_site_upstreams_cold", "Upstreams that are cold.", func() float64 {
 		cold, _ := ga.cold.Counts()
@@ -49,6 +50,14 @@
 		_, held := ga.parts.Counts()
 		return float64(held)
 	})
+	gauge("citronstream_site_contents_suspect", "Requests suspected of crashing upstreams.", func() float64 {
+		suspects, _ := ga.holds.Counts()
+		return float64(suspects)
+	})
+	gauge("citronstream_site_contents_held", "Requests that are refused, as upstreams crashed on them.", func() float64 {
+		_, held := ga.holds.Counts()
+		return float64(held)
+	})
 	counter("citronstream_site_store_reads_total", "Reads of the store's tables.", func() float64 {
 		calls, _ := ga.follower.Counts()
 		return float64(calls)
