--- a/Makefile
+++ b/Makefile
@@ -8,8 +8,8 @@
 DURATION ?= 30s
 BENCH ?= .
 TESTFLAGS ?=
-# Whole fleets under faults, tested alone: beside other tests they would lack processor time.
-FLEETS = /internal/proof/promises /internal/proof/sitesoak
+# Whole fleets under faults and clients that do not behave, tested alone: beside other tests they would lack processor time.
+FLEETS = /internal/proof/promises /internal/proof/sitesoak /internal/proof/callers
 SEEDS ?= 1
 
 .PHONY: all build run demo test lint fmt bench soak soak-site clean
--- a/internal/standin/site/caller.go
+++ b/internal/standin/site/caller.go
@@ -60,7 +60,13 @@
 // Configure writes a configuration with the routes of the tests. More routes
 // are JSON text that starts with a comma. Paths under /stream/ are streamed.
 func (st *Store) Configure(version int, more string) {
-	st.Put("op", "config", fmt.Sprintf(configuration, version, more))
+	st.Put("op", "config", fmt.Sprintf(configuration, version, more, 16384, 100000))
+}
+
+// ConfigureLimits writes the same configuration with other limits on the bytes of heads
+// and bodies.
+func (st *Store) ConfigureLimits(version, headerBytes, bodyBytes int) {
+	st.Put("op", "config", fmt.Sprintf(configuration, version, "", headerBytes, bodyBytes))
 }
 
 const configuration = `{"version":%d,"routes":[
@@ -75,5 +81,5 @@
 "services":[{"name":"desk","max-connections":50},{"name":"pool","max-connections":50,"engine":{"slots":4,"kv-cache-tokens":1000}},
 {"name":"cut","pieces":{"slots":1,"queue":2,"batch":8,"call-ms":20,"item-ms":1,"headroom-mb":1,"handle-s":4,"link-mbps":10000}},
 {"name":"glue","pieces":{"slots":1,"queue":2,"batch":8,"call-ms":300,"item-ms":1,"headroom-mb":1,"handle-s":4,"link-mbps":10000}}],
-"limits":{"max-header-bytes":16384,"max-body-bytes":100000,"header-timeout-ms":3000,"idle-timeout-ms":15000},
+"limits":{"max-header-bytes":%d,"max-body-bytes":%d,"header-timeout-ms":3000,"idle-timeout-ms":15000},
 "tenants":[{"name":"w","api-keys":["key"]}]}`
