gateway: listeners go on after a shortage of descriptors

Cause: the accept loops of callers' and peers' connections ended at EMFILE, and readiness did not know of it. net/http's own loop, of readiness and metrics, ends at ENOBUFS.

A gateway is not ready when callers' connections were not accepted for 2 s.

Tests of kernel/acceptor, fleet/mesh and ingress/server pass.

--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -14,6 +14,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/kernel/acceptor"
 	"github.com/citronstream/citronstream/internal/peer/dialer"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
@@ -47,7 +48,7 @@
 	onPeerUpdate func(pe *Peer, li *link.Link)
 
 	ctx        context.Context
-	ln         net.Listener
+	ln         *acceptor.Listener
 	acceptDone chan struct{}
 
 	mu        sync.Mutex
@@ -84,7 +85,7 @@
 	if err != nil {
 		return merry.Prependf(err, "peers at %s", address)
 	}
-	ms.ctx, ms.ln, ms.acceptDone = ctx, ln, make(chan struct{})
+	ms.ctx, ms.ln, ms.acceptDone = ctx, acceptor.New(ms.clk, ms.log, ln), make(chan struct{})
 	go ms.acceptLinks()
 	return nil
 }
@@ -102,6 +103,9 @@
 	}
 }
 
+// Listener returns the listener for peers, nil before Start.
+func (ms *Mesh) Listener() *acceptor.Listener { return ms.ln }
+
 // now returns the ns since the mesh began, by the steady clock and at least 1: the time
 // of day may jump.
 func (ms *Mesh) now() int64 { return max(1, int64(ms.clk.Since(ms.began))) }
--- a/internal/ingress/server/server.go
+++ b/internal/ingress/server/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/kernel/acceptor"
 	"github.com/go-logr/logr"
 )
 
@@ -40,7 +41,7 @@
 	log      logr.Logger
 	clk      citronstream.Clock
 	handler  http.Handler
-	ln       *net.TCPListener
+	ln       *acceptor.Listener
 	stopping atomic.Bool // StopAccepting was called
 	done     chan struct{}
 	callers  *callers
@@ -76,7 +77,7 @@
 	if err != nil {
 		return merry.Prependf(err, "listen for callers at %s", address)
 	}
-	se.ln = ln.(*net.TCPListener)
+	se.ln = acceptor.New(se.clk, se.log, ln)
 	se.listener = &chanListener{conns: make(chan net.Conn), closed: make(chan struct{}), address: ln.Addr()}
 	se.serving.Go(func() {
 		if err := se.http.Serve(se.listener); err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
@@ -140,7 +141,7 @@
 func (se *Server) accept() {
 	defer close(se.done)
 	for {
-		nc, err := se.ln.AcceptTCP()
+		nc, err := se.ln.Accept()
 		if err != nil {
 			var temporary net.Error
 			timeout := errors.As(err, &temporary) && temporary.Timeout()
@@ -152,7 +153,7 @@
 			}
 			return
 		}
-		se.handOver(se.callers.add(nc))
+		se.handOver(se.callers.add(nc.(*net.TCPConn)))
 	}
 }
 
@@ -165,6 +166,17 @@
 	}
 }
 
+// Listener returns the listener for callers, nil before Start.
+func (se *Server) Listener() *acceptor.Listener { return se.ln }
+
+// Short returns for how long no connection could be accepted.
+func (se *Server) Short() time.Duration {
+	if se.ln == nil {
+		return 0
+	}
+	return se.ln.Short()
+}
+
 // CloseIdle closes the connections without a request, and returns how many are still
 // open. A request of which a byte has been read is served.
 func (se *Server) CloseIdle() int { return se.callers.closeIdle() }
@@ -174,7 +186,7 @@
 // them.
 func (se *Server) StopAccepting() {
 	if !se.stopping.Swap(true) {
-		_ = se.ln.SetDeadline(se.clk.Now().Add(emptyQueueTime)) // fails only if it is closed
+		_ = se.ln.Listener.(*net.TCPListener).SetDeadline(se.clk.Now().Add(emptyQueueTime)) // fails only if it is closed
 	}
 	<-se.done
 	_ = se.ln.Close() // fails only if it is closed
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/citronstream/citronstream/internal/fleet/wakeup"
 	"github.com/citronstream/citronstream/internal/ingress/flow"
 	"github.com/citronstream/citronstream/internal/ingress/server"
+	"github.com/citronstream/citronstream/internal/kernel/acceptor"
 	"github.com/citronstream/citronstream/internal/limit/deathdetect"
 	"github.com/citronstream/citronstream/internal/limit/firstattempt"
 	"github.com/citronstream/citronstream/internal/limit/partquarantine"
@@ -49,6 +50,10 @@
 	// ownersPerWindow is the number of owners that a queue may have within one window
 	// of the retry budget. Each uses at most its share of the budget.
 	ownersPerWindow = 2
+	// maxAcceptShortage is for how long callers' connections may not be accepted while the
+	// process still reports ready. The platform looks each second and acts on the second
+	// failure, so that it then stops sending callers within 4 s.
+	maxAcceptShortage = 2 * time.Second
 	// readsPerDrain is the number of list reads within the time in which requests to
 	// a leaving upstream must stop, also for an entry without peers. The same holds
 	// for the configuration and the time in which it must be in force.
@@ -81,6 +86,7 @@
 	callerServer  *server.Server
 	readyServer   *http.Server
 	metricsServer *http.Server
+	listeners     []*acceptor.Listener // set by Start
 	discovery     *discovery.Discovery
 	wakeup        *wakeup.Gate
 
@@ -195,6 +201,7 @@
 	if err := ga.callerServer.Start(ga.site.Callers); err != nil {
 		return err
 	}
+	ga.listeners = append(ga.listeners, ga.mesh.Listener(), ga.callerServer.Listener())
 	var err error
 	if ga.readyServer, err = ga.listen(ga.site.Ready, http.HandlerFunc(ga.serveReady)); err != nil {
 		return merry.Prepend(err, "readiness")
@@ -223,9 +230,11 @@
 	if err != nil {
 		return nil, err
 	}
+	li := acceptor.New(ga.clk, ga.log, ln)
+	ga.listeners = append(ga.listeners, li)
 	hs := &http.Server{Handler: handler, ReadHeaderTimeout: ioTimeout, ErrorLog: server.ErrorLog(ga.log.WithValues("address", address))}
 	ga.runInBackground(func(context.Context) {
-		if err := hs.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := hs.Serve(li); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			ga.log.Error(err, "server ended", "address", address)
 		}
 	})
@@ -248,7 +257,7 @@
 
 // Ready reports whether the process can serve callers.
 func (ga *Gateway) Ready() bool {
-	return !ga.leaving.Load() && ga.view.Routes() != nil && ga.view.Members().Len() > 0
+	return !ga.leaving.Load() && ga.view.Routes() != nil && ga.view.Members().Len() > 0 && ga.callerServer.Short() <= maxAcceptShortage
 }
 
 // peerInfo returns the description of this process for peers.
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -30,6 +30,22 @@
 	gauge("citronstream_site_entries", "Entries that take part, this one included.", func() float64 { return float64(ga.mesh.LiveCount()) })
 	gauge("citronstream_site_in_flight", "Requests that were read and not answered.", func() float64 { return float64(ga.flow.InFlight()) })
 	counter("citronstream_site_panics_total", "Requests that ended by a panic.", func() float64 { return float64(ga.flow.Panics()) })
+	counter("citronstream_site_accept_failures_total", "Accepts that failed for lack of descriptors or memory, at all listeners.", func() float64 {
+		count := uint64(0)
+		for _, li := range ga.listeners {
+			count += li.Shortages()
+		}
+		return float64(count)
+	})
+	gauge("citronstream_site_accept_short", "Listeners that accept no connection for lack of descriptors or memory.", func() float64 {
+		count := 0
+		for _, li := range ga.listeners {
+			if li.Short() > 0 {
+				count++
+			}
+		}
+		return float64(count)
+	})
 	gauge("citronstream_site_prompt_parts_suspect", "Prompt parts suspected of crashing upstreams.", func() float64 {
 		suspects, _ := ga.parts.Counts()
 		return float64(suspects)
