--- a/site.go
+++ b/site.go
@@ -20,8 +20,13 @@
 	// Seeds are peer addresses of at most three other entries. They may be out of date.
 	Seeds []string
 
-	Cores     float64       // processor time that the process may use, in seconds a second
-	LinkRate  float64       // of the instance's network link, in Mbit/s
+	Cores    float64 // processor time that the process may use, in seconds a second
+	LinkRate float64 // of the instance's network link, in Mbit/s
+	// Memory, in bytes, and Descriptors are what the process may use; 0 means not stated.
+	Memory      int
+	Descriptors int
+	Clients     ClientLimits
+
 	Heartbeat time.Duration // interval of an upstream's writes to its row
 	Bounds    Bounds
 	Store     string // address of the platform's store, host:port
@@ -40,3 +45,13 @@
 	ColdOverage float64
 	ColdSlack   float64
 }
+
+// ClientLimits bound what clients may hold of a process. 0 means the default.
+type ClientLimits struct {
+	Memory          int           // bytes
+	Connections     int           // open at the same time
+	HeaderLines     int           // of one request
+	HeaderLineBytes int           // length of one line
+	BodyStall       time.Duration // longest time in which a body brings almost nothing
+	ReadStall       time.Duration // longest time in which a client reads almost nothing of its answer
+}
