gateway: bounded memory and connections for clients

Cause: bodies were read with io.ReadAll, heads parsed whatever their maps cost, and connections accepted until no descriptor was left.

Change: a head is charged by its bytes and lines in callerConn.Read, before it is parsed, and answered 431 or 503 there; one that came with the request before it is charged before it is handled. Bodies are read into chunks that are reserved first, and go to upstreams without a copy. A body without memory gets 503, one that brings less than 1 KB in body-stall-ms gets 408, a refused client's further bytes are dropped without memory. Whole answers count too; a client that does not read its answer is cut, and holds no connection to an upstream meanwhile. Above the cap of connections the longest idle one is closed, then a lingering one, then one whose body has stalled. Connections to upstreams have a cap. All this needs memory-mb or file-descriptors in the settings file. debug.SetMemoryLimit is the last safeguard. Ten counters by limit, three gauges, one log line a minute for each limit.

--- a/internal/cli/gateway/gateway.go
+++ b/internal/cli/gateway/gateway.go
@@ -40,6 +40,9 @@
 	if err != nil {
 		return err
 	}
+	if limit := process.MemoryLimit(site); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	if co.MetricsPort > 0 {
 		site.Metrics = net.JoinHostPort(site.Address, strconv.Itoa(co.MetricsPort))
 	}
--- a/internal/ingress/flow/admit.go
+++ b/internal/ingress/flow/admit.go
@@ -1,13 +1,10 @@
 package flow
 
 import (
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/limit/partquarantine"
 	"github.com/citronstream/citronstream/platform"
@@ -90,32 +87,6 @@
 	return known || rt.route.Anonymous || rt.routes.Keys == nil
 }
 
-// readBody reads the whole body before an upstream is used, so that a slow
-// caller does not hold one up.
-func (rt *request) readBody() (outcome, bool) {
-	limit := int64(rt.routes.Limits.BodyBytes)
-	reader := io.Reader(rt.rq.Body)
-	if limit > 0 {
-		reader = http.MaxBytesReader(rt.wr, rt.rq.Body, limit)
-	}
-	var err error
-	rt.body, err = io.ReadAll(reader)
-	var tooLong *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLong):
-		return rt.reject(http.StatusRequestEntityTooLarge, "the body exceeds the size limit"), false
-	case err != nil:
-		return outcome{reason: callerLeft, fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeCanceled, "body incomplete: %v", err), abort: true}, false
-	}
-	hash := xxhash.New()
-	for _, text := range []string{rt.rq.Method, "\x00", rt.rq.RequestURI, "\x00", rt.Key, "\x00"} {
-		_, _ = hash.WriteString(text) // never fails
-	}
-	_, _ = hash.Write(rt.body)
-	rt.digest = hash.Sum64()
-	return outcome{}, true
-}
-
 // setDeadlines sets the target time and the deadline of the request.
 func (rt *request) setDeadlines() {
 	left := rt.route.Timeout
--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -59,6 +59,8 @@
 	visiting    bool                // the visit counts it as sent
 	stopRelease func() bool
 	begun       bool // its first event has arrived
+	connected   bool // it counts as a connection to an upstream
+	closed      bool // ans is closed
 }
 
 // newAttempt returns an attempt at an upstream that pick has chosen.
@@ -90,6 +92,10 @@
 		at.fault = citronstream.NewFault(citronstream.NotRun, citronstream.CodeDeadline, "the request would have had to be sent %v ago", -left)
 		return
 	}
+	if !rt.fl.connect(at) {
+		at.fault = citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "this process has no connection left for an upstream")
+		return
+	}
 	at.stopRelease = rt.releaseEarly(at.nd, at.demand)
 	if refusal := rt.visit.Send(); refusal != nil {
 		at.fault, at.quarantined = partFault(refusal), true
@@ -104,11 +110,32 @@
 	}
 }
 
-// finish releases what an attempt holds.
-func (rt *request) finish(at *attempt) {
-	if at.ans != nil {
+// connect counts a connection to an upstream, and reports whether there may be one.
+func (fl *Flow) connect(at *attempt) bool {
+	if count := fl.connected.Add(1); fl.MaxUpstream > 0 && count > int64(fl.MaxUpstream) {
+		fl.connected.Add(-1)
+		fl.OnLimit(LimitUpstream)
+		return false
+	}
+	at.connected = true
+	return true
+}
+
+// disconnect gives the connection of an attempt back.
+func (fl *Flow) disconnect(at *attempt) {
+	if at.ans != nil && !at.closed {
+		at.closed = true
 		at.ans.Close()
 	}
+	if at.connected {
+		at.connected = false
+		fl.connected.Add(-1)
+	}
+}
+
+// finish releases what an attempt holds.
+func (rt *request) finish(at *attempt) {
+	rt.fl.disconnect(at)
 	if at.visiting {
 		rt.visit.Returned()
 	}
@@ -271,6 +298,9 @@
 func (rt *request) relayBuffered(at *attempt, to *takeover) result {
 	nd, ans := at.nd, at.ans
 	body, err := rt.bodies.Read(ans, maxBody)
+	if err == nil && rt.memory != nil {
+		rt.fl.disconnect(at) // a caller that reads slowly does not hold it
+	}
 	unfit := errors.Is(err, bodybudget.ErrTooLarge) || errors.Is(err, bodybudget.ErrFull)
 	if err != nil && !unfit {
 		return rt.failAttempt(at, to, citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeUpstreamDied, "response incomplete: %v", err))
@@ -315,10 +345,8 @@
 	header.Set("Content-Length", strconv.Itoa(length))
 	rt.started = true
 	rt.wr.WriteHeader(rp.status)
-	for _, chunk := range rp.body {
-		if _, err := rt.wr.Write(chunk); err != nil {
-			return outcome{status: rp.status, reason: callerLeft, abort: true}
-		}
+	if err := rt.writeChunks(rp.body); err != nil {
+		return outcome{status: rp.status, reason: callerLeft, abort: true}
 	}
 	return outcome{status: rp.status, reason: reason}
 }
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -13,6 +13,7 @@
 	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/citronstream/citronstream/internal/limit/bodybudget"
+	"github.com/citronstream/citronstream/internal/limit/callermemory"
 	"github.com/citronstream/citronstream/internal/limit/deathdetect"
 	"github.com/citronstream/citronstream/internal/limit/firstattempt"
 	"github.com/citronstream/citronstream/internal/limit/partquarantine"
@@ -49,6 +50,15 @@
 	// Pass waits while what the process knows may be out of date, as it was paused; it
 	// may be nil.
 	Pass func(ctx context.Context)
+	// Memory accounts what callers hold; nil bounds neither that nor the times below.
+	Memory *callermemory.Account
+	// BodyStall is the longest time in which a body may bring almost nothing, ReadStall
+	// that in which a caller may read almost nothing of its answer.
+	BodyStall, ReadStall time.Duration
+	// MaxUpstream bounds the connections to upstreams that are in use; 0 for no bound.
+	MaxUpstream int
+	// OnLimit is called when a limit on bodies takes effect; it may be nil.
+	OnLimit func(limit string)
 	// Observe is called at the end of each request; it may be nil.
 	Observe func(rq requests.Request)
 }
@@ -63,6 +73,7 @@
 	bodies       *bodybudget.Budget
 	fetchTimes   *fetchtime.Estimator // of the final results that requests take
 	inFlight     atomic.Int64
+	connected    atomic.Int64 // connections to upstreams in use
 	panics       atomic.Uint64
 	began        time.Time
 	leaving      atomic.Int64 // when Leave was called, in ns after began; 0 before
@@ -82,7 +93,10 @@
 	if pa.Pass == nil {
 		pa.Pass = func(context.Context) {}
 	}
-	fl := &Flow{Dependencies: pa, clk: clk, began: clk.Now(), log: log, latencies: newLatencies(clk), floor: servicefloor.New(clk), bodies: bodybudget.New(), fetchTimes: fetchtime.New()}
+	if pa.OnLimit == nil {
+		pa.OnLimit = func(string) {}
+	}
+	fl := &Flow{Dependencies: pa, clk: clk, began: clk.Now(), log: log, latencies: newLatencies(clk), floor: servicefloor.New(clk), bodies: bodybudget.New(bodybudget.WithMemory(pa.Memory)), fetchTimes: fetchtime.New()}
 	fl.stagesCtx, fl.cancelStages = context.WithCancel(context.Background())
 	fl.requestsCtx, fl.cancelRequests = context.WithCancel(context.Background())
 	return fl
@@ -113,8 +127,9 @@
 	if fl.leaving.Load() > 0 {
 		wr.Header().Set("Connection", "close")
 	}
-	rt := &request{CallerRequest: &citronstream.CallerRequest{}, fl: fl, wr: wr, rq: rq, bodies: fl.bodies.Open(), at: fl.clk.Now(), suspended: fl.Suspended()}
+	rt := &request{CallerRequest: &citronstream.CallerRequest{}, fl: fl, wr: wr, rq: rq, bodies: fl.bodies.Open(), memory: fl.Memory.Open(), at: fl.clk.Now(), suspended: fl.Suspended()}
 	defer rt.bodies.Close()
+	defer rt.memory.Close()
 	out := rt.serveSafely()
 	rt.record(out)
 	if out.abort {
@@ -128,9 +143,12 @@
 	fl     *Flow
 	wr     http.ResponseWriter
 	rq     *http.Request
-	body   []byte
+	body   [][]byte
 	bodies *bodybudget.Account // of the answers
-	digest uint64
+	memory *callermemory.Holder
+	// aborted is true when the body was told to give up.
+	aborted atomic.Bool
+	digest  uint64
 
 	routes    *view.Routes
 	route     *citronstream.Route
--- a/internal/ingress/server/callers.go
+++ b/internal/ingress/server/callers.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"math"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/limit/callermemory"
 )
 
 const (
@@ -35,10 +37,32 @@
 // makes the HTTP server close the connection without a response of its own.
 var errHeadTooLong = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the head exceeds its limit")}
 
+const (
+	// connBytes is what net/http holds for a connection: its buffers of 4 KB each, the
+	// stacks of two goroutines, and the structs (21 KB by resident memory, 2,000 connections).
+	connBytes = 22 << 10
+	// A head is held as read, as strings and in the request to the upstream; each of its
+	// lines is an entry of two maps with a list of values (250 to 300 bytes measured).
+	headFactor = 3
+	lineBytes  = 320
+	// shedWait is how long a read waits for memory that others were told to give back.
+	shedWait = 250 * time.Millisecond
+)
+
+// errNoMemory ends the read of a head for which there is no memory.
+var errNoMemory = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("no memory left for the head")}
+
 // callers are the open connections of callers.
 type callers struct {
 	clk     citronstream.Clock
 	closing atomic.Bool // connections are closed without lingering
+	memory  *callermemory.Account
+	lines   int // of a head; 0 for as many as its bytes allow
+	line    int // bytes of a line; 0 for no bound
+	// hit is called when a limit takes effect.
+	hit func(limit string)
+	// gone is signaled when a connection has closed.
+	gone chan struct{}
 
 	mu     sync.Mutex
 	open   map[*callerConn]struct{}
@@ -67,6 +91,17 @@
 	state     http.ConnState
 	phase     phase
 	headBytes int // read of the head so far
+	headLines int
+	lineBytes int // of the line that has not ended
+	// memory is that of the connection, of which head is for the head in hand.
+	memory *callermemory.Holder
+	head   int
+	// last is the cost of the chunk that was read last: it may hold the next head, which
+	// then is parsed without another read.
+	last      int
+	overdrawn bool // that head exceeds the memory
+	idleSince time.Time
+	lingered  time.Time // when lingering began
 	// limits are the widest ones that were configured since the connection was accepted:
 	// its caller may not know narrower ones yet.
 	limits citronstream.CallerLimits
@@ -80,7 +115,7 @@
 func (cc *callerConn) Read(data []byte) (int, error) {
 	room := cc.room()
 	if room <= 0 {
-		cc.refuseHead()
+		cc.refuseHead(tooLarge, LimitHeaderBytes)
 		return 0, errHeadTooLong
 	}
 	data = data[:min(len(data), room)]
@@ -92,10 +127,69 @@
 	}
 	if count > 0 {
 		cc.begin(count)
+		if refusal := cc.charge(data[:count]); refusal != nil {
+			return 0, refusal
+		}
 	}
 	return count, err
 }
 
+// charge accounts bytes that were read, before they are parsed. Its error is that of a head
+// which was refused.
+func (cc *callerConn) charge(data []byte) error {
+	lines := bytes.Count(data, []byte{'\n'})
+	cost := headFactor*len(data) + lines*lineBytes
+	cc.mu.Lock()
+	cc.last = cost
+	if cc.phase == body {
+		cc.mu.Unlock()
+		return nil
+	}
+	cc.headLines += lines
+	longest := cc.longestLine(data)
+	maxLines, maxLine := cc.callers.lines, cc.callers.line
+	tooMany := maxLines > 0 && cc.headLines > maxLines+emptyLines
+	cc.mu.Unlock()
+	switch {
+	case tooMany:
+		cc.refuseHead(tooLarge, LimitHeaderLines)
+		return errHeadTooLong
+	case maxLine > 0 && longest > maxLine:
+		cc.refuseHead(tooLarge, LimitHeaderLine)
+		return errHeadTooLong
+	case !cc.callers.take(cc.memory, cost):
+		cc.refuseHead(unavailable, LimitMemory)
+		return errNoMemory
+	}
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.head += cost
+	return nil
+}
+
+// emptyLines are the start line and the empty lines around a head.
+const emptyLines = 3
+
+// longestLine returns the length of the longest line so far that has bytes in data. The
+// caller holds the lock.
+func (cc *callerConn) longestLine(data []byte) (longest int) {
+	for len(data) > 0 {
+		end := bytes.IndexByte(data, '\n')
+		if end < 0 {
+			cc.lineBytes += len(data)
+			return max(longest, cc.lineBytes)
+		}
+		longest = max(longest, cc.lineBytes+end+1)
+		cc.lineBytes, data = 0, data[end+1:]
+	}
+	return longest
+}
+
+// take reserves memory. If others were told to give some back, it waits for them.
+func (ca *callers) take(ho *callermemory.Holder, bytes int) bool {
+	return ca.memory.Wait(ho, bytes, callermemory.Request, shedWait)
+}
+
 // readArrived reads bytes that had arrived when expire made a read time out. A close with
 // bytes unread would reset the connection.
 func (cc *callerConn) readArrived(data []byte) (count int) {
@@ -126,10 +220,20 @@
 	return cc.limits.HeaderBytes + headSlack - cc.headBytes
 }
 
-// refuseHead answers a request whose head exceeds the limit.
-func (cc *callerConn) refuseHead() {
-	const status = "431 Request Header Fields Too Large"
-	_, err := io.WriteString(cc.TCPConn, "HTTP/1.1 "+status+"\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+status)
+// Statuses of refused heads.
+const (
+	tooLarge    = "431 Request Header Fields Too Large"
+	unavailable = "503 Service Unavailable"
+)
+
+// refuseHead answers a request whose head exceeds a limit.
+func (cc *callerConn) refuseHead(status, limit string) {
+	cc.callers.hit(limit)
+	more := ""
+	if status == unavailable {
+		more = "Retry-After: 1\r\n"
+	}
+	_, err := io.WriteString(cc.TCPConn, "HTTP/1.1 "+status+"\r\nContent-Type: text/plain; charset=utf-8\r\n"+more+"Connection: close\r\n\r\n"+status)
 	if err == nil {
 		_ = cc.CloseWrite() // fails only on a closed connection
 	}
@@ -199,6 +303,11 @@
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	cc.phase = body
+	if cc.head == 0 && cc.last > 0 {
+		// No byte was read since the request before: the head came with it.
+		cc.head = cc.last
+		cc.overdrawn = !cc.memory.Force(cc.head)
+	}
 }
 
 // end marks the end of a response.
@@ -206,6 +315,16 @@
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	cc.state, cc.phase, cc.headBytes = http.StateIdle, ended, 0
+	cc.headLines, cc.lineBytes, cc.idleSince = 0, 0, cc.callers.clk.Now()
+	cc.memory.Give(cc.head)
+	cc.head = 0
+}
+
+// isOverdrawn reports whether the head exceeds the memory.
+func (cc *callerConn) isOverdrawn() bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return cc.overdrawn
 }
 
 // expire makes reads time out unless a request has begun.
@@ -228,7 +347,7 @@
 		cc.mu.Unlock()
 		return nil
 	}
-	cc.lingers = true
+	cc.lingers, cc.lingered = true, cc.callers.clk.Now()
 	err := errors.Join(cc.TCPConn.CloseWrite(), cc.TCPConn.SetReadDeadline(time.Time{}))
 	cc.mu.Unlock()
 	if err != nil {
@@ -249,14 +368,15 @@
 }
 
 func newCallers(clk citronstream.Clock, limits citronstream.CallerLimits) *callers {
-	return &callers{clk: clk, open: make(map[*callerConn]struct{}), limits: limits}
+	return &callers{clk: clk, open: make(map[*callerConn]struct{}), limits: limits, hit: func(string) {}, gone: make(chan struct{}, 1)}
 }
 
 // add starts to track a connection.
 func (ca *callers) add(nc *net.TCPConn) *callerConn {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	cc := &callerConn{TCPConn: nc, callers: ca, limits: ca.limits}
+	cc := &callerConn{TCPConn: nc, callers: ca, limits: ca.limits, memory: ca.memory.Open(), idleSince: ca.clk.Now()}
+	cc.memory.Force(connBytes) // makeRoom has made room
 	ca.open[cc] = struct{}{}
 	return cc
 }
@@ -276,6 +396,11 @@
 		ca.mu.Lock()
 		delete(ca.open, cc)
 		ca.mu.Unlock()
+		cc.memory.Close()
+		select {
+		case ca.gone <- struct{}{}:
+		default:
+		}
 	case http.StateNew:
 	}
 }
--- /dev/null
+++ b/internal/ingress/server/room_test.go
@@ -0,0 +1,219 @@
+package server
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/limit/callermemory"
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// hits counts the limits that took effect.
+type hits struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (hi *hits) hit(limit string) {
+	hi.mu.Lock()
+	defer hi.mu.Unlock()
+	hi.counts[limit]++
+}
+
+func (hi *hits) count(limit string) int {
+	hi.mu.Lock()
+	defer hi.mu.Unlock()
+	return hi.counts[limit]
+}
+
+func startLimited(t *testing.T, limits citronstream.ClientLimits, handler http.HandlerFunc, opts ...Option) (*Server, *hits) {
+	hi := &hits{counts: make(map[string]int)}
+	se := New(clk, logr.Discard(), handler, append(opts, WithClientLimits(limits), WithOnLimit(hi.hit))...)
+	require.NoError(t, se.Start("127.0.0.1:0"))
+	t.Cleanup(se.Close)
+	return se, hi
+}
+
+func answerOK(wr http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(wr, "ok") }
+
+func assertStatus(t *testing.T, br *bufio.Reader, status int) {
+	t.Helper()
+	res, err := http.ReadResponse(br, nil)
+	require.NoError(t, err)
+	_, _ = io.Copy(io.Discard, res.Body)
+	assert.Equal(t, status, res.StatusCode)
+	assert.True(t, res.Close)
+	assert.Equal(t, status == http.StatusServiceUnavailable, res.Header.Get("Retry-After") != "")
+}
+
+// A head with as many lines as allowed is served, one with more is refused.
+func TestHeaderLines(t *testing.T) {
+	const lines = 50
+	head := func(lines int) string {
+		return "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", lines-1) + "\r\n"
+	}
+	se, hi := startLimited(t, citronstream.ClientLimits{HeaderLines: lines}, answerOK)
+	nc, br := dial(t, se)
+	for range 3 {
+		write(t, nc, head(lines))
+		assertAnswered(t, br)
+	}
+	assert.Zero(t, hi.count(LimitHeaderLines))
+	write(t, nc, head(lines+emptyLines+1))
+	assertStatus(t, br, http.StatusRequestHeaderFieldsTooLarge)
+	assert.Equal(t, 1, hi.count(LimitHeaderLines))
+}
+
+// A line as long as allowed is served, a longer one is refused, also if it comes in pieces.
+func TestHeaderLineBytes(t *testing.T) {
+	const most = 100
+	line := func(bytes int) string { return "a:" + strings.Repeat("x", bytes-len("a:\r\n")) + "\r\n" }
+	se, hi := startLimited(t, citronstream.ClientLimits{HeaderLineBytes: most}, answerOK)
+	nc, br := dial(t, se)
+	for range 3 {
+		write(t, nc, firstHalf+line(most)+line(most)+secondHalf)
+		assertAnswered(t, br)
+	}
+	assert.Zero(t, hi.count(LimitHeaderLine))
+	for _, part := range []string{firstHalf, line(most + 1)[:most/2], line(most + 1)[most/2:]} {
+		write(t, nc, part)
+		clk.Sleep(time.Millisecond)
+	}
+	assertStatus(t, br, http.StatusRequestHeaderFieldsTooLarge)
+	assert.Equal(t, 1, hi.count(LimitHeaderLine))
+}
+
+// fill takes the memory, except for the reserved parts, once the one open connection holds
+// no head any more.
+func fill(t *testing.T, memory *callermemory.Account, other *callermemory.Holder) {
+	t.Helper()
+	require.Eventually(t, func() bool { return memory.Used() == connBytes }, testTimeout, time.Millisecond)
+	for other.Take(4<<10, callermemory.Request) {
+	}
+}
+
+// A head for which there is no memory gets 503 before it is parsed, and one is served again
+// once the memory is back. No memory is left over in the end.
+func TestHeadMemory(t *testing.T) {
+	const total = 1 << 20
+	memory := callermemory.New(clk, total)
+	var ran atomic.Int64
+	se, hi := startLimited(t, citronstream.ClientLimits{}, func(wr http.ResponseWriter, _ *http.Request) {
+		ran.Add(1)
+		_, _ = io.WriteString(wr, "ok")
+	}, WithMemory(memory))
+	heavy := firstHalf + strings.Repeat("a:\r\n", 1000) + secondHalf
+	other := memory.Open()
+	nc, br := dial(t, se)
+	write(t, nc, heavy)
+	assertAnswered(t, br)
+	fill(t, memory, other)
+	write(t, nc, heavy)
+	assertStatus(t, br, http.StatusServiceUnavailable)
+	assert.Equal(t, 1, hi.count(LimitMemory))
+	assert.EqualValues(t, 1, ran.Load(), "a refused request ran")
+	other.Close()
+	nc, br = dial(t, se)
+	write(t, nc, heavy)
+	assertAnswered(t, br)
+	_ = nc.Close()
+	assert.Eventually(t, func() bool { return memory.Used() == 0 }, testTimeout, time.Millisecond)
+}
+
+// Guards against heads that come with the request before them and so need no read of their
+// own.
+func TestPipelinedHeadIsCharged(t *testing.T) {
+	memory := callermemory.New(clk, 1<<20)
+	held := make(chan int, 2)
+	se, hi := startLimited(t, citronstream.ClientLimits{}, func(wr http.ResponseWriter, _ *http.Request) {
+		held <- memory.Used()
+		_, _ = io.WriteString(wr, "ok")
+	}, WithMemory(memory))
+	nc, br := dial(t, se)
+	const lines = 800
+	write(t, nc, firstHalf+secondHalf+firstHalf+strings.Repeat("a:\r\n", lines)+secondHalf)
+	assertAnswered(t, br)
+	assertAnswered(t, br)
+	<-held
+	assert.Greater(t, <-held, lines*lineBytes)
+	fill(t, memory, memory.Open())
+	write(t, nc, firstHalf+secondHalf+firstHalf+strings.Repeat("a:\r\n", lines)+secondHalf)
+	res, err := http.ReadResponse(br, nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
+	assert.Positive(t, hi.count(LimitMemory))
+}
+
+// As many connections as allowed are served. A further one takes the place of the one that
+// was idle for longest.
+func TestConnections(t *testing.T) {
+	const most = 5
+	se, hi := startLimited(t, citronstream.ClientLimits{Connections: most}, answerOK)
+	var conns []net.Conn
+	var readers []*bufio.Reader
+	for range most {
+		nc, br := dialKept(t, se)
+		conns, readers = append(conns, nc), append(readers, br)
+		clk.Sleep(2 * time.Millisecond)
+	}
+	for i, nc := range conns {
+		write(t, nc, firstHalf+secondHalf)
+		assertAnswered(t, readers[i])
+		clk.Sleep(2 * time.Millisecond)
+	}
+	assert.Zero(t, hi.count(LimitConnections))
+	dialKept(t, se)
+	_, err := readers[0].ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.LessOrEqual(t, se.Open(), most)
+	write(t, conns[1], firstHalf+secondHalf)
+	assertAnswered(t, readers[1])
+	assert.Equal(t, 1, hi.count(LimitConnections))
+}
+
+// Guards against a server that can't stop while a connection waits for room, and reports
+// that it accepts.
+func TestStopWhileWaitingForRoom(t *testing.T) {
+	begun := make(chan struct{})
+	se, _ := startLimited(t, citronstream.ClientLimits{Connections: 1}, func(_ http.ResponseWriter, rq *http.Request) {
+		close(begun)
+		<-rq.Context().Done()
+	})
+	nc, _ := dial(t, se)
+	write(t, nc, firstHalf+secondHalf)
+	<-begun
+	dial(t, se)
+	assert.Eventually(t, func() bool { return se.Short() > 0 }, testTimeout, time.Millisecond)
+	se.StopAccepting()
+}
+
+// A caller whose body is refused gets the answer though it still sends.
+func TestRefusedBody(t *testing.T) {
+	const bytes = 4 << 20
+	se, _ := startLimited(t, citronstream.ClientLimits{}, func(wr http.ResponseWriter, rq *http.Request) {
+		rq.Body.(interface{ Refuse() }).Refuse()
+		wr.Header().Set("Retry-After", "1")
+		wr.WriteHeader(http.StatusServiceUnavailable)
+	}, WithMemory(callermemory.New(clk, 1<<20)))
+	for _, sent := range []int{0, 1 << 10, 300 << 10, bytes} {
+		nc, br := dial(t, se)
+		var writing sync.WaitGroup
+		writing.Go(func() {
+			_, _ = fmt.Fprintf(nc, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", bytes, strings.Repeat("x", sent)) // may be cut
+		})
+		assertStatus(t, br, http.StatusServiceUnavailable)
+		_ = nc.Close()
+		writing.Wait()
+	}
+}
--- a/internal/ingress/server/server.go
+++ b/internal/ingress/server/server.go
@@ -48,17 +48,23 @@
 	listener *chanListener
 	http     *http.Server
 	serving  sync.WaitGroup
+	maxOpen  int // connections; 0 for no bound
+	began    time.Time
+	waiting  atomic.Int64 // since when a connection waits for room, in ns after began; 0 if none does
 }
 
 // New returns a server that does not listen yet.
-func New(clk citronstream.Clock, log logr.Logger, handler http.Handler) *Server {
-	se := &Server{log: log, clk: clk, handler: handler, done: make(chan struct{}), callers: newCallers(clk, citronstream.CallerLimits{
+func New(clk citronstream.Clock, log logr.Logger, handler http.Handler, opts ...Option) *Server {
+	se := &Server{log: log, clk: clk, handler: handler, began: clk.Now(), done: make(chan struct{}), callers: newCallers(clk, citronstream.CallerLimits{
 		HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 	})}
 	se.http = &http.Server{
 		Handler: http.HandlerFunc(se.serveHTTP), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: serverTimeout, IdleTimeout: serverTimeout,
 		ConnState: se.callers.observe, ConnContext: withCaller, ErrorLog: ErrorLog(log),
 	}
+	for _, opt := range opts {
+		opt(se)
+	}
 	return se
 }
 
@@ -113,21 +119,38 @@
 // end: without another one on its connection, the HTTP server closes that at once.
 func (se *Server) serveHTTP(wr http.ResponseWriter, rq *http.Request) {
 	cc, ok := rq.Context().Value(callerKey{}).(*callerConn)
-	if !ok || !rq.Close || rq.ContentLength == 0 {
+	if ok && cc.isOverdrawn() {
+		se.callers.hit(LimitMemory)
+		wr.Header().Set("Connection", "close")
+		wr.Header().Set("Retry-After", "1")
+		wr.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if !ok || rq.ContentLength == 0 {
 		se.handler.ServeHTTP(wr, rq)
 		return
 	}
-	read := &bodyReader{ReadCloser: rq.Body}
+	read := &bodyReader{ReadCloser: rq.Body, cc: cc}
 	rq = rq.WithContext(rq.Context())
 	rq.Body = read
 	se.handler.ServeHTTP(wr, rq)
-	cc.unread.Store(!read.ended)
+	cc.unread.Store(!read.ended && (rq.Close || read.refused))
 }
 
 // bodyReader notes the end of a body.
 type bodyReader struct {
 	io.ReadCloser
-	ended bool
+	cc             *callerConn
+	ended, refused bool
+}
+
+// Refuse makes the HTTP server answer without reading the rest of the body. What the
+// caller still sends is dropped after the answer.
+func (br *bodyReader) Refuse() {
+	if !br.ended {
+		br.refused = true
+		_ = br.cc.SetReadDeadline(past) // fails only on a closed connection
+	}
 }
 
 // Read implements io.Reader.
@@ -153,6 +176,10 @@
 			}
 			return
 		}
+		if !se.makeRoom() {
+			_ = nc.Close()
+			continue
+		}
 		se.handOver(se.callers.add(nc.(*net.TCPConn)))
 	}
 }
@@ -174,7 +201,11 @@
 	if se.ln == nil {
 		return 0
 	}
-	return se.ln.Short()
+	short := se.ln.Short()
+	if waiting := se.waiting.Load(); waiting > 0 {
+		short = max(short, se.clk.Since(se.began)-time.Duration(waiting))
+	}
+	return short
 }
 
 // CloseIdle closes the connections without a request, and returns how many are still
--- a/internal/limit/bodybudget/bodybudget.go
+++ b/internal/limit/bodybudget/bodybudget.go
@@ -6,12 +6,17 @@
 	"errors"
 	"io"
 	"sync"
+
+	"github.com/citronstream/citronstream/internal/limit/callermemory"
 )
 
 const (
 	// defaultTotal leaves the smallest machines, which have 184 MB, enough for the rest
 	// of the process and for the garbage of two collections.
 	defaultTotal = 32 << 20
+	// memoryShare is the inverse of the share that all bodies may have of the memory for
+	// callers.
+	memoryShare = 3
 	// freeBytes of each body do not count, so that large bodies do not crowd out small ones.
 	freeBytes = 32 << 10
 	minChunk  = 512
@@ -27,7 +32,8 @@
 
 // Budget is the memory for the bodies of all requests.
 type Budget struct {
-	total int
+	total  int
+	memory *callermemory.Account
 
 	mu   sync.Mutex
 	used int
@@ -39,6 +45,17 @@
 // WithTotal sets the bytes of all bodies together.
 func WithTotal(bytes int) Option { return func(bu *Budget) { bu.total = bytes } }
 
+// WithMemory also accounts the bodies, with all of their bytes, in the memory of the
+// process for its callers. If that is bounded, so is their part of it.
+func WithMemory(memory *callermemory.Account) Option {
+	return func(bu *Budget) {
+		bu.memory = memory
+		if total := memory.Total(); total > 0 {
+			bu.total = min(bu.total, total/memoryShare)
+		}
+	}
+}
+
 // New returns a Budget.
 func New(opts ...Option) *Budget {
 	bu := &Budget{total: defaultTotal}
@@ -77,6 +94,7 @@
 // Account counts the bodies of one request.
 type Account struct {
 	budget *Budget
+	memory *callermemory.Holder
 
 	mu   sync.Mutex
 	used int
@@ -84,7 +102,7 @@
 
 // Open returns an Account without bodies. The caller closes it when it no longer uses
 // any of its bodies.
-func (bu *Budget) Open() *Account { return &Account{budget: bu} }
+func (bu *Budget) Open() *Account { return &Account{budget: bu, memory: bu.memory.Open()} }
 
 // Close gives back the memory of all bodies.
 func (ac *Account) Close() {
@@ -92,6 +110,7 @@
 	defer ac.mu.Unlock()
 	ac.budget.giveBack(ac.used)
 	ac.used = 0
+	ac.memory.Close()
 }
 
 // Read reads a whole body of at most limit bytes. Its error is ErrFull, ErrTooLarge or that
@@ -104,6 +123,11 @@
 			err = ErrFull
 			break
 		}
+		if !ac.memory.Take(grow, callermemory.Answer) {
+			ac.budget.giveBack(max(0, size+grow-freeBytes) - max(0, size-freeBytes))
+			err = ErrFull
+			break
+		}
 		size += grow
 		var chunk []byte
 		chunk, err = fill(rd, make([]byte, grow))
@@ -118,6 +142,7 @@
 	counted := max(0, size-freeBytes)
 	if !errors.Is(err, io.EOF) {
 		ac.budget.giveBack(counted)
+		ac.memory.Give(size)
 		return nil, err
 	}
 	ac.mu.Lock()
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/citronstream/citronstream/internal/ingress/flow"
 	"github.com/citronstream/citronstream/internal/ingress/server"
 	"github.com/citronstream/citronstream/internal/kernel/acceptor"
+	"github.com/citronstream/citronstream/internal/limit/callermemory"
 	"github.com/citronstream/citronstream/internal/limit/deathdetect"
 	"github.com/citronstream/citronstream/internal/limit/firstattempt"
 	"github.com/citronstream/citronstream/internal/limit/partquarantine"
@@ -83,6 +84,8 @@
 	budget        *siteretrybudget.Budget
 	meter         *requests.Meter
 	flow          *flow.Flow
+	memory        *callermemory.Account // nil if the settings state no memory
+	limits        *limitCounts
 	callerServer  *server.Server
 	readyServer   *http.Server
 	metricsServer *http.Server
@@ -131,12 +134,18 @@
 	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, batch.New(clk, log, ga.pool), owned,
 		broker.WithCapacity(site.Cores*site.LinkRate), broker.WithHeld(ga.wakeup.Held))
 	ga.budget = siteretrybudget.New(clk, site.Bounds, ga.mesh.LiveCount)
+	ga.limits = newLimitCounts(clk, log)
+	clients := clientLimits(site)
+	if clients.Memory > 0 {
+		ga.memory = callermemory.New(clk, clients.Memory)
+	}
 	ga.flow = flow.New(clk, log, flow.Dependencies{
 		Zone: site.Zone, ListingTTL: ga.listingTTL(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
 		Budget: ga.budget, Holds: ga.holds, Parts: ga.parts, Refused: ga.refusals, Deaths: ga.deaths, Observe: ga.meter.Observe,
 		Suspended: suspended, Pass: ga.wakeup.Pass,
+		Memory: ga.memory, BodyStall: clients.BodyStall, ReadStall: clients.ReadStall, MaxUpstream: maxUpstream(site), OnLimit: ga.limits.hit,
 	})
-	ga.callerServer = server.New(clk, log, ga.flow)
+	ga.callerServer = server.New(clk, log, ga.flow, server.WithMemory(ga.memory), server.WithClientLimits(clients), server.WithOnLimit(ga.limits.hit))
 	return ga, nil
 }
 
--- /dev/null
+++ b/internal/process/gateway/limits.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"cmp"
+	"sync"
+	"time"
+
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/ingress/flow"
+	"github.com/citronstream/citronstream/internal/ingress/server"
+	"github.com/go-logr/logr"
+)
+
+const (
+	// ownMemory is what a gateway holds without callers: the program and its runtime,
+	// configuration, links and idle connections (28 to 34 MB resident).
+	ownMemory = 40 << 20
+	// memoryFactor is the resident memory for each byte that callers hold: the heap grows by
+	// half between two collections, and parts of it are free but not given back.
+	memoryFactor = 2
+	// minCallerMemory serves one body of 4 MB and its answer.
+	minCallerMemory = 16 << 20
+	// outsideHeap is resident memory that the runtime's own limit does not count: pages of
+	// the program.
+	outsideHeap = 20 << 20
+	// fileDescriptors are reserved for files by the platform.
+	fileDescriptors = 200
+	// One of otherShare descriptors is kept for the store, other gateways and upstreams: 718
+	// of the 2,875 on the smallest instances, where 100 gateways and 160 engines need about
+	// 500. At least minOther of them are.
+	otherShare = 4
+	minOther   = 40
+	// upstreamShare is the part of these, in percent, that requests may use at the same time.
+	upstreamShare = 60
+	// defaultBodyStall and defaultReadStall are twice the idle timeout of 15 s, within
+	// which callers send again.
+	defaultBodyStall = 30 * time.Second
+	defaultReadStall = 30 * time.Second
+	// limitLogInterval is the least time between two log lines about one limit.
+	limitLogInterval = time.Minute
+)
+
+// clientLimits returns the limits on callers. Memory and Connections are 0, for no bound,
+// if the settings do not state those of the process.
+func clientLimits(site *citronstream.Site) citronstream.ClientLimits {
+	li := site.Clients
+	if li.Memory == 0 && site.Memory > 0 {
+		li.Memory = max(minCallerMemory, (site.Memory-ownMemory)/memoryFactor)
+	}
+	if sockets := site.Descriptors - fileDescriptors; li.Connections == 0 && site.Descriptors > 0 {
+		li.Connections = max(1, sockets-max(minOther, sockets/otherShare))
+	}
+	li.BodyStall, li.ReadStall = cmp.Or(li.BodyStall, defaultBodyStall), cmp.Or(li.ReadStall, defaultReadStall)
+	return li
+}
+
+// maxUpstream returns how many connections to upstreams requests may use at the same time,
+// 0 for no bound.
+func maxUpstream(site *citronstream.Site) int {
+	if site.Descriptors == 0 {
+		return 0
+	}
+	return max(1, (site.Descriptors-fileDescriptors-clientLimits(site).Connections)*upstreamShare/100)
+}
+
+// MemoryLimit returns the limit of the runtime's memory for a site, 0 for none.
+func MemoryLimit(site *citronstream.Site) int64 {
+	if site.Memory == 0 {
+		return 0
+	}
+	return int64(max(site.Memory/2, site.Memory-outsideHeap))
+}
+
+// limitCounts counts how often each limit took effect.
+type limitCounts struct {
+	clk citronstream.Clock
+	log logr.Logger
+
+	mu     sync.Mutex
+	counts map[string]uint64
+	logged map[string]time.Time
+}
+
+// limitNames are the limits on callers, as the server and the flow name them.
+var limitNames = []string{
+	server.LimitHeaderBytes, server.LimitHeaderLines, server.LimitHeaderLine, server.LimitMemory, server.LimitConnections,
+	flow.LimitBodyBytes, flow.LimitMemory, flow.LimitBodyStall, flow.LimitReadStall, flow.LimitUpstream,
+}
+
+func newLimitCounts(clk citronstream.Clock, log logr.Logger) *limitCounts {
+	return &limitCounts{clk: clk, log: log, counts: make(map[string]uint64), logged: make(map[string]time.Time)}
+}
+
+// hit counts a limit that took effect, and logs it at most once a minute.
+func (lc *limitCounts) hit(limit string) {
+	lc.mu.Lock()
+	defer lc.mu.Unlock()
+	lc.counts[limit]++
+	now := lc.clk.Now()
+	if last, ok := lc.logged[limit]; ok && now.Sub(last) < limitLogInterval {
+		return
+	}
+	lc.logged[limit] = now
+	lc.log.Info("caller refused by a limit", "limit", limit, "so far", lc.counts[limit])
+}
+
+func (lc *limitCounts) count(limit string) uint64 {
+	lc.mu.Lock()
+	defer lc.mu.Unlock()
+	return lc.counts[limit]
+}
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -30,6 +30,14 @@
 	gauge("citronstream_site_entries", "Entries that take part, this one included.", func() float64 { return float64(ga.mesh.LiveCount()) })
 	gauge("citronstream_site_in_flight", "Requests that were read and not answered.", func() float64 { return float64(ga.flow.InFlight()) })
 	counter("citronstream_site_panics_total", "Requests that ended by a panic.", func() float64 { return float64(ga.flow.Panics()) })
+	for _, limit := range limitNames {
+		reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "citronstream_site_caller_limits_total", Help: "Callers that were refused, cut or had to wait by a limit.", ConstLabels: prometheus.Labels{"limit": limit},
+		}, func() float64 { return float64(ga.limits.count(limit)) }))
+	}
+	gauge("citronstream_site_caller_memory_bytes", "Memory that is held for callers; 0 if it is not bounded.", func() float64 { return float64(ga.memory.Used()) })
+	gauge("citronstream_site_caller_memory_limit_bytes", "Memory that may be held for callers; 0 if it is not bounded.", func() float64 { return float64(ga.memory.Total()) })
+	gauge("citronstream_site_caller_connections", "Open connections of callers.", func() float64 { return float64(ga.callerServer.Open()) })
 	counter("citronstream_site_accept_failures_total", "Accepts that failed for lack of descriptors or memory, at all listeners.", func() float64 {
 		count := uint64(0)
 		for _, li := range ga.listeners {
--- a/internal/upstream/batch/batch.go
+++ b/internal/upstream/batch/batch.go
@@ -156,7 +156,7 @@
 // batch after it. The connection of such an answer is closed.
 func (ca *Caller) call(ctx context.Context, nd *node.Node, method, path string, body []byte, check func(answer []byte) (reuse bool, err error)) (status int, refused bool, err error) {
 	ans, err := ca.pool.Send(ctx, nd.Address, &conns.Request{
-		Method: method, Target: path, Host: nd.Address, Header: platform.BatchHeader(nd.ID), Body: body,
+		Method: method, Target: path, Host: nd.Address, Header: platform.BatchHeader(nd.ID), Body: [][]byte{body},
 		Parse: platform.ParseAnswer,
 	})
 	if err != nil {
--- a/internal/upstream/conns/conns_test.go
+++ b/internal/upstream/conns/conns_test.go
@@ -281,7 +281,7 @@
 	po := newPool()
 	defer po.Close()
 	rq := newRequest("1")
-	rq.Body = []byte(strings.Repeat("x", 16<<20))
+	rq.Body = [][]byte{[]byte(strings.Repeat("x", 16<<20))}
 	ans, err := po.Send(context.Background(), address, rq)
 	require.NoError(t, err)
 	body, err := io.ReadAll(ans)
--- a/internal/upstream/conns/send.go
+++ b/internal/upstream/conns/send.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/citronstream/citronstream"
@@ -45,7 +47,8 @@
 	Target string // path and query as the caller sent them
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is the body in one or more chunks.
+	Body [][]byte
 	// ID is the identifier that the answer repeats, or empty if it repeats none.
 	ID string
 	// Fresh sends on a new connection. It is set if a request with this ID was sent to
@@ -83,7 +86,7 @@
 // *citronstream.Fault: NotRun if no byte was sent, else MayHaveRun. When ctx
 // ends, the connection is reset and reads of the body fail.
 func (po *Pool) Send(ctx context.Context, address string, rq *Request) (*Answer, error) {
-	raw, err := rq.encode()
+	raw, whole, err := rq.encode()
 	if err != nil {
 		return nil, citronstream.NewFault(citronstream.NotRun, citronstream.CodeBadRequest, "request: %v", err)
 	}
@@ -93,7 +96,7 @@
 		if err != nil {
 			return nil, fault(ctx, citronstream.NotRun, err)
 		}
-		ans, sent, err := po.roundTrip(ctx, ke, co, rq, raw)
+		ans, sent, err := po.roundTrip(ctx, ke, co, rq, raw, whole)
 		if err == nil {
 			return ans, nil
 		}
@@ -109,24 +112,68 @@
 	}
 }
 
-func (rq *Request) encode() ([]byte, error) {
-	var buf bytes.Buffer
+// encode returns the head of a request, with its body if both are short.
+func (rq *Request) encode() (raw []byte, whole bool, err error) {
+	length := rq.length()
+	whole = length <= maxInlineWrite
 	req := &http.Request{
 		Method: rq.Method, URL: &url.URL{Opaque: rq.Target}, Host: rq.Host, Header: rq.Header,
-		ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(rq.Body)), Body: http.NoBody,
+		ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(length), Body: http.NoBody,
 	}
-	if len(rq.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(rq.Body))
+	var buf bytes.Buffer
+	var stop headOnly
+	switch {
+	case !whole:
+		req.Body = &stop
+	case length > 0:
+		body := net.Buffers(slices.Clone(rq.Body))
+		req.Body = io.NopCloser(&body)
 	}
-	err := req.Write(&buf)
-	return buf.Bytes(), err
+	if err = req.Write(&buf); stop {
+		err = nil
+	}
+	return buf.Bytes(), whole, err
+}
+
+// length returns the bytes of the body.
+func (rq *Request) length() (length int) {
+	for _, chunk := range rq.Body {
+		length += len(chunk)
+	}
+	return length
+}
+
+// headOnly is a body that ends the writing of a request after its head, as a copy of a
+// large body would double its memory. It is true once that has happened.
+type headOnly bool
+
+// Read implements io.Reader.
+func (ho *headOnly) Read([]byte) (int, error) {
+	*ho = true
+	return 0, errHeadWritten
+}
+
+// Close implements io.Closer.
+func (ho *headOnly) Close() error { return nil }
+
+var errHeadWritten = errors.New("the head is written")
+
+// write writes the head of a request and its body, unless that is in raw.
+func (rq *Request) write(co *conn, raw []byte, whole bool) (count int, err error) {
+	if count, err = co.Write(raw); whole {
+		return count, err
+	}
+	for i := 0; err == nil && i < len(rq.Body); i++ {
+		_, err = co.Write(rq.Body[i])
+	}
+	return count, err
 }
 
-func (po *Pool) roundTrip(ctx context.Context, ke key, co *conn, rq *Request, raw []byte) (ans *Answer, sent bool, err error) {
+func (po *Pool) roundTrip(ctx context.Context, ke key, co *conn, rq *Request, raw []byte, whole bool) (ans *Answer, sent bool, err error) {
 	stop := context.AfterFunc(ctx, co.reset)
 	var written chan error
-	if len(raw) <= maxInlineWrite {
-		if count, err := co.Write(raw); err != nil {
+	if whole && len(raw) <= maxInlineWrite {
+		if count, err := rq.write(co, raw, whole); err != nil {
 			stop()
 			return nil, count > 0, err
 		}
@@ -134,7 +181,7 @@
 	} else {
 		written = make(chan error, 1)
 		go func() {
-			_, err := co.Write(raw)
+			_, err := rq.write(co, raw, whole)
 			if err == nil {
 				rq.reportWritten()
 			}
