gateway: bounds for slow bodies at the cap of connections, refused heads, prompt parts

Bodies that bring a byte every 1.9 s never count as stalled and hold all connections for 30 s. A refused head's response waits without bound for a caller that reads nothing. Dropping what refused callers still send took buffers of 8 KB each that were not counted. A header of 16 KB can name 4,000 prompt parts, which were not counted.

Change: at the cap of connections slow bodies give up after stalled ones. Writes of refused heads have 1 s, what net/http answers itself has read-stall-ms. Lingering connections read into 2 KB of their own. Parsed prompt parts count 64 bytes each. A request that is refused for memory closes its connection, so that an abort under way meets no later request on it.

Measured: tests of ingress, limit/callermemory and platform pass, and those of process/gateway on limits, bodies, stops and panics.

--- a/internal/ingress/flow/admit.go
+++ b/internal/ingress/flow/admit.go
@@ -23,6 +23,9 @@
 		rt.CallerRequest = &citronstream.CallerRequest{}
 		return rt.reject(http.StatusBadRequest, err.Error()), false
 	}
+	if !rt.takeParsed() {
+		return rt.refuseMemory(errNoMemory), false
+	}
 	if rt.fl.closed() {
 		return rt.refuseLeaving("this process is shutting down"), false
 	}
--- a/internal/ingress/flow/body.go
+++ b/internal/ingress/flow/body.go
@@ -19,6 +19,9 @@
 	maxChunk = 64 << 10
 	// stallBytes is what a body brings at least within each time of Dependencies.BodyStall.
 	stallBytes = 1 << 10
+	// partBytes is what a parsed prompt part or count of pieces takes: itself, in a slice
+	// that has grown, and in what is made of it for the choice of an engine.
+	partBytes = 64
 	// shedWait is how long a body waits for memory that others were told to give back.
 	shedWait = 250 * time.Millisecond
 )
@@ -34,7 +37,7 @@
 
 var (
 	errTooLong  = errors.New("the body exceeds the size limit")
-	errNoMemory = errors.New("no memory is left for the body")
+	errNoMemory = errors.New("no memory is left for the request")
 	errStalling = errors.New("the body has stalled")
 )
 
@@ -85,8 +88,7 @@
 		rt.fl.OnLimit(LimitBodyBytes)
 		return rt.reject(http.StatusRequestEntityTooLarge, errTooLong.Error())
 	case errors.Is(err, errNoMemory):
-		rt.fl.OnLimit(LimitMemory)
-		return rt.respond(http.StatusServiceUnavailable, defaultRetryAfter, citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "%s", err))
+		return rt.refuseMemory(err)
 	case errors.Is(err, errStalling):
 		rt.fl.OnLimit(LimitBodyStall)
 		return rt.reject(http.StatusRequestTimeout, err.Error())
@@ -94,6 +96,20 @@
 	return outcome{reason: callerLeft, fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeCanceled, "body incomplete: %v", err), abort: true}
 }
 
+// refuseMemory refuses a request for which there is no memory.
+func (rt *request) refuseMemory(err error) outcome {
+	rt.fl.OnLimit(LimitMemory)
+	// abortBody may be under way, and make reads of a later request fail.
+	rt.wr.Header().Set("Connection", "close")
+	return rt.respond(http.StatusServiceUnavailable, defaultRetryAfter, citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "%s", err))
+}
+
+// takeParsed reserves the memory of what was parsed from the header, whose shortest prompt
+// parts have 4 bytes. It was allocated by then, but is refused before it is kept.
+func (rt *request) takeParsed() bool {
+	return rt.fl.Memory.Wait(rt.memory, (len(rt.Prompt)+len(rt.Pieces))*partBytes, callermemory.Request, shedWait)
+}
+
 // readChunks reads the body. Memory for a chunk is reserved before it is allocated.
 func (rt *request) readChunks(limit int) error {
 	reader := io.Reader(rt.rq.Body)
@@ -161,10 +177,9 @@
 // time of Dependencies.ReadStall for each chunk.
 func (rt *request) writeChunks(body [][]byte) error {
 	control := http.NewResponseController(rt.wr)
+	rt.allowWrite()
 	for _, chunk := range body {
-		if rt.memory != nil {
-			_ = control.SetWriteDeadline(rt.fl.clk.Now().Add(rt.fl.ReadStall)) // fails only on a closed connection
-		}
+		rt.allowWrite()
 		if _, err := rt.wr.Write(chunk); err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				rt.fl.OnLimit(LimitReadStall)
@@ -175,7 +190,12 @@
 	if rt.memory == nil {
 		return nil
 	}
-	err := control.Flush()
-	_ = control.SetWriteDeadline(time.Time{}) // fails only on a closed connection
-	return err
+	return control.Flush()
+}
+
+// allowWrite sets the time by which the next write must end.
+func (rt *request) allowWrite() {
+	if rt.memory != nil {
+		_ = http.NewResponseController(rt.wr).SetWriteDeadline(rt.fl.clk.Now().Add(rt.fl.ReadStall)) // fails only on a closed connection
+	}
 }
--- a/internal/ingress/flow/respond.go
+++ b/internal/ingress/flow/respond.go
@@ -58,9 +58,7 @@
 		rt.fl.log.Error(err, "encoding a fault failed, response has no body", "request", rt.ID)
 	}
 	rt.started = true
-	if rt.memory != nil {
-		_ = http.NewResponseController(rt.wr).SetWriteDeadline(rt.fl.clk.Now().Add(rt.fl.ReadStall)) // fails only on a closed connection
-	}
+	rt.allowWrite()
 	rt.wr.WriteHeader(status)
 	if _, err := rt.wr.Write(body); err != nil {
 		return outcome{status: status, reason: callerLeft, fault: fa, abort: true}
--- a/internal/ingress/server/callers.go
+++ b/internal/ingress/server/callers.go
@@ -26,8 +26,12 @@
 	headSlack = 4 << 10
 	// lingerTime and lingerBytes bound what is read and dropped of a request whose response
 	// is complete.
-	lingerTime  = 2 * time.Second
-	lingerBytes = 16 << 20
+	lingerTime   = 2 * time.Second
+	lingerBytes  = 16 << 20
+	lingerBuffer = 2 << 10
+	// refusalTime bounds the write of a refused head's response: the caller may not have
+	// read those before.
+	refusalTime = time.Second
 )
 
 // past is a deadline that has passed.
@@ -233,6 +237,7 @@
 	if status == unavailable {
 		more = "Retry-After: 1\r\n"
 	}
+	_ = cc.SetWriteDeadline(cc.callers.clk.Now().Add(refusalTime)) // fails only on a closed connection
 	_, err := io.WriteString(cc.TCPConn, "HTTP/1.1 "+status+"\r\nContent-Type: text/plain; charset=utf-8\r\n"+more+"Connection: close\r\n\r\n"+status)
 	if err == nil {
 		_ = cc.CloseWrite() // fails only on a closed connection
@@ -355,7 +360,14 @@
 	}
 	timer := cc.callers.clk.AfterFunc(lingerTime, func() { _ = cc.TCPConn.SetReadDeadline(past) }) // fails only on a closed connection
 	defer timer.Stop()
-	_, _ = io.CopyN(io.Discard, cc.TCPConn, lingerBytes) // the response is complete whatever the caller sends
+	// A buffer of its own: those of io.Discard have 8 KB and stay in a pool.
+	buf := make([]byte, lingerBuffer)
+	for left := lingerBytes; left > 0; {
+		count, err := cc.TCPConn.Read(buf)
+		if left -= count; err != nil {
+			break // the response is complete whatever the caller sends
+		}
+	}
 	return nil
 }
 
--- a/internal/ingress/server/room.go
+++ b/internal/ingress/server/room.go
@@ -38,6 +38,9 @@
 func WithClientLimits(limits citronstream.ClientLimits) Option {
 	return func(se *Server) {
 		se.maxOpen, se.callers.lines, se.callers.line = limits.Connections, limits.HeaderLines, limits.HeaderLineBytes
+		// Handlers set a deadline of their own before they write. This one is for what the
+		// HTTP server itself answers.
+		se.http.WriteTimeout = limits.ReadStall
 	}
 }
 
@@ -54,7 +57,7 @@
 }
 
 // makeRoom waits until there is room for another connection, for which the longest idle
-// one is closed, else the one that has lingered longest, else one with a stalled body. It
+// one is closed, else the one that has lingered longest, else one with a stalled or slow body. It
 // returns false when the server stops.
 func (se *Server) makeRoom() bool {
 	for first := true; !se.stopping.Load(); first = false {
@@ -73,7 +76,7 @@
 			se.waiting.Store(max(1, int64(se.clk.Since(se.began))))
 		}
 		if !se.callers.closeOne() {
-			se.callers.memory.ShedStalled()
+			se.callers.memory.ShedSlow()
 		}
 		select {
 		case <-se.callers.gone:
--- a/internal/limit/callermemory/callermemory.go
+++ b/internal/limit/callermemory/callermemory.go
@@ -247,14 +247,14 @@
 	return ok
 }
 
-// ShedStalled tells the body that has stalled for longest to give up, for the sake of its
-// connection, and reports whether there is one.
-func (ac *Account) ShedStalled() bool {
+// ShedSlow tells the body that has stalled for longest to give up, else the slowest one of
+// those that are slow, for the sake of its connection. It reports whether there is one.
+func (ac *Account) ShedSlow() bool {
 	if ac == nil {
 		return false
 	}
 	ac.mu.Lock()
-	victim := ac.stalled()
+	victim := ac.slow(nil)
 	if victim == nil {
 		ac.mu.Unlock()
 		return false
@@ -276,18 +276,9 @@
 // stalled for longest, else the slowest one of those that are slow, else the largest one
 // of the workspace that holds most, unless that is the holder's own.
 func (ac *Account) victim(ho *Holder) *Holder {
-	if victim := ac.stalled(); victim != nil {
+	if victim := ac.slow(ho); victim != nil {
 		return victim
 	}
-	now := ac.clk.Now()
-	slowest := ac.least(func(other *Holder) (float64, bool) {
-		age := now.Sub(other.began)
-		rate := float64(other.arrived) / max(age, time.Millisecond).Seconds()
-		return rate, other != ho && age >= rateTime && rate < slowRate
-	})
-	if slowest != nil {
-		return slowest
-	}
 	most := ""
 	for workspace, held := range ac.held {
 		if cmp.Or(cmp.Compare(held, ac.held[most]), cmp.Compare(workspace, most)) > 0 {
@@ -302,11 +293,20 @@
 	})
 }
 
-// stalled returns the body that has stalled for longest, nil if there is none.
-func (ac *Account) stalled() *Holder {
+// slow returns the body that has stalled for longest, else the slowest one of those that
+// are slow, except that of ho; nil if there is none.
+func (ac *Account) slow(ho *Holder) *Holder {
 	now := ac.clk.Now()
+	stalled := ac.least(func(other *Holder) (float64, bool) {
+		return float64(other.progress.Sub(now)), other != ho && now.Sub(other.progress) >= stallTime
+	})
+	if stalled != nil {
+		return stalled
+	}
 	return ac.least(func(other *Holder) (float64, bool) {
-		return float64(other.progress.Sub(now)), now.Sub(other.progress) >= stallTime
+		age := now.Sub(other.began)
+		rate := float64(other.arrived) / max(age, time.Millisecond).Seconds()
+		return rate, other != ho && age >= rateTime && rate < slowRate
 	})
 }
 
--- a/internal/limit/callermemory/callermemory_test.go
+++ b/internal/limit/callermemory/callermemory_test.go
@@ -118,7 +118,7 @@
 	ac.body("whole", "w", large).Done()
 	ac.clk.Advance(time.Hour)
 	assert.False(t, ac.body("newcomer", "n", 0).Shed(2*smallBytes, Request))
-	assert.False(t, ac.ShedStalled())
+	assert.False(t, ac.ShedSlow())
 	assert.Empty(t, ac.shed)
 }
 
@@ -132,7 +132,7 @@
 	ho.Give(1)
 	ho.Close()
 	assert.Zero(t, none.Used()+none.Total())
-	assert.False(t, none.ShedStalled())
+	assert.False(t, none.ShedSlow())
 }
 
 // Guards against sums that drift: whatever happens, nothing is left in the end, and the
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -40,8 +40,8 @@
 	limitLogInterval = time.Minute
 )
 
-// clientLimits returns the limits on callers. Memory and Connections are 0, for no bound,
-// if the settings do not state those of the process.
+// clientLimits returns the limits on callers. Memory with the times, and Connections are 0,
+// for no bound, if the settings do not state those of the process.
 func clientLimits(site *citronstream.Site) citronstream.ClientLimits {
 	li := site.Clients
 	if li.Memory == 0 && site.Memory > 0 {
@@ -50,6 +50,10 @@
 	if sockets := site.Descriptors - fileDescriptors; li.Connections == 0 && site.Descriptors > 0 {
 		li.Connections = max(1, sockets-max(minOther, sockets/otherShare))
 	}
+	if li.Memory == 0 {
+		li.BodyStall, li.ReadStall = 0, 0
+		return li
+	}
 	li.BodyStall, li.ReadStall = cmp.Or(li.BodyStall, defaultBodyStall), cmp.Or(li.ReadStall, defaultReadStall)
 	return li
 }
--- a/internal/process/gateway/limits_test.go
+++ b/internal/process/gateway/limits_test.go
@@ -189,7 +189,7 @@
 		assert.Equal(t, of.connections, li.Connections)
 		assert.Equal(t, of.upstream, maxUpstream(si))
 		if of.memory == 0 {
-			assert.Zero(t, li.Memory)
+			assert.Zero(t, li)
 			assert.Zero(t, MemoryLimit(si))
 			continue
 		}
