agent, entry, operators: listeners go on after a shortage of descriptors

Cause: by reading. An agent's accept loop ends at any error, so that it takes no link again until a restart. nbhttp's loop, of callers and operators, goes on after EMFILE without a pause and takes a whole core meanwhile.

Change: all three accept through kernel/acceptor.

Measured: tests of agent/server, entry/server, operator/server, kernel/acceptor and process/daemon pass. The faults themselves were not shown by a test with processes.

--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -14,6 +14,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/agent/attempts"
+	"github.com/citronstream/citronstream/internal/kernel/acceptor"
 	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
@@ -128,7 +129,7 @@
 	if err != nil {
 		return merry.Prepend(err, "agent "+se.up.Name)
 	}
-	se.ln = ln
+	se.ln = acceptor.New(se.clk, se.log, ln)
 	se.ctx, se.cancel = context.WithCancel(ctx)
 	accepted := make(chan struct{})
 	go se.accept(accepted)
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -14,6 +14,7 @@
 	"github.com/citronstream/citronstream/internal/entry/catalog"
 	"github.com/citronstream/citronstream/internal/entry/pipeline"
 	"github.com/citronstream/citronstream/internal/kernel/httpengine"
+	"github.com/go-logr/logr"
 	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
@@ -109,7 +110,7 @@
 		ServerExecutor: se.execute,
 		KeepaliveTime:  se.limits.IdleTimeout.Std(),
 		Handler:        se.routes(),
-	}, httpengine.WithTLS(se.tls), httpengine.WithConnHooks(
+	}, httpengine.WithTLS(se.tls), httpengine.WithRetry(se.clk, logr.Discard()), httpengine.WithConnHooks(
 		func(co *nbio.Conn) { se.open.Store(co.RemoteAddr().String(), co) },
 		func(nc net.Conn) { se.open.Delete(nc.RemoteAddr().String()) },
 	))
--- a/internal/kernel/httpengine/httpengine.go
+++ b/internal/kernel/httpengine/httpengine.go
@@ -6,6 +6,9 @@
 	"runtime"
 	"sync/atomic"
 
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/kernel/acceptor"
+	"github.com/go-logr/logr"
 	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
@@ -15,6 +18,7 @@
 type Option func(*settings)
 
 type settings struct {
+	accept func(net.Listener) net.Listener
 	tls    *tls.Config
 	opened func(*nbio.Conn)
 	closed func(net.Conn)
@@ -23,6 +27,14 @@
 // WithTLS serves HTTPS. Nil serves HTTP.
 func WithTLS(config *tls.Config) Option { return func(se *settings) { se.tls = config } }
 
+// WithRetry goes on after accepts that failed for a while. nbhttp itself tries again
+// without a pause, which takes a whole core as long as the process has no descriptor left.
+func WithRetry(clk citronstream.Clock, log logr.Logger) Option {
+	return func(se *settings) {
+		se.accept = func(ln net.Listener) net.Listener { return acceptor.New(clk, log, ln) }
+	}
+}
+
 // WithConnHooks sets the callbacks for connections that open and for those that have closed.
 func WithConnHooks(opened func(*nbio.Conn), closed func(net.Conn)) Option {
 	return func(se *settings) { se.opened, se.closed = opened, closed }
@@ -31,7 +43,7 @@
 // Start listens at an address and serves it. It sets the network, the addresses,
 // the listener and TLS of the config itself.
 func Start(address string, config nbhttp.Config, opts ...Option) (*nbhttp.Engine, error) {
-	se := settings{opened: func(*nbio.Conn) {}, closed: func(net.Conn) {}}
+	se := settings{accept: func(ln net.Listener) net.Listener { return ln }, opened: func(*nbio.Conn) {}, closed: func(net.Conn) {}}
 	for _, opt := range opts {
 		opt(&se)
 	}
@@ -41,7 +53,7 @@
 		return nil, err
 	}
 	config.Network = "tcp"
-	config.Listen = func(string, string) (net.Listener, error) { return ln, nil }
+	config.Listen = func(string, string) (net.Listener, error) { return se.accept(ln), nil }
 	if se.tls != nil {
 		config.AddrsTLS, config.TLSConfig = []string{address}, se.tls
 	} else {
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -122,7 +122,7 @@
 		NPoller: 1, NListener: 1, MaxLoad: maxConnections,
 		ReadLimit: maxHeaderBytes + maxBodyBytes, MaxHTTPBodySize: maxBodyBytes,
 		MaxWriteBufferSize: maxUnsentBytes, ServerExecutor: se.execute, Handler: se.routes(),
-	}, httpengine.WithTLS(se.tls))
+	}, httpengine.WithTLS(se.tls), httpengine.WithRetry(se.clk, se.log))
 	if err != nil {
 		se.cancel()
 		se.pool.Stop()
