sitesoak: clients that do not behave as one more fault

Cause: the soak had only clients that behave.

Change: the fault sends 40 clients that stop short of the end of a head, a body, or a body in chunks of one byte or with trailers, or send nothing, and stay up to 2 s. Gateways have 144 MB and 3,075 descriptors in their settings; resident memory is checked at the end of a seed, and that no request without an end ran.

--- a/internal/proof/sitesoak/faults_test.go
+++ b/internal/proof/sitesoak/faults_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
+	"strings"
 	"syscall"
 	"time"
 
@@ -13,7 +16,7 @@
 	kinds := []func() string{
 		wo.killGateway, wo.terminateGateway, wo.pauseGateway, wo.reloadGateway,
 		wo.breakStore, wo.breakWayToStore, wo.breakWayToUpstream,
-		wo.breakUpstream, wo.drainUpstream, wo.changeConfiguration,
+		wo.breakUpstream, wo.drainUpstream, wo.changeConfiguration, wo.sendCrowd,
 	}
 	text := kinds[wo.rng.IntN(len(kinds))]()
 	wo.story = append(wo.story, clk.Now().Format("05.000")+" "+text)
@@ -157,6 +160,43 @@
 	return "configuration"
 }
 
+// crowd is the number of clients of one fault that do not behave.
+const crowd = 40
+
+// crowdID is the identifier of their requests, none of which ends.
+const crowdID = "crowd"
+
+// sendCrowd sends clients that stop short of the end of a head or body of legal size, and
+// stay for a while.
+func (wo *world) sendCrowd() string {
+	ga := wo.gateways[wo.rng.IntN(gateways)]
+	var head strings.Builder
+	_ = site.CallerHeader(crowdID).Write(&head)
+	begin := "POST /look/ HTTP/1.1\r\nHost: h\r\n" + head.String()
+	kinds := []struct{ name, text string }{
+		{"heads of short lines", begin + strings.Repeat("a:\r\n", 3000)},
+		{"bodies", begin + "Content-Length: 100000\r\n\r\n" + strings.Repeat("x", 99_999)},
+		{"chunks of one byte", begin + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nx\r\n", 50_000)},
+		{"trailers", begin + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" + strings.Repeat("t:\r\n", 900)},
+		{"nothing", ""},
+	}
+	kind := kinds[wo.rng.IntN(len(kinds))]
+	stay := wo.span(2 * time.Second)
+	for range crowd {
+		wo.faults.Go(func() {
+			nc, err := net.DialTimeout("tcp", ga.callers, time.Second)
+			if err != nil {
+				return // the gateway is down
+			}
+			defer func() { _ = nc.Close() }()
+			_ = nc.SetWriteDeadline(clk.Now().Add(stay))
+			_, _ = io.WriteString(nc, kind.text) // it may be refused
+			clk.Sleep(stay)
+		})
+	}
+	return fmt.Sprintf("%d clients of %s with %s", crowd, ga.name, kind.name)
+}
+
 // heal ends all faults.
 func (wo *world) heal() {
 	for _, way := range append(wo.ways, wo.stores...) {
--- a/internal/proof/sitesoak/process_test.go
+++ b/internal/proof/sitesoak/process_test.go
@@ -6,6 +6,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -17,6 +19,12 @@
 // grace is the time from SIGTERM to SIGKILL, as the settings say.
 const grace = 8 * time.Second
 
+// Memory and descriptors of a gateway, those of the smallest instances.
+const (
+	memoryMB    = 144
+	descriptors = 3075
+)
+
 // gateway is a process of the program under test, started anew when it ends.
 type gateway struct {
 	t       *testing.T
@@ -52,9 +60,9 @@
 			seed = ga.peers
 		}
 		settings := fmt.Sprintf(`{"node-name":%q,"ip":"127.0.0.1","zone":"z","listen":{"front":%q,"ready":%q,"control":%q},"seeds":[%q],
-			"heartbeat-interval-ms":500,"limits":{"cpu-share":1,"cpu-cores":1,"link-mbps":1000},
+			"heartbeat-interval-ms":500,"limits":{"cpu-share":1,"cpu-cores":1,"link-mbps":1000,"memory-mb":%d,"file-descriptors":%d},
 			"bounds":{"drain-ms":2000,"grace-period-s":8,"retry-budget-ratio":0.2,"budget-window-s":10,"retry-budget-extra":200},
-			"platform":{"address":%q}}`, name, ga.callers, ga.ready, ga.peers, seed, store)
+			"platform":{"address":%q}}`, name, ga.callers, ga.ready, ga.peers, seed, memoryMB, descriptors, store)
 		require.NoError(t, os.WriteFile(ga.settings(), []byte(settings), 0o600))
 		if ga.start(); ga.settles() {
 			return ga
@@ -117,6 +125,21 @@
 	ga.give()
 }
 
+// residentPeak returns the largest resident memory that the process has had, in bytes.
+func (ga *gateway) residentPeak() int {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", ga.cmd.Process.Pid))
+	require.NoError(ga.t, err)
+	for line := range strings.Lines(string(raw)) {
+		if text, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kilobytes, err := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(text), " kB"))
+			require.NoError(ga.t, err)
+			return kilobytes << 10
+		}
+	}
+	require.Fail(ga.t, "no VmHWM")
+	return 0
+}
+
 func (ga *gateway) signal(sig syscall.Signal) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
--- a/internal/proof/sitesoak/soak_test.go
+++ b/internal/proof/sitesoak/soak_test.go
@@ -163,6 +163,11 @@
 	group.Wait()
 	wo.check()
 	wo.recovered()
+	for _, ga := range wo.gateways {
+		peak := ga.residentPeak()
+		assert.LessOrEqual(t, peak, memoryMB*1_000_000, "resident memory of %s in bytes", ga.name)
+		t.Logf("%s: resident peak %.1f MB", ga.name, float64(peak)/1e6)
+	}
 	t.Logf("seed %d: %d requests, %d faults", seed, len(wo.tries), len(wo.story))
 	if t.Failed() {
 		dir, err := os.MkdirTemp("", fmt.Sprintf("sitesoak-%d-", seed))
@@ -286,6 +291,7 @@
 		if ar.ID == "" {
 			continue // batches have their requests' IDs within
 		}
+		assert.NotEqual(wo.t, crowdID, ar.ID, "a request without an end ran")
 		sent[ar.ID]++
 		if ar.Ran {
 			ran[ar.ID]++
