gateway: bounds for the readiness and metrics addresses

Cause: by reading. These addresses took any number of connections, with heads of 1 MB, so that clients that reach them could end the process by its memory.

Change: 64 connections each, heads of 16 KB, idle connections for 1 min, 10 s for an answer, if the settings state memory or descriptors.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -242,6 +242,9 @@
 	li := acceptor.New(ga.clk, ga.log, ln)
 	ga.listeners = append(ga.listeners, li)
 	hs := &http.Server{Handler: handler, ReadHeaderTimeout: ioTimeout, ErrorLog: server.ErrorLog(ga.log.WithValues("address", address))}
+	if ga.site.Memory > 0 || ga.site.Descriptors > 0 {
+		boundServer(hs)
+	}
 	ga.runInBackground(func(context.Context) {
 		if err := hs.Serve(li); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			ga.log.Error(err, "server ended", "address", address)
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -2,7 +2,10 @@
 
 import (
 	"cmp"
+	"net"
+	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/citronstream/citronstream"
@@ -75,6 +78,32 @@
 	return int64(max(site.Memory/2, site.Memory-outsideHeap))
 }
 
+// Limits of the readiness and metrics addresses. The platform's checks and scrapes use one
+// or two connections.
+const (
+	serviceConns      = 64
+	serviceHeadBytes  = 12 << 10 // net/http adds 4 KB
+	serviceIdleTime   = time.Minute
+	serviceAnswerTime = 10 * time.Second
+)
+
+// boundServer bounds what the clients of a server other than that for callers may hold.
+func boundServer(hs *http.Server) {
+	hs.MaxHeaderBytes, hs.IdleTimeout, hs.WriteTimeout = serviceHeadBytes, serviceIdleTime, serviceAnswerTime
+	var open atomic.Int64
+	hs.ConnState = func(nc net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			if open.Add(1) > serviceConns {
+				_ = nc.Close() // the server then calls this function again
+			}
+		case http.StateClosed, http.StateHijacked:
+			open.Add(-1)
+		case http.StateActive, http.StateIdle:
+		}
+	}
+}
+
 // limitCounts counts how often each limit took effect.
 type limitCounts struct {
 	clk citronstream.Clock
--- a/internal/process/gateway/limits_test.go
+++ b/internal/process/gateway/limits_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -179,6 +181,45 @@
 	ts.waitFor(func() bool { return ga.memory.Used() == 0 }, "memory is not given back")
 }
 
+// Guards against connections to the readiness address that take all descriptors, and heads
+// that take the memory.
+func TestServiceAddressesAreBounded(t *testing.T) {
+	ts, ga := limitedSite(t, nil)
+	closed := func(nc net.Conn) bool {
+		require.NoError(t, nc.SetReadDeadline(ts.clk.Now().Add(testWait)))
+		_, err := nc.Read(make([]byte, 1))
+		return err == io.EOF || errors.Is(err, syscall.ECONNRESET)
+	}
+	var conns []net.Conn
+	for range serviceConns + 1 {
+		nc, err := net.Dial("tcp", ga.site.Ready)
+		require.NoError(t, err)
+		defer func() { _ = nc.Close() }()
+		conns = append(conns, nc)
+	}
+	assert.True(t, closed(conns[serviceConns]), "the last one is closed at once")
+	for _, nc := range conns {
+		_ = nc.Close()
+	}
+	ready := func(more string) (answer string) {
+		ts.waitFor(func() bool {
+			nc, err := net.Dial("tcp", ga.site.Ready)
+			require.NoError(t, err)
+			defer func() { _ = nc.Close() }()
+			_, _ = io.WriteString(nc, "GET /readiness HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"+more+"\r\n") // may be refused
+			raw, _ := io.ReadAll(nc)
+			answer = string(raw)
+			return len(raw) > 0
+		}, "no answer")
+		return answer
+	}
+	assert.Contains(t, ready(""), "HTTP/1.1 200 ")
+	assert.Contains(t, ready(strings.Repeat("a:\r\n", 8<<10)), "HTTP/1.1 431 ")
+}
+
+// testWait bounds waits.
+const testWait = 10 * time.Second
+
 // Guards against defaults that do not fit the instances of docs/plan.md.
 func TestDefaultLimits(t *testing.T) {
 	for _, of := range []struct{ memory, descriptors, connections, upstream int }{
