--- a/internal/ingress/flow/respond.go
+++ b/internal/ingress/flow/respond.go
@@ -58,6 +58,7 @@
 		rt.fl.log.Error(err, "encoding a fault failed, response has no body", "request", rt.ID)
 	}
 	rt.started = true
+	rt.allowWrite()
 	rt.wr.WriteHeader(status)
 	if _, err := rt.wr.Write(body); err != nil {
 		return outcome{status: status, reason: callerLeft, fault: fa, abort: true}
