stage/owner: a job stays in its zone while an upstream there begins in time

Cause: a job with large results left its zone as soon as it had less than one and a half batches of time left, which urgent kinds have from the begin, though an upstream of its zone would have been free in time. Change: it must also begin in its zone later than it should, by the batches that run there and the pieces before it, and later than 60 ms from now.

--- a/internal/stage/owner/dispatch.go
+++ b/internal/stage/owner/dispatch.go
@@ -165,35 +165,13 @@
 
 // allowed reports whether an upstream may take a job that waits. Pieces of an overdue
 // call go to any other upstream, of any zone.
-func (ow *Owner) allowed(sv *server, jb *job, zones map[string]bool, now time.Time) bool {
+func (ow *Owner) allowed(sv *server, jb *job, zones map[string]*zone, now time.Time) bool {
 	if slices.ContainsFunc(jb.pending, jb.running) {
 		return !jb.occupies(sv, jb.pending)
 	}
 	return ow.zoneAllowed(sv, jb, zones, now)
 }
 
-// zoneAllowed reports whether an upstream may take a job in view of their zones.
-// Large results cross zones only for a request that would miss its target if it
-// waited for a batch in its zone to end.
-func (ow *Owner) zoneAllowed(sv *server, jb *job, zones map[string]bool, now time.Time) bool {
-	if jb.Zone == "" || sv.Zone == jb.Zone || jb.CrossZoneBytes < freeCrossBytes || !zones[jb.Zone] {
-		return true
-	}
-	left := jb.Last.Add(jb.Margin).Sub(now)
-	return left < 3*expected(&ow.spec, ow.spec.Items)/2 && !jb.Late(now)
-}
-
-// zones returns the zones that have an upstream that is not avoided.
-func (ow *Owner) zones(now time.Time) map[string]bool {
-	zones := make(map[string]bool)
-	for _, sv := range ow.list {
-		if !sv.Avoided(now) {
-			zones[sv.Zone] = true
-		}
-	}
-	return zones
-}
-
 // preferred reports whether a is better than b for the first job of a batch.
 func (ow *Owner) preferred(a, b *server, jb *job, now time.Time) bool {
 	if paceA, paceB := ow.paceNow(a, now), ow.paceNow(b, now); paceA > slowPace*paceB || paceB > slowPace*paceA {
@@ -218,7 +196,7 @@
 
 // fill selects the pieces of an upstream's batch in the order of the jobs, with
 // a preference of zoneDelay for jobs of its zone.
-func (ow *Owner) fill(sv *server, zones map[string]bool, bl *backlog, now time.Time) []batchPart {
+func (ow *Owner) fill(sv *server, zones map[string]*zone, bl *backlog, now time.Time) []batchPart {
 	var batch []batchPart
 	items, bytes, ahead := 0, 0, 0
 	for jb := range ow.inOrder(sv, now) {
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -110,6 +110,7 @@
 	lasting    lasting
 	lastActive time.Time // when a job was last submitted or ended
 	held       func() bool
+	leaves     func(zo *zone, jb *job, now time.Time) bool // leavesZone; replays compare others
 }
 
 // Option configures an Owner.
@@ -126,6 +127,7 @@
 	at         time.Time
 	pending    []int // indexes in Pieces that wait
 	remaining  int   // pieces without a result
+	zoneAhead  int   // pieces that wait for its zone before it, see zones
 	handles    []string
 	calls      []*call // that run pieces of it
 	repeats    int
@@ -170,6 +172,7 @@
 		jobs: make(map[citronstream.JobKey]*job), servers: make(map[*node.Node]*server),
 		held: func() bool { return false },
 	}
+	ow.leaves = ow.leavesZone
 	for _, opt := range opts {
 		opt(ow)
 	}
