ingress/flow: results count for each piece that fetches them across zones

Cause: a first stage counted the bytes of its results once, though each piece of the next stage fetches all of them. Change: Job.CrossZoneBytes of a stage without inputs is multiplied by the pieces that take its results. Measured: TestCrossZoneBytes, 120000 bytes where it was 30000.

--- a/internal/ingress/flow/estimate_test.go
+++ b/internal/ingress/flow/estimate_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/stretchr/testify/assert"
 )
 
@@ -27,3 +28,24 @@
 	}
 	group.Wait()
 }
+
+// Guards against a first stage that leaves its zone for small results that each piece of
+// the next one fetches: the job of that one stays with them or fetches them all.
+func TestCrossZoneBytes(t *testing.T) {
+	rt := stalledRequest(t)
+	rt.CallerRequest = &citronstream.CallerRequest{Pieces: []int{3, 4, 1}}
+	rt.target = rt.end
+	rt.route = &citronstream.Route{Stages: []citronstream.RouteStage{
+		{Service: "a", Bytes: 10000}, {Service: "b", After: []int{0}, Bytes: 1000}, {Service: "c", Bytes: 500},
+	}}
+	rt.routes = &view.Routes{Routing: &citronstream.Routing{}}
+	sg := newStages(rt)
+	indexes := make([][]int, len(sg.list))
+	for i, st := range sg.list {
+		indexes[i] = allIndexes(st)
+		st.pieces, st.spec.After = 0, nil // there are no queues and no zones of inputs here
+	}
+	for i, want := range []int{3 * 10000 * 4, 4 * 1000, 500} {
+		assert.Equal(t, want, sg.newJob(sg.list[i], indexes[i], nil).CrossZoneBytes, i)
+	}
+}
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -28,6 +28,7 @@
 	laterStages time.Duration // estimated time of the later stages and the request itself
 	wait        time.Duration // estimated, in the queue of its service
 	consumers   int           // number of stages that take its results
+	fetches     int           // how often each of its results is fetched: by each piece of these stages, and by the request
 	takenBy     map[int]bool  // the numbers of the stages that have taken its results
 	handles     []string
 	computedAt  time.Time // when the first of its results was stored
@@ -66,9 +67,12 @@
 		sg.list = append(sg.list, st)
 	}
 	for i, st := range sg.list {
-		st.final = !followed[i]
+		if st.final = !followed[i]; st.final {
+			st.fetches = 1
+		}
 		for _, before := range st.spec.After {
 			sg.list[before].consumers++
+			sg.list[before].fetches += st.pieces
 		}
 	}
 	return sg
@@ -294,7 +298,7 @@
 		Rank: rank, RouteRank: routeRank, Workspace: sg.rt.workspace, Returned: sg.rt.returned, Zone: sg.zone,
 		Left: sg.rt.end.Sub(now) - sg.rt.timeAfterFirstEvent(), LaterStages: rest, Slack: sg.rt.target.Sub(now) - rest - margin, Margin: margin,
 		Early:          deviationMargin * sg.rt.fl.latencies.deviation(sg.rt.route.Name),
-		CrossZoneBytes: len(indexes) * st.spec.Bytes,
+		CrossZoneBytes: len(indexes) * st.spec.Bytes * st.fetches,
 	}
 	inputBytes := 0
 	for _, before := range st.spec.After {
