upstream/capacity: no short slowness of engines

Cause: State could hold the slowness of an engine's last few events, which nothing fed. Change: it is removed. Engines have a long-term speed only. Measured: TestReplayOfUnevenEngines and the tests of fleet/node pass.

--- a/internal/upstream/capacity/capacity.go
+++ b/internal/upstream/capacity/capacity.go
@@ -20,12 +20,6 @@
 	loadFresh = 100 * time.Millisecond
 	loadFade  = 200 * time.Millisecond
 	loadLife  = 2 * time.Second
-	// stepFade is the time constant with which measured slowness fades. An upstream stays
-	// slow for about 0.6 s, so that half of it is left on average when it is noticed.
-	stepFade = 300 * time.Millisecond
-	// stepSlow is the least measured slowness that counts: the times between two events
-	// vary by less with the other requests.
-	stepSlow = 1.6
 	// maxFactor bounds each factor, so that a wrong measurement or figure repels or
 	// attracts only so much. No instance differs from the others by more.
 	maxFactor = 4.0
@@ -75,9 +69,6 @@
 	long   Value // the last result of LongTerm
 	longAt time.Time
 	known  bool // long follows from all samples and reports
-
-	step   float64 // measured slowness, relative to the long-term speed
-	stepAt time.Time
 }
 
 // mean is the mean logarithm of measured to usual time.
@@ -133,15 +124,6 @@
 	st.ownAt, st.unsent, st.known = now, true, false
 }
 
-// ObserveStep records the measured time of the last few events of a response, relative to
-// the usual one of the service's upstreams.
-func (st *State) ObserveStep(ratio float64, now time.Time) {
-	if !(ratio > 0) || math.IsInf(ratio, 1) {
-		return
-	}
-	st.step, st.stepAt = clamp(ratio/st.LongTerm(now).Factor), now
-}
-
 // TakeReport returns what the peers should be told of the own calls since the last
 // report; false if there were none.
 func (st *State) TakeReport() (citronstream.SpeedReport, bool) {
@@ -217,9 +199,6 @@
 	if pace, weight := st.Pace(now); weight > 0 {
 		return Value{1 + weight*(pace-1), FromLoad, now.Sub(st.paceAt)}
 	}
-	if age := now.Sub(st.stepAt); st.step >= stepSlow && age < 5*stepFade {
-		return Value{1 + (st.step-1)*math.Exp(-float64(age)/float64(stepFade)), FromCalls, age}
-	}
 	return Value{Factor: 1, Source: FromNothing}
 }
 
