--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -14,14 +14,14 @@
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/fleet/evacuation"
 	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/citronstream/citronstream/internal/fleet/outage"
 	"github.com/go-logr/logr"
 )
 
 const (
-	// expiryGrace is how long an upstream stays in use if its row was removed
-	// while or just after the store was unreachable. Its heartbeats could not
-	// reach the store either, and its row is back within about 2 s.
-	expiryGrace = 2200 * time.Millisecond
+	// expiryGrace is how long after the store's return an upstream stays in use whose
+	// row may have expired because its heartbeats could not reach the store either.
+	expiryGrace = outage.Grace
 	// tombstoneTTL is how long a removal is kept, so that an older version of
 	// the row that arrives late is ignored. Peers forward changes within seconds.
 	tombstoneTTL = time.Minute
@@ -42,7 +42,7 @@
 	citronstream.Change
 	node    *node.Node // nil if the row is malformed or removed
 	removed time.Time  // when this process received the removal
-	inGrace bool       // removed, but in use until expiryGrace has passed
+	inGrace bool       // removed, but in use until expiryGrace after the store's return
 }
 
 // View holds the rows. Routes, Members and Revision take no lock.
@@ -54,19 +54,37 @@
 	routes  atomic.Pointer[Routes]
 	members atomic.Pointer[Members]
 
-	mu          sync.Mutex
-	rows        map[string]*record
+	mu   sync.Mutex
+	rows map[string]*record
+	// settled is the version up to which the rows of upstreams are complete: one without a
+	// record had no row then.
+	settled     uint64
 	zones       *evacuation.Zones
 	config      citronstream.Row
-	refused     uint64    // version of the last configuration that was not accepted
-	storeDownAt time.Time // last sign that the store was unreachable
+	refused     uint64 // version of the last configuration that was not accepted
+	outage      *outage.Record
 	onChange    func(changes []citronstream.Change, source string)
 	onMembers   []func(*Members)
+	onRow       func(mb citronstream.Member)
+	onTakenBack func(zone string, version uint64)
+}
+
+// Option configures a View.
+type Option func(*View)
+
+// WithHeartbeat sets the interval in which upstreams write their rows, which the store
+// keeps for three of them. Without it, a row may have expired however new it is.
+func WithHeartbeat(interval time.Duration) Option {
+	return func(vi *View) { vi.outage = outage.New(interval) }
 }
 
 // New returns an empty view.
-func New(clk citronstream.Clock, log logr.Logger, decode Decode) *View {
-	vi := &View{clk: clk, log: log, decode: decode, rows: make(map[string]*record), zones: evacuation.New(), onChange: func([]citronstream.Change, string) {}}
+func New(clk citronstream.Clock, log logr.Logger, decode Decode, opts ...Option) *View {
+	vi := &View{clk: clk, log: log, decode: decode, outage: outage.New(0), rows: make(map[string]*record), zones: evacuation.New(), onChange: func([]citronstream.Change, string) {}}
+	vi.onRow, vi.onTakenBack = func(citronstream.Member) {}, func(string, uint64) {}
+	for _, opt := range opts {
+		opt(vi)
+	}
 	vi.members.Store(newMembers(nil, nil))
 	return vi
 }
@@ -87,6 +105,16 @@
 // may call only Routes, Members and Revision.
 func (vi *View) OnMembers(onMembers func(*Members)) { vi.onMembers = append(vi.onMembers, onMembers) }
 
+// OnRow sets the function that is called with each newer row of an upstream, heartbeats
+// included. It may call only Routes, Members and Revision.
+func (vi *View) OnRow(onRow func(mb citronstream.Member)) { vi.onRow = onRow }
+
+// OnTakenBack sets the function that is called when the evacuation of a zone has ended at
+// a version of the store. It may call only Routes, Members and Revision.
+func (vi *View) OnTakenBack(onTakenBack func(zone string, version uint64)) {
+	vi.onTakenBack = onTakenBack
+}
+
 // Routes returns the configuration in force, or nil before the first.
 func (vi *View) Routes() *Routes { return vi.routes.Load() }
 
@@ -113,7 +141,28 @@
 func (vi *View) RecordStoreFailure() {
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
-	vi.storeDownAt = vi.clk.Now()
+	vi.outage.Disturbed(vi.clk.Now())
+}
+
+// StoreFailed records that a call has failed with which the store was asked until a time.
+func (vi *View) StoreFailed(asked time.Time) {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	vi.outage.Failed(asked, vi.clk.Now())
+}
+
+// StoreAnswered records an answer of the store at a version, before its rows are applied.
+func (vi *View) StoreAnswered(version uint64, began time.Time) {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	vi.outage.Answered(version, began, vi.clk.Now())
+}
+
+// StoreTold records that a peer has read the store at a version, as of a time.
+func (vi *View) StoreTold(version uint64, asOf time.Time) {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	vi.outage.Told(version, asOf, vi.clk.Now())
 }
 
 // Apply applies changes of rows that are newer than the known ones and returns
@@ -121,6 +170,10 @@
 func (vi *View) Apply(changes []citronstream.Change, source string) []citronstream.Change {
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
+	return vi.apply(changes, source)
+}
+
+func (vi *View) apply(changes []citronstream.Change, source string) []citronstream.Change {
 	var applied []citronstream.Change
 	members := false
 	for _, ch := range changes {
@@ -151,7 +204,8 @@
 }
 
 // Replace applies a complete table as of a version and returns the changes. Upstreams of
-// this table without a row have been removed, and the evacuations of zones have ended.
+// this table without a row have been removed, and the evacuations of zones have ended. Of
+// those that are not known yet this is recorded too: a peer may tell an older row later.
 func (vi *View) Replace(table string, rows []citronstream.Row, version uint64, source string) []citronstream.Change {
 	changes := make([]citronstream.Change, 0, len(rows))
 	present := make(map[string]bool, len(rows))
@@ -160,18 +214,23 @@
 		present[row.Key] = true
 	}
 	vi.mu.Lock()
-	remove := func(key string) {
-		changes = append(changes, citronstream.Change{Row: citronstream.Row{Key: key, Version: version}, Deleted: true})
-	}
-	if vi.decode.MemberPrefix == table+"/" {
+	isMembers := vi.decode.MemberPrefix == table+"/"
+	if isMembers {
 		for key, rec := range vi.rows {
 			if !present[key] && !rec.Deleted && rec.Version <= version {
-				remove(key)
+				changes = append(changes, citronstream.Change{Row: citronstream.Row{Key: key, Version: version}, Deleted: true})
 			}
 		}
 	}
+	settled := vi.settled
+	if isMembers && version >= settled {
+		vi.settled = 0 // the rows of a newer read are the proof themselves
+	}
+	applied := vi.apply(changes, source)
+	if isMembers {
+		vi.settled = max(settled, version)
+	}
 	vi.mu.Unlock()
-	applied := vi.Apply(changes, source)
 	if strings.HasPrefix(vi.decode.EvacuationPrefix, table+"/") {
 		evacuated := make(map[string]uint64)
 		for _, row := range rows {
@@ -219,6 +278,18 @@
 	return true
 }
 
+// Unconfirmed returns the number of upstreams in their grace period.
+func (vi *View) Unconfirmed() (count int) {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	for _, rec := range vi.rows {
+		if rec.inGrace {
+			count++
+		}
+	}
+	return count
+}
+
 // Trim returns changes that were applied, without the values of malformed rows.
 func (vi *View) Trim(changes []citronstream.Change) []citronstream.Change {
 	vi.mu.Lock()
@@ -263,13 +334,14 @@
 	var applied []citronstream.Change
 	for key, rec := range vi.rows {
 		switch {
-		case rec.inGrace && now.Sub(vi.storeDownAt) >= expiryGrace && now.Sub(rec.removed) >= expiryGrace/2:
+		case rec.inGrace && vi.outage.Over(now):
 			rec.inGrace = false
 			applied = append(applied, rec.Change)
 			vi.log.Info("upstream gone", "upstream", rec.node.ID, "service", rec.node.Service, "reason", "row not written again", "revision", rec.Version)
 			rec.node = nil
 		case rec.Deleted && !rec.inGrace && now.Sub(rec.removed) > tombstoneTTL:
 			delete(vi.rows, key)
+			vi.settled = max(vi.settled, rec.Version) // a row that is in use was written since
 		}
 	}
 	if len(applied) > 0 {
@@ -278,6 +350,40 @@
 	}
 }
 
+// Restore puts upstreams of before this process's start in use that have no row, as the
+// store was away just before: their rows may have expired. They are gone when their grace
+// period ends without a row. It returns how many there are.
+func (vi *View) Restore(members []citronstream.Member) (count int) {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	now := vi.clk.Now()
+	if vi.outage.Over(now) {
+		return 0
+	}
+	for _, mb := range members {
+		key := vi.decode.MemberPrefix + mb.ID
+		if vi.rows[key] != nil || mb.Draining {
+			continue
+		}
+		vi.rows[key] = &record{Change: citronstream.Change{Row: citronstream.Row{Key: key, Version: vi.settled}, Deleted: true}, node: node.New(mb), removed: now, inGrace: true}
+		vi.onRow(mb)
+		count++
+	}
+	if count > 0 {
+		vi.log.Info("upstreams of before the start in use, grace period started", "upstreams", count)
+		vi.publish()
+	}
+	return count
+}
+
+// StoreWasAway reports whether the store was away a moment ago, so that rows may have
+// expired that are back soon.
+func (vi *View) StoreWasAway() bool {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	return !vi.outage.Over(vi.clk.Now())
+}
+
 func (vi *View) applyConfig(ch citronstream.Change, source string) bool {
 	if ch.Deleted || ch.Version <= vi.config.Version || ch.Version == vi.refused {
 		return false
@@ -313,6 +419,7 @@
 	text := "zone evacuated"
 	if ch.Deleted {
 		text = "zone taken back"
+		vi.onTakenBack(zone, ch.Version)
 	}
 	vi.log.Info(text, "zone", zone, "source", source, "revision", ch.Version, "evacuated zones", len(vi.zones.Evacuated()))
 	return true
@@ -329,7 +436,7 @@
 // applyMember reports whether the set of upstreams in use changed.
 func (vi *View) applyMember(ch citronstream.Change, source string) bool {
 	old := vi.rows[ch.Key]
-	if old != nil && ch.Version <= old.Version {
+	if old != nil && ch.Version <= old.Version || old == nil && ch.Version <= vi.settled {
 		return false
 	}
 	now := vi.clk.Now()
@@ -340,7 +447,7 @@
 			return false
 		}
 		// A draining node gets no grace period, because it is leaving.
-		if now.Sub(vi.storeDownAt) < expiryGrace && !old.node.Draining {
+		if !old.node.Draining && (old.inGrace || vi.outage.MayHaveExpired(old.Version, now)) {
 			rec.node, rec.inGrace = old.node, true
 			vi.log.Info("upstream row expired, grace period started", "upstream", old.node.ID, "service", old.node.Service, "source", source, "revision", ch.Version)
 			return false
@@ -356,6 +463,7 @@
 		vi.log.Info("row of an upstream malformed", "key", ch.Key, "reason", err.Error(), "source", source, "revision", ch.Version)
 		return old != nil && old.node != nil
 	}
+	vi.onRow(member)
 	if old != nil && old.node != nil && old.node.Same(member) {
 		if old.node.Draining == member.Draining && old.node.Slots == member.Slots && old.node.Zone == member.Zone {
 			rec.node = old.node // a heartbeat
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -12,7 +12,7 @@
 // metrics returns the handler of the metrics address.
 func (ga *Gateway) metrics() http.Handler {
 	reg := prometheus.NewRegistry()
-	reg.MustRegister(ga.meter, queues{ga}, collectors.NewGoCollector())
+	reg.MustRegister(ga.meter, queues{ga}, loadRatios{ga}, collectors.NewGoCollector())
 	gauge := func(name, help string, read func() float64) {
 		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 	}
@@ -26,9 +26,18 @@
 		return 0
 	})
 	gauge("citronstream_site_upstreams", "Upstreams in use.", func() float64 { return float64(ga.view.Members().Len()) })
+	gauge("citronstream_site_upstreams_unconfirmed", "Upstreams in use whose rows may have expired while the store was away.", func() float64 { return float64(ga.view.Unconfirmed()) })
 	gauge("citronstream_site_upstreams_load_known", "Upstreams that said their load within the last 2 s.", func() float64 { return float64(ga.loadsKnown()) })
 	gauge("citronstream_site_upstreams_slow", "Upstreams that are slower than usual for good.", func() float64 { return float64(ga.slowUpstreams()) })
 	gauge("citronstream_site_zones_evacuated", "Zones to whose upstreams nothing more is sent.", func() float64 { return float64(len(ga.view.Evacuated())) })
+	gauge("citronstream_site_upstreams_cold", "Upstreams that are cold.", func() float64 {
+		cold, _ := ga.cold.Counts()
+		return float64(cold)
+	})
+	gauge("citronstream_site_cold_rate_share", "Share of the rate of cold upstreams that this process may use, 0 if none is cold.", func() float64 {
+		_, share := ga.cold.Counts()
+		return share
+	})
 	gauge("citronstream_site_entries", "Entries that take part, this one included.", func() float64 { return float64(ga.mesh.LiveCount()) })
 	gauge("citronstream_site_in_flight", "Requests that were read and not answered.", func() float64 { return float64(ga.flow.InFlight()) })
 	counter("citronstream_site_panics_total", "Requests that ended by a panic.", func() float64 { return float64(ga.flow.Panics()) })
@@ -62,6 +71,27 @@
 	return promhttp.HandlerFor(reg, promhttp.HandlerOpts{Registry: reg, MaxRequestsInFlight: 2})
 }
 
+// loadRatios collects the load ratio of the engines of each service.
+type loadRatios struct{ ga *Gateway }
+
+var loadRatio = prometheus.NewDesc("citronstream_site_engine_load_ratio", "Requests at the busiest engine divided by the mean, as this gateway knows them, by service; 0 without requests.", []string{"service"}, nil)
+
+// Describe implements prometheus.Collector.
+func (lr loadRatios) Describe(to chan<- *prometheus.Desc) { to <- loadRatio }
+
+// Collect implements prometheus.Collector.
+func (lr loadRatios) Collect(to chan<- prometheus.Metric) {
+	routes := lr.ga.view.Routes()
+	if routes == nil {
+		return
+	}
+	for name, spec := range routes.Services {
+		if spec.Engine {
+			to <- prometheus.MustNewConstMetric(loadRatio, prometheus.GaugeValue, lr.ga.engines.LoadRatio(lr.ga.view.Members().Service(name)), name)
+		}
+	}
+}
+
 // queues collects the state of the queues that this process owns.
 type queues struct{ ga *Gateway }
 
