process/gateway: owners keep the connections to the upstreams of stages

Cause: a gateway kept max-connections / (2 x live gateways) idle connections to an upstream, one with 25 gateways. Only the owner of its queue sends to the upstream of a stage, and releases run beside its batches, so that nearly each batch closed a connection and opened one.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -174,22 +174,6 @@
 	return errors.Join(ga.follower.Reread(ctx, ga.configTable()), ga.follower.Reread(ctx, ga.memberTable()))
 }
 
-// maxIdleConns returns how many idle connections to an upstream this process keeps:
-// half of its share of the connections that the upstream accepts from all entries.
-func (ga *Gateway) maxIdleConns(address string) int {
-	routes, most := ga.view.Routes(), 0
-	if routes == nil {
-		return 1
-	}
-	for _, nd := range ga.view.Members().At(address) {
-		if spec, known := routes.Services[nd.Service]; known {
-			most = spec.MaxConnections
-			break
-		}
-	}
-	return max(1, most/(2*ga.mesh.LiveCount()))
-}
-
 // probeUpstream opens a connection to an upstream that may have died.
 func probeUpstream(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, ioTimeout)
