stage/owner: take the pace of each upstream once for each batch

Cause: the pace of an upstream is read under its lock and was computed for each pair of job and upstream. Change: backlog sets it once for each choice of a batch.

--- a/internal/stage/owner/dispatch.go
+++ b/internal/stage/owner/dispatch.go
@@ -130,7 +130,7 @@
 			if !ow.allowed(sv, jb, zones, now) || !ow.fits(sv, jb, now) || !ow.mayTake(&bl, sv, jb, ahead, now) {
 				continue
 			}
-			if best == nil || ow.preferred(sv, best, jb, now) {
+			if best == nil || ow.preferred(sv, best, jb, &bl) {
 				best = sv
 			}
 		}
@@ -144,7 +144,7 @@
 
 // mayTake reports whether an upstream is fast enough for a job.
 func (ow *Owner) mayTake(bl *backlog, sv *server, jb *job, ahead int, now time.Time) bool {
-	pace := ow.paceNow(sv, now)
+	pace := sv.expects
 	return bl.mayTake(jb, pace, extraTime(&ow.spec, ow.spec.Items, pace), ahead, now)
 }
 
@@ -173,15 +173,15 @@
 }
 
 // preferred reports whether a is better than b for the first job of a batch.
-func (ow *Owner) preferred(a, b *server, jb *job, now time.Time) bool {
-	if paceA, paceB := ow.paceNow(a, now), ow.paceNow(b, now); paceA > slowPace*paceB || paceB > slowPace*paceA {
-		return paceA < paceB
+func (ow *Owner) preferred(a, b *server, jb *job, bl *backlog) bool {
+	if a.expects > slowPace*b.expects || b.expects > slowPace*a.expects {
+		return a.expects < b.expects
 	}
 	if jb.Zone != "" && (a.Zone == jb.Zone) != (b.Zone == jb.Zone) {
 		return a.Zone == jb.Zone
 	}
-	if a.saysPace(now) && b.saysPace(now) {
-		if endA, endB := ow.batchTime(a, now), ow.batchTime(b, now); max(endA-endB, endB-endA) > paceDelay {
+	if a.says && b.says {
+		if endA, endB := ow.batchTime(a, bl), ow.batchTime(b, bl); max(endA-endB, endB-endA) > paceDelay {
 			return endA < endB
 		}
 	}
--- a/internal/stage/owner/dispatch_test.go
+++ b/internal/stage/owner/dispatch_test.go
@@ -73,3 +73,25 @@
 		hs.Cancel(citronstream.JobKey{ID: jo.ID, Service: "s"}, "")
 	}
 }
+
+// BenchmarkDispatch measures the choice of a batch among a long queue whose jobs belong to
+// a zone that is busy, while other upstreams are free.
+func BenchmarkDispatch(b *testing.B) {
+	var nodes []*node.Node
+	for i := range 17 {
+		nodes = append(nodes, upstream(fmt.Sprint("u", i), fmt.Sprint("z", i%4)))
+	}
+	hs := newHarness(b, nodes...)
+	for i := range 800 {
+		hs.Submit(newJob(fmt.Sprint(i), 4, func(jo *citronstream.Job) { jo.Zone, jo.CrossZoneBytes, jo.Slack = "z1", 1<<20, time.Minute }), func(citronstream.JobResult) {}, nil)
+	}
+	now := hs.clk.Now()
+	for _, sv := range hs.list {
+		sv.ObserveLoad(citronstream.ServerLoad{Slots: 1, Pace: 1.2}, now)
+	}
+	hs.mu.Lock()
+	defer hs.mu.Unlock()
+	for b.Loop() {
+		hs.dispatch()
+	}
+}
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -145,6 +145,8 @@
 	batches     []*call // that have a place there
 	pace        pace
 	said        said
+	expects     float64   // pace of a batch that begins now, see backlog
+	says        bool      // it has said its pace just now
 	pausedUntil time.Time // gets no batch until then
 	idleSince   time.Time // end of its last batch
 	used        int       // bytes of results that it holds or computes
--- a/internal/stage/owner/pace.go
+++ b/internal/stage/owner/pace.go
@@ -90,14 +90,8 @@
 
 // batchTime returns how long a batch takes that an upstream begins now, of the pieces that
 // wait.
-func (ow *Owner) batchTime(sv *server, now time.Time) time.Duration {
-	pieces := 0
-	for _, jb := range ow.waiting {
-		if pieces += len(jb.pending); pieces >= ow.spec.Items {
-			break
-		}
-	}
-	return time.Duration(ow.paceNow(sv, now) * float64(expected(&ow.spec, min(pieces, ow.spec.Items))))
+func (ow *Owner) batchTime(sv *server, bl *backlog) time.Duration {
+	return time.Duration(sv.expects * float64(expected(&ow.spec, min(bl.pieces, bl.items))))
 }
 
 // said compares what an upstream says of its pace with the batches that begin then. The
@@ -183,21 +177,23 @@
 	return time.Duration((pace - 1) * float64(expected(spec, items)))
 }
 
-// backlog returns the state of the queue for mayTake.
+// backlog returns the state of the queue for mayTake, and sets what is expected of the
+// upstreams: many jobs are compared with each.
 func (ow *Owner) backlog(now time.Time) backlog {
 	bl := backlog{fastest: math.Inf(1), items: ow.spec.Items}
 	for _, jb := range ow.waiting {
 		bl.pieces += len(jb.pending)
 	}
 	for _, sv := range ow.list {
+		sv.expects, sv.says = ow.paceNow(sv, now), sv.saysPace(now)
 		if !sv.Avoided(now) {
-			bl.fastest = min(bl.fastest, ow.paceNow(sv, now))
+			bl.fastest = min(bl.fastest, sv.expects)
 		}
 	}
 	full := expected(&ow.spec, ow.spec.Items).Seconds()
 	for _, sv := range ow.list {
-		if pace := ow.paceNow(sv, now); !sv.Avoided(now) && !bl.slow(pace) {
-			bl.rate += float64(ow.spec.Items*ow.spec.Calls) / (full * pace)
+		if !sv.Avoided(now) && !bl.slow(sv.expects) {
+			bl.rate += float64(ow.spec.Items*ow.spec.Calls) / (full * sv.expects)
 		}
 	}
 	return bl
