route: explain choices with the code that decides

A choice of an upstream could be reconstructed from the log only in part: the cost was a sum, and the loads of peers at that moment were nowhere.

Choices are as before.

TestExplain passes: the explanation names the engine that the next Pick takes and does not change it.

--- a/internal/route/engines/engines.go
+++ b/internal/route/engines/engines.go
@@ -191,31 +191,52 @@
 	return time.Duration(float64(max(0, unread)) / pi.readRate * float64(time.Millisecond))
 }
 
+// option is an engine that can be chosen.
+type option struct {
+	node   *node.Node
+	unread int // tokens of the prompt that it would have to read
+	cost   cost
+}
+
+// choice is the result of comparing engines.
+type choice struct {
+	best   *node.Node // nil if none can be used
+	unread int        // tokens that the best one would have to read
+	home   string     // see homeEngine
+	known  bool
+}
+
 // choose returns the best engine and the number of tokens that it would have to read.
 func (pi *Picker) choose(nodes []*node.Node, rq *Request) (*node.Node, int) {
 	now := pi.clk.Now()
 	if rq.Apart {
 		return pi.chooseApart(nodes, rq, now), rq.Tokens
 	}
-	home, known := "", false
+	ch := pi.compare(nodes, rq, now, func(option) {})
+	return ch.best, ch.unread
+}
+
+// compare compares the engines that can be used and calls a function for each.
+func (pi *Picker) compare(nodes []*node.Node, rq *Request, now time.Time, each func(op option)) (ch choice) {
 	if len(rq.Shared) > 0 {
-		home, known = pi.homeEngine(nodes, rq, now)
+		ch.home, ch.known = pi.homeEngine(nodes, rq, now)
 	}
-	var best *node.Node
-	least, bestUnread := math.Inf(1), 0
+	least := math.Inf(1)
 	for _, nd := range nodes {
 		if rq.Exclude[nd.ID] || nd.Avoided(now) {
 			continue
 		}
-		unread := rq.Tokens
-		if known && nd.ID == home {
-			unread = max(0, unread-rq.sharedTokens())
+		op := option{node: nd, unread: rq.Tokens}
+		if ch.known && nd.ID == ch.home {
+			op.unread = max(0, op.unread-rq.sharedTokens())
 		}
-		if cost := pi.cost(nd, rq, unread, home, now); cost < least {
-			best, least, bestUnread = nd, cost, unread
+		op.cost = pi.costOf(nd, rq, op.unread, ch.home, now)
+		each(op)
+		if sum := op.cost.sum(); sum < least {
+			ch.best, ch.unread, least = nd, op.unread, sum
 		}
 	}
-	return best, bestUnread
+	return ch
 }
 
 // chooseApart returns the better of two random engines, of those without another
@@ -245,24 +266,51 @@
 	return one
 }
 
-// cost returns the weighted delay of the first event, in ms, plus penalties for
-// a missed target, a cold cache, inputs in other zones and failures.
+// cost has the terms of an engine's cost, in ms.
+type cost struct {
+	delay     float64 // weighted, of the first event
+	late      float64 // for a missed target
+	reread    float64 // for shared parts that another engine has
+	crossZone float64 // for inputs in other zones
+	failures  float64
+}
+
+func (co cost) sum() float64 { return co.delay + co.late + co.reread + co.crossZone + co.failures }
+
+// term is a named term of a cost.
+type term struct {
+	name string
+	cost float64
+}
+
+func (co cost) terms() []term {
+	return []term{{"delay", co.delay}, {"late", co.late}, {"reread", co.reread}, {"cross-zone", co.crossZone}, {"failures", co.failures}}
+}
+
+// cost returns the sum of costOf.
 func (pi *Picker) cost(nd *node.Node, rq *Request, unread int, home string, now time.Time) float64 {
+	return pi.costOf(nd, rq, unread, home, now).sum()
+}
+
+// costOf returns the weighted delay of the first event, in ms, plus penalties for
+// a missed target, a cold cache, inputs in other zones and failures.
+func (pi *Picker) costOf(nd *node.Node, rq *Request, unread int, home string, now time.Time) (co cost) {
 	running, prefill := pi.totalLoad(nd.ID, now)
 	delay := (prefill+float64(unread))/pi.readRate*nd.Slowness() + float64(running)*runningDelay
-	cost := delay
+	co.delay = delay
 	if slack := float64(rq.Slack.Milliseconds()); slack > 0 {
-		cost = delayWeight*delay + lateCost*min(1, max(0, delay-slack+lateRamp)/lateRamp)
+		co.delay, co.late = delayWeight*delay, lateCost*min(1, max(0, delay-slack+lateRamp)/lateRamp)
 	}
 	if home != "" && nd.ID != home {
-		cost += float64(rq.sharedTokens()) / pi.readRate * rereadFactor
+		co.reread = float64(rq.sharedTokens()) / pi.readRate * rereadFactor
 	}
 	for zone, bytes := range rq.Inputs {
 		if zone != nd.Zone {
-			cost += float64(bytes) / 1e6 * crossZoneDelay
+			co.crossZone += float64(bytes) / 1e6 * crossZoneDelay
 		}
 	}
-	return cost + nd.FailureRate()*failureDelay
+	co.failures = nd.FailureRate() * failureDelay
+	return co
 }
 
 // sharedTokens returns the number of tokens in the shared parts.
--- a/internal/route/engines/engines_test.go
+++ b/internal/route/engines/engines_test.go
@@ -215,3 +215,34 @@
 		}
 	})
 }
+
+// Guards against an explanation that differs from the choice or changes it.
+func TestExplain(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	pi, list := New(clk), nodes(9)
+	pi.UpdateLoad("peer", citronstream.EntryLoad{Engines: map[string]citronstream.EngineLoad{"b": {Running: 3, PrefillTokens: 9000}}})
+	clk.Advance(50 * time.Millisecond)
+	list[2].ConnectionBroke(clk.Now())
+	for id := range uint64(30) {
+		rq := shared(7+id%10, 5000)
+		rq.Slack, rq.Inputs = time.Second, map[string]int{"x": 1e5}
+		ex := pi.Explain(list, rq)
+		assert.Equal(t, ex, pi.Explain(list, rq))
+		assert.Equal(t, id >= 10, ex.Known)
+		assert.Len(t, ex.Candidates, 8)
+		for _, ca := range ex.Candidates {
+			sum := 0.0
+			for _, te := range ca.Terms {
+				sum += te.Cost
+			}
+			assert.InDelta(t, ca.Cost, sum, 1e-9)
+		}
+		assert.Same(t, ex.Chosen, pick(pi, list, rq))
+	}
+	for _, ca := range pi.Explain(list, Request{}).Candidates {
+		if ca.Upstream == "b" {
+			assert.Contains(t, ca.Figures, citronstream.WhereFigure{Name: "running", Value: 3, Source: "peer", AgeMs: 50})
+		}
+	}
+	assert.Nil(t, pi.Explain(nil, Request{}).Chosen)
+}
--- a/internal/route/leastrequest/leastrequest.go
+++ b/internal/route/leastrequest/leastrequest.go
@@ -4,10 +4,13 @@
 package leastrequest
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/fleet/node"
 )
 
@@ -38,13 +41,54 @@
 }
 
 func cost(nd *node.Node, zone string) float64 {
-	cost := float64(nd.Running()) / float64(max(1, nd.Slots))
+	te := termsOf(nd, zone)
+	sum := te.sum()
+	if rand.Float64() < probeProbability {
+		sum = te.load + te.crossZone
+	}
+	return sum + 1e-3*rand.Float64() // breaks ties
+}
+
+// terms are the terms of an upstream's cost.
+type terms struct {
+	load      float64 // share of its slots that requests of this process take
+	crossZone float64
+	slowness  float64 // what its slowness adds
+	failures  float64
+}
+
+func (te terms) sum() float64 { return te.load + te.crossZone + te.slowness + te.failures }
+
+func termsOf(nd *node.Node, zone string) (te terms) {
+	te.load = float64(nd.Running()) / float64(max(1, nd.Slots))
 	if nd.Zone != zone {
-		cost += crossZonePenalty
+		te.crossZone = crossZonePenalty
 	}
-	if rand.Float64() >= probeProbability {
-		cost = (cost + 0.1) * max(1, nd.Slowness())
-		cost += failurePenalty * nd.FailureRate()
+	base := te.load + te.crossZone
+	te.slowness = (base+0.1)*max(1, nd.Slowness()) - base
+	te.failures = failurePenalty * nd.FailureRate()
+	return te
+}
+
+// Explain returns the costs that Pick compares, without its random share, the least one
+// first. It changes nothing.
+func Explain(nodes []*node.Node, zone string, exclude map[string]bool, now time.Time) (list []citronstream.WhereCandidate) {
+	for _, nd := range nodes {
+		if exclude[nd.ID] || nd.Avoided(now) {
+			continue
+		}
+		te := termsOf(nd, zone)
+		list = append(list, citronstream.WhereCandidate{
+			Upstream: nd.ID, Zone: nd.Zone, Cost: te.sum(),
+			Terms: []citronstream.WhereTerm{{Name: "load", Cost: te.load}, {Name: "cross-zone", Cost: te.crossZone}, {Name: "slowness", Cost: te.slowness}, {Name: "failures", Cost: te.failures}},
+			Figures: []citronstream.WhereFigure{
+				{Name: "running", Value: float64(nd.Running()), Source: "own"},
+				{Name: "slots", Value: float64(nd.Slots), Source: "row"},
+				{Name: "slowness", Value: nd.Slowness(), Source: "own"},
+				{Name: "failure rate", Value: nd.FailureRate(), Source: "own"},
+			},
+		})
 	}
-	return cost + 1e-3*rand.Float64() // breaks ties
+	slices.SortStableFunc(list, func(a, b citronstream.WhereCandidate) int { return cmp.Compare(a.Cost, b.Cost) })
+	return list
 }
