--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -40,6 +40,12 @@
 	// slowAnswer is the time of an answer above which the store counts as
 	// unreachable: heartbeats that take as long can come too late.
 	slowAnswer = 500 * time.Millisecond
+	// A process that has not read a table yet can serve nothing. While the store is silent,
+	// its first read is made again each firstReadInterval, without giving up the reads that
+	// wait, of which there are firstReads at most: a store that answers 60 times slower than
+	// usual, after 0.25 s, must not be asked in vain.
+	firstReadInterval = 250 * time.Millisecond
+	firstReads        = 5
 	// minRetry and maxRetry bound the wait after a failed call, before jitter. The time of
 	// the store's return is known only as well as calls follow each other: rows that
 	// expired are waited for until 2.2 s after it, which must end within the time of 3 s
@@ -72,6 +78,7 @@
 	view      *view.View
 	readers   func() readers.Choice
 	onRead    func(changes []citronstream.Change, re *citronstream.Reading)
+	onFirst   func(table string)
 	calls     atomic.Uint64
 	failed    atomic.Uint64
 	storeDown atomic.Bool
@@ -98,12 +105,18 @@
 	return func(fo *Follower) { fo.onRead = onRead }
 }
 
+// WithOnFirstRead sets the function that is called when a table was read for the first time.
+func WithOnFirstRead(onFirst func(table string)) Option {
+	return func(fo *Follower) { fo.onFirst = onFirst }
+}
+
 // New returns a follower. Run starts it for a table.
 func New(clk citronstream.Clock, log logr.Logger, feed citronstream.Feed, vi *view.View, opts ...Option) *Follower {
 	fo := &Follower{
 		clk: clk, log: log, feed: feed, view: vi, coverages: make(map[string]*coverage.Coverage), wakes: make(map[string]chan struct{}),
 		readers: func() readers.Choice { return readers.Choice{Self: true, Count: 1} },
 		onRead:  func([]citronstream.Change, *citronstream.Reading) {},
+		onFirst: func(string) {},
 	}
 	for _, opt := range opts {
 		opt(fo)
@@ -293,18 +306,17 @@
 }
 
 // maxRetry returns the longest wait after a failed call. Entries that rely on readers
-// hear from them when the store is back.
+// hear from them when the store is back; those that have read nothing yet can't serve.
 func (fo *Follower) maxRetry(ta Table) time.Duration {
-	if fo.readers().Self {
+	if fo.readers().Self || !fo.hasRead(ta) {
 		return maxRetry
 	}
 	return max(listenerRetry, ta.MaxAge)
 }
 
 func (fo *Follower) scan(ctx context.Context, ta Table) (uint64, error) {
-	fo.calls.Add(1)
 	began := fo.clk.Now()
-	rows, at, err := fo.feed.Scan(ctx, ta.Name)
+	rows, at, err := fo.scanTable(ctx, ta)
 	if err != nil {
 		return 0, err
 	}
@@ -313,11 +325,61 @@
 	applied := fo.applyScan(ta, rows, at)
 	if fo.hasRead(ta) {
 		fo.onRead(applied, nil) // peers have read by themselves what a first scan returns
+	} else {
+		fo.onFirst(ta.Name)
 	}
 	fo.recordRead(ta, at, began)
 	return at.Version, nil
 }
 
+// scanned is the outcome of a read of a whole table.
+type scanned struct {
+	rows []citronstream.Row
+	at   citronstream.Stamp
+	err  error
+}
+
+// scanTable reads a whole table. The first read of a process is made several times at once
+// when the store is silent.
+func (fo *Follower) scanTable(ctx context.Context, ta Table) ([]citronstream.Row, citronstream.Stamp, error) {
+	most := firstReads
+	if fo.hasRead(ta) {
+		most = 1
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var reads sync.WaitGroup
+	defer reads.Wait()
+	defer cancel()
+	results := make(chan scanned, most)
+	begin := func() {
+		fo.calls.Add(1)
+		reads.Go(func() {
+			var sc scanned
+			sc.rows, sc.at, sc.err = fo.feed.Scan(ctx, ta.Name)
+			results <- sc
+		})
+	}
+	begin()
+	running := 1
+	ticker := fo.clk.NewTicker(firstReadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case sc := <-results:
+			running--
+			if sc.err == nil || running == 0 {
+				return sc.rows, sc.at, sc.err
+			}
+		case <-ticker.Chan():
+			if running < most {
+				fo.view.StoreFailed(fo.clk.Now())
+				begin()
+				running++
+			}
+		}
+	}
+}
+
 // applyScan applies all rows of a table and returns the changes.
 func (fo *Follower) applyScan(ta Table, rows []citronstream.Row, at citronstream.Stamp) []citronstream.Change {
 	return fo.view.Replace(ta.Name, rows, at.Version, view.SourceStore)
--- a/internal/fleet/view/members.go
+++ b/internal/fleet/view/members.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 
 	"github.com/citronstream/citronstream/internal/fleet/node"
@@ -38,9 +40,9 @@
 // Service returns the upstreams of a service that take new work, sorted by ID.
 func (ms *Members) Service(name string) []*node.Node { return ms.byService[name] }
 
-// All returns the upstreams of a service, those that take no new work included, sorted
+// Listed returns the upstreams of a service, those that take no new work included, sorted
 // by ID.
-func (ms *Members) All(service string) (list []*node.Node) {
+func (ms *Members) Listed(service string) (list []*node.Node) {
 	for _, nd := range ms.byID {
 		if nd.Service == service {
 			list = append(list, nd)
@@ -69,3 +71,6 @@
 
 // Len returns the number of upstreams.
 func (ms *Members) Len() int { return len(ms.byID) }
+
+// All returns all upstreams, also those that take no new work, in any order.
+func (ms *Members) All() iter.Seq[*node.Node] { return maps.Values(ms.byID) }
--- a/internal/ingress/flow/explain.go
+++ b/internal/ingress/flow/explain.go
@@ -55,7 +55,7 @@
 	wh.Service, wh.RouteRank, wh.Rank = jo.Service, jo.Rank, jo.Rank
 	wh.Queues = append(wh.Queues, fl.Broker.Explain(jo.Service, fromMilliseconds(jo.SlackMs), jo.Rank, jo.Admitted))
 	now, members := fl.clk.Now(), fl.View.Members()
-	for _, nd := range members.All(jo.Service) {
+	for _, nd := range members.Listed(jo.Service) {
 		if reason := fl.excluded(nd, now); reason != "" {
 			wh.Excluded = append(wh.Excluded, citronstream.WhereExcluded{Upstream: nd.ID, Zone: nd.Zone, Reason: reason})
 		}
@@ -181,7 +181,7 @@
 	for _, ca := range wh.Candidates {
 		listed[ca.Upstream] = true
 	}
-	for _, nd := range fl.View.Members().All(rt.service) {
+	for _, nd := range fl.View.Members().Listed(rt.service) {
 		if !listed[nd.ID] {
 			reason := fl.excluded(nd, now)
 			switch {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -17,6 +17,8 @@
 	"github.com/citronstream/citronstream/internal/fleet/discovery"
 	"github.com/citronstream/citronstream/internal/fleet/follow"
 	"github.com/citronstream/citronstream/internal/fleet/mesh"
+	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/citronstream/citronstream/internal/fleet/snapshot"
 	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/citronstream/citronstream/internal/fleet/wakeup"
 	"github.com/citronstream/citronstream/internal/ingress/flow"
@@ -74,6 +76,7 @@
 	follower      *follow.Follower
 	mesh          *mesh.Mesh
 	pool          *conns.Pool
+	slow          map[*node.Node]bool // upstreams that are logged as slow; used by runPeriodic only
 	broker        *broker.Broker
 	engines       *engines.Picker
 	holds         *poison.Holds
@@ -89,6 +92,7 @@
 	readyServer   *http.Server
 	metricsServer *http.Server
 	discovery     *discovery.Discovery
+	snapshot      *snapshot.Snapshot
 	wakeup        *wakeup.Gate
 
 	ctx         context.Context
@@ -126,7 +130,8 @@
 	ga.view.OnRow(ga.cold.Row)
 	ga.view.OnTakenBack(ga.cold.TakenBack)
 	ga.mesh = mesh.New(clk, log, eng, ga.peerInfo, ga.handle, ga.peerConnected)
-	ga.follower = follow.New(clk, log, store, ga.view, follow.WithReaders(ga.readers), follow.WithOnRead(ga.storeRead))
+	ga.follower = follow.New(clk, log, store, ga.view, follow.WithReaders(ga.readers), follow.WithOnRead(ga.storeRead), follow.WithOnFirstRead(ga.tableRead))
+	ga.snapshot = snapshot.New(clk, log, store, ga.membersInUse, ga.writesSnapshot)
 	ga.discovery = discovery.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone, discovery.WithOnList(ga.cold.Listed))
 	suspended := ga.suspendedTime()
 	ga.wakeup = wakeup.New(clk, log, suspended, ga.readAgain)
@@ -221,6 +226,7 @@
 	ga.runInBackground(func(ctx context.Context) { ga.follower.Run(ctx, ga.memberTable()) })
 	ga.runInBackground(ga.wakeup.Run)
 	ga.runInBackground(ga.discovery.Run)
+	ga.runInBackground(ga.snapshot.Run)
 	ga.runInBackground(ga.runPeriodic)
 	ga.runInBackground(ga.broadcastRows)
 	ga.log.Info("started", "callers", ga.site.Callers, "peers", ga.site.Peers, "zone", ga.site.Zone, "boot", ga.boot)
@@ -298,6 +304,7 @@
 		}
 		if count%sweepTicks == 0 {
 			ga.pool.Sweep()
+			ga.logSpeeds()
 			ga.mesh.Prune()
 		}
 	}
@@ -318,6 +325,7 @@
 
 func (ga *Gateway) broadcastEntryLoad() {
 	if load, changed := ga.engines.ChangedLoad(); changed {
+		load.Speeds = ga.takeSpeeds()
 		ga.mesh.Broadcast(citronstream.MethodEntryLoad, load)
 	}
 }
@@ -364,6 +372,7 @@
 		var load citronstream.EntryLoad
 		if re.Decode(&load) == nil {
 			ga.engines.UpdateLoad(from, load)
+			ga.heardSpeeds(from, load.Speeds)
 		}
 	case citronstream.MethodRefusals:
 		var refusals citronstream.Refusals
--- a/internal/stage/owner/batch.go
+++ b/internal/stage/owner/batch.go
@@ -14,7 +14,10 @@
 	var items []citronstream.BatchItem
 	inputs := 0
 	ctx, cancel := context.WithCancel(ow.ctx)
-	cl := &call{sv: sv, parts: batch, cancel: cancel}
+	cl := &call{sv: sv, parts: batch, cancel: cancel, began: now, expects: ow.paceNow(sv, now)}
+	if pace, weight := sv.Pace(now); weight >= minFresh {
+		cl.said, cl.forecast = pace, sv.said.forecast(pace, ow.lasting.value())
+	}
 	for _, pa := range batch {
 		jb := pa.jb
 		jb.calls = append(jb.calls, cl)
@@ -29,6 +32,8 @@
 		}
 	}
 	ow.waiting = slices.DeleteFunc(ow.waiting, func(jb *job) bool { return len(jb.pending) == 0 })
+	cl.normal = expected(&ow.spec, len(items))
+	sv.batches = append(sv.batches, cl)
 	sv.running++
 	sv.used += cl.bytes
 	ow.counts.Batches++
@@ -102,6 +107,10 @@
 	default:
 		sv.RequestDone(float64(took) / float64(normal))
 		sv.pace.done(float64(took)/float64(normal), now)
+		if cl.said > 0 {
+			ow.lasting.done(&sv.said, float64(took)/float64(normal), cl.said)
+			sv.said.done(float64(took)/float64(normal), cl.said, cl.forecast)
+		}
 		ow.rate.addDone(now, len(items))
 		ow.applyResults(cl, results, now)
 		if released {
@@ -117,7 +126,7 @@
 func (ow *Owner) watch(ctx context.Context, cl *call, normal time.Duration) {
 	sv, began := cl.sv, ow.clk.Now()
 	ow.mu.Lock()
-	usual := time.Duration(sv.pace.value(began) * float64(normal))
+	usual := time.Duration(max(1, ow.paceNow(sv, began)) * float64(normal))
 	ow.mu.Unlock()
 	limit := func(factor float64, normal time.Duration) time.Duration {
 		return time.Duration(factor*float64(normal)) + timeoutExtra
@@ -204,6 +213,7 @@
 func (ow *Owner) storeResult(sv *server, jb *job, index int, handle string, now time.Time) {
 	unused := jb.ended || jb.has(index)
 	if unused {
+		ow.counts.Unused++
 		ow.release(sv.Node, []string{handle}, jb.Bytes)
 	}
 	sv.results[handle] = result{bytes: jb.Bytes, until: now.Add(ow.spec.ResultLife)}
