--- a/internal/route/engines/engines.go
+++ b/internal/route/engines/engines.go
@@ -101,8 +101,7 @@
 
 // Picker chooses engines. Its methods are called concurrently.
 type Picker struct {
-	clk   citronstream.Clock
-	speed func(nd *node.Node) float64 // nil if not known
+	clk citronstream.Clock
 
 	mu       sync.Mutex
 	ownLoads map[string]*load
@@ -122,27 +121,13 @@
 	changed     bool
 }
 
-// Option configures a Picker.
-type Option func(*Picker)
-
-// WithSpeed sets the long-term speed of engines relative to the nominal one. Without it
-// only the time of this process's own requests tells slow engines, of which one of 25
-// gateways has one at an engine every ten seconds or so.
-func WithSpeed(speed func(nd *node.Node) float64) Option {
-	return func(pi *Picker) { pi.speed = speed }
-}
-
 // New returns a picker without loads.
-func New(clk citronstream.Clock, opts ...Option) *Picker {
-	pi := &Picker{
+func New(clk citronstream.Clock) *Picker {
+	return &Picker{
 		clk: clk, ownLoads: make(map[string]*load), peers: make(map[string]map[string]peerLoad), urgent: make(chan struct{}, 1),
 		parts: make(map[uint64]*list.Element), lru: list.New(), readRate: assumedReadRate,
 		shares: make(map[uint64]float64), sharesFrom: clk.Now(),
 	}
-	for _, opt := range opts {
-		opt(pi)
-	}
-	return pi
 }
 
 // Urgent receives a value when the peers should be told the load at once.
@@ -311,7 +296,7 @@
 // a missed target, a cold cache, inputs in other zones and failures.
 func (pi *Picker) costOf(nd *node.Node, rq *Request, unread int, home string, now time.Time) (co cost) {
 	running, prefill := pi.totalLoad(nd.ID, now)
-	delay := (prefill+float64(unread))/pi.readRate*pi.slowness(nd) + float64(running)*runningDelay
+	delay := (prefill+float64(unread))/pi.readRate*nd.Slowness() + float64(running)*runningDelay
 	co.delay = delay
 	if slack := float64(rq.Slack.Milliseconds()); slack > 0 {
 		co.delay, co.late = delayWeight*delay, lateCost*min(1, max(0, delay-slack+lateRamp)/lateRamp)
@@ -328,19 +313,6 @@
 	return co
 }
 
-// slowness returns how many times longer an engine takes now: no less than by its
-// long-term speed, so that a speed that is too high attracts nothing.
-func (pi *Picker) slowness(nd *node.Node) float64 {
-	slowness := nd.Slowness()
-	if pi.speed == nil {
-		return slowness
-	}
-	if speed := pi.speed(nd); speed > 0 {
-		slowness = max(slowness, 1/speed)
-	}
-	return slowness
-}
-
 // sharedTokens returns the number of tokens in the shared parts.
 func (rq *Request) sharedTokens() (sum int) {
 	for _, part := range rq.Shared {
--- a/internal/route/engines/even_test.go
+++ b/internal/route/engines/even_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/fleet/node"
-	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 )
 
@@ -281,15 +281,18 @@
 	assert.LessOrEqual(t, float64(now.bytes), 1.02*float64(before.bytes))
 }
 
-// Load pattern: as above. Guards against a long-term speed that is known and not used:
-// first events come earlier than with what each gateway measures by itself.
+// Load pattern: as above. Guards against a long-term speed that the engine's node knows
+// and that is not used: first events come earlier than with what each gateway measures by
+// its own requests alone.
 func TestKnownSpeed(t *testing.T) {
 	si := simSites[1].simSite
 	si.span = 14 * time.Second
 	known := func(sm *sim, gateway int) simRule {
-		WithSpeed(func(nd *node.Node) float64 {
-			return sm.engines[slices.Index(sm.nodes[gateway], nd)].speed
-		})(sm.pickers[gateway])
+		for i, en := range sm.engines {
+			nd := node.New(sm.nodes[gateway][i].Member, node.WithClock(sm.clk))
+			nd.ObserveReport("peer", citronstream.SpeedReport{Time: 1 / en.speed, Samples: 40}, sm.clk.Now())
+			sm.nodes[gateway][i] = nd
+		}
 		return (*Picker).choose
 	}
 	without, with := compare(si, 2, inForce), compare(si, 2, known)
@@ -298,11 +301,4 @@
 	assert.Less(t, with.mean(), without.mean())
 	assert.Less(t, with.p99(), 0.95*without.p99())
 	assert.LessOrEqual(t, with.late(), without.late())
-	t.Run("odd values", func(t *testing.T) {
-		list := nodes(2)
-		for _, speed := range []float64{0, -1, math.NaN(), 1, 100} {
-			pi := New(clockwork.NewFakeClock(), WithSpeed(func(*node.Node) float64 { return speed }))
-			assert.InDelta(t, 1, pi.slowness(list[0]), 1e-9)
-		}
-	})
 }
--- a/internal/route/engines/explain.go
+++ b/internal/route/engines/explain.go
@@ -42,7 +42,10 @@
 	}
 	add("unread tokens of the request", "own", float64(op.unread), 0)
 	add("tokens read in a ms", "own", pi.readRate, 0)
-	add("slowness", "own", pi.slowness(op.node), 0)
+	long, present := op.node.Factors()
+	add("slowness", "node", op.node.Slowness(), 0)
+	add("long-term slowness", string(long.Source), long.Factor, long.Age)
+	add("present slowness", string(present.Source), present.Factor, present.Age)
 	add("failure rate", "own", op.node.FailureRate(), 0)
 	if ld := pi.ownLoads[op.node.ID]; ld != nil {
 		add("running", "own", float64(ld.running), 0)
--- a/internal/route/leastrequest/leastrequest.go
+++ b/internal/route/leastrequest/leastrequest.go
@@ -78,13 +78,16 @@
 			continue
 		}
 		te := termsOf(nd, zone)
+		long, present := nd.Factors()
 		list = append(list, citronstream.WhereCandidate{
 			Upstream: nd.ID, Zone: nd.Zone, Cost: te.sum(),
 			Terms: []citronstream.WhereTerm{{Name: "load", Cost: te.load}, {Name: "cross-zone", Cost: te.crossZone}, {Name: "slowness", Cost: te.slowness}, {Name: "failures", Cost: te.failures}},
 			Figures: []citronstream.WhereFigure{
 				{Name: "running", Value: float64(nd.Running()), Source: "own"},
 				{Name: "slots", Value: float64(nd.Slots), Source: "row"},
-				{Name: "slowness", Value: nd.Slowness(), Source: "own"},
+				{Name: "slowness", Value: nd.Slowness(), Source: "node"},
+				{Name: "long-term slowness", Value: long.Factor, Source: string(long.Source), AgeMs: citronstream.Milliseconds(long.Age)},
+				{Name: "present slowness", Value: present.Factor, Source: string(present.Source), AgeMs: citronstream.Milliseconds(present.Age)},
 				{Name: "failure rate", Value: nd.FailureRate(), Source: "own"},
 			},
 		})
