--- a/internal/route/leastrequest/leastrequest_test.go
+++ b/internal/route/leastrequest/leastrequest_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -79,10 +80,51 @@
 // plainEnd is the end of a request at an upstream.
 
 type plainEnd struct {
-	at      time.Duration
-	nd      *node.Node
-	took    time.Duration
-	refused bool
+	at       time.Duration
+	nd       *node.Node
+	upstream int
+	took     time.Duration
+	refused  bool
+}
+
+// loadOf returns what an upstream tells of its load with a response.
+func loadOf(slots, queued []time.Duration, at time.Duration) citronstream.ServerLoad {
+	sl := citronstream.ServerLoad{Slots: plainSlots}
+	for _, until := range slots {
+		if until > at {
+			sl.Running++
+		}
+	}
+	for _, start := range queued {
+		if start > at {
+			sl.Waiting++
+		}
+	}
+	return sl
+}
+
+// reported counts the load that an upstream told with its last response, less the older it
+// is, where it exceeds that of the own requests.
+func reported(fade time.Duration) plainRule {
+	return func(nodes []*node.Node, zone string, now time.Time, _ []time.Duration) *node.Node {
+		var best *node.Node
+		least := 0.0
+		for _, nd := range nodes {
+			load := float64(nd.Running())
+			if sl, age, known := nd.Load(now); known {
+				load = max(load, float64(sl.Running+sl.Waiting)*math.Exp(-float64(age)/float64(fade)))
+			}
+			cost := load / float64(nd.Slots)
+			if nd.Zone != zone {
+				cost += crossZonePenalty
+			}
+			cost = (cost+0.1)*max(1, nd.Slowness()) + failurePenalty*nd.FailureRate()
+			if best == nil || cost < least {
+				best, least = nd, cost
+			}
+		}
+		return best
+	}
 }
 
 // replayPlain plays arrivals: each upstream serves in order with its slots.
@@ -107,6 +149,7 @@
 		}
 		at += time.Duration(draw.ExpFloat64() / rate * float64(time.Second))
 		for len(ends) > 0 && ends[0].at <= at {
+			ends[0].nd.ObserveLoad(loadOf(slots[ends[0].upstream], queued[ends[0].upstream], ends[0].at), time.Unix(0, int64(ends[0].at)))
 			if ends[0].nd.End(); !ends[0].refused {
 				ends[0].nd.RequestDone(float64(ends[0].took) / float64(ps.service))
 			} else {
@@ -128,7 +171,7 @@
 				out.crossed++
 			}
 			queued[i] = slices.DeleteFunc(queued[i], func(start time.Duration) bool { return start <= at })
-			en := plainEnd{at: at + 2*time.Millisecond, nd: nd, refused: len(queued[i]) >= plainQueue}
+			en := plainEnd{at: at + 2*time.Millisecond, nd: nd, upstream: i, refused: len(queued[i]) >= plainQueue}
 			if !en.refused {
 				slot, start := slices.Index(slots[i], slices.Min(slots[i])), free[i]
 				service := time.Duration((0.5 + served.Float64()) * float64(ps.service))
@@ -184,7 +227,7 @@
 			sums := make(map[string]*plainOutcome)
 			for rule, choose := range map[string]plainRule{
 				"in force": inForce, "exact": exact, "two random": variant(crossZonePenalty, 2),
-				"half the zone": variant(crossZonePenalty/2, 9), "no zone": variant(0, 9), "twice the zone": variant(2*crossZonePenalty, 9),
+				"half the zone": variant(crossZonePenalty/2, 9), "no zone": variant(0, 9), "twice the zone": variant(2*crossZonePenalty, 9), "load header": reported(time.Second), "fresh load": reported(300 * time.Millisecond),
 			} {
 				sums[rule] = &plainOutcome{}
 				for seed := range uint64(plainSeeds) {
