gateway: refuse queries to /where that are not sent by POST

GET /where was answered with the metrics, as any other path is. It gets 405 now. TestWhereCommand runs the command against the handler of the metrics address and passes.

--- a/internal/process/gateway/where.go
+++ b/internal/process/gateway/where.go
@@ -26,6 +26,10 @@
 			writeJSON(wr, http.StatusTooManyRequests, whereFailure{"another query is being answered"})
 		}
 	})
+	mux.HandleFunc("/where", func(wr http.ResponseWriter, _ *http.Request) {
+		wr.Header().Set("Allow", http.MethodPost)
+		writeJSON(wr, http.StatusMethodNotAllowed, whereFailure{"a query is sent by POST"})
+	})
 	mux.Handle("/", ga.metrics())
 	return mux
 }
--- a/internal/process/gateway/where_test.go
+++ b/internal/process/gateway/where_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/cli/where"
 	"github.com/citronstream/citronstream/internal/standin/site"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -149,3 +150,27 @@
 		assert.Contains(t, raw, "not ready")
 	})
 }
+
+// Guards against a command and a gateway that do not understand each other, and metrics
+// that are no longer served beside the queries.
+func TestWhereCommand(t *testing.T) {
+	ts := newTestSite(t, 1)
+	ts.upstream("d1", "desk")
+	ts.waitReady()
+	hs := httptest.NewServer(ts.entries[0].operators())
+	defer hs.Close()
+	var text bytes.Buffer
+	co := where.Command{Gateway: strings.TrimPrefix(hs.URL, "http://"), Host: "h", Path: "/order/", Key: "key", Part: []string{"a:1", "b:2"}, Timeout: testTimeout}
+	require.NoError(t, co.Run(t.Context(), &text))
+	assert.Regexp(t, `(?m)^upstream +d1$`, text.String())
+	co.Path = "/none/"
+	assert.ErrorContains(t, co.Run(t.Context(), &text), "no route matches")
+	res, err := http.Get(hs.URL + "/metrics")
+	require.NoError(t, err)
+	_ = res.Body.Close()
+	ts.assertStatus(http.StatusOK, res)
+	res, err = http.Get(hs.URL + "/where")
+	require.NoError(t, err)
+	_ = res.Body.Close()
+	ts.assertStatus(http.StatusMethodNotAllowed, res)
+}
