--- a/internal/cli/where/text.go
+++ b/internal/cli/where/text.go
@@ -22,6 +22,9 @@
 		line("workspace\t%s, rank %d%s", cmp.Or(wh.Workspace, "none"), wh.Rank, raised(wh))
 	}
 	line("service\t%s%s", wh.Service, split(wh))
+	if wh.Regions != "" {
+		line("regions\t%s", wh.Regions)
+	}
 	if wa := wh.Admission; wa != nil {
 		writeAdmission(line, wa)
 	}
--- a/internal/cli/where/where.go
+++ b/internal/cli/where/where.go
@@ -38,6 +38,7 @@
 	Rank      int           `help:"Rank of the job's route." group:"Job"`
 	Slack     time.Duration `help:"Time within which the job must start." group:"Job"`
 	Admitted  bool          `help:"The job's request was admitted." group:"Job"`
+	Region    []string      `help:"Region to which the job's request is restricted; may be repeated." group:"Job"`
 	Query     string        `help:"File with the query in JSON, in place of the other flags; - is standard input."`
 	Timeout   time.Duration `help:"Longest wait for the gateway." default:"5s"`
 	JSON      bool          `name:"json" help:"Print the answer in JSON."`
@@ -71,7 +72,7 @@
 		return os.ReadFile(co.Query)
 	case co.Job != "":
 		return json.Marshal(citronstream.WhereQuery{Job: &citronstream.WhereJob{
-			Service: co.Job, Rank: co.Rank, SlackMs: citronstream.Milliseconds(co.Slack), Admitted: co.Admitted,
+			Service: co.Job, Rank: co.Rank, SlackMs: citronstream.Milliseconds(co.Slack), Admitted: co.Admitted, Regions: co.Region,
 		}})
 	case co.Path == "":
 		return nil, errors.New("--path, --job or --query is required")
--- a/internal/cli/where/where_test.go
+++ b/internal/cli/where/where_test.go
@@ -31,7 +31,7 @@
 	return strings.TrimPrefix(hs.URL, "http://"), asked
 }
 
-const answer = `{"Gateway":"front-0","Route":"draft","Workspace":"w","Rank":1,"RouteRank":2,"Service":"pool","Split":{"pool":3,"spare":1},
+const answer = `{"Gateway":"front-0","Route":"draft","Workspace":"w","Rank":1,"RouteRank":2,"Regions":"north","Service":"pool","Split":{"pool":3,"spare":1},
 "Admission":{"Admit":false,"Reason":"it would miss its target and wait for long","RetryAfterMs":500,"NeedsMs":4000,"TargetMs":2000,"LeftMs":9000,"WaitMs":3000,"WaitFor":"cut"},
 "Queues":[{"Stage":0,"Service":"cut","Owner":"a:1","Own":true,"Pieces":2,"WaitMs":3000,"Known":true,"AgeMs":90,"Waiting":60,"Late":4,"Rate":20},{"Stage":1,"Service":"glue","Owner":"b:1"}],
 "Chosen":"e1","Home":"e1","HomeKnown":true,
@@ -46,9 +46,9 @@
 	assert.Equal(t, &citronstream.WhereQuery{
 		Host: "h", Path: "/p", Workspace: "w", Service: "pool", Tokens: 20, Prompt: []citronstream.WherePart{{Name: "a", Tokens: 5}, {Name: "c", Tokens: 6}}, Pieces: []int{2, 1}, LeftMs: 1500,
 	}, asked)
-	co = Command{Gateway: address, Job: "cut", Rank: 2, Slack: time.Second, Admitted: true, Timeout: time.Minute}
+	co = Command{Gateway: address, Job: "cut", Rank: 2, Slack: time.Second, Admitted: true, Region: []string{"r"}, Timeout: time.Minute}
 	require.NoError(t, co.Run(t.Context(), io.Discard))
-	assert.Equal(t, &citronstream.WhereJob{Service: "cut", Rank: 2, SlackMs: 1000, Admitted: true}, asked.Job)
+	assert.Equal(t, &citronstream.WhereJob{Service: "cut", Rank: 2, SlackMs: 1000, Admitted: true, Regions: []string{"r"}}, asked.Job)
 }
 
 // Guards against a query file that is changed on its way.
@@ -68,7 +68,7 @@
 	co := Command{Gateway: address, Path: "/p", Timeout: time.Minute}
 	require.NoError(t, co.Run(t.Context(), &text))
 	for _, want := range []string{
-		"draft, rank 2", "w, rank 1", "pool, of pool 3, spare 1", "refused, to come back after about 500 ms: it would miss", "needs 4000 ms of 2000 ms",
+		"draft, rank 2", "w, rank 1", "pool, of pool 3, spare 1", "north", "refused, to come back after about 500 ms: it would miss", "needs 4000 ms of 2000 ms",
 		"longest wait 3000 ms, for service cut", "a:1 (this one)", "20.0/s", "not told", "e1, known to have them", "delay 12.5", "running 3 (front-1, 120 ms)", "draining",
 	} {
 		assert.Contains(t, text.String(), want)
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -14,6 +14,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/kernel/acceptor"
 	"github.com/citronstream/citronstream/internal/peer/dialer"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
@@ -47,7 +48,7 @@
 	onPeerUpdate func(pe *Peer, li *link.Link)
 
 	ctx        context.Context
-	ln         net.Listener
+	ln         *acceptor.Listener
 	acceptDone chan struct{}
 
 	mu        sync.Mutex
@@ -67,6 +68,7 @@
 	cancel  context.CancelFunc
 	lostAt  atomic.Int64 // when the link was lost, in ns of Mesh.now; 0 while it is up
 	leaving atomic.Bool
+	seed    bool // from the settings, guarded by Mesh.mu
 	greeted atomic.Pointer[link.Link]
 }
 
@@ -84,7 +86,7 @@
 	if err != nil {
 		return merry.Prependf(err, "peers at %s", address)
 	}
-	ms.ctx, ms.ln, ms.acceptDone = ctx, ln, make(chan struct{})
+	ms.ctx, ms.ln, ms.acceptDone = ctx, acceptor.New(ms.clk, ms.log, ln), make(chan struct{})
 	go ms.acceptLinks()
 	return nil
 }
@@ -102,6 +104,9 @@
 	}
 }
 
+// Listener returns the listener for peers, nil before Start.
+func (ms *Mesh) Listener() *acceptor.Listener { return ms.ln }
+
 // now returns the ns since the mesh began, by the steady clock and at least 1: the time
 // of day may jump.
 func (ms *Mesh) now() int64 { return max(1, int64(ms.clk.Since(ms.began))) }
@@ -190,6 +195,16 @@
 	return pe
 }
 
+// AddSeed adds a peer of the settings. It is never removed: after a long cut between all
+// entries, nothing else may tell its address.
+func (ms *Mesh) AddSeed(address string) {
+	if pe := ms.AddPeer(address, ""); pe != nil {
+		ms.mu.Lock()
+		defer ms.mu.Unlock()
+		pe.seed = true
+	}
+}
+
 func (ms *Mesh) handshake(ctx context.Context, pe *Peer, li *link.Link) error {
 	var info citronstream.PeerInfo
 	if err := li.Call(ctx, citronstream.MethodHandshake, ms.self(), &info); err != nil {
@@ -245,13 +260,14 @@
 	ms.peers.Store(&list)
 }
 
-// Prune removes the entries that have been unreachable for longer than removeAfter.
+// Prune removes the entries that have been unreachable for longer than removeAfter, except
+// seeds.
 func (ms *Mesh) Prune() {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
 	now := ms.now()
 	for address, pe := range ms.byAddress {
-		if lost := pe.lostAt.Load(); lost != 0 && now-lost > int64(removeAfter) {
+		if lost := pe.lostAt.Load(); lost != 0 && now-lost > int64(removeAfter) && !pe.seed {
 			pe.cancel()
 			delete(ms.byAddress, address)
 		}
--- a/internal/ingress/flow/explain.go
+++ b/internal/ingress/flow/explain.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/limit/partquarantine"
 	"github.com/citronstream/citronstream/internal/route/leastrequest"
+	"github.com/citronstream/citronstream/internal/route/regions"
 )
 
 // WhereError says why a query has no result. Status is that of the answer.
@@ -37,6 +39,7 @@
 	}
 	wh.Route, wh.Workspace, wh.Service, wh.Raised = rt.route.Name, rt.workspace, rt.service, rt.raised
 	wh.Rank, wh.RouteRank = rt.ranks()
+	wh.Regions = rt.regions.String()
 	if len(rt.route.Split) > 1 {
 		wh.Split = make(map[string]float64)
 		for _, sh := range rt.route.Split {
@@ -52,11 +55,12 @@
 	if services[jo.Service].Batch == nil {
 		return &WhereError{http.StatusNotFound, "service " + jo.Service + " has no queue of a stage"}
 	}
-	wh.Service, wh.RouteRank, wh.Rank = jo.Service, jo.Rank, jo.Rank
-	wh.Queues = append(wh.Queues, fl.Broker.Explain(jo.Service, fromMilliseconds(jo.SlackMs), jo.Rank, jo.Admitted))
-	now, members := fl.clk.Now(), fl.View.Members()
-	for _, nd := range members.Listed(jo.Service) {
-		if reason := fl.excluded(nd, now); reason != "" {
+	allowed := regions.New(jo.Regions, nil)
+	wh.Service, wh.RouteRank, wh.Rank, wh.Regions = jo.Service, jo.Rank, jo.Rank, allowed.String()
+	wh.Queues = append(wh.Queues, fl.Broker.Explain(jo.Service, allowed, fromMilliseconds(jo.SlackMs), jo.Rank, jo.Admitted))
+	now := fl.clk.Now()
+	for _, nd := range fl.View.Members().Listed(jo.Service) {
+		if reason := fl.excluded(nd, allowed, now); reason != "" {
 			wh.Excluded = append(wh.Excluded, citronstream.WhereExcluded{Upstream: nd.ID, Zone: nd.Zone, Reason: reason})
 		}
 	}
@@ -129,6 +133,10 @@
 		wh.Admission = &citronstream.WhereAdmission{Reason: partFault(re).Text, Suspect: partquarantine.PartName(re.Part), RetryAfterMs: citronstream.Milliseconds(re.RetryAfter)}
 		return
 	}
+	if fa := rt.checkRegions(); fa != nil {
+		wh.Admission = &citronstream.WhereAdmission{Reason: fa.Text, RetryAfterMs: citronstream.Milliseconds(fa.RetryAfter)}
+		return
+	}
 	if len(rt.stages.list) == 0 {
 		wh.Admission = &citronstream.WhereAdmission{
 			Admit: true, Reason: "the route has no stages", TargetMs: citronstream.Milliseconds(rt.target.Sub(rt.at)), LeftMs: citronstream.Milliseconds(rt.deadlineLeft()),
@@ -154,7 +162,7 @@
 	wh.Admission = wa
 	_, rank := rt.ranks()
 	for _, st := range rt.stages.list {
-		wq := rt.fl.Broker.Explain(st.spec.Service, rq.Target-rq.Needs, rank, false)
+		wq := rt.fl.Broker.Explain(st.spec.Service, rt.regions, rq.Target-rq.Needs, rank, false)
 		wq.Stage, wq.Pieces = st.number, st.pieces
 		wh.Queues = append(wh.Queues, wq)
 	}
@@ -183,14 +191,7 @@
 	}
 	for _, nd := range fl.View.Members().Listed(rt.service) {
 		if !listed[nd.ID] {
-			reason := fl.excluded(nd, now)
-			switch {
-			case reason != "":
-			case !slices.Contains(rt.permitted(), nd):
-				reason = "the request may not be sent there"
-			default:
-				reason = "cold, and a request that waits comes first"
-			}
+			reason := cmp.Or(fl.excluded(nd, rt.regions, now), "cold, and a request that waits comes first")
 			wh.Excluded = append(wh.Excluded, citronstream.WhereExcluded{Upstream: nd.ID, Zone: nd.Zone, Reason: reason})
 		}
 	}
@@ -205,13 +206,19 @@
 	}
 }
 
-// excluded returns why an upstream gets no requests now, empty if it may get some.
-func (fl *Flow) excluded(nd *node.Node, now time.Time) string {
+// excluded returns why an upstream gets no requests with these allowed regions now, empty
+// if it may get some.
+func (fl *Flow) excluded(nd *node.Node, allowed regions.Set, now time.Time) string {
+	members := fl.View.Members()
 	switch {
-	case fl.View.Members().Evacuated(nd.Zone):
+	case members.Evacuated(nd.Zone):
 		return "its zone is evacuated"
 	case nd.Draining:
 		return "draining"
+	case !slices.Contains(members.Service(nd.Service), nd):
+		return "it has said that it leaves"
+	case allowed != "" && !fl.Zones.Allows(allowed, nd.Zone):
+		return "outside of the allowed regions"
 	case nd.Avoided(now):
 		return "its connections broke, or it died"
 	case !fl.Cold.Free(nd.ID):
--- a/internal/limit/coldrate/shares_test.go
+++ b/internal/limit/coldrate/shares_test.go
@@ -102,7 +102,7 @@
 	for name, view := range views {
 		for _, size := range []int{1, 2, 3, 7, 8, 12, 19, 25, 100} {
 			t.Run(fmt.Sprintf("%s of %d", name, size), func(t *testing.T) {
-				for seed := range uint64(3) {
+				for seed := range uint64(10) {
 					fl := newFleet(size, seed)
 					fl.clk.Advance(settleTime)
 					for number, li := range fl.gateways {
@@ -152,7 +152,7 @@
 		fl.run(step)
 		fl.clk.Advance(time.Minute)
 		for _, li := range fl.gateways {
-			li.Sweep()
+			li.Sweep(listed)
 		}
 		fl.run(2 * time.Second)
 	}
@@ -183,7 +183,7 @@
 				live = append(live, other.self)
 			}
 			li.Listed(live, fl.clk.Now())
-			li.Sweep()
+			li.Sweep(listed)
 		}
 	}
 	fl.run(2 * time.Second)
@@ -224,5 +224,5 @@
 	})
 	li.Row(row(1, 1, time.Hour))
 	settle(clk, li)
-	assert.Equal(t, share{count: 1, window: 2*time.Second + jitter}, li.share("u", 0.5, clk.Now()))
+	assert.Equal(t, share{count: 1, window: 2*time.Second + jitter}, li.share("u", li.upstreams["u"], 0.5, clk.Now()))
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -23,6 +23,8 @@
 	"github.com/citronstream/citronstream/internal/fleet/wakeup"
 	"github.com/citronstream/citronstream/internal/ingress/flow"
 	"github.com/citronstream/citronstream/internal/ingress/server"
+	"github.com/citronstream/citronstream/internal/kernel/acceptor"
+	"github.com/citronstream/citronstream/internal/limit/callermemory"
 	"github.com/citronstream/citronstream/internal/limit/coldrate"
 	"github.com/citronstream/citronstream/internal/limit/deathdetect"
 	"github.com/citronstream/citronstream/internal/limit/firstattempt"
@@ -33,6 +35,7 @@
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
 	"github.com/citronstream/citronstream/internal/route/engines"
+	"github.com/citronstream/citronstream/internal/route/regions"
 	"github.com/citronstream/citronstream/internal/stage/broker"
 	"github.com/citronstream/citronstream/internal/upstream/batch"
 	"github.com/citronstream/citronstream/internal/upstream/conns"
@@ -52,6 +55,10 @@
 	// ownersPerWindow is the number of owners that a queue may have within one window
 	// of the retry budget. Each uses at most its share of the budget.
 	ownersPerWindow = 2
+	// maxAcceptShortage is for how long callers' connections may not be accepted while the
+	// process still reports ready. The platform looks each second and acts on the second
+	// failure, so that it then stops sending callers within 4 s.
+	maxAcceptShortage = 2 * time.Second
 	// readsPerDrain is the number of list reads within the time in which requests to
 	// a leaving upstream must stop, also for an entry without peers. The same holds
 	// for the configuration and the time in which it must be in force.
@@ -88,9 +95,12 @@
 	budget        *siteretrybudget.Budget
 	meter         *requests.Meter
 	flow          *flow.Flow
+	memory        *callermemory.Account // nil if the settings state no memory
+	limits        *limitCounts
 	callerServer  *server.Server
 	readyServer   *http.Server
 	metricsServer *http.Server
+	listeners     []*acceptor.Listener // set by Start
 	discovery     *discovery.Discovery
 	snapshot      *snapshot.Snapshot
 	wakeup        *wakeup.Gate
@@ -113,7 +123,7 @@
 	}
 	ga := &Gateway{
 		clk: clk, log: log, site: site, boot: citronstream.NewID(), began: clk.Now(), eng: eng,
-		engines: engines.New(clk), holds: poison.New(clk, citronstream.DefaultLimits()),
+		engines: engines.New(clk), holds: poison.New(clk, citronstream.DefaultLimits(), poison.WithLearning()),
 		refusals: firstattempt.New(clk), meter: requests.New(),
 		pendingRows: make(chan citronstream.Rows, maxPendingRows),
 	}
@@ -132,20 +142,27 @@
 	ga.mesh = mesh.New(clk, log, eng, ga.peerInfo, ga.handle, ga.peerConnected)
 	ga.follower = follow.New(clk, log, store, ga.view, follow.WithReaders(ga.readers), follow.WithOnRead(ga.storeRead), follow.WithOnFirstRead(ga.tableRead))
 	ga.snapshot = snapshot.New(clk, log, store, ga.membersInUse, ga.writesSnapshot)
-	ga.discovery = discovery.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone, discovery.WithOnList(ga.cold.Listed))
+	ga.discovery = discovery.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone, discovery.WithOnList(ga.cold.Listed), discovery.WithOnFirstStart(ga.holds.FirstStart))
 	suspended := ga.suspendedTime()
 	ga.wakeup = wakeup.New(clk, log, suspended, ga.readAgain)
 	ga.deaths = deathdetect.New(ga.ctx, clk, probeUpstream, ga.upstreamDied)
 	owned := siteretrybudget.New(clk, site.Bounds, func() int { return ownersPerWindow })
-	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, batch.New(clk, log, ga.pool), owned,
-		broker.WithCapacity(site.Cores*site.LinkRate), broker.WithHeld(ga.wakeup.Held))
+	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, &coldBatcher{batch.New(clk, log, ga.pool, batch.WithParse(ga.parseAnswer)), clk, ga.cold}, owned,
+		broker.WithCapacity(site.Cores*site.LinkRate), broker.WithHeld(ga.wakeup.Held), broker.WithZones(site.Zone, regions.NewZones(site)))
 	ga.budget = siteretrybudget.New(clk, site.Bounds, ga.mesh.LiveCount)
+	ga.limits = newLimitCounts(clk, log)
+	clients := clientLimits(site)
+	if clients.Memory > 0 {
+		ga.memory = callermemory.New(clk, clients.Memory)
+	}
 	ga.flow = flow.New(clk, log, flow.Dependencies{
-		Zone: site.Zone, ListingTTL: ga.listingTTL(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
+		Zone: site.Zone, Zones: regions.NewZones(site), ListingTTL: ga.listingTTL(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
 		Budget: ga.budget, Holds: ga.holds, Parts: ga.parts, Refused: ga.refusals, Deaths: ga.deaths, Cold: ga.cold, Observe: ga.meter.Observe,
+		Parse:     ga.parseAnswer,
 		Suspended: suspended, Pass: ga.wakeup.Pass,
+		Memory: ga.memory, BodyStall: clients.BodyStall, ReadStall: clients.ReadStall, MaxUpstream: maxUpstream(site), OnLimit: ga.limits.hit,
 	})
-	ga.callerServer = server.New(clk, log, ga.flow)
+	ga.callerServer = server.New(clk, log, ga.flow, server.WithMemory(ga.memory), server.WithClientLimits(clients), server.WithOnLimit(ga.limits.hit))
 	return ga, nil
 }
 
@@ -190,6 +207,18 @@
 	return max(1, most/(2*ga.mesh.LiveCount()))
 }
 
+// parseAnswer returns the function that parses the heads of an upstream's responses, also of
+// those that are skipped, and records what the upstream says of itself in them.
+func (ga *Gateway) parseAnswer(nd *node.Node) func(status int, header http.Header) citronstream.AnswerHead {
+	return func(status int, header http.Header) citronstream.AnswerHead {
+		head := platform.ParseAnswer(status, header)
+		if head.Leaving {
+			ga.view.Leaves(nd, status == http.StatusMisdirectedRequest)
+		}
+		return head
+	}
+}
+
 // probeUpstream opens a connection to an upstream that may have died.
 func probeUpstream(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, ioTimeout)
@@ -210,6 +239,7 @@
 	if err := ga.callerServer.Start(ga.site.Callers); err != nil {
 		return err
 	}
+	ga.listeners = append(ga.listeners, ga.mesh.Listener(), ga.callerServer.Listener())
 	var err error
 	if ga.readyServer, err = ga.listen(ga.site.Ready, http.HandlerFunc(ga.serveReady)); err != nil {
 		return merry.Prepend(err, "readiness")
@@ -220,7 +250,7 @@
 		}
 	}
 	for _, seed := range ga.site.Seeds {
-		ga.mesh.AddPeer(seed, "")
+		ga.mesh.AddSeed(seed)
 	}
 	ga.runInBackground(func(ctx context.Context) { ga.follower.Run(ctx, ga.configTable()) })
 	ga.runInBackground(func(ctx context.Context) { ga.follower.Run(ctx, ga.memberTable()) })
@@ -239,9 +269,14 @@
 	if err != nil {
 		return nil, err
 	}
+	li := acceptor.New(ga.clk, ga.log, ln)
+	ga.listeners = append(ga.listeners, li)
 	hs := &http.Server{Handler: handler, ReadHeaderTimeout: ioTimeout, ErrorLog: server.ErrorLog(ga.log.WithValues("address", address))}
+	if ga.site.Memory > 0 || ga.site.Descriptors > 0 {
+		boundServer(hs)
+	}
 	ga.runInBackground(func(context.Context) {
-		if err := hs.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := hs.Serve(li); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			ga.log.Error(err, "server ended", "address", address)
 		}
 	})
@@ -264,7 +299,7 @@
 
 // Ready reports whether the process can serve callers.
 func (ga *Gateway) Ready() bool {
-	return !ga.leaving.Load() && ga.view.Routes() != nil && ga.view.Members().Len() > 0
+	return !ga.leaving.Load() && ga.view.Routes() != nil && ga.view.Members().Len() > 0 && ga.callerServer.Short() <= maxAcceptShortage
 }
 
 // peerInfo returns the description of this process for peers.
@@ -295,6 +330,7 @@
 		ga.sweepCold()
 		ga.tellRefusals()
 		ga.parts.Tick()
+		ga.logHeld(ga.holds.Tick(), ga.site.Process)
 		ga.tellParts()
 		if ga.clk.Since(ga.began) >= tellAfter {
 			ga.tellEarlyRows()
@@ -306,6 +342,9 @@
 			ga.pool.Sweep()
 			ga.logSpeeds()
 			ga.mesh.Prune()
+			if !ga.holds.Knows() {
+				ga.askQuarantine(ga.anyPeer())
+			}
 		}
 	}
 }
@@ -392,8 +431,10 @@
 	case citronstream.MethodSuspectParts:
 		var parts citronstream.SuspectParts
 		if re.Decode(&parts) == nil {
-			ga.parts.Import(parts.Suspects, from)
+			ga.heardSuspects(parts, from)
 		}
+	case citronstream.MethodQuarantine:
+		re.Reply(ga.suspects())
 	default:
 		if !ga.broker.Handle(li, re) {
 			re.ReplyError(citronstream.NewFault(citronstream.NotRun, citronstream.CodeNotFound, "unknown method %q", re.Method))
@@ -420,6 +461,7 @@
 	}
 	ga.cold.Died(report.Upstream, ga.listingTTL())
 	ga.log.Info("upstream died", "upstream", report.Upstream, "death", report.ID, "running", len(report.Running), "held", len(held), "source", source)
+	ga.logHeld(held, source)
 }
 
 // partChanged logs a change of a prompt part's state.
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -29,6 +29,7 @@
 	gauge("citronstream_site_upstreams_unconfirmed", "Upstreams in use whose rows may have expired while the store was away.", func() float64 { return float64(ga.view.Unconfirmed()) })
 	gauge("citronstream_site_upstreams_load_known", "Upstreams that said their load within the last 2 s.", func() float64 { return float64(ga.loadsKnown()) })
 	gauge("citronstream_site_upstreams_slow", "Upstreams that are slower than usual for good.", func() float64 { return float64(ga.slowUpstreams()) })
+	gauge("citronstream_site_upstreams_leaving", "Upstreams that have said in a response that they leave.", func() float64 { return float64(ga.view.Leaving()) })
 	gauge("citronstream_site_zones_evacuated", "Zones to whose upstreams nothing more is sent.", func() float64 { return float64(len(ga.view.Evacuated())) })
 	gauge("citronstream_site_upstreams_cold", "Upstreams that are cold.", func() float64 {
 		cold, _ := ga.cold.Counts()
@@ -41,6 +42,30 @@
 	gauge("citronstream_site_entries", "Entries that take part, this one included.", func() float64 { return float64(ga.mesh.LiveCount()) })
 	gauge("citronstream_site_in_flight", "Requests that were read and not answered.", func() float64 { return float64(ga.flow.InFlight()) })
 	counter("citronstream_site_panics_total", "Requests that ended by a panic.", func() float64 { return float64(ga.flow.Panics()) })
+	for _, limit := range limitNames {
+		reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "citronstream_site_caller_limits_total", Help: "Callers that were refused, cut or had to wait by a limit.", ConstLabels: prometheus.Labels{"limit": limit},
+		}, func() float64 { return float64(ga.limits.count(limit)) }))
+	}
+	gauge("citronstream_site_caller_memory_bytes", "Memory that is held for callers; 0 if it is not bounded.", func() float64 { return float64(ga.memory.Used()) })
+	gauge("citronstream_site_caller_memory_limit_bytes", "Memory that may be held for callers; 0 if it is not bounded.", func() float64 { return float64(ga.memory.Total()) })
+	gauge("citronstream_site_caller_connections", "Open connections of callers.", func() float64 { return float64(ga.callerServer.Open()) })
+	counter("citronstream_site_accept_failures_total", "Accepts that failed for lack of descriptors or memory, at all listeners.", func() float64 {
+		count := uint64(0)
+		for _, li := range ga.listeners {
+			count += li.Shortages()
+		}
+		return float64(count)
+	})
+	gauge("citronstream_site_accept_short", "Listeners that accept no connection for lack of descriptors or memory.", func() float64 {
+		count := 0
+		for _, li := range ga.listeners {
+			if li.Short() > 0 {
+				count++
+			}
+		}
+		return float64(count)
+	})
 	gauge("citronstream_site_prompt_parts_suspect", "Prompt parts suspected of crashing upstreams.", func() float64 {
 		suspects, _ := ga.parts.Counts()
 		return float64(suspects)
@@ -49,6 +74,14 @@
 		_, held := ga.parts.Counts()
 		return float64(held)
 	})
+	gauge("citronstream_site_contents_suspect", "Requests suspected of crashing upstreams.", func() float64 {
+		suspects, _ := ga.holds.Counts()
+		return float64(suspects)
+	})
+	gauge("citronstream_site_contents_held", "Requests that are refused, as upstreams crashed on them.", func() float64 {
+		_, held := ga.holds.Counts()
+		return float64(held)
+	})
 	counter("citronstream_site_store_reads_total", "Reads of the store's tables.", func() float64 {
 		calls, _ := ga.follower.Counts()
 		return float64(calls)
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -26,6 +26,7 @@
 	Target   string
 	Header   http.Header
 	Body     string
+	At       time.Time
 	Ran      bool // the work was started
 	// Ended is closed when the upstream has stopped working on it.
 	Ended chan struct{}
@@ -49,6 +50,7 @@
 	Cold atomic.Int64 // rest of its cold time in its row, in ms
 
 	// Fault switches and settings. With the zero values the upstream is healthy.
+	Leaving     atomic.Bool  // says in each response that it leaves
 	Refuse      atomic.Bool  // 503 with the header that the work did not run
 	Copies      atomic.Int32 // copies of a connection's last refusal that precede its next answer
 	Nameless    atomic.Bool  // the copies leave the request identifier out
@@ -199,12 +201,15 @@
 	}
 	ar := &Arrival{
 		Upstream: up.ID, ID: rq.Header.Get(HeaderID), Method: rq.Method, Target: rq.RequestURI,
-		Header: rq.Header.Clone(), Body: string(body), Ended: make(chan struct{}),
+		Header: rq.Header.Clone(), Body: string(body), At: up.clk.Now(), Ended: make(chan struct{}),
 	}
 	defer close(ar.Ended)
 	up.log.mu.Lock()
 	up.log.arrivals = append(up.log.arrivals, ar)
 	up.log.mu.Unlock()
+	if up.Leaving.Load() {
+		wr.Header().Set("Server-Leaving", "1")
+	}
 	co := rq.Context().Value(connKey{}).(*conn)
 	up.copyRefusal(co)
 	if want := rq.Header.Get(HeaderMember); want != "" && want != up.ID {
--- a/message_peer.go
+++ b/message_peer.go
@@ -18,6 +18,7 @@
 	MethodDeath          = "Site.Death"    // notification, a report of an upstream's death
 	MethodSoundParts     = "Site.Sound"    // notification, SoundParts
 	MethodSuspectParts   = "Site.Suspects" // notification, SuspectParts: new holds, and all to a new peer
+	MethodQuarantine     = "Site.Held"     // answered by SuspectParts: all
 )
 
 // PeerInfo describes an entry to its peers.
@@ -112,9 +113,21 @@
 	Age  time.Duration `json:"Age"` // since then
 }
 
-// SuspectParts are the prompt parts that are suspected of crashing upstreams.
+// SuspectParts are the prompt parts and the whole requests that are suspected of crashing
+// upstreams.
 type SuspectParts struct {
-	Suspects []SuspectPart `json:"Suspects"`
+	Suspects []SuspectPart    `json:"Suspects"`
+	Contents []SuspectContent `json:"Contents,omitempty"`
+	// Knows says that these are all that the fleet knows: the sender has not just started,
+	// or was told by another entry since.
+	Knows bool `json:"Knows,omitempty"`
+}
+
+// SuspectContent is a request that is suspected of crashing upstreams, or held for it.
+type SuspectContent struct {
+	Digest   uint64        `json:"Digest"`
+	Held     time.Duration `json:"Held,omitempty"`     // the rest of its hold
+	Upstream string        `json:"Upstream,omitempty"` // the last one that died of it
 }
 
 // SuspectPart is a prompt part that is suspected of crashing upstreams, or held for it.
@@ -192,6 +205,8 @@
 	Early time.Duration `json:"Early,omitempty"`
 	// LaterStages is the estimated time of the request after this stage.
 	LaterStages time.Duration `json:"Rest"`
+	// Regions are those in which it may run, as a regions.Set; empty means all.
+	Regions string `json:"Regions,omitempty"`
 	// Attempt identifies the submission to a queue. Resume asks for the result of an
 	// attempt that was submitted over a link that is lost; nothing is started for it.
 	Attempt string `json:"Attempt,omitempty"`
@@ -203,6 +218,7 @@
 	ID      string `json:"ID"`
 	Stage   int    `json:"Stage"`
 	Service string `json:"Service"`
+	Regions string `json:"Regions,omitempty"` // as in Job
 }
 
 // JobResult ends a job. Handles are in the order of Job.Pieces.
@@ -218,10 +234,12 @@
 	Service string   `json:"Service"`
 	Handles []string `json:"Handles"`
 	// Bytes is the approximate size of each.
-	Bytes int `json:"Bytes,omitempty"`
+	Bytes   int    `json:"Bytes,omitempty"`
+	Regions string `json:"Regions,omitempty"` // of the job that made them
 }
 
-// QueueLoads has the load of the queues that the sender owns, by service.
+// QueueLoads has the load of the queues that the sender owns, by service. The names of
+// queues of restricted jobs also have the regions.
 type QueueLoads struct {
 	Loads map[string]QueueLoad `json:"Loads"`
 }
--- a/where.go
+++ b/where.go
@@ -36,6 +36,8 @@
 	// Admitted says that its request was admitted: what more urgent routes bring is not
 	// kept free then.
 	Admitted bool `json:"Admitted,omitempty"`
+	// Regions are those to which its request is restricted; empty means all.
+	Regions []string `json:"Regions,omitempty"`
 }
 
 // Where says where a request or a job would go, and why.
@@ -47,6 +49,8 @@
 	RouteRank int    `json:"RouteRank"`
 	// Raised says that the route is hardly served and its requests count as urgent.
 	Raised bool `json:"Raised,omitempty"`
+	// Regions are those to which the request is restricted, empty for none.
+	Regions string `json:"Regions,omitempty"`
 	// Service runs the request; Split has the weights of all services of the route.
 	Service   string             `json:"Service,omitempty"`
 	Split     map[string]float64 `json:"Split,omitempty"`
