--- a/internal/process/gateway/where_test.go
+++ b/internal/process/gateway/where_test.go
@@ -84,6 +84,14 @@
 		{Upstream: "d2", Zone: "z", Reason: "draining"}, {Upstream: "d3", Zone: "z", Reason: "its connections broke, or it died"},
 	}, wh.Excluded)
 	assert.True(t, wh.Admission.Admit)
+	t.Run("leaving", func(t *testing.T) {
+		one.Leaving.Store(true)
+		_, _ = ts.roundTrip(en, ts.call(), http.MethodPost, "/order/x", "")
+		ts.waitFor(func() bool { return en.view.Leaving() == 1 }, "the upstream that leaves is not known")
+		_, wh, _ := ts.where(en, http.MethodPost, citronstream.WhereQuery{Host: "h", Path: "/order/x", Workspace: "w"})
+		assert.Equal(t, citronstream.WhereExcluded{Upstream: "d1", Zone: "z", Reason: "it has said that it leaves"}, wh.Excluded[0])
+		assert.Equal(t, "all upstreams seem broken; a random one would be tried", wh.NoChoice)
+	})
 }
 
 // Guards against an admission that differs from what requests meet, and figures of queues
@@ -174,3 +182,25 @@
 	_ = res.Body.Close()
 	ts.assertStatus(http.StatusMethodNotAllowed, res)
 }
+
+// Guards against candidates in regions where a request may not run.
+func TestWhereRegions(t *testing.T) {
+	ts := newRegionSite(t)
+	east := ts.upstreamIn("z", "d1", "desk")
+	ts.upstreamIn("y", "d2", "desk")
+	ts.waitReady()
+	for _, en := range ts.entries {
+		status, wh, raw := ts.where(en, http.MethodPost, citronstream.WhereQuery{Host: "h", Path: "/east/", Key: "key"})
+		require.Equal(t, http.StatusOK, status, raw)
+		assert.Equal(t, []string{"east", east.ID}, []string{wh.Regions, wh.Chosen})
+		assert.Equal(t, []citronstream.WhereExcluded{{Upstream: "d2", Zone: "y", Reason: "outside of the allowed regions"}}, wh.Excluded)
+	}
+	ts.st.List(east, site.Draining)
+	en := ts.entries[0]
+	ts.waitFor(func() bool { return en.view.Members().Node(east.ID).Draining }, "the draining upstream is not known")
+	_, wh, _ := ts.where(en, http.MethodPost, citronstream.WhereQuery{Host: "h", Path: "/east/", Key: "key"})
+	assert.False(t, wh.Admission.Admit)
+	assert.Contains(t, wh.Admission.Reason, "allowed regions (east)")
+	assert.Empty(t, wh.Chosen)
+	assert.NotEmpty(t, wh.NoChoice)
+}
