upstream/selfreport: keep the pause that an upstream asks for

Nothing read Retry-After of a 503. An upstream that sends it gets no request until then, 30 s at most, also as the last resort and in releases, counts as no failure, and gets a rising share of the traffic afterwards. If all of a service pause, a request waits if it still reaches its target and is refused at once with the time otherwise. Jobs of stages wait in their queues: the estimates of admission do not know of pauses yet.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -3,11 +3,13 @@
 package node
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/upstream/selfreport"
 )
 
 const (
@@ -24,6 +26,9 @@
 // Node is one upstream. Its methods are called concurrently.
 type Node struct {
 	citronstream.Member
+	// Self is what the process says of itself; it may be nil. It is set before the node is
+	// shared.
+	Self *selfreport.State
 
 	running      atomic.Int64
 	mu           sync.Mutex
@@ -95,8 +100,12 @@
 	}
 }
 
-// Avoided reports whether the node should get no requests at present.
+// Avoided reports whether the node should get no requests at present. After a pause that the
+// upstream has asked for, a growing share of requests is not kept from it.
 func (nd *Node) Avoided(now time.Time) bool {
+	if share := nd.Self.Share(now); share < 1 && rand.Float64() >= share {
+		return true
+	}
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
 	return now.Before(nd.avoidUntil)
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -287,7 +287,7 @@
 	if at := vi.Members().At(nd.Address); misdirected && len(at) > 0 {
 		nd = at[0]
 	}
-	if vi.reports.Leaves(nd.ID, nd.StartedMs, vi.clk.Now()) {
+	if vi.reports.Leaves(nd.ID, nd.StartedMs) {
 		vi.log.Info("upstream says that it leaves", "upstream", nd.ID, "service", nd.Service, "address", nd.Address, "born", nd.StartedMs)
 		vi.publish()
 	}
@@ -295,11 +295,20 @@
 
 func (vi *View) leaving(nd *node.Node) bool { return vi.reports.Leaving(nd.ID, nd.StartedMs) }
 
-// Leaving returns the number of upstreams that have said that they leave.
-func (vi *View) Leaving() int {
+// Pauses records that an upstream has asked for a pause.
+func (vi *View) Pauses(nd *node.Node, pause time.Duration) {
+	if nd.Self.Pause(pause, vi.clk.Now()) {
+		until, _ := nd.Self.Paused(vi.clk.Now())
+		vi.log.Info("upstream asks for a pause", "upstream", nd.ID, "service", nd.Service, "address", nd.Address, "pause", until.Sub(vi.clk.Now()).String())
+	}
+}
+
+// SelfReports returns the number of upstreams that have said that they leave, and of those in
+// a pause that they have asked for.
+func (vi *View) SelfReports() (leaving, paused int) {
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
-	return vi.reports.Len()
+	return vi.reports.Counts(vi.clk.Now())
 }
 
 // Trim returns changes that were applied, without the values of malformed rows.
@@ -446,10 +455,13 @@
 			return old.inGrace
 		}
 	}
-	if vi.reports.Started(member.ID, member.StartedMs) {
+	left := vi.reports.Leaving(member.ID, 0)
+	self := vi.reports.Of(member.ID, member.StartedMs)
+	if left && !self.Leaving() {
 		vi.log.Info("upstream that left has started again", "upstream", member.ID, "service", member.Service, "born", member.StartedMs)
 	}
 	rec.node = node.New(member)
+	rec.node.Self = self
 	vi.log.Info("upstream known", "upstream", member.ID, "service", member.Service, "address", member.Address, "zone", member.Zone,
 		"draining", member.Draining, "source", source, "revision", ch.Version)
 	return true
--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -90,6 +90,10 @@
 		at.fault = citronstream.NewFault(citronstream.NotRun, citronstream.CodeDeadline, "the request would have had to be sent %v ago", -left)
 		return
 	}
+	if _, paused := at.nd.Self.Paused(rt.fl.clk.Now()); paused {
+		at.fault = citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "upstream %s asks for a pause", at.nd.ID)
+		return
+	}
 	at.stopRelease = rt.releaseEarly(at.nd, at.demand)
 	if refusal := rt.visit.Send(); refusal != nil {
 		at.fault, at.quarantined = partFault(refusal), true
@@ -262,7 +266,9 @@
 
 // invalidResponse handles a response that is not a valid one to this request.
 func (rt *request) invalidResponse(at *attempt, why string) result {
-	at.nd.RequestFailed()
+	if at.ans.Head.Pause == 0 { // asking for a pause is no failure
+		at.nd.RequestFailed()
+	}
 	rt.fl.log.Info("invalid response", "request", rt.ID, "upstream", at.nd.ID, "reason", why, "sends", rt.sends)
 	return result{reached: true, fault: citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeUpstreamFailed, "upstream %s: %s", at.nd.ID, why)}
 }
--- a/internal/ingress/flow/forward.go
+++ b/internal/ingress/flow/forward.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -72,8 +73,11 @@
 	}
 	rt.fl.Pass(ctx)
 	nd, demand := rt.pick()
+	for nd == nil && rt.awaitPause(ctx) {
+		nd, demand = rt.pick()
+	}
 	if nd == nil {
-		rt.noRetry = noUpstreamLeft
+		rt.noRetry = cmp.Or(rt.noRetry, noUpstreamLeft)
 		if !retry.IsZero() {
 			rt.keepRetry(retry) // returnRetry gives it back
 		}
@@ -123,6 +127,7 @@
 	noAttemptLeft     = "no attempt left"
 	noRetryBudget     = "retry budget used up"
 	contentHeld       = "content quarantined"
+	upstreamsPaused   = "all upstreams ask for a pause"
 )
 
 const (
@@ -164,6 +169,47 @@
 	}
 }
 
+// awaitPause waits until the first upstream of the service takes requests again, if all have
+// asked for a pause and the request then still reaches its target. Otherwise it returns false,
+// and if all are in a pause the request is to be refused with the time until then. Traffic
+// returns over some time, so the waits end at different times.
+func (rt *request) awaitPause(ctx context.Context) bool {
+	now := rt.fl.clk.Now()
+	nodes := rt.fl.View.Members().Service(rt.service)
+	var first *node.Node
+	var end time.Time
+	for _, nd := range nodes {
+		until, paused := nd.Self.Paused(now)
+		if !paused {
+			return false
+		}
+		if first == nil || until.Before(end) {
+			first, end = nd, until
+		}
+	}
+	if first == nil {
+		return false
+	}
+	at := end.Add(rand.N(first.Self.Returned().Sub(end) + 1))
+	if at.Add(rt.fl.latencies.expected(rt.route.Name, rt.readTime)).After(rt.target) {
+		if rt.worst.Verdict == citronstream.NotRun {
+			rt.worst = citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "all upstreams of service %s ask for a pause", rt.service)
+			rt.worst.RetryAfter = at.Sub(now)
+		}
+		rt.noRetry = upstreamsPaused
+		return false
+	}
+	timer := rt.fl.clk.NewTimer(at.Sub(now))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.Chan():
+	}
+	delete(rt.tried, first.ID) // it may have refused this request when it asked for the pause
+	return true
+}
+
 // takeRetry takes a repeat from the retry budget, unless one is in hand, and returns when
 // it was taken, or why there is none.
 func (rt *request) takeRetry() (taken time.Time, missing string) {
@@ -243,11 +289,12 @@
 }
 
 // anyUntried returns a random upstream that was not tried, including ones that
-// seem broken.
+// seem broken, but none in a pause that it has asked for.
 func (rt *request) anyUntried(nodes []*node.Node) *node.Node {
 	var left []*node.Node
+	now := rt.fl.clk.Now()
 	for _, nd := range nodes {
-		if !rt.tried[nd.ID] {
+		if _, paused := nd.Self.Paused(now); !paused && !rt.tried[nd.ID] {
 			left = append(left, nd)
 		}
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -189,6 +189,9 @@
 		if head.Leaving {
 			ga.view.Leaves(nd, status == http.StatusMisdirectedRequest)
 		}
+		if head.Pause > 0 {
+			ga.view.Pauses(nd, head.Pause)
+		}
 		return head
 	}
 }
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -27,7 +27,14 @@
 	})
 	gauge("citronstream_site_upstreams", "Upstreams in use.", func() float64 { return float64(ga.view.Members().Len()) })
 	gauge("citronstream_site_upstreams_unconfirmed", "Upstreams in use whose rows may have expired while the store was away.", func() float64 { return float64(ga.view.Unconfirmed()) })
-	gauge("citronstream_site_upstreams_leaving", "Upstreams that have said in a response that they leave.", func() float64 { return float64(ga.view.Leaving()) })
+	gauge("citronstream_site_upstreams_leaving", "Upstreams that have said in a response that they leave.", func() float64 {
+		leaving, _ := ga.view.SelfReports()
+		return float64(leaving)
+	})
+	gauge("citronstream_site_upstreams_paused", "Upstreams in a pause that they have asked for.", func() float64 {
+		_, paused := ga.view.SelfReports()
+		return float64(paused)
+	})
 	gauge("citronstream_site_zones_evacuated", "Zones to whose upstreams nothing more is sent.", func() float64 { return float64(len(ga.view.Evacuated())) })
 	gauge("citronstream_site_entries", "Entries that take part, this one included.", func() float64 { return float64(ga.mesh.LiveCount()) })
 	gauge("citronstream_site_in_flight", "Requests that were read and not answered.", func() float64 { return float64(ga.flow.InFlight()) })
--- a/internal/stage/owner/batch.go
+++ b/internal/stage/owner/batch.go
@@ -96,7 +96,9 @@
 		ow.retry(cl.parts, "refused", now)
 	case err != nil:
 		ow.counts.Broken++
-		sv.ConnectionBroke(now)
+		if _, paused := sv.Self.Paused(now); !paused { // asking for a pause is no failure
+			sv.ConnectionBroke(now)
+		}
 		ow.log.Info("batch failed", "service", ow.service, "upstream", sv.ID, "items", len(items), "took", took.Round(time.Millisecond).String(), "reason", err.Error())
 		ow.retry(cl.parts, "broken", now)
 	default:
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -45,6 +45,7 @@
 
 	// Fault switches and settings. With the zero values the upstream is healthy.
 	Leaving     atomic.Bool  // says in each response that it leaves
+	RetryAfter  atomic.Value // string: Retry-After of its refusals
 	Refuse      atomic.Bool  // 503 with the header that the work did not run
 	Copies      atomic.Int32 // copies of a connection's last refusal that precede its next answer
 	Nameless    atomic.Bool  // the copies leave the request identifier out
@@ -207,11 +208,12 @@
 	co := rq.Context().Value(connKey{}).(*conn)
 	up.copyRefusal(co)
 	if want := rq.Header.Get(HeaderMember); want != "" && want != up.ID {
-		co.refuse(wr, ar, http.StatusMisdirectedRequest)
+		co.refuse(wr, ar, http.StatusMisdirectedRequest, "")
 		return
 	}
 	if up.Refuse.Load() {
-		co.refuse(wr, ar, http.StatusServiceUnavailable)
+		retryAfter, _ := up.RetryAfter.Load().(string)
+		co.refuse(wr, ar, http.StatusServiceUnavailable, retryAfter)
 		return
 	}
 	switch rq.URL.Path {
@@ -228,7 +230,7 @@
 
 // refuse answers that a request did not run. The status of a misdirected request says
 // so by itself.
-func (co *conn) refuse(wr http.ResponseWriter, ar *Arrival, status int) {
+func (co *conn) refuse(wr http.ResponseWriter, ar *Arrival, status int, retryAfter string) {
 	header := wr.Header()
 	header.Set("Keep-Alive", "timeout=60") // the server itself has no idle timeout
 	if ar.ID != "" {
@@ -237,6 +239,9 @@
 	if status != http.StatusMisdirectedRequest {
 		header.Set(headerRefused, "1")
 	}
+	if status == http.StatusServiceUnavailable && retryAfter != "" {
+		header.Set("Retry-After", retryAfter)
+	}
 	co.refused, co.header = status, header.Clone()
 	wr.WriteHeader(status)
 }
@@ -261,7 +266,7 @@
 // run executes a request.
 func (up *Upstream) run(wr http.ResponseWriter, rq *http.Request, ar *Arrival) {
 	if up.Gone.Load() && rq.Header.Get(HeaderInputs) != "" {
-		rq.Context().Value(connKey{}).(*conn).refuse(wr, ar, http.StatusConflict)
+		rq.Context().Value(connKey{}).(*conn).refuse(wr, ar, http.StatusConflict, "")
 		return
 	}
 	up.log.mu.Lock()
--- a/internal/upstream/batch/batch.go
+++ b/internal/upstream/batch/batch.go
@@ -115,8 +115,12 @@
 }
 
 // Release implements owner.Batcher. An upstream drops a result that is not
-// released after some seconds, so an error is only logged.
+// released after some seconds, so an error is only logged, and nothing is sent in a
+// pause that the upstream has asked for.
 func (ca *Caller) Release(ctx context.Context, nd *node.Node, handles []string) {
+	if _, paused := nd.Self.Paused(ca.clk.Now()); paused {
+		return
+	}
 	body, err := platform.EncodeRelease(handles)
 	if err == nil {
 		ctx, cancel := context.WithCancel(ctx)
--- a/request.go
+++ b/request.go
@@ -49,6 +49,8 @@
 	// IdleTimeout is how long the upstream keeps the connection; 0 when unknown.
 	IdleTimeout time.Duration
 	Leaving     bool // the upstream says that it is about to end
+	// Pause is for how long the upstream asks for no requests; 0 when it does not.
+	Pause time.Duration
 }
 
 // BatchItem is one piece of a stage's work in a batch.
