limit/poison: do not hold content that has run since the start

While a gateway knows nothing of earlier crashes, content that ran alone at an upstream that died is held for a minute. Content that many clients send would be refused to all of them for a death that it had nothing to do with. What has run to completion since the start is no longer held for one death.

TestLearning, case 'it has run since the start': held before, not held after.

--- a/internal/limit/poison/holds.go
+++ b/internal/limit/poison/holds.go
@@ -76,9 +76,11 @@
 	deaths  *deathTable
 	// While the process learns, it knows nothing of the deaths before its start.
 	learnsUntil time.Time
-	learned     chan struct{} // closed when a peer has told what it knows
-	imported    time.Time     // when a peer last did; the zero time if none did
-	unsettled   []*death      // of the time in which the process learned
+	learned     chan struct{}   // closed when a peer has told what it knows
+	imported    time.Time       // when a peer last did; the zero time if none did
+	unsettled   []*death        // of the time in which the process learned
+	learning    atomic.Bool     // false once the process knows
+	sound       map[uint64]bool // digests that ran to completion while it learned
 }
 
 // Option changes Holds.
@@ -89,9 +91,13 @@
 
 // WithLearning makes a process that starts know nothing until a peer that knows has told it,
 // for a minute at most. Meanwhile, content is held after the first death at which it ran
-// alone, as it may have crashed upstreams before. The owner calls Tick.
+// alone, as it may have crashed upstreams before, unless it has run to completion here. The
+// owner calls Tick.
 func WithLearning() Option {
-	return func(ho *Holds) { ho.learnsUntil = ho.clk.Now().Add(learnTime) }
+	return func(ho *Holds) {
+		ho.learnsUntil, ho.sound = ho.clk.Now().Add(learnTime), make(map[uint64]bool)
+		ho.learning.Store(true)
+	}
 }
 
 // New returns empty Holds. Digests are held for HoldFor of the limits.
@@ -170,11 +176,12 @@
 // Finished clears a suspect that ran to completion. A held digest stays held
 // until the hold expires or an operator lifts it.
 func (ho *Holds) Finished(digest uint64) {
-	if ho.size.Load() == 0 {
+	if ho.size.Load() == 0 && !ho.learning.Load() {
 		return
 	}
 	ho.mu.Lock()
 	defer ho.mu.Unlock()
+	ho.ran(digest)
 	ho.digests.clearSuspect(digest, ho.clk.Now())
 	ho.size.Store(int64(ho.digests.len()))
 }
--- a/internal/limit/poison/learn.go
+++ b/internal/limit/poison/learn.go
@@ -43,7 +43,7 @@
 			return false
 		}
 		for digest := range de.seen {
-			if len(de.seen) == 1 && ho.learns(now) && ho.digests.hold(Hold{Digest: digest, At: now, Until: now.Add(firstHold), Upstream: de.upstream}, now) {
+			if len(de.seen) == 1 && ho.learns(now) && !ho.sound[digest] && ho.digests.hold(Hold{Digest: digest, At: now, Until: now.Add(firstHold), Upstream: de.upstream}, now) {
 				held = append(held, digest)
 			}
 		}
@@ -106,6 +106,21 @@
 		ho.learnsUntil, ho.unsettled = now, nil
 		close(ho.learned)
 	}
+	ho.learning.Store(false)
+	ho.sound = nil
+}
+
+// ran records content that has run to completion while the process learned. Content that
+// many send is not held for the death of an upstream that it had nothing to do with.
+func (ho *Holds) ran(digest uint64) {
+	switch {
+	case ho.sound == nil:
+	case !ho.learns(ho.clk.Now()):
+		ho.learning.Store(false)
+		ho.sound = nil
+	case len(ho.sound) < ho.cap:
+		ho.sound[digest] = true
+	}
 }
 
 // Counts returns the number of held and of other suspect digests.
--- a/internal/limit/poison/learn_test.go
+++ b/internal/limit/poison/learn_test.go
@@ -94,6 +94,22 @@
 		assert.True(t, ho.Knows())
 		ho.ImportSuspects(nil, true) // does not close the channel again
 	})
+	t.Run("it has run since the start", func(t *testing.T) {
+		ho, clk := newHolds(WithLearning(), WithCap(2))
+		for digest := range uint64(10) {
+			ho.Finished(digest)
+		}
+		assert.LessOrEqual(t, len(ho.sound), 2)
+		re := death("up-1", 0)
+		re.At = clk.Now()
+		ho.Merge(re)
+		clk.Advance(settleTime)
+		assert.Empty(t, ho.Tick())
+		clk.Advance(learnTime)
+		ho.Finished(1)
+		assert.False(t, ho.learning.Load())
+		assert.Empty(t, ho.sound)
+	})
 	t.Run("after a minute", func(t *testing.T) {
 		ho, clk := newHolds(WithLearning())
 		clk.Advance(learnTime)
