--- a/internal/fleet/discovery/discovery.go
+++ b/internal/fleet/discovery/discovery.go
@@ -48,6 +48,9 @@
 	// malformed has the versions of the malformed rows of the last read, by key.
 	malformed map[string]uint64
 	onFirst   func()
+	written   bool // the row of this process
+	onList    func(addresses []string, began time.Time)
+	refresh   chan struct{}
 }
 
 // Option configures a Discovery.
@@ -59,24 +62,41 @@
 	return func(di *Discovery) { di.onFirst = onFirst }
 }
 
+// WithOnList sets the function that is called with the addresses of all entries after each
+// complete read of their rows, and when it began. Until the row of this process is written,
+// the others may not know of it, and the function is not called.
+func WithOnList(onList func(addresses []string, began time.Time)) Option {
+	return func(di *Discovery) { di.onList = onList }
+}
+
 // New returns a Discovery for the process with this name, peer address and zone.
 func New(clk citronstream.Clock, log logr.Logger, table citronstream.Table, ms *mesh.Mesh, name, address, zone string, opts ...Option) *Discovery {
-	di := &Discovery{clk: clk, log: log, table: table, mesh: ms, name: name, ownRow: row{Address: address, Zone: zone}}
+	di := &Discovery{
+		clk: clk, log: log, table: table, mesh: ms, name: name, ownRow: row{Address: address, Zone: zone},
+		onList: func([]string, time.Time) {}, refresh: make(chan struct{}, 1),
+	}
 	for _, opt := range opts {
 		opt(di)
 	}
 	return di
 }
 
+// Refresh lets Run read the rows of the others now.
+func (di *Discovery) Refresh() {
+	select {
+	case di.refresh <- struct{}{}:
+	default:
+	}
+}
+
 // Run writes the row of this process, again if another entry has removed it, and reads those
 // of the others until ctx ends.
 func (di *Discovery) Run(ctx context.Context) {
-	written := false
 	for ctx.Err() == nil {
 		wait := max(readInterval, time.Duration(di.mesh.LiveCount())*intervalPerPeer)
-		if !written {
+		if !di.written {
 			err := di.announce(ctx)
-			written = err == nil
+			di.written = err == nil
 			if err != nil {
 				di.log.Info("own row not written", "reason", err.Error())
 				wait = retryDelay
@@ -86,10 +106,10 @@
 		if err != nil {
 			wait = min(wait, 4*retryDelay)
 		}
-		if err == nil && written && !found {
+		if err == nil && di.written && !found {
 			// Others could not reach this process for long. It is reachable again, or is cut
 			// off from them only; they add it again by its row.
-			written = false
+			di.written = false
 			wait = retryDelay
 			di.log.Info("own row missing, written again")
 		}
@@ -97,6 +117,7 @@
 		select {
 		case <-ctx.Done():
 		case <-timer.Chan():
+		case <-di.refresh:
 		}
 		timer.Stop()
 	}
@@ -128,11 +149,18 @@
 // been unreachable for long. It reports whether it has found that of this process, or may
 // have missed it.
 func (di *Discovery) readRows(ctx context.Context) (found bool, err error) {
+	began := di.clk.Now()
 	rows, err := di.table.List(ctx, prefix, "", maxRows)
 	if err != nil {
 		return false, err
 	}
 	found = len(rows) >= maxListed
+	addresses := make([]string, 0, len(rows))
+	defer func() {
+		if di.written && found && len(rows) < maxRows {
+			di.onList(addresses, began)
+		}
+	}()
 	logged := di.malformed
 	di.malformed = make(map[string]uint64)
 	for _, ro := range rows {
@@ -144,6 +172,7 @@
 			}
 			continue
 		}
+		addresses = append(addresses, other.Address)
 		pe := di.mesh.AddPeer(other.Address, other.Zone)
 		if pe == nil || pe.UnreachableFor() < removeAfter {
 			continue
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -59,14 +59,16 @@
 	rows map[string]*record
 	// settled is the version up to which the rows of upstreams are complete: one without a
 	// record had no row then.
-	settled   uint64
-	reports   *selfreport.Reports
-	zones     *evacuation.Zones
-	config    citronstream.Row
-	refused   uint64 // version of the last configuration that was not accepted
-	outage    *outage.Record
-	onChange  func(changes []citronstream.Change, source string)
-	onMembers []func(*Members)
+	settled     uint64
+	reports     *selfreport.Reports
+	zones       *evacuation.Zones
+	config      citronstream.Row
+	refused     uint64 // version of the last configuration that was not accepted
+	outage      *outage.Record
+	onChange    func(changes []citronstream.Change, source string)
+	onMembers   []func(*Members)
+	onRow       func(mb citronstream.Member)
+	onTakenBack func(zone string, version uint64)
 }
 
 // Option configures a View.
@@ -81,6 +83,7 @@
 // New returns an empty view.
 func New(clk citronstream.Clock, log logr.Logger, decode Decode, opts ...Option) *View {
 	vi := &View{clk: clk, log: log, decode: decode, outage: outage.New(0), rows: make(map[string]*record), zones: evacuation.New(), reports: selfreport.New(), onChange: func([]citronstream.Change, string) {}}
+	vi.onRow, vi.onTakenBack = func(citronstream.Member) {}, func(string, uint64) {}
 	for _, opt := range opts {
 		opt(vi)
 	}
@@ -104,6 +107,16 @@
 // may call only Routes, Members and Revision.
 func (vi *View) OnMembers(onMembers func(*Members)) { vi.onMembers = append(vi.onMembers, onMembers) }
 
+// OnRow sets the function that is called with each newer row of an upstream, heartbeats
+// included. It may call only Routes, Members and Revision.
+func (vi *View) OnRow(onRow func(mb citronstream.Member)) { vi.onRow = onRow }
+
+// OnTakenBack sets the function that is called when the evacuation of a zone has ended at
+// a version of the store. It may call only Routes, Members and Revision.
+func (vi *View) OnTakenBack(onTakenBack func(zone string, version uint64)) {
+	vi.onTakenBack = onTakenBack
+}
+
 // Routes returns the configuration in force, or nil before the first.
 func (vi *View) Routes() *Routes { return vi.routes.Load() }
 
@@ -371,6 +384,42 @@
 	}
 }
 
+// Restore puts upstreams of before this process's start in use that have no row, as the
+// store was away just before: their rows may have expired. They are gone when their grace
+// period ends without a row. It returns how many there are.
+func (vi *View) Restore(members []citronstream.Member) (count int) {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	now := vi.clk.Now()
+	if vi.outage.Over(now) {
+		return 0
+	}
+	for _, mb := range members {
+		key := vi.decode.MemberPrefix + mb.ID
+		if vi.rows[key] != nil || mb.Draining {
+			continue
+		}
+		nd := node.New(mb)
+		nd.Self = vi.reports.Of(mb.ID, mb.StartedMs)
+		vi.rows[key] = &record{Change: citronstream.Change{Row: citronstream.Row{Key: key, Version: vi.settled}, Deleted: true}, node: nd, removed: now, inGrace: true}
+		vi.onRow(mb)
+		count++
+	}
+	if count > 0 {
+		vi.log.Info("upstreams of before the start in use, grace period started", "upstreams", count)
+		vi.publish()
+	}
+	return count
+}
+
+// StoreWasAway reports whether the store was away a moment ago, so that rows may have
+// expired that are back soon.
+func (vi *View) StoreWasAway() bool {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	return !vi.outage.Over(vi.clk.Now())
+}
+
 func (vi *View) applyConfig(ch citronstream.Change, source string) bool {
 	if ch.Deleted || ch.Version <= vi.config.Version || ch.Version == vi.refused {
 		return false
@@ -406,6 +455,7 @@
 	text := "zone evacuated"
 	if ch.Deleted {
 		text = "zone taken back"
+		vi.onTakenBack(zone, ch.Version)
 	}
 	vi.log.Info(text, "zone", zone, "source", source, "revision", ch.Version, "evacuated zones", len(vi.zones.Evacuated()))
 	return true
@@ -449,6 +499,7 @@
 		vi.log.Info("row of an upstream malformed", "key", ch.Key, "reason", err.Error(), "source", source, "revision", ch.Version)
 		return old != nil && old.node != nil
 	}
+	vi.onRow(member)
 	if old != nil && old.node != nil && old.node.Same(member) {
 		if old.node.Draining == member.Draining && old.node.Slots == member.Slots && old.node.Zone == member.Zone {
 			rec.node = old.node // a heartbeat
@@ -460,7 +511,7 @@
 	if left && !self.Leaving() {
 		vi.log.Info("upstream that left has started again", "upstream", member.ID, "service", member.Service, "born", member.StartedMs)
 	}
-	rec.node = node.New(member)
+	rec.node = node.New(member, node.WithClock(vi.clk))
 	rec.node.Self = self
 	vi.log.Info("upstream known", "upstream", member.ID, "service", member.Service, "address", member.Address, "zone", member.Zone,
 		"draining", member.Draining, "source", source, "revision", ch.Version)
--- a/internal/ingress/flow/forward.go
+++ b/internal/ingress/flow/forward.go
@@ -8,8 +8,6 @@
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/fleet/node"
-	"github.com/citronstream/citronstream/internal/route/engines"
-	"github.com/citronstream/citronstream/internal/route/leastrequest"
 )
 
 // maxUnreached is the maximum number of upstreams that could not be reached.
@@ -72,9 +70,13 @@
 		}
 	}
 	rt.fl.Pass(ctx)
-	nd, demand := rt.pick()
+	rt.noRetry = ""
+	nd, demand, permit := rt.pick()
 	for nd == nil && rt.awaitPause(ctx) {
-		nd, demand = rt.pick()
+		nd, demand, permit = rt.pick()
+	}
+	if nd == nil && rt.noRetry == "" {
+		nd, demand, permit = rt.pickLater(ctx)
 	}
 	if nd == nil {
 		rt.noRetry = cmp.Or(rt.noRetry, noUpstreamLeft)
@@ -83,7 +85,9 @@
 		}
 		return nil
 	}
-	return rt.newAttempt(ctx, nd, demand, retry)
+	at := rt.newAttempt(ctx, nd, demand, retry)
+	at.permit = permit
+	return at
 }
 
 // account records the outcome of an attempt that did not end the request.
@@ -128,6 +132,7 @@
 	noRetryBudget     = "retry budget used up"
 	contentHeld       = "content quarantined"
 	upstreamsPaused   = "all upstreams ask for a pause"
+	noPermitLeft      = "other upstreams are cold"
 )
 
 const (
@@ -175,7 +180,7 @@
 // returns over some time, so the waits end at different times.
 func (rt *request) awaitPause(ctx context.Context) bool {
 	now := rt.fl.clk.Now()
-	nodes := rt.fl.View.Members().Service(rt.service)
+	nodes := rt.permitted()
 	var first *node.Node
 	var end time.Time
 	for _, nd := range nodes {
@@ -255,7 +260,7 @@
 // estimateReadTime sets the time to read the prompt.
 func (rt *request) estimateReadTime() {
 	if rt.routes.Services[rt.service].Engine {
-		rt.readTime = rt.fl.Engines.ReadTime(rt.fl.View.Members().Service(rt.service), rt.demand(nil))
+		rt.readTime = rt.fl.Engines.ReadTime(rt.usable(), rt.demand(nil))
 	}
 }
 
@@ -268,38 +273,5 @@
 	}
 	demand := rt.demand(nil)
 	demand.Slack -= needs
-	return rt.fl.Engines.Prefer(rt.fl.View.Members().Service(rt.service), demand)
-}
-
-// pick chooses an upstream. An engine is counted as used until attempt calls
-// Engines.End.
-func (rt *request) pick() (*node.Node, *engines.Request) {
-	nodes := rt.fl.View.Members().Service(rt.service)
-	if rt.routes.Services[rt.service].Engine {
-		demand := rt.demand(rt.tried)
-		if nd := rt.fl.Engines.Pick(nodes, &demand); nd != nil {
-			return nd, &demand
-		}
-		return rt.anyUntried(nodes), nil
-	}
-	if nd := leastrequest.Pick(nodes, rt.fl.Zone, rt.tried, rt.fl.clk.Now()); nd != nil {
-		return nd, nil
-	}
-	return rt.anyUntried(nodes), nil
-}
-
-// anyUntried returns a random upstream that was not tried, including ones that
-// seem broken, but none in a pause that it has asked for.
-func (rt *request) anyUntried(nodes []*node.Node) *node.Node {
-	var left []*node.Node
-	now := rt.fl.clk.Now()
-	for _, nd := range nodes {
-		if _, paused := nd.Self.Paused(now); !paused && !rt.tried[nd.ID] {
-			left = append(left, nd)
-		}
-	}
-	if len(left) == 0 {
-		return nil
-	}
-	return left[rand.IntN(len(left))]
+	return rt.fl.Engines.Prefer(rt.usable(), demand)
 }
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -107,6 +107,7 @@
 	counts     Counts
 	rate       rate
 	arrivals   arrivals
+	lasting    lasting
 	lastActive time.Time // when a job was last submitted or ended
 	held       func() bool
 }
@@ -139,7 +140,9 @@
 type server struct {
 	*node.Node
 	running     int
+	batches     []*call // that have a place there
 	pace        pace
+	said        said
 	pausedUntil time.Time // gets no batch until then
 	idleSince   time.Time // end of its last batch
 	used        int       // bytes of results that it holds or computes
@@ -295,6 +298,7 @@
 	ow.pollMemory(now)
 	ow.expire(now)
 	ow.dispatch()
+	ow.rescue(now)
 }
 
 // endJob ends a job. The caller holds the lock.
--- a/request.go
+++ b/request.go
@@ -51,6 +51,16 @@
 	Leaving     bool // the upstream says that it is about to end
 	// Pause is for how long the upstream asks for no requests; 0 when it does not.
 	Pause time.Duration
+	Load  ServerLoad
+}
+
+// ServerLoad is what an upstream says of its load with an answer. The zero value means
+// that it said nothing, or nothing plausible.
+type ServerLoad struct {
+	Running, Waiting int // requests or batches
+	Slots            int // at least 1 if anything was said
+	// Pace is how long work takes there now, relative to the usual time; 0 when not said.
+	Pace float64
 }
 
 // BatchItem is one piece of a stage's work in a batch.
