--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -3,12 +3,14 @@
 package node
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/upstream/capacity"
+	"github.com/citronstream/citronstream/internal/upstream/selfreport"
 )
 
 const (
@@ -25,7 +27,10 @@
 // Node is one upstream. Its methods are called concurrently.
 type Node struct {
 	citronstream.Member
-	clk citronstream.Clock // nil if nothing that ages counts
+	// Self is what the process says of itself; it may be nil. It is set before the node is
+	// shared.
+	Self *selfreport.State
+	clk  citronstream.Clock // nil if nothing that ages counts
 
 	running      atomic.Int64
 	mu           sync.Mutex
@@ -111,8 +116,12 @@
 	}
 }
 
-// Avoided reports whether the node should get no requests at present.
+// Avoided reports whether the node should get no requests at present. After a pause that the
+// upstream has asked for, a growing share of requests is not kept from it.
 func (nd *Node) Avoided(now time.Time) bool {
+	if share := nd.Self.Share(now); share < 1 && rand.Float64() >= share {
+		return true
+	}
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
 	return now.Before(nd.avoidUntil)
--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -300,7 +300,9 @@
 
 // invalidResponse handles a response that is not a valid one to this request.
 func (rt *request) invalidResponse(at *attempt, why string) result {
-	at.nd.RequestFailed()
+	if at.ans.Head.Pause == 0 { // asking for a pause is no failure
+		at.nd.RequestFailed()
+	}
 	rt.fl.log.Info("invalid response", "request", rt.ID, "upstream", at.nd.ID, "reason", why, "sends", rt.sends)
 	return result{reached: true, fault: citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeUpstreamFailed, "upstream %s: %s", at.nd.ID, why)}
 }
--- a/internal/ingress/flow/choice.go
+++ b/internal/ingress/flow/choice.go
@@ -114,11 +114,12 @@
 }
 
 // anyUntried returns a random upstream that was not tried, including ones that
-// seem broken.
+// seem broken, but none in a pause that it has asked for.
 func (rt *request) anyUntried(nodes []*node.Node) *node.Node {
 	var left []*node.Node
+	now := rt.fl.clk.Now()
 	for _, nd := range nodes {
-		if !rt.tried[nd.ID] {
+		if _, paused := nd.Self.Paused(now); !paused && !rt.tried[nd.ID] {
 			left = append(left, nd)
 		}
 	}
@@ -132,8 +133,9 @@
 // request can still reach its target then. The most urgent requests come first.
 func (rt *request) pickLater(ctx context.Context) (*node.Node, *engines.Request, *coldrate.Permit) {
 	var cold []string
+	now := rt.fl.clk.Now()
 	for _, nd := range rt.permitted() {
-		if !rt.tried[nd.ID] {
+		if _, paused := nd.Self.Paused(now); !paused && !rt.tried[nd.ID] {
 			cold = append(cold, nd.ID)
 		}
 	}
@@ -184,6 +186,9 @@
 	if rt.fl.View.Members().Evacuated(at.nd.Zone) {
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "zone %s of upstream %s was evacuated", at.nd.Zone, at.nd.ID)
 	}
+	if _, paused := at.nd.Self.Paused(rt.fl.clk.Now()); paused {
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "upstream %s asks for a pause", at.nd.ID)
+	}
 	if at.permit == nil {
 		permit, ok := rt.fl.Cold.Take(at.nd.ID)
 		if !ok {
--- a/internal/ingress/flow/forward.go
+++ b/internal/ingress/flow/forward.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/citronstream/citronstream"
@@ -72,7 +73,10 @@
 	rt.fl.Pass(ctx)
 	rt.noRetry = ""
 	nd, demand, permit := rt.pick()
-	if nd == nil {
+	for nd == nil && rt.awaitPause(ctx) {
+		nd, demand, permit = rt.pick()
+	}
+	if nd == nil && rt.noRetry == "" {
 		nd, demand, permit = rt.pickLater(ctx)
 	}
 	if nd == nil {
@@ -127,8 +131,9 @@
 	noUpstreamReached = "no upstream reached"
 	noAttemptLeft     = "no attempt left"
 	noRetryBudget     = "retry budget used up"
-	noPermitLeft      = "other upstreams are cold"
 	contentHeld       = "content quarantined"
+	upstreamsPaused   = "all upstreams ask for a pause"
+	noPermitLeft      = "other upstreams are cold"
 )
 
 const (
@@ -170,6 +175,47 @@
 	}
 }
 
+// awaitPause waits until the first upstream of the service takes requests again, if all have
+// asked for a pause and the request then still reaches its target. Otherwise it returns false,
+// and if all are in a pause the request is to be refused with the time until then. Traffic
+// returns over some time, so the waits end at different times.
+func (rt *request) awaitPause(ctx context.Context) bool {
+	now := rt.fl.clk.Now()
+	nodes := rt.permitted()
+	var first *node.Node
+	var end time.Time
+	for _, nd := range nodes {
+		until, paused := nd.Self.Paused(now)
+		if !paused {
+			return false
+		}
+		if first == nil || until.Before(end) {
+			first, end = nd, until
+		}
+	}
+	if first == nil {
+		return false
+	}
+	at := end.Add(rand.N(first.Self.Returned().Sub(end) + 1))
+	if at.Add(rt.fl.latencies.expected(rt.route.Name, rt.readTime)).After(rt.target) {
+		if rt.worst.Verdict == citronstream.NotRun {
+			rt.worst = citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "all upstreams of service %s ask for a pause", rt.service)
+			rt.worst.RetryAfter = at.Sub(now)
+		}
+		rt.noRetry = upstreamsPaused
+		return false
+	}
+	timer := rt.fl.clk.NewTimer(at.Sub(now))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.Chan():
+	}
+	delete(rt.tried, first.ID) // it may have refused this request when it asked for the pause
+	return true
+}
+
 // takeRetry takes a repeat from the retry budget, unless one is in hand, and returns when
 // it was taken, or why there is none.
 func (rt *request) takeRetry() (taken time.Time, missing string) {
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -27,9 +27,16 @@
 	})
 	gauge("citronstream_site_upstreams", "Upstreams in use.", func() float64 { return float64(ga.view.Members().Len()) })
 	gauge("citronstream_site_upstreams_unconfirmed", "Upstreams in use whose rows may have expired while the store was away.", func() float64 { return float64(ga.view.Unconfirmed()) })
+	gauge("citronstream_site_upstreams_leaving", "Upstreams that have said in a response that they leave.", func() float64 {
+		leaving, _ := ga.view.SelfReports()
+		return float64(leaving)
+	})
+	gauge("citronstream_site_upstreams_paused", "Upstreams in a pause that they have asked for.", func() float64 {
+		_, paused := ga.view.SelfReports()
+		return float64(paused)
+	})
 	gauge("citronstream_site_upstreams_load_known", "Upstreams that said their load within the last 2 s.", func() float64 { return float64(ga.loadsKnown()) })
 	gauge("citronstream_site_upstreams_slow", "Upstreams that are slower than usual for good.", func() float64 { return float64(ga.slowUpstreams()) })
-	gauge("citronstream_site_upstreams_leaving", "Upstreams that have said in a response that they leave.", func() float64 { return float64(ga.view.Leaving()) })
 	gauge("citronstream_site_zones_evacuated", "Zones to whose upstreams nothing more is sent.", func() float64 { return float64(len(ga.view.Evacuated())) })
 	gauge("citronstream_site_upstreams_cold", "Upstreams that are cold.", func() float64 {
 		cold, _ := ga.cold.Counts()
--- a/internal/process/gateway/where_test.go
+++ b/internal/process/gateway/where_test.go
@@ -87,7 +87,10 @@
 	t.Run("leaving", func(t *testing.T) {
 		one.Leaving.Store(true)
 		_, _ = ts.roundTrip(en, ts.call(), http.MethodPost, "/order/x", "")
-		ts.waitFor(func() bool { return en.view.Leaving() == 1 }, "the upstream that leaves is not known")
+		ts.waitFor(func() bool {
+			leaving, _ := en.view.SelfReports()
+			return leaving == 1
+		}, "the upstream that leaves is not known")
 		_, wh, _ := ts.where(en, http.MethodPost, citronstream.WhereQuery{Host: "h", Path: "/order/x", Workspace: "w"})
 		assert.Equal(t, citronstream.WhereExcluded{Upstream: "d1", Zone: "z", Reason: "it has said that it leaves"}, wh.Excluded[0])
 		assert.Equal(t, "all upstreams seem broken; a random one would be tried", wh.NoChoice)
--- a/request.go
+++ b/request.go
@@ -48,8 +48,10 @@
 	Encoded bool // the body has a Content-Encoding; upstreams send none of their own
 	// IdleTimeout is how long the upstream keeps the connection; 0 when unknown.
 	IdleTimeout time.Duration
-	Load        ServerLoad
 	Leaving     bool // the upstream says that it is about to end
+	// Pause is for how long the upstream asks for no requests; 0 when it does not.
+	Pause time.Duration
+	Load  ServerLoad
 }
 
 // ServerLoad is what an upstream says of its load with an answer. The zero value means
