--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -29,8 +29,8 @@
 	// fileDescriptors are reserved for files by the platform.
 	fileDescriptors = 200
 	// One of otherShare descriptors is kept for the store, other gateways and upstreams: 718
-	// of the 2,875 on the smallest instances, where 100 gateways and 160 engines need about
-	// 500. At least minOther of them are.
+	// of the 2,875 on the smallest instances, where links to 99 other gateways take 198. At
+	// least minOther of them are.
 	otherShare = 4
 	minOther   = 40
 	// upstreamShare is the part of these, in percent, that requests may use at the same time.
