--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -17,12 +17,15 @@
 	"github.com/citronstream/citronstream/internal/fleet/discovery"
 	"github.com/citronstream/citronstream/internal/fleet/follow"
 	"github.com/citronstream/citronstream/internal/fleet/mesh"
+	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/citronstream/citronstream/internal/fleet/snapshot"
 	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/citronstream/citronstream/internal/fleet/wakeup"
 	"github.com/citronstream/citronstream/internal/ingress/flow"
 	"github.com/citronstream/citronstream/internal/ingress/server"
 	"github.com/citronstream/citronstream/internal/kernel/acceptor"
 	"github.com/citronstream/citronstream/internal/limit/callermemory"
+	"github.com/citronstream/citronstream/internal/limit/coldrate"
 	"github.com/citronstream/citronstream/internal/limit/deathdetect"
 	"github.com/citronstream/citronstream/internal/limit/firstattempt"
 	"github.com/citronstream/citronstream/internal/limit/partquarantine"
@@ -59,6 +62,10 @@
 	// a leaving upstream must stop, also for an entry without peers. The same holds
 	// for the configuration and the time in which it must be in force.
 	readsPerDrain = 2
+	// silencePerBound is the part of the bound within which a change must apply after
+	// which an open connection to the store counts as silent. Half of the bound has passed
+	// by then at most; the last quarter is for the read on a new connection.
+	silencePerBound = 4
 )
 
 // Gateway is an entry process on the users' platform.
@@ -75,12 +82,15 @@
 	follower      *follow.Follower
 	mesh          *mesh.Mesh
 	pool          *conns.Pool
+	slow          map[*node.Node]bool // upstreams that are logged as slow; used by runPeriodic only
 	broker        *broker.Broker
 	engines       *engines.Picker
 	holds         *poison.Holds
 	parts         *partquarantine.Quarantine
 	refusals      *firstattempt.Registry
 	deaths        *deathdetect.Detector
+	cold          *coldrate.Limiter
+	listAsked     time.Time // when the list of gateways was last asked for by sweepCold
 	budget        *siteretrybudget.Budget
 	meter         *requests.Meter
 	flow          *flow.Flow
@@ -91,6 +101,7 @@
 	metricsServer *http.Server
 	listeners     []*acceptor.Listener // set by Start
 	discovery     *discovery.Discovery
+	snapshot      *snapshot.Snapshot
 	wakeup        *wakeup.Gate
 
 	ctx         context.Context
@@ -118,15 +129,19 @@
 	ga.parts = partquarantine.New(clk, citronstream.DefaultLimits(), partquarantine.WithOnChange(ga.partChanged))
 	ga.ctx, ga.cancel = context.WithCancel(ctx)
 	ga.pool = conns.New(clk, conns.WithMaxIdle(ga.maxIdleConns))
-	store := platform.NewStore(site.Store)
+	store := platform.NewStore(site.Store, platform.WithSilence(min(site.Bounds.Drain, site.Bounds.ConfigApply)/silencePerBound), platform.WithOnSilent(ga.storeSilent))
 	ga.view = view.New(clk, log, view.Decode{
 		Routing: platform.DecodeRouting, Member: platform.DecodeMember, ConfigKey: platform.ConfigKey, MemberPrefix: platform.TableMembers + "/",
 		EvacuationPrefix: platform.EvacuationPrefix,
-	})
+	}, view.WithHeartbeat(site.Heartbeat))
 	ga.view.OnChange(ga.viewChanged)
+	ga.cold = coldrate.New(clk, site.Peers, ga.serviceSpec, coldrate.WithBound(site.Bounds.ColdOverage, site.Bounds.ColdSlack), coldrate.WithOnChange(ga.coldChanged))
+	ga.view.OnRow(ga.cold.Row)
+	ga.view.OnTakenBack(ga.cold.TakenBack)
 	ga.mesh = mesh.New(clk, log, eng, ga.peerInfo, ga.handle, ga.peerConnected)
-	ga.follower = follow.New(clk, log, store, ga.view, follow.WithReaders(ga.readers), follow.WithOnRead(ga.storeRead))
-	ga.discovery = discovery.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone)
+	ga.follower = follow.New(clk, log, store, ga.view, follow.WithReaders(ga.readers), follow.WithOnRead(ga.storeRead), follow.WithOnFirstRead(ga.tableRead))
+	ga.snapshot = snapshot.New(clk, log, store, ga.membersInUse, ga.writesSnapshot)
+	ga.discovery = discovery.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone, discovery.WithOnList(ga.cold.Listed))
 	suspended := ga.suspendedTime()
 	ga.wakeup = wakeup.New(clk, log, suspended, ga.readAgain)
 	ga.deaths = deathdetect.New(ga.ctx, clk, probeUpstream, ga.upstreamDied)
@@ -141,7 +156,7 @@
 	}
 	ga.flow = flow.New(clk, log, flow.Dependencies{
 		Zone: site.Zone, ListingTTL: ga.listingTTL(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
-		Budget: ga.budget, Holds: ga.holds, Parts: ga.parts, Refused: ga.refusals, Deaths: ga.deaths, Observe: ga.meter.Observe,
+		Budget: ga.budget, Holds: ga.holds, Parts: ga.parts, Refused: ga.refusals, Deaths: ga.deaths, Cold: ga.cold, Observe: ga.meter.Observe,
 		Suspended: suspended, Pass: ga.wakeup.Pass,
 		Memory: ga.memory, BodyStall: clients.BodyStall, ReadStall: clients.ReadStall, MaxUpstream: maxUpstream(site), OnLimit: ga.limits.hit,
 	})
@@ -227,6 +242,7 @@
 	ga.runInBackground(func(ctx context.Context) { ga.follower.Run(ctx, ga.memberTable()) })
 	ga.runInBackground(ga.wakeup.Run)
 	ga.runInBackground(ga.discovery.Run)
+	ga.runInBackground(ga.snapshot.Run)
 	ga.runInBackground(ga.runPeriodic)
 	ga.runInBackground(ga.broadcastRows)
 	ga.log.Info("started", "callers", ga.site.Callers, "peers", ga.site.Peers, "zone", ga.site.Zone, "boot", ga.boot)
@@ -297,6 +313,7 @@
 		case <-ticker.Chan():
 		}
 		ga.view.Sweep()
+		ga.sweepCold()
 		ga.tellRefusals()
 		ga.parts.Tick()
 		ga.tellParts()
@@ -308,6 +325,7 @@
 		}
 		if count%sweepTicks == 0 {
 			ga.pool.Sweep()
+			ga.logSpeeds()
 			ga.mesh.Prune()
 		}
 	}
@@ -328,6 +346,7 @@
 
 func (ga *Gateway) broadcastEntryLoad() {
 	if load, changed := ga.engines.ChangedLoad(); changed {
+		load.Speeds = ga.takeSpeeds()
 		ga.mesh.Broadcast(citronstream.MethodEntryLoad, load)
 	}
 }
@@ -374,6 +393,7 @@
 		var load citronstream.EntryLoad
 		if re.Decode(&load) == nil {
 			ga.engines.UpdateLoad(from, load)
+			ga.heardSpeeds(from, load.Speeds)
 		}
 	case citronstream.MethodRefusals:
 		var refusals citronstream.Refusals
@@ -419,6 +439,7 @@
 	if nd := ga.view.Members().Node(report.Upstream); nd != nil {
 		nd.MarkDead(ga.clk.Now(), ga.listingTTL())
 	}
+	ga.cold.Died(report.Upstream, ga.listingTTL())
 	ga.log.Info("upstream died", "upstream", report.Upstream, "death", report.ID, "running", len(report.Running), "held", len(held), "source", source)
 }
 
