--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -61,6 +61,8 @@
 	visiting    bool                // the visit counts it as sent
 	stopRelease func() bool
 	begun       bool // its first event has arrived
+	connected   bool // it counts as a connection to an upstream
+	closed      bool // ans is closed
 }
 
 // newAttempt returns an attempt at an upstream that pick has chosen.
@@ -77,8 +79,7 @@
 	defer close(at.returned)
 	fo := citronstream.ForwardOptions{Priority: -1}
 	if at.demand != nil {
-		rank, routeRank := rt.ranks()
-		fo.Priority = rank*citronstream.Ranks + min(routeRank, citronstream.Ranks-1)
+		fo.Priority = rt.urgency()
 	}
 	if rt.lastEvent > 0 {
 		fo.LastEvent = strconv.FormatInt(rt.lastEvent, 10)
@@ -95,6 +96,10 @@
 	if at.fault = rt.recheck(at); at.fault != nil {
 		return
 	}
+	if !rt.fl.connect(at) {
+		at.fault = citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "this process has no connection left for an upstream")
+		return
+	}
 	at.stopRelease = rt.releaseEarly(at.nd, at.demand)
 	if refusal := rt.visit.Send(); refusal != nil {
 		at.fault, at.quarantined = partFault(refusal), true
@@ -111,11 +116,32 @@
 	at.nd.ObserveLoad(at.ans.Head.Load, rt.fl.clk.Now())
 }
 
-// finish releases what an attempt holds.
-func (rt *request) finish(at *attempt) {
-	if at.ans != nil {
+// connect counts a connection to an upstream, and reports whether there may be one.
+func (fl *Flow) connect(at *attempt) bool {
+	if count := fl.connected.Add(1); fl.MaxUpstream > 0 && count > int64(fl.MaxUpstream) {
+		fl.connected.Add(-1)
+		fl.OnLimit(LimitUpstream)
+		return false
+	}
+	at.connected = true
+	return true
+}
+
+// disconnect gives the connection of an attempt back.
+func (fl *Flow) disconnect(at *attempt) {
+	if at.ans != nil && !at.closed {
+		at.closed = true
 		at.ans.Close()
 	}
+	if at.connected {
+		at.connected = false
+		fl.connected.Add(-1)
+	}
+}
+
+// finish releases what an attempt holds.
+func (rt *request) finish(at *attempt) {
+	rt.fl.disconnect(at)
 	if at.visiting {
 		rt.visit.Returned()
 	}
@@ -213,7 +239,7 @@
 		nd.ConnectionBroke(now)
 		rt.fl.Pool.Drop(nd.Address)
 		if re.reached {
-			rt.fl.Deaths.ConnectionBroke(nd, deathdetect.Request{Digest: rt.digest, Sent: *sent, Unproven: rt.visit.Broke()})
+			rt.checked = rt.fl.Deaths.ConnectionBroke(nd, deathdetect.Request{Digest: rt.digest, Sent: *sent, Unproven: rt.visit.Broke()})
 		}
 	}
 	if !callerDisconnected(at.ctx) {
@@ -283,6 +309,9 @@
 func (rt *request) relayBuffered(at *attempt, to *takeover) result {
 	nd, ans := at.nd, at.ans
 	body, err := rt.bodies.Read(ans, maxBody)
+	if err == nil && rt.memory != nil {
+		rt.fl.disconnect(at) // a caller that reads slowly does not hold it
+	}
 	unfit := errors.Is(err, bodybudget.ErrTooLarge) || errors.Is(err, bodybudget.ErrFull)
 	if err != nil && !unfit {
 		return rt.failAttempt(at, to, citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeUpstreamDied, "response incomplete: %v", err))
@@ -327,10 +356,8 @@
 	header.Set("Content-Length", strconv.Itoa(length))
 	rt.started = true
 	rt.wr.WriteHeader(rp.status)
-	for _, chunk := range rp.body {
-		if _, err := rt.wr.Write(chunk); err != nil {
-			return outcome{status: rp.status, reason: callerLeft, abort: true}
-		}
+	if err := rt.writeChunks(rp.body); err != nil {
+		return outcome{status: rp.status, reason: callerLeft, abort: true}
 	}
 	return outcome{status: rp.status, reason: reason}
 }
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -13,6 +13,7 @@
 	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/citronstream/citronstream/internal/limit/bodybudget"
+	"github.com/citronstream/citronstream/internal/limit/callermemory"
 	"github.com/citronstream/citronstream/internal/limit/coldrate"
 	"github.com/citronstream/citronstream/internal/limit/deathdetect"
 	"github.com/citronstream/citronstream/internal/limit/firstattempt"
@@ -22,6 +23,7 @@
 	"github.com/citronstream/citronstream/internal/limit/siteretrybudget"
 	"github.com/citronstream/citronstream/internal/observe/requests"
 	"github.com/citronstream/citronstream/internal/route/engines"
+	"github.com/citronstream/citronstream/internal/route/regions"
 	"github.com/citronstream/citronstream/internal/stage/broker"
 	"github.com/citronstream/citronstream/internal/stage/fetchtime"
 	"github.com/citronstream/citronstream/internal/upstream/conns"
@@ -32,6 +34,8 @@
 // Dependencies are the components that a Flow uses.
 type Dependencies struct {
 	Zone string
+	// Zones has the regions of the zones, for requests that are restricted to some.
+	Zones regions.Zones
 	// ListingTTL is how long the platform still lists an upstream after it was last
 	// seen.
 	ListingTTL time.Duration
@@ -46,12 +50,24 @@
 	Deaths     *deathdetect.Detector
 	// Cold bounds the requests to cold upstreams; nil if none is cold.
 	Cold *coldrate.Limiter
+	// Parse returns the function that parses the heads of an upstream's responses; it may
+	// be nil.
+	Parse func(nd *node.Node) func(status int, header http.Header) citronstream.AnswerHead
 	// Suspended returns for how long the instance has been suspended; it may be nil. That
 	// time does not count for timers, but it does for callers.
 	Suspended func() time.Duration
 	// Pass waits while what the process knows may be out of date, as it was paused; it
 	// may be nil.
 	Pass func(ctx context.Context)
+	// Memory accounts what callers hold; nil bounds neither that nor the times below.
+	Memory *callermemory.Account
+	// BodyStall is the longest time in which a body may bring almost nothing, ReadStall
+	// that in which a caller may read almost nothing of its answer.
+	BodyStall, ReadStall time.Duration
+	// MaxUpstream bounds the connections to upstreams that are in use; 0 for no bound.
+	MaxUpstream int
+	// OnLimit is called when a limit on bodies takes effect; it may be nil.
+	OnLimit func(limit string)
 	// Observe is called at the end of each request; it may be nil.
 	Observe func(rq requests.Request)
 }
@@ -66,6 +82,7 @@
 	bodies       *bodybudget.Budget
 	fetchTimes   *fetchtime.Estimator // of the final results that requests take
 	inFlight     atomic.Int64
+	connected    atomic.Int64 // connections to upstreams in use
 	panics       atomic.Uint64
 	began        time.Time
 	leaving      atomic.Int64 // when Leave was called, in ns after began; 0 before
@@ -85,10 +102,16 @@
 	if pa.Cold == nil {
 		pa.Cold = coldrate.New(clk, "", func(string) citronstream.ServiceSpec { return citronstream.ServiceSpec{} })
 	}
+	if pa.Parse == nil {
+		pa.Parse = func(*node.Node) func(int, http.Header) citronstream.AnswerHead { return platform.ParseAnswer }
+	}
 	if pa.Pass == nil {
 		pa.Pass = func(context.Context) {}
 	}
-	fl := &Flow{Dependencies: pa, clk: clk, began: clk.Now(), log: log, latencies: newLatencies(clk), floor: servicefloor.New(clk), bodies: bodybudget.New(), fetchTimes: fetchtime.New()}
+	if pa.OnLimit == nil {
+		pa.OnLimit = func(string) {}
+	}
+	fl := &Flow{Dependencies: pa, clk: clk, began: clk.Now(), log: log, latencies: newLatencies(clk), floor: servicefloor.New(clk), bodies: bodybudget.New(bodybudget.WithMemory(pa.Memory)), fetchTimes: fetchtime.New()}
 	fl.stagesCtx, fl.cancelStages = context.WithCancel(context.Background())
 	fl.requestsCtx, fl.cancelRequests = context.WithCancel(context.Background())
 	return fl
@@ -119,8 +142,9 @@
 	if fl.leaving.Load() > 0 {
 		wr.Header().Set("Connection", "close")
 	}
-	rt := &request{CallerRequest: &citronstream.CallerRequest{}, fl: fl, wr: wr, rq: rq, bodies: fl.bodies.Open(), at: fl.clk.Now(), suspended: fl.Suspended()}
+	rt := &request{CallerRequest: &citronstream.CallerRequest{}, fl: fl, wr: wr, rq: rq, bodies: fl.bodies.Open(), memory: fl.Memory.Open(), at: fl.clk.Now(), suspended: fl.Suspended()}
 	defer rt.bodies.Close()
+	defer rt.memory.Close()
 	out := rt.serveSafely()
 	rt.record(out)
 	if out.abort {
@@ -134,14 +158,18 @@
 	fl     *Flow
 	wr     http.ResponseWriter
 	rq     *http.Request
-	body   []byte
+	body   [][]byte
 	bodies *bodybudget.Account // of the answers
-	digest uint64
+	memory *callermemory.Holder
+	// aborted is true when the body was told to give up.
+	aborted atomic.Bool
+	digest  uint64
 
 	routes    *view.Routes
 	route     *citronstream.Route
 	service   string // that runs the request itself, after its stages
 	workspace string
+	regions   regions.Set // in which it may run and its body may be sent
 	rank      int
 	raised    bool // its kind is hardly served, so that it is taken for urgent
 
@@ -160,18 +188,20 @@
 	visit *partquarantine.Visit
 
 	stages     *stages
-	tried      map[string]bool     // IDs of the upstreams that were tried
-	visited    map[string]bool     // their addresses
-	sends      int                 // attempts that reached the chosen upstream
-	deliveries int                 // sends, and attempts answered by another upstream at the address
-	turn       bool                // it is its turn to get a permit for a cold upstream
-	unreached  int                 // attempts that reached no upstream
-	nextRetry  time.Time           // when the repeat in hand was taken from the retry budget; zero for none
-	noRetry    string              // why no other upstream was tried; empty if it did not matter
-	worst      *citronstream.Fault // that tells most about whether the request may have run
-	fallback   *response           // 5xx response of an upstream, used if no better one arrives
-	last       *node.Node
-	started    bool // the response header was written
+	tried      map[string]bool // IDs of the upstreams that were tried
+	visited    map[string]bool // their addresses
+	sends      int             // attempts that reached the chosen upstream
+	deliveries int             // sends, and attempts answered by another upstream at the address
+	turn       bool            // it is its turn to get a permit for a cold upstream
+	unreached  int             // attempts that reached no upstream
+	nextRetry  time.Time       // when the repeat in hand was taken from the retry budget; zero for none
+	noRetry    string          // why no other upstream was tried; empty if it did not matter
+	// checked is closed when the upstream whose connection broke last was probed; nil for none.
+	checked  <-chan struct{}
+	worst    *citronstream.Fault // that tells most about whether the request may have run
+	fallback *response           // 5xx response of an upstream, used if no better one arrives
+	last     *node.Node
+	started  bool // the response header was written
 	// lastEvent is the ID of the last event written to the caller.
 	lastEvent  int64
 	sparse     bool // the identifiers of its events do not rise by one
@@ -199,6 +229,12 @@
 	return rt.rank, rt.route.Rank
 }
 
+// urgency returns both ranks in one number, 0 for the most urgent.
+func (rt *request) urgency() int {
+	rank, routeRank := rt.ranks()
+	return rank*citronstream.Ranks + min(routeRank, citronstream.Ranks-1)
+}
+
 // serve runs the request and writes its response.
 func (rt *request) serve() outcome {
 	defer func() {
@@ -221,6 +257,9 @@
 	rt.estimateReadTime()
 	rt.stages = newStages(rt)
 	defer rt.stages.releaseAll()
+	if fa := rt.checkRegions(); fa != nil {
+		return rt.respondFault(ctx, fa)
+	}
 	if rt.outlivesGrace(func() time.Duration { return rt.stages.estimate(false) }) {
 		return rt.refuseLeaving("the request would outlive this process")
 	}
@@ -285,6 +324,6 @@
 	}
 	return &conns.Request{
 		Method: rt.rq.Method, Target: rt.rq.RequestURI, Host: rt.rq.Host, Written: written,
-		Header: platform.UpstreamHeader(rt.rq.Header, &fo), Body: rt.body, ID: rt.ID, Fresh: at.fresh, Parse: platform.ParseAnswer,
+		Header: platform.UpstreamHeader(rt.rq.Header, &fo), Body: rt.body, ID: rt.ID, Fresh: at.fresh, Parse: rt.fl.Parse(at.nd),
 	}
 }
--- a/internal/limit/coldrate/coldrate.go
+++ b/internal/limit/coldrate/coldrate.go
@@ -24,8 +24,8 @@
 	// startGrace is the time from the first row in which further upstreams are taken for
 	// ones that have run before this process.
 	startGrace = 3 * time.Second
-	// stateTTL is how long the state of an upstream without a new row is kept. A row is
-	// renewed with each heartbeat, but not while the store is away.
+	// stateTTL is how long the state of an upstream that is no longer listed is kept. One
+	// that is listed again as it was has not started anew.
 	stateTTL = 5 * time.Minute
 )
 
@@ -51,8 +51,8 @@
 type upstream struct {
 	service, zone string
 	started       int64
-	version       uint64 // of its newest row
-	rowAt         time.Time
+	version       uint64    // of its newest row
+	listedAt      time.Time // when it had a row or was in use last
 	coldUntil     time.Time
 	announced     bool // the last change reported was to cold
 	// Rows up to this version, and the next warm ones as counted, may be older than what
@@ -60,6 +60,11 @@
 	doubtful uint64
 	ignore   int
 	permits  []*Permit
+	// sender is whether this gateway is among the first senders, by the gateways known at
+	// a generation.
+	sender    bool
+	senders   int
+	senderGen uint64
 }
 
 // Limiter knows which upstreams are cold and what this gateway may send to them. Its
@@ -77,6 +82,7 @@
 	firstRow  time.Time
 	upstreams map[string]*upstream
 	gateways  map[string]time.Time // other gateways by address, when they were known last
+	gen       uint64               // grows with each change of the gateways
 	listedAt  time.Time            // start of the last complete read of the list of gateways
 	waiting   map[string][]*Waiter // by service, in the order of their turns
 }
@@ -100,7 +106,7 @@
 // service.
 func New(clk citronstream.Clock, self string, spec func(service string) citronstream.ServiceSpec, opts ...Option) *Limiter {
 	li := &Limiter{
-		clk: clk, self: self, spec: spec, onChange: func(Change) {}, began: clk.Now(),
+		clk: clk, self: self, spec: spec, onChange: func(Change) {}, began: clk.Now(), gen: 1,
 		upstreams: make(map[string]*upstream), gateways: make(map[string]time.Time), waiting: make(map[string][]*Waiter),
 	}
 	for _, opt := range opts {
@@ -126,7 +132,7 @@
 		up, started = &upstream{}, now.Sub(li.firstRow) > startGrace
 		li.upstreams[mb.ID] = up
 	}
-	up.service, up.zone, up.started, up.version, up.rowAt = mb.Service, mb.Zone, mb.StartedMs, mb.Revision, now
+	up.service, up.zone, up.started, up.version, up.listedAt = mb.Service, mb.Zone, mb.StartedMs, mb.Revision, now
 	until := now.Add(mb.Cold)
 	switch {
 	case started && mb.Cold == 0:
@@ -192,9 +198,9 @@
 	}
 }
 
-// Sweep reports the upstreams whose cold time has passed and forgets those without a row
-// for long.
-func (li *Limiter) Sweep() {
+// Sweep reports the upstreams whose cold time has passed and forgets those that have not
+// been listed for long. Rows of listed ones are not renewed while the store is away.
+func (li *Limiter) Sweep(listed func(id string) bool) {
 	li.mu.Lock()
 	defer li.mu.Unlock()
 	now := li.clk.Now()
@@ -202,7 +208,10 @@
 		if up.announced && !now.Before(up.coldUntil) {
 			li.setCold(id, up, up.coldUntil, SourceTime)
 		}
-		if now.Sub(up.rowAt) > stateTTL && !now.Before(up.coldUntil) && len(up.permits) == 0 {
+		if listed(id) {
+			up.listedAt = now
+		}
+		if now.Sub(up.listedAt) > stateTTL && !now.Before(up.coldUntil) {
 			delete(li.upstreams, id)
 		}
 	}
@@ -267,7 +276,7 @@
 
 // left returns how many requests this gateway may send to a cold upstream now.
 func (li *Limiter) left(id string, up *upstream, rate float64, now time.Time) int {
-	sh := li.share(id, rate, now)
+	sh := li.share(id, up, rate, now)
 	up.permits = slices.DeleteFunc(up.permits, func(pe *Permit) bool { return !pe.at.IsZero() && now.Sub(pe.at) >= sh.window })
 	return sh.count - len(up.permits)
 }
@@ -314,7 +323,7 @@
 			return 0
 		}
 		warm = min(warm, up.coldUntil.Sub(now))
-		sh := li.share(id, rate, now)
+		sh := li.share(id, up, rate, now)
 		perSecond += float64(sh.count) / sh.window.Seconds()
 		switch {
 		case li.left(id, up, rate, now) > 0:
@@ -347,7 +356,7 @@
 			cold++
 		}
 		if _, rate := li.limited(id, now); rate > 0 {
-			sh := li.share(id, rate, now)
+			sh := li.share(id, up, rate, now)
 			own, all = own+float64(sh.count)*float64(window)/float64(max(window, sh.window-jitter)), all+rate
 		}
 	}
--- a/request.go
+++ b/request.go
@@ -49,6 +49,7 @@
 	// IdleTimeout is how long the upstream keeps the connection; 0 when unknown.
 	IdleTimeout time.Duration
 	Load        ServerLoad
+	Leaving     bool // the upstream says that it is about to end
 }
 
 // ServerLoad is what an upstream says of its load with an answer. The zero value means
