--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -13,6 +13,7 @@
 	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/citronstream/citronstream/internal/limit/bodybudget"
+	"github.com/citronstream/citronstream/internal/limit/callermemory"
 	"github.com/citronstream/citronstream/internal/limit/coldrate"
 	"github.com/citronstream/citronstream/internal/limit/deathdetect"
 	"github.com/citronstream/citronstream/internal/limit/firstattempt"
@@ -22,6 +23,7 @@
 	"github.com/citronstream/citronstream/internal/limit/siteretrybudget"
 	"github.com/citronstream/citronstream/internal/observe/requests"
 	"github.com/citronstream/citronstream/internal/route/engines"
+	"github.com/citronstream/citronstream/internal/route/regions"
 	"github.com/citronstream/citronstream/internal/stage/broker"
 	"github.com/citronstream/citronstream/internal/stage/fetchtime"
 	"github.com/citronstream/citronstream/internal/upstream/conns"
@@ -32,6 +34,8 @@
 // Dependencies are the components that a Flow uses.
 type Dependencies struct {
 	Zone string
+	// Zones has the regions of the zones, for requests that are restricted to some.
+	Zones regions.Zones
 	// ListingTTL is how long the platform still lists an upstream after it was last
 	// seen.
 	ListingTTL time.Duration
@@ -55,6 +59,15 @@
 	// Pass waits while what the process knows may be out of date, as it was paused; it
 	// may be nil.
 	Pass func(ctx context.Context)
+	// Memory accounts what callers hold; nil bounds neither that nor the times below.
+	Memory *callermemory.Account
+	// BodyStall is the longest time in which a body may bring almost nothing, ReadStall
+	// that in which a caller may read almost nothing of its answer.
+	BodyStall, ReadStall time.Duration
+	// MaxUpstream bounds the connections to upstreams that are in use; 0 for no bound.
+	MaxUpstream int
+	// OnLimit is called when a limit on bodies takes effect; it may be nil.
+	OnLimit func(limit string)
 	// Observe is called at the end of each request; it may be nil.
 	Observe func(rq requests.Request)
 }
@@ -69,6 +82,7 @@
 	bodies       *bodybudget.Budget
 	fetchTimes   *fetchtime.Estimator // of the final results that requests take
 	inFlight     atomic.Int64
+	connected    atomic.Int64 // connections to upstreams in use
 	panics       atomic.Uint64
 	began        time.Time
 	leaving      atomic.Int64 // when Leave was called, in ns after began; 0 before
@@ -94,7 +108,10 @@
 	if pa.Pass == nil {
 		pa.Pass = func(context.Context) {}
 	}
-	fl := &Flow{Dependencies: pa, clk: clk, began: clk.Now(), log: log, latencies: newLatencies(clk), floor: servicefloor.New(clk), bodies: bodybudget.New(), fetchTimes: fetchtime.New()}
+	if pa.OnLimit == nil {
+		pa.OnLimit = func(string) {}
+	}
+	fl := &Flow{Dependencies: pa, clk: clk, began: clk.Now(), log: log, latencies: newLatencies(clk), floor: servicefloor.New(clk), bodies: bodybudget.New(bodybudget.WithMemory(pa.Memory)), fetchTimes: fetchtime.New()}
 	fl.stagesCtx, fl.cancelStages = context.WithCancel(context.Background())
 	fl.requestsCtx, fl.cancelRequests = context.WithCancel(context.Background())
 	return fl
@@ -125,8 +142,9 @@
 	if fl.leaving.Load() > 0 {
 		wr.Header().Set("Connection", "close")
 	}
-	rt := &request{CallerRequest: &citronstream.CallerRequest{}, fl: fl, wr: wr, rq: rq, bodies: fl.bodies.Open(), at: fl.clk.Now(), suspended: fl.Suspended()}
+	rt := &request{CallerRequest: &citronstream.CallerRequest{}, fl: fl, wr: wr, rq: rq, bodies: fl.bodies.Open(), memory: fl.Memory.Open(), at: fl.clk.Now(), suspended: fl.Suspended()}
 	defer rt.bodies.Close()
+	defer rt.memory.Close()
 	out := rt.serveSafely()
 	rt.record(out)
 	if out.abort {
@@ -140,14 +158,18 @@
 	fl     *Flow
 	wr     http.ResponseWriter
 	rq     *http.Request
-	body   []byte
+	body   [][]byte
 	bodies *bodybudget.Account // of the answers
-	digest uint64
+	memory *callermemory.Holder
+	// aborted is true when the body was told to give up.
+	aborted atomic.Bool
+	digest  uint64
 
 	routes    *view.Routes
 	route     *citronstream.Route
 	service   string // that runs the request itself, after its stages
 	workspace string
+	regions   regions.Set // in which it may run and its body may be sent
 	rank      int
 	raised    bool // its kind is hardly served, so that it is taken for urgent
 
@@ -207,6 +229,12 @@
 	return rt.rank, rt.route.Rank
 }
 
+// urgency returns both ranks in one number, 0 for the most urgent.
+func (rt *request) urgency() int {
+	rank, routeRank := rt.ranks()
+	return rank*citronstream.Ranks + min(routeRank, citronstream.Ranks-1)
+}
+
 // serve runs the request and writes its response.
 func (rt *request) serve() outcome {
 	defer func() {
@@ -229,6 +257,9 @@
 	rt.estimateReadTime()
 	rt.stages = newStages(rt)
 	defer rt.stages.releaseAll()
+	if fa := rt.checkRegions(); fa != nil {
+		return rt.respondFault(ctx, fa)
+	}
 	if rt.outlivesGrace(func() time.Duration { return rt.stages.estimate(false) }) {
 		return rt.refuseLeaving("the request would outlive this process")
 	}
--- a/internal/ingress/server/server.go
+++ b/internal/ingress/server/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/kernel/acceptor"
 	"github.com/go-logr/logr"
 )
 
@@ -40,24 +41,30 @@
 	log      logr.Logger
 	clk      citronstream.Clock
 	handler  http.Handler
-	ln       *net.TCPListener
+	ln       *acceptor.Listener
 	stopping atomic.Bool // StopAccepting was called
 	done     chan struct{}
 	callers  *callers
 	listener *chanListener
 	http     *http.Server
 	serving  sync.WaitGroup
+	maxOpen  int // connections; 0 for no bound
+	began    time.Time
+	waiting  atomic.Int64 // since when a connection waits for room, in ns after began; 0 if none does
 }
 
 // New returns a server that does not listen yet.
-func New(clk citronstream.Clock, log logr.Logger, handler http.Handler) *Server {
-	se := &Server{log: log, clk: clk, handler: handler, done: make(chan struct{}), callers: newCallers(clk, citronstream.CallerLimits{
+func New(clk citronstream.Clock, log logr.Logger, handler http.Handler, opts ...Option) *Server {
+	se := &Server{log: log, clk: clk, handler: handler, began: clk.Now(), done: make(chan struct{}), callers: newCallers(clk, citronstream.CallerLimits{
 		HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 	})}
 	se.http = &http.Server{
 		Handler: http.HandlerFunc(se.serveHTTP), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: serverTimeout, IdleTimeout: serverTimeout,
 		ConnState: se.callers.observe, ConnContext: withCaller, ErrorLog: ErrorLog(log),
 	}
+	for _, opt := range opts {
+		opt(se)
+	}
 	return se
 }
 
@@ -76,7 +83,7 @@
 	if err != nil {
 		return merry.Prependf(err, "listen for callers at %s", address)
 	}
-	se.ln = ln.(*net.TCPListener)
+	se.ln = acceptor.New(se.clk, se.log, ln)
 	se.listener = &chanListener{conns: make(chan net.Conn), closed: make(chan struct{}), address: ln.Addr()}
 	se.serving.Go(func() {
 		if err := se.http.Serve(se.listener); err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
@@ -112,21 +119,38 @@
 // end: without another one on its connection, the HTTP server closes that at once.
 func (se *Server) serveHTTP(wr http.ResponseWriter, rq *http.Request) {
 	cc, ok := rq.Context().Value(callerKey{}).(*callerConn)
-	if !ok || !rq.Close || rq.ContentLength == 0 {
+	if ok && cc.isOverdrawn() {
+		se.callers.hit(LimitMemory)
+		wr.Header().Set("Connection", "close")
+		wr.Header().Set("Retry-After", "1")
+		wr.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if !ok || rq.ContentLength == 0 {
 		se.handler.ServeHTTP(wr, rq)
 		return
 	}
-	read := &bodyReader{ReadCloser: rq.Body}
+	read := &bodyReader{ReadCloser: rq.Body, cc: cc}
 	rq = rq.WithContext(rq.Context())
 	rq.Body = read
 	se.handler.ServeHTTP(wr, rq)
-	cc.unread.Store(!read.ended)
+	cc.unread.Store(!read.ended && (rq.Close || read.refused))
 }
 
 // bodyReader notes the end of a body.
 type bodyReader struct {
 	io.ReadCloser
-	ended bool
+	cc             *callerConn
+	ended, refused bool
+}
+
+// Refuse makes the HTTP server answer without reading the rest of the body. What the
+// caller still sends is dropped after the answer.
+func (br *bodyReader) Refuse() {
+	if !br.ended {
+		br.refused = true
+		_ = br.cc.SetReadDeadline(past) // fails only on a closed connection
+	}
 }
 
 // Read implements io.Reader.
@@ -140,7 +164,7 @@
 func (se *Server) accept() {
 	defer close(se.done)
 	for {
-		nc, err := se.ln.AcceptTCP()
+		nc, err := se.ln.Accept()
 		if err != nil {
 			var temporary net.Error
 			timeout := errors.As(err, &temporary) && temporary.Timeout()
@@ -152,7 +176,11 @@
 			}
 			return
 		}
-		se.handOver(se.callers.add(nc))
+		if !se.makeRoom() {
+			_ = nc.Close()
+			continue
+		}
+		se.handOver(se.callers.add(nc.(*net.TCPConn)))
 	}
 }
 
@@ -165,6 +193,21 @@
 	}
 }
 
+// Listener returns the listener for callers, nil before Start.
+func (se *Server) Listener() *acceptor.Listener { return se.ln }
+
+// Short returns for how long no connection could be accepted.
+func (se *Server) Short() time.Duration {
+	if se.ln == nil {
+		return 0
+	}
+	short := se.ln.Short()
+	if waiting := se.waiting.Load(); waiting > 0 {
+		short = max(short, se.clk.Since(se.began)-time.Duration(waiting))
+	}
+	return short
+}
+
 // CloseIdle closes the connections without a request, and returns how many are still
 // open. A request of which a byte has been read is served.
 func (se *Server) CloseIdle() int { return se.callers.closeIdle() }
@@ -174,7 +217,7 @@
 // them.
 func (se *Server) StopAccepting() {
 	if !se.stopping.Swap(true) {
-		_ = se.ln.SetDeadline(se.clk.Now().Add(emptyQueueTime)) // fails only if it is closed
+		_ = se.ln.Listener.(*net.TCPListener).SetDeadline(se.clk.Now().Add(emptyQueueTime)) // fails only if it is closed
 	}
 	<-se.done
 	_ = se.ln.Close() // fails only if it is closed
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -23,6 +23,8 @@
 	"github.com/citronstream/citronstream/internal/fleet/wakeup"
 	"github.com/citronstream/citronstream/internal/ingress/flow"
 	"github.com/citronstream/citronstream/internal/ingress/server"
+	"github.com/citronstream/citronstream/internal/kernel/acceptor"
+	"github.com/citronstream/citronstream/internal/limit/callermemory"
 	"github.com/citronstream/citronstream/internal/limit/coldrate"
 	"github.com/citronstream/citronstream/internal/limit/deathdetect"
 	"github.com/citronstream/citronstream/internal/limit/firstattempt"
@@ -33,6 +35,7 @@
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
 	"github.com/citronstream/citronstream/internal/route/engines"
+	"github.com/citronstream/citronstream/internal/route/regions"
 	"github.com/citronstream/citronstream/internal/stage/broker"
 	"github.com/citronstream/citronstream/internal/upstream/batch"
 	"github.com/citronstream/citronstream/internal/upstream/conns"
@@ -52,6 +55,10 @@
 	// ownersPerWindow is the number of owners that a queue may have within one window
 	// of the retry budget. Each uses at most its share of the budget.
 	ownersPerWindow = 2
+	// maxAcceptShortage is for how long callers' connections may not be accepted while the
+	// process still reports ready. The platform looks each second and acts on the second
+	// failure, so that it then stops sending callers within 4 s.
+	maxAcceptShortage = 2 * time.Second
 	// readsPerDrain is the number of list reads within the time in which requests to
 	// a leaving upstream must stop, also for an entry without peers. The same holds
 	// for the configuration and the time in which it must be in force.
@@ -88,9 +95,12 @@
 	budget        *siteretrybudget.Budget
 	meter         *requests.Meter
 	flow          *flow.Flow
+	memory        *callermemory.Account // nil if the settings state no memory
+	limits        *limitCounts
 	callerServer  *server.Server
 	readyServer   *http.Server
 	metricsServer *http.Server
+	listeners     []*acceptor.Listener // set by Start
 	discovery     *discovery.Discovery
 	snapshot      *snapshot.Snapshot
 	wakeup        *wakeup.Gate
@@ -137,16 +147,22 @@
 	ga.wakeup = wakeup.New(clk, log, suspended, ga.readAgain)
 	ga.deaths = deathdetect.New(ga.ctx, clk, probeUpstream, ga.upstreamDied)
 	owned := siteretrybudget.New(clk, site.Bounds, func() int { return ownersPerWindow })
-	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, batch.New(clk, log, ga.pool, batch.WithParse(ga.parseAnswer)), owned,
-		broker.WithCapacity(site.Cores*site.LinkRate), broker.WithHeld(ga.wakeup.Held))
+	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, &coldBatcher{batch.New(clk, log, ga.pool, batch.WithParse(ga.parseAnswer)), clk, ga.cold}, owned,
+		broker.WithCapacity(site.Cores*site.LinkRate), broker.WithHeld(ga.wakeup.Held), broker.WithZones(site.Zone, regions.NewZones(site)))
 	ga.budget = siteretrybudget.New(clk, site.Bounds, ga.mesh.LiveCount)
+	ga.limits = newLimitCounts(clk, log)
+	clients := clientLimits(site)
+	if clients.Memory > 0 {
+		ga.memory = callermemory.New(clk, clients.Memory)
+	}
 	ga.flow = flow.New(clk, log, flow.Dependencies{
-		Zone: site.Zone, ListingTTL: ga.listingTTL(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
+		Zone: site.Zone, Zones: regions.NewZones(site), ListingTTL: ga.listingTTL(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
 		Budget: ga.budget, Holds: ga.holds, Parts: ga.parts, Refused: ga.refusals, Deaths: ga.deaths, Cold: ga.cold, Observe: ga.meter.Observe,
 		Parse:     ga.parseAnswer,
 		Suspended: suspended, Pass: ga.wakeup.Pass,
+		Memory: ga.memory, BodyStall: clients.BodyStall, ReadStall: clients.ReadStall, MaxUpstream: maxUpstream(site), OnLimit: ga.limits.hit,
 	})
-	ga.callerServer = server.New(clk, log, ga.flow)
+	ga.callerServer = server.New(clk, log, ga.flow, server.WithMemory(ga.memory), server.WithClientLimits(clients), server.WithOnLimit(ga.limits.hit))
 	return ga, nil
 }
 
@@ -226,6 +242,7 @@
 	if err := ga.callerServer.Start(ga.site.Callers); err != nil {
 		return err
 	}
+	ga.listeners = append(ga.listeners, ga.mesh.Listener(), ga.callerServer.Listener())
 	var err error
 	if ga.readyServer, err = ga.listen(ga.site.Ready, http.HandlerFunc(ga.serveReady)); err != nil {
 		return merry.Prepend(err, "readiness")
@@ -255,9 +272,14 @@
 	if err != nil {
 		return nil, err
 	}
+	li := acceptor.New(ga.clk, ga.log, ln)
+	ga.listeners = append(ga.listeners, li)
 	hs := &http.Server{Handler: handler, ReadHeaderTimeout: ioTimeout, ErrorLog: server.ErrorLog(ga.log.WithValues("address", address))}
+	if ga.site.Memory > 0 || ga.site.Descriptors > 0 {
+		boundServer(hs)
+	}
 	ga.runInBackground(func(context.Context) {
-		if err := hs.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := hs.Serve(li); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			ga.log.Error(err, "server ended", "address", address)
 		}
 	})
@@ -280,7 +302,7 @@
 
 // Ready reports whether the process can serve callers.
 func (ga *Gateway) Ready() bool {
-	return !ga.leaving.Load() && ga.view.Routes() != nil && ga.view.Members().Len() > 0
+	return !ga.leaving.Load() && ga.view.Routes() != nil && ga.view.Members().Len() > 0 && ga.callerServer.Short() <= maxAcceptShortage
 }
 
 // peerInfo returns the description of this process for peers.
