poison: count a late report of a death that peers have not told

Any message of suspects, also one with prompt parts only, made each later report of a death from before it not count for content that was already a suspect, so that it crashed one more upstream.

Only the digests that a peer's message made suspects are now taken as told.

TestLateReportOfADeathThatPeersDoNotKnow failed before in 3 of 3 cases (the second death held nothing); now the second death holds the content in each.

--- a/internal/limit/poison/digests.go
+++ b/internal/limit/poison/digests.go
@@ -21,6 +21,7 @@
 type digestRecord struct {
 	hold Hold
 	list *list.List
+	told time.Time // when a peer told it; the zero time if it was a suspect here before
 }
 
 // digestTable is a bounded table of digests in two lists in order of last use.
--- a/internal/limit/poison/holds.go
+++ b/internal/limit/poison/holds.go
@@ -77,7 +77,6 @@
 	// While the process learns, it knows nothing of the deaths before its start.
 	learnsUntil time.Time
 	learned     chan struct{}   // closed when a peer has told what it knows
-	imported    time.Time       // when a peer last did; the zero time if none did
 	unsettled   []*death        // of the time in which the process learned
 	learning    atomic.Bool     // false once the process knows
 	sound       map[uint64]bool // digests that ran to completion while it learned
@@ -141,7 +140,7 @@
 		return nil // a lift is not a death
 	}
 	de := ho.deaths.get(re.ID)
-	told := ho.imported.After(now.Add(-max(0, re.Age))) // a peer's suspects are of this death too
+	diedAt := now.Add(-max(0, re.Age))
 	if ho.learns(now) && len(de.seen) == 0 {
 		de.upstream, de.at = re.Upstream, now
 		ho.unsettled = append(ho.unsettled, de)
@@ -151,7 +150,8 @@
 			continue
 		}
 		de.seen[digest] = true
-		if ho.digests.suspect(digest) && !told {
+		// A suspect that a peer told after this death may be one because of it.
+		if dr := ho.digests.get(digest); dr != nil && !dr.told.After(diedAt) {
 			de.suspects = append(de.suspects, digest)
 		}
 		ho.digests.addSuspect(digest)
--- a/internal/limit/poison/learn.go
+++ b/internal/limit/poison/learn.go
@@ -80,13 +80,14 @@
 	holdFor := time.Duration(ho.holdFor.Load())
 	var held []uint64
 	for _, sc := range records[:min(len(records), maxRecords)] {
-		ho.digests.addSuspect(sc.Digest)
+		if !ho.digests.suspect(sc.Digest) {
+			ho.digests.addSuspect(sc.Digest).told = now
+		}
 		left := min(sc.Held, holdFor)
 		if left > 0 && ho.digests.hold(Hold{Digest: sc.Digest, At: now.Add(left - holdFor), Until: now.Add(left), Upstream: sc.Upstream}, now) {
 			held = append(held, sc.Digest)
 		}
 	}
-	ho.imported = now
 	if knows {
 		ho.endLearning(now)
 	}
--- a/internal/limit/poison/learn_test.go
+++ b/internal/limit/poison/learn_test.go
@@ -41,6 +41,24 @@
 	assertHeld(t, ho, 7, false)
 }
 
+// Guards against content that crashes one more upstream, as a death is not counted because
+// peers have told something else, or a suspect that is known here, since.
+func TestLateReportOfADeathThatPeersDoNotKnow(t *testing.T) {
+	for name, told := range map[string][]citronstream.SuspectContent{
+		"prompt parts only": nil, "another one": {{Digest: 8}}, "known here": {{Digest: 7}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ho, clk := newHolds()
+			ho.Died("up-1", []uint64{7})
+			clk.Advance(time.Second)
+			ho.ImportSuspects(told, true)
+			clk.Advance(100 * time.Millisecond)
+			re := Report{ID: "up-2/1/0", Upstream: "up-2", At: clk.Now(), Running: []uint64{7}, Age: 200 * time.Millisecond}
+			assert.Equal(t, []uint64{7}, ho.Merge(re))
+		})
+	}
+}
+
 // Guards against content that crashes a second upstream at a process that can't know of the
 // first: all were killed.
 func TestLearning(t *testing.T) {
