discovery: learn suspects unless the store has no row of any entry

A process without a row of its own was taken for the first of the site, though a replacement has a new name and peers remove the row of an entry that was unreachable for 90 s. It asked nobody which contents are held.

The function for a first start is now called only if the list of entries is empty. A row of its own name alone still means that a process ran before.

--- a/internal/fleet/discovery/discovery.go
+++ b/internal/fleet/discovery/discovery.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -63,8 +62,9 @@
 	return func(di *Discovery) { di.onList = onList }
 }
 
-// WithOnFirstStart sets the function that is called if no process has written the row of
-// this name before, which Run finds out before it writes it.
+// WithOnFirstStart sets the function that is called if there is no row of any entry, which
+// Run finds out before it writes that of this process. A missing row of this name says
+// nothing: a replacement has a new one, and peers remove the rows of unreachable entries.
 func WithOnFirstStart(onFirst func()) Option {
 	return func(di *Discovery) { di.onFirst = onFirst }
 }
@@ -123,15 +123,16 @@
 	}
 }
 
-// announce writes the row of this process, once it is known whether there was one.
+// announce writes the row of this process, once it is known whether there are rows of entries.
 func (di *Discovery) announce(ctx context.Context) error {
 	if di.onFirst != nil {
-		switch _, err := di.table.Get(ctx, prefix+di.name); {
-		case errors.Is(err, citronstream.ErrNotFound):
-			di.onFirst()
-		case err != nil:
+		rows, err := di.table.List(ctx, prefix, "", 1)
+		if err != nil {
 			return err
 		}
+		if len(rows) == 0 {
+			di.onFirst()
+		}
 		di.onFirst = nil
 	}
 	return di.write(ctx)
--- a/internal/fleet/discovery/discovery_test.go
+++ b/internal/fleet/discovery/discovery_test.go
@@ -117,3 +117,21 @@
 	}
 	return count
 }
+
+// Guards against a replacement that takes itself for the first process of the site, and asks
+// nobody which content crashes upstreams, as there is no row of its name.
+func TestFirstStart(t *testing.T) {
+	for name, want := range map[string]bool{"": true, "other": false, "own": false} {
+		t.Run(name, func(t *testing.T) {
+			ta := &store{rows: make(map[string]citronstream.Row)}
+			if name != "" {
+				ta.rows[prefix+name] = citronstream.Row{Key: prefix + name, Version: 1}
+			}
+			first := false
+			di := New(clockwork.NewFakeClock(), logr.Discard(), ta, nil, "own", "127.0.0.1:1", "z", WithOnFirstStart(func() { first = true }))
+			require.NoError(t, di.announce(t.Context()))
+			assert.Equal(t, want, first)
+			assert.Equal(t, 1, ta.count(prefix+"own"))
+		})
+	}
+}
