flow: refuse an attempt at an upstream that takes no new work any more

Cause: the check before a send looked only at evacuation, pauses and cold permits. An upstream that was removed, is draining, has started anew or has said that it leaves since it was chosen still got the request. A takeover waited for fresh knowledge only after its choice.

Change: recheck asks Members.TakesWork, which compares ID and start, as a node is replaced when its slots or zone change. An attempt that recheck refuses counts neither as a send nor as unreached, and its repeat stays in hand. A takeover calls Pass before it chooses, without its lock. The test hook that stops a takeover between choice and send lets that first call through.

--- a/internal/fleet/view/members.go
+++ b/internal/fleet/view/members.go
@@ -42,6 +42,13 @@
 // Service returns the upstreams of a service that take new work, sorted by ID.
 func (ms *Members) Service(name string) []*node.Node { return ms.byService[name] }
 
+// TakesWork reports whether an upstream of a service, as it started at a time, takes new work.
+func (ms *Members) TakesWork(service, id string, startedMs int64) bool {
+	list := ms.byService[service]
+	at, found := slices.BinarySearchFunc(list, id, func(nd *node.Node, id string) int { return cmp.Compare(nd.ID, id) })
+	return found && list[at].StartedMs == startedMs
+}
+
 // Listed returns the upstreams of a service, those that take no new work included, sorted
 // by ID.
 func (ms *Members) Listed(service string) (list []*node.Node) {
--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -29,6 +29,7 @@
 	reached     bool      // the upstream received the request
 	misdirected bool      // another upstream at this address received and refused it
 	quarantined bool      // a prompt part may not be sent
+	withheld    bool      // not tried, as the upstream may get nothing any more
 	inputLost   bool      // the upstream did not find an input
 	response    *response // 5xx response of the upstream, used if no better one arrives
 }
@@ -58,6 +59,7 @@
 	ans         *conns.Answer
 	fault       *citronstream.Fault // why there is no response
 	quarantined bool                // a prompt part may not be sent
+	withheld    bool                // recheck has refused it
 	visiting    bool                // the visit counts it as sent
 	stopRelease func() bool
 	begun       bool // its first event has arrived
@@ -94,6 +96,7 @@
 		return
 	}
 	if at.fault = rt.recheck(at); at.fault != nil {
+		at.withheld = true
 		return
 	}
 	if !rt.fl.connect(at) {
@@ -225,7 +228,7 @@
 	to.fails()
 	now, nd := rt.fl.clk.Now(), at.nd
 	sent := at.sentAt.Load()
-	re := result{fault: fa, quarantined: at.quarantined, reached: sent != nil && fa.Verdict != citronstream.NotRun}
+	re := result{fault: fa, quarantined: at.quarantined, withheld: at.withheld, reached: sent != nil && fa.Verdict != citronstream.NotRun}
 	switch {
 	case sent == nil:
 		return re
--- a/internal/ingress/flow/choice.go
+++ b/internal/ingress/flow/choice.go
@@ -183,9 +183,13 @@
 // recheck returns why the chosen upstream may get nothing any more. Inputs of the request
 // may have been computed since it was chosen.
 func (rt *request) recheck(at *attempt) *citronstream.Fault {
-	if rt.fl.View.Members().Evacuated(at.nd.Zone) {
+	members := rt.fl.View.Members()
+	if members.Evacuated(at.nd.Zone) {
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "zone %s of upstream %s was evacuated", at.nd.Zone, at.nd.ID)
 	}
+	if !members.TakesWork(rt.service, at.nd.ID, at.nd.StartedMs) {
+		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "upstream %s takes no new work or is gone", at.nd.ID)
+	}
 	if _, paused := at.nd.Self.Paused(rt.fl.clk.Now()); paused {
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "upstream %s asks for a pause", at.nd.ID)
 	}
--- a/internal/ingress/flow/choice_test.go
+++ b/internal/ingress/flow/choice_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/fleet/view"
 	"github.com/citronstream/citronstream/internal/limit/coldrate"
 	"github.com/jonboulle/clockwork"
@@ -119,3 +120,42 @@
 		assert.Equal(t, citronstream.NotRun, fa.Verdict)
 	}
 }
+
+// Guards against a request that is sent to an upstream that was removed, has started anew or
+// has said that it leaves since it was chosen, and against one that loses its repeat so.
+func TestRecheckOfListing(t *testing.T) {
+	for name, change := range map[string]func(vi *view.View, at *attempt){
+		"removed": func(vi *view.View, _ *attempt) {
+			vi.Apply([]citronstream.Change{{Row: citronstream.Row{Key: "m/a", Version: 3}, Deleted: true}}, view.SourceStore)
+		},
+		"leaves": func(vi *view.View, at *attempt) { vi.Leaves(at.nd, false) },
+		"other start": func(_ *view.View, at *attempt) {
+			at.nd = node.New(citronstream.Member{ID: "m/a", Service: "s", StartedMs: 1})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rt := coldRequest(t)
+			rt.stages = newStages(rt)
+			rt.nextRetry = rt.fl.clk.Now()
+			retry, _ := rt.takeRetry()
+			at := rt.newAttempt(t.Context(), rt.fl.View.Members().Node("m/a"), nil, retry)
+			change(rt.fl.View, at)
+			rt.send(at)
+			re := rt.failAttempt(at, nil, at.fault)
+			rt.account(at, &re)
+			rt.finish(at)
+			assert.Equal(t, citronstream.NotRun, re.fault.Verdict)
+			assert.Zero(t, rt.sends+rt.unreached+rt.deliveries)
+			assert.Equal(t, retry, rt.nextRetry, "the repeat is in hand")
+			next := rt.nextAttempt(t.Context())
+			if assert.NotNil(t, next) {
+				assert.Equal(t, "m/b", next.nd.ID)
+			}
+		})
+	}
+	t.Run("replaced as it was", func(t *testing.T) {
+		rt := coldRequest(t)
+		at := rt.newAttempt(t.Context(), node.New(citronstream.Member{ID: "m/a", Service: "s", Slots: 9}), nil, time.Time{})
+		assert.Nil(t, rt.recheck(at))
+	})
+}
--- a/internal/ingress/flow/forward.go
+++ b/internal/ingress/flow/forward.go
@@ -99,9 +99,10 @@
 	case !at.retry.IsZero():
 		rt.keepRetry(at.retry)
 	}
-	if re.reached {
+	switch {
+	case re.reached:
 		rt.sends++
-	} else {
+	case !re.withheld:
 		rt.unreached++
 	}
 	if re.response != nil {
--- a/internal/ingress/flow/takeover.go
+++ b/internal/ingress/flow/takeover.go
@@ -192,6 +192,7 @@
 
 // expired tries to replace the attempt or looks again later.
 func (to *takeover) expired() {
+	to.rt.fl.Pass(to.at.ctx) // without the lock, which the goroutine of the request needs
 	to.mu.Lock()
 	defer to.mu.Unlock()
 	if to.ended || to.next != nil {
@@ -308,7 +309,7 @@
 		return
 	}
 	rt.account(next, &re)
-	if !re.reached && !re.misdirected && errors.Is(context.Cause(next.ctx), errNotNeeded) {
+	if !re.reached && !re.misdirected && !re.withheld && errors.Is(context.Cause(next.ctx), errNotNeeded) {
 		rt.unreached-- // nothing is known of the upstream
 	}
 	to.fail(next)
--- a/internal/ingress/flow/takeover_test.go
+++ b/internal/ingress/flow/takeover_test.go
@@ -78,6 +78,16 @@
 	}, 10*time.Second, time.Millisecond, "no other upstream was tried")
 }
 
+// passToSend sets the function that is called once the other upstream has been chosen.
+func (sa *silentAttempt) passToSend(pass func(ctx context.Context)) {
+	var calls atomic.Int32
+	sa.rt.fl.Pass = func(ctx context.Context) {
+		if calls.Add(1) > 1 { // the first call is the one before the choice
+			pass(ctx)
+		}
+	}
+}
+
 // addOther adds an upstream, at the address of the other one, and repeats to try it.
 func (sa *silentAttempt) addOther() {
 	vi := sa.rt.fl.View
@@ -233,7 +243,7 @@
 // Guards against attempts that are used up by ones that were not made.
 func TestProgressBeforeReplacementIsSent(t *testing.T) {
 	sa := newSilentAttempt(t, answerStatus(http.StatusOK))
-	sa.rt.fl.Pass = func(ctx context.Context) { <-ctx.Done() }
+	sa.passToSend(func(ctx context.Context) { <-ctx.Done() })
 	sa.stall()
 	sa.assertGoesOn(true)
 	assert.Zero(t, sa.rt.unreached)
@@ -243,7 +253,7 @@
 func TestCommentWhileReplacementIsTried(t *testing.T) {
 	const event = "id: 1\ndata: x\n\n"
 	sa := newSilentAttempt(t, answerStatus(http.StatusServiceUnavailable))
-	sa.rt.fl.Pass = func(ctx context.Context) { <-ctx.Done() }
+	sa.passToSend(func(ctx context.Context) { <-ctx.Done() })
 	goOn := make(chan struct{})
 	sa.answerStream(func(send func(text string)) {
 		<-goOn
@@ -326,8 +336,24 @@
 // Guards against a process that ends by a panic beside the goroutine of a request.
 func TestPanicOfATakeover(t *testing.T) {
 	sa := newSilentAttempt(t, answerStatus(http.StatusOK))
-	sa.rt.fl.Pass = func(context.Context) { panic("broken") }
+	sa.passToSend(func(context.Context) { panic("broken") })
 	sa.stall()
 	sa.assertGoesOn(false)
 	require.Eventually(t, func() bool { return sa.rt.fl.Panics() == 1 }, 10*time.Second, time.Millisecond, "the panic is counted")
 }
+
+// Guards against a process that was paused and chooses the other upstream by what it knew
+// before.
+func TestPassBeforeReplacementIsChosen(t *testing.T) {
+	sa := newSilentAttempt(t, answerStatus(http.StatusOK))
+	passed := make(chan struct{})
+	sa.rt.fl.Pass = func(context.Context) {
+		sa.rt.fl.View.Apply([]citronstream.Change{{Row: citronstream.Row{Key: "m/b", Version: 3}, Deleted: true}}, view.SourceStore)
+		close(passed)
+	}
+	sa.clk.Advance(sa.to.wait)
+	<-passed
+	sa.assertNotTried()
+	sa.assertGoesOn(true)
+	assert.Len(t, sa.rt.tried, 1)
+}
