view: evacuations take effect before the configuration of the same read

Cause: rows are applied in the order of their keys, and op/config sorts before op/evacuate/ZONE. A starting gateway accepted requests with its first routes while the evacuations of the same read were not yet in force. State told peers in the same order.

Change: apply applies evacuations and publishes the upstreams before the rest; State puts evacuations before the configuration.

Measured: TestEvacuationsBeforeConfiguration failed before in both parts (routes were set at the first publication, configuration first in State); the tests of view pass, as do those of process/gateway matching Evacuat|Zone|Cold (22 s), 1 run each.

--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -177,6 +177,15 @@
 
 func (vi *View) apply(changes []citronstream.Change, source string) []citronstream.Change {
 	var applied []citronstream.Change
+	// Evacuations come first: requests are accepted from the first configuration on.
+	for _, ch := range changes {
+		if vi.isEvacuation(ch.Key) && vi.applyEvacuation(ch, source) {
+			applied = append(applied, ch)
+		}
+	}
+	if len(applied) > 0 {
+		vi.publish()
+	}
 	members := false
 	for _, ch := range changes {
 		switch {
@@ -185,9 +194,6 @@
 				applied = append(applied, ch)
 			}
 		case vi.isEvacuation(ch.Key):
-			if vi.applyEvacuation(ch, source) {
-				members, applied = true, append(applied, ch)
-			}
 		case !strings.HasPrefix(ch.Key, vi.decode.MemberPrefix):
 		case vi.applyMember(ch, source):
 			members = true
@@ -337,18 +343,18 @@
 	return trimmed
 }
 
-// State returns what a peer asks for: the configuration, if its own is older, the
-// evacuations of zones, and all other rows unless it wants only the configuration.
+// State returns what a peer asks for: the evacuations of zones, the configuration, if its
+// own is older, and all other rows unless it wants only the configuration.
 func (vi *View) State(qu citronstream.StateQuery) []citronstream.Change {
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
 	all := make([]citronstream.Change, 0, len(vi.rows)+1)
-	if vi.config.Version > qu.Revision {
-		all = append(all, citronstream.Change{Row: vi.config})
-	}
 	for _, row := range vi.zones.Rows(vi.clk.Now()) {
 		all = append(all, citronstream.Change{Row: citronstream.Row{Key: vi.decode.EvacuationPrefix + row.Zone, Version: row.Version}, Deleted: !row.Evacuated})
 	}
+	if vi.config.Version > qu.Revision {
+		all = append(all, citronstream.Change{Row: vi.config})
+	}
 	if qu.ConfigOnly {
 		return all
 	}
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -402,3 +402,25 @@
 	assertInUse(t, vi, 1, "the row of the other one is not back")
 	assert.Zero(t, vi.Restore(old), "the grace period has ended")
 }
+
+// Guards against a starting gateway that accepts requests before the evacuations of the same
+// read are in force.
+func TestEvacuationsBeforeConfiguration(t *testing.T) {
+	vi := newViewOfZones()
+	seen := 0
+	vi.OnMembers(func(ms *Members) {
+		if seen++; seen == 1 {
+			assert.True(t, ms.Evacuated("z1"))
+			assert.Nil(t, vi.Routes(), "no request is accepted yet")
+		}
+	})
+	vi.Replace("op", []citronstream.Row{{Key: "op/config", Version: 1, Value: []byte("1")}, {Key: "op/evacuate/z1", Version: 2}}, 3, SourceStore)
+	assert.Equal(t, 1, seen)
+	assert.NotNil(t, vi.Routes())
+	t.Run("and peers are told them in this order", func(t *testing.T) {
+		state := vi.State(citronstream.StateQuery{})
+		if assert.Len(t, state, 4) {
+			assert.Equal(t, "op/evacuate/z1", state[0].Key)
+		}
+	})
+}
