coldrate: keep the ends of evacuations for rows that come later

Cause: TakenBack made only those upstreams cold that were known. A gateway that starts hears of zones before rows, and took the upstreams of a zone that was just taken back for warm.

Change: the limiter keeps the version of the newest end for each zone, for 64 zones at most, and when it heard of it. An upstream whose row is not newer than the end is cold until the cold time since then has passed.

Measured: TestEndOfEvacuationBeforeRows failed with the new condition disabled (warm at once, 2 assertions); the tests of coldrate pass, 1 run.

--- a/internal/limit/coldrate/coldrate.go
+++ b/internal/limit/coldrate/coldrate.go
@@ -27,6 +27,8 @@
 	// stateTTL is how long the state of an upstream that is no longer listed is kept. One
 	// that is listed again as it was has not started anew.
 	stateTTL = 5 * time.Minute
+	// maxEnds bounds the zones whose end of evacuation is kept; the names come from outside.
+	maxEnds = 64
 )
 
 // Sources of the state of an upstream.
@@ -67,6 +69,12 @@
 	senderGen uint64
 }
 
+// end is the end of a zone's evacuation.
+type end struct {
+	version uint64
+	at      time.Time // when this gateway first heard of it
+}
+
 // Limiter knows which upstreams are cold and what this gateway may send to them. Its
 // methods are called concurrently.
 type Limiter struct {
@@ -81,6 +89,7 @@
 	began     time.Time
 	firstRow  time.Time
 	upstreams map[string]*upstream
+	ends      map[string]end       // newest ends of evacuations by zone
 	gateways  map[string]time.Time // other gateways by address, when they were known last
 	gen       uint64               // grows with each change of the gateways
 	listedAt  time.Time            // start of the last complete read of the list of gateways
@@ -107,7 +116,7 @@
 func New(clk citronstream.Clock, self string, spec func(service string) citronstream.ServiceSpec, opts ...Option) *Limiter {
 	li := &Limiter{
 		clk: clk, self: self, spec: spec, onChange: func(Change) {}, began: clk.Now(), gen: 1,
-		upstreams: make(map[string]*upstream), gateways: make(map[string]time.Time), waiting: make(map[string][]*Waiter),
+		upstreams: make(map[string]*upstream), ends: make(map[string]end), gateways: make(map[string]time.Time), waiting: make(map[string][]*Waiter),
 	}
 	for _, opt := range opts {
 		opt(li)
@@ -152,6 +161,13 @@
 	default:
 		li.setCold(mb.ID, up, until, SourceRow)
 	}
+	// A gateway that starts hears of zones before it hears of their upstreams.
+	if en := li.ends[mb.Zone]; mb.Revision <= en.version {
+		if left := en.at.Add(li.spec(mb.Service).ColdStart).Sub(now); left > 0 {
+			li.makeCold(mb.ID, up, left, SourceEvacuation)
+		}
+		up.doubtful = max(up.doubtful, en.version)
+	}
 }
 
 // Died records the death of an upstream that may be restarted within some time. Two newer
@@ -170,6 +186,10 @@
 func (li *Limiter) TakenBack(zone string, version uint64) {
 	li.mu.Lock()
 	defer li.mu.Unlock()
+	if version > li.ends[zone].version {
+		li.ends[zone] = end{version: version, at: li.clk.Now()}
+		li.limitEnds()
+	}
 	for id, up := range li.upstreams {
 		if up.zone == zone && up.version <= version {
 			li.makeCold(id, up, li.spec(up.service).ColdStart, SourceEvacuation)
@@ -178,6 +198,20 @@
 	}
 }
 
+// limitEnds forgets the oldest end of an evacuation if there are too many.
+func (li *Limiter) limitEnds() {
+	if len(li.ends) <= maxEnds {
+		return
+	}
+	oldest, version := "", uint64(math.MaxUint64)
+	for zone, en := range li.ends {
+		if en.version < version {
+			oldest, version = zone, en.version
+		}
+	}
+	delete(li.ends, oldest)
+}
+
 // makeCold makes an upstream cold for at least some time, if it is of a service whose
 // upstreams turn cold.
 func (li *Limiter) makeCold(id string, up *upstream, left time.Duration, source string) {
--- a/internal/limit/coldrate/coldrate_test.go
+++ b/internal/limit/coldrate/coldrate_test.go
@@ -211,3 +211,34 @@
 	assert.False(t, li.Waiting("s", 3))
 	assert.Empty(t, li.waiting)
 }
+
+// Guards against a gateway that starts, hears of the end of an evacuation before the rows of
+// the zone, and takes its upstreams for warm.
+func TestEndOfEvacuationBeforeRows(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	li := newLimiter(clk, 0)
+	li.TakenBack("z", 7)
+	clk.Advance(time.Second)
+	li.Row(row(7, 1, 0))
+	assertCold(t, li, true)
+	other := row(7, 1, 0)
+	other.ID, other.Zone = "other", "y"
+	li.Row(other)
+	assert.False(t, li.Limited("other"))
+	clk.Advance(2*time.Second - 1)
+	assertCold(t, li, true)
+	clk.Advance(1)
+	assertCold(t, li, false)
+	t.Run("a newer row says that it is warm", func(t *testing.T) {
+		li.TakenBack("z", 9)
+		li.Row(row(10, 1, 0))
+		assertCold(t, li, false)
+	})
+	t.Run("the oldest is forgotten", func(t *testing.T) {
+		for number := range maxEnds {
+			li.TakenBack(fmt.Sprint("z", number), uint64(100+number))
+		}
+		assert.Len(t, li.ends, maxEnds)
+		assert.NotContains(t, li.ends, "z")
+	})
+}
