gateway: do not fetch refused configurations from peers again

A configuration that this process had refused, but a peer had in force, was fetched from the peer again and again, as only the configuration in force here was compared. Listeners also did not accept readings of such a peer, and read the store themselves.

The view remembers the last 8 refused versions; View.Wants is false for them. Versions between the one in force and a refused one are still fetched, as one of them may be valid.

--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -26,6 +26,9 @@
 	// tombstoneTTL is how long a removal is kept, so that an older version of
 	// the row that arrives late is ignored. Peers forward changes within seconds.
 	tombstoneTTL = time.Minute
+	// maxRefused is the number of refused configurations that are remembered: more than
+	// peers that differ have in force at one time.
+	maxRefused = 8
 )
 
 // Decode holds the functions that decode rows, the key of the configuration, and how
@@ -63,7 +66,7 @@
 	reports     *selfreport.Reports
 	zones       *evacuation.Zones
 	config      citronstream.Row
-	refused     uint64 // version of the last configuration that was not accepted
+	refused     []uint64 // versions of the last configurations that were not accepted
 	outage      *outage.Record
 	onChange    func(changes []citronstream.Change, source string)
 	onMembers   []func(*Members)
@@ -131,6 +134,18 @@
 	return 0
 }
 
+// Wants reports whether a configuration with this row version is newer than the one in force
+// and has not been refused. Refused versions do not end the search for others: one between
+// that in force and a refused one may be valid.
+func (vi *View) Wants(revision uint64) bool {
+	if revision <= vi.Revision() {
+		return false
+	}
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	return !slices.Contains(vi.refused, revision)
+}
+
 // ConfigBytes returns the size of the row with the configuration, or 0 before the first.
 func (vi *View) ConfigBytes() int {
 	if ro := vi.routes.Load(); ro != nil {
@@ -421,17 +436,17 @@
 }
 
 func (vi *View) applyConfig(ch citronstream.Change, source string) bool {
-	if ch.Deleted || ch.Version <= vi.config.Version || ch.Version == vi.refused {
+	if ch.Deleted || ch.Version <= vi.config.Version || slices.Contains(vi.refused, ch.Version) {
 		return false
 	}
 	routing, err := vi.decode.Routing(ch.Value)
 	if err != nil {
-		vi.refused = ch.Version
+		vi.refuse(ch.Version)
 		vi.log.Error(err, "configuration refused", "revision", ch.Version, "source", source, "in force", vi.Revision())
 		return false
 	}
 	if old := vi.routes.Load(); old != nil && routing.Version < old.Version {
-		vi.refused = ch.Version
+		vi.refuse(ch.Version)
 		vi.log.Info("configuration refused", "reason", "older version", "version", routing.Version, "in force", old.Version, "source", source)
 		return false
 	}
@@ -441,6 +456,11 @@
 	return true
 }
 
+func (vi *View) refuse(version uint64) {
+	vi.refused = append(vi.refused, version)
+	vi.refused = vi.refused[max(0, len(vi.refused)-maxRefused):]
+}
+
 func (vi *View) isEvacuation(key string) bool {
 	return vi.decode.EvacuationPrefix != "" && strings.HasPrefix(key, vi.decode.EvacuationPrefix)
 }
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -263,6 +263,14 @@
 	apply(vi, row("op/config", 9, "4"))
 	assert.Equal(t, uint64(4), vi.Routes().Version)
 	assert.Equal(t, uint64(9), vi.Revision())
+	apply(vi, row("op/config", 11, ""), row("op/config", 12, "2"))
+	for revision, want := range map[uint64]bool{8: false, 9: false, 10: true, 11: false, 12: false, 13: true} {
+		assert.Equal(t, want, vi.Wants(revision), "revision %d", revision)
+	}
+	for revision := range uint64(100) {
+		apply(vi, row("op/config", 20+revision, ""))
+	}
+	assert.Len(t, vi.refused, maxRefused)
 }
 
 func TestFindRoute(t *testing.T) {
--- a/internal/process/gateway/sharing.go
+++ b/internal/process/gateway/sharing.go
@@ -66,7 +66,7 @@
 		}
 	}
 	withoutStore := ga.follower.StoreDown() || ga.view.Members().Len() == 0
-	if pe.Revision() <= ga.view.Revision() && !withoutStore {
+	if !ga.view.Wants(pe.Revision()) && !withoutStore {
 		return
 	}
 	// One fetch at a time: a state can take a slow link a whole second.
@@ -86,14 +86,14 @@
 	})
 }
 
-// newestPeer returns a peer with a newer configuration than this process, nil if
-// there is none: by chance, from the own zone if it has one, as all entries that
+// newestPeer returns a peer with a newer configuration that this process has not refused,
+// nil if there is none: by chance, from the own zone if it has one, as all entries that
 // do not read the store ask for a new configuration at the same time.
 func (ga *Gateway) newestPeer() (*mesh.Peer, *link.Link) {
 	var near, far []*mesh.Peer
 	for _, pe := range ga.mesh.Peers() {
 		switch {
-		case pe.Link() == nil || pe.Revision() <= ga.view.Revision():
+		case pe.Link() == nil || !ga.view.Wants(pe.Revision()):
 		case pe.Zone() == ga.site.Zone:
 			near = append(near, pe)
 		default:
@@ -258,8 +258,9 @@
 	if re := rows.Reading; re != nil && re.Evacuated != nil {
 		ga.view.ReplaceEvacuated(re.Evacuated, re.Version, from)
 	}
-	// A configuration that this process does not have is fetched when its peer announces it.
-	if re := rows.Reading; re != nil && re.Revision <= ga.view.Revision() {
+	// A configuration that this process does not have is fetched when its peer announces it,
+	// unless it was refused here.
+	if re := rows.Reading; re != nil && !ga.view.Wants(re.Revision) {
 		ga.follower.Heard(*re)
 	}
 }
