gateway: fetch a configuration announced while the store was silent

The fetch after a silent connection to the store takes up to 4 s. A newer configuration that a peer announced meanwhile was not fetched, and nothing asked for it later. The fetch now ends like the others, by looking for the newest peer again.

TestConfigAnnouncedWhileTheStoreWasSilent without the change: not passed when the run was stopped after 60 s (no failure line was printed by then). With it 3 of 3 pass, together with TestRefusedConfigIsNotFetchedAgain in 3.9 s.

--- a/internal/process/gateway/sharing.go
+++ b/internal/process/gateway/sharing.go
@@ -79,13 +79,18 @@
 		} else {
 			ga.fetchConfig(ctx)
 		}
-		ga.fetching.Store(false)
-		if pe, li := ga.newestPeer(); pe != nil {
-			ga.peerConnected(pe, li)
-		}
+		ga.endFetch()
 	})
 }
 
+// endFetch ends a fetch. A newer configuration that was announced meanwhile is fetched next.
+func (ga *Gateway) endFetch() {
+	ga.fetching.Store(false)
+	if pe, li := ga.newestPeer(); pe != nil {
+		ga.peerConnected(pe, li)
+	}
+}
+
 // newestPeer returns a peer with a newer configuration that this process has not refused,
 // nil if there is none: by chance, from the own zone if it has one, as all entries that
 // do not read the store ask for a new configuration at the same time.
@@ -151,7 +156,7 @@
 	}
 	ga.runInBackground(func(ctx context.Context) {
 		ga.fetchState(ctx, pe, li, citronstream.StateQuery{Revision: ga.view.Revision()})
-		ga.fetching.Store(false)
+		ga.endFetch()
 	})
 }
 
--- a/internal/process/gateway/sharing_test.go
+++ b/internal/process/gateway/sharing_test.go
@@ -1,11 +1,18 @@
 package gateway
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/mesh"
+	"github.com/citronstream/citronstream/internal/peer/link"
+	"github.com/citronstream/citronstream/internal/peer/nbconn"
+	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // Load pattern: hundreds of entries that start at the same time. Each of them reads the
@@ -57,3 +64,48 @@
 	assert.Zero(t, fetching, "of 50 looks")
 	assert.Equal(t, uint64(3), one.view.Routes().Version)
 }
+
+// Guards against a newer configuration that a peer announces while another fetch is under
+// way, as the store was silent, and that is never asked for.
+func TestConfigAnnouncedWhileTheStoreWasSilent(t *testing.T) {
+	ts := newTestSite(t, 1)
+	ts.upstream("d1", "desk")
+	ts.waitReady()
+	one := ts.entries[0]
+	ctx, cancel := context.WithCancel(t.Context())
+	eng, err := nbconn.New()
+	require.NoError(t, err)
+	t.Cleanup(eng.Stop)
+	var revision, asked atomic.Int64
+	address := freeAddress(t)
+	self := func() citronstream.PeerInfo {
+		return citronstream.PeerInfo{Name: "peer", Zone: "z", Address: address, Boot: "1", Revision: uint64(revision.Load())}
+	}
+	answer := make(chan struct{})
+	peer := mesh.New(ts.clk, logr.Discard(), eng, self, func(_ string, _ *link.Link, re *link.Request) {
+		if re.Method != citronstream.MethodState {
+			return
+		}
+		asked.Add(1)
+		go func() {
+			select {
+			case <-answer:
+				re.Reply(citronstream.Rows{})
+			case <-ctx.Done():
+			}
+		}()
+	}, func(*mesh.Peer, *link.Link) {})
+	require.NoError(t, peer.Start(ctx, address))
+	t.Cleanup(peer.Close)
+	t.Cleanup(cancel)
+	peer.AddPeer(one.site.Peers, "z")
+	one.mesh.AddPeer(address, "z")
+	ts.waitFor(func() bool { return one.mesh.LiveCount() == 2 && peer.LiveCount() == 2 }, "the peer is not linked")
+	one.storeSilent()
+	ts.waitFor(func() bool { return asked.Load() == 1 }, "the peer is not asked")
+	revision.Store(1 << 40)
+	peer.Tell(citronstream.MethodPeerUpdate, self(), func(*mesh.Peer) bool { return true })
+	ts.waitFor(func() bool { pe, _ := one.newestPeer(); return pe != nil }, "the configuration is not announced")
+	close(answer)
+	ts.waitFor(func() bool { return asked.Load() > 1 }, "the announced configuration is not asked for")
+}
