--- a/internal/process/gateway/sharing.go
+++ b/internal/process/gateway/sharing.go
@@ -66,7 +66,7 @@
 		}
 	}
 	withoutStore := ga.follower.StoreDown() || ga.view.Members().Len() == 0
-	if pe.Revision() <= ga.view.Revision() && !withoutStore {
+	if !ga.view.Wants(pe.Revision()) && !withoutStore {
 		return
 	}
 	// One fetch at a time: a state can take a slow link a whole second.
@@ -79,21 +79,26 @@
 		} else {
 			ga.fetchConfig(ctx)
 		}
-		ga.fetching.Store(false)
-		if pe, li := ga.newestPeer(); pe != nil {
-			ga.peerConnected(pe, li)
-		}
+		ga.endFetch()
 	})
 }
 
-// newestPeer returns a peer with a newer configuration than this process, nil if
-// there is none: by chance, from the own zone if it has one, as all entries that
+// endFetch ends a fetch. A newer configuration that was announced meanwhile is fetched next.
+func (ga *Gateway) endFetch() {
+	ga.fetching.Store(false)
+	if pe, li := ga.newestPeer(); pe != nil {
+		ga.peerConnected(pe, li)
+	}
+}
+
+// newestPeer returns a peer with a newer configuration that this process has not refused,
+// nil if there is none: by chance, from the own zone if it has one, as all entries that
 // do not read the store ask for a new configuration at the same time.
 func (ga *Gateway) newestPeer() (*mesh.Peer, *link.Link) {
 	var near, far []*mesh.Peer
 	for _, pe := range ga.mesh.Peers() {
 		switch {
-		case pe.Link() == nil || pe.Revision() <= ga.view.Revision():
+		case pe.Link() == nil || !ga.view.Wants(pe.Revision()):
 		case pe.Zone() == ga.site.Zone:
 			near = append(near, pe)
 		default:
@@ -151,7 +156,7 @@
 	}
 	ga.runInBackground(func(ctx context.Context) {
 		ga.fetchState(ctx, pe, li, citronstream.StateQuery{Revision: ga.view.Revision()})
-		ga.fetching.Store(false)
+		ga.endFetch()
 	})
 }
 
@@ -258,8 +263,9 @@
 	if re := rows.Reading; re != nil && re.Evacuated != nil {
 		ga.view.ReplaceEvacuated(re.Evacuated, re.Version, from)
 	}
-	// A configuration that this process does not have is fetched when its peer announces it.
-	if re := rows.Reading; re != nil && re.Revision <= ga.view.Revision() {
+	// A configuration that this process does not have is fetched when its peer announces it,
+	// unless it was refused here.
+	if re := rows.Reading; re != nil && !ga.view.Wants(re.Revision) {
 		ga.follower.Heard(*re)
 	}
 }
