coldrate: a death or a start does not lower the doubtful version

Cause: Died and a new start set the version up to which rows are doubtful to that of the row at hand, or 0, although the end of an evacuation may have set a higher one.

Change: the higher one stays; a start whose own row is doubtful can only lengthen the cold time.

--- a/internal/limit/coldrate/coldrate.go
+++ b/internal/limit/coldrate/coldrate.go
@@ -147,9 +147,9 @@
 	case started && mb.Cold == 0:
 		// It may have written the row before the traffic that makes it cold.
 		li.makeCold(mb.ID, up, li.spec(mb.Service).ColdStart, SourceStart)
-		up.doubtful, up.ignore = mb.Revision, 0
-	case started:
-		up.doubtful, up.ignore = 0, 0
+		up.doubtful, up.ignore = max(up.doubtful, mb.Revision), 0
+	case started && mb.Revision > up.doubtful:
+		up.ignore = 0
 		li.setCold(mb.ID, up, until, SourceRow)
 	case mb.Revision <= up.doubtful || up.ignore > 0:
 		if mb.Revision > up.doubtful {
@@ -177,7 +177,7 @@
 	defer li.mu.Unlock()
 	if up := li.upstreams[id]; up != nil {
 		li.makeCold(id, up, within+li.spec(up.service).ColdStart, SourceDeath)
-		up.doubtful, up.ignore = up.version, 1
+		up.doubtful, up.ignore = max(up.doubtful, up.version), 1
 	}
 }
 
--- a/internal/limit/coldrate/coldrate_test.go
+++ b/internal/limit/coldrate/coldrate_test.go
@@ -242,3 +242,32 @@
 		assert.NotContains(t, li.ends, "z")
 	})
 }
+
+// Guards against a death or a start that makes rows from before the end of an evacuation
+// count, which say that the upstream is warm.
+func TestDoubtfulRowsStayDoubtful(t *testing.T) {
+	for name, happens := range map[string]func(li *Limiter){
+		"death":        func(li *Limiter) { li.Died("u", time.Second); li.Row(row(6, 1, 0)) },
+		"start":        func(li *Limiter) { li.Row(row(6, 2, 0)) },
+		"start, cold":  func(li *Limiter) { li.Row(row(6, 2, time.Second)) },
+		"start, 1 ms":  func(li *Limiter) { li.Row(row(6, 2, time.Millisecond)) },
+		"nothing else": func(*Limiter) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clk := clockwork.NewFakeClock()
+			li := newLimiter(clk, 0)
+			li.Row(row(5, 1, 0))
+			li.TakenBack("z", 9)
+			delete(li.ends, "z") // as if too many others had ended since
+			happens(li)
+			up := li.upstreams["u"]
+			li.Row(row(8, up.started, 0))
+			clk.Advance(2 * time.Second)
+			assertCold(t, li, true)
+			assert.Equal(t, uint64(9), up.doubtful)
+			li.Row(row(10, up.started, 0))
+			li.Row(row(11, up.started, 0)) // the second one after a death
+			assertCold(t, li, false)
+		})
+	}
+}
