coldrate: a waiting request keeps only the permits that it can use

Cause: the first waiter of a service kept all free permits from the others, also those of upstreams that it has tried or that its regions exclude.

Change: a Waiter records its candidates, renewed with each look. It has its turn if a candidate is free that no earlier waiter wants; new requests give way only at upstreams that a waiter wants.

--- a/internal/ingress/flow/choice.go
+++ b/internal/ingress/flow/choice.go
@@ -38,7 +38,7 @@
 	if !rt.fl.Cold.Free(nd.ID) {
 		return false
 	}
-	return rt.turn || !rt.fl.Cold.Limited(nd.ID) || !rt.fl.Cold.Waiting(rt.service, rt.urgency())
+	return rt.turn || !rt.fl.Cold.Limited(nd.ID) || !rt.fl.Cold.Waiting(rt.service, nd.ID, rt.urgency())
 }
 
 // permitted returns the upstreams to which the request may be sent: those in the regions
@@ -132,13 +132,7 @@
 // pickLater waits for a permit of a cold upstream if only such ones are left and the
 // request can still reach its target then. The most urgent requests come first.
 func (rt *request) pickLater(ctx context.Context) (*node.Node, *engines.Request, *coldrate.Permit) {
-	var cold []string
-	now := rt.fl.clk.Now()
-	for _, nd := range rt.permitted() {
-		if _, paused := nd.Self.Paused(now); !paused && !rt.tried[nd.ID] {
-			cold = append(cold, nd.ID)
-		}
-	}
+	cold := rt.candidates()
 	if len(cold) == 0 {
 		return nil, nil, nil
 	}
@@ -146,7 +140,7 @@
 	if rt.started {
 		latest = rt.fl.clk.Now().Add(rt.timeLeft()) // else the stream ends as cut
 	}
-	wa := rt.fl.Cold.Wait(rt.service, rt.urgency())
+	wa := rt.fl.Cold.Wait(rt.service, rt.urgency(), cold)
 	defer wa.Leave()
 	defer func() { rt.turn = false }()
 	for ctx.Err() == nil {
@@ -166,10 +160,26 @@
 		}
 		timer.Stop()
 		rt.fl.Pass(ctx)
+		if cold = rt.candidates(); len(cold) == 0 {
+			return nil, nil, nil
+		}
+		wa.SetCandidates(cold)
 	}
 	return nil, nil, nil
 }
 
+// candidates returns the upstreams that the request may still be sent to, whether they may
+// take it now or not.
+func (rt *request) candidates() (ids []string) {
+	now := rt.fl.clk.Now()
+	for _, nd := range rt.permitted() {
+		if _, paused := nd.Self.Paused(now); !paused && !rt.tried[nd.ID] {
+			ids = append(ids, nd.ID)
+		}
+	}
+	return ids
+}
+
 // refuseCold records that the cold upstreams that are left can't take the request in time.
 func (rt *request) refuseCold(count int, wait time.Duration) {
 	rt.noRetry = noPermitLeft
--- a/internal/limit/coldrate/coldrate.go
+++ b/internal/limit/coldrate/coldrate.go
@@ -277,7 +277,10 @@
 func (li *Limiter) Free(id string) bool {
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	now := li.clk.Now()
+	return li.free(id, li.clk.Now())
+}
+
+func (li *Limiter) free(id string, now time.Time) bool {
 	up, rate := li.limited(id, now)
 	return up == nil || li.left(id, up, rate, now) > 0
 }
--- a/internal/limit/coldrate/wait.go
+++ b/internal/limit/coldrate/wait.go
@@ -2,19 +2,22 @@
 
 import "slices"
 
-// Waiter is a request that waits for a permit. The most urgent ones of a service, and of
-// these the oldest, have the first turn.
+// Waiter is a request that waits for a permit of one of its candidates. The most urgent ones
+// of a service, and of these the oldest, have the first turn. A request keeps no others from
+// upstreams that are not among its candidates: it has tried them, or may not use them.
 type Waiter struct {
-	li      *Limiter
-	service string
-	rank    int
+	li         *Limiter
+	service    string
+	rank       int
+	candidates []string
 }
 
-// Wait adds a request that waits. Rank 0 is the most urgent. The caller calls Leave.
-func (li *Limiter) Wait(service string, rank int) *Waiter {
+// Wait adds a request that waits, with its candidates. Rank 0 is the most urgent. The caller
+// calls Leave.
+func (li *Limiter) Wait(service string, rank int, candidates []string) *Waiter {
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	wa := &Waiter{li: li, service: service, rank: rank}
+	wa := &Waiter{li: li, service: service, rank: rank, candidates: candidates}
 	list := li.waiting[service]
 	at, _ := slices.BinarySearchFunc(list, rank, func(other *Waiter, rank int) int {
 		if other.rank <= rank {
@@ -26,18 +29,47 @@
 	return wa
 }
 
-// Turn reports whether it is the request's turn to take a permit.
+// SetCandidates replaces the candidates, which change with the upstreams of the service.
+func (wa *Waiter) SetCandidates(candidates []string) {
+	wa.li.mu.Lock()
+	defer wa.li.mu.Unlock()
+	wa.candidates = candidates
+}
+
+// Turn reports whether it is the request's turn to take a permit: a candidate is free, and no
+// request before it waits for one that is.
 func (wa *Waiter) Turn() bool {
 	wa.li.mu.Lock()
 	defer wa.li.mu.Unlock()
-	return wa.li.waiting[wa.service][0] == wa
+	now := wa.li.clk.Now()
+	var free []string
+	for _, id := range wa.candidates {
+		if wa.li.free(id, now) {
+			free = append(free, id)
+		}
+	}
+	return len(free) > 0 && wa.ahead(free) == 0
 }
 
-// Ahead returns how many requests have their turn before this one.
+// Ahead returns how many requests that wait for one of the same candidates have their turn
+// before this one.
 func (wa *Waiter) Ahead() int {
 	wa.li.mu.Lock()
 	defer wa.li.mu.Unlock()
-	return slices.Index(wa.li.waiting[wa.service], wa)
+	return wa.ahead(wa.candidates)
+}
+
+// ahead returns how many requests before this one wait for one of some upstreams.
+func (wa *Waiter) ahead(ids []string) (count int) {
+	for _, other := range wa.li.waiting[wa.service] {
+		if other == wa {
+			break
+		}
+		if slices.ContainsFunc(ids, func(id string) bool { return slices.Contains(other.candidates, id) }) {
+			count++
+		}
+	}
+	return count
 }
 
 // Leave ends the wait.
@@ -50,11 +82,12 @@
 	}
 }
 
-// Waiting reports whether a request of a service waits that comes before new ones of a
-// rank.
-func (li *Limiter) Waiting(service string, rank int) bool {
+// Waiting reports whether a request of a service waits for an upstream that comes before new
+// ones of a rank.
+func (li *Limiter) Waiting(service, id string, rank int) bool {
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	list := li.waiting[service]
-	return len(list) > 0 && list[0].rank <= rank
+	return slices.ContainsFunc(li.waiting[service], func(wa *Waiter) bool {
+		return wa.rank <= rank && slices.Contains(wa.candidates, id)
+	})
 }
