ingress/server: bound the drain of a refused request's body

net/http drains the body of a request before it writes the answer, without a read deadline. A request refused before its body is read (400, 401, 404, 503) therefore held its connection for as long as the body stalled. serveHTTP now sets a deadline of lingerTime (2 s) when the body was not read to its end, also for heads that exceed the memory. A connection that was drained whole no longer counts as unread when it closes later.

TestRefusedBeforeStalledBody fails before: no answer within 10 s.

--- a/internal/ingress/server/callers.go
+++ b/internal/ingress/server/callers.go
@@ -229,6 +229,7 @@
 	cc.scan, cc.idleSince = headScan{}, cc.callers.clk.Now()
 	cc.memory.Give(cc.head)
 	cc.head = 0
+	cc.unread.Store(false) // the HTTP server has drained it
 }
 
 // expire makes reads time out unless a request has begun.
--- a/internal/ingress/server/lingering_test.go
+++ b/internal/ingress/server/lingering_test.go
@@ -50,3 +50,21 @@
 		assert.Less(t, clk.Since(began), lingerTime)
 	})
 }
+
+// Guards against requests refused before their body is read that hold their connection for
+// as long as the body stalls, without an answer.
+func TestRefusedBeforeStalledBody(t *testing.T) {
+	for _, status := range []int{http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound, http.StatusServiceUnavailable} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			t.Parallel()
+			se := startServerWith(t, func(wr http.ResponseWriter, _ *http.Request) { wr.WriteHeader(status) })
+			nc, br := dial(t, se)
+			write(t, nc, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nx")
+			require.NoError(t, nc.SetReadDeadline(clk.Now().Add(testTimeout)))
+			res, err := http.ReadResponse(br, nil)
+			require.NoError(t, err)
+			assert.Equal(t, status, res.StatusCode)
+			assert.Eventually(t, func() bool { return se.Open() == 0 }, testTimeout, time.Millisecond)
+		})
+	}
+}
--- a/internal/ingress/server/server.go
+++ b/internal/ingress/server/server.go
@@ -116,25 +116,35 @@
 }
 
 // serveHTTP runs the handler, and notes a request of which the body was not read to its
-// end: without another one on its connection, the HTTP server closes that at once.
+// end: the HTTP server may close its connection at once. What it reads of the body before
+// that is bounded in time.
 func (se *Server) serveHTTP(wr http.ResponseWriter, rq *http.Request) {
 	cc, ok := rq.Context().Value(callerKey{}).(*callerConn)
+	handler := se.handler
 	if ok && cc.isOverdrawn() {
-		se.callers.hit(LimitMemory)
-		wr.Header().Set("Connection", "close")
-		wr.Header().Set("Retry-After", "1")
-		wr.WriteHeader(http.StatusServiceUnavailable)
-		return
+		handler = http.HandlerFunc(se.refuseOverdrawn)
 	}
 	if !ok || rq.ContentLength == 0 {
-		se.handler.ServeHTTP(wr, rq)
+		handler.ServeHTTP(wr, rq)
 		return
 	}
 	read := &bodyReader{ReadCloser: rq.Body, cc: cc, rq: rq}
 	rq = rq.WithContext(rq.Context())
 	rq.Body = read
-	se.handler.ServeHTTP(wr, rq)
-	cc.unread.Store(!read.ended && (rq.Close || read.refused))
+	handler.ServeHTTP(wr, rq)
+	if !read.ended && !read.refused {
+		// The HTTP server drains the body before it answers, without a deadline of its own.
+		_ = cc.SetReadDeadline(se.clk.Now().Add(lingerTime)) // fails only on a closed connection
+	}
+	cc.unread.Store(!read.ended)
+}
+
+// refuseOverdrawn answers a request whose head exceeds the memory.
+func (se *Server) refuseOverdrawn(wr http.ResponseWriter, _ *http.Request) {
+	se.callers.hit(LimitMemory)
+	wr.Header().Set("Connection", "close")
+	wr.Header().Set("Retry-After", "1")
+	wr.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // bodyReader notes the end of a body.
