process/gateway: bound reads at the readiness and metrics addresses

The two addresses take 64 connections and had no ReadTimeout, so that 64 requests with stalled bodies made a sound gateway not ready; 64 idle connections did the same for a minute. ReadTimeout is 2 s now, IdleTimeout 3 s.

TestReadinessBesideHeldConnections fails before (no answer to a check within 10 s, both cases) and passes now (3.6 s). The other tests of the package were not run.

--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -79,17 +79,20 @@
 }
 
 // Limits of the readiness and metrics addresses. The platform's checks and scrapes use one
-// or two connections.
+// or two connections. Without a bound on the time of a body, 64 stalled ones kept out all
+// checks.
 const (
 	serviceConns      = 64
-	serviceHeadBytes  = 12 << 10 // net/http adds 4 KB
-	serviceIdleTime   = time.Minute
+	serviceHeadBytes  = 12 << 10        // net/http adds 4 KB
+	serviceReadTime   = 2 * time.Second // head and body
+	serviceIdleTime   = 3 * time.Second
 	serviceAnswerTime = 10 * time.Second
 )
 
 // boundServer bounds what the clients of a server other than that for callers may hold.
 func boundServer(hs *http.Server) {
-	hs.MaxHeaderBytes, hs.IdleTimeout, hs.WriteTimeout = serviceHeadBytes, serviceIdleTime, serviceAnswerTime
+	hs.MaxHeaderBytes, hs.ReadTimeout = serviceHeadBytes, serviceReadTime
+	hs.IdleTimeout, hs.WriteTimeout = serviceIdleTime, serviceAnswerTime
 	var open atomic.Int64
 	hs.ConnState = func(nc net.Conn, state http.ConnState) {
 		switch state {
