ingress/server: charge a head that came in part with the request before

A head that begins in the read of the request before it and never ends was not charged, and its lines did not count: only a head that was buffered whole was. What the last read holds beyond the last end of a head (4 KB at most stay buffered) is now reserved, and its lines counted, when the HTTP server first waits for the rest; without room the head gets 503, with too many lines 431. Reads of one byte, by which the HTTP server watches for the end of a connection, add to it.

The length of the line in hand is not carried over, as bytes of the body may precede it: header-line-bytes may be exceeded by the 4 KB.

--- a/internal/ingress/server/callers.go
+++ b/internal/ingress/server/callers.go
@@ -84,7 +84,9 @@
 	head   int
 	// last is the cost of what was read last beyond a head: it may hold the next one, which
 	// then is parsed without another read.
-	last      int
+	last int
+	// tail follows the lines of what was read last beyond the last end of a head.
+	tail      headScan
 	overdrawn bool // that head exceeds the memory
 	idleSince time.Time
 	lingered  time.Time // when lingering began
@@ -99,6 +101,9 @@
 
 // Read implements net.Conn.
 func (cc *callerConn) Read(data []byte) (int, error) {
+	if refusal := cc.chargeBuffered(); refusal != nil {
+		return 0, refusal
+	}
 	room := cc.room()
 	if room <= 0 {
 		cc.refuseHead(tooLarge, LimitHeaderBytes)
--- a/internal/ingress/server/heads.go
+++ b/internal/ingress/server/heads.go
@@ -72,17 +72,61 @@
 func (cc *callerConn) charge(data []byte) error {
 	cc.mu.Lock()
 	if cc.phase == body {
-		cc.last = costOf(data)
+		if len(data) == 1 {
+			// The HTTP server watches for the end of a connection by reads of one byte, and
+			// keeps what it has buffered.
+			cc.last += costOf(data)
+			cc.tail.scan(data)
+		} else {
+			cc.last, cc.tail = costOf(data), tailOf(data)
+		}
 		cc.mu.Unlock()
 		return nil
 	}
 	ofHead := cc.scan.scan(data)
 	cost := costOf(data[:ofHead])
-	cc.last = costOf(data[ofHead:])
-	maxLines, maxLine := cc.callers.lines, cc.callers.line
-	tooMany := maxLines > 0 && cc.scan.lines > maxLines+1 // the start line
-	tooLong := maxLine > 0 && cc.scan.longest > maxLine
+	cc.last, cc.tail = costOf(data[ofHead:]), tailOf(data[ofHead:])
+	scan := cc.scan
+	cc.mu.Unlock()
+	return cc.reserve(scan, cost)
+}
+
+// chargeBuffered accounts the start of a head that came with the request before, when the
+// HTTP server waits for the rest of it.
+func (cc *callerConn) chargeBuffered() error {
+	cc.mu.Lock()
+	// A wait in the phase idle means that less than the 4 bytes for which the HTTP server
+	// waits first are buffered.
+	if cc.phase != head || cc.headBytes > 0 || cc.last == 0 {
+		cc.mu.Unlock()
+		return nil
+	}
+	cost := cc.last
+	cc.last = 0
+	// Bytes of the body may precede the head in its first line, so its length is not known.
+	cc.scan = headScan{lines: cc.tail.lines, length: min(1, cc.tail.length), onlyCR: cc.tail.onlyCR}
+	scan := cc.scan
 	cc.mu.Unlock()
+	return cc.reserve(scan, cost)
+}
+
+// tailOf follows the lines beyond the last end of a head.
+func tailOf(data []byte) (tail headScan) {
+	for len(data) > 0 {
+		tail = headScan{}
+		data = data[tail.scan(data):]
+	}
+	if tail.ended {
+		return headScan{}
+	}
+	return tail
+}
+
+// reserve reserves the memory of a head in hand, or refuses it.
+func (cc *callerConn) reserve(scan headScan, cost int) error {
+	maxLines, maxLine := cc.callers.lines, cc.callers.line
+	tooMany := maxLines > 0 && scan.lines > maxLines+1 // the start line
+	tooLong := maxLine > 0 && scan.longest > maxLine
 	switch {
 	case tooMany:
 		cc.refuseHead(tooLarge, LimitHeaderLines)
--- a/internal/ingress/server/room_test.go
+++ b/internal/ingress/server/room_test.go
@@ -185,6 +185,33 @@
 	assert.Len(t, held, 1, "the refused one ran")
 }
 
+// Guards against a head that begins in the read of the request before it, never ends, and
+// is neither charged nor counted by lines.
+func TestUnendedPipelinedHeadIsCharged(t *testing.T) {
+	const lines = 700
+	for name, of := range map[string]struct{ most, status int }{"lines": {100, http.StatusRequestHeaderFieldsTooLarge}, "memory": {0, 0}} {
+		t.Run(name, func(t *testing.T) {
+			memory := callermemory.New(clk, 64<<20)
+			begun := make(chan struct{}, 1)
+			se, _ := startLimited(t, citronstream.ClientLimits{HeaderLines: of.most}, func(wr http.ResponseWriter, _ *http.Request) {
+				begun <- struct{}{}
+				_, _ = io.WriteString(wr, "ok")
+			}, WithMemory(memory))
+			nc, br := dial(t, se)
+			write(t, nc, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n"+strings.Repeat("x", 4100))
+			clk.Sleep(100 * time.Millisecond)
+			write(t, nc, strings.Repeat("x", 900)+firstHalf+strings.Repeat("a:\r\n", lines))
+			<-begun
+			assertAnswered(t, br)
+			if of.status != 0 {
+				assertStatus(t, br, of.status)
+				return
+			}
+			assert.Eventually(t, func() bool { return memory.Used() > connBytes+lines*lineBytes }, testTimeout, time.Millisecond)
+		})
+	}
+}
+
 // As many connections as allowed are served. A further one takes the place of the one that
 // was idle for longest.
 func TestConnections(t *testing.T) {
