ingress/server: bound the share of memory that connections take

Connections themselves now have at most 40% of the account; beyond it the longest idle ones are closed first. A holder counts as small up to 128 KB (64 KB before), as ordinary bodies have up to 72 KB.

TestConnectionsLeaveRoomForOrdinaryBodies needs the new function and does not build before. The tests of callermemory and flow pass.

--- a/internal/ingress/server/room.go
+++ b/internal/ingress/server/room.go
@@ -65,7 +65,7 @@
 		switch {
 		case se.maxOpen > 0 && se.Open() >= se.maxOpen:
 			limit = LimitConnections
-		case se.callers.memory != nil && !se.callers.memory.Fits(connBytes):
+		case se.callers.memory != nil && !se.callers.memory.FitsConn(se.Open(), connBytes):
 			limit = LimitMemory
 		default:
 			se.waiting.Store(0)
--- a/internal/ingress/server/room_test.go
+++ b/internal/ingress/server/room_test.go
@@ -212,6 +212,22 @@
 	}
 }
 
+// Guards against idle connections that leave no memory for the requests of others.
+func TestIdleConnectionsLeaveMemoryForRequests(t *testing.T) {
+	const count = 70
+	memory := callermemory.New(clk, 2<<20)
+	se, _ := startLimited(t, citronstream.ClientLimits{}, answerOK, WithMemory(memory))
+	var nc net.Conn
+	var br *bufio.Reader
+	for range count {
+		nc, br = dialKept(t, se)
+	}
+	write(t, nc, firstHalf+strings.Repeat("Header: value value value\r\n", 100)+secondHalf)
+	res, err := http.ReadResponse(br, nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, res.StatusCode)
+}
+
 // As many connections as allowed are served. A further one takes the place of the one that
 // was idle for longest.
 func TestConnections(t *testing.T) {
--- a/internal/limit/callermemory/callermemory.go
+++ b/internal/limit/callermemory/callermemory.go
@@ -13,12 +13,16 @@
 
 const (
 	// smallBytes is how much a holder may have to count as small. Small holders may use
-	// the reserved part.
-	smallBytes = 64 << 10
+	// the reserved part. Ordinary bodies have up to 72 KB.
+	smallBytes = 128 << 10
 	// The total is divided by these for the part that only answers may use, and for that
 	// of small holders.
 	answerShare = 3
 	smallShare  = 6
+	// connPercent is the part of the total, in percent, that connections may use without
+	// their heads and bodies. It is less than what is left beside the parts of answers and
+	// small holders, so that idle connections leave memory for ordinary requests.
+	connPercent = 40
 	// stallTime is after what time without a byte a body counts as stalled. Clients are a
 	// few ms away; a lost packet costs them 0.2 to 1 s.
 	stallTime = 2 * time.Second
@@ -345,6 +349,12 @@
 	return ac.used+bytes <= (&Holder{account: ac}).room(bytes, Request)
 }
 
+// FitsConn reports whether a new connection could have a number of bytes beside those that
+// others have.
+func (ac *Account) FitsConn(others, bytes int) bool {
+	return (others+1)*bytes <= ac.total*connPercent/100 && ac.Fits(bytes)
+}
+
 // Wait reserves bytes for a holder. If bodies were told to give memory back, it waits for
 // that, for a time at most.
 func (ac *Account) Wait(ho *Holder, bytes int, class Class, most time.Duration) bool {
--- a/internal/limit/callermemory/callermemory_test.go
+++ b/internal/limit/callermemory/callermemory_test.go
@@ -190,3 +190,20 @@
 		})
 	}
 }
+
+// Guards against idle connections of the smallest instance (144 MB) that leave no memory
+// for an ordinary body of 72 KB.
+func TestConnectionsLeaveRoomForOrdinaryBodies(t *testing.T) {
+	const connBytes = 22 << 10
+	ac := newAccount(t)
+	ac.total = (144e6 - 40<<20) / 2
+	for conns := 0; ac.FitsConn(conns, connBytes); conns++ {
+		ac.Open().Force(connBytes)
+	}
+	for range 20 {
+		body := ac.Open()
+		for range 9 {
+			require.True(t, body.Take(8<<10, Request))
+		}
+	}
+}
