ingress/server: close one idle connection for a newcomer at the cap

A signal in gone of a connection that had closed before made makeRoom look again at once, before the idle connection it had told to end was gone, and close a second one. The signal is dropped before a connection is closed.

TestOneIdleConnectionClosesForANewcomer fails before (9 open, 10 allowed) and passes now, 5 runs, as do the other tests of connections.

--- a/internal/ingress/server/room.go
+++ b/internal/ingress/server/room.go
@@ -75,6 +75,10 @@
 			se.callers.hit(limit)
 			se.waiting.Store(max(1, int64(se.clk.Since(se.began))))
 		}
+		select {
+		case <-se.callers.gone: // of a connection that closed before: Open does not count it
+		default:
+		}
 		if !se.callers.closeOne() {
 			se.callers.memory.ShedSlow()
 		}
--- a/internal/ingress/server/room_test.go
+++ b/internal/ingress/server/room_test.go
@@ -228,6 +228,24 @@
 	assert.Equal(t, http.StatusOK, res.StatusCode)
 }
 
+// Guards against a second idle connection that is closed for one newcomer at the cap, by
+// a signal of a connection that closed before.
+func TestOneIdleConnectionClosesForANewcomer(t *testing.T) {
+	const most = 10
+	se, _ := startLimited(t, citronstream.ClientLimits{Connections: most}, answerOK)
+	first, _ := dialKept(t, se)
+	require.NoError(t, first.Close())
+	clk.Sleep(50 * time.Millisecond)
+	for range most {
+		dialKept(t, se)
+		clk.Sleep(2 * time.Millisecond)
+	}
+	require.Equal(t, most, se.Open())
+	dialKept(t, se)
+	clk.Sleep(100 * time.Millisecond)
+	assert.Equal(t, most, se.Open())
+}
+
 // As many connections as allowed are served. A further one takes the place of the one that
 // was idle for longest.
 func TestConnections(t *testing.T) {
