--- a/internal/ingress/server/room.go
+++ b/internal/ingress/server/room.go
@@ -65,7 +65,7 @@
 		switch {
 		case se.maxOpen > 0 && se.Open() >= se.maxOpen:
 			limit = LimitConnections
-		case se.callers.memory != nil && !se.callers.memory.Fits(connBytes):
+		case se.callers.memory != nil && !se.callers.memory.FitsConn(se.Open(), connBytes):
 			limit = LimitMemory
 		default:
 			se.waiting.Store(0)
@@ -75,6 +75,10 @@
 			se.callers.hit(limit)
 			se.waiting.Store(max(1, int64(se.clk.Since(se.began))))
 		}
+		select {
+		case <-se.callers.gone: // of a connection that closed before: Open does not count it
+		default:
+		}
 		if !se.callers.closeOne() {
 			se.callers.memory.ShedSlow()
 		}
--- a/internal/ingress/server/room_test.go
+++ b/internal/ingress/server/room_test.go
@@ -185,6 +185,67 @@
 	assert.Len(t, held, 1, "the refused one ran")
 }
 
+// Guards against a head that begins in the read of the request before it, never ends, and
+// is neither charged nor counted by lines.
+func TestUnendedPipelinedHeadIsCharged(t *testing.T) {
+	const lines = 700
+	for name, of := range map[string]struct{ most, status int }{"lines": {100, http.StatusRequestHeaderFieldsTooLarge}, "memory": {0, 0}} {
+		t.Run(name, func(t *testing.T) {
+			memory := callermemory.New(clk, 64<<20)
+			begun := make(chan struct{}, 1)
+			se, _ := startLimited(t, citronstream.ClientLimits{HeaderLines: of.most}, func(wr http.ResponseWriter, _ *http.Request) {
+				begun <- struct{}{}
+				_, _ = io.WriteString(wr, "ok")
+			}, WithMemory(memory))
+			nc, br := dial(t, se)
+			write(t, nc, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n"+strings.Repeat("x", 4100))
+			clk.Sleep(100 * time.Millisecond)
+			write(t, nc, strings.Repeat("x", 900)+firstHalf+strings.Repeat("a:\r\n", lines))
+			<-begun
+			assertAnswered(t, br)
+			if of.status != 0 {
+				assertStatus(t, br, of.status)
+				return
+			}
+			assert.Eventually(t, func() bool { return memory.Used() > connBytes+lines*lineBytes }, testTimeout, time.Millisecond)
+		})
+	}
+}
+
+// Guards against idle connections that leave no memory for the requests of others.
+func TestIdleConnectionsLeaveMemoryForRequests(t *testing.T) {
+	const count = 70
+	memory := callermemory.New(clk, 2<<20)
+	se, _ := startLimited(t, citronstream.ClientLimits{}, answerOK, WithMemory(memory))
+	var nc net.Conn
+	var br *bufio.Reader
+	for range count {
+		nc, br = dialKept(t, se)
+	}
+	write(t, nc, firstHalf+strings.Repeat("Header: value value value\r\n", 100)+secondHalf)
+	res, err := http.ReadResponse(br, nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, res.StatusCode)
+}
+
+// Guards against a second idle connection that is closed for one newcomer at the cap, by
+// a signal of a connection that closed before.
+func TestOneIdleConnectionClosesForANewcomer(t *testing.T) {
+	const most = 10
+	se, _ := startLimited(t, citronstream.ClientLimits{Connections: most}, answerOK)
+	first, _ := dialKept(t, se)
+	require.NoError(t, first.Close())
+	clk.Sleep(50 * time.Millisecond)
+	for range most {
+		dialKept(t, se)
+		clk.Sleep(2 * time.Millisecond)
+	}
+	require.Equal(t, most, se.Open())
+	dialKept(t, se)
+	clk.Sleep(100 * time.Millisecond)
+	assert.Equal(t, most, se.Open())
+}
+
 // As many connections as allowed are served. A further one takes the place of the one that
 // was idle for longest.
 func TestConnections(t *testing.T) {
