--- a/internal/fleet/evacuation/evacuation.go
+++ b/internal/fleet/evacuation/evacuation.go
@@ -7,7 +7,6 @@
 import (
 	"maps"
 	"slices"
-	"time"
 )
 
 // maxZones bounds the zones on record. A site has tens.
@@ -17,7 +16,6 @@
 type record struct {
 	version   uint64
 	evacuated bool
-	changed   time.Time // when this process received the row
 }
 
 // Zones is the state of all zones. The caller serializes the calls.
@@ -32,7 +30,7 @@
 func New() *Zones { return &Zones{zones: make(map[string]record)} }
 
 // Apply applies the row of a zone, or its removal, and reports whether it was news.
-func (zo *Zones) Apply(zone string, version uint64, evacuated bool, now time.Time) bool {
+func (zo *Zones) Apply(zone string, version uint64, evacuated bool) bool {
 	old, known := zo.zones[zone]
 	if known && version <= old.version || !known && version <= zo.settled {
 		return false
@@ -40,7 +38,7 @@
 	if !known && len(zo.zones) >= maxZones && !zo.forgetOldest() {
 		return false
 	}
-	zo.zones[zone] = record{version: version, evacuated: evacuated, changed: now}
+	zo.zones[zone] = record{version: version, evacuated: evacuated}
 	return true
 }
 
@@ -95,15 +93,14 @@
 	Zone      string
 	Version   uint64
 	Evacuated bool
-	Age       time.Duration
 }
 
 // Rows returns the newest row of each zone, sorted by zone.
-func (zo *Zones) Rows(now time.Time) []Row {
+func (zo *Zones) Rows() []Row {
 	rows := make([]Row, 0, len(zo.zones))
 	for _, zone := range slices.Sorted(maps.Keys(zo.zones)) {
 		rec := zo.zones[zone]
-		rows = append(rows, Row{Zone: zone, Version: rec.version, Evacuated: rec.evacuated, Age: now.Sub(rec.changed)})
+		rows = append(rows, Row{Zone: zone, Version: rec.version, Evacuated: rec.evacuated})
 	}
 	return rows
 }
--- a/internal/fleet/evacuation/evacuation_test.go
+++ b/internal/fleet/evacuation/evacuation_test.go
@@ -3,15 +3,12 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/assert"
 )
 
-var now = time.Unix(1000, 0)
-
 func apply(zo *Zones, zone string, version uint64, evacuated bool) bool {
-	return zo.Apply(zone, version, evacuated, now)
+	return zo.Apply(zone, version, evacuated)
 }
 
 // Guards against an old row that takes back a zone or evacuates it again.
@@ -52,7 +49,7 @@
 		apply(zo, fmt.Sprint(i), uint64(2*i+1), true)
 		apply(zo, fmt.Sprint(i), uint64(2*i+2), false)
 	}
-	assert.LessOrEqual(t, len(zo.Rows(now)), maxZones)
+	assert.LessOrEqual(t, len(zo.Rows()), maxZones)
 	assert.False(t, apply(zo, "0", 1, true))
 	assert.Empty(t, zo.Evacuated())
 }
--- /dev/null
+++ b/internal/fleet/view/evacuations.go
@@ -0,0 +1,57 @@
+package view
+
+import (
+	"strings"
+
+	"github.com/citronstream/citronstream"
+)
+
+// ReplaceEvacuated applies all evacuated zones as of a version of the store, with the
+// versions of their rows, and returns the changes. Other zones have been taken back.
+func (vi *View) ReplaceEvacuated(evacuated map[string]uint64, version uint64, source string) []citronstream.Change {
+	var changes []citronstream.Change
+	add := func(zone string, version uint64, deleted bool) {
+		changes = append(changes, citronstream.Change{Row: citronstream.Row{Key: vi.decode.EvacuationPrefix + zone, Version: version}, Deleted: deleted})
+	}
+	for zone, version := range evacuated {
+		add(zone, version, false)
+	}
+	vi.mu.Lock()
+	for _, zone := range vi.zones.Missing(evacuated, version) {
+		add(zone, version, true)
+	}
+	vi.mu.Unlock()
+	applied := vi.Apply(changes, source)
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	vi.zones.Settle(version)
+	return applied
+}
+
+func (vi *View) isEvacuation(key string) bool {
+	return vi.decode.EvacuationPrefix != "" && strings.HasPrefix(key, vi.decode.EvacuationPrefix)
+}
+
+// applyEvacuation reports whether the state of a zone is news. The value of its row does
+// not matter.
+func (vi *View) applyEvacuation(ch citronstream.Change, source string) bool {
+	zone := strings.TrimPrefix(ch.Key, vi.decode.EvacuationPrefix)
+	if zone == "" || !vi.zones.Apply(zone, ch.Version, !ch.Deleted) {
+		return false
+	}
+	text := "zone evacuated"
+	if ch.Deleted {
+		text = "zone taken back"
+		vi.onTakenBack(zone, ch.Version)
+	}
+	vi.log.Info(text, "zone", zone, "source", source, "revision", ch.Version, "evacuated zones", len(vi.zones.Evacuated()))
+	return true
+}
+
+// Evacuated returns the zones to whose upstreams nothing more is to be sent, with the
+// versions of their rows.
+func (vi *View) Evacuated() map[string]uint64 {
+	vi.mu.Lock()
+	defer vi.mu.Unlock()
+	return vi.zones.Evacuated()
+}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -266,28 +266,6 @@
 	return applied
 }
 
-// ReplaceEvacuated applies all evacuated zones as of a version of the store, with the
-// versions of their rows, and returns the changes. Other zones have been taken back.
-func (vi *View) ReplaceEvacuated(evacuated map[string]uint64, version uint64, source string) []citronstream.Change {
-	var changes []citronstream.Change
-	add := func(zone string, version uint64, deleted bool) {
-		changes = append(changes, citronstream.Change{Row: citronstream.Row{Key: vi.decode.EvacuationPrefix + zone, Version: version}, Deleted: deleted})
-	}
-	for zone, version := range evacuated {
-		add(zone, version, false)
-	}
-	vi.mu.Lock()
-	for _, zone := range vi.zones.Missing(evacuated, version) {
-		add(zone, version, true)
-	}
-	vi.mu.Unlock()
-	applied := vi.Apply(changes, source)
-	vi.mu.Lock()
-	defer vi.mu.Unlock()
-	vi.zones.Settle(version)
-	return applied
-}
-
 // Settled reports whether no upstream of these changes is in its grace period, in
 // which only this process keeps what the store has removed.
 func (vi *View) Settled(changes []citronstream.Change) bool {
@@ -364,7 +342,7 @@
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
 	all := make([]citronstream.Change, 0, len(vi.rows)+1)
-	for _, row := range vi.zones.Rows(vi.clk.Now()) {
+	for _, row := range vi.zones.Rows() {
 		all = append(all, citronstream.Change{Row: citronstream.Row{Key: vi.decode.EvacuationPrefix + row.Zone, Version: row.Version}, Deleted: !row.Evacuated})
 	}
 	if vi.config.Version > qu.Revision {
@@ -405,42 +383,6 @@
 	}
 }
 
-// Restore puts upstreams of before this process's start in use that have no row, as the
-// store was away just before: their rows may have expired. They are gone when their grace
-// period ends without a row. It returns how many there are.
-func (vi *View) Restore(members []citronstream.Member) (count int) {
-	vi.mu.Lock()
-	defer vi.mu.Unlock()
-	now := vi.clk.Now()
-	if vi.outage.Over(now) {
-		return 0
-	}
-	for _, mb := range members {
-		key := vi.decode.MemberPrefix + mb.ID
-		if vi.rows[key] != nil || mb.Draining {
-			continue
-		}
-		nd := node.New(mb)
-		nd.Self = vi.reports.Of(mb.ID, mb.StartedMs)
-		vi.rows[key] = &record{Change: citronstream.Change{Row: citronstream.Row{Key: key, Version: vi.settled}, Deleted: true}, node: nd, removed: now, inGrace: true}
-		vi.onRow(mb)
-		count++
-	}
-	if count > 0 {
-		vi.log.Info("upstreams of before the start in use, grace period started", "upstreams", count)
-		vi.publish()
-	}
-	return count
-}
-
-// StoreWasAway reports whether the store was away a moment ago, so that rows may have
-// expired that are back soon.
-func (vi *View) StoreWasAway() bool {
-	vi.mu.Lock()
-	defer vi.mu.Unlock()
-	return !vi.outage.Over(vi.clk.Now())
-}
-
 func (vi *View) applyConfig(ch citronstream.Change, source string) bool {
 	if ch.Deleted || ch.Version <= vi.config.Version || slices.Contains(vi.refused, ch.Version) {
 		return false
@@ -467,34 +409,6 @@
 	vi.refused = vi.refused[max(0, len(vi.refused)-maxRefused):]
 }
 
-func (vi *View) isEvacuation(key string) bool {
-	return vi.decode.EvacuationPrefix != "" && strings.HasPrefix(key, vi.decode.EvacuationPrefix)
-}
-
-// applyEvacuation reports whether the state of a zone is news. The value of its row does
-// not matter.
-func (vi *View) applyEvacuation(ch citronstream.Change, source string) bool {
-	zone := strings.TrimPrefix(ch.Key, vi.decode.EvacuationPrefix)
-	if zone == "" || !vi.zones.Apply(zone, ch.Version, !ch.Deleted, vi.clk.Now()) {
-		return false
-	}
-	text := "zone evacuated"
-	if ch.Deleted {
-		text = "zone taken back"
-		vi.onTakenBack(zone, ch.Version)
-	}
-	vi.log.Info(text, "zone", zone, "source", source, "revision", ch.Version, "evacuated zones", len(vi.zones.Evacuated()))
-	return true
-}
-
-// Evacuated returns the zones to whose upstreams nothing more is to be sent, with the
-// versions of their rows.
-func (vi *View) Evacuated() map[string]uint64 {
-	vi.mu.Lock()
-	defer vi.mu.Unlock()
-	return vi.zones.Evacuated()
-}
-
 // applyMember reports whether the set of upstreams in use changed.
 func (vi *View) applyMember(ch citronstream.Change, source string) bool {
 	old := vi.rows[ch.Key]
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -9,62 +9,80 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
+// registry registers metrics that are read when they are collected.
+type registry struct{ *prometheus.Registry }
+
+func (re registry) gauge(name, help string, read func() float64) {
+	re.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+}
+
+func (re registry) counter(name, help string, read func() float64) {
+	re.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, read))
+}
+
 // metrics returns the handler of the metrics address.
 func (ga *Gateway) metrics() http.Handler {
-	reg := prometheus.NewRegistry()
-	reg.MustRegister(ga.meter, queues{ga}, loadRatios{ga}, collectors.NewGoCollector())
-	gauge := func(name, help string, read func() float64) {
-		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
-	}
-	counter := func(name, help string, read func() float64) {
-		reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, read))
-	}
-	gauge("citronstream_site_config_version", "Configuration version in force, 0 before the first.", func() float64 {
+	re := registry{prometheus.NewRegistry()}
+	re.MustRegister(ga.meter, queues{ga}, loadRatios{ga}, collectors.NewGoCollector())
+	re.gauge("citronstream_site_config_version", "Configuration version in force, 0 before the first.", func() float64 {
 		if routes := ga.view.Routes(); routes != nil {
 			return float64(routes.Version)
 		}
 		return 0
 	})
-	gauge("citronstream_site_upstreams", "Upstreams in use.", func() float64 { return float64(ga.view.Members().Len()) })
-	gauge("citronstream_site_upstreams_unconfirmed", "Upstreams in use whose rows may have expired while the store was away.", func() float64 { return float64(ga.view.Unconfirmed()) })
-	gauge("citronstream_site_upstreams_leaving", "Upstreams that have said in a response that they leave.", func() float64 {
+	re.gauge("citronstream_site_entries", "Entries that take part, this one included.", func() float64 { return float64(ga.mesh.LiveCount()) })
+	ga.registerUpstreams(re)
+	ga.registerCallers(re)
+	ga.registerQuarantine(re)
+	ga.registerCalls(re)
+	return promhttp.HandlerFor(re, promhttp.HandlerOpts{Registry: re, MaxRequestsInFlight: 2})
+}
+
+// registerUpstreams registers the metrics of what is known of upstreams and zones.
+func (ga *Gateway) registerUpstreams(re registry) {
+	re.gauge("citronstream_site_upstreams", "Upstreams in use.", func() float64 { return float64(ga.view.Members().Len()) })
+	re.gauge("citronstream_site_upstreams_unconfirmed", "Upstreams in use whose rows may have expired while the store was away.", func() float64 { return float64(ga.view.Unconfirmed()) })
+	re.gauge("citronstream_site_upstreams_leaving", "Upstreams that have said in a response that they leave.", func() float64 {
 		leaving, _ := ga.view.SelfReports()
 		return float64(leaving)
 	})
-	gauge("citronstream_site_upstreams_paused", "Upstreams in a pause that they have asked for.", func() float64 {
+	re.gauge("citronstream_site_upstreams_paused", "Upstreams in a pause that they have asked for.", func() float64 {
 		_, paused := ga.view.SelfReports()
 		return float64(paused)
 	})
-	gauge("citronstream_site_upstreams_load_known", "Upstreams that said their load within the last 2 s.", func() float64 { return float64(ga.loadsKnown()) })
-	gauge("citronstream_site_upstreams_slow", "Upstreams that are slower than usual for good.", func() float64 { return float64(ga.slowUpstreams()) })
-	gauge("citronstream_site_zones_evacuated", "Zones to whose upstreams nothing more is sent.", func() float64 { return float64(len(ga.view.Evacuated())) })
-	gauge("citronstream_site_upstreams_cold", "Upstreams that are cold.", func() float64 {
+	re.gauge("citronstream_site_upstreams_load_known", "Upstreams that said their load within the last 2 s.", func() float64 { return float64(ga.loadsKnown()) })
+	re.gauge("citronstream_site_upstreams_slow", "Upstreams that are slower than usual for good.", func() float64 { return float64(ga.slowUpstreams()) })
+	re.gauge("citronstream_site_zones_evacuated", "Zones to whose upstreams nothing more is sent.", func() float64 { return float64(len(ga.view.Evacuated())) })
+	re.gauge("citronstream_site_upstreams_cold", "Upstreams that are cold.", func() float64 {
 		cold, _ := ga.cold.Counts()
 		return float64(cold)
 	})
-	gauge("citronstream_site_cold_rate_share", "Share of the rate of cold upstreams that this process may use, 0 if none is cold.", func() float64 {
+	re.gauge("citronstream_site_cold_rate_share", "Share of the rate of cold upstreams that this process may use, 0 if none is cold.", func() float64 {
 		_, share := ga.cold.Counts()
 		return share
 	})
-	gauge("citronstream_site_entries", "Entries that take part, this one included.", func() float64 { return float64(ga.mesh.LiveCount()) })
-	gauge("citronstream_site_in_flight", "Requests that were read and not answered.", func() float64 { return float64(ga.flow.InFlight()) })
-	counter("citronstream_site_panics_total", "Requests that ended by a panic.", func() float64 { return float64(ga.flow.Panics()) })
+}
+
+// registerCallers registers the metrics of callers and of the limits on them.
+func (ga *Gateway) registerCallers(re registry) {
+	re.gauge("citronstream_site_in_flight", "Requests that were read and not answered.", func() float64 { return float64(ga.flow.InFlight()) })
+	re.counter("citronstream_site_panics_total", "Requests that ended by a panic.", func() float64 { return float64(ga.flow.Panics()) })
 	for _, limit := range limitNames {
-		reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		re.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "citronstream_site_caller_limits_total", Help: "Callers that were refused, cut or had to wait by a limit.", ConstLabels: prometheus.Labels{"limit": limit},
 		}, func() float64 { return float64(ga.limits.count(limit)) }))
 	}
-	gauge("citronstream_site_caller_memory_bytes", "Memory that is held for callers; 0 if it is not bounded.", func() float64 { return float64(ga.memory.Used()) })
-	gauge("citronstream_site_caller_memory_limit_bytes", "Memory that may be held for callers; 0 if it is not bounded.", func() float64 { return float64(ga.memory.Total()) })
-	gauge("citronstream_site_caller_connections", "Open connections of callers.", func() float64 { return float64(ga.callerServer.Open()) })
-	counter("citronstream_site_accept_failures_total", "Accepts that failed for lack of descriptors or memory, at all listeners.", func() float64 {
+	re.gauge("citronstream_site_caller_memory_bytes", "Memory that is held for callers; 0 if it is not bounded.", func() float64 { return float64(ga.memory.Used()) })
+	re.gauge("citronstream_site_caller_memory_limit_bytes", "Memory that may be held for callers; 0 if it is not bounded.", func() float64 { return float64(ga.memory.Total()) })
+	re.gauge("citronstream_site_caller_connections", "Open connections of callers.", func() float64 { return float64(ga.callerServer.Open()) })
+	re.counter("citronstream_site_accept_failures_total", "Accepts that failed for lack of descriptors or memory, at all listeners.", func() float64 {
 		count := uint64(0)
 		for _, li := range ga.listeners {
 			count += li.Shortages()
 		}
 		return float64(count)
 	})
-	gauge("citronstream_site_accept_short", "Listeners that accept no connection for lack of descriptors or memory.", func() float64 {
+	re.gauge("citronstream_site_accept_short", "Listeners that accept no connection for lack of descriptors or memory.", func() float64 {
 		count := 0
 		for _, li := range ga.listeners {
 			if li.Short() > 0 {
@@ -73,42 +91,49 @@
 		}
 		return float64(count)
 	})
-	gauge("citronstream_site_prompt_parts_suspect", "Prompt parts suspected of crashing upstreams.", func() float64 {
+}
+
+// registerQuarantine registers the metrics of requests and prompt parts that crash upstreams.
+func (ga *Gateway) registerQuarantine(re registry) {
+	re.gauge("citronstream_site_prompt_parts_suspect", "Prompt parts suspected of crashing upstreams.", func() float64 {
 		suspects, _ := ga.parts.Counts()
 		return float64(suspects)
 	})
-	gauge("citronstream_site_prompt_parts_held", "Prompt parts that are refused, as upstreams crashed on them.", func() float64 {
+	re.gauge("citronstream_site_prompt_parts_held", "Prompt parts that are refused, as upstreams crashed on them.", func() float64 {
 		_, held := ga.parts.Counts()
 		return float64(held)
 	})
-	gauge("citronstream_site_contents_suspect", "Requests suspected of crashing upstreams.", func() float64 {
+	re.gauge("citronstream_site_contents_suspect", "Requests suspected of crashing upstreams.", func() float64 {
 		suspects, _ := ga.holds.Counts()
 		return float64(suspects)
 	})
-	gauge("citronstream_site_contents_held", "Requests that are refused, as upstreams crashed on them.", func() float64 {
+	re.gauge("citronstream_site_contents_held", "Requests that are refused, as upstreams crashed on them.", func() float64 {
 		_, held := ga.holds.Counts()
 		return float64(held)
 	})
-	counter("citronstream_site_store_reads_total", "Reads of the store's tables.", func() float64 {
+}
+
+// registerCalls registers the metrics of the calls to the store and of the connections to upstreams.
+func (ga *Gateway) registerCalls(re registry) {
+	re.counter("citronstream_site_store_reads_total", "Reads of the store's tables.", func() float64 {
 		calls, _ := ga.follower.Counts()
 		return float64(calls)
 	})
-	counter("citronstream_site_store_failures_total", "Reads of the store's tables that failed.", func() float64 {
+	re.counter("citronstream_site_store_failures_total", "Reads of the store's tables that failed.", func() float64 {
 		_, failed := ga.follower.Counts()
 		return float64(failed)
 	})
-	counter("citronstream_site_connections_opened_total", "Connections opened to upstreams.", func() float64 {
+	re.counter("citronstream_site_connections_opened_total", "Connections opened to upstreams.", func() float64 {
 		opened, _ := ga.pool.Counts()
 		return float64(opened)
 	})
-	counter("citronstream_site_connections_reused_total", "Requests sent over a connection that was open.", func() float64 {
+	re.counter("citronstream_site_connections_reused_total", "Requests sent over a connection that was open.", func() float64 {
 		_, reused := ga.pool.Counts()
 		return float64(reused)
 	})
-	counter("citronstream_site_repeats_refused_total", "Repeats that the shared budget did not allow.", func() float64 {
+	re.counter("citronstream_site_repeats_refused_total", "Repeats that the shared budget did not allow.", func() float64 {
 		return float64(ga.budget.Refused())
 	})
-	return promhttp.HandlerFor(reg, promhttp.HandlerOpts{Registry: reg, MaxRequestsInFlight: 2})
 }
 
 // loadRatios collects the load ratio of the engines of each service.
