fleet/discovery: a list that the store has cut is not complete

Cause: up to 1,024 rows counted as a complete list, while one answer of the store has 500 at most; the bound on cold upstreams relies on the list. Change: the bound of one answer is used for the read and for its completeness. Result: TestCutListIsNotComplete fails with 1,024 at 500 rows and passes with 500.

--- a/internal/fleet/discovery/discovery.go
+++ b/internal/fleet/discovery/discovery.go
@@ -25,7 +25,6 @@
 	// removeAfter is how long an entry is unreachable before its row is removed.
 	// A process that restarts under the name writes the row again.
 	removeAfter = 90 * time.Second
-	maxRows     = 1024
 	// maxListed is the number of rows above which the store's answer may be cut.
 	maxListed = 500
 )
@@ -151,13 +150,13 @@
 // have missed it.
 func (di *Discovery) readRows(ctx context.Context) (found bool, err error) {
 	began := di.clk.Now()
-	rows, err := di.table.List(ctx, prefix, "", maxRows)
+	rows, err := di.table.List(ctx, prefix, "", maxListed)
 	if err != nil {
 		return false, err
 	}
 	addresses := make([]string, 0, len(rows))
 	defer func() {
-		if di.written && found && len(rows) < maxRows {
+		if di.written && found && len(rows) < maxListed {
 			di.onList(addresses, began)
 		}
 	}()
--- a/internal/fleet/discovery/discovery_test.go
+++ b/internal/fleet/discovery/discovery_test.go
@@ -52,6 +52,22 @@
 	assert.Len(t, di.malformed, 1)
 }
 
+// Guards against a list that the store has cut and that is taken for complete: shares of the
+// rate of cold upstreams would be computed from a part of the entries.
+func TestCutListIsNotComplete(t *testing.T) {
+	for count, complete := range map[int]int{maxListed - 1: 1, maxListed: 0} {
+		ta, calls := &table{rows: []citronstream.Row{{Key: prefix + "own", Version: 1}}}, 0
+		for len(ta.rows) < count {
+			ta.rows = append(ta.rows, citronstream.Row{Key: prefix + "x", Version: 1})
+		}
+		di := New(clockwork.NewFakeClock(), logr.Discard(), ta, nil, "own", "127.0.0.1:1", "z", WithOnList(func([]string, time.Time) { calls++ }))
+		di.written = true
+		_, err := di.readRows(t.Context())
+		require.NoError(t, err)
+		assert.Equal(t, complete, calls, "%d rows", count)
+	}
+}
+
 // Guards against entries that could not reach each other for long, have removed each other's
 // rows, and never link again, as each writes its row once.
 func TestRemovedRowIsWrittenAgain(t *testing.T) {
