--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -30,6 +30,7 @@
 	"github.com/citronstream/citronstream/internal/cli/status"
 	"github.com/citronstream/citronstream/internal/cli/timeline"
 	"github.com/citronstream/citronstream/internal/cli/version"
+	"github.com/citronstream/citronstream/internal/cli/where"
 	checker "github.com/citronstream/citronstream/internal/config/check"
 	"github.com/citronstream/citronstream/internal/kernel/policy"
 	"github.com/citronstream/citronstream/internal/kernel/protocol"
@@ -57,6 +58,7 @@
 	Doubts   doubts.Command   `cmd:"" help:"List or lift the intervals in which calls may have run without a record."`
 	Timeline timeline.Command `cmd:"" help:"Show the events of all processes in causal order."`
 	Explain  explain.Command  `cmd:"" help:"Show the log lines of gateways that belong to a request."`
+	Where    where.Command    `cmd:"" help:"Show where a request or a job would go now, and why, as a gateway sees it."`
 	Cost     cost.Command     `cmd:"" help:"Report the usage of a day and export its records."`
 
 	Demo  demo.Command  `cmd:"" help:"Send load to a local fleet and print a report."`
--- a/internal/fleet/view/members.go
+++ b/internal/fleet/view/members.go
@@ -38,6 +38,18 @@
 // Service returns the upstreams of a service that take new work, sorted by ID.
 func (ms *Members) Service(name string) []*node.Node { return ms.byService[name] }
 
+// All returns the upstreams of a service, those that take no new work included, sorted
+// by ID.
+func (ms *Members) All(service string) (list []*node.Node) {
+	for _, nd := range ms.byID {
+		if nd.Service == service {
+			list = append(list, nd)
+		}
+	}
+	slices.SortFunc(list, func(a, b *node.Node) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
 // Node returns the upstream with an ID, or nil.
 func (ms *Members) Node(id string) *node.Node { return ms.byID[id] }
 
--- a/internal/ingress/flow/admit.go
+++ b/internal/ingress/flow/admit.go
@@ -118,13 +118,19 @@
 
 // setDeadlines sets the target time and the deadline of the request.
 func (rt *request) setDeadlines() {
+	rt.first, rt.returned = rt.fl.Refused.First(rt.digest, rt.at)
+	rt.deadlinesFrom(rt.first)
+}
+
+// deadlinesFrom sets the target time and the deadline of a request whose caller made its
+// first attempt at a time.
+func (rt *request) deadlinesFrom(first time.Time) {
 	left := rt.route.Timeout
 	if !rt.Unbounded && (rt.Left < left || left <= 0) {
 		left = rt.Left
 	}
 	rt.end = rt.at.Add(left)
-	rt.first, rt.returned = rt.fl.Refused.First(rt.digest, rt.at)
-	rt.target = rt.first.Add(rt.route.Target)
+	rt.target = first.Add(rt.route.Target)
 }
 
 // pickShare picks a service at random by the weights of the route.
--- a/internal/ingress/flow/estimate.go
+++ b/internal/ingress/flow/estimate.go
@@ -21,24 +21,31 @@
 
 // admit refuses a request that can't be served in time.
 func (sg *stages) admit() *citronstream.Fault {
+	rt := sg.rt
+	rq, at, de := sg.decide(rand.Float64())
+	if de.Admit {
+		return nil
+	}
+	fa := citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "needs %v of %v, including a wait of %v for service %s, then %v of the %v to its deadline",
+		rq.Needs.Round(time.Millisecond), rq.Target.Round(time.Millisecond), rq.Wait.Round(time.Millisecond), at, rq.Rest.Round(time.Millisecond), rt.deadlineLeft().Round(time.Millisecond))
+	fa.RetryAfter = de.RetryAfter
+	return fa
+}
+
+// decide decides whether the request is admitted, and returns what that follows from and
+// the service with the longest wait. Draw is a random number in [0, 1).
+func (sg *stages) decide(draw float64) (rq admission.Request, at string, de admission.Decision) {
 	rt := sg.rt
 	needs, target := sg.estimate(false), rt.target.Sub(rt.at)
 	_, rank := rt.ranks()
-	wait, at := time.Duration(0), ""
+	wait := time.Duration(0)
 	for _, st := range sg.list {
 		if late := rt.fl.Broker.QueueWait(st.spec.Service, target-needs, rank, false); st.pieces > 0 && late > wait {
 			wait, at = late, st.spec.Service
 		}
 	}
-	rest := rt.timeAfterFirstEvent()
-	de := admission.New(admission.Request{Needs: needs, Rest: rest, Wait: wait, Target: target, Left: rt.deadlineLeft()}, rand.Float64())
-	if de.Admit {
-		return nil
-	}
-	fa := citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded, "needs %v of %v, including a wait of %v for service %s, then %v of the %v to its deadline",
-		needs.Round(time.Millisecond), target.Round(time.Millisecond), wait.Round(time.Millisecond), at, rest.Round(time.Millisecond), rt.deadlineLeft().Round(time.Millisecond))
-	fa.RetryAfter = de.RetryAfter
-	return fa
+	rq = admission.Request{Needs: needs, Rest: rt.timeAfterFirstEvent(), Wait: wait, Target: target, Left: rt.deadlineLeft()}
+	return rq, at, admission.New(rq, draw)
 }
 
 // estimate sets the time that the request needs after each stage and returns the
--- a/internal/ingress/flow/forward.go
+++ b/internal/ingress/flow/forward.go
@@ -7,6 +7,7 @@
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/citronstream/citronstream/internal/route/engines"
 )
 
 // maxUnreached is the maximum number of upstreams that could not be reached.
@@ -181,7 +182,13 @@
 	if !rt.routes.Services[rt.service].Engine {
 		return nil
 	}
+	return rt.fl.Engines.Prefer(rt.usable(), rt.laterDemand(needs))
+}
+
+// laterDemand describes the request for the choice of an engine when its stages, which
+// still take some time, are done.
+func (rt *request) laterDemand(needs time.Duration) engines.Request {
 	demand := rt.demand(nil)
 	demand.Slack -= needs
-	return rt.fl.Engines.Prefer(rt.usable(), demand)
+	return demand
 }
--- a/internal/limit/partquarantine/visit.go
+++ b/internal/limit/partquarantine/visit.go
@@ -46,6 +46,17 @@
 	return vi, nil
 }
 
+// Check returns the refusal that Enter would give, without admitting anything.
+func (qu *Quarantine) Check(shared []citronstream.PromptPart) *Refusal {
+	var parts []uint64
+	for _, part := range shared[:min(len(shared), maxParts)] {
+		parts = append(parts, part.ID)
+	}
+	qu.mu.Lock()
+	defer qu.unlock()
+	return qu.refusal(parts, qu.admitted, false)
+}
+
 // refusal returns why a request with these parts can't go on, nil if it can. Broke
 // says that an upstream may just have died of it, which is not known yet. One crash
 // before a part is held, it is tried when the next crash is sure to count.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -210,7 +210,7 @@
 		return merry.Prepend(err, "readiness")
 	}
 	if ga.site.Metrics != "" {
-		if ga.metricsServer, err = ga.listen(ga.site.Metrics, ga.metrics()); err != nil {
+		if ga.metricsServer, err = ga.listen(ga.site.Metrics, ga.operators()); err != nil {
 			return merry.Prepend(err, "metrics")
 		}
 	}
