Cold upstreams: changes are logged without locks

Cause: the limiter called the log for each change of an upstream's state with its lock held, for rows also with that of the view, so that a slow log held up every choice of an upstream and every row. Measured: TestColdChangeIsLoggedWithoutLocks (a log that does not return) hangs with the call under the lock and passes now.

--- a/internal/limit/coldrate/coldrate.go
+++ b/internal/limit/coldrate/coldrate.go
@@ -29,6 +29,8 @@
 	stateTTL = 5 * time.Minute
 	// maxEnds bounds the zones whose end of evacuation is kept; the names come from outside.
 	maxEnds = 64
+	// maxChanges bounds the changes that are kept until Changes is called.
+	maxChanges = 4096
 )
 
 // Sources of the state of an upstream.
@@ -78,10 +80,9 @@
 // Limiter knows which upstreams are cold and what this gateway may send to them. Its
 // methods are called concurrently.
 type Limiter struct {
-	clk      citronstream.Clock
-	self     string
-	spec     func(service string) citronstream.ServiceSpec
-	onChange func(Change)
+	clk  citronstream.Clock
+	self string
+	spec func(service string) citronstream.ServiceSpec
 	// An upstream gets at most overage times its rate plus slack within a second.
 	overage, slack float64
 
@@ -94,6 +95,7 @@
 	gen       uint64               // grows with each change of the gateways
 	listedAt  time.Time            // start of the last complete read of the list of gateways
 	waiting   map[string][]*Waiter // by service, in the order of their turns
+	changes   []Change             // since the last call of Changes
 }
 
 // Option configures a Limiter.
@@ -105,17 +107,11 @@
 	return func(li *Limiter) { li.overage, li.slack = overage, slack }
 }
 
-// WithOnChange sets the function that is called with each change. It must not call the
-// limiter.
-func WithOnChange(onChange func(Change)) Option {
-	return func(li *Limiter) { li.onChange = onChange }
-}
-
 // New returns a limiter for the gateway with this address. Spec returns the settings of a
 // service.
 func New(clk citronstream.Clock, self string, spec func(service string) citronstream.ServiceSpec, opts ...Option) *Limiter {
 	li := &Limiter{
-		clk: clk, self: self, spec: spec, onChange: func(Change) {}, began: clk.Now(), gen: 1,
+		clk: clk, self: self, spec: spec, began: clk.Now(), gen: 1,
 		upstreams: make(map[string]*upstream), ends: make(map[string]end), gateways: make(map[string]time.Time), waiting: make(map[string][]*Waiter),
 	}
 	for _, opt := range opts {
@@ -228,10 +224,23 @@
 	left := until.Sub(li.clk.Now())
 	if cold := left > 0; cold != up.announced {
 		up.announced = cold
-		li.onChange(Change{Upstream: id, Service: up.service, Cold: cold, Left: max(0, left), Source: source})
+		if len(li.changes) < maxChanges {
+			li.changes = append(li.changes, Change{Upstream: id, Service: up.service, Cold: cold, Left: max(0, left), Source: source})
+		}
 	}
 }
 
+// Changes returns the changes since the last call, the oldest first. They are kept for it
+// rather than passed to a function, as rows are recorded with locks held that the choice of
+// an upstream waits for.
+func (li *Limiter) Changes() []Change {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	changes := li.changes
+	li.changes = nil
+	return changes
+}
+
 // Sweep reports the upstreams whose cold time has passed and forgets those that have not
 // been listed for long. Rows of listed ones are not renewed while the store is away.
 func (li *Limiter) Sweep(listed func(id string) bool) {
--- a/internal/limit/coldrate/coldrate_test.go
+++ b/internal/limit/coldrate/coldrate_test.go
@@ -143,8 +143,7 @@
 // that are not reported once each.
 func TestChanges(t *testing.T) {
 	clk := clockwork.NewFakeClock()
-	var changes []Change
-	li := newLimiter(clk, 0, WithOnChange(func(ch Change) { changes = append(changes, ch) }))
+	li := newLimiter(clk, 0)
 	li.Row(row(1, 1, 0))
 	li.Row(row(2, 1, 2*time.Second))
 	li.Row(row(3, 1, time.Second))
@@ -156,7 +155,8 @@
 		{Upstream: "u", Service: "s", Cold: true, Left: 2 * time.Second, Source: SourceRow},
 		{Upstream: "u", Service: "s", Source: SourceTime},
 		{Upstream: "u", Service: "s", Cold: true, Left: 3 * time.Second, Source: SourceEvacuation},
-	}, changes)
+	}, li.Changes())
+	assert.Empty(t, li.Changes(), "a change is told twice")
 }
 
 // Guards against permits that are lost with requests that were not sent, and against ones
--- a/internal/process/gateway/cold.go
+++ b/internal/process/gateway/cold.go
@@ -69,13 +69,15 @@
 	return false
 }
 
-// coldChanged logs a change of an upstream's state.
-func (ga *Gateway) coldChanged(ch coldrate.Change) {
-	text := "upstream warm"
-	if ch.Cold {
-		text = "upstream cold"
+// logCold logs the changes of the upstreams' state.
+func (ga *Gateway) logCold() {
+	for _, ch := range ga.cold.Changes() {
+		text := "upstream warm"
+		if ch.Cold {
+			text = "upstream cold"
+		}
+		ga.log.Info(text, "upstream", ch.Upstream, "service", ch.Service, "source", ch.Source, "left", ch.Left.String())
 	}
-	ga.log.Info(text, "upstream", ch.Upstream, "service", ch.Service, "source", ch.Source, "left", ch.Left.String())
 }
 
 // sweepCold tells the limiter which gateways are known and ends cold times that have passed.
@@ -89,6 +91,7 @@
 	ga.cold.Gateways(known)
 	members := ga.view.Members()
 	ga.cold.Sweep(func(id string) bool { return members.Node(id) != nil })
+	ga.logCold()
 	if now := ga.clk.Now(); ga.turnsCold() && ga.cold.MayList() && now.Sub(ga.listAsked) >= listInterval {
 		ga.listAsked = now
 		ga.discovery.Refresh()
--- a/internal/process/gateway/cold_test.go
+++ b/internal/process/gateway/cold_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream/internal/standin/site"
+	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/assert"
 )
 
@@ -232,3 +233,35 @@
 		assert.LessOrEqual(t, i-first+1, most)
 	}
 }
+
+// Guards against a slow log that holds up all choices of an upstream, and all rows, while a
+// change of an upstream's state is logged.
+func TestColdChangeIsLoggedWithoutLocks(t *testing.T) {
+	ts := newColdSite(t)
+	logging, release := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	ts.logger = funcr.New(func(_, line string) {
+		if strings.Contains(line, "upstream cold") {
+			once.Do(func() { close(logging) })
+			<-release
+		}
+	}, funcr.Options{})
+	en := ts.startEntry()
+	ts.coldUpstream("d1")
+	<-logging
+	free := make(chan struct{})
+	go func() {
+		en.cold.Free("d1")
+		en.view.Evacuated()
+		close(free)
+	}()
+	ts.waitFor(func() bool {
+		select {
+		case <-free:
+			return true
+		default:
+			return false
+		}
+	}, "the choice of an upstream waits for the log")
+	close(release)
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -136,7 +136,7 @@
 		EvacuationPrefix: platform.EvacuationPrefix,
 	}, view.WithHeartbeat(site.Heartbeat))
 	ga.view.OnChange(ga.viewChanged)
-	ga.cold = coldrate.New(clk, site.Peers, ga.serviceSpec, coldrate.WithBound(site.Bounds.ColdOverage, site.Bounds.ColdSlack), coldrate.WithOnChange(ga.coldChanged))
+	ga.cold = coldrate.New(clk, site.Peers, ga.serviceSpec, coldrate.WithBound(site.Bounds.ColdOverage, site.Bounds.ColdSlack))
 	ga.view.OnRow(ga.cold.Row)
 	ga.view.OnTakenBack(ga.cold.TakenBack)
 	ga.mesh = mesh.New(clk, log, eng, ga.peerInfo, ga.handle, ga.peerConnected)
