Cold upstreams: one lock for each choice

Cause: the choice of an upstream took the lock of the cold upstreams up to three times for each upstream of the service (Free, Limited, Waiting). Change: coldrate.Usable looks at all upstreams under one lock. Measured: TestChoiceTakesTheLockOnce counts looks at the clock, one under each lock: 2 for two upstreams before (1 each, 2 to 3 locks), 1 now.

--- a/internal/ingress/flow/choice.go
+++ b/internal/ingress/flow/choice.go
@@ -19,26 +19,7 @@
 // usable returns the upstreams that may get the request now: without cold ones that may
 // take nothing more from this process, or whose next permit is for a request that waits.
 func (rt *request) usable() []*node.Node {
-	nodes := rt.permitted()
-	for i, nd := range nodes {
-		if !rt.mayTake(nd) {
-			left := append(make([]*node.Node, 0, len(nodes)), nodes[:i]...)
-			for _, nd := range nodes[i+1:] {
-				if rt.mayTake(nd) {
-					left = append(left, nd)
-				}
-			}
-			return left
-		}
-	}
-	return nodes
-}
-
-func (rt *request) mayTake(nd *node.Node) bool {
-	if !rt.fl.Cold.Free(nd.ID) {
-		return false
-	}
-	return rt.turn || !rt.fl.Cold.Limited(nd.ID) || !rt.fl.Cold.Waiting(rt.service, nd.ID, rt.urgency())
+	return coldrate.Usable(rt.fl.Cold, rt.permitted(), func(nd *node.Node) string { return nd.ID }, rt.service, rt.urgency(), rt.turn)
 }
 
 // permitted returns the upstreams to which the request may be sent: those in the regions
--- a/internal/ingress/flow/choice_test.go
+++ b/internal/ingress/flow/choice_test.go
@@ -169,3 +169,31 @@
 		assert.Equal(t, "m/b", nd.ID)
 	}
 }
+
+// Guards against a choice that takes the lock of the cold upstreams for each upstream: with
+// 160 of them and hundreds of requests a second the choices wait for each other. The number
+// of looks at the clock, one under each lock, must not grow with the upstreams.
+func TestChoiceTakesTheLockOnce(t *testing.T) {
+	rt := coldRequest(t)
+	counting := &countingClock{Clock: rt.fl.clk}
+	rt.fl.Cold = coldrate.New(counting, "self", func(string) citronstream.ServiceSpec {
+		return citronstream.ServiceSpec{ColdStart: time.Second, ColdRate: 8}
+	})
+	for _, id := range []string{"m/a", "m/b"} {
+		rt.fl.Cold.Row(citronstream.Member{ID: id, Service: "s", Revision: 1, Cold: time.Hour})
+	}
+	counting.looks = 0
+	rt.usable()
+	assert.Equal(t, 1, counting.looks)
+}
+
+// countingClock counts the calls of Now.
+type countingClock struct {
+	citronstream.Clock
+	looks int
+}
+
+func (cc *countingClock) Now() time.Time {
+	cc.looks++
+	return cc.Clock.Now()
+}
--- a/internal/limit/coldrate/wait.go
+++ b/internal/limit/coldrate/wait.go
@@ -87,7 +87,36 @@
 func (li *Limiter) Waiting(service, id string, rank int) bool {
 	li.mu.Lock()
 	defer li.mu.Unlock()
+	return li.isWaiting(service, id, rank)
+}
+
+func (li *Limiter) isWaiting(service, id string, rank int) bool {
 	return slices.ContainsFunc(li.waiting[service], func(wa *Waiter) bool {
 		return wa.rank <= rank && slices.Contains(wa.candidates, id)
 	})
 }
+
+// Usable returns those of some upstreams that may get a request of a rank now: without cold
+// ones that may take nothing more from this gateway, or whose next permit is for a request
+// that waits. A request whose turn it is does not give way. All are looked at under one lock,
+// as each request chooses among all upstreams of its service.
+func Usable[U any](li *Limiter, upstreams []U, id func(U) string, service string, rank int, turn bool) []U {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	now := li.clk.Now()
+	closed := func(up U) bool {
+		cold, rate := li.limited(id(up), now)
+		return cold != nil && (li.left(id(up), cold, rate, now) <= 0 || !turn && li.isWaiting(service, id(up), rank))
+	}
+	first := slices.IndexFunc(upstreams, closed)
+	if first < 0 {
+		return upstreams
+	}
+	usable := append(make([]U, 0, len(upstreams)), upstreams[:first]...)
+	for _, up := range upstreams[first+1:] {
+		if !closed(up) {
+			usable = append(usable, up)
+		}
+	}
+	return usable
+}
