Cold upstreams: a batch holds its permit for the time in which it counts

Cause: the permit of a batch to a cold upstream was marked as sent when its answer had arrived, so that it was held for the whole batch and 1.1 s instead of 1.1 s from when it was written. Change: batch.Caller reports when a batch was written, as the pool of connections does already for requests. The owner is unchanged.

--- a/internal/process/gateway/cold.go
+++ b/internal/process/gateway/cold.go
@@ -9,6 +9,7 @@
 	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/limit/coldrate"
 	"github.com/citronstream/citronstream/internal/stage/owner"
+	"github.com/citronstream/citronstream/internal/upstream/batch"
 )
 
 // listInterval is how often the list of gateways is read while this process may not send
@@ -27,13 +28,15 @@
 // coldBatcher bounds the batches that are sent to cold upstreams. Reports and releases of
 // results don't count.
 type coldBatcher struct {
-	owner.Batcher
+	*batch.Caller
 	clk  citronstream.Clock
 	cold *coldrate.Limiter
 }
 
+var _ owner.Batcher = (*coldBatcher)(nil)
+
 // Run implements owner.Batcher. A batch without a permit counts as one that reached no
-// upstream, so that it costs no repeat.
+// upstream, so that it costs no repeat. A permit counts from when the batch was written.
 func (cb *coldBatcher) Run(ctx context.Context, nd *node.Node, items []citronstream.BatchItem) ([]citronstream.ItemResult, bool, error) {
 	permit, ok := cb.cold.Take(nd.ID)
 	if !ok {
@@ -41,7 +44,7 @@
 		nd.MarkDead(cb.clk.Now(), min(max(pause, minColdPause), maxColdPause))
 		return nil, true, errCold
 	}
-	results, refused, err := cb.Batcher.Run(ctx, nd, items)
+	results, refused, err := cb.RunReporting(ctx, nd, items, permit.Sent)
 	if refused && err != nil {
 		permit.Return()
 	}
--- a/internal/process/gateway/cold_test.go
+++ b/internal/process/gateway/cold_test.go
@@ -4,13 +4,21 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/citronstream/citronstream/internal/limit/coldrate"
 	"github.com/citronstream/citronstream/internal/standin/site"
+	"github.com/citronstream/citronstream/internal/upstream/batch"
+	"github.com/citronstream/citronstream/internal/upstream/conns"
+	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 )
 
@@ -265,3 +273,38 @@
 	}, "the choice of an upstream waits for the log")
 	close(release)
 }
+
+// Guards against a cold upstream of a stage that gets few batches, as each holds its permit
+// until its answer instead of for the second in which it counts.
+func TestBatchHoldsItsPermitForASecond(t *testing.T) {
+	release := make(chan struct{})
+	sv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(wr, `{"items":[{"handle":"a/1"}]}`)
+	}))
+	defer sv.Close()
+	coldClock, clk := clockwork.NewFakeClock(), clockwork.NewRealClock()
+	li := coldrate.New(coldClock, "self", func(string) citronstream.ServiceSpec {
+		return citronstream.ServiceSpec{ColdStart: time.Second, ColdRate: 1}
+	})
+	mb := citronstream.Member{ID: "u", Service: "s", Address: strings.TrimPrefix(sv.URL, "http://"), Revision: 1, Cold: 10000 * time.Hour}
+	li.Row(mb)
+	coldClock.Advance(2 * time.Second)
+	li.Listed(nil, coldClock.Now())
+	pool := conns.New(clk)
+	defer pool.Close()
+	cb := &coldBatcher{batch.New(clk, logr.Discard(), pool), clk, li}
+	done := make(chan error)
+	go func() {
+		_, _, err := cb.Run(t.Context(), node.New(mb), []citronstream.BatchItem{{RequestID: "r"}})
+		done <- err
+	}()
+	assert.Eventually(t, func() bool { return !li.Free("u") }, 10*time.Second, time.Millisecond, "the batch takes no permit")
+	assert.Eventually(t, func() bool {
+		coldClock.Advance(2 * time.Second)
+		li.Listed(nil, coldClock.Now())
+		return li.Free("u")
+	}, 10*time.Second, time.Millisecond, "the permit is held while the batch runs")
+	close(release)
+	assert.NoError(t, <-done)
+}
--- a/internal/upstream/batch/batch.go
+++ b/internal/upstream/batch/batch.go
@@ -88,6 +88,12 @@
 
 // Run implements owner.Batcher.
 func (ca *Caller) Run(ctx context.Context, nd *node.Node, items []citronstream.BatchItem) ([]citronstream.ItemResult, bool, error) {
+	return ca.RunReporting(ctx, nd, items, nil)
+}
+
+// RunReporting runs a batch like Run and calls written when the whole batch has been written
+// to a connection, once or not at all.
+func (ca *Caller) RunReporting(ctx context.Context, nd *node.Node, items []citronstream.BatchItem, written func()) ([]citronstream.ItemResult, bool, error) {
 	body, err := platform.EncodeBatch(items)
 	if err != nil {
 		return nil, false, err
@@ -99,7 +105,7 @@
 		}
 		return slices.ContainsFunc(results, func(re citronstream.ItemResult) bool { return re.Handle != "" }), err
 	}
-	status, refused, err := ca.call(ctx, nd, http.MethodPost, platform.PathBatch, body, check)
+	status, refused, err := ca.call(ctx, nd, http.MethodPost, platform.PathBatch, body, written, check)
 	switch {
 	case err != nil && citronstream.VerdictOf(err) == citronstream.NotRun:
 		nd.ConnectionBroke(ca.clk.Now())
@@ -127,7 +133,7 @@
 		defer cancel()
 		defer ca.clk.AfterFunc(releaseTimeout, cancel).Stop()
 		var status int
-		status, _, err = ca.call(ctx, nd, http.MethodPost, platform.PathRelease, body, func([]byte) (bool, error) { return true, nil })
+		status, _, err = ca.call(ctx, nd, http.MethodPost, platform.PathRelease, body, nil, func([]byte) (bool, error) { return true, nil })
 		if err == nil && status != http.StatusOK {
 			err = fmt.Errorf("status %d", status)
 		}
@@ -162,7 +168,7 @@
 func (ca *Caller) report(ctx context.Context, nd *node.Node, decode func(answer []byte) error) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	status, _, err := ca.call(ctx, nd, http.MethodGet, platform.PathReport, nil, func(answer []byte) (bool, error) { return true, decode(answer) })
+	status, _, err := ca.call(ctx, nd, http.MethodGet, platform.PathReport, nil, nil, func(answer []byte) (bool, error) { return true, decode(answer) })
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("status %d", status)
 	}
@@ -173,10 +179,10 @@
 // connection may be used again. Nothing tells a copy of a refusal, a failure or an answer
 // without results from the answer to the next batch, whose results would then go to the
 // batch after it. The connection of such an answer is closed.
-func (ca *Caller) call(ctx context.Context, nd *node.Node, method, path string, body []byte, check func(answer []byte) (reuse bool, err error)) (status int, refused bool, err error) {
+func (ca *Caller) call(ctx context.Context, nd *node.Node, method, path string, body []byte, written func(), check func(answer []byte) (reuse bool, err error)) (status int, refused bool, err error) {
 	ans, err := ca.pool.Send(ctx, nd.Address, &conns.Request{
 		Method: method, Target: path, Host: nd.Address, Header: platform.BatchHeader(nd.ID), Body: [][]byte{body},
-		Parse: ca.parse(nd),
+		Written: written, Parse: ca.parse(nd),
 	})
 	if err != nil {
 		return 0, false, err
--- a/internal/upstream/batch/batch_test.go
+++ b/internal/upstream/batch/batch_test.go
@@ -117,3 +117,25 @@
 		t.Fatal("the release does not end")
 	}
 }
+
+// Guards against a batch that counts as not sent until its answer has arrived: a cold
+// upstream's permit would be held for the whole batch.
+func TestBatchIsReportedWhenItIsWritten(t *testing.T) {
+	written := make(chan struct{})
+	nd := serve(t, func(nc net.Conn, br *bufio.Reader) {
+		read(br)
+		select {
+		case <-written:
+			answer(nc, "a/1")
+		case <-clk.After(2 * time.Second):
+			// closes the connection without an answer
+		}
+	})
+	po := conns.New(clk)
+	defer po.Close()
+	ca := New(clk, logr.Discard(), po)
+	results, refused, err := ca.RunReporting(t.Context(), nd, []citronstream.BatchItem{{RequestID: "r"}}, func() { close(written) })
+	require.NoError(t, err)
+	assert.False(t, refused)
+	assert.Len(t, results, 1)
+}
