--- a/internal/fleet/view/restore.go
+++ b/internal/fleet/view/restore.go
@@ -33,6 +33,30 @@
 	return count
 }
 
+// RestoreExpired restores upstreams of before this process's start if most of them have no
+// row, as if the store had been away until now: so many don't leave within the second that a
+// list may be old, while all rows have expired when a store returns that was away for longer
+// than it keeps them. It returns how many are restored.
+func (vi *View) RestoreExpired(members []citronstream.Member) int {
+	vi.mu.Lock()
+	missing := 0
+	for _, mb := range members {
+		if vi.rows[vi.decode.MemberPrefix+mb.ID] == nil {
+			missing++
+		}
+	}
+	expired := 2*missing > len(members)
+	if expired {
+		vi.log.Info("most upstreams of before the start have no row, store taken for just back", "upstreams", len(members), "missing", missing)
+		vi.outage.Disturbed(vi.clk.Now())
+	}
+	vi.mu.Unlock()
+	if !expired {
+		return 0
+	}
+	return vi.Restore(members)
+}
+
 // StoreWasAway reports whether the store was away a moment ago, so that rows may have
 // expired that are back soon.
 func (vi *View) StoreWasAway() bool {
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -432,3 +432,24 @@
 		}
 	})
 }
+
+// Guards against upstreams of before the start that are restored though only some of them
+// have left, and against ones that stay without a row.
+func TestRestoreExpired(t *testing.T) {
+	list := []citronstream.Member{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "s"}}
+	t.Run("few missing", func(t *testing.T) {
+		vi, _, _ := newView()
+		apply(vi, row("a", 5, "s a:1 x"), row("b", 6, "s b:1 x"))
+		assert.Zero(t, vi.RestoreExpired(list))
+		assert.Equal(t, 2, vi.Members().Len())
+	})
+	t.Run("most missing", func(t *testing.T) {
+		vi, clk, _ := newView()
+		apply(vi, row("a", 5, "s a:1 x"))
+		assert.Equal(t, 2, vi.RestoreExpired(list))
+		assert.Equal(t, 3, vi.Members().Len())
+		clk.Advance(expiryGrace)
+		vi.Sweep()
+		assert.Equal(t, 1, vi.Members().Len())
+	})
+}
--- a/internal/process/gateway/restore.go
+++ b/internal/process/gateway/restore.go
@@ -29,25 +29,34 @@
 	return !ga.leaving.Load() && !ga.follower.StoreDown() && !ga.view.StoreWasAway() && ga.broker.Owns(snapshot.Key)
 }
 
-// tableRead restores upstreams when their table was read for the first time.
+// tableRead restores upstreams when their table was read for the first time. Whether the
+// store returned just before the start of this process shows only in the snapshot.
 func (ga *Gateway) tableRead(table string) {
-	if table == platform.TableMembers && ga.view.StoreWasAway() {
+	if table == platform.TableMembers {
 		ga.runInBackground(ga.restore)
 	}
 }
 
-// restore puts the upstreams of the snapshot in use until their rows are back.
+// restore puts the upstreams of the snapshot in use until their rows are back. A read that
+// fails is repeated while the store is known to have been away.
 func (ga *Gateway) restore(ctx context.Context) {
-	for ga.view.StoreWasAway() {
+	for {
+		away := ga.view.StoreWasAway()
 		list, err := ga.snapshot.Read(ctx)
-		if err == nil {
+		switch {
+		case err == nil && (away || ga.view.StoreWasAway()):
 			ga.view.Restore(list)
 			return
-		}
-		if errors.Is(err, citronstream.ErrNotFound) {
+		case err == nil:
+			ga.view.RestoreExpired(list)
+			return
+		case errors.Is(err, citronstream.ErrNotFound):
 			return
 		}
 		ga.log.Info("snapshot of the upstreams not read", "reason", err.Error())
+		if !away {
+			return
+		}
 		timer := ga.clk.NewTimer(restoreRetry)
 		select {
 		case <-ctx.Done():
@@ -55,5 +64,8 @@
 			return
 		case <-timer.Chan():
 		}
+		if !ga.view.StoreWasAway() {
+			return
+		}
 	}
 }
--- a/internal/process/gateway/restore_test.go
+++ b/internal/process/gateway/restore_test.go
@@ -45,3 +45,19 @@
 	ts.clk.Sleep(100 * time.Millisecond)
 	assert.Len(t, late.view.Members().Service("desk"), 1, "an upstream that was removed is used")
 }
+
+// Guards against a gateway that starts just after the store's return, notices no outage and
+// serves nothing until the upstreams have written their expired rows again.
+func TestStartJustAfterAnOutage(t *testing.T) {
+	ts := newTestSite(t, 1)
+	ts.upstream("d1", "desk")
+	ts.waitReady()
+	ts.waitFor(func() bool { return ts.st.Value("Snapshots", "Upstreams") != "" }, "no snapshot is written")
+	ts.entries[0].stop()
+	ts.st.Remove("servers", "d1")
+	late := ts.startEntry()
+	ts.waitFor(func() bool { return len(late.view.Members().Service("desk")) == 1 }, "the upstream of before is not used")
+	res, _ := ts.roundTrip(late, ts.call(), http.MethodPost, "/order/x", "order")
+	ts.assertStatus(http.StatusOK, res)
+	ts.waitFor(func() bool { return len(late.view.Members().Service("desk")) == 0 }, "an upstream whose row is not back stays in use")
+}
