--- a/internal/process/gateway/cold_test.go
+++ b/internal/process/gateway/cold_test.go
@@ -4,12 +4,21 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/citronstream/citronstream/internal/limit/coldrate"
 	"github.com/citronstream/citronstream/internal/standin/site"
+	"github.com/citronstream/citronstream/internal/upstream/batch"
+	"github.com/citronstream/citronstream/internal/upstream/conns"
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 )
 
@@ -232,3 +241,70 @@
 		assert.LessOrEqual(t, i-first+1, most)
 	}
 }
+
+// Guards against a slow log that holds up all choices of an upstream, and all rows, while a
+// change of an upstream's state is logged.
+func TestColdChangeIsLoggedWithoutLocks(t *testing.T) {
+	ts := newColdSite(t)
+	logging, release := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	ts.logger = funcr.New(func(_, line string) {
+		if strings.Contains(line, "upstream cold") {
+			once.Do(func() { close(logging) })
+			<-release
+		}
+	}, funcr.Options{})
+	en := ts.startEntry()
+	ts.coldUpstream("d1")
+	<-logging
+	free := make(chan struct{})
+	go func() {
+		en.cold.Free("d1")
+		en.view.Evacuated()
+		close(free)
+	}()
+	ts.waitFor(func() bool {
+		select {
+		case <-free:
+			return true
+		default:
+			return false
+		}
+	}, "the choice of an upstream waits for the log")
+	close(release)
+}
+
+// Guards against a cold upstream of a stage that gets few batches, as each holds its permit
+// until its answer instead of for the second in which it counts.
+func TestBatchHoldsItsPermitForASecond(t *testing.T) {
+	release := make(chan struct{})
+	sv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(wr, `{"items":[{"handle":"a/1"}]}`)
+	}))
+	defer sv.Close()
+	coldClock, clk := clockwork.NewFakeClock(), clockwork.NewRealClock()
+	li := coldrate.New(coldClock, "self", func(string) citronstream.ServiceSpec {
+		return citronstream.ServiceSpec{ColdStart: time.Second, ColdRate: 1}
+	})
+	mb := citronstream.Member{ID: "u", Service: "s", Address: strings.TrimPrefix(sv.URL, "http://"), Revision: 1, Cold: 10000 * time.Hour}
+	li.Row(mb)
+	coldClock.Advance(2 * time.Second)
+	li.Listed(nil, coldClock.Now())
+	pool := conns.New(clk)
+	defer pool.Close()
+	cb := &coldBatcher{batch.New(clk, logr.Discard(), pool), clk, li}
+	done := make(chan error)
+	go func() {
+		_, _, err := cb.Run(t.Context(), node.New(mb), []citronstream.BatchItem{{RequestID: "r"}})
+		done <- err
+	}()
+	assert.Eventually(t, func() bool { return !li.Free("u") }, 10*time.Second, time.Millisecond, "the batch takes no permit")
+	assert.Eventually(t, func() bool {
+		coldClock.Advance(2 * time.Second)
+		li.Listed(nil, coldClock.Now())
+		return li.Free("u")
+	}, 10*time.Second, time.Millisecond, "the permit is held while the batch runs")
+	close(release)
+	assert.NoError(t, <-done)
+}
