platform: a slow link to the store is no outage

Besides, any short response to a read without a wait, such as that of the discovery of gateways, cleared the state "slow", so that a response with pauses of 1 s about another table never arrived.

A response that pauses on a new connection ends only its own call, with ErrResponsePaused, which the follower repeats at once without taking the store for unreachable.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -273,7 +273,9 @@
 		if ctx.Err() != nil {
 			return
 		}
-		again := errors.Is(err, citronstream.ErrConnectionSilent) && !silent
+		// A response that pauses on a new connection is one of a store that answers, over a
+		// link that may be slow.
+		again := errors.Is(err, citronstream.ErrConnectionSilent) && (!silent || errors.Is(err, citronstream.ErrResponsePaused))
 		failing, silent = err != nil, again
 		switch {
 		case again: // at once on a new connection
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -113,6 +113,8 @@
 	calls atomic.Int64
 	// Delay is how long each response takes longer, in ns.
 	Delay atomic.Int64
+	// TrickleFrom is the size of the smallest response that Trickles applies to, in bytes.
+	TrickleFrom atomic.Int64
 	// Connections are numbered from 1; those up to dead are silent for good.
 	connections, dead atomic.Int64
 }
@@ -187,7 +189,7 @@
 		return
 	}
 	half := len(raw) / 2
-	if do.fault.Load() != Trickles {
+	if do.fault.Load() != Trickles || int64(len(raw)) < do.TrickleFrom.Load() {
 		half = 0
 	}
 	_, _ = wr.Write(raw[:half]) // fails only if the caller disconnected
--- a/verdict.go
+++ b/verdict.go
@@ -125,6 +125,9 @@
 	// ErrConnectionSilent reports a call on an open connection that was silent for too
 	// long. A new connection may work.
 	ErrConnectionSilent = merry.Sentinel("connection silent")
+	// ErrResponsePaused reports a call whose response began on a new connection and then paused
+	// for too long. The link may be slow: repeated, the call is awaited until its deadline.
+	ErrResponsePaused = merry.Sentinel("response paused")
 	// ErrThrottled reports a call refused by a rate limit.
 	ErrThrottled = merry.Sentinel("throttled")
 	// ErrHistoryExpired reports that the requested changes are no longer kept.
