stage/owner: the pause of all upstreams of a stage counts in its estimates

Cause: while all upstreams of a stage were in a pause, its queue told a throughput of 0, which peers took for no wait: requests were admitted and waited until they were late, and were told to return before the pause ended. After a pause, and when capacity left, the throughput measured over 2 s was that of the time before. Change: QueueLoad.Pause; the owner refuses jobs that would miss their target at the end of the pause, admission counts it, and the measured throughput is the part of what the upstreams at work could do. where shows the pause.

--- a/internal/cli/where/text.go
+++ b/internal/cli/where/text.go
@@ -37,6 +37,9 @@
 		if wq.Known {
 			state = fmt.Sprintf("%d\t%d\t%.1f/s\t%.0f ms", wq.Waiting, wq.Late, wq.Rate, wq.AgeMs)
 		}
+		if wq.PausedMs > 0 {
+			state += fmt.Sprintf(", all upstreams in a pause for %.0f ms", wq.PausedMs)
+		}
 		line("%d\t%s\t%s\t%d\t%.0f ms\t%s", wq.Stage, wq.Service, owner(wq), wq.Pieces, wq.WaitMs, state)
 	}
 	writeChoice(line, wh)
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -127,6 +127,21 @@
 	return now.Before(nd.avoidUntil)
 }
 
+// FreeAt returns when the node gets requests again: now, or the end of the time for which it
+// is avoided or of the pause that it has asked for.
+func (nd *Node) FreeAt(now time.Time) time.Time {
+	at := now
+	if until, paused := nd.Self.Paused(now); paused {
+		at = until
+	}
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	if nd.avoidUntil.After(at) {
+		at = nd.avoidUntil
+	}
+	return at
+}
+
 // FailureRate returns the moving average of the share of failed requests.
 func (nd *Node) FailureRate() float64 {
 	nd.mu.Lock()
--- a/internal/ingress/flow/estimate.go
+++ b/internal/ingress/flow/estimate.go
@@ -39,13 +39,18 @@
 	rt := sg.rt
 	needs, target := sg.estimate(false), rt.target.Sub(rt.at)
 	_, rank := rt.ranks()
-	wait := time.Duration(0)
+	wait, pause := time.Duration(0), time.Duration(0)
 	for _, st := range sg.list {
-		if late := rt.fl.Broker.QueueWait(broker.QueueName(st.spec.Service, rt.regions), target-needs, rank, false); st.pieces > 0 && late > wait {
+		if st.pieces == 0 {
+			continue
+		}
+		queue := broker.QueueName(st.spec.Service, rt.regions)
+		if late := rt.fl.Broker.QueueWait(queue, target-needs, rank, false); late > wait {
 			wait, at = late, st.spec.Service
 		}
+		pause = max(pause, rt.fl.Broker.Pause(queue))
 	}
-	rq = admission.Request{Needs: needs, Rest: rt.timeAfterFirstEvent(), Wait: wait, Target: target, Left: rt.deadlineLeft()}
+	rq = admission.Request{Needs: needs, Rest: rt.timeAfterFirstEvent(), Wait: wait, Pause: pause, Target: target, Left: rt.deadlineLeft()}
 	return rq, at, admission.New(rq, draw)
 }
 
--- a/internal/ingress/flow/explain.go
+++ b/internal/ingress/flow/explain.go
@@ -150,6 +150,8 @@
 		WaitMs: citronstream.Milliseconds(rq.Wait), TargetMs: citronstream.Milliseconds(rq.Target), LeftMs: citronstream.Milliseconds(rq.Left), ReadMs: citronstream.Milliseconds(rt.readTime),
 	}
 	switch {
+	case !de.Admit && rq.Pause > 0:
+		wa.Reason = "all upstreams of a stage are in a pause"
 	case !de.Admit && rq.Needs+rq.Rest >= rq.Left:
 		wa.Reason = "it would not end before its deadline"
 	case !de.Admit:
--- a/internal/limit/admission/admission.go
+++ b/internal/limit/admission/admission.go
@@ -20,6 +20,8 @@
 	// Callers come back between 1-spread and 1+spread times the same time, so that
 	// those who were turned away together do not meet again.
 	spread = 0.3
+	// pauseSpread is the time after the end of a pause in which callers come back.
+	pauseSpread = time.Second
 )
 
 // Decision says whether a request is admitted.
@@ -33,6 +35,9 @@
 	Needs time.Duration // to its first event, with the current queues
 	Rest  time.Duration // from its first event to the end of its response
 	Wait  time.Duration // the longest in a queue
+	// Pause is the time until the first upstream of a stage takes work, while all of them
+	// are in a pause that they have asked for; Wait includes it.
+	Pause time.Duration
 	// Target and Left are the times to its target and its deadline.
 	Target, Left time.Duration
 }
@@ -42,6 +47,9 @@
 	if rq.Needs-rq.Wait+rq.Rest >= rq.Left {
 		return Decision{RetryAfter: max(minRetryAfter, rq.Left)} // no time before its deadline would do
 	}
+	if rq.Pause > 0 && (rq.Needs > rq.Target || rq.Needs+rq.Rest >= rq.Left) {
+		return Decision{RetryAfter: rq.Pause + time.Duration(draw*float64(pauseSpread))}
+	}
 	if rq.Needs+rq.Rest < rq.Left && (rq.Needs <= rq.Target || rq.Wait < maxLateWait) {
 		return Decision{Admit: true}
 	}
--- a/internal/process/gateway/pause_test.go
+++ b/internal/process/gateway/pause_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/standin/site"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -100,3 +101,53 @@
 	assert.GreaterOrEqual(t, ts.clk.Since(began), 400*time.Millisecond)
 	assert.Equal(t, 2, ts.arrivals(up))
 }
+
+// Guards against jobs of a stage that wait for upstreams which are all in a pause beyond the
+// target of their requests, at the owner of the queue or because another gateway does not
+// know of the pause, and against refusals without the time until it ends.
+func TestAllStageUpstreamsPause(t *testing.T) {
+	ts := newTestSite(t, 2)
+	_, cut, _ := ts.addStageUpstreams()
+	ts.waitReady()
+	owner, other := ts.ownerAndOther("cut")
+	refuses(cut, "20")
+	ask := func(en *testEntry) {
+		t.Helper()
+		began := ts.clk.Now()
+		res, _ := ts.roundTrip(en, ts.call(site.HeaderPieces, "1,1", site.HeaderPieceKey, "k"), http.MethodPost, "/staged/stream/", "")
+		ts.assertStatus(http.StatusServiceUnavailable, res)
+		after, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+		assert.NoError(t, err)
+		assert.Greater(t, after, 6.0, "the target")
+		assert.Less(t, ts.clk.Since(began), 6*time.Second)
+	}
+	ask(owner)
+	before := ts.arrivals(cut)
+	assert.Positive(t, before)
+	ts.waitFor(func() bool { return other.broker.Pause("cut") > 0 }, "the pause was not told")
+	ask(owner)
+	ask(other)
+	assert.Equal(t, before, ts.arrivals(cut))
+	_, wh, _ := ts.where(other, http.MethodPost, citronstream.WhereQuery{Host: "h", Path: "/staged/stream/", Key: "key"})
+	require.NotEmpty(t, wh.Queues)
+	assert.Positive(t, wh.Queues[0].PausedMs)
+	assert.False(t, wh.Admission.Admit)
+}
+
+// Guards against jobs that are refused though their requests reach their target after the
+// pause of all upstreams of a stage.
+func TestShortPauseOfAStage(t *testing.T) {
+	ts := newTestSite(t, 2)
+	_, cut, _ := ts.addStageUpstreams()
+	ts.waitReady()
+	refuses(cut, "0.4")
+	go func() {
+		for ts.arrivals(cut) == 0 {
+			ts.clk.Sleep(pollInterval)
+		}
+		cut.Refuse.Store(false)
+	}()
+	res, body := ts.roundTrip(ts.entries[0], ts.call(site.HeaderPieces, "1,1", site.HeaderPieceKey, "k"), http.MethodPost, "/staged/stream/", "")
+	ts.assertStatus(http.StatusOK, res)
+	assert.Contains(t, body, "token")
+}
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -24,9 +24,6 @@
 	tickInterval = 20 * time.Millisecond
 	// The state of a queue is logged every logTicks ticks.
 	logTicks = 50
-	// loadTTL is how long a reported queue load is used. While work waits it is
-	// renewed every 100 ms with few gateways and every 2.3 s with 364.
-	loadTTL = 3 * time.Second
 	// maxOwners is the number of owners to which a job is submitted in turn.
 	maxOwners = 4
 	// maxResumes is how often a job is asked for again at an owner whose link was lost,
@@ -36,8 +33,6 @@
 	// Queues are handed over, and the jobs of peers without a link expire, every
 	// expireTicks ticks.
 	expireTicks = 5
-	// maxServices is the number of services whose load is kept.
-	maxServices = 1024
 )
 
 // Broker finds the owner of each service's queue and runs the queues that this
@@ -62,7 +57,7 @@
 	owners   map[queue]*owner.Owner
 	leaving  bool
 	loads    map[string]load // by the name of the queue
-	reported map[queue]bool  // those that had work at the last ChangedLoads
+	reported map[queue]told  // what ChangedLoads returned last
 	owned    map[queue]bool  // those that this process owned at the last handOver; used by tick only
 	peerJobs *peerjobs.Jobs[*link.Link]
 	watched  map[*link.Link]bool // links of peers with jobs
@@ -74,12 +69,6 @@
 	done      chan struct{}
 }
 
-// load is the last load that an owner reported.
-type load struct {
-	citronstream.QueueLoad
-	at time.Time
-}
-
 // Option configures a Broker.
 type Option func(*Broker)
 
@@ -94,7 +83,7 @@
 func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, self string, vi *view.View, ms *mesh.Mesh, batcher owner.Batcher, budget owner.Budget, opts ...Option) *Broker {
 	br := &Broker{
 		clk: clk, log: log, self: self, view: vi, mesh: ms, batcher: batcher, budget: budget, ctx: ctx,
-		began: clk.Now(), owners: make(map[queue]*owner.Owner), loads: make(map[string]load), reported: make(map[queue]bool), owned: make(map[queue]bool),
+		began: clk.Now(), owners: make(map[queue]*owner.Owner), loads: make(map[string]load), reported: make(map[queue]told), owned: make(map[queue]bool),
 		peerJobs: peerjobs.New[*link.Link](clk), watched: make(map[*link.Link]bool), done: make(chan struct{}),
 		held: func() bool { return false },
 	}
@@ -428,52 +417,6 @@
 	return nd
 }
 
-// QueueWait returns the time until a job of a queue with this slack and route's rank
-// starts, by the last load its owner reported, and 0 without one. Admitted
-// says that it is not up for admission any more.
-func (br *Broker) QueueWait(name string, slack time.Duration, rank int, admitted bool) time.Duration {
-	br.mu.Lock()
-	ld, known := br.loads[name]
-	br.mu.Unlock()
-	switch {
-	case !known || br.clk.Since(ld.at) > loadTTL:
-		return 0
-	case admitted:
-		return ld.Wait(slack, rank)
-	}
-	return ld.WaitNew(slack, rank)
-}
-
-// UpdateLoads stores the queue loads that an owner reports.
-func (br *Broker) UpdateLoads(qu citronstream.QueueLoads) {
-	now := br.clk.Now()
-	br.mu.Lock()
-	defer br.mu.Unlock()
-	for name, ql := range qu.Loads {
-		if len(br.loads) < maxServices || br.loads[name].at != (time.Time{}) {
-			br.loads[name] = load{ql, now}
-		}
-	}
-}
-
-// ChangedLoads returns the load of the queues of this process that have work or had some
-// at the last call, to be sent to the peers. It is called by one goroutine.
-func (br *Broker) ChangedLoads() (citronstream.QueueLoads, bool) {
-	changed := citronstream.QueueLoads{Loads: make(map[string]citronstream.QueueLoad)}
-	br.mu.Lock()
-	owners := maps.Clone(br.owners)
-	br.mu.Unlock()
-	for qu, ow := range owners {
-		busy := ow.Len() > 0
-		if busy || br.reported[qu] {
-			changed.Loads[qu.name()] = ow.Load()
-		}
-		br.reported[qu] = busy
-	}
-	br.UpdateLoads(changed)
-	return changed, len(changed.Loads) > 0
-}
-
 // ResultNode returns the upstream of a service that holds a result, nil if it isn't listed.
 func (br *Broker) ResultNode(service, handle string) *node.Node {
 	return br.view.Members().ServiceAt(service, br.batcher.ResultAddress(handle))
--- a/internal/stage/broker/broker_test.go
+++ b/internal/stage/broker/broker_test.go
@@ -159,3 +159,19 @@
 	br.watch(nil)
 	assert.Empty(t, br.watched)
 }
+
+// Guards against peers that are not told of a pause, or of its end, and against messages that
+// tell nothing new.
+func TestPauseIsNews(t *testing.T) {
+	now := time.Unix(1000, 0)
+	end := now.Add(5 * time.Second)
+	at := func(after time.Duration, until time.Time) told { return told{at: now.Add(after), pausedUntil: until} }
+	last := at(0, end)
+	assert.True(t, last.pauseIsNews(told{}))
+	assert.False(t, at(time.Second, end).pauseIsNews(last))
+	assert.True(t, at(time.Second, end.Add(time.Second)).pauseIsNews(last))
+	assert.True(t, at(pauseRepeat, end).pauseIsNews(last))
+	assert.True(t, at(time.Second, time.Time{}).pauseIsNews(last), "an upstream has started anew")
+	assert.False(t, at(5*time.Second, time.Time{}).pauseIsNews(last), "it ended as told")
+	assert.False(t, at(0, time.Time{}).pauseIsNews(told{}))
+}
--- a/internal/stage/broker/explain.go
+++ b/internal/stage/broker/explain.go
@@ -21,6 +21,7 @@
 	br.mu.Lock()
 	ld, known := br.loads[qu.name()]
 	br.mu.Unlock()
+	wq.PausedMs = citronstream.Milliseconds(br.Pause(qu.name()))
 	if age := br.clk.Since(ld.at); known && age <= loadTTL {
 		wq.Known, wq.AgeMs, wq.Late, wq.Rate, wq.Waiting = true, citronstream.Milliseconds(age), ld.Late, ld.Rate, ld.Late
 		for _, steps := range ld.QueueLoad.Waiting {
--- a/internal/stage/owner/batch.go
+++ b/internal/stage/owner/batch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -241,8 +242,12 @@
 			ow.withdraw(jb, jb.pending)
 		case len(alone) > 0 && !ow.repeat(jb, alone, now):
 			ow.log.Info("stage failed", "request", jb.ID, "stage", jb.Stage, "service", ow.service, "reason", reason, "repeats", jb.repeats)
-			ow.endJob(jb, citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeUpstreamFailed,
-				"stage %d at service %s: %s, and no retry is left", jb.Stage, ow.service, reason)})
+			fa := citronstream.NewFault(citronstream.NotRun, citronstream.CodeUpstreamFailed,
+				"stage %d at service %s: %s, and no retry is left", jb.Stage, ow.service, reason)
+			if first, paused := ow.pausedUntil(now); paused {
+				fa.RetryAfter = first.Sub(now) + rand.N(returnSpread)
+			}
+			ow.endJob(jb, citronstream.JobResult{Fault: fa})
 		default:
 			ow.takeOver(jb, late, now)
 		}
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -107,6 +107,7 @@
 	counts     Counts
 	rate       rate
 	arrivals   arrivals
+	paused     bool // all upstreams are in a pause, as logged last
 	lasting    lasting
 	lastActive time.Time // when a job was last submitted or ended
 	held       func() bool
@@ -149,6 +150,7 @@
 	says        bool      // it has said its pace just now
 	pausedUntil time.Time // gets no batch until then
 	idleSince   time.Time // end of its last batch
+	backAt      time.Time // when it was last to get work again after a pause or a failure
 	used        int       // bytes of results that it holds or computes
 	minRoom     int       // results that must fit before it gets its next batch
 	results     map[string]result
@@ -291,7 +293,7 @@
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	now := ow.clk.Now()
-	ow.rate.sample(now, len(ow.waiting) > 0)
+	ow.rate.sample(now, len(ow.waiting) > 0, ow.settledRate(now))
 	for _, sv := range ow.list {
 		for handle, re := range sv.results {
 			if now.After(re.until) {
@@ -301,6 +303,7 @@
 		}
 	}
 	ow.pollMemory(now)
+	ow.refusePaused(now)
 	ow.expire(now)
 	ow.dispatch()
 	ow.rescue(now)
--- a/internal/stage/owner/state.go
+++ b/internal/stage/owner/state.go
@@ -56,6 +56,9 @@
 	defer ow.mu.Unlock()
 	now := ow.clk.Now()
 	ql := citronstream.QueueLoad{Rate: ow.rate.value(now, ow.idealRate(now)), Arrivals: ow.arrivals.value(now)}
+	if first, paused := ow.pausedUntil(now); paused {
+		ql.Pause, ql.Rate = first.Sub(now), ow.idealRate(first.Add(expected(&ow.spec, ow.spec.Items)))
+	}
 	for _, jb := range ow.waiting {
 		if jb.Late(now) {
 			ql.Late += len(jb.pending)
@@ -66,16 +69,32 @@
 	return ql
 }
 
-// idealRate returns the pieces per second that the upstreams in use compute with full
-// batches.
-func (ow *Owner) idealRate(now time.Time) float64 {
+// idealRate returns the pieces per second that the upstreams that get work at a time compute
+// with full batches.
+func (ow *Owner) idealRate(at time.Time) float64 {
+	return ow.rateOf(at, func(sv *server) bool { return !sv.FreeAt(at).After(at) })
+}
+
+// settledRate is idealRate without the upstreams that got work again a batch ago or later:
+// they have done nothing yet.
+func (ow *Owner) settledRate(now time.Time) float64 {
+	full := expected(&ow.spec, ow.spec.Items)
+	return ow.rateOf(now, func(sv *server) bool {
+		if at := sv.FreeAt(now); at.After(now) {
+			sv.backAt = at
+			return false
+		}
+		return now.Sub(sv.backAt) >= full
+	})
+}
+
+func (ow *Owner) rateOf(at time.Time, counts func(sv *server) bool) float64 {
 	full := expected(&ow.spec, ow.spec.Items).Seconds()
 	sum := 0.0
 	for _, sv := range ow.list {
-		if sv.Avoided(now) {
-			continue
+		if counts(sv) {
+			sum += float64(ow.spec.Items*ow.spec.Calls) / (full * ow.paceNow(sv, at))
 		}
-		sum += float64(ow.spec.Items*ow.spec.Calls) / (full * ow.paceNow(sv, now))
 	}
 	return sum
 }
--- a/message_peer.go
+++ b/message_peer.go
@@ -257,6 +257,9 @@
 	// Arrivals has the pieces that came in a second, by the rank of their routes;
 	// the last one has all lower ranks too.
 	Arrivals [Ranks]float64 `json:"Arrivals"`
+	// Pause is the time until the first upstream takes work again, while all of them are in
+	// a pause that they have asked for. Rate is then the throughput afterwards.
+	Pause time.Duration `json:"Pause,omitempty"`
 }
 
 // Ranks is the number of ranks of routes that queues tell apart.
@@ -310,9 +313,9 @@
 		}
 	}
 	if pieces == 0 || rate <= 0 {
-		return 0
+		return ql.Pause
 	}
-	return time.Duration(float64(pieces) / rate * float64(time.Second))
+	return ql.Pause + time.Duration(float64(pieces)/rate*float64(time.Second))
 }
 
 // Add counts pieces that wait.
--- a/where.go
+++ b/where.go
@@ -97,6 +97,8 @@
 	Waiting int     `json:"Waiting"` // pieces, late ones included
 	Late    int     `json:"Late"`
 	Rate    float64 `json:"Rate"` // pieces a second
+	// PausedMs is the time until the first upstream takes work again, if all are in a pause.
+	PausedMs float64 `json:"PausedMs,omitempty"`
 }
 
 // WhereCandidate is an upstream that could get the request. Candidates with a lower cost
