Cold upstreams: nothing is sent by a list of gateways that may be incomplete

Cause: the bound of cold upstreams holds if each gateway misses at most 10 of the others (7 in small fleets). A gateway that missed more did not know it and sent on. Change: a gateway sends nothing to cold upstreams if more linked gateways than half of that are missing from its list, if a peer knows that many more (told with EntryLoad), or if its list is older than 45 s and most gateways in it are not linked. It reads the list again each 2 s then. Both changes are logged; new metric. TestPeersTellHowManyGatewaysTheyKnow fails with the message ignored.

--- a/internal/ingress/flow/explain.go
+++ b/internal/ingress/flow/explain.go
@@ -221,6 +221,8 @@
 		return "outside of the allowed regions"
 	case nd.Avoided(now):
 		return "its connections broke, or it died"
+	case !fl.Cold.Free(nd.ID) && !fl.Cold.Settled():
+		return "cold, and the list of gateways may be incomplete: " + fl.Cold.Incomplete()
 	case !fl.Cold.Free(nd.ID):
 		return "cold, and the share of this gateway is used up"
 	}
--- a/internal/limit/coldrate/coldrate.go
+++ b/internal/limit/coldrate/coldrate.go
@@ -94,6 +94,11 @@
 	gateways  map[string]time.Time // other gateways by address, when they were known last
 	gen       uint64               // grows with each change of the gateways
 	listedAt  time.Time            // start of the last complete read of the list of gateways
+	listed    map[string]bool      // the other gateways of that list
+	linked    map[string]bool      // other gateways that are linked
+	told      map[string]told      // how many gateways peers know, by peer
+	reason    string               // why the list may be incomplete, see checkList
+	fewLinked bool                 // less than half of the gateways of the list are linked
 	waiting   map[string][]*Waiter // by service, in the order of their turns
 	changes   []Change             // since the last call of Changes
 }
@@ -112,7 +117,8 @@
 func New(clk citronstream.Clock, self string, spec func(service string) citronstream.ServiceSpec, opts ...Option) *Limiter {
 	li := &Limiter{
 		clk: clk, self: self, spec: spec, began: clk.Now(), gen: 1,
-		upstreams: make(map[string]*upstream), ends: make(map[string]end), gateways: make(map[string]time.Time), waiting: make(map[string][]*Waiter),
+		upstreams: make(map[string]*upstream), ends: make(map[string]end), gateways: make(map[string]time.Time),
+		listed: make(map[string]bool), linked: make(map[string]bool), told: make(map[string]told), waiting: make(map[string][]*Waiter),
 	}
 	for _, opt := range opts {
 		opt(li)
@@ -241,8 +247,8 @@
 	return changes
 }
 
-// Sweep reports the upstreams whose cold time has passed and forgets those that have not
-// been listed for long. Rows of listed ones are not renewed while the store is away.
+// Sweep reports the upstreams whose cold time has passed, forgets those that have not been
+// listed for long, and checks whether the list of gateways may be incomplete. Rows of listed ones are not renewed while the store is away.
 func (li *Limiter) Sweep(listed func(id string) bool) {
 	li.mu.Lock()
 	defer li.mu.Unlock()
@@ -259,6 +265,7 @@
 		}
 	}
 	li.forgetGateways(now)
+	li.checkList(now)
 }
 
 // limited returns the state of an upstream whose rate is bounded now, or nil, and the rate.
--- a/internal/limit/coldrate/shares.go
+++ b/internal/limit/coldrate/shares.go
@@ -48,6 +48,13 @@
 	li.addGateways(addresses)
 	if began.Sub(li.began) >= settleTime {
 		li.listedAt = began
+		clear(li.listed)
+		for _, address := range addresses {
+			if address != li.self && len(li.listed) < maxGateways {
+				li.listed[address] = true
+			}
+		}
+		li.checkList(li.clk.Now())
 	}
 }
 
@@ -66,9 +73,7 @@
 	return !li.settled(now) && now.Sub(li.began) >= settleTime
 }
 
-func (li *Limiter) settled(now time.Time) bool {
-	return !li.listedAt.IsZero() && now.Sub(li.listedAt) < listTTL
-}
+func (li *Limiter) settled(now time.Time) bool { return li.incomplete(now) == "" }
 
 func (li *Limiter) addGateways(addresses []string) {
 	now := li.clk.Now()
@@ -96,8 +101,9 @@
 // gateways known and not by those that are reachable. Each of the first ones by rendezvous
 // hashing sends at most one request within the window, so that the bound holds however
 // much their views differ as long as each of them knows all but bound less rate of the
-// others (10 at 8.9 requests a second; 7 if there are fewer than 19 gateways). Few gateways
-// may send more than one each.
+// others (10 at 8.9 requests a second; 7 if there are fewer than 19 gateways). A gateway that
+// has reason to believe that it misses more has no share (see incomplete). Few gateways may
+// send more than one each.
 func (li *Limiter) share(id string, up *upstream, rate float64, now time.Time) share {
 	if bound := li.overage*rate + li.slack; bound > 0 {
 		rate = min(rate, bound/2) // two views without a common gateway
--- a/internal/process/gateway/cold.go
+++ b/internal/process/gateway/cold.go
@@ -16,6 +16,9 @@
 // to cold upstreams, as it does not know the others.
 const listInterval = 2 * time.Second
 
+// firstList is the time from the start within which a missing list of gateways is not logged.
+const firstList = 10 * time.Second
+
 // A cold upstream that may take no batch is avoided until it may, within these bounds.
 const (
 	minColdPause = 20 * time.Millisecond
@@ -83,18 +86,40 @@
 	}
 }
 
+// logList logs whether nothing is sent to cold upstreams, as the list of gateways may be
+// incomplete. That no list was read yet at the start is no news.
+func (ga *Gateway) logList() {
+	doubt := ga.cold.Incomplete()
+	if doubt == ga.listDoubt || !ga.turnsCold() {
+		return
+	}
+	first := ga.listDoubt == "" && doubt == coldrate.ReasonNotRead && ga.clk.Since(ga.began) < firstList
+	switch ga.listDoubt = doubt; {
+	case first:
+	case doubt == "":
+		ga.log.Info("list of gateways complete", "gateways", ga.cold.Known())
+	default:
+		ga.log.Info("list of gateways may be incomplete, nothing is sent to cold upstreams", "reason", doubt, "gateways", ga.cold.Known())
+	}
+}
+
 // sweepCold tells the limiter which gateways are known and ends cold times that have passed.
 func (ga *Gateway) sweepCold() {
-	var known []string
+	var known, linked []string
 	for _, pe := range ga.mesh.Peers() {
 		if pe.Boot() != "" {
 			known = append(known, pe.Address)
 		}
+		if pe.Up() {
+			linked = append(linked, pe.Address)
+		}
 	}
 	ga.cold.Gateways(known)
+	ga.cold.Linked(linked)
 	members := ga.view.Members()
 	ga.cold.Sweep(func(id string) bool { return members.Node(id) != nil })
 	ga.logCold()
+	ga.logList()
 	if now := ga.clk.Now(); ga.turnsCold() && ga.cold.MayList() && now.Sub(ga.listAsked) >= listInterval {
 		ga.listAsked = now
 		ga.discovery.Refresh()
--- a/internal/process/gateway/cold_test.go
+++ b/internal/process/gateway/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/limit/coldrate"
+	"github.com/citronstream/citronstream/internal/route/engines"
 	"github.com/citronstream/citronstream/internal/standin/site"
 	"github.com/citronstream/citronstream/internal/upstream/batch"
 	"github.com/citronstream/citronstream/internal/upstream/conns"
@@ -308,3 +310,26 @@
 	close(release)
 	assert.NoError(t, <-done)
 }
+
+// Guards against a gateway that does not hear how many others its peers know, and goes on
+// sending to cold upstreams by an incomplete list.
+func TestPeersTellHowManyGatewaysTheyKnow(t *testing.T) {
+	ts := newColdSite(t)
+	ts.startEntry()
+	ts.upstream("d1", "desk")
+	ts.waitReady()
+	one, other := ts.entries[0], ts.entries[1]
+	ts.waitFor(func() bool { return one.cold.Settled() && one.cold.Known() == 2 && other.cold.Known() == 2 }, "the entries do not know each other")
+	missed := make([]string, 10)
+	for i := range missed {
+		missed[i] = fmt.Sprintf("192.0.2.%d:1", i)
+	}
+	ts.waitFor(func() bool {
+		other.cold.Listed(missed, ts.clk.Now())
+		rq := engines.Request{Tokens: 1}
+		nd := other.engines.Pick(other.view.Members().Service("desk"), &rq) // its load is told
+		other.engines.End(nd, rq, false)
+		return one.cold.Incomplete() == coldrate.ReasonPeer
+	}, "the entry does not doubt its list")
+	assert.False(t, one.cold.Settled())
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -92,6 +92,7 @@
 	deaths        *deathdetect.Detector
 	cold          *coldrate.Limiter
 	listAsked     time.Time // when the list of gateways was last asked for by sweepCold
+	listDoubt     string    // why it may be incomplete, as logged last; used by sweepCold only
 	budget        *siteretrybudget.Budget
 	meter         *requests.Meter
 	flow          *flow.Flow
@@ -352,6 +353,9 @@
 func (ga *Gateway) broadcastEntryLoad() {
 	if load, changed := ga.engines.ChangedLoad(); changed {
 		load.Speeds = ga.takeSpeeds()
+		if ga.turnsCold() {
+			load.Gateways = ga.cold.Known()
+		}
 		ga.mesh.Broadcast(citronstream.MethodEntryLoad, load)
 	}
 }
@@ -399,6 +403,7 @@
 		if re.Decode(&load) == nil {
 			ga.engines.UpdateLoad(from, load)
 			ga.heardSpeeds(from, load.Speeds)
+			ga.cold.PeerKnows(from, load.Gateways)
 		}
 	case citronstream.MethodRefusals:
 		var refusals citronstream.Refusals
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -60,6 +60,12 @@
 	re.gauge("citronstream_site_engine_starts_max", "Most requests that an engine of a service whose upstreams turn cold got within the last second, as far as this process knows.", func() float64 {
 		return float64(ga.engines.MostStarts())
 	})
+	re.gauge("citronstream_site_gateway_list_doubtful", "1 while nothing is sent to cold upstreams, as the list of gateways may be incomplete, else 0.", func() float64 {
+		if ga.turnsCold() && !ga.cold.Settled() {
+			return 1
+		}
+		return 0
+	})
 	re.gauge("citronstream_site_cold_rate_share", "Share of the rate of cold upstreams that this process may use, 0 if none is cold.", func() float64 {
 		_, share := ga.cold.Counts()
 		return share
--- a/message_peer.go
+++ b/message_peer.go
@@ -81,6 +81,8 @@
 	Cached []CachedPart `json:"Read,omitempty"`
 	// Speeds has the speeds by upstream of which the sender has new measurements.
 	Speeds map[string]SpeedReport `json:"Speeds,omitempty"`
+	// Gateways is how many gateways the sender knows at present, if upstreams turn cold.
+	Gateways int `json:"Gateways,omitempty"`
 }
 
 // SpeedReport is what an entry has measured of an upstream since it knows it.
