Tests of gateways: unreached upstreams whose port nobody else takes

Cause of TestUnreachedUpstreamsTakeNoRepeat: the test closes the server of an upstream to have it refuse connections. Another test's stand-in can get the port at once.

Change: the address is that of a socket that is bound and does not listen, which refuses connections and keeps the port. TestSilentUpstreamOutlivesUnreachedOnes uses it too. The checks are as before.

--- a/internal/process/gateway/silent_test.go
+++ b/internal/process/gateway/silent_test.go
@@ -103,7 +103,7 @@
 	require.NoError(t, err)
 	defer func() { _ = res.Body.Close() }()
 	for _, id := range []string{"e3", "e4", "e5"} {
-		ts.upstream(id, "pool").Close()
+		ts.unreachable(id, "pool")
 	}
 	ts.waitReady()
 	close(cut)
--- a/internal/process/gateway/site_test.go
+++ b/internal/process/gateway/site_test.go
@@ -89,6 +89,22 @@
 	return up
 }
 
+// unreachable lists an upstream whose address refuses connections. Its port stays bound:
+// that of a closed server may be taken by a server of another test at once, which would
+// answer.
+func (ts *testSite) unreachable(id, service string) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	require.NoError(ts.t, err)
+	ts.t.Cleanup(func() { _ = syscall.Close(fd) })
+	require.NoError(ts.t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err := syscall.Getsockname(fd)
+	require.NoError(ts.t, err)
+	up := site.NewUpstream(ts.clk, ts.log, id, service)
+	up.Public = fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port)
+	ts.upstreams[id] = up
+	ts.st.List(up, site.Ready)
+}
+
 func freeAddress(t *testing.T) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/process/gateway/takeover_test.go
+++ b/internal/process/gateway/takeover_test.go
@@ -33,7 +33,7 @@
 	require.NoError(t, err)
 	defer func() { _ = res.Body.Close() }()
 	for _, id := range []string{"e2", "e3", "e4", "e5"} {
-		ts.upstream(id, "pool").Close()
+		ts.unreachable(id, "pool")
 	}
 	ts.clk.Sleep(2 * silence)
 	close(goOn)
