stage/owner: TestAssumedSizeShrinks does not depend on scheduling

Cause: the test waits for goroutines with a limit of 5 s of real time, some 250 times a run.

Change: the test runs in a bubble of testing/synctest, where a wait ends only when all goroutines are blocked. A batch that the owner fails to send still fails the test, at once and with certainty. Checks and limit are as before.

--- a/internal/stage/owner/dispatch_test.go
+++ b/internal/stage/owner/dispatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/citronstream/citronstream"
@@ -26,8 +27,11 @@
 }
 
 // Results are assumed to be larger after one found no memory, and of their
-// configured size again after many that did.
-func TestAssumedSizeShrinks(t *testing.T) {
+// configured size again after many that did. In a bubble, so that a wait ends only when
+// all goroutines are blocked, however late the system runs them.
+func TestAssumedSizeShrinks(t *testing.T) { synctest.Test(t, assertAssumedSizeShrinks) }
+
+func assertAssumedSizeShrinks(t *testing.T) {
 	hs := newHarness(t, upstream("a", ""))
 	// end ends a batch and waits for its job, so that the next job finds the upstream
 	// free and the clock is not moved while the batch seems to run.
