agent/server: an order that meets a leaving agent is repeated at the owner of its key

Cause, by reading, of the 503 'upstream desk-1 is leaving' with MayHaveRun in TestLeavingUpstream: a leaving agent gives up its slots at once, so that it can't say of a key chosen by the caller that it has not run. The refusal kept the code 'leaving', which the entry repeats only with NotRun. A run at an agent that lost the slot says 'not-owner', which the entry repeats at the owner of the slot; the owner knows whether the key ran.

Change: the refusal of a leaving agent that can't exclude a run says 'not-owner'. TestLeavingUpstream again has orders on their way when its upstream leaves, which had taken out.

--- a/internal/agent/server/run.go
+++ b/internal/agent/server/run.go
@@ -112,6 +112,11 @@
 		}
 		if offr.Verdict != citronstream.NotRun {
 			undo()
+			if offr.Code == citronstream.CodeLeaving {
+				// A leaving agent gives up its slots. The entry repeats the call at the owner of
+				// the key's slot, which knows whether it ran.
+				offr.Code = citronstream.CodeNotOwner
+			}
 		}
 		se.finishRefused(att, &offr)
 	}()
--- a/internal/proof/promises/leaving_test.go
+++ b/internal/proof/promises/leaving_test.go
@@ -65,7 +65,6 @@
 	leaver := ""
 	// The first calls of a burst may all take the same upstream, so orders are added
 	// until one runs beside a look-up; that upstream leaves.
-	// None is on its way to an upstream then.
 	until(t, "calls of both kinds run at one upstream", func() bool {
 		kinds := map[string]map[string]bool{"/look": {}, "/place": {}}
 		begun := 0
@@ -90,6 +89,9 @@
 		}
 		return leaver != "" && begun == len(orders)
 	})
+	for range 12 { // these are on their way as it begins to leave
+		orders = append(orders, fl.later(call{path: "services/desk/place", key: citronstream.NewID()}))
+	}
 	left, events := clk.Now(), fl.Agent(leaver).Timeline
 	require.NoError(t, fl.DrainAgent(context.Background(), leaver))
 	until(t, "work goes on at the other upstreams", func() bool {
