stage/owner: owners that use the same upstreams keep out of each other's way

Cause: an upstream that refused a batch as full was asked again after 0.1 s with a whole batch, also for jobs that had been refused before. Two owners at the same upstreams used up the retries of their jobs, or sent batches with few pieces. Change: pauses that double with each refusal and shrink with batches that run, one piece after a refusal, upstreams that refused nothing first; where upstreams let batches wait, the load header tells the same.

--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -184,7 +184,7 @@
 		for event, count := range map[string]uint64{
 			"batch": st.Batches, "item": st.Items, "refused": st.Refused, "broken": st.Broken, "no_room": st.NoMemory,
 			"repeated": st.Repeated, "expired": st.Expired, "overloaded": st.Overloaded,
-			"rescued": st.Rescued, "unused": st.Unused,
+			"rescued": st.Rescued, "unused": st.Unused, "contested": st.Contested,
 		} {
 			to <- prometheus.MustNewConstMetric(queueEvents, prometheus.CounterValue, float64(count), service, event)
 		}
--- a/internal/stage/owner/batch.go
+++ b/internal/stage/owner/batch.go
@@ -98,7 +98,10 @@
 		}
 	case refused:
 		ow.counts.Refused++
-		sv.pausedUntil = now.Add(fullBackoff)
+		if _, paused := sv.Self.Paused(now); !paused {
+			sv.refused = true
+			ow.contested(sv, maxBackoff, now)
+		}
 		ow.retry(cl.parts, "refused", now)
 	case err != nil:
 		ow.counts.Broken++
@@ -114,6 +117,7 @@
 			ow.lasting.done(&sv.said, float64(took)/float64(normal), cl.said)
 			sv.said.done(float64(took)/float64(normal), cl.said, cl.forecast)
 		}
+		ow.meets(sv, cl, float64(took)/float64(normal), now)
 		ow.rate.addDone(now, len(items))
 		ow.applyResults(cl, results, now)
 		if released {
--- a/internal/stage/owner/dispatch.go
+++ b/internal/stage/owner/dispatch.go
@@ -169,11 +169,14 @@
 	if slices.ContainsFunc(jb.pending, jb.running) {
 		return !jb.occupies(sv, jb.pending)
 	}
-	return ow.zoneAllowed(sv, jb, zones, now)
+	return ow.mayRefuse(sv, jb, now) && ow.zoneAllowed(sv, jb, zones, now)
 }
 
 // preferred reports whether a is better than b for the first job of a batch.
 func (ow *Owner) preferred(a, b *server, jb *job, bl *backlog) bool {
+	if (a.backoff == 0) != (b.backoff == 0) {
+		return a.backoff == 0
+	}
 	if a.expects > slowPace*b.expects || b.expects > slowPace*a.expects {
 		return a.expects < b.expects
 	}
@@ -199,12 +202,16 @@
 func (ow *Owner) fill(sv *server, zones map[string]*zone, bl *backlog, now time.Time) []batchPart {
 	var batch []batchPart
 	items, bytes, ahead := 0, 0, 0
+	most := ow.spec.Items
+	if sv.refused {
+		most = 1 // it may refuse again, which uses up the retries of what is sent
+	}
 	for jb := range ow.inOrder(sv, now) {
 		if !ow.allowed(sv, jb, zones, now) || !ow.mayTake(bl, sv, jb, ahead, now) {
 			ahead += len(jb.pending)
 			continue
 		}
-		count := min(len(jb.pending), ow.spec.Items-items, ow.roomFor(sv, jb.Bytes, bytes, now))
+		count := min(len(jb.pending), most-items, ow.roomFor(sv, jb.Bytes, bytes, now))
 		if count < len(jb.pending) && (len(jb.pending) <= ow.spec.Items && items > 0 || !ow.roomForAll(jb, now)) {
 			continue // a split job waits for two batches, and its first results for memory for the others
 		}
@@ -213,7 +220,7 @@
 		}
 		batch = append(batch, batchPart{jb, slices.Clone(jb.pending[:count])})
 		items, bytes = items+count, bytes+count*jb.Bytes
-		if items == ow.spec.Items {
+		if items == most {
 			break
 		}
 	}
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -27,9 +27,6 @@
 	// freeCrossBytes is the size below which a job does not wait for an upstream
 	// in its zone.
 	freeCrossBytes = 64 << 10
-	// fullBackoff is the pause after an upstream refused a batch as full,
-	// because it runs a batch of another owner.
-	fullBackoff = 100 * time.Millisecond
 	// After checkFactor times the expected time of a batch plus timeoutExtra its upstream is
 	// asked, each checkInterval, whether it works on it. The batch is overdue, and is sent
 	// elsewhere too, after timeoutFactor times that time if the upstream does not say so, after
@@ -107,7 +104,9 @@
 	counts     Counts
 	rate       rate
 	arrivals   arrivals
-	paused     bool // all upstreams are in a pause, as logged last
+	selfLoad   int       // batches that answers to batches count beside those of other owners
+	sharedAt   time.Time // when another owner was last known to use the upstreams
+	paused     bool      // all upstreams are in a pause, as logged last
 	lasting    lasting
 	lastActive time.Time // when a job was last submitted or ended
 	held       func() bool
@@ -146,13 +145,15 @@
 	batches     []*call // that have a place there
 	pace        pace
 	said        said
-	expects     float64   // pace of a batch that begins now, see backlog
-	says        bool      // it has said its pace just now
-	pausedUntil time.Time // gets no batch until then
-	idleSince   time.Time // end of its last batch
-	backAt      time.Time // when it was last to get work again after a pause or a failure
-	used        int       // bytes of results that it holds or computes
-	minRoom     int       // results that must fit before it gets its next batch
+	expects     float64       // pace of a batch that begins now, see backlog
+	says        bool          // it has said its pace just now
+	pausedUntil time.Time     // gets no batch until then
+	idleSince   time.Time     // end of its last batch
+	backoff     time.Duration // last pause because of another owner, see contested
+	refused     bool          // it refused the last batch as full
+	backAt      time.Time     // when it was last to get work again after a pause or a failure
+	used        int           // bytes of results that it holds or computes
+	minRoom     int           // results that must fit before it gets its next batch
 	results     map[string]result
 	// unknownBytes are taken by results that this owner has no record of, such
 	// as those of an earlier owner. They are estimated from the pieces that
@@ -172,7 +173,7 @@
 // New returns an owner without upstreams. It ends with ctx.
 func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, service string, spec citronstream.BatchSpec, batcher Batcher, budget Budget, opts ...Option) *Owner {
 	ow := &Owner{
-		clk: clk, log: log, service: service, batcher: batcher, budget: budget, ctx: ctx, spec: spec, sizeFactor: 1, fetchTimes: fetchtime.New(),
+		clk: clk, log: log, service: service, batcher: batcher, budget: budget, ctx: ctx, spec: spec, sizeFactor: 1, selfLoad: 1, fetchTimes: fetchtime.New(),
 		jobs: make(map[citronstream.JobKey]*job), servers: make(map[*node.Node]*server),
 		held: func() bool { return false },
 	}
--- a/internal/stage/owner/state.go
+++ b/internal/stage/owner/state.go
@@ -7,9 +7,10 @@
 )
 
 // Counts are the counters of an Owner. Rescued pieces are among the repeated ones; unused
-// results came when another one or the end of their job had come.
+// results came when another one or the end of their job had come. Contested counts the
+// batches that met one of another owner.
 type Counts struct {
-	Batches, Items, Refused, Broken, NoMemory, Repeated, Expired, Overloaded, Rescued, Unused uint64
+	Batches, Items, Refused, Broken, NoMemory, Repeated, Expired, Overloaded, Rescued, Unused, Contested uint64
 }
 
 // Counts returns the counters.
