--- a/internal/proof/callers/callers_test.go
+++ b/internal/proof/callers/callers_test.go
@@ -59,15 +59,15 @@
 
 // crowd runs clients that write and then stay, without reading anything, until the end of
 // the test. What becomes of their requests is not looked at.
-func (ga *gateway) crowd(count int, write func(client int, send func(text string) bool)) {
+func (pr *process) crowd(count int, write func(client int, send func(text string) bool)) {
 	var writing sync.WaitGroup
 	for i := range count {
-		nc, err := net.DialTimeout("tcp", ga.callers, patience)
+		nc, err := net.DialTimeout("tcp", pr.callers, patience)
 		if err != nil {
 			continue
 		}
-		ga.t.Cleanup(func() { _ = nc.Close() })
-		require.NoError(ga.t, nc.SetWriteDeadline(clk.Now().Add(patience)))
+		pr.t.Cleanup(func() { _ = nc.Close() })
+		require.NoError(pr.t, nc.SetWriteDeadline(clk.Now().Add(patience)))
 		writing.Go(func() {
 			write(i, func(text string) bool {
 				_, err := nc.Write([]byte(text))
--- a/internal/proof/callers/process_test.go
+++ b/internal/proof/callers/process_test.go
@@ -37,12 +37,19 @@
 	fileDescriptors = 200
 )
 
-// gateway is a process of the program under test, with a store and an upstream.
+// process is a process of the program under test.
+type process struct {
+	t *testing.T
+	// callers is the address that the clients connect to.
+	callers string
+	cmd     *exec.Cmd
+	ended   chan struct{}
+}
+
+// gateway is a gateway with a store and an upstream.
 type gateway struct {
-	t                     *testing.T
-	callers, ready, peers string
-	cmd                   *exec.Cmd
-	ended                 chan struct{}
+	process
+	ready, peers string
 }
 
 var binary string
@@ -82,7 +89,7 @@
 		door.CloseClientConnections()
 		door.Close()
 	})
-	ga, dir := &gateway{t: t}, t.TempDir()
+	ga, dir := &gateway{process: process{t: t}}, t.TempDir()
 	for range 20 { // another process may take an address between its choice and its use
 		ga.callers, ga.ready, ga.peers = address(t), address(t), address(t)
 		settings := fmt.Sprintf(`{"node-name":"gateway","ip":"127.0.0.1","zone":"z","listen":{"front":%q,"ready":%q,"control":%q},
@@ -91,7 +98,7 @@
 			"platform":{"address":%q}}`, ga.callers, ga.ready, ga.peers, memoryMB, descriptors, door.Address())
 		path := filepath.Join(dir, "settings.json")
 		require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
-		if ga.start(path); ga.isReady() {
+		if ga.start(exec.Command(binary, "gateway", "--settings", path), path+".log"); ga.isReady() {
 			return ga
 		}
 	}
@@ -99,21 +106,21 @@
 	return nil
 }
 
-func (ga *gateway) start(settings string) {
-	log, err := os.Create(settings + ".log")
-	require.NoError(ga.t, err)
-	ga.cmd = exec.Command(binary, "gateway", "--settings", settings)
-	ga.cmd.Stdout, ga.cmd.Stderr = log, log
-	require.NoError(ga.t, ga.cmd.Start())
+// start starts a command, whose log goes to a file. The process is ended with the test.
+func (pr *process) start(cmd *exec.Cmd, logFile string) {
+	log, err := os.Create(logFile)
+	require.NoError(pr.t, err)
+	cmd.Stdout, cmd.Stderr = log, log
+	require.NoError(pr.t, cmd.Start())
 	limit := unix.Rlimit{Cur: descriptors, Max: descriptors}
-	require.NoError(ga.t, unix.Prlimit(ga.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil))
-	cmd, ended := ga.cmd, make(chan struct{})
-	ga.ended = ended
+	require.NoError(pr.t, unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil))
+	ended := make(chan struct{})
+	pr.cmd, pr.ended = cmd, ended
 	go func() {
 		_ = cmd.Wait()
 		close(ended)
 	}()
-	ga.t.Cleanup(func() {
+	pr.t.Cleanup(func() {
 		_ = cmd.Process.Signal(syscall.SIGKILL)
 		<-ended
 		_ = log.Close()
@@ -140,9 +147,9 @@
 	return false
 }
 
-func (ga *gateway) lives() bool {
+func (pr *process) lives() bool {
 	select {
-	case <-ga.ended:
+	case <-pr.ended:
 		return false
 	default:
 		return true
@@ -150,25 +157,25 @@
 }
 
 // residentPeak returns the largest resident memory that the process has had, in bytes.
-func (ga *gateway) residentPeak() int {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", ga.cmd.Process.Pid))
-	require.NoError(ga.t, err)
+func (pr *process) residentPeak() int {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pr.cmd.Process.Pid))
+	require.NoError(pr.t, err)
 	for line := range strings.Lines(string(raw)) {
 		if text, ok := strings.CutPrefix(line, "VmHWM:"); ok {
 			kilobytes, err := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(text), " kB"))
-			require.NoError(ga.t, err)
+			require.NoError(pr.t, err)
 			return kilobytes << 10
 		}
 	}
-	require.Fail(ga.t, "no VmHWM")
+	require.Fail(pr.t, "no VmHWM")
 	return 0
 }
 
 // sockets returns the number of open descriptors of the process that are sockets or pipes.
-func (ga *gateway) sockets() (count int) {
-	dir := fmt.Sprintf("/proc/%d/fd", ga.cmd.Process.Pid)
+func (pr *process) sockets() (count int) {
+	dir := fmt.Sprintf("/proc/%d/fd", pr.cmd.Process.Pid)
 	list, err := os.ReadDir(dir)
-	require.NoError(ga.t, err)
+	require.NoError(pr.t, err)
 	for _, entry := range list {
 		target, err := os.Readlink(filepath.Join(dir, entry.Name()))
 		if err == nil && (strings.HasPrefix(target, "socket:") || strings.HasPrefix(target, "pipe:")) {
@@ -180,15 +187,15 @@
 
 // drained waits until the process has read what the clients have sent, so that it holds
 // what it will hold, and gives up on what it does not read.
-func (ga *gateway) drained() {
-	_, text, err := net.SplitHostPort(ga.callers)
-	require.NoError(ga.t, err)
+func (pr *process) drained() {
+	_, text, err := net.SplitHostPort(pr.callers)
+	require.NoError(pr.t, err)
 	port, err := strconv.Atoi(text)
-	require.NoError(ga.t, err)
+	require.NoError(pr.t, err)
 	local := fmt.Sprintf("0100007F:%04X", port)
 	for range int(patience / 4 / poll) {
 		raw, err := os.ReadFile("/proc/net/tcp")
-		require.NoError(ga.t, err)
+		require.NoError(pr.t, err)
 		unread := false
 		for line := range strings.Lines(string(raw)) {
 			// sl, local address, remote address, state, tx_queue:rx_queue; state 01 is established
@@ -197,26 +204,40 @@
 				break
 			}
 		}
-		if !unread || !ga.lives() {
+		if !unread || !pr.lives() {
 			return
 		}
 		clk.Sleep(poll)
 	}
 }
 
-// answers sends ordinary requests until one is answered.
-func (ga *gateway) answers() {
+// ordinary returns an ordinary request.
+func (ga *gateway) ordinary() (*http.Request, error) {
+	rq, err := http.NewRequest(http.MethodPost, "http://"+ga.callers+"/look/", strings.NewReader("ordinary"))
+	if err == nil {
+		rq.Host, rq.Header = "h", site.CallerHeader("ordinary")
+	}
+	return rq, err
+}
+
+// check checks the gateway while the clients are still connected.
+func (ga *gateway) check() {
 	ga.t.Helper()
+	ga.checkProcess(ga.ordinary, memoryMB*1_000_000, descriptors-fileDescriptors)
+}
+
+// answers sends ordinary requests until one is answered.
+func (pr *process) answers(ordinary func() (*http.Request, error)) {
+	pr.t.Helper()
 	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	assert.Eventually(ga.t, func() bool {
-		if !ga.lives() {
+	assert.Eventually(pr.t, func() bool {
+		if !pr.lives() {
 			return false
 		}
-		rq, err := http.NewRequest(http.MethodPost, "http://"+ga.callers+"/look/", strings.NewReader("ordinary"))
+		rq, err := ordinary()
 		if err != nil {
 			return false
 		}
-		rq.Host, rq.Header = "h", site.CallerHeader("ordinary")
 		res, err := client.Do(rq)
 		if err != nil {
 			return false
@@ -226,15 +247,16 @@
 	}, patience, poll, "no ordinary request is answered")
 }
 
-// check checks the process while the clients are still connected.
-func (ga *gateway) check() {
-	ga.t.Helper()
-	ga.drained()
-	ga.answers()
-	if assert.True(ga.t, ga.lives(), "the process has ended") {
-		peak, open := ga.residentPeak(), ga.sockets()
-		ga.t.Logf("resident peak %.1f MB, %d sockets", float64(peak)/1e6, open)
-		assert.LessOrEqual(ga.t, peak, memoryMB*1_000_000, "resident memory in bytes")
-		assert.LessOrEqual(ga.t, open, descriptors-fileDescriptors, "open sockets")
+// checkProcess checks a process while the clients are still connected. An ordinary request
+// must be answered, with resident memory in bytes and open sockets within bounds.
+func (pr *process) checkProcess(ordinary func() (*http.Request, error), maxResident, maxSockets int) {
+	pr.t.Helper()
+	pr.drained()
+	pr.answers(ordinary)
+	if assert.True(pr.t, pr.lives(), "the process has ended") {
+		peak, open := pr.residentPeak(), pr.sockets()
+		pr.t.Logf("resident peak %.1f MB, %d sockets", float64(peak)/1e6, open)
+		assert.LessOrEqual(pr.t, peak, maxResident, "resident memory in bytes")
+		assert.LessOrEqual(pr.t, open, maxSockets, "open sockets")
 	}
 }
