Near targets and workspaces at short stage queues

Cause: the margin for delays that estimates don't cover, 0.7 s with three stages, was subtracted from the latest start of a job. A request whose target leaves less slack was late when it came and ran behind all less urgent work. Within a kind, the jobs of a workspace with a burst displaced those of the others.

Change: the margin takes at most nine tenths of the slack from the latest start (order.LastMargin) and counts whole for the start that is aimed at. The job whose workspace has queued more gives way first within a rank (limit/workspaceshare).

Tests of stage, flow and admission pass, also with -race.

--- a/internal/ingress/flow/estimate_test.go
+++ b/internal/ingress/flow/estimate_test.go
@@ -49,3 +49,25 @@
 		assert.Equal(t, want, sg.newJob(sg.list[i], indexes[i], nil).CrossZoneBytes, i)
 	}
 }
+
+// Guards against jobs of requests with a near target that the margin for delays makes late
+// when they come, so that they run behind all less urgent ones.
+func TestMarginOfANearTarget(t *testing.T) {
+	rt := stalledRequest(t)
+	rt.CallerRequest = &citronstream.CallerRequest{}
+	batch := &citronstream.BatchSpec{Items: 8, CallTime: 240 * time.Millisecond, ItemTime: 14 * time.Millisecond}
+	sg := &stages{rt: rt, list: []*stage{{batch: batch}}} // no pieces: there are no queues here
+	margin := (batch.CallTime + 8*batch.ItemTime) / 2
+	job := func(slack time.Duration) citronstream.Job {
+		rt.target = rt.fl.clk.Now().Add(slack + rt.fl.latencies.expected("r", 0))
+		return sg.newJob(sg.list[0], nil, nil)
+	}
+	near, far, late := job(margin/2), job(10*margin), job(-margin)
+	assert.Positive(t, near.Slack)
+	assert.Equal(t, near.Slack+near.Margin, 10*near.Slack)
+	assert.Equal(t, margin, far.Margin)
+	assert.Zero(t, late.Margin)
+	for _, jo := range []citronstream.Job{near, far, late} {
+		assert.Equal(t, margin+deviationMargin*rt.fl.latencies.deviation("r"), jo.Margin+jo.Early, "the start that is aimed at")
+	}
+}
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -12,6 +12,7 @@
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/route/engines"
+	"github.com/citronstream/citronstream/internal/stage/order"
 )
 
 // freshMargin is subtracted from the lifetime of a result, for the transfer to
@@ -292,12 +293,14 @@
 	now := sg.rt.fl.clk.Now()
 	rest := sg.timeAfterWait(st)
 	margin := sg.margin(st)
+	slack := sg.rt.target.Sub(now) - rest
+	last := order.LastMargin(slack, margin)
 	rank, routeRank := sg.rt.ranks()
 	jo := citronstream.Job{
 		ID: sg.rt.ID, Stage: st.number, Service: st.spec.Service, Pieces: indexes, Bytes: st.spec.Bytes, Inputs: inputs,
 		Rank: rank, RouteRank: routeRank, Workspace: sg.rt.workspace, Returned: sg.rt.returned, Zone: sg.zone, Regions: string(sg.rt.regions),
-		Left: sg.rt.end.Sub(now) - sg.rt.timeAfterFirstEvent(), LaterStages: rest, Slack: sg.rt.target.Sub(now) - rest - margin, Margin: margin,
-		Early:          deviationMargin * sg.rt.fl.latencies.deviation(sg.rt.route.Name),
+		Left: sg.rt.end.Sub(now) - sg.rt.timeAfterFirstEvent(), LaterStages: rest, Slack: slack - last, Margin: last,
+		Early:          margin - last + deviationMargin*sg.rt.fl.latencies.deviation(sg.rt.route.Name),
 		CrossZoneBytes: len(indexes) * st.spec.Bytes * st.fetches,
 	}
 	inputBytes := 0
--- a/internal/stage/order/order.go
+++ b/internal/stage/order/order.go
@@ -35,6 +35,9 @@
 	// Begun says that some of its pieces have run. Their results take memory until the
 	// others are done, so that the job neither gives way nor waits behind late ones.
 	Begun bool
+	// Tag orders the workspaces of one rank: the job with the higher one gives way first,
+	// as its workspace has queued more, see package workspaceshare.
+	Tag int
 	// Length is the number of pieces that wait.
 	Length int
 	// GivesWay is set by Plan.
@@ -147,6 +150,9 @@
 	if a.Returned != b.Returned {
 		return b.Returned
 	}
+	if a.Tag != b.Tag {
+		return a.Tag > b.Tag
+	}
 	return a.Start.After(b.Start)
 }
 
--- a/internal/stage/owner/batch.go
+++ b/internal/stage/owner/batch.go
@@ -20,6 +20,7 @@
 	}
 	for _, pa := range batch {
 		jb := pa.jb
+		ow.shares.Begin(shareKind(jb), jb.Tag)
 		jb.calls = append(jb.calls, cl)
 		jb.pending = jb.pending[len(pa.indexes):]
 		for _, index := range pa.indexes {
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -13,6 +13,7 @@
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/citronstream/citronstream/internal/limit/workspaceshare"
 	"github.com/citronstream/citronstream/internal/stage/fetchtime"
 	"github.com/citronstream/citronstream/internal/stage/order"
 	"github.com/go-logr/logr"
@@ -108,6 +109,7 @@
 	rate       rate
 	arrivals   arrivals
 	lasting    lasting
+	shares     *workspaceshare.Shares
 	lastActive time.Time // when a job was last submitted or ended
 	held       func() bool
 	leaves     func(zo *zone, jb *job, now time.Time) bool // leavesZone; replays compare others
@@ -172,7 +174,7 @@
 	ow := &Owner{
 		clk: clk, log: log, service: service, batcher: batcher, budget: budget, ctx: ctx, spec: spec, sizeFactor: 1, fetchTimes: fetchtime.New(),
 		jobs: make(map[citronstream.JobKey]*job), servers: make(map[*node.Node]*server),
-		held: func() bool { return false },
+		shares: workspaceshare.New(), held: func() bool { return false },
 	}
 	ow.leaves = ow.leavesZone
 	for _, opt := range opts {
@@ -259,6 +261,7 @@
 	ow.jobs[key], ow.lastActive = jb, now
 	ow.arrivals.add(now, jo.RouteRank, len(jo.Pieces))
 	ow.budget.First(ow.service)
+	ow.queueShare(jb)
 	ow.waiting = append(ow.waiting, jb)
 	ow.dispatch()
 }
@@ -313,6 +316,7 @@
 	}
 	jb.ended, ow.lastActive = true, ow.clk.Now()
 	delete(ow.jobs, citronstream.JobKey{ID: jb.ID, Stage: jb.Stage, Service: jb.Service})
+	ow.dropShare(jb)
 	ow.withdraw(jb, jb.pending)
 	ow.letGo(jb)
 	if re.Fault != nil || re.InputLost {
