Evacuation: the requests of a zone move to the others within a third of the time

Cause: all gateways hear of an evacuation within milliseconds, and the load of a whole zone moved to the others in one moment. Change: where the settings state bounds.evacuation-ms, the share of the requests that may use the zone falls to nothing within a third of it (route/zoneramp), by the time up to which the gateway knew the table before; one that may have heard late has a shorter ramp or none. Batches of stages leave at once, as before, so that admission counts what is left at once. New log message and metric. TestRequestsLeaveAnEvacuatedZone fails with the zone left at once and with a row that begins the ramp again, TestEvacuationWithARamp with the view's call switched off.

--- a/internal/fleet/coverage/coverage.go
+++ b/internal/fleet/coverage/coverage.go
@@ -64,5 +64,8 @@
 // Version returns the version up to which the copy has all changes.
 func (co *Coverage) Version() uint64 { return co.version }
 
+// AsOf returns the time at which the copy was known to be current, the zero value if it is not.
+func (co *Coverage) AsOf() time.Time { return co.asOf }
+
 // Age returns how old the copy may be.
 func (co *Coverage) Age(now time.Time) time.Duration { return now.Sub(co.asOf) }
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -229,6 +229,17 @@
 	co.Read(at.Version, asOf, at.Time)
 }
 
+// AsOf returns the time up to which the copy of a table is known to be complete, the zero
+// value before its first read.
+func (fo *Follower) AsOf(table string) time.Time {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if co := fo.coverages[table]; co != nil {
+		return co.AsOf()
+	}
+	return time.Time{}
+}
+
 // Counts returns the number of calls to the store and how many of them failed.
 func (fo *Follower) Counts() (calls, failed uint64) { return fo.calls.Load(), fo.failed.Load() }
 
--- a/internal/fleet/view/evacuations.go
+++ b/internal/fleet/view/evacuations.go
@@ -36,6 +36,7 @@
 // not matter.
 func (vi *View) applyEvacuation(ch citronstream.Change, source string) bool {
 	zone := strings.TrimPrefix(ch.Key, vi.decode.EvacuationPrefix)
+	_, was := vi.zones.Evacuated()[zone]
 	if zone == "" || !vi.zones.Apply(zone, ch.Version, !ch.Deleted) {
 		return false
 	}
@@ -43,6 +44,8 @@
 	if ch.Deleted {
 		text = "zone taken back"
 		vi.onTakenBack(zone, ch.Version)
+	} else if !was {
+		vi.onEvacuated(zone)
 	}
 	vi.log.Info(text, "zone", zone, "source", source, "revision", ch.Version, "evacuated zones", len(vi.zones.Evacuated()))
 	return true
--- a/internal/fleet/view/members.go
+++ b/internal/fleet/view/members.go
@@ -13,6 +13,7 @@
 type Members struct {
 	byID      map[string]*node.Node
 	byService map[string][]*node.Node // sorted by ID, without those that leave and those of evacuated zones
+	evacuees  map[string][]*node.Node // by service: left out of byService only as their zone is evacuated
 	byAddress map[string][]*node.Node // the one that started last first
 	evacuated []string                // zones, sorted
 }
@@ -20,12 +21,16 @@
 // newMembers returns a set of upstreams. Leaving reports whether an upstream has said that it
 // leaves.
 func newMembers(nodes []*node.Node, evacuated []string, leaving func(nd *node.Node) bool) *Members {
-	ms := &Members{evacuated: evacuated, byID: make(map[string]*node.Node), byService: make(map[string][]*node.Node), byAddress: make(map[string][]*node.Node)}
+	ms := &Members{evacuated: evacuated, byID: make(map[string]*node.Node), byService: make(map[string][]*node.Node), evacuees: make(map[string][]*node.Node), byAddress: make(map[string][]*node.Node)}
 	slices.SortFunc(nodes, func(a, b *node.Node) int { return cmp.Compare(a.ID, b.ID) })
 	for _, nd := range nodes {
 		ms.byID[nd.ID] = nd
 		ms.byAddress[nd.Address] = append(ms.byAddress[nd.Address], nd)
-		if !nd.Draining && !ms.Evacuated(nd.Zone) && !leaving(nd) {
+		switch {
+		case nd.Draining || leaving(nd):
+		case ms.Evacuated(nd.Zone):
+			ms.evacuees[nd.Service] = append(ms.evacuees[nd.Service], nd)
+		default:
 			ms.byService[nd.Service] = append(ms.byService[nd.Service], nd)
 		}
 	}
@@ -42,9 +47,21 @@
 // Service returns the upstreams of a service that take new work, sorted by ID.
 func (ms *Members) Service(name string) []*node.Node { return ms.byService[name] }
 
+// Evacuees returns the upstreams of a service that would take new work if their zones were not
+// evacuated, sorted by ID.
+func (ms *Members) Evacuees(service string) []*node.Node { return ms.evacuees[service] }
+
 // TakesWork reports whether an upstream of a service, as it started at a time, takes new work.
 func (ms *Members) TakesWork(service, id string, startedMs int64) bool {
-	list := ms.byService[service]
+	return contains(ms.byService[service], id, startedMs)
+}
+
+// WouldTakeWork reports the same for the time in which the load of its evacuated zone moves.
+func (ms *Members) WouldTakeWork(service, id string, startedMs int64) bool {
+	return contains(ms.evacuees[service], id, startedMs)
+}
+
+func contains(list []*node.Node, id string, startedMs int64) bool {
 	at, found := slices.BinarySearchFunc(list, id, func(nd *node.Node, id string) int { return cmp.Compare(nd.ID, id) })
 	return found && list[at].StartedMs == startedMs
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -72,6 +72,7 @@
 	onMembers   []func(*Members)
 	onRow       func(mb citronstream.Member)
 	onTakenBack func(zone string, version uint64)
+	onEvacuated func(zone string)
 }
 
 // Option configures a View.
@@ -86,7 +87,7 @@
 // New returns an empty view.
 func New(clk citronstream.Clock, log logr.Logger, decode Decode, opts ...Option) *View {
 	vi := &View{clk: clk, log: log, decode: decode, outage: outage.New(0), rows: make(map[string]*record), zones: evacuation.New(), reports: selfreport.New(), onChange: func([]citronstream.Change, string) {}}
-	vi.onRow, vi.onTakenBack = func(citronstream.Member) {}, func(string, uint64) {}
+	vi.onRow, vi.onTakenBack, vi.onEvacuated = func(citronstream.Member) {}, func(string, uint64) {}, func(string) {}
 	for _, opt := range opts {
 		opt(vi)
 	}
@@ -120,6 +121,10 @@
 	vi.onTakenBack = onTakenBack
 }
 
+// OnEvacuated sets the function that is called when a zone is evacuated that was not, before its upstreams
+// are left out. It may call only Routes, Members and Revision.
+func (vi *View) OnEvacuated(onEvacuated func(zone string)) { vi.onEvacuated = onEvacuated }
+
 // Routes returns the configuration in force, or nil before the first.
 func (vi *View) Routes() *Routes { return vi.routes.Load() }
 
--- a/internal/ingress/flow/choice.go
+++ b/internal/ingress/flow/choice.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/citronstream/citronstream"
@@ -24,10 +25,31 @@
 
 // permitted returns the upstreams to which the request may be sent: those in the regions
 // that it is restricted to.
-func (rt *request) permitted() []*node.Node { return rt.permittedOf(rt.service) }
+func (rt *request) permitted() []*node.Node {
+	members := rt.fl.View.Members()
+	nodes := members.Service(rt.service)
+	if rt.fl.Ramp.Active() {
+		nodes = slices.Clone(nodes)
+		for _, nd := range members.Evacuees(rt.service) {
+			if rt.mayStay(nd.Zone) {
+				nodes = append(nodes, nd)
+			}
+		}
+	}
+	return rt.allowed(nodes)
+}
+
+// mayStay reports whether the request may still use an evacuated zone, whose load moves. The
+// queues of stages leave it at once: they give the others no more than these can take, and
+// admission is to count what is left.
+func (rt *request) mayStay(zone string) bool { return rt.stay < rt.fl.Ramp.Share(zone) }
 
 func (rt *request) permittedOf(service string) []*node.Node {
-	nodes := rt.fl.View.Members().Service(service)
+	return rt.allowed(rt.fl.View.Members().Service(service))
+}
+
+// allowed returns those of some upstreams that are in the regions of the request.
+func (rt *request) allowed(nodes []*node.Node) []*node.Node {
 	if rt.regions == "" {
 		return nodes
 	}
@@ -175,10 +197,11 @@
 // may have been computed since it was chosen.
 func (rt *request) recheck(at *attempt) *citronstream.Fault {
 	members := rt.fl.View.Members()
-	if members.Evacuated(at.nd.Zone) {
+	stays := members.Evacuated(at.nd.Zone) && rt.mayStay(at.nd.Zone)
+	if members.Evacuated(at.nd.Zone) && !stays {
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "zone %s of upstream %s was evacuated", at.nd.Zone, at.nd.ID)
 	}
-	if !members.TakesWork(rt.service, at.nd.ID, at.nd.StartedMs) {
+	if !members.TakesWork(rt.service, at.nd.ID, at.nd.StartedMs) && !(stays && members.WouldTakeWork(rt.service, at.nd.ID, at.nd.StartedMs)) {
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "upstream %s takes no new work or is gone", at.nd.ID)
 	}
 	if _, paused := at.nd.Self.Paused(rt.fl.clk.Now()); paused {
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	"github.com/citronstream/citronstream/internal/observe/requests"
 	"github.com/citronstream/citronstream/internal/route/engines"
 	"github.com/citronstream/citronstream/internal/route/regions"
+	"github.com/citronstream/citronstream/internal/route/zoneramp"
 	"github.com/citronstream/citronstream/internal/stage/broker"
 	"github.com/citronstream/citronstream/internal/stage/fetchtime"
 	"github.com/citronstream/citronstream/internal/upstream/conns"
@@ -50,6 +52,8 @@
 	Deaths     *deathdetect.Detector
 	// Cold bounds the requests to cold upstreams; nil if none is cold.
 	Cold *coldrate.Limiter
+	// Ramp moves the requests of evacuated zones within some time; nil moves them at once.
+	Ramp *zoneramp.Ramp
 	// Parse returns the function that parses the heads of an upstream's responses; it may
 	// be nil.
 	Parse func(nd *node.Node) func(status int, header http.Header) citronstream.AnswerHead
@@ -102,6 +106,9 @@
 	if pa.Cold == nil {
 		pa.Cold = coldrate.New(clk, "", func(string) citronstream.ServiceSpec { return citronstream.ServiceSpec{} })
 	}
+	if pa.Ramp == nil {
+		pa.Ramp = zoneramp.New(clk, 0)
+	}
 	if pa.Parse == nil {
 		pa.Parse = func(*node.Node) func(int, http.Header) citronstream.AnswerHead { return platform.ParseAnswer }
 	}
@@ -142,7 +149,7 @@
 	if fl.leaving.Load() > 0 {
 		wr.Header().Set("Connection", "close")
 	}
-	rt := &request{CallerRequest: &citronstream.CallerRequest{}, fl: fl, wr: wr, rq: rq, bodies: fl.bodies.Open(), memory: fl.Memory.Open(), at: fl.clk.Now(), suspended: fl.Suspended()}
+	rt := &request{CallerRequest: &citronstream.CallerRequest{}, fl: fl, wr: wr, rq: rq, bodies: fl.bodies.Open(), memory: fl.Memory.Open(), at: fl.clk.Now(), suspended: fl.Suspended(), stay: rand.Float64()}
 	defer rt.bodies.Close()
 	defer rt.memory.Close()
 	out := rt.serveSafely()
@@ -192,6 +199,7 @@
 	visited    map[string]bool // their addresses
 	sends      int             // attempts that reached the chosen upstream
 	deliveries int             // sends, and attempts answered by another upstream at the address
+	stay       float64         // uses an evacuated zone while its share of the requests is greater
 	turn       bool            // it is its turn to get a permit for a cold upstream
 	unreached  int             // attempts that reached no upstream
 	nextRetry  time.Time       // when the repeat in hand was taken from the retry budget; zero for none
--- a/internal/process/gateway/evacuation_test.go
+++ b/internal/process/gateway/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/citronstream/citronstream/internal/standin/site"
 	"github.com/stretchr/testify/assert"
@@ -92,3 +93,29 @@
 	ts.st.Remove("op", evacuation)
 	ts.assertEvacuated(ts.entries, false, "peers don't tell of its end")
 }
+
+// Guards against load that leaves an evacuated zone at once although there is time, and
+// against a gateway that hears of the evacuation at its start and takes part in the move.
+func TestEvacuationWithARamp(t *testing.T) {
+	ts := newTestSite(t, 0)
+	ts.bounds.Evacuate = 10 * time.Minute
+	ts.startEntry()
+	ts.upstream("d1", "desk")
+	ts.waitReady()
+	en := ts.entries[0]
+	ts.waitFor(func() bool { return en.configAsOf.Load() != nil && !en.configAsOf.Load().IsZero() }, "the age of the table is not known")
+	ts.st.Put("op", evacuation, "{}")
+	ts.assertEvacuated(ts.entries, true, "an evacuation is not heard of")
+	assert.Greater(t, en.ramp.Share("z"), 0.0)
+	ts.waitFor(func() bool {
+		res, _ := ts.roundTrip(en, ts.call(), http.MethodPost, "/order/x", "order")
+		return res.StatusCode == http.StatusOK
+	}, "all requests leave the zone at once")
+	late := ts.startEntry()
+	ts.waitFor(func() bool { return late.view.Members().Len() == 1 && late.view.Routes() != nil }, "the entry that starts knows no upstream")
+	assert.Zero(t, late.ramp.Share("z"))
+	ts.assertRefused(late)
+	ts.st.Remove("op", evacuation)
+	ts.assertEvacuated(ts.entries, false, "the end of an evacuation is not heard of")
+	assert.Zero(t, en.ramp.Share("z"))
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
 	"github.com/citronstream/citronstream/internal/route/engines"
 	"github.com/citronstream/citronstream/internal/route/regions"
+	"github.com/citronstream/citronstream/internal/route/zoneramp"
 	"github.com/citronstream/citronstream/internal/stage/broker"
 	"github.com/citronstream/citronstream/internal/upstream/batch"
 	"github.com/citronstream/citronstream/internal/upstream/conns"
@@ -91,8 +92,10 @@
 	refusals      *firstattempt.Registry
 	deaths        *deathdetect.Detector
 	cold          *coldrate.Limiter
-	listAsked     time.Time // when the list of gateways was last asked for by sweepCold
-	listDoubt     string    // why it may be incomplete, as logged last; used by sweepCold only
+	ramp          *zoneramp.Ramp
+	configAsOf    atomic.Pointer[time.Time] // up to when evacuations were known at the last tick
+	listAsked     time.Time                 // when the list of gateways was last asked for by sweepCold
+	listDoubt     string                    // why it may be incomplete, as logged last; used by sweepCold only
 	budget        *siteretrybudget.Budget
 	meter         *requests.Meter
 	flow          *flow.Flow
@@ -139,7 +142,9 @@
 	ga.view.OnChange(ga.viewChanged)
 	ga.cold = coldrate.New(clk, site.Peers, ga.serviceSpec, coldrate.WithBound(site.Bounds.ColdOverage, site.Bounds.ColdSlack))
 	ga.view.OnRow(ga.cold.Row)
-	ga.view.OnTakenBack(ga.cold.TakenBack)
+	ga.ramp = zoneramp.New(clk, site.Bounds.Evacuate)
+	ga.view.OnEvacuated(ga.zoneEvacuated)
+	ga.view.OnTakenBack(ga.zoneTakenBack)
 	ga.mesh = mesh.New(clk, log, eng, ga.peerInfo, ga.handle, ga.peerConnected)
 	ga.follower = follow.New(clk, log, store, ga.view, follow.WithReaders(ga.readers), follow.WithOnRead(ga.storeRead), follow.WithOnFirstRead(ga.tableRead))
 	ga.snapshot = snapshot.New(clk, log, store, ga.membersInUse, ga.writesSnapshot)
@@ -158,7 +163,7 @@
 	}
 	ga.flow = flow.New(clk, log, flow.Dependencies{
 		Zone: site.Zone, Zones: regions.NewZones(site), ListingTTL: ga.listingTTL(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
-		Budget: ga.budget, Holds: ga.holds, Parts: ga.parts, Refused: ga.refusals, Deaths: ga.deaths, Cold: ga.cold, Observe: ga.meter.Observe,
+		Budget: ga.budget, Holds: ga.holds, Parts: ga.parts, Refused: ga.refusals, Deaths: ga.deaths, Cold: ga.cold, Ramp: ga.ramp, Observe: ga.meter.Observe,
 		Parse:     ga.parseAnswer,
 		Suspended: suspended, Pass: ga.wakeup.Pass,
 		Memory: ga.memory, BodyStall: clients.BodyStall, ReadStall: clients.ReadStall, MaxUpstream: maxUpstream(site), OnLimit: ga.limits.hit,
@@ -316,6 +321,7 @@
 		}
 		ga.view.Sweep()
 		ga.sweepCold()
+		ga.sweepRamp()
 		ga.tellRefusals()
 		ga.parts.Tick()
 		ga.logHeld(ga.holds.Tick(), ga.site.Process)
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -53,6 +53,7 @@
 	re.gauge("citronstream_site_upstreams_load_known", "Upstreams that said their load within the last 2 s.", func() float64 { return float64(ga.loadsKnown()) })
 	re.gauge("citronstream_site_upstreams_slow", "Upstreams that are slower than usual for good.", func() float64 { return float64(ga.slowUpstreams()) })
 	re.gauge("citronstream_site_zones_evacuated", "Zones to whose upstreams nothing more is sent.", func() float64 { return float64(len(ga.view.Evacuated())) })
+	re.gauge("citronstream_site_zones_moving", "Evacuated zones that still get a falling share of the requests.", func() float64 { return float64(ga.ramp.Count()) })
 	re.gauge("citronstream_site_upstreams_cold", "Upstreams that are cold.", func() float64 {
 		cold, _ := ga.cold.Counts()
 		return float64(cold)
--- a/site.go
+++ b/site.go
@@ -44,6 +44,9 @@
 	// ColdSlack requests within any second, from all processes together.
 	ColdOverage float64
 	ColdSlack   float64
+	// Evacuate is the time from the store's acknowledgement of an evacuation to the last
+	// request to its zone; 0 when it is not stated.
+	Evacuate time.Duration
 }
 
 // ClientLimits bound what clients may hold of a process. 0 means the default.
