Cold upstreams: what an engine got before it is known as cold counts

Cause: when an engine that turned cold while it ran became known as cold, its senders had all their permits, on top of what all gateways had sent within the last second: 14 and 8 requests within one second, of 18. Change: the senders hold their permits for 1.1 s if the engine has got so many within the last second that both would exceed the bound. Tests for a zone that turns cold in a burst, one gateway that is cut off, and a store that is away between an evacuation and its end.

--- a/internal/limit/coldrate/coldrate.go
+++ b/internal/limit/coldrate/coldrate.go
@@ -63,7 +63,9 @@
 	// made the upstream cold.
 	doubtful uint64
 	ignore   int
-	permits  []*Permit
+	// heldUntil is until when requests from before it was known to be cold take up its rate.
+	heldUntil time.Time
+	permits   []*Permit
 	// sender is whether this gateway is among the first senders, by the gateways known at
 	// a generation.
 	sender    bool
@@ -85,6 +87,7 @@
 	spec func(service string) citronstream.ServiceSpec
 	// An upstream gets at most overage times its rate plus slack within a second.
 	overage, slack float64
+	recent         func(id string) int
 
 	mu        sync.Mutex
 	began     time.Time
@@ -112,11 +115,17 @@
 	return func(li *Limiter) { li.overage, li.slack = overage, slack }
 }
 
+// WithRecent sets the function that returns how many requests an upstream got from all gateways
+// within the last second, as far as this one knows. It must not call the limiter.
+func WithRecent(recent func(id string) int) Option {
+	return func(li *Limiter) { li.recent = recent }
+}
+
 // New returns a limiter for the gateway with this address. Spec returns the settings of a
 // service.
 func New(clk citronstream.Clock, self string, spec func(service string) citronstream.ServiceSpec, opts ...Option) *Limiter {
 	li := &Limiter{
-		clk: clk, self: self, spec: spec, began: clk.Now(), gen: 1,
+		clk: clk, self: self, spec: spec, recent: func(string) int { return 0 }, began: clk.Now(), gen: 1,
 		upstreams: make(map[string]*upstream), ends: make(map[string]end), gateways: make(map[string]time.Time),
 		listed: make(map[string]bool), linked: make(map[string]bool), told: make(map[string]told), waiting: make(map[string][]*Waiter),
 	}
@@ -230,12 +239,24 @@
 	left := until.Sub(li.clk.Now())
 	if cold := left > 0; cold != up.announced {
 		up.announced = cold
+		if cold && source == SourceRow {
+			li.hold(id, up)
+		}
 		if len(li.changes) < maxChanges {
 			li.changes = append(li.changes, Change{Upstream: id, Service: up.service, Cold: cold, Left: max(0, left), Source: source})
 		}
 	}
 }
 
+// hold holds the permits of an upstream that has turned cold while it ran, if it has got so
+// many requests within the last second that those of the senders would exceed the bound.
+func (li *Limiter) hold(id string, up *upstream) {
+	rate := li.spec(up.service).ColdRate
+	if bound := li.overage*rate + li.slack; bound > 0 && li.recent(id)+max(1, int(min(rate, bound/2))) > int(bound) {
+		up.heldUntil = li.clk.Now().Add(window + jitter)
+	}
+}
+
 // Changes returns the changes since the last call, the oldest first. They are kept for it
 // rather than passed to a function, as rows are recorded with locks held that the choice of
 // an upstream waits for.
@@ -331,6 +352,9 @@
 func (li *Limiter) left(id string, up *upstream, rate float64, now time.Time) int {
 	sh := li.share(id, up, rate, now)
 	up.permits = slices.DeleteFunc(up.permits, func(pe *Permit) bool { return !pe.at.IsZero() && now.Sub(pe.at) >= sh.window })
+	if now.Before(up.heldUntil) {
+		return 0
+	}
 	return sh.count - len(up.permits)
 }
 
@@ -381,6 +405,8 @@
 		switch {
 		case li.left(id, up, rate, now) > 0:
 			permit = 0
+		case sh.count > 0 && now.Before(up.heldUntil):
+			permit = min(permit, up.heldUntil.Sub(now))
 		case sh.count > 0:
 			for _, pe := range up.permits {
 				sent := pe.at
--- a/internal/limit/coldrate/shares_test.go
+++ b/internal/limit/coldrate/shares_test.go
@@ -226,3 +226,72 @@
 	settle(clk, li)
 	assert.Equal(t, share{count: 1, window: 2*time.Second + jitter}, li.share("u", li.upstreams["u"], 0.5, clk.Now()))
 }
+
+// Guards against a second in which an upstream gets what gateways sent before they knew that
+// it is cold, 14 requests at most, and the requests of all senders as well.
+func TestBoundWhenAnUpstreamTurnsCold(t *testing.T) {
+	for before, held := range map[int]bool{14: true, 10: false} {
+		t.Run(fmt.Sprintf("%d requests before", before), func(t *testing.T) {
+			fl := &fleet{clk: clockwork.NewFakeClock(), rnd: rand.New(rand.NewPCG(1, 0))}
+			for number := range 25 {
+				li := newLimiter(fl.clk, number, WithRecent(func(string) int { return before }))
+				li.Row(row(1, 1, 0))
+				fl.gateways = append(fl.gateways, li)
+			}
+			fl.clk.Advance(settleTime)
+			for number, li := range fl.gateways {
+				li.Listed(fl.others(number), fl.clk.Now())
+			}
+			for range before {
+				fl.arrivals = append(fl.arrivals, fl.clk.Now())
+			}
+			free := 0
+			for _, li := range fl.gateways {
+				li.Row(row(2, 1, time.Hour))
+				if li.Free("u") {
+					free++
+				}
+				assert.LessOrEqual(t, li.Next([]string{"u"}, 0), time.Hour)
+			}
+			assert.Equal(t, held, free == 0)
+			fl.run(3 * time.Second)
+			assert.LessOrEqual(t, fl.most(), mostPerSecond)
+			assert.GreaterOrEqual(t, len(fl.arrivals), before+8)
+		})
+	}
+}
+
+// Guards against a gateway that is cut off from the store and all others, keeps its shares,
+// and sends beside the gateways that have taken its place.
+func TestOneGatewayCutOff(t *testing.T) {
+	fl := newFleet(25, 1)
+	fl.clk.Advance(settleTime)
+	var all []string
+	for _, li := range fl.gateways {
+		all = append(all, li.self)
+	}
+	for number, li := range fl.gateways {
+		li.Listed(fl.others(number), fl.clk.Now())
+		li.Linked(all)
+	}
+	cutOff := slices.IndexFunc(fl.gateways, func(li *Limiter) bool { return li.Free("u") })
+	fl.gateways[cutOff].Linked(nil)
+	rest := slices.Delete(slices.Clone(all), cutOff, cutOff+1)
+	for at := range 13 {
+		fl.run(2 * time.Second)
+		assert.LessOrEqual(t, fl.most(), 8, "minute %d", at)
+		fl.arrivals = nil
+		fl.clk.Advance(time.Minute)
+		for number, li := range fl.gateways {
+			if number != cutOff {
+				li.Listed(rest, fl.clk.Now())
+				li.Linked(rest)
+			}
+			li.Sweep(listed)
+		}
+		assert.NotEmpty(t, fl.gateways[cutOff].Incomplete(), "it goes on without news")
+	}
+	assert.False(t, fl.gateways[cutOff].Free("u"))
+	fl.run(2 * time.Second)
+	assert.Equal(t, 8, fl.most(), "another gateway has taken its place")
+}
--- a/internal/process/gateway/cold_test.go
+++ b/internal/process/gateway/cold_test.go
@@ -333,3 +333,23 @@
 	}, "the entry does not doubt its list")
 	assert.False(t, one.cold.Settled())
 }
+
+// Guards against upstreams of a zone that are taken for warm, and get all requests at once, as
+// the store was away between the zone's evacuation and its end.
+func TestStoreAwayBetweenAnEvacuationAndItsEnd(t *testing.T) {
+	ts := newColdSite(t)
+	up := ts.upstream("d1", "desk")
+	ts.waitReady()
+	en := ts.entries[0]
+	ts.st.Put("op", evacuation, "{}")
+	ts.assertEvacuated(ts.entries, true, "an evacuation is not heard of")
+	en.door.Fault(site.Refuses)
+	ts.waitFor(en.follower.StoreDown, "the store is not missed")
+	ts.st.Remove("op", evacuation)
+	ts.st.Forget()
+	en.door.Fault(site.Sound)
+	ts.assertEvacuated(ts.entries, false, "the zone is not taken back when the store returns")
+	assert.True(t, en.cold.Limited("d1"))
+	ts.st.List(up, site.Ready)
+	ts.waitCold(en, "d1", false)
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -140,7 +140,7 @@
 		EvacuationPrefix: platform.EvacuationPrefix,
 	}, view.WithHeartbeat(site.Heartbeat))
 	ga.view.OnChange(ga.viewChanged)
-	ga.cold = coldrate.New(clk, site.Peers, ga.serviceSpec, coldrate.WithBound(site.Bounds.ColdOverage, site.Bounds.ColdSlack))
+	ga.cold = coldrate.New(clk, site.Peers, ga.serviceSpec, coldrate.WithBound(site.Bounds.ColdOverage, site.Bounds.ColdSlack), coldrate.WithRecent(ga.engines.Starts))
 	ga.view.OnRow(ga.cold.Row)
 	ga.ramp = zoneramp.New(clk, site.Bounds.Evacuate)
 	ga.view.OnEvacuated(ga.zoneEvacuated)
--- a/internal/route/engines/startrate.go
+++ b/internal/route/engines/startrate.go
@@ -49,6 +49,14 @@
 	return count
 }
 
+// Starts returns how many requests an engine has got from this process and its peers within the
+// last second, if it is of a service whose engines have a MaxStarts.
+func (pi *Picker) Starts(id string) int {
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	return pi.starts(id, pi.clk.Now())
+}
+
 // MostStarts returns the most requests that an engine has got within the window, of services
 // whose engines have a MaxStarts.
 func (pi *Picker) MostStarts() (most int) {
