stage/order, flow: a burst through several stages runs what can be in time first

Cause: in a burst of twice what the second and third stage can do, two thirds of the urgent requests that were answered were late, with all upstreams busy. The latest start of a job counted the waits at later stages, so that all jobs of the second stage were late before they ran; and late jobs that free memory kept their place before those in time. Change: the latest start leaves these waits out, the deadline and admission count them; late jobs that free memory come after those in time and before all others, told loads count them as late, and their expired inputs are not computed again.

--- a/internal/ingress/flow/estimate.go
+++ b/internal/ingress/flow/estimate.go
@@ -65,7 +65,7 @@
 	slack := sg.rt.target.Sub(sg.rt.fl.clk.Now()) - sg.unloadedTime(first)
 	total := first
 	for _, st := range sg.list {
-		st.laterStages, st.wait = first, 0
+		st.laterStages, st.laterBatches, st.wait = first, first, 0
 		if st.pieces > 0 {
 			st.wait = sg.rt.fl.Broker.QueueWait(broker.QueueName(st.spec.Service, sg.rt.regions), min(slack, sg.inputLife(st)), rank, admitted)
 		}
@@ -75,6 +75,7 @@
 		tail := st.laterStages + st.wait + st.batchTime()
 		for _, before := range st.spec.After {
 			sg.list[before].laterStages = max(sg.list[before].laterStages, tail)
+			sg.list[before].laterBatches = max(sg.list[before].laterBatches, st.laterBatches+st.batchTime())
 		}
 		total = max(total, tail)
 	}
@@ -116,11 +117,12 @@
 	return st.batch.CallTime + time.Duration(min(st.pieces, st.batch.Items))*st.batch.ItemTime
 }
 
-// timeAfterWait returns the time from the start of a stage to the request's first event.
-func (sg *stages) timeAfterWait(st *stage) time.Duration {
+// timeAfterWait returns the time from the start of a stage to the request's first event, and
+// what it would be if nothing waited at the later stages.
+func (sg *stages) timeAfterWait(st *stage) (expected, unloaded time.Duration) {
 	sg.mu.Lock()
 	defer sg.mu.Unlock()
-	return st.timeToFirstEvent() - st.wait
+	return st.timeToFirstEvent() - st.wait, st.batchTime() + st.laterBatches
 }
 
 // timeToFirstEvent returns the time from the stage's submission to the request's first
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -26,16 +26,18 @@
 	pieces      int
 	final       bool          // the request itself takes its results
 	laterStages time.Duration // estimated time of the later stages and the request itself
-	wait        time.Duration // estimated, in the queue of its service
-	consumers   int           // number of stages that take its results
-	fetches     int           // how often each of its results is fetched: by each piece of these stages, and by the request
-	takenBy     map[int]bool  // the numbers of the stages that have taken its results
-	handles     []string
-	computedAt  time.Time // when the first of its results was stored
-	took        time.Duration
-	done        chan struct{}
-	begun       chan struct{} // closed when it no longer waits for other branches
-	waits       bool          // it waits for another branch
+	// laterBatches is the part of laterStages that remains if nothing waits there.
+	laterBatches time.Duration
+	wait         time.Duration // estimated, in the queue of its service
+	consumers    int           // number of stages that take its results
+	fetches      int           // how often each of its results is fetched: by each piece of these stages, and by the request
+	takenBy      map[int]bool  // the numbers of the stages that have taken its results
+	handles      []string
+	computedAt   time.Time // when the first of its results was stored
+	took         time.Duration
+	done         chan struct{}
+	begun        chan struct{} // closed when it no longer waits for other branches
+	waits        bool          // it waits for another branch
 }
 
 // stages runs the stages of a request.
@@ -290,13 +292,13 @@
 func (sg *stages) newJob(st *stage, indexes []int, inputs []string) citronstream.Job {
 	sg.estimate(true)
 	now := sg.rt.fl.clk.Now()
-	rest := sg.timeAfterWait(st)
+	rest, unloaded := sg.timeAfterWait(st)
 	margin := sg.margin(st)
 	rank, routeRank := sg.rt.ranks()
 	jo := citronstream.Job{
 		ID: sg.rt.ID, Stage: st.number, Service: st.spec.Service, Pieces: indexes, Bytes: st.spec.Bytes, Inputs: inputs,
 		Rank: rank, RouteRank: routeRank, Workspace: sg.rt.workspace, Returned: sg.rt.returned, Zone: sg.zone, Regions: string(sg.rt.regions),
-		Left: sg.rt.end.Sub(now) - sg.rt.timeAfterFirstEvent(), LaterStages: rest, Slack: sg.rt.target.Sub(now) - rest - margin, Margin: margin,
+		Left: sg.rt.end.Sub(now) - sg.rt.timeAfterFirstEvent(), LaterStages: rest, Slack: sg.rt.target.Sub(now) - unloaded - margin, Margin: margin,
 		Early:          deviationMargin * sg.rt.fl.latencies.deviation(sg.rt.route.Name),
 		CrossZoneBytes: len(indexes) * st.spec.Bytes * st.fetches,
 	}
--- a/internal/stage/order/order.go
+++ b/internal/stage/order/order.go
@@ -41,23 +41,26 @@
 	GivesWay bool
 }
 
-// Late reports whether the job is deferred because its request can no longer
-// reach its target. A job that frees memory is not deferred, as jobs that can
-// reach theirs may wait for that memory.
+// Late reports whether the job is deferred behind all others because its request can no
+// longer reach its target. A job that frees memory is not, as others wait for that memory.
 func (pr *Priority) Late(now time.Time) bool { return !pr.keeps() && now.After(pr.Last) }
 
-// keeps reports whether the job keeps its position whatever happens.
+// Behind reports whether the job runs after those that can reach their targets, as its own
+// request can't.
+func (pr *Priority) Behind(now time.Time) bool { return !pr.Begun && now.After(pr.Last) }
+
+// keeps reports whether the job neither gives way nor is late.
 func (pr *Priority) keeps() bool { return pr.FreesMemory || pr.Begun }
 
 // Compare returns a negative number if a comes before b. Jobs that can still
-// reach their target come first, by Due; then those that give way and late ones,
-// which are worth less, by rank and by End.
+// reach their target come first, by Due; then those that can't and free memory, by Due;
+// then those that give way and late ones, which are worth less, by rank and by End.
 func Compare(a, b *Priority, now time.Time) int {
 	groupA, groupB := a.group(now), b.group(now)
 	switch {
 	case groupA != groupB:
 		return cmp.Compare(groupA, groupB)
-	case groupA == inTime:
+	case groupA <= freesMemory:
 		return a.Due.Compare(b.Due)
 	}
 	return cmp.Or(compareRank(a, b), a.End.Compare(b.End))
@@ -66,6 +69,7 @@
 // Groups of jobs, in the order in which they run.
 const (
 	inTime = iota
+	freesMemory
 	givesWay
 	late
 )
@@ -76,6 +80,8 @@
 		return late
 	case pr.GivesWay:
 		return givesWay
+	case pr.Behind(now):
+		return freesMemory
 	}
 	return inTime
 }
@@ -102,7 +108,7 @@
 	moved := false
 	for _, jb := range jobs {
 		pr := of(jb)
-		if pr.Late(now) {
+		if pr.group(now) != inTime {
 			break
 		}
 		if !pr.keeps() {
--- a/internal/stage/order/order_test.go
+++ b/internal/stage/order/order_test.go
@@ -67,3 +67,26 @@
 	check("one that can still be in time is not late", []int{1, 0}, nil, at(0, 600, 5), unsure)
 	check("no jobs", nil, nil)
 }
+
+// Guards against overload in which jobs that are late and free memory run first, so that the
+// others are late in turn, and against memory that waits for all jobs which give way or are
+// late for good.
+func TestLateJobsThatFreeMemory(t *testing.T) {
+	now := time.Unix(1000, 0)
+	at := func(last time.Duration, change func(pr *Priority)) *Priority {
+		pr := &Priority{Start: now.Add(last), Last: now.Add(last), Due: now.Add(last), End: now.Add(last + 4*time.Second), Length: 1}
+		change(pr)
+		return pr
+	}
+	none := func(*Priority) {}
+	frees := func(pr *Priority) { pr.FreesMemory = true }
+	late, lateFrees, inTime, freesInTime := at(-time.Second, none), at(-time.Second, frees), at(time.Second, none), at(500*time.Millisecond, frees)
+	tooLate := at(100*time.Millisecond, func(pr *Priority) { pr.Rank = 3 }) // behind two at 5 a second
+	begun := at(-2*time.Second, func(pr *Priority) { pr.Begun = true })
+	jobs := []*Priority{late, lateFrees, inTime, freesInTime, tooLate, begun}
+	Plan(jobs, func(pr *Priority) *Priority { return pr }, 5, now)
+	assert.Equal(t, []*Priority{begun, freesInTime, inTime, lateFrees, tooLate, late}, jobs)
+	assert.True(t, tooLate.GivesWay)
+	assert.False(t, lateFrees.Late(now), "it is not refused for being late")
+	assert.True(t, lateFrees.Behind(now))
+}
--- a/internal/stage/owner/dispatch.go
+++ b/internal/stage/owner/dispatch.go
@@ -111,7 +111,7 @@
 // endStale ends a job whose inputs have expired. They are recomputed only for a
 // request that can still reach its target.
 func (ow *Owner) endStale(jb *job, now time.Time) {
-	if !jb.Late(now) {
+	if !jb.Behind(now) {
 		ow.endJob(jb, citronstream.JobResult{InputLost: true})
 		return
 	}
--- a/internal/stage/owner/state.go
+++ b/internal/stage/owner/state.go
@@ -61,7 +61,7 @@
 		ql.Pause, ql.Rate = first.Sub(now), ow.idealRate(first.Add(expected(&ow.spec, ow.spec.Items)))
 	}
 	for _, jb := range ow.waiting {
-		if jb.Late(now) {
+		if jb.Behind(now) {
 			ql.Late += len(jb.pending)
 			continue
 		}
