entry/server: a stream without memory for its first part is answered with 502

Cause: when the memory for callers had no room for the first part of a stream, the request was canceled and answered with the status of a canceled request, 503. That promises that the request has not run, while an upstream had already sent a part of the answer. Whole answers without memory got 502.

Change: such a stream ends with the fault of a whole answer without memory (502 before its first event, an error event after it), with the verdict of the run.

--- a/internal/entry/server/answer.go
+++ b/internal/entry/server/answer.go
@@ -74,7 +74,11 @@
 	if aw.reserve(len(answer)) {
 		return nil
 	}
-	return citronstream.NewFault(citronstream.Ran, citronstream.CodeUpstreamFailed, "no memory is left for the answer")
+	return noAnswerMemory(citronstream.Ran)
+}
+
+func noAnswerMemory(verdict citronstream.Verdict) *citronstream.Fault {
+	return citronstream.NewFault(verdict, citronstream.CodeUpstreamFailed, "no memory is left for the answer")
 }
 
 func (aw *answerWriter) reserve(bytes int) bool {
--- a/internal/entry/server/limits_test.go
+++ b/internal/entry/server/limits_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/entry/catalog"
 	"github.com/citronstream/citronstream/internal/entry/pipeline"
+	"github.com/citronstream/citronstream/internal/entry/stagebody"
 	"github.com/citronstream/citronstream/internal/limit/retrybudget"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
@@ -126,6 +128,44 @@
 	assert.EqualValues(t, 1, se.LimitCount(LimitAnswerMemory))
 }
 
+// streaming is an upstream that streams an answer of one part.
+type streaming struct {
+	*answering
+	bytes int
+}
+
+func (st *streaming) Run(ctx context.Context, _ string, ca citronstream.Call, sink func([]byte)) citronstream.Result {
+	sink(make([]byte, st.bytes))
+	if ctx.Err() != nil {
+		return citronstream.Result{AttemptID: ca.AttemptID, Upstream: "up", Fault: citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeCanceled, "canceled")}
+	}
+	return citronstream.Result{AttemptID: ca.AttemptID, Upstream: "up", Status: http.StatusOK}
+}
+
+// Guards against a stream without memory for its first part that is answered with 503, which
+// promises that its request has not run.
+func TestStreamWithoutMemory(t *testing.T) {
+	fl := &citronstream.Fleet{
+		Limits:    citronstream.DefaultLimits(),
+		Services:  []citronstream.Service{{Name: "s", Kind: citronstream.KindEngine, Calls: []citronstream.ServiceCall{{Name: "c", Idempotent: true, Streams: true}}}},
+		Pipelines: []citronstream.Pipeline{{Name: "p", Stages: []citronstream.Stage{{Name: "last", Service: "s", Call: "c"}}}},
+	}
+	fl.Limits.MaxCallerMemory = 1 << 20
+	clk, up := clockwork.NewRealClock(), &streaming{answering: &answering{}, bytes: 2 << 20}
+	se := New(clk, "", pipeline.New(clk, "z", up, func(string) citronstream.Picker { return up }, retrybudget.New(clk, fl.Limits)), nil, fl.Limits)
+	bu, err := stagebody.New([]byte(`{"prompt":"p","stream":true}`))
+	require.NoError(t, err)
+	re := &request{ca: catalog.New(fl), Request: pipeline.Request{ID: "r", Workspace: &citronstream.Workspace{}, Deadline: time.Minute}}
+	wr := httptest.NewRecorder()
+	memory := se.memory.Open()
+	out := se.stream(t.Context(), wr, memory, re, "p", bu)
+	assert.Equal(t, http.StatusBadGateway, wr.Code, wr.Body.String())
+	require.NotNil(t, out.Fault)
+	assert.Equal(t, citronstream.MayHaveRun, out.Fault.Verdict)
+	memory.Close()
+	assert.Zero(t, se.memory.Used())
+}
+
 // Guards against clients that stop short of the end of their bodies and take the places of
 // requests in flight, and against a drain that waits for them.
 func TestIncompleteBodiesAreNotInFlight(t *testing.T) {
--- a/internal/entry/server/stream.go
+++ b/internal/entry/server/stream.go
@@ -47,7 +47,7 @@
 	defer cancel()
 	parts := make(chan []byte, unsentChunks)
 	ended := make(chan pipeline.Outcome, 1)
-	var missed atomic.Bool // a part did not fit, so that none may follow
+	var missed, unfit atomic.Bool // a part did not fit, so that none may follow; there was no memory for it
 	go func() {
 		out := se.runner.Pipeline(ctx, re.ca, name, re.Request, bu, func(part []byte) {
 			if missed.Load() {
@@ -61,12 +61,20 @@
 				}
 			} else {
 				se.hits.Hit(LimitAnswerMemory)
+				unfit.Store(true)
 			}
 			missed.Store(true)
 			se.counts.SlowReaders.Add(1)
 			cancel()
 		})
-		if missed.Load() && out.Fault == nil {
+		switch {
+		case unfit.Load(): // 503, the status of a canceled request, would say that it has not run
+			verdict := citronstream.Ran
+			if out.Fault != nil {
+				verdict = out.Fault.Verdict
+			}
+			out.Fault = noAnswerMemory(verdict)
+		case missed.Load() && out.Fault == nil:
 			out.Fault = citronstream.NewFault(citronstream.Ran, citronstream.CodeCanceled, "the caller reads too slowly")
 		}
 		ended <- out
