stage/owner: a single workspace keeps the order of starts

Cause: tags of workspaceshare grow with each job, also of a workspace that is alone, and are compared before the latest starts. With one workspace (or none named) jobs therefore gave way by the order of their arrival: the last one gave way even if its start was the earliest, which deployments without competing workspaces did not have before.

Change: tags count only while another workspace has waiting jobs of the same ranks.

Result: TestSingleWorkspaceKeepsTheOrderOfStarts failed before ("far0" instead of "near" first) and passes; the tests of stage/order and stage/owner pass, also with -race.

--- a/internal/stage/order/order.go
+++ b/internal/stage/order/order.go
@@ -38,6 +38,9 @@
 	// Tag orders the workspaces of one rank: the job with the higher one gives way first,
 	// as its workspace has queued more, see package workspaceshare.
 	Tag int
+	// Alone says that no other workspace has waiting jobs of its ranks, so that Tag, which
+	// follows the order of arrival within a workspace, does not count.
+	Alone bool
 	// Length is the number of pieces that wait.
 	Length int
 	// GivesWay is set by Plan.
@@ -150,7 +153,7 @@
 	if a.Returned != b.Returned {
 		return b.Returned
 	}
-	if a.Tag != b.Tag {
+	if a.Tag != b.Tag && !(a.Alone && b.Alone) {
 		return a.Tag > b.Tag
 	}
 	return a.Start.After(b.Start)
--- a/internal/stage/owner/dispatch.go
+++ b/internal/stage/owner/dispatch.go
@@ -37,6 +37,7 @@
 	for _, jb := range ow.waiting {
 		jb.Length, jb.Begun = len(jb.pending), len(jb.pending) < len(jb.Pieces)
 	}
+	ow.setAlone()
 	order.Plan(ow.waiting, func(jb *job) *order.Priority { return &jb.Priority }, ow.rate.value(now, ow.idealRate(now)), now)
 }
 
--- a/internal/stage/owner/shares.go
+++ b/internal/stage/owner/shares.go
@@ -20,3 +20,20 @@
 		ow.shares.Drop(shareKind(jb), jb.Workspace, len(jb.pending))
 	}
 }
+
+// setAlone sets which waiting jobs are of the only workspace of their kind that waits.
+func (ow *Owner) setAlone() {
+	only, shared := make(map[workspaceshare.Kind]string), make(map[workspaceshare.Kind]bool)
+	for _, jb := range ow.waiting {
+		of := shareKind(jb)
+		workspace, known := only[of]
+		if !known {
+			only[of] = jb.Workspace
+		} else if workspace != jb.Workspace {
+			shared[of] = true
+		}
+	}
+	for _, jb := range ow.waiting {
+		jb.Alone = !shared[shareKind(jb)]
+	}
+}
--- a/internal/stage/owner/shares_test.go
+++ b/internal/stage/owner/shares_test.go
@@ -43,3 +43,30 @@
 	hs.submit(newJob("last", 4, nil))
 	assert.Zero(t, hs.waiting[0].Tag)
 }
+
+// Guards against jobs of one workspace that give way by the order of their arrival instead of
+// their starts, although no other workspace waits for a share.
+func TestSingleWorkspaceKeepsTheOrderOfStarts(t *testing.T) {
+	hs := newHarness(t, upstream("a", ""))
+	hs.submit(newJob("first", 4, nil))
+	hs.batch()
+	slack := func(slack time.Duration) func(jo *citronstream.Job) {
+		return func(jo *citronstream.Job) { jo.Workspace, jo.Slack = "only", slack }
+	}
+	for i := range 3 {
+		hs.submit(newJob(fmt.Sprint("far", i), 4, slack(410*time.Millisecond)))
+	}
+	hs.submit(newJob("near", 4, slack(400*time.Millisecond)))
+	hs.Owner.mu.Lock()
+	defer hs.Owner.mu.Unlock()
+	hs.plan(hs.clk.Now())
+	assert.Equal(t, "near", hs.waiting[0].ID)
+	assert.False(t, hs.waiting[0].GivesWay)
+	gone := 0
+	for _, jb := range hs.waiting {
+		if jb.GivesWay {
+			gone++
+		}
+	}
+	assert.NotZero(t, gone)
+}
