stage/broker: a told pause counts no longer than its load

Cause: Broker.Pause looked neither at the age of a load nor at the size of the pause. After the loss of an owner its pause counted in admission for up to 30 s instead of 3 s, so that requests were refused that the next owner could serve, and a faulty peer could refuse them for any time.

Change: a pause counts for loadTTL, as the rest of the load does and as docs/design/self-reports.md says, and is bounded to 0 to 30 s, the longest pause of an upstream.

Result: TestToldPauses failed before (17 s after the load had expired, and 2562047 h) and passes; the tests of stage/broker pass, also with -race.

--- a/internal/stage/broker/broker_test.go
+++ b/internal/stage/broker/broker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"testing"
 	"time"
@@ -175,3 +176,25 @@
 	assert.False(t, at(5*time.Second, time.Time{}).pauseIsNews(last), "it ended as told")
 	assert.False(t, at(0, time.Time{}).pauseIsNews(told{}))
 }
+
+// Guards against a pause that counts after the owner that told it was lost, and against
+// absurd pauses of a faulty owner.
+func TestToldPauses(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	br := &Broker{clk: clk, loads: make(map[string]load)}
+	tell := func(pause time.Duration) {
+		br.UpdateLoads(citronstream.QueueLoads{Loads: map[string]citronstream.QueueLoad{"s": {Pause: pause}}})
+	}
+	tell(20 * time.Second)
+	clk.Advance(loadTTL)
+	assert.Equal(t, 20*time.Second-loadTTL, br.Pause("s"))
+	clk.Advance(1)
+	assert.Zero(t, br.QueueWait("s", 0, 0, false))
+	assert.Zero(t, br.Pause("s"))
+	assert.Zero(t, br.Pause("unknown"))
+	for _, absurd := range []time.Duration{-time.Second, math.MaxInt64} {
+		tell(absurd)
+		assert.GreaterOrEqual(t, br.Pause("s"), time.Duration(0))
+		assert.LessOrEqual(t, br.Pause("s"), maxPause)
+	}
+}
--- a/internal/stage/broker/loads.go
+++ b/internal/stage/broker/loads.go
@@ -15,6 +15,9 @@
 	// which is shorter than loadTTL, pauseChange the change of its end that is told at once.
 	pauseRepeat = 2 * time.Second
 	pauseChange = 50 * time.Millisecond
+	// maxPause bounds the pauses that owners tell. That of an upstream is no longer
+	// (package selfreport).
+	maxPause = 30 * time.Second
 	// maxServices is the number of services whose load is kept.
 	maxServices = 1024
 )
@@ -56,7 +59,11 @@
 	br.mu.Lock()
 	ld := br.loads[name]
 	br.mu.Unlock()
-	return max(0, ld.Pause-br.clk.Since(ld.at))
+	age := br.clk.Since(ld.at)
+	if age > loadTTL {
+		return 0
+	}
+	return max(0, ld.Pause-age)
 }
 
 // UpdateLoads stores the queue loads that an owner reports.
@@ -66,6 +73,7 @@
 	defer br.mu.Unlock()
 	for name, ql := range qu.Loads {
 		if len(br.loads) < maxServices || br.loads[name].at != (time.Time{}) {
+			ql.Pause = max(0, min(ql.Pause, maxPause))
 			br.loads[name] = load{ql, now}
 		}
 	}
