stage/owner: other owners are not taken for present for ever

Cause: an upstream that was left out by what a load header says renewed the 5 s for which other owners count as present. Where answers count their own batch at times, one slow batch thus had upstreams left out for good without any other owner.

Change: only a refusal, a batch that has waited or one that waits renews the 5 s, as docs/design/stage-owners.md says.

--- a/internal/stage/owner/contest.go
+++ b/internal/stage/owner/contest.go
@@ -28,13 +28,17 @@
 	sharedFor = 5 * time.Second
 )
 
-// contested records that an upstream runs batches of another owner, and has it left out for a
-// time, at most about the longest given.
-func (ow *Owner) contested(sv *server, longest time.Duration, now time.Time) {
+// shared records that another owner is present.
+func (ow *Owner) shared(sv *server, now time.Time) {
 	if now.Sub(ow.sharedAt) >= sharedFor {
 		ow.log.Info("upstreams shared with another owner", "service", ow.service, "upstream", sv.ID, "refused", sv.refused)
 	}
 	ow.sharedAt = now
+}
+
+// contested records that an upstream runs batches of another owner, and has it left out for a
+// time, at most about the longest given.
+func (ow *Owner) contested(sv *server, longest time.Duration, now time.Time) {
 	ow.counts.Contested++
 	sv.backoff = min(max(fullBackoff, 2*sv.backoff), longest)
 	sv.pausedUntil = now.Add(sv.backoff/2 + rand.N(sv.backoff))
@@ -60,12 +64,18 @@
 	}
 	others := sl.Running + sl.Waiting - sv.running
 	ow.selfLoad = max(0, min(ow.selfLoad, others))
-	present := now.Sub(ow.sharedAt) < sharedFor || ratio > waitedPace*max(1, cl.expects) || sl.Waiting > 0
-	if others > ow.selfLoad && present {
-		ow.contested(sv, maxMetBackoff, now)
+	if others <= ow.selfLoad {
+		sv.uncontested()
+		return
+	}
+	if ratio > waitedPace*max(1, cl.expects) || sl.Waiting > 0 {
+		ow.shared(sv, now)
+	}
+	if now.Sub(ow.sharedAt) >= sharedFor {
+		sv.uncontested()
 		return
 	}
-	sv.uncontested()
+	ow.contested(sv, maxMetBackoff, now)
 }
 
 // mayRefuse reports whether a job may go to an upstream that may refuse it. One that was
--- a/internal/stage/owner/owners_test.go
+++ b/internal/stage/owner/owners_test.go
@@ -333,6 +333,34 @@
 	play("counts its own batch at times", func(batch int) citronstream.ServerLoad {
 		return citronstream.ServerLoad{Running: batch % 2, Slots: 1}
 	})
+	t.Run("one slow batch", func(t *testing.T) {
+		a := upstream("a", "")
+		hs := newHarness(t, a)
+		began := hs.clk.Now()
+		var contested time.Duration // when the upstream was last taken for shared
+		for i := range 100 {
+			done := hs.submit(newJob(fmt.Sprint(i), 2, func(jo *citronstream.Job) { jo.Bytes = 1 }))
+			hs.Owner.mu.Lock()
+			paused := hs.servers[a].pausedUntil.Sub(hs.clk.Now())
+			hs.Owner.mu.Unlock()
+			hs.clk.Advance(max(0, paused) + 1)
+			hs.Tick()
+			se, took := hs.batch(), expected(&spec, 2)
+			if i == 5 {
+				took *= 2
+			}
+			hs.clk.Advance(took)
+			before := hs.Counts().Contested
+			a.ObserveLoad(citronstream.ServerLoad{Running: min(i%3, 1), Slots: 1}, hs.clk.Now())
+			hs.finish(se)
+			hs.result(done)
+			if hs.Counts().Contested > before {
+				contested = hs.clk.Since(began)
+			}
+		}
+		assert.NotZero(t, contested)
+		assert.Less(t, contested, 2*sharedFor)
+	})
 	t.Run("pause", func(t *testing.T) {
 		a, b := upstream("a", ""), upstream("b", "")
 		a.Self, b.Self = selfreport.New().Of("a", 1), selfreport.New().Of("b", 1)
