admission: a refusal near the end of a pause does not ask to return at once

Cause: while all upstreams of a stage were in a pause, Retry-After was the rest of the pause and a random part of a second, also where the queue behind the pause was long: 1 ms with a wait of 3 s, below the shortest Retry-After. Clients returned into the same queue and spent the one repeat that they have.

Change: it is at least what a refusal without a pause tells.

Result: TestRetryAfterNearTheEndOfAPause failed before (1 ms instead of 700 ms and 300 ms) and passes; the tests of limit/admission, and TestPausesOfUpstreams of stage/owner, pass, also with -race.

--- a/internal/limit/admission/admission.go
+++ b/internal/limit/admission/admission.go
@@ -48,7 +48,8 @@
 		return Decision{RetryAfter: max(minRetryAfter, rq.Left)} // no time before its deadline would do
 	}
 	if rq.Pause > 0 && (rq.Needs > rq.Target || rq.Needs+rq.Rest >= rq.Left) {
-		return Decision{RetryAfter: rq.Pause + time.Duration(draw*float64(pauseSpread))}
+		after := max(minRetryAfter, rq.Pause, min(rq.Wait-maxLateWait, rq.Target/targetShare))
+		return Decision{RetryAfter: after + time.Duration(draw*float64(pauseSpread))}
 	}
 	if rq.Needs+rq.Rest < rq.Left && (rq.Needs <= rq.Target || rq.Wait < maxLateWait) {
 		return Decision{Admit: true}
--- a/internal/limit/admission/admission_test.go
+++ b/internal/limit/admission/admission_test.go
@@ -41,3 +41,16 @@
 	assert.Equal(t, time.Second, at(0.5))
 	assert.Greater(t, at(0.9), at(0.5))
 }
+
+// Guards against a refusal near the end of a pause that tells the client to return at once,
+// into a queue that is still too long.
+func TestRetryAfterNearTheEndOfAPause(t *testing.T) {
+	rq := Request{Needs: 5 * time.Second, Wait: 3 * time.Second, Target: 4 * time.Second, Left: 6 * time.Second}
+	without := New(rq, 0).RetryAfter
+	rq.Pause = time.Millisecond
+	assert.GreaterOrEqual(t, New(rq, 0).RetryAfter, without)
+	rq.Wait = time.Second
+	de := New(rq, 0)
+	assert.False(t, de.Admit)
+	assert.GreaterOrEqual(t, de.RetryAfter, minRetryAfter)
+}
