coldrate: the least tolerance for missing gateways counts

Cause: 0 stood for "no upstream yet" as well as for a service that tolerates no missing gateway (cold-per-s below about 3 with few gateways), so that another service with a greater tolerance overruled it, by the order of a map. Cold upstreams could then get more than the bound while gateways were missing.

Change: the search for the least begins at -1.

Result: TestLeastToleranceCounts failed before and passes; the tests of limit/coldrate pass, also with -race.

--- a/internal/limit/coldrate/complete.go
+++ b/internal/limit/coldrate/complete.go
@@ -119,7 +119,7 @@
 // size: half of those for which the bound is proven (see share), as there may be others of
 // which nothing is heard.
 func (li *Limiter) tolerated(count int) int {
-	least := 0
+	least := -1 // no upstream's rate is bounded
 	for _, up := range li.upstreams {
 		rate := li.spec(up.service).ColdRate
 		if rate <= 0 {
@@ -134,9 +134,9 @@
 		if count <= int(bound) {
 			missing = min(missing, senders-1)
 		}
-		if least == 0 || missing/2 < least {
+		if least < 0 || missing/2 < least {
 			least = missing / 2
 		}
 	}
-	return least
+	return max(0, least)
 }
--- a/internal/limit/coldrate/complete_test.go
+++ b/internal/limit/coldrate/complete_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/citronstream/citronstream"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 )
@@ -146,3 +147,24 @@
 		})
 	}
 }
+
+// Guards against a service of which no gateway may be missing from the list, and which is
+// overruled by another one that tolerates more, by the order of a map.
+func TestLeastToleranceCounts(t *testing.T) {
+	rates := map[string]float64{"s": 8.9, "slow": 1}
+	for range 50 {
+		clk := clockwork.NewFakeClock()
+		spec := func(service string) citronstream.ServiceSpec {
+			return citronstream.ServiceSpec{ColdStart: time.Minute, ColdRate: rates[service]}
+		}
+		li := New(clk, address(0), spec, WithBound(testOverage, testSlack))
+		li.Row(row(1, 1, time.Hour))
+		slow := row(2, 1, time.Hour)
+		slow.ID, slow.Service = "v", "slow"
+		li.Row(slow)
+		settle(clk, li, addresses(1, 3)...)
+		li.Linked(addresses(1, 4))
+		li.Sweep(listed)
+		assert.Equal(t, ReasonNewer, li.Incomplete())
+	}
+}
