route/engines: numbers of requests that peers tell are bounded

Cause: a negative or huge number of a faulty peer (EngineLoad.Started) was added as it was: it lifted the bound of an engine that may have turned cold, or made the sum overflow.

Change: a number counts for 0 to 2^20.

Result: TestAbsurdStarts failed before (0 instead of at least 4) and passes; the tests of route/engines pass, also with -race.

--- a/internal/route/engines/startrate.go
+++ b/internal/route/engines/startrate.go
@@ -21,6 +21,8 @@
 	// overRateCost is the cost in ms of each request above Request.MaxStarts. It is that of a
 	// missed target: an engine is spared where the request is in time at another one.
 	overRateCost = lateCost
+	// maxStarted bounds what a peer's number counts for; sums of greater ones could overflow.
+	maxStarted = 1 << 20
 )
 
 // started counts a request that an engine gets.
@@ -43,7 +45,7 @@
 	}
 	for _, pe := range pi.peers[id] {
 		if now.Sub(pe.at) < startWindow {
-			count += pe.Started
+			count += max(0, min(pe.Started, maxStarted))
 		}
 	}
 	return count
--- a/internal/route/engines/startrate_test.go
+++ b/internal/route/engines/startrate_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"math"
+	"strconv"
 	"testing"
 	"time"
 
@@ -145,3 +147,14 @@
 	clk.Advance(startWindow)
 	assert.Equal(t, `{"Engines":{}}`, told())
 }
+
+// Guards against a faulty peer that lifts the bound of an engine by a negative number of
+// requests, or by numbers whose sum overflows.
+func TestAbsurdStarts(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	pi := New(clk)
+	for at, count := range []int{4, -1000, math.MaxInt, math.MaxInt} {
+		pi.UpdateLoad(strconv.Itoa(at), citronstream.EntryLoad{Engines: map[string]citronstream.EngineLoad{"e": {Started: count}}})
+		assert.GreaterOrEqual(t, pi.MostStarts(), 4)
+	}
+}
