workspaceshare: the number of kinds is bounded

Cause: shares were kept for each pair of ranks that a job names, and ranks come from peers without a bound. They were never forgotten.

Change: with more than 64 kinds all shares begin anew.

Result: TestKindsAreBounded fails without the bound (192 kinds) and passes; the tests of limit/workspaceshare pass, also with -race.

--- a/internal/limit/workspaceshare/workspaceshare.go
+++ b/internal/limit/workspaceshare/workspaceshare.go
@@ -8,6 +8,10 @@
 // are forgotten first.
 const maxWorkspaces = 1024
 
+// maxKinds bounds the kinds that are kept, as peers name the ranks. With more of them all
+// shares begin anew.
+const maxKinds = 64
+
 // Kind is the urgency within which workspaces have shares.
 type Kind struct{ Rank, RouteRank int }
 
@@ -30,6 +34,9 @@
 func (sh *Shares) Queue(of Kind, workspace string, pieces int) (tag int) {
 	ki := sh.kinds[of]
 	if ki == nil {
+		if len(sh.kinds) >= maxKinds {
+			clear(sh.kinds)
+		}
 		ki = &kind{next: make(map[string]int)}
 		sh.kinds[of] = ki
 	}
--- a/internal/limit/workspaceshare/workspaceshare_test.go
+++ b/internal/limit/workspaceshare/workspaceshare_test.go
@@ -48,3 +48,12 @@
 	assert.LessOrEqual(t, len(sh.kinds[Kind{}].next), maxWorkspaces)
 	assert.Equal(t, 1, sh.Queue(Kind{}, fmt.Sprint(3*maxWorkspaces-1), 1), "the newest are kept")
 }
+
+// Guards against memory that grows with the ranks that peers name.
+func TestKindsAreBounded(t *testing.T) {
+	sh := New()
+	for i := range 3 * maxKinds {
+		sh.Queue(Kind{Rank: i}, "a", 1)
+	}
+	assert.LessOrEqual(t, len(sh.kinds), maxKinds)
+}
