coldrate: a list that counts no longer is not told to peers

Cause: Known counted the gateways of the last complete list however old it was. A gateway that was cut off from the store while the fleet shrank went on telling peers the former number; 10 minutes later, when those had forgotten the gateways that were gone, all of them took their lists for incomplete and sent nothing to cold upstreams until that gateway read its list again.

--- a/internal/limit/coldrate/complete.go
+++ b/internal/limit/coldrate/complete.go
@@ -49,10 +49,13 @@
 }
 
 // Known returns how many gateways there are at present as far as this one knows: itself,
-// those of the last complete list and those that are linked.
+// those of the last complete list while it counts, and those that are linked.
 func (li *Limiter) Known() int {
 	li.mu.Lock()
 	defer li.mu.Unlock()
+	if li.clk.Since(li.listedAt) >= listTTL {
+		return 1 + len(li.linked) // peers would take gateways that are gone for missing ones
+	}
 	return 1 + len(li.listed) + li.newer()
 }
 
--- a/internal/limit/coldrate/complete_test.go
+++ b/internal/limit/coldrate/complete_test.go
@@ -91,6 +91,14 @@
 		assert.Empty(t, li.Incomplete())
 		assert.Equal(t, 12, li.Known())
 	})
+	t.Run("a peer whose list is old", func(t *testing.T) {
+		clk, li := newListed(25)
+		li.Linked(addresses(1, 12))
+		clk.Advance(listTTL - 1)
+		assert.Equal(t, 25, li.Known())
+		clk.Advance(1)
+		assert.Equal(t, 12, li.Known(), "what its list says has passed")
+	})
 	t.Run("absurd numbers", func(t *testing.T) {
 		_, li := newListed(25)
 		li.PeerKnows("peer", 1<<40)
