--- a/internal/limit/coldrate/complete.go
+++ b/internal/limit/coldrate/complete.go
@@ -49,10 +49,13 @@
 }
 
 // Known returns how many gateways there are at present as far as this one knows: itself,
-// those of the last complete list and those that are linked.
+// those of the last complete list while it counts, and those that are linked.
 func (li *Limiter) Known() int {
 	li.mu.Lock()
 	defer li.mu.Unlock()
+	if li.clk.Since(li.listedAt) >= listTTL {
+		return 1 + len(li.linked) // peers would take gateways that are gone for missing ones
+	}
 	return 1 + len(li.listed) + li.newer()
 }
 
@@ -119,7 +122,7 @@
 // size: half of those for which the bound is proven (see share), as there may be others of
 // which nothing is heard.
 func (li *Limiter) tolerated(count int) int {
-	least := 0
+	least := -1 // no upstream's rate is bounded
 	for _, up := range li.upstreams {
 		rate := li.spec(up.service).ColdRate
 		if rate <= 0 {
@@ -134,9 +137,9 @@
 		if count <= int(bound) {
 			missing = min(missing, senders-1)
 		}
-		if least == 0 || missing/2 < least {
+		if least < 0 || missing/2 < least {
 			least = missing / 2
 		}
 	}
-	return least
+	return max(0, least)
 }
--- a/internal/limit/coldrate/complete_test.go
+++ b/internal/limit/coldrate/complete_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/citronstream/citronstream"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 )
@@ -90,6 +91,14 @@
 		assert.Empty(t, li.Incomplete())
 		assert.Equal(t, 12, li.Known())
 	})
+	t.Run("a peer whose list is old", func(t *testing.T) {
+		clk, li := newListed(25)
+		li.Linked(addresses(1, 12))
+		clk.Advance(listTTL - 1)
+		assert.Equal(t, 25, li.Known())
+		clk.Advance(1)
+		assert.Equal(t, 12, li.Known(), "what its list says has passed")
+	})
 	t.Run("absurd numbers", func(t *testing.T) {
 		_, li := newListed(25)
 		li.PeerKnows("peer", 1<<40)
@@ -146,3 +155,24 @@
 		})
 	}
 }
+
+// Guards against a service of which no gateway may be missing from the list, and which is
+// overruled by another one that tolerates more, by the order of a map.
+func TestLeastToleranceCounts(t *testing.T) {
+	rates := map[string]float64{"s": 8.9, "slow": 1}
+	for range 50 {
+		clk := clockwork.NewFakeClock()
+		spec := func(service string) citronstream.ServiceSpec {
+			return citronstream.ServiceSpec{ColdStart: time.Minute, ColdRate: rates[service]}
+		}
+		li := New(clk, address(0), spec, WithBound(testOverage, testSlack))
+		li.Row(row(1, 1, time.Hour))
+		slow := row(2, 1, time.Hour)
+		slow.ID, slow.Service = "v", "slow"
+		li.Row(slow)
+		settle(clk, li, addresses(1, 3)...)
+		li.Linked(addresses(1, 4))
+		li.Sweep(listed)
+		assert.Equal(t, ReasonNewer, li.Incomplete())
+	}
+}
