Cold upstreams: no bound for unknown engines while all get about as many

Cause: while the engines get nearly as many requests on average as the bound for engines that may be cold, requests moved from engine to engine all the time and took shared parts of prompts along. A deployment whose engines usually get more than a cold one takes would have that always. Change: the bound holds only while the average of the last second is below 0.9 of it.

--- a/internal/route/engines/startrate.go
+++ b/internal/route/engines/startrate.go
@@ -21,6 +21,10 @@
 	// overRateCost is the cost in ms of each request above Request.MaxStarts. It is that of a
 	// missed target: an engine is spared where the request is in time at another one.
 	overRateCost = lateCost
+	// boundedShare is the share of MaxStarts that all engines may have got on average for the
+	// bound to hold. Above it, requests would move from engine to engine all the time, and
+	// take shared parts of prompts along, for a bound that can't be kept.
+	boundedShare = 0.9
 )
 
 // started counts a request that an engine gets.
@@ -73,16 +77,23 @@
 }
 
 // setBound sets whether the bound of the requests that an engine gets within a second holds
-// for a request: if there is another engine that may be used, has not got as many and has a
-// free slot.
+// for a request: if the engines have not got nearly as many on average, and there is another
+// one that may be used, has not got as many and has a free slot.
 func (pi *Picker) setBound(nodes []*node.Node, rq *Request, now time.Time) {
-	rq.bounded = rq.MaxStarts > 0 && slices.ContainsFunc(nodes, func(nd *node.Node) bool {
-		if rq.Exclude[nd.ID] || nd.Avoided(now) || pi.starts(nd.ID, now) >= rq.MaxStarts {
-			return false
+	rq.bounded = false
+	if rq.MaxStarts <= 0 {
+		return
+	}
+	sum, free := 0, false
+	for _, nd := range nodes {
+		count := pi.starts(nd.ID, now)
+		sum += count
+		if !free && count < rq.MaxStarts && !rq.Exclude[nd.ID] && !nd.Avoided(now) {
+			running, _ := pi.totalLoad(nd.ID, now)
+			free = nd.Slots <= 0 || running < nd.Slots
 		}
-		running, _ := pi.totalLoad(nd.ID, now)
-		return nd.Slots <= 0 || running < nd.Slots
-	})
+	}
+	rq.bounded = free && float64(sum) < boundedShare*float64(rq.MaxStarts*len(nodes))
 }
 
 // rateCost returns the cost of a request to an engine that has got as many as it should.
