Evacuation: no ramp after a suspension of the instance

Cause: the ramp of an evacuated zone relies on how long ago the gateway knew that the zone was in use. The clock stands still while the instance is suspended, so that an old evacuation looked new, and requests could go to the zone after evacuation-ms. Change: a gateway whose instance was suspended has no ramp until its clock has run for evacuation-ms.

--- a/internal/process/gateway/evacuation.go
+++ b/internal/process/gateway/evacuation.go
@@ -1,19 +1,12 @@
 package gateway
 
-import (
-	"time"
-
-	"github.com/citronstream/citronstream/platform"
-)
+import "github.com/citronstream/citronstream/platform"
 
 // zoneEvacuated begins the ramp of a zone whose evacuation is heard of. The view calls it with
 // its lock held, so that it uses the age of the configuration's table as of the last tick.
 func (ga *Gateway) zoneEvacuated(zone string) {
-	var known time.Time
-	if at := ga.configAsOf.Load(); at != nil {
-		known = *at
-	}
 	if ga.site.Bounds.Evacuate > 0 {
+		known := ga.evacKnown.Load().At(ga.clk.Now(), ga.suspended())
 		ga.log.Info("load of the zone moves", "zone", zone, "within", ga.ramp.Evacuated(zone, known).String())
 	}
 }
@@ -27,6 +20,6 @@
 // sweepRamp ends ramps and records up to when evacuations are known.
 func (ga *Gateway) sweepRamp() {
 	ga.ramp.Sweep()
-	asOf := ga.follower.AsOf(platform.TableConfig)
-	ga.configAsOf.Store(&asOf)
+	known := ga.evacKnown.Load().Next(ga.follower.AsOf(platform.TableConfig), ga.clk.Now(), ga.suspended(), ga.site.Bounds.Evacuate)
+	ga.evacKnown.Store(&known)
 }
--- a/internal/process/gateway/evacuation_test.go
+++ b/internal/process/gateway/evacuation_test.go
@@ -103,7 +103,7 @@
 	ts.upstream("d1", "desk")
 	ts.waitReady()
 	en := ts.entries[0]
-	ts.waitFor(func() bool { return en.configAsOf.Load() != nil && !en.configAsOf.Load().IsZero() }, "the age of the table is not known")
+	ts.waitFor(func() bool { return !en.evacKnown.Load().At(ts.clk.Now(), en.suspended()).IsZero() }, "the age of the table is not known")
 	ts.st.Put("op", evacuation, "{}")
 	ts.assertEvacuated(ts.entries, true, "an evacuation is not heard of")
 	assert.Greater(t, en.ramp.Share("z"), 0.0)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -93,9 +93,10 @@
 	deaths        *deathdetect.Detector
 	cold          *coldrate.Limiter
 	ramp          *zoneramp.Ramp
-	configAsOf    atomic.Pointer[time.Time] // up to when evacuations were known at the last tick
-	listAsked     time.Time                 // when the list of gateways was last asked for by sweepCold
-	listDoubt     string                    // why it may be incomplete, as logged last; used by sweepCold only
+	suspended     func() time.Duration
+	evacKnown     atomic.Pointer[zoneramp.Known] // up to when evacuations were known at the last tick
+	listAsked     time.Time                      // when the list of gateways was last asked for by sweepCold
+	listDoubt     string                         // why it may be incomplete, as logged last; used by sweepCold only
 	budget        *siteretrybudget.Budget
 	meter         *requests.Meter
 	flow          *flow.Flow
@@ -143,14 +144,15 @@
 	ga.cold = coldrate.New(clk, site.Peers, ga.serviceSpec, coldrate.WithBound(site.Bounds.ColdOverage, site.Bounds.ColdSlack), coldrate.WithRecent(ga.engines.Starts))
 	ga.view.OnRow(ga.cold.Row)
 	ga.ramp = zoneramp.New(clk, site.Bounds.Evacuate)
+	ga.evacKnown.Store(&zoneramp.Known{})
 	ga.view.OnEvacuated(ga.zoneEvacuated)
 	ga.view.OnTakenBack(ga.zoneTakenBack)
 	ga.mesh = mesh.New(clk, log, eng, ga.peerInfo, ga.handle, ga.peerConnected)
 	ga.follower = follow.New(clk, log, store, ga.view, follow.WithReaders(ga.readers), follow.WithOnRead(ga.storeRead), follow.WithOnFirstRead(ga.tableRead))
 	ga.snapshot = snapshot.New(clk, log, store, ga.membersInUse, ga.writesSnapshot)
 	ga.discovery = discovery.New(clk, log, store, ga.mesh, site.Process, site.Peers, site.Zone, discovery.WithOnList(ga.cold.Listed), discovery.WithOnFirstStart(ga.holds.FirstStart))
-	suspended := ga.suspendedTime()
-	ga.wakeup = wakeup.New(clk, log, suspended, ga.readAgain)
+	ga.suspended = ga.suspendedTime()
+	ga.wakeup = wakeup.New(clk, log, ga.suspended, ga.readAgain)
 	ga.deaths = deathdetect.New(ga.ctx, clk, probeUpstream, ga.upstreamDied)
 	owned := siteretrybudget.New(clk, site.Bounds, func() int { return ownersPerWindow })
 	ga.broker = broker.New(ga.ctx, clk, log, site.Peers, ga.view, ga.mesh, &coldBatcher{batch.New(clk, log, ga.pool, batch.WithParse(ga.parseAnswer)), clk, ga.cold}, owned,
@@ -165,7 +167,7 @@
 		Zone: site.Zone, Zones: regions.NewZones(site), ListingTTL: ga.listingTTL(), View: ga.view, Pool: ga.pool, Broker: ga.broker, Engines: ga.engines,
 		Budget: ga.budget, Holds: ga.holds, Parts: ga.parts, Refused: ga.refusals, Deaths: ga.deaths, Cold: ga.cold, Ramp: ga.ramp, Observe: ga.meter.Observe,
 		Parse:     ga.parseAnswer,
-		Suspended: suspended, Pass: ga.wakeup.Pass,
+		Suspended: ga.suspended, Pass: ga.wakeup.Pass,
 		Memory: ga.memory, BodyStall: clients.BodyStall, ReadStall: clients.ReadStall, MaxUpstream: maxUpstream(site), OnLimit: ga.limits.hit,
 	})
 	ga.callerServer = server.New(clk, log, ga.flow, server.WithMemory(ga.memory), server.WithClientLimits(clients), server.WithOnLimit(ga.limits.hit))
