stage/owner: wrong loads, lost and frozen owners beside others

Change: implausible counts are ignored, the header counts only after a refusal or a batch that waited, and upstreams that are shared get full batches only.

--- a/internal/stage/owner/batch.go
+++ b/internal/stage/owner/batch.go
@@ -100,6 +100,7 @@
 		ow.counts.Refused++
 		if _, paused := sv.Self.Paused(now); !paused {
 			sv.refused = true
+			ow.shares(sv, now)
 			ow.contested(sv, maxBackoff, now)
 		}
 		ow.retry(cl.parts, "refused", now)
--- a/internal/stage/owner/dispatch.go
+++ b/internal/stage/owner/dispatch.go
@@ -53,7 +53,7 @@
 	}
 	open := ow.openBuf[:0]
 	for _, sv := range ow.list {
-		if !ow.available(sv, now) {
+		if !ow.available(sv, now) || !ow.wanted(sv, pending, now) {
 			continue
 		}
 		sv.minRoom = ow.minBatchRoom(sv, pending, now)
--- a/internal/stage/owner/owner.go
+++ b/internal/stage/owner/owner.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -173,7 +174,7 @@
 // New returns an owner without upstreams. It ends with ctx.
 func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, service string, spec citronstream.BatchSpec, batcher Batcher, budget Budget, opts ...Option) *Owner {
 	ow := &Owner{
-		clk: clk, log: log, service: service, batcher: batcher, budget: budget, ctx: ctx, spec: spec, sizeFactor: 1, selfLoad: 1, fetchTimes: fetchtime.New(),
+		clk: clk, log: log, service: service, batcher: batcher, budget: budget, ctx: ctx, spec: spec, sizeFactor: 1, selfLoad: math.MaxInt, fetchTimes: fetchtime.New(),
 		jobs: make(map[citronstream.JobKey]*job), servers: make(map[*node.Node]*server),
 		held: func() bool { return false },
 	}
