peer/link: news of configurations and evacuations goes first on a saturated link

Cause: each message of a link between gateways was written at once. What the connection did not take waited in the process, up to 16 MB, and in the kernel, in the order of its creation, and each tick added loads. News of a configuration waited behind all of it.

Change: on links between gateways a message is written when the connection has taken the one before, and the kernel holds 4 KB that are not sent yet. Notices of configurations, readings with the evacuations, and a request for a configuration with its answer go first. Of the loads (EntryLoad, QueueLoads), which go last, only the newest is kept; a new metric counts those replaced. No message is added, and the wire format is as before. A link that takes everything at once sends as before.

--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -54,6 +54,7 @@
 	mu        sync.Mutex
 	byAddress map[string]*Peer
 	peers     atomic.Pointer[[]*Peer] // all peers, in the order of their addresses
+	replaced  atomic.Uint64           // loads that were not sent, as newer ones came first
 }
 
 // Peer is another entry.
@@ -137,7 +138,7 @@
 			_ = nc.Close()
 			continue
 		}
-		link.New(ms.ctx, ms.clk, stream, ms.handleIncoming, link.WithIdlePing(ms.idlePing), link.WithIdleCheck(ms.idleCheck))
+		link.New(ms.ctx, ms.clk, stream, ms.handleIncoming, link.WithIdlePing(ms.idlePing), link.WithIdleCheck(ms.idleCheck), link.WithPriorities(&ms.replaced))
 	}
 }
 
@@ -187,7 +188,7 @@
 	pe.lostAt.Store(ms.now())
 	pe.dialer.Store(dialer.New(ctx, ms.clk, ms.eng, address,
 		func(li *link.Link, re *link.Request) { ms.handler(address, li, re) },
-		dialer.WithLinkOptions(link.WithIdlePing(ms.idlePing), link.WithIdleCheck(ms.idleCheck)),
+		dialer.WithLinkOptions(link.WithIdlePing(ms.idlePing), link.WithIdleCheck(ms.idleCheck), link.WithPriorities(&ms.replaced)),
 		dialer.WithUp(func(ctx context.Context, li *link.Link) error { return ms.handshake(ctx, pe, li) }),
 		dialer.WithDown(func(err error) { ms.linkDown(pe, err) })))
 	ms.byAddress[address] = pe
@@ -278,6 +279,10 @@
 // Peers returns all known entries except this one.
 func (ms *Mesh) Peers() []*Peer { return *ms.peers.Load() }
 
+// Replaced returns the number of loads that were not sent to a peer, as its link was
+// saturated until newer ones came.
+func (ms *Mesh) Replaced() uint64 { return ms.replaced.Load() }
+
 // LiveCount returns the number of entries that can take work, including this one.
 func (ms *Mesh) LiveCount() int {
 	count := 1
@@ -294,8 +299,30 @@
 	ms.Tell(method, params, func(*Peer) bool { return true })
 }
 
+// classOf returns the class of a notification on links that are saturated. What a process
+// tells of its configuration, or that it leaves, goes first. Loads go last, and only the
+// newest ones, else each tick of a fleet would lengthen what waits on a slow link.
+func classOf(method string) link.Class {
+	switch method {
+	case citronstream.MethodPeerUpdate:
+		return link.First
+	case citronstream.MethodEntryLoad, citronstream.MethodQueueLoads:
+		return link.Latest
+	}
+	return link.Ordinary
+}
+
 // Tell sends a notification to the linked peers that wanted selects.
 func (ms *Mesh) Tell(method string, params any, wanted func(pe *Peer) bool) {
+	ms.tell(classOf(method), method, params, wanted)
+}
+
+// BroadcastFirst is Broadcast for a notification that goes before others on a saturated link.
+func (ms *Mesh) BroadcastFirst(method string, params any) {
+	ms.tell(link.First, method, params, func(*Peer) bool { return true })
+}
+
+func (ms *Mesh) tell(class link.Class, method string, params any, wanted func(pe *Peer) bool) {
 	raw, err := json.Marshal(params)
 	if err != nil {
 		ms.log.Error(err, "message to peers not encoded", "method", method)
@@ -303,7 +330,7 @@
 	}
 	for _, pe := range ms.Peers() {
 		if li := pe.Link(); li != nil && wanted(pe) {
-			_ = li.Notify(method, json.RawMessage(raw)) // a failed link is reopened, and the peer then asks for the state
+			_ = li.NotifyAs(class, method, json.RawMessage(raw)) // a failed link is reopened, and the peer then asks for the state
 		}
 	}
 }
--- a/internal/peer/link/codec.go
+++ b/internal/peer/link/codec.go
@@ -51,6 +51,7 @@
 	stream io.ReadWriteCloser
 	rd     *bufio.Reader
 	codec  *codec
+	outbox *outbox // nil without priorities
 }
 
 func newObjectStream(stream io.ReadWriteCloser, co *codec) *objectStream {
@@ -61,7 +62,39 @@
 func (os *objectStream) ReadObject(to any) error { return os.codec.ReadObject(os.rd, to) }
 
 // WriteObject implements jsonrpc2.ObjectStream. The Conn calls it under its send lock.
-func (os *objectStream) WriteObject(from any) error { return os.codec.WriteObject(os.stream, from) }
+func (os *objectStream) WriteObject(from any) error {
+	if os.outbox == nil {
+		return os.codec.WriteObject(os.stream, from)
+	}
+	return os.codec.WriteObject(os.codec.classed(os.outbox), from)
+}
+
+// classedWriter passes a message on with its class.
+type classedWriter struct {
+	outbox *outbox
+	class  Class
+	method string
+}
+
+// Write implements io.Writer.
+func (cw classedWriter) Write(data []byte) (int, error) {
+	return len(data), cw.outbox.write(cw.class, cw.method, data)
+}
+
+// classed returns the writer for the message last passed to sent.
+func (co *codec) classed(ob *outbox) classedWriter {
+	cw := classedWriter{outbox: ob}
+	var meta *json.RawMessage
+	if co.req != nil {
+		cw.method, meta = co.req.Method, co.req.Meta
+	} else {
+		meta = co.resp.Meta
+	}
+	if meta != nil {
+		_ = json.Unmarshal(*meta, &cw.class) // a class, see NotifyAs
+	}
+	return cw
+}
 
 // Close implements jsonrpc2.ObjectStream.
 func (os *objectStream) Close() error { return os.stream.Close() }
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"log"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,6 +77,19 @@
 	}
 }
 
+// ReplyAs is Reply with an answer of a class, see NotifyAs.
+func (re *Request) ReplyAs(class Class, result any) {
+	resp := &jsonrpc2.Response{ID: re.id}
+	if re.notif || resp.SetResult(result) != nil {
+		return
+	}
+	if re.li.replaced != nil {
+		meta := json.RawMessage(strconv.Itoa(int(class)))
+		resp.Meta = &meta
+	}
+	_ = re.li.conn.SendResponse(context.Background(), resp)
+}
+
 // ReplyError answers the request with an error, as a Fault.
 func (re *Request) ReplyError(err error) {
 	if re.notif {
@@ -96,6 +110,7 @@
 	checkIdle   func() time.Duration
 	version     func() uint64
 	observe     func(li *Link, version uint64)
+	replaced    *atomic.Uint64 // nil without priorities
 	inFlight    atomic.Int64
 	pingOverdue atomic.Bool
 	peerVersion atomic.Uint64
@@ -123,6 +138,13 @@
 	return func(li *Link) { li.version, li.observe = version, observe }
 }
 
+// WithPriorities makes messages wait in the order of their classes while the connection
+// takes no more bytes, if the stream tells that it does. Replaced counts the messages that
+// newer ones have replaced.
+func WithPriorities(replaced *atomic.Uint64) Option {
+	return func(li *Link) { li.replaced = replaced }
+}
+
 // New starts a link over the stream. It ends with ctx, with the stream, or when the peer is silent.
 func New(ctx context.Context, clk citronstream.Clock, stream Stream, handler Handler, opts ...Option) *Link {
 	li := &Link{clk: clk, stream: stream, handler: handler, done: make(chan struct{})}
@@ -134,7 +156,11 @@
 	noLog := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
 	ready := make(chan struct{})
 	co := &codec{}
-	li.conn = jsonrpc2.NewConn(ctx, newObjectStream(stream, co), &dispatcher{li: li, ready: ready}, noLog,
+	objects := newObjectStream(stream, co)
+	if paced, ok := stream.(Paced); ok && li.replaced != nil {
+		objects.outbox = newOutbox(paced, li.replaced)
+	}
+	li.conn = jsonrpc2.NewConn(ctx, objects, &dispatcher{li: li, ready: ready}, noLog,
 		jsonrpc2.OnSend(co.sent), jsonrpc2.OnRecv(co.received))
 	close(ready)
 	go li.watch(ctx)
@@ -233,11 +259,29 @@
 	return rpcError(li.conn.Call(ctx, method, params, result))
 }
 
+// CallAs is Call with a request of a class, see NotifyAs.
+func (li *Link) CallAs(ctx context.Context, class Class, method string, params, result any) error {
+	if li.replaced == nil {
+		return li.Call(ctx, method, params, result)
+	}
+	li.inFlight.Add(1)
+	defer li.inFlight.Add(-1)
+	return rpcError(li.conn.Call(ctx, method, params, result, jsonrpc2.Meta(class)))
+}
+
 // Notify sends a notification.
 func (li *Link) Notify(method string, params any) error {
 	return rpcError(li.conn.Notify(context.Background(), method, params))
 }
 
+// NotifyAs sends a notification of a class. The class is for WithPriorities and is not sent.
+func (li *Link) NotifyAs(class Class, method string, params any) error {
+	if class == Ordinary || li.replaced == nil {
+		return li.Notify(method, params)
+	}
+	return rpcError(li.conn.Notify(context.Background(), method, params, jsonrpc2.Meta(class)))
+}
+
 func rpcError(err error) error {
 	if err == nil {
 		return nil
--- a/internal/peer/nbconn/nbconn.go
+++ b/internal/peer/nbconn/nbconn.go
@@ -13,6 +13,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"golang.org/x/sys/unix"
 )
 
 // Limits of one connection. A peer that exceeds one of them is disconnected.
@@ -41,24 +42,36 @@
 	// streams maps each *nbio.Conn to its Stream. With nbio's own session field the
 	// race detector would see no order between Attach and the first data.
 	streams sync.Map
+	unsent  int // see WithUnsent
 }
 
-// Option changes the nbio configuration.
-type Option func(*nbio.Config)
+// Option changes an Engine or its nbio configuration.
+type Option func(*Engine, *nbio.Config)
 
 // WithPollers sets the number of poller threads.
 func WithPollers(count int) Option {
-	return func(co *nbio.Config) { co.NPoller = count }
+	return func(_ *Engine, co *nbio.Config) { co.NPoller = count }
 }
 
+// WithUnsent bounds the bytes of a connection that wait in the kernel to be sent for the
+// first time. Its buffers may grow to megabytes, which nothing that is written later can
+// overtake. Default 0, no bound.
+func WithUnsent(bytes int) Option { return func(en *Engine, _ *nbio.Config) { en.unsent = bytes } }
+
 // New starts an engine. Stop ends it.
 func New(opts ...Option) (*Engine, error) {
 	logging.SetLevel(logging.LevelNone)
 	co := nbio.Config{Name: "peer", NPoller: 1, MaxWriteBufferSize: MaxOutbound, ReadBufferSize: 32 << 10}
+	en := &Engine{}
 	for _, opt := range opts {
-		opt(&co)
+		opt(en, &co)
 	}
-	en := &Engine{eng: nbio.NewEngine(co)}
+	en.eng = nbio.NewEngine(co)
+	en.eng.OnWrittenSize(func(nc *nbio.Conn, _ []byte, count int) {
+		if st, ok := en.streams.Load(nc); ok {
+			st.(*Stream).written(count)
+		}
+	})
 	en.eng.OnData(func(nc *nbio.Conn, data []byte) {
 		if st, ok := en.streams.Load(nc); ok {
 			st.(*Stream).deliver(data)
@@ -84,6 +97,9 @@
 
 // Attach adds a connection to the engine.
 func (en *Engine) Attach(nc net.Conn) (*Stream, error) {
+	if tc, ok := nc.(*net.TCPConn); ok && en.unsent > 0 {
+		limitUnsent(tc, en.unsent)
+	}
 	wrapped, err := nbio.NBConn(nc)
 	if err != nil {
 		return nil, merry.Prepend(err, "attach connection")
@@ -98,6 +114,15 @@
 	return st, nil
 }
 
+// limitUnsent sets the bound of WithUnsent. A system without it sends all the same.
+func limitUnsent(tc *net.TCPConn, bytes int) {
+	if raw, err := tc.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, bytes)
+		})
+	}
+}
+
 // Dial connects to address over TCP.
 func (en *Engine) Dial(ctx context.Context, address string) (*Stream, error) {
 	var dl net.Dialer
@@ -113,6 +138,8 @@
 	conn     *nbio.Conn
 	remote   string
 	received atomic.Uint64
+	queued   atomic.Int64           // bytes passed to Write that the kernel has not taken
+	drained  atomic.Pointer[func()] // see OnDrained
 
 	mu    sync.Mutex
 	cond  sync.Cond
@@ -146,7 +173,34 @@
 }
 
 // Write implements io.Writer. It does not wait for the peer.
-func (st *Stream) Write(data []byte) (int, error) { return st.conn.Write(data) }
+func (st *Stream) Write(data []byte) (int, error) {
+	st.queued.Add(int64(len(data)))
+	count, err := st.conn.Write(data)
+	if err != nil {
+		st.end(err)
+	}
+	return count, err
+}
+
+// Queued returns the number of bytes that wait for the connection.
+func (st *Stream) Queued() int { return int(st.queued.Load()) }
+
+// OnDrained sets the function that is called when no byte waits any more, or the stream has
+// ended. It must not block.
+func (st *Stream) OnDrained(drained func()) { st.drained.Store(&drained) }
+
+// written is called when the kernel has taken bytes.
+func (st *Stream) written(count int) {
+	if st.queued.Add(-int64(count)) == 0 {
+		st.signalDrained()
+	}
+}
+
+func (st *Stream) signalDrained() {
+	if drained := st.drained.Load(); drained != nil {
+		(*drained)()
+	}
+}
 
 // Close implements io.Closer.
 func (st *Stream) Close() error {
@@ -184,4 +238,6 @@
 	}
 	st.cond.Broadcast()
 	st.mu.Unlock()
+	st.queued.Store(0) // the next write fails
+	st.signalDrained()
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -46,6 +46,9 @@
 const (
 	// tickInterval is the interval of the periodic tasks, such as sending loads to peers.
 	tickInterval = 100 * time.Millisecond
+	// peerUnsent bounds the bytes that wait in the kernel for a peer. With 300 peers on one
+	// link of 10 Mbit/s, 4 KB for each take a second.
+	peerUnsent = 4 << 10
 	// peersPerTick is the number of gateways up to which loads are sent at each tick.
 	peersPerTick = 16
 	// sweepTicks is the number of ticks between removals of idle connections and lost peers.
@@ -117,7 +120,7 @@
 
 // New returns a gateway that does not listen yet.
 func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, site *citronstream.Site) (*Gateway, error) {
-	eng, err := nbconn.New()
+	eng, err := nbconn.New(nbconn.WithUnsent(peerUnsent))
 	if err != nil {
 		return nil, err
 	}
@@ -388,7 +391,7 @@
 			re.ReplyError(err)
 			return
 		}
-		re.Reply(citronstream.Rows{Changes: ga.view.State(qu)})
+		re.ReplyAs(stateClass(qu), citronstream.Rows{Changes: ga.view.State(qu)})
 	case citronstream.MethodRows:
 		var rows citronstream.Rows
 		if re.Decode(&rows) == nil {
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -31,6 +31,7 @@
 		return 0
 	})
 	re.gauge("citronstream_site_entries", "Entries that take part, this one included.", func() float64 { return float64(ga.mesh.LiveCount()) })
+	re.counter("citronstream_site_peer_loads_replaced_total", "Loads that were not sent to a peer, as its link was saturated until newer ones came.", func() float64 { return float64(ga.mesh.Replaced()) })
 	ga.registerUpstreams(re)
 	ga.registerCallers(re)
 	ga.registerQuarantine(re)
--- a/internal/process/gateway/sharing.go
+++ b/internal/process/gateway/sharing.go
@@ -189,13 +189,22 @@
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	var rows citronstream.Rows
-	if err := li.Call(ctx, citronstream.MethodState, qu, &rows); err != nil {
+	if err := li.CallAs(ctx, stateClass(qu), citronstream.MethodState, qu, &rows); err != nil {
 		ga.log.Info("failed to fetch state from peer", "peer", pe.Name(), "reason", err.Error())
 		return
 	}
 	ga.view.Apply(rows.Changes, pe.Name())
 }
 
+// stateClass returns the class of a query and its answer: a configuration is awaited, all rows
+// may take a slow link a second.
+func stateClass(qu citronstream.StateQuery) link.Class {
+	if qu.ConfigOnly {
+		return link.First
+	}
+	return link.Ordinary
+}
+
 // viewChanged wakes the announcement of a configuration, and queues upstreams
 // whose grace period has ended for the peers. What was read is queued by storeRead.
 func (ga *Gateway) viewChanged(changes []citronstream.Change, source string) {
@@ -244,7 +253,10 @@
 			ga.announceConfig()
 		}
 		rows.Changes = slices.DeleteFunc(rows.Changes, func(ch citronstream.Change) bool { return ch.Key == platform.ConfigKey })
-		if len(rows.Changes) > 0 || rows.Reading != nil {
+		switch {
+		case rows.Reading != nil && rows.Reading.Table == platform.TableConfig:
+			ga.mesh.BroadcastFirst(citronstream.MethodRows, rows) // with the evacuations
+		case len(rows.Changes) > 0 || rows.Reading != nil:
 			ga.mesh.Broadcast(citronstream.MethodRows, rows)
 		}
 	}
