fleet/readers: readers of the store have strong links; shorter rows for peers

Cause: a reader sends each row that it reads to all other gateways, heartbeats included. By calculation from the size of a message, 160 upstreams with heartbeats of 1.2 s take 43.3 KB/s to each peer, so that a reader sends 34 Mbit/s with 100 gateways. Readers were chosen by a hash, also where their link has 10 Mbit/s.

Change: within a zone, gateways with at least half of the highest capacity come before the others, as for owners of queues; the hash decides among them. Fields of rows that are empty are not encoded.

Result: a row of 154 bytes takes 276 bytes in a message, 325 before: 36.8 KB/s and 29 Mbit/s for the case above. Heartbeats still take more than 10 Mbit/s where no gateway of a zone has more; docs/design/peer-links.md has the alternative that was not begun.

--- a/internal/fleet/readers/readers.go
+++ b/internal/fleet/readers/readers.go
@@ -16,6 +16,10 @@
 	// minReaders is the number of readers that a site with more entries has. With
 	// fewer zones than that each zone has several.
 	minReaders = 3
+	// capacityShare is the part of the highest capacity in its zone that an entry needs to
+	// be preferred. A reader sends each row that it reads to all others: 160 upstreams with
+	// heartbeats of 1.2 s take 30 Mbit/s with 100 entries.
+	capacityShare = 0.5
 )
 
 // Choice is one entry's view of the readers. It is not exclusive: entries that
@@ -28,13 +32,19 @@
 }
 
 // New chooses among an entry and its live peers: in each zone those with the
-// highest hashes, so that few roles change when an entry comes or goes.
+// highest hashes, so that few roles change when an entry comes or goes, of those
+// with enough capacity if they suffice.
 func New(self citronstream.PeerInfo, peers []citronstream.PeerInfo) Choice {
-	zones := map[string]int{self.Zone: 1}
-	above := 0 // entries of the own zone with a higher hash
+	zones, strongest := map[string]int{self.Zone: 1}, self.Capacity
 	for _, pe := range peers {
 		zones[pe.Zone]++
-		if pe.Zone == self.Zone && higher(pe.Address, self.Address) {
+		if pe.Zone == self.Zone {
+			strongest = max(strongest, pe.Capacity)
+		}
+	}
+	above := 0 // entries of the own zone that read before this one
+	for _, pe := range peers {
+		if pe.Zone == self.Zone && before(pe, self, capacityShare*strongest) {
 			above++
 		}
 	}
@@ -54,7 +64,10 @@
 	return ch
 }
 
-// higher orders addresses by hash, equal ones by name.
-func higher(a, b string) bool {
-	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b)) > 0
+// before orders entries: those with the capacity first, then by hash, equal ones by name.
+func before(a, b citronstream.PeerInfo, capacity float64) bool {
+	if strong := a.Capacity >= capacity; strong != (b.Capacity >= capacity) {
+		return strong
+	}
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)), cmp.Compare(a.Address, b.Address)) > 0
 }
--- a/internal/fleet/readers/readers_test.go
+++ b/internal/fleet/readers/readers_test.go
@@ -71,3 +71,28 @@
 	_, self := choices(left)
 	assert.Equal(t, 4, self)
 }
+
+// Guards against a reader with a slow link, which can't tell all others in time: it sends
+// each of them the rows of each read.
+func TestReadersHaveCapacity(t *testing.T) {
+	all := fleet(10, 10, 10)
+	strong := make(map[string]bool)
+	for i := range all {
+		if all[i].Capacity = 1 + float64(i%10)/10; i%10 >= 7 {
+			all[i].Capacity, strong[all[i].Address] = 100+float64(i), true
+		}
+	}
+	list, self := choices(all)
+	assert.Equal(t, 3, self)
+	for i, ch := range list {
+		assert.False(t, ch.Self && !strong[all[i].Address], all[i].Address)
+	}
+	// Entries of about the same capacity are chosen as if it were the same.
+	alike := fleet(20)
+	before, _ := choices(alike)
+	for i := range alike {
+		alike[i].Capacity = 100 + float64(i)
+	}
+	after, _ := choices(alike)
+	assert.Equal(t, before, after)
+}
--- a/internal/process/gateway/sharing.go
+++ b/internal/process/gateway/sharing.go
@@ -43,10 +43,10 @@
 	live := make([]citronstream.PeerInfo, 0, len(peers))
 	for _, pe := range peers {
 		if pe.Up() {
-			live = append(live, citronstream.PeerInfo{Zone: pe.Zone(), Address: pe.Address})
+			live = append(live, citronstream.PeerInfo{Zone: pe.Zone(), Address: pe.Address, Capacity: pe.Capacity()})
 		}
 	}
-	return readers.New(citronstream.PeerInfo{Zone: ga.site.Zone, Address: ga.site.Peers}, live)
+	return readers.New(citronstream.PeerInfo{Zone: ga.site.Zone, Address: ga.site.Peers, Capacity: ga.site.Cores * ga.site.LinkRate}, live)
 }
 
 // peerConnected tells a new peer the suspect parts and requests, asks for its own after the
--- a/platform.go
+++ b/platform.go
@@ -10,8 +10,8 @@
 type Row struct {
 	Key     string
 	Version uint64
-	Value   []byte
-	Expires time.Time // zero means never
+	Value   []byte    `json:",omitempty"`
+	Expires time.Time `json:",omitzero"` // zero means never
 }
 
 // Op is one write of a transaction.
@@ -73,7 +73,7 @@
 // Change is a row that was written or, with Deleted, removed at Version.
 type Change struct {
 	Row
-	Deleted bool
+	Deleted bool `json:",omitempty"`
 }
 
 // Feed is the stream of changes of a table.
