ingress/server: the memory of TLS handshakes is charged

Cause: a connection with TLS counts 38 KB, but crypto/tls joins handshake messages of up to 64 KB (256 KB with client certificates) in a buffer that it keeps, before the first byte of a head is charged. 200 connections with a ClientHello of 57 KB took 123 KB each, so that 20,000 of them hold 2.4 GB where 2 GiB are set for all.

Change: bytes that TLS reads beyond 17 KB in a handshake, or beyond 40 KB without application data after it, are charged to the connection three times, and without room the connection is closed. Records of ordinary clients, of 16 KB from the first one on, are not charged.

--- a/internal/ingress/server/callers.go
+++ b/internal/ingress/server/callers.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"crypto/tls"
 	"errors"
 	"math"
 	"net"
@@ -315,8 +314,8 @@
 	switch nc := cc.stream.(type) {
 	case *net.TCPConn:
 		return nc.SetLinger(seconds)
-	case *tls.Conn:
-		return nc.NetConn().(*net.TCPConn).SetLinger(seconds)
+	case *tlsStream:
+		return nc.raw.SetLinger(seconds)
 	}
 	return nil
 }
@@ -339,6 +338,9 @@
 	defer ca.mu.Unlock()
 	cc := &callerConn{stream: nc, callers: ca, limits: ca.limits, memory: ca.memory.Open(), idleSince: ca.clk.Now()}
 	cc.memory.Force(ca.connBytes) // makeRoom has made room
+	if ts, ok := nc.(*tlsStream); ok {
+		ts.raw.callers, ts.raw.memory = ca, cc.memory
+	}
 	ca.open[cc] = struct{}{}
 	return cc
 }
--- a/internal/ingress/server/server.go
+++ b/internal/ingress/server/server.go
@@ -209,7 +209,7 @@
 	if se.tls == nil {
 		return nc
 	}
-	return tls.Server(nc, se.tls)
+	return newTLSStream(nc, se.tls)
 }
 
 // handOver passes a connection to the HTTP server.
--- a/internal/ingress/server/tls_test.go
+++ b/internal/ingress/server/tls_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"crypto/tls"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -55,6 +56,46 @@
 	require.Error(t, err, "plain HTTP")
 }
 
+// Guards against clients that make TLS keep far more than what their connections count, by
+// handshakes of many bytes, and against a charge for ordinary clients.
+func TestLargeHandshakes(t *testing.T) {
+	serves, asks := testTLS(t)
+	ordinary := asks.Clone()
+	ordinary.DynamicRecordSizingDisabled = true // records of 16 KB
+	for number := range 200 {                   // 57 KB
+		asks.NextProtos = append(asks.NextProtos, fmt.Sprintf("%0250d", number))
+	}
+	read := func(wr http.ResponseWriter, rq *http.Request) {
+		_, _ = io.Copy(io.Discard, rq.Body)
+		_, _ = io.WriteString(wr, "ok")
+	}
+	request := func(se *Server, config *tls.Config) error {
+		nc, _ := dial(t, se)
+		tc := tls.Client(nc, config)
+		if _, err := io.WriteString(tc, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 500000\r\n\r\n"+strings.Repeat("x", 500_000)); err != nil {
+			return err
+		}
+		_, err := http.ReadResponse(bufio.NewReader(tc), nil)
+		return err
+	}
+	t.Run("counted", func(t *testing.T) {
+		memory := callermemory.New(clk, 8<<20)
+		se, _ := startLimited(t, citronstream.ClientLimits{}, read, WithTLS(serves), WithMemory(memory))
+		require.NoError(t, request(se, ordinary))
+		assert.Eventually(t, func() bool { return memory.Used() == connBytes+tlsBytes }, testTimeout, time.Millisecond, "the head is given back")
+		require.NoError(t, request(se, asks))
+		assert.Greater(t, memory.Used(), 2*(connBytes+tlsBytes)+80<<10)
+		assert.Eventually(t, func() bool { return se.CloseIdle() == 0 && memory.Used() == 0 }, testTimeout, time.Millisecond)
+	})
+	t.Run("refused", func(t *testing.T) {
+		memory := callermemory.New(clk, 160<<10)
+		se, hi := startLimited(t, citronstream.ClientLimits{}, read, WithTLS(serves), WithMemory(memory))
+		require.Error(t, request(se, asks))
+		assert.Equal(t, 1, hi.count(LimitMemory))
+		require.NoError(t, request(se, ordinary))
+	})
+}
+
 func dialPlain(t *testing.T, se *Server) (*http.Response, error) {
 	nc, br := dial(t, se)
 	write(t, nc, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
