ingress/server: the end of a process does not wait for TLS clients that do not read

Cause: http.Server.Close closes one connection after the other, and that of crypto/tls writes an alert first, for which it waits up to 5 s if the client has not read what was sent before. Clients that do not read thus held up SIGTERM for 5 s each.

Change: when the process ends, the TCP connection below TLS is closed.

--- a/internal/ingress/server/callers.go
+++ b/internal/ingress/server/callers.go
@@ -320,9 +320,16 @@
 	return nil
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. When the process ends it waits for nothing: TLS would wait for up
+// to 5 s until a caller that does not read takes the alert, one connection after the other.
 func (cc *callerConn) Close() error {
-	if cc.unread.Load() && !cc.callers.closing.Load() {
+	if cc.callers.closing.Load() {
+		if ts, ok := cc.stream.(*tlsStream); ok {
+			return ts.raw.Close()
+		}
+		return cc.stream.Close()
+	}
+	if cc.unread.Load() {
 		_ = cc.CloseWrite() // fails only on a closed connection
 	}
 	return cc.stream.Close()
--- a/internal/ingress/server/tls_test.go
+++ b/internal/ingress/server/tls_test.go
@@ -96,6 +96,45 @@
 	})
 }
 
+// Guards against the end of the process being held up by clients over TLS that do not read:
+// the alert of each one's end waits for 5 s.
+func TestCloseWithUnreadTLS(t *testing.T) {
+	const clients = 8
+	serves, asks := testTLS(t)
+	full, release := make(chan struct{}), make(chan struct{})
+	se, _ := startLimited(t, citronstream.ClientLimits{}, func(_ http.ResponseWriter, rq *http.Request) {
+		raw := rq.Context().Value(callerKey{}).(*callerConn).stream.(*tlsStream).raw
+		for _, size := range []int{64 << 10, 1 << 10, 16} { // the last segments take small writes for longer
+			assert.NoError(t, raw.SetWriteDeadline(clk.Now().Add(500*time.Millisecond)))
+			for data := make([]byte, size); ; {
+				if _, err := raw.Write(data); err != nil {
+					break
+				}
+			}
+		}
+		full <- struct{}{}
+		<-release
+	}, WithTLS(serves))
+	defer close(release)
+	for range clients {
+		nc, _ := dial(t, se)
+		write(t, tls.Client(nc, asks), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	}
+	for range clients {
+		<-full
+	}
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		se.Close()
+	}()
+	select {
+	case <-closed:
+	case <-clk.After(testTimeout):
+		t.Fatal("still closing")
+	}
+}
+
 func dialPlain(t *testing.T, se *Server) (*http.Response, error) {
 	nc, br := dial(t, se)
 	write(t, nc, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
