ingress/server: the end of a response over TLS is written without a lock

Cause: CloseWrite was called with the connection's lock held. Over TLS it waits up to 5 s if the client has not read what was sent before. closeOne, closeIdle, Configure and ConnState wait for that lock with the lock on all connections held, so that one such client kept out all new connections meanwhile.

Change: the lock is released before the write.

Result: TestBlockedCloseWrite was still waiting after 10 s before and passes, 5 of 5 runs; the package's tests pass, also with -race.

--- a/internal/ingress/server/callers.go
+++ b/internal/ingress/server/callers.go
@@ -291,9 +291,10 @@
 		return nil
 	}
 	cc.lingers, cc.lingered = true, cc.callers.clk.Now()
-	err := errors.Join(cc.stream.CloseWrite(), cc.stream.SetReadDeadline(time.Time{}))
+	err := cc.stream.SetReadDeadline(time.Time{})
 	cc.mu.Unlock()
-	if err != nil {
+	// Over TLS this waits for a caller that does not read, so it holds no lock.
+	if err = errors.Join(cc.stream.CloseWrite(), err); err != nil {
 		return err
 	}
 	timer := cc.callers.clk.AfterFunc(lingerTime, func() { _ = cc.stream.SetReadDeadline(past) }) // fails only on a closed connection
--- a/internal/ingress/server/tls_test.go
+++ b/internal/ingress/server/tls_test.go
@@ -5,9 +5,11 @@
 	"crypto/tls"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -135,6 +137,45 @@
 	}
 }
 
+// blockedStream is a connection on which the end of a response can't be written.
+type blockedStream struct {
+	net.Conn
+	blocked, release chan struct{}
+}
+
+func (bs *blockedStream) CloseWrite() error {
+	close(bs.blocked)
+	<-bs.release
+	return nil
+}
+
+// Guards against a client that does not take the alert of the end, for which TLS waits up to
+// 5 s, and keeps out new connections meanwhile.
+func TestBlockedCloseWrite(t *testing.T) {
+	here, there := net.Pipe()
+	defer func() { _, _ = here.Close(), there.Close() }()
+	bs := &blockedStream{Conn: here, blocked: make(chan struct{}), release: make(chan struct{})}
+	ca := newCallers(clk, citronstream.CallerLimits{})
+	cc := ca.add(bs)
+	var ends sync.WaitGroup
+	ends.Go(func() { _ = cc.CloseWrite() })
+	<-bs.blocked
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ca.closeOne()
+		ca.closeIdle()
+	}()
+	select {
+	case <-done:
+	case <-clk.After(testTimeout):
+		t.Error("still waiting")
+	}
+	close(bs.release)
+	_ = there.Close()
+	ends.Wait()
+}
+
 func dialPlain(t *testing.T, se *Server) (*http.Response, error) {
 	nc, br := dial(t, se)
 	write(t, nc, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
