operator/server: answers to /metrics are reserved before they are written

Cause: the handler of metrics wrote to the connection by itself, so that what it had gathered was held outside of the memory for operators, by each of up to 256 clients that did not read.

Change: its answer is kept, reserved and written as the other ones.

Result: TestMetricsAreReserved got 200 without a reservation before (1 MB, of 512 KB in all) and passes; tests of internal/operator and process/daemon pass with -race.

--- a/internal/operator/server/answer.go
+++ b/internal/operator/server/answer.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -56,6 +57,7 @@
 func writeBody(wr http.ResponseWriter, status int, kind string, body []byte) {
 	if aw, ok := wr.(*answerWriter); ok && !aw.reserve(len(body)) {
 		wr.Header().Set("Retry-After", "1")
+		wr.Header().Del("Content-Encoding")
 		status, kind, body = http.StatusServiceUnavailable, "text/plain; charset=utf-8", []byte("no memory is left for the answer\n")
 	}
 	wr.Header().Set("Content-Type", kind)
@@ -64,6 +66,23 @@
 	_, _ = wr.Write(body)
 }
 
+// wholeAnswer keeps the answer of a handler.
+type wholeAnswer struct {
+	bytes.Buffer
+	header http.Header
+	status int
+}
+
+func (wa *wholeAnswer) Header() http.Header    { return wa.header }
+func (wa *wholeAnswer) WriteHeader(status int) { wa.status = status }
+
+// writeWhole writes the answer of a handler once its memory is reserved.
+func writeWhole(wr http.ResponseWriter, rq *http.Request, answering http.Handler) {
+	wa := &wholeAnswer{header: wr.Header(), status: http.StatusOK}
+	answering.ServeHTTP(wa, rq)
+	writeBody(wr, wa.status, wa.header.Get("Content-Type"), wa.Bytes())
+}
+
 // bodyOf is a body that was read.
 type bodyOf struct {
 	io.ReadCloser
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -178,7 +178,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(wr http.ResponseWriter, _ *http.Request) { writeText(wr, http.StatusOK, "ok") })
 	mux.HandleFunc("GET /readyz", se.ready)
-	mux.Handle("GET /metrics", se.requireOperator(func(wr http.ResponseWriter, rq *http.Request, _ string) { se.metrics.ServeHTTP(wr, rq) }))
+	mux.Handle("GET /metrics", se.requireOperator(func(wr http.ResponseWriter, rq *http.Request, _ string) { writeWhole(wr, rq, se.metrics) }))
 	mux.Handle("GET /v1/admin/status", se.requireOperator(se.status))
 	mux.Handle("GET /v1/admin/timeline", se.requireOperator(se.timeline))
 	mux.Handle("GET /v1/admin/cost", se.requireOperator(se.cost))
--- a/internal/operator/server/server_test.go
+++ b/internal/operator/server/server_test.go
@@ -68,6 +68,28 @@
 	return se, pr
 }
 
+// Guards against metrics that are kept without a bound for clients that do not read them.
+func TestMetricsAreReserved(t *testing.T) {
+	text := strings.Repeat("x", 1<<20)
+	metrics := WithMetrics(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+		wr.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		wr.Header().Set("Content-Encoding", "identity")
+		_, _ = io.WriteString(wr, text)
+	}))
+	se, _ := newServer(metrics)
+	assert.Equal(t, text, assertStatus(t, se, request(http.MethodGet, "/metrics", ""), http.StatusOK))
+	assert.Zero(t, se.LimitCount(LimitAnswerMemory))
+	limits := citronstream.DefaultLimits()
+	limits.MaxOperatorMemory = 512 << 10
+	se, _ = newServer(metrics, WithLimits(limits))
+	wr := httptest.NewRecorder()
+	se.routes().ServeHTTP(wr, request(http.MethodGet, "/metrics", ""))
+	assert.Equal(t, http.StatusServiceUnavailable, wr.Code)
+	assert.Empty(t, wr.Header().Get("Content-Encoding"))
+	assert.EqualValues(t, 1, se.LimitCount(LimitAnswerMemory))
+	assert.Zero(t, se.Memory().Used())
+}
+
 func request(method, path, body string) *http.Request {
 	rq := httptest.NewRequest(method, path, strings.NewReader(body))
 	rq.RemoteAddr = "127.0.0.1:9"
