--- a/internal/ingress/server/callers.go
+++ b/internal/ingress/server/callers.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"crypto/tls"
 	"errors"
 	"math"
 	"net"
@@ -292,9 +291,10 @@
 		return nil
 	}
 	cc.lingers, cc.lingered = true, cc.callers.clk.Now()
-	err := errors.Join(cc.stream.CloseWrite(), cc.stream.SetReadDeadline(time.Time{}))
+	err := cc.stream.SetReadDeadline(time.Time{})
 	cc.mu.Unlock()
-	if err != nil {
+	// Over TLS this waits for a caller that does not read, so it holds no lock.
+	if err = errors.Join(cc.stream.CloseWrite(), err); err != nil {
 		return err
 	}
 	timer := cc.callers.clk.AfterFunc(lingerTime, func() { _ = cc.stream.SetReadDeadline(past) }) // fails only on a closed connection
@@ -315,15 +315,22 @@
 	switch nc := cc.stream.(type) {
 	case *net.TCPConn:
 		return nc.SetLinger(seconds)
-	case *tls.Conn:
-		return nc.NetConn().(*net.TCPConn).SetLinger(seconds)
+	case *tlsStream:
+		return nc.raw.SetLinger(seconds)
 	}
 	return nil
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. When the process ends it waits for nothing: TLS would wait for up
+// to 5 s until a caller that does not read takes the alert, one connection after the other.
 func (cc *callerConn) Close() error {
-	if cc.unread.Load() && !cc.callers.closing.Load() {
+	if cc.callers.closing.Load() {
+		if ts, ok := cc.stream.(*tlsStream); ok {
+			return ts.raw.Close()
+		}
+		return cc.stream.Close()
+	}
+	if cc.unread.Load() {
 		_ = cc.CloseWrite() // fails only on a closed connection
 	}
 	return cc.stream.Close()
@@ -339,6 +346,9 @@
 	defer ca.mu.Unlock()
 	cc := &callerConn{stream: nc, callers: ca, limits: ca.limits, memory: ca.memory.Open(), idleSince: ca.clk.Now()}
 	cc.memory.Force(ca.connBytes) // makeRoom has made room
+	if ts, ok := nc.(*tlsStream); ok {
+		ts.raw.callers, ts.raw.memory = ca, cc.memory
+	}
 	ca.open[cc] = struct{}{}
 	return cc
 }
--- a/internal/ingress/server/tls_test.go
+++ b/internal/ingress/server/tls_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"crypto/tls"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -55,6 +58,124 @@
 	require.Error(t, err, "plain HTTP")
 }
 
+// Guards against clients that make TLS keep far more than what their connections count, by
+// handshakes of many bytes, and against a charge for ordinary clients.
+func TestLargeHandshakes(t *testing.T) {
+	serves, asks := testTLS(t)
+	ordinary := asks.Clone()
+	ordinary.DynamicRecordSizingDisabled = true // records of 16 KB
+	for number := range 200 {                   // 57 KB
+		asks.NextProtos = append(asks.NextProtos, fmt.Sprintf("%0250d", number))
+	}
+	read := func(wr http.ResponseWriter, rq *http.Request) {
+		_, _ = io.Copy(io.Discard, rq.Body)
+		_, _ = io.WriteString(wr, "ok")
+	}
+	request := func(se *Server, config *tls.Config) error {
+		nc, _ := dial(t, se)
+		tc := tls.Client(nc, config)
+		if _, err := io.WriteString(tc, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 500000\r\n\r\n"+strings.Repeat("x", 500_000)); err != nil {
+			return err
+		}
+		_, err := http.ReadResponse(bufio.NewReader(tc), nil)
+		return err
+	}
+	t.Run("counted", func(t *testing.T) {
+		memory := callermemory.New(clk, 8<<20)
+		se, _ := startLimited(t, citronstream.ClientLimits{}, read, WithTLS(serves), WithMemory(memory))
+		require.NoError(t, request(se, ordinary))
+		assert.Eventually(t, func() bool { return memory.Used() == connBytes+tlsBytes }, testTimeout, time.Millisecond, "the head is given back")
+		require.NoError(t, request(se, asks))
+		assert.Greater(t, memory.Used(), 2*(connBytes+tlsBytes)+80<<10)
+		assert.Eventually(t, func() bool { return se.CloseIdle() == 0 && memory.Used() == 0 }, testTimeout, time.Millisecond)
+	})
+	t.Run("refused", func(t *testing.T) {
+		memory := callermemory.New(clk, 160<<10)
+		se, hi := startLimited(t, citronstream.ClientLimits{}, read, WithTLS(serves), WithMemory(memory))
+		require.Error(t, request(se, asks))
+		assert.Equal(t, 1, hi.count(LimitMemory))
+		require.NoError(t, request(se, ordinary))
+	})
+}
+
+// Guards against the end of the process being held up by clients over TLS that do not read:
+// the alert of each one's end waits for 5 s.
+func TestCloseWithUnreadTLS(t *testing.T) {
+	const clients = 8
+	serves, asks := testTLS(t)
+	full, release := make(chan struct{}), make(chan struct{})
+	se, _ := startLimited(t, citronstream.ClientLimits{}, func(_ http.ResponseWriter, rq *http.Request) {
+		raw := rq.Context().Value(callerKey{}).(*callerConn).stream.(*tlsStream).raw
+		for _, size := range []int{64 << 10, 1 << 10, 16} { // the last segments take small writes for longer
+			assert.NoError(t, raw.SetWriteDeadline(clk.Now().Add(500*time.Millisecond)))
+			for data := make([]byte, size); ; {
+				if _, err := raw.Write(data); err != nil {
+					break
+				}
+			}
+		}
+		full <- struct{}{}
+		<-release
+	}, WithTLS(serves))
+	defer close(release)
+	for range clients {
+		nc, _ := dial(t, se)
+		write(t, tls.Client(nc, asks), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	}
+	for range clients {
+		<-full
+	}
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		se.Close()
+	}()
+	select {
+	case <-closed:
+	case <-clk.After(testTimeout):
+		t.Fatal("still closing")
+	}
+}
+
+// blockedStream is a connection on which the end of a response can't be written.
+type blockedStream struct {
+	net.Conn
+	blocked, release chan struct{}
+}
+
+func (bs *blockedStream) CloseWrite() error {
+	close(bs.blocked)
+	<-bs.release
+	return nil
+}
+
+// Guards against a client that does not take the alert of the end, for which TLS waits up to
+// 5 s, and keeps out new connections meanwhile.
+func TestBlockedCloseWrite(t *testing.T) {
+	here, there := net.Pipe()
+	defer func() { _, _ = here.Close(), there.Close() }()
+	bs := &blockedStream{Conn: here, blocked: make(chan struct{}), release: make(chan struct{})}
+	ca := newCallers(clk, citronstream.CallerLimits{})
+	cc := ca.add(bs)
+	var ends sync.WaitGroup
+	ends.Go(func() { _ = cc.CloseWrite() })
+	<-bs.blocked
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ca.closeOne()
+		ca.closeIdle()
+	}()
+	select {
+	case <-done:
+	case <-clk.After(testTimeout):
+		t.Error("still waiting")
+	}
+	close(bs.release)
+	_ = there.Close()
+	ends.Wait()
+}
+
 func dialPlain(t *testing.T, se *Server) (*http.Response, error) {
 	nc, br := dial(t, se)
 	write(t, nc, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
