Peers' addresses: bounded links, and little for peers that are not known

Cause: agents and gateways took any number of links on the address for peers, and each could hold 16 MB of input and a message of 12 MB before its peer had said who it is.

Change: limit/connlimit counts the links of an address. Links whose peers are not known are 64 at most and give way, the oldest first; at the limit on all links (new setting Fleet.Limits.MaxPeerConnections for agents, half of the descriptors that are not for clients for gateways, at least 320) known ones stay. Until the handshake a link takes 4 messages of 16 KB and 128 KB of unread input, for 10 s (link.WithGreeting). Counters citronstream_peer_limits_total and two values of citronstream_site_caller_limits_total.

--- a/fleet.go
+++ b/fleet.go
@@ -208,6 +208,8 @@
 	MaxCallerMemory int `json:"MaxCallerMemory"`
 	// MaxOperatorMemory is the same for the operators of one entry or agent.
 	MaxOperatorMemory int `json:"MaxOperatorMemory"`
+	// MaxPeerConnections bounds the links that an agent accepts.
+	MaxPeerConnections int `json:"MaxPeerConnections"`
 	// RetryRatio caps extra attempts as a share of requests, 0 to 1.
 	RetryRatio float64 `json:"RetryRatio"`
 	// RetriesPerRequest caps the extra attempts of one request over all its stages.
@@ -224,26 +226,27 @@
 // DefaultLimits returns the documented defaults.
 func DefaultLimits() Limits {
 	return Limits{
-		MaxBodyBytes:      1 << 20,
-		MaxHeaderBytes:    16 << 10,
-		MaxJSONDepth:      32,
-		MaxConnections:    20000,
-		MaxConcurrent:     10000,
-		MaxQueued:         10000,
-		MaxAnswerBytes:    4 << 20,
-		IdleTimeout:       Duration(2 * time.Minute),
-		HeaderTimeout:     Duration(10 * time.Second),
-		StallTimeout:      Duration(30 * time.Second),
-		MaxCallerMemory:   2 << 30,
-		MaxOperatorMemory: 256 << 20,
-		RetryRatio:        0.1,
-		RetriesPerRequest: 2,
-		HoldFor:           Duration(10 * time.Minute),
-		CostFlush:         Duration(30 * time.Second),
-		GrantFor:          Duration(90 * time.Minute),
-		GrantRenew:        Duration(30 * time.Second),
-		KeyRetention:      Duration(24 * time.Hour),
-		ConfigPoll:        Duration(2 * time.Second),
-		WeightBytesPerSec: 1 << 30,
+		MaxBodyBytes:       1 << 20,
+		MaxHeaderBytes:     16 << 10,
+		MaxJSONDepth:       32,
+		MaxConnections:     20000,
+		MaxConcurrent:      10000,
+		MaxQueued:          10000,
+		MaxAnswerBytes:     4 << 20,
+		IdleTimeout:        Duration(2 * time.Minute),
+		HeaderTimeout:      Duration(10 * time.Second),
+		StallTimeout:       Duration(30 * time.Second),
+		MaxCallerMemory:    2 << 30,
+		MaxOperatorMemory:  256 << 20,
+		MaxPeerConnections: 4096,
+		RetryRatio:         0.1,
+		RetriesPerRequest:  2,
+		HoldFor:            Duration(10 * time.Minute),
+		CostFlush:          Duration(30 * time.Second),
+		GrantFor:           Duration(90 * time.Minute),
+		GrantRenew:         Duration(30 * time.Second),
+		KeyRetention:       Duration(24 * time.Hour),
+		ConfigPoll:         Duration(2 * time.Second),
+		WeightBytesPerSec:  1 << 30,
 	}
 }
--- a/internal/agent/server/options.go
+++ b/internal/agent/server/options.go
@@ -65,3 +65,7 @@
 
 // WithRunLimit bounds the run of a non-idempotent call. The default is 30 s.
 func WithRunLimit(limit time.Duration) Option { return func(se *Server) { se.runLimit = limit } }
+
+// WithMaxLinks bounds the links that entries open. The default is that of
+// Limits.MaxPeerConnections.
+func WithMaxLinks(most int) Option { return func(se *Server) { se.maxLinks = most } }
--- a/internal/agent/server/peer.go
+++ b/internal/agent/server/peer.go
@@ -2,11 +2,13 @@
 
 import (
 	"crypto/subtle"
+	"errors"
 	"sync/atomic"
 	"time"
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/agent/attempts"
+	"github.com/citronstream/citronstream/internal/limit/connlimit"
 	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/peer/link"
 )
@@ -15,6 +17,7 @@
 type peer struct {
 	se            *Server
 	li            *link.Link
+	place         *connlimit.Conn
 	name          string
 	authenticated atomic.Bool   // the hello was accepted
 	pending       atomic.Int64  // calls and queries of this entry without an answer
@@ -68,6 +71,10 @@
 	go pe.sendOffers(delivered)
 	<-pe.li.Done()
 	se := pe.se
+	pe.place.Remove()
+	if errors.Is(pe.li.Err(), link.ErrNotGreeted) {
+		se.hits.Hit(LimitGreeting)
+	}
 	se.mu.Lock()
 	delete(se.links, pe.li)
 	se.mu.Unlock()
@@ -134,6 +141,8 @@
 	pe.li.SetSession(he)
 	pe.li.NotePeerVersion(he.Version)
 	pe.authenticated.Store(true)
+	pe.li.Greeted()
+	pe.place.Known()
 	se.observeClock(he.Clock)
 	se.observe(he.Name, he.Version)
 	load := se.Load()
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -15,6 +15,8 @@
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/agent/attempts"
 	"github.com/citronstream/citronstream/internal/kernel/acceptor"
+	"github.com/citronstream/citronstream/internal/limit/connlimit"
+	"github.com/citronstream/citronstream/internal/limit/limitcount"
 	"github.com/citronstream/citronstream/internal/limit/poison"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
@@ -65,6 +67,9 @@
 	models    func() []string
 	wrap      func(link.Stream) link.Stream
 	runLimit  time.Duration // of a non-idempotent call
+	maxLinks  int
+	conns     *connlimit.Limit
+	hits      *limitcount.Counts
 
 	attempts    *attempts.Table
 	refusedKeys refusedKeys
@@ -113,13 +118,15 @@
 		mergeLoad: func(*citronstream.Load) {}, models: func() []string { return nil },
 		handler:  func(*link.Link, *link.Request) bool { return false },
 		wrap:     func(stream link.Stream) link.Stream { return stream },
-		runLimit: runLimit,
+		runLimit: runLimit, maxLinks: citronstream.DefaultLimits().MaxPeerConnections,
 		attempts: attempts.New(clk), links: make(map[*link.Link]*peer), running: make(map[string]*attempts.Attempt),
 		done: make(chan struct{}), boot: citronstream.NewID(),
 	}
 	for _, opt := range opts {
 		opt(se)
 	}
+	se.hits = limitcount.New(clk, se.log, "peer refused by a limit")
+	se.conns = connlimit.New(se.maxLinks, link.MaxNew, func() { se.hits.Hit(LimitConnections) })
 	return se
 }
 
@@ -137,6 +144,18 @@
 	return nil
 }
 
+// Limits on peers, as named in metrics and log lines.
+const (
+	LimitConnections = "connections"
+	LimitGreeting    = "greeting"
+)
+
+// LimitNames are the names of all limits on peers.
+var LimitNames = []string{LimitConnections, LimitGreeting}
+
+// LimitCount returns how often a limit on peers took effect.
+func (se *Server) LimitCount(limit string) uint64 { return se.hits.Count(limit) }
+
 // Done is closed when the agent has ended.
 func (se *Server) Done() <-chan struct{} { return se.done }
 
@@ -241,8 +260,11 @@
 	pe := &peer{se: se, ready: make(chan struct{}), detached: make(chan struct{}), offers: make(chan offer, 1)}
 	se.mu.Lock()
 	defer se.mu.Unlock()
-	li := link.New(se.ctx, se.clk, stream, pe.handle, link.WithIdlePing(pe.pingInterval), link.WithVersion(se.version, pe.observeVersion))
-	pe.li = li
+	li := link.New(se.ctx, se.clk, stream, pe.handle, link.WithGreeting(link.GreetingTime), link.WithIdlePing(pe.pingInterval), link.WithVersion(se.version, pe.observeVersion))
+	pe.li, pe.place = li, se.conns.Add(li.Close)
+	if pe.place == nil {
+		li.Close()
+	}
 	close(pe.ready)
 	se.links[li] = pe
 	go pe.detachOnClose()
--- a/internal/config/check/limits.go
+++ b/internal/config/check/limits.go
@@ -33,6 +33,7 @@
 	checkRange(ru, loc, "MaxAnswerBytes", li.MaxAnswerBytes, 1<<10, 256<<20)
 	checkRange(ru, loc, "MaxCallerMemory", li.MaxCallerMemory, minMemory, maxMemory)
 	checkRange(ru, loc, "MaxOperatorMemory", li.MaxOperatorMemory, minOperatorMemory, maxMemory)
+	checkRange(ru, loc, "MaxPeerConnections", li.MaxPeerConnections, 16, 1<<20)
 	checkRange(ru, loc, "RetryRatio", li.RetryRatio, 0, 1)
 	checkRange(ru, loc, "RetriesPerRequest", li.RetriesPerRequest, 0, 10)
 	checkRange(ru, loc, "WeightBytesPerSec", li.WeightBytesPerSec, 1<<20, 1<<40)
--- a/internal/config/check/variants_test.go
+++ b/internal/config/check/variants_test.go
@@ -67,6 +67,7 @@
 	{"memory for clients", []edit{{`"MaxCallerMemory":2147483648,"MaxOperatorMemory":268435456`, `"MaxCallerMemory":4194304,"MaxOperatorMemory":-1`}}, []string{
 		"Fleet.Limits.MaxOperatorMemory: -1 is out of range", "Fleet.Limits.MaxCallerMemory: 4194304 leaves no room for one request",
 	}, true},
+	{"peers", []edit{{`"MaxPeerConnections":4096`, `"MaxPeerConnections":1`}}, []string{"Fleet.Limits.MaxPeerConnections: 1 is out of range"}, true},
 	{"times for clients", []edit{{`"HeaderTimeout":"10s","StallTimeout":"30s"`, `"HeaderTimeout":"0s","StallTimeout":"2h"`}}, []string{
 		"Fleet.Limits.HeaderTimeout: 0s is out of range", "Fleet.Limits.StallTimeout: 2h0m0s is out of range",
 	}, true},
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -15,6 +15,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/kernel/acceptor"
+	"github.com/citronstream/citronstream/internal/limit/connlimit"
 	"github.com/citronstream/citronstream/internal/peer/dialer"
 	"github.com/citronstream/citronstream/internal/peer/link"
 	"github.com/citronstream/citronstream/internal/peer/nbconn"
@@ -24,6 +25,9 @@
 const (
 	// maxPeers bounds the entries that a process links to.
 	maxPeers = 1024
+	// maxIncoming bounds the links that peers open, unless Limit sets another number: a peer
+	// that lost its link may open a second one.
+	maxIncoming = 2 * maxPeers
 	// removeAfter is how long an entry may be unreachable before it is removed.
 	removeAfter = 2 * time.Minute
 	// Times after which an idle link is pinged. A link with calls in flight is
@@ -46,6 +50,8 @@
 	self         func() citronstream.PeerInfo
 	handler      Handler
 	onPeerUpdate func(pe *Peer, li *link.Link)
+	conns        *connlimit.Limit // of links that peers open
+	onLimit      func(limit string)
 
 	ctx        context.Context
 	ln         *acceptor.Listener
@@ -77,6 +83,7 @@
 func New(clk citronstream.Clock, log logr.Logger, eng *nbconn.Engine, self func() citronstream.PeerInfo, handler Handler, onPeerUpdate func(pe *Peer, li *link.Link)) *Mesh {
 	ms := &Mesh{clk: clk, began: clk.Now(), log: log, eng: eng, self: self, handler: handler, onPeerUpdate: onPeerUpdate, byAddress: make(map[string]*Peer)}
 	ms.peers.Store(&[]*Peer{})
+	ms.Limit(maxIncoming, func(string) {})
 	return ms
 }
 
@@ -137,12 +144,45 @@
 			_ = nc.Close()
 			continue
 		}
-		link.New(ms.ctx, ms.clk, stream, ms.handleIncoming, link.WithIdlePing(ms.idlePing), link.WithIdleCheck(ms.idleCheck))
+		var place *connlimit.Conn
+		ready := make(chan struct{})
+		handle := func(li *link.Link, re *link.Request) {
+			<-ready
+			ms.handleIncoming(li, re, place)
+		}
+		li := link.New(ms.ctx, ms.clk, stream, handle, link.WithGreeting(link.GreetingTime), link.WithIdlePing(ms.idlePing), link.WithIdleCheck(ms.idleCheck))
+		if place = ms.conns.Add(li.Close); place == nil {
+			li.Close()
+		}
+		close(ready)
+		go ms.removeOnClose(li, place)
+	}
+}
+
+// removeOnClose ends the count of a link that a peer opened.
+func (ms *Mesh) removeOnClose(li *link.Link, place *connlimit.Conn) {
+	<-li.Done()
+	place.Remove()
+	if errors.Is(li.Err(), link.ErrNotGreeted) {
+		ms.onLimit(LimitGreeting)
 	}
 }
 
+// Limits on peers, as named in metrics and log lines.
+const (
+	LimitConnections = "peer_connections"
+	LimitGreeting    = "peer_greeting"
+)
+
+// Limit bounds the links that peers open. It is called before Start. OnLimit is called when
+// a limit takes effect.
+func (ms *Mesh) Limit(most int, onLimit func(limit string)) {
+	ms.onLimit = onLimit
+	ms.conns = connlimit.New(most, link.MaxNew, func() { onLimit(LimitConnections) })
+}
+
 // handleIncoming handles the messages on links that peers opened.
-func (ms *Mesh) handleIncoming(li *link.Link, re *link.Request) {
+func (ms *Mesh) handleIncoming(li *link.Link, re *link.Request, place *connlimit.Conn) {
 	if re.Method == citronstream.MethodHandshake {
 		var info citronstream.PeerInfo
 		if err := re.Decode(&info); err != nil {
@@ -150,6 +190,8 @@
 			return
 		}
 		li.SetSession(info.Address)
+		li.Greeted()
+		place.Known()
 		if pe := ms.AddPeer(info.Address, info.Zone); pe != nil {
 			ms.setInfo(pe, info)
 		}
--- a/internal/observe/metrics/agent.go
+++ b/internal/observe/metrics/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/citronstream/citronstream/internal/agent/reconcile"
+	"github.com/citronstream/citronstream/internal/agent/server"
 	"github.com/citronstream/citronstream/internal/observe/ledger"
 	"github.com/citronstream/citronstream/internal/observe/timeline"
 	"github.com/citronstream/citronstream/internal/process/agent"
@@ -20,6 +21,11 @@
 		put(co.Unknown.Load(), "unknown")
 		put(co.Queried.Load(), "queried")
 	})
+	se.events("citronstream_peer_limits_total", "Links of peers that were refused or closed, by limit.", "limit", func(put func(uint64, string)) {
+		for _, name := range server.LimitNames {
+			put(ag.Server.LimitCount(name), name)
+		}
+	})
 	se.counter("citronstream_upstream_deaths_total", "Deaths of the upstream that this agent observed.", ag.Server.Counts().Deaths.Load)
 	se.gauge("citronstream_calls_running", "Calls at the upstream.", func() float64 { return float64(ag.Server.Load().Running) })
 	se.gauge("citronstream_calls_waiting", "Calls in the queue.", func() float64 { return float64(ag.Server.Load().Waiting) })
--- a/internal/peer/link/codec.go
+++ b/internal/peer/link/codec.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"sync/atomic"
 
 	"github.com/ansel1/merry/v2"
 	jsonv1 "github.com/go-json-experiment/json/v1"
@@ -42,7 +43,9 @@
 	resp    *jsonrpc2.Response
 	scratch []byte
 
-	payload json.RawMessage // params or result of the last message; used only by the reader
+	limit    atomic.Int64    // bytes of a message that is read; 0 means MaxMessage
+	exceeded atomic.Bool     // a message was longer than limit
+	payload  json.RawMessage // params or result of the last message; used only by the reader
 }
 
 // objectStream is a jsonrpc2.ObjectStream that writes without a buffer: the codec
@@ -112,6 +115,10 @@
 	if err != nil {
 		return err
 	}
+	if limit := co.limit.Load(); limit > 0 && length > uint64(limit) {
+		co.exceeded.Store(true)
+		return errTooLarge
+	}
 	if length > MaxMessage {
 		return errTooLarge
 	}
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -40,6 +40,27 @@
 // ErrLost reports a call whose link ended before the answer.
 var ErrLost = merry.Sentinel("link lost")
 
+// ErrNotGreeted ends a link whose peer has not said who it is in time, or has sent other
+// messages before.
+var ErrNotGreeted = merry.Sentinel("the peer has not introduced itself")
+
+// Bounds for addresses on which links are accepted.
+const (
+	// GreetingTime is the time in which a peer says who it is. A handshake takes one exchange.
+	GreetingTime = 10 * time.Second
+	// MaxNew bounds the links of one address whose peers have not said who they are. Each
+	// takes 128 KB of input and two messages of 16 KB at most.
+	MaxNew = 64
+)
+
+// Bounds on a link before its peer has said who it is (WithGreeting). A greeting has at most
+// a token of 4 KB and some names.
+const (
+	maxGreetings     = 4         // messages
+	maxGreetingBytes = 16 << 10  // of a message
+	maxGreetingInput = 128 << 10 // that wait to be read; a poller delivers 32 KB at once
+)
+
 // Stream is the connection that a link runs over.
 type Stream interface {
 	io.ReadWriteCloser
@@ -103,6 +124,10 @@
 	mu          sync.Mutex
 	err         error
 	session     atomic.Value
+	codec       *codec
+	greetWithin time.Duration // 0 for a link that needs no greeting
+	greeted     atomic.Bool
+	greetings   int // messages before the greeting; used only by the reader
 }
 
 // Option changes a Link.
@@ -117,6 +142,9 @@
 	return func(li *Link) { li.checkIdle = interval }
 }
 
+// WithGreeting bounds what the peer may send until Greeted is called, and the time for that.
+func WithGreeting(within time.Duration) Option { return func(li *Link) { li.greetWithin = within } }
+
 // WithVersion sets the configuration version that heartbeats carry, and the
 // callback for the peer's version.
 func WithVersion(version func() uint64, observe func(li *Link, version uint64)) Option {
@@ -131,16 +159,38 @@
 	for _, opt := range opts {
 		opt(li)
 	}
+	li.codec = &codec{}
+	if li.greetWithin > 0 {
+		li.codec.limit.Store(maxGreetingBytes)
+		li.limitInput(maxGreetingInput)
+	}
 	noLog := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
 	ready := make(chan struct{})
-	co := &codec{}
-	li.conn = jsonrpc2.NewConn(ctx, newObjectStream(stream, co), &dispatcher{li: li, ready: ready}, noLog,
-		jsonrpc2.OnSend(co.sent), jsonrpc2.OnRecv(co.received))
+	li.conn = jsonrpc2.NewConn(ctx, newObjectStream(stream, li.codec), &dispatcher{li: li, ready: ready}, noLog,
+		jsonrpc2.OnSend(li.codec.sent), jsonrpc2.OnRecv(li.codec.received))
 	close(ready)
 	go li.watch(ctx)
 	return li
 }
 
+// limitInput bounds the bytes that wait to be read, 0 for the default of the stream.
+func (li *Link) limitInput(bytes int) {
+	if limited, ok := li.stream.(interface{ LimitInput(bytes int) }); ok {
+		limited.LimitInput(bytes)
+	}
+}
+
+// Greeted marks that the peer has said who it is. It is called by the Handler.
+func (li *Link) Greeted() {
+	if li.greetWithin > 0 && !li.greeted.Swap(true) {
+		li.codec.limit.Store(0)
+		li.limitInput(0)
+	}
+}
+
+// waitsForGreeting reports whether the peer has not said who it is.
+func (li *Link) waitsForGreeting() bool { return li.greetWithin > 0 && !li.greeted.Load() }
+
 // dispatcher passes messages on to the Link, the first one only when the Link is complete.
 type dispatcher struct {
 	li    *Link
@@ -150,6 +200,12 @@
 // Handle implements jsonrpc2.Handler.
 func (di *dispatcher) Handle(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	<-di.ready
+	if di.li.waitsForGreeting() {
+		if di.li.greetings++; di.li.greetings > maxGreetings {
+			di.li.closeWith(ErrNotGreeted)
+			return
+		}
+	}
 	re := &Request{Method: req.Method, li: di.li, id: req.ID, notif: req.Notif}
 	if req.Params != nil {
 		re.Params = *req.Params
@@ -262,6 +318,7 @@
 	timer := li.clk.NewTimer(busyCheckInterval)
 	defer timer.Stop()
 	received, lastHeard := uint64(0), li.clk.Now()
+	began := lastHeard
 	var pinged time.Time
 	for {
 		select {
@@ -269,12 +326,19 @@
 			li.closeWith(ctx.Err())
 			return
 		case <-li.conn.DisconnectNotify():
+			if li.codec.exceeded.Load() {
+				li.closeWith(ErrNotGreeted)
+			}
 			li.closeWith(ErrLost)
 			return
 		case <-timer.Chan():
 		}
 		timer.Reset(li.checkInterval())
 		now := li.clk.Now()
+		if li.waitsForGreeting() && now.Sub(began) >= li.greetWithin {
+			li.closeWith(ErrNotGreeted)
+			return
+		}
 		if count := li.stream.Received(); count != received {
 			received, lastHeard = count, now
 			li.pingOverdue.Store(false)
@@ -303,6 +367,9 @@
 	if li.inFlight.Load() > 0 {
 		return busyCheckInterval
 	}
+	if li.waitsForGreeting() {
+		return min(idleCheckInterval, li.checkIdle())
+	}
 	return li.checkIdle()
 }
 
--- a/internal/peer/nbconn/nbconn.go
+++ b/internal/peer/nbconn/nbconn.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "attach connection")
 	}
-	st := &Stream{conn: wrapped, remote: nc.RemoteAddr().String()}
+	st := &Stream{conn: wrapped, remote: nc.RemoteAddr().String(), limit: MaxInbound}
 	st.cond.L = &st.mu
 	en.streams.Store(wrapped, st)
 	if _, err := en.eng.AddConn(wrapped); err != nil {
@@ -116,6 +116,7 @@
 
 	mu    sync.Mutex
 	cond  sync.Cond
+	limit int // of bytes that wait to be read
 	buf   []byte
 	start int
 	err   error
@@ -124,6 +125,15 @@
 // Received returns the number of bytes received so far.
 func (st *Stream) Received() uint64 { return st.received.Load() }
 
+// LimitInput bounds the bytes that wait to be read. 0 means MaxInbound.
+func (st *Stream) LimitInput(bytes int) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.limit = bytes; bytes == 0 {
+		st.limit = MaxInbound
+	}
+}
+
 // Remote returns the peer's address.
 func (st *Stream) Remote() string { return st.remote }
 
@@ -158,7 +168,7 @@
 func (st *Stream) deliver(data []byte) {
 	st.received.Add(uint64(len(data)))
 	st.mu.Lock()
-	over := len(st.buf)-st.start+len(data) > MaxInbound
+	over := len(st.buf)-st.start+len(data) > st.limit
 	if !over && st.err == nil {
 		if st.start > 0 && len(st.buf)+len(data) > cap(st.buf) {
 			st.buf = st.buf[:copy(st.buf, st.buf[st.start:])]
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -147,6 +147,7 @@
 	opts := []server.Option{
 		server.WithMeter(meter.New(ag.Ledger, ledger.SideAgent)),
 		server.WithHolds(ag.Holds), server.WithRecorder(ag.Timeline), server.WithLog(log), server.WithToken(set.Token),
+		server.WithMaxLinks(cmp.Or(fl.Limits.MaxPeerConnections, citronstream.DefaultLimits().MaxPeerConnections)),
 		server.WithVersion(ag.Config.Version, func(entry string, version uint64) { ag.Config.Observe(version, entry) }),
 		server.WithHandler(ag.handle),
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -152,6 +152,7 @@
 		broker.WithCapacity(site.Cores*site.LinkRate), broker.WithHeld(ga.wakeup.Held), broker.WithZones(site.Zone, regions.NewZones(site)))
 	ga.budget = siteretrybudget.New(clk, site.Bounds, ga.mesh.LiveCount)
 	ga.limits = limitcount.New(clk, log, "caller refused by a limit")
+	ga.mesh.Limit(maxPeerLinks(site), ga.limits.Hit)
 	clients := clientLimits(site)
 	if clients.Memory > 0 {
 		ga.memory = callermemory.New(clk, clients.Memory)
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/mesh"
 	"github.com/citronstream/citronstream/internal/ingress/flow"
 	"github.com/citronstream/citronstream/internal/ingress/server"
 )
@@ -33,6 +34,10 @@
 	minOther   = 40
 	// upstreamShare is the part of these, in percent, that requests may use at the same time.
 	upstreamShare = 60
+	// minPeerLinks and defaultPeerLinks bound the links that peers open, with and without a
+	// statement of the descriptors.
+	minPeerLinks     = 320
+	defaultPeerLinks = 2048
 	// defaultBodyStall and defaultReadStall are twice the idle timeout of 15 s, within
 	// which callers send again.
 	defaultBodyStall = 30 * time.Second
@@ -66,6 +71,15 @@
 	return max(1, (site.Descriptors-fileDescriptors-clientLimits(site).Connections)*upstreamShare/100)
 }
 
+// maxPeerLinks returns how many links peers may open: half of the descriptors that are not
+// for callers, and as many as fleets of 300 gateways need.
+func maxPeerLinks(site *citronstream.Site) int {
+	if site.Descriptors == 0 {
+		return defaultPeerLinks
+	}
+	return max(minPeerLinks, (site.Descriptors-fileDescriptors-clientLimits(site).Connections)/2)
+}
+
 // MemoryLimit returns the limit of the runtime's memory for a site, 0 for none.
 func MemoryLimit(site *citronstream.Site) int64 {
 	if site.Memory == 0 {
@@ -107,4 +121,5 @@
 var limitNames = []string{
 	server.LimitHeaderBytes, server.LimitHeaderLines, server.LimitHeaderLine, server.LimitMemory, server.LimitConnections,
 	flow.LimitBodyBytes, flow.LimitMemory, flow.LimitBodyStall, flow.LimitReadStall, flow.LimitUpstream,
+	mesh.LimitConnections, mesh.LimitGreeting,
 }
--- a/internal/proof/callers/entry_test.go
+++ b/internal/proof/callers/entry_test.go
@@ -46,6 +46,7 @@
 type entry struct {
 	process
 	listen, admin string
+	agent         *process
 }
 
 // entryFleet returns a fleet of one entry and one upstream with lowered limits.
@@ -65,6 +66,7 @@
 	fl.Limits.ConfigPoll = citronstream.Duration(100 * time.Millisecond)
 	fl.Limits.MaxConnections = entryConns
 	fl.Limits.MaxCallerMemory, fl.Limits.MaxOperatorMemory = 12<<20, 72<<20
+	fl.Limits.MaxPeerConnections = agentConns
 	for i := range workspaces {
 		fl.Workspaces = append(fl.Workspaces, citronstream.Workspace{Name: fmt.Sprint("workspace-", i), Owner: "owner", Weight: 1})
 	}
@@ -115,7 +117,7 @@
 	agent := &process{t: t, callers: up.Agent}
 	path := file(up.Name, settings.Process{Name: up.Name, Admin: address(t), PeerListen: up.Agent})
 	agent.start(exec.Command(binary, "agent", "--settings", path), path+".log")
-	en := &entry{process: process{t: t, callers: self.Address}, listen: self.Address, admin: self.Admin}
+	en := &entry{process: process{t: t, callers: self.Address}, listen: self.Address, admin: self.Admin, agent: agent}
 	path = file(self.Name, settings.Process{Name: self.Name, Zone: "z", Listen: self.Address, Admin: self.Admin})
 	en.start(exec.Command(binary, "entry", "--settings", path), path+".log")
 	if !en.until(func() bool { return en.status("http://"+en.admin+"/healthz") == http.StatusOK }) {
