stage/owner: a job begun in part is not refused in a pause

Cause: whether a job has begun was taken from the last sorting of the jobs, which is not done while no upstream is free. A job whose first batch ended in a pause of all upstreams was therefore refused, its results lost, although docs/design/self-reports.md keeps jobs begun in part.

Change: it is taken from the pieces that wait.

Result: TestJobBegunBeforeAPause failed before (the job had ended, no second batch) and passes; the tests of stage/owner pass, also with -race.

--- a/internal/stage/owner/pausing.go
+++ b/internal/stage/owner/pausing.go
@@ -54,7 +54,8 @@
 	if at.After(jb.End) || jb.InputTTL > 0 && at.After(jb.at.Add(jb.InputTTL)) {
 		return false
 	}
-	return jb.Begun || !at.After(jb.Last)
+	// Begun is from the last plan, which is not made while no upstream is free.
+	return len(jb.pending) < len(jb.Pieces) || !at.After(jb.Last)
 }
 
 // pauseFault returns the refusal of a job while all upstreams are in a pause.
--- a/internal/stage/owner/pausing_test.go
+++ b/internal/stage/owner/pausing_test.go
@@ -285,3 +285,23 @@
 	play(3*time.Second, 0, 0)
 	assert.InDelta(t, 100, ra.value(now, 100), 0)
 }
+
+// Guards against a job begun in part that is refused in a pause, as it was not begun when the
+// jobs were sorted last: nothing is sorted while no upstream is free.
+func TestJobBegunBeforeAPause(t *testing.T) {
+	a := upstream("a", "")
+	a.Self = selfreport.New().Of("a", 1)
+	hs := newHarness(t, a)
+	done := hs.submit(newJob("1", 6, func(jo *citronstream.Job) { jo.Bytes = 1 }))
+	se := hs.batch()
+	assert.Len(t, se.items, 4)
+	a.Self.Pause(2*time.Second, hs.clk.Now())
+	handles := hs.finish(se)
+	require.Eventually(t, func() bool { hs.Owner.mu.Lock(); defer hs.Owner.mu.Unlock(); return hs.servers[a].running == 0 }, 5*time.Second, time.Millisecond)
+	hs.Tick()
+	assert.Empty(t, done)
+	hs.clk.Advance(2*time.Second + minRampOfTest)
+	hs.Tick()
+	handles = append(handles, hs.finish(hs.batch())...)
+	assert.Equal(t, handles, hs.result(done).Handles)
+}
