Shares of the connections of plain upstreams, a queue at the gateway

Cause: each gateway kept half of its share of idle connections and opened others without a bound. With 25 gateways before 71 connections it kept one and opened one for every second or third request; with 100, idle connections alone used all 71 and the upstream reset the others.

Change: a gateway uses its share of max-connections (limit/connshare), all of it idle ones if need be, and more while the upstream says that it has room. A request that finds none free waits in the gateway, the most urgent first, while its target allows it, and is refused at once otherwise. No message is added. Engines and stages are as before; so are services without max-connections.

--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -159,6 +159,7 @@
 		rt.fl.Engines.End(at.nd, *at.demand, at.begun)
 	}
 	at.nd.End()
+	rt.fl.waits.signal(rt.service)
 }
 
 // relay makes an attempt with send and relays its response to the caller. If another
--- a/internal/ingress/flow/choice.go
+++ b/internal/ingress/flow/choice.go
@@ -17,7 +17,8 @@
 const turnInterval = 20 * time.Millisecond
 
 // usable returns the upstreams that may get the request now: without cold ones that may
-// take nothing more from this process, or whose next permit is for a request that waits.
+// take nothing more from this process, or whose next permit is for a request that waits,
+// and without plain ones whose connections are in use.
 func (rt *request) usable() []*node.Node {
 	nodes := rt.permitted()
 	for i, nd := range nodes {
@@ -35,7 +36,7 @@
 }
 
 func (rt *request) mayTake(nd *node.Node) bool {
-	if !rt.fl.Cold.Free(nd.ID) {
+	if !rt.fl.Cold.Free(nd.ID) || !rt.hasConnection(nd) {
 		return false
 	}
 	return rt.turn || !rt.fl.Cold.Limited(nd.ID) || !rt.fl.Cold.Waiting(rt.service, nd.ID, rt.urgency())
--- a/internal/ingress/flow/explain.go
+++ b/internal/ingress/flow/explain.go
@@ -191,7 +191,7 @@
 	}
 	for _, nd := range fl.View.Members().Listed(rt.service) {
 		if !listed[nd.ID] {
-			reason := cmp.Or(fl.excluded(nd, rt.regions, now), "cold, and a request that waits comes first")
+			reason := cmp.Or(fl.excluded(nd, rt.regions, now), "a request that waits comes first")
 			wh.Excluded = append(wh.Excluded, citronstream.WhereExcluded{Upstream: nd.ID, Zone: nd.Zone, Reason: reason})
 		}
 	}
@@ -224,5 +224,10 @@
 	case !fl.Cold.Free(nd.ID):
 		return "cold, and the share of this gateway is used up"
 	}
+	if routes := fl.View.Routes(); routes != nil && fl.ConnectionLimit != nil {
+		if use, bounded := fl.use(routes.Services[nd.Service], nd); bounded && !use.Free() {
+			return "the connections to it that are this gateway's share are in use"
+		}
+	}
 	return ""
 }
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -66,6 +66,9 @@
 	BodyStall, ReadStall time.Duration
 	// MaxUpstream bounds the connections to upstreams that are in use; 0 for no bound.
 	MaxUpstream int
+	// ConnectionLimit returns how many connections to a plain upstream this process may use;
+	// nil for no bound.
+	ConnectionLimit func(spec *citronstream.ServiceSpec, nd *node.Node) int
 	// OnLimit is called when a limit on bodies takes effect; it may be nil.
 	OnLimit func(limit string)
 	// Observe is called at the end of each request; it may be nil.
@@ -79,6 +82,7 @@
 	log          logr.Logger
 	latencies    *latencies
 	floor        *servicefloor.Floor
+	waits        connWaits
 	bodies       *bodybudget.Budget
 	fetchTimes   *fetchtime.Estimator // of the final results that requests take
 	inFlight     atomic.Int64
@@ -193,6 +197,7 @@
 	sends      int             // attempts that reached the chosen upstream
 	deliveries int             // sends, and attempts answered by another upstream at the address
 	turn       bool            // it is its turn to get a permit for a cold upstream
+	connTurn   bool            // it is its turn to get a connection to a plain upstream
 	unreached  int             // attempts that reached no upstream
 	nextRetry  time.Time       // when the repeat in hand was taken from the retry budget; zero for none
 	noRetry    string          // why no other upstream was tried; empty if it did not matter
--- a/internal/ingress/flow/forward.go
+++ b/internal/ingress/flow/forward.go
@@ -76,6 +76,9 @@
 	for nd == nil && rt.awaitPause(ctx) {
 		nd, demand, permit = rt.pick()
 	}
+	if nd == nil && rt.noRetry == "" {
+		nd, demand, permit = rt.awaitConnection(ctx)
+	}
 	if nd == nil && rt.noRetry == "" {
 		nd, demand, permit = rt.pickLater(ctx)
 	}
@@ -135,6 +138,7 @@
 	contentHeld       = "content quarantined"
 	upstreamsPaused   = "all upstreams ask for a pause"
 	noPermitLeft      = "other upstreams are cold"
+	noConnectionLeft  = "no connection left"
 )
 
 const (
--- a/internal/ingress/flow/latency.go
+++ b/internal/ingress/flow/latency.go
@@ -46,6 +46,14 @@
 	return &latencies{clk: clk, routes: make(map[string]*routeLatency)}
 }
 
+// measured reports whether a response of the route was measured.
+func (la *latencies) measured(name string) bool {
+	la.mu.Lock()
+	defer la.mu.Unlock()
+	rl := la.routes[name]
+	return rl != nil && rl.seconds > 0
+}
+
 func (la *latencies) route(name string) *routeLatency {
 	rl := la.routes[name]
 	if rl == nil {
--- a/internal/process/gateway/connections.go
+++ b/internal/process/gateway/connections.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/citronstream/citronstream"
+import (
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/citronstream/citronstream/internal/limit/connshare"
+)
 
 // besideBatches is how many connections the owner of a queue keeps to an upstream beside
 // those of its batches: the results of several jobs are released at the same moment, while
@@ -14,17 +18,38 @@
 		return 1
 	}
 	for _, nd := range ga.view.Members().At(address) {
-		if spec, known := routes.Services[nd.Service]; known {
-			return idleConns(&spec, ga.mesh.LiveCount())
+		spec, known := routes.Services[nd.Service]
+		if !known {
+			continue
 		}
+		if !spec.Engine && spec.Batch == nil && spec.MaxConnections > 0 {
+			return ga.connectionLimit(&spec, nd)
+		}
+		return idleConns(&spec, ga.mesh.LiveCount())
 	}
 	return 1
 }
 
-// idleConns returns how many idle connections one of some entries keeps to an upstream:
-// half of its share of the connections that the upstream accepts from all of them. Only
-// the owner of its queue sends to the upstream of a stage. It may use half of them, as
-// there are two owners for a moment when a queue is handed over.
+// connectionLimit returns how many connections to a plain upstream this process may use, see
+// package connshare. As many idle ones are kept, so that requests find one that is open.
+func (ga *Gateway) connectionLimit(spec *citronstream.ServiceSpec, nd *node.Node) int {
+	live := []string{ga.site.Peers}
+	for _, pe := range ga.mesh.Peers() {
+		if pe.Up() {
+			live = append(live, pe.Address)
+		}
+	}
+	var upstreams []string
+	for _, other := range ga.view.Members().Service(spec.Name) {
+		upstreams = append(upstreams, other.ID)
+	}
+	return connshare.Limits(spec.MaxConnections, upstreams, ga.site.Peers, live)[nd.ID]
+}
+
+// idleConns returns how many idle connections one of some entries keeps to an engine or an
+// upstream of a stage: half of its share of the connections that the upstream accepts from all
+// of them. Only the owner of its queue sends to the upstream of a stage. It may use half of
+// them, as there are two owners for a moment when a queue is handed over.
 func idleConns(spec *citronstream.ServiceSpec, entries int) int {
 	share := max(1, spec.MaxConnections/(2*entries))
 	if spec.Batch == nil {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -160,7 +160,7 @@
 		Budget: ga.budget, Holds: ga.holds, Parts: ga.parts, Refused: ga.refusals, Deaths: ga.deaths, Cold: ga.cold, Observe: ga.meter.Observe,
 		Parse:     ga.parseAnswer,
 		Suspended: suspended, Pass: ga.wakeup.Pass,
-		Memory: ga.memory, BodyStall: clients.BodyStall, ReadStall: clients.ReadStall, MaxUpstream: maxUpstream(site), OnLimit: ga.limits.hit,
+		Memory: ga.memory, BodyStall: clients.BodyStall, ReadStall: clients.ReadStall, MaxUpstream: maxUpstream(site), OnLimit: ga.limits.hit, ConnectionLimit: ga.connectionLimit,
 	})
 	ga.callerServer = server.New(clk, log, ga.flow, server.WithMemory(ga.memory), server.WithClientLimits(clients), server.WithOnLimit(ga.limits.hit))
 	return ga, nil
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -120,7 +120,7 @@
 // limitNames are the limits on callers, as the server and the flow name them.
 var limitNames = []string{
 	server.LimitHeaderBytes, server.LimitHeaderLines, server.LimitHeaderLine, server.LimitMemory, server.LimitConnections,
-	flow.LimitBodyBytes, flow.LimitMemory, flow.LimitBodyStall, flow.LimitReadStall, flow.LimitUpstream,
+	flow.LimitBodyBytes, flow.LimitMemory, flow.LimitBodyStall, flow.LimitReadStall, flow.LimitUpstream, flow.LimitShare,
 }
 
 func newLimitCounts(clk citronstream.Clock, log logr.Logger) *limitCounts {
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -123,6 +123,7 @@
 		_, failed := ga.follower.Counts()
 		return float64(failed)
 	})
+	re.gauge("citronstream_site_connection_waits", "Requests that wait for a connection to a plain upstream.", func() float64 { return float64(ga.flow.Waiting()) })
 	re.counter("citronstream_site_connections_opened_total", "Connections opened to upstreams.", func() float64 {
 		opened, _ := ga.pool.Counts()
 		return float64(opened)
