--- a/internal/ingress/flow/choice.go
+++ b/internal/ingress/flow/choice.go
@@ -18,9 +18,20 @@
 const turnInterval = 20 * time.Millisecond
 
 // usable returns the upstreams that may get the request now: without cold ones that may
-// take nothing more from this process, or whose next permit is for a request that waits.
+// take nothing more from this process, or whose next permit is for a request that waits,
+// and without plain ones whose connections are in use.
 func (rt *request) usable() []*node.Node {
-	return coldrate.Usable(rt.fl.Cold, rt.permitted(), func(nd *node.Node) string { return nd.ID }, rt.service, rt.urgency(), rt.turn)
+	nodes := coldrate.Usable(rt.fl.Cold, rt.permitted(), func(nd *node.Node) string { return nd.ID }, rt.service, rt.urgency(), rt.turn)
+	if first := slices.IndexFunc(nodes, func(nd *node.Node) bool { return !rt.hasConnection(nd) }); first >= 0 {
+		left := append(make([]*node.Node, 0, len(nodes)), nodes[:first]...)
+		for _, nd := range nodes[first+1:] {
+			if rt.hasConnection(nd) {
+				left = append(left, nd)
+			}
+		}
+		return left
+	}
+	return nodes
 }
 
 // permitted returns the upstreams to which the request may be sent: those in the regions
--- a/internal/ingress/flow/flow.go
+++ b/internal/ingress/flow/flow.go
@@ -70,6 +70,9 @@
 	BodyStall, ReadStall time.Duration
 	// MaxUpstream bounds the connections to upstreams that are in use; 0 for no bound.
 	MaxUpstream int
+	// ConnectionLimit returns how many connections to a plain upstream this process may use;
+	// nil for no bound.
+	ConnectionLimit func(spec *citronstream.ServiceSpec, nd *node.Node) int
 	// OnLimit is called when a limit on bodies takes effect; it may be nil.
 	OnLimit func(limit string)
 	// Observe is called at the end of each request; it may be nil.
@@ -83,6 +86,7 @@
 	log          logr.Logger
 	latencies    *latencies
 	floor        *servicefloor.Floor
+	waits        connWaits
 	bodies       *bodybudget.Budget
 	fetchTimes   *fetchtime.Estimator // of the final results that requests take
 	inFlight     atomic.Int64
@@ -201,6 +205,7 @@
 	deliveries int             // sends, and attempts answered by another upstream at the address
 	stay       float64         // uses an evacuated zone while its share of the requests is greater
 	turn       bool            // it is its turn to get a permit for a cold upstream
+	connTurn   bool            // it is its turn to get a connection to a plain upstream
 	unreached  int             // attempts that reached no upstream
 	nextRetry  time.Time       // when the repeat in hand was taken from the retry budget; zero for none
 	noRetry    string          // why no other upstream was tried; empty if it did not matter
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -173,7 +173,7 @@
 		Budget: ga.budget, Holds: ga.holds, Parts: ga.parts, Refused: ga.refusals, Deaths: ga.deaths, Cold: ga.cold, Ramp: ga.ramp, Observe: ga.meter.Observe,
 		Parse:     ga.parseAnswer,
 		Suspended: ga.suspended, Pass: ga.wakeup.Pass,
-		Memory: ga.memory, BodyStall: clients.BodyStall, ReadStall: clients.ReadStall, MaxUpstream: maxUpstream(site), OnLimit: ga.limits.Hit,
+		Memory: ga.memory, BodyStall: clients.BodyStall, ReadStall: clients.ReadStall, MaxUpstream: maxUpstream(site), OnLimit: ga.limits.Hit, ConnectionLimit: ga.connectionLimit,
 	})
 	ga.callerServer = server.New(clk, log, ga.flow, server.WithMemory(ga.memory), server.WithClientLimits(clients), server.WithOnLimit(ga.limits.Hit))
 	return ga, nil
