Gateway: events of streams count in the memory held for clients

Cause: the buffers in which events of upstreams are read, 4 KB and up to 256 KB for a large event, were not in the account that bounds what clients hold.

Change: sse.WithReserve is called before a buffer is allocated or grows; the flow reserves it as it does whole answers, and gives it back when the stream ends. A stream without memory for its next event is cut, or answered 502 if nothing was written, with the new limit event_memory; it is not tried at another upstream, and the upstream does not count as failed.

--- a/internal/ingress/flow/body.go
+++ b/internal/ingress/flow/body.go
@@ -33,6 +33,7 @@
 	LimitBodyStall = "body_stall"
 	LimitReadStall = "read_stall"
 	LimitUpstream  = "upstream_connections"
+	LimitEvents    = "event_memory"
 )
 
 var (
--- a/internal/ingress/flow/stream.go
+++ b/internal/ingress/flow/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/limit/callermemory"
 	"github.com/citronstream/citronstream/internal/upstream/conns"
 	"github.com/citronstream/citronstream/internal/upstream/sse"
 	"github.com/citronstream/citronstream/platform"
@@ -35,7 +36,15 @@
 func (rt *request) relayStream(at *attempt, to *takeover) result {
 	resumed, nd := rt.started, at.nd
 	pa := part{joins: rt.lastEvent > 0}
-	events := sse.New(at.ans)
+	held := 0
+	defer func() { rt.memory.Give(held) }()
+	events := sse.New(at.ans, sse.WithReserve(func(bytes int) bool {
+		ok := rt.fl.Memory.Wait(rt.memory, bytes, callermemory.Answer, shedWait)
+		if ok {
+			held += bytes
+		}
+		return ok
+	}))
 	control := http.NewResponseController(rt.wr)
 	for {
 		to.await()
@@ -50,6 +59,10 @@
 			rt.fl.Holds.Finished(rt.digest)
 			return result{done: true, out: outcome{status: http.StatusOK, reason: "served"}}
 		}
+		if errors.Is(err, sse.ErrNoMemory) {
+			to.fails()
+			return rt.cutStream(at, err)
+		}
 		if err != nil {
 			return rt.failStream(at, to, err)
 		}
@@ -94,6 +107,17 @@
 	}
 }
 
+// cutStream ends a stream for whose events this process has no memory. Neither the upstream
+// nor another one could serve it.
+func (rt *request) cutStream(at *attempt, err error) result {
+	rt.fl.OnLimit(LimitEvents)
+	fa := citronstream.NewFault(citronstream.MayHaveRun, citronstream.CodeOverloaded, "%s", err)
+	if !rt.started {
+		return result{done: true, out: rt.respond(http.StatusBadGateway, 0, fa)}
+	}
+	return result{done: true, out: outcome{status: at.ans.Status, reason: string(fa.Code), fault: fa, abort: true}}
+}
+
 // observeFirstEvent records the first event that an upstream has sent.
 func (rt *request) observeFirstEvent(at *attempt) {
 	rt.visit.Began()
--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -120,6 +120,6 @@
 // limitNames are the limits on callers, as the server and the flow name them.
 var limitNames = []string{
 	server.LimitHeaderBytes, server.LimitHeaderLines, server.LimitHeaderLine, server.LimitMemory, server.LimitConnections,
-	flow.LimitBodyBytes, flow.LimitMemory, flow.LimitBodyStall, flow.LimitReadStall, flow.LimitUpstream,
+	flow.LimitBodyBytes, flow.LimitMemory, flow.LimitBodyStall, flow.LimitReadStall, flow.LimitUpstream, flow.LimitEvents,
 	mesh.LimitConnections, mesh.LimitGreeting,
 }
--- a/internal/upstream/sse/sse_test.go
+++ b/internal/upstream/sse/sse_test.go
@@ -86,3 +86,26 @@
 		assert.True(t, bytes.HasPrefix(input, all))
 	})
 }
+
+// Guards against memory for events that is taken without being reserved, and against a
+// stream that goes on without it.
+func TestReserve(t *testing.T) {
+	held, most := 0, 64<<10
+	reserve := func(bytes int) bool {
+		if held+bytes > most {
+			return false
+		}
+		held += bytes
+		return true
+	}
+	event := func(bytes int) string { return "data: " + strings.Repeat("x", bytes) + "\n\n" }
+	re := New(strings.NewReader(event(10)+event(20_000)+event(10)+event(100_000)+event(10)), WithReserve(reserve))
+	for range 3 {
+		require.NoError(t, re.Next())
+		assert.Equal(t, readBytes+cap(re.Event), held)
+	}
+	require.ErrorIs(t, re.Next(), ErrNoMemory)
+	assert.LessOrEqual(t, held, most)
+	most = 0
+	assert.ErrorIs(t, New(strings.NewReader(event(10)), WithReserve(reserve)).Next(), ErrNoMemory)
+}
