--- a/internal/ingress/flow/body.go
+++ b/internal/ingress/flow/body.go
@@ -34,6 +34,7 @@
 	LimitReadStall = "read_stall"
 	LimitUpstream  = "upstream_connections"
 	LimitShare     = "upstream_share"
+	LimitEvents    = "event_memory"
 )
 
 var (
