limitcount: lines are logged without the lock

Cause: Hit wrote its log line with the lock of all counts held, so that a log that blocks held up every request, head and connection that met any limit.

Change: the line is written after the lock is released.

--- a/internal/limit/limitcount/limitcount.go
+++ b/internal/limit/limitcount/limitcount.go
@@ -31,15 +31,23 @@
 
 // Hit counts a limit that took effect.
 func (co *Counts) Hit(limit string) {
+	if count, logs := co.add(limit); logs {
+		co.log.Info(co.message, "limit", limit, "so far", count)
+	}
+}
+
+// add counts, and reports whether a log line is due. The line is written without the lock, as
+// the log may block.
+func (co *Counts) add(limit string) (count uint64, logs bool) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	co.counts[limit]++
 	now := co.clk.Now()
 	if last, ok := co.logged[limit]; ok && now.Sub(last) < logInterval {
-		return
+		return 0, false
 	}
 	co.logged[limit] = now
-	co.log.Info(co.message, "limit", limit, "so far", co.counts[limit])
+	return co.counts[limit], true
 }
 
 // Count returns how often a limit took effect.
--- a/internal/limit/limitcount/limitcount_test.go
+++ b/internal/limit/limitcount/limitcount_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 )
@@ -32,3 +34,20 @@
 func (lc lineCounter) Error(error, string, ...any)    { *lc.lines++ }
 func (lc lineCounter) WithValues(...any) logr.LogSink { return lc }
 func (lc lineCounter) WithName(string) logr.LogSink   { return lc }
+
+// Guards against a log that blocks and holds up all who meet a limit.
+func TestCountsWhileALineIsWritten(t *testing.T) {
+	var co *Counts
+	counted := false
+	co = New(clockwork.NewFakeClock(), funcr.New(func(string, string) {
+		result := make(chan uint64, 1)
+		go func() { result <- co.Count("memory") }()
+		select {
+		case count := <-result:
+			counted = count == 1
+		case <-clockwork.NewRealClock().After(10 * time.Second):
+		}
+	}, funcr.Options{}), "refused")
+	co.Hit("memory")
+	assert.True(t, counted, "Count waits for the line")
+}
