--- a/internal/process/gateway/where_test.go
+++ b/internal/process/gateway/where_test.go
@@ -207,3 +207,20 @@
 	assert.Empty(t, wh.Chosen)
 	assert.NotEmpty(t, wh.NoChoice)
 }
+
+// Guards against an upstream that is left out for its connections without a reason.
+func TestWhereConnectionsUsed(t *testing.T) {
+	ts := newTestSite(t, 1)
+	one := ts.upstream("d1", "desk")
+	ts.waitReady()
+	en := ts.entries[0]
+	nd := en.view.Members().Node(one.ID)
+	for range 40 { // four fifths of 50
+		nd.Begin()
+		defer nd.End()
+	}
+	_, wh, _ := ts.where(en, http.MethodPost, citronstream.WhereQuery{Host: "h", Path: "/order/x", Workspace: "w"})
+	assert.Empty(t, wh.Chosen)
+	require.Len(t, wh.Excluded, 1)
+	assert.Equal(t, "the connections to it that are this gateway's share are in use", wh.Excluded[0].Reason)
+}
