--- a/internal/stage/owner/dispatch.go
+++ b/internal/stage/owner/dispatch.go
@@ -80,8 +80,7 @@
 			ow.endStale(jb, now)
 			continue
 		}
-		// One that has begun waits for memory, and its results take some that others need.
-		if !jb.Priority.FreesMemory && now.Sub(jb.Last) > maxLateWait && (!soon || now.Sub(jb.at) > minWait) && len(jb.calls) == 0 {
+		if jb.Late(now) && now.Sub(jb.Last) > maxLateWait && (!soon || now.Sub(jb.at) > minWait) && len(jb.pending) == len(jb.Pieces) && len(jb.calls) == 0 {
 			ow.counts.Overloaded++
 			ow.endJob(jb, citronstream.JobResult{Fault: citronstream.NewFault(citronstream.NotRun, citronstream.CodeOverloaded,
 				"late, and waited %v for service %s", now.Sub(jb.at).Round(time.Millisecond), ow.service)})
