Absurd queue loads make no negative or endless waits

Cause: QueueLoad.Wait converted any quotient to a duration; a rate near zero, NaN or negative pieces gave a negative wait, and other values on other processor architectures.

Change: waits are between 0 and 1 h.

Measured: TestAbsurdQueueLoad fails without the change (-2562047h). Tests of the root package (also with -race), stage/broker and ingress/flow pass.

--- a/message_peer.go
+++ b/message_peer.go
@@ -273,6 +273,10 @@
 // rough, and queues are told with some delay.
 const borderline = 500 * time.Millisecond
 
+// maxQueueWait bounds the estimates. A greater one of an absurd load would overflow, and mean
+// another wait on each processor architecture.
+const maxQueueWait = time.Hour
+
 // WaitNew estimates the time until a job that is not admitted yet would start. What
 // more urgent routes are expected to bring meanwhile is kept free for them: a job
 // with much slack would be admitted behind a short queue and then leave no room
@@ -309,10 +313,10 @@
 			pieces += waiting[i]
 		}
 	}
-	if pieces == 0 || rate <= 0 {
+	if pieces <= 0 || !(rate > 0) {
 		return 0
 	}
-	return time.Duration(float64(pieces) / rate * float64(time.Second))
+	return time.Duration(min(float64(pieces)/rate, maxQueueWait.Seconds()) * float64(time.Second))
 }
 
 // Add counts pieces that wait.
--- a/queueload_test.go
+++ b/queueload_test.go
@@ -1,6 +1,7 @@
 package citronstream
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -26,3 +27,22 @@
 	check("or soon when nothing comes", 750*time.Millisecond, ql.WaitNew(-time.Second, 0))
 	check("nothing waits", 0, (&QueueLoad{Rate: 100, Arrivals: [Ranks]float64{90}}).WaitNew(-time.Second, 2))
 }
+
+// Guards against absurd loads of an owner that turn into negative or endless waits.
+func TestAbsurdQueueLoad(t *testing.T) {
+	for _, ql := range []QueueLoad{
+		{Rate: -5, Late: 10},
+		{Rate: 1e-300, Late: 10},
+		{Rate: 1e308, Late: 1 << 62},
+		{Rate: math.Inf(1), Late: 10},
+		{Rate: math.NaN(), Late: 10},
+		{Rate: 10, Late: -10},
+		{Rate: 10, Late: 10, Arrivals: [Ranks]float64{1e308, 1e308}},
+		{Rate: 10, Late: 10, Arrivals: [Ranks]float64{-1e308}},
+	} {
+		for _, wait := range []time.Duration{ql.Wait(-time.Minute, 3), ql.WaitNew(-time.Minute, 3)} {
+			assert.GreaterOrEqual(t, wait, time.Duration(0), "%+v", ql)
+			assert.LessOrEqual(t, wait, time.Hour, "%+v", ql)
+		}
+	}
+}
