connshare hashes with xxhash; usual names for what peers report

A hand-made hash and the type names told, used twice for different things, would stop a newcomer. No change of behaviour but for which gateways get a connection where there are more gateways than connections.

--- a/internal/limit/coldrate/coldrate.go
+++ b/internal/limit/coldrate/coldrate.go
@@ -89,21 +89,21 @@
 	overage, slack float64
 	recent         func(id string) int
 
-	mu        sync.Mutex
-	began     time.Time
-	firstRow  time.Time
-	upstreams map[string]*upstream
-	ends      map[string]end       // newest ends of evacuations by zone
-	gateways  map[string]time.Time // other gateways by address, when they were known last
-	gen       uint64               // grows with each change of the gateways
-	listedAt  time.Time            // start of the last complete read of the list of gateways
-	listed    map[string]bool      // the other gateways of that list
-	linked    map[string]bool      // other gateways that are linked
-	told      map[string]told      // how many gateways peers know, by peer
-	reason    string               // why the list may be incomplete, see checkList
-	fewLinked bool                 // less than half of the gateways of the list are linked
-	waiting   map[string][]*Waiter // by service, in the order of their turns
-	changes   []Change             // since the last call of Changes
+	mu         sync.Mutex
+	began      time.Time
+	firstRow   time.Time
+	upstreams  map[string]*upstream
+	ends       map[string]end       // newest ends of evacuations by zone
+	gateways   map[string]time.Time // other gateways by address, when they were known last
+	gen        uint64               // grows with each change of the gateways
+	listedAt   time.Time            // start of the last complete read of the list of gateways
+	listed     map[string]bool      // the other gateways of that list
+	linked     map[string]bool      // other gateways that are linked
+	peerCounts map[string]peerCount // how many gateways peers know, by peer
+	reason     string               // why the list may be incomplete, see checkList
+	fewLinked  bool                 // less than half of the gateways of the list are linked
+	waiting    map[string][]*Waiter // by service, in the order of their turns
+	changes    []Change             // since the last call of Changes
 }
 
 // Option configures a Limiter.
@@ -127,7 +127,7 @@
 	li := &Limiter{
 		clk: clk, self: self, spec: spec, recent: func(string) int { return 0 }, began: clk.Now(), gen: 1,
 		upstreams: make(map[string]*upstream), ends: make(map[string]end), gateways: make(map[string]time.Time),
-		listed: make(map[string]bool), linked: make(map[string]bool), told: make(map[string]told), waiting: make(map[string][]*Waiter),
+		listed: make(map[string]bool), linked: make(map[string]bool), peerCounts: make(map[string]peerCount), waiting: make(map[string][]*Waiter),
 	}
 	for _, opt := range opts {
 		opt(li)
--- a/internal/limit/coldrate/complete.go
+++ b/internal/limit/coldrate/complete.go
@@ -7,9 +7,9 @@
 	// are linked: such a gateway hears of new ones from hardly any other. It is longer than
 	// the time between two reads of the list by 25 gateways (10 to 40 s).
 	cutOffTTL = 45 * time.Second
-	// toldTTL is how long it counts how many gateways a peer knows. Peers tell it with their
+	// peerCountTTL is how long it counts how many gateways a peer knows. Peers tell it with their
 	// loads, which they send while these change.
-	toldTTL = time.Minute
+	peerCountTTL = time.Minute
 )
 
 // Reasons why the list of gateways may be incomplete.
@@ -20,8 +20,8 @@
 	ReasonCutOff  = "the list is old, and most gateways in it are not linked"
 )
 
-// told is how many gateways a peer knows.
-type told struct {
+// peerCount is how many gateways a peer knows.
+type peerCount struct {
 	count int
 	at    time.Time
 }
@@ -43,8 +43,8 @@
 func (li *Limiter) PeerKnows(peer string, count int) {
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	if count > 0 && count <= maxGateways+1 && (len(li.told) < maxGateways || !li.told[peer].at.IsZero()) {
-		li.told[peer] = told{count: count, at: li.clk.Now()}
+	if count > 0 && count <= maxGateways+1 && (len(li.peerCounts) < maxGateways || !li.peerCounts[peer].at.IsZero()) {
+		li.peerCounts[peer] = peerCount{count: count, at: li.clk.Now()}
 	}
 }
 
@@ -95,9 +95,9 @@
 // gateways are gone causes no alarm.
 func (li *Limiter) checkList(now time.Time) {
 	most := 0
-	for peer, te := range li.told {
-		if now.Sub(te.at) > toldTTL {
-			delete(li.told, peer)
+	for peer, te := range li.peerCounts {
+		if now.Sub(te.at) > peerCountTTL {
+			delete(li.peerCounts, peer)
 			continue
 		}
 		most = max(most, te.count)
--- a/internal/limit/coldrate/complete_test.go
+++ b/internal/limit/coldrate/complete_test.go
@@ -57,7 +57,7 @@
 				li.PeerKnows("peer", fleet.size+fleet.tolerated+1)
 				li.Sweep(listed)
 				assert.Equal(t, ReasonPeer, li.Incomplete())
-				clk.Advance(toldTTL + 1)
+				clk.Advance(peerCountTTL + 1)
 				li.Sweep(listed)
 				assert.Empty(t, li.Incomplete(), "it was told long ago")
 			})
@@ -108,7 +108,7 @@
 		}
 		li.Sweep(listed)
 		assert.Empty(t, li.Incomplete())
-		assert.Len(t, li.told, maxGateways)
+		assert.Len(t, li.peerCounts, maxGateways)
 	})
 }
 
--- a/internal/limit/connshare/connshare.go
+++ b/internal/limit/connshare/connshare.go
@@ -4,10 +4,11 @@
 package connshare
 
 import (
-	"hash/fnv"
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/citronstream/citronstream"
 )
 
@@ -49,25 +50,12 @@
 		sum += limits[upstream]
 	}
 	if sum == 0 && len(upstreams) > 0 {
-		limits[slices.MaxFunc(upstreams, func(a, b string) int {
-			if score(a, self) < score(b, self) {
-				return -1
-			}
-			return 1
-		})] = 1
+		limits[slices.MaxFunc(upstreams, func(a, b string) int { return cmp.Compare(score(a, self), score(b, self)) })] = 1
 	}
 	return limits
 }
 
-func score(upstream, gateway string) uint64 {
-	ha := fnv.New64a()
-	_, _ = ha.Write([]byte(upstream + "\x00" + gateway)) // never fails
-	sum := ha.Sum64()
-	// The last bytes change only the low bits of FNV; mix them into all.
-	sum ^= sum >> 32
-	sum *= 0x9e3779b97f4a7c15
-	return sum ^ sum>>29
-}
+func score(upstream, gateway string) uint64 { return xxhash.Sum64String(upstream + "\x00" + gateway) }
 
 // freshLoad is how old the load that an upstream has said may be to show that it has room.
 const freshLoad = 100 * time.Millisecond
--- a/internal/stage/broker/broker.go
+++ b/internal/stage/broker/broker.go
@@ -56,9 +56,9 @@
 	mu       sync.Mutex
 	owners   map[queue]*owner.Owner
 	leaving  bool
-	loads    map[string]load // by the name of the queue
-	reported map[queue]told  // what ChangedLoads returned last
-	owned    map[queue]bool  // those that this process owned at the last handOver; used by tick only
+	loads    map[string]load  // by the name of the queue
+	reported map[queue]report // what ChangedLoads returned last
+	owned    map[queue]bool   // those that this process owned at the last handOver; used by tick only
 	peerJobs *peerjobs.Jobs[*link.Link]
 	watched  map[*link.Link]bool // links of peers with jobs
 	links    sync.WaitGroup
@@ -83,7 +83,7 @@
 func New(ctx context.Context, clk citronstream.Clock, log logr.Logger, self string, vi *view.View, ms *mesh.Mesh, batcher owner.Batcher, budget owner.Budget, opts ...Option) *Broker {
 	br := &Broker{
 		clk: clk, log: log, self: self, view: vi, mesh: ms, batcher: batcher, budget: budget, ctx: ctx,
-		began: clk.Now(), owners: make(map[queue]*owner.Owner), loads: make(map[string]load), reported: make(map[queue]told), owned: make(map[queue]bool),
+		began: clk.Now(), owners: make(map[queue]*owner.Owner), loads: make(map[string]load), reported: make(map[queue]report), owned: make(map[queue]bool),
 		peerJobs: peerjobs.New[*link.Link](clk), watched: make(map[*link.Link]bool), done: make(chan struct{}),
 		held: func() bool { return false },
 	}
--- a/internal/stage/broker/broker_test.go
+++ b/internal/stage/broker/broker_test.go
@@ -166,15 +166,17 @@
 func TestPauseIsNews(t *testing.T) {
 	now := time.Unix(1000, 0)
 	end := now.Add(5 * time.Second)
-	at := func(after time.Duration, until time.Time) told { return told{at: now.Add(after), pausedUntil: until} }
+	at := func(after time.Duration, until time.Time) report {
+		return report{at: now.Add(after), pausedUntil: until}
+	}
 	last := at(0, end)
-	assert.True(t, last.pauseIsNews(told{}))
-	assert.False(t, at(time.Second, end).pauseIsNews(last))
-	assert.True(t, at(time.Second, end.Add(time.Second)).pauseIsNews(last))
-	assert.True(t, at(pauseRepeat, end).pauseIsNews(last))
-	assert.True(t, at(time.Second, time.Time{}).pauseIsNews(last), "an upstream has started anew")
-	assert.False(t, at(5*time.Second, time.Time{}).pauseIsNews(last), "it ended as told")
-	assert.False(t, at(0, time.Time{}).pauseIsNews(told{}))
+	assert.True(t, last.pauseChanged(report{}))
+	assert.False(t, at(time.Second, end).pauseChanged(last))
+	assert.True(t, at(time.Second, end.Add(time.Second)).pauseChanged(last))
+	assert.True(t, at(pauseRepeat, end).pauseChanged(last))
+	assert.True(t, at(time.Second, time.Time{}).pauseChanged(last), "an upstream has started anew")
+	assert.False(t, at(5*time.Second, time.Time{}).pauseChanged(last), "it ended as told")
+	assert.False(t, at(0, time.Time{}).pauseChanged(report{}))
 }
 
 // Guards against a pause that counts after the owner that told it was lost, and against
--- a/internal/stage/broker/loads.go
+++ b/internal/stage/broker/loads.go
@@ -28,8 +28,8 @@
 	at time.Time
 }
 
-// told is what the peers were told of a queue of this process.
-type told struct {
+// report is what the peers were told of a queue of this process.
+type report struct {
 	busy        bool
 	at          time.Time
 	pausedUntil time.Time // zero if not all of its upstreams were in a pause
@@ -89,11 +89,11 @@
 	br.mu.Unlock()
 	now := br.clk.Now()
 	for qu, ow := range owners {
-		last, next, ql := br.reported[qu], told{busy: ow.Len() > 0, at: now}, ow.Load()
+		last, next, ql := br.reported[qu], report{busy: ow.Len() > 0, at: now}, ow.Load()
 		if ql.Pause > 0 {
 			next.pausedUntil = now.Add(ql.Pause)
 		}
-		if next.busy || last.busy || next.pauseIsNews(last) && br.owns(qu) {
+		if next.busy || last.busy || next.pauseChanged(last) && br.owns(qu) {
 			changed.Loads[qu.name()] = ql
 			br.reported[qu] = next
 		}
@@ -102,11 +102,11 @@
 	return changed, len(changed.Loads) > 0
 }
 
-// pauseIsNews reports whether a pause began, ended early or has another end than what was
+// pauseChanged reports whether a pause began, ended early or has another end than what was
 // told last, or is to be told again.
-func (to told) pauseIsNews(last told) bool {
-	if to.pausedUntil.IsZero() {
-		return last.pausedUntil.After(to.at)
+func (re report) pauseChanged(last report) bool {
+	if re.pausedUntil.IsZero() {
+		return last.pausedUntil.After(re.at)
 	}
-	return to.at.Sub(last.at) >= pauseRepeat || to.pausedUntil.Sub(last.pausedUntil).Abs() > pauseChange
+	return re.at.Sub(last.at) >= pauseRepeat || re.pausedUntil.Sub(last.pausedUntil).Abs() > pauseChange
 }
