process/gateway: shares of connections count the upstreams of zones whose load moves

Cause: with the ramp of evacuations and the shares of connections together, an upstream of an evacuated zone had a share of 0, so that no request could stay during the ramp. Change: the shares are of all upstreams that may get requests.

--- a/internal/process/gateway/connections.go
+++ b/internal/process/gateway/connections.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/fleet/node"
 	"github.com/citronstream/citronstream/internal/limit/connshare"
@@ -39,8 +41,10 @@
 			live = append(live, pe.Address)
 		}
 	}
+	members := ga.view.Members()
 	var upstreams []string
-	for _, other := range ga.view.Members().Service(spec.Name) {
+	// Some requests still go to evacuated zones, whose load moves.
+	for _, other := range slices.Concat(members.Service(spec.Name), members.Evacuees(spec.Name)) {
 		upstreams = append(upstreams, other.ID)
 	}
 	return connshare.Limits(spec.MaxConnections, upstreams, ga.site.Peers, live)[nd.ID]
