--- a/internal/stage/owner/pipeline_test.go
+++ b/internal/stage/owner/pipeline_test.go
@@ -25,7 +25,7 @@
 // of the second stage holds less than two batches at each upstream.
 
 var (
-	pipeSeeds   = flag.Int("pipe.seeds", 1, "seeds of the burst through three stages")
+	pipeSeeds   = flag.Int("pipe.seeds", 4, "seeds of the burst through three stages")
 	pipeCompare = flag.Bool("pipe.compare", false, "compare it with schedules that know all arrivals")
 )
 
