--- a/internal/ingress/flow/stream.go
+++ b/internal/ingress/flow/stream.go
@@ -34,7 +34,7 @@
 
 // relayStream forwards events as they arrive.
 func (rt *request) relayStream(at *attempt, to *takeover) result {
-	resumed, nd := rt.started, at.nd
+	resumed := rt.started
 	pa := part{joins: rt.lastEvent > 0}
 	held := 0
 	defer func() { rt.memory.Give(held) }()
@@ -51,13 +51,7 @@
 		err := events.Next()
 		if errors.Is(err, io.EOF) && rt.ended(&pa, at.ans.Framed) {
 			to.awake(true)
-			nd.RequestDone(1)
-			rt.observeSteps(at, &pa)
-			if !resumed && !rt.firstEvent.IsZero() {
-				rt.fl.latencies.observeRest(rt.route.Name, rt.fl.clk.Since(rt.firstEvent))
-			}
-			rt.fl.Holds.Finished(rt.digest)
-			return result{done: true, out: outcome{status: http.StatusOK, reason: "served"}}
+			return rt.completeStream(at, &pa, resumed)
 		}
 		if errors.Is(err, sse.ErrNoMemory) {
 			to.fails()
@@ -107,6 +101,18 @@
 	}
 }
 
+// completeStream records what a stream that has ended tells of its upstream. Resumed says that
+// an earlier upstream began it.
+func (rt *request) completeStream(at *attempt, pa *part, resumed bool) result {
+	at.nd.RequestDone(1)
+	rt.observeSteps(at, pa)
+	if !resumed && !rt.firstEvent.IsZero() {
+		rt.fl.latencies.observeRest(rt.route.Name, rt.fl.clk.Since(rt.firstEvent))
+	}
+	rt.fl.Holds.Finished(rt.digest)
+	return result{done: true, out: outcome{status: http.StatusOK, reason: "served"}}
+}
+
 // cutStream ends a stream for whose events this process has no memory. Neither the upstream
 // nor another one could serve it.
 func (rt *request) cutStream(at *attempt, err error) result {
