eofconn: a reset that a write has got does not end an answer regularly

Seen: an upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection. Cause: the request is written by one goroutine while another one reads the answer. The kernel reports a reset to one system call only. When that was the write, the read got EOF, which is how an answer without a length ends. Change: kernel/eofconn wraps a connection to an upstream. At EOF it ends the write in progress, waits for it and, if it has failed, returns its error. EPIPE is no such failure: the upstream had ended its side before it closed, so that the answer is whole. The write always returns before the reader is told of an end, so no order of the two system calls is left in which the failure is unknown.

--- /dev/null
+++ b/internal/proof/callers/brokenanswers_test.go
@@ -0,0 +1,214 @@
+package callers
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/citronstream/citronstream/internal/standin/rawanswer"
+	"github.com/citronstream/citronstream/internal/standin/site"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// racePlays is how often an answer is sent whose outcome could depend on a race.
+	racePlays = 60
+	// uploadBytes is more than the sockets between gateway and upstream hold.
+	uploadBytes = 8 << 20
+	// playTimeout bounds one request, whose deadline is shorter.
+	playTimeout = 20 * time.Second
+)
+
+// outcome is what became of a request.
+type outcome struct {
+	status  int
+	body    string
+	broken  bool // the client's connection broke off, before or within the answer
+	reached int  // how many upstreams it has reached
+}
+
+// complete reports whether the client has a complete answer of an upstream.
+func (ou *outcome) complete() bool { return !ou.broken && ou.status != http.StatusBadGateway }
+
+// refused reports whether the client was told that its request has not run.
+func (ou *outcome) refused() bool {
+	switch ou.status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// answeringSite is a gateway with upstreams that all send the same answer.
+type answeringSite struct {
+	*gateway
+	log    *site.Log
+	client *http.Client
+	next   int
+}
+
+// startAnswering starts a gateway with several upstreams of each service, as one that fails is
+// avoided for a while.
+func startAnswering(t *testing.T, text string, opts ...rawanswer.Option) *answeringSite {
+	log, answer := &site.Log{}, http.HandlerFunc(rawanswer.New(clk, text, opts...).ServeHTTP)
+	var ups []*site.Upstream
+	for _, service := range []string{"desk", "pool"} {
+		for i := range 4 {
+			up := site.NewUpstream(clk, log, fmt.Sprintf("%s-%d", service, i), service)
+			up.Answer.Store(&answer)
+			up.Early.Store(true)
+			ups = append(ups, up)
+		}
+	}
+	client := &http.Client{Timeout: playTimeout, Transport: &http.Transport{DisableCompression: true}}
+	t.Cleanup(client.CloseIdleConnections)
+	return &answeringSite{gateway: startGatewayWith(t, 2*uploadBytes, ups...), log: log, client: client}
+}
+
+// send sends a request.
+func (as *answeringSite) send(path string, bodyBytes int) (ou outcome) {
+	as.next++
+	id := fmt.Sprint("play-", as.next)
+	// No two bodies are alike: a request that seems to crash upstreams is held back.
+	rq, err := http.NewRequest(http.MethodPost, "http://"+as.callers+path, strings.NewReader(id+strings.Repeat("x", bodyBytes)))
+	require.NoError(as.t, err)
+	rq.Host, rq.Header = "h", site.CallerHeader(id)
+	if res, err := as.client.Do(rq); err != nil {
+		ou.broken = true
+	} else {
+		body, err := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		ou = outcome{status: res.StatusCode, body: string(body), broken: err != nil}
+	}
+	ou.reached = len(as.log.Of(id))
+	return ou
+}
+
+// play sends requests until a number of them have reached an upstream, and checks each outcome.
+// A request that the gateway refuses, as it takes the upstreams for failed, must not have
+// reached one.
+func (as *answeringSite) play(count int, path string, bodyBytes int, check func(ou *outcome)) {
+	as.t.Helper()
+	for played, began := 0, clk.Now(); played < count; {
+		ou := as.send(path, bodyBytes)
+		if ou.refused() {
+			require.Zero(as.t, ou.reached, "a request that reached an upstream is called not run: %+v", ou)
+			require.Less(as.t, clk.Since(began), patience, "too few requests reach an upstream")
+			clk.Sleep(poll)
+			continue
+		}
+		played++
+		require.NotZero(as.t, ou.reached, "the request did not reach an upstream: %+v", ou)
+		check(&ou)
+	}
+	assert.True(as.t, as.lives(), "the process has ended")
+}
+
+// answerKind is a kind of request by what becomes of it when its answer is broken.
+type answerKind struct {
+	path, header string // header has the lines that its answers need
+	once         bool   // it may reach one upstream only
+}
+
+const (
+	eventStream = "Content-Type: text/event-stream\r\n"
+	signedHead  = "X-Citronstream-Request-Id: ID\r\nX-Citronstream-Response-Signature: s\r\n"
+	answerHead  = "HTTP/1.1 200 OK\r\n" + signedHead
+	answerBody  = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+)
+
+var answerKinds = map[string]answerKind{
+	"once":             {"/order/", "", true},
+	"json":             {"/order/", "Content-Type: application/json\r\n", true},
+	"repeatable":       {"/look/", "", false},
+	"stream":           {"/once/stream/", eventStream, true},
+	"resumable stream": {"/draft/stream/", eventStream, false},
+}
+
+// assertBroken checks that a client has no complete answer, is not told that the request did
+// not run, and that a request that may run once has reached one upstream.
+func (ki *answerKind) assertBroken(t *testing.T, ou *outcome) {
+	t.Helper()
+	assert.False(t, ou.complete(), "a broken answer is complete at the client: %+v", ou)
+	if !ou.broken {
+		assert.Contains(t, ou.body, "MayHaveRun")
+	}
+	if ki.once {
+		assert.Equal(t, 1, ou.reached, "upstreams reached: %+v", ou)
+	}
+}
+
+// Guards against an answer without a length that is reset while its request is still being
+// written, and that its client gets as a complete one.
+func TestEarlyAnswersThatAreReset(t *testing.T) {
+	for kind, ki := range answerKinds {
+		for form, text := range map[string]string{
+			"":        answerHead + ki.header + "\r\n" + answerBody,
+			"empty":   answerHead + ki.header + "\r\n",
+			"failure": strings.Replace(answerHead, "200 OK", "500 No", 1) + "\r\n" + answerBody,
+		} {
+			for upload, reading := range map[string]rawanswer.Option{"unread": rawanswer.WithReset(), "read": rawanswer.WithReading()} {
+				t.Run(strings.Join([]string{kind, form, upload}, " "), func(t *testing.T) {
+					as := startAnswering(t, text, rawanswer.WithReset(), reading)
+					as.play(racePlays, ki.path, uploadBytes, func(ou *outcome) { ki.assertBroken(t, ou) })
+				})
+			}
+		}
+	}
+}
+
+// Guards against an early answer that breaks off within its length or chunks.
+func TestEarlyAnswersThatAreCut(t *testing.T) {
+	for kind, ki := range answerKinds {
+		for form, framing := range map[string]string{
+			"length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(answerBody)+1, answerBody),
+			"chunks": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(answerBody), answerBody),
+		} {
+			for name, end := range map[string]rawanswer.Option{"ended": rawanswer.WithEnd(), "reset": rawanswer.WithReset()} {
+				t.Run(strings.Join([]string{kind, form, name}, " "), func(t *testing.T) {
+					as := startAnswering(t, answerHead+ki.header+framing, end)
+					as.play(racePlays/4, ki.path, uploadBytes, func(ou *outcome) { ki.assertBroken(t, ou) })
+				})
+			}
+		}
+	}
+}
+
+// Guards against whole answers that are taken for broken ones: one without a length ends when
+// its upstream ends its side, also if that then resets the connection, as it has not read all
+// of the request.
+func TestWholeEarlyAnswers(t *testing.T) {
+	const neither = "\r\n" + answerBody
+	// The stand-in answers one request a connection.
+	length := fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n\r\n%s", len(answerBody), answerBody)
+	chunks := fmt.Sprintf("Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(answerBody), answerBody)
+	for kind, ki := range answerKinds {
+		for form, as := range map[string]struct {
+			text string
+			opts []rawanswer.Option
+		}{
+			"neither, unread": {neither, []rawanswer.Option{rawanswer.WithEnd(), rawanswer.WithReset()}},
+			"neither, read":   {neither, []rawanswer.Option{rawanswer.WithEnd(), rawanswer.WithReset(), rawanswer.WithReading()}},
+			"neither, open":   {neither, []rawanswer.Option{rawanswer.WithEnd()}},
+			"length":          {length, nil},
+			"length, reset":   {length, []rawanswer.Option{rawanswer.WithReset()}},
+			"chunks":          {chunks, nil},
+			"chunks, reset":   {chunks, []rawanswer.Option{rawanswer.WithReset()}},
+		} {
+			t.Run(kind+" "+form, func(t *testing.T) {
+				sit := startAnswering(t, answerHead+ki.header+as.text, as.opts...)
+				for upload, size := range map[string]int{"short": 1, "long": uploadBytes} {
+					sit.play(racePlays/4, ki.path, size, func(ou *outcome) {
+						assert.True(t, ou.complete(), "%s upload: %+v", upload, ou)
+						assert.Equal(t, answerBody, ou.body)
+						assert.Equal(t, 1, ou.reached)
+					})
+				}
+			})
+		}
+	}
+}
--- a/internal/proof/callers/doc.go
+++ b/internal/proof/callers/doc.go
@@ -1,3 +1,3 @@
 // Package callers runs a gateway as a process, with little memory and few descriptors,
-// against clients that do not behave. It has tests only.
+// against clients and upstreams that do not behave. It has tests only.
 package callers
--- a/internal/proof/callers/process_test.go
+++ b/internal/proof/callers/process_test.go
@@ -75,17 +75,27 @@
 	return ln.Addr().String()
 }
 
-// startGateway starts a gateway and waits until it is ready.
+// startGateway starts a gateway with a sound upstream and waits until it is ready.
 func startGateway(t *testing.T) *gateway {
-	st, log := site.NewStore(clk), &site.Log{}
-	st.ConfigureLimits(1, headerBytes, bodyBytes)
-	up := site.NewUpstream(clk, log, "desk-0", "desk")
+	up := site.NewUpstream(clk, &site.Log{}, "desk-0", "desk")
 	up.Answer.Store(&answer)
-	st.List(up, site.Ready)
+	return startGatewayWith(t, bodyBytes, up)
+}
+
+// startGatewayWith starts a gateway with a limit on bodies and these upstreams, which end with
+// the test.
+func startGatewayWith(t *testing.T, maxBody int, ups ...*site.Upstream) *gateway {
+	st := site.NewStore(clk)
+	st.ConfigureLimits(1, headerBytes, maxBody)
+	for _, up := range ups {
+		st.List(up, site.Ready)
+	}
 	door := st.Open()
 	t.Cleanup(func() {
-		up.CloseClientConnections()
-		up.Close()
+		for _, up := range ups {
+			up.CloseClientConnections()
+			up.Close()
+		}
 		door.CloseClientConnections()
 		door.Close()
 	})
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -73,6 +73,8 @@
 
 	// Answer, if set, answers requests once the identifier and the signature are set.
 	Answer atomic.Pointer[http.HandlerFunc]
+	// Early calls Answer before the body of the request is read.
+	Early atomic.Bool
 
 	mu      sync.Mutex
 	results map[string]bool
@@ -196,9 +198,12 @@
 
 // ServeHTTP implements http.Handler.
 func (up *Upstream) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
-	body, err := io.ReadAll(rq.Body)
-	if err != nil {
-		return
+	var body []byte
+	if !up.Early.Load() {
+		var err error
+		if body, err = io.ReadAll(rq.Body); err != nil {
+			return
+		}
 	}
 	ar := &Arrival{
 		Upstream: up.ID, ID: rq.Header.Get(HeaderID), Method: rq.Method, Target: rq.RequestURI,
--- a/internal/upstream/conns/cut_test.go
+++ b/internal/upstream/conns/cut_test.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -80,3 +83,64 @@
 		}
 	}
 }
+
+// racePlays is how often an answer is sent whose outcome could depend on a race.
+const racePlays = 50
+
+// sendLong sends a request with a body that exceeds what the sockets hold.
+func sendLong(po *Pool, address string) (string, error) {
+	rq := newRequest("1")
+	rq.Body = [][]byte{make([]byte, 16<<20)}
+	ans, err := po.Send(context.Background(), address, rq)
+	if err != nil {
+		return "", err
+	}
+	defer ans.Close()
+	body, err := io.ReadAll(ans)
+	return string(body), err
+}
+
+// Guards against an answer without a length that is reset while its request is still being
+// written, and that is returned as a whole one: the write may get the reset, and the read EOF.
+func TestEarlyAnswerThatIsReset(t *testing.T) {
+	for name, body := range map[string]string{"part": "half", "empty": ""} {
+		t.Run(name, func(t *testing.T) {
+			for range racePlays {
+				po := newPool()
+				_, err := sendLong(po, serveScripts(t, func(nc net.Conn, br *bufio.Reader) {
+					_, _ = http.ReadRequest(br)
+					fmt.Fprint(nc, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"+body)
+					clk.Sleep(time.Millisecond) // the reader waits for more
+					_ = nc.(*net.TCPConn).SetLinger(0)
+				}))
+				assert.ErrorIs(t, err, syscall.ECONNRESET)
+				po.Close()
+			}
+		})
+	}
+}
+
+// Guards against a whole early answer that is taken for a broken one: its upstream ends its
+// side, and resets the connection as it has not read all of the request.
+func TestEarlyAnswerThatEnds(t *testing.T) {
+	for name, reset := range map[string]bool{"reset": true, "read on": false} {
+		t.Run(name, func(t *testing.T) {
+			for range racePlays {
+				po := newPool()
+				body, err := sendLong(po, serveScripts(t, func(nc net.Conn, br *bufio.Reader) {
+					_, _ = http.ReadRequest(br)
+					fmt.Fprint(nc, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole")
+					_ = nc.(*net.TCPConn).CloseWrite()
+					if reset {
+						_ = nc.(*net.TCPConn).SetLinger(0)
+						return
+					}
+					_, _ = io.Copy(io.Discard, br)
+				}))
+				assert.NoError(t, err)
+				assert.Equal(t, "whole", body)
+				po.Close()
+			}
+		})
+	}
+}
--- a/internal/upstream/conns/pool.go
+++ b/internal/upstream/conns/pool.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/kernel/eofconn"
 )
 
 const (
@@ -39,6 +40,7 @@
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
+	stream *eofconn.Conn // reads and writes Conn
 	br     *bufio.Reader
 	reused bool
 	// anonymous says that an answer without an identifier came on it. A late copy of
@@ -54,11 +56,14 @@
 	if co.limited && co.headLeft <= 0 {
 		return 0, errHeadTooLarge
 	}
-	count, err := co.Conn.Read(data)
+	count, err := co.stream.Read(data)
 	co.headLeft -= count
 	return count, err
 }
 
+// Write implements io.Writer.
+func (co *conn) Write(data []byte) (int, error) { return co.stream.Write(data) }
+
 // reset resets a connection whose request has no complete answer. After a
 // plain close, the kernel would still send buffered bytes of the request when
 // a broken link recovers, seconds after the request was cancelled.
@@ -143,7 +148,7 @@
 		return nil, err
 	}
 	po.opened.Add(1)
-	co := &conn{Conn: raw}
+	co := &conn{Conn: raw, stream: eofconn.New(raw)}
 	co.br = bufio.NewReaderSize(co, bufferBytes)
 	return co, nil
 }
