operator/client: an answer that is reset is an error

A command that sends a large document, such as apply, took the part of an answer without a length that came before a reset for the whole answer. Cause: net/http writes the request while it reads the answer, and the write got the reset. Change: the connections to entries are those of kernel/eofconn.

--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -9,11 +9,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/kernel/eofconn"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -48,19 +50,28 @@
 func WithTLS(config *tls.Config) Option {
 	return func(cl *Client) {
 		cl.scheme = "https"
-		cl.http.Transport = &http.Transport{TLSClientConfig: config}
+		cl.http.Transport = &http.Transport{DialContext: dial, TLSClientConfig: config}
 	}
 }
 
 // New returns a client for the entries of a fleet.
 func New(fl *citronstream.Fleet, opts ...Option) *Client {
-	cl := &Client{entries: fl.Entries, scheme: "http", timeout: defaultTimeout, http: &http.Client{Transport: &http.Transport{}}}
+	cl := &Client{entries: fl.Entries, scheme: "http", timeout: defaultTimeout, http: &http.Client{Transport: &http.Transport{DialContext: dial}}}
 	for _, opt := range opts {
 		opt(cl)
 	}
 	return cl
 }
 
+// dial opens a connection on which an answer that breaks off does not end like a whole one.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	nc, err := new(net.Dialer).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return eofconn.New(nc), nil
+}
+
 // Answer is the result of a request to one entry.
 type Answer struct {
 	Entry string
--- a/internal/operator/client/client_test.go
+++ b/internal/operator/client/client_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/standin/rawanswer"
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -79,3 +81,23 @@
 	assert.Equal(t, "Bearer secret", string(got[2].Body))
 	assert.Error(t, got[1].Err)
 }
+
+// Guards against an answer that is reset before its end and is returned as a whole one. It has
+// no length, and the request, such as a large configuration, is still being sent.
+func TestEarlyAnswerThatIsReset(t *testing.T) {
+	for range 30 {
+		answer := rawanswer.New(clockwork.NewRealClock(), "HTTP/1.1 200 OK\r\n\r\npart", rawanswer.WithReset())
+		got, err := New(entries(t, answer.ServeHTTP)).First(t.Context(), http.MethodPost, "/", strings.Repeat("x", 8<<20))
+		assert.Error(t, err, "%s", got)
+	}
+}
+
+// An answer without a length is whole if the entry ends its side of the connection.
+func TestEarlyAnswerThatEnds(t *testing.T) {
+	for range 30 {
+		answer := rawanswer.New(clockwork.NewRealClock(), "HTTP/1.1 200 OK\r\n\r\nwhole", rawanswer.WithEnd(), rawanswer.WithReset())
+		got, err := New(entries(t, answer.ServeHTTP)).First(t.Context(), http.MethodPost, "/", strings.Repeat("x", 8<<20))
+		assert.NoError(t, err)
+		assert.Equal(t, "whole", string(got))
+	}
+}
