--- a/internal/peer/link/codec_test.go
+++ b/internal/peer/link/codec_test.go
@@ -11,6 +11,7 @@
 	"testing"
 
 	"github.com/sourcegraph/jsonrpc2"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -107,3 +108,13 @@
 	err := (&codec{}).ReadObject(bufio.NewReader(bytes.NewReader(frame)), &json.RawMessage{})
 	require.ErrorIs(t, err, errTooLarge)
 }
+
+// Guards against a message that breaks off with its connection and is taken for a whole one.
+func TestCodecRejectsCutMessages(t *testing.T) {
+	text := `{"jsonrpc":"2.0","id":1,"method":"a"}`
+	frame := append(binary.AppendUvarint(nil, uint64(len(text))), text...)
+	for cut := range len(frame) {
+		var to jsonrpc2.Request
+		assert.Error(t, new(codec).ReadObject(bufio.NewReader(bytes.NewReader(frame[:cut])), &to), frame[:cut])
+	}
+}
--- a/internal/upstream/batch/endless_test.go
+++ b/internal/upstream/batch/endless_test.go
@@ -4,10 +4,14 @@
 	"bufio"
 	"fmt"
 	"net"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
 
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/fleet/node"
+	"github.com/citronstream/citronstream/internal/standin/rawanswer"
 	"github.com/citronstream/citronstream/internal/upstream/conns"
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/assert"
@@ -88,3 +92,31 @@
 		})
 	}
 }
+
+// Guards against results of an answer that is reset before its end. It has no length, and the
+// batch is still being sent.
+func TestEarlyAnswerThatIsReset(t *testing.T) {
+	items := []citronstream.BatchItem{{RequestID: "r", Inputs: []string{strings.Repeat("x", longBatch)}}}
+	for name, body := range map[string]string{"part": itemsBody[:len(itemsBody)-1], "empty": ""} {
+		t.Run(name, func(t *testing.T) {
+			for range racePlays {
+				se := httptest.NewServer(rawanswer.New(clk, statusOK+"\r\n"+body, rawanswer.WithReset()))
+				po := conns.New(clk)
+				nd := node.New(citronstream.Member{ID: "i", Address: se.Listener.Addr().String()})
+				results, refused, err := New(clk, logr.Discard(), po).Run(t.Context(), nd, items)
+				assert.Error(t, err)
+				assert.False(t, refused)
+				assert.Empty(t, results)
+				po.Close()
+				se.Close()
+			}
+		})
+	}
+}
+
+const (
+	// racePlays is how often an answer is sent whose outcome could depend on a race.
+	racePlays = 30
+	// longBatch is more than the sockets hold.
+	longBatch = 8 << 20
+)
--- a/internal/upstream/completions/endless_test.go
+++ b/internal/upstream/completions/endless_test.go
@@ -5,9 +5,13 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
+	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/standin/rawanswer"
 	"github.com/citronstream/citronstream/internal/upstream/exchange"
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -35,3 +39,17 @@
 		})
 	}
 }
+
+// Guards against a stream that is reset before its end and counts as complete. It has no
+// length, and the request is still being sent.
+func TestEarlyStreamThatIsReset(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: {\"choices\":[{\"text\":\"a\"}]}\n\n"
+	for range 30 {
+		srv := httptest.NewServer(rawanswer.New(clockwork.NewRealClock(), text, rawanswer.WithReset()))
+		pr := New()
+		_, err := pr.Run(t.Context(), srv.Listener.Addr().String(), call(strings.Repeat("x", 8<<20), 10), func([]byte) error { return nil })
+		require.Equal(t, citronstream.MayHaveRun, citronstream.VerdictOf(err))
+		pr.cl.Close()
+		srv.Close()
+	}
+}
--- a/internal/upstream/jsonpost/cut_test.go
+++ b/internal/upstream/jsonpost/cut_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/standin/rawanswer"
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -38,3 +40,23 @@
 		})
 	}
 }
+
+// Guards against a document of an answer that is reset before its end. It has no length, and
+// the request is still being sent.
+func TestEarlyAnswerThatIsReset(t *testing.T) {
+	for name, body := range map[string]string{"part": `{"A":12`, "number": "12", "empty": ""} {
+		t.Run(name, func(t *testing.T) {
+			for range 30 {
+				srv := httptest.NewServer(rawanswer.New(clockwork.NewRealClock(), "HTTP/1.1 200 OK\r\n\r\n"+body, rawanswer.WithReset()))
+				pr := New()
+				_, err := pr.Run(t.Context(), srv.Listener.Addr().String(), citronstream.Call{Path: "/", Body: make([]byte, 8<<20)}, func(data []byte) error {
+					assert.Fail(t, "a document that breaks off is emitted", "%s", data)
+					return nil
+				})
+				require.Equal(t, citronstream.MayHaveRun, citronstream.VerdictOf(err))
+				pr.cl.Close()
+				srv.Close()
+			}
+		})
+	}
+}
--- a/internal/upstream/plain/plain_test.go
+++ b/internal/upstream/plain/plain_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/standin/rawanswer"
 	"github.com/citronstream/citronstream/internal/standin/record"
 	"github.com/citronstream/citronstream/internal/standin/service"
 	"github.com/citronstream/citronstream/internal/upstream/exchange"
@@ -116,3 +117,20 @@
 	cancel()
 	<-se.Done()
 }
+
+// Guards against an answer that is reset before its end and is emitted. It has no length, and
+// the request is still being sent.
+func TestEarlyAnswerThatIsReset(t *testing.T) {
+	for name, text := range map[string]string{
+		"part": "HTTP/1.1 200 OK\r\n\r\npart", "empty": "HTTP/1.1 200 OK\r\n\r\n", "failure": "HTTP/1.1 500 No\r\n\r\npart",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 30 {
+				pr, address, _ := serve(t, rawanswer.New(clockwork.NewRealClock(), text, rawanswer.WithReset()).ServeHTTP)
+				_, out, err := run(t.Context(), pr, address, citronstream.Call{Path: "/", Body: make([]byte, 8<<20), Left: time.Hour})
+				require.Equal(t, citronstream.MayHaveRun, citronstream.VerdictOf(err))
+				assert.Empty(t, out)
+			}
+		})
+	}
+}
