httphead: an answer with a status below 100 is none

Seen on other systems: a server in trouble sent an answer whose status was 000, and its client got it as an answer. Here the gateway took the head for that of an interim answer. Its client got what came after it as the answer, or waited for one until its deadline. Cause: net/http accepts any three digits, and the pool of connections skipped all below 200. The agents' clients took the status for a failure that the upstream reports, so that the call counted as run. The store's client, and those of the table and the objects, let an error in its body tell that a write was not applied. Change: kernel/httphead refuses such a head wherever answers are read: in the pool before anything of the head is used, elsewhere in a Transport. What is sent before it may have run.

--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/citronstream/citronstream"
 	"github.com/citronstream/citronstream/internal/kernel/eofconn"
+	"github.com/citronstream/citronstream/internal/kernel/httphead"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -50,13 +51,13 @@
 func WithTLS(config *tls.Config) Option {
 	return func(cl *Client) {
 		cl.scheme = "https"
-		cl.http.Transport = &http.Transport{DialContext: dial, TLSClientConfig: config}
+		cl.http.Transport = httphead.New(&http.Transport{DialContext: dial, TLSClientConfig: config})
 	}
 }
 
 // New returns a client for the entries of a fleet.
 func New(fl *citronstream.Fleet, opts ...Option) *Client {
-	cl := &Client{entries: fl.Entries, scheme: "http", timeout: defaultTimeout, http: &http.Client{Transport: &http.Transport{DialContext: dial}}}
+	cl := &Client{entries: fl.Entries, scheme: "http", timeout: defaultTimeout, http: &http.Client{Transport: httphead.New(&http.Transport{DialContext: dial})}}
 	for _, opt := range opts {
 		opt(cl)
 	}
--- a/internal/operator/client/client_test.go
+++ b/internal/operator/client/client_test.go
@@ -101,3 +101,19 @@
 		assert.Equal(t, "whole", string(got))
 	}
 }
+
+// assertInvalidHead checks that an answer with an invalid head and a sound body is none, and
+// that the reason is told.
+func assertInvalidHead(t *testing.T, head, reason string) {
+	t.Helper()
+	answer := rawanswer.New(clockwork.NewRealClock(), head+"\r\nyes", rawanswer.WithEnd())
+	got, err := New(entries(t, answer.ServeHTTP)).First(t.Context(), http.MethodPost, "/", "body")
+	assert.ErrorContains(t, err, reason, "%s, after %q", got, head)
+}
+
+// Guards against an error without a text for an answer whose status is none.
+func TestInvalidStatuses(t *testing.T) {
+	for _, status := range []string{"000", "000 No", "001 No", "099 No"} {
+		t.Run(status, func(t *testing.T) { assertInvalidHead(t, "HTTP/1.1 "+status+"\r\n", "invalid status") })
+	}
+}
--- a/internal/platform/dynamodb/table.go
+++ b/internal/platform/dynamodb/table.go
@@ -16,6 +16,7 @@
 	sdk "github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/kernel/httphead"
 )
 
 // The attributes of an item. Expires is in seconds since 1970, as DynamoDB's
@@ -75,7 +76,7 @@
 		BaseEndpoint: &endpoint,
 		Region:       op.region,
 		Credentials:  credentials.NewStaticCredentialsProvider(op.keyID, op.secret, ""),
-		HTTPClient:   &http.Client{Transport: transport},
+		HTTPClient:   &http.Client{Transport: httphead.New(transport)},
 		Retryer:      aws.NopRetryer{},
 	})
 	return &Table{api: api, clk: clk, name: op.name}
--- a/internal/platform/dynamodb/table_test.go
+++ b/internal/platform/dynamodb/table_test.go
@@ -11,6 +11,7 @@
 	"github.com/citronstream/citronstream"
 	standin "github.com/citronstream/citronstream/internal/standin/dynamodb"
 	"github.com/citronstream/citronstream/internal/standin/memtable"
+	"github.com/citronstream/citronstream/internal/standin/rawanswer"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -214,3 +215,24 @@
 		return ta.Write(b.Context(), "", put("A/2", string(make([]byte, 1024)), citronstream.AnyVersion))
 	})
 }
+
+// assertInvalidHead makes calls whose answers have an invalid head, and checks that they tell
+// nothing, whatever their bodies say.
+func assertInvalidHead(t *testing.T, head string) {
+	t.Helper()
+	for _, body := range []string{"{}", `{"__type":"com.amazonaws.dynamodb.v20120810#ThrottlingException"}`} {
+		server := httptest.NewServer(rawanswer.New(clockwork.NewRealClock(), head+"Content-Type: application/x-amz-json-1.0\r\n\r\n"+body, rawanswer.WithEnd()))
+		ta := New(clockwork.NewRealClock(), server.URL)
+		_, err := ta.Get(t.Context(), "Config")
+		assert.ErrorIs(t, err, citronstream.ErrUnavailable, head+body)
+		assert.ErrorIs(t, ta.Write(t.Context(), "a", put("Config", "x", 0)), citronstream.ErrUnknownOutcome, head+body)
+		server.Close()
+	}
+}
+
+// Guards against an answer whose status is none, and that tells that a write was not applied.
+func TestInvalidStatuses(t *testing.T) {
+	for _, status := range []string{"000", "000 No", "001 No", "099 No"} {
+		t.Run(status, func(t *testing.T) { assertInvalidHead(t, "HTTP/1.1 "+status+"\r\n") })
+	}
+}
--- a/internal/platform/httpsd/list_test.go
+++ b/internal/platform/httpsd/list_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/citronstream/citronstream"
 	standin "github.com/citronstream/citronstream/internal/standin/httpsd"
+	"github.com/citronstream/citronstream/internal/standin/rawanswer"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -103,3 +104,20 @@
 		}
 	})
 }
+
+// assertInvalidHead reads a list of an answer with an invalid head and a sound body.
+func assertInvalidHead(t *testing.T, head string) {
+	t.Helper()
+	const list = "Content-Type: application/json\r\n\r\n" + `[{"targets":["t"],"labels":{"instance":"i1","zone":"z1","state":"live"}}]`
+	server := httptest.NewServer(rawanswer.New(clockwork.NewRealClock(), head+list, rawanswer.WithEnd()))
+	defer server.Close()
+	_, err := New(clockwork.NewRealClock(), server.URL).List(t.Context())
+	assert.ErrorIs(t, err, citronstream.ErrUnavailable, head)
+}
+
+// Guards against a list of an answer whose status is none.
+func TestInvalidStatuses(t *testing.T) {
+	for _, status := range []string{"000", "000 No", "001 No", "099 No"} {
+		t.Run(status, func(t *testing.T) { assertInvalidHead(t, "HTTP/1.1 "+status+"\r\n") })
+	}
+}
--- a/internal/platform/s3/store.go
+++ b/internal/platform/s3/store.go
@@ -17,6 +17,7 @@
 	sdk "github.com/aws/aws-sdk-go-v2/service/s3"
 	"github.com/aws/smithy-go"
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/kernel/httphead"
 )
 
 const (
@@ -73,7 +74,7 @@
 		BaseEndpoint: &endpoint,
 		Region:       op.region,
 		Credentials:  credentials.NewStaticCredentialsProvider(op.keyID, op.secret, ""),
-		HTTPClient:   &http.Client{Transport: transport},
+		HTTPClient:   &http.Client{Transport: httphead.New(transport)},
 		Retryer:      aws.NopRetryer{},
 		UsePathStyle: true,
 		// Object keys are digests, which readers verify.
--- a/internal/platform/s3/store_test.go
+++ b/internal/platform/s3/store_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/standin/rawanswer"
 	standin "github.com/citronstream/citronstream/internal/standin/s3"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
@@ -116,3 +117,26 @@
 		}
 	})
 }
+
+// assertInvalidHead makes calls whose answers have an invalid head, and checks that they tell
+// nothing, whatever their bodies say.
+func assertInvalidHead(t *testing.T, head string) {
+	t.Helper()
+	for _, body := range []string{"object", "<Error><Code>SlowDown</Code></Error>", "<Error><Code>NoSuchKey</Code></Error>"} {
+		server := httptest.NewServer(rawanswer.New(clockwork.NewRealClock(), head+"\r\n"+body, rawanswer.WithEnd()))
+		st := New(clockwork.NewRealClock(), server.URL)
+		got, err := st.Get(t.Context(), "a/b")
+		assert.ErrorIs(t, err, citronstream.ErrUnavailable, "%s, after %q", got, head+body)
+		assert.ErrorIs(t, st.Put(t.Context(), "a/b", []byte("x")), citronstream.ErrUnavailable, head+body)
+		size, err := st.Fetch(t.Context(), "m")
+		assert.ErrorIs(t, err, citronstream.ErrUnavailable, "%d, after %q", size, head+body)
+		server.Close()
+	}
+}
+
+// Guards against an answer whose status is none, and that tells that there is no object.
+func TestInvalidStatuses(t *testing.T) {
+	for _, status := range []string{"000", "000 No", "001 No", "099 No"} {
+		t.Run(status, func(t *testing.T) { assertInvalidHead(t, "HTTP/1.1 "+status+"\r\n") })
+	}
+}
--- a/internal/proof/callers/brokenanswers_test.go
+++ b/internal/proof/callers/brokenanswers_test.go
@@ -46,6 +46,7 @@
 // answeringSite is a gateway with upstreams that all send the same answer.
 type answeringSite struct {
 	*gateway
+	ups    []*site.Upstream
 	log    *site.Log
 	client *http.Client
 	next   int
@@ -53,20 +54,26 @@
 
 // startAnswering starts a gateway with several upstreams of each service, as one that fails is
 // avoided for a while.
-func startAnswering(t *testing.T, text string, opts ...rawanswer.Option) *answeringSite {
-	log, answer := &site.Log{}, http.HandlerFunc(rawanswer.New(clk, text, opts...).ServeHTTP)
-	var ups []*site.Upstream
+func startAnswering(t *testing.T) *answeringSite {
+	as := &answeringSite{log: &site.Log{}, client: &http.Client{Timeout: playTimeout, Transport: &http.Transport{DisableCompression: true}}}
+	t.Cleanup(as.client.CloseIdleConnections)
 	for _, service := range []string{"desk", "pool"} {
 		for i := range 4 {
-			up := site.NewUpstream(clk, log, fmt.Sprintf("%s-%d", service, i), service)
-			up.Answer.Store(&answer)
+			up := site.NewUpstream(clk, as.log, fmt.Sprintf("%s-%d", service, i), service)
 			up.Early.Store(true)
-			ups = append(ups, up)
+			as.ups = append(as.ups, up)
 		}
 	}
-	client := &http.Client{Timeout: playTimeout, Transport: &http.Transport{DisableCompression: true}}
-	t.Cleanup(client.CloseIdleConnections)
-	return &answeringSite{gateway: startGatewayWith(t, 2*uploadBytes, ups...), log: log, client: client}
+	as.gateway = startGatewayWith(t, 2*uploadBytes, as.ups...)
+	return as
+}
+
+// answer sets the answer of the upstreams.
+func (as *answeringSite) answer(text string, opts ...rawanswer.Option) {
+	answer := http.HandlerFunc(rawanswer.New(clk, text, opts...).ServeHTTP)
+	for _, up := range as.ups {
+		up.Answer.Store(&answer)
+	}
 }
 
 // send sends a request.
@@ -153,7 +160,8 @@
 		} {
 			for upload, reading := range map[string]rawanswer.Option{"unread": rawanswer.WithReset(), "read": rawanswer.WithReading()} {
 				t.Run(strings.Join([]string{kind, form, upload}, " "), func(t *testing.T) {
-					as := startAnswering(t, text, rawanswer.WithReset(), reading)
+					as := startAnswering(t)
+					as.answer(text, rawanswer.WithReset(), reading)
 					as.play(racePlays, ki.path, uploadBytes, func(ou *outcome) { ki.assertBroken(t, ou) })
 				})
 			}
@@ -170,7 +178,8 @@
 		} {
 			for name, end := range map[string]rawanswer.Option{"ended": rawanswer.WithEnd(), "reset": rawanswer.WithReset()} {
 				t.Run(strings.Join([]string{kind, form, name}, " "), func(t *testing.T) {
-					as := startAnswering(t, answerHead+ki.header+framing, end)
+					as := startAnswering(t)
+					as.answer(answerHead+ki.header+framing, end)
 					as.play(racePlays/4, ki.path, uploadBytes, func(ou *outcome) { ki.assertBroken(t, ou) })
 				})
 			}
@@ -187,7 +196,7 @@
 	length := fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n\r\n%s", len(answerBody), answerBody)
 	chunks := fmt.Sprintf("Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(answerBody), answerBody)
 	for kind, ki := range answerKinds {
-		for form, as := range map[string]struct {
+		for form, an := range map[string]struct {
 			text string
 			opts []rawanswer.Option
 		}{
@@ -200,9 +209,10 @@
 			"chunks, reset":   {chunks, []rawanswer.Option{rawanswer.WithReset()}},
 		} {
 			t.Run(kind+" "+form, func(t *testing.T) {
-				sit := startAnswering(t, answerHead+ki.header+as.text, as.opts...)
+				as := startAnswering(t)
+				as.answer(answerHead+ki.header+an.text, an.opts...)
 				for upload, size := range map[string]int{"short": 1, "long": uploadBytes} {
-					sit.play(racePlays/4, ki.path, size, func(ou *outcome) {
+					as.play(racePlays/4, ki.path, size, func(ou *outcome) {
 						assert.True(t, ou.complete(), "%s upload: %+v", upload, ou)
 						assert.Equal(t, answerBody, ou.body)
 						assert.Equal(t, 1, ou.reached)
@@ -212,3 +222,54 @@
 		}
 	}
 }
+
+// plays is how often an answer is sent whose outcome depends on no race.
+const plays = 4
+
+// framings are the ways in which an answer may tell its end.
+var framings = map[string]string{
+	"neither": "\r\n" + answerBody,
+	"length":  fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(answerBody), answerBody),
+	"chunks":  fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(answerBody), answerBody),
+	"empty":   "Content-Length: 0\r\n\r\n",
+}
+
+// testInvalidHeads checks that no request has an answer with one of these heads, and that none
+// waits for another answer until its deadline.
+func testInvalidHeads(t *testing.T, heads map[string]string) {
+	for kind, ki := range answerKinds {
+		t.Run(kind, func(t *testing.T) {
+			as := startAnswering(t)
+			for form, head := range heads {
+				for framing, rest := range framings {
+					for name, opts := range map[string][]rawanswer.Option{"open": nil, "ended": {rawanswer.WithEnd()}} {
+						t.Run(strings.Join([]string{form, framing, name}, " "), func(t *testing.T) {
+							as.answer(head+ki.header+rest, opts...)
+							as.play(plays, ki.path, 1, func(ou *outcome) {
+								ki.assertBroken(t, ou)
+								assert.NotContains(t, ou.body, "deadline")
+							})
+						})
+					}
+				}
+			}
+		})
+	}
+}
+
+const refusalHead = "X-Citronstream-Request-Id: ID\r\nX-Citronstream-Not-Executed: 1\r\n"
+
+// Guards against an answer whose status is none, and that is passed on, taken for an interim
+// one, or for a refusal.
+func TestInvalidStatuses(t *testing.T) {
+	heads := map[string]string{
+		"refusal":      "HTTP/1.1 000 No\r\n" + refusalHead,
+		"second head":  "HTTP/1.1 000 No\r\n\r\n" + answerHead,
+		"after a 100":  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 No\r\n" + signedHead,
+		"after a copy": "HTTP/1.1 200 OK\r\nX-Citronstream-Request-Id: other\r\nContent-Length: 0\r\n\r\nHTTP/1.1 000 No\r\n" + signedHead,
+	}
+	for _, status := range []string{"000", "000 ", "000 OK", "001 No", "099 No", "+00 No", "-01 No", "0 No", "0000 No"} {
+		heads[status] = "HTTP/1.1 " + status + "\r\n" + signedHead
+	}
+	testInvalidHeads(t, heads)
+}
--- a/internal/upstream/batch/endless_test.go
+++ b/internal/upstream/batch/endless_test.go
@@ -120,3 +120,29 @@
 	// longBatch is more than the sockets hold.
 	longBatch = 8 << 20
 )
+
+// assertInvalidHead runs a batch and reads a report, whose answers have an invalid head and a
+// sound body.
+func assertInvalidHead(t *testing.T, head string) {
+	t.Helper()
+	for _, rest := range []string{
+		"\r\n" + itemsBody, fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(itemsBody), itemsBody),
+		fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(itemsBody), itemsBody),
+	} {
+		assertNoResult(t, head+rest, "")
+		assertNoResult(t, head+refusedLine+rest, "")
+	}
+}
+
+const refusedLine = "X-Citronstream-Not-Executed: 1\r\n"
+
+// Guards against an answer whose status is none: its body, which may come from the upstream's
+// caller, would be read as the answer, and its headers as those of a refusal.
+func TestInvalidStatuses(t *testing.T) {
+	for _, status := range []string{"000", "000 No", "001 No", "099 No", "+00 No", "-01 No", "0 No"} {
+		t.Run(status, func(t *testing.T) {
+			assertInvalidHead(t, "HTTP/1.1 "+status+"\r\n")
+			assertInvalidHead(t, "HTTP/1.1 "+status+"\r\n\r\n"+statusOK)
+		})
+	}
+}
--- a/internal/upstream/conns/send.go
+++ b/internal/upstream/conns/send.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/kernel/httphead"
 )
 
 const (
@@ -260,6 +261,9 @@
 	co.limited, co.headLeft = true, maxHeadBytes
 	timer := clk.AfterFunc(headTimeout, co.reset)
 	res, err := http.ReadResponse(co.br, &http.Request{Method: method})
+	if err == nil {
+		err = httphead.Check(res)
+	}
 	co.limited = false
 	if !timer.Stop() && err != nil {
 		err = errHeadTooSlow
--- a/internal/upstream/exchange/client.go
+++ b/internal/upstream/exchange/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/kernel/httphead"
 	"github.com/jonboulle/clockwork"
 )
 
@@ -48,7 +49,7 @@
 type Client struct {
 	clk       citronstream.Clock
 	maxAnswer int
-	tr        *http.Transport
+	tr        *httphead.Transport
 }
 
 // Option changes a Client.
@@ -65,7 +66,7 @@
 func New(opts ...Option) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	cl := &Client{clk: clockwork.NewRealClock(), maxAnswer: citronstream.DefaultLimits().MaxAnswerBytes}
-	cl.tr = &http.Transport{
+	cl.tr = httphead.New(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			raw, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -79,7 +80,7 @@
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
-	}
+	})
 	for _, opt := range opts {
 		opt(cl)
 	}
--- a/internal/upstream/report/report_test.go
+++ b/internal/upstream/report/report_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/citronstream/citronstream/internal/standin/engine"
+	"github.com/citronstream/citronstream/internal/standin/rawanswer"
 	"github.com/citronstream/citronstream/internal/standin/record"
 	"github.com/citronstream/citronstream/internal/standin/service"
 	"github.com/jonboulle/clockwork"
@@ -48,3 +50,27 @@
 		}
 	})
 }
+
+// assertInvalidHead reads reports whose answers have an invalid head and a sound body.
+func assertInvalidHead(t *testing.T, head string) {
+	t.Helper()
+	for _, body := range []string{`{"Running":1,"Waiting":2}`, `{"events":[{"seq":1,"kind":"stored","block":2}]}`, "engine_requests_running 3\n"} {
+		srv := httptest.NewServer(rawanswer.New(clockwork.NewRealClock(), head+"\r\n"+body, rawanswer.WithEnd()))
+		rd, address := New(), srv.Listener.Addr().String()
+		_, err := rd.ServiceLoad(t.Context(), address)
+		assert.Error(t, err, head)
+		_, err = rd.EngineLoad(t.Context(), address)
+		assert.Error(t, err, head)
+		_, err = rd.CacheEvents(t.Context(), address, 0)
+		assert.Error(t, err, head)
+		rd.Close()
+		srv.Close()
+	}
+}
+
+// Guards against a report of an answer whose status is none.
+func TestInvalidStatuses(t *testing.T) {
+	for _, status := range []string{"000", "000 No", "001 No", "099 No"} {
+		t.Run(status, func(t *testing.T) { assertInvalidHead(t, "HTTP/1.1 "+status+"\r\n") })
+	}
+}
