httphead: an answer with a blank in the name of a field is none

Seen on other systems: a server in trouble sent a head in which the name of a field held a blank or a control byte, and its client got the answer, with the line passed on or with a body that was not the server's. Here this held for blanks: "Content-Length : 1" and "Transfer-Encoding : chunked" told no length, so that the client got other bytes as the body, chunk sizes among them, and a refusal with such a line as a promise that the request had not run. Cause: net/http accepts a blank in a name, before the colon or within, and keeps the name as it is. All other bytes that no name may have, it refuses. Change: httphead.Check refuses such a name, so that all readers do. The list of instances is read through its Transport too. The transport closes its idle connections after that, as one whose answer had no body is idle by then. Control bytes, a tab, and a blank at the start of the first line were refused before. TestConnectionOfARefusedAnswer fails without the closing of idle connections.

--- a/internal/kernel/httphead/httphead.go
+++ b/internal/kernel/httphead/httphead.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // Check returns an error if the head of an answer is invalid.
@@ -11,6 +12,12 @@
 	if res.StatusCode < http.StatusContinue {
 		return fmt.Errorf("invalid status %q", res.Status)
 	}
+	for name := range res.Header {
+		// Of the bytes that no name may have, net/http accepts the blank.
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("header line with the invalid name %q", name)
+		}
+	}
 	return nil
 }
 
@@ -30,5 +37,6 @@
 		return res, nil
 	}
 	_ = res.Body.Close()
+	tr.CloseIdleConnections() // that of an answer without a body is one of them already
 	return nil, err
 }
--- a/internal/kernel/httphead/httphead_test.go
+++ b/internal/kernel/httphead/httphead_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/citronstream/citronstream/internal/standin/rawanswer"
 	"github.com/jonboulle/clockwork"
@@ -45,3 +46,31 @@
 		assert.Equal(t, "ok", body)
 	}
 }
+
+// Guards against a line whose name is none. One that begins with a blank has no name: it goes
+// on with the value of the line before.
+func TestFieldNames(t *testing.T) {
+	for _, line := range []string{
+		" A: c", "\tA: c", "A B: c", "A : c", " : c", "Content-Length : 1", "Transfer-Encoding : chunked", "A\tB: c", "A\t: c",
+		"A\x00: c", "A\x01B: c", "\x0bA: c", "A\x1f: c", "A\x7f: c", "A\rB: c",
+	} {
+		t.Run(line, func(t *testing.T) { assertRefused(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 2\r\n\r\nok") })
+	}
+	for _, lines := range []string{"A: b c\r\n", "!#$%&'*+-.^_`|~09Az: b\r\n", "A: b\r\n C: d\r\n", "A:b\r\n"} {
+		body, err := get(t, "HTTP/1.1 200 OK\r\n"+lines+"Content-Length: 2\r\n\r\nok")
+		require.NoError(t, err, lines)
+		assert.Equal(t, "ok", body)
+	}
+}
+
+// Guards against a connection that is used again after an answer without a body was refused.
+// The stand-in answers one request a connection.
+func TestConnectionOfARefusedAnswer(t *testing.T) {
+	srv := httptest.NewServer(rawanswer.New(clockwork.NewRealClock(), "HTTP/1.1 200 OK\r\nA B: c\r\nContent-Length: 0\r\n\r\n"))
+	defer srv.Close()
+	client := &http.Client{Transport: New(&http.Transport{}), Timeout: 10 * time.Second}
+	for range 3 {
+		_, err := client.Get(srv.URL)
+		assert.ErrorContains(t, err, "invalid name")
+	}
+}
--- a/internal/operator/client/client_test.go
+++ b/internal/operator/client/client_test.go
@@ -117,3 +117,13 @@
 		t.Run(status, func(t *testing.T) { assertInvalidHead(t, "HTTP/1.1 "+status+"\r\n", "invalid status") })
 	}
 }
+
+// Guards against an answer with a line whose name is none.
+func TestInvalidFieldNames(t *testing.T) {
+	for _, line := range []string{
+		"A B: c", "A : c", "Content-Length : 1", "Transfer-Encoding : chunked", "A\tB: c", "A\t: c",
+		"A\x00: c", "A\x01B: c", "\x0bA: c", "A\x1f: c", "A\x7f: c", "A\rB: c",
+	} {
+		t.Run(line, func(t *testing.T) { assertInvalidHead(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n", "entry-1: ") })
+	}
+}
--- a/internal/platform/httpsd/list.go
+++ b/internal/platform/httpsd/list.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
+	"github.com/citronstream/citronstream/internal/kernel/httphead"
 	"github.com/prometheus/common/model"
 )
 
@@ -46,9 +47,9 @@
 	for _, opt := range opts {
 		opt(li)
 	}
-	li.http = &http.Client{Transport: &http.Transport{
+	li.http = &http.Client{Transport: httphead.New(&http.Transport{
 		DialContext: (&net.Dialer{Timeout: callTimeout}).DialContext, IdleConnTimeout: time.Minute,
-	}}
+	})}
 	return li
 }
 
--- a/internal/proof/callers/brokenanswers_test.go
+++ b/internal/proof/callers/brokenanswers_test.go
@@ -98,21 +98,21 @@
 // play sends requests until a number of them have reached an upstream, and checks each outcome.
 // A request that the gateway refuses, as it takes the upstreams for failed, must not have
 // reached one.
-func (as *answeringSite) play(count int, path string, bodyBytes int, check func(ou *outcome)) {
-	as.t.Helper()
+func (as *answeringSite) play(t *testing.T, count int, path string, bodyBytes int, check func(ou *outcome)) {
+	t.Helper()
 	for played, began := 0, clk.Now(); played < count; {
 		ou := as.send(path, bodyBytes)
 		if ou.refused() {
-			require.Zero(as.t, ou.reached, "a request that reached an upstream is called not run: %+v", ou)
-			require.Less(as.t, clk.Since(began), patience, "too few requests reach an upstream")
+			require.Zero(t, ou.reached, "a request that reached an upstream is called not run: %+v", ou)
+			require.Less(t, clk.Since(began), patience, "too few requests reach an upstream")
 			clk.Sleep(poll)
 			continue
 		}
 		played++
-		require.NotZero(as.t, ou.reached, "the request did not reach an upstream: %+v", ou)
+		require.NotZero(t, ou.reached, "the request did not reach an upstream: %+v", ou)
 		check(&ou)
 	}
-	assert.True(as.t, as.lives(), "the process has ended")
+	assert.True(t, as.lives(), "the process has ended")
 }
 
 // answerKind is a kind of request by what becomes of it when its answer is broken.
@@ -162,7 +162,7 @@
 				t.Run(strings.Join([]string{kind, form, upload}, " "), func(t *testing.T) {
 					as := startAnswering(t)
 					as.answer(text, rawanswer.WithReset(), reading)
-					as.play(racePlays, ki.path, uploadBytes, func(ou *outcome) { ki.assertBroken(t, ou) })
+					as.play(t, racePlays, ki.path, uploadBytes, func(ou *outcome) { ki.assertBroken(t, ou) })
 				})
 			}
 		}
@@ -180,7 +180,7 @@
 				t.Run(strings.Join([]string{kind, form, name}, " "), func(t *testing.T) {
 					as := startAnswering(t)
 					as.answer(answerHead+ki.header+framing, end)
-					as.play(racePlays/4, ki.path, uploadBytes, func(ou *outcome) { ki.assertBroken(t, ou) })
+					as.play(t, racePlays/4, ki.path, uploadBytes, func(ou *outcome) { ki.assertBroken(t, ou) })
 				})
 			}
 		}
@@ -212,7 +212,7 @@
 				as := startAnswering(t)
 				as.answer(answerHead+ki.header+an.text, an.opts...)
 				for upload, size := range map[string]int{"short": 1, "long": uploadBytes} {
-					as.play(racePlays/4, ki.path, size, func(ou *outcome) {
+					as.play(t, racePlays/4, ki.path, size, func(ou *outcome) {
 						assert.True(t, ou.complete(), "%s upload: %+v", upload, ou)
 						assert.Equal(t, answerBody, ou.body)
 						assert.Equal(t, 1, ou.reached)
@@ -245,7 +245,7 @@
 					for name, opts := range map[string][]rawanswer.Option{"open": nil, "ended": {rawanswer.WithEnd()}} {
 						t.Run(strings.Join([]string{form, framing, name}, " "), func(t *testing.T) {
 							as.answer(head+ki.header+rest, opts...)
-							as.play(plays, ki.path, 1, func(ou *outcome) {
+							as.play(t, plays, ki.path, 1, func(ou *outcome) {
 								ki.assertBroken(t, ou)
 								assert.NotContains(t, ou.body, "deadline")
 							})
@@ -273,3 +273,22 @@
 	}
 	testInvalidHeads(t, heads)
 }
+
+// Guards against an answer in whose head the name of a field holds a blank or a control byte,
+// and that is passed on. If the line was to tell the length, the body is not the upstream's.
+func TestInvalidFieldNames(t *testing.T) {
+	heads := make(map[string]string)
+	for _, line := range []string{
+		" A: c", "A B: c", "A : c", "Content-Length : 1", "Transfer-Encoding : chunked", "A\tB: c", "A\t: c",
+		"A\x00: c", "A\x01B: c", "\x0bA: c", "A\x1f: c", "A\x7f: c", "A\rB: c",
+	} {
+		name := strings.Trim(fmt.Sprintf("%q", line), `"`)
+		heads[name] = "HTTP/1.1 200 OK\r\n" + line + "\r\n" + signedHead
+		heads[name+" refusal"] = "HTTP/1.1 503 Busy\r\n" + line + "\r\n" + refusalHead
+	}
+	heads["last line"] = answerHead + "A : c\r\n"
+	heads["failure"] = strings.Replace(answerHead, "200 OK", "500 No", 1) + "A : c\r\n"
+	heads["not found"] = strings.Replace(answerHead, "200 OK", "404 No", 1) + "A : c\r\n"
+	heads["after a 100"] = "HTTP/1.1 100 Continue\r\nA : c\r\n\r\n" + answerHead
+	testInvalidHeads(t, heads)
+}
--- a/internal/upstream/conns/invalidhead_test.go
+++ b/internal/upstream/conns/invalidhead_test.go
@@ -62,3 +62,20 @@
 		})
 	}
 }
+
+// Guards against an answer with a line whose name is none: if it was to tell the length, the
+// body is not the upstream's.
+func TestInvalidFieldNames(t *testing.T) {
+	const rest = "Id: 2\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n"
+	for _, line := range []string{
+		"A B: c", "A : c", "Content-Length : 1", "Transfer-Encoding : chunked", "A\tB: c", "A\t: c",
+		"A\x00: c", "A\x01B: c", "\x0bA: c", "A\x1f: c", "A\x7f: c", "A\rB: c",
+	} {
+		t.Run(line, func(t *testing.T) {
+			assertInvalidHead(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n"+rest)
+			assertInvalidHead(t, "HTTP/1.1 200 OK\r\nA: b\r\n"+line+"\r\n"+rest)
+			assertInvalidHead(t, "HTTP/1.1 100 Continue\r\n"+line+"\r\n\r\n"+answerText("2", "body"))
+			assertInvalidHead(t, "HTTP/1.1 200 OK\r\nId: other\r\n"+line+"\r\nContent-Length: 0\r\n\r\n"+answerText("2", "body"))
+		})
+	}
+}
