operator/client: an answer that arrived whole is read after a failed write

Cause: an entry that answers a large request early, ends its side and closes the connection resets what is still being sent. http.Transport closes the connection at the first write that fails, even while the whole answer is waiting to be read, so operators' commands returned 'broken pipe' or 'use of closed network connection' in its place. No broken answer was returned.

Change: eofconn.WithReadsFirst holds the error of a write back until a read has failed or the connection is closed; operators' commands use it. A TLS handshake has a time limit now, as no read need follow a write that fails in it.

--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -51,7 +51,7 @@
 func WithTLS(config *tls.Config) Option {
 	return func(cl *Client) {
 		cl.scheme = "https"
-		cl.http.Transport = httphead.New(&http.Transport{DialContext: dial, TLSClientConfig: config})
+		cl.http.Transport = httphead.New(&http.Transport{DialContext: dial, TLSClientConfig: config, TLSHandshakeTimeout: defaultTimeout})
 	}
 }
 
@@ -64,13 +64,14 @@
 	return cl
 }
 
-// dial opens a connection on which an answer that breaks off does not end like a whole one.
+// dial opens a connection on which an answer that breaks off does not end like a whole one, and
+// an answer that arrives whole is read even if the rest of the request can't be sent.
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
 	nc, err := new(net.Dialer).DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	return eofconn.New(nc), nil
+	return eofconn.New(nc, eofconn.WithReadsFirst()), nil
 }
 
 // Answer is the result of a request to one entry.
