exchange, platform: an answer that arrived whole is read after a failed write

An upstream that answers a long call early, ends its side and closes the connection resets what is still being sent, and http.Transport closes the connection at the first write that fails. Callers of agents got 'upstream-died, MayHaveRun' in place of the answer, and the store's client an unknown outcome.

TestAttempt builds its connections without it, as nobody reads from them; its checks are unchanged.

--- a/internal/upstream/exchange/attempt_test.go
+++ b/internal/upstream/exchange/attempt_test.go
@@ -6,13 +6,15 @@
 	"testing"
 	"time"
 
+	"github.com/citronstream/citronstream/internal/kernel/eofconn"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
-// newAttempt returns an attempt that may write on raw.
+// newAttempt returns an attempt that may write on raw. Nobody reads, so errors of writes are not
+// held back until a read has failed.
 func newAttempt(raw net.Conn, reused bool) (*attempt, *conn) {
-	att, co := &attempt{cancel: func() {}}, &conn{Conn: raw}
+	att, co := &attempt{cancel: func() {}}, &conn{Conn: raw, stream: eofconn.New(raw)}
 	att.gotConn(httptrace.GotConnInfo{Conn: co, Reused: reused})
 	return att, co
 }
--- a/internal/upstream/exchange/client.go
+++ b/internal/upstream/exchange/client.go
@@ -72,7 +72,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: raw}, nil
+			return newConn(raw), nil
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
--- a/internal/upstream/exchange/conn.go
+++ b/internal/upstream/exchange/conn.go
@@ -6,6 +6,8 @@
 	"os"
 	"sync/atomic"
 	"syscall"
+
+	"github.com/citronstream/citronstream/internal/kernel/eofconn"
 )
 
 var errWriteRefused = errors.New("write refused: the attempt has ended, was sent before or its connection is closed")
@@ -13,23 +15,31 @@
 // conn reports its writes and its end to the attempt that uses it.
 type conn struct {
 	net.Conn
+	stream  *eofconn.Conn // reads, writes and closes Conn
 	attempt atomic.Pointer[attempt]
 }
 
+func newConn(raw net.Conn) *conn {
+	return &conn{Conn: raw, stream: eofconn.New(raw, eofconn.WithReadsFirst())}
+}
+
+// Close implements net.Conn.
+func (co *conn) Close() error { return co.stream.Close() }
+
 // Write implements net.Conn.
 func (co *conn) Write(data []byte) (int, error) {
 	att := co.attempt.Load()
 	if att == nil || !att.beginWrite(co) {
 		return 0, errWriteRefused
 	}
-	n, err := co.Conn.Write(data)
+	n, err := co.stream.Write(data)
 	att.endWrite(n)
 	return n, err
 }
 
 // Read implements net.Conn.
 func (co *conn) Read(data []byte) (int, error) {
-	n, err := co.Conn.Read(data)
+	n, err := co.stream.Read(data)
 	if err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded) {
 		if att := co.attempt.Load(); att != nil {
 			att.markEnded(co)
--- a/internal/upstream/jsonpost/cut_test.go
+++ b/internal/upstream/jsonpost/cut_test.go
@@ -60,3 +60,24 @@
 		})
 	}
 }
+
+// Guards against an answer that has arrived whole and is lost, as the rest of its request can't
+// be sent any more.
+func TestEarlyAnswerThatEnds(t *testing.T) {
+	for name, text := range map[string]string{
+		"neither": "\r\n{}", "length": "Content-Length: 2\r\n\r\n{}", "chunks": "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 30 {
+				srv := httptest.NewServer(rawanswer.New(clockwork.NewRealClock(), "HTTP/1.1 200 OK\r\n"+text, rawanswer.WithEnd(), rawanswer.WithReset()))
+				pr := New()
+				var out string
+				_, err := pr.Run(t.Context(), srv.Listener.Addr().String(), citronstream.Call{Path: "/", Body: make([]byte, 8<<20)}, func(data []byte) error { out = string(data); return nil })
+				assert.NoError(t, err)
+				assert.Equal(t, "{}", out)
+				pr.cl.Close()
+				srv.Close()
+			}
+		})
+	}
+}
