answerfirst: a TLS connection whose server has closed it can be closed

Cause: held the error of a write back below TLS. To close a connection, TLS writes an alert first; if the server had closed it, that write failed and waited for a read, while nobody read any more.

Change: holding errors back has a package of its own, kernel/answerfirst, and stands above TLS, which tells the end of an answer by itself; answerfirst.Use sets up a transport. eofconn is as it was before. A failed handshake needs no time limit any more.

--- a/internal/kernel/eofconn/eofconn.go
+++ b/internal/kernel/eofconn/eofconn.go
@@ -5,7 +5,6 @@
 package eofconn
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -18,55 +17,15 @@
 type Conn struct {
 	net.Conn
 
-	writing    sync.Mutex // held during a write
-	writeErr   error      // of the first write that failed, guarded by writing
-	readsFirst bool
-	endReads   func() // closes readsEnd
-	readsEnd   chan struct{}
+	writing  sync.Mutex // held during a write
+	writeErr error      // of the first write that failed, guarded by writing
 }
 
-// Option changes a Conn.
-type Option func(*Conn)
-
-// WithReadsFirst holds the error of a write back until a read has failed or the connection is
-// closed. http.Transport needs it: it closes the connection when a write fails, even while an
-// answer that has arrived whole is being read.
-func WithReadsFirst() Option { return func(co *Conn) { co.readsFirst = true } }
-
 // New wraps a connection.
-func New(nc net.Conn, opts ...Option) *Conn {
-	co := &Conn{Conn: nc, readsEnd: make(chan struct{})}
-	co.endReads = sync.OnceFunc(func() { close(co.readsEnd) })
-	for _, opt := range opts {
-		opt(co)
-	}
-	return co
-}
-
-// dialFunc is the type of DialContext of http.Transport.
-type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
-
-// Dial returns a function that opens connections with another one, for an http.Transport.
-func Dial(dial dialFunc) dialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		nc, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return New(nc, WithReadsFirst()), nil
-	}
-}
+func New(nc net.Conn) *Conn { return &Conn{Conn: nc} }
 
 // Write implements net.Conn. It fails once Read has returned io.EOF.
 func (co *Conn) Write(data []byte) (int, error) {
-	count, err := co.write(data)
-	if err != nil && co.readsFirst {
-		<-co.readsEnd
-	}
-	return count, err
-}
-
-func (co *Conn) write(data []byte) (int, error) {
 	co.writing.Lock()
 	defer co.writing.Unlock()
 	count, err := co.Conn.Write(data)
@@ -76,19 +35,10 @@
 	return count, err
 }
 
-// Close implements net.Conn.
-func (co *Conn) Close() error {
-	co.endReads()
-	return co.Conn.Close()
-}
-
 // Read implements net.Conn. At the end of the stream it ends a write in progress, as that may
 // have got the failure.
 func (co *Conn) Read(data []byte) (int, error) {
 	count, err := co.Conn.Read(data)
-	if err != nil {
-		defer co.endReads()
-	}
 	if errors.Is(err, io.EOF) {
 		if failure := co.failure(); failure != nil {
 			err = failure
--- a/internal/kernel/eofconn/eofconn_test.go
+++ b/internal/kernel/eofconn/eofconn_test.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -76,32 +75,3 @@
 		})
 	}
 }
-
-// Guards against an owner that drops an answer because a write has failed, and against a write
-// that never returns.
-func TestReadsFirst(t *testing.T) {
-	for name, end := range map[string]func(*Conn) error{
-		"a read that fails": func(co *Conn) error {
-			_, err := co.Read(make([]byte, 1))
-			return err
-		},
-		"close": func(co *Conn) error { return co.Close() },
-	} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				near, far := net.Pipe()
-				assert.NoError(t, far.Close())
-				co := New(near, WithReadsFirst())
-				written := make(chan error, 1)
-				go func() {
-					_, err := co.Write(make([]byte, 1))
-					written <- err
-				}()
-				synctest.Wait()
-				assert.Empty(t, written)
-				_ = end(co)
-				assert.ErrorIs(t, <-written, io.ErrClosedPipe)
-			})
-		})
-	}
-}
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"github.com/citronstream/citronstream"
-	"github.com/citronstream/citronstream/internal/kernel/eofconn"
+	"github.com/citronstream/citronstream/internal/kernel/answerfirst"
 	"github.com/citronstream/citronstream/internal/kernel/httphead"
 	"golang.org/x/sync/errgroup"
 )
@@ -65,9 +65,7 @@
 }
 
 func newTransport(config *tls.Config) http.RoundTripper {
-	return httphead.New(&http.Transport{
-		DialContext: eofconn.Dial(new(net.Dialer).DialContext), TLSClientConfig: config, TLSHandshakeTimeout: defaultTimeout,
-	})
+	return httphead.New(answerfirst.Use(&http.Transport{DialContext: new(net.Dialer).DialContext, TLSClientConfig: config}))
 }
 
 // Answer is the result of a request to one entry.
--- a/internal/platform/dynamodb/table.go
+++ b/internal/platform/dynamodb/table.go
@@ -16,7 +16,7 @@
 	sdk "github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/citronstream/citronstream"
-	"github.com/citronstream/citronstream/internal/kernel/eofconn"
+	"github.com/citronstream/citronstream/internal/kernel/answerfirst"
 	"github.com/citronstream/citronstream/internal/kernel/httphead"
 )
 
@@ -70,14 +70,14 @@
 		opt(&op)
 	}
 	transport := &http.Transport{
-		DialContext:         eofconn.Dial((&net.Dialer{Timeout: callTimeout}).DialContext),
+		DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
 		MaxIdleConnsPerHost: 16, MaxConnsPerHost: 64, IdleConnTimeout: time.Minute,
 	}
 	api := sdk.New(sdk.Options{
 		BaseEndpoint: &endpoint,
 		Region:       op.region,
 		Credentials:  credentials.NewStaticCredentialsProvider(op.keyID, op.secret, ""),
-		HTTPClient:   &http.Client{Transport: httphead.New(transport)},
+		HTTPClient:   &http.Client{Transport: httphead.New(answerfirst.Use(transport))},
 		Retryer:      aws.NopRetryer{},
 	})
 	return &Table{api: api, clk: clk, name: op.name}
--- a/internal/platform/s3/store.go
+++ b/internal/platform/s3/store.go
@@ -17,7 +17,7 @@
 	sdk "github.com/aws/aws-sdk-go-v2/service/s3"
 	"github.com/aws/smithy-go"
 	"github.com/citronstream/citronstream"
-	"github.com/citronstream/citronstream/internal/kernel/eofconn"
+	"github.com/citronstream/citronstream/internal/kernel/answerfirst"
 	"github.com/citronstream/citronstream/internal/kernel/httphead"
 )
 
@@ -68,14 +68,14 @@
 		opt(&op)
 	}
 	transport := &http.Transport{
-		DialContext:         eofconn.Dial((&net.Dialer{Timeout: callTimeout}).DialContext),
+		DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
 		MaxIdleConnsPerHost: 16, MaxConnsPerHost: 64, IdleConnTimeout: time.Minute,
 	}
 	api := sdk.New(sdk.Options{
 		BaseEndpoint: &endpoint,
 		Region:       op.region,
 		Credentials:  credentials.NewStaticCredentialsProvider(op.keyID, op.secret, ""),
-		HTTPClient:   &http.Client{Transport: httphead.New(transport)},
+		HTTPClient:   &http.Client{Transport: httphead.New(answerfirst.Use(transport))},
 		Retryer:      aws.NopRetryer{},
 		UsePathStyle: true,
 		// Object keys are digests, which readers verify.
--- a/internal/upstream/exchange/conn.go
+++ b/internal/upstream/exchange/conn.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"syscall"
 
+	"github.com/citronstream/citronstream/internal/kernel/answerfirst"
 	"github.com/citronstream/citronstream/internal/kernel/eofconn"
 )
 
@@ -15,12 +16,12 @@
 // conn reports its writes and its end to the attempt that uses it.
 type conn struct {
 	net.Conn
-	stream  *eofconn.Conn // reads, writes and closes Conn
+	stream  net.Conn // reads, writes and closes Conn
 	attempt atomic.Pointer[attempt]
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{Conn: raw, stream: eofconn.New(raw, eofconn.WithReadsFirst())}
+	return &conn{Conn: raw, stream: answerfirst.New(eofconn.New(raw))}
 }
 
 // Close implements net.Conn.
