Tests: a gateway that starts just after an outage is asked once it is ready

Refusing it is right; the gateway does not call itself ready then.

Change: the test waits until the gateway is ready, as the one before it does, and still wants a 200 from the upstream of before.

--- a/internal/process/gateway/restore_test.go
+++ b/internal/process/gateway/restore_test.go
@@ -57,6 +57,7 @@
 	ts.st.Remove("servers", "d1")
 	late := ts.startEntry()
 	ts.waitFor(func() bool { return len(late.view.Members().Service("desk")) == 1 }, "the upstream of before is not used")
+	ts.waitFor(late.Ready, "the entry is not ready")
 	res, _ := ts.roundTrip(late, ts.call(), http.MethodPost, "/order/x", "order")
 	ts.assertStatus(http.StatusOK, res)
 	ts.waitFor(func() bool { return len(late.view.Members().Service("desk")) == 0 }, "an upstream whose row is not back stays in use")
