--- a/internal/ingress/flow/recompute.go
+++ b/internal/ingress/flow/recompute.go
@@ -42,6 +42,13 @@
 	return nil
 }
 
+// recomputeCount returns how often lost results were recomputed.
+func (sg *stages) recomputeCount() int {
+	sg.mu.Lock()
+	defer sg.mu.Unlock()
+	return sg.recomputes
+}
+
 // recomputeReleased computes results again that were released after their use.
 func (sg *stages) recomputeReleased(ctx context.Context, numbers []int) *citronstream.Fault {
 	for _, number := range numbers {
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -196,7 +196,7 @@
 			sg.storeResults(st, indexes, re.Handles)
 			return nil
 		}
-		sg.rt.fl.log.Info("stage input lost", "request", sg.rt.ID, "stage", st.number, "service", st.spec.Service, "remakes", sg.recomputes)
+		sg.rt.fl.log.Info("stage input lost", "request", sg.rt.ID, "stage", st.number, "service", st.spec.Service, "remakes", sg.recomputeCount())
 		if fa := sg.recomputeInputs(ctx, st, locked); fa != nil {
 			return fa
 		}
