flow: a stage that runs again gets all of its inputs

Cause: a result is released when all its consumers are assumed to have read it, and nothing took that back when one of them ran again. What was lost was computed again, but a released stage has no results, so none of them looked lost; the inputs were then joined without a check. Record of a run: stage 3 is sent with both inputs at 20.424, its upstream crashes at 20.554, stage 1 is computed again, stage 0 isn't, and stage 3 is sent at 20.821 with the result of stage 1 alone. Change: a stage that runs marks its inputs as not taken, and gets all of them or none; released ones are computed again first. A stage whose inputs another one has replaced takes the new ones instead of computing them once more. The request itself gets its inputs in the same way. The stand-in upstream can lose inputs as real ones do.

--- a/internal/ingress/flow/recompute.go
+++ b/internal/ingress/flow/recompute.go
@@ -9,8 +9,8 @@
 // maxRecomputes is how often lost results of one request are recomputed.
 const maxRecomputes = 2
 
-// recompute computes the lost results of the given stages again, or all their
-// results if none is known to be lost.
+// recompute computes the lost and released results of the given stages again, or all
+// their results if none is known to be lost.
 func (sg *stages) recompute(ctx context.Context, numbers []int) *citronstream.Fault {
 	sg.mu.Lock()
 	sg.recomputes++
@@ -19,23 +19,22 @@
 	if many {
 		return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUpstreamDied, "stage results were lost again after they were recomputed")
 	}
-	lost := 0
+	indexes := make(map[int][]int)
 	for _, number := range numbers {
-		lost += len(sg.lostResults(sg.list[number]))
+		if lost := sg.lostResults(sg.list[number]); len(lost) > 0 {
+			indexes[number] = lost
+		}
 	}
-	for _, number := range numbers {
-		st := sg.list[number]
-		indexes := sg.lostResults(st)
-		if lost == 0 {
-			indexes = allIndexes(st)
+	if len(indexes) == 0 {
+		for _, number := range numbers {
+			indexes[number] = allIndexes(sg.list[number])
 		}
-		if len(indexes) == 0 {
+	}
+	for _, number := range numbers {
+		if len(indexes[number]) == 0 {
 			continue
 		}
-		if fa := sg.recomputeReleased(ctx, st.spec.After); fa != nil {
-			return fa
-		}
-		if fa := sg.compute(ctx, st, indexes, true); fa != nil {
+		if fa := sg.compute(ctx, sg.list[number], indexes[number], true); fa != nil {
 			return fa
 		}
 	}
@@ -49,30 +48,43 @@
 	return sg.recomputes
 }
 
-// recomputeReleased computes results again that were released after their use.
-func (sg *stages) recomputeReleased(ctx context.Context, numbers []int) *citronstream.Fault {
+// restore computes the results of the given stages again that were released after their
+// use.
+func (sg *stages) restore(ctx context.Context, numbers []int) *citronstream.Fault {
 	for _, number := range numbers {
 		st := sg.list[number]
-		if sg.results(st) != nil || st.pieces == 0 {
+		released := sg.resultIndexes(st, func(handle string) bool { return handle == "" })
+		if len(released) == 0 {
 			continue
 		}
-		if fa := sg.recomputeReleased(ctx, st.spec.After); fa != nil {
-			return fa
-		}
-		if fa := sg.compute(ctx, st, allIndexes(st), true); fa != nil {
+		if fa := sg.compute(ctx, st, released, true); fa != nil {
 			return fa
 		}
 	}
 	return nil
 }
 
-// lostResults returns the indexes of results whose upstream is no longer listed
-// or is avoided after failures.
+// lostResults returns the indexes of results that were released, or whose upstream is no
+// longer listed or is avoided after failures.
 func (sg *stages) lostResults(st *stage) []int {
-	var indexes []int
 	now := sg.rt.fl.clk.Now()
-	for i, handle := range sg.results(st) {
-		if nd := sg.rt.fl.Broker.ResultNode(st.spec.Service, handle); nd == nil || nd.Avoided(now) {
+	return sg.resultIndexes(st, func(handle string) bool {
+		nd := sg.rt.fl.Broker.ResultNode(st.spec.Service, handle)
+		return nd == nil || nd.Avoided(now)
+	})
+}
+
+// resultIndexes returns the indexes of the results whose handle meets a condition. That of
+// a released result is empty.
+func (sg *stages) resultIndexes(st *stage, meets func(handle string) bool) []int {
+	handles := sg.results(st)
+	var indexes []int
+	for i := range st.pieces {
+		handle := ""
+		if i < len(handles) {
+			handle = handles[i]
+		}
+		if meets(handle) {
 			indexes = append(indexes, i)
 		}
 	}
@@ -101,12 +113,14 @@
 	finals := sg.finalStages()
 	sg.recomputeMu.Lock()
 	defer sg.recomputeMu.Unlock()
-	if fa := sg.recomputeReleased(ctx, finals); fa != nil {
+	if fa := sg.restore(ctx, finals); fa != nil {
 		return nil, fa
 	}
-	var inputs []string
-	for _, number := range finals {
-		inputs = append(inputs, sg.results(sg.list[number])...)
+	sg.mu.Lock()
+	defer sg.mu.Unlock()
+	inputs, ok := sg.allResults(finals)
+	if !ok {
+		return nil, citronstream.NewFault(citronstream.NotRun, citronstream.CodeCanceled, "the request has ended")
 	}
 	return inputs, nil
 }
--- a/internal/ingress/flow/stages.go
+++ b/internal/ingress/flow/stages.go
@@ -155,9 +155,7 @@
 		if st.batch == nil {
 			return citronstream.NewFault(citronstream.NotRun, citronstream.CodeUnavailable, "stage %d: service %s is not in the configuration", st.number, st.spec.Service)
 		}
-		if fa := sg.compute(ctx, st, allIndexes(st), false); fa != nil {
-			return fa
-		}
+		return sg.compute(ctx, st, allIndexes(st), false)
 	}
 	sg.inputsTaken(st)
 	return nil
@@ -178,11 +176,17 @@
 	return citronstream.NewFault(citronstream.NotRun, citronstream.CodeCanceled, "the request has ended")
 }
 
-// compute runs the job for some pieces of a stage. Lost inputs are recomputed by
-// one stage at a time; locked says that the caller holds recomputeMu.
+// compute runs the job for some pieces of a stage. Lost and released inputs are recomputed
+// by one stage at a time; locked says that the caller holds recomputeMu.
 func (sg *stages) compute(ctx context.Context, st *stage, indexes []int, locked bool) *citronstream.Fault {
 	for {
-		inputs := sg.stageInputs(st)
+		inputs, ok := sg.holdInputs(st)
+		if !ok {
+			if fa := sg.restoreInputs(ctx, st, locked); fa != nil {
+				return fa
+			}
+			continue
+		}
 		began := sg.rt.fl.clk.Now()
 		re := sg.runJob(ctx, st, sg.newJob(st, indexes, inputs))
 		sg.addTime(st, sg.rt.fl.clk.Since(began))
@@ -194,24 +198,38 @@
 		}
 		if !re.InputLost {
 			sg.storeResults(st, indexes, re.Handles)
+			sg.inputsTaken(st)
 			return nil
 		}
 		sg.rt.fl.log.Info("stage input lost", "request", sg.rt.ID, "stage", st.number, "service", st.spec.Service, "remakes", sg.recomputeCount())
-		if fa := sg.recomputeInputs(ctx, st, locked); fa != nil {
+		if fa := sg.recomputeInputs(ctx, st, inputs, locked); fa != nil {
 			return fa
 		}
 	}
 }
 
-// recomputeInputs computes the inputs of a stage again.
-func (sg *stages) recomputeInputs(ctx context.Context, st *stage, locked bool) *citronstream.Fault {
+// recomputeInputs computes the inputs of a stage again, unless they were replaced since
+// the given ones were read.
+func (sg *stages) recomputeInputs(ctx context.Context, st *stage, read []string, locked bool) *citronstream.Fault {
 	if !locked {
 		sg.recomputeMu.Lock()
 		defer sg.recomputeMu.Unlock()
 	}
+	if inputs, ok := sg.holdInputs(st); ok && !slices.Equal(inputs, read) {
+		return nil
+	}
 	return sg.recompute(ctx, st.spec.After)
 }
 
+// restoreInputs computes the inputs of a stage again that were released.
+func (sg *stages) restoreInputs(ctx context.Context, st *stage, locked bool) *citronstream.Fault {
+	if !locked {
+		sg.recomputeMu.Lock()
+		defer sg.recomputeMu.Unlock()
+	}
+	return sg.restore(ctx, st.spec.After)
+}
+
 // runJob runs a job. Its inputs are released as soon as the upstream has read
 // them, so that their memory is free before the job ends.
 func (sg *stages) runJob(ctx context.Context, st *stage, jo citronstream.Job) citronstream.JobResult {
@@ -272,7 +290,7 @@
 		st.handles[index] = handles[i]
 	}
 	sg.mu.Unlock()
-	sg.rt.fl.Broker.Release(citronstream.Release{Service: st.spec.Service, Regions: string(sg.rt.regions), Handles: old, Bytes: st.spec.Bytes})
+	sg.release(st, old)
 }
 
 // results returns a copy of a stage's result handles.
@@ -326,13 +344,28 @@
 	return jo
 }
 
-// stageInputs returns the result handles that a stage takes.
-func (sg *stages) stageInputs(st *stage) []string {
-	var inputs []string
+// holdInputs returns the results that a stage takes, and keeps them from being released
+// until it has taken them. ok is false if some were released before.
+func (sg *stages) holdInputs(st *stage) (inputs []string, ok bool) {
+	sg.mu.Lock()
+	defer sg.mu.Unlock()
 	for _, before := range st.spec.After {
-		inputs = append(inputs, sg.results(sg.list[before])...)
+		delete(sg.list[before].takenBy, st.number)
 	}
-	return inputs
+	return sg.allResults(st.spec.After)
+}
+
+// allResults returns the results of some stages; ok is false if any is missing. The caller
+// holds the lock.
+func (sg *stages) allResults(numbers []int) (handles []string, ok bool) {
+	for _, number := range numbers {
+		st := sg.list[number]
+		if len(st.handles) != st.pieces || slices.Contains(st.handles, "") {
+			return nil, false
+		}
+		handles = append(handles, st.handles...)
+	}
+	return handles, true
 }
 
 // bytesByZone returns the size of the results of some stages, by the zone that
@@ -365,25 +398,28 @@
 func (sg *stages) markTaken(st, by *stage) {
 	sg.mu.Lock()
 	st.takenBy[by.number] = true
-	unused := len(st.takenBy) == st.consumers && !st.final
-	sg.mu.Unlock()
-	if unused {
-		sg.releaseStage(st)
+	var unused []string
+	if len(st.takenBy) == st.consumers && !st.final {
+		unused, st.handles = st.handles, nil
 	}
+	sg.mu.Unlock()
+	sg.release(st, unused)
 }
 
-func (sg *stages) releaseStage(st *stage) {
-	sg.mu.Lock()
-	handles := slices.DeleteFunc(st.handles, func(handle string) bool { return handle == "" })
-	st.handles = nil
-	sg.mu.Unlock()
+// release tells the upstreams that results are no longer needed.
+func (sg *stages) release(st *stage, handles []string) {
+	handles = slices.DeleteFunc(handles, func(handle string) bool { return handle == "" })
 	sg.rt.fl.Broker.Release(citronstream.Release{Service: st.spec.Service, Regions: string(sg.rt.regions), Handles: handles, Bytes: st.spec.Bytes})
 }
 
 // releaseAll releases the results of all stages.
 func (sg *stages) releaseAll() {
 	for _, st := range sg.list {
-		sg.releaseStage(st)
+		sg.mu.Lock()
+		handles := st.handles
+		st.handles = nil
+		sg.mu.Unlock()
+		sg.release(st, handles)
 	}
 }
 
--- a/internal/standin/site/caller.go
+++ b/internal/standin/site/caller.go
@@ -80,6 +80,7 @@
 {"name":"open","host":"h","prefix":"/open/","kind":"safe","timeout-ms":3000,"service":"desk","max-attempts":1,"allow-anonymous":true}%s],
 "services":[{"name":"desk","max-connections":50},{"name":"pool","max-connections":50,"engine":{"slots":4,"kv-cache-tokens":1000}},
 {"name":"cut","pieces":{"slots":1,"queue":2,"batch":8,"call-ms":20,"item-ms":1,"headroom-mb":1,"handle-s":4,"link-mbps":10000}},
-{"name":"glue","pieces":{"slots":1,"queue":2,"batch":8,"call-ms":300,"item-ms":1,"headroom-mb":1,"handle-s":4,"link-mbps":10000}}],
+{"name":"glue","pieces":{"slots":1,"queue":2,"batch":8,"call-ms":300,"item-ms":1,"headroom-mb":1,"handle-s":4,"link-mbps":10000}},
+{"name":"trim","pieces":{"slots":1,"queue":2,"batch":8,"call-ms":20,"item-ms":1,"headroom-mb":1,"handle-s":4,"link-mbps":10000}}],
 "limits":{"max-header-bytes":%d,"max-body-bytes":%d,"header-timeout-ms":3000,"idle-timeout-ms":15000},
 "tenants":[{"name":"w","api-keys":["key"]}]}`
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -73,19 +74,70 @@
 
 	// Answer, if set, answers requests once the identifier and the signature are set.
 	Answer atomic.Pointer[http.HandlerFunc]
+	// Pause, if set, is called for each item of a batch once its inputs have been read. It
+	// is set before the upstream is listed.
+	Pause func(ctx context.Context, it Item)
 	// Early calls Answer before the body of the request is read.
 	Early atomic.Bool
 
 	mu      sync.Mutex
-	results map[string]bool
+	results map[string]bool // by handle
 	crashed bool
 	address string // of its listener
 }
 
+// Item is one piece of a batch.
+type Item struct {
+	ID     string   `json:"id"` // of the request
+	Stage  int      `json:"stage"`
+	Piece  int      `json:"piece"`
+	Inputs []string `json:"inputs"`
+}
+
 // Log records the arrivals at all upstreams of a site, in order.
 type Log struct {
+	// Fetch makes upstreams report inputs as lost that no running one holds.
+	Fetch atomic.Bool
+
 	mu       sync.Mutex
 	arrivals []*Arrival
+	results  map[string]storedResult // by handle
+}
+
+// storedResult is a result of a batch, and the upstream that made it.
+type storedResult struct {
+	up *Upstream
+	it Item
+}
+
+// Result returns the piece that a result was computed for; false for an unknown handle.
+func (lo *Log) Result(handle string) (Item, bool) {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	re, ok := lo.results[handle]
+	return re.it, ok
+}
+
+func (lo *Log) storeResult(handle string, re storedResult) {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	if lo.results == nil {
+		lo.results = make(map[string]storedResult)
+	}
+	lo.results[handle] = re
+}
+
+// lost reports whether the upstream that made a result no longer holds it.
+func (lo *Log) lost(handle string) bool {
+	lo.mu.Lock()
+	up := lo.results[handle].up
+	lo.mu.Unlock()
+	if up == nil {
+		return true
+	}
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return !up.results[handle]
 }
 
 // All returns the arrivals so far.
@@ -142,7 +194,7 @@
 	return up.address
 }
 
-// Crash breaks all connections and closes the listener.
+// Crash breaks all connections, closes the listener and drops all results.
 func (up *Upstream) Crash() {
 	up.mu.Lock()
 	defer up.mu.Unlock()
@@ -150,6 +202,7 @@
 		return
 	}
 	up.crashed = true
+	clear(up.results)
 	_ = up.Listener.Close()
 	up.CloseClientConnections()
 }
@@ -377,9 +430,7 @@
 // batch computes a result for each item whose inputs are available.
 func (up *Upstream) batch(wr http.ResponseWriter, rq *http.Request, body []byte) {
 	var batch struct {
-		Items []struct {
-			Inputs []string `json:"inputs"`
-		} `json:"items"`
+		Items []Item `json:"items"`
 	}
 	if json.Unmarshal(body, &batch) != nil {
 		wr.WriteHeader(http.StatusBadRequest)
@@ -388,22 +439,34 @@
 	if up.Reset.Load() {
 		panic(http.ErrAbortHandler)
 	}
+	lost := make([]bool, len(batch.Items))
+	for i, it := range batch.Items {
+		lost[i] = up.Gone.Load() && len(it.Inputs) > 0 || up.log.Fetch.Load() && slices.ContainsFunc(it.Inputs, up.log.lost)
+	}
+	for i, it := range batch.Items {
+		if up.Pause != nil && !lost[i] {
+			up.Pause(rq.Context(), it)
+		}
+	}
 	select {
 	case <-up.clk.After(time.Duration(up.Work.Load())):
 	case <-rq.Context().Done():
 	}
 	items := make([]map[string]string, len(batch.Items))
-	up.mu.Lock()
 	for i, it := range batch.Items {
-		if up.Gone.Load() && len(it.Inputs) > 0 {
+		if lost[i] {
 			items[i] = map[string]string{"reason": "gone"}
 			continue
 		}
 		handle := fmt.Sprintf("%s/%x", up.Address(), up.resultCount.Add(1))
-		up.results[handle] = true
+		up.log.storeResult(handle, storedResult{up: up, it: it})
+		up.mu.Lock()
+		if !up.crashed {
+			up.results[handle] = true
+		}
+		up.mu.Unlock()
 		items[i] = map[string]string{"handle": handle}
 	}
-	up.mu.Unlock()
 	wr.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(wr).Encode(map[string]any{"items": items}) // fails only if the caller disconnected
 }
