review: case 13, servers that leave say so in their answers

Its servers now do, and its clients send bursts 4 s apart, so that the first one after drain-ms shows what the gateways know from the store.

--- a/review/13/main.go
+++ b/review/13/main.go
@@ -16,8 +16,10 @@
 	copyAge   = 7 * time.Second // of the copy when the store goes away
 	away      = time.Second
 	afterIt   = 3500 * time.Millisecond // from the store's return to the loss of the servers
-	watched   = 12 * time.Second        // from then on; the servers go on serving all the while
-	interval  = 50 * time.Millisecond
+	interval  = 4 * time.Second         // between two bursts of requests for the catalog
+	burst     = 20                      // requests, a fourth of them at each gateway
+	quiet     = time.Second             // from a burst to the loss of the servers
+	watched   = 11 * time.Second        // from then on; the servers go on serving all the while
 	deadline  = 1500 * time.Millisecond
 	processes = 4
 )
@@ -25,16 +27,17 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	config := stand3.Config(3, true)
+	config := stand3.Config(3, true, map[string]any{
+		"name": "r-catalog", "host": stand3.Host, "prefix": "/catalog/", "kind": "safe", "timeout-ms": 800, "target-latency-ms": 100, "priority": 2,
+		"service": "catalog", "max-attempts": 2, "allow-anonymous": false,
+	})
 	wo, err := stand3.NewWorld("review/13/record.txt", processes, config)
 	defer wo.Close()
 	if err != nil {
 		fmt.Println("the case can't run:", err)
 		return stand3.NotRun
 	}
-	stop := make(chan struct{})
-	go send(wo, stop)
-	time.Sleep(copyAge + 3*time.Second)
+	send(wo, copyAge+3*time.Second)
 	if stand3.Trouble() {
 		if wo.Drill(copyAge, away, config) != nil {
 			return stand3.NotRun
@@ -42,40 +45,29 @@
 	} else {
 		time.Sleep(away)
 	}
-	time.Sleep(afterIt)
-	desk := wo.Of("order-desk")
+	time.Sleep(afterIt - quiet)
+	send(wo, quiet)
 	left := make(map[string]time.Time)
-	for i, se := range desk[:2] {
-		leave, how := se.Leave, "its entry is removed"
-		if i == 1 {
-			leave, how = se.Drain, "reports draining"
-		}
-		version, err := leave()
+	for _, se := range wo.Of("catalog")[:2] {
+		version, err := se.Leave()
 		if err != nil {
 			return stand3.NotRun
 		}
 		left[se.ID] = time.Now()
-		wo.Record.Say("server %s: %s, acknowledged at store version %d; it goes on serving", se.ID, how, version)
+		wo.Record.Say("server %s of zone %s: its entry is removed, acknowledged at store version %d; it goes on serving, and says in its answers that it leaves", se.ID, se.Zone, version)
 	}
-	time.Sleep(watched)
-	close(stop)
+	time.Sleep(interval - quiet)
+	send(wo, watched)
 	wo.Client.Wait()
 	return judge(wo, left)
 }
 
-// send sends requests to all gateways.
-func send(wo *stand3.World, stop chan struct{}) {
-	for i := 0; ; i++ {
-		select {
-		case <-stop:
-			return
-		case <-time.After(interval):
-		}
-		method, path, body := "GET", "/stock/2f", ""
-		if i%5 == 0 {
-			method, path, body = "POST", "/order/7a", "one gasket"
+// send sends bursts of requests to all gateways for some time.
+func send(wo *stand3.World, length time.Duration) {
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(min(interval, time.Until(end))) {
+		for i := range burst {
+			wo.Client.Go(wo.Gateways[i%processes], stand3.KeyOne, "GET", fmt.Sprintf("/catalog/%02x", i), "", deadline)
 		}
-		wo.Client.Go(wo.Gateways[i%processes], stand3.KeyOne, method, path, body, deadline)
 	}
 }
 
@@ -100,7 +92,7 @@
 	}
 	wo.Record.Say("%d requests served, %d run; requests that reached a server that had left later than drain-ms: %v, the last ones %v after it left", served, all, late, last)
 	switch {
-	case !wo.AllRun() || served < 100:
+	case !wo.AllRun() || served < 30:
 		return stand3.NotRun
 	case len(late) > 0:
 		wo.Record.Say("DRAIN is broken")
--- a/review/stand3/servers.go
+++ b/review/stand3/servers.go
@@ -55,7 +55,8 @@
 	born     int64
 	state    atomic.Value // string
 	sequence atomic.Int64
-	silent   atomic.Bool
+	silent   atomic.Bool // writes its entry no more
+	leaving  atomic.Bool // says so in all its answers
 	stop     chan struct{}
 	once     sync.Once
 }
@@ -98,12 +99,14 @@
 // Drain reports that the server leaves. It goes on serving.
 func (se *Server) Drain() (uint64, error) {
 	se.state.Store("draining")
+	se.leaving.Store(true)
 	return se.Register()
 }
 
 // Leave removes the entry of the server. It goes on serving.
 func (se *Server) Leave() (uint64, error) {
 	se.silent.Store(true)
+	se.leaving.Store(true)
 	return se.st.Remove("servers", se.ID)
 }
 
@@ -119,6 +122,9 @@
 func (se *Server) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
 	header := wr.Header()
 	header.Set("Keep-Alive", "timeout=30")
+	if se.leaving.Load() {
+		header.Set("Server-Leaving", "1")
+	}
 	id := rq.Header.Get("X-Citronstream-Request-Id")
 	if id != "" {
 		header.Set("X-Citronstream-Request-Id", id)
