review: case 13, a prompt part late in a long session crashes engines without end

Claim: BUDGET is broken when the prompt part that crashes engines is not among the first 64 of its prompt. The gateways cut the parts of a prompt there.

--- a/review/stand3/parts.go
+++ b/review/stand3/parts.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 )
@@ -32,6 +33,10 @@
 // PartSender sends prompts, with the bad part or without it. All share their caller and their
 // first part, no two are alike.
 type PartSender struct {
+	// Turns is how many further parts all prompts share, as a long session has, between the
+	// first part and the one that may be bad.
+	Turns int
+
 	wo  *World
 	mu  sync.Mutex
 	bad map[string]bool // by ID
@@ -50,13 +55,24 @@
 		second = BadPart
 	}
 	id := ps.wo.Client.Go(ps.wo.Gateways[ps.n%len(ps.wo.Gateways)], KeyOne, "POST", "/spec/1a", fmt.Sprintf("prompt %d", ps.n), 12*time.Second,
-		"X-Citronstream-Model", "m", "X-Citronstream-Token-Usage", "1812,140",
-		"X-Citronstream-Prompt-Prefix", fmt.Sprintf("0a0a0a0a:512,%s:1000,%08x:300", second, 1<<20+ps.n))
+		"X-Citronstream-Model", "m", "X-Citronstream-Token-Usage", fmt.Sprintf("%d,140", 1812+ps.Turns*turnTokens),
+		"X-Citronstream-Prompt-Prefix", fmt.Sprintf("0a0a0a0a:512,%s%s:1000,%08x:300", ps.turns(), second, 1<<20+ps.n))
 	if bad {
 		ps.bad[id] = true
 	}
 }
 
+// turnTokens is the length of a turn of a session.
+const turnTokens = 60
+
+func (ps *PartSender) turns() string {
+	var text strings.Builder
+	for i := range ps.Turns {
+		_, _ = fmt.Fprintf(&text, "c0de%04x:%d,", i, turnTokens)
+	}
+	return text.String()
+}
+
 // Every sends a request each interval for some time.
 func (ps *PartSender) Every(interval, length time.Duration, bad bool) {
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(interval) {
