platform: order versions of the store by its era

Cause: rows were ordered by record-version alone, which the store gives out again for other writes. The newest row of the new era is then lower than the one in force, and a feed may go on without a 410. Nothing read Store-Era.

Change: a version has the era of its answer in the high bits. platform/ joins the two and takes them apart, so that all comparisons order by era first: rows, readings between gateways, positions in feeds, conditions of writes, cold times. A feed ends with its era; pages of two eras are read again; a condition of an earlier era fails. At the first answer of a new era a gateway reads both tables anew and writes its own rows again. Messages with versions have new names, as gateways of earlier releases tell them without eras.

TestConfigAnnouncedWhileTheStoreWasSilent used 1<<40 as a revision above all of the store. It is 1<<60 now, which is above those with an era as well.

--- a/internal/fleet/discovery/discovery.go
+++ b/internal/fleet/discovery/discovery.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/citronstream/citronstream"
@@ -45,7 +46,9 @@
 	ownRow row
 	// malformed has the versions of the malformed rows of the last read, by key.
 	malformed map[string]uint64
-	written   bool // the row of this process
+	written   bool          // the row of this process
+	kept      uint64        // value of losses when it was written
+	losses    atomic.Uint64 // how often the store may have lost the row
 	onList    func(addresses []string, began time.Time)
 	refresh   chan struct{}
 	onFirst   func()
@@ -88,14 +91,24 @@
 	}
 }
 
+// Renew makes Run write the row of this process again: the store may have lost it.
+func (di *Discovery) Renew() {
+	di.losses.Add(1)
+	di.Refresh()
+}
+
+// isWritten reports whether the row of this process was written and not lost since.
+func (di *Discovery) isWritten() bool { return di.written && di.kept == di.losses.Load() }
+
 // Run writes the row of this process, again if another entry has removed it, and reads those
 // of the others until ctx ends.
 func (di *Discovery) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := max(readInterval, time.Duration(di.mesh.LiveCount())*intervalPerPeer)
-		if !di.written {
+		if !di.isWritten() {
+			losses := di.losses.Load()
 			err := di.announce(ctx)
-			di.written = err == nil
+			di.written, di.kept = err == nil, losses
 			if err != nil {
 				di.log.Info("own row not written", "reason", err.Error())
 				wait = retryDelay
@@ -105,7 +118,7 @@
 		if err != nil {
 			wait = min(wait, 4*retryDelay)
 		}
-		if err == nil && di.written && !found {
+		if err == nil && di.isWritten() && !found {
 			// Others could not reach this process for long. It is reachable again, or is cut
 			// off from them only; they add it again by its row.
 			di.written = false
@@ -156,7 +169,7 @@
 	}
 	addresses := make([]string, 0, len(rows))
 	defer func() {
-		if di.written && found && len(rows) < maxListed {
+		if di.isWritten() && found && len(rows) < maxListed {
 			di.onList(addresses, began)
 		}
 	}()
@@ -168,10 +181,14 @@
 		var other row
 		if err := json.Unmarshal(ro.Value, &other); err != nil || other.Address == "" {
 			if di.malformed[ro.Key] = ro.Version; logged[ro.Key] != ro.Version {
-				di.log.Info("row of an entry malformed", "key", ro.Key, "revision", ro.Version)
+				di.log.Info("row of an entry malformed", "key", ro.Key, "revision", citronstream.FormatVersion(ro.Version))
 			}
 			continue
 		}
+		if ro.Key == prefix+di.name && other != di.ownRow {
+			found = false // it is of an earlier process of this name, in a copy of the store
+			continue
+		}
 		addresses = append(addresses, other.Address)
 		pe := di.mesh.AddPeer(other.Address, other.Zone)
 		if pe == nil || pe.UnreachableFor() < removeAfter {
--- a/internal/fleet/discovery/discovery_test.go
+++ b/internal/fleet/discovery/discovery_test.go
@@ -75,17 +75,25 @@
 		clk := clockwork.NewRealClock()
 		ta := &store{rows: make(map[string]citronstream.Row)}
 		ms := mesh.New(clk, logr.Discard(), nil, func() citronstream.PeerInfo { return citronstream.PeerInfo{Address: "127.0.0.1:1"} }, nil, nil)
+		di := New(clk, logr.Discard(), ta, ms, "own", "127.0.0.1:1", "z")
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			New(clk, logr.Discard(), ta, ms, "own", "127.0.0.1:1", "z").Run(ctx)
+			di.Run(ctx)
 		}()
 		clk.Sleep(time.Minute)
 		assert.Equal(t, 1, ta.count(prefix+"own"), "written once while it is there")
 		ta.remove(prefix + "own")
 		clk.Sleep(2 * readInterval)
 		assert.Equal(t, 2, ta.count(prefix+"own"))
+		ta.replace(prefix+"own", `{"Address":"127.0.0.1:2","Zone":"z"}`)
+		clk.Sleep(2 * readInterval)
+		assert.Equal(t, 3, ta.count(prefix+"own"), "the row of an earlier process of the name is replaced")
+		ta.remove(prefix + "own")
+		di.Renew()
+		clk.Sleep(time.Millisecond)
+		assert.Equal(t, 4, ta.count(prefix+"own"), "written again at once")
 		cancel()
 		<-done
 	})
@@ -122,6 +130,12 @@
 	delete(st.rows, key)
 }
 
+func (st *store) replace(key, value string) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.rows[key] = citronstream.Row{Key: key, Value: []byte(value), Version: 2}
+}
+
 // count returns how often a row was written.
 func (st *store) count(key string) (count int) {
 	st.mu.Lock()
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -296,7 +296,7 @@
 			continue
 		case errors.Is(err, citronstream.ErrHistoryExpired):
 			known = false
-			fo.log.Info("change history expired, scanning the table", "table", ta.Name, "revision", after)
+			fo.log.Info("change history expired, scanning the table", "table", ta.Name, "revision", citronstream.FormatVersion(after))
 		case err != nil:
 			fo.recordResult(ta, err, fo.asked(began, poll))
 			fo.sleep(ctx, ta, wait/2+rand.N(wait))
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -255,7 +255,7 @@
 	}
 	pe.lostAt.Store(0)
 	ms.setInfo(pe, info)
-	ms.log.Info("peer linked", "peer", info.Name, "address", pe.Address, "zone", info.Zone, "leaving", info.Leaving, "revision", info.Revision)
+	ms.log.Info("peer linked", "peer", info.Name, "address", pe.Address, "zone", info.Zone, "leaving", info.Leaving, "revision", citronstream.FormatVersion(info.Revision))
 	ms.onPeerUpdate(pe, li)
 	return nil
 }
--- a/internal/fleet/snapshot/snapshot.go
+++ b/internal/fleet/snapshot/snapshot.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,8 +42,10 @@
 	// list returns the upstreams in use, writes reports whether this process writes the row.
 	list    func() []citronstream.Member
 	writes  func() bool
-	written uint64 // digest of the list that was written last
-	tooLong bool   // it was logged that the list does not fit
+	written uint64        // digest of the list that was written last
+	kept    uint64        // value of losses when it was written
+	losses  atomic.Uint64 // how often the store may have lost the row
+	tooLong bool          // it was logged that the list does not fit
 }
 
 // New returns a snapshot of a list. Writes reports whether this process is the one of its
@@ -69,6 +72,9 @@
 	}
 }
 
+// Renew makes Run write the row again: the store may have lost it.
+func (sn *Snapshot) Renew() { sn.losses.Add(1) }
+
 // write writes the row unless it has the list already.
 func (sn *Snapshot) write(ctx context.Context) {
 	list := sn.list()
@@ -85,7 +91,8 @@
 		return
 	}
 	digest := xxhash.Sum64(text)
-	if digest == sn.written {
+	losses := sn.losses.Load()
+	if digest == sn.written && losses == sn.kept {
 		return
 	}
 	value, err := compress(text)
@@ -97,7 +104,7 @@
 		return
 	}
 	if sn.table.Write(ctx, "", citronstream.Op{Key: Key, Value: value, IfVersion: citronstream.AnyVersion}) == nil {
-		sn.written = digest
+		sn.written, sn.kept = digest, losses
 	}
 }
 
--- a/internal/fleet/snapshot/snapshot_test.go
+++ b/internal/fleet/snapshot/snapshot_test.go
@@ -93,3 +93,14 @@
 		assert.Error(t, err)
 	}
 }
+
+// Guards against a list that the store has lost and that is not written again until it changes.
+func TestLostRowIsWrittenAgain(t *testing.T) {
+	ta, list := &table{}, members(3)
+	sn := newSnapshot(ta, &list)
+	sn.write(t.Context())
+	sn.Renew()
+	sn.write(t.Context())
+	sn.write(t.Context())
+	assert.Equal(t, 2, ta.writes)
+}
--- a/internal/fleet/view/evacuations.go
+++ b/internal/fleet/view/evacuations.go
@@ -47,7 +47,7 @@
 	} else if !was {
 		vi.onEvacuated(zone)
 	}
-	vi.log.Info(text, "zone", zone, "source", source, "revision", ch.Version, "evacuated zones", len(vi.zones.Evacuated()))
+	vi.log.Info(text, "zone", zone, "source", source, "revision", citronstream.FormatVersion(ch.Version), "evacuated zones", len(vi.zones.Evacuated()))
 	return true
 }
 
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -375,7 +375,7 @@
 		case rec.inGrace && vi.outage.Over(now):
 			rec.inGrace = false
 			applied = append(applied, rec.Change)
-			vi.log.Info("upstream gone", "upstream", rec.node.ID, "service", rec.node.Service, "reason", "row not written again", "revision", rec.Version)
+			vi.log.Info("upstream gone", "upstream", rec.node.ID, "service", rec.node.Service, "reason", "row not written again", "revision", citronstream.FormatVersion(rec.Version))
 			rec.node = nil
 		case rec.Deleted && !rec.inGrace && now.Sub(rec.removed) > tombstoneTTL:
 			delete(vi.rows, key)
@@ -395,7 +395,7 @@
 	routing, err := vi.decode.Routing(ch.Value)
 	if err != nil {
 		vi.refuse(ch.Version)
-		vi.log.Error(err, "configuration refused", "revision", ch.Version, "source", source, "in force", vi.Revision())
+		vi.log.Error(err, "configuration refused", "revision", citronstream.FormatVersion(ch.Version), "source", source, "in force", citronstream.FormatVersion(vi.Revision()))
 		return false
 	}
 	if old := vi.routes.Load(); old != nil && routing.Version < old.Version {
@@ -405,7 +405,7 @@
 	}
 	vi.config = ch.Row
 	vi.routes.Store(newRoutes(routing, ch.Version, len(ch.Value)))
-	vi.log.Info("configuration in force", "version", routing.Version, "revision", ch.Version, "source", source, "routes", len(routing.Routes))
+	vi.log.Info("configuration in force", "version", routing.Version, "revision", citronstream.FormatVersion(ch.Version), "source", source, "routes", len(routing.Routes))
 	return true
 }
 
@@ -430,10 +430,10 @@
 		// A draining node gets no grace period, because it is leaving.
 		if !old.node.Draining && !vi.leaving(old.node) && (old.inGrace || vi.outage.MayHaveExpired(old.Version, now)) {
 			rec.node, rec.inGrace = old.node, true
-			vi.log.Info("upstream row expired, grace period started", "upstream", old.node.ID, "service", old.node.Service, "source", source, "revision", ch.Version)
+			vi.log.Info("upstream row expired, grace period started", "upstream", old.node.ID, "service", old.node.Service, "source", source, "revision", citronstream.FormatVersion(ch.Version))
 			return false
 		}
-		vi.log.Info("upstream gone", "upstream", old.node.ID, "service", old.node.Service, "reason", "row removed", "source", source, "revision", ch.Version)
+		vi.log.Info("upstream gone", "upstream", old.node.ID, "service", old.node.Service, "reason", "row removed", "source", source, "revision", citronstream.FormatVersion(ch.Version))
 		return true
 	}
 	rec := &record{Change: ch}
@@ -441,7 +441,7 @@
 	member, err := vi.decode.Member(ch.Row)
 	if err != nil {
 		rec.Value = nil // it can have 64 kB, and peers need only know its version
-		vi.log.Info("row of an upstream malformed", "key", ch.Key, "reason", err.Error(), "source", source, "revision", ch.Version)
+		vi.log.Info("row of an upstream malformed", "key", ch.Key, "reason", err.Error(), "source", source, "revision", citronstream.FormatVersion(ch.Version))
 		return old != nil && old.node != nil
 	}
 	vi.onRow(member)
@@ -459,7 +459,7 @@
 	rec.node = node.New(member, node.WithClock(vi.clk))
 	rec.node.Self = self
 	vi.log.Info("upstream known", "upstream", member.ID, "service", member.Service, "address", member.Address, "zone", member.Zone,
-		"draining", member.Draining, "source", source, "revision", ch.Version)
+		"draining", member.Draining, "source", source, "revision", citronstream.FormatVersion(ch.Version))
 	return true
 }
 
--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -247,7 +247,7 @@
 		}
 	}
 	if !callerDisconnected(at.ctx) {
-		rt.fl.log.Info("attempt failed", "request", rt.ID, "upstream", nd.ID, "listed", nd.Revision, "verdict", re.fault.Verdict.String(), "cause", re.fault.Text, "sends", rt.sends)
+		rt.fl.log.Info("attempt failed", "request", rt.ID, "upstream", nd.ID, "listed", citronstream.FormatVersion(nd.Revision), "verdict", re.fault.Verdict.String(), "cause", re.fault.Text, "sends", rt.sends)
 	}
 	return re
 }
@@ -288,7 +288,7 @@
 		nd.MarkDead(rt.fl.clk.Now(), rt.fl.ListingTTL)
 		rt.fl.Pool.Drop(nd.Address)
 	}
-	rt.fl.log.Info("attempt refused", "request", rt.ID, "upstream", nd.ID, "listed", nd.Revision, "status", status, "sends", rt.sends)
+	rt.fl.log.Info("attempt refused", "request", rt.ID, "upstream", nd.ID, "listed", citronstream.FormatVersion(nd.Revision), "status", status, "sends", rt.sends)
 	return re
 }
 
--- a/internal/ingress/flow/respond.go
+++ b/internal/ingress/flow/respond.go
@@ -103,7 +103,7 @@
 		values = append(values, "first", rt.firstEvent.Sub(rt.at).Milliseconds())
 	}
 	if rt.last != nil {
-		values = append(values, "upstream", rt.last.ID, "listed", rt.last.Revision, "sends", rt.sends)
+		values = append(values, "upstream", rt.last.ID, "listed", citronstream.FormatVersion(rt.last.Revision), "sends", rt.sends)
 	}
 	if rt.noRetry != "" {
 		values = append(values, "no retry", rt.noRetry)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -120,6 +120,8 @@
 	pendingRows chan citronstream.Rows
 	early       earlyRows
 	leaving     atomic.Bool
+	// storeRestores counts the returns of the store from an older copy.
+	storeRestores atomic.Uint64
 	// fetching is true while a peer's state is being fetched.
 	fetching atomic.Bool
 }
@@ -139,7 +141,7 @@
 	ga.parts = partquarantine.New(clk, citronstream.DefaultLimits(), partquarantine.WithOnChange(ga.partChanged))
 	ga.ctx, ga.cancel = context.WithCancel(ctx)
 	ga.pool = conns.New(clk, conns.WithMaxIdle(ga.maxIdleConns))
-	store := platform.NewStore(site.Store, platform.WithSilence(min(site.Bounds.Drain, site.Bounds.ConfigApply)/silencePerBound), platform.WithOnSilent(ga.storeSilent))
+	store := platform.NewStore(site.Store, platform.WithSilence(min(site.Bounds.Drain, site.Bounds.ConfigApply)/silencePerBound), platform.WithOnSilent(ga.storeSilent), platform.WithOnEra(ga.storeRestored))
 	ga.view = view.New(clk, log, view.Decode{
 		Routing: platform.DecodeRouting, Member: platform.DecodeMember, ConfigKey: platform.ConfigKey, MemberPrefix: platform.TableMembers + "/",
 		EvacuationPrefix: platform.EvacuationPrefix,
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -30,6 +30,7 @@
 		}
 		return 0
 	})
+	re.counter("citronstream_site_store_restores_total", "Times that the store came back from an older copy, in a new era.", func() float64 { return float64(ga.storeRestores.Load()) })
 	re.gauge("citronstream_site_entries", "Entries that take part, this one included.", func() float64 { return float64(ga.mesh.LiveCount()) })
 	re.counter("citronstream_site_peer_loads_replaced_total", "Loads that were not sent to a peer, as its link was saturated until newer ones came.", func() float64 { return float64(ga.mesh.Replaced()) })
 	ga.registerUpstreams(re)
--- a/internal/process/gateway/restore.go
+++ b/internal/process/gateway/restore.go
@@ -29,6 +29,17 @@
 	return !ga.leaving.Load() && !ga.follower.StoreDown() && !ga.view.StoreWasAway() && ga.broker.Owns(snapshot.Key)
 }
 
+// storeRestored reads the store anew and writes the rows of this process again: the store has
+// come back from an older copy.
+func (ga *Gateway) storeRestored(before, now uint64) {
+	ga.storeRestores.Add(1)
+	ga.log.Info("era of the store has risen, reading it anew", "before", before, "now", now)
+	ga.discovery.Renew()
+	ga.snapshot.Renew()
+	ga.follower.Refresh(platform.TableConfig)
+	ga.follower.Refresh(platform.TableMembers)
+}
+
 // tableRead restores upstreams when their table was read for the first time. Whether the
 // store returned just before the start of this process shows only in the snapshot.
 func (ga *Gateway) tableRead(table string) {
--- a/internal/process/gateway/sharing_test.go
+++ b/internal/process/gateway/sharing_test.go
@@ -103,7 +103,7 @@
 	ts.waitFor(func() bool { return one.mesh.LiveCount() == 2 && peer.LiveCount() == 2 }, "the peer is not linked")
 	one.storeSilent()
 	ts.waitFor(func() bool { return asked.Load() == 1 }, "the peer is not asked")
-	revision.Store(1 << 40)
+	revision.Store(1 << 60) // of a later era than any of the store
 	peer.Tell(citronstream.MethodPeerUpdate, self(), func(*mesh.Peer) bool { return true })
 	ts.waitFor(func() bool { pe, _ := one.newestPeer(); return pe != nil }, "the configuration is not announced")
 	close(answer)
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -26,6 +27,7 @@
 	rows        map[rowKey]storeRow // includes deleted rows
 	lastVersion uint64
 	trimmedTo   uint64 // the history no longer has versions up to this one
+	era         uint64 // rises with each Restore
 	changed     chan struct{}
 }
 
@@ -44,7 +46,7 @@
 
 // NewStore returns an empty store.
 func NewStore(clk citronstream.Clock) *Store {
-	return &Store{clk: clk, rows: make(map[rowKey]storeRow), changed: make(chan struct{})}
+	return &Store{clk: clk, rows: make(map[rowKey]storeRow), era: 1, changed: make(chan struct{})}
 }
 
 // Put writes a row as the operator or an upstream does.
@@ -65,6 +67,43 @@
 	st.trimmedTo = st.lastVersion
 }
 
+// Copy is the state of a store at some time.
+type Copy struct {
+	rows                   map[rowKey]storeRow
+	lastVersion, trimmedTo uint64
+}
+
+// Copy returns the present state.
+func (st *Store) Copy() *Copy {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return &Copy{rows: maps.Clone(st.rows), lastVersion: st.lastVersion, trimmedTo: st.trimmedTo}
+}
+
+// Restore brings the store back from a copy, in a new era: what was written since is gone, and
+// its versions are given out again.
+func (st *Store) Restore(co *Copy) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.rows, st.lastVersion, st.trimmedTo = maps.Clone(co.rows), co.lastVersion, co.trimmedTo
+	st.era++
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
+// Version returns the version of the last write, within the era.
+func (st *Store) Version() uint64 {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.lastVersion
+}
+
+func (st *Store) eraNow() uint64 {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.era
+}
+
 // Value returns the value of a row, empty when there is none.
 func (st *Store) Value(table, key string) string {
 	st.mu.Lock()
@@ -183,6 +222,7 @@
 		return
 	}
 	wr.Header().Set("Content-Type", "application/json")
+	wr.Header().Set("Store-Era", strconv.FormatUint(answer.era, 10))
 	wr.WriteHeader(status)
 	raw, err := json.Marshal(answer)
 	if err != nil {
@@ -205,6 +245,7 @@
 	More    bool       `json:"more-pages"`
 	Version uint64     `json:"record-version"`
 	NowMs   int64      `json:"now-ms"`
+	era     uint64
 }
 
 func (st *Store) call(rq *http.Request) (storeAnswer, int) {
@@ -219,13 +260,13 @@
 	case "/rows-tx":
 		return st.transact(rq)
 	}
-	return storeAnswer{}, http.StatusNotFound
+	return storeAnswer{era: st.eraNow()}, http.StatusNotFound
 }
 
 func (st *Store) get(table, part, from, to string) storeAnswer {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	answer := storeAnswer{Rows: []storeRow{}, Version: st.lastVersion}
+	answer := storeAnswer{Rows: []storeRow{}, Version: st.lastVersion, era: st.era}
 	for _, ro := range st.rows {
 		if ro.Table == table && ro.Part == part && !ro.Deleted && ro.Key >= from && (to == "" || ro.Key < to) {
 			answer.Rows = append(answer.Rows, ro)
@@ -247,8 +288,8 @@
 	timeout := st.clk.After(wait)
 	for {
 		st.mu.Lock()
-		answer := storeAnswer{Rows: []storeRow{}, Version: st.lastVersion}
-		trimmed, changed := after < st.trimmedTo, st.changed
+		answer := storeAnswer{Rows: []storeRow{}, Version: st.lastVersion, era: st.era}
+		trimmed, changed := after < st.trimmedTo || after > st.lastVersion, st.changed
 		for _, ro := range st.rows {
 			if ro.Table == table && ro.Version > after {
 				answer.Rows = append(answer.Rows, ro)
@@ -256,7 +297,7 @@
 		}
 		st.mu.Unlock()
 		if trimmed {
-			return storeAnswer{}, http.StatusGone
+			return storeAnswer{era: answer.era}, http.StatusGone
 		}
 		sort.Slice(answer.Rows, func(i, j int) bool { return answer.Rows[i].Version < answer.Rows[j].Version })
 		if len(answer.Rows) > 0 {
@@ -279,10 +320,10 @@
 		Remove   []storeRow `json:"remove"`
 	}
 	if json.NewDecoder(rq.Body).Decode(&tx) != nil {
-		return storeAnswer{}, http.StatusBadRequest
+		return storeAnswer{era: st.eraNow()}, http.StatusBadRequest
 	}
 	st.mu.Lock()
-	answer := storeAnswer{Rows: []storeRow{}, Version: st.lastVersion}
+	answer := storeAnswer{Rows: []storeRow{}, Version: st.lastVersion, era: st.era}
 	failed := false
 	for _, want := range tx.Expected {
 		now := st.rows[want.id()]
--- a/message_peer.go
+++ b/message_peer.go
@@ -5,8 +5,8 @@
 // Methods of the messages between the entries of a site.
 const (
 	MethodHandshake      = "Site.Meet"     // answered by PeerInfo
-	MethodState          = "Site.State"    // StateQuery, answered by Rows
-	MethodRows           = "Site.Rows"     // notification, Rows: upstreams that changed
+	MethodState          = "Store.State"   // StateQuery, answered by Rows
+	MethodRows           = "Store.Rows"    // notification, Rows: upstreams that changed
 	MethodPeerUpdate     = "Site.Notice"   // notification, PeerInfo: the sender is leaving or has another configuration
 	MethodEntryLoad      = "Site.Places"   // notification, EntryLoad
 	MethodRefusals       = "Site.Refusals" // notification, Refusals
@@ -32,7 +32,7 @@
 	Capacity float64       `json:"Capacity,omitempty"`
 	Age      time.Duration `json:"Age,omitempty"` // since the start of the process
 	// Revision is the version of the row with the configuration in force, 0 before the first.
-	Revision uint64 `json:"Revision"`
+	Revision uint64 `json:"StoreRevision"`
 	// ConfigBytes is the size of that row.
 	ConfigBytes int `json:"ConfigBytes,omitempty"`
 }
--- a/platform.go
+++ b/platform.go
@@ -6,7 +6,8 @@
 )
 
 // Row is a row of the table service. Key is a path such as "Grant/desk-1".
-// Version grows with each write and is 0 for a row that does not exist.
+// Version grows with each write, also when the store comes back from an older copy (see
+// NewVersion), and is 0 for a row that does not exist.
 type Row struct {
 	Key     string
 	Version uint64
@@ -80,8 +81,8 @@
 type Feed interface {
 	// Changes returns the changes of a table after a version, in order. Without
 	// any it waits for one, at most for the time wait. The next call goes on from its version. Errors:
-	// ErrHistoryExpired when the changes are no longer kept, ErrUnavailable,
-	// ErrThrottled.
+	// ErrHistoryExpired when the changes are no longer kept, or when the version is of an
+	// earlier era of the store; ErrUnavailable, ErrThrottled.
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (changes []Change, at Stamp, err error)
 	// Scan reads a whole table as of the returned version.
 	Scan(ctx context.Context, table string) (rows []Row, at Stamp, err error)
