partquarantine: only a complete answer proves a prompt part sound

Cause: the first event cleared the parts of its request at all entries, and from then on the request was not reported when its connection broke.

Change: the proof is the end of an answer. One that only the end of its connection tells counts 1 s later, if its upstream has not died by then. Requests in the middle of their answers are suspects of a death, except for parts that have run soundly within the last 10 s. Sound streams that broke together go on elsewhere side by side, and requests with a suspect part wait for the first event of the one that is tried, unless one crash more may get the part held.

Tests of the package said Began where they meant a sound run (3 places) and now say Finished; their checks are the same.

--- a/internal/ingress/flow/attempt.go
+++ b/internal/ingress/flow/attempt.go
@@ -344,7 +344,7 @@
 	rt.fl.latencies.observe(rt.route.Name, took, rt.readTime)
 	rt.fl.Holds.Finished(rt.digest)
 	if ans.Status < http.StatusMultipleChoices { // signed, see checkHead
-		rt.visit.Began()
+		rt.visit.Finished(nd.ID, ans.Framed)
 	}
 	return result{done: true, out: rt.writeResponse(rp, "served")}
 }
--- a/internal/ingress/flow/stream.go
+++ b/internal/ingress/flow/stream.go
@@ -110,6 +110,7 @@
 		rt.fl.latencies.observeRest(rt.route.Name, rt.fl.clk.Since(rt.firstEvent))
 	}
 	rt.fl.Holds.Finished(rt.digest)
+	rt.visit.Finished(at.nd.ID, at.ans.Framed)
 	return result{done: true, out: outcome{status: http.StatusOK, reason: "served"}}
 }
 
--- a/internal/limit/partquarantine/model_test.go
+++ b/internal/limit/partquarantine/model_test.go
@@ -76,7 +76,7 @@
 		vi.Leave()
 		return
 	}
-	vi.Began()
+	vi.Finished("u", true)
 	ms.tell(from)
 }
 
--- a/internal/limit/partquarantine/quarantine.go
+++ b/internal/limit/partquarantine/quarantine.go
@@ -1,5 +1,7 @@
 // Package partquarantine detects prompt parts that crash the upstreams which begin
-// to answer them, whatever else the request has, and holds (refuses) them.
+// to answer them, whatever else the request has, and holds (refuses) them. Only a complete
+// answer proves a part sound. Load pattern: requests with such a part at any entry, beside
+// many sound ones that share their other parts, of which a long session has many.
 package partquarantine
 
 import (
@@ -33,9 +35,14 @@
 	// the time to the first event of the request that is tried.
 	busyRetryAfter = time.Second
 
+	// endingTime is how long after an answer whose end was not told the death of its upstream
+	// may become known, and how long before it such an answer may have been the upstream's end.
+	endingTime = time.Second
+
 	defaultCap = 4096 // suspects and holds
 	soundCap   = 8192 // parts with a sound run
 	deathCap   = 1024 // explained deaths
+	maxEndings = 4096
 	// Bounds of a report, and of a crash that several report.
 	maxRequests = 1024
 	maxParts    = 64
@@ -54,7 +61,8 @@
 	Source   string        // the entry that reports it
 	Own      bool          // that is this entry
 	Age      time.Duration // since the death
-	// Requests are those without a first event at the upstream.
+	// Requests are those without a complete answer at the upstream, with the parts that are not
+	// known to be sound.
 	Requests []citronstream.SuspectRequest
 }
 
@@ -68,12 +76,19 @@
 	Crashes  int
 }
 
-// soundRun is a run of a part up to the first event.
+// soundRun is a run of a part to the end of its answer.
 type soundRun struct {
 	at  time.Time
 	own bool // at this entry
 }
 
+// ending is an answer whose end only the end of its connection told.
+type ending struct {
+	parts    []uint64
+	upstream string
+	at       time.Time
+}
+
 // Event is the kind of a Change.
 type Event string
 
@@ -97,6 +112,8 @@
 	explained *lru[string, struct{}] // deaths at which a held part was in flight
 	admitted  map[uint64]int         // requests without a first event, by part
 	sent      map[uint64]int         // those of them that are at an upstream
+	open      map[uint64]int         // requests with a first event whose answers go on, by part
+	endings   []ending               // the oldest first
 	unsent    map[uint64]time.Time   // sound runs that the peers are not told of
 	untold    []uint64               // holds that the peers are not told of
 	urgent    chan struct{}
@@ -117,7 +134,7 @@
 	qu := &Quarantine{
 		clk: clk, cap: defaultCap, holdFor: li.HoldFor.Std(), onChange: func(Change) {},
 		sound: newLRU[uint64, soundRun](soundCap), explained: newLRU[string, struct{}](deathCap),
-		admitted: make(map[uint64]int), sent: make(map[uint64]int), unsent: make(map[uint64]time.Time), urgent: make(chan struct{}, 1),
+		admitted: make(map[uint64]int), sent: make(map[uint64]int), open: make(map[uint64]int), unsent: make(map[uint64]time.Time), urgent: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(qu)
@@ -146,12 +163,13 @@
 	if re.Age > qu.holdFor {
 		return
 	}
+	qu.endings = slices.DeleteFunc(qu.endings, func(en ending) bool { return en.upstream == re.Upstream && !en.at.Before(at.Add(-endingTime)) })
 	requests := re.Requests[:min(len(re.Requests), maxRequests)]
 	if qu.explains(re.Death, requests, now) {
 		return
 	}
 	for _, rq := range requests {
-		for position, part := range rq.Parts[:min(len(rq.Parts), maxParts)] {
+		for i, part := range rq.Parts[:min(len(rq.Parts), maxParts)] {
 			if run, ok := qu.sound.get(part); ok && !run.at.Before(at) {
 				if run.own {
 					qu.tell(part, run.at) // it was no suspect then
@@ -159,7 +177,7 @@
 				continue
 			}
 			rec := qu.records.add(part)
-			rec.position, rec.own = position, rec.own || re.Own
+			rec.position, rec.own = i, rec.own || re.Own
 			if rec.count(crash{death: re.Death, at: at, sent: now.Add(-rq.Sent), requests: []uint64{rq.Digest}}) {
 				rec.upstream = re.Upstream
 				qu.changed(Suspected, rec, re)
@@ -174,6 +192,10 @@
 	qu.mu.Lock()
 	defer qu.unlock()
 	now := qu.clk.Now()
+	for len(qu.endings) > 0 && now.Sub(qu.endings[0].at) >= endingTime {
+		qu.prove(qu.endings[0].parts, qu.endings[0].at)
+		qu.endings = slices.Delete(qu.endings, 0, 1)
+	}
 	for rec := qu.culprit(now); rec != nil; rec = qu.culprit(now) {
 		qu.hold(rec, now.Add(qu.holdFor))
 		last := rec.crashes[len(rec.crashes)-1]
@@ -272,6 +294,15 @@
 	return rec
 }
 
+// prove records that parts have run soundly here, and has the peers told of suspects.
+func (qu *Quarantine) prove(parts []uint64, at time.Time) {
+	for _, part := range parts {
+		if qu.ran(part, at, "") {
+			qu.tell(part, at)
+		}
+	}
+}
+
 // ran records a sound run, which ends the suspicion and the hold of earlier crashes.
 // It reports whether it did. Source is empty for a run at this entry.
 func (qu *Quarantine) ran(part uint64, at time.Time, source string) bool {
--- a/internal/limit/partquarantine/quarantine_test.go
+++ b/internal/limit/partquarantine/quarantine_test.go
@@ -56,7 +56,7 @@
 	vi, refusal := qu.Enter(shared(parts...))
 	if assert.Nil(t, refusal) {
 		assert.Nil(t, vi.Send())
-		vi.Began()
+		vi.Finished("u", true)
 	}
 }
 
@@ -203,7 +203,7 @@
 		require.Nil(t, vi.Send())
 		crashes(qu, clk, 3, rare)
 		assertHeld(t, qu, rare, true)
-		vi.Began()
+		vi.Finished("u", true)
 		assertHeld(t, qu, rare, false)
 		sound, _ := qu.TakeUnsent()
 		assert.Equal(t, []citronstream.SoundPart{{Part: rare}}, sound)
@@ -372,3 +372,102 @@
 	qu.Import(make([]citronstream.SuspectPart, 3*maxRecords), "peer")
 	assert.LessOrEqual(t, len(qu.records.byPart), 4)
 }
+
+// Guards against a part that the first event of an answer clears, and against sound requests
+// that are refused or not sent again as the upstream of many streams has crashed.
+func TestFirstEventProvesNothing(t *testing.T) {
+	begin := func(t *testing.T, qu *Quarantine, parts ...uint64) *Visit {
+		t.Helper()
+		vi, refusal := qu.Enter(shared(parts...))
+		require.Nil(t, refusal)
+		require.Nil(t, vi.Send())
+		vi.Began()
+		return vi
+	}
+	t.Run("of the crash that comes after it", func(t *testing.T) {
+		qu, clk := newQuarantine()
+		for i := range uint64(3) {
+			runSoundly(t, qu, common)
+			vi := begin(t, qu, common, culprit)
+			assert.Equal(t, []uint64{culprit}, vi.Broke(), "the other part runs soundly")
+			qu.Crashed(report(fmt.Sprint("death", i), suspect(i, 0, culprit)))
+			vi.Returned()
+			vi.Leave()
+			clk.Advance(2 * crashGap)
+		}
+		settle(qu, clk)
+		assertHeld(t, qu, culprit, true)
+	})
+	t.Run("streams go on elsewhere after one crash", func(t *testing.T) {
+		qu, _ := newQuarantine()
+		one, other := begin(t, qu, rare), begin(t, qu, rare)
+		assert.Equal(t, []uint64{rare}, one.Broke())
+		assert.Equal(t, []uint64{rare}, other.Broke())
+		qu.Crashed(report("death", suspect(1, 0, rare), suspect(2, 0, rare)))
+		for _, vi := range []*Visit{one, other} {
+			assert.Nil(t, vi.Send())
+			assert.False(t, vi.Apart())
+			vi.Began()
+		}
+		vi, refusal := qu.Enter(shared(rare))
+		assert.Nil(t, refusal, "the others have begun")
+		vi.Leave()
+		one.Finished("u", true)
+		suspects, _ := qu.Counts()
+		assert.Zero(t, suspects)
+		other.Leave()
+	})
+	t.Run("one at a time before the crash that may get the part held", func(t *testing.T) {
+		qu, clk := newQuarantine()
+		crashes(qu, clk, 2, culprit)
+		clk.Advance(crashGap)
+		vi := begin(t, qu, culprit)
+		_, refusal := qu.Enter(shared(culprit))
+		assert.NotNil(t, refusal)
+		vi.Broke()
+		assert.NotNil(t, vi.Send(), "it has broken already")
+		vi.Leave()
+		vi, refusal = qu.Enter(shared(culprit))
+		assert.Nil(t, refusal)
+		vi.Leave()
+		assert.Empty(t, qu.open)
+	})
+}
+
+// Guards against an answer without a told end that is taken for complete, and clears a part,
+// though the end of its connection was that of the upstream.
+func TestAnswerWithoutToldEnd(t *testing.T) {
+	finish := func(t *testing.T) (*Quarantine, *clockwork.FakeClock) {
+		t.Helper()
+		qu, clk := newQuarantine()
+		crashes(qu, clk, 1, culprit)
+		clk.Advance(crashGap)
+		vi, refusal := qu.Enter(shared(culprit))
+		require.Nil(t, refusal)
+		require.Nil(t, vi.Send())
+		vi.Began()
+		vi.Finished("u", false)
+		return qu, clk
+	}
+	assertSuspects := func(t *testing.T, qu *Quarantine, clk *clockwork.FakeClock, want int) {
+		t.Helper()
+		clk.Advance(endingTime)
+		qu.Tick()
+		suspects, _ := qu.Counts()
+		assert.Equal(t, want, suspects)
+		assert.Empty(t, qu.endings)
+		assert.Empty(t, qu.open)
+	}
+	t.Run("its upstream goes on", func(t *testing.T) {
+		qu, clk := finish(t)
+		assertSuspects(t, qu, clk, 0)
+	})
+	t.Run("its upstream has died", func(t *testing.T) {
+		qu, clk := finish(t)
+		clk.Advance(100 * time.Millisecond)
+		re := report("death of its upstream")
+		re.Upstream = "u"
+		qu.Crashed(re)
+		assertSuspects(t, qu, clk, 1)
+	})
+}
--- a/internal/limit/partquarantine/visit.go
+++ b/internal/limit/partquarantine/visit.go
@@ -16,24 +16,23 @@
 	RetryAfter time.Duration
 }
 
-// Visit is a request without a first event. It is used by one goroutine at a time.
+// Visit is a request until its answer is complete. It is used by one goroutine at a time.
 type Visit struct {
 	qu       *Quarantine
 	parts    []uint64
-	admitted []uint64 // parts that are counted
+	admitted []uint64 // parts that are counted until the first event
 	sends    int      // that have not returned
-	sent     []uint64 // parts that are counted while there are some
-	began    bool
-	broke    bool // the connection of an attempt
+	sent     []uint64 // parts that are counted while there are some, until the first event
+	open     []uint64 // parts that are counted from the first event on
+	began    bool     // an upstream has sent an event
+	broke    bool     // the connection of an attempt
+	proven   bool     // the answer was complete
 }
 
 // Enter admits a request with these shared parts, unless one is held, or is a suspect
 // and in another request without a first event. The caller ends the visit with Leave.
 func (qu *Quarantine) Enter(shared []citronstream.PromptPart) (*Visit, *Refusal) {
-	vi := &Visit{qu: qu}
-	for _, part := range shared[:min(len(shared), maxParts)] {
-		vi.parts = append(vi.parts, part.ID)
-	}
+	vi := &Visit{qu: qu, parts: identifiers(shared)}
 	if len(vi.parts) == 0 {
 		return vi, nil
 	}
@@ -46,20 +45,30 @@
 	return vi, nil
 }
 
+// identifiers returns the IDs of the parts, at most maxParts.
+func identifiers(shared []citronstream.PromptPart) []uint64 {
+	shared = shared[:min(len(shared), maxParts)]
+	if len(shared) == 0 {
+		return nil
+	}
+	parts := make([]uint64, len(shared))
+	for i, part := range shared {
+		parts[i] = part.ID
+	}
+	return parts
+}
+
 // Check returns the refusal that Enter would give, without admitting anything.
 func (qu *Quarantine) Check(shared []citronstream.PromptPart) *Refusal {
-	var parts []uint64
-	for _, part := range shared[:min(len(shared), maxParts)] {
-		parts = append(parts, part.ID)
-	}
 	qu.mu.Lock()
 	defer qu.unlock()
-	return qu.refusal(parts, qu.admitted, false)
+	return qu.refusal(identifiers(shared), qu.admitted, false)
 }
 
 // refusal returns why a request with these parts can't go on, nil if it can. Broke
 // says that an upstream may just have died of it, which is not known yet. One crash
-// before a part is held, it is tried when the next crash is sure to count.
+// before a part is held, it is tried when the next crash is sure to count, and no other
+// request with it is being answered.
 func (qu *Quarantine) refusal(parts []uint64, others map[uint64]int, broke bool) *Refusal {
 	now := qu.clk.Now()
 	for _, part := range parts {
@@ -69,7 +78,7 @@
 		case rec.held():
 			return &Refusal{Part: part, Held: true, RetryAfter: rec.heldUntil.Sub(now)}
 		case qu.vouched(part, now):
-		case others[part] > 0 || rec.likely() && (broke || now.Sub(rec.last()) < crashGap):
+		case others[part] > 0 || rec.likely() && (broke || qu.open[part] > 0 || now.Sub(rec.last()) < crashGap):
 			return &Refusal{Part: part, RetryAfter: busyRetryAfter}
 		}
 	}
@@ -83,13 +92,18 @@
 }
 
 // Send is called right before the request is sent to an upstream. Returned must be
-// called after it. A request with a suspect part is at one upstream at a time.
+// called after it. A request with a suspect part is at one upstream at a time until its first
+// event. A stream that goes on elsewhere does so beside others, unless the next crash may get
+// a part of it held: many break with their upstream, and most of them are sound.
 func (vi *Visit) Send() *Refusal {
-	if len(vi.parts) == 0 || vi.began {
+	if len(vi.parts) == 0 || vi.proven {
 		return nil
 	}
 	vi.qu.mu.Lock()
 	defer vi.qu.unlock()
+	if vi.began {
+		return vi.qu.refusal(vi.parts, nil, vi.broke)
+	}
 	if re := vi.qu.refusal(vi.parts, vi.qu.sent, vi.broke); re != nil {
 		return re
 	}
@@ -100,13 +114,24 @@
 }
 
 // Broke records that the connection broke while the request was at the upstream. It
-// returns the parts of which the upstream may have died: none after the first event.
+// returns the parts of which the upstream may have died: those that have not run soundly a
+// short time ago.
 func (vi *Visit) Broke() []uint64 {
 	vi.broke = true
-	if vi.began {
+	if len(vi.parts) == 0 || vi.proven {
 		return nil
 	}
-	return vi.parts
+	vi.qu.mu.Lock()
+	defer vi.qu.mu.Unlock()
+	vi.open = countOut(vi.qu.open, vi.open)
+	now := vi.qu.clk.Now()
+	var unproven []uint64
+	for _, part := range vi.parts {
+		if !vi.qu.vouched(part, now) {
+			unproven = append(unproven, part)
+		}
+	}
+	return unproven
 }
 
 // Returned records that the request is no longer at one upstream.
@@ -119,27 +144,41 @@
 	vi.sent = countOut(vi.qu.sent, vi.sent)
 }
 
-// Began records the first event, or the whole answer, which proves the parts sound.
+// Began records the first event of an upstream. It proves nothing, as an upstream may crash in
+// the middle of its answer.
 func (vi *Visit) Began() {
-	if len(vi.parts) == 0 || vi.began {
+	if len(vi.parts) == 0 || vi.proven || len(vi.open) > 0 {
 		return
 	}
 	vi.began = true
+	vi.qu.mu.Lock()
+	defer vi.qu.mu.Unlock()
+	vi.leave()
+	vi.open = countIn(vi.qu.open, vi.parts)
+}
+
+// Finished records the complete answer of an upstream, which proves the parts sound. One whose
+// end only the end of its connection tells, which the end of the upstream does as well, is a
+// proof when the upstream is not known to have died a while later.
+func (vi *Visit) Finished(upstream string, framed bool) {
+	if len(vi.parts) == 0 || vi.proven {
+		return
+	}
+	vi.proven = true
 	qu := vi.qu
 	qu.mu.Lock()
 	defer qu.unlock()
-	now := qu.clk.Now()
-	for _, part := range vi.parts {
-		if qu.ran(part, now, "") {
-			qu.tell(part, now)
-		}
-	}
 	vi.leave()
+	if framed {
+		qu.prove(vi.parts, qu.clk.Now())
+	} else if len(qu.endings) < maxEndings {
+		qu.endings = append(qu.endings, ending{parts: vi.parts, upstream: upstream, at: qu.clk.Now()})
+	}
 }
 
 // Leave ends the visit.
 func (vi *Visit) Leave() {
-	if len(vi.admitted) == 0 && len(vi.sent) == 0 {
+	if len(vi.admitted) == 0 && len(vi.sent) == 0 && len(vi.open) == 0 {
 		return
 	}
 	vi.qu.mu.Lock()
@@ -150,21 +189,25 @@
 func (vi *Visit) leave() {
 	vi.admitted = countOut(vi.qu.admitted, vi.admitted)
 	vi.sent = countOut(vi.qu.sent, vi.sent)
+	vi.open = countOut(vi.qu.open, vi.open)
 }
 
 // Apart reports whether the request may be the one that crashes upstreams, so that it
 // should run apart from others like it.
 func (vi *Visit) Apart() bool {
-	if len(vi.parts) == 0 || vi.began {
+	if len(vi.parts) == 0 || vi.proven {
 		return false
 	}
-	if vi.broke {
+	if vi.broke && !vi.began {
 		return true
 	}
 	vi.qu.mu.Lock()
 	defer vi.qu.mu.Unlock()
 	now := vi.qu.clk.Now()
-	return slices.ContainsFunc(vi.parts, func(part uint64) bool { return vi.qu.lookup(part, now) != nil && !vi.qu.vouched(part, now) })
+	return slices.ContainsFunc(vi.parts, func(part uint64) bool {
+		rec := vi.qu.lookup(part, now)
+		return rec != nil && (!vi.began || rec.likely()) && !vi.qu.vouched(part, now)
+	})
 }
 
 // countIn adds a request to the counts of its parts and returns the counted ones.
--- a/internal/limit/poison/holds.go
+++ b/internal/limit/poison/holds.go
@@ -43,7 +43,7 @@
 	// Lifted are digests whose holds up to At an operator lifted.
 	Lifted []uint64 `json:"Lifted,omitempty"`
 	// Age is the time since the death, and Requests are the requests that the upstream
-	// had not begun to answer, for the search for a prompt part.
+	// had not answered completely, for the search for a prompt part.
 	Age      time.Duration                 `json:"Age,omitempty"`
 	Requests []citronstream.SuspectRequest `json:"Requests,omitempty"`
 }
--- a/internal/process/gateway/parts_test.go
+++ b/internal/process/gateway/parts_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -81,10 +83,10 @@
 }
 
 // assertSoundServed sends a request without the crashing part to each entry.
-func (ts *testSite) assertSoundServed() {
+func (ts *testSite) assertSoundServed(shared ...string) {
 	ts.t.Helper()
 	for _, en := range ts.entries {
-		res, body := ts.draft(en, ts.prompt(systemPart, "b0"))
+		res, body := ts.draft(en, ts.prompt(append(slices.Clone(shared), systemPart, "b0")...))
 		assert.Equal(ts.t, http.StatusOK, res.StatusCode, body)
 	}
 }
@@ -92,12 +94,12 @@
 // quarantineCrashing sends requests with the crashing part to all entries in turn, each
 // followed by sound ones with the same other parts, until all refuse the part. It
 // returns the number of crashes, at most one more than maxCrashes.
-func (ts *testSite) quarantineCrashing() (crashes int) {
-	ts.assertSoundServed()
+func (ts *testSite) quarantineCrashing(shared ...string) (crashes int) {
+	ts.assertSoundServed(shared...)
 	for refused := 0; refused < len(ts.entries) && crashes <= maxCrashes; {
 		refused = 0
 		for _, en := range ts.entries {
-			_, body := ts.draft(en, ts.prompt(systemPart, crashPart))
+			body := ts.tryCrashing(en, ts.prompt(append(slices.Clone(shared), systemPart, crashPart)...))
 			if strings.Contains(body, "is quarantined") {
 				refused++
 			}
@@ -105,12 +107,23 @@
 				crashes += down
 				ts.recover(crashes)
 			}
-			ts.assertSoundServed()
+			ts.assertSoundServed(shared...)
 		}
 	}
 	return crashes
 }
 
+// tryCrashing sends a request that may be cut in its answer, and returns what came of that.
+func (ts *testSite) tryCrashing(en *testEntry, ca *call) string {
+	res, err := ts.send(ts.t.Context(), en, ca, http.MethodPost, ts.crashTarget, ca.id)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = res.Body.Close() }()
+	raw, _ := io.ReadAll(res.Body) // a stream may break
+	return string(raw)
+}
+
 // A prompt part that crashes engines is refused at all entries after a few crashes,
 // whatever else its requests have, and requests with the other parts are served.
 func TestCrashingPart(t *testing.T) {
@@ -127,6 +140,33 @@
 	}
 }
 
+// Guards against a part that is taken for sound by the first event of an answer in which the
+// engine then crashes, and crashes engines without end.
+func TestPartThatCrashesWithinAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name, target string
+		events       int32
+	}{
+		{"after the first event", "/draft/stream/", 1},
+		{"after three events of a stream that may not be resumed", "/once/stream/", 3},
+		{"in a whole answer", "/whole/", 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ts := newTestSite(t, 3)
+			ts.configure(2, `,{"name":"whole","host":"h","prefix":"/whole/","kind":"safe","timeout-ms":3000,"target-latency-ms":300,"service":"pool","max-attempts":2}`)
+			ts.addEngines(4)
+			ts.waitReady()
+			ts.assertConfig(2)
+			for _, up := range ts.upstreams {
+				up.CrashAfter.Store(tc.events)
+			}
+			ts.crashTarget = tc.target
+			require.LessOrEqual(t, ts.quarantineCrashing(), maxCrashes, "crashed engines")
+			ts.assertSoundServed("c0")
+		})
+	}
+}
+
 // An entry that starts while the store is away learns from its peers which prompt
 // parts are refused.
 func TestCrashingPartAtNewEntry(t *testing.T) {
--- a/internal/process/gateway/site_test.go
+++ b/internal/process/gateway/site_test.go
@@ -46,7 +46,9 @@
 	next      atomic.Int64
 	zone      string // of the entries that are started from now on; empty means z
 	regions   map[string]string
-	logger    logr.Logger // of the entries that are started from now on; the zero value drops all lines
+	// crashTarget is the target of requests with a prompt part that crashes engines.
+	crashTarget string
+	logger      logr.Logger // of the entries that are started from now on; the zero value drops all lines
 }
 
 // testEntry is a gateway under test.
@@ -57,7 +59,7 @@
 }
 
 func newTestSite(t *testing.T, entries int) *testSite {
-	ts := &testSite{t: t, clk: clockwork.NewRealClock(), log: &site.Log{}, upstreams: make(map[string]*site.Upstream)}
+	ts := &testSite{t: t, clk: clockwork.NewRealClock(), log: &site.Log{}, upstreams: make(map[string]*site.Upstream), crashTarget: "/draft/stream/"}
 	ts.st, ts.bounds = site.NewStore(ts.clk), testBounds
 	ts.client = &http.Client{Transport: &http.Transport{DisableCompression: true}}
 	ts.configure(1, "")
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -68,6 +68,7 @@
 	Work        atomic.Int64 // time of a plain request or a batch, in ns
 	Gone        atomic.Bool  // reports inputs as lost
 	CrashPart   atomic.Value // string: prompt part on which the upstream crashes when it begins to answer
+	CrashAfter  atomic.Int32 // events of that answer before the crash; a whole answer breaks in its middle
 	Taken       atomic.Int64 // bytes reported as used of the 1 MB of memory for results
 	resultCount atomic.Int64
 	batches     atomic.Int64 // that run
@@ -352,9 +353,7 @@
 		header.Set(HeaderSignature, up.ID+".sig")
 	}
 	if part, _ := up.CrashPart.Load().(string); part != "" && strings.Contains(rq.Header.Get(HeaderPrompt), part+":") {
-		wr.(http.Flusher).Flush()
-		up.Crash()
-		panic(http.ErrAbortHandler)
+		up.crashWithin(wr, rq)
 	}
 	if answer := up.Answer.Load(); answer != nil {
 		(*answer)(wr, rq)
@@ -377,6 +376,28 @@
 	_, _ = io.WriteString(wr, "answer to "+ar.ID) // fails only if the caller disconnected
 }
 
+// crashWithin begins an answer and crashes.
+func (up *Upstream) crashWithin(wr http.ResponseWriter, rq *http.Request) {
+	events := int(up.CrashAfter.Load())
+	switch {
+	case events > 0 && strings.Contains(rq.URL.Path, "/stream"):
+		first, _ := strconv.Atoi(rq.Header.Get(HeaderLastEvent))
+		wr.Header().Set("Content-Type", "text/event-stream")
+		for id := first + 1; id <= first+events; id++ {
+			_, _ = fmt.Fprintf(wr, "id: %d\ndata: token %d\n\n", id, id) // fails only if the caller disconnected
+		}
+	case events > 0:
+		wr.Header().Set("Content-Length", "20")
+		_, _ = io.WriteString(wr, "half of it")
+	}
+	wr.(http.Flusher).Flush()
+	if events > 0 {
+		<-up.clk.After(crashDelay) // until what was sent has arrived
+	}
+	up.Crash()
+	panic(http.ErrAbortHandler)
+}
+
 // stream sends the events after Last-Event-Id.
 func (up *Upstream) stream(wr http.ResponseWriter, rq *http.Request) {
 	wr.Header().Set("Content-Type", "text/event-stream")
@@ -407,6 +428,9 @@
 	}
 }
 
+// crashDelay is the time between the last event of an answer and the crash.
+const crashDelay = 20 * time.Millisecond
+
 // dripInterval is the pause between the bytes of a stalled stream.
 const dripInterval = 50 * time.Millisecond
 
--- a/message_peer.go
+++ b/message_peer.go
@@ -96,12 +96,13 @@
 	Refused []FirstAttempt `json:"Refused"`
 }
 
-// SuspectRequest is a request that was at an upstream, without a first event, when
+// SuspectRequest is a request that was at an upstream, without a complete answer, when
 // the upstream died.
 type SuspectRequest struct {
 	Digest uint64        `json:"Digest"` // of its content
 	Sent   time.Duration `json:"Sent"`   // since it was sent to the upstream
-	// Parts are the IDs of the prompt parts that other requests may share.
+	// Parts are the IDs of the prompt parts that other requests may share, without those that
+	// are known to be sound.
 	Parts []uint64 `json:"Parts"`
 }
 
@@ -110,7 +111,7 @@
 	Sound []SoundPart `json:"Sound"`
 }
 
-// SoundPart is a prompt part of a request that an upstream began to answer.
+// SoundPart is a prompt part of a request that an upstream has answered completely.
 type SoundPart struct {
 	Part uint64        `json:"Part"`
 	Age  time.Duration `json:"Age"` // since then
