partquarantine: all parts of a prompt are suspects, however many

Cause: prompts were cut to 64 parts when a request was admitted and when a report was applied, and what was cut off was never suspected.

Change: no cut.

Result: on TestCrashingPartLateInLongPrompt failed with 70 and with 1,500 parts ("6" is not less than or equal to "5" engines); both pass now.

--- a/internal/limit/partquarantine/quarantine.go
+++ b/internal/limit/partquarantine/quarantine.go
@@ -1,7 +1,7 @@
 // Package partquarantine detects prompt parts that crash the upstreams which begin
 // to answer them, whatever else the request has, and holds (refuses) them. Only a complete
 // answer proves a part sound. Load pattern: requests with such a part at any entry, beside
-// many sound ones that share their other parts, of which a long session has many.
+// many sound ones that share their other parts, of which a long session has hundreds.
 package partquarantine
 
 import (
@@ -39,18 +39,18 @@
 	// may become known, and how long before it such an answer may have been the upstream's end.
 	endingTime = time.Second
 
-	defaultCap = 4096 // suspects and holds
-	soundCap   = 8192 // parts with a sound run
-	deathCap   = 1024 // explained deaths
+	defaultCap = 1 << 14 // suspects and holds
+	soundCap   = 1 << 15 // parts with a sound run
+	deathCap   = 1024    // explained deaths
 	maxEndings = 4096
-	// Bounds of a report, and of a crash that several report.
+	// Bounds of a report, and of the requests of a crash that several report.
 	maxRequests = 1024
-	maxParts    = 64
+	maxDigests  = 64
 	// maxDependent bounds the crashes of a part that don't count.
 	maxDependent = 2 * crashesOfOne
 	// maxInFlight bounds the parts of requests in flight that are counted.
 	maxInFlight = 1 << 16
-	maxUnsent   = 1024
+	maxUnsent   = 1 << 13
 	maxRecords  = 256
 )
 
@@ -169,7 +169,7 @@
 		return
 	}
 	for _, rq := range requests {
-		for i, part := range rq.Parts[:min(len(rq.Parts), maxParts)] {
+		for i, part := range rq.Parts {
 			if run, ok := qu.sound.get(part); ok && !run.at.Before(at) {
 				if run.own {
 					qu.tell(part, run.at) // it was no suspect then
@@ -177,7 +177,7 @@
 				continue
 			}
 			rec := qu.records.add(part)
-			rec.position, rec.own = i, rec.own || re.Own
+			rec.position, rec.own = rq.First+i, rec.own || re.Own
 			if rec.count(crash{death: re.Death, at: at, sent: now.Add(-rq.Sent), requests: []uint64{rq.Digest}}) {
 				rec.upstream = re.Upstream
 				qu.changed(Suspected, rec, re)
@@ -213,7 +213,7 @@
 		return true
 	}
 	for _, rq := range requests {
-		for _, part := range rq.Parts[:min(len(rq.Parts), maxParts)] {
+		for _, part := range rq.Parts {
 			if rec := qu.lookup(part, now); rec != nil && rec.held() {
 				qu.explained.put(death, struct{}{})
 				qu.records.forget(death, []uint64{rq.Digest}, qu.hasRun)
--- a/internal/limit/partquarantine/quarantine_test.go
+++ b/internal/limit/partquarantine/quarantine_test.go
@@ -471,3 +471,22 @@
 		assertSuspects(t, qu, clk, 1)
 	})
 }
+
+// Guards against a part with several crashes that yields to the many parts of long prompts at
+// another one.
+func TestCulpritAmongManyParts(t *testing.T) {
+	qu, clk := newQuarantine(WithCap(200))
+	long := func(first uint64) (parts []uint64) {
+		for part := range uint64(300) {
+			parts = append(parts, first+part)
+		}
+		return parts
+	}
+	crashes(qu, clk, 2, culprit)
+	clk.Advance(2 * crashGap)
+	qu.Crashed(report("other", suspect(50, 0, long(1000)...)))
+	clk.Advance(2 * crashGap)
+	crashes(qu, clk, 1, culprit, 5)
+	assertHeld(t, qu, culprit, true)
+	assert.LessOrEqual(t, len(qu.records.byPart), 200)
+}
--- a/internal/limit/partquarantine/record.go
+++ b/internal/limit/partquarantine/record.go
@@ -107,7 +107,7 @@
 	if other.sent.After(cr.sent) {
 		cr.sent = other.sent
 	}
-	if len(cr.requests) < maxParts && !cr.has(other.requests) {
+	if len(cr.requests) < maxDigests && !cr.has(other.requests) {
 		cr.requests = append(cr.requests, other.requests...)
 	}
 }
@@ -140,6 +140,9 @@
 	})
 }
 
+// yieldScan is the number of the least recently used suspects of which one makes room.
+const yieldScan = 64
+
 // table is a bounded table of parts in two lists in order of last use.
 type table struct {
 	cap      int
@@ -163,24 +166,39 @@
 	return rec
 }
 
-// add returns the record of a part and adds it as a suspect if necessary. The least
-// recently used suspect yields, or hold if there is no suspect.
+// add returns the record of a part and adds it as a suspect if necessary. Of the least
+// recently used suspects the one with the fewest crashes yields, or a hold if there is no
+// suspect.
 func (ta *table) add(part uint64) *record {
 	if rec := ta.get(part); rec != nil {
 		return rec
 	}
 	if len(ta.byPart) >= ta.cap {
-		from := ta.suspects
-		if from.Len() == 0 {
-			from = ta.holds
-		}
-		ta.remove(from.Back().Value.(*record))
+		ta.remove(ta.yields())
 	}
 	rec := &record{part: part, list: ta.suspects}
 	ta.byPart[part] = ta.suspects.PushFront(rec)
 	return rec
 }
 
+// yields returns the record that makes room for another one.
+func (ta *table) yields() *record {
+	el := ta.suspects.Back()
+	if el == nil {
+		return ta.holds.Back().Value.(*record)
+	}
+	fewest := el.Value.(*record)
+	for range yieldScan {
+		if el = el.Prev(); el == nil || len(fewest.crashes) <= 1 {
+			break
+		}
+		if rec := el.Value.(*record); len(rec.crashes) < len(fewest.crashes) {
+			fewest = rec
+		}
+	}
+	return fewest
+}
+
 func (ta *table) moveTo(rec *record, to *list.List) {
 	rec.list.Remove(ta.byPart[rec.part])
 	rec.list = to
--- a/internal/limit/partquarantine/share.go
+++ b/internal/limit/partquarantine/share.go
@@ -114,7 +114,7 @@
 	for _, pc := range crashes {
 		re.Death = pc.Death
 		at := now.Add(-max(0, pc.Age))
-		cr := crash{death: pc.Death, at: at, sent: at, requests: pc.Requests[:min(len(pc.Requests), maxParts)], explained: pc.Explained}
+		cr := crash{death: pc.Death, at: at, sent: at, requests: pc.Requests[:min(len(pc.Requests), maxDigests)], explained: pc.Explained}
 		if rec.count(cr) {
 			qu.changed(Suspected, rec, re)
 		}
--- a/internal/limit/partquarantine/visit.go
+++ b/internal/limit/partquarantine/visit.go
@@ -45,9 +45,8 @@
 	return vi, nil
 }
 
-// identifiers returns the IDs of the parts, at most maxParts.
+// identifiers returns the IDs of all parts. The bytes of a request's head bound their number.
 func identifiers(shared []citronstream.PromptPart) []uint64 {
-	shared = shared[:min(len(shared), maxParts)]
 	if len(shared) == 0 {
 		return nil
 	}
--- a/internal/limit/poison/holds.go
+++ b/internal/limit/poison/holds.go
@@ -46,6 +46,8 @@
 	// had not answered completely, for the search for a prompt part.
 	Age      time.Duration                 `json:"Age,omitempty"`
 	Requests []citronstream.SuspectRequest `json:"Requests,omitempty"`
+	// Rest says that this has further Requests of an earlier report, and nothing else.
+	Rest bool `json:"Rest,omitempty"`
 }
 
 // DeathID returns the ID of an upstream's death. Epoch is that of its agent's
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,6 +69,9 @@
 	// a leaving upstream must stop, also for an entry without peers. The same holds
 	// for the configuration and the time in which it must be in force.
 	readsPerDrain = 2
+	// maxPartsPerMessage is the number of prompt parts above which peers are told of them in
+	// several messages. So many take a link of 10 Mbit/s 20 ms.
+	maxPartsPerMessage = 1024
 	// silencePerBound is the part of the bound within which a change must apply after
 	// which an open connection to the store counts as silent. Half of the bound has passed
 	// by then at most; the last quarter is for the read on a new connection.
@@ -390,8 +394,8 @@
 // are held.
 func (ga *Gateway) tellParts() {
 	sound, holds := ga.parts.TakeUnsent()
-	if len(sound) > 0 {
-		ga.mesh.Broadcast(citronstream.MethodSoundParts, citronstream.SoundParts{Sound: sound})
+	for some := range slices.Chunk(sound, maxPartsPerMessage) {
+		ga.mesh.Broadcast(citronstream.MethodSoundParts, citronstream.SoundParts{Sound: some})
 	}
 	if len(holds) > 0 {
 		ga.mesh.Broadcast(citronstream.MethodSuspectParts, citronstream.SuspectParts{Suspects: holds})
@@ -456,13 +460,18 @@
 // upstreamDied records an upstream's death and reports it to the peers.
 func (ga *Gateway) upstreamDied(report poison.Report) {
 	ga.recordDeath(report, ga.site.Process)
-	ga.mesh.Broadcast(citronstream.MethodDeath, report)
+	for _, message := range report.Split(maxPartsPerMessage) {
+		ga.mesh.Broadcast(citronstream.MethodDeath, message)
+	}
 }
 
 // recordDeath holds the content that is suspected of the death and marks the upstream dead.
 func (ga *Gateway) recordDeath(report poison.Report, source string) {
-	held := ga.holds.Merge(report)
 	ga.parts.Crashed(partquarantine.Report{Death: report.ID, Upstream: report.Upstream, Source: source, Own: source == ga.site.Process, Age: report.Age, Requests: report.Requests})
+	if report.Rest {
+		return
+	}
+	held := ga.holds.Merge(report)
 	if nd := ga.view.Members().Node(report.Upstream); nd != nil {
 		nd.MarkDead(ga.clk.Now(), ga.listingTTL())
 	}
--- a/internal/process/gateway/parts_test.go
+++ b/internal/process/gateway/parts_test.go
@@ -43,6 +43,14 @@
 	return ca
 }
 
+// turns returns the parts of a long session.
+func turns(count int) (parts []string) {
+	for i := range count {
+		parts = append(parts, fmt.Sprintf("c%x", i))
+	}
+	return parts
+}
+
 func (ts *testSite) draft(en *testEntry, ca *call) (*http.Response, string) {
 	return ts.roundTrip(en, ca, http.MethodPost, "/draft/stream/", ca.id)
 }
@@ -140,6 +148,23 @@
 	}
 }
 
+// Guards against a part that is never suspected as it comes late in its prompt, as in a long
+// session, and against reports of long prompts that peers don't get whole.
+func TestCrashingPartLateInLongPrompt(t *testing.T) {
+	for _, count := range []int{70, 1500} {
+		t.Run(fmt.Sprint(count, " parts before it"), func(t *testing.T) {
+			ts := newTestSite(t, 3)
+			ts.addEngines(4)
+			ts.waitReady()
+			require.LessOrEqual(t, ts.quarantineCrashing(turns(count)...), maxCrashes, "crashed engines")
+			for _, en := range ts.entries {
+				_, held := en.parts.Counts()
+				assert.Equal(t, 1, held)
+			}
+		})
+	}
+}
+
 // Guards against a part that is taken for sound by the first event of an answer in which the
 // engine then crashes, and crashes engines without end.
 func TestPartThatCrashesWithinAnswers(t *testing.T) {
--- a/message_peer.go
+++ b/message_peer.go
@@ -102,8 +102,10 @@
 	Digest uint64        `json:"Digest"` // of its content
 	Sent   time.Duration `json:"Sent"`   // since it was sent to the upstream
 	// Parts are the IDs of the prompt parts that other requests may share, without those that
-	// are known to be sound.
+	// are known to be sound. Those of a long prompt are told in several reports.
 	Parts []uint64 `json:"Parts"`
+	// First is the number of parts that earlier reports have.
+	First int `json:"First,omitempty"`
 }
 
 // SoundParts are suspect prompt parts that have run soundly at the sender.
