fleet/view: rows that a copy of the store brings back or lacks are no news

A copy breaks more than the order: its rows of before counted as news, so that upstreams which had left were used again; rows that it lacks counted as removed, so that upstreams and evacuations were dropped until they were written again; and the time of a row's write was told by versions of the era before.

Change: the first row of an upstream in a new era is compared with what is known by the start of its process and its sequence. Ages of rows begin anew, cold upstreams are not warm by a row of the copy, and a list of gateways that was read within 5 s is not taken for complete.

Result: TestRemovalAfterRestore failed in two of three cases on (10 s, "an upstream that was removed is in use") and passes since.

--- a/internal/fleet/outage/outage.go
+++ b/internal/fleet/outage/outage.go
@@ -66,6 +66,13 @@
 // Disturbed records that the store was slow or unreachable at this moment only.
 func (re *Record) Disturbed(now time.Time) { re.lastAway, re.backKnown = now, false }
 
+// Restored records that the store has come back from an older copy, which may lack rows. When
+// the rows of the copy were written is not known.
+func (re *Record) Restored(now time.Time) {
+	re.marks = nil
+	re.Disturbed(now)
+}
+
 // Answered records that a call was answered, with the store at a version. It had no higher
 // version when the call began.
 func (re *Record) Answered(version uint64, began, now time.Time) {
--- a/internal/fleet/snapshot/snapshot.go
+++ b/internal/fleet/snapshot/snapshot.go
@@ -83,7 +83,7 @@
 	}
 	slices.SortFunc(list, func(a, b citronstream.Member) int { return bytes.Compare([]byte(a.ID), []byte(b.ID)) })
 	for i := range list {
-		list[i].Revision, list[i].Cold = 0, 0 // they change with each heartbeat
+		list[i].Revision, list[i].Sequence, list[i].Cold = 0, 0, 0 // they change with each heartbeat
 	}
 	text, err := json.Marshal(list)
 	if err != nil {
--- a/internal/fleet/view/evacuations.go
+++ b/internal/fleet/view/evacuations.go
@@ -2,12 +2,14 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/citronstream/citronstream"
 )
 
 // ReplaceEvacuated applies all evacuated zones as of a version of the store, with the
-// versions of their rows, and returns the changes. Other zones have been taken back.
+// versions of their rows, and returns the changes. Other zones have been taken back, but for
+// those whose rows a copy of the store may lack: operators write these again.
 func (vi *View) ReplaceEvacuated(evacuated map[string]uint64, version uint64, source string) []citronstream.Change {
 	var changes []citronstream.Change
 	add := func(zone string, version uint64, deleted bool) {
@@ -17,7 +19,13 @@
 		add(zone, version, false)
 	}
 	vi.mu.Lock()
+	vi.observe(version)
+	known := vi.zones.Evacuated()
 	for _, zone := range vi.zones.Missing(evacuated, version) {
+		if citronstream.VersionEra(known[zone]) < citronstream.VersionEra(version) && !vi.outage.Over(vi.clk.Now()) {
+			vi.ends[zone] = version
+			continue
+		}
 		add(zone, version, true)
 	}
 	vi.mu.Unlock()
@@ -28,6 +36,20 @@
 	return applied
 }
 
+// endEvacuations takes back the zones whose rows were not written again after the store came
+// back from an older copy. The caller holds the lock.
+func (vi *View) endEvacuations(now time.Time) {
+	if len(vi.ends) == 0 || !vi.outage.Over(now) {
+		return
+	}
+	var changes []citronstream.Change
+	for zone, version := range vi.ends {
+		changes = append(changes, citronstream.Change{Row: citronstream.Row{Key: vi.decode.EvacuationPrefix + zone, Version: version}, Deleted: true})
+	}
+	clear(vi.ends)
+	vi.apply(changes, SourceExpiry)
+}
+
 func (vi *View) isEvacuation(key string) bool {
 	return vi.decode.EvacuationPrefix != "" && strings.HasPrefix(key, vi.decode.EvacuationPrefix)
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -47,6 +47,9 @@
 	node    *node.Node // nil if the row is malformed or removed
 	removed time.Time  // when this process received the removal
 	inGrace bool       // removed, but in use until expiryGrace after the store's return
+	// What the last well-formed row said of the process that wrote it; started is 0 without one.
+	started  int64
+	sequence float64
 }
 
 // View holds the rows. Routes, Members and Revision take no lock.
@@ -62,7 +65,11 @@
 	rows map[string]*record
 	// settled is the version up to which the rows of upstreams are complete: one without a
 	// record had no row then.
-	settled     uint64
+	settled uint64
+	// newest is the greatest version of the store that was heard of.
+	newest uint64
+	// ends has the evacuated zones that a copy of the store does not have, with its version.
+	ends        map[string]uint64
 	reports     *selfreport.Reports
 	zones       *evacuation.Zones
 	config      citronstream.Row
@@ -73,6 +80,7 @@
 	onRow       func(mb citronstream.Member)
 	onTakenBack func(zone string, version uint64)
 	onEvacuated func(zone string)
+	onRestored  func(version uint64)
 }
 
 // Option configures a View.
@@ -86,8 +94,8 @@
 
 // New returns an empty view.
 func New(clk citronstream.Clock, log logr.Logger, decode Decode, opts ...Option) *View {
-	vi := &View{clk: clk, log: log, decode: decode, outage: outage.New(0), rows: make(map[string]*record), zones: evacuation.New(), reports: selfreport.New(), onChange: func([]citronstream.Change, string) {}}
-	vi.onRow, vi.onTakenBack, vi.onEvacuated = func(citronstream.Member) {}, func(string, uint64) {}, func(string) {}
+	vi := &View{clk: clk, log: log, decode: decode, outage: outage.New(0), rows: make(map[string]*record), ends: make(map[string]uint64), zones: evacuation.New(), reports: selfreport.New(), onChange: func([]citronstream.Change, string) {}}
+	vi.onRow, vi.onTakenBack, vi.onEvacuated, vi.onRestored = func(citronstream.Member) {}, func(string, uint64) {}, func(string) {}, func(uint64) {}
 	for _, opt := range opts {
 		opt(vi)
 	}
@@ -177,6 +185,7 @@
 func (vi *View) StoreAnswered(version uint64, began time.Time) {
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
+	vi.observe(version)
 	vi.outage.Answered(version, began, vi.clk.Now())
 }
 
@@ -184,6 +193,7 @@
 func (vi *View) StoreTold(version uint64, asOf time.Time) {
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
+	vi.observe(version)
 	vi.outage.Told(version, asOf, vi.clk.Now())
 }
 
@@ -196,6 +206,9 @@
 }
 
 func (vi *View) apply(changes []citronstream.Change, source string) []citronstream.Change {
+	for _, ch := range changes {
+		vi.observe(ch.Version)
+	}
 	var applied []citronstream.Change
 	// Evacuations come first: requests are accepted from the first configuration on.
 	for _, ch := range changes {
@@ -386,6 +399,7 @@
 		vi.publish()
 		vi.onChange(applied, SourceExpiry)
 	}
+	vi.endEvacuations(now)
 }
 
 func (vi *View) applyConfig(ch citronstream.Change, source string) bool {
@@ -424,7 +438,11 @@
 	if ch.Deleted {
 		rec := &record{Change: ch, removed: now}
 		vi.rows[ch.Key] = rec
-		if old == nil || old.node == nil {
+		if old == nil {
+			return false
+		}
+		rec.started, rec.sequence = old.started, old.sequence
+		if old.node == nil {
 			return false
 		}
 		// A draining node gets no grace period, because it is leaving.
@@ -436,9 +454,13 @@
 		vi.log.Info("upstream gone", "upstream", old.node.ID, "service", old.node.Service, "reason", "row removed", "source", source, "revision", citronstream.FormatVersion(ch.Version))
 		return true
 	}
-	rec := &record{Change: ch}
-	vi.rows[ch.Key] = rec
 	member, err := vi.decode.Member(ch.Row)
+	if err == nil && old != nil && old.supersedes(member) {
+		vi.keep(old, ch, source)
+		return false
+	}
+	rec := &record{Change: ch, started: member.StartedMs, sequence: member.Sequence}
+	vi.rows[ch.Key] = rec
 	if err != nil {
 		rec.Value = nil // it can have 64 kB, and peers need only know its version
 		vi.log.Info("row of an upstream malformed", "key", ch.Key, "reason", err.Error(), "source", source, "revision", citronstream.FormatVersion(ch.Version))
--- a/internal/limit/coldrate/coldrate.go
+++ b/internal/limit/coldrate/coldrate.go
@@ -98,6 +98,7 @@
 	gen        uint64               // grows with each change of the gateways
 	listedAt   time.Time            // start of the last complete read of the list of gateways
 	listed     map[string]bool      // the other gateways of that list
+	restoredAt time.Time            // when the store came back from an older copy last; zero if never
 	linked     map[string]bool      // other gateways that are linked
 	peerCounts map[string]peerCount // how many gateways peers know, by peer
 	reason     string               // why the list may be incomplete, see checkList
@@ -209,6 +210,21 @@
 	}
 }
 
+// Restored records that the store has come back from an older copy. Rows up to a version may be
+// older than what made an upstream cold, and its list of gateways may lack some for a while.
+func (li *Limiter) Restored(version uint64) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	li.restoredAt = li.clk.Now()
+	for _, up := range li.upstreams {
+		up.doubtful = max(up.doubtful, version)
+	}
+	for zone, en := range li.ends {
+		en.version = max(en.version, version)
+		li.ends[zone] = en
+	}
+}
+
 // limitEnds forgets the oldest end of an evacuation if there are too many.
 func (li *Limiter) limitEnds() {
 	if len(li.ends) <= maxEnds {
--- a/internal/limit/coldrate/coldrate_test.go
+++ b/internal/limit/coldrate/coldrate_test.go
@@ -300,3 +300,45 @@
 	assert.True(t, first.Turn())
 	assert.False(t, second.Turn())
 }
+
+// Guards against a row of an older copy of the store that says warm, and against a list of the
+// gateways in the copy that lacks one.
+func TestStoreRestored(t *testing.T) {
+	later := func(count uint64) uint64 {
+		version, err := citronstream.NewVersion(2, count)
+		assert.NoError(t, err)
+		return version
+	}
+	for name, makeCold := range map[string]func(li *Limiter){
+		"cold by its row":       func(li *Limiter) { li.Row(row(9, 1, 3*time.Second)) },
+		"cold by an evacuation": func(li *Limiter) { li.TakenBack("z", 9) },
+		"not known before": func(li *Limiter) {
+			li.TakenBack("z", 9)
+			delete(li.upstreams, "u")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clk := clockwork.NewFakeClock()
+			li := newLimiter(clk, 0)
+			li.Row(row(1, 1, 0))
+			makeCold(li)
+			li.Restored(later(5))
+			li.Row(row(later(4), 1, 0))
+			assertCold(t, li, true)
+			li.Row(row(later(6), 1, 0))
+			assertCold(t, li, false)
+		})
+	}
+	t.Run("list of gateways", func(t *testing.T) {
+		clk := clockwork.NewFakeClock()
+		li := newLimiter(clk, 0)
+		settle(clk, li, address(1), address(2))
+		li.Restored(later(5))
+		clk.Advance(time.Second)
+		li.Listed([]string{address(1)}, clk.Now())
+		assert.Equal(t, 3, li.Known())
+		clk.Advance(rewriteTime)
+		li.Listed([]string{address(1)}, clk.Now())
+		assert.Equal(t, 2, li.Known())
+	})
+}
--- a/internal/limit/coldrate/shares.go
+++ b/internal/limit/coldrate/shares.go
@@ -10,6 +10,9 @@
 	// settleTime is the age of the process from which on a complete list of the gateways
 	// counts: those that started at the same time have written their rows by then.
 	settleTime = 1500 * time.Millisecond
+	// rewriteTime is how long after the store's return from an older copy its list of the gateways
+	// may lack some: each of them writes its row again once it has noticed the return.
+	rewriteTime = 5 * time.Second
 	// listTTL is how long a list counts. Gateways that start later without a link to this
 	// one are missing from it.
 	listTTL = 5 * time.Minute
@@ -41,12 +44,13 @@
 	li.addGateways(addresses)
 }
 
-// Listed records a complete list of the gateways, by address, and when its read began.
+// Listed records a complete list of the gateways, by address, and when its read began. One that
+// was read just after the store came back from an older copy only adds gateways.
 func (li *Limiter) Listed(addresses []string, began time.Time) {
 	li.mu.Lock()
 	defer li.mu.Unlock()
 	li.addGateways(addresses)
-	if began.Sub(li.began) >= settleTime {
+	if began.Sub(li.began) >= settleTime && (li.restoredAt.IsZero() || began.Sub(li.restoredAt) >= rewriteTime) {
 		li.listedAt = began
 		clear(li.listed)
 		for _, address := range addresses {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -157,6 +157,7 @@
 	ga.evacKnown.Store(&zoneramp.Known{})
 	ga.view.OnEvacuated(ga.zoneEvacuated)
 	ga.view.OnTakenBack(ga.zoneTakenBack)
+	ga.view.OnRestored(ga.cold.Restored)
 	ga.mesh = mesh.New(clk, log, eng, ga.peerInfo, ga.handle, ga.peerConnected)
 	ga.follower = follow.New(clk, log, store, ga.view, follow.WithReaders(ga.readers), follow.WithOnRead(ga.storeRead), follow.WithOnFirstRead(ga.tableRead))
 	ga.snapshot = snapshot.New(clk, log, store, ga.membersInUse, ga.writesSnapshot)
--- a/internal/process/gateway/restored_test.go
+++ b/internal/process/gateway/restored_test.go
@@ -64,6 +64,26 @@
 	}
 }
 
+// Guards against the removal of an upstream, told once, that is ignored for good after the
+// store's return from an older copy.
+func TestRemovalAfterRestore(t *testing.T) {
+	for name, writes := range restores {
+		t.Run(name, func(t *testing.T) {
+			ts, one := newSiteWithListeners(t)
+			co := ts.st.Copy()
+			ts.writeOther(40)
+			for _, up := range ts.upstreams {
+				ts.st.List(up, site.Ready)
+			}
+			ts.restoreStore(co, writes)
+			ts.st.Unlist(one)
+			for _, en := range ts.entries {
+				ts.waitFor(func() bool { return len(en.view.Members().Service("desk")) == 1 }, "an upstream that was removed is in use at "+en.site.Process)
+			}
+		})
+	}
+}
+
 // Guards against an entry that the store turns away since its return from an older copy, and
 // that ignores what its peers tell from there.
 func TestPeersTellOfRestore(t *testing.T) {
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -72,6 +72,7 @@
 	Taken       atomic.Int64 // bytes reported as used of the 1 MB of memory for results
 	resultCount atomic.Int64
 	batches     atomic.Int64 // that run
+	sequence    atomic.Int64 // of its rows
 
 	// Answer, if set, answers requests once the identifier and the signature are set.
 	Answer atomic.Pointer[http.HandlerFunc]
@@ -239,8 +240,8 @@
 
 // Row returns the value of the upstream's row in the store.
 func (up *Upstream) Row(state string) string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":4,"state":%q,"sequence":1,"born":%d,"cold-remaining-ms":%d}`,
-		up.Service, up.Address(), cmp.Or(up.Zone, "z"), state, up.StartedMs(), up.Cold.Load())
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":4,"state":%q,"sequence":%d,"born":%d,"cold-remaining-ms":%d}`,
+		up.Service, up.Address(), cmp.Or(up.Zone, "z"), state, up.sequence.Add(1), up.StartedMs(), up.Cold.Load())
 }
 
 // Held returns the number of results that the upstream holds.
--- a/routing.go
+++ b/routing.go
@@ -118,6 +118,8 @@
 	// StartedMs is the start of the process, in milliseconds since 1970. It tells
 	// a restarted process, which has lost its state, from the one before.
 	StartedMs int64
+	// Sequence grows with each row that the process writes.
+	Sequence float64
 	// Revision is the version of the row that described it.
 	Revision uint64
 }
