sitesoak: the store comes back from older copies, at the end in each run

Change: a fault that brings the store back from one of the copies of the last ten faults, after which the operator and the upstreams write again. Each run ends with a return over 200 lost versions and a configuration after it, which all gateways must serve.

--- a/internal/fleet/view/copies.go
+++ b/internal/fleet/view/copies.go
@@ -26,10 +26,10 @@
 	vi.onRestored(version)
 }
 
-// supersedes reports whether the record has later news of an upstream than its row in a copy of
-// the store that this process sees for the first time.
-func (rec *record) supersedes(mb citronstream.Member) bool {
-	if rec.started == 0 || citronstream.VersionEra(mb.Revision) == citronstream.VersionEra(rec.Version) {
+// supersedes reports whether the record has later news of an upstream than a row with a version,
+// which is the first of a new era that this process sees: the copy may be older than the record.
+func (rec *record) supersedes(mb citronstream.Member, version uint64) bool {
+	if rec.started == 0 || citronstream.VersionEra(version) == citronstream.VersionEra(rec.Version) {
 		return false
 	}
 	if mb.StartedMs != rec.started {
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -455,7 +455,7 @@
 		return true
 	}
 	member, err := vi.decode.Member(ch.Row)
-	if err == nil && old != nil && old.supersedes(member) {
+	if err == nil && old != nil && old.supersedes(member, ch.Version) {
 		vi.keep(old, ch, source)
 		return false
 	}
--- a/internal/limit/partquarantine/quarantine.go
+++ b/internal/limit/partquarantine/quarantine.go
@@ -43,6 +43,8 @@
 	soundCap   = 1 << 15 // parts with a sound run
 	deathCap   = 1024    // explained deaths
 	maxEndings = 4096
+	// maxChanges bounds the log lines of a death with long prompts.
+	maxChanges = 256
 	// Bounds of a report, and of the requests of a crash that several report.
 	maxRequests = 1024
 	maxDigests  = 64
@@ -323,7 +325,11 @@
 	return true
 }
 
+// changed records a change for onChange: all holds, of other changes at most maxChanges at once.
 func (qu *Quarantine) changed(ev Event, rec *record, re Report) {
+	if ev != Held && len(qu.changes) >= maxChanges {
+		return
+	}
 	qu.changes = append(qu.changes, Change{Event: ev, Part: rec.part, Upstream: re.Upstream, Death: re.Death, Source: re.Source, Crashes: len(rec.crashes)})
 }
 
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -2,12 +2,10 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,9 +67,6 @@
 	// a leaving upstream must stop, also for an entry without peers. The same holds
 	// for the configuration and the time in which it must be in force.
 	readsPerDrain = 2
-	// maxPartsPerMessage is the number of prompt parts above which peers are told of them in
-	// several messages. So many take a link of 10 Mbit/s 20 ms.
-	maxPartsPerMessage = 1024
 	// silencePerBound is the part of the bound within which a change must apply after
 	// which an open connection to the store counts as silent. Half of the bound has passed
 	// by then at most; the last quarter is for the read on a new connection.
@@ -391,18 +386,6 @@
 	ga.mesh.Tell(citronstream.MethodRefusals, citronstream.Refusals{Refused: refused}, func(pe *mesh.Peer) bool { return pe.Zone() == ga.site.Zone })
 }
 
-// tellParts tells the peers which suspect prompt parts have run soundly here and which
-// are held.
-func (ga *Gateway) tellParts() {
-	sound, holds := ga.parts.TakeUnsent()
-	for some := range slices.Chunk(sound, maxPartsPerMessage) {
-		ga.mesh.Broadcast(citronstream.MethodSoundParts, citronstream.SoundParts{Sound: some})
-	}
-	if len(holds) > 0 {
-		ga.mesh.Broadcast(citronstream.MethodSuspectParts, citronstream.SuspectParts{Suspects: holds})
-	}
-}
-
 // handle processes messages from peers.
 func (ga *Gateway) handle(from string, li *link.Link, re *link.Request) {
 	switch re.Method {
@@ -457,31 +440,3 @@
 // listingTTL is how long an entry may still read a dead upstream in the platform's
 // list: it stays listed for three heartbeats, and a read may lag by one.
 func (ga *Gateway) listingTTL() time.Duration { return 4 * ga.site.Heartbeat }
-
-// upstreamDied records an upstream's death and reports it to the peers.
-func (ga *Gateway) upstreamDied(report poison.Report) {
-	ga.recordDeath(report, ga.site.Process)
-	for _, message := range report.Split(maxPartsPerMessage) {
-		ga.mesh.Broadcast(citronstream.MethodDeath, message)
-	}
-}
-
-// recordDeath holds the content that is suspected of the death and marks the upstream dead.
-func (ga *Gateway) recordDeath(report poison.Report, source string) {
-	ga.parts.Crashed(partquarantine.Report{Death: report.ID, Upstream: report.Upstream, Source: source, Own: source == ga.site.Process, Age: report.Age, Requests: report.Requests})
-	if report.Rest {
-		return
-	}
-	held := ga.holds.Merge(report)
-	if nd := ga.view.Members().Node(report.Upstream); nd != nil {
-		nd.MarkDead(ga.clk.Now(), ga.listingTTL())
-	}
-	ga.cold.Died(report.Upstream, ga.listingTTL())
-	ga.log.Info("upstream died", "upstream", report.Upstream, "death", report.ID, "running", len(report.Running), "held", len(held), "source", source)
-	ga.logHeld(held, source)
-}
-
-// partChanged logs a change of a prompt part's state.
-func (ga *Gateway) partChanged(ch partquarantine.Change) {
-	ga.log.Info(string(ch.Event), "part", partquarantine.PartName(ch.Part), "upstream", ch.Upstream, "death", ch.Death, "crashes", ch.Crashes, "source", cmp.Or(ch.Source, ga.site.Process))
-}
--- a/internal/proof/sitesoak/faults_test.go
+++ b/internal/proof/sitesoak/faults_test.go
@@ -15,9 +15,12 @@
 func (wo *world) fault() {
 	kinds := []func() string{
 		wo.killGateway, wo.terminateGateway, wo.pauseGateway, wo.reloadGateway,
-		wo.breakStore, wo.breakWayToStore, wo.breakWayToUpstream,
+		wo.breakStore, wo.restoreStore, wo.breakWayToStore, wo.breakWayToUpstream,
 		wo.breakUpstream, wo.drainUpstream, wo.changeConfiguration, wo.sendCrowd,
 	}
+	if wo.copies = append(wo.copies, wo.st.Copy()); len(wo.copies) > maxCopies {
+		wo.copies = wo.copies[1:]
+	}
 	text := kinds[wo.rng.IntN(len(kinds))]()
 	wo.story = append(wo.story, clk.Now().Format("05.000")+" "+text)
 }
@@ -97,6 +100,38 @@
 	return fmt.Sprintf("store fault %d for %s", fault, wo.gateways[at].name)
 }
 
+// maxCopies is the number of copies of the store that are kept, one for each fault. They reach
+// back some seconds.
+const maxCopies = 10
+
+// restoreStore brings the store back from an older copy after a moment. The operator and the
+// upstreams then write again what it lacks.
+func (wo *world) restoreStore() string {
+	for _, door := range wo.doors {
+		door.Fault(site.Refuses)
+	}
+	at := wo.rng.IntN(len(wo.copies))
+	co := wo.copies[at]
+	wo.later(wo.span(time.Second), func() {
+		wo.st.Restore(co)
+		wo.rewrite()
+		for _, door := range wo.doors {
+			door.Fault(site.Sound)
+		}
+	})
+	return fmt.Sprintf("store comes back from the copy of %d faults before", len(wo.copies)-1-at)
+}
+
+// rewrite writes the newest rows of the operator and the upstreams.
+func (wo *world) rewrite() {
+	wo.mu.Lock()
+	defer wo.mu.Unlock()
+	wo.st.Configure(wo.version, "")
+	for _, up := range wo.ups {
+		wo.st.List(up, site.Ready)
+	}
+}
+
 func (wo *world) breakWayToStore() string {
 	at := wo.rng.IntN(gateways)
 	return "way of " + wo.gateways[at].name + " to the store: " + wo.breakWay(wo.stores[at])
--- a/internal/proof/sitesoak/soak_test.go
+++ b/internal/proof/sitesoak/soak_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -66,13 +67,14 @@
 	doors    []*site.Door
 	stores   []*proxy // of the gateways to the store
 	gateways []*gateway
-	version  int
+	copies   []*site.Copy // of the store, the oldest first
 
-	faults sync.WaitGroup
-	mu     sync.Mutex
-	tries  []try
-	story  []string
-	next   atomic.Int64
+	faults  sync.WaitGroup
+	mu      sync.Mutex
+	version int // of the configuration
+	tries   []try
+	story   []string
+	next    atomic.Int64
 }
 
 // TestSoak runs faults of all kinds in an order that the seed gives, and
@@ -209,6 +211,8 @@
 }
 
 func (wo *world) configure() {
+	wo.mu.Lock()
+	defer wo.mu.Unlock()
 	wo.version++
 	wo.st.Configure(wo.version, "")
 }
@@ -338,8 +342,35 @@
 	assert.Equal(wo.t, want, tr.body, text)
 }
 
-// recovered checks that each gateway serves each kind of request after the faults.
+// Paths that only the last configurations have.
+const (
+	latePath     = "/late/"
+	restoredPath = "/restored/"
+)
+
+// configureWith writes a configuration with one more path.
+func (wo *world) configureWith(path string) {
+	wo.version++
+	wo.st.Configure(wo.version, fmt.Sprintf(`,{"name":"late","host":"h","prefix":%q,"kind":"safe","timeout-ms":3000,"target-latency-ms":300,"service":"desk","max-attempts":2}`, path))
+}
+
+// recovered checks that each gateway serves each kind of request after the faults, also those
+// of a configuration since then, and of one that the store has given a lower version.
 func (wo *world) recovered() {
+	co := wo.st.Copy()
+	for i := range 200 {
+		wo.st.Put("other", fmt.Sprint(i), "")
+	}
+	wo.configureWith(latePath)
+	wo.assertServed(append(slices.Clone(paths), latePath)...)
+	wo.st.Restore(co)
+	wo.rewrite()
+	wo.configureWith(restoredPath)
+	wo.assertServed(append(slices.Clone(paths), restoredPath)...)
+}
+
+// assertServed checks that each gateway serves requests to these paths before long.
+func (wo *world) assertServed(paths ...string) {
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
 	defer client.CloseIdleConnections()
 	for _, ga := range wo.gateways {
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -91,13 +91,6 @@
 	st.changed = make(chan struct{})
 }
 
-// Version returns the version of the last write, within the era.
-func (st *Store) Version() uint64 {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	return st.lastVersion
-}
-
 func (st *Store) eraNow() uint64 {
 	st.mu.Lock()
 	defer st.mu.Unlock()
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -196,26 +196,6 @@
 	return up.address
 }
 
-// Crash breaks all connections, closes the listener and drops all results.
-func (up *Upstream) Crash() {
-	up.mu.Lock()
-	defer up.mu.Unlock()
-	if up.crashed {
-		return
-	}
-	up.crashed = true
-	clear(up.results)
-	_ = up.Listener.Close()
-	up.CloseClientConnections()
-}
-
-// Crashed reports whether the upstream is down.
-func (up *Upstream) Crashed() bool {
-	up.mu.Lock()
-	defer up.mu.Unlock()
-	return up.crashed
-}
-
 // StartedMs returns the start of its process, as in its row.
 func (up *Upstream) StartedMs() int64 {
 	up.mu.Lock()
@@ -223,21 +203,6 @@
 	return up.startedMs
 }
 
-// Restart starts a crashed upstream as a new process at the same address. It has to
-// be listed again.
-func (up *Upstream) Restart() error {
-	up.mu.Lock()
-	defer up.mu.Unlock()
-	ln, err := net.Listen("tcp", up.address)
-	if err != nil {
-		return err
-	}
-	up.startedMs = max(up.startedMs+1, up.clk.Now().UnixMilli())
-	up.Listener, up.crashed = ln, false
-	go func() { _ = up.Config.Serve(ln) }() // ends when the listener is closed
-	return nil
-}
-
 // Row returns the value of the upstream's row in the store.
 func (up *Upstream) Row(state string) string {
 	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":4,"state":%q,"sequence":%d,"born":%d,"cold-remaining-ms":%d}`,
@@ -377,28 +342,6 @@
 	_, _ = io.WriteString(wr, "answer to "+ar.ID) // fails only if the caller disconnected
 }
 
-// crashWithin begins an answer and crashes.
-func (up *Upstream) crashWithin(wr http.ResponseWriter, rq *http.Request) {
-	events := int(up.CrashAfter.Load())
-	switch {
-	case events > 0 && strings.Contains(rq.URL.Path, "/stream"):
-		first, _ := strconv.Atoi(rq.Header.Get(HeaderLastEvent))
-		wr.Header().Set("Content-Type", "text/event-stream")
-		for id := first + 1; id <= first+events; id++ {
-			_, _ = fmt.Fprintf(wr, "id: %d\ndata: token %d\n\n", id, id) // fails only if the caller disconnected
-		}
-	case events > 0:
-		wr.Header().Set("Content-Length", "20")
-		_, _ = io.WriteString(wr, "half of it")
-	}
-	wr.(http.Flusher).Flush()
-	if events > 0 {
-		<-up.clk.After(crashDelay) // until what was sent has arrived
-	}
-	up.Crash()
-	panic(http.ErrAbortHandler)
-}
-
 // stream sends the events after Last-Event-Id.
 func (up *Upstream) stream(wr http.ResponseWriter, rq *http.Request) {
 	wr.Header().Set("Content-Type", "text/event-stream")
@@ -429,9 +372,6 @@
 	}
 }
 
-// crashDelay is the time between the last event of an answer and the crash.
-const crashDelay = 20 * time.Millisecond
-
 // dripInterval is the pause between the bytes of a stalled stream.
 const dripInterval = 50 * time.Millisecond
 
