fleet/view: tell peers what is known in place of an older row of a copy

A reader of the store that ignored the older row of an upstream in a copy told it to the entries that rely on readers. One that had missed the removal used the upstream again.

Cause: the changes of a read are told as they were read, but for the values of malformed rows.

Change: they are told with the state that is known, removals included.

Result: with the change switched off TestOlderRowOfCopy failed in two of seven cases ("what a peer is told of the row"); all pass.

--- a/internal/fleet/view/copies_test.go
+++ b/internal/fleet/view/copies_test.go
@@ -81,6 +81,10 @@
 			apply(vi, tc.known...)
 			replace(vi, at(2, 45), tc.copy)
 			assert.Len(t, vi.Members().Service("s"), map[bool]int{true: 1}[tc.inUse])
+			peer, _ := newViewOfCopies()
+			apply(peer, beat(at(1, 30), 1, 1, "ready")) // it has missed the news since
+			peer.Apply(vi.Trim([]citronstream.Change{tc.copy}), "peer")
+			assert.Len(t, peer.Members().Service("s"), map[bool]int{true: 1}[tc.inUse], "what a peer is told of the row")
 			apply(vi, beat(at(1, 60), 1, 11, "ready")) // of a peer in the era before
 			assert.Len(t, vi.Members().Service("s"), map[bool]int{true: 1}[tc.inUse])
 			apply(vi, beat(at(2, 46), 3, 1, "ready"))
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -341,14 +341,15 @@
 	return vi.reports.Counts(vi.clk.Now())
 }
 
-// Trim returns changes that were applied, without the values of malformed rows.
+// Trim returns changes that were applied, without the values of malformed rows, and with what is
+// known in place of older rows of a copy of the store.
 func (vi *View) Trim(changes []citronstream.Change) []citronstream.Change {
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
 	trimmed := slices.Clone(changes)
 	for i, ch := range trimmed {
 		if rec := vi.rows[ch.Key]; rec != nil && rec.Version == ch.Version {
-			trimmed[i].Value = rec.Value
+			trimmed[i].Value, trimmed[i].Deleted = rec.Value, rec.Deleted
 		}
 	}
 	return trimmed
