fleet/view: undo the change of what peers are told of an older row

The value of a removed record is empty, so that peers took the row for a malformed one, which is no upstream to use.

Names that told a newcomer little are replaced (missingZones, unframedAnswer, evictable, lossesAtWrite, complete).

--- a/internal/fleet/discovery/discovery.go
+++ b/internal/fleet/discovery/discovery.go
@@ -45,13 +45,13 @@
 	name   string
 	ownRow row
 	// malformed has the versions of the malformed rows of the last read, by key.
-	malformed map[string]uint64
-	written   bool          // the row of this process
-	kept      uint64        // value of losses when it was written
-	losses    atomic.Uint64 // how often the store may have lost the row
-	onList    func(addresses []string, began time.Time)
-	refresh   chan struct{}
-	onFirst   func()
+	malformed     map[string]uint64
+	written       bool          // the row of this process
+	lossesAtWrite uint64        // value of losses when it was written
+	losses        atomic.Uint64 // how often the store may have lost the row
+	onList        func(addresses []string, began time.Time)
+	refresh       chan struct{}
+	onFirst       func()
 }
 
 // Option configures a Discovery.
@@ -98,7 +98,7 @@
 }
 
 // isWritten reports whether the row of this process was written and not lost since.
-func (di *Discovery) isWritten() bool { return di.written && di.kept == di.losses.Load() }
+func (di *Discovery) isWritten() bool { return di.written && di.lossesAtWrite == di.losses.Load() }
 
 // Run writes the row of this process, again if another entry has removed it, and reads those
 // of the others until ctx ends.
@@ -108,7 +108,7 @@
 		if !di.isWritten() {
 			losses := di.losses.Load()
 			err := di.announce(ctx)
-			di.written, di.kept = err == nil, losses
+			di.written, di.lossesAtWrite = err == nil, losses
 			if err != nil {
 				di.log.Info("own row not written", "reason", err.Error())
 				wait = retryDelay
--- a/internal/fleet/snapshot/snapshot.go
+++ b/internal/fleet/snapshot/snapshot.go
@@ -40,12 +40,12 @@
 	log   logr.Logger
 	table citronstream.Table
 	// list returns the upstreams in use, writes reports whether this process writes the row.
-	list    func() []citronstream.Member
-	writes  func() bool
-	written uint64        // digest of the list that was written last
-	kept    uint64        // value of losses when it was written
-	losses  atomic.Uint64 // how often the store may have lost the row
-	tooLong bool          // it was logged that the list does not fit
+	list          func() []citronstream.Member
+	writes        func() bool
+	written       uint64        // digest of the list that was written last
+	lossesAtWrite uint64        // value of losses when it was written
+	losses        atomic.Uint64 // how often the store may have lost the row
+	tooLong       bool          // it was logged that the list does not fit
 }
 
 // New returns a snapshot of a list. Writes reports whether this process is the one of its
@@ -92,7 +92,7 @@
 	}
 	digest := xxhash.Sum64(text)
 	losses := sn.losses.Load()
-	if digest == sn.written && losses == sn.kept {
+	if digest == sn.written && losses == sn.lossesAtWrite {
 		return
 	}
 	value, err := compress(text)
@@ -104,7 +104,7 @@
 		return
 	}
 	if sn.table.Write(ctx, "", citronstream.Op{Key: Key, Value: value, IfVersion: citronstream.AnyVersion}) == nil {
-		sn.written, sn.kept = digest, losses
+		sn.written, sn.lossesAtWrite = digest, losses
 	}
 }
 
--- a/internal/fleet/view/copies.go
+++ b/internal/fleet/view/copies.go
@@ -38,9 +38,9 @@
 	return mb.Sequence < rec.sequence || mb.Sequence == rec.sequence && rec.Deleted
 }
 
-// keep keeps the state of an upstream of which a copy of the store has an older row: whether it
+// keepState keeps the state of an upstream of which a copy of the store has an older row: whether it
 // is in use, leaves or is gone. Its next row is news.
-func (vi *View) keep(rec *record, ch citronstream.Change, source string) {
+func (vi *View) keepState(rec *record, ch citronstream.Change, source string) {
 	if rec.Version, rec.removed = ch.Version, vi.clk.Now(); rec.node == nil || rec.node.Draining {
 		vi.log.Info("older row of an upstream in a copy of the store ignored", "key", ch.Key, "gone", rec.node == nil, "source", source, "revision", citronstream.FormatVersion(ch.Version))
 	}
--- a/internal/fleet/view/evacuations.go
+++ b/internal/fleet/view/evacuations.go
@@ -23,7 +23,7 @@
 	known := vi.zones.Evacuated()
 	for _, zone := range vi.zones.Missing(evacuated, version) {
 		if citronstream.VersionEra(known[zone]) < citronstream.VersionEra(version) && !vi.outage.Over(vi.clk.Now()) {
-			vi.ends[zone] = version
+			vi.missingZones[zone] = version
 			continue
 		}
 		add(zone, version, true)
@@ -36,17 +36,17 @@
 	return applied
 }
 
-// endEvacuations takes back the zones whose rows were not written again after the store came
+// takeBackMissing takes back the zones whose rows were not written again after the store came
 // back from an older copy. The caller holds the lock.
-func (vi *View) endEvacuations(now time.Time) {
-	if len(vi.ends) == 0 || !vi.outage.Over(now) {
+func (vi *View) takeBackMissing(now time.Time) {
+	if len(vi.missingZones) == 0 || !vi.outage.Over(now) {
 		return
 	}
 	var changes []citronstream.Change
-	for zone, version := range vi.ends {
+	for zone, version := range vi.missingZones {
 		changes = append(changes, citronstream.Change{Row: citronstream.Row{Key: vi.decode.EvacuationPrefix + zone, Version: version}, Deleted: true})
 	}
-	clear(vi.ends)
+	clear(vi.missingZones)
 	vi.apply(changes, SourceExpiry)
 }
 
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -68,19 +68,19 @@
 	settled uint64
 	// newest is the greatest version of the store that was heard of.
 	newest uint64
-	// ends has the evacuated zones that a copy of the store does not have, with its version.
-	ends        map[string]uint64
-	reports     *selfreport.Reports
-	zones       *evacuation.Zones
-	config      citronstream.Row
-	refused     []uint64 // versions of the last configurations that were not accepted
-	outage      *outage.Record
-	onChange    func(changes []citronstream.Change, source string)
-	onMembers   []func(*Members)
-	onRow       func(mb citronstream.Member)
-	onTakenBack func(zone string, version uint64)
-	onEvacuated func(zone string)
-	onRestored  func(version uint64)
+	// missingZones are evacuated zones whose rows a copy of the store lacks, with its version.
+	missingZones map[string]uint64
+	reports      *selfreport.Reports
+	zones        *evacuation.Zones
+	config       citronstream.Row
+	refused      []uint64 // versions of the last configurations that were not accepted
+	outage       *outage.Record
+	onChange     func(changes []citronstream.Change, source string)
+	onMembers    []func(*Members)
+	onRow        func(mb citronstream.Member)
+	onTakenBack  func(zone string, version uint64)
+	onEvacuated  func(zone string)
+	onRestored   func(version uint64)
 }
 
 // Option configures a View.
@@ -94,7 +94,7 @@
 
 // New returns an empty view.
 func New(clk citronstream.Clock, log logr.Logger, decode Decode, opts ...Option) *View {
-	vi := &View{clk: clk, log: log, decode: decode, outage: outage.New(0), rows: make(map[string]*record), ends: make(map[string]uint64), zones: evacuation.New(), reports: selfreport.New(), onChange: func([]citronstream.Change, string) {}}
+	vi := &View{clk: clk, log: log, decode: decode, outage: outage.New(0), rows: make(map[string]*record), missingZones: make(map[string]uint64), zones: evacuation.New(), reports: selfreport.New(), onChange: func([]citronstream.Change, string) {}}
 	vi.onRow, vi.onTakenBack, vi.onEvacuated, vi.onRestored = func(citronstream.Member) {}, func(string, uint64) {}, func(string) {}, func(uint64) {}
 	for _, opt := range opts {
 		opt(vi)
@@ -341,15 +341,14 @@
 	return vi.reports.Counts(vi.clk.Now())
 }
 
-// Trim returns changes that were applied, without the values of malformed rows, and with what is
-// known in place of older rows of a copy of the store.
+// Trim returns changes that were applied, without the values of malformed rows.
 func (vi *View) Trim(changes []citronstream.Change) []citronstream.Change {
 	vi.mu.Lock()
 	defer vi.mu.Unlock()
 	trimmed := slices.Clone(changes)
 	for i, ch := range trimmed {
 		if rec := vi.rows[ch.Key]; rec != nil && rec.Version == ch.Version {
-			trimmed[i].Value, trimmed[i].Deleted = rec.Value, rec.Deleted
+			trimmed[i].Value = rec.Value
 		}
 	}
 	return trimmed
@@ -400,7 +399,7 @@
 		vi.publish()
 		vi.onChange(applied, SourceExpiry)
 	}
-	vi.endEvacuations(now)
+	vi.takeBackMissing(now)
 }
 
 func (vi *View) applyConfig(ch citronstream.Change, source string) bool {
@@ -457,7 +456,7 @@
 	}
 	member, err := vi.decode.Member(ch.Row)
 	if err == nil && old != nil && old.supersedes(member, ch.Version) {
-		vi.keep(old, ch, source)
+		vi.keepState(old, ch, source)
 		return false
 	}
 	rec := &record{Change: ch, started: member.StartedMs, sequence: member.Sequence}
--- a/internal/limit/partquarantine/quarantine.go
+++ b/internal/limit/partquarantine/quarantine.go
@@ -35,14 +35,14 @@
 	// the time to the first event of the request that is tried.
 	busyRetryAfter = time.Second
 
-	// endingTime is how long after an answer whose end was not told the death of its upstream
+	// unframedDelay is how long after an answer whose end was not told the death of its upstream
 	// may become known, and how long before it such an answer may have been the upstream's end.
-	endingTime = time.Second
+	unframedDelay = time.Second
 
-	defaultCap = 1 << 14 // suspects and holds
-	soundCap   = 1 << 15 // parts with a sound run
-	deathCap   = 1024    // explained deaths
-	maxEndings = 4096
+	defaultCap  = 1 << 14 // suspects and holds
+	soundCap    = 1 << 15 // parts with a sound run
+	deathCap    = 1024    // explained deaths
+	maxUnframed = 4096
 	// maxChanges bounds the log lines of a death with long prompts.
 	maxChanges = 256
 	// Bounds of a report, and of the requests of a crash that several report.
@@ -83,8 +83,8 @@
 	own bool // at this entry
 }
 
-// ending is an answer whose end only the end of its connection told.
-type ending struct {
+// unframedAnswer is an answer whose end only the end of its connection told.
+type unframedAnswer struct {
 	parts    []uint64
 	upstream string
 	at       time.Time
@@ -114,7 +114,7 @@
 	admitted  map[uint64]int         // requests without a first event, by part
 	sent      map[uint64]int         // those of them that are at an upstream
 	open      map[uint64]int         // requests with a first event whose answers go on, by part
-	endings   []ending               // the oldest first
+	unframed  []unframedAnswer       // the oldest first
 	unsent    map[uint64]time.Time   // sound runs that the peers are not told of
 	untold    []uint64               // holds that the peers are not told of
 	urgent    chan struct{}
@@ -124,7 +124,7 @@
 // Option changes a Quarantine.
 type Option func(*Quarantine)
 
-// WithCap bounds the suspect and held parts. Default 4,096.
+// WithCap bounds the suspect and held parts. Default 16,384.
 func WithCap(parts int) Option { return func(qu *Quarantine) { qu.cap = max(parts, 1) } }
 
 // WithOnChange sets a function that is called for each change.
@@ -164,7 +164,9 @@
 	if re.Age > qu.holdFor {
 		return
 	}
-	qu.endings = slices.DeleteFunc(qu.endings, func(en ending) bool { return en.upstream == re.Upstream && !en.at.Before(at.Add(-endingTime)) })
+	qu.unframed = slices.DeleteFunc(qu.unframed, func(ua unframedAnswer) bool {
+		return ua.upstream == re.Upstream && !ua.at.Before(at.Add(-unframedDelay))
+	})
 	requests := re.Requests[:min(len(re.Requests), maxRequests)]
 	if qu.explains(re.Death, requests, now) {
 		return
@@ -193,9 +195,9 @@
 	qu.mu.Lock()
 	defer qu.unlock()
 	now := qu.clk.Now()
-	for len(qu.endings) > 0 && now.Sub(qu.endings[0].at) >= endingTime {
-		qu.prove(qu.endings[0].parts, qu.endings[0].at)
-		qu.endings = slices.Delete(qu.endings, 0, 1)
+	for len(qu.unframed) > 0 && now.Sub(qu.unframed[0].at) >= unframedDelay {
+		qu.prove(qu.unframed[0].parts, qu.unframed[0].at)
+		qu.unframed = slices.Delete(qu.unframed, 0, 1)
 	}
 	for rec := qu.culprit(now); rec != nil; rec = qu.culprit(now) {
 		qu.hold(rec, now.Add(qu.holdFor))
--- a/internal/limit/partquarantine/quarantine_test.go
+++ b/internal/limit/partquarantine/quarantine_test.go
@@ -471,11 +471,11 @@
 	}
 	assertSuspects := func(t *testing.T, qu *Quarantine, clk *clockwork.FakeClock, want int) {
 		t.Helper()
-		clk.Advance(endingTime)
+		clk.Advance(unframedDelay)
 		qu.Tick()
 		suspects, _ := qu.Counts()
 		assert.Equal(t, want, suspects)
-		assert.Empty(t, qu.endings)
+		assert.Empty(t, qu.unframed)
 		assert.Empty(t, qu.open)
 	}
 	t.Run("its upstream goes on", func(t *testing.T) {
--- a/internal/limit/partquarantine/record.go
+++ b/internal/limit/partquarantine/record.go
@@ -140,8 +140,8 @@
 	})
 }
 
-// yieldScan is the number of the least recently used suspects of which one makes room.
-const yieldScan = 64
+// evictScan is the number of the least recently used suspects of which one makes room.
+const evictScan = 64
 
 // table is a bounded table of parts in two lists in order of last use.
 type table struct {
@@ -174,21 +174,21 @@
 		return rec
 	}
 	if len(ta.byPart) >= ta.cap {
-		ta.remove(ta.yields())
+		ta.remove(ta.evictable())
 	}
 	rec := &record{part: part, list: ta.suspects}
 	ta.byPart[part] = ta.suspects.PushFront(rec)
 	return rec
 }
 
-// yields returns the record that makes room for another one.
-func (ta *table) yields() *record {
+// evictable returns the record that makes room for another one.
+func (ta *table) evictable() *record {
 	el := ta.suspects.Back()
 	if el == nil {
 		return ta.holds.Back().Value.(*record)
 	}
 	fewest := el.Value.(*record)
-	for range yieldScan {
+	for range evictScan {
 		if el = el.Prev(); el == nil || len(fewest.crashes) <= 1 {
 			break
 		}
--- a/internal/limit/partquarantine/visit.go
+++ b/internal/limit/partquarantine/visit.go
@@ -26,7 +26,7 @@
 	open     []uint64 // parts that are counted from the first event on
 	began    bool     // an upstream has sent an event
 	broke    bool     // the connection of an attempt
-	proven   bool     // the answer was complete
+	complete bool     // an upstream has answered it completely
 }
 
 // Enter admits a request with these shared parts, unless one is held, or is a suspect
@@ -95,7 +95,7 @@
 // event. A stream that goes on elsewhere does so beside others, unless the next crash may get
 // a part of it held: many break with their upstream, and most of them are sound.
 func (vi *Visit) Send() *Refusal {
-	if len(vi.parts) == 0 || vi.proven {
+	if len(vi.parts) == 0 || vi.complete {
 		return nil
 	}
 	vi.qu.mu.Lock()
@@ -117,7 +117,7 @@
 // sound runs say nothing, as a part may crash upstreams from some time on.
 func (vi *Visit) Broke() []uint64 {
 	vi.broke = true
-	if vi.proven {
+	if vi.complete {
 		return nil
 	}
 	if len(vi.open) > 0 {
@@ -141,7 +141,7 @@
 // Began records the first event of an upstream. It proves nothing, as an upstream may crash in
 // the middle of its answer.
 func (vi *Visit) Began() {
-	if len(vi.parts) == 0 || vi.proven || len(vi.open) > 0 {
+	if len(vi.parts) == 0 || vi.complete || len(vi.open) > 0 {
 		return
 	}
 	vi.began = true
@@ -155,18 +155,18 @@
 // end only the end of its connection tells, which the end of the upstream does as well, is a
 // proof when the upstream is not known to have died a while later.
 func (vi *Visit) Finished(upstream string, framed bool) {
-	if len(vi.parts) == 0 || vi.proven {
+	if len(vi.parts) == 0 || vi.complete {
 		return
 	}
-	vi.proven = true
+	vi.complete = true
 	qu := vi.qu
 	qu.mu.Lock()
 	defer qu.unlock()
 	vi.leave()
 	if framed {
 		qu.prove(vi.parts, qu.clk.Now())
-	} else if len(qu.endings) < maxEndings {
-		qu.endings = append(qu.endings, ending{parts: vi.parts, upstream: upstream, at: qu.clk.Now()})
+	} else if len(qu.unframed) < maxUnframed {
+		qu.unframed = append(qu.unframed, unframedAnswer{parts: vi.parts, upstream: upstream, at: qu.clk.Now()})
 	}
 }
 
@@ -189,7 +189,7 @@
 // Apart reports whether the request may be the one that crashes upstreams, so that it
 // should run apart from others like it.
 func (vi *Visit) Apart() bool {
-	if len(vi.parts) == 0 || vi.proven {
+	if len(vi.parts) == 0 || vi.complete {
 		return false
 	}
 	if vi.broke && !vi.began {
